--- /dev/null
+++ b/src/base/id.h
@@ -0,0 +1,56 @@
+// Strong types for names: a VM cannot be passed where a replica is meant.
+#pragma once
+
+#include <compare>
+#include <functional>
+#include <ostream>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace arbutus {
+
+template <class Tag>
+class name_id {
+ public:
+  name_id() = default;
+  explicit name_id(std::string value) : value_(std::move(value)) {}
+  explicit name_id(std::string_view value) : value_(value) {}
+  explicit name_id(const char* value) : value_(value) {}
+
+  [[nodiscard]] const std::string& str() const noexcept { return value_; }
+  [[nodiscard]] bool empty() const noexcept { return value_.empty(); }
+
+  auto operator<=>(const name_id&) const = default;
+
+  friend std::ostream& operator<<(std::ostream& out, const name_id& id) { return out << id.value_; }
+
+ private:
+  std::string value_;
+};
+
+using vm_id = name_id<struct vm_tag>;
+using data_centre_id = name_id<struct data_centre_tag>;
+using fabric_domain_id = name_id<struct fabric_domain_tag>;
+using model_id = name_id<struct model_tag>;
+using adapter_id = name_id<struct adapter_tag>;
+using workspace_id = name_id<struct workspace_tag>;
+using replica_id = name_id<struct replica_tag>;
+using service_id = name_id<struct service_tag>;
+using node_id = name_id<struct node_tag>;
+
+// Identifies one request from its first hop to its last.
+using request_id = name_id<struct request_tag>;
+// What the caller sends so that a repeated call is recognised.
+using idempotency_key = name_id<struct idempotency_key_tag>;
+// Identifies one attempt to change a row, so that a lost reply can be resolved by reading back.
+using proposal_id = name_id<struct proposal_tag>;
+
+}  // namespace arbutus
+
+template <class Tag>
+struct std::hash<arbutus::name_id<Tag>> {
+  std::size_t operator()(const arbutus::name_id<Tag>& id) const noexcept {
+    return std::hash<std::string>{}(id.str());
+  }
+};
--- /dev/null
+++ b/src/base/units.h
@@ -0,0 +1,41 @@
+// Units of time, size and money-like weights that every part shares.
+//
+// The decision library never reads a clock. Callers pass `time_point now`, counted from any fixed
+// start that is the same for one process and never steps back.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+namespace arbutus {
+
+using duration = std::chrono::microseconds;
+
+// A tag, not a clock: it has no now(), so that no decision can read the time by itself.
+struct monotonic_clock {
+  using rep = duration::rep;
+  using period = duration::period;
+  using duration = arbutus::duration;
+  using time_point = std::chrono::time_point<monotonic_clock>;
+  static constexpr bool is_steady = true;
+};
+
+using time_point = std::chrono::time_point<monotonic_clock, duration>;
+
+using namespace std::chrono_literals;
+
+constexpr double to_seconds(duration d) { return static_cast<double>(d.count()) * 1e-6; }
+
+constexpr double to_milliseconds(duration d) { return static_cast<double>(d.count()) * 1e-3; }
+
+constexpr duration from_seconds(double seconds) {
+  return duration{static_cast<duration::rep>(seconds * 1e6)};
+}
+
+// Time since the Unix epoch; only for what outlives a process (expiry of records in the table).
+struct wall_time {
+  std::int64_t milliseconds{};
+  auto operator<=>(const wall_time&) const = default;
+};
+
+}  // namespace arbutus
