--- a/src/base/units.h
+++ b/src/base/units.h
@@ -24,9 +24,13 @@
 
 using namespace std::chrono_literals;
 
-constexpr double to_seconds(duration d) { return static_cast<double>(d.count()) * 1e-6; }
+constexpr double to_seconds(duration d) {
+  return static_cast<double>(d.count()) * 1e-6;
+}
 
-constexpr double to_milliseconds(duration d) { return static_cast<double>(d.count()) * 1e-3; }
+constexpr double to_milliseconds(duration d) {
+  return static_cast<double>(d.count()) * 1e-3;
+}
 
 constexpr duration from_seconds(double seconds) {
   return duration{static_cast<duration::rep>(seconds * 1e6)};
--- /dev/null
+++ b/src/version/configuration.h
@@ -0,0 +1,39 @@
+// A configuration version: inventory and rules together, as accepted by the operators.
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "base/finding.h"
+#include "base/id.h"
+#include "base/outcome.h"
+#include "version/inventory.h"
+#include "version/rules.h"
+
+namespace arbutus {
+
+// Which configuration is accepted: one row in the table. Versions only rise.
+struct config_head {
+  std::uint64_t version{};
+  std::string hash;  // content_hash of the encoded content, its name in the object store
+  // Newest first, this one included: lets a proposer whose reply was lost find its own proposal
+  // although others came after it.
+  std::vector<proposal_id> proposals;
+  auto operator<=>(const config_head&) const = default;
+};
+
+struct configuration {
+  std::uint64_t version{};
+  inventory assets;
+  rules wanted;
+};
+
+// Content as stored: independent of the version number. decode(encode(c)) == c.
+[[nodiscard]] std::string encode_content(const inventory& assets, const rules& wanted);
+[[nodiscard]] outcome<configuration> decode_content(std::string_view content,
+                                                    std::uint64_t version);
+
+[[nodiscard]] std::string encode(const config_head& head);
+[[nodiscard]] outcome<config_head> decode_head(std::string_view text);
+
+}  // namespace arbutus
