Base: the clock tag names its own duration

Cause: a member alias that hid the namespace's alias did not compile. Change: the alias is spelt out. Conclusion: every header compiles alone.

--- a/src/base/units.h
+++ b/src/base/units.h
@@ -15,7 +15,7 @@
 struct monotonic_clock {
   using rep = duration::rep;
   using period = duration::period;
-  using duration = arbutus::duration;
+  using duration = std::chrono::microseconds;
   using time_point = std::chrono::time_point<monotonic_clock>;
   static constexpr bool is_steady = true;
 };
