--- a/src/base/units.h
+++ b/src/base/units.h
@@ -13,8 +13,8 @@
 
 // A tag, not a clock: it has no now(), so that no decision can read the time by itself.
 struct monotonic_clock {
-  using rep = duration::rep;
-  using period = duration::period;
+  using rep = std::chrono::microseconds::rep;
+  using period = std::chrono::microseconds::period;
   using duration = std::chrono::microseconds;
   using time_point = std::chrono::time_point<monotonic_clock>;
   static constexpr bool is_steady = true;
