--- /dev/null
+++ b/src/process/engine_wire.cpp
@@ -0,0 +1,109 @@
+// Reports and orders as JSON. Keys are short since every target is probed about once a second.
+#include "process/engine_wire.h"
+
+#include <nlohmann/json.hpp>
+
+namespace arbutus {
+
+namespace {
+
+using json = nlohmann::json;
+
+// Runs a decoder that may throw on missing or mistyped fields; a bad answer must never take the
+// process down, and is refused with its reason.
+template <class T, class Decode>
+outcome<T> guarded(std::string_view text, Decode decode) {
+  try {
+    return decode(json::parse(text));
+  } catch (const std::exception& e) {
+    return refused{std::string("malformed: ") + e.what()};
+  }
+}
+
+generation decode_generation(const json& j) {
+  const auto parsed = parse_generation(j.get<std::string>());
+  if (!parsed) {
+    throw std::invalid_argument("generation");
+  }
+  return *parsed;
+}
+
+template <class Enum>
+Enum decode_enum(const json& j, Enum last) {
+  const auto value = j.get<unsigned>();
+  if (value > static_cast<unsigned>(last)) {
+    throw std::out_of_range("enumerator");
+  }
+  return static_cast<Enum>(value);
+}
+
+}  // namespace
+
+std::string encode(const engine_report& r) {
+  json j = {{"vm", r.vm.str()},       {"inc", r.incarnation},
+            {"rep", r.replica.str()}, {"gen", to_string(r.gen)},
+            {"ver", r.model_version}, {"st", static_cast<unsigned>(r.state)},
+            {"run", r.running},       {"q", r.queued},
+            {"slots", r.slots},       {"tps", r.tokens_per_second},
+            {"kv", r.kv_used}};
+  if (r.leaving) {
+    j["leaving"] = true;
+  }
+  return j.dump();
+}
+
+outcome<engine_report> decode_report(std::string_view text) {
+  return guarded<engine_report>(text, [](const json& j) {
+    engine_report r;
+    r.vm = vm_id{j.at("vm").get<std::string>()};
+    r.incarnation = j.at("inc").get<std::uint64_t>();
+    r.replica = replica_id{j.at("rep").get<std::string>()};
+    r.gen = decode_generation(j.at("gen"));
+    r.model_version = j.at("ver").get<std::string>();
+    r.state = decode_enum(j.at("st"), engine_state::failed);
+    r.running = j.at("run").get<std::uint32_t>();
+    r.queued = j.at("q").get<std::uint32_t>();
+    r.slots = j.at("slots").get<std::uint32_t>();
+    r.tokens_per_second = j.at("tps").get<double>();
+    r.kv_used = j.at("kv").get<double>();
+    r.leaving = j.value("leaving", false);
+    return r;
+  });
+}
+
+std::string encode(const order& o) {
+  json members = json::array();
+  for (const vm_id& vm : o.target.members) {
+    members.push_back(vm.str());
+  }
+  return json{{"kind", static_cast<unsigned>(o.kind)},
+              {"vm", o.vm.str()},
+              {"rep", o.target.replica.str()},
+              {"gen", to_string(o.target.gen)},
+              {"members", members},
+              {"model", o.model.str()},
+              {"ver", o.model_version},
+              {"inc", o.expected_incarnation},
+              {"ttl_us", o.valid_for.count()}}
+      .dump();
+}
+
+outcome<order> decode_order(std::string_view text) {
+  return guarded<order>(text, [](const json& j) {
+    order o;
+    o.kind = decode_enum(j.at("kind"), order_kind::drain);
+    o.vm = vm_id{j.at("vm").get<std::string>()};
+    o.target.replica = replica_id{j.at("rep").get<std::string>()};
+    o.target.gen = decode_generation(j.at("gen"));
+    for (const json& member : j.at("members")) {
+      o.target.members.emplace_back(member.get<std::string>());
+    }
+    o.model = model_id{j.at("model").get<std::string>()};
+    o.model_version = j.at("ver").get<std::string>();
+    o.expected_incarnation = j.at("inc").get<std::uint64_t>();
+    o.valid_for = duration{j.at("ttl_us").get<std::int64_t>()};
+    return o;
+  });
+}
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/process/engine_wire.h
@@ -0,0 +1,19 @@
+// How reports and orders look on the wire between a node and a target VM (JSON over HTTP).
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "base/outcome.h"
+#include "process/effects.h"
+#include "process/report.h"
+
+namespace arbutus {
+
+[[nodiscard]] std::string encode(const engine_report& report);
+[[nodiscard]] outcome<engine_report> decode_report(std::string_view text);
+
+[[nodiscard]] std::string encode(const order& o);
+[[nodiscard]] outcome<order> decode_order(std::string_view text);
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/process/routes.h
@@ -0,0 +1,56 @@
+// What the coordination core publishes to the request path: an immutable snapshot of who may be
+// routed to. Permission lapses by itself: each route carries the moment until which the newest
+// observations allow it, and the request path compares that with its own clock directly before
+// it sends, so that a node that was paused or cut off stops by itself.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "base/id.h"
+#include "base/units.h"
+#include "version/assignment.h"
+#include "version/inventory.h"
+
+namespace arbutus {
+
+struct replica_route {
+  replica_id id;
+  model_id model;
+  std::string model_version;
+  generation gen;
+  vm_id head;  // the member that answers requests
+  endpoint address;
+  std::vector<vm_id> members;
+  time_point valid_until;  // permission; never routed to at or after this
+  bool crosses_fabric_domains = false;
+  bool draining = false;  // nothing new
+  // Load as last reported by the head, which lags.
+  std::uint32_t running{};
+  std::uint32_t queued{};
+  std::uint32_t slots{};
+  double tokens_per_second{};
+  double kv_used{};
+  time_point load_at;
+  time_point serving_since;  // for slow start
+};
+
+// Another data centre as its nodes sum it up, per model.
+struct remote_capacity {
+  data_centre_id data_centre;
+  model_id model;
+  std::uint32_t free_slots{};
+  duration queueing_delay{};
+  time_point at;
+  std::vector<endpoint> entry;  // callers' endpoints of its nodes
+};
+
+struct routing_snapshot {
+  std::uint64_t assignment_version{};
+  std::uint64_t config_version{};
+  std::vector<replica_route> replicas;  // ordered by id
+  std::vector<remote_capacity> elsewhere;
+};
+
+}  // namespace arbutus
