--- /dev/null
+++ b/src/process/status_view.h
@@ -0,0 +1,87 @@
+// What `status` shows: one node's view of its data centre, in words an operator can act on.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/id.h"
+#include "base/units.h"
+#include "process/report.h"
+#include "version/assignment.h"
+
+namespace arbutus {
+
+struct node_status {
+  node_id id;
+  data_centre_id data_centre;
+  bool live = false;
+  bool leaving = false;
+  std::uint64_t config_version{};
+  time_point config_since;  // when this node learnt of that version
+  std::uint64_t assignment_version{};
+};
+
+struct vm_status {
+  vm_id id;
+  std::string condition;  // alive, suspect, lost, leaving, unknown
+  time_point since;
+  replica_id reported_replica;  // as the target says
+  generation reported_gen;
+  engine_state reported_state = engine_state::idle;
+};
+
+struct replica_status {
+  replica_id id;
+  model_id model;
+  replica_phase phase = replica_phase::active;
+  generation gen;
+  std::vector<vm_id> members;   // as in force, repairs included
+  std::vector<vm_id> standbys;  // as reserved in the row
+  bool serving = false;
+  std::string why_not;  // empty when serving
+};
+
+// A powered VM that works for no serving replica.
+struct stranded_vm {
+  vm_id id;
+  std::string reason;
+};
+
+struct drain_status {
+  replica_id id;
+  std::vector<node_id> waiting_for;  // nodes that have not acknowledged or still run requests
+  std::uint32_t running{};           // as the engine reports
+};
+
+// Counted since the start of this process.
+struct coordination_counters {
+  std::uint64_t row_reads{};
+  std::uint64_t writes_won{};
+  std::uint64_t writes_lost{};
+  std::uint64_t writes_unknown{};
+  std::uint64_t restored_copies{};  // the table showed an older row than was known
+  std::uint64_t activations{};      // started here
+  std::uint64_t orders_sent{};
+  std::uint64_t orders_refused{};
+  std::uint64_t orders_unknown{};
+  std::uint64_t orders_withheld{};  // stopped by the check directly before the send
+};
+
+struct status_view {
+  node_id self;
+  bool table_reachable = true;
+  time_point table_since;  // since when it is, or is not
+  std::uint64_t assignment_version{};
+  std::uint64_t config_version{};
+  std::vector<node_status> nodes;
+  std::vector<vm_status> vms;
+  std::vector<replica_status> replicas;
+  std::vector<stranded_vm> stranded;
+  std::vector<drain_status> drains;
+  std::vector<std::string> unmet;  // what the planner could not satisfy, and why
+  coordination_counters counters;
+};
+
+}  // namespace arbutus
