Row keeper, activation, ranks: first version

Cause: the coordination core needs a copy of the row that never steps down, and repair without the table. Change: row_keeper, activation, rank.

--- /dev/null
+++ b/src/process/activation.cpp
@@ -0,0 +1,114 @@
+// Choosing the mask, and when to act on it.
+#include "process/activation.h"
+
+#include <algorithm>
+#include <string>
+
+namespace arbutus {
+
+namespace {
+
+std::optional<std::size_t> position_of(const replica_plan& replica, const vm_id& vm) {
+  const auto member = std::find(replica.members.begin(), replica.members.end(), vm);
+  if (member != replica.members.end()) {
+    return static_cast<std::size_t>(member - replica.members.begin());
+  }
+  const auto standby = std::find(replica.standbys.begin(), replica.standbys.end(), vm);
+  if (standby == replica.standbys.end()) {
+    return std::nullopt;
+  }
+  return replica.members.size() + static_cast<std::size_t>(standby - replica.standbys.begin());
+}
+
+bool any_lost(const std::vector<vm_id>& vms, const std::function<bool(const vm_id&)>& lost) {
+  return std::any_of(vms.begin(), vms.end(), lost);
+}
+
+}  // namespace
+
+std::optional<lost_mask> extend_mask(const replica_plan& replica, std::uint64_t row_version,
+                                     lost_mask mask,
+                                     const std::function<bool(const vm_id&)>& lost) {
+  // Each round marks at least one more position, so it ends.
+  while (true) {
+    const auto candidate = activate(replica, row_version, mask);
+    if (!candidate) {
+      return std::nullopt;
+    }
+    const lost_mask before = mask;
+    for (const vm_id& vm : candidate->members) {
+      const auto position = position_of(replica, vm);
+      if (lost(vm) && position && *position < max_positions) {
+        mask |= lost_mask{1} << *position;
+      }
+    }
+    if (mask == before) {
+      return mask;
+    }
+  }
+}
+
+void activation::rebase(const assignment& row) {
+  if (row.version == row_version_) {
+    return;
+  }
+  row_version_ = row.version;
+  active_.clear();
+  needed_since_.clear();
+}
+
+bool activation::adopt(const assignment& row, const replica_id& replica, const generation& gen) {
+  const replica_plan* plan = row.find(replica);
+  const bool of_this_row = gen.row == row.version && row.version == row_version_;
+  if (plan == nullptr || !of_this_row || gen <= in_force(*plan).gen) {
+    return false;
+  }
+  const auto seen = activate(*plan, row.version, gen.lost);
+  if (!seen || seen->gen != gen) {
+    return false;  // no node that follows the protocol made this
+  }
+  active_[replica] = gen;
+  return true;
+}
+
+composition activation::in_force(const replica_plan& replica) const {
+  const auto active = active_.find(replica.id);
+  if (active == active_.end()) {
+    return planned(replica);
+  }
+  const auto activated = activate(replica, row_version_, active->second.lost);
+  return activated ? *activated : planned(replica);
+}
+
+std::vector<replica_id> activation::tick(time_point now, const activation_context& context) {
+  std::vector<replica_id> changed;
+  next_tick_ = time_point::max();
+  for (const replica_plan& replica : context.row.replicas) {
+    const composition current = in_force(replica);
+    const bool needed = any_lost(current.members, context.lost) || context.overtaken(replica);
+    if (!needed || !context.allowed) {
+      needed_since_.erase(replica.id);
+      continue;
+    }
+    const time_point since = needed_since_.try_emplace(replica.id, now).first->second;
+    const auto rank = rank_of("activate/" + replica.id.str(), self_, context.live);
+    const time_point due = since + rank_wait(rank, activation_rank_delay);
+    if (now < due) {
+      next_tick_ = std::min(next_tick_, due);
+      continue;
+    }
+    const bool active = active_.contains(replica.id);
+    const lost_mask mask = active ? current.gen.lost : lost_mask{0};
+    const auto wanted = extend_mask(replica, context.row.version, mask, context.lost);
+    if (!wanted || (active && *wanted == mask)) {
+      continue;  // no standby left, or nothing newer to say
+    }
+    active_[replica.id] = activate(replica, context.row.version, *wanted)->gen;
+    needed_since_.erase(replica.id);
+    ++started_;
+    changed.push_back(replica.id);
+  }
+  return changed;
+}
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/process/row_keeper.cpp
@@ -0,0 +1,305 @@
+// Reading, proposing and repairing the assignment row.
+#include "process/row_keeper.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace arbutus {
+
+namespace {
+
+// Reads caused by peers' claims are not repeated faster: with a restored copy in the table every
+// heartbeat claims a newer version.
+constexpr duration read_pause = 300ms;
+
+// Writes with unknown effect that are remembered; older ones have long been overtaken.
+constexpr std::size_t most_unresolved = 8;
+
+}  // namespace
+
+std::string row_key(const data_centre_id& dc) {
+  return "assignment/" + dc.str();
+}
+
+void lay_down_anew(assignment& a) {
+  for (replica_plan& replica : a.replicas) {
+    replica.gen = generation{.row = a.version};
+  }
+}
+
+row_keeper::row_keeper(node_id self, data_centre_id dc, std::uint64_t seed)
+    : self_(std::move(self)), dc_(std::move(dc)), key_(row_key(dc_)), random_(seed) {
+  row_.data_centre = dc_;
+}
+
+void row_keeper::raise_heard(time_point now, std::uint64_t version) {
+  if (version <= highest_heard_) {
+    return;
+  }
+  highest_heard_ = version;
+  if (behind()) {
+    claimed_at_ = now;
+  }
+}
+
+void row_keeper::heard_from_peer(time_point now, std::uint64_t version) {
+  if (version <= row_.version) {
+    return;
+  }
+  raise_heard(now, version);
+  claimed_at_ = now;
+  read_soon(now);
+}
+
+void row_keeper::heard_from_target(time_point now, std::uint64_t version) {
+  if (version <= highest_heard_) {
+    return;
+  }
+  raise_heard(now, version);
+  read_soon(now);
+}
+
+bool row_keeper::adopt(time_point now, const assignment& copy) {
+  const bool newer = copy.data_centre == dc_ && copy.version > row_.version;
+  if (!newer || has_errors(check_invariants(copy))) {
+    return false;
+  }
+  row_ = copy;
+  raise_heard(now, row_.version);
+  // What the table held was read before this copy existed, perhaps: look again before judging it.
+  in_table_.reset();
+  repair_since_.reset();
+  read_soon(now);
+  return true;
+}
+
+void row_keeper::read_soon(time_point now) {
+  const time_point earliest = std::max(now, last_read_ + read_pause);
+  next_read_ = std::min(next_read_, earliest + random_.jitter(row_read_spread));
+}
+
+effects row_keeper::read(time_point now) {
+  read_sent_at_ = now;
+  last_read_ = now;
+  ++counters_.reads;
+  return {table_read{key_}};
+}
+
+effects row_keeper::tick(time_point now, const std::vector<node_id>& live) {
+  if (read_sent_at_ && now - *read_sent_at_ >= row_reply_patience) {
+    table_silent(now);
+  }
+  if (write_ && now - write_->sent_at >= row_reply_patience) {
+    write_failed_ = true;
+    unresolved_.push_back(*write_);
+    write_.reset();
+    ++counters_.unknown_replies;
+    write_after_ = now + backoff_.fail(random_);
+    read_soon(now);
+  }
+  effects out;
+  if (!read_sent_at_ && now >= next_read_) {
+    const bool reader = rank_of(key_, self_, live) < row_readers;
+    const duration interval = reader ? row_reader_interval : row_idle_interval;
+    next_read_ = now + interval + random_.jitter(interval / 10);
+    out = read(now);
+  }
+  for (effect& e : repair_table(now, live)) {
+    out.push_back(std::move(e));
+  }
+  return out;
+}
+
+time_point row_keeper::next_tick() const {
+  time_point next = read_sent_at_ ? *read_sent_at_ + row_reply_patience : next_read_;
+  if (write_) {
+    next = std::min(next, write_->sent_at + row_reply_patience);
+  }
+  if (repair_since_ && !write_) {
+    next = std::min(next, std::max(last_read_ + read_pause, write_after_));
+  }
+  return next;
+}
+
+void row_keeper::table_silent(time_point now) {
+  read_sent_at_.reset();
+  unreadable_since_ = unreadable_since_.value_or(now);
+  next_read_ = now + row_reader_interval / 2 + random_.jitter(row_reader_interval);
+}
+
+effects row_keeper::on(time_point now, const table_read_result& r) {
+  if (r.asked.key != key_) {
+    return {};
+  }
+  const auto* row = std::get_if<table_row>(&r.result);
+  if (row == nullptr) {
+    table_silent(now);
+    return {};
+  }
+  read_sent_at_.reset();
+  unreadable_since_.reset();
+  table_copy copy{.version = row->version, .row_version = 0, .proposal = {}};
+  if (row->version == 0) {
+    take(now, copy, std::nullopt);
+    return {};
+  }
+  const auto decoded = decode_assignment(row->value);
+  if (const auto* content = std::get_if<assignment>(&decoded)) {
+    copy.row_version = content->version;
+    copy.proposal = content->proposal;
+    take(now, copy, *content);
+    return {};
+  }
+  take(now, copy, std::nullopt);
+  return {notice{"row", "the assignment row in the table cannot be decoded"}};
+}
+
+void row_keeper::take(time_point now, const table_copy& copy,
+                      const std::optional<assignment>& content) {
+  in_table_ = copy;
+  if (content && content->version > row_.version) {
+    row_ = *content;
+    raise_heard(now, row_.version);
+  }
+  resolve_unknown(now, copy);
+  if (!table_needs_repair(now)) {
+    repair_since_.reset();
+  } else if (!repair_since_) {
+    repair_since_ = now;
+    ++counters_.restored_copies;
+  }
+}
+
+void row_keeper::resolve_unknown(time_point now, const table_copy& copy) {
+  std::erase_if(unresolved_, [&](const open_write& w) {
+    if (w.proposal == copy.proposal) {
+      ++counters_.won;
+      write_failed_ = false;
+      backoff_.succeed();
+      write_after_ = now;
+      return true;
+    }
+    const bool overtaken = copy.version > w.expected;
+    counters_.lost += overtaken ? 1 : 0;
+    return overtaken;  // otherwise it may still take effect
+  });
+  while (unresolved_.size() > most_unresolved) {
+    unresolved_.erase(unresolved_.begin());
+  }
+}
+
+effects row_keeper::on(time_point now, const table_write_result& r) {
+  if (r.asked.key != key_) {
+    return {};
+  }
+  const auto decoded = decode_assignment(r.asked.value);
+  const auto* content = std::get_if<assignment>(&decoded);
+  if (content == nullptr) {
+    return {};
+  }
+  open_write sent{.proposal = content->proposal, .expected = r.asked.expected, .sent_at = now};
+  if (write_ && write_->proposal == sent.proposal) {
+    write_.reset();
+  }
+  std::erase_if(unresolved_, [&](const open_write& w) { return w.proposal == sent.proposal; });
+  if (const auto* written = std::get_if<table_written>(&r.result)) {
+    unresolved_.push_back(sent);
+    take(now, {written->version, content->version, content->proposal}, *content);
+    return {};
+  }
+  // Refused may also mean that the first copy of a write repeated below us took effect: read back
+  // in any case, and let the row itself tell whose proposal it is.
+  const bool no_answer = std::holds_alternative<unknown>(r.result);
+  counters_.unknown_replies += no_answer ? 1 : 0;
+  write_failed_ = no_answer;
+  unresolved_.push_back(sent);
+  write_after_ = now + backoff_.fail(random_);
+  if (read_sent_at_) {
+    next_read_ = now;  // the read under way may have passed before the write
+    return {};
+  }
+  return read(now);
+}
+
+bool row_keeper::unwritable(time_point now) const {
+  const bool slow = write_ && now - write_->sent_at >= row_reply_patience;
+  return unreadable_since_ || write_failed_ || slow;
+}
+
+bool row_keeper::content_lost(time_point now) const {
+  return behind() && in_table_ && now - claimed_at_ >= row_lost_patience;
+}
+
+// The table shows less than what is known: a restored copy, or one that lost a version which
+// targets obey.
+bool row_keeper::table_needs_repair(time_point now) const {
+  if (!in_table_ || !known()) {
+    return false;
+  }
+  const bool differs =
+      in_table_->row_version == row_.version && in_table_->proposal != row_.proposal;
+  return in_table_->row_version < row_.version || differs || content_lost(now);
+}
+
+effects row_keeper::repair_table(time_point now, const std::vector<node_id>& live) {
+  if (!repair_since_ && table_needs_repair(now)) {
+    repair_since_ = now;
+    ++counters_.restored_copies;
+  }
+  if (!repair_since_ || write_ || unreadable_since_ || now < write_after_) {
+    return {};
+  }
+  // An answer that was overtaken by a write looks like a restored copy too: believe only a second
+  // read that was sent after the first showed it.
+  if (last_read_ <= *repair_since_) {
+    read_soon(now);
+    return {};
+  }
+  if (read_sent_at_) {
+    return {};
+  }
+  const duration wait = rank_wait(rank_of(key_ + "/repair", self_, live), row_rank_delay);
+  const bool peers_know_more = behind() && !content_lost(now);
+  if (peers_know_more || now < *repair_since_ + wait) {
+    return {};
+  }
+  assignment next = row_;
+  next.version = next_version();
+  if (behind()) {
+    lay_down_anew(next);
+  }
+  return write(now, std::move(next));
+}
+
+bool row_keeper::may_propose(time_point now) const {
+  const bool seen = missing() || (known() && in_table_);
+  const bool free = seen && !write_ && !repair_since_ && !unreadable_since_;
+  const bool newest = !behind() || (!known() && content_lost(now));
+  return free && newest && now >= write_after_;
+}
+
+std::uint64_t row_keeper::next_version() const {
+  const bool gap = repair_since_ || behind();
+  return std::max(row_.version, highest_heard_) + (gap ? row_restore_gap : 1);
+}
+
+effects row_keeper::propose(time_point now, assignment next) {
+  if (!may_propose(now)) {
+    return {};
+  }
+  next.version = next_version();
+  return write(now, std::move(next));
+}
+
+effects row_keeper::write(time_point now, assignment next) {
+  next.data_centre = dc_;
+  next.proposal = proposal_id{self_.str() + "/" + std::to_string(random_()) + "/" +
+                              std::to_string(++proposals_)};
+  if (has_errors(check_invariants(next))) {
+    return {notice{"row", "a proposal breaks the invariants of the assignment; not written"}};
+  }
+  write_ = open_write{.proposal = next.proposal, .expected = in_table_->version, .sent_at = now};
+  return {table_write{.key = key_, .value = encode(next), .expected = in_table_->version}};
+}
+
+}  // namespace arbutus
