--- a/src/process/activation.cpp
+++ b/src/process/activation.cpp
@@ -85,8 +85,10 @@
   next_tick_ = time_point::max();
   for (const replica_plan& replica : context.row.replicas) {
     const composition current = in_force(replica);
-    const bool needed = any_lost(current.members, context.lost) || context.overtaken(replica);
-    if (!needed || !context.allowed) {
+    const lost_mask carried = context.overtaken_by(replica).value_or(0);
+    const bool needed = any_lost(current.members, context.lost) || carried != 0;
+    const bool serves = replica.phase == replica_phase::active;
+    if (!needed || !serves || !context.allowed) {
       needed_since_.erase(replica.id);
       continue;
     }
@@ -99,7 +101,7 @@
     }
     const bool active = active_.contains(replica.id);
     const lost_mask mask = active ? current.gen.lost : lost_mask{0};
-    const auto wanted = extend_mask(replica, context.row.version, mask, context.lost);
+    const auto wanted = extend_mask(replica, context.row.version, mask | carried, context.lost);
     if (!wanted || (active && *wanted == mask)) {
       continue;  // no standby left, or nothing newer to say
     }
--- a/src/process/activation.h
+++ b/src/process/activation.h
@@ -29,9 +29,9 @@
   const assignment& row;
   const std::vector<node_id>& live;        // nodes of the data centre, this one included
   std::function<bool(const vm_id&)> lost;  // lost, not merely suspect
-  // A generation of this replica that some target obeys although it is greater than the one in
-  // force here and was not laid down by this row: the composition needs a newer one.
-  std::function<bool(const replica_plan&)> overtaken;
+  // The mask of an activation from an older row that targets of this replica still obey, although
+  // it is greater than the generation in force: without a newer one they refuse every order.
+  std::function<std::optional<lost_mask>(const replica_plan&)> overtaken_by;
   bool allowed = false;  // the table cannot be written and this node is not alone
 };
 
--- /dev/null
+++ b/src/process/orders.cpp
@@ -0,0 +1,171 @@
+// What to tell whom, and when.
+#include "process/orders.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace arbutus {
+
+namespace {
+
+// How a VM stands in the row.
+struct place_in_row {
+  const replica_plan* replica = nullptr;  // whose member or standby it is
+  bool in_composition = false;
+};
+
+std::map<vm_id, place_in_row> places(const assignment& row,
+                                     const std::map<replica_id, composition>& compositions) {
+  std::map<vm_id, place_in_row> found;
+  for (const replica_plan& replica : row.replicas) {
+    for (const vm_id& vm : replica.members) {
+      found[vm].replica = &replica;
+    }
+    for (const vm_id& vm : replica.standbys) {
+      found[vm].replica = &replica;
+    }
+    for (const vm_id& vm : compositions.at(replica.id).members) {
+      found[vm].in_composition = true;
+    }
+  }
+  return found;
+}
+
+wanted_state member_state(const replica_plan& replica, const composition& in_force) {
+  const bool draining = replica.phase == replica_phase::draining;
+  return {draining ? order_kind::drain : order_kind::form, in_force, replica.model,
+          replica.model_version};
+}
+
+// A VM that works for nobody gives up what it has. The token must beat the one it obeys, and must
+// not beat a later order that makes it a member again.
+std::optional<wanted_state> release_state(const assignment& row, const place_in_row& place,
+                                          const std::map<replica_id, composition>& compositions,
+                                          const engine_report& r) {
+  if (r.replica.empty()) {
+    return std::nullopt;
+  }
+  composition target{r.replica, generation{.row = row.version}, {}};
+  if (place.replica != nullptr) {
+    const composition& own = compositions.at(place.replica->id);
+    const bool same = place.replica->id == r.replica;
+    target.gen = same ? own.gen : std::max(own.gen, target.gen);
+  }
+  if (target.gen <= r.gen) {
+    return std::nullopt;  // it obeys something newer than this row: not ours to undo
+  }
+  return wanted_state{order_kind::release, target, {}, {}};
+}
+
+}  // namespace
+
+bool satisfied(const wanted_state& wanted, const engine_report& r) {
+  const bool same = r.replica == wanted.target.replica && r.gen == wanted.target.gen;
+  switch (wanted.kind) {
+    case order_kind::form:
+      return same && (r.state == engine_state::loading || r.state == engine_state::ready);
+    case order_kind::drain:
+      // Only who serves this composition can finish it.
+      return !same || r.state != engine_state::ready;
+    case order_kind::release:
+      return r.replica.empty();
+  }
+  return true;
+}
+
+std::map<vm_id, wanted_state> wanted_states(
+    const assignment& row, const std::function<composition(const replica_plan&)>& in_force,
+    const std::map<vm_id, engine_report>& reports) {
+  std::map<replica_id, composition> compositions;
+  for (const replica_plan& replica : row.replicas) {
+    compositions[replica.id] = in_force(replica);
+  }
+  const auto in_row = places(row, compositions);
+  std::map<vm_id, wanted_state> result;
+  for (const auto& [vm, report] : reports) {
+    const auto found = in_row.find(vm);
+    const place_in_row place = found == in_row.end() ? place_in_row{} : found->second;
+    if (place.in_composition) {
+      auto wanted = member_state(*place.replica, compositions.at(place.replica->id));
+      const bool newer = report.gen > wanted.target.gen;
+      if (!newer && !satisfied(wanted, report)) {
+        result.emplace(vm, std::move(wanted));
+      }
+    } else if (auto release = release_state(row, place, compositions, report)) {
+      result.emplace(vm, std::move(*release));
+    }
+  }
+  return result;
+}
+
+std::vector<order> order_book::tick(time_point now, const order_context& context) {
+  next_tick_ = time_point::max();
+  std::erase_if(needs_, [&](const auto& entry) { return !context.wanted.contains(entry.first); });
+  std::vector<order> out;
+  for (const auto& [vm, wanted] : context.wanted) {
+    need& n = needs_.try_emplace(vm, need{.wanted = wanted, .since = now}).first->second;
+    if (n.wanted != wanted) {
+      n = need{.wanted = wanted, .since = now};
+    }
+    if (auto o = due_order(now, vm, n, context)) {
+      ++counters_.sent;
+      out.push_back(std::move(*o));
+    }
+  }
+  return out;
+}
+
+std::optional<order> order_book::due_order(time_point now, const vm_id& vm, need& n,
+                                           const order_context& context) {
+  const observation* seen = context.reachable(vm);
+  if (seen == nullptr || now - seen->at > order_observation_limit) {
+    return std::nullopt;
+  }
+  if (n.sent_at && now < *n.sent_at + order_valid_for) {
+    later(*n.sent_at + order_valid_for);
+    return std::nullopt;
+  }
+  if (n.sent_at) {
+    n.sent_at.reset();
+    n.not_before = now + n.pause.fail(random_);
+  }
+  const auto rank = rank_of("order/" + vm.str(), self_, context.live);
+  const time_point due = std::max(n.not_before, n.since + rank_wait(rank, order_rank_delay));
+  if (now < due) {
+    later(due);
+    return std::nullopt;
+  }
+  n.sent_at = now;
+  later(now + order_valid_for);
+  return order{.kind = n.wanted.kind,
+               .vm = vm,
+               .target = n.wanted.target,
+               .model = n.wanted.model,
+               .model_version = n.wanted.model_version,
+               .expected_incarnation = seen->report.incarnation,
+               .valid_for = order_valid_for};
+}
+
+std::optional<time_point> order_book::on(time_point now, const order_result& result) {
+  if (std::holds_alternative<refused>(result.result)) {
+    ++counters_.refused;
+  }
+  if (std::holds_alternative<unknown>(result.result)) {
+    ++counters_.unknown_replies;
+  }
+  const auto found = needs_.find(result.asked.vm);
+  if (found == needs_.end() || !found->second.sent_at) {
+    return std::nullopt;
+  }
+  need& n = found->second;
+  if (n.wanted.kind != result.asked.kind || n.wanted.target != result.asked.target) {
+    return std::nullopt;
+  }
+  const time_point sent_at = *n.sent_at;
+  n.sent_at.reset();
+  n.not_before = now + n.pause.fail(random_);
+  later(n.not_before);
+  return sent_at;
+}
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/process/permission.cpp
@@ -0,0 +1,107 @@
+// The rules of permission, each with its reason in words an operator can read in `status`.
+#include "process/permission.h"
+
+#include <algorithm>
+
+namespace arbutus {
+
+namespace {
+
+const char* refusal_by_condition(condition state) {
+  switch (state) {
+    case condition::lost:
+      return "is lost";
+    case condition::suspect:
+      return "is suspect";
+    case condition::leaving:
+      return "is leaving";
+    case condition::unknown:
+      return "has not been observed lately";
+    case condition::working:
+      break;
+  }
+  return nullptr;
+}
+
+const char* refusal_by_report(const engine_report& report, const composition& in_force) {
+  if (report.leaving) {
+    return "is leaving";
+  }
+  if (report.replica != in_force.replica) {
+    return "does not report this replica";
+  }
+  if (report.gen != in_force.gen) {
+    return "reports another generation";
+  }
+  switch (report.state) {
+    case engine_state::ready:
+      return nullptr;
+    case engine_state::loading:
+      return "is loading";
+    case engine_state::draining:
+      return "is draining";
+    case engine_state::failed:
+      return "has failed";
+    case engine_state::idle:
+      break;
+  }
+  return "is idle";
+}
+
+permit deny(const vm_id& vm, const char* reason) {
+  return {.why_not = "VM " + vm.str() + " " + reason};
+}
+
+}  // namespace
+
+void steadiness::observe(const observation& seen) {
+  const engine_report& r = seen.report;
+  spell& s = spells_[r.vm];
+  const bool same = s.incarnation == r.incarnation && s.replica == r.replica && s.gen == r.gen &&
+                    s.state == r.state;
+  if (!same) {
+    s = {r.incarnation, r.replica, r.gen, r.state, seen.at};
+  }
+}
+
+std::optional<time_point> steadiness::ready_since(const vm_id& vm) const {
+  const auto found = spells_.find(vm);
+  if (found == spells_.end() || found->second.state != engine_state::ready) {
+    return std::nullopt;
+  }
+  return found->second.since;
+}
+
+permit permission_for(time_point now, const composition& in_force, const steadiness& steady,
+                      const std::function<member_evidence(const vm_id&)>& evidence) {
+  permit result{.granted = true, .valid_until = time_point::max()};
+  for (const vm_id& vm : in_force.members) {
+    const member_evidence e = evidence(vm);
+    if (const char* reason = refusal_by_condition(e.state)) {
+      return deny(vm, reason);
+    }
+    if (e.seen == nullptr) {
+      return deny(vm, "was never observed");
+    }
+    if (const char* reason = refusal_by_report(e.seen->report, in_force)) {
+      return deny(vm, reason);
+    }
+    const time_point until = e.seen->at + permission_time;
+    if (until <= now) {
+      return deny(vm, "has not been observed lately");
+    }
+    const auto since = steady.ready_since(vm);
+    if (!since) {
+      return deny(vm, "is not ready");
+    }
+    if (!e.checks_tokens && e.seen->at < *since + settle_time) {
+      return deny(vm, "is settling: it does not check fencing tokens");
+    }
+    result.valid_until = std::min(result.valid_until, until);
+    result.serving_since = std::max(result.serving_since, *since);
+  }
+  result.granted = !in_force.members.empty();
+  return result;
+}
+
+}  // namespace arbutus
