--- /dev/null
+++ b/src/version/assignment_codec.cpp
@@ -0,0 +1,196 @@
+// The assignment row as MessagePack. Arrays instead of maps: the row is read by every node, and
+// at sixteen VMs a replica the keys would outweigh the names.
+#include <limits>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+
+#include "version/assignment.h"
+
+namespace arbutus {
+
+namespace {
+
+using json = nlohmann::json;
+
+// First element of the row: a reader refuses a form that it does not know.
+constexpr std::uint64_t row_format = 1;
+
+json pack(const std::vector<vm_id>& vms) {
+  json list = json::array();
+  for (const vm_id& vm : vms) {
+    list.push_back(vm.str());
+  }
+  return list;
+}
+
+json pack(const replica_plan& r) {
+  return json::array({r.id.str(), r.model.str(), r.model_version, static_cast<unsigned>(r.phase),
+                      r.crosses_fabric_domains, pack(r.members), pack(r.standbys), r.gen.row,
+                      r.gen.step, r.gen.lost});
+}
+
+json pack(const withdrawal& w) {
+  return json::array({w.vm.str(), w.from.str(), w.since});
+}
+
+// A list of exactly `size` elements; a longer one was not written by us and is refused too.
+const json& tuple(const json& j, std::size_t size) {
+  if (!j.is_array() || j.size() != size) {
+    throw std::invalid_argument("list of wrong length");
+  }
+  return j;
+}
+
+const json& list(const json& j) {
+  if (!j.is_array()) {
+    throw std::invalid_argument("not a list");
+  }
+  return j;
+}
+
+// nlohmann converts between kinds of numbers silently; a damaged row would so lose digits or
+// change sign, and a wrong fencing token would go out. Only whole numbers in range are taken.
+template <class Number>
+Number whole(const json& j) {
+  if (!j.is_number_unsigned()) {
+    throw std::invalid_argument("not a whole number");
+  }
+  const auto value = j.get<std::uint64_t>();
+  if (value > std::numeric_limits<Number>::max()) {
+    throw std::out_of_range("number too large");
+  }
+  return static_cast<Number>(value);
+}
+
+template <class Id>
+Id name(const json& j) {
+  return Id{j.get<std::string>()};
+}
+
+std::vector<vm_id> unpack_vms(const json& j) {
+  std::vector<vm_id> vms;
+  for (const json& vm : list(j)) {
+    vms.push_back(name<vm_id>(vm));
+  }
+  return vms;
+}
+
+replica_phase unpack_phase(const json& j) {
+  switch (whole<unsigned>(j)) {
+    case static_cast<unsigned>(replica_phase::active):
+      return replica_phase::active;
+    case static_cast<unsigned>(replica_phase::draining):
+      return replica_phase::draining;
+    default:
+      throw std::out_of_range("phase");
+  }
+}
+
+replica_plan unpack_replica(const json& j) {
+  tuple(j, 10);
+  replica_plan r;
+  r.id = name<replica_id>(j[0]);
+  r.model = name<model_id>(j[1]);
+  r.model_version = j[2].get<std::string>();
+  r.phase = unpack_phase(j[3]);
+  r.crosses_fabric_domains = j[4].get<bool>();
+  r.members = unpack_vms(j[5]);
+  r.standbys = unpack_vms(j[6]);
+  r.gen = {whole<std::uint64_t>(j[7]), whole<std::uint32_t>(j[8]), whole<lost_mask>(j[9])};
+  return r;
+}
+
+withdrawal unpack_withdrawal(const json& j) {
+  tuple(j, 3);
+  return {name<vm_id>(j[0]), name<replica_id>(j[1]), whole<std::uint64_t>(j[2])};
+}
+
+assignment unpack(const json& j) {
+  tuple(j, 7);
+  if (whole<std::uint64_t>(j[0]) != row_format) {
+    throw std::invalid_argument("unknown row format");
+  }
+  assignment a;
+  a.data_centre = name<data_centre_id>(j[1]);
+  a.version = whole<std::uint64_t>(j[2]);
+  a.config_version = whole<std::uint64_t>(j[3]);
+  a.proposal = name<proposal_id>(j[4]);
+  for (const json& replica : list(j[5])) {
+    a.replicas.push_back(unpack_replica(replica));
+  }
+  for (const json& taken : list(j[6])) {
+    a.withdrawals.push_back(unpack_withdrawal(taken));
+  }
+  return a;
+}
+
+// Looks at the nesting only. The library's reader calls itself once per level, so that a few
+// kilobytes of damaged bytes that open a list each would overflow the stack and take the process
+// down, which no exception handler could stop.
+class depth_check : public json::json_sax_t {
+ public:
+  bool null() override { return true; }
+  bool boolean(bool) override { return true; }
+  bool number_integer(number_integer_t) override { return true; }
+  bool number_unsigned(number_unsigned_t) override { return true; }
+  bool number_float(number_float_t, const string_t&) override { return true; }
+  bool string(string_t&) override { return true; }
+  bool binary(binary_t&) override { return true; }
+  bool start_object(std::size_t) override { return false; }  // the row has none
+  bool key(string_t&) override { return false; }
+  bool end_object() override { return false; }
+  bool start_array(std::size_t) override { return ++depth_ <= deepest; }
+  bool end_array() override {
+    --depth_;
+    return true;
+  }
+  bool parse_error(std::size_t, const std::string&, const json::exception&) override {
+    return false;
+  }
+
+ private:
+  static constexpr int deepest = 4;  // row, replicas, replica, members
+  int depth_ = 0;
+};
+
+json parse(std::string_view bytes) {
+  depth_check check;
+  if (!json::sax_parse(bytes.begin(), bytes.end(), &check, json::input_format_t::msgpack)) {
+    throw std::invalid_argument("not a row");
+  }
+  return json::from_msgpack(bytes.begin(), bytes.end());
+}
+
+}  // namespace
+
+std::string encode(const assignment& a) {
+  json replicas = json::array();
+  for (const replica_plan& replica : a.replicas) {
+    replicas.push_back(pack(replica));
+  }
+  json withdrawals = json::array();
+  for (const withdrawal& taken : a.withdrawals) {
+    withdrawals.push_back(pack(taken));
+  }
+  const json row = json::array({row_format, a.data_centre.str(), a.version, a.config_version,
+                                a.proposal.str(), replicas, withdrawals});
+  std::string bytes;
+  json::to_msgpack(row, bytes);
+  return bytes;
+}
+
+outcome<assignment> decode_assignment(std::string_view bytes) {
+  try {
+    assignment a = unpack(parse(bytes));
+    // Well-formed bytes can still say that one VM has two owners; such a row must not be obeyed.
+    const findings breaches = check_invariants(a);
+    if (!breaches.empty()) {
+      return refused{"assignment row: " + breaches.front().message};
+    }
+    return a;
+  } catch (const std::exception& e) {
+    return refused{std::string("assignment row: ") + e.what()};
+  }
+}
+
+}  // namespace arbutus
