--- /dev/null
+++ b/tests/core/configuration_test.cpp
@@ -0,0 +1,137 @@
+// Content and head codecs, and keys of callers.
+#include "version/configuration.h"
+
+#include <gtest/gtest.h>
+
+#include <limits>
+
+#include "version/secret.h"
+
+namespace arbutus {
+namespace {
+
+inventory every_asset() {
+  inventory assets;
+  assets.data_centres = {{data_centre_id{"hall-a"}, "sk-west"}};
+  assets.vms = {{vm_id{"vm-1"},
+                 {"127.0.0.1", 21000},
+                 data_centre_id{"hall-a"},
+                 fabric_domain_id{"fab-1"},
+                 4,
+                 false}};
+  assets.nodes = {
+      {node_id{"n1"}, data_centre_id{"hall-a"}, {"127.0.0.1", 21300}, {"127.0.0.1", 21400}}};
+  assets.services = {{service_id{"crew-api"}, data_centre_id{"hall-a"}, {"127.0.0.1", 21200}}};
+  return assets;
+}
+
+rules every_rule() {
+  rules wanted;
+  model_rule model;
+  model.id = model_id{"dispatch-llm"};
+  model.version = "2";
+  model.vms_per_replica = 3;
+  model.accelerators_per_vm = 2;
+  model.slots = 9;
+  model.may_cross_fabric_domains = true;
+  model.rank = 7;
+  model.adapters = {adapter_id{"brief"}};
+  model.placements = {{data_centre_id{"hall-a"}, 5}};
+  wanted.models = {model};
+  wanted.services = {
+      {service_id{"crew-api"}, "/crew", {{"GET", "/crew/cards"}}, {workspace_id{"w"}}}};
+  wanted.workspaces = {
+      {workspace_id{"w"}, {sha256_hex("key-w")}, {model_id{"dispatch-llm"}}, 2.5, 0.1, 30}};
+  wanted.classes = {{"interactive", 1, 12345678us, 1500ms}};
+  wanted.preference = {4.0, 0.3};
+  wanted.spare_vms_per_data_centre = 2;
+  wanted.standbys_per_replica = 1;
+  wanted.vm_failures_per_day = 0.7;
+  wanted.vm_repair_hours = 3.25;
+  return wanted;
+}
+
+std::string reason(const outcome<configuration>& result) {
+  const auto* no = std::get_if<refused>(&result);
+  return no == nullptr ? "" : no->reason;
+}
+
+TEST(configuration, content_round_trips_with_every_field_set) {
+  const auto decoded = decode_content(encode_content(every_asset(), every_rule()), 42);
+  const auto* value = std::get_if<configuration>(&decoded);
+  ASSERT_NE(value, nullptr) << reason(decoded);
+  EXPECT_EQ(value->version, 42U);
+  EXPECT_TRUE(value->assets == every_asset());
+  EXPECT_TRUE(value->wanted == every_rule());
+}
+
+TEST(configuration, equal_values_give_equal_bytes) {
+  const std::string once = encode_content(every_asset(), every_rule());
+  const auto decoded = decode_content(once, 1);
+  const auto& value = std::get<configuration>(decoded);
+  EXPECT_EQ(encode_content(value.assets, value.wanted), once);
+}
+
+TEST(configuration, head_round_trips) {
+  const config_head head{7, "abc", {proposal_id{"p2"}, proposal_id{"p1"}}};
+  EXPECT_TRUE(std::get<config_head>(decode_head(encode(head))) == head);
+}
+
+// Symptom: a node crashes, or runs with half a configuration, after the store returned damage.
+// Sequence: content written; bytes cut or changed; a node reads it. Cause: a decoder that trusts.
+TEST(configuration, every_truncation_is_refused) {
+  const std::string whole = encode_content(every_asset(), every_rule());
+  for (std::size_t length = 0; length < whole.size(); ++length) {
+    EXPECT_FALSE(is_ok(decode_content(whole.substr(0, length), 1))) << length;
+  }
+}
+
+TEST(configuration, damage_is_refused_with_its_place) {
+  std::string port = encode_content(every_asset(), every_rule());
+  port.replace(port.find("21000"), 5, "86536");
+  EXPECT_NE(reason(decode_content(port, 1)).find("vms: address: port"), std::string::npos)
+      << reason(decode_content(port, 1));
+  std::string format = encode_content({}, {});
+  format.replace(format.find("\"format\":1"), 10, "\"format\":2");
+  EXPECT_NE(reason(decode_content(format, 1)).find("format 2"), std::string::npos);
+  EXPECT_FALSE(is_ok(decode_content(std::string(1 << 20, '['), 1)));
+  EXPECT_FALSE(is_ok(decode_content("[1,2]", 1)));
+  EXPECT_FALSE(is_ok(decode_head("{\"version\":-1,\"hash\":\"\",\"proposals\":[]}")));
+}
+
+TEST(configuration, encoding_never_throws) {
+  inventory assets = every_asset();
+  assets.vms[0].id = vm_id{"\xff\xfe"};
+  rules wanted = every_rule();
+  wanted.vm_failures_per_day = std::numeric_limits<double>::quiet_NaN();
+  EXPECT_NO_THROW((void)encode_content(assets, wanted));
+  EXPECT_FALSE(is_ok(decode_content(encode_content(assets, wanted), 1)));
+}
+
+TEST(secret, sha256_matches_the_published_vector) {
+  EXPECT_EQ(sha256_hex("abc"), "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad");
+}
+
+TEST(secret, compares_content_and_length) {
+  EXPECT_TRUE(equal_constant_time("", ""));
+  EXPECT_TRUE(equal_constant_time("abc", "abc"));
+  EXPECT_FALSE(equal_constant_time("abc", "abd"));
+  EXPECT_FALSE(equal_constant_time("abc", "ab"));
+}
+
+TEST(secret, a_key_opens_its_own_workspace_only) {
+  rules wanted = every_rule();
+  wanted.workspaces.push_back({workspace_id{"v"}, {sha256_hex("old"), sha256_hex("new")}, {}});
+  const workspace_rule* found = authenticate(wanted, "new");
+  ASSERT_NE(found, nullptr);
+  EXPECT_EQ(found->id, workspace_id{"v"});
+  ASSERT_NE(authenticate(wanted, "key-w"), nullptr);
+  EXPECT_EQ(authenticate(wanted, "key-w")->id, workspace_id{"w"});
+  EXPECT_EQ(authenticate(wanted, "other"), nullptr);
+  EXPECT_EQ(authenticate(wanted, ""), nullptr);
+  // The hash itself is no key.
+  EXPECT_EQ(authenticate(wanted, sha256_hex("new")), nullptr);
+}
+
+}  // namespace
+}  // namespace arbutus
