Coordinator: composition of the parts, first version

Cause: the parts need one value that a node embeds. Change: coordinator with its inputs, ticks, decisions and views; drains; sums for other data centres.

--- /dev/null
+++ b/src/process/coordinator.cpp
@@ -0,0 +1,147 @@
+// The coordinator's interface: each call collects the effects of the parts.
+#include "process/coordinator.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "process/coordinator_parts.h"
+
+namespace arbutus {
+
+namespace {
+
+// Seeds of the parts differ, so that their jitters do not move together.
+std::uint64_t derived(std::uint64_t seed, std::uint64_t part) {
+  return rng{seed + part}();
+}
+
+// A bound for callers that sleep until next_tick(): never a busy loop.
+constexpr duration shortest_sleep = 1ms;
+
+}  // namespace
+
+coordinator::parts::parts(coordinator_settings s)
+    : settings(std::move(s)),
+      random(derived(settings.seed, 1)),
+      seen(settings.self, timing),
+      configs(settings.self, derived(settings.seed, 2), timing),
+      rows(settings.self, settings.data_centre, derived(settings.seed, 3)),
+      repairs(settings.self),
+      sender(derived(settings.seed, 4)),
+      board(settings.self, settings.data_centre) {}
+
+void coordinator::parts::emit(effects list) {
+  std::move(list.begin(), list.end(), std::back_inserter(out));
+}
+
+coordinator::coordinator(coordinator_settings settings)
+    : parts_(std::make_unique<parts>(std::move(settings))) {}
+coordinator::coordinator(coordinator&&) noexcept = default;
+coordinator& coordinator::operator=(coordinator&&) noexcept = default;
+coordinator::~coordinator() = default;
+
+effects coordinator::start(time_point now) {
+  parts& p = *parts_;
+  p.started_at = now;
+  p.last_tick = now;
+  p.table_since = now;
+  p.peers.emplace(p.settings.self, p.settings.incarnation, derived(p.settings.seed, 5), now,
+                  p.timing);
+  std::vector<node_id> nodes{p.settings.self};
+  for (const node_record& n : p.settings.bootstrap_peers) {
+    if (n.data_centre == p.settings.data_centre) {
+      nodes.push_back(n.id);
+    }
+  }
+  p.peers->set_nodes(nodes, now);
+  return tick(now);
+}
+
+effects coordinator::tick(time_point now) {
+  parts_->tick(now);
+  return std::exchange(parts_->out, {});
+}
+
+effects coordinator::on(time_point now, const input& in) {
+  parts& p = *parts_;
+  std::visit([&](const auto& event) { p.on(now, event); }, in);
+  p.note_changes(now);
+  p.decide(now);
+  return std::exchange(p.out, {});
+}
+
+time_point coordinator::next_tick() const {
+  const parts& p = *parts_;
+  const time_point next = std::min({p.last_tick + tick_interval, p.rows.next_tick(),
+                                    p.sender.next_tick(), p.repairs.next_tick(), p.plan_by});
+  return std::max(next, p.last_tick + shortest_sleep);
+}
+
+bool coordinator::may_send(time_point now, const order& o) {
+  parts& p = *parts_;
+  // A process that was paused since it last ticked believes what may long be over.
+  const bool awake = now - p.last_tick <= p.timing.own_pause;
+  const auto wanted = p.wanted();
+  const auto found = wanted.find(o.vm);
+  const bool same =
+      found != wanted.end() && found->second.kind == o.kind && found->second.target == o.target;
+  const bool allowed = awake && same && p.order_allowed(now, o.vm, o.target);
+  p.withheld += allowed ? 0 : 1;
+  return allowed;
+}
+
+std::uint64_t coordinator::routes_revision() const {
+  return parts_->revision;
+}
+
+routing_snapshot coordinator::routes(time_point now) const {
+  return parts_->routes(now);
+}
+
+const configuration* coordinator::config() const {
+  return parts_->config ? &*parts_->config : nullptr;
+}
+
+const assignment& coordinator::row() const {
+  return parts_->rows.row();
+}
+
+status_view coordinator::status(time_point now) const {
+  return parts_->status(now);
+}
+
+void coordinator::begin_drain(time_point now) {
+  parts_->leaving = true;
+  if (parts_->peers) {
+    parts_->peers->hurry(now);
+  }
+}
+
+void coordinator::report_in_flight(const replica_id& replica, generation gen, std::uint32_t count) {
+  auto& counts = parts_->in_flight[replica];
+  counts[gen] = count;
+  std::erase_if(counts, [](const auto& entry) { return entry.second == 0; });
+  if (counts.empty()) {
+    parts_->in_flight.erase(replica);
+  }
+}
+
+void coordinator::report_usage(const workspace_id& workspace, double requests_per_second) {
+  if (requests_per_second > 0) {
+    parts_->usage[workspace] = requests_per_second;
+  } else {
+    parts_->usage.erase(workspace);
+  }
+}
+
+double coordinator::usage_elsewhere(time_point now, const workspace_id& workspace) const {
+  double sum = 0;
+  for (const auto& [node, u] : parts_->usage_of) {
+    const auto found = u.rates.find(workspace);
+    const bool recent = now - u.at <= usage_lifetime;
+    sum += recent && found != u.rates.end() ? found->second : 0.0;
+  }
+  return sum;
+}
+
+}  // namespace arbutus
--- a/src/process/coordinator.h
+++ b/src/process/coordinator.h
@@ -22,6 +22,9 @@
 
 namespace arbutus {
 
+// The table's key of the configuration's head row. That of the assignment is row_key().
+inline constexpr const char* config_head_key = "config/head";
+
 struct coordinator_settings {
   node_id self;
   data_centre_id data_centre;
--- /dev/null
+++ b/src/process/coordinator_decide.cpp
@@ -0,0 +1,257 @@
+// The decisions that follow from what is known: which standbys to activate, which orders to send,
+// which row to propose.
+#include <algorithm>
+#include <utility>
+
+#include "process/coordinator_parts.h"
+
+namespace arbutus {
+
+void coordinator::parts::decide(time_point now) {
+  if (now < started_at + start_settle || !config) {
+    return;
+  }
+  if (rows.known()) {
+    activate_standbys(now);
+    send_orders(now);
+  }
+  plan_next(now);
+}
+
+// ---- repair without the table ----
+
+// A generation from an older row that targets of this replica obey and that beats the one in force.
+std::optional<lost_mask> coordinator::parts::overtaken_by(const replica_plan& replica) const {
+  const composition in_force = repairs.in_force(replica);
+  std::optional<lost_mask> found;
+  for (const vm_id& vm : in_force.members) {
+    const observation* newest = seen.latest(vm);
+    if (newest == nullptr || newest->report.replica != replica.id) {
+      continue;
+    }
+    const generation& gen = newest->report.gen;
+    const bool from_older_row = gen.row < rows.row().version;
+    if (from_older_row && gen > in_force.gen) {
+      found = found.value_or(0) | gen.lost;
+    }
+  }
+  return found;
+}
+
+void coordinator::parts::activate_standbys(time_point now) {
+  const bool away = rows.unwritable(now) && !rows.behind();
+  const activation_context context{
+      .row = rows.row(),
+      .live = peers->live(now),
+      .lost = [&](const vm_id& vm) { return seen.condition(vm, now) == target_condition::lost; },
+      .overtaken_by = [&](const replica_plan& r) { return overtaken_by(r); },
+      .allowed = away && peers->may_act_alone(rows.row().version, now),
+  };
+  for (const replica_id& id : repairs.tick(now, context)) {
+    emit(notice{"repair", "replica " + id.str() + " brought back by standbys, table away"});
+    peers->hurry(now);
+    changed();
+  }
+}
+
+// ---- orders ----
+
+std::map<vm_id, wanted_state> coordinator::parts::wanted() const {
+  std::map<vm_id, engine_report> reports;
+  if (!config) {
+    return {};
+  }
+  for (const vm_record* vm : config->assets.vms_of(settings.data_centre)) {
+    if (const observation* newest = seen.latest(vm->id)) {
+      reports.emplace(vm->id, newest->report);
+    }
+  }
+  const auto in_force = [&](const replica_plan& r) { return repairs.in_force(r); };
+  return wanted_states(rows.row(), in_force, reports);
+}
+
+// Whether the row was still the newest a moment ago, by the table or by a majority of the nodes.
+bool coordinator::parts::row_confirmed(time_point now) const {
+  const auto at = rows.confirmed_at();
+  const bool by_table = at && now - *at <= row_confirmation_limit;
+  return by_table || peers->may_act_alone(rows.row().version, now);
+}
+
+bool coordinator::parts::order_allowed(time_point now, const vm_id& vm,
+                                       const composition& target) const {
+  const bool current = rows.known() && !rows.behind() && row_confirmed(now);
+  // An activation is only safe while the reservation cannot have been taken back.
+  const bool activated = target.gen.step > 0 && rows.unwritable(now);
+  const bool reserved = !activated || peers->may_act_alone(rows.row().version, now);
+  const observation* newest = seen.latest(vm);
+  const bool observed = newest != nullptr && now - newest->at <= order_observation_limit;
+  return current && reserved && observed;
+}
+
+// Probers first: what they learn from the answer is theirs to tell the others.
+std::size_t coordinator::parts::order_rank(time_point now, const vm_id& vm) {
+  const auto probers = peers->probers_of(vm, now);
+  const auto own = std::find(probers.begin(), probers.end(), settings.self);
+  if (own != probers.end()) {
+    return static_cast<std::size_t>(own - probers.begin());
+  }
+  return probers.size() + peers->rank_of(settings.self, "order/" + vm.str(), now);
+}
+
+void coordinator::parts::send_orders(time_point now) {
+  const auto states = wanted();
+  const order_context context{
+      .wanted = states,
+      .rank = [&](const vm_id& vm) { return order_rank(now, vm); },
+      .reachable = [&](const vm_id& vm) -> const observation* {
+        const target_condition c = seen.condition(vm, now);
+        const bool finishes =
+            c == target_condition::leaving && states.at(vm).kind != order_kind::form;
+        const bool usable = c == target_condition::working || finishes;
+        return usable && order_allowed(now, vm, states.at(vm).target) ? seen.latest(vm) : nullptr;
+      },
+  };
+  for (order& o : sender.tick(now, context)) {
+    emit(std::move(o));
+  }
+}
+
+// ---- planning ----
+
+// A node that sees most targets gone and hears few peers is more likely cut off itself: its plan
+// would take whole replicas apart that serve.
+bool coordinator::parts::may_judge(time_point now) const {
+  if (peers->may_act_alone(rows.row().version, now)) {
+    return true;
+  }
+  const auto vms = config->assets.vms_of(settings.data_centre);
+  const auto reached = std::count_if(vms.begin(), vms.end(), [&](const vm_record* vm) {
+    const target_condition c = seen.condition(vm->id, now);
+    return c == target_condition::working || c == target_condition::leaving;
+  });
+  return 2 * static_cast<std::size_t>(reached) >= vms.size();
+}
+
+std::set<replica_id> coordinator::parts::overtaken(time_point now) {
+  std::set<replica_id> result;
+  for (const replica_plan& replica : rows.row().replicas) {
+    if (!overtaken_by(replica)) {
+      overtaken_since.erase(replica.id);
+      continue;
+    }
+    const auto since = overtaken_since.try_emplace(replica.id, now).first->second;
+    if (now - since >= overtaken_patience) {
+      result.insert(replica.id);
+    }
+  }
+  return result;
+}
+
+drain_context coordinator::parts::draining(time_point now) const {
+  return {
+      .row = rows.row(),
+      .acknowledged = peers->acknowledged_by_all(rows.row().version, now),
+      .nodes = peers->counted(now),
+      .version_of =
+          [this](const node_id& node) {
+            const peer_claims* claims = peers->claims(node);
+            const std::uint64_t theirs = claims != nullptr ? claims->assignment_version : 0;
+            return node == settings.self ? rows.row().version : theirs;
+          },
+      .has_requests =
+          [this](const node_id& node, const replica_id& id) {
+            return node == settings.self && in_flight.contains(id);
+          },
+      .in_force = [this](const replica_plan& r) { return repairs.in_force(r); },
+      .seen = [this](const vm_id& vm) { return seen.latest(vm); },
+      .lost = [this,
+               now](const vm_id& vm) { return seen.condition(vm, now) == target_condition::lost; },
+  };
+}
+
+namespace {
+
+vm_condition planner_condition(target_condition c) {
+  switch (c) {
+    case target_condition::working:
+      return vm_condition::working;
+    case target_condition::lost:
+      return vm_condition::lost;
+    case target_condition::leaving:
+      return vm_condition::leaving;
+    case target_condition::suspect:
+    case target_condition::unknown:  // not known to be gone: left where it is
+      break;
+  }
+  return vm_condition::suspect;
+}
+
+}  // namespace
+
+plan coordinator::parts::next_plan(time_point now) {
+  planner_input in;
+  in.config = &*config;
+  in.current = &rows.row();
+  in.data_centre = settings.data_centre;
+  for (const vm_record* vm : config->assets.vms_of(settings.data_centre)) {
+    in.health.push_back({vm->id, planner_condition(seen.condition(vm->id, now))});
+  }
+  for (const auto& [id, gen] : repairs.active()) {
+    if (const replica_plan* replica = rows.row().find(id)) {
+      in.in_force.push_back(repairs.in_force(*replica));
+    }
+  }
+  const auto empty = drains.emptied(now, draining(now));
+  in.emptied.assign(empty.begin(), empty.end());
+  in.acknowledged = peers->acknowledged_by_all(rows.row().version, now);
+  for (const auto& [model, busy] : demand) {
+    in.demand.push_back({model, busy});
+  }
+  for (const replica_plan& replica : rows.row().replicas) {
+    if (permission(now, repairs.in_force(replica)).granted) {
+      in.serving.push_back(replica.id);
+    }
+  }
+  plan p = make_plan(in);
+  for (const replica_id& id : overtaken(now)) {
+    for (replica_plan& replica : p.next.replicas) {
+      if (replica.id == id && replica.gen.row <= rows.row().version) {
+        p.next.version = rows.row().version + 1;
+        replica.gen = generation{.row = p.next.version};
+        p.changed = true;
+      }
+    }
+  }
+  return p;
+}
+
+void coordinator::parts::plan_next(time_point now) {
+  if (now < plan_by && now < next_plan_at) {
+    return;
+  }
+  plan_by = time_point::max();
+  next_plan_at = now + plan_interval;
+  const bool old_rules = config->version < rows.row().config_version;
+  if (old_rules || !rows.may_propose(now) || !may_judge(now)) {
+    return;
+  }
+  plan p = next_plan(now);
+  plan_reasons = p.reasons;
+  if (!p.changed) {
+    need_since.reset();
+    return;
+  }
+  const time_point since = need_since.value_or(now);
+  need_since = since;
+  const std::string subject =
+      "propose/" + settings.data_centre.str() + "/" + std::to_string(rows.row().version);
+  const auto rank = peers->rank_of(settings.self, subject, now);
+  const time_point due = since + rank_wait(rank, row_rank_delay);
+  if (now < due) {
+    plan_by = due;  // by then another node's row will have made this one needless
+    return;
+  }
+  emit(rows.propose(now, std::move(p.next)));
+}
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/process/coordinator_inputs.cpp
@@ -0,0 +1,310 @@
+// What each input teaches the coordinator. Decisions are taken afterwards, in decide().
+#include <algorithm>
+#include <utility>
+
+#include "process/coordinator_parts.h"
+
+namespace arbutus {
+
+// ---- platform ----
+
+void coordinator::parts::on(time_point now, const table_read_result& r) {
+  if (r.asked.key == config_head_key) {
+    const auto head = match(
+        r.result,
+        [](const table_row& row) -> outcome<head_row> {
+          if (row.version == 0) {
+            return head_row{};
+          }
+          const auto decoded = decode_head(row.value);
+          if (const auto* h = std::get_if<config_head>(&decoded)) {
+            return head_row{*h, row.version};
+          }
+          return refused{"the head row cannot be decoded"};
+        },
+        [](const refused& f) -> outcome<head_row> { return f; },
+        [](const unknown& u) -> outcome<head_row> { return u; });
+    take_wants(now, configs.head_read(head, now));
+    return;
+  }
+  emit(rows.on(now, r));
+  note_row(now);
+}
+
+void coordinator::parts::on(time_point now, const table_write_result& r) {
+  if (r.asked.key == config_head_key) {
+    const auto version = match(
+        r.result, [](const table_written& w) -> outcome<std::uint64_t> { return w.version; },
+        [](const refused& f) -> outcome<std::uint64_t> { return f; },
+        [](const unknown& u) -> outcome<std::uint64_t> { return u; });
+    take_wants(now, configs.healed(version, now));
+    return;
+  }
+  emit(rows.on(now, r));
+  if (rows.row().version != row_noted) {
+    peers->hurry(now);  // the others read the row when they hear of it
+  }
+  note_row(now);
+}
+
+void coordinator::parts::on(time_point now, const object_get_result& r) {
+  take_wants(now, configs.object_read(r.asked.name, r.result, now));
+}
+
+void coordinator::parts::on(time_point now, const object_put_result& r) {
+  take_wants(now, configs.stored(r.result, now));
+}
+
+void coordinator::parts::on(time_point now, const vm_list_result& r) {
+  const auto* list = std::get_if<std::vector<vm_list_entry>>(&r.result);
+  if (list == nullptr) {
+    return;
+  }
+  for (const vm_list_entry& e : *list) {
+    if (e.leaving) {
+      note_leaving(now, e.vm, 0);
+    } else {
+      seen.clear_leaving(e.vm);
+    }
+  }
+}
+
+// ---- targets ----
+
+void coordinator::parts::on(time_point now, const probe_result& r) {
+  const bool news = seen.own_probe(r, now);
+  if (const auto* report = std::get_if<engine_report>(&r.result)) {
+    if (report->leaving) {
+      note_leaving(now, r.vm, report->incarnation);
+    }
+    note_observation(now, r.vm);
+  }
+  if (news) {
+    note_failure(now, r.vm);
+  }
+}
+
+void coordinator::parts::on(time_point now, const order_result& r) {
+  const auto sent_at = sender.on(now, r);
+  const auto* report = std::get_if<engine_report>(&r.result);
+  if (!sent_at || report == nullptr) {
+    return;
+  }
+  // The answer is a report as good as a probe's, and the others wait to hear of it.
+  seen.own_probe({r.asked.vm, *sent_at, *report}, now);
+  note_observation(now, r.asked.vm);
+  peers->hurry(now);
+}
+
+void coordinator::parts::on(time_point now, const target_error& e) {
+  if (seen.own_error(e.vm, now)) {
+    note_failure(now, e.vm);
+  }
+  changed();
+}
+
+void coordinator::parts::note_failure(time_point now, const vm_id& vm) {
+  const auto failure = seen.failure_of(vm, now);
+  if (!failure) {
+    return;
+  }
+  for (const node_id& peer : peers->live_peers(now)) {
+    const lost_notice notice{peers->stamp_for(peer, now), *failure};
+    emit(peer_send{peer, encode(gossip_message{notice}), true});
+  }
+}
+
+void coordinator::parts::note_leaving(time_point now, const vm_id& vm, std::uint64_t incarnation) {
+  if (seen.mark_leaving(vm, incarnation)) {
+    tell_all(now, leaving_notice{vm, incarnation});
+    changed();
+  }
+}
+
+void coordinator::parts::note_observation(time_point now, const vm_id& vm) {
+  const observation* newest = seen.latest(vm);
+  if (newest == nullptr) {
+    return;
+  }
+  const auto [noted, first] = observed_at.try_emplace(vm, newest->at);
+  if (!first && newest->at <= noted->second) {
+    return;
+  }
+  noted->second = newest->at;
+  const engine_report& r = newest->report;
+  const auto ready_before = steady.ready_since(vm);
+  steady.observe(*newest);
+  if (ready_before != steady.ready_since(vm)) {
+    changed();
+    peers->hurry(now);
+  }
+  rows.heard_from_target(now, r.gen.row);
+  if (!r.replica.empty() && repairs.adopt(rows.row(), r.replica, r.gen)) {
+    changed();
+  }
+}
+
+void coordinator::parts::note_changes(time_point now) {
+  for (const condition_change& c : seen.take_changes(now)) {
+    condition_since[c.vm] = now;
+    changed();
+    plan_by = std::min(plan_by, now + plan_debounce);
+    if (c.to == target_condition::lost) {
+      rows.look(now);  // whether the table can be reached decides how to repair
+    }
+  }
+}
+
+void coordinator::parts::note_row(time_point now) {
+  const bool readable = !rows.unreadable_since();
+  if (readable != table_ok) {
+    table_ok = readable;
+    table_since = now;
+  }
+  if (rows.row().version == row_noted) {
+    return;
+  }
+  row_noted = rows.row().version;
+  repairs.rebase(rows.row());
+  drains.rebase(rows.row());
+  need_since.reset();
+  plan_by = std::min(plan_by, now + plan_debounce);
+  changed();
+}
+
+// ---- peers ----
+
+void coordinator::parts::on(time_point now, const peer_message& m) {
+  const auto decoded = decode_gossip(m.from, m.bytes);
+  if (const auto* message = std::get_if<gossip_message>(&decoded)) {
+    std::visit([&](const auto& content) { heard(now, m.from, content); }, *message);
+    return;
+  }
+  emit(notice{"gossip", "a message of " + m.from.str() + " cannot be decoded"});
+}
+
+void coordinator::parts::heard(time_point now, const node_id& from, const heartbeat& m) {
+  const auto h = peers->receive(m, now);
+  if (!h) {
+    return;
+  }
+  seen.merge(m, *h, now);
+  for (const vm_record* vm :
+       config ? config->assets.vms_of(settings.data_centre) : std::vector<const vm_record*>{}) {
+    note_observation(now, vm->id);
+  }
+  rows.heard_from_peer(now, m.assignment_version);
+  for (const composition& c : m.activations) {
+    if (repairs.adopt(rows.row(), c.replica, c.gen)) {
+      changed();
+    }
+  }
+  if (!m.table_reachable && !rows.unreadable_since()) {
+    rows.look(now);  // to know for oneself before a repair depends on it
+  }
+  peer_usage& u = usage_of[from];
+  u = {{}, now};
+  for (const workspace_usage& w : m.usage) {
+    u.rates[w.workspace] = w.requests_per_second;
+  }
+  auto& [version, since] = peer_config_since[from];
+  if (version != m.config_version) {
+    version = m.config_version;
+    since = now;
+  }
+  const std::string hash = peers->claims(from)->config_hash;
+  take_wants(now, configs.peer_has(from, m.config_version, hash, now));
+}
+
+void coordinator::parts::heard(time_point now, const node_id& from, const config_request& m) {
+  take_wants(now, configs.peer_asks(from, m));
+}
+
+void coordinator::parts::heard(time_point now, const node_id& from, const config_content& m) {
+  take_wants(now, configs.peer_sent(from, m, now));
+}
+
+void coordinator::parts::heard(time_point now, const node_id&, const assignment_push& m) {
+  const auto decoded = decode_assignment(m.bytes);
+  const auto* copy = std::get_if<assignment>(&decoded);
+  if (copy != nullptr && rows.adopt(now, *copy)) {
+    note_row(now);
+  }
+}
+
+void coordinator::parts::heard(time_point now, const node_id& from, const lost_notice& m) {
+  if (const auto h = peers->receive(from, m.stamp, now)) {
+    seen.merge(from, m, *h, now);
+    changed();
+  }
+}
+
+void coordinator::parts::heard(time_point, const node_id&, const leaving_notice& m) {
+  // Its finder told everybody: passing it on would only multiply it.
+  if (seen.mark_leaving(m.vm, m.incarnation)) {
+    changed();
+  }
+}
+
+void coordinator::parts::heard(time_point now, const node_id& from, const summary& m) {
+  board.heard(now, m);
+  take_wants(now, configs.peer_has(from, m.config_version, m.config_hash, now));
+}
+
+void coordinator::parts::tell_all(time_point now, const gossip_message& m) {
+  const std::string bytes = encode(m);
+  for (const node_id& peer : peers->live_peers(now)) {
+    emit(peer_send{peer, bytes, true});
+  }
+}
+
+// ---- configuration ----
+
+void coordinator::parts::take_wants(time_point now, const config_wants& wants) {
+  for (const config_want& want : wants) {
+    match(
+        want, [&](const want_head&) { emit(table_read{config_head_key}); },
+        [&](const want_object& w) { emit(object_get{w.name}); },
+        [&](const want_stored& w) {
+          emit(object_put{w.name, w.content});
+        },
+        [&](const want_healed& w) {
+          emit(table_write{config_head_key, encode(w.head), w.expected_row});
+        },
+        [&](const want_sent& w) {
+          const auto bytes = std::visit(
+              [](const auto& message) { return encode(gossip_message{message}); }, w.message);
+          emit(peer_send{w.to, bytes, true});
+        },
+        [&](const want_told& w) {
+          emit(notice{"config", w.text});
+        },
+        [&](const want_adopted&) { take_configuration(now); });
+  }
+}
+
+void coordinator::parts::take_configuration(time_point now) {
+  const auto decoded = decode_content(configs.content(), configs.in_force().version);
+  const auto* content = std::get_if<configuration>(&decoded);
+  if (content == nullptr) {
+    emit(notice{"config", "the accepted configuration cannot be decoded"});
+    return;
+  }
+  config = *content;
+  std::vector<node_id> nodes;
+  for (const node_record* n : config->assets.nodes_of(settings.data_centre)) {
+    nodes.push_back(n->id);
+  }
+  peers->set_nodes(nodes, now);
+  std::vector<vm_id> vms;
+  for (const vm_record* v : config->assets.vms_of(settings.data_centre)) {
+    vms.push_back(v->id);
+  }
+  peers->set_targets(vms);
+  seen.set_targets(vms);
+  peers->hurry(now);
+  plan_by = std::min(plan_by, now + plan_debounce);
+  changed();
+}
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/process/coordinator_parts.h
@@ -0,0 +1,166 @@
+// What a coordinator consists of; only its own source files include this.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/rng.h"
+#include "process/activation.h"
+#include "process/config_replica.h"
+#include "process/coordinator.h"
+#include "process/drains.h"
+#include "process/gossip.h"
+#include "process/membership.h"
+#include "process/observations.h"
+#include "process/orders.h"
+#include "process/permission.h"
+#include "process/row_keeper.h"
+#include "process/summaries.h"
+#include "version/planner.h"
+
+namespace arbutus {
+
+// Longest pause between ticks; membership needs four a second to notice an own pause.
+inline constexpr duration tick_interval = 100ms;
+// After the start, nothing is proposed or ordered before peers and targets had time to be heard:
+// a node that knows nothing yet would take every VM for free.
+inline constexpr duration start_settle = 3s;
+// Losses come in groups (a fabric domain): plan once for those that are found together.
+inline constexpr duration plan_debounce = 150ms;
+// A plan is made at least so often, for what no event announces (demand, acknowledgements).
+inline constexpr duration plan_interval = 2s;
+inline constexpr duration vm_list_interval = 2s;
+inline constexpr std::size_t vm_list_readers = 2;
+// A peer that cannot read the table is given the row this often until it has it.
+inline constexpr duration push_interval = 1s;
+// How long the row may go unconfirmed before no order is sent to a target that ignores tokens.
+inline constexpr duration row_confirmation_limit = 3s;
+// Targets obey a greater generation than the row knows: laid down anew after so long.
+inline constexpr duration overtaken_patience = 1s;
+// A report of usage older than this does not count.
+inline constexpr duration usage_lifetime = 3s;
+inline constexpr duration demand_interval = 1s;
+inline constexpr double demand_smoothing = 0.1;
+
+struct coordinator::parts {
+  explicit parts(coordinator_settings s);
+
+  // ---- inputs (coordinator_inputs.cpp) ----
+  void on(time_point now, const table_read_result& r);
+  void on(time_point now, const table_write_result& r);
+  void on(time_point now, const object_get_result& r);
+  void on(time_point now, const object_put_result& r);
+  void on(time_point now, const probe_result& r);
+  void on(time_point now, const order_result& r);
+  void on(time_point now, const peer_message& m);
+  void on(time_point now, const vm_list_result& r);
+  void on(time_point now, const target_error& e);
+
+  void heard(time_point now, const node_id& from, const heartbeat& m);
+  void heard(time_point now, const node_id& from, const config_request& m);
+  void heard(time_point now, const node_id& from, const config_content& m);
+  void heard(time_point now, const node_id& from, const assignment_push& m);
+  void heard(time_point now, const node_id& from, const lost_notice& m);
+  void heard(time_point now, const node_id& from, const leaving_notice& m);
+  void heard(time_point now, const node_id& from, const summary& m);
+
+  void take_wants(time_point now, const config_wants& wants);
+  void take_configuration(time_point now);
+  // To be called when a newest observation of `vm` may have come.
+  void note_observation(time_point now, const vm_id& vm);
+  void note_leaving(time_point now, const vm_id& vm, std::uint64_t incarnation);
+  void note_failure(time_point now, const vm_id& vm);
+  void note_changes(time_point now);
+  void note_row(time_point now);
+  void tell_all(time_point now, const gossip_message& m);
+
+  // ---- periodic (coordinator_tick.cpp) ----
+  void tick(time_point now);
+  void probe_targets(time_point now);
+  void send_heartbeats(time_point now);
+  void push_row(time_point now);
+  void read_vm_list(time_point now);
+  void send_summaries(time_point now);
+  void update_demand(time_point now);
+
+  // ---- decisions (coordinator_decide.cpp) ----
+  void decide(time_point now);
+  void activate_standbys(time_point now);
+  void send_orders(time_point now);
+  void plan_next(time_point now);
+  [[nodiscard]] plan next_plan(time_point now);
+  [[nodiscard]] std::optional<time_point> proposal_due(time_point now);
+  [[nodiscard]] bool may_judge(time_point now) const;
+  [[nodiscard]] std::optional<lost_mask> overtaken_by(const replica_plan& replica) const;
+  [[nodiscard]] std::set<replica_id> overtaken(time_point now);
+  [[nodiscard]] std::map<vm_id, wanted_state> wanted() const;
+  [[nodiscard]] bool row_confirmed(time_point now) const;
+  [[nodiscard]] bool order_allowed(time_point now, const vm_id& vm,
+                                   const composition& target) const;
+  [[nodiscard]] std::size_t order_rank(time_point now, const vm_id& vm);
+  [[nodiscard]] drain_context draining(time_point now) const;
+
+  // ---- views (coordinator_views.cpp) ----
+  [[nodiscard]] permit permission(time_point now, const composition& in_force) const;
+  [[nodiscard]] member_evidence evidence(time_point now, const vm_id& vm) const;
+  [[nodiscard]] routing_snapshot routes(time_point now) const;
+  [[nodiscard]] std::vector<model_summary> model_summaries(time_point now) const;
+  [[nodiscard]] status_view status(time_point now) const;
+
+  [[nodiscard]] const vm_record* vm_of(const vm_id& vm) const;
+  [[nodiscard]] bool checks_tokens(const vm_id& vm) const;
+  void emit(effect e) { out.push_back(std::move(e)); }
+  void emit(effects list);
+  void changed() { ++revision; }
+
+  coordinator_settings settings;
+  control_timing timing;
+  rng random;
+  std::optional<membership> peers;  // set from start() on
+  observation_table seen;
+  config_replica configs;
+  row_keeper rows;
+  activation repairs;
+  order_book sender;
+  drain_watch drains;
+  steadiness steady;
+  summary_board board;
+
+  effects out;  // of the call under way
+  std::optional<configuration> config;
+  time_point started_at{};
+  time_point last_tick{};
+  bool leaving = false;  // this node is stopping
+  std::uint64_t revision = 1;
+  std::uint64_t row_noted{};                // version that the parts were last told of
+  std::map<vm_id, time_point> observed_at;  // newest observation already noted
+  std::map<vm_id, time_point> condition_since;
+  std::map<node_id, std::pair<std::uint64_t, time_point>> peer_config_since;
+
+  std::optional<time_point> need_since;  // the row should change
+  time_point next_plan_at{};
+  time_point plan_by = time_point::max();  // set by an event, after the debounce
+  std::vector<std::string> plan_reasons;
+  std::map<replica_id, time_point> overtaken_since;
+  std::map<node_id, time_point> pushed_at;
+  time_point next_vm_list{};
+  bool table_ok = true;
+  time_point table_since{};
+
+  std::map<replica_id, std::map<generation, std::uint32_t>> in_flight;
+  std::map<workspace_id, double> usage;
+  struct peer_usage {
+    std::map<workspace_id, double> rates;
+    time_point at;
+  };
+  std::map<node_id, peer_usage> usage_of;
+  std::map<model_id, double> demand;
+  time_point next_demand{};
+  std::uint64_t withheld{};
+};
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/process/coordinator_tick.cpp
@@ -0,0 +1,125 @@
+// What happens by time alone: probes, heartbeats, reads of the platform, sums for others.
+#include <algorithm>
+#include <utility>
+
+#include "process/coordinator_parts.h"
+
+namespace arbutus {
+
+void coordinator::parts::tick(time_point now) {
+  last_tick = now;
+  if (peers->tick(now) > duration::zero()) {
+    seen.resumed(now);
+    changed();
+  }
+  const auto live = peers->live(now);
+  take_wants(now, configs.tick(live, now));
+  emit(rows.tick(now, live));
+  note_row(now);
+  probe_targets(now);
+  note_changes(now);
+  update_demand(now);
+  decide(now);
+  read_vm_list(now);
+  push_row(now);
+  send_heartbeats(now);
+  send_summaries(now);
+}
+
+void coordinator::parts::probe_targets(time_point now) {
+  seen.set_own_targets(peers->own_targets(now), now);
+  for (const vm_id& vm : seen.next_probes(now)) {
+    emit(probe{vm});
+  }
+}
+
+void coordinator::parts::send_heartbeats(time_point now) {
+  for (const node_id& peer : peers->due(now)) {
+    heartbeat beat = peers->prepare(peer, now);
+    beat.config_version = configs.in_force().version;
+    beat.config_hash = configs.in_force().hash;
+    beat.assignment_version = rows.row().version;
+    beat.table_reachable = !rows.unwritable(now);
+    beat.draining = leaving;
+    for (const auto& [id, gen] : repairs.active()) {
+      if (const replica_plan* replica = rows.row().find(id)) {
+        beat.activations.push_back(repairs.in_force(*replica));
+      }
+    }
+    for (const auto& [workspace, rate] : usage) {
+      beat.usage.push_back({workspace, rate});
+    }
+    seen.take_deltas(beat, peer, peers->echoed(peer), now);
+    emit(peer_send{peer, encode(gossip_message{beat}), false});
+  }
+}
+
+// A node that starts while the table is away would know no row, and could neither route nor repair.
+void coordinator::parts::push_row(time_point now) {
+  if (!rows.known()) {
+    return;
+  }
+  for (const node_id& peer : peers->live_peers(now)) {
+    const peer_claims* claims = peers->claims(peer);
+    const bool lacks = claims != nullptr && claims->assignment_version < rows.row().version;
+    if (!lacks || claims->table_reachable) {
+      continue;
+    }
+    const bool mine = peers->rank_of(settings.self, "push/" + peer.str(), now) <= 1;
+    const auto [last, first] = pushed_at.try_emplace(peer, now);
+    if (!mine || (!first && now < last->second + push_interval)) {
+      continue;
+    }
+    last->second = now;
+    const assignment_push push{encode(rows.row())};
+    emit(peer_send{peer, encode(gossip_message{push}), true});
+  }
+}
+
+void coordinator::parts::read_vm_list(time_point now) {
+  if (now < next_vm_list) {
+    return;
+  }
+  next_vm_list = now + vm_list_interval + random.jitter(vm_list_interval / 10);
+  if (peers->rank_of(settings.self, "vm-list", now) < vm_list_readers) {
+    emit(vm_list_read{});
+  }
+}
+
+void coordinator::parts::send_summaries(time_point now) {
+  if (!config) {
+    return;
+  }
+  const auto to = board.due(now, config->assets);
+  if (to.empty()) {
+    return;
+  }
+  summary s;
+  s.data_centre = settings.data_centre;
+  s.config_version = configs.in_force().version;
+  s.config_hash = configs.in_force().hash;
+  s.models = model_summaries(now);
+  const std::string bytes = encode(gossip_message{s});
+  for (const node_id& node : to) {
+    emit(peer_send{node, bytes, false});
+  }
+}
+
+// Load in replicas' worth, smoothed, so that a burst does not reshape the assignment.
+void coordinator::parts::update_demand(time_point now) {
+  if (now < next_demand || !config) {
+    return;
+  }
+  next_demand = now + demand_interval;
+  std::map<model_id, double> busy;
+  for (const replica_route& r : routes(now).replicas) {
+    const double slots = std::max(1.0, static_cast<double>(r.slots));
+    busy[r.model] += static_cast<double>(r.running + r.queued) / slots;
+  }
+  for (const model_rule& model : config->wanted.models) {
+    double& smoothed = demand[model.id];
+    smoothed += demand_smoothing * (busy[model.id] - smoothed);
+  }
+}
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/process/coordinator_views.cpp
@@ -0,0 +1,207 @@
+// What the coordinator shows: routes to the request path, sums to other data centres, status to
+// people.
+#include <algorithm>
+#include <utility>
+
+#include "process/coordinator_parts.h"
+
+namespace arbutus {
+
+namespace {
+
+// Time a request spends in a slot, for a first estimate of queueing at another data centre.
+constexpr duration nominal_service_time = 4s;
+
+std::string name_of(target_condition c) {
+  switch (c) {
+    case target_condition::unknown:
+      return "unknown";
+    case target_condition::working:
+      return "working";
+    case target_condition::suspect:
+      return "suspect";
+    case target_condition::lost:
+      return "lost";
+    case target_condition::leaving:
+      return "leaving";
+  }
+  return "unknown";
+}
+
+}  // namespace
+
+const vm_record* coordinator::parts::vm_of(const vm_id& vm) const {
+  return config ? config->assets.find_vm(vm) : nullptr;
+}
+
+bool coordinator::parts::checks_tokens(const vm_id& vm) const {
+  const vm_record* record = vm_of(vm);
+  return record != nullptr && record->checks_tokens;
+}
+
+member_evidence coordinator::parts::evidence(time_point now, const vm_id& vm) const {
+  return {seen.latest(vm), seen.condition(vm, now), checks_tokens(vm)};
+}
+
+permit coordinator::parts::permission(time_point now, const composition& in_force) const {
+  return permission_for(now, in_force, steady, [&](const vm_id& vm) { return evidence(now, vm); });
+}
+
+routing_snapshot coordinator::parts::routes(time_point now) const {
+  routing_snapshot result;
+  result.assignment_version = rows.row().version;
+  result.config_version = config ? config->version : 0;
+  for (const replica_plan& replica : rows.row().replicas) {
+    const composition in_force = repairs.in_force(replica);
+    const permit p = permission(now, in_force);
+    const vm_record* head = p.granted ? vm_of(in_force.members.front()) : nullptr;
+    if (head == nullptr) {
+      continue;
+    }
+    const observation& load = *seen.latest(head->id);
+    replica_route route;
+    route.id = replica.id;
+    route.model = replica.model;
+    route.model_version = replica.model_version;
+    route.gen = in_force.gen;
+    route.head = head->id;
+    route.address = head->address;
+    route.members = in_force.members;
+    route.valid_until = p.valid_until;
+    route.crosses_fabric_domains = replica.crosses_fabric_domains;
+    route.draining = replica.phase == replica_phase::draining;
+    route.running = load.report.running;
+    route.queued = load.report.queued;
+    route.slots = load.report.slots;
+    route.tokens_per_second = load.report.tokens_per_second;
+    route.kv_used = load.report.kv_used;
+    route.load_at = load.at;
+    route.serving_since = p.serving_since;
+    result.replicas.push_back(std::move(route));
+  }
+  std::sort(result.replicas.begin(), result.replicas.end(),
+            [](const replica_route& a, const replica_route& b) { return a.id < b.id; });
+  if (config) {
+    result.elsewhere = board.elsewhere(now, config->assets);
+  }
+  return result;
+}
+
+std::vector<model_summary> coordinator::parts::model_summaries(time_point now) const {
+  struct sum {
+    std::uint32_t free{};
+    std::uint32_t slots{};
+    std::uint32_t queued{};
+  };
+  std::map<model_id, sum> sums;
+  for (const replica_route& r : routes(now).replicas) {
+    if (r.draining) {
+      continue;
+    }
+    sum& s = sums[r.model];
+    const std::uint32_t busy = r.running + r.queued;
+    s.free += r.slots > busy ? r.slots - busy : 0;
+    s.slots += r.slots;
+    s.queued += r.queued;
+  }
+  std::vector<model_summary> result;
+  for (const auto& [model, s] : sums) {
+    const double turns = s.slots == 0 ? 0.0 : static_cast<double>(s.queued) / s.slots;
+    const double wait = s.free > 0 ? 0.0 : turns * to_milliseconds(nominal_service_time);
+    result.push_back({model, s.free, std::chrono::milliseconds{static_cast<std::int64_t>(wait)}});
+  }
+  return result;
+}
+
+namespace {
+
+coordination_counters counters_of(const row_counters& rows, const order_counters& orders) {
+  coordination_counters c;
+  c.row_reads = rows.reads;
+  c.writes_won = rows.won;
+  c.writes_lost = rows.lost;
+  c.writes_unknown = rows.unknown_replies;
+  c.restored_copies = rows.restored_copies;
+  c.orders_sent = orders.sent;
+  c.orders_refused = orders.refused;
+  c.orders_unknown = orders.unknown_replies;
+  return c;
+}
+
+}  // namespace
+
+status_view coordinator::parts::status(time_point now) const {
+  status_view s;
+  s.self = settings.self;
+  s.table_reachable = !rows.unwritable(now);
+  s.table_since = table_since;
+  s.assignment_version = rows.row().version;
+  s.config_version = config ? config->version : 0;
+  s.unmet = plan_reasons;
+  s.counters = counters_of(rows.counters(), sender.counters());
+  s.counters.activations = repairs.started();
+  s.counters.orders_withheld = withheld;
+
+  std::map<vm_id, std::string> idle_because;
+  for (const replica_plan& replica : rows.row().replicas) {
+    const composition in_force = repairs.in_force(replica);
+    const permit p = permission(now, in_force);
+    s.replicas.push_back({replica.id, replica.model, replica.phase, in_force.gen, in_force.members,
+                          replica.standbys, p.granted, p.why_not});
+    for (const vm_id& vm : replica.standbys) {
+      idle_because[vm] = "reserved for " + replica.id.str();
+    }
+    for (const vm_id& vm : replica.members) {
+      idle_because[vm] = "replaced in " + replica.id.str();
+    }
+    for (const vm_id& vm : in_force.members) {
+      idle_because[vm] = p.granted ? "" : replica.id.str() + " does not serve: " + p.why_not;
+    }
+  }
+  for (const withdrawal& w : rows.row().withdrawals) {
+    idle_because[w.vm] = "withdrawn from " + w.from.str() + ", waits for acknowledgement";
+  }
+  if (!config) {
+    return s;
+  }
+  for (const vm_record* vm : config->assets.vms_of(settings.data_centre)) {
+    const target_condition c = seen.condition(vm->id, now);
+    const auto since = condition_since.find(vm->id);
+    vm_status v{vm->id, name_of(c), since == condition_since.end() ? started_at : since->second,
+                {},     {},         engine_state::idle};
+    if (const observation* newest = seen.latest(vm->id)) {
+      v.reported_replica = newest->report.replica;
+      v.reported_gen = newest->report.gen;
+      v.reported_state = newest->report.state;
+    }
+    s.vms.push_back(std::move(v));
+    const auto reason = idle_because.find(vm->id);
+    const bool powered = c != target_condition::lost;
+    if (powered && reason == idle_because.end()) {
+      s.stranded.push_back({vm->id, "in no replica"});
+    } else if (powered && !reason->second.empty()) {
+      s.stranded.push_back({vm->id, reason->second});
+    }
+  }
+  if (!peers) {
+    return s;
+  }
+  for (const node_record* node : config->assets.nodes_of(settings.data_centre)) {
+    const bool self = node->id == settings.self;
+    const peer_claims* claims = peers->claims(node->id);
+    node_status n{.id = node->id, .data_centre = node->data_centre};
+    n.live = self || peers->state(node->id, now) == peer_state::alive;
+    n.leaving = self ? leaving : claims != nullptr && claims->draining;
+    n.assignment_version =
+        self ? rows.row().version : (claims != nullptr ? claims->assignment_version : 0);
+    n.config_version = self ? s.config_version : (claims != nullptr ? claims->config_version : 0);
+    const auto since = peer_config_since.find(node->id);
+    n.config_since =
+        since == peer_config_since.end() ? configs.in_force().since : since->second.second;
+    s.nodes.push_back(n);
+  }
+  s.drains = drains.status(draining(now));
+  return s;
+}
+
+}  // namespace arbutus
--- a/src/process/orders.cpp
+++ b/src/process/orders.cpp
@@ -129,8 +129,8 @@
     n.sent_at.reset();
     n.not_before = now + n.pause.fail(random_);
   }
-  const auto rank = rank_of("order/" + vm.str(), self_, context.live);
-  const time_point due = std::max(n.not_before, n.since + rank_wait(rank, order_rank_delay));
+  const duration wait = rank_wait(context.rank(vm), order_rank_delay);
+  const time_point due = std::max(n.not_before, n.since + wait);
   if (now < due) {
     later(due);
     return std::nullopt;
--- a/src/process/orders.h
+++ b/src/process/orders.h
@@ -1,7 +1,7 @@
 // Brings each target VM to the state that the row wants, by idempotent orders.
 //
-// One node sends to a VM, chosen by rendezvous hashing; the others step in only if the need still
-// stands after their rank's delay. What a target reports back is the only proof that an order took
+// One node sends to a VM; the others step in only if the need still stands after their rank's
+// delay. What a target reports back is the only proof that an order took
 // effect: a lost answer needs no special case.
 #pragma once
 
@@ -51,7 +51,8 @@
 
 struct order_context {
   const std::map<vm_id, wanted_state>& wanted;
-  const std::vector<node_id>& live;
+  // Position of this node among those that may send to the VM; 0 sends at once.
+  std::function<std::size_t(const vm_id&)> rank;
   // Newest observation; null if none, or if the VM is lost, suspect or leaving.
   std::function<const observation*(const vm_id&)> reachable;
 };
@@ -64,7 +65,7 @@
 
 class order_book {
  public:
-  order_book(node_id self, std::uint64_t seed) : self_(std::move(self)), random_(seed) {}
+  explicit order_book(std::uint64_t seed) : random_(seed) {}
 
   [[nodiscard]] std::vector<order> tick(time_point now, const order_context& context);
   // When the order was sent, if it is one of this node's: its report is at least that fresh.
@@ -77,14 +78,13 @@
     wanted_state wanted;
     time_point since;
     time_point not_before{};
-    std::optional<time_point> sent_at;  // an order is open
+    std::optional<time_point> sent_at{};  // an order is open
     backoff pause{order_backoff_first, order_backoff_most};
   };
   [[nodiscard]] std::optional<order> due_order(time_point now, const vm_id& vm, need& n,
                                                const order_context& context);
   void later(time_point at) { next_tick_ = std::min(next_tick_, at); }
 
-  node_id self_;
   rng random_;
   std::map<vm_id, need> needs_;
   time_point next_tick_ = time_point::max();
--- a/src/process/permission.cpp
+++ b/src/process/permission.cpp
@@ -7,17 +7,17 @@
 
 namespace {
 
-const char* refusal_by_condition(condition state) {
+const char* refusal_by_condition(target_condition state) {
   switch (state) {
-    case condition::lost:
+    case target_condition::lost:
       return "is lost";
-    case condition::suspect:
+    case target_condition::suspect:
       return "is suspect";
-    case condition::leaving:
+    case target_condition::leaving:
       return "is leaving";
-    case condition::unknown:
+    case target_condition::unknown:
       return "has not been observed lately";
-    case condition::working:
+    case target_condition::working:
       break;
   }
   return nullptr;
@@ -49,7 +49,9 @@
 }
 
 permit deny(const vm_id& vm, const char* reason) {
-  return {.why_not = "VM " + vm.str() + " " + reason};
+  permit denied;
+  denied.why_not = "VM " + vm.str() + " " + reason;
+  return denied;
 }
 
 }  // namespace
@@ -74,7 +76,8 @@
 
 permit permission_for(time_point now, const composition& in_force, const steadiness& steady,
                       const std::function<member_evidence(const vm_id&)>& evidence) {
-  permit result{.granted = true, .valid_until = time_point::max()};
+  permit result;
+  result.valid_until = time_point::max();
   for (const vm_id& vm : in_force.members) {
     const member_evidence e = evidence(vm);
     if (const char* reason = refusal_by_condition(e.state)) {
--- a/src/process/permission.h
+++ b/src/process/permission.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "base/id.h"
@@ -26,7 +27,7 @@
 // What is known of one member.
 struct member_evidence {
   const observation* seen = nullptr;  // newest, own or a trusted peer's; null: none
-  condition state = condition::unknown;
+  target_condition state = target_condition::unknown;
   bool checks_tokens = true;
 };
 
--- a/src/process/row_keeper.cpp
+++ b/src/process/row_keeper.cpp
@@ -27,6 +27,20 @@
   }
 }
 
+void renumber(assignment& a, std::uint64_t version) {
+  for (replica_plan& replica : a.replicas) {
+    if (replica.gen.row == a.version) {
+      replica.gen.row = version;
+    }
+  }
+  for (withdrawal& taken : a.withdrawals) {
+    if (taken.since == a.version) {
+      taken.since = version;
+    }
+  }
+  a.version = version;
+}
+
 row_keeper::row_keeper(node_id self, data_centre_id dc, std::uint64_t seed)
     : self_(std::move(self)), dc_(std::move(dc)), key_(row_key(dc_)), random_(seed) {
   row_.data_centre = dc_;
@@ -136,6 +150,9 @@
     table_silent(now);
     return {};
   }
+  if (read_sent_at_) {
+    confirmed_at_ = read_sent_at_;
+  }
   read_sent_at_.reset();
   unreadable_since_.reset();
   table_copy copy{.version = row->version, .row_version = 0, .proposal = {}};
--- a/src/process/row_keeper.h
+++ b/src/process/row_keeper.h
@@ -54,10 +54,16 @@
 // Every composition under the row's own version: supersedes whatever the targets obey.
 void lay_down_anew(assignment& a);
 
+// Moves a proposal to another version: what it lays down anew carries the version it is written
+// under.
+void renumber(assignment& a, std::uint64_t version);
+
 class row_keeper {
  public:
   row_keeper(node_id self, data_centre_id dc, std::uint64_t seed);
 
+  // Read the row at once: something depends on whether the table can be reached.
+  void look(time_point now) { read_soon(now); }
   // A live peer has this version, so its content exists.
   void heard_from_peer(time_point now, std::uint64_t version);
   // A target obeys an order of this version; its content may be lost.
@@ -74,8 +80,7 @@
   // Whether a proposal would have a chance: the row was read, nothing newer is known, no write is
   // open and the last lost race was long enough ago.
   [[nodiscard]] bool may_propose(time_point now) const;
-  // Tries to make `next` the row; stamps its version and proposal. Its gens that equal
-  // next_version() stay valid only because the version is fixed until the proposal ends.
+  // Tries to make `next` the row; stamps its version and proposal.
   [[nodiscard]] effects propose(time_point now, assignment next);
   [[nodiscard]] std::uint64_t next_version() const;
 
@@ -86,6 +91,8 @@
   // A newer version than row() exists or existed: nothing may be ordered or proposed from row().
   [[nodiscard]] bool behind() const { return highest_heard_ > row_.version; }
   [[nodiscard]] std::uint64_t highest_heard() const { return highest_heard_; }
+  // The newest moment at which the table is known to have held nothing newer than row().
+  [[nodiscard]] std::optional<time_point> confirmed_at() const { return confirmed_at_; }
   // Since when reads fail; empty while they succeed.
   [[nodiscard]] std::optional<time_point> unreadable_since() const { return unreadable_since_; }
   // Whether a try to write ended without effect known, or got no answer in time, and none has
@@ -130,6 +137,7 @@
   std::uint64_t proposals_{};  // made by this process
 
   std::optional<time_point> read_sent_at_;
+  std::optional<time_point> confirmed_at_;
   time_point last_read_{};
   time_point next_read_{};
   std::optional<open_write> write_;
--- /dev/null
+++ b/src/process/summaries.cpp
@@ -0,0 +1,63 @@
+// Pairing with other data centres, and what they said.
+#include "process/summaries.h"
+
+#include <algorithm>
+
+namespace arbutus {
+
+std::vector<node_id> summary_board::due(time_point now, const inventory& assets) {
+  if (now < next_) {
+    return {};
+  }
+  next_ = now + summary_interval;
+  ++round_;
+  const auto own = assets.nodes_of(own_);
+  const auto is_self = [&](const node_record* n) { return n->id == self_; };
+  const auto place = std::find_if(own.begin(), own.end(), is_self);
+  if (place == own.end()) {
+    return {};
+  }
+  const auto index = static_cast<std::size_t>(place - own.begin());
+  std::vector<node_id> result;
+  for (const data_centre_record& dc : assets.data_centres) {
+    if (dc.id == own_) {
+      continue;
+    }
+    // Sender i serves the receivers that are i modulo the number of senders, shifted by the round.
+    const auto theirs = assets.nodes_of(dc.id);
+    const std::size_t lanes = std::max(own.size(), theirs.size());
+    for (std::size_t lane = index; lane < lanes; lane += own.size()) {
+      const std::size_t shifted = (lane + round_) % lanes;
+      if (shifted < theirs.size()) {
+        result.push_back(theirs[shifted]->id);
+      }
+    }
+  }
+  return result;
+}
+
+void summary_board::heard(time_point now, const summary& s) {
+  if (s.data_centre != own_) {
+    entries_[s.data_centre] = {s.models, now};
+  }
+}
+
+std::vector<remote_capacity> summary_board::elsewhere(time_point now,
+                                                      const inventory& assets) const {
+  std::vector<remote_capacity> result;
+  for (const auto& [dc, e] : entries_) {
+    if (now - e.at > summary_lifetime) {
+      continue;
+    }
+    std::vector<endpoint> entry_points;
+    for (const node_record* node : assets.nodes_of(dc)) {
+      entry_points.push_back(node->caller);
+    }
+    for (const model_summary& m : e.models) {
+      result.push_back({dc, m.model, m.free_slots, m.queueing_delay, e.at, entry_points});
+    }
+  }
+  return result;
+}
+
+}  // namespace arbutus
