--- a/src/process/control_timing.h
+++ b/src/process/control_timing.h
@@ -13,6 +13,8 @@
   duration heartbeat_interval = 1s;
   // Spreads the heartbeats; subtracted, so that the interval is never longer than stated.
   duration heartbeat_jitter = 100ms;
+  // Urgent news may bring a heartbeat forward, but a storm of news not more often than this.
+  duration heartbeat_min_gap = 50ms;
 
   // A peer that missed two heartbeats is suspect, one that missed four is dead: it probes nothing
   // and has no rank.
@@ -41,6 +43,8 @@
   // Beside that for suspects: the answer is urgent, but a dark fabric domain must not flood.
   double urgent_probes_per_second = 4.0;
   std::size_t urgent_probe_burst = 4;
+  // A suspect is probed again after this.
+  duration urgent_probe_interval = 300ms;
   // A probe without a result is given up after this.
   duration probe_timeout = 2s;
   // A target that one prober alone cannot reach is lost after this.
--- /dev/null
+++ b/src/process/freshness.cpp
@@ -0,0 +1,45 @@
+// Arithmetic of lower bounds: whatever is uncertain makes an observation older, never fresher.
+#include "process/freshness.h"
+
+namespace arbutus {
+
+namespace {
+
+duration scaled(duration d, double factor) {
+  return duration{static_cast<duration::rep>(static_cast<double>(d.count()) * factor)};
+}
+
+}  // namespace
+
+std::uint32_t echo_tag(std::uint64_t incarnation) {
+  return static_cast<std::uint32_t>(incarnation & 0xffff);
+}
+
+// A sender that claims to have held the echo for longer than is possible has a broken clock; the
+// claim cannot lift the bound above `now`.
+time_point composed_after(time_point echoed_sent_at, duration held, time_point now, double drift) {
+  const duration surely_held = scaled(std::max(held, duration::zero()), 1.0 - drift);
+  return std::min(now, echoed_sent_at + surely_held);
+}
+
+time_point observed_after(time_point composed, duration age, time_point now, double drift) {
+  const duration at_most = scaled(std::max(age, duration::zero()), 1.0 + drift);
+  return std::min(composed, now) - at_most;
+}
+
+void sent_log::sent(std::uint64_t sequence, time_point at) {
+  entries_.push_back({sequence, at});
+  if (entries_.size() > depth) {
+    entries_.pop_front();
+  }
+}
+
+std::optional<time_point> sent_log::sent_at(std::uint64_t sequence) const {
+  const auto found = std::ranges::lower_bound(entries_, sequence, {}, &entry::sequence);
+  if (found == entries_.end() || found->sequence != sequence) {
+    return std::nullopt;
+  }
+  return found->at;
+}
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/process/gossip.cpp
@@ -0,0 +1,481 @@
+// MessagePack arrays; the first element is the kind. Empty lists at the end of a heartbeat are left
+// out. A receiver ignores elements it does not know, so that the format can grow at its end.
+#include "process/gossip.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+
+#include "process/msgpack_bounds.h"
+
+namespace arbutus {
+
+namespace {
+
+using json = nlohmann::json;
+
+enum class kind : std::uint8_t {
+  heartbeat,
+  config_request,
+  config_content,
+  assignment_push,
+  lost_notice,
+  leaving_notice,
+  summary,
+};
+
+// Steps in which times are sent: an age of up to a second is one byte, an echo's two.
+constexpr duration age_step = 8ms;
+constexpr duration held_step = 4ms;
+// Above the largest content (an inventory at the size planned for has some 100 KB).
+constexpr std::size_t max_message = std::size_t{16} << 20;
+// Deepest: message, list, composition, members; one to spare.
+constexpr std::size_t max_depth = 5;
+
+constexpr unsigned table_flag = 1;
+constexpr unsigned draining_flag = 2;
+constexpr unsigned informed_flag = 4;
+
+// ---- small values ----
+
+json packed(std::string_view bytes) {
+  return json::binary({bytes.begin(), bytes.end()});
+}
+
+std::string unpacked(const json& j) {
+  const auto& bytes = j.get_binary();
+  return {bytes.begin(), bytes.end()};
+}
+
+std::uint64_t whole(const json& j) {
+  if (!j.is_number_unsigned()) {
+    throw std::invalid_argument("not an unsigned number");
+  }
+  return j.get<std::uint64_t>();
+}
+
+template <class T>
+T whole_as(const json& j) {
+  const std::uint64_t value = whole(j);
+  if (value > std::numeric_limits<T>::max()) {
+    throw std::out_of_range("number");
+  }
+  return static_cast<T>(value);
+}
+
+// Rounded up: an observation may look older, never younger.
+std::uint64_t age_steps(duration age) {
+  const auto shown = std::max(age, duration::zero()) + age_step - duration{1};
+  return static_cast<std::uint64_t>(shown / age_step);
+}
+
+// Rounded down: the message may look older, never younger.
+std::uint64_t held_steps(duration held) {
+  return static_cast<std::uint64_t>(std::max(held, duration::zero()) / held_step);
+}
+
+// A time beyond a day is damage, and would overflow further on.
+duration steps(const json& j, duration step) {
+  constexpr std::uint64_t day = 86'400'000;
+  const std::uint64_t count = whole(j);
+  if (count > day) {
+    throw std::out_of_range("time");
+  }
+  return step * static_cast<duration::rep>(count);
+}
+
+std::uint64_t hundredths(double value) {
+  return static_cast<std::uint64_t>(std::llround(std::clamp(value, 0.0, 1e9) * 100.0));
+}
+
+void append(json& list, const message_stamp& s) {
+  list.push_back(s.incarnation);
+  list.push_back(s.sequence);
+  list.push_back(s.echo_of);
+  list.push_back(held_steps(s.echo_held));
+  list.push_back(s.echo_tag);
+}
+constexpr std::size_t stamp_size = 5;
+
+message_stamp stamp_at(const json& list, std::size_t at) {
+  message_stamp s;
+  s.incarnation = whole(list.at(at));
+  s.sequence = whole(list.at(at + 1));
+  s.echo_of = whole(list.at(at + 2));
+  s.echo_held = steps(list.at(at + 3), held_step);
+  s.echo_tag = whole_as<std::uint32_t>(list.at(at + 4));
+  return s;
+}
+
+// ---- parts of a heartbeat ----
+
+json encode_generation(const generation& g) {
+  return {g.row, g.step, g.lost};
+}
+
+generation decode_generation(const json& j) {
+  return {whole(j.at(0)), whole_as<std::uint32_t>(j.at(1)), whole_as<lost_mask>(j.at(2))};
+}
+
+json encode_full(const observation_delta& d) {
+  const engine_report& r = *d.report;
+  const target_load load = quantise(r);
+  return {d.slot,
+          age_steps(d.age),
+          r.vm.str(),
+          r.incarnation,
+          r.replica.str(),
+          encode_generation(r.gen),
+          r.model_version,
+          static_cast<unsigned>(r.state),
+          r.leaving ? 1U : 0U,
+          r.slots,
+          load.running,
+          load.queued,
+          load.kv_percent,
+          load.tokens_code};
+}
+
+target_load load_at(const json& list, std::size_t at) {
+  return {whole_as<std::uint8_t>(list.at(at)), whole_as<std::uint8_t>(list.at(at + 1)),
+          whole_as<std::uint8_t>(list.at(at + 2)), whole_as<std::uint8_t>(list.at(at + 3))};
+}
+
+observation_delta decode_full(const json& j) {
+  observation_delta d;
+  d.slot = whole_as<std::uint32_t>(j.at(0));
+  d.age = steps(j.at(1), age_step);
+  engine_report r;
+  r.vm = vm_id{j.at(2).get<std::string>()};
+  r.incarnation = whole(j.at(3));
+  r.replica = replica_id{j.at(4).get<std::string>()};
+  r.gen = decode_generation(j.at(5));
+  r.model_version = j.at(6).get<std::string>();
+  const std::uint64_t state = whole(j.at(7));
+  if (state > static_cast<unsigned>(engine_state::failed)) {
+    throw std::out_of_range("engine state");
+  }
+  r.state = static_cast<engine_state>(state);
+  r.leaving = whole(j.at(8)) != 0;
+  r.slots = whole_as<std::uint32_t>(j.at(9));
+  apply(load_at(j, 10), r);
+  d.report = std::move(r);
+  return d;
+}
+
+// Flat lists: slot, age, and for the second kind the four bytes of load.
+void encode_short(const std::vector<observation_delta>& deltas, json& same, json& loads) {
+  for (const observation_delta& d : deltas) {
+    if (d.report) {
+      continue;
+    }
+    json& list = d.load ? loads : same;
+    list.push_back(d.slot);
+    list.push_back(age_steps(d.age));
+    if (d.load) {
+      list.push_back(d.load->running);
+      list.push_back(d.load->queued);
+      list.push_back(d.load->kv_percent);
+      list.push_back(d.load->tokens_code);
+    }
+  }
+}
+
+void decode_same(const json& list, std::vector<observation_delta>& out) {
+  for (std::size_t i = 0; i < list.size(); i += 2) {
+    observation_delta d;
+    d.slot = whole_as<std::uint32_t>(list.at(i));
+    d.age = steps(list.at(i + 1), age_step);
+    out.push_back(std::move(d));
+  }
+}
+
+void decode_loads(const json& list, std::vector<observation_delta>& out) {
+  for (std::size_t i = 0; i < list.size(); i += 6) {
+    observation_delta d;
+    d.slot = whole_as<std::uint32_t>(list.at(i));
+    d.age = steps(list.at(i + 1), age_step);
+    d.load = load_at(list, i + 2);
+    out.push_back(std::move(d));
+  }
+}
+
+json encode_failure(const probe_failure& f) {
+  return {f.vm.str(), age_steps(f.age), f.incarnation, f.count};
+}
+
+probe_failure decode_failure(const json& j) {
+  return {vm_id{j.at(0).get<std::string>()}, steps(j.at(1), age_step), whole(j.at(2)),
+          whole_as<std::uint32_t>(j.at(3))};
+}
+
+json encode_composition(const composition& c) {
+  json members = json::array();
+  for (const vm_id& vm : c.members) {
+    members.push_back(vm.str());
+  }
+  return {c.replica.str(), encode_generation(c.gen), members};
+}
+
+composition decode_composition(const json& j) {
+  composition c;
+  c.replica = replica_id{j.at(0).get<std::string>()};
+  c.gen = decode_generation(j.at(1));
+  for (const json& member : j.at(2)) {
+    c.members.emplace_back(member.get<std::string>());
+  }
+  return c;
+}
+
+json encode_model(const model_summary& m) {
+  const auto delay = std::chrono::duration_cast<std::chrono::milliseconds>(m.queueing_delay);
+  return {m.model.str(), m.free_slots, static_cast<std::uint64_t>(std::max(delay.count(), 0L))};
+}
+
+model_summary decode_model(const json& j) {
+  return {model_id{j.at(0).get<std::string>()}, whole_as<std::uint32_t>(j.at(1)),
+          steps(j.at(2), 1ms)};
+}
+
+template <class List, class Encode>
+json encode_list(const List& list, Encode encode_one) {
+  json out = json::array();
+  for (const auto& item : list) {
+    out.push_back(encode_one(item));
+  }
+  return out;
+}
+
+// The elements at `at` of `from`; none when the sender left the list out.
+template <class T, class Decode>
+std::vector<T> decode_list(const json& from, std::size_t at, Decode decode_one) {
+  std::vector<T> out;
+  if (at < from.size()) {
+    for (const json& item : from.at(at)) {
+      out.push_back(decode_one(item));
+    }
+  }
+  return out;
+}
+
+// ---- messages ----
+
+json start(kind k) {
+  return json::array({static_cast<unsigned>(k)});
+}
+
+// Places in the array of a heartbeat.
+constexpr std::size_t first = 1 + stamp_size;
+enum heartbeat_field : std::size_t {
+  config_version_field = first,
+  assignment_version_field,
+  flags_field,
+  same_field,
+  loads_field,
+  fulls_field,
+  hash_field,
+  failures_field,
+  silent_field,
+  activations_field,
+  usage_field,
+};
+
+unsigned flags_of(const heartbeat& h) {
+  return (h.table_reachable ? table_flag : 0U) | (h.draining ? draining_flag : 0U) |
+         (h.informed ? informed_flag : 0U);
+}
+
+json to_json(const heartbeat& h) {
+  json j = start(kind::heartbeat);
+  append(j, h.stamp);
+  j.push_back(h.config_version);
+  j.push_back(h.assignment_version);
+  j.push_back(flags_of(h));
+  json same = json::array();
+  json loads = json::array();
+  encode_short(h.observations, same, loads);
+  json fulls = json::array();
+  for (const observation_delta& d : h.observations) {
+    if (d.report) {
+      fulls.push_back(encode_full(d));
+    }
+  }
+  j.push_back(std::move(same));
+  j.push_back(std::move(loads));
+  j.push_back(std::move(fulls));
+  j.push_back(h.config_hash);
+  j.push_back(encode_list(h.failures, encode_failure));
+  j.push_back(encode_list(h.silent, [](const node_id& n) { return json(n.str()); }));
+  j.push_back(encode_list(h.activations, encode_composition));
+  j.push_back(encode_list(h.usage, [](const workspace_usage& u) {
+    return json{u.workspace.str(), hundredths(u.requests_per_second)};
+  }));
+  const auto empty = [](const json& part) {
+    return part.is_string() ? part.get_ref<const std::string&>().empty()
+                            : part.is_array() && part.empty();
+  };
+  while (empty(j.back())) {
+    j.erase(j.size() - 1);
+  }
+  return j;
+}
+
+heartbeat heartbeat_from(const json& j, const node_id& from) {
+  heartbeat h;
+  h.from = from;
+  h.stamp = stamp_at(j, 1);
+  h.config_version = whole(j.at(config_version_field));
+  h.assignment_version = whole(j.at(assignment_version_field));
+  const std::uint64_t flags = whole(j.at(flags_field));
+  h.table_reachable = (flags & table_flag) != 0;
+  h.draining = (flags & draining_flag) != 0;
+  h.informed = (flags & informed_flag) != 0;
+  h.observations = decode_list<observation_delta>(j, fulls_field, decode_full);
+  if (j.size() > same_field) {
+    decode_same(j.at(same_field), h.observations);
+  }
+  if (j.size() > loads_field) {
+    decode_loads(j.at(loads_field), h.observations);
+  }
+  if (j.size() > hash_field) {
+    h.config_hash = j.at(hash_field).get<std::string>();
+  }
+  h.failures = decode_list<probe_failure>(j, failures_field, decode_failure);
+  h.silent = decode_list<node_id>(j, silent_field,
+                                  [](const json& n) { return node_id{n.get<std::string>()}; });
+  h.activations = decode_list<composition>(j, activations_field, decode_composition);
+  h.usage = decode_list<workspace_usage>(j, usage_field, [](const json& u) {
+    return workspace_usage{workspace_id{u.at(0).get<std::string>()},
+                           static_cast<double>(whole(u.at(1))) / 100.0};
+  });
+  return h;
+}
+
+json to_json(const config_request& r) {
+  json j = start(kind::config_request);
+  j.push_back(r.hash);
+  j.push_back(r.have);
+  return j;
+}
+
+config_request config_request_from(const json& j) {
+  return {j.at(1).get<std::string>(), j.at(2).get<std::string>()};
+}
+
+json to_json(const config_content& c) {
+  json j = start(kind::config_content);
+  j.push_back(c.head.version);
+  j.push_back(c.head.hash);
+  j.push_back(encode_list(c.head.proposals, [](const proposal_id& p) { return json(p.str()); }));
+  j.push_back(c.base);
+  j.push_back(c.prefix);
+  j.push_back(c.suffix);
+  j.push_back(packed(c.middle));
+  return j;
+}
+
+config_content config_content_from(const json& j) {
+  config_content c;
+  c.head.version = whole(j.at(1));
+  c.head.hash = j.at(2).get<std::string>();
+  c.head.proposals = decode_list<proposal_id>(
+      j, 3, [](const json& p) { return proposal_id{p.get<std::string>()}; });
+  c.base = j.at(4).get<std::string>();
+  c.prefix = whole(j.at(5));
+  c.suffix = whole(j.at(6));
+  c.middle = unpacked(j.at(7));
+  return c;
+}
+
+json to_json(const assignment_push& p) {
+  json j = start(kind::assignment_push);
+  j.push_back(packed(p.bytes));
+  return j;
+}
+
+json to_json(const lost_notice& n) {
+  json j = start(kind::lost_notice);
+  append(j, n.stamp);
+  j.push_back(encode_failure(n.failure));
+  return j;
+}
+
+lost_notice lost_notice_from(const json& j) {
+  return {stamp_at(j, 1), decode_failure(j.at(first))};
+}
+
+json to_json(const leaving_notice& n) {
+  json j = start(kind::leaving_notice);
+  j.push_back(n.vm.str());
+  j.push_back(n.incarnation);
+  return j;
+}
+
+leaving_notice leaving_notice_from(const json& j) {
+  return {vm_id{j.at(1).get<std::string>()}, whole(j.at(2))};
+}
+
+json to_json(const summary& s) {
+  json j = start(kind::summary);
+  append(j, s.stamp);
+  j.push_back(s.data_centre.str());
+  j.push_back(s.config_version);
+  j.push_back(s.config_hash);
+  j.push_back(encode_list(s.models, encode_model));
+  return j;
+}
+
+summary summary_from(const json& j) {
+  summary s;
+  s.stamp = stamp_at(j, 1);
+  s.data_centre = data_centre_id{j.at(first).get<std::string>()};
+  s.config_version = whole(j.at(first + 1));
+  s.config_hash = j.at(first + 2).get<std::string>();
+  s.models = decode_list<model_summary>(j, first + 3, decode_model);
+  return s;
+}
+
+gossip_message message_from(const json& j, const node_id& from) {
+  const auto k = static_cast<kind>(whole_as<std::uint8_t>(j.at(0)));
+  switch (k) {
+    case kind::heartbeat:
+      return heartbeat_from(j, from);
+    case kind::config_request:
+      return config_request_from(j);
+    case kind::config_content:
+      return config_content_from(j);
+    case kind::assignment_push:
+      return assignment_push{unpacked(j.at(1))};
+    case kind::lost_notice:
+      return lost_notice_from(j);
+    case kind::leaving_notice:
+      return leaving_notice_from(j);
+    case kind::summary:
+      return summary_from(j);
+  }
+  throw std::out_of_range("kind");
+}
+
+}  // namespace
+
+std::string encode(const gossip_message& message) {
+  const json j = std::visit([](const auto& m) { return to_json(m); }, message);
+  std::string bytes;
+  json::to_msgpack(j, bytes);
+  return bytes;
+}
+
+outcome<gossip_message> decode_gossip(const node_id& from, std::string_view bytes) {
+  if (bytes.size() > max_message || !nesting_bounded(bytes, max_depth)) {
+    return refused{"malformed: size or nesting"};
+  }
+  try {
+    return message_from(json::from_msgpack(bytes), from);
+  } catch (const std::exception& e) {
+    return refused{std::string("malformed: ") + e.what()};
+  }
+}
+
+}  // namespace arbutus
--- a/src/process/gossip.h
+++ b/src/process/gossip.h
@@ -18,22 +18,12 @@
 #include "base/units.h"
 #include "process/freshness.h"
 #include "process/report.h"
+#include "process/target_load.h"
 #include "version/assignment.h"
 #include "version/configuration.h"
 
 namespace arbutus {
 
-// Load as it changes all the time, quantised to a byte each.
-struct target_load {
-  std::uint8_t running{};
-  std::uint8_t queued{};
-  std::uint8_t kv_percent{};
-  std::uint8_t tokens_code{};  // logarithmic, 8 steps to an octave
-  auto operator<=>(const target_load&) const = default;
-};
-[[nodiscard]] target_load quantise(const engine_report& report);
-void apply(const target_load& load, engine_report& report);
-
 // One target as its prober saw it. Exactly one of three forms:
 //   full: report is set; names the target and all else, and binds the slot;
 //   load: load is set; all else as in the last full of this slot;
@@ -51,13 +41,14 @@
   vm_id vm;
   duration age{};               // of the newest failed probe's start
   std::uint64_t incarnation{};  // that answered last; 0: none ever
+  std::uint32_t count{};        // failed probes in a row
   auto operator<=>(const probe_failure&) const = default;
 };
 
 // Requests a second that this node admitted, for limits shared between nodes.
 struct workspace_usage {
   workspace_id workspace;
-  double requests_per_second{};
+  double requests_per_second{};  // sent in steps of 0.01
   auto operator<=>(const workspace_usage&) const = default;
 };
 
@@ -69,6 +60,7 @@
   std::uint64_t assignment_version{};
   bool table_reachable = false;
   bool draining = false;
+  bool informed = false;        // membership::informed
   std::vector<node_id> silent;  // peers not heard for control_timing::lapse_after
   std::vector<observation_delta> observations;
   std::vector<probe_failure> failures;
--- /dev/null
+++ b/src/process/membership.cpp
@@ -0,0 +1,374 @@
+// Hearing peers, own pauses, ranks and probers. The votes are in membership_votes.cpp.
+#include "process/membership.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "base/hash.h"
+
+namespace arbutus {
+
+namespace {
+
+constexpr std::size_t remembered_incarnations = 4;
+constexpr std::size_t probers_per_target = 2;
+
+// A node may get a quarter more targets than its fair part before the next one takes them.
+std::size_t target_limit(std::size_t targets, std::size_t nodes) {
+  const double fair =
+      static_cast<double>(targets * probers_per_target) / static_cast<double>(nodes);
+  return static_cast<std::size_t>(std::ceil(fair * 1.25)) + 1;
+}
+
+std::vector<node_id> by_weight(std::string_view subject, std::vector<node_id> nodes) {
+  std::vector<std::pair<std::uint64_t, node_id>> weighted;
+  weighted.reserve(nodes.size());
+  for (node_id& node : nodes) {
+    const std::uint64_t weight = rendezvous_weight(subject, node.str());
+    weighted.emplace_back(weight, std::move(node));
+  }
+  std::ranges::sort(weighted, std::greater<>{});
+  std::vector<node_id> sorted;
+  sorted.reserve(weighted.size());
+  for (auto& [weight, node] : weighted) {
+    sorted.push_back(std::move(node));
+  }
+  return sorted;
+}
+
+}  // namespace
+
+membership::membership(node_id self, std::uint64_t incarnation, std::uint64_t seed, time_point now,
+                       control_timing timing)
+    : self_(std::move(self)),
+      incarnation_(incarnation),
+      timing_(timing),
+      random_(seed),
+      last_tick_(now),
+      listening_since_(now) {}
+
+void membership::set_nodes(const std::vector<node_id>& nodes, time_point now) {
+  std::map<node_id, peer> kept;
+  for (const node_id& node : nodes) {
+    if (node == self_) {
+      continue;
+    }
+    if (const auto known = peers_.find(node); known != peers_.end()) {
+      kept.insert(peers_.extract(known));
+      continue;
+    }
+    peer& p = kept[node];
+    p.known_since = p.heard_at = p.received_at = now;
+    p.next_heartbeat = now;
+  }
+  peers_ = std::move(kept);
+  choice_.reset();
+}
+
+// A process that was stopped for a while finds every peer silent. That says nothing about them; if
+// it believed it, it would take all ranks and probes at once when it continues.
+duration membership::tick(time_point now) {
+  const duration gap = now - last_tick_;
+  const bool paused = gap > timing_.own_pause;
+  if (paused) {
+    listening_since_ = now;
+  }
+  last_tick_ = now;
+  bury_silent_peers(now);
+  return paused ? gap : duration::zero();
+}
+
+void membership::bury_silent_peers(time_point now) {
+  for (auto& [id, p] : peers_) {
+    if (p.dead || quiet_for(p, now) <= timing_.peer_dead_after) {
+      continue;
+    }
+    const double age = to_seconds(now - p.deaths_at) / to_seconds(timing_.damping_half_life);
+    p.deaths = p.deaths * std::exp2(-age) + 1.0;
+    p.deaths_at = now;
+    p.dead = true;
+  }
+}
+
+// Zero while it is not known whether this process itself was paused.
+duration membership::quiet_for(const peer& p, time_point now) const {
+  if (now - last_tick_ > timing_.own_pause) {
+    return duration::zero();
+  }
+  return now - std::max(p.heard_at, listening_since_);
+}
+
+// ---- sending ----
+
+std::vector<node_id> membership::due(time_point now) {
+  std::vector<node_id> peers;
+  for (auto& [id, p] : peers_) {
+    if (p.next_heartbeat > now) {
+      continue;
+    }
+    p.next_heartbeat = now + timing_.heartbeat_interval - random_.jitter(timing_.heartbeat_jitter);
+    p.last_heartbeat = now;
+    peers.push_back(id);
+  }
+  return peers;
+}
+
+void membership::hurry(time_point now) {
+  for (auto& [id, p] : peers_) {
+    const time_point soonest = std::max(now, p.last_heartbeat + timing_.heartbeat_min_gap);
+    p.next_heartbeat = std::min(p.next_heartbeat, soonest);
+  }
+}
+
+message_stamp membership::stamp_for(const node_id& to, time_point now) {
+  message_stamp stamp;
+  stamp.incarnation = incarnation_;
+  const auto found = peers_.find(to);
+  if (found == peers_.end()) {
+    return stamp;
+  }
+  peer& p = found->second;
+  stamp.sequence = p.next_sequence++;
+  p.sent.sent(stamp.sequence, now);
+  stamp.echo_of = p.last_sequence;
+  if (p.last_sequence != 0) {
+    stamp.echo_held = now - p.received_at;
+    stamp.echo_tag = echo_tag(p.incarnation);
+  }
+  return stamp;
+}
+
+heartbeat membership::prepare(const node_id& to, time_point now) {
+  heartbeat beat;
+  beat.from = self_;
+  beat.stamp = stamp_for(to, now);
+  beat.informed = informed_;
+  for (const auto& [id, p] : peers_) {
+    if (silent(p, now)) {
+      beat.silent.push_back(id);
+    }
+  }
+  return beat;
+}
+
+void membership::claim_config(heartbeat& beat, const node_id& to, std::uint64_t version,
+                              const std::string& hash) {
+  beat.config_version = version;
+  const auto found = peers_.find(to);
+  if (found == peers_.end()) {
+    return;
+  }
+  peer& p = found->second;
+  if (p.hash_told != hash) {
+    p.hash_told = hash;
+    p.hash_sequence = beat.stamp.sequence;
+  }
+  if (p.echoed < p.hash_sequence) {
+    beat.config_hash = hash;
+  }
+}
+
+// ---- hearing ----
+
+std::optional<heard> membership::receive(const node_id& from, const message_stamp& stamp,
+                                         time_point now) {
+  const auto found = peers_.find(from);
+  if (found == peers_.end()) {
+    return std::nullopt;
+  }
+  peer& p = found->second;
+  const bool same_process = stamp.incarnation == p.incarnation;
+  if (same_process && stamp.sequence <= p.last_sequence) {
+    return std::nullopt;
+  }
+  if (std::ranges::count(p.past_incarnations, stamp.incarnation) != 0) {
+    return std::nullopt;
+  }
+  heard result;
+  if (!same_process) {
+    accept_process(p, stamp, result, now);
+  }
+  p.last_sequence = stamp.sequence;
+  p.received_at = now;
+  accept_echo(p, stamp, result, now);
+  // A message that was stuck on the way does not show that its sender is alive now.
+  p.heard_at = std::max(p.heard_at, result.composed.value_or(p.hears_us ? p.heard_at : now));
+  if (p.dead && quiet_for(p, now) <= timing_.peer_dead_after) {
+    p.dead = false;
+    p.alive_since = now;
+  }
+  return result;
+}
+
+void membership::accept_process(peer& p, const message_stamp& stamp, heard& result,
+                                time_point now) {
+  result.restarted = p.incarnation != 0;
+  if (result.restarted) {
+    p.past_incarnations.push_back(p.incarnation);
+  }
+  if (p.past_incarnations.size() > remembered_incarnations) {
+    p.past_incarnations.erase(p.past_incarnations.begin());
+  }
+  p.incarnation = stamp.incarnation;
+  p.claims = {};
+  p.echoed = 0;
+  p.hears_us = false;
+  p.heard_at = now;
+}
+
+void membership::accept_echo(peer& p, const message_stamp& stamp, heard& result, time_point now) {
+  if (stamp.echo_of != 0 && stamp.echo_tag == echo_tag(incarnation_)) {
+    if (const auto sent_at = p.sent.sent_at(stamp.echo_of)) {
+      result.composed = composed_after(*sent_at, stamp.echo_held, now, timing_.clock_drift);
+      p.echoed = std::max(p.echoed, stamp.echo_of);
+      p.echoed_sent_at = std::max(p.echoed_sent_at, *sent_at);
+      p.hears_us = true;
+    }
+  }
+  result.echoed = p.echoed;
+}
+
+std::optional<heard> membership::receive(const heartbeat& beat, std::uint64_t own, time_point now) {
+  std::optional<heard> result = receive(beat.from, beat.stamp, now);
+  if (!result) {
+    return result;
+  }
+  peer_claims& claims = peers_.at(beat.from).claims;
+  claims.config_version = beat.config_version;
+  if (!beat.config_hash.empty()) {
+    claims.config_hash = beat.config_hash;
+  }
+  claims.assignment_version = beat.assignment_version;
+  claims.table_reachable = beat.table_reachable;
+  claims.draining = beat.draining;
+  claims.informed = beat.informed;
+  claims.silent = beat.silent;
+  learn_from_majority(own);
+  return result;
+}
+
+// ---- views ----
+
+const membership::peer* membership::find(const node_id& id) const {
+  const auto found = peers_.find(id);
+  return found == peers_.end() ? nullptr : &found->second;
+}
+
+// How long a peer that keeps dying must be heard before it counts again. Each time it counts, ranks
+// and probers move; a node on a bad link would move them every few seconds.
+duration membership::damping(const peer& p, time_point now) const {
+  const double age = to_seconds(now - p.deaths_at) / to_seconds(timing_.damping_half_life);
+  const double deaths = p.deaths * std::exp2(-age);
+  if (deaths < 1.5) {
+    return duration::zero();
+  }
+  const double seconds = to_seconds(timing_.peer_damping) * std::exp2(std::min(deaths - 2.0, 16.0));
+  return std::min(from_seconds(seconds), timing_.damping_limit);
+}
+
+peer_state membership::state(const node_id& id, time_point now) const {
+  if (id == self_) {
+    return peer_state::alive;
+  }
+  const peer* p = find(id);
+  if (p == nullptr || p->incarnation == 0) {
+    return peer_state::unknown;
+  }
+  const duration quiet = quiet_for(*p, now);
+  if (p->dead || quiet > timing_.peer_dead_after || now - p->alive_since < damping(*p, now)) {
+    return peer_state::dead;
+  }
+  return quiet > timing_.peer_suspect_after ? peer_state::suspect : peer_state::alive;
+}
+
+std::vector<node_id> membership::live_peers(time_point now) const {
+  std::vector<node_id> nodes;
+  for (const auto& [id, p] : peers_) {
+    const peer_state s = state(id, now);
+    if (s == peer_state::alive || s == peer_state::suspect) {
+      nodes.push_back(id);
+    }
+  }
+  return nodes;
+}
+
+std::vector<node_id> membership::live(time_point now) const {
+  std::vector<node_id> nodes = live_peers(now);
+  nodes.insert(std::ranges::lower_bound(nodes, self_), self_);
+  return nodes;
+}
+
+const peer_claims* membership::claims(const node_id& id) const {
+  const peer* p = find(id);
+  return p == nullptr || p->incarnation == 0 ? nullptr : &p->claims;
+}
+
+std::uint64_t membership::echoed(const node_id& id) const {
+  const peer* p = find(id);
+  return p == nullptr ? 0 : p->echoed;
+}
+
+bool membership::one_way(const node_id& id, time_point now) const {
+  const peer* p = find(id);
+  if (p == nullptr || p->incarnation == 0 || quiet_for(*p, now) > timing_.peer_suspect_after) {
+    return false;
+  }
+  const time_point echoed_at = p->hears_us ? p->echoed_sent_at : p->alive_since;
+  return now - std::max(echoed_at, listening_since_) > timing_.peer_dead_after;
+}
+
+// ---- ranks and probers ----
+
+std::size_t membership::rank_of(const node_id& node, std::string_view subject,
+                                time_point now) const {
+  const std::vector<node_id> sorted = by_weight(subject, live(now));
+  return static_cast<std::size_t>(std::ranges::find(sorted, node) - sorted.begin());
+}
+
+void membership::set_targets(const std::vector<vm_id>& vms) {
+  targets_ = vms;
+  std::ranges::sort(targets_);
+  choice_.reset();
+}
+
+// Rendezvous hashing alone gives the unluckiest of 21 nodes nearly twice its part, more than its
+// probe budget; so a node that is full is passed over.
+void membership::choose_probers(time_point now) {
+  std::vector<node_id> nodes = live(now);
+  if (choice_ && choice_->live == nodes) {
+    return;
+  }
+  choice_.emplace();
+  std::map<node_id, std::size_t> load;
+  const std::size_t limit = target_limit(targets_.size(), nodes.size());
+  for (const vm_id& vm : targets_) {
+    std::vector<node_id>& chosen = choice_->probers[vm];
+    for (const node_id& node : by_weight(vm.str(), nodes)) {
+      if (chosen.size() < probers_per_target && load[node] < limit) {
+        chosen.push_back(node);
+        ++load[node];
+      }
+    }
+  }
+  choice_->live = std::move(nodes);
+}
+
+std::vector<node_id> membership::probers_of(const vm_id& vm, time_point now) {
+  choose_probers(now);
+  const auto found = choice_->probers.find(vm);
+  return found == choice_->probers.end() ? std::vector<node_id>{} : found->second;
+}
+
+std::vector<vm_id> membership::own_targets(time_point now) {
+  choose_probers(now);
+  std::vector<vm_id> own;
+  for (const auto& [vm, nodes] : choice_->probers) {
+    if (std::ranges::find(nodes, self_) != nodes.end()) {
+      own.push_back(vm);
+    }
+  }
+  return own;
+}
+
+}  // namespace arbutus
--- a/src/process/membership.h
+++ b/src/process/membership.h
@@ -38,6 +38,7 @@
   std::uint64_t assignment_version{};
   bool table_reachable = false;
   bool draining = false;
+  bool informed = false;
   std::vector<node_id> silent;
 };
 
@@ -62,12 +63,17 @@
   [[nodiscard]] message_stamp stamp_for(const node_id& peer, time_point now);
   // Fills from, stamp and silent; the caller adds the rest.
   [[nodiscard]] heartbeat prepare(const node_id& peer, time_point now);
+  // Sets the configuration; its hash only until the peer is known to have it.
+  void claim_config(heartbeat& beat, const node_id& peer, std::uint64_t version,
+                    const std::string& hash);
 
   // Empty: not a peer, or not newer than what was received before (duplicate, overtaken).
   [[nodiscard]] std::optional<heard> receive(const node_id& from, const message_stamp& stamp,
                                              time_point now);
-  // receive() and what the heartbeat claims. An empty config_hash is filled in by the last one.
-  [[nodiscard]] std::optional<heard> receive(const heartbeat& h, time_point now);
+  // receive() and what the heartbeat claims. An empty config_hash stands for the last one. `own`:
+  // the assignment version this node knows.
+  [[nodiscard]] std::optional<heard> receive(const heartbeat& beat, std::uint64_t own,
+                                             time_point now);
 
   [[nodiscard]] peer_state state(const node_id& peer, time_point now) const;
   // Alive and suspect nodes, self included, in order of id.
@@ -93,6 +99,17 @@
   [[nodiscard]] std::vector<vm_id> own_targets(time_point now);
 
   // ---- acting without the table ----
+  //
+  // A VM whose reservation was withdrawn must not be given to another replica while a node that
+  // cannot see the table might still activate it by the old row. Nodes vote with one voice each; of
+  // an even number the first by id has two, so that of two nodes one can go on alone.
+
+  // This node has read the row from the table itself.
+  void row_read();
+  // A process that has just started knows nothing of what its predecessor acknowledged. It has a
+  // vote once it has read the table, or has heard, since it started, informed nodes that are a
+  // majority without it and knows a row no older than theirs.
+  [[nodiscard]] bool informed() const { return informed_; }
 
   // Whether this node may activate a standby by the row `assignment_version` that it knows,
   // although it cannot read the table: nodes that together are a majority have answered a message
@@ -100,12 +117,12 @@
   // directly before each order.
   [[nodiscard]] bool may_act_alone(std::uint64_t assignment_version, time_point now) const;
 
-  // Lowest assignment version that every node which may still act has acknowledged. A silent node
-  // counts until nodes that are a majority have each, in their newest heartbeat, reported it silent
-  // for lapse_after. `own` is this node's version.
+  // Highest assignment version, at most `own` (this node's), that every node which may still act
+  // has acknowledged. A silent node counts until nodes that are a majority and know that version
+  // have each reported it silent for lapse_after.
   [[nodiscard]] std::uint64_t acknowledged_by_all(std::uint64_t own, time_point now) const;
-  // The nodes that count in it, self included; for status and tests.
-  [[nodiscard]] std::vector<node_id> counted(time_point now) const;
+  // The nodes whose acknowledgement of `version` is needed, self included.
+  [[nodiscard]] std::vector<node_id> counted(std::uint64_t version, time_point now) const;
 
  private:
   struct peer {
@@ -113,15 +130,20 @@
     std::uint64_t incarnation{};  // 0: never heard
     std::uint64_t last_sequence{};
     std::vector<std::uint64_t> past_incarnations;  // at most 4
-    time_point heard_at;                           // newest message; known_since before the first
-    time_point alive_since;                        // start of the present spell of being heard
-    double deaths{};                               // decayed number of spells that ended
+    time_point heard_at;                           // lower bound of the newest message's composing
+    time_point received_at;  // when the newest message came; both: known_since before the first
+    time_point alive_since;  // start of the present spell of being heard
+    double deaths{};         // decayed number of spells that ended
     time_point deaths_at;
-    bool dead = true;  // until heard
+    bool dead = true;       // until heard
+    bool hears_us = false;  // has echoed a message of this process
     peer_claims claims;
     sent_log sent;
     std::uint64_t next_sequence = 1;
     time_point next_heartbeat;
+    time_point last_heartbeat;
+    std::uint64_t hash_sequence{};  // first own message with the present config hash
+    std::string hash_told;
     std::uint64_t echoed{};     // own sequence
     time_point echoed_sent_at;  // when that was sent
   };
@@ -134,8 +156,15 @@
   [[nodiscard]] bool silent(const peer& p, time_point now) const;
   [[nodiscard]] std::size_t vote(const node_id& id) const;
   [[nodiscard]] bool majority(std::size_t votes) const;
-  [[nodiscard]] bool lapsed(const node_id& id, const peer& p, time_point now) const;
+  [[nodiscard]] bool lapsed(const node_id& id, const peer& p, std::uint64_t version,
+                            time_point now) const;
+  [[nodiscard]] bool acknowledged(std::uint64_t version, time_point now) const;
+  [[nodiscard]] duration quiet_for(const peer& p, time_point now) const;
   [[nodiscard]] duration damping(const peer& p, time_point now) const;
+  [[nodiscard]] std::size_t votes_in_all() const;
+  void accept_process(peer& p, const message_stamp& stamp, heard& result, time_point now);
+  void accept_echo(peer& p, const message_stamp& stamp, heard& result, time_point now);
+  void learn_from_majority(std::uint64_t own);
   void bury_silent_peers(time_point now);
   void choose_probers(time_point now);
 
@@ -146,6 +175,7 @@
   std::map<node_id, peer> peers_;  // without self
   time_point last_tick_;
   time_point listening_since_;  // start, or end of the last own pause
+  bool informed_ = false;
   std::vector<vm_id> targets_;
   std::optional<probe_choice> choice_;  // for the live set it names
 };
--- /dev/null
+++ b/src/process/membership_votes.cpp
@@ -0,0 +1,126 @@
+// Who may act without the table, and whose acknowledgement is still awaited.
+//
+// What goes wrong without votes: node B is cut off from the table and from node A, but not from the
+// targets. A withdraws a standby, takes B for dead, and gives the VM to another replica; B
+// activates it by the old row. Two replicas own one VM.
+//
+// Why this prevents it: A stops waiting for B only when a majority reports B silent for
+// lapse_after, each in a message that also acknowledges the new row. B acts only while a majority
+// has answered messages it sent within act_alone_for, which is shorter, and knows no newer row. Any
+// two majorities share a node: before its report that node's answers to B have expired, after it
+// they name the newer row. A restarted node has forgotten what it acknowledged, and has no vote
+// until it has learnt it again.
+#include <algorithm>
+
+#include "process/membership.h"
+
+namespace arbutus {
+
+std::size_t membership::votes_in_all() const {
+  const std::size_t nodes = peers_.size() + 1;
+  return nodes % 2 == 0 ? nodes + 1 : nodes;
+}
+
+std::size_t membership::vote(const node_id& id) const {
+  const bool even = (peers_.size() + 1) % 2 == 0;
+  const bool first = peers_.empty() || id == std::min(self_, peers_.begin()->first);
+  return even && first ? 2 : 1;
+}
+
+bool membership::majority(std::size_t votes) const {
+  return 2 * votes > votes_in_all();
+}
+
+// By receipt, not by composing: what counts is that this node has answered nothing of it meanwhile.
+bool membership::silent(const peer& p, time_point now) const {
+  if (now - last_tick_ > timing_.own_pause) {
+    return false;
+  }
+  return now - std::max(p.received_at, listening_since_) >= timing_.lapse_after;
+}
+
+void membership::row_read() {
+  informed_ = true;
+}
+
+void membership::learn_from_majority(std::uint64_t own) {
+  if (informed_) {
+    return;
+  }
+  std::size_t votes = 0;
+  for (const auto& [id, p] : peers_) {
+    if (!p.hears_us || !p.claims.informed) {
+      continue;
+    }
+    if (p.claims.assignment_version > own) {
+      return;
+    }
+    votes += vote(id);
+  }
+  informed_ = majority(votes);
+}
+
+bool membership::may_act_alone(std::uint64_t assignment_version, time_point now) const {
+  if (!informed_ || now - last_tick_ > timing_.own_pause) {
+    return false;
+  }
+  std::size_t votes = vote(self_);
+  for (const auto& [id, p] : peers_) {
+    if (p.claims.assignment_version > assignment_version) {
+      return false;
+    }
+    const bool answered = p.hears_us && now - p.echoed_sent_at <= timing_.act_alone_for;
+    if (answered && p.claims.informed && p.claims.assignment_version == assignment_version) {
+      votes += vote(id);
+    }
+  }
+  return majority(votes);
+}
+
+// Only reports of nodes that know the row count: one that has died since may have answered `id`
+// between its report and a row it never saw.
+bool membership::lapsed(const node_id& id, const peer& p, std::uint64_t version,
+                        time_point now) const {
+  if (!silent(p, now)) {
+    return false;
+  }
+  std::size_t votes = vote(self_);
+  for (const auto& [other, q] : peers_) {
+    const bool reports = std::ranges::find(q.claims.silent, id) != q.claims.silent.end();
+    if (other != id && reports && q.claims.assignment_version >= version) {
+      votes += vote(other);
+    }
+  }
+  return majority(votes);
+}
+
+std::vector<node_id> membership::counted(std::uint64_t version, time_point now) const {
+  std::vector<node_id> nodes{self_};
+  for (const auto& [id, p] : peers_) {
+    if (!lapsed(id, p, version, now)) {
+      nodes.push_back(id);
+    }
+  }
+  std::ranges::sort(nodes);
+  return nodes;
+}
+
+bool membership::acknowledged(std::uint64_t version, time_point now) const {
+  return std::ranges::all_of(peers_, [&](const auto& entry) {
+    const auto& [id, p] = entry;
+    return p.claims.assignment_version >= version || lapsed(id, p, version, now);
+  });
+}
+
+std::uint64_t membership::acknowledged_by_all(std::uint64_t own, time_point now) const {
+  std::uint64_t highest = acknowledged(own, now) ? own : 0;
+  for (const auto& [id, p] : peers_) {
+    const std::uint64_t version = std::min(own, p.claims.assignment_version);
+    if (version > highest && acknowledged(version, now)) {
+      highest = version;
+    }
+  }
+  return highest;
+}
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/process/observation_deltas.cpp
@@ -0,0 +1,97 @@
+// What peers are told, and how their short forms are understood.
+//
+// A short form stands for "as in the last full one". It is used only after the peer has echoed a
+// message that was sent with this content or later, and messages overtaken on the way are not
+// accepted (membership::receive), so that both sides mean the same full one.
+#include "process/observations.h"
+
+namespace arbutus {
+
+void observation_table::forget_peer(const node_id& peer) {
+  told_.erase(peer);
+  bases_.erase(peer);
+}
+
+std::optional<probe_failure> observation_table::failure_of(const vm_id& vm, time_point now) const {
+  const auto found = targets_.find(vm);
+  if (found == targets_.end()) {
+    return std::nullopt;
+  }
+  const target& t = found->second;
+  const auto own = t.failures.find(self_);
+  if (own == t.failures.end() || !own_link_fails(t) || !open(t, own->second)) {
+    return std::nullopt;
+  }
+  const std::uint64_t incarnation = t.newest ? t.newest->report.incarnation : 0;
+  return probe_failure{vm, now - own->second.newest, incarnation, own->second.count};
+}
+
+std::optional<observation_delta> observation_table::delta(const own_target& own, told& peer,
+                                                          std::uint64_t sequence,
+                                                          std::uint64_t echoed,
+                                                          time_point now) const {
+  if (!own.report) {
+    return std::nullopt;
+  }
+  observation_delta d;
+  d.slot = own.slot;
+  d.age = now - own.at;
+  if (peer.load != own.load) {
+    peer.load = own.load;
+    peer.load_sequence = sequence;
+  }
+  if (peer.content != own.content) {
+    peer.content = own.content;
+    peer.content_sequence = sequence;
+  }
+  const bool repeated = peer.at == own.at;
+  peer.at = own.at;
+  if (echoed < peer.content_sequence) {
+    d.report = own.report;
+    apply(own.load_now, *d.report);
+    return d;
+  }
+  if (repeated) {
+    return std::nullopt;
+  }
+  if (echoed < peer.load_sequence) {
+    d.load = own.load_now;
+  }
+  return d;
+}
+
+void observation_table::take_deltas(heartbeat& beat, const node_id& peer, std::uint64_t echoed,
+                                    time_point now) {
+  std::map<vm_id, told>& known = told_[peer];
+  std::erase_if(known, [this](const auto& entry) { return !own_.contains(entry.first); });
+  for (const auto& [vm, own] : own_) {
+    if (auto d = delta(own, known[vm], beat.stamp.sequence, echoed, now)) {
+      beat.observations.push_back(std::move(*d));
+    }
+  }
+  for (const auto& [vm, t] : targets_) {
+    if (t.failures.contains(self_)) {
+      if (auto failure = failure_of(vm, now)) {
+        beat.failures.push_back(std::move(*failure));
+      }
+    }
+  }
+}
+
+std::optional<engine_report> observation_table::restore(known_slots& slots,
+                                                        const observation_delta& d) const {
+  if (d.report) {
+    slots.reports[d.slot] = *d.report;
+    return d.report;
+  }
+  const auto found = slots.reports.find(d.slot);
+  if (found == slots.reports.end()) {
+    return std::nullopt;
+  }
+  if (d.load) {
+    apply(*d.load, found->second);
+  }
+  return found->second;
+}
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/process/observation_probes.cpp
@@ -0,0 +1,165 @@
+// When this node probes which target, within its budget.
+#include <algorithm>
+
+#include "process/observations.h"
+
+namespace arbutus {
+
+namespace {
+
+// Ticks may come late; probes missed meanwhile may follow together, up to so many.
+constexpr double most_tokens = 3.0;
+
+}  // namespace
+
+void observation_table::set_own_targets(const std::vector<vm_id>& vms, time_point now) {
+  std::map<vm_id, own_target> kept;
+  for (const vm_id& vm : vms) {
+    if (const auto known = own_.find(vm); known != own_.end()) {
+      kept.insert(own_.extract(known));
+    }
+  }
+  own_ = std::move(kept);
+  std::size_t position = 0;
+  for (const vm_id& vm : vms) {
+    // Spread over the interval, so that probes do not come in bursts.
+    const auto share = timing_.probe_interval * static_cast<duration::rep>(position++) /
+                       static_cast<duration::rep>(vms.size());
+    if (!own_.contains(vm) && targets_.contains(vm)) {
+      const std::uint32_t slot = free_slot();
+      own_target& own = own_[vm];
+      own.slot = slot;
+      own.probe_due = now + share;
+    }
+  }
+}
+
+std::uint32_t observation_table::free_slot() const {
+  std::set<std::uint32_t> taken;
+  for (const auto& [vm, own] : own_) {
+    taken.insert(own.slot);
+  }
+  std::uint32_t slot = 0;
+  while (taken.contains(slot)) {
+    ++slot;
+  }
+  return slot;
+}
+
+void observation_table::refill(time_point now) {
+  const double elapsed = refilled_at_ ? to_seconds(now - *refilled_at_) : 0.0;
+  refilled_at_ = now;
+  tokens_ = std::min(tokens_ + elapsed * timing_.probes_per_second, most_tokens);
+  urgent_tokens_ = std::min(urgent_tokens_ + elapsed * timing_.urgent_probes_per_second,
+                            static_cast<double>(timing_.urgent_probe_burst));
+}
+
+bool observation_table::in_flight(const vm_id& vm, time_point now) const {
+  const auto found = in_flight_.find(vm);
+  return found != in_flight_.end() && now - found->second < timing_.probe_timeout;
+}
+
+// Suspects among the own targets, and any target that this node's own connections failed to: no
+// prober would notice that this link works again.
+std::vector<vm_id> observation_table::urgent_probes(time_point now) {
+  std::vector<vm_id> chosen;
+  for (auto& [vm, t] : targets_) {
+    if (urgent_tokens_ < 1.0) {
+      break;
+    }
+    const bool concerned = own_link_fails(t) || (own_.contains(vm) && doubted(t, now));
+    const bool again =
+        !t.urgent_probe_at || now - *t.urgent_probe_at >= timing_.urgent_probe_interval;
+    if (!concerned || !again || t.lost || in_flight(vm, now)) {
+      continue;
+    }
+    t.urgent_probe_at = now;
+    urgent_tokens_ -= 1.0;
+    chosen.push_back(vm);
+  }
+  return chosen;
+}
+
+std::vector<vm_id> observation_table::due_probes(time_point now) {
+  std::vector<std::pair<time_point, vm_id>> waiting;
+  for (const auto& [vm, own] : own_) {
+    if (own.probe_due <= now && !in_flight(vm, now)) {
+      waiting.emplace_back(own.probe_due, vm);
+    }
+  }
+  std::ranges::sort(waiting);
+  std::vector<vm_id> chosen;
+  for (const auto& [due, vm] : waiting) {
+    if (tokens_ < 1.0) {
+      break;
+    }
+    tokens_ -= 1.0;
+    // Keeps its place in the interval unless it is late anyway.
+    own_.at(vm).probe_due =
+        std::max(due, now - timing_.probe_interval / 2) + timing_.probe_interval;
+    chosen.push_back(vm);
+  }
+  return chosen;
+}
+
+std::vector<vm_id> observation_table::next_probes(time_point now) {
+  refill(now);
+  std::vector<vm_id> chosen = urgent_probes(now);
+  for (const vm_id& vm : chosen) {
+    in_flight_[vm] = now;
+  }
+  for (vm_id& vm : due_probes(now)) {
+    in_flight_[vm] = now;
+    chosen.push_back(std::move(vm));
+  }
+  return chosen;
+}
+
+bool observation_table::own_probe(const probe_result& result, time_point now) {
+  in_flight_.erase(result.vm);
+  const auto found = targets_.find(result.vm);
+  if (found == targets_.end()) {
+    return false;
+  }
+  const auto* report = std::get_if<engine_report>(&result.result);
+  // Another engine answers at this address: as bad as none.
+  if (report != nullptr && report->vm == result.vm) {
+    own_success(*report, result.sent_at, now);
+    return false;
+  }
+  target& t = found->second;
+  const bool known = own_link_fails(t);
+  add_failure(self_, t, result.sent_at, 0, now);
+  return own_link_fails(t) && (!known || t.failures.at(self_).count <= 2);
+}
+
+void observation_table::own_success(const engine_report& report, time_point sent_at,
+                                    time_point now) {
+  if (resumed_at_ && sent_at < *resumed_at_) {
+    return;
+  }
+  target& t = targets_.at(report.vm);
+  if (!t.own_success || sent_at > *t.own_success) {
+    t.own_success = sent_at;
+  }
+  accept(self_, {report, sent_at}, now);
+  const auto own = own_.find(report.vm);
+  if (own == own_.end()) {
+    return;
+  }
+  engine_report fixed = report;
+  apply({}, fixed);
+  const target_load load = quantise(report);
+  own_target& entry = own->second;
+  if (!entry.report || *entry.report != fixed) {
+    entry.report = fixed;
+    ++entry.content;
+  }
+  if (entry.load_now != load) {
+    entry.load_now = load;
+    ++entry.load;
+  }
+  entry.at = sent_at;
+}
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/process/observations.cpp
@@ -0,0 +1,376 @@
+// Merging of observations and what follows from them; probing and telling peers are in
+// observation_probes.cpp and observation_deltas.cpp.
+#include "process/observations.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace arbutus {
+
+namespace {
+
+constexpr std::size_t remembered_incarnations = 4;
+// An accusation is refuted when another node reached the target so soon after.
+constexpr duration refuted_within = 2s;
+// A node with so many refuted accusations (decayed) is taken to have a bad link of its own.
+constexpr double refuted_limit = 3.0;
+// Below this share of its model's median rate a target is a straggler.
+constexpr double straggler_share = 0.5;
+constexpr std::size_t smallest_compared = 3;
+
+double decayed(double value, duration age, duration half_life) {
+  return value * std::exp2(-to_seconds(age) / to_seconds(half_life));
+}
+
+double median(std::vector<double> values) {
+  const auto middle = values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
+  std::ranges::nth_element(values, middle);
+  return *middle;
+}
+
+}  // namespace
+
+observation_table::observation_table(node_id self, control_timing timing)
+    : self_(std::move(self)), timing_(timing) {}
+
+void observation_table::set_targets(const std::vector<vm_id>& vms) {
+  std::map<vm_id, target> kept;
+  for (const vm_id& vm : vms) {
+    if (const auto known = targets_.find(vm); known != targets_.end()) {
+      kept.insert(targets_.extract(known));
+    } else {
+      kept[vm];
+    }
+  }
+  targets_ = std::move(kept);
+  std::erase_if(own_, [this](const auto& entry) { return !targets_.contains(entry.first); });
+  std::erase_if(in_flight_, [this](const auto& entry) { return !targets_.contains(entry.first); });
+}
+
+void observation_table::set_models(const std::map<vm_id, model_id>& models) {
+  models_ = models;
+}
+
+// ---- successes ----
+
+void observation_table::accept(const node_id& by, const observation& seen, time_point now) {
+  const auto found = targets_.find(seen.report.vm);
+  if (found == targets_.end()) {
+    return;
+  }
+  target& t = found->second;
+  const std::uint64_t incarnation = seen.report.incarnation;
+  if (std::ranges::count(t.past_incarnations, incarnation) != 0) {
+    return;
+  }
+  if (t.newest && seen.at <= t.newest->at) {
+    return;
+  }
+  if (t.newest && t.newest->report.incarnation != incarnation) {
+    t.past_incarnations.push_back(t.newest->report.incarnation);
+    if (t.past_incarnations.size() > remembered_incarnations) {
+      t.past_incarnations.erase(t.past_incarnations.begin());
+    }
+  }
+  t.newest = seen;
+  refute(t, by, seen.at, now);
+  settle(t, now);
+}
+
+// Drops the failures that `by` has seen the end of. A node whose own link is bad would otherwise
+// make each of its targets suspect everywhere, again and again.
+void observation_table::refute(target& t, const node_id& by, time_point seen_at, time_point now) {
+  for (auto it = t.failures.begin(); it != t.failures.end();) {
+    const auto& [accuser_id, f] = *it;
+    if (accuser_id == self_ || f.newest >= seen_at) {
+      ++it;
+      continue;
+    }
+    if (accuser_id != by && !t.lost && seen_at - f.newest < refuted_within) {
+      accuser& a = accusers_[accuser_id];
+      a.refuted = decayed(a.refuted, now - a.at, timing_.damping_half_life) + 1.0;
+      a.at = now;
+    }
+    it = t.failures.erase(it);
+  }
+}
+
+// ---- failures ----
+
+void observation_table::add_failure(const node_id& by, target& t, time_point started,
+                                    std::uint32_t count, time_point now) {
+  if (resumed_at_ && started < *resumed_at_) {
+    return;
+  }
+  const auto [it, inserted] = t.failures.try_emplace(by);
+  failing& f = it->second;
+  if (!inserted && started <= f.newest) {
+    return;
+  }
+  const bool interrupted = by == self_ ? t.own_success && *t.own_success > f.newest
+                                       : t.newest && t.newest->at > f.newest;
+  if (inserted || interrupted) {
+    f.first = started;
+    f.count = 0;
+  }
+  f.newest = started;
+  f.count = std::max(f.count + (by == self_ ? 1 : 0), count);
+  settle(t, now);
+}
+
+bool observation_table::own_error(const vm_id& vm, time_point now) {
+  const auto found = targets_.find(vm);
+  if (found == targets_.end()) {
+    return false;
+  }
+  target& t = found->second;
+  // Further errors of requests in flight say the same thing again.
+  if (own_link_fails(t)) {
+    return false;
+  }
+  add_failure(self_, t, now, 0, now);
+  return true;
+}
+
+void observation_table::merge(const heartbeat& beat, const heard& h, time_point now) {
+  known_slots& slots = bases_[beat.from];
+  if (slots.incarnation != beat.stamp.incarnation) {
+    slots = {beat.stamp.incarnation, {}};
+  }
+  for (const observation_delta& d : beat.observations) {
+    std::optional<engine_report> report = restore(slots, d);
+    if (report && h.composed) {
+      const time_point at = observed_after(*h.composed, d.age, now, timing_.clock_drift);
+      accept(beat.from, {std::move(*report), at}, now);
+    }
+  }
+  for (const probe_failure& failure : beat.failures) {
+    merge(beat.from, failure, h, now);
+  }
+}
+
+void observation_table::merge(const node_id& from, const lost_notice& notice, const heard& h,
+                              time_point now) {
+  merge(from, notice.failure, h, now);
+}
+
+// Failures without a bound on their age are ignored, as successes are: the probers will repeat it.
+void observation_table::merge(const node_id& from, const probe_failure& failure, const heard& h,
+                              time_point now) {
+  const auto found = targets_.find(failure.vm);
+  if (found == targets_.end() || !h.composed) {
+    return;
+  }
+  target& t = found->second;
+  if (std::ranges::count(t.past_incarnations, failure.incarnation) != 0) {
+    return;
+  }
+  const time_point started = observed_after(*h.composed, failure.age, now, timing_.clock_drift);
+  if (t.newest && started < t.newest->at) {
+    return;
+  }
+  add_failure(from, t, started, failure.count, now);
+}
+
+// ---- going away ----
+
+bool observation_table::mark_leaving(const vm_id& vm, std::uint64_t incarnation) {
+  const auto found = targets_.find(vm);
+  if (found == targets_.end()) {
+    return false;
+  }
+  target& t = found->second;
+  if (std::ranges::count(t.past_incarnations, incarnation) != 0 || leaves(t)) {
+    return false;
+  }
+  if (incarnation == 0) {
+    t.listed_leaving = true;
+  } else {
+    t.leaving_incarnation = incarnation;
+  }
+  return true;
+}
+
+void observation_table::clear_leaving(const vm_id& vm) {
+  if (const auto found = targets_.find(vm); found != targets_.end()) {
+    found->second.listed_leaving = false;
+    found->second.leaving_incarnation.reset();
+  }
+}
+
+bool observation_table::leaves(const target& t) const {
+  if (t.listed_leaving) {
+    return true;
+  }
+  if (!t.newest) {
+    return t.leaving_incarnation.has_value();
+  }
+  return t.newest->report.leaving || t.leaving_incarnation == t.newest->report.incarnation;
+}
+
+// ---- conditions ----
+
+// What was known before an own pause is old, and probes that ended in it failed for this node's
+// own reasons; believing them, it would take every replica out of service.
+void observation_table::resumed(time_point now) {
+  resumed_at_ = now;
+  in_flight_.clear();
+  for (auto& [vm, t] : targets_) {
+    t.failures.clear();
+    t.lost = false;
+    t.recovering_since.reset();
+  }
+}
+
+// Not ended by a later success.
+bool observation_table::open(const target& t, const failing& f) const {
+  return !t.newest || f.newest >= t.newest->at;
+}
+
+// Others may reach a target that this node cannot.
+bool observation_table::own_link_fails(const target& t) const {
+  const auto own = t.failures.find(self_);
+  if (own == t.failures.end()) {
+    return false;
+  }
+  return !t.own_success || own->second.newest >= *t.own_success;
+}
+
+bool observation_table::credible(const node_id& by, time_point now) const {
+  const auto found = accusers_.find(by);
+  if (found == accusers_.end()) {
+    return true;
+  }
+  const accuser& a = found->second;
+  return decayed(a.refuted, now - a.at, timing_.damping_half_life) < refuted_limit;
+}
+
+bool observation_table::doubted(const target& t, time_point now) const {
+  if (own_link_fails(t)) {
+    return true;
+  }
+  return std::ranges::any_of(t.failures, [&](const auto& entry) {
+    return entry.first != self_ && open(t, entry.second) && credible(entry.first, now);
+  });
+}
+
+bool observation_table::gone(const target& t) const {
+  std::size_t accusers = 0;
+  for (const auto& [by, f] : t.failures) {
+    if (!open(t, f)) {
+      continue;
+    }
+    ++accusers;
+    const bool persistent = f.count >= 2 && f.newest - f.first >= timing_.suspicion;
+    if (accusers >= 2 || persistent) {
+      return true;
+    }
+  }
+  return false;
+}
+
+// Doubles with each loss, so that a flapping target does not move the assignment each time.
+duration observation_table::recovery_time(const target& t, time_point now) const {
+  const double losses = decayed(t.losses, now - t.losses_at, timing_.damping_half_life);
+  const double seconds =
+      to_seconds(timing_.recovery) * std::exp2(std::clamp(losses - 1.0, 0.0, 16.0));
+  return std::min(from_seconds(seconds), timing_.damping_limit);
+}
+
+void observation_table::settle(target& t, time_point now) {
+  if (gone(t)) {
+    if (!t.lost) {
+      t.losses = decayed(t.losses, now - t.losses_at, timing_.damping_half_life) + 1.0;
+      t.losses_at = now;
+    }
+    t.lost = true;
+    t.recovering_since.reset();
+    return;
+  }
+  if (!t.lost || !t.newest) {
+    return;
+  }
+  const bool failing_now =
+      std::ranges::any_of(t.failures, [&](const auto& entry) { return open(t, entry.second); });
+  if (failing_now) {
+    t.recovering_since.reset();
+    return;
+  }
+  if (!t.recovering_since) {
+    t.recovering_since = t.newest->at;
+  }
+  if (t.newest->at - *t.recovering_since >= recovery_time(t, now)) {
+    t.lost = false;
+    t.recovering_since.reset();
+  }
+}
+
+target_condition observation_table::judge(const target& t, time_point now) const {
+  if (t.lost) {
+    return t.recovering_since ? target_condition::suspect : target_condition::lost;
+  }
+  if (doubted(t, now)) {
+    return target_condition::suspect;
+  }
+  const bool recent = t.newest && now - t.newest->at <= timing_.unknown_after;
+  if (!recent || (resumed_at_ && t.newest->at < *resumed_at_)) {
+    return target_condition::unknown;
+  }
+  return leaves(t) ? target_condition::leaving : target_condition::working;
+}
+
+target_condition observation_table::condition(const vm_id& vm, time_point now) const {
+  const auto found = targets_.find(vm);
+  return found == targets_.end() ? target_condition::unknown : judge(found->second, now);
+}
+
+const observation* observation_table::latest(const vm_id& vm) const {
+  const auto found = targets_.find(vm);
+  if (found == targets_.end() || !found->second.newest) {
+    return nullptr;
+  }
+  return &*found->second.newest;
+}
+
+std::vector<condition_change> observation_table::take_changes(time_point now) {
+  std::vector<condition_change> changes;
+  for (auto& [vm, t] : targets_) {
+    const target_condition present = judge(t, now);
+    if (present != t.reported) {
+      changes.push_back({vm, t.reported, present});
+      t.reported = present;
+    }
+  }
+  return changes;
+}
+
+// At least three targets are compared, and at most a quarter of them (one of three) are called
+// slow: under load that slows all of them, some replica has to go on answering.
+std::set<vm_id> observation_table::stragglers(time_point now) const {
+  std::map<model_id, std::vector<std::pair<double, vm_id>>> rates;
+  for (const auto& [vm, model] : models_) {
+    const observation* seen = latest(vm);
+    if (seen != nullptr && seen->report.tokens_per_second > 0 &&
+        condition(vm, now) == target_condition::working) {
+      rates[model].emplace_back(seen->report.tokens_per_second, vm);
+    }
+  }
+  std::set<vm_id> slow;
+  for (auto& [model, list] : rates) {
+    if (list.size() < smallest_compared) {
+      continue;
+    }
+    std::ranges::sort(list);
+    std::vector<double> values;
+    std::ranges::transform(list, std::back_inserter(values), [](const auto& p) { return p.first; });
+    const double limit = straggler_share * median(std::move(values));
+    const std::size_t most = std::max<std::size_t>(1, list.size() / 4);
+    for (std::size_t i = 0; i < most && list[i].first < limit; ++i) {
+      slow.insert(list[i].second);
+    }
+  }
+  return slow;
+}
+
+}  // namespace arbutus
--- a/src/process/observations.h
+++ b/src/process/observations.h
@@ -97,11 +97,13 @@
     std::optional<time_point> recovering_since;
     double losses{};  // decayed
     time_point losses_at;
+    std::optional<time_point> urgent_probe_at;  // newest own probe out of turn
     target_condition reported = target_condition::unknown;
   };
   struct own_target {
     std::uint32_t slot{};
-    std::optional<engine_report> report;  // of the newest success, load quantised
+    std::optional<engine_report> report;  // of the newest success, without load
+    target_load load_now;
     time_point at;
     std::uint64_t content{};  // rises when anything but the load or the moment changes
     std::uint64_t load{};     // rises when the load changes
@@ -114,17 +116,37 @@
     std::uint64_t load_sequence{};
     time_point at;
   };
+  struct known_slots {  // fulls received from a peer's process
+    std::uint64_t incarnation{};
+    std::map<std::uint32_t, engine_report> reports;
+  };
   struct accuser {  // a peer whose failures others refuted may have a bad link of its own
     double refuted{};
     time_point at;
   };
 
-  void accept(const vm_id& vm, const observation& seen, time_point now);
-  void add_failure(const node_id& by, const vm_id& vm, time_point started, time_point now);
+  void accept(const node_id& by, const observation& seen, time_point now);
+  void merge(const node_id& from, const probe_failure& failure, const heard& h, time_point now);
+  void refute(target& t, const node_id& by, time_point seen_at, time_point now);
+  void add_failure(const node_id& by, target& t, time_point started, std::uint32_t count,
+                   time_point now);
+  void own_success(const engine_report& report, time_point sent_at, time_point now);
   void settle(target& t, time_point now);
+  void refill(time_point now);
+  [[nodiscard]] std::vector<vm_id> urgent_probes(time_point now);
+  [[nodiscard]] std::vector<vm_id> due_probes(time_point now);
+  [[nodiscard]] bool in_flight(const vm_id& vm, time_point now) const;
+  [[nodiscard]] std::optional<observation_delta> delta(const own_target& own, told& peer,
+                                                       std::uint64_t sequence, std::uint64_t echoed,
+                                                       time_point now) const;
+  [[nodiscard]] std::optional<engine_report> restore(known_slots& slots,
+                                                     const observation_delta& d) const;
   [[nodiscard]] bool credible(const node_id& by, time_point now) const;
+  [[nodiscard]] bool own_link_fails(const target& t) const;
+  [[nodiscard]] bool open(const target& t, const failing& f) const;
   [[nodiscard]] bool doubted(const target& t, time_point now) const;
   [[nodiscard]] bool gone(const target& t) const;
+  [[nodiscard]] bool leaves(const target& t) const;
   [[nodiscard]] target_condition judge(const target& t, time_point now) const;
   [[nodiscard]] duration recovery_time(const target& t, time_point now) const;
   [[nodiscard]] std::uint32_t free_slot() const;
@@ -136,7 +158,7 @@
   std::map<vm_id, time_point> in_flight_;  // own probes without a result
   std::map<vm_id, model_id> models_;
   std::map<node_id, std::map<vm_id, told>> told_;
-  std::map<node_id, std::map<std::uint32_t, engine_report>> bases_;  // fulls received, by slot
+  std::map<node_id, known_slots> bases_;
   std::map<node_id, accuser> accusers_;
   std::optional<time_point> resumed_at_;
   // Token buckets of probes.
