--- a/src/process/coordinator_decide.cpp
+++ b/src/process/coordinator_decide.cpp
@@ -151,7 +151,7 @@
   return {
       .row = rows.row(),
       .acknowledged = peers->acknowledged_by_all(rows.row().version, now),
-      .nodes = peers->counted(now),
+      .nodes = peers->counted(rows.row().version, now),
       .version_of =
           [this](const node_id& node) {
             const peer_claims* claims = peers->claims(node);
--- a/src/process/coordinator_inputs.cpp
+++ b/src/process/coordinator_inputs.cpp
@@ -28,6 +28,9 @@
     return;
   }
   emit(rows.on(now, r));
+  if (std::holds_alternative<table_row>(r.result) && !rows.behind()) {
+    peers->row_read();
+  }
   note_row(now);
 }
 
@@ -62,8 +65,10 @@
   }
   for (const vm_list_entry& e : *list) {
     if (e.leaving) {
+      listed_leaving.insert(e.vm);
       note_leaving(now, e.vm, 0);
-    } else {
+    } else if (listed_leaving.erase(e.vm) > 0) {
+      // Only what the list itself said: it lags behind a target that says it leaves.
       seen.clear_leaving(e.vm);
     }
   }
@@ -72,11 +77,12 @@
 // ---- targets ----
 
 void coordinator::parts::on(time_point now, const probe_result& r) {
+  const auto* report = std::get_if<engine_report>(&r.result);
+  if (report != nullptr && report->leaving) {
+    note_leaving(now, r.vm, report->incarnation);
+  }
   const bool news = seen.own_probe(r, now);
-  if (const auto* report = std::get_if<engine_report>(&r.result)) {
-    if (report->leaving) {
-      note_leaving(now, r.vm, report->incarnation);
-    }
+  if (report != nullptr) {
     note_observation(now, r.vm);
   }
   if (news) {
@@ -184,7 +190,7 @@
 }
 
 void coordinator::parts::heard(time_point now, const node_id& from, const heartbeat& m) {
-  const auto h = peers->receive(m, now);
+  const auto h = peers->receive(m, rows.row().version, now);
   if (!h) {
     return;
   }
--- a/src/process/coordinator_parts.h
+++ b/src/process/coordinator_parts.h
@@ -148,6 +148,7 @@
   std::map<replica_id, time_point> overtaken_since;
   std::map<node_id, time_point> pushed_at;
   time_point next_vm_list{};
+  std::set<vm_id> listed_leaving;  // by the platform's list
   bool table_ok = true;
   time_point table_since{};
 
--- a/src/process/coordinator_tick.cpp
+++ b/src/process/coordinator_tick.cpp
@@ -36,8 +36,7 @@
 void coordinator::parts::send_heartbeats(time_point now) {
   for (const node_id& peer : peers->due(now)) {
     heartbeat beat = peers->prepare(peer, now);
-    beat.config_version = configs.in_force().version;
-    beat.config_hash = configs.in_force().hash;
+    peers->claim_config(beat, peer, configs.in_force().version, configs.in_force().hash);
     beat.assignment_version = rows.row().version;
     beat.table_reachable = !rows.unwritable(now);
     beat.draining = leaving;
--- a/src/process/coordinator_views.cpp
+++ b/src/process/coordinator_views.cpp
@@ -189,7 +189,9 @@
   for (const node_record* node : config->assets.nodes_of(settings.data_centre)) {
     const bool self = node->id == settings.self;
     const peer_claims* claims = peers->claims(node->id);
-    node_status n{.id = node->id, .data_centre = node->data_centre};
+    node_status n;
+    n.id = node->id;
+    n.data_centre = node->data_centre;
     n.live = self || peers->state(node->id, now) == peer_state::alive;
     n.leaving = self ? leaving : claims != nullptr && claims->draining;
     n.assignment_version =
--- a/src/process/row_keeper.cpp
+++ b/src/process/row_keeper.cpp
@@ -214,13 +214,15 @@
   if (content == nullptr) {
     return {};
   }
-  open_write sent{.proposal = content->proposal, .expected = r.asked.expected, .sent_at = now};
+  open_write sent{.proposal = content->proposal, .expected = r.asked.expected, .sent_at = {}};
   if (write_ && write_->proposal == sent.proposal) {
+    sent.sent_at = write_->sent_at;
     write_.reset();
   }
   std::erase_if(unresolved_, [&](const open_write& w) { return w.proposal == sent.proposal; });
   if (const auto* written = std::get_if<table_written>(&r.result)) {
     unresolved_.push_back(sent);
+    confirmed_at_ = sent.sent_at;
     take(now, {written->version, content->version, content->proposal}, *content);
     return {};
   }
