--- /dev/null
+++ b/src/connection/fiber_runtime.cpp
@@ -0,0 +1,203 @@
+// The scheduler that joins Boost.Fiber with Boost.Asio, and the threads that use it.
+#include "connection/fiber_runtime.h"
+
+#include <boost/fiber/algo/algorithm.hpp>
+#include <boost/fiber/context.hpp>
+#include <boost/fiber/future.hpp>
+#include <boost/fiber/operations.hpp>
+#include <boost/fiber/scheduler.hpp>
+#include <vector>
+
+#include "connection/await.h"
+#include "connection/fiber_worker.h"
+
+namespace arbutus {
+namespace {
+
+namespace asio = boost::asio;
+using boost::fibers::context;
+using steady_time = std::chrono::steady_clock::time_point;
+
+thread_local fiber_worker* worker_of_thread = nullptr;
+
+// Ready fibers run first in, first out. The dispatcher, the fiber of Boost.Fiber that wakes
+// sleepers and takes in wake-ups of other threads, is held apart: it runs when nobody else can, and
+// after every `fibers_between_polls` others.
+//
+// Handlers of Asio run only on the dispatcher. On the stack of a fiber that is about to suspend
+// they could make that same fiber ready, and it would be resumed into itself.
+class io_scheduler final : public boost::fibers::algo::algorithm {
+ public:
+  explicit io_scheduler(asio::io_context& io) : io_(io), wake_up_(io) {}
+
+  void awakened(context* fiber) noexcept override {
+    if (fiber->is_context(boost::fibers::type::dispatcher_context)) {
+      dispatcher_ = fiber;
+    } else {
+      fiber->ready_link(ready_);
+    }
+  }
+
+  context* pick_next() noexcept override {
+    const bool on_dispatcher =
+        context::active()->is_context(boost::fibers::type::dispatcher_context);
+    if (on_dispatcher && !ready_.empty()) {
+      io_.poll();
+    }
+    const bool dispatcher_due = ready_.empty() || picks_ >= fibers_between_polls;
+    if (dispatcher_ != nullptr && dispatcher_due) {
+      picks_ = 0;
+      return std::exchange(dispatcher_, nullptr);
+    }
+    if (ready_.empty()) {
+      return nullptr;
+    }
+    ++picks_;
+    context* next = &ready_.front();
+    ready_.pop_front();
+    return next;
+  }
+
+  [[nodiscard]] bool has_ready_fibers() const noexcept override { return !ready_.empty(); }
+
+  void suspend_until(const steady_time& until) noexcept override {
+    if (until != steady_time::max()) {
+      arm(until);
+    }
+    io_.run_one();
+    io_.poll();
+  }
+
+  // From any thread. A posted handler is kept by Asio, so that a wake-up between the last look at
+  // the queues and the wait is not lost.
+  void notify() noexcept override {
+    asio::post(io_, [] {});
+  }
+
+ private:
+  // An alarm that rings too early only costs one look at the sleepers. So the alarm is moved only
+  // to an earlier time: deadlines of calls mostly grow, and most are never reached.
+  void arm(const steady_time& until) {
+    if (until >= armed_until_) {
+      return;
+    }
+    armed_until_ = until;
+    wake_up_.expires_at(until);
+    wake_up_.async_wait([this](boost::system::error_code error) {
+      if (!error) {
+        armed_until_ = steady_time::max();
+      }
+    });
+  }
+
+  asio::io_context& io_;
+  asio::steady_timer wake_up_;
+  steady_time armed_until_{steady_time::max()};
+  boost::fibers::scheduler::ready_queue_type ready_;
+  context* dispatcher_{nullptr};  // set while the dispatcher is ready
+  std::size_t picks_{0};          // fibers picked since the dispatcher last ran
+};
+
+void run_worker(fiber_worker& worker) {
+  worker_of_thread = &worker;
+  boost::fibers::use_scheduling_algorithm<io_scheduler>(worker.io);
+  no_lock lock;
+  worker.ended.wait(lock, [&worker] { return worker.stopping && worker.live_fibers == 0; });
+}
+
+void begin_stop(fiber_worker& worker) {
+  worker.stopping = true;
+  for (asio::steady_timer* sleeper : worker.sleepers) {
+    sleeper->cancel();
+  }
+  worker.ended.notify_all();
+}
+
+}  // namespace
+
+struct fiber_runtime::state {
+  std::vector<std::unique_ptr<fiber_worker>> workers;
+  bool running{false};
+};
+
+fiber_runtime::fiber_runtime(std::size_t workers) : state_(std::make_unique<state>()) {
+  for (std::size_t i = 0; i < workers; ++i) {
+    state_->workers.push_back(std::make_unique<fiber_worker>(i));
+  }
+}
+
+fiber_runtime::~fiber_runtime() {
+  stop();
+  join();
+}
+
+std::size_t fiber_runtime::workers() const noexcept {
+  return state_->workers.size();
+}
+
+fiber_worker& fiber_runtime::worker(std::size_t index) noexcept {
+  return *state_->workers[index];
+}
+
+void fiber_runtime::run() {
+  state_->running = true;
+  for (auto& worker : state_->workers) {
+    worker->thread = std::thread([&worker = *worker] { run_worker(worker); });
+  }
+}
+
+void fiber_runtime::stop() {
+  for (auto& worker : state_->workers) {
+    asio::post(worker->io, [&worker = *worker] { begin_stop(worker); });
+  }
+}
+
+void fiber_runtime::join() {
+  for (auto& worker : state_->workers) {
+    if (worker->thread.joinable()) {
+      worker->thread.join();
+    }
+  }
+  state_->running = false;
+}
+
+void fiber_runtime::post(std::size_t worker, std::function<void()> work) {
+  spawn_on(*state_->workers[worker], std::move(work));
+}
+
+void fiber_runtime::run_on(std::size_t worker, const std::function<void()>& work) {
+  if (!state_->running || current_worker() == worker) {
+    work();
+    return;
+  }
+  boost::fibers::promise<void> done;
+  auto finished = done.get_future();
+  spawn_on(*state_->workers[worker], [&work, done = std::move(done)]() mutable {
+    work();
+    done.set_value();
+  });
+  finished.wait();
+}
+
+fiber_worker* this_worker() noexcept {
+  return worker_of_thread;
+}
+
+std::size_t current_worker() noexcept {
+  return worker_of_thread == nullptr ? no_worker : worker_of_thread->index;
+}
+
+bool sleep_until(time_point until) {
+  fiber_worker& worker = *this_worker();
+  if (worker.stopping) {
+    return false;
+  }
+  asio::steady_timer timer(worker.io, to_steady(until));
+  worker.sleepers.insert(&timer);
+  await_result<boost::system::error_code>(
+      [&timer](auto handler) { timer.async_wait(std::move(handler)); });
+  worker.sleepers.erase(&timer);
+  return !worker.stopping;
+}
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/connection/fiber_stream.cpp
@@ -0,0 +1,117 @@
+// Socket operations that suspend a fiber.
+#include "connection/fiber_stream.h"
+
+#include <array>
+#include <boost/asio/error.hpp>
+
+namespace arbutus {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+fiber_stream::fiber_stream(tcp::socket socket) : socket_(std::move(socket)) {
+  error_code ignored;
+  if (socket_.is_open()) {
+    socket_.non_blocking(true, ignored);
+    socket_.set_option(tcp::no_delay(true), ignored);
+  }
+}
+
+void fiber_stream::abort() {
+  aborted_ = true;
+  interrupt();
+}
+
+void fiber_stream::interrupt() {
+  error_code ignored;
+  socket_.cancel(ignored);
+}
+
+void fiber_stream::throw_if(const error_code& error) {
+  if (error) {
+    throw boost::system::system_error(error);
+  }
+}
+
+// A cancel that comes between two operations finds nothing to cancel. Each operation therefore
+// looks at the reasons for it first, or a timed-out exchange would go on for as long as bytes come.
+bool fiber_stream::begin(error_code& error) {
+  error = {};
+  if (aborted_) {
+    error = asio::error::operation_aborted;
+  } else if (deadline_ != time_point::max() && monotonic_now() >= deadline_) {
+    error = asio::error::timed_out;
+  }
+  return !error;
+}
+
+fiber_stream::error_code fiber_stream::finish(error_code result, bool timed_out) const {
+  if (timed_out && result == asio::error::operation_aborted && !aborted_) {
+    return asio::error::timed_out;
+  }
+  return result;
+}
+
+void fiber_stream::connect(const tcp::endpoint& peer, error_code& error) {
+  if (!begin(error)) {
+    return;
+  }
+  socket_.open(peer.protocol(), error);
+  if (error) {
+    return;
+  }
+  bool timed_out = false;
+  auto [result] = await_result_until<error_code>(
+      deadline_, timed_out, [&](auto handler) { socket_.async_connect(peer, std::move(handler)); },
+      [this] { interrupt(); });
+  error = finish(result, timed_out);
+  if (error) {
+    return;
+  }
+  socket_.non_blocking(true, error);
+  socket_.set_option(tcp::no_delay(true), error);
+}
+
+peek_state fiber_stream::peek() {
+  char byte = 0;
+  error_code error;
+  socket_.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+  if (!error) {
+    return peek_state::readable;
+  }
+  return error == asio::error::would_block ? peek_state::quiet : peek_state::closed;
+}
+
+void fiber_stream::close_gently(time_point deadline) {
+  constexpr std::size_t most_discarded = 1024 * 1024;
+  error_code error;
+  socket_.shutdown(tcp::socket::shutdown_send, error);
+  set_deadline(deadline);
+  std::array<char, 4096> discarded{};
+  std::size_t total = 0;
+  while (!error && total < most_discarded) {
+    total += read_some(asio::buffer(discarded), error);
+  }
+  socket_.close(error);
+}
+
+void fiber_stream::wait_readable(error_code& error) {
+  wait_for(tcp::socket::wait_read, error);
+}
+
+void fiber_stream::wait_writable(error_code& error) {
+  wait_for(tcp::socket::wait_write, error);
+}
+
+void fiber_stream::wait_for(tcp::socket::wait_type what, error_code& error) {
+  if (!begin(error)) {
+    return;
+  }
+  bool timed_out = false;
+  auto [result] = await_result_until<error_code>(
+      deadline_, timed_out, [&](auto handler) { socket_.async_wait(what, std::move(handler)); },
+      [this] { interrupt(); });
+  error = finish(result, timed_out);
+}
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/connection/fiber_stream.h
@@ -0,0 +1,114 @@
+// A TCP socket whose reads and writes suspend the fiber, with one deadline for all of them. It has
+// the form of a synchronous stream of Asio, so that the plain algorithms of Beast run on it. Only
+// for the .cpp files of this folder.
+#pragma once
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/system/system_error.hpp>
+#include <cstdint>
+
+#include "connection/await.h"
+#include "connection/clock.h"
+
+namespace arbutus {
+
+// What a stream without bytes to read looks like.
+enum class peek_state : std::uint8_t { quiet, readable, closed };
+
+class fiber_stream {
+ public:
+  using executor_type = boost::asio::ip::tcp::socket::executor_type;
+  using error_code = boost::system::error_code;
+
+  explicit fiber_stream(boost::asio::ip::tcp::socket socket);
+
+  executor_type get_executor() { return socket_.get_executor(); }
+  boost::asio::ip::tcp::socket& socket() { return socket_; }
+
+  // For every operation begun from now on; they fail with `timed_out` at that time.
+  void set_deadline(time_point deadline) { deadline_ = deadline; }
+
+  // Ends the running operation and all later ones with `operation_aborted`. On the own worker.
+  void abort();
+  [[nodiscard]] bool aborted() const noexcept { return aborted_; }
+
+  // Ends the running operation alone with `operation_aborted`. On the own worker.
+  void interrupt();
+
+  // Sends the end of our side, and takes in what the peer still sends until `deadline` or its end:
+  // closing with unread bytes would reset the connection and destroy answers on their way.
+  void close_gently(time_point deadline);
+
+  // Bytes handed to the kernel so far. Zero proves that the peer has seen nothing.
+  [[nodiscard]] std::uint64_t written() const noexcept { return written_; }
+
+  void connect(const boost::asio::ip::tcp::endpoint& peer, error_code& error);
+
+  // Looks without waiting and without taking bytes.
+  [[nodiscard]] peek_state peek();
+
+  // Waits until there is something to read, an end included.
+  void wait_readable(error_code& error);
+
+  template <class Buffers>
+  std::size_t read_some(const Buffers& buffers, error_code& error) {
+    if (!begin(error)) {
+      return 0;
+    }
+    bool timed_out = false;
+    auto [result, count] = await_result_until<error_code, std::size_t>(
+        deadline_, timed_out,
+        [&](auto handler) { socket_.async_read_some(buffers, std::move(handler)); },
+        [this] { interrupt(); });
+    error = finish(result, timed_out);
+    return count;
+  }
+
+  template <class Buffers>
+  std::size_t read_some(const Buffers& buffers) {
+    error_code error;
+    const auto count = read_some(buffers, error);
+    throw_if(error);
+    return count;
+  }
+
+  // Writes what the kernel takes at once; waits only when it takes nothing.
+  template <class Buffers>
+  std::size_t write_some(const Buffers& buffers, error_code& error) {
+    while (begin(error)) {
+      const auto count = socket_.write_some(buffers, error);
+      written_ += count;
+      if (error != boost::asio::error::would_block) {
+        return count;
+      }
+      wait_writable(error);
+      if (error) {
+        return 0;
+      }
+    }
+    return 0;
+  }
+
+  template <class Buffers>
+  std::size_t write_some(const Buffers& buffers) {
+    error_code error;
+    const auto count = write_some(buffers, error);
+    throw_if(error);
+    return count;
+  }
+
+ private:
+  static void throw_if(const error_code& error);
+  bool begin(error_code& error);
+  error_code finish(error_code result, bool timed_out) const;
+  void wait_for(boost::asio::ip::tcp::socket::wait_type what, error_code& error);
+  void wait_writable(error_code& error);
+
+  boost::asio::ip::tcp::socket socket_;
+  time_point deadline_{time_point::max()};
+  std::uint64_t written_{0};
+  bool aborted_{false};
+};
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/connection/http_exchange.cpp
@@ -0,0 +1,465 @@
+// One connection of the HTTP server: reading requests, refusing malformed ones, writing answers and
+// noticing that the caller has gone.
+#include "connection/http_exchange.h"
+
+#include <boost/asio/error.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http.hpp>
+#include <exception>
+
+namespace arbutus {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+using request_parser = http::request_parser<http::string_body>;
+
+// How long a caller that is sent away may go on sending before the connection is reset.
+constexpr duration linger_time = 1s;
+
+// Connections over the limit that are still answered with a 503; above that they are just closed.
+constexpr std::size_t most_turned_away = 256;
+
+struct refusal {
+  int status{};  // zero: nobody is there to be told
+  std::string_view reason;
+};
+
+refusal refusal_for(const error_code& error) {
+  if (error == asio::error::timed_out) {
+    return {408, "the request did not arrive in time"};
+  }
+  if (error == http::error::header_limit || error == http::error::buffer_overflow) {
+    return {431, "the request header is too large"};
+  }
+  if (error == http::error::body_limit) {
+    return {413, "the request body is too large"};
+  }
+  if (error == http::error::partial_message) {
+    return {400, "the request ended too early"};
+  }
+  const bool is_http_error =
+      error.category() == http::make_error_code(http::error::bad_value).category();
+  if (error == http::error::end_of_stream || !is_http_error) {
+    return {};
+  }
+  return {400, "the request is malformed"};
+}
+
+// What Beast lets pass and two readers could frame differently. One of them would then take a part
+// of the body for the next request: seen as an answer to a request that nobody sent.
+bool is_framed_beyond_doubt(const http::fields& fields, bool chunked) {
+  const auto lengths = fields.count(http::field::content_length);
+  const auto encodings = fields.count(http::field::transfer_encoding);
+  if (lengths > 1 || encodings > 1 || (lengths > 0 && encodings > 0)) {
+    return false;
+  }
+  if (encodings == 1 && !chunked) {
+    return false;
+  }
+  return fields[http::field::content_length].find(',') == boost::beast::string_view::npos;
+}
+
+bool may_have_body(int status) {
+  return status / 100 != 1 && status != 204 && status != 304;
+}
+
+std::string remote_of(const tcp::socket& socket) {
+  error_code error;
+  const auto peer = socket.remote_endpoint(error);
+  return error ? std::string{} : to_string(socket_address{peer.address().to_string(), peer.port()});
+}
+
+}  // namespace
+
+void serve_connection(server_core& core, tcp::socket socket) {
+  const std::size_t worker = current_worker();
+  {
+    http_exchange exchange(core, std::move(socket));
+    core.enlist(exchange);
+    if (core.connections() > core.limits().connections) {
+      exchange.turn_away();
+    } else {
+      exchange.serve();
+    }
+    core.delist(exchange);
+  }
+  core.closed(worker);
+}
+
+http_exchange::http_exchange(server_core& core, tcp::socket socket)
+    : core_(core), stream_(std::move(socket)), remote_(remote_of(stream_.socket())) {}
+
+void http_exchange::serve() {
+  do {
+    http_request request;
+    if (!await_request() || !read_request(request)) {
+      break;
+    }
+    handle(request);
+  } while (keep_alive_);
+  close();
+}
+
+void http_exchange::turn_away() {
+  if (core_.connections() > core_.limits().connections + most_turned_away) {
+    return;
+  }
+  refuse(503, "too many connections");
+  close();
+}
+
+void http_exchange::close() {
+  if (stream_.aborted()) {
+    return;
+  }
+  const bool unread = input_.size() > 0 || stream_.peek() == peek_state::readable;
+  if (linger_ || unread) {
+    stream_.close_gently(monotonic_now() + linger_time);
+  }
+}
+
+// Waits for the first byte of the next request. A server that drains takes only a request that is
+// already here, since closing would leave its caller without knowing whether it ran.
+bool http_exchange::await_request() {
+  if (input_.size() > 0) {
+    return true;
+  }
+  error_code error;
+  if (!core_.draining()) {
+    idle_ = true;
+    stream_.set_deadline(monotonic_now() + core_.limits().idle_timeout);
+    stream_.wait_readable(error);
+    idle_ = false;
+  }
+  if (core_.draining() && !stream_.aborted()) {
+    return stream_.peek() == peek_state::readable;
+  }
+  return !error;
+}
+
+bool http_exchange::read_request(http_request& request) {
+  phase_ = phase::waiting;
+  keep_alive_ = false;
+  stream_.set_deadline(monotonic_now() + core_.limits().read_timeout);
+  request_parser parser;
+  parser.header_limit(static_cast<std::uint32_t>(core_.limits().header_bytes));
+  parser.body_limit(core_.limits().body_bytes);
+  error_code error;
+  http::read_header(stream_, input_, parser, error);
+  if (error) {
+    refuse(error);
+    return false;
+  }
+  if (!is_framed_beyond_doubt(parser.get(), parser.chunked())) {
+    refuse(400, "the length of the request body is ambiguous");
+    return false;
+  }
+  const bool asks_first = parser.get()[http::field::expect] == "100-continue";
+  if (asks_first && !parser.is_done() && input_.size() == 0) {
+    constexpr std::string_view go_on = "HTTP/1.1 100 Continue\r\n\r\n";
+    asio::write(stream_, asio::buffer(go_on), error);
+  }
+  if (!error && !parser.is_done()) {
+    http::read(stream_, input_, parser, error);
+  }
+  if (error) {
+    refuse(error);
+    return false;
+  }
+  auto& message = parser.get();
+  version_ = message.version();
+  keep_alive_ = message.keep_alive();
+  head_only_ = message.method() == http::verb::head;
+  request.method = std::string(message.method_string());
+  request.target = std::string(message.target());
+  request.body = std::move(message.body());
+  request.remote = remote_;
+  for (const auto& field : message) {
+    request.headers.add(std::string(field.name_string()), std::string(field.value()));
+  }
+  return true;
+}
+
+void http_exchange::refuse(const error_code& error) {
+  const refusal answer = refusal_for(error);
+  if (answer.status != 0) {
+    refuse(answer.status, answer.reason);
+  }
+}
+
+void http_exchange::refuse(int status, std::string_view reason) {
+  keep_alive_ = false;
+  linger_ = true;
+  send(status, {{"Content-Type", "application/json"}}, core_.error_body()(status, reason));
+}
+
+void http_exchange::handle(const http_request& request) {
+  core_.began();
+  gone_ = false;
+  response_writer writer(*this);
+  try {
+    core_.handler()(request, writer);
+  } catch (const std::exception&) {
+    // Left to the check below: the caller gets a 500, or a stream that is visibly cut.
+  }
+  stop_watching();
+  if (phase_ == phase::waiting) {
+    send(500, {{"Content-Type", "application/json"}},
+         core_.error_body()(500, "the request was not answered"));
+  }
+  // A stream that was not finished may not look complete: its connection closes without the last
+  // chunk, which the caller notices.
+  keep_alive_ = keep_alive_ && phase_ == phase::complete;
+  core_.answered();
+}
+
+template <class Message>
+void http_exchange::put_head(Message& message, int status, const http_headers& headers) const {
+  message.version(version_);
+  message.result(static_cast<unsigned>(status));
+  for (const auto& [name, value] : headers) {
+    if (is_safe_field(name, value) && !is_framing_field(name)) {
+      message.insert(name, value);
+    }
+  }
+  message.keep_alive(keep_alive_);
+}
+
+template <class Write>
+bool http_exchange::put(phase after, Write&& write) {
+  if (gone_ && stream_.aborted()) {
+    phase_ = phase::failed;
+  }
+  if (phase_ == phase::failed) {
+    return false;
+  }
+  stream_.set_deadline(monotonic_now() + core_.limits().write_timeout);
+  error_code error;
+  std::forward<Write>(write)(error);
+  phase_ = error ? phase::failed : after;
+  return !error;
+}
+
+bool http_exchange::send(int status, const http_headers& headers, std::string_view body) {
+  if (phase_ != phase::waiting) {
+    return false;
+  }
+  keep_alive_ = keep_alive_ && !core_.draining();
+  if (head_only_ || !may_have_body(status)) {
+    http::response<http::empty_body> message;
+    put_head(message, status, headers);
+    if (may_have_body(status)) {
+      message.content_length(body.size());
+    }
+    return put(phase::complete, [&](error_code& error) { http::write(stream_, message, error); });
+  }
+  http::response<http::span_body<const char>> message;
+  put_head(message, status, headers);
+  message.body() = {body.data(), body.size()};
+  message.prepare_payload();
+  return put(phase::complete, [&](error_code& error) { http::write(stream_, message, error); });
+}
+
+bool http_exchange::start(int status, const http_headers& headers) {
+  if (phase_ != phase::waiting) {
+    return false;
+  }
+  // Callers of HTTP/1.0 know no chunks: the end of the connection ends their answer.
+  keep_alive_ = keep_alive_ && !core_.draining() && version_ >= 11;
+  http::response<http::empty_body> message;
+  put_head(message, status, headers);
+  message.chunked(version_ >= 11);
+  http::response_serializer<http::empty_body> serializer(message);
+  return put(phase::streaming,
+             [&](error_code& error) { http::write_header(stream_, serializer, error); });
+}
+
+bool http_exchange::write(std::string_view chunk) {
+  if (phase_ != phase::streaming) {
+    return false;
+  }
+  // An empty chunk would be the last one.
+  if (chunk.empty() || head_only_) {
+    return true;
+  }
+  const asio::const_buffer bytes(chunk.data(), chunk.size());
+  return put(phase::streaming, [&](error_code& error) {
+    if (version_ >= 11) {
+      asio::write(stream_, http::make_chunk(bytes), error);
+    } else {
+      asio::write(stream_, bytes, error);
+    }
+  });
+}
+
+bool http_exchange::finish() {
+  if (phase_ != phase::streaming) {
+    return false;
+  }
+  return put(phase::complete, [&](error_code& error) {
+    if (version_ >= 11 && !head_only_) {
+      asio::write(stream_, http::make_chunk_last(), error);
+    }
+  });
+}
+
+bool http_exchange::caller_gone() {
+  if (!gone_) {
+    gone_ = stream_.aborted() || stream_.peek() == peek_state::closed;
+  }
+  return gone_;
+}
+
+void http_exchange::on_gone(std::function<void()> notice) {
+  notice_ = std::move(notice);
+  if (!notice_) {
+    return;
+  }
+  if (caller_gone()) {
+    std::exchange(notice_, nullptr)();
+    return;
+  }
+  watch();
+}
+
+void http_exchange::watch() {
+  if (watching_) {
+    return;
+  }
+  watching_ = true;
+  stream_.socket().async_wait(tcp::socket::wait_read, [this](const error_code& error) {
+    watching_ = false;
+    if (!error) {
+      look_for_end();
+    }
+    watch_ended_.notify_all();
+  });
+}
+
+// A caller may send its next request early and then close. The end can only be seen behind those
+// bytes, so they are taken in, up to the limit for a header.
+void http_exchange::look_for_end() {
+  if (!notice_) {
+    return;
+  }
+  constexpr std::size_t step = 4096;
+  error_code error;
+  const auto count = stream_.socket().read_some(input_.prepare(step), error);
+  input_.commit(count);
+  if (error && error != asio::error::would_block) {
+    gone_ = true;
+    std::exchange(notice_, nullptr)();
+  } else if (input_.size() < core_.limits().header_bytes) {
+    watch();
+  }
+}
+
+void http_exchange::stop_watching() {
+  notice_ = nullptr;
+  if (watching_) {
+    stream_.interrupt();
+  }
+  no_lock lock;
+  watch_ended_.wait(lock, [this] { return !watching_; });
+}
+
+void http_exchange::close_if_idle() {
+  if (idle_) {
+    stream_.interrupt();
+  }
+}
+
+void http_exchange::close_now() {
+  stream_.abort();
+  gone_ = true;
+  if (notice_) {
+    std::exchange(notice_, nullptr)();
+  }
+}
+
+std::size_t server_core::least_loaded() const {
+  std::size_t best = 0;
+  for (std::size_t i = 1; i < shards_.size(); ++i) {
+    if (shards_[i].connections < shards_[best].connections) {
+      best = i;
+    }
+  }
+  return best;
+}
+
+void server_core::opened(std::size_t worker) {
+  ++connections_;
+  ++shards_[worker].connections;
+}
+
+void server_core::closed(std::size_t worker) {
+  {
+    const std::lock_guard lock(empty_mutex_);
+    --connections_;
+    empty_.notify_all();
+  }
+  --shards_[worker].connections;
+  shards_[worker].changed.notify_all();
+}
+
+void server_core::enlist(http_exchange& exchange) {
+  shards_[current_worker()].exchanges.insert(&exchange);
+}
+
+void server_core::delist(http_exchange& exchange) {
+  shards_[current_worker()].exchanges.erase(&exchange);
+}
+
+bool server_core::wait_until_empty(time_point deadline) {
+  std::unique_lock lock(empty_mutex_);
+  return empty_.wait_until(lock, to_steady(deadline), [this] { return connections_ == 0; });
+}
+
+void server_core::close_idle(std::size_t worker) {
+  for (http_exchange* exchange : shards_[worker].exchanges) {
+    exchange->close_if_idle();
+  }
+}
+
+void server_core::close_all(std::size_t worker) {
+  shard& own = shards_[worker];
+  begin_drain();
+  for (http_exchange* exchange : own.exchanges) {
+    exchange->close_now();
+  }
+  no_lock lock;
+  own.changed.wait(lock, [&own] { return own.connections == 0; });
+}
+
+bool response_writer::send(int status, const http_headers& headers, std::string_view body) {
+  return exchange_.send(status, headers, body);
+}
+
+bool response_writer::start(int status, const http_headers& headers) {
+  return exchange_.start(status, headers);
+}
+
+bool response_writer::write(std::string_view chunk) {
+  return exchange_.write(chunk);
+}
+
+bool response_writer::finish() {
+  return exchange_.finish();
+}
+
+bool response_writer::started() const {
+  return exchange_.started();
+}
+
+bool response_writer::caller_gone() {
+  return exchange_.caller_gone();
+}
+
+void response_writer::on_gone(std::function<void()> notice) {
+  exchange_.on_gone(std::move(notice));
+}
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/connection/http_exchange.h
@@ -0,0 +1,134 @@
+// The inside of the HTTP server: what its connections share, and one connection. Only for the .cpp
+// files of this folder.
+#pragma once
+
+#include <atomic>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/fiber/condition_variable.hpp>
+#include <boost/fiber/mutex.hpp>
+#include <cstdint>
+#include <functional>
+#include <unordered_set>
+#include <vector>
+
+#include "connection/fiber_stream.h"
+#include "connection/http_server.h"
+
+namespace arbutus {
+
+class server_core {
+ public:
+  server_core(std::size_t workers, const http_server_limits& limits, http_handler handler,
+              http_error_body error_body)
+      : limits_(limits),
+        handler_(std::move(handler)),
+        error_body_(std::move(error_body)),
+        shards_(workers) {}
+
+  [[nodiscard]] const http_server_limits& limits() const { return limits_; }
+  [[nodiscard]] const http_handler& handler() const { return handler_; }
+  [[nodiscard]] const http_error_body& error_body() const { return error_body_; }
+
+  [[nodiscard]] std::size_t least_loaded() const;
+  [[nodiscard]] std::size_t connections() const { return connections_; }
+  [[nodiscard]] std::size_t active() const { return active_; }
+  [[nodiscard]] bool draining() const { return draining_; }
+
+  void opened(std::size_t worker);
+  void closed(std::size_t worker);
+  void began() { ++active_; }
+  void answered() { --active_; }
+
+  // On the worker of the connection.
+  void enlist(http_exchange& exchange);
+  void delist(http_exchange& exchange);
+
+  void begin_drain() { draining_ = true; }
+  bool wait_until_empty(time_point deadline);
+  // On that worker.
+  void close_idle(std::size_t worker);
+  void close_all(std::size_t worker);
+
+ private:
+  struct shard {
+    std::unordered_set<http_exchange*> exchanges;  // touched on its worker
+    std::atomic<std::size_t> connections{0};       // also those accepted but not yet enlisted
+    boost::fibers::condition_variable_any changed;
+  };
+
+  const http_server_limits limits_;
+  const http_handler handler_;
+  const http_error_body error_body_;
+  std::vector<shard> shards_;
+  std::atomic<std::size_t> connections_{0};
+  std::atomic<std::size_t> active_{0};
+  std::atomic<bool> draining_{false};
+  boost::fibers::mutex empty_mutex_;
+  boost::fibers::condition_variable empty_;
+};
+
+// One connection and the request it carries at the moment. Lives on the stack of its fiber.
+class http_exchange {
+ public:
+  http_exchange(server_core& core, boost::asio::ip::tcp::socket socket);
+
+  // Serves requests until either side ends the connection.
+  void serve();
+
+  // Answers 503 and closes: more connections than the limit.
+  void turn_away();
+
+  // From another fiber of the worker.
+  void close_if_idle();
+  void close_now();
+
+  bool send(int status, const http_headers& headers, std::string_view body);
+  bool start(int status, const http_headers& headers);
+  bool write(std::string_view chunk);
+  bool finish();
+  [[nodiscard]] bool started() const { return phase_ != phase::waiting; }
+  [[nodiscard]] bool caller_gone();
+  void on_gone(std::function<void()> notice);
+
+ private:
+  // Of the answer.
+  enum class phase : std::uint8_t { waiting, streaming, complete, failed };
+
+  bool await_request();
+  bool read_request(http_request& request);
+  void refuse(int status, std::string_view reason);
+  void refuse(const boost::system::error_code& error);
+  void handle(const http_request& request);
+  void close();
+
+  template <class Message>
+  void put_head(Message& message, int status, const http_headers& headers) const;
+  template <class Write>
+  bool put(phase after, Write&& write);
+
+  void watch();
+  void look_for_end();
+  void stop_watching();
+
+  server_core& core_;
+  fiber_stream stream_;
+  std::string remote_;
+  boost::beast::flat_buffer input_;  // bytes received and not yet parsed
+
+  bool idle_{false};        // waits for the first byte of a request
+  bool keep_alive_{false};  // whether the caller may send another request
+  bool linger_{false};      // whether the caller may still be sending what is not read
+  bool head_only_{false};
+  unsigned version_{11};
+  phase phase_{phase::waiting};
+
+  std::function<void()> notice_;
+  bool gone_{false};
+  bool watching_{false};  // a wait for the caller's end is pending; its handler refers to this
+  boost::fibers::condition_variable_any watch_ended_;
+};
+
+// The body of a connection's fiber. `socket` was counted by opened().
+void serve_connection(server_core& core, boost::asio::ip::tcp::socket socket);
+
+}  // namespace arbutus
