--- /dev/null
+++ b/src/request/admission.h
@@ -0,0 +1,160 @@
+// Admission of requests to one model at one node: who starts now, who waits, who is refused.
+//
+// Waiting requests are kept per workspace and started by weighted fair queueing over cost, by
+// priority inside a workspace and in order of arrival inside a priority. A request that cannot be
+// answered in time is refused at once, with the time after which capacity is expected, instead
+// of being held while its caller waits for nothing.
+//
+// Not thread-safe: one object per model, under its shard's lock.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string_view>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "base/id.h"
+#include "base/units.h"
+#include "request/facts.h"
+
+namespace arbutus {
+
+enum class reject_reason {
+  queue_full,   // the workspace has too many requests waiting
+  too_late,     // the deadline cannot be met
+  no_capacity,  // no replica serves the model
+  displaced,    // gave way to a request of higher priority of its own workspace
+};
+
+[[nodiscard]] std::string_view to_string(reject_reason reason);
+
+// Start it now.
+struct admitted {};
+// Keep the caller; the id comes back from on_capacity(), finished() or tick().
+struct queued {
+  duration expected_wait{};
+};
+// Proven not run: tell the caller at once.
+struct rejected {
+  reject_reason reason = reject_reason::too_late;
+  duration retry_after{};
+};
+using admission_verdict = std::variant<admitted, queued, rejected>;
+
+struct rejection {
+  request_id id;
+  rejected why;
+};
+
+struct submission {
+  admission_verdict verdict;
+  std::optional<rejection> displaced;  // another, waiting request that is refused in its place
+};
+
+// What this node may use of the model's replicas (see usable_slots in router.h).
+struct node_capacity {
+  std::uint32_t free_slots{};  // may start now, beyond what this node already runs
+  std::uint32_t slots{};       // all usable slots; 0: nobody serves the model
+  duration reported_delay{};   // wait inside the engines, as reported
+};
+
+struct admission_settings {
+  std::size_t max_queued_per_workspace = 512;
+  duration first_service_time = 2s;  // per unit of cost, until one was observed
+  double smoothing = 0.05;           // weight of a new observation in the moving averages
+  // A request is started only if this many mean deviations of the service time still fit before
+  // its deadline: work that ends too late is work lost to others.
+  double deviations = 1.0;
+  duration min_retry_after = 200ms;
+  duration max_retry_after = 30s;
+};
+
+class admission {
+ public:
+  explicit admission(const admission_settings& settings = {});
+
+  // Share of a workspace in fair queueing (workspace_rule::share); 1 if never set.
+  void set_share(const workspace_id& workspace, double share);
+
+  [[nodiscard]] submission submit(time_point now, const request_facts& facts);
+
+  // Tells what may be used from now on; returns what to start, in order. At most free_slots.
+  [[nodiscard]] std::vector<request_id> on_capacity(time_point now, const node_capacity& capacity);
+
+  // A started request ended. `served`: it ran to its end, so its time counts as an observation.
+  // Returns what to start in its place.
+  [[nodiscard]] std::vector<request_id> finished(time_point now, const request_id& id,
+                                                 bool served = true);
+  // The first token of a started request went out.
+  void first_token(time_point now, const request_id& id);
+  // The caller is gone. Returns what to start if a slot became free.
+  [[nodiscard]] std::vector<request_id> abandon(time_point now, const request_id& id);
+
+  // Waiting requests that cannot be answered in time any more. Call at next_tick() or sooner.
+  [[nodiscard]] std::vector<rejection> tick(time_point now);
+  // When the next waiting request becomes hopeless; time_point::max() if none waits.
+  [[nodiscard]] time_point next_tick() const;
+
+  // Expected wait of a request that came now.
+  [[nodiscard]] duration expected_wait(const request_facts& facts) const;
+  // Expected time in a replica for this cost.
+  [[nodiscard]] duration service_time(double cost) const;
+  [[nodiscard]] std::size_t waiting() const { return waiting_count_; }
+  [[nodiscard]] std::size_t running() const { return running_.size(); }
+
+ private:
+  struct waiting_request {
+    request_id id;
+    double cost{};
+    time_point start_by;  // hopeless when started later
+  };
+  struct running_request {
+    time_point started;
+    double cost{};
+    bool has_first_token = false;
+  };
+  struct workspace_queue {
+    double share = 1.0;
+    double finish_tag = 0;  // virtual time up to which the workspace was served
+    double queued_cost = 0;
+    std::size_t count = 0;
+    std::map<std::uint32_t, std::deque<waiting_request>> by_priority;  // no empty queues
+  };
+  // Mean and mean deviation, as for retransmission timers.
+  struct estimate {
+    double mean{};
+    double deviation{};
+    void observe(double value, double weight);
+  };
+
+  [[nodiscard]] duration needed(double cost) const;
+  [[nodiscard]] time_point latest_start(const request_facts& facts) const;
+  [[nodiscard]] double cost_rate() const;
+  [[nodiscard]] double work_ahead(const workspace_id& id, std::uint32_t priority) const;
+  [[nodiscard]] rejected refuse(reject_reason reason, duration wait) const;
+  [[nodiscard]] std::optional<rejection> displace(workspace_queue& queue, std::uint32_t priority);
+  [[nodiscard]] workspace_queue* next_queue();
+  [[nodiscard]] std::vector<request_id> start_waiting(time_point now);
+  void enqueue(workspace_queue& queue, const request_facts& facts);
+  void charge(workspace_queue& queue, double cost);
+  void start(time_point now, const request_id& id, double cost);
+  void drop(workspace_queue& queue, const waiting_request& request);
+
+  admission_settings settings_;
+  std::map<workspace_id, workspace_queue> queues_;
+  std::unordered_map<request_id, running_request> running_;
+  std::unordered_map<request_id, workspace_id> waiting_in_;
+  std::vector<rejection> hopeless_;  // found while starting others; given out by the next tick()
+  std::size_t waiting_count_ = 0;    // == sum of the queues' counts
+  double queued_cost_ = 0;
+  double virtual_time_ = 0;
+  node_capacity capacity_;
+  estimate service_;      // seconds per unit of cost
+  estimate first_token_;  // seconds from start
+};
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/request/prefix_index.h
@@ -0,0 +1,87 @@
+// Which replica probably holds which prompt prefix in its cache. A guess only: learnt from where
+// this node sent prompts and from the engines' cache events, which come late and with gaps. A
+// wrong guess costs time, never correctness.
+#pragma once
+
+#include <cstdint>
+#include <list>
+#include <unordered_map>
+#include <vector>
+
+#include "base/id.h"
+#include "base/units.h"
+#include "request/facts.h"
+
+namespace arbutus {
+
+// A batch of cache events of one replica; `sequence` counts its batches from the engine's start.
+struct cache_events {
+  replica_id replica;
+  std::uint64_t incarnation{};  // of the engine; another one means an empty cache
+  std::uint64_t sequence{};
+  std::vector<std::uint64_t> stored;
+  std::vector<std::uint64_t> evicted;
+};
+
+struct prefix_index_settings {
+  std::size_t max_entries = 100'000;  // (replica, block) pairs; about 100 bytes each
+  duration max_age = 10min;           // untouched for longer: presumed evicted
+  // After a gap in the events, what was learnt before it may have been evicted unseen. Such an
+  // entry counts only by this part until something newer confirms it.
+  double trust_after_gap = 0.25;
+};
+
+class prefix_index {
+ public:
+  explicit prefix_index(const prefix_index_settings& settings = {});
+
+  // This node sent a prompt with these blocks to the replica.
+  void sent(time_point now, const replica_id& replica, const prefix_blocks& blocks);
+  void heard(time_point now, const cache_events& events);
+  // The replica was re-formed, restarted or is gone: its cache is empty.
+  void forget(const replica_id& replica);
+
+  // Expected number of leading blocks that the replica holds (weighted by trust).
+  [[nodiscard]] double expected_blocks(time_point now, const replica_id& replica,
+                                       const prefix_blocks& blocks) const;
+  [[nodiscard]] std::size_t size() const { return entries_.size(); }
+
+ private:
+  struct entry_key {
+    std::uint64_t block{};
+    std::uint32_t replica{};
+    bool operator==(const entry_key&) const = default;
+  };
+  struct entry_key_hash {
+    std::size_t operator()(const entry_key& key) const noexcept {
+      return static_cast<std::size_t>(key.block ^ (key.replica * 0x9e3779b97f4a7c15ULL));
+    }
+  };
+  struct entry {
+    entry_key key;
+    time_point seen;
+    std::uint32_t epoch{};  // of the replica when the entry was confirmed
+  };
+  struct replica_state {
+    std::uint32_t number{};  // stands for the replica in entry_key; never reused
+    std::uint32_t epoch{};   // counts gaps
+    std::uint64_t incarnation{};
+    std::uint64_t sequence{};
+    bool has_events = false;
+  };
+  using recency = std::list<entry>;  // oldest first
+
+  replica_state& state_of(const replica_id& replica);
+  void touch(time_point now, const replica_state& state, std::uint64_t block);
+  void erase(const entry_key& key);
+  void shrink(time_point now);
+
+  prefix_index_settings settings_;
+  // Invariant: entries_ and by_key_ hold the same pairs, at most max_entries.
+  recency entries_;
+  std::unordered_map<entry_key, recency::iterator, entry_key_hash> by_key_;
+  std::unordered_map<replica_id, replica_state> replicas_;
+  std::uint32_t next_number_ = 1;
+};
+
+}  // namespace arbutus
