Request decisions: first implementations

The keyed record is marked as sending by a second conditional write before the send: only so can another node prove that a paused owner never sent.

--- /dev/null
+++ b/src/request/admission.cpp
@@ -0,0 +1,328 @@
+// Fair queueing with refusal by deadline.
+#include "request/admission.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace arbutus {
+
+namespace {
+
+// An observation far below the mean moves it faster: after a stall the mean is too high, few
+// requests are admitted, and slow learning would keep it so.
+constexpr double fast_recovery_below = 0.5;
+constexpr double fast_recovery_weight = 0.25;
+// A waiting request is given up before its latest start only if even a wait this much shorter
+// than predicted would be too long.
+constexpr double hopeless_part = 0.5;
+
+}  // namespace
+
+std::string_view to_string(reject_reason reason) {
+  switch (reason) {
+    case reject_reason::queue_full:
+      return "queue full";
+    case reject_reason::too_late:
+      return "too late";
+    case reject_reason::no_capacity:
+      return "no capacity";
+    case reject_reason::displaced:
+      break;
+  }
+  return "displaced";
+}
+
+void admission::estimate::observe(double value, double weight) {
+  deviation += weight * (std::abs(value - mean) - deviation);
+  mean += weight * (value - mean);
+}
+
+admission::admission(const admission_settings& settings) : settings_(settings) {
+  service_.mean = to_seconds(settings.first_service_time);
+}
+
+void admission::set_share(const workspace_id& workspace, double share) {
+  queues_[workspace].share = std::max(share, 1e-6);
+}
+
+submission admission::submit(time_point now, const request_facts& facts) {
+  workspace_queue& queue = queues_[facts.workspace];
+  if (capacity_.slots == 0 && capacity_.reported_delay <= 0us) {
+    return {refuse(reject_reason::no_capacity, 0us), {}};
+  }
+  const bool at_once = capacity_.free_slots > 0 && waiting_count_ == 0;
+  // With nothing running there is nothing to learn from: one request is let through although the
+  // estimate says it is too late, or a wrong estimate would refuse everything for ever.
+  const bool is_trial = at_once && running_.empty() && now < facts.deadline;
+  const duration wait = expected_wait(facts);
+  const time_point last = latest_start(facts);
+  if (!is_trial && now + wait > last) {
+    return {refuse(reject_reason::too_late, now + wait - last), {}};
+  }
+  if (at_once) {
+    --capacity_.free_slots;
+    charge(queue, facts.cost);
+    start(now, facts.id, facts.cost);
+    return {admitted{}, {}};
+  }
+  std::optional<rejection> gave_way;
+  if (queue.count >= settings_.max_queued_per_workspace) {
+    gave_way = displace(queue, facts.priority);
+    if (!gave_way) {
+      return {refuse(reject_reason::queue_full, wait / 2), {}};
+    }
+  }
+  enqueue(queue, facts);
+  return {queued{wait}, gave_way};
+}
+
+std::vector<request_id> admission::on_capacity(time_point now, const node_capacity& capacity) {
+  capacity_ = capacity;
+  return start_waiting(now);
+}
+
+std::vector<request_id> admission::finished(time_point now, const request_id& id, bool served) {
+  const auto found = running_.find(id);
+  if (found == running_.end()) {
+    return {};
+  }
+  const double seconds = to_seconds(now - found->second.started) / found->second.cost;
+  // One that was cut off tells at least that the service takes longer than that.
+  if (served || seconds > service_.mean) {
+    const bool fast = seconds < fast_recovery_below * service_.mean;
+    service_.observe(seconds, fast ? fast_recovery_weight : settings_.smoothing);
+  }
+  running_.erase(found);
+  ++capacity_.free_slots;
+  return start_waiting(now);
+}
+
+void admission::first_token(time_point now, const request_id& id) {
+  const auto found = running_.find(id);
+  if (found == running_.end() || found->second.has_first_token) {
+    return;
+  }
+  found->second.has_first_token = true;
+  const double seconds = to_seconds(now - found->second.started);
+  const bool fast = seconds < fast_recovery_below * first_token_.mean;
+  first_token_.observe(seconds, fast ? fast_recovery_weight : settings_.smoothing);
+}
+
+std::vector<request_id> admission::abandon(time_point now, const request_id& id) {
+  std::erase_if(hopeless_, [&](const rejection& r) { return r.id == id; });
+  const auto found = waiting_in_.find(id);
+  if (found == waiting_in_.end()) {
+    return finished(now, id, false);
+  }
+  workspace_queue& queue = queues_[found->second];
+  for (auto it = queue.by_priority.begin(); it != queue.by_priority.end(); ++it) {
+    std::deque<waiting_request>& requests = it->second;
+    const auto same = [&](const waiting_request& r) { return r.id == id; };
+    const auto at = std::find_if(requests.begin(), requests.end(), same);
+    if (at == requests.end()) {
+      continue;
+    }
+    drop(queue, *at);
+    requests.erase(at);
+    if (requests.empty()) {
+      queue.by_priority.erase(it);
+    }
+    break;
+  }
+  return {};
+}
+
+std::vector<rejection> admission::tick(time_point now) {
+  std::vector<rejection> given_up = std::exchange(hopeless_, {});
+  const double rate = cost_rate();
+  for (auto& [workspace, queue] : queues_) {
+    double before = 0;  // cost in this queue that starts earlier
+    for (auto it = queue.by_priority.begin(); it != queue.by_priority.end();) {
+      std::deque<waiting_request> kept;
+      for (waiting_request& r : it->second) {
+        const duration wait = from_seconds(work_before(queue, before + r.cost) / rate);
+        if (now <= r.start_by &&
+            now + from_seconds(hopeless_part * to_seconds(wait)) <= r.start_by) {
+          before += r.cost;
+          kept.push_back(std::move(r));
+          continue;
+        }
+        drop(queue, r);
+        given_up.push_back({r.id, refuse(reject_reason::too_late, now + wait - r.start_by)});
+      }
+      it->second = std::move(kept);
+      it = it->second.empty() ? queue.by_priority.erase(it) : std::next(it);
+    }
+  }
+  return given_up;
+}
+
+time_point admission::next_tick() const {
+  if (!hopeless_.empty()) {
+    return time_point::min();
+  }
+  time_point next = time_point::max();
+  for (const auto& [workspace, queue] : queues_) {
+    for (const auto& [priority, requests] : queue.by_priority) {
+      for (const waiting_request& r : requests) {
+        next = std::min(next, r.start_by);
+      }
+    }
+  }
+  return next;
+}
+
+duration admission::expected_wait(const request_facts& facts) const {
+  if (capacity_.slots == 0) {
+    return capacity_.reported_delay;
+  }
+  if (capacity_.free_slots > 0 && waiting_count_ == 0) {
+    return 0us;
+  }
+  const double ahead = work_ahead(facts.workspace, facts.priority, facts.cost);
+  const duration own = from_seconds(ahead / cost_rate());
+  return capacity_.free_slots > 0 ? own : std::max(own, capacity_.reported_delay);
+}
+
+duration admission::service_time(double cost) const {
+  return from_seconds(service_.mean * cost);
+}
+
+duration admission::needed(double cost) const {
+  return from_seconds((service_.mean + settings_.deviations * service_.deviation) * cost);
+}
+
+time_point admission::latest_start(const request_facts& facts) const {
+  time_point latest = time_point::max();
+  if (facts.deadline != time_point::max()) {
+    latest = facts.deadline - needed(facts.cost);
+  }
+  if (facts.first_token_by != time_point::max()) {
+    const double seconds = first_token_.mean + settings_.deviations * first_token_.deviation;
+    latest = std::min(latest, facts.first_token_by - from_seconds(seconds));
+  }
+  return latest;
+}
+
+// Cost per second that this node gets done: what it holds now, whatever others leave it.
+double admission::cost_rate() const {
+  const double held = static_cast<double>(running_.size()) + capacity_.free_slots;
+  return std::max(held, 1.0) / std::max(service_.mean, 1e-6);
+}
+
+double admission::work_ahead(const workspace_id& id, std::uint32_t priority, double cost) const {
+  static const workspace_queue empty;
+  const auto found = queues_.find(id);
+  const workspace_queue& own = found == queues_.end() ? empty : found->second;
+  double before = cost;
+  for (const auto& [other, requests] : own.by_priority) {
+    if (other > priority) {
+      break;
+    }
+    for (const waiting_request& r : requests) {
+      before += r.cost;
+    }
+  }
+  return work_before(own, before);
+}
+
+// All work that fair queueing starts up to the point where `own` got `through`, in the fluid view:
+// each other queue gets as much per share until it is empty.
+double admission::work_before(const workspace_queue& own, double through) const {
+  double ahead = through;
+  for (const auto& [id, queue] : queues_) {
+    if (&queue != &own && queue.count > 0) {
+      ahead += std::min(queue.queued_cost, through * queue.share / own.share);
+    }
+  }
+  return ahead;
+}
+
+rejected admission::refuse(reject_reason reason, duration wait) const {
+  return {reason, std::clamp(wait, settings_.min_retry_after, settings_.max_retry_after)};
+}
+
+std::optional<rejection> admission::displace(workspace_queue& queue, std::uint32_t priority) {
+  const auto last = std::prev(queue.by_priority.end());
+  if (last->first <= priority) {
+    return std::nullopt;
+  }
+  const waiting_request victim = last->second.back();
+  last->second.pop_back();
+  if (last->second.empty()) {
+    queue.by_priority.erase(last);
+  }
+  drop(queue, victim);
+  const duration wait = from_seconds(work_before(queue, queue.queued_cost) / cost_rate());
+  return rejection{victim.id, refuse(reject_reason::displaced, wait)};
+}
+
+admission::workspace_queue* admission::next_queue() {
+  workspace_queue* next = nullptr;
+  for (auto& [id, queue] : queues_) {
+    if (queue.count > 0 && (next == nullptr || queue.finish_tag < next->finish_tag)) {
+      next = &queue;
+    }
+  }
+  return next;
+}
+
+std::vector<request_id> admission::start_waiting(time_point now) {
+  std::vector<request_id> started;
+  while (capacity_.free_slots > 0) {
+    workspace_queue* queue = next_queue();
+    if (queue == nullptr) {
+      break;
+    }
+    const auto first = queue->by_priority.begin();
+    const waiting_request next = first->second.front();
+    first->second.pop_front();
+    if (first->second.empty()) {
+      queue->by_priority.erase(first);
+    }
+    drop(*queue, next);
+    if (now > next.start_by) {
+      hopeless_.push_back({next.id, refuse(reject_reason::too_late, now - next.start_by)});
+      continue;
+    }
+    --capacity_.free_slots;
+    charge(*queue, next.cost);
+    start(now, next.id, next.cost);
+    started.push_back(next.id);
+  }
+  return started;
+}
+
+void admission::enqueue(workspace_queue& queue, const request_facts& facts) {
+  if (queue.count == 0) {
+    queue.finish_tag = std::max(queue.finish_tag, virtual_time_);
+  }
+  queue.by_priority[facts.priority].push_back({facts.id, facts.cost, latest_start(facts)});
+  ++queue.count;
+  queue.queued_cost += facts.cost;
+  ++waiting_count_;
+  waiting_in_.insert_or_assign(facts.id, facts.workspace);
+}
+
+// Start-time fair queueing: the virtual time is the tag at which the last request started, so a
+// workspace that was away neither saves up service nor is charged for what it had while others
+// were idle.
+void admission::charge(workspace_queue& queue, double cost) {
+  const double tag = std::max(queue.finish_tag, virtual_time_);
+  virtual_time_ = tag;
+  queue.finish_tag = tag + cost / queue.share;
+}
+
+void admission::start(time_point now, const request_id& id, double cost) {
+  running_.insert_or_assign(id, running_request{now, std::max(cost, 1e-6), false});
+}
+
+void admission::drop(workspace_queue& queue, const waiting_request& request) {
+  --queue.count;
+  queue.queued_cost = queue.count == 0 ? 0 : queue.queued_cost - request.cost;
+  --waiting_count_;
+  waiting_in_.erase(request.id);
+}
+
+}  // namespace arbutus
--- a/src/request/admission.h
+++ b/src/request/admission.h
@@ -59,7 +59,9 @@
 struct node_capacity {
   std::uint32_t free_slots{};  // may start now, beyond what this node already runs
   std::uint32_t slots{};       // all usable slots; 0: nobody serves the model
-  duration reported_delay{};   // wait inside the engines, as reported
+  // Wait before a slot becomes free as others report it; with no slots at all, until somebody
+  // serves the model again (0: nobody knows, and requests are refused).
+  duration reported_delay{};
 };
 
 struct admission_settings {
@@ -134,7 +136,9 @@
   [[nodiscard]] duration needed(double cost) const;
   [[nodiscard]] time_point latest_start(const request_facts& facts) const;
   [[nodiscard]] double cost_rate() const;
-  [[nodiscard]] double work_ahead(const workspace_id& id, std::uint32_t priority) const;
+  [[nodiscard]] double work_ahead(const workspace_id& id, std::uint32_t priority,
+                                  double cost) const;
+  [[nodiscard]] double work_before(const workspace_queue& own, double through) const;
   [[nodiscard]] rejected refuse(reject_reason reason, duration wait) const;
   [[nodiscard]] std::optional<rejection> displace(workspace_queue& queue, std::uint32_t priority);
   [[nodiscard]] workspace_queue* next_queue();
@@ -150,7 +154,6 @@
   std::unordered_map<request_id, workspace_id> waiting_in_;
   std::vector<rejection> hopeless_;  // found while starting others; given out by the next tick()
   std::size_t waiting_count_ = 0;    // == sum of the queues' counts
-  double queued_cost_ = 0;
   double virtual_time_ = 0;
   node_capacity capacity_;
   estimate service_;      // seconds per unit of cost
--- /dev/null
+++ b/src/request/expected_completion.cpp
@@ -0,0 +1,227 @@
+// Estimates of load, speed and completion per replica.
+#include "request/expected_completion.h"
+
+#include <algorithm>
+
+namespace arbutus {
+
+namespace {
+
+// Candidates within this part of the best are equal: the choice among them is drawn, or nodes
+// with the same reports would all send to the same replica.
+constexpr double equal_within = 0.05;
+// Part of its slots that a replica is trusted with directly after a repair.
+constexpr double least_slow_start = 0.1;
+// A lone observation must not turn a replica into a straggler or a marvel.
+constexpr double largest_observed_factor = 8.0;
+
+double as_double(std::uint32_t value) {
+  return static_cast<double>(value);
+}
+
+double slow_start_factor(time_point now, const replica_route& route, duration slow_start) {
+  const double part = to_seconds(now - route.serving_since) / to_seconds(slow_start);
+  return std::clamp(part, least_slow_start, 1.0);
+}
+
+}  // namespace
+
+expected_completion::expected_completion(std::uint64_t seed,
+                                         const expected_completion_settings& settings)
+    : settings_(settings), random_(seed) {}
+
+std::optional<route_choice> expected_completion::choose(time_point now,
+                                                        const routing_snapshot& routes,
+                                                        const request_facts& facts,
+                                                        const in_flight& flights,
+                                                        tried_replicas tried) {
+  candidates all = gather(now, routes, facts, flights, tried);
+  if (all.empty()) {
+    return std::nullopt;
+  }
+  estimate(now, facts, all);
+  candidate* choice = due_for_probe(now, facts, all);
+  if (choice == nullptr) {
+    choice = best(all);
+  }
+  return route_choice{.replica = choice->route->id,
+                      .index = choice->index,
+                      .expected_wait = from_seconds(choice->wait),
+                      .expected = from_seconds(choice->expected),
+                      .last_resort = choice->avoided || choice->tried};
+}
+
+void expected_completion::sent(time_point now, const replica_id& replica,
+                               const request_facts& facts) {
+  prefixes_.sent(now, replica, facts.prefix);
+}
+
+void expected_completion::observe(time_point now, const attempt_result& result) {
+  learnt& known = learnt_[result.replica];
+  if (result.failed) {
+    known.failed_at = now;
+    return;
+  }
+  known.failed_at.reset();
+  // The time before the first token holds the wait in the engine's queue, which is load, not
+  // speed. Without a stream the wait is taken as it was expected.
+  const duration waited =
+      result.first_token > 0us ? result.first_token : std::min(result.expected_wait, result.total);
+  double seconds = to_seconds(result.total - waited) / std::max(result.cost, 1e-6);
+  if (known.seconds_per_cost <= 0) {
+    known.seconds_per_cost = seconds;
+    return;
+  }
+  seconds = std::min(seconds, known.seconds_per_cost * largest_observed_factor);
+  known.seconds_per_cost += settings_.smoothing * (seconds - known.seconds_per_cost);
+}
+
+expected_completion::candidates expected_completion::gather(time_point now,
+                                                            const routing_snapshot& routes,
+                                                            const request_facts& facts,
+                                                            const in_flight& flights,
+                                                            tried_replicas tried) const {
+  candidates all;
+  for (std::size_t i = 0; i < routes.replicas.size(); ++i) {
+    const replica_route& route = routes.replicas[i];
+    if (route.model != facts.model || !may_use(now, route)) {
+      continue;
+    }
+    candidate c;
+    c.index = i;
+    c.route = &route;
+    c.load = estimated_load(route, flights);
+    c.tried = std::find(tried.begin(), tried.end(), route.id) != tried.end();
+    all.push_back(c);
+  }
+  return all;
+}
+
+// The report plus what happened since. Of the other nodes it is presumed that they did what this
+// one did: with the same reports they come to the same choices, and reckoning only with the own
+// part would send every node's requests to the replica that was idle a moment ago.
+double expected_completion::estimated_load(const replica_route& route,
+                                           const in_flight& flights) const {
+  const double sent = as_double(flights.sent_since(route.id, route.load_at));
+  const double ended = as_double(flights.ended_since(route.id, route.load_at));
+  const double reported = as_double(route.running) + as_double(route.queued);
+  const double now = reported + (sent - ended) * as_double(settings_.nodes);
+  return std::max(now, as_double(flights.count(route.id)));
+}
+
+double expected_completion::median_speed(const candidates& all) const {
+  std::vector<double> speeds;
+  for (const candidate& c : all) {
+    const auto found = learnt_.find(c.route->id);
+    const bool known = found != learnt_.end() && found->second.seconds_per_cost > 0;
+    if (known && !c.route->crosses_fabric_domains) {
+      speeds.push_back(found->second.seconds_per_cost);
+    }
+  }
+  if (speeds.empty()) {
+    return to_seconds(settings_.first_service_time);
+  }
+  const auto middle = speeds.begin() + static_cast<std::ptrdiff_t>(speeds.size() / 2);
+  std::nth_element(speeds.begin(), middle, speeds.end());
+  return *middle;
+}
+
+void expected_completion::estimate(time_point now, const request_facts& facts,
+                                   candidates& all) const {
+  const double median = median_speed(all);
+  double total_load = 0;
+  for (candidate& c : all) {
+    const auto found = learnt_.find(c.route->id);
+    const bool known = found != learnt_.end() && found->second.seconds_per_cost > 0;
+    const double presumed =
+        c.route->crosses_fabric_domains ? median * settings_.cross_domain_slowdown : median;
+    c.speed = known ? found->second.seconds_per_cost : presumed;
+    total_load += c.load;
+  }
+  const double mean_load = total_load / static_cast<double>(all.size());
+  for (candidate& c : all) {
+    const double slots = std::max(1.0, as_double(c.route->slots)) *
+                         slow_start_factor(now, *c.route, settings_.slow_start);
+    c.wait = std::max(0.0, c.load + 1 - slots) / slots * c.speed;
+    c.expected = c.wait + c.speed * facts.cost;
+    if (c.load <= settings_.affinity_load_bound * mean_load + 1) {
+      const double blocks = prefixes_.expected_blocks(now, c.route->id, facts.prefix);
+      const double saved = blocks * to_seconds(settings_.block_prefill);
+      c.expected -= std::min(saved, 0.9 * c.expected);
+    }
+  }
+  mark_avoided(now, all, median);
+}
+
+// Stragglers and replicas that just failed, worst first, up to the cap: if all look slow it is the
+// load or this node that is slow, and avoiding them would only move the crowd around.
+void expected_completion::mark_avoided(time_point now, candidates& all, double median) const {
+  std::vector<candidate*> bad;
+  for (candidate& c : all) {
+    const auto found = learnt_.find(c.route->id);
+    const bool failed = found != learnt_.end() && found->second.failed_at &&
+                        now - *found->second.failed_at < settings_.failure_memory;
+    const bool slow =
+        c.speed > settings_.straggler_factor * median && !c.route->crosses_fabric_domains;
+    if (failed || slow) {
+      bad.push_back(&c);
+    }
+  }
+  const auto worse = [](const candidate* a, const candidate* b) { return a->speed > b->speed; };
+  std::stable_sort(bad.begin(), bad.end(), worse);
+  const auto part =
+      static_cast<std::size_t>(static_cast<double>(all.size()) * settings_.max_avoided);
+  const std::size_t cap = all.size() < 2 ? 0 : std::max<std::size_t>(1, part);
+  for (std::size_t i = 0; i < std::min(cap, bad.size()); ++i) {
+    bad[i]->avoided = true;
+  }
+}
+
+// Without a request now and then, a replica that recovered would stay avoided for ever.
+expected_completion::candidate* expected_completion::due_for_probe(time_point now,
+                                                                   const request_facts& facts,
+                                                                   candidates& all) {
+  if (!facts.repeatable) {
+    return nullptr;
+  }
+  for (candidate& c : all) {
+    if (!c.avoided || c.tried) {
+      continue;
+    }
+    learnt& known = learnt_[c.route->id];
+    const bool failed_now = known.failed_at && now - *known.failed_at < settings_.failure_memory;
+    if (failed_now ||
+        (known.probed_at && now - *known.probed_at < settings_.probe_straggler_every)) {
+      continue;
+    }
+    known.probed_at = now;
+    return &c;
+  }
+  return nullptr;
+}
+
+// In order: untried before tried, not avoided before avoided, and replicas that cross fabric
+// domains only when no other has a free slot; then by expected completion.
+expected_completion::candidate* expected_completion::best(candidates& all) {
+  const auto is_free = [](const candidate& c) {
+    return !c.tried && !c.avoided && !c.route->crosses_fabric_domains && c.wait <= 0;
+  };
+  const bool any_free = std::any_of(all.begin(), all.end(), is_free);
+  const auto rank = [&](const candidate& c) {
+    const bool kept_back = c.route->crosses_fabric_domains && any_free;
+    return (c.tried ? 4 : 0) + (c.avoided ? 2 : 0) + (kept_back ? 1 : 0);
+  };
+  const auto better = [&](const candidate& a, const candidate& b) {
+    return rank(a) != rank(b) ? rank(a) < rank(b) : a.expected < b.expected;
+  };
+  const auto first = std::min_element(all.begin(), all.end(), better);
+  std::vector<candidate*> equal;
+  for (candidate& c : all) {
+    if (rank(c) == rank(*first) && c.expected <= first->expected * (1 + equal_within)) {
+      equal.push_back(&c);
+    }
+  }
+  return equal[random_.below(equal.size())];
+}
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/request/keyed.cpp
@@ -0,0 +1,316 @@
+// The state machine of a non-repeatable call.
+#include "request/keyed.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/hash.h"
+
+namespace arbutus {
+
+namespace {
+
+wall_time operator+(wall_time at, duration d) {
+  return {at.milliseconds + std::chrono::duration_cast<std::chrono::milliseconds>(d).count()};
+}
+
+duration between(wall_time from, wall_time to) {
+  return std::chrono::milliseconds{to.milliseconds - from.milliseconds};
+}
+
+}  // namespace
+
+keyed_call::keyed_call(const keyed_call_facts& facts, const keyed_settings& settings)
+    : facts_(facts), settings_(settings), row_(keyed_row(facts.workspace, facts.key)) {
+  record_.owner = facts.owner;
+  record_.body_hash = facts.body_hash;
+  backoff_ = settings.first_backoff;
+}
+
+keyed_effects keyed_call::start(time_point now, wall_time wall) {
+  step_ = step::reserving;
+  patience_until_ = std::min(facts_.deadline, now + settings_.table_patience);
+  return write(now, wall, record_phase::reserved);
+}
+
+keyed_effects keyed_call::on(time_point now, wall_time wall, const table_write_result& result) {
+  if (!asked_table_ || result.asked.key != row_ || step_ == step::finished) {
+    return {};
+  }
+  asked_table_ = false;
+  if (const auto* done = std::get_if<table_written>(&result.result)) {
+    row_version_ = done->version;
+    backoff_ = settings_.first_backoff;
+    // What we want may have changed while the write was under way.
+    const bool is_wanted = result.asked.value == wanted_;
+    return is_wanted ? standing(now, wall) : write(now, wall, record_.phase);
+  }
+  // Refused: another record stands there, or an earlier write of ours whose reply was lost.
+  // Unknown: it may have taken effect. In both cases only the row itself can tell.
+  if (std::holds_alternative<refused>(result.result)) {
+    return read();
+  }
+  retry_later(now);
+  return {};
+}
+
+keyed_effects keyed_call::on(time_point now, wall_time wall, const table_read_result& result) {
+  if (!asked_table_ || result.asked.key != row_ || step_ == step::finished) {
+    return {};
+  }
+  asked_table_ = false;
+  const auto* row = std::get_if<table_row>(&result.result);
+  if (row == nullptr) {
+    retry_later(now);
+    return {};
+  }
+  row_version_ = row->version;
+  if (row->version == 0) {
+    return found_none(now, wall);
+  }
+  const outcome<keyed_record> found = decode_keyed_record(row->value);
+  if (!is_ok(found)) {
+    if (step_ == step::recording) {
+      step_ = step::finished;
+      return {};
+    }
+    wrote_ = false;  // the damaged row is left for people to look at
+    return stop_unsent(now, wall, "the record of this key is damaged");
+  }
+  const auto& standing_record = std::get<keyed_record>(found);
+  if (standing_record.owner == facts_.owner) {
+    return found_own(now, wall, standing_record.phase);
+  }
+  return found_other(now, wall, standing_record);
+}
+
+keyed_effects keyed_call::tick(time_point now, wall_time wall) {
+  if (step_ == step::recording && record_until_ && now >= *record_until_) {
+    step_ = step::finished;
+    return {};
+  }
+  const bool before_ready = step_ == step::reserving || step_ == step::marking;
+  if (before_ready && patience_until_ && now >= *patience_until_) {
+    return stop_unsent(now, wall, "the table did not take the record in time");
+  }
+  if (step_ == step::ready && !may_send(now)) {
+    return stop_unsent(now, wall, "the time to send has passed");
+  }
+  if (now >= retry_at_ && !asked_table_ && step_ != step::finished) {
+    return read();
+  }
+  return {};
+}
+
+time_point keyed_call::next_tick() const {
+  time_point next = retry_at_;
+  if ((step_ == step::reserving || step_ == step::marking) && patience_until_) {
+    next = std::min(next, *patience_until_);
+  }
+  if (step_ == step::ready && send_until_) {
+    next = std::min({next, *send_until_, facts_.deadline});
+  }
+  if (step_ == step::recording && record_until_) {
+    next = std::min(next, *record_until_);
+  }
+  return step_ == step::finished ? time_point::max() : next;
+}
+
+// A paused process does not know that it was paused. The record in `sending` keeps others from
+// running the call, but only until it expires; so the permission ends by this node's own clock
+// long before that.
+bool keyed_call::may_send(time_point now) const {
+  return step_ == step::ready && send_until_ && now < *send_until_ && now < facts_.deadline;
+}
+
+void keyed_call::sent() {
+  if (step_ == step::ready) {
+    may_have_sent_ = true;
+    step_ = step::sent;
+  }
+}
+
+keyed_effects keyed_call::ended(time_point now, wall_time wall, execution how) {
+  if (step_ == step::ready) {
+    return stop_unsent(now, wall, "the target could not be reached");
+  }
+  if (step_ != step::sent) {
+    return {};
+  }
+  if (how == execution::not_run) {
+    keyed_effects out = reply({.what = keyed_reply::kind::not_run,
+                               .reason = "refused by the target",
+                               .retry_after = settings_.first_backoff});
+    keyed_effects more = record_outcome(now, wall, record_phase::not_run);
+    out.insert(out.end(), more.begin(), more.end());
+    return out;
+  }
+  // The record stays in `sending`: whoever asks later learns that the call may have run.
+  step_ = step::finished;
+  return reply({.what = keyed_reply::kind::unknown, .reason = "no whole answer from the target"});
+}
+
+keyed_effects keyed_call::answered(time_point now, wall_time wall, const keyed_answer& answer) {
+  if (step_ != step::sent) {
+    return {};
+  }
+  record_.status = answer.status;
+  record_.content_type = answer.content_type;
+  record_.body_dropped = answer.body.size() > settings_.max_body;
+  record_.body = record_.body_dropped ? content_hash(answer.body) : answer.body;
+  keyed_effects out = reply({.what = keyed_reply::kind::done,
+                             .status = answer.status,
+                             .content_type = answer.content_type,
+                             .body = answer.body});
+  keyed_effects more = record_outcome(now, wall, record_phase::done);
+  out.insert(out.end(), more.begin(), more.end());
+  return out;
+}
+
+keyed_effects keyed_call::cancel(time_point now, wall_time wall) {
+  const bool unsent = step_ == step::reserving || step_ == step::marking || step_ == step::ready;
+  return unsent ? stop_unsent(now, wall, "the caller is gone") : keyed_effects{};
+}
+
+keyed_effects keyed_call::write(time_point now, wall_time wall, record_phase phase) {
+  record_.phase = phase;
+  record_.changed = wall;
+  record_.answer_by = wall + std::max(facts_.deadline - now, duration{0});
+  record_.expires = record_.answer_by + settings_.send_window + settings_.retention;
+  if (phase == record_phase::sending) {
+    // Counted from before the write, which may take long.
+    send_until_ = now + settings_.send_window;
+  }
+  wanted_ = encode(record_);
+  wrote_ = true;
+  asked_table_ = true;
+  retry_at_ = time_point::max();
+  return {table_write{row_, wanted_, row_version_}};
+}
+
+keyed_effects keyed_call::read() {
+  asked_table_ = true;
+  retry_at_ = time_point::max();
+  return {table_read{row_}};
+}
+
+void keyed_call::retry_later(time_point now) {
+  retry_at_ = now + backoff_;
+  backoff_ = std::min(settings_.max_backoff, backoff_ * 2);
+}
+
+// Our record stands in the table as we want it.
+keyed_effects keyed_call::standing(time_point now, wall_time wall) {
+  switch (step_) {
+    case step::reserving:
+      step_ = step::marking;
+      return write(now, wall, record_phase::sending);
+    case step::marking:
+      step_ = step::ready;
+      return may_send(now) ? keyed_effects{keyed_send{}}
+                           : stop_unsent(now, wall, "the time to send has passed");
+    case step::recording:
+      step_ = step::finished;
+      return {};
+    default:
+      return {};
+  }
+}
+
+keyed_effects keyed_call::found_none(time_point now, wall_time wall) {
+  if (step_ == step::marking) {
+    // The table was set back to an older copy: what it says of other calls may be old, too.
+    return stop_unsent(now, wall, "the record is gone from the table");
+  }
+  if (step_ == step::recording && record_.phase == record_phase::not_run) {
+    step_ = step::finished;
+    return {};
+  }
+  return write(now, wall, record_.phase);
+}
+
+keyed_effects keyed_call::found_own(time_point now, wall_time wall, record_phase phase) {
+  return phase == record_.phase ? standing(now, wall) : write(now, wall, record_.phase);
+}
+
+keyed_effects keyed_call::found_other(time_point now, wall_time wall, const keyed_record& other) {
+  if (step_ == step::recording) {
+    step_ = step::finished;
+    return {};
+  }
+  if (step_ == step::reserving) {
+    const bool same_body = other.body_hash == facts_.body_hash;
+    const bool has_lost_owner = other.phase == record_phase::reserved && same_body &&
+                                between(other.changed, wall) >= settings_.takeover_after;
+    const bool never_ran = other.phase == record_phase::not_run && same_body;
+    if (other.expires <= wall || has_lost_owner || never_ran) {
+      return write(now, wall, record_phase::reserved);
+    }
+  }
+  // In `marking`, somebody took our reservation over while we were paused: we have not sent and
+  // never will, but the call may run through them, so it is not called not-run.
+  return answer_for(wall, other);
+}
+
+keyed_effects keyed_call::answer_for(wall_time wall, const keyed_record& other) {
+  step_ = step::finished;
+  if (other.body_hash != facts_.body_hash) {
+    return reply({.what = keyed_reply::kind::conflict,
+                  .reason = "the idempotency key was used with another request"});
+  }
+  if (other.phase == record_phase::done) {
+    return reply({.what = keyed_reply::kind::done,
+                  .status = other.status,
+                  .content_type = other.content_type,
+                  .body = other.body_dropped ? std::string{} : other.body,
+                  .replayed = true,
+                  .body_dropped = other.body_dropped});
+  }
+  const bool is_over = other.phase == record_phase::sending && wall > other.answer_by;
+  if (is_over) {
+    return reply({.what = keyed_reply::kind::unknown,
+                  .reason = "an equal call was sent and its outcome was not recorded",
+                  .replayed = true});
+  }
+  const duration open = between(wall, other.answer_by);
+  return reply({.what = keyed_reply::kind::in_progress,
+                .reason = "an equal call is running",
+                .retry_after = std::clamp(open, settings_.first_backoff, settings_.max_backoff)});
+}
+
+// We have not sent and never will: the step leaves the ones in which may_send() could be true.
+keyed_effects keyed_call::stop_unsent(time_point now, wall_time wall, std::string reason) {
+  keyed_effects out = reply({.what = keyed_reply::kind::not_run,
+                             .reason = std::move(reason),
+                             .retry_after = settings_.table_retry_after});
+  if (!wrote_) {
+    step_ = step::finished;
+    return out;
+  }
+  keyed_effects more = record_outcome(now, wall, record_phase::not_run);
+  out.insert(out.end(), more.begin(), more.end());
+  return out;
+}
+
+keyed_effects keyed_call::record_outcome(time_point now, wall_time wall, record_phase phase) {
+  step_ = step::recording;
+  record_until_ = now + settings_.record_for;
+  record_.phase = phase;
+  if (asked_table_) {
+    wanted_.clear();  // the write under way is not the wanted one; its result brings us back
+    return {};
+  }
+  if (retry_at_ != time_point::max()) {
+    return {};  // an earlier write is unresolved: the read that is due comes first
+  }
+  return write(now, wall, phase);
+}
+
+keyed_effects keyed_call::reply(keyed_reply what) {
+  if (std::exchange(replied_, true)) {
+    return {};
+  }
+  return {std::move(what)};
+}
+
+}  // namespace arbutus
--- a/src/request/keyed.h
+++ b/src/request/keyed.h
@@ -45,7 +45,7 @@
   std::string body_hash;  // content_hash of method, path and body
   record_phase phase = record_phase::reserved;
   wall_time changed;
-  wall_time send_until;  // the owner never sends later
+  wall_time answer_by;  // the owner's call has ended by then, one way or the other
   wall_time expires;
   // Of a done call. A body that is too large is kept as its hash only.
   std::uint32_t status{};
@@ -61,10 +61,13 @@
 [[nodiscard]] std::string keyed_row(const workspace_id& workspace, const idempotency_key& key);
 
 struct keyed_settings {
-  duration send_window = 2s;      // from the issue of the write to `sending` to the send
-  duration takeover_after = 5s;   // a record reserved for longer has lost its owner
-  duration retention = 24h;       // how long a repeated call is recognised
-  duration first_backoff = 50ms;  // between tries to reach the table
+  duration send_window = 2s;        // from the issue of the write to `sending` to the send
+  duration takeover_after = 5s;     // a record reserved for longer has lost its owner
+  duration retention = 24h;         // how long a repeated call is recognised
+  duration table_patience = 2s;     // without the record after that: not run, try again later
+  duration table_retry_after = 2s;  // told to the caller when the table is away
+  duration record_for = 10min;      // how long the outcome is tried to be recorded
+  duration first_backoff = 50ms;    // between tries to reach the table
   duration max_backoff = 1s;
   std::size_t max_body = 16 * 1024;
 };
@@ -83,11 +86,11 @@
     conflict,     // the key was used with another body
   };
   kind what = kind::unknown;
-  std::string reason;
+  std::string reason{};
   duration retry_after{};
   std::uint32_t status{};
-  std::string content_type;
-  std::string body;
+  std::string content_type{};
+  std::string body{};
   bool replayed = false;      // recorded earlier
   bool body_dropped = false;  // the call is done, but its answer was too large to keep
 };
@@ -118,46 +121,61 @@
   [[nodiscard]] keyed_effects on(time_point now, wall_time wall, const table_write_result& result);
   [[nodiscard]] keyed_effects on(time_point now, wall_time wall, const table_read_result& result);
   [[nodiscard]] keyed_effects tick(time_point now, wall_time wall);
-  [[nodiscard]] time_point next_tick() const { return retry_at_; }
+  [[nodiscard]] time_point next_tick() const;
 
   // To be asked directly before the first byte is written. After sent() it is false for good.
   [[nodiscard]] bool may_send(time_point now) const;
-  void sent(time_point now);
+  void sent();
   // The attempt ended without an answer. Proven not run only if `how` says so.
   [[nodiscard]] keyed_effects ended(time_point now, wall_time wall, execution how);
   [[nodiscard]] keyed_effects answered(time_point now, wall_time wall, const keyed_answer& answer);
 
+  // The caller is gone. A call that was not sent by then never is.
+  [[nodiscard]] keyed_effects cancel(time_point now, wall_time wall);
+
   // Nothing is left to be done for this call.
   [[nodiscard]] bool finished() const { return step_ == step::finished; }
 
  private:
-  enum class step { idle, reserving, marking, ready, sent, recording, finished };
+  enum class step {
+    idle,
+    reserving,  // until our record stands
+    marking,    // until it says `sending`
+    ready,      // may be sent
+    sent,
+    recording,  // the caller has its answer; the outcome is still to be recorded
+    finished,
+  };
 
-  [[nodiscard]] keyed_effects write(time_point now, record_phase phase, wall_time wall);
-  [[nodiscard]] keyed_effects read_back(time_point now);
-  [[nodiscard]] keyed_effects later(time_point now);
-  [[nodiscard]] keyed_effects found(time_point now, wall_time wall, const table_row& row);
-  [[nodiscard]] keyed_effects found_own(time_point now, wall_time wall, const keyed_record& found);
+  [[nodiscard]] keyed_effects write(time_point now, wall_time wall, record_phase phase);
+  [[nodiscard]] keyed_effects read();
+  void retry_later(time_point now);
+  [[nodiscard]] keyed_effects standing(time_point now, wall_time wall);
+  [[nodiscard]] keyed_effects found_none(time_point now, wall_time wall);
+  [[nodiscard]] keyed_effects found_own(time_point now, wall_time wall, record_phase phase);
   [[nodiscard]] keyed_effects found_other(time_point now, wall_time wall,
-                                          const keyed_record& found);
-  [[nodiscard]] keyed_effects written(time_point now, wall_time wall);
+                                          const keyed_record& other);
+  [[nodiscard]] keyed_effects answer_for(wall_time wall, const keyed_record& other);
   [[nodiscard]] keyed_effects stop_unsent(time_point now, wall_time wall, std::string reason);
-  [[nodiscard]] keyed_effects record(time_point now, wall_time wall, record_phase phase);
+  [[nodiscard]] keyed_effects record_outcome(time_point now, wall_time wall, record_phase phase);
   [[nodiscard]] keyed_effects reply(keyed_reply what);
 
   keyed_call_facts facts_;
   keyed_settings settings_;
+  std::string row_;
   step step_ = step::idle;
-  keyed_record record_;            // as last written or to be written
+  keyed_record record_;            // as we want it to stand
+  std::string wanted_;             // record_ encoded as last written
   std::uint64_t row_version_ = 0;  // the table's version that the next write expects
+  bool asked_table_ = false;       // a table call is under way; there is never a second one
+  bool wrote_ = false;             // a write of ours may have taken effect
+  bool may_have_sent_ = false;     // never reset
+  bool replied_ = false;
   std::optional<time_point> send_until_;
+  std::optional<time_point> patience_until_;
+  std::optional<time_point> record_until_;
   time_point retry_at_ = time_point::max();
-  time_point give_up_recording_ = time_point::max();
   duration backoff_{};
-  bool replied_ = false;
-  bool may_have_sent_ = false;  // never reset
-  bool row_may_exist_ = false;  // a write of ours may have taken effect
-  bool awaiting_ = false;       // a table call is under way
 };
 
 }  // namespace arbutus
