--- /dev/null
+++ b/src/version/cross_check.cpp
@@ -0,0 +1,454 @@
+// Checks across records. Each check is one small function that adds to the findings.
+#include "version/cross_check.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "version/assignment.h"
+#include "version/field_text.h"
+
+namespace arbutus {
+
+namespace {
+
+// Paths that the nodes answer themselves.
+constexpr std::string_view model_api_prefix = "/v1";
+
+std::string indexed(std::string_view list, std::size_t index) {
+  return std::string(list) + '/' + std::to_string(index);
+}
+
+class checker {
+ public:
+  checker(const inventory& assets, const rules& wanted, const place_index& places)
+      : assets_(assets), wanted_(wanted), places_(places) {}
+
+  findings run() {
+    check_names();
+    check_vms_listed_twice();
+    check_fabric_domains();
+    check_endpoints();
+    check_data_centres();
+    check_services();
+    check_workspaces();
+    check_classes();
+    check_prefixes();
+    check_models();
+    check_room();
+    return std::move(problems_);
+  }
+
+ private:
+  void add(severity level, const std::string& path, std::string message,
+           std::string expected = {}) {
+    if (problems_.size() < max_findings) {
+      problems_.push_back({level, places_.at(path), std::move(message), std::move(expected)});
+    }
+  }
+  void error(const std::string& path, std::string message, std::string expected = {}) {
+    add(severity::error, path, std::move(message), std::move(expected));
+  }
+  void warning(const std::string& path, std::string message, std::string expected = {}) {
+    add(severity::warning, path, std::move(message), std::move(expected));
+  }
+
+  std::string line_of(const std::string& path) const {
+    const place at = places_.at(path);
+    return at.line == 0 ? at.file : at.file + ':' + std::to_string(at.line);
+  }
+
+  // ---- names ----
+
+  using name_uses = std::map<std::string, std::string, std::less<>>;  // name to path
+
+  void use_name(name_uses& names, const std::string& name, const std::string& path,
+                std::string_view what) {
+    const auto [first, is_new] = names.emplace(name, path);
+    if (!is_new && !name.empty()) {
+      error(path + "/id",
+            "the name " + in_quotes(name) + " of this " + std::string(what) + " is taken at " +
+                line_of(first->second),
+            "names that differ");
+    }
+  }
+
+  template <class Record>
+  void use_ids(name_uses& names, const std::vector<Record>& records, std::string_view list,
+               std::string_view what) {
+    for (std::size_t i = 0; i < records.size(); ++i) {
+      use_name(names, records[i].id.str(), indexed(list, i), what);
+    }
+  }
+
+  // VMs and nodes share one space of names, since both stand in lists of machines and in logs; so
+  // do models and services, which callers ask for.
+  void check_names() {
+    name_uses data_centres;
+    use_ids(data_centres, assets_.data_centres, "data_centres", "data centre");
+    name_uses machines = first_vms();
+    use_ids(machines, assets_.nodes, "nodes", "node");
+    name_uses offers;
+    use_ids(offers, wanted_.models, "models", "model");
+    use_ids(offers, wanted_.services, "services", "service");
+    name_uses workspaces;
+    use_ids(workspaces, wanted_.workspaces, "workspaces", "workspace");
+  }
+
+  name_uses first_vms() const {
+    name_uses names;
+    for (std::size_t i = 0; i < assets_.vms.size(); ++i) {
+      names.emplace(assets_.vms[i].id.str(), indexed("vms", i));
+    }
+    return names;
+  }
+
+  // Goes wrong: a VM that stands twice would be planned into two replicas, once for each row.
+  void check_vms_listed_twice() {
+    std::map<vm_id, std::size_t> first;
+    for (std::size_t i = 0; i < assets_.vms.size(); ++i) {
+      const vm_record& vm = assets_.vms[i];
+      const auto [before, is_new] = first.emplace(vm.id, i);
+      if (is_new || vm.id.empty()) {
+        continue;
+      }
+      const vm_record& other = assets_.vms[before->second];
+      const std::string earlier = line_of(indexed("vms", before->second));
+      if (other.fabric_domain != vm.fabric_domain) {
+        error(indexed("vms", i) + "/fabric_domain",
+              "VM " + in_quotes(vm.id.str()) + " is in two fabric domains, " +
+                  in_quotes(vm.fabric_domain.str()) + " here and " +
+                  in_quotes(other.fabric_domain.str()) + " at " + earlier,
+              "one row for each VM");
+      } else {
+        error(indexed("vms", i) + "/id",
+              "VM " + in_quotes(vm.id.str()) + " is listed already at " + earlier,
+              "one row for each VM");
+      }
+    }
+  }
+
+  void check_fabric_domains() {
+    std::map<fabric_domain_id, std::size_t> first;
+    for (std::size_t i = 0; i < assets_.vms.size(); ++i) {
+      const vm_record& vm = assets_.vms[i];
+      const std::size_t before = first.emplace(vm.fabric_domain, i).first->second;
+      const data_centre_id& other = assets_.vms[before].data_centre;
+      if (!vm.fabric_domain.empty() && other != vm.data_centre) {
+        error(indexed("vms", i) + "/fabric_domain",
+              "fabric domain " + in_quotes(vm.fabric_domain.str()) + " is in data centre " +
+                  in_quotes(other.str()) + " at " + line_of(indexed("vms", before)),
+              "a fabric domain within one data centre");
+      }
+    }
+  }
+
+  // ---- endpoints ----
+
+  using endpoint_uses = std::map<endpoint, std::string>;
+
+  void use_endpoint(endpoint_uses& uses, const endpoint& address, const std::string& path) {
+    const auto [first, is_new] = uses.emplace(address, path);
+    if (!is_new && address.port != 0) {
+      error(path, "endpoint " + to_string(address) + " is taken at " + line_of(first->second),
+            "endpoints that differ");
+    }
+  }
+
+  void check_endpoints() {
+    endpoint_uses uses;
+    for (std::size_t i = 0; i < assets_.vms.size(); ++i) {
+      use_endpoint(uses, assets_.vms[i].address, indexed("vms", i) + "/address");
+    }
+    for (std::size_t i = 0; i < assets_.nodes.size(); ++i) {
+      use_endpoint(uses, assets_.nodes[i].link, indexed("nodes", i) + "/link");
+      use_endpoint(uses, assets_.nodes[i].caller, indexed("nodes", i) + "/caller");
+    }
+    for (std::size_t i = 0; i < assets_.services.size(); ++i) {
+      use_endpoint(uses, assets_.services[i].address, indexed("services_at", i));
+    }
+  }
+
+  // ---- references ----
+
+  // A reference to a record that there is not; `names` are those that there are.
+  void check_reference(const std::string& path, std::string_view what, const std::string& name,
+                       const std::set<std::string, std::less<>>& names) {
+    if (name.empty() || names.contains(name)) {
+      return;
+    }
+    const std::vector<std::string_view> candidates(names.begin(), names.end());
+    finding problem = unknown_word(places_.at(path), what, name, candidates);
+    if (problems_.size() < max_findings) {
+      problems_.push_back(std::move(problem));
+    }
+  }
+
+  template <class Record>
+  static std::set<std::string, std::less<>> ids_of(const std::vector<Record>& records) {
+    std::set<std::string, std::less<>> names;
+    for (const Record& record : records) {
+      names.insert(record.id.str());
+    }
+    return names;
+  }
+
+  template <class Record>
+  void check_data_centre_of(const std::vector<Record>& records, std::string_view list,
+                            const std::set<std::string, std::less<>>& names) {
+    for (std::size_t i = 0; i < records.size(); ++i) {
+      check_reference(indexed(list, i) + "/data_centre", "data centre",
+                      records[i].data_centre.str(), names);
+    }
+  }
+
+  void check_data_centres() {
+    const auto names = ids_of(assets_.data_centres);
+    check_data_centre_of(assets_.vms, "vms", names);
+    check_data_centre_of(assets_.nodes, "nodes", names);
+    check_data_centre_of(assets_.services, "services_at", names);
+    for (std::size_t m = 0; m < wanted_.models.size(); ++m) {
+      const auto& placements = wanted_.models[m].placements;
+      for (std::size_t p = 0; p < placements.size(); ++p) {
+        check_reference(indexed("models", m) + "/placements/" + std::to_string(p), "data centre",
+                        placements[p].data_centre.str(), names);
+      }
+    }
+    std::set<data_centre_id> with_node;
+    for (const node_record& node : assets_.nodes) {
+      with_node.insert(node.data_centre);
+    }
+    for (std::size_t i = 0; i < assets_.data_centres.size(); ++i) {
+      if (!with_node.contains(assets_.data_centres[i].id)) {
+        warning(indexed("data_centres", i),
+                "data centre " + in_quotes(assets_.data_centres[i].id.str()) + " has no node",
+                "a node in each data centre");
+      }
+    }
+  }
+
+  void check_services() {
+    const auto names = ids_of(wanted_.services);
+    for (std::size_t i = 0; i < assets_.services.size(); ++i) {
+      check_reference(indexed("services_at", i) + "/id", "service",
+                      assets_.services[i].service.str(), names);
+    }
+    const auto workspaces = ids_of(wanted_.workspaces);
+    for (std::size_t s = 0; s < wanted_.services.size(); ++s) {
+      check_service(wanted_.services[s], indexed("services", s), workspaces);
+    }
+  }
+
+  void check_service(const service_rule& service, const std::string& path,
+                     const std::set<std::string, std::less<>>& workspaces) {
+    const auto of_this = [&](const service_target& t) { return t.service == service.id; };
+    if (std::none_of(assets_.services.begin(), assets_.services.end(), of_this)) {
+      warning(path, "service " + in_quotes(service.id.str()) + " has no target in the inventory");
+    }
+    for (std::size_t i = 0; i < service.workspaces.size(); ++i) {
+      check_reference(path + "/workspaces/" + std::to_string(i), "workspace",
+                      service.workspaces[i].str(), workspaces);
+    }
+    for (std::size_t i = 0; i < service.idempotent_calls.size(); ++i) {
+      const std::string& call = service.idempotent_calls[i].path_prefix;
+      if (!is_below(call, service.path_prefix)) {
+        error(path + "/idempotent_calls/" + std::to_string(i),
+              "path " + in_quotes(call) + " is not below the service's path",
+              "a path below " + service.path_prefix);
+      }
+    }
+  }
+
+  void check_workspaces() {
+    const auto models = ids_of(wanted_.models);
+    std::map<std::string, std::size_t> owners;  // of key hashes
+    for (std::size_t w = 0; w < wanted_.workspaces.size(); ++w) {
+      const workspace_rule& workspace = wanted_.workspaces[w];
+      const std::string path = indexed("workspaces", w);
+      for (std::size_t i = 0; i < workspace.models.size(); ++i) {
+        check_reference(path + "/models/" + std::to_string(i), "model", workspace.models[i].str(),
+                        models);
+      }
+      if (workspace.key_hashes.empty()) {
+        warning(path,
+                "workspace " + in_quotes(workspace.id.str()) + " has no key; nobody can use it");
+      }
+      for (std::size_t i = 0; i < workspace.key_hashes.size(); ++i) {
+        const std::size_t owner = owners.emplace(workspace.key_hashes[i], w).first->second;
+        if (owner != w) {
+          error(path + "/key_hashes/" + std::to_string(i),
+                "the key belongs to workspace " + in_quotes(wanted_.workspaces[owner].id.str()) +
+                    " already",
+                "a key of its own for each workspace");
+        }
+      }
+    }
+  }
+
+  void check_classes() {
+    name_uses names;
+    for (std::size_t c = 0; c < wanted_.classes.size(); ++c) {
+      const class_rule& entry = wanted_.classes[c];
+      const std::string path = indexed("classes", c);
+      const auto [first, is_new] = names.emplace(entry.name, path);
+      if (!is_new && !entry.name.empty()) {
+        error(path + "/name",
+              "class " + in_quotes(entry.name) + " is listed already at " + line_of(first->second),
+              "each class once");
+      }
+      if (entry.first_token > entry.deadline) {
+        error(path + "/first_token_ms", "the first token may come after the deadline",
+              "at most deadline_ms");
+      }
+    }
+  }
+
+  // ---- paths ----
+
+  static bool is_below(std::string_view path, std::string_view prefix) {
+    return path.starts_with(prefix) && (path.size() == prefix.size() || path[prefix.size()] == '/');
+  }
+
+  // Goes wrong: with overlapping prefixes the order of the rules would choose the service.
+  void check_prefixes() {
+    name_uses prefixes;
+    for (std::size_t s = 0; s < wanted_.services.size(); ++s) {
+      const std::string& prefix = wanted_.services[s].path_prefix;
+      const std::string path = indexed("services", s) + "/path_prefix";
+      if (is_below(prefix, model_api_prefix)) {
+        error(path, "path " + in_quotes(prefix) + " belongs to the models' own interface",
+              "a path outside of /v1");
+      }
+      const auto [first, is_new] = prefixes.emplace(prefix, path);
+      if (!is_new && !prefix.empty()) {
+        error(path, "path " + in_quotes(prefix) + " is taken at " + line_of(first->second),
+              "paths that differ");
+      }
+    }
+    for (const auto& [prefix, path] : prefixes) {
+      check_parents(prefix, path, prefixes);
+    }
+  }
+
+  void check_parents(std::string_view prefix, const std::string& path, const name_uses& all) {
+    for (std::size_t slash = prefix.rfind('/'); slash != std::string_view::npos && slash > 0;
+         slash = prefix.rfind('/', slash - 1)) {
+      const auto parent = all.find(prefix.substr(0, slash));
+      if (parent != all.end()) {
+        error(path,
+              "path " + in_quotes(prefix) + " is below " + in_quotes(parent->first) + " at " +
+                  line_of(parent->second),
+              "paths that do not overlap");
+      }
+    }
+  }
+
+  // ---- room ----
+
+  // How many VMs of each fabric domain of `dc` could be members of `model`.
+  std::map<fabric_domain_id, std::uint32_t> fitting_vms(const model_rule& model,
+                                                        const data_centre_id& dc) const {
+    std::map<fabric_domain_id, std::uint32_t> count;
+    for (const vm_record& vm : assets_.vms) {
+      if (vm.data_centre == dc && vm.accelerators >= model.accelerators_per_vm) {
+        ++count[vm.fabric_domain];
+      }
+    }
+    return count;
+  }
+
+  void check_models() {
+    for (std::size_t m = 0; m < wanted_.models.size(); ++m) {
+      const model_rule& model = wanted_.models[m];
+      const std::string path = indexed("models", m);
+      if (model.placements.empty()) {
+        warning(path, "model " + in_quotes(model.id.str()) + " is placed nowhere",
+                "replicas = { DATA_CENTRE = COUNT }");
+      }
+      if (model.vms_per_replica + wanted_.standbys_per_replica > max_positions) {
+        error(path + "/vms_per_replica",
+              "members and standbys of a replica are more than " + std::to_string(max_positions),
+              "at most " + std::to_string(max_positions) + " together");
+      }
+      for (std::size_t p = 0; p < model.placements.size(); ++p) {
+        check_placement(model, model.placements[p], path + "/placements/" + std::to_string(p));
+      }
+    }
+  }
+
+  void check_placement(const model_rule& model, const model_placement& wanted,
+                       const std::string& path) {
+    if (wanted.replicas == 0 || model.vms_per_replica == 0) {
+      return;
+    }
+    std::uint32_t vms = 0;
+    std::uint32_t largest = 0;
+    std::uint32_t in_domains = 0;  // replicas that fit without crossing
+    for (const auto& [domain, count] : fitting_vms(model, wanted.data_centre)) {
+      vms += count;
+      largest = std::max(largest, count);
+      in_domains += count / model.vms_per_replica;
+    }
+    const std::string what =
+        "model " + in_quotes(model.id.str()) + " in " + in_quotes(wanted.data_centre.str());
+    const std::string need = std::to_string(model.vms_per_replica) + " VMs with " +
+                             std::to_string(model.accelerators_per_vm) + " accelerators each";
+    if (vms < model.vms_per_replica) {
+      error(path, what + " can never fit: " + std::to_string(vms) + " such VMs are there",
+            need + " for one replica");
+      return;
+    }
+    if (in_domains == 0 && !model.may_cross_fabric_domains) {
+      error(path,
+            what + " can never fit: a replica is larger than any fabric domain (largest: " +
+                std::to_string(largest) + " such VMs) and may not cross",
+            need + " in one fabric domain, or may_cross_fabric_domains = true");
+      return;
+    }
+    const std::uint32_t fits =
+        model.may_cross_fabric_domains ? vms / model.vms_per_replica : in_domains;
+    if (fits < wanted.replicas) {
+      warning(path, what + ": " + std::to_string(wanted.replicas) + " replicas wanted, at most " +
+                        std::to_string(fits) + " fit");
+    }
+  }
+
+  // All models of a data centre together.
+  void check_room() {
+    std::map<data_centre_id, std::uint64_t> wanted;
+    for (const model_rule& model : wanted_.models) {
+      for (const model_placement& p : model.placements) {
+        wanted[p.data_centre] += std::uint64_t{p.replicas} * model.vms_per_replica;
+      }
+    }
+    std::map<data_centre_id, std::uint64_t> present;
+    for (const vm_record& vm : assets_.vms) {
+      ++present[vm.data_centre];
+    }
+    for (std::size_t i = 0; i < assets_.data_centres.size(); ++i) {
+      const data_centre_id& dc = assets_.data_centres[i].id;
+      const std::uint64_t vms = present[dc];
+      if (wanted[dc] > vms) {
+        warning(indexed("data_centres", i), "the models want " + std::to_string(wanted[dc]) +
+                                                " VMs in " + in_quotes(dc.str()) + ", which has " +
+                                                std::to_string(vms));
+      }
+    }
+  }
+
+  const inventory& assets_;
+  const rules& wanted_;
+  const place_index& places_;
+  findings problems_;
+};
+
+}  // namespace
+
+findings cross_check(const inventory& assets, const rules& wanted, const place_index& places) {
+  return checker(assets, wanted, places).run();
+}
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/version/import_rules.cpp
@@ -0,0 +1,239 @@
+// The rules from TOML. Ranges of single fields are checked here, what needs other records in
+// cross_check.
+#include <algorithm>
+#include <initializer_list>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "version/field_text.h"
+#include "version/import.h"
+#include "version/secret.h"
+#include "version/toml_reader.h"
+
+namespace arbutus {
+
+namespace {
+
+constexpr whole_range any_count{0, 1'000'000};
+constexpr whole_range at_least_one{1, 1'000'000};
+constexpr std::uint32_t max_vms_per_replica = 32;
+// A day: nobody waits longer, and larger values are most likely given in another unit.
+constexpr whole_range waiting_ms{1, 86'400'000};
+constexpr real_range from_zero{0, 1e9, false};
+constexpr real_range above_zero{0, 1e9, true};
+
+template <class Id>
+void read_ids(table_reader& table, std::string_view key, const std::string& path,
+              std::vector<Id>& ids, rules_import& result) {
+  for (placed<std::string>& text : table.texts(key)) {
+    if (!is_name(text.value)) {
+      result.problems.push_back({severity::error, text.at,
+                                 std::string(key) + ": " + in_quotes(text.value) + " is no name",
+                                 std::string(name_expected)});
+      continue;
+    }
+    result.places.note(path + '/' + std::string(key) + '/' + std::to_string(ids.size()), text.at);
+    ids.emplace_back(std::move(text.value));
+  }
+}
+
+void note_fields(const table_reader& table, const std::string& path,
+                 std::initializer_list<std::string_view> keys, place_index& places) {
+  places.note(path, table.place_of(""));
+  for (const std::string_view key : keys) {
+    places.note(path + '/' + std::string(key), table.place_of(key));
+  }
+}
+
+void read_placements(table_reader& table, const std::string& path, model_rule& model,
+                     rules_import& result) {
+  for (const auto& [entry, at] : table.counts("replicas", any_count)) {
+    const auto& [data_centre, count] = entry;
+    result.places.note(path + "/placements/" + std::to_string(model.placements.size()), at);
+    model.placements.push_back({data_centre_id{data_centre}, count});
+  }
+}
+
+void read_model(table_reader& table, rules_import& result) {
+  const std::string path = "models/" + std::to_string(result.wanted.models.size());
+  note_fields(table, path, {"id", "vms_per_replica"}, result.places);
+  model_rule model;
+  table.read("id", model.id);
+  table.read_name("version", model.version, presence::required);
+  table.read("vms_per_replica", model.vms_per_replica, presence::optional,
+             {1, max_vms_per_replica});
+  table.read("accelerators_per_vm", model.accelerators_per_vm, presence::optional, at_least_one);
+  table.read("slots", model.slots, presence::optional, at_least_one);
+  table.read("may_cross_fabric_domains", model.may_cross_fabric_domains);
+  table.read("rank", model.rank, presence::optional, any_count);
+  read_ids(table, "adapters", path, model.adapters, result);
+  read_placements(table, path, model, result);
+  table.finish();
+  result.wanted.models.push_back(std::move(model));
+}
+
+bool is_path(std::string_view text) {
+  const auto plain = [](char c) { return c > ' ' && c < 0x7f && c != '?' && c != '#' && c != '%'; };
+  return text.size() > 1 && text.front() == '/' && text.back() != '/' &&
+         text.find("//") == std::string_view::npos && std::all_of(text.begin(), text.end(), plain);
+}
+
+constexpr std::string_view path_expected =
+    "a path such as /crew, without '/' at its end, '?', '#' or '%'";
+
+// "GET /crew/cards"
+std::optional<service_rule::idempotent_call> parse_call(std::string_view text) {
+  const std::size_t blank = text.find(' ');
+  if (blank == std::string_view::npos || blank == 0) {
+    return std::nullopt;
+  }
+  const std::string_view method = text.substr(0, blank);
+  const std::string_view path = text.substr(blank + 1);
+  const auto upper = [](char c) { return c >= 'A' && c <= 'Z'; };
+  if (!std::all_of(method.begin(), method.end(), upper) || !is_path(path)) {
+    return std::nullopt;
+  }
+  return service_rule::idempotent_call{std::string(method), std::string(path)};
+}
+
+void read_calls(table_reader& table, const std::string& path, service_rule& service,
+                rules_import& result) {
+  for (const placed<std::string>& text : table.texts("idempotent_calls")) {
+    auto call = parse_call(text.value);
+    if (!call) {
+      result.problems.push_back({severity::error, text.at,
+                                 "idempotent_calls: " + in_quotes(text.value) + " is no call",
+                                 "method and path, as \"GET /crew/cards\""});
+      continue;
+    }
+    const std::string index = std::to_string(service.idempotent_calls.size());
+    result.places.note(path + "/idempotent_calls/" + index, text.at);
+    service.idempotent_calls.push_back(std::move(*call));
+  }
+}
+
+void read_service(table_reader& table, rules_import& result) {
+  const std::string path = "services/" + std::to_string(result.wanted.services.size());
+  note_fields(table, path, {"id", "path_prefix"}, result.places);
+  service_rule service;
+  table.read("id", service.id);
+  table.read("path_prefix", service.path_prefix, presence::required);
+  const bool given = !service.path_prefix.empty();
+  if (given && !is_path(service.path_prefix)) {
+    table.problem("path_prefix", in_quotes(service.path_prefix) + " is no path",
+                  std::string(path_expected));
+  }
+  read_calls(table, path, service, result);
+  read_ids(table, "workspaces", path, service.workspaces, result);
+  table.finish();
+  result.wanted.services.push_back(std::move(service));
+}
+
+bool is_key_hash(std::string_view text) {
+  const auto digit = [](char c) { return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f'); };
+  return text.size() == sha256_hex_length && std::all_of(text.begin(), text.end(), digit);
+}
+
+void read_key_hashes(table_reader& table, const std::string& path, workspace_rule& workspace,
+                     rules_import& result) {
+  for (placed<std::string>& text : table.texts("key_hashes")) {
+    if (!is_key_hash(text.value)) {
+      // The text is not shown: it may be the key itself, pasted by mistake.
+      result.problems.push_back({severity::error, text.at, "key_hashes: an entry is no hash",
+                                 "64 digits 0-9 a-f, the SHA-256 of the key"});
+      continue;
+    }
+    const std::string index = std::to_string(workspace.key_hashes.size());
+    result.places.note(path + "/key_hashes/" + index, text.at);
+    workspace.key_hashes.push_back(std::move(text.value));
+  }
+}
+
+void read_workspace(table_reader& table, rules_import& result) {
+  const std::string path = "workspaces/" + std::to_string(result.wanted.workspaces.size());
+  note_fields(table, path, {"id"}, result.places);
+  workspace_rule workspace;
+  table.read("id", workspace.id);
+  read_key_hashes(table, path, workspace, result);
+  read_ids(table, "models", path, workspace.models, result);
+  table.read("share", workspace.share, presence::optional, above_zero);
+  table.read("requests_per_second", workspace.requests_per_second, presence::optional, from_zero);
+  table.read("burst", workspace.burst, presence::optional, from_zero);
+  table.finish();
+  result.wanted.workspaces.push_back(std::move(workspace));
+}
+
+void read_class(table_reader& table, rules_import& result) {
+  const std::string path = "classes/" + std::to_string(result.wanted.classes.size());
+  note_fields(table, path, {"name", "first_token_ms"}, result.places);
+  class_rule entry;
+  table.read_name("name", entry.name, presence::required);
+  table.read("priority", entry.priority, presence::optional, any_count);
+  table.read_ms("deadline_ms", entry.deadline, presence::optional, waiting_ms);
+  table.read_ms("first_token_ms", entry.first_token, presence::optional, waiting_ms);
+  table.finish();
+  result.wanted.classes.push_back(std::move(entry));
+}
+
+void read_weights(table_reader table, rules& wanted) {
+  table.read("group_downtime", wanted.preference.group_downtime, presence::optional, from_zero);
+  table.read("stranded_accelerators", wanted.preference.stranded_accelerators, presence::optional,
+             from_zero);
+  if (wanted.preference.group_downtime + wanted.preference.stranded_accelerators <= 0) {
+    table.problem("group_downtime", "both weights are 0", "at least one above 0");
+  }
+  table.finish();
+}
+
+void read_planning(table_reader table, rules& wanted) {
+  table.read("spare_vms_per_data_centre", wanted.spare_vms_per_data_centre, presence::optional,
+             any_count);
+  table.read("standbys_per_replica", wanted.standbys_per_replica, presence::optional,
+             {0, max_vms_per_replica});
+  table.read("vm_failures_per_day", wanted.vm_failures_per_day, presence::optional, from_zero);
+  table.read("vm_repair_hours", wanted.vm_repair_hours, presence::optional, above_zero);
+  table.finish();
+}
+
+template <class Read>
+void read_each(table_reader& root, std::string_view key, rules_import& result, Read read) {
+  for (table_reader& table : root.tables(key)) {
+    if (result.problems.size() >= max_findings) {
+      return;
+    }
+    read(table, result);
+  }
+}
+
+}  // namespace
+
+rules_import import_rules(std::string_view text, const std::string& file_name) {
+  rules_import result;
+  const auto document = parse_toml(text, file_name, result.problems);
+  if (!document) {
+    return result;
+  }
+  if (document->fields.empty()) {
+    result.problems.push_back({severity::error,
+                               {file_name, 0, 0},
+                               "the rules are empty",
+                               "[[model]], [[service]], [[workspace]] and [[class]] tables"});
+    return result;
+  }
+  table_reader root(*document, "", result.problems);
+  read_each(root, "model", result, read_model);
+  read_each(root, "service", result, read_service);
+  read_each(root, "workspace", result, read_workspace);
+  read_each(root, "class", result, read_class);
+  if (auto table = root.table("weights")) {
+    read_weights(std::move(*table), result.wanted);
+  }
+  if (auto table = root.table("planning")) {
+    read_planning(std::move(*table), result.wanted);
+  }
+  root.finish();
+  return result;
+}
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/version/toml_reader.cpp
@@ -0,0 +1,352 @@
+// TOML by toml++, turned into plain values; and the typed reading of tables.
+#include "version/toml_reader.h"
+
+#include <toml++/toml.h>
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <sstream>
+
+#include "version/field_text.h"
+
+namespace arbutus {
+
+namespace {
+
+// Goes wrong: "a.a.a. ..." nests one table per dot, and taking thousands of nested tables apart
+// overflows the stack, which ends the program without a finding. The parser limits how deeply
+// values nest, but not this. No line of a real file has as many dots.
+constexpr std::ptrdiff_t max_dots_per_line = 128;
+
+place to_place(const std::string& file, const toml::source_position& at) {
+  return {file, static_cast<std::uint32_t>(at.line), static_cast<std::uint32_t>(at.column)};
+}
+
+bool dots_within_limit(std::string_view text, const std::string& file, findings& problems) {
+  std::uint32_t line = 1;
+  while (!text.empty()) {
+    const std::string_view first = text.substr(0, text.find('\n'));
+    if (std::count(first.begin(), first.end(), '.') > max_dots_per_line) {
+      problems.push_back({severity::error,
+                          {file, line, 1},
+                          "too many dots in one line",
+                          "at most " + std::to_string(max_dots_per_line)});
+      return false;
+    }
+    text.remove_prefix(std::min(text.size(), first.size() + 1));
+    ++line;
+  }
+  return true;
+}
+
+toml_value convert(const toml::node& node, const std::string& file);
+
+toml_table convert_table(const toml::table& source, const std::string& file) {
+  toml_table result{to_place(file, source.source().begin), {}};
+  result.fields.reserve(source.size());
+  for (const auto& [key, value] : source) {
+    result.fields.push_back(
+        {std::string(key.str()), to_place(file, key.source().begin), convert(value, file)});
+  }
+  return result;
+}
+
+std::vector<toml_value> convert_array(const toml::array& source, const std::string& file) {
+  std::vector<toml_value> result;
+  result.reserve(source.size());
+  for (const toml::node& item : source) {
+    result.push_back(convert(item, file));
+  }
+  return result;
+}
+
+toml_value convert(const toml::node& node, const std::string& file) {
+  toml_value result;
+  result.at = to_place(file, node.source().begin);
+  if (const auto* table = node.as_table()) {
+    result.data = convert_table(*table, file);
+  } else if (const auto* array = node.as_array()) {
+    result.data = convert_array(*array, file);
+  } else if (const auto* text = node.as_string()) {
+    result.data = text->get();
+  } else if (const auto* whole = node.as_integer()) {
+    result.data = whole->get();
+  } else if (const auto* real = node.as_floating_point()) {
+    result.data = real->get();
+  } else if (const auto* flag = node.as_boolean()) {
+    result.data = flag->get();
+  }
+  return result;
+}
+
+std::string type_name(const toml_value& value) {
+  constexpr std::array<std::string_view, 7> names = {
+      "a date or time", "true or false", "a whole number", "a number",
+      "a text",         "a list",        "a table"};
+  return std::string(names[value.data.index()]);
+}
+
+std::string number_text(double value) {
+  std::ostringstream out;
+  out << value;
+  return out.str();
+}
+
+std::string expected_text(const whole_range& range) {
+  if (range.most == std::numeric_limits<std::uint32_t>::max()) {
+    return "a whole number from " + std::to_string(range.least);
+  }
+  return "a whole number from " + std::to_string(range.least) + " to " + std::to_string(range.most);
+}
+
+std::string expected_text(const real_range& range) {
+  std::string text = (range.above_least ? "a number above " : "a number from ");
+  text += number_text(range.least);
+  if (range.most != std::numeric_limits<double>::max()) {
+    text += " to " + number_text(range.most);
+  }
+  return text;
+}
+
+bool within(const real_range& range, double value) {
+  const bool low_enough = value <= range.most;
+  const bool high_enough = range.above_least ? value > range.least : value >= range.least;
+  return std::isfinite(value) && low_enough && high_enough;
+}
+
+}  // namespace
+
+std::optional<toml_table> parse_toml(std::string_view text, const std::string& file_name,
+                                     findings& problems) {
+  if (!dots_within_limit(text, file_name, problems)) {
+    return std::nullopt;
+  }
+  try {
+    return convert_table(toml::parse(text, file_name), file_name);
+  } catch (const toml::parse_error& e) {
+    problems.push_back({severity::error, to_place(file_name, e.source().begin),
+                        std::string(e.description()), "TOML"});
+  } catch (const std::exception& e) {
+    problems.push_back({severity::error, {file_name, 0, 0}, e.what(), "TOML"});
+  }
+  return std::nullopt;
+}
+
+table_reader::table_reader(const toml_table& table, std::string name, findings& problems)
+    : table_(&table), name_(std::move(name)), problems_(&problems) {}
+
+const toml_field* table_reader::find(std::string_view key) const {
+  const auto found = std::find_if(table_->fields.begin(), table_->fields.end(),
+                                  [&](const toml_field& f) { return f.key == key; });
+  return found == table_->fields.end() ? nullptr : &*found;
+}
+
+std::string table_reader::path(std::string_view key) const {
+  return name_.empty() ? std::string(key) : name_ + ' ' + std::string(key);
+}
+
+place table_reader::place_of(std::string_view key) const {
+  const toml_field* field = find(key);
+  return field == nullptr ? table_->at : field->value.at;
+}
+
+void table_reader::problem(std::string_view key, std::string message, std::string expected) {
+  problems_->push_back(
+      {severity::error, place_of(key), path(key) + ": " + std::move(message), std::move(expected)});
+}
+
+const toml_field* table_reader::take(std::string_view key, presence need) {
+  known_.emplace(key);
+  const toml_field* field = find(key);
+  if (field == nullptr && need == presence::required) {
+    problem(key, "is missing");
+  }
+  return field;
+}
+
+template <class T>
+const T* table_reader::take_as(std::string_view key, presence need, std::string_view expected) {
+  const toml_field* field = take(key, need);
+  if (field == nullptr) {
+    return nullptr;
+  }
+  const T* value = std::get_if<T>(&field->value.data);
+  if (value == nullptr) {
+    problem(key, "is " + type_name(field->value), std::string(expected));
+  }
+  return value;
+}
+
+void table_reader::read(std::string_view key, bool& value, presence need) {
+  if (const bool* found = take_as<bool>(key, need, "true or false")) {
+    value = *found;
+  }
+}
+
+void table_reader::read(std::string_view key, std::string& value, presence need) {
+  if (const auto* found = take_as<std::string>(key, need, "a text")) {
+    value = *found;
+  }
+}
+
+void table_reader::read(std::string_view key, std::uint32_t& value, presence need,
+                        whole_range range) {
+  if (const toml_field* field = take(key, need)) {
+    value = whole_of(*field, range).value_or(value);
+  }
+}
+
+std::optional<std::uint32_t> table_reader::whole_of(const toml_field& field, whole_range range) {
+  const auto* found = std::get_if<std::int64_t>(&field.value.data);
+  const bool fits = found != nullptr && *found >= range.least && *found <= range.most;
+  if (fits) {
+    return static_cast<std::uint32_t>(*found);
+  }
+  const std::string is = found == nullptr ? type_name(field.value) : std::to_string(*found);
+  problems_->push_back(
+      {severity::error, field.value.at, path(field.key) + ": is " + is, expected_text(range)});
+  return std::nullopt;
+}
+
+void table_reader::read(std::string_view key, double& value, presence need, real_range range) {
+  const toml_field* field = take(key, need);
+  if (field == nullptr) {
+    return;
+  }
+  const auto* real = std::get_if<double>(&field->value.data);
+  const auto* whole = std::get_if<std::int64_t>(&field->value.data);
+  if (real == nullptr && whole == nullptr) {
+    problem(key, "is " + type_name(field->value), expected_text(range));
+    return;
+  }
+  const double found = real != nullptr ? *real : static_cast<double>(*whole);
+  if (!within(range, found)) {
+    problem(key, "is " + number_text(found), expected_text(range));
+    return;
+  }
+  value = found;
+}
+
+void table_reader::read(std::string_view key, endpoint& value, presence need) {
+  const auto* found = take_as<std::string>(key, need, endpoint_expected);
+  if (found == nullptr) {
+    return;
+  }
+  const auto parsed = parse_endpoint(*found);
+  if (!parsed) {
+    problem(key, in_quotes(*found) + " is no endpoint", std::string(endpoint_expected));
+    return;
+  }
+  value = *parsed;
+}
+
+void table_reader::read_ms(std::string_view key, duration& value, presence need,
+                           whole_range range) {
+  const toml_field* field = take(key, need);
+  if (field == nullptr) {
+    return;
+  }
+  if (const auto milliseconds = whole_of(*field, range)) {
+    value = std::chrono::milliseconds(*milliseconds);
+  }
+}
+
+void table_reader::read_name(std::string_view key, std::string& value, presence need) {
+  const auto* found = take_as<std::string>(key, need, name_expected);
+  if (found == nullptr) {
+    return;
+  }
+  if (!is_name(*found)) {
+    problem(key, in_quotes(*found) + " is no name", std::string(name_expected));
+    return;
+  }
+  value = *found;
+}
+
+std::vector<placed<std::string>> table_reader::texts(std::string_view key) {
+  std::vector<placed<std::string>> result;
+  const auto* list = take_as<std::vector<toml_value>>(key, presence::optional, "a list of texts");
+  if (list == nullptr) {
+    return result;
+  }
+  for (const toml_value& item : *list) {
+    if (const auto* text = std::get_if<std::string>(&item.data)) {
+      result.push_back({*text, item.at});
+    } else {
+      problems_->push_back(
+          {severity::error, item.at, path(key) + ": an entry is " + type_name(item), "a text"});
+    }
+  }
+  return result;
+}
+
+std::vector<placed<std::pair<std::string, std::uint32_t>>> table_reader::counts(
+    std::string_view key, whole_range range) {
+  std::vector<placed<std::pair<std::string, std::uint32_t>>> result;
+  const auto* table = take_as<toml_table>(key, presence::optional, "a table such as { a = 1 }");
+  if (table == nullptr) {
+    return result;
+  }
+  table_reader reader(*table, path(key), *problems_);
+  for (const toml_field& field : table->fields) {
+    const std::uint32_t count = reader.whole_of(field, range).value_or(range.least);
+    result.push_back({{field.key, count}, field.at});
+  }
+  return result;
+}
+
+void table_reader::read_word(std::string_view key, std::size_t& position,
+                             const std::vector<std::string>& words) {
+  const std::vector<std::string_view> candidates(words.begin(), words.end());
+  const auto* found = take_as<std::string>(key, presence::optional, "a text");
+  if (found == nullptr) {
+    return;
+  }
+  const auto match = std::find(words.begin(), words.end(), *found);
+  if (match == words.end()) {
+    problems_->push_back(unknown_word(place_of(key), path(key), *found, candidates));
+    return;
+  }
+  position = static_cast<std::size_t>(match - words.begin());
+}
+
+std::optional<table_reader> table_reader::table(std::string_view key) {
+  const std::string name = '[' + std::string(key) + ']';
+  const auto* found = take_as<toml_table>(key, presence::optional, "a table, as " + name);
+  if (found == nullptr) {
+    return std::nullopt;
+  }
+  return table_reader(*found, name, *problems_);
+}
+
+std::vector<table_reader> table_reader::tables(std::string_view key) {
+  std::vector<table_reader> result;
+  const std::string name = "[[" + std::string(key) + "]]";
+  const auto* list =
+      take_as<std::vector<toml_value>>(key, presence::optional, "tables, as " + name);
+  if (list == nullptr) {
+    return result;
+  }
+  for (const toml_value& item : *list) {
+    if (const auto* table = std::get_if<toml_table>(&item.data)) {
+      result.emplace_back(*table, name, *problems_);
+    } else {
+      problems_->push_back(
+          {severity::error, item.at, name + " is " + type_name(item), "a table, as " + name});
+    }
+  }
+  return result;
+}
+
+void table_reader::finish() {
+  const std::vector<std::string_view> candidates(known_.begin(), known_.end());
+  for (const toml_field& field : table_->fields) {
+    if (!known_.contains(field.key) && problems_->size() < max_findings) {
+      const std::string what = name_.empty() ? "key" : name_ + " key";
+      problems_->push_back(unknown_word(field.at, what, field.key, candidates));
+    }
+  }
+}
+
+}  // namespace arbutus
