--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -293,7 +293,8 @@
   }
 
   call_result call(const socket_address& target, const http_request& request, time_point deadline,
-                   const answer_sink& sink, const cancel_token& token, bool bounded_body) {
+                   const answer_sink& sink, const cancel_token& token, const send_permit& permit,
+                   bool bounded_body) {
     wire_request wire;
     if (!build_request(target, request, wire)) {
       return failed(call_outcome::not_sent, call_failure::malformed, "unsafe text in the request");
@@ -308,6 +309,10 @@
       if (!link) {
         return result;
       }
+      if (permit && !permit()) {
+        put_idle(target, std::move(link));
+        return failed(call_outcome::not_sent, call_failure::not_permitted, "too late to send");
+      }
       bool retry = false;
       {
         const cancel_token::scope cancellable(token, link->stream);
@@ -346,22 +351,25 @@
 }
 
 call_result http_client::fetch(const socket_address& target, const http_request& request,
-                               time_point deadline, const cancel_token& token) {
+                               time_point deadline, const cancel_token& token,
+                               const send_permit& permit) {
   std::string body;
   const headers_handler on_headers = [](int, const http_headers&) { return true; };
   const chunk_handler on_chunk = [&body](std::string_view bytes) {
     body.append(bytes);
     return true;
   };
-  call_result result = state_->call(target, request, deadline, {on_headers, on_chunk}, token, true);
+  call_result result =
+      state_->call(target, request, deadline, {on_headers, on_chunk}, token, permit, true);
   result.response.body = std::move(body);
   return result;
 }
 
 call_result http_client::stream(const socket_address& target, const http_request& request,
                                 time_point deadline, const headers_handler& on_headers,
-                                const chunk_handler& on_chunk, const cancel_token& token) {
-  return state_->call(target, request, deadline, {on_headers, on_chunk}, token, false);
+                                const chunk_handler& on_chunk, const cancel_token& token,
+                                const send_permit& permit) {
+  return state_->call(target, request, deadline, {on_headers, on_chunk}, token, permit, false);
 }
 
 std::size_t http_client::idle_connections() const {
@@ -400,6 +408,8 @@
       return "connection lost";
     case call_failure::malformed:
       return "malformed";
+    case call_failure::not_permitted:
+      return "not permitted any more";
     case call_failure::too_large:
       return "too large";
   }
--- a/src/connection/http_client.h
+++ b/src/connection/http_client.h
@@ -31,6 +31,7 @@
   connection_lost,  // the target closed or reset the connection
   malformed,        // the answer is no HTTP, or the request cannot be written as such
   too_large,        // the answer exceeds a limit
+  not_permitted,    // the send_permit said no
 };
 
 struct call_result {
@@ -45,6 +46,11 @@
 [[nodiscard]] std::string_view to_string(call_outcome outcome);
 [[nodiscard]] std::string_view to_string(call_failure failure);
 
+// Asked directly before the first byte goes out, when a connection is at hand. What made a send
+// right may have passed while the call waited for its connection, or while this process was
+// paused. Must not suspend. Empty: always permitted.
+using send_permit = std::function<bool()>;
+
 struct http_client_limits {
   duration connect_timeout{1s};
   std::size_t header_bytes{64 * 1024};
@@ -68,13 +74,13 @@
   // The calls run in a fiber of the runtime. `deadline` covers connecting, sending and the whole
   // answer.
   call_result fetch(const socket_address& target, const http_request& request, time_point deadline,
-                    const cancel_token& token = {});
+                    const cancel_token& token = {}, const send_permit& permit = {});
 
   // Passes the answer on as it arrives. Both handlers run in the calling fiber and may suspend it;
   // the target then has to wait.
   call_result stream(const socket_address& target, const http_request& request, time_point deadline,
                      const headers_handler& on_headers, const chunk_handler& on_chunk,
-                     const cancel_token& token = {});
+                     const cancel_token& token = {}, const send_permit& permit = {});
 
   // Open idle connections of the calling worker.
   [[nodiscard]] std::size_t idle_connections() const;
--- /dev/null
+++ b/src/node/call_context.cpp
@@ -0,0 +1,144 @@
+// The first steps of every call.
+#include "node/call_context.h"
+
+#include <charconv>
+
+#include "connection/clock.h"
+#include "version/secret.h"
+
+namespace arbutus {
+
+namespace {
+
+constexpr std::string_view bearer = "Bearer ";
+constexpr duration no_configuration_retry = 1s;
+
+call_error unauthorized() {
+  call_error error;
+  error.status = 401;
+  error.code = "unauthorized";
+  error.message = "send a workspace's key as 'Authorization: Bearer KEY'";
+  return error;
+}
+
+call_error no_configuration() {
+  call_error error;
+  error.status = 503;
+  error.code = "no_configuration";
+  error.message = "this node has no configuration yet";
+  error.retry_after = no_configuration_retry;
+  return error;
+}
+
+call_error over_limit(duration retry_after) {
+  call_error error;
+  error.status = 429;
+  error.code = "rate_limited";
+  error.message = "the workspace is over its rate limit";
+  error.retry_after = retry_after;
+  return error;
+}
+
+const class_rule* find_request_class(const rules& wanted, const http_headers& headers) {
+  const auto name = headers.find("x-class");
+  if (!name) {
+    return wanted.classes.empty() ? nullptr : &wanted.classes.front();
+  }
+  return wanted.find_class(*name);
+}
+
+}  // namespace
+
+void shared_limits::configure(time_point now, const configuration& config) {
+  const std::lock_guard guard(lock_);
+  if (config.version == config_version_) {
+    return;
+  }
+  config_version_ = config.version;
+  std::vector<node_id> nodes;
+  for (const node_record& node : config.assets.nodes) {
+    nodes.push_back(node.id);
+  }
+  limits_.set_nodes(now, nodes);
+  for (const workspace_rule& workspace : config.wanted.workspaces) {
+    limits_.set_limit(now, workspace.id, {workspace.requests_per_second, workspace.burst});
+  }
+}
+
+limit_verdict shared_limits::take(time_point now, const workspace_id& workspace) {
+  const std::lock_guard guard(lock_);
+  return limits_.take(now, workspace);
+}
+
+std::vector<usage> shared_limits::tell(time_point now) {
+  const std::lock_guard guard(lock_);
+  return limits_.tell(now);
+}
+
+void shared_limits::heard(time_point now, const node_id& peer, const std::vector<usage>& told) {
+  const std::lock_guard guard(lock_);
+  limits_.heard(now, peer, told);
+}
+
+std::optional<std::uint64_t> number_header(const http_headers& headers, std::string_view name) {
+  const auto text = headers.find(name);
+  if (!text) {
+    return std::nullopt;
+  }
+  std::uint64_t value = 0;
+  const auto [end, error] = std::from_chars(text->data(), text->data() + text->size(), value);
+  if (error != std::errc{} || end != text->data() + text->size()) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+socket_address address_of(const endpoint& e) {
+  return {e.host, e.port};
+}
+
+std::optional<call_error> begin_call(call_context& node, const http_request& request,
+                                     call_state& call) {
+  call.arrival = monotonic_now();
+  call.view = node.core.view();
+  call.id = request_id{node.self.str() + "-" + std::to_string(node.incarnation) + "-" +
+                       std::to_string(node.next_request.fetch_add(1))};
+  if (!call.view->config) {
+    return no_configuration();
+  }
+  const rules& wanted = call.view->config->wanted;
+  const auto authorization = request.headers.find("authorization");
+  if (!authorization || !authorization->starts_with(bearer)) {
+    return unauthorized();
+  }
+  call.workspace = authenticate(wanted, authorization->substr(bearer.size()));
+  if (call.workspace == nullptr) {
+    return unauthorized();
+  }
+  call.measured.workspace = call.workspace->id;
+  const class_rule* request_class = find_request_class(wanted, request.headers);
+  if (request_class == nullptr && request.headers.find("x-class")) {
+    call_error error;
+    error.status = 400;
+    error.code = "unknown_class";
+    error.message = "the rules know no such class";
+    return error;
+  }
+  if (request_class != nullptr) {
+    call.request_class = *request_class;
+  }
+  call.priority = call.request_class.priority;
+  call.measured.request_class = call.request_class.name;
+  call.deadline = call.arrival + call.request_class.deadline;
+  if (const auto asked = number_header(request.headers, "x-deadline-ms")) {
+    const auto longest = static_cast<std::uint64_t>(to_milliseconds(call.request_class.deadline));
+    call.deadline = call.arrival + std::chrono::milliseconds(std::min(*asked, longest));
+  }
+  const limit_verdict verdict = node.limits.take(call.arrival, call.workspace->id);
+  if (const auto* exceeded = std::get_if<limit_exceeded>(&verdict)) {
+    return over_limit(exceeded->retry_after);
+  }
+  return std::nullopt;
+}
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/node/call_context.h
@@ -0,0 +1,77 @@
+// What every call of a caller needs of its node, and the first steps all calls share: who calls,
+// in which class, until when.
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+
+#include "connection/http_client.h"
+#include "connection/http_server.h"
+#include "node/control.h"
+#include "node/error_body.h"
+#include "node/metrics.h"
+#include "node/model_gate.h"
+#include "node/platform_client.h"
+#include "node/service_health.h"
+#include "request/limits.h"
+
+namespace arbutus {
+
+// Limits of workspaces at this node, under one lock: taken once per request.
+class shared_limits {
+ public:
+  explicit shared_limits(node_id self) : limits_(std::move(self)) {}
+  void configure(time_point now, const configuration& config);
+  [[nodiscard]] limit_verdict take(time_point now, const workspace_id& workspace);
+  [[nodiscard]] std::vector<usage> tell(time_point now);
+  void heard(time_point now, const node_id& peer, const std::vector<usage>& told);
+
+ private:
+  std::mutex lock_;
+  rate_limits limits_;
+  std::uint64_t config_version_ = 0;
+};
+
+// Lives as long as the node; the parts outlive every call.
+struct call_context {
+  node_id self;
+  std::uint64_t incarnation{};
+  data_centre_id data_centre;
+  fiber_runtime& runtime;
+  http_client& client;
+  platform_client& platform;
+  control& core;
+  model_gates& gates;
+  shared_limits& limits;
+  service_health& services;
+  metrics& measured;
+  std::atomic<std::uint64_t> next_request{1};
+};
+
+// One call, from its arrival to its answer.
+struct call_state {
+  std::shared_ptr<const node_view> view;  // configuration in force when it arrived
+  const workspace_rule* workspace = nullptr;
+  class_rule request_class;
+  request_id id;
+  time_point arrival;
+  time_point deadline;
+  std::uint32_t priority = 0;
+  finished_call measured;
+};
+
+// Fills what is known from the headers; otherwise the error to answer with.
+[[nodiscard]] std::optional<call_error> begin_call(call_context& node, const http_request& request,
+                                                   call_state& call);
+
+// A number from a header, if it is one.
+[[nodiscard]] std::optional<std::uint64_t> number_header(const http_headers& headers,
+                                                         std::string_view name);
+
+[[nodiscard]] socket_address address_of(const endpoint& e);
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/node/engine_client.h
@@ -0,0 +1,31 @@
+// Probes and orders to target VMs over HTTP.
+#pragma once
+
+#include <functional>
+
+#include "base/outcome.h"
+#include "connection/http_client.h"
+#include "process/effects.h"
+
+namespace arbutus {
+
+class engine_client {
+ public:
+  // The client outlives this object.
+  explicit engine_client(http_client& client) : client_(client) {}
+
+  outcome<engine_report> probe(const socket_address& target, time_point deadline);
+
+  // Refused means that the target answered and did not obey, or that `still_due` said no when it
+  // was asked directly before the first byte.
+  outcome<engine_report> send(const socket_address& target, const order& o, time_point deadline,
+                              const send_permit& still_due);
+
+  // Best effort; a request that is not there any more is no error.
+  void cancel(const socket_address& target, const request_id& id, time_point deadline);
+
+ private:
+  http_client& client_;
+};
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/node/keyed_driver.cpp
@@ -0,0 +1,94 @@
+// One non-repeatable call, step by step.
+#include "node/keyed_driver.h"
+
+#include <algorithm>
+#include <deque>
+
+#include "connection/clock.h"
+
+namespace arbutus {
+
+namespace {
+
+constexpr duration table_call_timeout = 1s;
+
+class driver {
+ public:
+  driver(platform_client& platform, const keyed_call_facts& facts, const keyed_sender& send,
+         const keyed_replier& reply)
+      : platform_(platform), call_(facts), send_(send), reply_(reply) {}
+
+  void run() {
+    add(call_.start(monotonic_now(), wall_now()));
+    while (!call_.finished() || !pending_.empty()) {
+      if (pending_.empty()) {
+        wait();
+        continue;
+      }
+      const keyed_effect effect = std::move(pending_.front());
+      pending_.pop_front();
+      std::visit([this](const auto& e) { carry_out(e); }, effect);
+    }
+  }
+
+ private:
+  void add(keyed_effects effects) {
+    std::move(effects.begin(), effects.end(), std::back_inserter(pending_));
+  }
+
+  void wait() {
+    const time_point until = std::max(call_.next_tick(), monotonic_now() + 1ms);
+    sleep_until(std::min(until, monotonic_now() + table_call_timeout));
+    add(call_.tick(monotonic_now(), wall_now()));
+  }
+
+  void carry_out(const table_read& asked) {
+    table_read_result result{asked, platform_.read(asked, monotonic_now() + table_call_timeout)};
+    add(call_.on(monotonic_now(), wall_now(), result));
+  }
+
+  void carry_out(const table_write& asked) {
+    table_write_result result{asked, platform_.write(asked, monotonic_now() + table_call_timeout)};
+    add(call_.on(monotonic_now(), wall_now(), result));
+  }
+
+  void carry_out(const keyed_send&) {
+    const auto permit = [this] {
+      const time_point now = monotonic_now();
+      if (!call_.may_send(now)) {
+        return false;
+      }
+      call_.sent(now);
+      return true;
+    };
+    const call_result result = send_(permit);
+    if (result.ok()) {
+      keyed_answer answer;
+      answer.status = static_cast<std::uint32_t>(result.response.status);
+      answer.content_type = std::string(result.response.headers.find("content-type").value_or(""));
+      answer.body = result.response.body;
+      add(call_.answered(monotonic_now(), wall_now(), answer));
+      return;
+    }
+    const execution how =
+        result.outcome == call_outcome::not_sent ? execution::not_run : execution::unknown;
+    add(call_.ended(monotonic_now(), wall_now(), how));
+  }
+
+  void carry_out(const keyed_reply& reply) { reply_(reply); }
+
+  platform_client& platform_;
+  keyed_call call_;
+  const keyed_sender& send_;
+  const keyed_replier& reply_;
+  std::deque<keyed_effect> pending_;
+};
+
+}  // namespace
+
+void drive_keyed_call(platform_client& platform, const keyed_call_facts& facts,
+                      const keyed_sender& send, const keyed_replier& reply) {
+  driver(platform, facts, send, reply).run();
+}
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/node/model_attempt.cpp
@@ -0,0 +1,259 @@
+// One attempt of a model call.
+#include "node/model_attempt.h"
+
+#include <algorithm>
+
+#include "connection/clock.h"
+#include "node/sse.h"
+#include "process/routes.h"
+#include "request/router.h"
+
+namespace arbutus {
+
+namespace {
+
+constexpr int status_ok = 200;
+constexpr int status_bad_request = 400;
+constexpr int status_not_found = 404;
+constexpr int status_conflict = 409;
+constexpr int status_too_large = 413;
+constexpr int status_unprocessable = 422;
+constexpr int status_unavailable = 503;
+
+http_request make_request(const model_attempt& attempt, const replica_route& route,
+                          std::uint64_t offset) {
+  http_request request;
+  request.method = "POST";
+  request.target = std::string(attempt.path);
+  request.body = std::string(attempt.body);
+  http_headers& headers = request.headers;
+  headers.add("content-type", "application/json");
+  headers.add("x-request-id", attempt.id.str());
+  headers.add("x-replica", route.id.str());
+  headers.add("x-generation", to_string(route.gen));
+  headers.add("x-priority", std::to_string(attempt.priority));
+  headers.add("x-workspace", attempt.workspace.str());
+  if (offset > 0) {
+    headers.add("x-resume-offset", std::to_string(offset));
+  }
+  return request;
+}
+
+// The target itself says that it did not run the request.
+bool refused_by_target(int status) {
+  return status == status_conflict || status == status_unavailable;
+}
+
+// The request itself is at fault; another replica would say the same.
+bool is_callers_fault(int status) {
+  return status == status_bad_request || status == status_not_found || status == status_too_large ||
+         status == status_unprocessable;
+}
+
+// An answer belongs to the request only if it names it, and the composition it was sent to.
+bool names_request(const http_headers& headers, const request_id& id) {
+  const auto named = headers.find("x-request-id");
+  return named && *named == id.str();
+}
+
+std::string describe(const call_result& result) {
+  std::string text{to_string(result.failure)};
+  if (!result.detail.empty()) {
+    text += ": " + result.detail;
+  }
+  return text;
+}
+
+// Without a whole answer: what the connection proves.
+void set_unanswered(const call_result& result, attempt_end& end) {
+  end.ran = result.outcome == call_outcome::not_sent ? execution::not_run : execution::unknown;
+  end.reason = describe(result);
+  end.target_lost = result.failure == call_failure::connect_failed ||
+                    result.failure == call_failure::connection_lost;
+}
+
+// With a whole answer of status other than 200.
+void set_refusal(const call_result& result, attempt_end& end) {
+  end.status = result.response.status;
+  if (refused_by_target(end.status)) {
+    end.ran = execution::not_run;
+    end.reason = "refused by the target";
+    return;
+  }
+  end.engine_error = is_callers_fault(end.status);
+  end.ran = end.engine_error ? execution::not_run : execution::unknown;
+  end.reason = "status " + std::to_string(end.status);
+}
+
+// Asks the newest view, not the one the choice was made from: since then a member may have been
+// lost, or this process may have been paused until every permission lapsed.
+send_permit permit_for(const call_context& node, const replica_route& chosen) {
+  return [&node, &chosen] {
+    const std::shared_ptr<const node_view> view = node.core.view();
+    const std::vector<replica_route>& routes = view->routes.replicas;
+    const auto found = std::lower_bound(
+        routes.begin(), routes.end(), chosen.id,
+        [](const replica_route& route, const replica_id& id) { return route.id < id; });
+    return found != routes.end() && found->id == chosen.id && found->gen == chosen.gen &&
+           may_use(monotonic_now(), *found);
+  };
+}
+
+attempt_end run_whole(call_context& node, const model_attempt& attempt, const replica_route& route,
+                      const cancel_token& cancel) {
+  attempt_end end;
+  end.first_token = time_point::min();
+  const http_request request = make_request(attempt, route, 0);
+  call_result result = node.client.fetch(address_of(route.address), request, attempt.deadline,
+                                         cancel, permit_for(node, route));
+  if (!result.ok()) {
+    set_unanswered(result, end);
+    return end;
+  }
+  if (result.response.status != status_ok) {
+    set_refusal(result, end);
+    end.body = std::move(result.response.body);
+    return end;
+  }
+  if (!names_request(result.response.headers, attempt.id)) {
+    end.reason = "the answer names another request";
+    return end;
+  }
+  end.ran = execution::done;
+  end.status = status_ok;
+  end.body = std::move(result.response.body);
+  if (const auto type = result.response.headers.find("content-type")) {
+    end.content_type = std::string(*type);
+  }
+  return end;
+}
+
+// Frames of one attempt, checked one by one before any goes to the caller.
+class frame_reader {
+ public:
+  frame_reader(const model_attempt& attempt, answer_stream& answer, const frame_sink& sink,
+               attempt_end& end)
+      : attempt_(attempt), answer_(answer), sink_(sink), end_(end) {}
+
+  // False: give the attempt up.
+  bool on_bytes(std::string_view bytes) {
+    splitter_.append(bytes);
+    if (splitter_.overflown()) {
+      return give_up("a frame is too long");
+    }
+    while (const auto frame = splitter_.next()) {
+      if (!on_frame(*frame)) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+ private:
+  bool give_up(std::string reason) {
+    end_.reason = std::move(reason);
+    return false;
+  }
+
+  bool on_frame(std::string_view text) {
+    const engine_frame frame = parse_frame(text);
+    switch (frame.kind) {
+      case frame_kind::token:
+        return on_token(frame, text);
+      case frame_kind::finish:
+        return on_finish(frame, text);
+      case frame_kind::done:
+      case frame_kind::other:
+        return true;
+      case frame_kind::malformed:
+        break;
+    }
+    return give_up("malformed frame");
+  }
+
+  bool on_token(const engine_frame& frame, std::string_view text) {
+    switch (answer_.accept(frame.id, frame.offset)) {
+      case token_verdict::deliver:
+        break;
+      case token_verdict::duplicate:
+      case token_verdict::after_end:
+        return true;
+      case token_verdict::gap:
+        return give_up("a token is missing");
+      case token_verdict::wrong_id:
+        return give_up("a token of another request");
+    }
+    if (end_.first_token == time_point::min()) {
+      end_.first_token = monotonic_now();
+    }
+    return sink_(text) || give_up("caller gone");
+  }
+
+  bool on_finish(const engine_frame& frame, std::string_view text) {
+    if (answer_.finish(frame.id, frame.offset) != end_verdict::whole) {
+      return give_up("the finish does not match the tokens");
+    }
+    end_.delivered_all = true;
+    return sink_(text) || give_up("caller gone");
+  }
+
+  const model_attempt& attempt_;
+  answer_stream& answer_;
+  const frame_sink& sink_;
+  attempt_end& end_;
+  sse_splitter splitter_;
+};
+
+attempt_end run_streamed(call_context& node, const model_attempt& attempt,
+                         const replica_route& route, answer_stream& answer, const frame_sink& sink,
+                         const cancel_token& cancel) {
+  attempt_end end;
+  end.first_token = time_point::min();
+  answer.begin_attempt();
+  const http_request request = make_request(attempt, route, answer.resume_offset());
+  frame_reader reader(attempt, answer, sink, end);
+  int status = 0;
+  const auto on_headers = [&](int received, const http_headers& headers) {
+    status = received;
+    if (received == status_ok && !names_request(headers, attempt.id)) {
+      end.reason = "the answer names another request";
+      return false;
+    }
+    return true;
+  };
+  const auto on_chunk = [&](std::string_view bytes) {
+    if (status != status_ok) {
+      end.body.append(bytes);
+      return true;
+    }
+    return reader.on_bytes(bytes);
+  };
+  const call_result result =
+      node.client.stream(address_of(route.address), request, attempt.deadline, on_headers, on_chunk,
+                         cancel, permit_for(node, route));
+  if (result.ok() && status != status_ok) {
+    set_refusal(result, end);
+  } else if (answer.whole()) {
+    end.ran = execution::done;
+    end.status = status_ok;
+  } else if (!result.ok() && end.reason.empty()) {
+    set_unanswered(result, end);
+  } else if (end.reason.empty()) {
+    end.reason = "the stream ended without a finish";
+  }
+  return end;
+}
+
+}  // namespace
+
+attempt_end run_attempt(call_context& node, const model_attempt& attempt,
+                        const replica_route& route, answer_stream& answer, const frame_sink& sink,
+                        const cancel_token& cancel) {
+  const time_point begun = monotonic_now();
+  attempt_end end = attempt.stream ? run_streamed(node, attempt, route, answer, sink, cancel)
+                                   : run_whole(node, attempt, route, cancel);
+  end.total = monotonic_now() - begun;
+  return end;
+}
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/node/model_call.cpp
@@ -0,0 +1,358 @@
+// A model call over all its attempts: admission, choice of replica, retries, resume.
+#include "node/model_call.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <vector>
+
+#include "connection/clock.h"
+#include "node/model_attempt.h"
+#include "request/prefix_hash.h"
+
+namespace arbutus {
+
+namespace {
+
+using json = nlohmann::json;
+
+// Work is counted in tokens to be generated; 1 is a mean request.
+constexpr double mean_tokens = 128.0;
+constexpr double smallest_cost = 0.05;
+// Told when no replica serves the model: about what a repair from a standby takes.
+constexpr duration no_replica_retry = 2s;
+// How often a request that no replica may take looks again, while its deadline allows.
+constexpr duration look_again = 25ms;
+
+struct parsed_body {
+  model_id model;
+  std::string prompt;
+  std::uint32_t max_tokens = 128;
+  bool stream = false;
+};
+
+call_error invalid(std::string code, std::string message, int status = 400) {
+  call_error error;
+  error.status = status;
+  error.code = std::move(code);
+  error.message = std::move(message);
+  return error;
+}
+
+std::optional<call_error> read_prompt(model_api api, const json& body, std::string& prompt) {
+  if (api == model_api::completions) {
+    const auto found = body.find("prompt");
+    if (found == body.end() || !found->is_string()) {
+      return invalid("invalid_prompt", "'prompt' has to be a string");
+    }
+    prompt = found->get<std::string>();
+    return std::nullopt;
+  }
+  const auto messages = body.find("messages");
+  if (messages == body.end() || !messages->is_array() || messages->empty()) {
+    return invalid("invalid_messages", "'messages' has to be a list that is not empty");
+  }
+  for (const json& message : *messages) {
+    if (!message.is_object() || !message.contains("role") || !message["role"].is_string() ||
+        !message.contains("content") || !message["content"].is_string()) {
+      return invalid("invalid_messages", "each message has a 'role' and a 'content' as strings");
+    }
+    prompt += message["role"].get<std::string>() + ": " + message["content"].get<std::string>();
+    prompt += '\n';
+  }
+  return std::nullopt;
+}
+
+std::optional<call_error> parse_body(model_api api, const std::string& text, parsed_body& parsed) {
+  const json body = json::parse(text, nullptr, false);
+  if (!body.is_object()) {
+    return invalid("invalid_json", "the body has to be a JSON object");
+  }
+  const auto model = body.find("model");
+  if (model == body.end() || !model->is_string()) {
+    return invalid("invalid_model", "'model' has to be a string");
+  }
+  parsed.model = model_id{model->get<std::string>()};
+  if (const auto tokens = body.find("max_tokens"); tokens != body.end()) {
+    if (!tokens->is_number_unsigned() || *tokens == 0 || *tokens > 1'000'000) {
+      return invalid("invalid_max_tokens", "'max_tokens' has to be a whole number from 1");
+    }
+    parsed.max_tokens = tokens->get<std::uint32_t>();
+  }
+  if (const auto stream = body.find("stream"); stream != body.end()) {
+    if (!stream->is_boolean()) {
+      return invalid("invalid_stream", "'stream' has to be true or false");
+    }
+    parsed.stream = stream->get<bool>();
+  }
+  return read_prompt(api, body, parsed.prompt);
+}
+
+std::optional<call_error> check_model(const call_state& call, const model_id& model) {
+  if (call.view->config->wanted.find_model(model) == nullptr) {
+    return invalid("unknown_model", "the rules know no model of this name", 404);
+  }
+  const auto& allowed = call.workspace->models;
+  if (std::find(allowed.begin(), allowed.end(), model) == allowed.end()) {
+    return invalid("model_not_allowed", "this workspace may not use the model", 403);
+  }
+  return std::nullopt;
+}
+
+// The call while it runs. Lives in the frame of the request's fiber.
+class model_call {
+ public:
+  model_call(call_context& node, model_api api, const http_request& request,
+             response_writer& writer)
+      : node_(node), api_(api), request_(request), writer_(writer) {}
+
+  void run() {
+    if (const auto error = begin()) {
+      finish_with(*error);
+      return;
+    }
+    cancel_ = cancel_token::make();
+    writer_.on_gone([this] {
+      waiter_.caller_gone();
+      cancel_.cancel();
+    });
+    gate_ = &node_.gates.of(body_.model);
+    const admission_end entry = gate_->enter(*call_.view, facts_, waiter_);
+    call_.measured.queued = monotonic_now() - call_.arrival;
+    if (entry.what == admission_end::kind::caller_gone) {
+      finish("caller_gone", "while waiting");
+      return;
+    }
+    if (entry.what == admission_end::kind::rejected) {
+      finish_with(rejection_error(entry.why));
+      return;
+    }
+    const bool served = attempts();
+    gate_->leave(facts_.id, served);
+  }
+
+ private:
+  std::optional<call_error> begin() {
+    if (auto error = begin_call(node_, request_, call_)) {
+      return error;
+    }
+    if (auto error = parse_body(api_, request_.body, body_)) {
+      return error;
+    }
+    call_.measured.target = body_.model.str();
+    if (auto error = check_model(call_, body_.model)) {
+      return error;
+    }
+    facts_.id = call_.id;
+    facts_.workspace = call_.workspace->id;
+    facts_.model = body_.model;
+    facts_.priority = call_.priority;
+    facts_.arrival = call_.arrival;
+    facts_.deadline = call_.deadline;
+    facts_.first_token_by = call_.arrival + call_.request_class.first_token;
+    facts_.cost = std::max(smallest_cost, body_.max_tokens / mean_tokens);
+    facts_.prefix = hash_prefix(body_.prompt, body_.model.str());
+    note_.may_retry = true;
+    return std::nullopt;
+  }
+
+  static call_error rejection_error(const rejected& why) {
+    call_error error;
+    error.status = why.reason == reject_reason::queue_full ? 429 : 503;
+    error.code = std::string(to_string(why.reason));
+    error.message = "not run: there is no capacity in time";
+    error.retry_after = why.retry_after;
+    return error;
+  }
+
+  // Tries until the answer is whole or nothing more may be tried. True if it was served.
+  bool attempts() {
+    answer_stream answer(call_.id);
+    gate_->first_attempt(monotonic_now());
+    execution worst = execution::not_run;
+    for (;;) {
+      const std::optional<replica_route> route = wait_for_route();
+      if (!route) {
+        give_up(worst, "no_replica", "no replica may take the request", no_replica_retry);
+        return false;
+      }
+      const attempt_end end = attempt_at(*route, answer);
+      if (end.ran == execution::done) {
+        deliver(end);
+        return true;
+      }
+      if (writer_.caller_gone() || end.reason == "caller gone") {
+        finish("caller_gone", "while running");
+        return false;
+      }
+      if (end.engine_error) {
+        pass_on(end);
+        return true;
+      }
+      if (end.ran == execution::unknown) {
+        worst = execution::unknown;
+      }
+      const retry_decision decision = gate_->retry(monotonic_now(), note_, end.ran, facts_);
+      if (const auto* stop = std::get_if<arbutus::give_up>(&decision)) {
+        give_up(worst, std::string(to_string(stop->why)), end.reason, duration{200ms});
+        return false;
+      }
+      const retry_at again = std::get<retry_at>(decision);
+      note_.attempt = again.attempt;
+      sleep_until(again.at);
+    }
+  }
+
+  // The route chosen, from the newest view. While a replica is being repaired there may be none.
+  std::optional<replica_route> wait_for_route() {
+    for (;;) {
+      const time_point now = monotonic_now();
+      const std::shared_ptr<const node_view> view = node_.core.view();
+      auto choice = gate_->choose(now, *view, facts_, tried_);
+      if (!choice && !tried_.empty()) {
+        tried_.clear();  // better a replica that failed once than none
+        choice = gate_->choose(now, *view, facts_, tried_);
+      }
+      if (choice) {
+        return view->routes.replicas[choice->index];
+      }
+      if (writer_.caller_gone() ||
+          now + look_again >= std::min(call_.deadline, facts_.first_token_by)) {
+        return std::nullopt;
+      }
+      sleep_until(now + look_again);
+    }
+  }
+
+  attempt_end attempt_at(const replica_route& route, answer_stream& answer) {
+    model_attempt attempt;
+    attempt.path = api_ == model_api::chat ? "/v1/chat/completions" : "/v1/completions";
+    attempt.body = request_.body;
+    attempt.stream = body_.stream;
+    attempt.id = call_.id;
+    attempt.priority = call_.priority;
+    attempt.workspace = facts_.workspace;
+    attempt.deadline = call_.deadline;
+    const time_point sent = monotonic_now();
+    gate_->sent(sent, route.id, facts_);
+    report_in_flight(route);
+    const auto sink = [&](std::string_view frame) { return pass_frame(frame, sent); };
+    const attempt_end end = run_attempt(node_, attempt, route, answer, sink, cancel_);
+    attempt_result result;
+    result.replica = route.id;
+    result.cost = facts_.cost;
+    result.failed = end.ran != execution::done;
+    result.total = end.total;
+    result.first_token = end.first_token == time_point::min() ? end.total : end.first_token - sent;
+    gate_->ended(monotonic_now(), facts_, result);
+    report_in_flight(route);
+    ++call_.measured.attempts;
+    if (result.failed) {
+      tried_.push_back(route.id);
+      if (end.target_lost) {
+        node_.core.feed(target_error{route.head});
+      }
+    }
+    return end;
+  }
+
+  void report_in_flight(const replica_route& route) {
+    const std::uint32_t count = gate_->in_flight_at(route.id);
+    node_.core.post([id = route.id, gen = route.gen, count](time_point, coordinator& core) {
+      core.report_in_flight(id, gen, count);
+      return effects{};
+    });
+  }
+
+  bool pass_frame(std::string_view frame, time_point sent) {
+    if (!writer_.started()) {
+      http_headers headers;
+      headers.add("content-type", "text/event-stream");
+      headers.add("cache-control", "no-store");
+      headers.add("x-request-id", call_.id.str());
+      if (!writer_.start(200, headers)) {
+        return false;
+      }
+      const time_point now = monotonic_now();
+      call_.measured.first_token = now - call_.arrival;
+      gate_->first_token(now, facts_, call_.request_class.name, now - sent);
+    }
+    ++call_.measured.tokens;
+    return writer_.write(frame);
+  }
+
+  void deliver(const attempt_end& end) {
+    bool reached = false;
+    if (body_.stream) {
+      reached = writer_.started() && writer_.write("data: [DONE]\n\n") && writer_.finish();
+    } else {
+      http_headers headers;
+      headers.add("content-type", end.content_type);
+      headers.add("x-request-id", call_.id.str());
+      reached = writer_.send(end.status, headers, end.body);
+    }
+    finish(reached ? "done" : "caller_gone", {});
+  }
+
+  // The engine found fault with the request itself.
+  void pass_on(const attempt_end& end) {
+    call_error error = invalid("engine_refused", end.reason, end.status);
+    finish_with(error);
+  }
+
+  void give_up(execution ran, std::string code, std::string message, duration retry_after) {
+    call_error error;
+    error.status = ran == execution::unknown ? 502 : 503;
+    error.ran = ran;
+    error.code = std::move(code);
+    error.message = std::move(message);
+    error.retry_after = retry_after;
+    finish_with(error);
+  }
+
+  void finish_with(const call_error& error) {
+    if (writer_.started()) {
+      // The status is out; the frame and the missing [DONE] say that the answer is cut.
+      call_error cut = error;
+      cut.ran = execution::unknown;
+      writer_.write(error_frame(cut));
+      writer_.finish();
+    } else {
+      send_error(writer_, error);
+    }
+    finish(std::string(to_string(writer_.started() && body_.stream && call_.measured.tokens > 0
+                                     ? execution::unknown
+                                     : error.ran)),
+           error.code);
+  }
+
+  void finish(std::string result, std::string reason) {
+    call_.measured.result = std::move(result);
+    call_.measured.reason = std::move(reason);
+    call_.measured.total = monotonic_now() - call_.arrival;
+    node_.measured.record(current_worker(), call_.measured);
+  }
+
+  call_context& node_;
+  model_api api_;
+  const http_request& request_;
+  response_writer& writer_;
+  call_state call_;
+  parsed_body body_;
+  request_facts facts_;
+  attempt_note note_;
+  model_gate* gate_ = nullptr;
+  admission_waiter waiter_;
+  cancel_token cancel_;
+  std::vector<replica_id> tried_;
+};
+
+}  // namespace
+
+void serve_model_call(call_context& node, model_api api, const http_request& request,
+                      response_writer& writer) {
+  model_call call(node, api, request, writer);
+  call.run();
+  writer.on_gone({});
+}
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/node/model_gate.cpp
@@ -0,0 +1,242 @@
+// Admission, routing and retries of one model, shared by the workers.
+#include "node/model_gate.h"
+
+#include <algorithm>
+
+#include "base/hash.h"
+#include "connection/clock.h"
+
+namespace arbutus {
+
+namespace {
+
+// How often the queue is looked through for hopeless requests while any wait: a refusal comes at
+// most this late.
+constexpr duration pump_interval = 10ms;
+
+}  // namespace
+
+// Notifies under the lock: once the waiting fiber can see the end, it may return and take this
+// object with it, so nothing of it may be touched after the lock is given up.
+void admission_waiter::finish(admission_end how) {
+  const std::lock_guard guard(lock_);
+  if (end_) {
+    return;
+  }
+  end_ = how;
+  changed_.notify_all();
+}
+
+admission_end admission_waiter::wait() {
+  std::unique_lock guard(lock_);
+  changed_.wait(guard, [this] { return end_.has_value(); });
+  return *end_;
+}
+
+model_gate::model_gate(fiber_runtime& runtime, model_id model, std::uint64_t seed)
+    : runtime_(runtime), model_(std::move(model)), router_(seed), random_(seed + 1) {}
+
+void model_gate::apply_capacity(time_point now, const node_view& view) {
+  router_.set_nodes(view.live_nodes);
+  const slot_count slots = usable_slots(now, view.routes, model_, flights_, view.live_nodes);
+  start(admission_.on_capacity(now, {slots.free_slots, slots.slots, duration::zero()}));
+}
+
+void model_gate::start(const std::vector<request_id>& ids) {
+  for (const request_id& id : ids) {
+    const auto found = waiters_.find(id);
+    if (found != waiters_.end()) {
+      found->second->finish({admission_end::kind::admitted, {}});
+      waiters_.erase(found);
+    }
+  }
+}
+
+void model_gate::refuse(const rejection& one) {
+  const auto found = waiters_.find(one.id);
+  if (found != waiters_.end()) {
+    found->second->finish({admission_end::kind::rejected, one.why});
+    waiters_.erase(found);
+  }
+}
+
+void model_gate::refuse(const std::vector<rejection>& list) {
+  for (const rejection& one : list) {
+    refuse(one);
+  }
+}
+
+admission_end model_gate::enter(const node_view& view, const request_facts& facts,
+                                admission_waiter& waiter) {
+  {
+    const std::lock_guard guard(lock_);
+    const time_point now = monotonic_now();
+    apply_capacity(now, view);
+    const submission result = admission_.submit(now, facts);
+    if (result.displaced) {
+      refuse(*result.displaced);
+    }
+    if (std::holds_alternative<admitted>(result.verdict)) {
+      return {admission_end::kind::admitted, {}};
+    }
+    if (const auto* why = std::get_if<rejected>(&result.verdict)) {
+      return {admission_end::kind::rejected, *why};
+    }
+    waiters_.emplace(facts.id, &waiter);
+    start_pump();
+  }
+  const admission_end end = waiter.wait();
+  if (end.what == admission_end::kind::caller_gone) {
+    const std::lock_guard guard(lock_);
+    waiters_.erase(facts.id);
+    start(admission_.abandon(monotonic_now(), facts.id));
+  }
+  return end;
+}
+
+void model_gate::leave(const request_id& id, bool served) {
+  const std::lock_guard guard(lock_);
+  start(admission_.finished(monotonic_now(), id, served));
+}
+
+void model_gate::start_pump() {
+  if (pumping_) {
+    return;
+  }
+  pumping_ = true;
+  runtime_.post(0, [this] { pump(); });
+}
+
+// Runs only while requests wait, so an idle node does nothing.
+void model_gate::pump() {
+  while (sleep_until(monotonic_now() + pump_interval)) {
+    const std::lock_guard guard(lock_);
+    const time_point now = monotonic_now();
+    if (view_) {
+      apply_capacity(now, *view_);
+    }
+    refuse(admission_.tick(now));
+    if (waiters_.empty()) {
+      pumping_ = false;
+      return;
+    }
+  }
+}
+
+std::optional<route_choice> model_gate::choose(time_point now, const node_view& view,
+                                               const request_facts& facts,
+                                               std::span<const replica_id> tried) {
+  const std::lock_guard guard(lock_);
+  return router_.choose(now, view.routes, facts, flights_, tried);
+}
+
+void model_gate::sent(time_point now, const replica_id& replica, const request_facts& facts) {
+  const std::lock_guard guard(lock_);
+  flights_.sent(now, facts.id, replica, facts.cost);
+  router_.sent(now, replica, facts);
+}
+
+void model_gate::first_token(time_point now, const request_facts& facts,
+                             std::string_view request_class, duration latency) {
+  const std::lock_guard guard(lock_);
+  admission_.first_token(now, facts.id);
+  hedging_.observe(request_class, latency);
+}
+
+void model_gate::ended(time_point now, const request_facts& facts, const attempt_result& result) {
+  const std::lock_guard guard(lock_);
+  flights_.ended(now, facts.id, result.replica);
+  router_.observe(now, result);
+}
+
+void model_gate::first_attempt(time_point now) {
+  const std::lock_guard guard(lock_);
+  budget_.first_attempt(now);
+}
+
+retry_decision model_gate::retry(time_point now, const attempt_note& note, execution last,
+                                 const request_facts& facts) {
+  const std::lock_guard guard(lock_);
+  const duration needed = admission_.service_time(facts.cost);
+  return decide_retry(now, note, last, facts.repeatable, facts.deadline, needed, budget_, random_);
+}
+
+std::optional<time_point> model_gate::ask_hedge_at(std::string_view request_class,
+                                                   time_point sent) {
+  const std::lock_guard guard(lock_);
+  return hedging_.ask_at(request_class, sent);
+}
+
+bool model_gate::decide_hedge(time_point now, std::string_view request_class, time_point sent,
+                              const attempt_note& note, const request_facts& facts) {
+  const std::lock_guard guard(lock_);
+  return hedging_.decide(now, request_class, sent, note, facts.repeatable, facts.deadline);
+}
+
+duration model_gate::expected_wait(const request_facts& facts) {
+  const std::lock_guard guard(lock_);
+  return admission_.expected_wait(facts);
+}
+
+std::uint32_t model_gate::in_flight_at(const replica_id& replica) {
+  const std::lock_guard guard(lock_);
+  return flights_.count(replica);
+}
+
+std::size_t model_gate::waiting() {
+  const std::lock_guard guard(lock_);
+  return admission_.waiting();
+}
+
+std::size_t model_gate::running() {
+  const std::lock_guard guard(lock_);
+  return admission_.running();
+}
+
+void model_gate::refresh(const std::shared_ptr<const node_view>& view) {
+  const std::lock_guard guard(lock_);
+  view_ = view;
+  const time_point now = monotonic_now();
+  apply_capacity(now, *view);
+  refuse(admission_.tick(now));
+}
+
+void model_gate::set_shares(const rules& wanted) {
+  const std::lock_guard guard(lock_);
+  for (const workspace_rule& workspace : wanted.workspaces) {
+    admission_.set_share(workspace.id, workspace.share);
+  }
+}
+
+model_gate& model_gates::of(const model_id& model) {
+  const std::lock_guard guard(lock_);
+  std::unique_ptr<model_gate>& gate = gates_[model];
+  if (!gate) {
+    gate = std::make_unique<model_gate>(runtime_, model, stable_hash(model.str(), seed_));
+  }
+  return *gate;
+}
+
+void model_gates::refresh(const std::shared_ptr<const node_view>& view) {
+  if (!view->config) {
+    return;
+  }
+  for (const model_rule& model : view->config->wanted.models) {
+    of(model.id);
+  }
+  const std::lock_guard guard(lock_);
+  const bool new_config = view->config->version != config_version_;
+  config_version_ = view->config->version;
+  for (const auto& [id, gate] : gates_) {
+    if (new_config) {
+      gate->set_shares(view->config->wanted);
+    }
+    gate->refresh(view);
+  }
+}
+
+std::uint32_t model_gates::in_flight_at(const replica_route& route) {
+  return of(route.model).in_flight_at(route.id);
+}
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/node/model_gate.h
@@ -0,0 +1,119 @@
+// The decisions about one model's requests at this node, under one lock: admission, choice of
+// replica, retry budget, hedging. Lives as long as the process; requests come and go.
+//
+// A waiting request suspends its fiber; whoever frees capacity wakes it, from any worker.
+#pragma once
+
+#include <boost/fiber/condition_variable.hpp>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <span>
+#include <unordered_map>
+
+#include "connection/fiber_runtime.h"
+#include "node/control.h"
+#include "request/admission.h"
+#include "request/in_flight.h"
+#include "request/retry.h"
+#include "request/router.h"
+
+namespace arbutus {
+
+// How a request's wait for admission ended.
+struct admission_end {
+  enum class kind { admitted, rejected, caller_gone } what = kind::admitted;
+  rejected why;  // for rejected
+};
+
+// One request's place in the queue. Lives in the request's frame until enter() returned.
+class admission_waiter {
+ public:
+  // The caller hung up: enter() returns soon. From any worker.
+  void caller_gone() { finish({admission_end::kind::caller_gone, {}}); }
+
+ private:
+  friend class model_gate;
+  void finish(admission_end how);
+  admission_end wait();
+
+  std::mutex lock_;
+  boost::fibers::condition_variable_any changed_;
+  std::optional<admission_end> end_;  // set once; the first end counts
+};
+
+class model_gate {
+ public:
+  model_gate(fiber_runtime& runtime, model_id model, std::uint64_t seed);
+
+  // Suspends until the request may start, is refused or its caller is gone.
+  admission_end enter(const node_view& view, const request_facts& facts, admission_waiter& waiter);
+  // For a request that entered: its place is free again. `served`: it ran to its end.
+  void leave(const request_id& id, bool served);
+
+  std::optional<route_choice> choose(time_point now, const node_view& view,
+                                     const request_facts& facts, std::span<const replica_id> tried);
+  void sent(time_point now, const replica_id& replica, const request_facts& facts);
+  void first_token(time_point now, const request_facts& facts, std::string_view request_class,
+                   duration latency);
+  void ended(time_point now, const request_facts& facts, const attempt_result& result);
+
+  void first_attempt(time_point now);
+  retry_decision retry(time_point now, const attempt_note& note, execution last,
+                       const request_facts& facts);
+  std::optional<time_point> ask_hedge_at(std::string_view request_class, time_point sent);
+  bool decide_hedge(time_point now, std::string_view request_class, time_point sent,
+                    const attempt_note& note, const request_facts& facts);
+
+  [[nodiscard]] duration expected_wait(const request_facts& facts);
+  [[nodiscard]] std::uint32_t in_flight_at(const replica_id& replica);
+  [[nodiscard]] std::size_t waiting();
+  [[nodiscard]] std::size_t running();
+
+  // A new view: capacity may have changed.
+  void refresh(const std::shared_ptr<const node_view>& view);
+  void set_shares(const rules& wanted);
+
+ private:
+  void apply_capacity(time_point now, const node_view& view);
+  void start(const std::vector<request_id>& ids);
+  void refuse(const std::vector<rejection>& list);
+  void refuse(const rejection& one);
+  void start_pump();
+  void pump();
+
+  fiber_runtime& runtime_;
+  model_id model_;
+  std::mutex lock_;  // guards all below
+  admission admission_;
+  expected_completion router_;
+  in_flight flights_;
+  retry_budget budget_;
+  hedging hedging_;
+  rng random_;
+  // Invariant: holds exactly the requests that admission_ has waiting.
+  std::unordered_map<request_id, admission_waiter*> waiters_;
+  std::shared_ptr<const node_view> view_;
+  bool pumping_ = false;  // a fiber looks after hopeless requests while any wait
+};
+
+// The gates of all models; made on first use, kept for the process's life.
+class model_gates {
+ public:
+  model_gates(fiber_runtime& runtime, std::uint64_t seed) : runtime_(runtime), seed_(seed) {}
+
+  model_gate& of(const model_id& model);
+  void refresh(const std::shared_ptr<const node_view>& view);
+  // Requests that this node has at a replica, over all models.
+  [[nodiscard]] std::uint32_t in_flight_at(const replica_route& route);
+
+ private:
+  fiber_runtime& runtime_;
+  std::uint64_t seed_;
+  std::mutex lock_;
+  std::map<model_id, std::unique_ptr<model_gate>> gates_;
+  std::uint64_t config_version_ = 0;  // whose shares were set
+};
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/node/service_call.cpp
@@ -0,0 +1,314 @@
+// Calls of plain services.
+#include "node/service_call.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+#include "base/hash.h"
+#include "connection/clock.h"
+#include "node/keyed_driver.h"
+#include "request/retry.h"
+
+namespace arbutus {
+
+namespace {
+
+constexpr duration retry_after_failure = 500ms;
+constexpr std::uint32_t max_attempts = 3;
+
+// Headers that speak of the caller's connection to this node, or that only this node may set.
+bool is_passed_on(std::string_view name) {
+  static constexpr std::string_view dropped[] = {
+      "authorization", "connection",      "keep-alive", "proxy-authorization", "te",
+      "upgrade",       "expect",          "host",       "x-workspace",         "x-request-id",
+      "trailer",       "proxy-connection"};
+  return !is_framing_field(name) &&
+         std::none_of(std::begin(dropped), std::end(dropped),
+                      [&](std::string_view d) { return equal_ignoring_case(d, name); });
+}
+
+std::string_view path_of(std::string_view target) {
+  return target.substr(0, target.find('?'));
+}
+
+// "/crew" matches "/crew" and "/crew/1", not "/crewmen".
+bool is_below(std::string_view path, std::string_view prefix) {
+  if (!path.starts_with(prefix)) {
+    return false;
+  }
+  return path.size() == prefix.size() || prefix.ends_with('/') || path[prefix.size()] == '/';
+}
+
+bool has_dot_segment(std::string_view path) {
+  return path.find("/../") != std::string_view::npos || path.ends_with("/..") ||
+         path.find("/./") != std::string_view::npos || path.ends_with("/.") ||
+         path.find("%2e") != std::string_view::npos || path.find("%2E") != std::string_view::npos ||
+         path.find("%2f") != std::string_view::npos || path.find("%2F") != std::string_view::npos;
+}
+
+bool is_idempotent(const service_rule& service, std::string_view method, std::string_view path) {
+  const auto covers = [&](const service_rule::idempotent_call& call) {
+    return call.method == method && is_below(path, call.path_prefix);
+  };
+  return std::any_of(service.idempotent_calls.begin(), service.idempotent_calls.end(), covers);
+}
+
+call_error problem(int status, std::string code, std::string message) {
+  call_error error;
+  error.status = status;
+  error.code = std::move(code);
+  error.message = std::move(message);
+  return error;
+}
+
+class service_call {
+ public:
+  service_call(call_context& node, const http_request& request, response_writer& writer)
+      : node_(node), request_(request), writer_(writer) {}
+
+  void run() {
+    if (const auto error = begin()) {
+      finish_with(*error);
+      return;
+    }
+    cancel_ = cancel_token::make();
+    if (is_idempotent(*service_, request_.method, path_of(request_.target))) {
+      writer_.on_gone([this] { cancel_.cancel(); });
+      run_repeatable();
+    } else {
+      run_keyed();
+    }
+  }
+
+ private:
+  std::optional<call_error> begin() {
+    if (auto error = begin_call(node_, request_, call_)) {
+      return error;
+    }
+    const std::string_view path = path_of(request_.target);
+    service_ = find_service_by_path(call_.view->config->wanted, path);
+    if (service_ == nullptr || has_dot_segment(path)) {
+      return problem(404, "unknown_path", "no service has this path");
+    }
+    call_.measured.target = service_->id.str();
+    const auto& allowed = service_->workspaces;
+    if (!allowed.empty() &&
+        std::find(allowed.begin(), allowed.end(), call_.workspace->id) == allowed.end()) {
+      return problem(403, "service_not_allowed", "this workspace may not use the service");
+    }
+    return std::nullopt;
+  }
+
+  // Own data centre first, then the others; those that failed lately last.
+  [[nodiscard]] std::vector<endpoint> instances() const {
+    struct ranked {
+      int rank;
+      std::uint64_t order;
+      endpoint address;
+    };
+    std::vector<ranked> list;
+    const time_point now = monotonic_now();
+    for (const service_target& target : call_.view->config->assets.services) {
+      if (target.service != service_->id) {
+        continue;
+      }
+      const int far = target.data_centre == node_.data_centre ? 0 : 1;
+      const int bad = node_.services.failed_lately(now, target.address) ? 2 : 0;
+      list.push_back({far + bad, rendezvous_weight(call_.id.str(), to_string(target.address)),
+                      target.address});
+    }
+    std::sort(list.begin(), list.end(), [](const ranked& a, const ranked& b) {
+      return std::tie(a.rank, a.order) < std::tie(b.rank, b.order);
+    });
+    std::vector<endpoint> result;
+    for (const ranked& r : list) {
+      result.push_back(r.address);
+    }
+    return result;
+  }
+
+  [[nodiscard]] http_request outgoing() const {
+    http_request out;
+    out.method = request_.method;
+    out.target = request_.target;
+    out.body = request_.body;
+    for (const auto& [name, value] : request_.headers) {
+      if (is_passed_on(name)) {
+        out.headers.add(name, value);
+      }
+    }
+    out.headers.add("x-workspace", call_.workspace->id.str());
+    out.headers.add("x-request-id", call_.id.str());
+    return out;
+  }
+
+  call_result send_to(const endpoint& instance, const send_permit& permit) {
+    ++call_.measured.attempts;
+    call_result result =
+        node_.client.fetch(address_of(instance), outgoing(), call_.deadline, cancel_, permit);
+    if (result.ok()) {
+      node_.services.worked(instance);
+    } else if (result.failure != call_failure::cancelled &&
+               result.failure != call_failure::not_permitted) {
+      node_.services.failed(monotonic_now(), instance);
+    }
+    return result;
+  }
+
+  void run_repeatable() {
+    const std::vector<endpoint> list = instances();
+    execution worst = execution::not_run;
+    std::string reason = "no instance is known";
+    for (std::size_t i = 0; i < std::min<std::size_t>(list.size(), max_attempts); ++i) {
+      const call_result result = send_to(list[i], {});
+      if (result.ok()) {
+        pass_on(result.response);
+        return;
+      }
+      if (result.outcome == call_outcome::unknown) {
+        worst = execution::unknown;
+      }
+      reason = std::string(to_string(result.failure));
+      if (result.failure == call_failure::cancelled || monotonic_now() >= call_.deadline) {
+        break;
+      }
+    }
+    if (writer_.caller_gone()) {
+      finish("caller_gone", "while running");
+      return;
+    }
+    give_up(worst, "service_unavailable", reason);
+  }
+
+  void run_keyed() {
+    keyed_call_facts facts;
+    facts.workspace = call_.workspace->id;
+    const auto key = request_.headers.find("idempotency-key");
+    // Without a key of the caller's, each call is its own: it still gets one attempt.
+    facts.key = idempotency_key{key ? std::string(*key) : call_.id.str()};
+    facts.owner = {node_.self, node_.incarnation, call_.id};
+    facts.body_hash = content_hash(request_.method + '\n' + request_.target + '\n' + request_.body);
+    facts.deadline = call_.deadline;
+    const auto send = [this](const send_permit& permit) { return send_once(permit); };
+    const auto reply = [this](const keyed_reply& r) { answer(r); };
+    drive_keyed_call(node_.platform, facts, send, reply);
+  }
+
+  // Instances that cannot even be connected to have seen nothing, so the next may be tried; the
+  // first byte that may have left ends that.
+  call_result send_once(const send_permit& permit) {
+    call_result result;
+    result.outcome = call_outcome::not_sent;
+    result.failure = call_failure::connect_failed;
+    for (const endpoint& instance : instances()) {
+      result = send_to(instance, permit);
+      const bool next = result.outcome == call_outcome::not_sent &&
+                        result.failure == call_failure::connect_failed;
+      if (!next) {
+        break;
+      }
+    }
+    return result;
+  }
+
+  void answer(const keyed_reply& reply) {
+    using kind = keyed_reply::kind;
+    switch (reply.what) {
+      case kind::done:
+        send_recorded(reply);
+        return;
+      case kind::not_run:
+        give_up(execution::not_run, "not_run", reply.reason, reply.retry_after);
+        return;
+      case kind::unknown:
+        give_up(execution::unknown, "outcome_unknown", reply.reason, reply.retry_after);
+        return;
+      case kind::in_progress: {
+        call_error error = problem(409, "in_progress", "an equal call is running");
+        error.ran = execution::unknown;
+        error.retry_after = reply.retry_after;
+        finish_with(error);
+        return;
+      }
+      case kind::conflict:
+        finish_with(problem(422, "key_reused", "the idempotency key was used with another body"));
+        return;
+    }
+  }
+
+  void send_recorded(const keyed_reply& reply) {
+    if (reply.body_dropped) {
+      call_error error = problem(409, "answer_not_kept", "the call ran; its answer was too large");
+      error.ran = execution::done;
+      finish_with(error);
+      return;
+    }
+    http_response response;
+    response.status = static_cast<int>(reply.status);
+    response.headers.add("content-type", reply.content_type);
+    if (reply.replayed) {
+      response.headers.add("idempotent-replayed", "true");
+    }
+    response.body = reply.body;
+    pass_on(response);
+  }
+
+  void pass_on(const http_response& response) {
+    http_headers headers;
+    for (const auto& [name, value] : response.headers) {
+      if (is_passed_on(name)) {
+        headers.add(name, value);
+      }
+    }
+    headers.add("x-request-id", call_.id.str());
+    const bool reached = writer_.send(response.status, headers, response.body);
+    finish(reached ? "done" : "caller_gone", {});
+  }
+
+  void give_up(execution ran, std::string code, std::string message,
+               duration retry_after = retry_after_failure) {
+    call_error error =
+        problem(ran == execution::unknown ? 502 : 503, std::move(code), std::move(message));
+    error.ran = ran;
+    error.retry_after = retry_after;
+    finish_with(error);
+  }
+
+  void finish_with(const call_error& error) {
+    send_error(writer_, error);
+    finish(std::string(to_string(error.ran)), error.code);
+  }
+
+  void finish(std::string result, std::string reason) {
+    call_.measured.result = std::move(result);
+    call_.measured.reason = std::move(reason);
+    call_.measured.total = monotonic_now() - call_.arrival;
+    node_.measured.record(current_worker(), call_.measured);
+  }
+
+  call_context& node_;
+  const http_request& request_;
+  response_writer& writer_;
+  call_state call_;
+  const service_rule* service_ = nullptr;
+  cancel_token cancel_;
+};
+
+}  // namespace
+
+const service_rule* find_service_by_path(const rules& wanted, std::string_view path) {
+  for (const service_rule& service : wanted.services) {
+    if (is_below(path, service.path_prefix)) {
+      return &service;
+    }
+  }
+  return nullptr;
+}
+
+void serve_service_call(call_context& node, const http_request& request, response_writer& writer) {
+  service_call call(node, request, writer);
+  call.run();
+  writer.on_gone({});
+}
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/node/service_health.cpp
@@ -0,0 +1,29 @@
+// Memory of failed instances.
+#include "node/service_health.h"
+
+namespace arbutus {
+
+namespace {
+
+// An instance that failed is tried after the others for this long.
+constexpr duration failure_memory = 3s;
+
+}  // namespace
+
+void service_health::failed(time_point now, const endpoint& instance) {
+  const std::lock_guard guard(lock_);
+  failed_at_[instance] = now;
+}
+
+void service_health::worked(const endpoint& instance) {
+  const std::lock_guard guard(lock_);
+  failed_at_.erase(instance);
+}
+
+bool service_health::failed_lately(time_point now, const endpoint& instance) const {
+  const std::lock_guard guard(lock_);
+  const auto found = failed_at_.find(instance);
+  return found != failed_at_.end() && now < found->second + failure_memory;
+}
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/node/service_health.h
@@ -0,0 +1,24 @@
+// Which instances of plain services failed lately; they are tried last.
+#pragma once
+
+#include <map>
+#include <mutex>
+
+#include "base/units.h"
+#include "version/inventory.h"
+
+namespace arbutus {
+
+// One per node, shared by all calls under its own lock.
+class service_health {
+ public:
+  void failed(time_point now, const endpoint& instance);
+  void worked(const endpoint& instance);
+  [[nodiscard]] bool failed_lately(time_point now, const endpoint& instance) const;
+
+ private:
+  mutable std::mutex lock_;
+  std::map<endpoint, time_point> failed_at_;
+};
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/node/sse.h
@@ -0,0 +1,39 @@
+// Server-sent events as engines stream them: splitting bytes into frames, and what a frame says.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "base/id.h"
+
+namespace arbutus {
+
+// Frames end with an empty line; a read may hold part of one or several.
+class sse_splitter {
+ public:
+  // A frame that is longer than this is not one of an engine's.
+  static constexpr std::size_t max_frame = 1024 * 1024;
+
+  void append(std::string_view bytes) { buffer_.append(bytes); }
+  // The next whole frame with its empty line; the view lives until the next call.
+  [[nodiscard]] std::optional<std::string_view> next();
+  [[nodiscard]] bool overflown() const { return buffer_.size() - taken_ > max_frame; }
+
+ private:
+  std::string buffer_;
+  std::size_t taken_ = 0;  // bytes of buffer_ that were given out
+};
+
+enum class frame_kind { token, finish, done, other, malformed };
+
+struct engine_frame {
+  frame_kind kind = frame_kind::malformed;
+  request_id id;
+  std::uint64_t offset{};  // of the token; for finish: how many tokens the answer has
+};
+
+[[nodiscard]] engine_frame parse_frame(std::string_view frame);
+
+}  // namespace arbutus
