Connections: links between nodes, one listener for all servers

Cause: nodes need framed links that neither block on a slow peer nor hold its stale state.

Change: link_client queues within a bound, oldest state first out; urgent frames go ahead. Both sides exchange node ids, since an address may have passed on. Accepting and the registry of connections are shared by the HTTP and link servers. Idle client connections close after their expiry.

--- /dev/null
+++ b/src/connection/connection_registry.h
@@ -0,0 +1,78 @@
+// The open connections of a server, worker by worker. Only for the .cpp files of this folder.
+#pragma once
+
+#include <atomic>
+#include <boost/fiber/condition_variable.hpp>
+#include <cstddef>
+#include <unordered_set>
+#include <vector>
+
+#include "connection/fiber_worker.h"
+
+namespace arbutus {
+
+template <class Connection>
+class connection_registry {
+ public:
+  explicit connection_registry(std::size_t workers) : shards_(workers) {}
+
+  // The worker with the fewest connections. From any thread.
+  [[nodiscard]] std::size_t least_loaded() const {
+    std::size_t best = 0;
+    for (std::size_t i = 1; i < shards_.size(); ++i) {
+      if (shards_[i].open < shards_[best].open) {
+        best = i;
+      }
+    }
+    return best;
+  }
+
+  [[nodiscard]] std::size_t size() const {
+    std::size_t total = 0;
+    for (const shard& s : shards_) {
+      total += s.open;
+    }
+    return total;
+  }
+
+  // Counts a connection that is on its way to `worker`. From any thread; each opened() is followed
+  // by one closed() on that worker.
+  void opened(std::size_t worker) { ++shards_[worker].open; }
+
+  void closed() {
+    shard& own = shards_[current_worker()];
+    --own.open;
+    own.changed.notify_all();
+  }
+
+  void enlist(Connection& connection) { shards_[current_worker()].connections.insert(&connection); }
+
+  void delist(Connection& connection) { shards_[current_worker()].connections.erase(&connection); }
+
+  // For the connections of the calling worker. `action` must not suspend.
+  template <class Action>
+  void for_each(Action&& action) {
+    for (Connection* connection : shards_[current_worker()].connections) {
+      action(*connection);
+    }
+  }
+
+  // Suspends until the calling worker has none left.
+  void wait_until_empty() {
+    shard& own = shards_[current_worker()];
+    no_lock lock;
+    own.changed.wait(lock, [&own] { return own.open == 0; });
+  }
+
+ private:
+  struct shard {
+    std::atomic<std::size_t> open{0};
+    // Touched on its worker only. Those of `open` that are not here have not begun yet.
+    std::unordered_set<Connection*> connections;
+    boost::fibers::condition_variable_any changed;
+  };
+
+  std::vector<shard> shards_;
+};
+
+}  // namespace arbutus
--- a/src/connection/fiber_runtime.cpp
+++ b/src/connection/fiber_runtime.cpp
@@ -146,6 +146,10 @@
   }
 }
 
+bool fiber_runtime::running() const noexcept {
+  return state_->running;
+}
+
 void fiber_runtime::stop() {
   for (auto& worker : state_->workers) {
     asio::post(worker->io, [&worker = *worker] { begin_stop(worker); });
@@ -166,8 +170,14 @@
 }
 
 void fiber_runtime::run_on(std::size_t worker, const std::function<void()>& work) {
-  if (!state_->running || current_worker() == worker) {
+  if (current_worker() == worker) {
+    work();
+    return;
+  }
+  if (!state_->running) {
+    fiber_worker* const outside = std::exchange(worker_of_thread, state_->workers[worker].get());
     work();
+    worker_of_thread = outside;
     return;
   }
   boost::fibers::promise<void> done;
--- a/src/connection/fiber_runtime.h
+++ b/src/connection/fiber_runtime.h
@@ -34,8 +34,10 @@
 
   [[nodiscard]] std::size_t workers() const noexcept;
 
-  // Starts the threads. Work posted earlier begins now.
+  // Starts the threads. Work posted earlier begins now. Not after a server, client or link that
+  // was made before it has been destroyed again.
   void run();
+  [[nodiscard]] bool running() const noexcept;
 
   // Asks the workers to end once their fibers have returned, and wakes every sleep_until().
   // Servers, clients and links are destroyed first: their fibers do not end by themselves.
--- /dev/null
+++ b/src/connection/frame_queue.cpp
@@ -0,0 +1,46 @@
+// The frames that wait for a slow peer.
+#include "connection/frame_queue.h"
+
+#include "connection/link_wire.h"
+
+namespace arbutus {
+
+void frame_queue::pop(frames& from) {
+  bytes_ -= from.front().size();
+  from.pop_front();
+}
+
+std::size_t frame_queue::push(std::vector<std::uint8_t> frame, frame_priority priority) {
+  const bool is_urgent = priority == frame_priority::urgent;
+  std::size_t dropped = 0;
+  const auto too_full = [&] { return bytes_ + frame.size() > most_bytes_; };
+  for (; too_full() && !state_.empty(); ++dropped) {
+    pop(state_);
+  }
+  for (; too_full() && !urgent_.empty(); ++dropped) {
+    pop(urgent_);
+  }
+  bytes_ += frame.size();
+  (is_urgent ? urgent_ : state_).push_back(std::move(frame));
+  return dropped;
+}
+
+std::size_t frame_queue::drop_state() {
+  const std::size_t dropped = state_.size();
+  while (!state_.empty()) {
+    pop(state_);
+  }
+  return dropped;
+}
+
+std::size_t frame_queue::take(std::vector<std::uint8_t>& out, std::size_t enough) {
+  std::size_t count = 0;
+  for (; !empty() && out.size() < enough; ++count) {
+    frames& from = urgent_.empty() ? state_ : urgent_;
+    append_frame(out, from.front());
+    pop(from);
+  }
+  return count;
+}
+
+}  // namespace arbutus
--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -38,8 +38,12 @@
 using connection_ptr = std::unique_ptr<connection>;
 using idle_list = std::vector<connection_ptr>;  // the one used last is at the end
 
+// The idle connections of one worker.
 struct worker_pool {
   std::map<socket_address, idle_list> idle;
+  std::unique_ptr<asio::steady_timer> sweep_timer;
+  bool sweep_pending{false};  // the timer's handler refers to this
+  boost::fibers::condition_variable_any swept;
 };
 
 call_failure failure_of(const error_code& error) {
@@ -255,14 +259,12 @@
   }
 
   void put_idle(const socket_address& target, connection_ptr link) {
-    const time_point now = monotonic_now();
-    link->idle_since = now;
+    link->idle_since = monotonic_now();
     idle_list& idle = pool().idle[target];
-    std::erase_if(
-        idle, [&](const connection_ptr& c) { return c->idle_since < now - limits.idle_expiry; });
     if (idle.size() < limits.idle_per_target) {
       idle.push_back(std::move(link));
     }
+    sweep_later(pool());
   }
 
   // Null with `result` filled if the target cannot be reached.
@@ -331,6 +333,46 @@
     }
   }
 
+  // Without it a target that is no longer called would keep its connections for ever.
+  void sweep_later(worker_pool& own) {
+    if (own.sweep_pending) {
+      return;
+    }
+    own.sweep_pending = true;
+    own.sweep_timer = std::make_unique<asio::steady_timer>(
+        this_worker()->io, to_steady(monotonic_now() + limits.idle_expiry));
+    own.sweep_timer->async_wait([this, &own](const error_code& error) {
+      own.sweep_pending = false;
+      if (!error) {
+        sweep(own);
+      }
+      own.swept.notify_all();
+    });
+  }
+
+  void sweep(worker_pool& own) {
+    const time_point oldest = monotonic_now() - limits.idle_expiry;
+    for (auto& [target, idle] : own.idle) {
+      std::erase_if(idle, [&](const connection_ptr& c) { return c->idle_since < oldest; });
+    }
+    std::erase_if(own.idle, [](const auto& entry) { return entry.second.empty(); });
+    if (!own.idle.empty()) {
+      sweep_later(own);
+    }
+  }
+
+  void close_pool(worker_pool& own) {
+    own.idle.clear();
+    if (own.sweep_pending) {
+      own.sweep_timer->cancel();
+    }
+    if (!runtime.running()) {
+      return;
+    }
+    no_lock lock;
+    own.swept.wait(lock, [&own] { return !own.sweep_pending; });
+  }
+
   fiber_runtime& runtime;
   http_client_limits limits;
   std::vector<worker_pool> pools;  // one for each worker, touched only there
@@ -341,7 +383,7 @@
 
 http_client::~http_client() {
   for (std::size_t i = 0; i < state_->pools.size(); ++i) {
-    state_->runtime.run_on(i, [this, i] { state_->pools[i].idle.clear(); });
+    state_->runtime.run_on(i, [this, i] { state_->close_pool(state_->pools[i]); });
   }
 }
 
--- a/src/connection/http_exchange.cpp
+++ b/src/connection/http_exchange.cpp
@@ -75,18 +75,19 @@
 }  // namespace
 
 void serve_connection(server_core& core, tcp::socket socket) {
-  const std::size_t worker = current_worker();
   {
     http_exchange exchange(core, std::move(socket));
-    core.enlist(exchange);
-    if (core.connections() > core.limits().connections) {
+    core.registry().enlist(exchange);
+    if (core.closing()) {
+      exchange.close_now();
+    } else if (core.connections() > core.limits().connections) {
       exchange.turn_away();
     } else {
       exchange.serve();
     }
-    core.delist(exchange);
+    core.registry().delist(exchange);
   }
-  core.closed(worker);
+  core.closed();
 }
 
 http_exchange::http_exchange(server_core& core, tcp::socket socket)
@@ -380,58 +381,28 @@
   }
 }
 
-std::size_t server_core::least_loaded() const {
-  std::size_t best = 0;
-  for (std::size_t i = 1; i < shards_.size(); ++i) {
-    if (shards_[i].connections < shards_[best].connections) {
-      best = i;
-    }
-  }
-  return best;
-}
-
-void server_core::opened(std::size_t worker) {
-  ++connections_;
-  ++shards_[worker].connections;
-}
-
-void server_core::closed(std::size_t worker) {
-  {
-    const std::lock_guard lock(empty_mutex_);
-    --connections_;
-    empty_.notify_all();
-  }
-  --shards_[worker].connections;
-  shards_[worker].changed.notify_all();
-}
-
-void server_core::enlist(http_exchange& exchange) {
-  shards_[current_worker()].exchanges.insert(&exchange);
-}
-
-void server_core::delist(http_exchange& exchange) {
-  shards_[current_worker()].exchanges.erase(&exchange);
+void server_core::closed() {
+  const std::lock_guard lock(empty_mutex_);
+  registry_.closed();
+  empty_.notify_all();
 }
 
 bool server_core::wait_until_empty(time_point deadline) {
   std::unique_lock lock(empty_mutex_);
-  return empty_.wait_until(lock, to_steady(deadline), [this] { return connections_ == 0; });
+  return empty_.wait_until(lock, to_steady(deadline), [this] { return registry_.size() == 0; });
 }
 
-void server_core::close_idle(std::size_t worker) {
-  for (http_exchange* exchange : shards_[worker].exchanges) {
-    exchange->close_if_idle();
-  }
+void server_core::close_idle() {
+  registry_.for_each([](http_exchange& exchange) { exchange.close_if_idle(); });
 }
 
-void server_core::close_all(std::size_t worker) {
-  shard& own = shards_[worker];
-  begin_drain();
-  for (http_exchange* exchange : own.exchanges) {
-    exchange->close_now();
-  }
-  no_lock lock;
-  own.changed.wait(lock, [&own] { return own.connections == 0; });
+void server_core::close_all() {
+  draining_ = true;
+  closing_ = true;
+  registry_.for_each([](http_exchange& exchange) { exchange.close_now(); });
+  registry_.wait_until_empty();
+  // The last one may still be leaving closed().
+  const std::lock_guard lock(empty_mutex_);
 }
 
 bool response_writer::send(int status, const http_headers& headers, std::string_view body) {
--- a/src/connection/http_exchange.h
+++ b/src/connection/http_exchange.h
@@ -8,9 +8,8 @@
 #include <boost/fiber/mutex.hpp>
 #include <cstdint>
 #include <functional>
-#include <unordered_set>
-#include <vector>
 
+#include "connection/connection_registry.h"
 #include "connection/fiber_stream.h"
 #include "connection/http_server.h"
 
@@ -23,47 +22,40 @@
       : limits_(limits),
         handler_(std::move(handler)),
         error_body_(std::move(error_body)),
-        shards_(workers) {}
+        registry_(workers) {}
 
   [[nodiscard]] const http_server_limits& limits() const { return limits_; }
   [[nodiscard]] const http_handler& handler() const { return handler_; }
   [[nodiscard]] const http_error_body& error_body() const { return error_body_; }
 
-  [[nodiscard]] std::size_t least_loaded() const;
-  [[nodiscard]] std::size_t connections() const { return connections_; }
+  [[nodiscard]] connection_registry<http_exchange>& registry() { return registry_; }
+  [[nodiscard]] std::size_t connections() const { return registry_.size(); }
   [[nodiscard]] std::size_t active() const { return active_; }
   [[nodiscard]] bool draining() const { return draining_; }
+  [[nodiscard]] bool closing() const { return closing_; }
 
-  void opened(std::size_t worker);
-  void closed(std::size_t worker);
   void began() { ++active_; }
   void answered() { --active_; }
 
-  // On the worker of the connection.
-  void enlist(http_exchange& exchange);
-  void delist(http_exchange& exchange);
+  // On the worker of the connection, as its last act.
+  void closed();
 
   void begin_drain() { draining_ = true; }
   bool wait_until_empty(time_point deadline);
-  // On that worker.
-  void close_idle(std::size_t worker);
-  void close_all(std::size_t worker);
 
- private:
-  struct shard {
-    std::unordered_set<http_exchange*> exchanges;  // touched on its worker
-    std::atomic<std::size_t> connections{0};       // also those accepted but not yet enlisted
-    boost::fibers::condition_variable_any changed;
-  };
+  // For the connections of the calling worker.
+  void close_idle();
+  void close_all();
 
+ private:
   const http_server_limits limits_;
   const http_handler handler_;
   const http_error_body error_body_;
-  std::vector<shard> shards_;
-  std::atomic<std::size_t> connections_{0};
+  connection_registry<http_exchange> registry_;
   std::atomic<std::size_t> active_{0};
   std::atomic<bool> draining_{false};
-  boost::fibers::mutex empty_mutex_;
+  std::atomic<bool> closing_{false};
+  boost::fibers::mutex empty_mutex_;  // a connection is closed under it, so that no wait misses it
   boost::fibers::condition_variable empty_;
 };
 
--- /dev/null
+++ b/src/connection/link_wire.h
@@ -0,0 +1,69 @@
+// Frames on a stream and the counting of them. Only for the .cpp files of this folder.
+#pragma once
+
+#include <atomic>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "connection/fiber_stream.h"
+#include "connection/link.h"
+
+namespace arbutus {
+
+constexpr std::size_t frame_prefix_bytes = 4;
+
+// Kernel buffers of a link, in bytes. State that waits there can no longer be superseded, so they
+// are kept small; control messages fit many times over.
+constexpr int link_kernel_buffer = 64 * 1024;
+
+// Adds the frame of `payload` to `out`.
+void append_frame(std::vector<std::uint8_t>& out, std::span<const std::uint8_t> payload);
+
+[[nodiscard]] std::vector<std::uint8_t> hello_payload(const node_id& self);
+
+// Nothing if the payload is no hello of a protocol version that we speak.
+[[nodiscard]] std::optional<node_id> parse_hello(std::span<const std::uint8_t> payload);
+
+// Lets the kernel notice a peer that vanished without a word: by unacknowledged data within
+// `silence`, and by probes on a link that has nothing to send.
+void detect_dead_peer(boost::asio::ip::tcp::socket& socket, duration silence);
+
+struct atomic_link_counters {
+  std::atomic<std::uint64_t> bytes_in{0};
+  std::atomic<std::uint64_t> bytes_out{0};
+  std::atomic<std::uint64_t> frames_in{0};
+  std::atomic<std::uint64_t> frames_out{0};
+  std::atomic<std::uint64_t> frames_dropped{0};
+  std::atomic<std::uint64_t> connects{0};
+
+  [[nodiscard]] link_counters read() const;
+};
+
+// Cuts what a stream delivers into frames.
+class frame_reader {
+ public:
+  frame_reader(fiber_stream& stream, atomic_link_counters& counters)
+      : stream_(stream), counters_(counters) {}
+
+  // The payload of the next frame, valid until the next call. Nothing at the end, on an error, and
+  // when the peer sends a length that no frame has.
+  std::optional<std::span<const std::uint8_t>> next();
+
+ private:
+  bool fill(std::size_t wanted);
+  void make_room(std::size_t wanted);
+
+  fiber_stream& stream_;
+  atomic_link_counters& counters_;
+  std::vector<std::uint8_t> buffer_;
+  std::size_t begin_{0};  // first byte not yet given out
+  std::size_t end_{0};    // past the last byte received; begin_ <= end_ <= buffer_.size()
+};
+
+// Writes whole frames; false on an error.
+bool write_frames(fiber_stream& stream, std::span<const std::uint8_t> frames, std::uint64_t count,
+                  atomic_link_counters& counters);
+
+}  // namespace arbutus
