Configuration replica and proposer: first implementation

The content of a configuration at the size planned for is above 100 KB and changes every 11 s; sent whole it would exceed the traffic budget of a node, so peers and the object store give patches.

--- /dev/null
+++ b/src/process/config_patch.cpp
@@ -0,0 +1,75 @@
+// One span between a common start and a common end: cheap, and enough for a change in one place.
+#include "process/config_patch.h"
+
+#include <algorithm>
+
+#include "base/hash.h"
+
+namespace arbutus {
+
+std::string patch_name(std::string_view hash, std::string_view base) {
+  return std::string(hash) + "-from-" + std::string(base);
+}
+
+config_content whole_content(std::string_view content) {
+  config_content whole;
+  whole.head.hash = content_hash(content);
+  whole.middle = content;
+  return whole;
+}
+
+config_content make_patch(std::string_view base, std::string_view content) {
+  const std::size_t shorter = std::min(base.size(), content.size());
+  std::size_t prefix = 0;
+  while (prefix < shorter && base[prefix] == content[prefix]) {
+    ++prefix;
+  }
+  std::size_t suffix = 0;
+  while (suffix < shorter - prefix &&
+         base[base.size() - 1 - suffix] == content[content.size() - 1 - suffix]) {
+    ++suffix;
+  }
+  config_content patch;
+  patch.head.hash = content_hash(content);
+  patch.base = content_hash(base);
+  patch.prefix = prefix;
+  patch.suffix = suffix;
+  patch.middle = content.substr(prefix, content.size() - prefix - suffix);
+  return patch;
+}
+
+std::optional<std::string> apply_patch(std::string_view base, const config_content& patch) {
+  std::string content;
+  if (patch.base.empty()) {
+    content = patch.middle;
+  } else {
+    const bool fits = patch.prefix <= base.size() && patch.suffix <= base.size() - patch.prefix;
+    if (!fits || patch.base != content_hash(base)) {
+      return std::nullopt;
+    }
+    content.append(base.substr(0, patch.prefix));
+    content.append(patch.middle);
+    content.append(base.substr(base.size() - patch.suffix));
+  }
+  if (content_hash(content) != patch.head.hash) {
+    return std::nullopt;
+  }
+  return content;
+}
+
+std::string encode_patch(const config_content& patch) {
+  return encode(gossip_message{patch});
+}
+
+outcome<config_content> decode_patch(std::string_view bytes) {
+  outcome<gossip_message> decoded = decode_gossip(node_id{}, bytes);
+  if (auto* message = std::get_if<gossip_message>(&decoded)) {
+    if (auto* patch = std::get_if<config_content>(message)) {
+      return std::move(*patch);
+    }
+    return refused{"malformed: not a patch"};
+  }
+  return std::get<refused>(decoded);
+}
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/process/config_proposer.cpp
@@ -0,0 +1,154 @@
+// Read, store, write on condition, and read back when in doubt.
+#include "process/config_proposer.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/hash.h"
+#include "process/config_patch.h"
+
+namespace arbutus {
+
+namespace {
+
+// How many proposals a head names: a proposer whose reply was lost finds itself for so long.
+constexpr std::size_t named_proposals = 32;
+// A table that refuses the write although the row is as it was will go on doing so.
+constexpr std::size_t most_writes = 5;
+
+template <class T>
+std::string reason_of(const outcome<T>& result) {
+  if (const auto* r = std::get_if<refused>(&result)) {
+    return r->reason;
+  }
+  return std::get<unknown>(result).reason;
+}
+
+}  // namespace
+
+config_proposer::config_proposer(proposal_id id, std::string content, std::uint64_t base,
+                                 std::uint64_t known, std::string base_content)
+    : id_(std::move(id)),
+      content_(std::move(content)),
+      hash_(content_hash(content_)),
+      base_(base),
+      known_(known),
+      base_content_(std::move(base_content)) {}
+
+proposal_step config_proposer::start() {
+  phase_ = phase::reading;
+  return read_head{};
+}
+
+proposal_step config_proposer::read_back() {
+  phase_ = phase::resolving;
+  return read_head{};
+}
+
+proposal_step config_proposer::read_result(const outcome<head_row>& result) {
+  const auto* row = std::get_if<head_row>(&result);
+  if (row == nullptr) {
+    const std::string reason = "the head could not be read: " + reason_of(result);
+    if (wrote_) {
+      return proposal_unresolved{reason};
+    }
+    phase_ = phase::done;
+    return proposal_failed{reason};
+  }
+  return judge(*row);
+}
+
+// The version under which the table accepted this proposal.
+std::optional<std::uint64_t> config_proposer::own_version(const config_head& head) const {
+  const auto found = std::ranges::find(head.proposals, id_);
+  if (found == head.proposals.end()) {
+    return std::nullopt;
+  }
+  return head.version - static_cast<std::uint64_t>(found - head.proposals.begin());
+}
+
+proposal_step config_proposer::judge(const head_row& row) {
+  if (row.head) {
+    if (const auto version = own_version(*row.head)) {
+      phase_ = phase::done;
+      return proposal_accepted{*version};
+    }
+  }
+  if (wrote_) {
+    return judge_after_write(row);
+  }
+  const std::uint64_t version = row.head ? row.head->version : 0;
+  if (version != base_ || version < known_) {
+    phase_ = phase::done;
+    return proposal_conflict{row.head};
+  }
+  current_ = row;
+  if (!base_content_.empty()) {
+    phase_ = phase::storing_patch;
+    const config_content patch = make_patch(base_content_, content_);
+    return put_content{patch_name(hash_, patch.base), encode_patch(patch)};
+  }
+  phase_ = phase::storing;
+  return put_content{hash_, content_};
+}
+
+// A write that is still under way can take effect only as long as the row is as it was; so either
+// it is repeated, with the same condition, or it never will.
+proposal_step config_proposer::judge_after_write(const head_row& row) {
+  if (row.row_version == current_.row_version) {
+    if (writes_ < most_writes) {
+      return try_write();
+    }
+    return proposal_unresolved{"the table answers no write"};
+  }
+  const std::uint64_t version = row.head ? row.head->version : 0;
+  if (version > base_ + named_proposals) {
+    return proposal_unresolved{"more than " + std::to_string(named_proposals) +
+                               " configurations were accepted since; compare the one in force"};
+  }
+  phase_ = phase::done;
+  return proposal_conflict{row.head};
+}
+
+proposal_step config_proposer::put_result(const outcome<std::monostate>& result) {
+  if (phase_ == phase::storing_patch) {
+    // The patch only saves traffic.
+    phase_ = phase::storing;
+    return put_content{hash_, content_};
+  }
+  if (!is_ok(result)) {
+    phase_ = phase::done;
+    return proposal_failed{"the content could not be stored: " + reason_of(result)};
+  }
+  return try_write();
+}
+
+proposal_step config_proposer::try_write() {
+  phase_ = phase::writing;
+  ++writes_;
+  write_head write;
+  write.head.version = base_ + 1;
+  write.head.hash = hash_;
+  write.head.proposals.push_back(id_);
+  if (current_.head) {
+    const auto& before = current_.head->proposals;
+    const std::size_t kept = std::min(before.size(), named_proposals - 1);
+    write.head.proposals.insert(write.head.proposals.end(), before.begin(),
+                                before.begin() + static_cast<std::ptrdiff_t>(kept));
+  }
+  write.expected_row = current_.row_version;
+  return write;
+}
+
+proposal_step config_proposer::write_result(const outcome<std::uint64_t>& row_version) {
+  if (is_ok(row_version)) {
+    phase_ = phase::done;
+    return proposal_accepted{base_ + 1};
+  }
+  // Refused: another one changed the row, or an earlier try of this write did.
+  wrote_ = true;
+  phase_ = phase::resolving;
+  return read_head{};
+}
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/process/config_replica.cpp
@@ -0,0 +1,324 @@
+// Which head wins, where its content comes from, and healing of a restored table.
+#include "process/config_replica.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/hash.h"
+
+namespace arbutus {
+
+namespace {
+
+constexpr std::string_view head_subject = "config-head";
+// Contents kept as bases of patches for peers that are a few versions behind.
+constexpr std::size_t kept_contents = 4;
+// A claim that nobody can back up must not keep out the others for ever.
+constexpr std::size_t max_candidates = 8;
+
+std::size_t rank_in(const std::vector<node_id>& live, const node_id& self) {
+  const std::uint64_t own = rendezvous_weight(head_subject, self.str());
+  return static_cast<std::size_t>(std::ranges::count_if(live, [&](const node_id& node) {
+    return node != self && rendezvous_weight(head_subject, node.str()) > own;
+  }));
+}
+
+}  // namespace
+
+config_replica::config_replica(node_id self, std::uint64_t seed, control_timing timing)
+    : self_(std::move(self)), timing_(timing), random_(seed) {}
+
+bool config_replica::reads_head(const std::vector<node_id>& live) const {
+  return rank_in(live, self_) < timing_.head_readers;
+}
+
+// Versions decide. Equal versions with different content exist only after a restore of the table;
+// every node then has to choose the same one, whichever it met first.
+bool config_replica::beats(std::uint64_t version, std::string_view hash) const {
+  return std::pair(version, hash) > std::pair(in_force_.version, std::string_view(in_force_.hash));
+}
+
+config_wants config_replica::tick(const std::vector<node_id>& live, time_point now) {
+  config_wants wants;
+  rank_ = rank_in(live, self_);
+  const bool reader = rank_ < timing_.head_readers;
+  if (reader) {
+    next_read_ = std::min(next_read_, now + timing_.head_read_by_readers);
+  }
+  const bool waiting = read_started_ && now - *read_started_ < timing_.head_read_by_readers;
+  if (now >= next_read_ && !waiting) {
+    const duration interval = reader ? timing_.head_read_by_readers : timing_.head_read_by_others;
+    next_read_ = now + interval - random_.jitter(interval / 4);
+    read_started_ = now;
+    wants.push_back(want_head{});
+  }
+  fetch_all(wants, now);
+  return wants;
+}
+
+// ---- what others have ----
+
+config_wants config_replica::head_read(const outcome<head_row>& result, time_point now) {
+  config_wants wants;
+  read_started_.reset();
+  if (const auto* row = std::get_if<head_row>(&result)) {
+    judge_head(*row, wants, now);
+  }
+  return wants;
+}
+
+void config_replica::judge_head(const head_row& row, config_wants& wants, time_point now) {
+  const std::uint64_t version = row.head ? row.head->version : 0;
+  if (row.head && version > in_force_.version) {
+    old_row_seen_.reset();
+    consider(*row.head, true, nullptr);
+    fetch_all(wants, now);
+    return;
+  }
+  if (row.head && version == in_force_.version && row.head->hash == in_force_.hash) {
+    old_row_seen_.reset();
+    head_ = *row.head;
+    return;
+  }
+  if (in_force_.version == 0) {
+    return;
+  }
+  // The other reader gets a second to heal it, so that the table is written once.
+  const bool seen_before = old_row_seen_ == row.row_version;
+  old_row_seen_ = row.row_version;
+  if (rank_ == 0 || seen_before) {
+    heal(row, wants);
+  }
+}
+
+config_wants config_replica::peer_has(const node_id& peer, std::uint64_t version,
+                                      std::string_view hash, time_point now) {
+  config_wants wants;
+  if (version == 0 || hash.empty()) {
+    return wants;
+  }
+  if (version == in_force_.version && hash == in_force_.hash) {
+    same_as_us_ = peer;
+    return wants;
+  }
+  config_head head;
+  head.version = version;
+  head.hash = hash;
+  consider(head, false, &peer);
+  fetch_all(wants, now);
+  return wants;
+}
+
+void config_replica::consider(const config_head& head, bool from_table, const node_id* holder) {
+  if (!beats(head.version, head.hash)) {
+    return;
+  }
+  candidate& c = candidates_[{head.version, head.hash}];
+  c.from_table = c.from_table || from_table;
+  if (c.head.proposals.empty()) {
+    c.head = head;
+  }
+  if (holder != nullptr && std::ranges::count(c.holders, *holder) == 0) {
+    c.holders.push_back(*holder);
+  }
+  if (candidates_.size() > max_candidates) {
+    const auto weakest = std::ranges::find_if(
+        candidates_, [](const auto& entry) { return !entry.second.from_table; });
+    candidates_.erase(weakest == candidates_.end() ? candidates_.begin() : weakest);
+  }
+}
+
+// ---- getting content ----
+
+void config_replica::fetch_all(config_wants& wants, time_point now) {
+  for (auto& [id, c] : candidates_) {
+    const bool waiting = c.asked_at && now - *c.asked_at < timing_.fetch_timeout;
+    if (!waiting && now >= c.not_before) {
+      fetch(c, wants, now);
+    }
+  }
+}
+
+void config_replica::fetch(candidate& c, config_wants& wants, time_point now) {
+  c.asked_at = now;
+  const bool patch = c.from_table && !in_force_.hash.empty();
+  std::size_t source = c.attempt++;
+  if (patch && source-- == 0) {
+    wants.push_back(want_object{patch_name(c.head.hash, in_force_.hash)});
+    return;
+  }
+  if (source < c.holders.size()) {
+    wants.push_back(want_sent{c.holders[source], config_request{c.head.hash, in_force_.hash}});
+    return;
+  }
+  wants.push_back(want_object{c.head.hash});
+  c.attempt = 0;
+  c.not_before = now + timing_.head_read_by_readers;
+}
+
+// The source that was asked last has not got it.
+config_wants config_replica::try_next(std::string_view hash, time_point now) {
+  config_wants wants;
+  for (auto& [id, c] : candidates_) {
+    if (c.head.hash == hash && now >= c.not_before) {
+      fetch(c, wants, now);
+    }
+  }
+  return wants;
+}
+
+config_wants config_replica::object_read(std::string_view name, const outcome<std::string>& result,
+                                         time_point now) {
+  config_wants wants;
+  const std::string_view hash = name.substr(0, name.find("-from-"));
+  if (const auto* bytes = std::get_if<std::string>(&result)) {
+    config_content content = whole_content(*bytes);
+    if (hash.size() != name.size()) {
+      const outcome<config_content> decoded = decode_patch(*bytes);
+      const auto* patch = std::get_if<config_content>(&decoded);
+      content = patch != nullptr ? *patch : config_content{};
+    }
+    if (content.head.hash == hash && accept(content, wants, now)) {
+      return wants;
+    }
+  }
+  return try_next(hash, now);
+}
+
+config_wants config_replica::peer_sent(const node_id& peer, const config_content& content,
+                                       time_point now) {
+  config_wants wants;
+  if (content.head.hash == in_force_.hash && content.head.version == in_force_.version) {
+    head_ = content.head;
+    return wants;
+  }
+  // A whole head: the peer may know proposals that its heartbeat did not name.
+  consider(content.head, false, &peer);
+  if (!accept(content, wants, now) && beats(content.head.version, content.head.hash)) {
+    return try_next(content.head.hash, now);
+  }
+  return wants;
+}
+
+// True if the content was right, wanted or not.
+bool config_replica::accept(const config_content& content, config_wants& wants, time_point now) {
+  std::optional<std::string> whole = apply_patch(content_, content);
+  if (!whole) {
+    return false;
+  }
+  // The same content may be wanted under several versions; the highest is last.
+  std::optional<config_head> best;
+  for (const auto& [id, c] : candidates_) {
+    if (c.head.hash == content.head.hash) {
+      best = c.head;
+    }
+  }
+  if (best) {
+    adopt(*best, std::move(*whole), wants, now);
+  }
+  return true;
+}
+
+void config_replica::adopt(const config_head& head, std::string content, config_wants& wants,
+                           time_point now) {
+  if (head.version == in_force_.version) {
+    wants.push_back(want_told{"two configurations have version " + std::to_string(head.version) +
+                              ": " + in_force_.hash + " gives way to " + head.hash});
+  }
+  remember_content();
+  in_force_ = {head.version, head.hash, now};
+  head_ = head;
+  content_ = std::move(content);
+  to_heal_.reset();
+  std::erase_if(candidates_, [this](const auto& entry) {
+    return !beats(entry.first.first, entry.first.second);
+  });
+  // Patches that were made for the content before no longer fit.
+  for (auto& [id, c] : candidates_) {
+    c.attempt = 0;
+  }
+  wants.push_back(want_adopted{head.version});
+}
+
+void config_replica::remember_content() {
+  if (in_force_.hash.empty()) {
+    return;
+  }
+  if (recent_.emplace(in_force_.hash, content_).second) {
+    recent_order_.push_back(in_force_.hash);
+  }
+  if (recent_order_.size() > kept_contents) {
+    recent_.erase(recent_order_.front());
+    recent_order_.erase(recent_order_.begin());
+  }
+}
+
+config_wants config_replica::peer_asks(const node_id& peer, const config_request& request) {
+  if (in_force_.version == 0 || request.hash != in_force_.hash) {
+    return {};
+  }
+  const auto base = recent_.find(request.have);
+  config_content answer;
+  if (request.have == in_force_.hash) {
+    answer = make_patch(content_, content_);
+  } else if (base != recent_.end()) {
+    answer = make_patch(base->second, content_);
+  } else {
+    answer = whole_content(content_);
+  }
+  answer.head = head_;
+  return {want_sent{peer, std::move(answer)}};
+}
+
+// ---- healing ----
+
+// True if the head was certainly accepted by somebody who saw an old copy of the table: its newest
+// proposal is none of ours, but builds on one of ours.
+bool config_replica::accepted_on_old_copy(const config_head& head) const {
+  const auto ours = [this](const proposal_id& id) {
+    return std::ranges::find(head_.proposals, id) != head_.proposals.end();
+  };
+  return !head.proposals.empty() && !ours(head.proposals.front()) &&
+         std::ranges::any_of(head.proposals, ours);
+}
+
+// The table has an older head than this node: it was restored from a copy. Nodes that start now
+// would take the old one; and the next proposal would repeat a version. The head is lifted to the
+// newest known, or, if somebody has since built on the old copy, that proposal gets a version
+// above all, because it was accepted, too, and last.
+void config_replica::heal(const head_row& row, config_wants& wants) {
+  if (row.head && accepted_on_old_copy(*row.head)) {
+    config_head lifted = *row.head;
+    lifted.version = in_force_.version + 1;
+    wants.push_back(want_told{"the table was restored to an older configuration, on which " +
+                              lifted.hash + " was accepted: it becomes version " +
+                              std::to_string(lifted.version) + "; changes of " + in_force_.hash +
+                              " that it lacks have to be proposed again"});
+    wants.push_back(want_healed{std::move(lifted), row.row_version});
+    return;
+  }
+  const std::string found =
+      row.head ? "version " + std::to_string(row.head->version) + " (" + row.head->hash + ")"
+               : "no configuration";
+  wants.push_back(want_told{"the table has " + found + ", older than version " +
+                            std::to_string(in_force_.version) + " in force: it is lifted"});
+  to_heal_ = want_healed{head_, row.row_version};
+  wants.push_back(want_stored{in_force_.hash, content_});
+}
+
+config_wants config_replica::stored(const outcome<std::monostate>& result, time_point) {
+  if (!to_heal_ || !is_ok(result)) {
+    return {};
+  }
+  want_healed write = std::move(*to_heal_);
+  to_heal_.reset();
+  return {std::move(write)};
+}
+
+// Whether it took effect or another node was first, the row tells.
+config_wants config_replica::healed(const outcome<std::uint64_t>&, time_point now) {
+  next_read_ = now;
+  return {};
+}
+
+}  // namespace arbutus
--- a/src/process/config_replica.h
+++ b/src/process/config_replica.h
@@ -15,6 +15,7 @@
 #include "base/outcome.h"
 #include "base/rng.h"
 #include "base/units.h"
+#include "process/config_patch.h"
 #include "process/control_timing.h"
 #include "process/gossip.h"
 #include "version/configuration.h"
@@ -70,17 +71,6 @@
   time_point since;
 };
 
-// Name of the object that turns the content `base` into `hash`; small where the whole is large.
-[[nodiscard]] std::string patch_name(std::string_view hash, std::string_view base);
-// What to replace in `base` to get `content`; the head is left to the caller.
-[[nodiscard]] config_content make_patch(std::string_view base, std::string_view content);
-// The content, if the patch fits `base` and the result has the hash of its head.
-[[nodiscard]] std::optional<std::string> apply_patch(std::string_view base,
-                                                     const config_content& patch);
-// A patch as object.
-[[nodiscard]] std::string encode_patch(const config_content& patch);
-[[nodiscard]] outcome<config_content> decode_patch(std::string_view bytes);
-
 class config_replica {
  public:
   config_replica(node_id self, std::uint64_t seed, control_timing timing = {});
@@ -110,22 +100,29 @@
   [[nodiscard]] bool reads_head(const std::vector<node_id>& live) const;
 
  private:
-  // What is newer than what is in force, and who may have it.
+  // What is newer than what is in force, and who may have it. Sources are tried in turn: the patch
+  // in the object store (if the table named it), the peers that have it, the whole object.
   struct candidate {
-    config_head head;  // proposals may be empty when it is known from peers only
+    config_head head;  // proposals are empty when it is known from peers only
     bool from_table = false;
-    bool tried_patch = false;
-    bool tried_object = false;
     std::vector<node_id> holders;
-    std::size_t next_holder{};
+    std::size_t attempt{};  // next source
     std::optional<time_point> asked_at;
+    time_point not_before;  // after a round without success
   };
+  using key = std::pair<std::uint64_t, std::string>;  // version, hash
 
   [[nodiscard]] bool beats(std::uint64_t version, std::string_view hash) const;
   void consider(const config_head& head, bool from_table, const node_id* holder);
-  void fetch(config_wants& wants, time_point now);
+  void fetch_all(config_wants& wants, time_point now);
+  void fetch(candidate& c, config_wants& wants, time_point now);
+  [[nodiscard]] config_wants try_next(std::string_view hash, time_point now);
+  [[nodiscard]] bool accept(const config_content& content, config_wants& wants, time_point now);
   void adopt(const config_head& head, std::string content, config_wants& wants, time_point now);
-  void heal(const head_row& row, config_wants& wants, time_point now);
+  void judge_head(const head_row& row, config_wants& wants, time_point now);
+  void heal(const head_row& row, config_wants& wants);
+  [[nodiscard]] bool accepted_on_old_copy(const config_head& head) const;
+  void remember_content();
 
   node_id self_;
   control_timing timing_;
@@ -133,74 +130,15 @@
   config_in_force in_force_;
   config_head head_;
   std::string content_;
-  std::optional<candidate> wanted_;
-  std::optional<head_row> to_heal_;  // content is being stored before the head is written
-  std::size_t rank_{};               // among the live, for reading and healing the head
-  std::optional<time_point> next_read_;
+  std::map<std::string, std::string> recent_;  // earlier contents by hash, as bases of patches
+  std::vector<std::string> recent_order_;      // oldest first
+  std::optional<node_id> same_as_us_;          // a peer with the configuration in force
+  std::map<key, candidate> candidates_;        // at most max_candidates; all beat in_force_
+  std::optional<want_healed> to_heal_;         // waits until the content is stored
+  std::optional<std::uint64_t> old_row_seen_;  // row version that was in need of healing
+  std::size_t rank_ = SIZE_MAX;                // among the live, for reading and healing the head
+  time_point next_read_;
   std::optional<time_point> read_started_;
 };
 
-// ---- proposing ----
-
-// Steps of one proposal: `apply` and the admin endpoint carry them out and feed back the results.
-struct put_content {
-  std::string name;
-  std::string content;
-};
-struct write_head {
-  config_head head;
-  std::uint64_t expected_row{};
-};
-struct read_head {};
-struct proposal_accepted {
-  std::uint64_t version{};
-};
-// Another configuration was accepted meanwhile, or the base was not the current one.
-struct proposal_conflict {
-  std::optional<config_head> current;  // empty: there is none
-};
-// Not done, proven: nothing was written to the head.
-struct proposal_failed {
-  std::string reason;
-};
-// Not resolved yet: ask again with read_back(); nothing else may be concluded.
-struct proposal_unresolved {
-  std::string reason;
-};
-using proposal_step = std::variant<put_content, write_head, read_head, proposal_accepted,
-                                   proposal_conflict, proposal_failed, proposal_unresolved>;
-
-// Proposes one configuration; never applied twice, whatever replies are lost.
-class config_proposer {
- public:
-  // `base`: version on which the operator's change was made. `known`: newest version this process
-  // knows; a head below it is an old copy, and nothing is built on it. `base_content` may be empty;
-  // else a patch is stored beside the content.
-  config_proposer(proposal_id id, std::string content, std::uint64_t base, std::uint64_t known,
-                  std::string base_content = {});
-
-  [[nodiscard]] proposal_step start();
-  [[nodiscard]] proposal_step put_result(const outcome<std::monostate>& result);
-  [[nodiscard]] proposal_step read_result(const outcome<head_row>& result);
-  [[nodiscard]] proposal_step write_result(const outcome<std::uint64_t>& row_version);
-  // After proposal_unresolved.
-  [[nodiscard]] proposal_step read_back();
-
- private:
-  enum class phase { reading, storing_patch, storing, writing, resolving, done };
-
-  [[nodiscard]] proposal_step judge(const head_row& row);
-  [[nodiscard]] bool mine(const config_head& head) const;
-
-  proposal_id id_;
-  std::string content_;
-  std::string hash_;
-  std::uint64_t base_;
-  std::uint64_t known_;
-  std::string base_content_;
-  phase phase_ = phase::reading;
-  bool wrote_ = false;  // a write may have taken effect
-  std::optional<head_row> current_;
-};
-
 }  // namespace arbutus
--- a/src/process/observations.cpp
+++ b/src/process/observations.cpp
@@ -258,7 +258,8 @@
 bool observation_table::gone(const target& t) const {
   std::size_t accusers = 0;
   for (const auto& [by, f] : t.failures) {
-    if (!open(t, f)) {
+    // Errors of connections alone (no failed probe) may come from load; a probe has to confirm.
+    if (!open(t, f) || f.count == 0) {
       continue;
     }
     ++accusers;
--- a/src/process/observations.h
+++ b/src/process/observations.h
@@ -71,6 +71,9 @@
   // `echoed`: newest own sequence that the peer is known to have (membership::echoed).
   void take_deltas(heartbeat& beat, const node_id& peer, std::uint64_t echoed, time_point now);
 
+  // The peer is no longer a node of this data centre.
+  void forget_peer(const node_id& peer);
+
   [[nodiscard]] target_condition condition(const vm_id& vm, time_point now) const;
   // Newest observation; null if there is none. For permission, compare its `at` with the clock.
   [[nodiscard]] const observation* latest(const vm_id& vm) const;
