--- /dev/null
+++ b/src/connection/http_server.cpp
@@ -0,0 +1,76 @@
+// Listening, spreading connections over the workers, and ending them in an orderly way.
+#include "connection/http_server.h"
+
+#include "connection/http_exchange.h"
+#include "connection/listener.h"
+
+namespace arbutus {
+
+using boost::asio::ip::tcp;
+
+struct http_server::state {
+  state(fiber_runtime& r, const socket_address& address, const http_server_limits& limits,
+        http_handler handler, http_error_body error_body)
+      : runtime(r),
+        core(r.workers(), limits, std::move(handler), std::move(error_body)),
+        door(
+            r, address, 0, [this] { return core.registry().least_loaded(); },
+            [this](fiber_worker& worker, tcp::socket socket) { take(worker, std::move(socket)); }) {
+  }
+
+  void take(fiber_worker& worker, tcp::socket socket) {
+    core.registry().opened(worker.index);
+    spawn_on(worker, [this, socket = std::move(socket)]() mutable {
+      serve_connection(core, std::move(socket));
+    });
+  }
+
+  fiber_runtime& runtime;
+  server_core core;
+  listener door;
+};
+
+http_server::http_server(fiber_runtime& runtime, const socket_address& address,
+                         const http_server_limits& limits, http_handler handler,
+                         http_error_body error_body)
+    : state_(std::make_unique<state>(runtime, address, limits, std::move(handler),
+                                     std::move(error_body))) {}
+
+http_server::~http_server() {
+  stop_accepting();
+  for (std::size_t i = 0; i < state_->runtime.workers(); ++i) {
+    state_->runtime.run_on(i, [this] { state_->core.close_all(); });
+  }
+}
+
+std::uint16_t http_server::port() const noexcept {
+  return state_->door.port();
+}
+
+void http_server::stop_accepting() {
+  state_->door.close();
+}
+
+bool http_server::drain(time_point deadline) {
+  state_->core.begin_drain();
+  stop_accepting();
+  for (std::size_t i = 0; i < state_->runtime.workers(); ++i) {
+    state_->runtime.run_on(i, [this] { state_->core.close_idle(); });
+  }
+  return state_->core.wait_until_empty(deadline);
+}
+
+std::size_t http_server::connections() const noexcept {
+  return state_->core.connections();
+}
+
+std::size_t http_server::active() const noexcept {
+  return state_->core.active();
+}
+
+std::string default_error_body(int status, std::string_view reason) {
+  return "{\"error\":{\"code\":" + std::to_string(status) + ",\"message\":\"" +
+         std::string(reason) + "\"}}\n";
+}
+
+}  // namespace arbutus
