--- /dev/null
+++ b/tests/core/fake_world.h
@@ -0,0 +1,161 @@
+// A few coordinators over a fake table, fake engines and a fake network, in virtual time stepped by
+// events. Small and deterministic: the same seed gives the same run. After every step the
+// invariants of the system are checked; what breaks them is collected in `violations`.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/rng.h"
+#include "process/coordinator.h"
+
+namespace arbutus::testing {
+
+struct world_options {
+  std::size_t nodes = 3;
+  std::size_t vms = 6;
+  std::size_t fabric_domains = 2;
+  std::uint32_t vms_per_replica = 2;
+  std::uint32_t replicas = 2;
+  std::uint32_t standbys_per_replica = 1;
+  std::uint32_t spare_vms = 0;
+  bool checks_tokens = true;
+  duration load_time = 3s;
+  std::uint64_t seed = 1;
+};
+
+struct fake_engine {
+  vm_record record;
+  engine_report report;
+  bool up = true;  // false: dark, calls to it time out
+  bool paused = false;
+  time_point ready_at{};                       // while loading
+  time_point changed_at{};                     // when what it serves last changed
+  std::vector<std::function<void()>> waiting;  // calls that arrived during a pause
+  std::vector<vm_id> members;                  // as ordered
+};
+
+struct fake_table {
+  std::map<std::string, table_row> rows;
+  std::map<std::string, std::string> objects;
+  bool up = true;
+  duration latency = 4ms;
+  std::size_t lose_write_replies = 0;  // of so many next writes, after they took effect
+  std::uint64_t writes_won = 0;        // of the assignment row
+  std::uint64_t writes_refused = 0;
+};
+
+class fake_world {
+ public:
+  explicit fake_world(world_options options = {});
+
+  // ---- time ----
+  [[nodiscard]] time_point now() const { return now_; }
+  void run_for(duration d);
+  // False when `limit` has passed without the condition.
+  bool run_until(const std::function<bool()>& condition, duration limit);
+
+  // ---- what tests look at ----
+  [[nodiscard]] coordinator& node(std::size_t i) { return *nodes_.at(i).core; }
+  [[nodiscard]] std::size_t node_count() const { return nodes_.size(); }
+  [[nodiscard]] fake_engine& engine(const vm_id& vm) { return engines_.at(vm); }
+  [[nodiscard]] std::vector<vm_id> vms() const;
+  // The published routes that this node may use now; none while it is paused or down.
+  [[nodiscard]] std::vector<replica_route> usable_routes(std::size_t i) const;
+  [[nodiscard]] bool routed_anywhere(const replica_id& id) const;
+  // Every node that is up routes to at least so many replicas.
+  [[nodiscard]] bool all_serve(std::size_t replicas) const;
+  [[nodiscard]] assignment row_in_table() const;
+  [[nodiscard]] std::vector<std::string> notices() const { return notices_; }
+
+  // ---- faults ----
+  void kill(const vm_id& vm);     // dark
+  void start(const vm_id& vm);    // comes back as a new process
+  void restart(const vm_id& vm);  // new process at once
+  void pause(const vm_id& vm, duration d);
+  void set_leaving(const vm_id& vm) { engine(vm).report.leaving = true; }
+  void kill_node(std::size_t i);
+  void start_node(std::size_t i);  // as a new process that knows nothing
+  void pause_node(std::size_t i, duration d);
+  // Directed: from `a` to `b` nothing arrives.
+  void cut(std::size_t a, std::size_t b, bool on = true);
+  void isolate(std::size_t i, bool on = true);  // from all other nodes, both ways
+  void cut_table(std::size_t i, bool on = true);
+  void cut_target(std::size_t i, const vm_id& vm, bool on = true);
+  void cut_targets(std::size_t i, bool on = true);
+  void apply_rules(const std::function<void(rules&)>& change);
+  fake_table table;
+  double drop = 0;  // share of node-to-node messages
+  std::vector<vm_list_entry> listed;
+  std::vector<std::string> violations;
+
+ private:
+  struct fake_node {
+    node_id id;
+    std::unique_ptr<coordinator> core;
+    std::uint64_t incarnation = 1;
+    bool up = true;
+    bool paused = false;
+    std::vector<std::function<void()>> waiting;  // what arrived during a pause
+    time_point wake_at = time_point::max();
+    routing_snapshot published;
+    std::uint64_t row_seen{};
+    std::uint64_t config_seen{};
+  };
+  struct event {
+    time_point at;
+    std::uint64_t order{};
+    std::function<void()> run;
+    bool operator>(const event& o) const { return std::tie(at, order) > std::tie(o.at, o.order); }
+  };
+
+  void at(time_point t, std::function<void()> run);
+  bool step(time_point limit);
+  void write_configuration();
+  // Runs `run` on the node, later if it is paused, never if it is another process by then.
+  void deliver(std::size_t i, std::function<effects()> run);
+  void feed(std::size_t i, input in);
+  void after_call(std::size_t i, const effects& out);
+  void wake(std::size_t i);
+  void carry_out(std::size_t i, const effect& e);
+  // `work` runs at the table and gives the answer; `lost` is fed after a timeout instead.
+  void ask_table(std::size_t i, std::function<input()> work, input lost, bool is_write = false);
+  input read(const table_read& r) const;
+  input write(const table_write& w);
+  input get(const object_get& g) const;
+  input put(const object_put& p);
+  void do_probe(std::size_t i, const probe& p);
+  void do_order(std::size_t i, const order& o);
+  void do_send(std::size_t i, const peer_send& s);
+  // `work` runs at the engine and gives the answer; `lost` is fed after a timeout instead.
+  void ask_engine(std::size_t i, const vm_id& vm, std::function<input(fake_engine&)> work,
+                  input lost);
+  outcome<engine_report> obey(fake_engine& e, const order& o);
+  void refresh(fake_engine& e);
+  void check();
+  void check_routes(std::size_t i, std::map<vm_id, replica_id>& owners);
+  void violate(const std::string& text);
+
+  world_options options_;
+  rng random_;
+  time_point now_{1s};
+  std::uint64_t next_order_{};
+  std::priority_queue<event, std::vector<event>, std::greater<>> events_;
+  configuration config_;
+  std::vector<fake_node> nodes_;
+  std::map<vm_id, fake_engine> engines_;
+  std::set<std::pair<std::size_t, std::size_t>> cuts_;
+  std::set<std::size_t> table_cuts_;
+  std::set<std::pair<std::size_t, vm_id>> target_cuts_;
+  std::vector<std::string> notices_;
+};
+
+}  // namespace arbutus::testing
--- /dev/null
+++ b/tests/core/fake_world_io.cpp
@@ -0,0 +1,398 @@
+// How the fakes answer, the faults, and the invariants.
+#include <algorithm>
+#include <sstream>
+
+#include "fake_world.h"
+#include "process/permission.h"
+#include "process/row_keeper.h"
+
+namespace arbutus::testing {
+
+namespace {
+
+constexpr duration network_delay = 2ms;
+constexpr duration call_timeout = 900ms;  // of the embedding shell
+// Beyond the permission time: an observation is dated by when its probe was sent.
+constexpr duration route_slack = 100ms;
+
+template <class T>
+std::string text(const T& value) {
+  std::ostringstream out;
+  out << value;
+  return out.str();
+}
+
+}  // namespace
+
+// ---- effects ----
+
+void fake_world::carry_out(std::size_t i, const effect& e) {
+  const auto no_answer = unknown{"timeout"};
+  std::visit(
+      overloaded{[&](const table_read& r) {
+                   ask_table(
+                       i, [this, r] { return read(r); }, table_read_result{r, no_answer});
+                 },
+                 [&](const table_write& w) {
+                   ask_table(
+                       i, [this, w] { return write(w); }, table_write_result{w, no_answer}, true);
+                 },
+                 [&](const object_get& g) {
+                   ask_table(
+                       i, [this, g] { return get(g); }, object_get_result{g, no_answer});
+                 },
+                 [&](const object_put& p) {
+                   ask_table(
+                       i, [this, p] { return put(p); }, object_put_result{p, no_answer});
+                 },
+                 [&](const vm_list_read&) {
+                   ask_table(
+                       i, [this]() -> input { return vm_list_result{listed}; },
+                       vm_list_result{no_answer});
+                 },
+                 [&](const probe& p) { do_probe(i, p); }, [&](const order& o) { do_order(i, o); },
+                 [&](const peer_send& s) { do_send(i, s); },
+                 [&](const notice& n) { notices_.push_back(n.part + ": " + n.text); }},
+      e);
+}
+
+void fake_world::ask_table(std::size_t i, std::function<input()> work, input lost, bool is_write) {
+  const time_point deadline = now_ + call_timeout;
+  const auto give_up = [this, i, deadline, lost] { at(deadline, [=, this] { feed(i, lost); }); };
+  if (!table.up || table_cuts_.contains(i)) {
+    give_up();
+    return;
+  }
+  at(now_ + table.latency / 2, [=, this] {
+    if (!table.up) {
+      give_up();
+      return;
+    }
+    const input answer = work();
+    const bool swallow = is_write && table.lose_write_replies > 0;
+    table.lose_write_replies -= swallow ? 1 : 0;
+    const time_point back = now_ + table.latency / 2;
+    if (swallow || back > deadline) {
+      give_up();
+      return;
+    }
+    at(back, [=, this] { feed(i, answer); });
+  });
+}
+
+input fake_world::read(const table_read& r) const {
+  const auto found = table.rows.find(r.key);
+  return table_read_result{r, found == table.rows.end() ? table_row{} : found->second};
+}
+
+input fake_world::write(const table_write& w) {
+  table_row& row = table.rows[w.key];
+  const bool is_row = w.key == row_key(data_centre_id{"hall-a"});
+  if (row.version != w.expected) {
+    table.writes_refused += is_row ? 1 : 0;
+    return table_write_result{w, refused{"version"}};
+  }
+  row = {w.value, row.version + 1};
+  table.writes_won += is_row ? 1 : 0;
+  const auto written = decode_assignment(w.value);
+  if (is_row && has_errors(check_invariants(std::get<assignment>(written)))) {
+    violate("the row breaks its invariants");
+  }
+  return table_write_result{w, table_written{row.version}};
+}
+
+input fake_world::get(const object_get& g) const {
+  const auto found = table.objects.find(g.name);
+  if (found == table.objects.end()) {
+    return object_get_result{g, refused{"no such object"}};
+  }
+  return object_get_result{g, found->second};
+}
+
+input fake_world::put(const object_put& p) {
+  table.objects[p.name] = p.content;
+  return object_put_result{p, std::monostate{}};
+}
+
+void fake_world::do_send(std::size_t i, const peer_send& s) {
+  for (std::size_t to = 0; to < nodes_.size(); ++to) {
+    const bool lost = cuts_.contains({i, to}) || random_.unit() < drop;
+    if (nodes_[to].id == s.to && !lost) {
+      const peer_message m{nodes_[i].id, s.bytes};
+      at(now_ + network_delay, [this, to, m] { feed(to, m); });
+    }
+  }
+}
+
+void fake_world::do_probe(std::size_t i, const probe& p) {
+  const time_point sent_at = now_;
+  ask_engine(
+      i, p.vm,
+      [p, sent_at](fake_engine& e) -> input {
+        return probe_result{p.vm, sent_at, e.report};
+      },
+      probe_result{p.vm, sent_at, unknown{"timeout"}});
+}
+
+void fake_world::do_order(std::size_t i, const order& o) {
+  // A connection is set up first; the node is asked again directly before the bytes go.
+  const auto incarnation = nodes_[i].incarnation;
+  at(now_ + network_delay, [=, this] {
+    fake_node& n = nodes_[i];
+    if (!n.up || n.incarnation != incarnation || n.paused) {
+      return;  // the core's own deadline covers an order whose answer never comes
+    }
+    if (!n.core->may_send(now_, o)) {
+      feed(i, order_result{o, refused{"out of date"}});
+      return;
+    }
+    ask_engine(
+        i, o.vm,
+        [this, o](fake_engine& e) -> input {
+          return order_result{o, obey(e, o)};
+        },
+        order_result{o, unknown{"timeout"}});
+  });
+}
+
+void fake_world::ask_engine(std::size_t i, const vm_id& vm, std::function<input(fake_engine&)> work,
+                            input lost) {
+  const time_point deadline = now_ + call_timeout;
+  fake_engine& e = engines_.at(vm);
+  const auto give_up = [this, i, deadline, lost] { at(deadline, [=, this] { feed(i, lost); }); };
+  if (!e.up || target_cuts_.contains({i, vm})) {
+    give_up();
+    return;
+  }
+  const auto incarnation = e.report.incarnation;
+  auto arrive = [=, this] {
+    fake_engine& target = engines_.at(vm);
+    if (!target.up || target.report.incarnation != incarnation) {
+      give_up();
+      return;
+    }
+    refresh(target);
+    const input answer = work(target);
+    const time_point back = now_ + network_delay;
+    if (back > deadline) {
+      give_up();
+      return;
+    }
+    at(back, [=, this] { feed(i, answer); });
+  };
+  at(now_ + network_delay, [=, this] {
+    fake_engine& target = engines_.at(vm);
+    if (target.paused) {
+      target.waiting.push_back(arrive);  // in its socket buffer
+    } else {
+      arrive();
+    }
+  });
+}
+
+// ---- engines ----
+
+void fake_world::refresh(fake_engine& e) {
+  if (e.report.state == engine_state::loading && now_ >= e.ready_at) {
+    e.report.state = engine_state::ready;
+  }
+}
+
+outcome<engine_report> fake_world::obey(fake_engine& e, const order& o) {
+  engine_report& r = e.report;
+  if (o.expected_incarnation != 0 && o.expected_incarnation != r.incarnation) {
+    return refused{"another process"};
+  }
+  const bool same = r.replica == o.target.replica && r.gen == o.target.gen;
+  const bool other_members = same && !e.members.empty() && e.members != o.target.members;
+  const bool stale = o.target.gen < r.gen || (o.target.gen == r.gen && !same && !r.replica.empty());
+  if (e.record.checks_tokens && (stale || (o.kind == order_kind::form && other_members))) {
+    return refused{"old token"};
+  }
+  const bool loaded = r.state == engine_state::loading || r.state == engine_state::ready;
+  if (o.kind == order_kind::drain) {
+    r.state = same && loaded ? engine_state::draining : r.state;
+    return r;
+  }
+  if (o.kind == order_kind::form && same && loaded) {
+    return r;
+  }
+  if (r.running > 0 && r.state == engine_state::draining) {
+    violate("VM " + text(r.vm) + " is stopped while it runs requests");
+  }
+  r.gen = o.target.gen;
+  e.changed_at = now_;
+  const bool form = o.kind == order_kind::form;
+  r.replica = form ? o.target.replica : replica_id{};
+  r.state = form ? engine_state::loading : engine_state::idle;
+  r.model_version = o.model_version;
+  e.members = o.target.members;
+  e.ready_at = now_ + options_.load_time;
+  return r;
+}
+
+void fake_world::kill(const vm_id& vm) {
+  engine(vm).up = false;
+  engine(vm).changed_at = now_;
+}
+
+void fake_world::restart(const vm_id& vm) {
+  fake_engine& e = engine(vm);
+  const std::uint64_t incarnation = e.report.incarnation + 1;
+  e.report = engine_report{.vm = vm, .incarnation = incarnation, .slots = 8};
+  e.members.clear();
+  e.waiting.clear();
+  e.paused = false;
+  e.changed_at = now_;
+}
+
+void fake_world::start(const vm_id& vm) {
+  restart(vm);
+  engine(vm).up = true;
+}
+
+void fake_world::pause(const vm_id& vm, duration d) {
+  engine(vm).paused = true;
+  engine(vm).changed_at = now_;
+  const auto incarnation = engine(vm).report.incarnation;
+  at(now_ + d, [this, vm, incarnation] {
+    fake_engine& e = engine(vm);
+    if (e.report.incarnation != incarnation || !e.paused) {
+      return;
+    }
+    e.paused = false;
+    for (auto& work : std::exchange(e.waiting, {})) {
+      work();
+    }
+  });
+}
+
+// ---- links ----
+
+void fake_world::cut(std::size_t a, std::size_t b, bool on) {
+  if (on) {
+    cuts_.insert({a, b});
+  } else {
+    cuts_.erase({a, b});
+  }
+}
+
+void fake_world::isolate(std::size_t i, bool on) {
+  for (std::size_t other = 0; other < nodes_.size(); ++other) {
+    cut(i, other, on);
+    cut(other, i, on);
+  }
+}
+
+void fake_world::cut_table(std::size_t i, bool on) {
+  if (on) {
+    table_cuts_.insert(i);
+  } else {
+    table_cuts_.erase(i);
+  }
+}
+
+void fake_world::cut_target(std::size_t i, const vm_id& vm, bool on) {
+  if (on) {
+    target_cuts_.insert({i, vm});
+  } else {
+    target_cuts_.erase({i, vm});
+  }
+}
+
+void fake_world::cut_targets(std::size_t i, bool on) {
+  for (const vm_id& vm : vms()) {
+    cut_target(i, vm, on);
+  }
+}
+
+// ---- views and invariants ----
+
+std::vector<vm_id> fake_world::vms() const {
+  std::vector<vm_id> result;
+  for (const auto& [vm, e] : engines_) {
+    result.push_back(vm);
+  }
+  return result;
+}
+
+std::vector<replica_route> fake_world::usable_routes(std::size_t i) const {
+  std::vector<replica_route> result;
+  const fake_node& n = nodes_.at(i);
+  if (!n.up || n.paused) {
+    return result;
+  }
+  for (const replica_route& r : n.published.replicas) {
+    if (now_ < r.valid_until && !r.draining) {
+      result.push_back(r);
+    }
+  }
+  return result;
+}
+
+bool fake_world::routed_anywhere(const replica_id& id) const {
+  for (std::size_t i = 0; i < nodes_.size(); ++i) {
+    const auto routes = usable_routes(i);
+    const auto same = [&](const replica_route& r) { return r.id == id; };
+    if (std::any_of(routes.begin(), routes.end(), same)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+bool fake_world::all_serve(std::size_t replicas) const {
+  for (std::size_t i = 0; i < nodes_.size(); ++i) {
+    if (nodes_[i].up && usable_routes(i).size() < replicas) {
+      return false;
+    }
+  }
+  return true;
+}
+
+assignment fake_world::row_in_table() const {
+  const auto found = table.rows.find(row_key(data_centre_id{"hall-a"}));
+  return found == table.rows.end() ? assignment{}
+                                   : std::get<assignment>(decode_assignment(found->second.value));
+}
+
+void fake_world::violate(const std::string& text) {
+  violations.push_back(std::to_string(to_seconds(now_.time_since_epoch())) + " s: " + text);
+}
+
+void fake_world::check() {
+  std::map<vm_id, replica_id> owners;
+  for (std::size_t i = 0; i < nodes_.size(); ++i) {
+    fake_node& n = nodes_[i];
+    if (!n.up) {
+      continue;
+    }
+    const std::uint64_t row = n.core->row().version;
+    const std::uint64_t config = n.core->config() != nullptr ? n.core->config()->version : 0;
+    if (row < n.row_seen || config < n.config_seen) {
+      violate("node " + text(n.id) + " stepped down");
+    }
+    n.row_seen = row;
+    n.config_seen = config;
+    check_routes(i, owners);
+  }
+}
+
+// A usable route must match what its members serve, or what they served a permission time ago.
+void fake_world::check_routes(std::size_t i, std::map<vm_id, replica_id>& owners) {
+  for (const replica_route& r : usable_routes(i)) {
+    for (const vm_id& vm : r.members) {
+      const fake_engine& e = engines_.at(vm);
+      const bool matches = e.up && !e.paused && e.report.replica == r.id && e.report.gen == r.gen;
+      if (!matches && now_ > e.changed_at + permission_time + route_slack) {
+        violate("node " + text(nodes_[i].id) + " routes to " + text(r.id) + " without " + text(vm));
+      }
+      const auto [owner, first] = owners.try_emplace(vm, r.id);
+      if (!first && owner->second != r.id) {
+        violate("VM " + text(vm) + " is routed to for two replicas");
+      }
+    }
+  }
+}
+
+}  // namespace arbutus::testing
