--- a/tests/core/fake_world_io.cpp
+++ b/tests/core/fake_world_io.cpp
@@ -239,7 +239,10 @@
 void fake_world::restart(const vm_id& vm) {
   fake_engine& e = engine(vm);
   const std::uint64_t incarnation = e.report.incarnation + 1;
-  e.report = engine_report{.vm = vm, .incarnation = incarnation, .slots = 8};
+  e.report = {};
+  e.report.vm = vm;
+  e.report.incarnation = incarnation;
+  e.report.slots = 8;
   e.members.clear();
   e.waiting.clear();
   e.paused = false;
