Planner: repairs, placements, rolling changes, demand, standbys

Cause: the next row has to come from one deterministic function, so that any node may propose it. Change: make_plan as passes over a draft whose few moves keep one owner per VM; withdrawals wait for acknowledgement; a serving replica is only ever drained; passes repeat until none moves, so that a plan stands when it is planned again from its own result.

--- /dev/null
+++ b/src/version/activation.cpp
@@ -0,0 +1,78 @@
+// Entering activations: each is checked against the row, since it may come from an older one.
+#include "version/activation.h"
+
+#include <algorithm>
+#include <set>
+#include <unordered_map>
+
+namespace arbutus {
+
+namespace {
+
+bool contains(const std::vector<vm_id>& list, const vm_id& vm) {
+  return std::ranges::find(list, vm) != list.end();
+}
+
+bool withdrawn_from(const std::vector<withdrawal>& withdrawals, const vm_id& vm,
+                    const replica_id& replica) {
+  return std::ranges::any_of(withdrawals,
+                             [&](const withdrawal& w) { return w.vm == vm && w.from == replica; });
+}
+
+// An activation from an older row may use a standby that was withdrawn since. Nobody else can
+// have got it while the withdrawal stands, so it may come back; any other VM may not.
+bool follows_from_row(const composition& c, const replica_plan& r, const bake_result& row,
+                      std::uint64_t row_version) {
+  if (c.members.size() != r.members.size()) {
+    return false;
+  }
+  if (c.gen.row == row_version && activate(r, row_version, c.gen.lost) != c) {
+    return false;
+  }
+  const std::set<vm_id> distinct(c.members.begin(), c.members.end());
+  return distinct.size() == c.members.size() &&
+         std::ranges::all_of(c.members, [&](const vm_id& vm) {
+           return contains(r.members, vm) || contains(r.standbys, vm) ||
+                  withdrawn_from(row.withdrawals, vm, r.id);
+         });
+}
+
+void bake(replica_plan& r, const composition& c, std::uint64_t next_version, bake_result& row) {
+  for (const vm_id& vm : r.members) {
+    if (!contains(c.members, vm)) {
+      row.withdrawals.push_back({vm, r.id, next_version});
+    }
+  }
+  std::erase_if(row.withdrawals, [&](const withdrawal& w) { return contains(c.members, w.vm); });
+  std::erase_if(r.standbys, [&](const vm_id& vm) { return contains(c.members, vm); });
+  r.members = c.members;
+  r.gen = c.gen;
+  row.changed = true;
+}
+
+}  // namespace
+
+bake_result bake_activations(const assignment& current, const std::vector<composition>& in_force) {
+  bake_result row{current.replicas, current.withdrawals, {}, false};
+  std::unordered_map<replica_id, const composition*> newest;
+  for (const composition& c : in_force) {
+    const composition*& known = newest[c.replica];
+    if (known == nullptr || known->gen < c.gen) {
+      known = &c;
+    }
+  }
+  for (replica_plan& r : row.replicas) {
+    const auto found = newest.find(r.id);
+    if (found == newest.end() || found->second->gen <= r.gen) {
+      continue;
+    }
+    if (follows_from_row(*found->second, r, row, current.version)) {
+      bake(r, *found->second, current.version + 1, row);
+    } else {
+      row.overtaken.push_back(r.id);
+    }
+  }
+  return row;
+}
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/version/placement.cpp
@@ -0,0 +1,286 @@
+// Choice of VMs. Replicas that work are never moved to make room: a gap that only a move could
+// close stays open until a VM returns, which costs less than the loads of a whole replica.
+#include "version/placement.h"
+
+#include <algorithm>
+#include <optional>
+
+#include "version/shortage.h"
+
+namespace arbutus {
+
+namespace {
+
+// Members with a gap (an empty name) for each one that is lost or leaves.
+std::vector<vm_id> with_gaps(const plan_draft& draft, const std::vector<vm_id>& members) {
+  std::vector<vm_id> result;
+  for (const vm_id& vm : members) {
+    const vm_condition c = draft.pool.condition(vm);
+    const bool stays = c == vm_condition::working || c == vm_condition::suspect;
+    result.push_back(stays ? vm : vm_id{});
+  }
+  return result;
+}
+
+std::size_t gaps(const std::vector<vm_id>& members) {
+  return static_cast<std::size_t>(std::ranges::count_if(members, &vm_id::empty));
+}
+
+void fill_gaps_from(std::vector<vm_id>& members, const std::vector<vm_id>& standbys) {
+  auto next = standbys.begin();
+  for (vm_id& vm : members) {
+    if (vm.empty() && next != standbys.end()) {
+      vm = *next++;
+    }
+  }
+}
+
+// From `from` as long as it has any; when any domain will do, from as few as possible.
+void fill_gaps_free(plan_draft& draft, std::vector<vm_id>& members, domain_index domain,
+                    std::uint32_t accelerators, domain_index from) {
+  for (vm_id& vm : members) {
+    if (!vm.empty()) {
+      continue;
+    }
+    auto taken = draft.pool.take_free(from, accelerators);
+    if (!taken) {
+      taken = draft.pool.take_free(domain, accelerators);
+    }
+    vm = taken.value_or(vm_id{});
+    if (domain == any_domain) {
+      from = draft.pool.domain_of(vm);
+    }
+  }
+}
+
+std::vector<vm_id> usable_standbys(const plan_draft& draft, const draft_replica& r) {
+  std::vector<vm_id> list;
+  for (const vm_id& vm : r.plan.standbys) {
+    if (draft.pool.usable(vm, r.rule->accelerators_per_vm)) {
+      list.push_back(vm);
+    }
+  }
+  return list;
+}
+
+bool repair_from(plan_draft& draft, draft_replica& r, domain_index domain) {
+  std::vector<vm_id> members = with_gaps(draft, r.plan.members);
+  fill_gaps_from(members, usable_standbys(draft, r));
+  const std::uint32_t accelerators = r.rule->accelerators_per_vm;
+  if (gaps(members) > draft.pool.free_count(domain, accelerators)) {
+    return false;
+  }
+  fill_gaps_free(draft, members, domain, accelerators, draft.home(r));
+  draft.recompose(r, members, "lost members replaced");
+  return true;
+}
+
+// A domain that can hold the replica whole, with what it has there already.
+std::optional<domain_index> roomy_domain(const plan_draft& draft, const draft_replica& r) {
+  const std::uint32_t accelerators = r.rule->accelerators_per_vm;
+  std::optional<domain_index> best;
+  std::size_t best_kept = 0;
+  for (domain_index d = 0; d < draft.pool.domains(); ++d) {
+    const std::size_t kept = draft.usable_in(r, d, accelerators);
+    const bool fits = kept + draft.pool.free_count(d, accelerators) >= r.rule->vms_per_replica;
+    if (fits && (!best || kept > best_kept)) {
+      best = d;
+      best_kept = kept;
+    }
+  }
+  return best;
+}
+
+bool relocate(plan_draft& draft, draft_replica& r) {
+  const auto domain = roomy_domain(draft, r);
+  if (!domain) {
+    return false;
+  }
+  std::vector<vm_id> members = with_gaps(draft, r.plan.members);
+  std::vector<vm_id> standbys = usable_standbys(draft, r);
+  const auto elsewhere = [&](const vm_id& vm) { return draft.pool.domain_of(vm) != *domain; };
+  std::ranges::replace_if(members, elsewhere, vm_id{});
+  std::erase_if(standbys, elsewhere);
+  fill_gaps_from(members, standbys);
+  fill_gaps_free(draft, members, *domain, r.rule->accelerators_per_vm, *domain);
+  draft.recompose(r, members, "moved to a domain that holds it whole");
+  return true;
+}
+
+bool wait_for_repair(plan_draft& draft, draft_replica& r, domain_index domain, sources allowed) {
+  std::vector<vm_id> members = with_gaps(draft, r.plan.members);
+  fill_gaps_from(members, usable_standbys(draft, r));
+  const std::size_t needed = gaps(members);
+  const std::uint32_t accelerators = r.rule->accelerators_per_vm;
+  const std::size_t free = std::min(needed, draft.pool.free_count(domain, accelerators));
+  r.waiting = obtain(draft, {r.rule, domain, free, needed - free, &r}, allowed);
+  return r.waiting;
+}
+
+void repair(plan_draft& draft, draft_replica& r) {
+  const bool reshaped = r.plan.members.size() != r.rule->vms_per_replica;
+  if (reshaped) {
+    draft.dissolve(r, "broken, and of a size that is no longer wanted");
+    return;
+  }
+  const domain_index home = draft.home(r);
+  const bool cross = r.rule->may_cross_fabric_domains;
+  const bool in_place = !r.plan.crosses_fabric_domains || cross;
+  if (!r.plan.crosses_fabric_domains && repair_from(draft, r, home)) {
+    return;
+  }
+  if (relocate(draft, r)) {
+    return;
+  }
+  if (in_place && wait_for_repair(draft, r, home, sources::standbys)) {
+    return;
+  }
+  if (cross && repair_from(draft, r, any_domain)) {
+    return;
+  }
+  if (in_place && wait_for_repair(draft, r, home, sources::all)) {
+    return;
+  }
+  if (cross) {
+    wait_for_repair(draft, r, any_domain, sources::all);
+  }
+}
+
+// The drained replica that the new one succeeds: same model, its VMs not yet taken.
+std::optional<replica_plan> predecessor(const plan_draft& draft, const model_rule& rule) {
+  const auto still_free = [&](const replica_plan& r) {
+    return r.model == rule.id &&
+           std::ranges::any_of(r.members, [&](const vm_id& vm) { return draft.pool.is_free(vm); });
+  };
+  const auto found = std::ranges::find_if(draft.released, still_free);
+  return found == draft.released.end() ? std::nullopt : std::optional(*found);
+}
+
+// Best fit, so that large gaps stay large; the predecessor's domain when it has room, since its
+// VMs hold the weights already.
+domain_index best_fit(const plan_draft& draft, const model_rule& rule,
+                      const std::optional<replica_plan>& before) {
+  const std::uint32_t accelerators = rule.accelerators_per_vm;
+  domain_index best = any_domain;
+  std::size_t best_free = 0;
+  for (domain_index d = 0; d < draft.pool.domains(); ++d) {
+    const std::size_t free = draft.pool.free_count(d, accelerators);
+    if (free < rule.vms_per_replica) {
+      continue;
+    }
+    if (before && d == draft.pool.domain_of(before->members.front())) {
+      return d;
+    }
+    if (best == any_domain || free < best_free) {
+      best = d;
+      best_free = free;
+    }
+  }
+  return best;
+}
+
+std::vector<vm_id> choose_members(plan_draft& draft, const model_rule& rule, domain_index domain,
+                                  const std::optional<replica_plan>& before) {
+  std::vector<vm_id> members(rule.vms_per_replica);
+  for (std::size_t i = 0; before && i < std::min(members.size(), before->members.size()); ++i) {
+    const vm_id& vm = before->members[i];
+    const bool wanted = domain == any_domain || draft.pool.domain_of(vm) == domain;
+    if (wanted && draft.pool.usable(vm, rule.accelerators_per_vm) && draft.pool.take_free(vm)) {
+      members[i] = vm;
+    }
+  }
+  fill_gaps_free(draft, members, domain, rule.accelerators_per_vm, domain);
+  return members;
+}
+
+// Domains by how few VMs are lacking there.
+std::vector<domain_index> nearest_domains(const plan_draft& draft, const model_rule& rule) {
+  std::vector<domain_index> order(draft.pool.domains());
+  for (domain_index d = 0; d < order.size(); ++d) {
+    order[d] = d;
+  }
+  const auto soon = [&](domain_index d) {
+    return draft.pool.free_count(d, rule.accelerators_per_vm) +
+           draft.pool.pending_count(d, rule.accelerators_per_vm);
+  };
+  std::ranges::stable_sort(order, [&](auto a, auto b) { return soon(a) > soon(b); });
+  return order;
+}
+
+bool wait_for_new(plan_draft& draft, const model_rule& rule, domain_index domain, sources allowed) {
+  const std::size_t free = draft.pool.free_count(domain, rule.accelerators_per_vm);
+  const std::size_t used = std::min<std::size_t>(free, rule.vms_per_replica);
+  return obtain(draft, {&rule, domain, used, rule.vms_per_replica - used, nullptr}, allowed);
+}
+
+bool wait_in_one_domain(plan_draft& draft, const model_rule& rule, sources allowed) {
+  return std::ranges::any_of(nearest_domains(draft, rule),
+                             [&](domain_index d) { return wait_for_new(draft, rule, d, allowed); });
+}
+
+bool lay_down_across(plan_draft& draft, const model_rule& rule) {
+  const std::size_t free = draft.pool.free_count(any_domain, rule.accelerators_per_vm);
+  if (!rule.may_cross_fabric_domains || free < rule.vms_per_replica) {
+    return false;
+  }
+  const auto before = predecessor(draft, rule);
+  draft.add(rule, choose_members(draft, rule, any_domain, before));
+  return true;
+}
+
+void repair_rank(plan_draft& draft, std::uint32_t rank) {
+  std::vector<std::size_t> broken;  // indices: obtain() may dissolve, nothing is added meanwhile
+  for (std::size_t i = 0; i < draft.replicas.size(); ++i) {
+    const draft_replica& r = draft.replicas[i];
+    if (r.active() && r.broken() && r.rule != nullptr && r.rule->rank == rank) {
+      broken.push_back(i);
+    }
+  }
+  std::ranges::sort(broken, [&](std::size_t a, std::size_t b) {
+    return comes_before(draft.replicas[a], draft.replicas[b]);
+  });
+  for (const std::size_t i : broken) {
+    if (draft.replicas[i].active()) {
+      repair(draft, draft.replicas[i]);
+    }
+  }
+}
+
+}  // namespace
+
+bool lay_down(plan_draft& draft, const model_rule& rule, std::size_t keep_free) {
+  const std::size_t free = draft.pool.free_count(any_domain, rule.accelerators_per_vm);
+  if (rule.vms_per_replica == 0 || free < rule.vms_per_replica + keep_free) {
+    return false;
+  }
+  const auto before = predecessor(draft, rule);
+  const domain_index domain = best_fit(draft, rule, before);
+  if (domain == any_domain) {
+    return false;
+  }
+  draft.add(rule, choose_members(draft, rule, domain, before));
+  return true;
+}
+
+bool lay_down_or_wait(plan_draft& draft, const model_rule& rule) {
+  return lay_down(draft, rule, 0) || wait_in_one_domain(draft, rule, sources::standbys) ||
+         lay_down_across(draft, rule) || wait_in_one_domain(draft, rule, sources::all) ||
+         (rule.may_cross_fabric_domains && wait_for_new(draft, rule, any_domain, sources::all));
+}
+
+void repair_and_fill(plan_draft& draft, const std::vector<std::uint32_t>& wanted) {
+  const auto& models = draft.models();
+  for (std::size_t i = 0; i < models.size(); ++i) {
+    const bool first_of_rank = i == 0 || models[i]->rank != models[i - 1]->rank;
+    if (first_of_rank) {
+      repair_rank(draft, models[i]->rank);
+    }
+    for (std::uint32_t n = draft.count_active(models[i]->id); n < wanted[i]; ++n) {
+      if (!lay_down_or_wait(draft, *models[i])) {
+        break;
+      }
+    }
+  }
+}
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/version/planner.cpp
@@ -0,0 +1,134 @@
+// The passes of a plan. What is certain comes first: capacity that is lost is repaired before any
+// is improved, and a replica that serves is stopped only when others serve.
+#include "version/planner.h"
+
+#include <algorithm>
+
+#include "version/placement.h"
+#include "version/plan_draft.h"
+#include "version/standby.h"
+#include "version/wanted.h"
+
+namespace arbutus {
+
+namespace {
+
+// Load that the remaining replicas may have for a mere improvement, per replica.
+constexpr double quiet = 0.7;
+// A pass can open what an earlier pass would have used, so they run until none makes a move: the
+// plan then stands when it is planned again from its own result. Two rounds do nearly always; the
+// bound only guards against a cycle.
+constexpr int most_rounds = 8;
+
+// A planner that missed something newer would undo it. The conditional write would fail, but only
+// if the row itself changed; an older configuration would pass it.
+bool knows_less_than_row(const planner_input& in) {
+  const auto later = [&](const composition& c) { return c.gen.row > in.current->version; };
+  return in.config->version < in.current->config_version || std::ranges::any_of(in.in_force, later);
+}
+
+// A draining replica that lost a member runs nothing any more: nothing is cut off.
+void end_drains(plan_draft& draft) {
+  const auto& emptied = draft.in().emptied;
+  for (draft_replica& r : draft.replicas) {
+    if (!r.draining()) {
+      continue;
+    }
+    if (std::ranges::find(emptied, r.plan.id) != emptied.end()) {
+      draft.release(r);
+    } else if (r.broken()) {
+      draft.dissolve(r, "lost a member while it drained");
+    }
+  }
+}
+
+// All at once: nodes give a leaving target nothing new anyway, so that holding the drain back
+// would keep no capacity, only lose time before the VM goes.
+void drain_leaving(plan_draft& draft) {
+  for (draft_replica& r : draft.replicas) {
+    if (r.active() && r.has_leaving) {
+      draft.drain(r, "a member leaves");
+    }
+  }
+}
+
+bool fits_one_domain(const plan_draft& draft, const draft_replica& r) {
+  const std::uint32_t accelerators = r.rule->accelerators_per_vm;
+  for (domain_index d = 0; d < draft.pool.domains(); ++d) {
+    const std::size_t there =
+        draft.usable_in(r, d, accelerators) + draft.pool.free_count(d, accelerators);
+    if (there >= r.rule->vms_per_replica) {
+      return true;
+    }
+  }
+  return false;
+}
+
+// One replica of a model at a time: a new one first where VMs are free for it, else by a drain,
+// for which the others have to carry the load. The only replica of a model has no others.
+void renew(plan_draft& draft, draft_replica& r) {
+  const model_rule& rule = *r.rule;
+  if (lay_down(draft, rule, 0)) {
+    return;
+  }
+  const std::uint32_t others = draft.count_serving(rule.id) - 1;
+  if (others == 0 || draft.busy_replicas(rule.id) <= others) {
+    draft.drain(r, "to be laid down anew as the rules say");
+  }
+}
+
+void roll(plan_draft& draft) {
+  for (const model_rule* rule : draft.models()) {
+    if (draft.in_change(rule->id) ||
+        draft.count_active(rule->id) > std::max(1U, draft.base_replicas(*rule))) {
+      continue;
+    }
+    const auto old = std::ranges::find_if(draft.replicas, [&](const draft_replica& r) {
+      return r.active() && r.rule == rule && draft.outdated(r);
+    });
+    if (old != draft.replicas.end()) {
+      renew(draft, *old);
+      continue;
+    }
+    const std::uint32_t others = std::max(1U, draft.count_serving(rule->id)) - 1;
+    const bool calm = others > 0 && draft.busy_replicas(rule->id) <= quiet * others;
+    const auto slow = std::ranges::find_if(draft.replicas, [&](const draft_replica& r) {
+      return r.active() && r.rule == rule && r.plan.crosses_fabric_domains &&
+             fits_one_domain(draft, r);
+    });
+    if (calm && slow != draft.replicas.end()) {
+      draft.drain(*slow, "to be laid down in one fabric domain");
+    }
+  }
+}
+
+void run_passes(plan_draft& draft) {
+  draft.begin_round();
+  const std::vector<std::uint32_t> wanted = wanted_replicas(draft);
+  shed_surplus(draft, wanted);
+  drain_leaving(draft);
+  repair_and_fill(draft, wanted);
+  roll(draft);
+  follow_demand(draft, standbys_kept(draft));
+  reserve_standbys(draft);
+}
+
+}  // namespace
+
+plan make_plan(const planner_input& in) {
+  if (knows_less_than_row(in)) {
+    return {*in.current, false, {}};
+  }
+  plan_draft draft(in);
+  end_drains(draft);
+  for (int round = 0; round < most_rounds; ++round) {
+    const std::size_t before = draft.moves();
+    run_passes(draft);
+    if (draft.moves() == before) {
+      break;
+    }
+  }
+  return draft.finish();
+}
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/version/shortage.cpp
@@ -0,0 +1,153 @@
+// Obtaining VMs, cheapest source first. A loss of capacity that serves comes last, and only for a
+// model of higher rank.
+#include "version/shortage.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace arbutus {
+
+namespace {
+
+bool in_domain(const plan_draft& draft, const shortage& need, const vm_id& vm) {
+  return draft.pool.usable(vm, need.rule->accelerators_per_vm) &&
+         (need.domain == any_domain || draft.pool.domain_of(vm) == need.domain);
+}
+
+// Without the standbys, which are a source of their own.
+std::size_t members_for(const plan_draft& draft, const shortage& need, const draft_replica& r) {
+  return static_cast<std::size_t>(std::ranges::count_if(
+      r.plan.members, [&](const vm_id& vm) { return in_domain(draft, need, vm); }));
+}
+
+struct standby_ref {
+  draft_replica* owner;
+  vm_id vm;
+};
+
+// Last in the order of repair first, and of each replica its last standby first.
+std::vector<standby_ref> standbys_of_others(plan_draft& draft, const shortage& need) {
+  std::vector<draft_replica*> owners;
+  for (draft_replica& r : draft.replicas) {
+    if (r.active() && &r != need.self && !r.plan.standbys.empty()) {
+      owners.push_back(&r);
+    }
+  }
+  std::ranges::sort(owners, [](const auto* a, const auto* b) { return comes_before(*b, *a); });
+  std::vector<standby_ref> found;
+  for (draft_replica* r : owners) {
+    for (std::size_t i = r->plan.standbys.size(); i > need.standbys_kept; --i) {
+      const vm_id& vm = r->plan.standbys[i - 1];
+      if (in_domain(draft, need, vm)) {
+        found.push_back({r, vm});
+      }
+    }
+  }
+  return found;
+}
+
+// A broken replica gives its VMs to one that comes before it. One that was tried and could not be
+// repaired gives them to a new one, also of its own rank: it serves nobody as it is.
+std::vector<draft_replica*> broken_donors(plan_draft& draft, const shortage& need) {
+  std::vector<draft_replica*> donors;
+  for (draft_replica& r : draft.replicas) {
+    const bool idle = r.active() && r.broken() && !r.waiting && &r != need.self;
+    if (!idle) {
+      continue;
+    }
+    const bool later = need.self != nullptr ? comes_before(*need.self, r)
+                                            : r.rule == nullptr || r.rule->rank >= need.rule->rank;
+    if (later && members_for(draft, need, r) > 0) {
+      donors.push_back(&r);
+    }
+  }
+  std::ranges::sort(donors, [](const auto* a, const auto* b) { return comes_before(*b, *a); });
+  return donors;
+}
+
+// A model that has more than its placements say gives the surplus back to any other.
+bool may_lose_one(const plan_draft& draft, const shortage& need, const draft_replica& r) {
+  const bool lower_rank = r.rule->rank > need.rule->rank;
+  const bool beyond = draft.count_serving(r.plan.model) > draft.base_replicas(*r.rule);
+  return r.plan.model != need.rule->id && (lower_rank || beyond);
+}
+
+// The serving replica of the lowest rank that alone suffices. One per model at a time.
+draft_replica* serving_donor(plan_draft& draft, const shortage& need, std::size_t lacking) {
+  draft_replica* best = nullptr;
+  for (draft_replica& r : draft.replicas) {
+    const bool candidate =
+        r.active() && !r.broken() && r.rule != nullptr && may_lose_one(draft, need, r);
+    if (!candidate || draft.usable_in(r, need.domain, need.rule->accelerators_per_vm) < lacking) {
+      continue;
+    }
+    const bool draining = std::ranges::any_of(draft.replicas, [&](const draft_replica& other) {
+      return other.draining() && other.plan.model == r.plan.model;
+    });
+    if (!draining && (best == nullptr || comes_before(*best, r))) {
+      best = &r;
+    }
+  }
+  return best;
+}
+
+}  // namespace
+
+bool comes_before(const draft_replica& a, const draft_replica& b) {
+  constexpr std::uint32_t last = ~std::uint32_t{0};
+  const std::uint32_t rank_a = a.rule == nullptr ? last : a.rule->rank;
+  const std::uint32_t rank_b = b.rule == nullptr ? last : b.rule->rank;
+  return std::tie(rank_a, a.missing, a.plan.id) < std::tie(rank_b, b.missing, b.plan.id);
+}
+
+bool obtain(plan_draft& draft, const shortage& need, sources allowed) {
+  const std::uint32_t accelerators = need.rule->accelerators_per_vm;
+  const std::size_t pending =
+      std::min(need.lacking, draft.pool.pending_count(need.domain, accelerators));
+  std::size_t lacking = need.lacking - pending;
+  std::vector<standby_ref> standbys;
+  if (lacking > 0) {
+    standbys = standbys_of_others(draft, need);
+    standbys.resize(std::min(standbys.size(), lacking), standby_ref{nullptr, {}});
+    lacking -= standbys.size();
+  }
+  std::vector<draft_replica*> dissolved;
+  draft_replica* drained = nullptr;
+  if (lacking > 0 && allowed == sources::all) {
+    for (draft_replica* donor : broken_donors(draft, need)) {
+      const std::size_t gives = members_for(draft, need, *donor);
+      dissolved.push_back(donor);
+      lacking -= std::min(lacking, gives);
+      if (lacking == 0) {
+        break;
+      }
+    }
+    if (lacking > 0) {
+      dissolved.clear();
+      standbys.clear();
+      lacking = need.lacking - pending;
+      drained = serving_donor(draft, need, lacking);
+      lacking = drained == nullptr ? lacking : 0;
+    }
+  }
+  if (lacking > 0) {
+    return false;
+  }
+  const std::string& name = need.rule->id.str();
+  for (const standby_ref& s : standbys) {
+    const bool gone = std::ranges::find(dissolved, s.owner) != dissolved.end();
+    if (!gone) {
+      draft.take_back_standby(*s.owner, s.vm, "standby " + s.vm.str() + " taken back for " + name);
+    }
+  }
+  for (draft_replica* donor : dissolved) {
+    draft.dissolve(*donor, "broken, gives its VMs to " + name);
+  }
+  if (drained != nullptr) {
+    draft.drain(*drained, "drained in favour of " + name);
+  }
+  draft.pool.promise(need.domain, accelerators, need.free, need.lacking);
+  return true;
+}
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/version/standby.cpp
@@ -0,0 +1,198 @@
+// The price of a standby against the downtime that it saves.
+//
+// A failure that finds an own standby costs about the load of weights, with and without the table;
+// that part is common to all choices and left out. One that finds none is repaired through the
+// table from a shared spare: in an outage of the table that waits for its end, and without a spare
+// in the domain it waits for the VM itself.
+#include "version/standby.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace arbutus {
+
+namespace {
+
+// Share of the time in which the row cannot be written (outage, or the data centre is cut off),
+// and how long is left of that time, in the mean, when a failure falls into it. From an hour of
+// each kind of outage in a day; a user's own record should replace it once there is one.
+constexpr double unwritable_share = 2.0 / 24.0;
+constexpr double unwritable_rest_hours = 0.5;
+// A reservation taken back has to be acknowledged by every live node: a few rounds of gossip.
+constexpr double handover_hours = 3.0 / 3600.0;
+// More are never worth it at rates seen so far; bounds the search.
+constexpr std::uint32_t most_standbys = 4;
+
+// Probability that a Poisson variable reaches `n`.
+double poisson_at_least(double mean, double n) {
+  double below = 0;
+  double term = std::exp(-mean);
+  for (double k = 0; k < n; k += 1) {
+    below += term;
+    term *= mean / (k + 1);
+  }
+  return std::clamp(1.0 - below, 0.0, 1.0);
+}
+
+double wait_without_standby(const standby_question& q) {
+  const double vms = q.replicas_per_domain * q.members;
+  const double in_repair = vms * q.failures_per_hour * q.repair_hours;
+  const double no_spare = poisson_at_least(in_repair, std::floor(q.spares_per_domain));
+  return no_spare * q.repair_hours + (1 - no_spare) * unwritable_share * unwritable_rest_hours;
+}
+
+// A replica that is down also strands its accelerators, so that both weights count against it.
+// All in VM-hours per hour, so that the weights need no conversion.
+double price_of_downtime(const standby_question& q, double hours) {
+  return hours * q.members * (q.preference.group_downtime + q.preference.stranded_accelerators);
+}
+
+template <class Cost>
+std::uint32_t cheapest(Cost cost) {
+  std::uint32_t best = 0;
+  for (std::uint32_t k = 1; k <= most_standbys; ++k) {
+    best = cost(k) < cost(best) ? k : best;
+  }
+  return best;
+}
+
+}  // namespace
+
+double expected_downtime(const standby_question& q, std::uint32_t standbys) {
+  const double in_repair = (q.members + standbys) * q.failures_per_hour * q.repair_hours;
+  const double none_left = poisson_at_least(in_repair, standbys);
+  return q.members * q.failures_per_hour * none_left * wait_without_standby(q);
+}
+
+standby_answer standbys_worth(const standby_question& q) {
+  standby_answer answer;
+  answer.worth_paying = cheapest([&](std::uint32_t k) {
+    return price_of_downtime(q, expected_downtime(q, k)) + k * q.preference.stranded_accelerators;
+  });
+  const double others = std::max(0.0, q.replicas_per_domain - 1) * q.members * q.failures_per_hour;
+  answer.worth_when_idle = cheapest([&](std::uint32_t k) {
+    return price_of_downtime(q, expected_downtime(q, k) + k * others * handover_hours);
+  });
+  answer.worth_when_idle = std::max(answer.worth_when_idle, answer.worth_paying);
+  return answer;
+}
+
+standby_question ask_for(const plan_draft& draft, const model_rule& rule) {
+  const rules& wanted = draft.wanted();
+  const double fleet =
+      std::max<double>(1, static_cast<double>(draft.in().config->assets.vms.size()));
+  const double domains = std::max<double>(1, draft.pool.domains());
+  double replicas = 0;
+  for (const model_rule* other : draft.models()) {
+    replicas += draft.base_replicas(*other);
+  }
+  standby_question q;
+  q.members = rule.vms_per_replica;
+  q.failures_per_hour = wanted.vm_failures_per_day / fleet / 24.0;
+  q.repair_hours = wanted.vm_repair_hours;
+  q.replicas_per_domain = std::max(1.0, replicas / domains);
+  q.spares_per_domain = wanted.spare_vms_per_data_centre / domains;
+  q.preference = wanted.preference;
+  return q;
+}
+
+std::size_t standbys_kept(const plan_draft& draft) {
+  if (draft.wanted().standbys_per_replica > 0) {
+    return draft.wanted().standbys_per_replica;
+  }
+  std::uint32_t most = 0;
+  for (const model_rule* rule : draft.models()) {
+    most = std::max(most, standbys_worth(ask_for(draft, *rule)).worth_paying);
+  }
+  return most;
+}
+
+namespace {
+
+struct reservation {
+  std::size_t replica;    // index in the draft
+  std::size_t wanted;     // standbys
+  std::size_t keep_free;  // shared spares that it must leave
+};
+
+bool present(const plan_draft& draft, const vm_id& vm) {
+  const vm_condition c = draft.pool.condition(vm);
+  return c == vm_condition::working || c == vm_condition::suspect;
+}
+
+std::size_t count_present(const plan_draft& draft, const draft_replica& r) {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(r.plan.standbys, [&](const vm_id& vm) { return present(draft, vm); }));
+}
+
+std::vector<reservation> reservations(const plan_draft& draft) {
+  const rules& wanted = draft.wanted();
+  const bool fixed = wanted.standbys_per_replica > 0;
+  std::vector<reservation> list;
+  for (const model_rule* rule : draft.models()) {
+    const std::uint32_t idle = standbys_worth(ask_for(draft, *rule)).worth_when_idle;
+    const std::size_t room =
+        max_positions - std::min<std::size_t>(max_positions, rule->vms_per_replica);
+    for (std::size_t i = 0; i < draft.replicas.size(); ++i) {
+      const draft_replica& r = draft.replicas[i];
+      if (r.active() && !r.broken() && r.rule == rule) {
+        const std::size_t count =
+            std::min<std::size_t>(room, fixed ? wanted.standbys_per_replica : idle);
+        list.push_back({i, count, fixed ? 0 : wanted.spare_vms_per_data_centre});
+      }
+    }
+  }
+  return list;
+}
+
+// The newcomer takes the place of one that is gone, if there is one; a standby that is gone and
+// cannot be renewed stays, since it may come back.
+void add_standby(plan_draft& draft, draft_replica& r, const vm_id& vm) {
+  const auto gone =
+      std::ranges::find_if(r.plan.standbys, [&](const vm_id& old) { return !present(draft, old); });
+  if (gone != r.plan.standbys.end()) {
+    draft.take_back_standby(r, vm_id{*gone}, "lost standby replaced");
+  }
+  r.plan.standbys.push_back(vm);
+  draft.say(r.plan.id, "standby " + vm.str() + " reserved");
+}
+
+void reserve(plan_draft& draft, const reservation& want, std::size_t level) {
+  draft_replica& r = draft.replicas[want.replica];
+  const std::uint32_t accelerators = r.rule->accelerators_per_vm;
+  const bool enough = level > want.wanted || count_present(draft, r) >= level;
+  const domain_index home = draft.home(r);
+  if (enough || home == any_domain ||
+      draft.pool.free_count(any_domain, accelerators) <= want.keep_free) {
+    return;
+  }
+  if (const auto vm = draft.pool.take_free(home, accelerators)) {
+    add_standby(draft, r, *vm);
+  }
+}
+
+void give_back(plan_draft& draft, const reservation& want) {
+  draft_replica& r = draft.replicas[want.replica];
+  while (count_present(draft, r) > want.wanted) {
+    draft.take_back_standby(r, vm_id{r.plan.standbys.back()}, "standby no longer wanted");
+  }
+}
+
+}  // namespace
+
+void reserve_standbys(plan_draft& draft) {
+  const std::vector<reservation> list = reservations(draft);
+  std::size_t levels = 0;
+  for (const reservation& want : list) {
+    give_back(draft, want);
+    levels = std::max(levels, want.wanted);
+  }
+  // Everybody's first before anybody's second.
+  for (std::size_t level = 1; level <= levels; ++level) {
+    for (const reservation& want : list) {
+      reserve(draft, want, level);
+    }
+  }
+}
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/version/wanted.cpp
@@ -0,0 +1,196 @@
+// Demand moves capacity only across a wide gap between thresholds. A move costs a drain and a load
+// of weights, minutes in all; load that swings around one threshold would pay that again and again
+// and gain nothing.
+#include "version/wanted.h"
+
+#include <algorithm>
+#include <tuple>
+
+#include "version/placement.h"
+#include "version/shortage.h"
+
+namespace arbutus {
+
+namespace {
+
+// In replicas' worth of load per replica. Queueing grows steeply above about nine tenths.
+constexpr double overload = 0.9;
+// A lender must stay below this after it has given one replica,
+constexpr double lend_below = 0.6;
+// and gets it back above this. The gap between the two is the hysteresis.
+constexpr double reclaim_above = 0.8;
+// An additional replica is kept while the rest alone would be above this.
+constexpr double keep_above = 0.7;
+
+bool keeps_extra(const plan_draft& draft, const model_rule& rule) {
+  const std::uint32_t count = draft.count_active(rule.id);
+  return count > draft.base_replicas(rule) && count > 1 &&
+         draft.busy_replicas(rule.id) > keep_above * (count - 1);
+}
+
+bool somebody_borrows(const plan_draft& draft) {
+  return std::ranges::any_of(draft.models(), [&](const model_rule* rule) {
+    return keeps_extra(draft, *rule) || has_too_few(draft, *rule);
+  });
+}
+
+std::uint32_t wanted_of(const plan_draft& draft, const model_rule& rule, bool lending) {
+  const std::uint32_t base = draft.base_replicas(rule);
+  const std::uint32_t count = draft.count_active(rule.id);
+  const double busy = draft.busy_replicas(rule.id);
+  if (count > base && base > 0) {
+    return keeps_extra(draft, rule) ? count : base;
+  }
+  if (lending && count > 0 && count < base && busy <= reclaim_above * count) {
+    return count;
+  }
+  return base;
+}
+
+// Kept longest last.
+std::vector<draft_replica*> by_worth(plan_draft& draft, const model_id& model) {
+  std::vector<draft_replica*> list;
+  for (draft_replica& r : draft.replicas) {
+    if (r.active() && r.plan.model == model) {
+      list.push_back(&r);
+    }
+  }
+  const auto key = [&](const draft_replica* r) {
+    return std::tuple(!r->broken(), !draft.outdated(*r), !r->plan.crosses_fabric_domains,
+                      r->serving);
+  };
+  std::ranges::sort(list, [&](const auto* a, const auto* b) {
+    return key(a) != key(b) ? key(a) < key(b) : a->plan.id > b->plan.id;
+  });
+  return list;
+}
+
+// A replica that serves goes only when the ones that stay serve, and are as many as wanted.
+void shed(plan_draft& draft, const model_id& model, std::uint32_t wanted) {
+  const std::vector<draft_replica*> list = by_worth(draft, model);
+  for (std::size_t i = 0; i + wanted < list.size(); ++i) {
+    if (list[i]->broken()) {
+      draft.dissolve(*list[i], "broken and no longer wanted");
+      continue;
+    }
+    const auto stay = list.begin() + static_cast<std::ptrdiff_t>(i + 1);
+    const auto serve = std::count_if(stay, list.end(), [](const auto* r) { return r->serving; });
+    if (static_cast<std::size_t>(serve) < wanted) {
+      return;
+    }
+    draft.drain(*list[i], "no longer wanted");
+  }
+}
+
+bool can_lend(const plan_draft& draft, const draft_replica& r) {
+  if (!r.active() || !r.serving || r.rule == nullptr || draft.in_change(r.plan.model)) {
+    return false;
+  }
+  const std::uint32_t count = draft.count_active(r.plan.model);
+  return count > 1 && draft.busy_replicas(r.plan.model) <= lend_below * (count - 1);
+}
+
+bool suffices(const plan_draft& draft, const model_rule& rule, const draft_replica& r,
+              std::size_t keep_free) {
+  const std::uint32_t accelerators = rule.accelerators_per_vm;
+  const auto after = [&](domain_index d) {
+    return draft.pool.free_count(d, accelerators) + draft.pool.pending_count(d, accelerators) +
+           draft.usable_in(r, d, accelerators);
+  };
+  if (after(any_domain) < rule.vms_per_replica + keep_free) {
+    return false;
+  }
+  for (domain_index d = 0; d < draft.pool.domains(); ++d) {
+    if (after(d) >= rule.vms_per_replica) {
+      return true;
+    }
+  }
+  return false;
+}
+
+bool borrow(plan_draft& draft, const model_rule& rule, std::size_t keep_free) {
+  draft_replica* lender = nullptr;
+  for (draft_replica& r : draft.replicas) {
+    if (r.plan.model != rule.id && can_lend(draft, r) && suffices(draft, rule, r, keep_free) &&
+        (lender == nullptr || comes_before(*lender, r))) {
+      lender = &r;
+    }
+  }
+  if (lender != nullptr) {
+    draft.drain(*lender, "lent to " + rule.id.str());
+  }
+  return lender != nullptr;
+}
+
+bool on_their_way(plan_draft& draft, const model_rule& rule, std::size_t standbys_kept,
+                  std::size_t keep_free) {
+  const std::uint32_t accelerators = rule.accelerators_per_vm;
+  const std::size_t soon = draft.pool.free_count(any_domain, accelerators) +
+                           draft.pool.pending_count(any_domain, accelerators);
+  for (domain_index d = 0; d < draft.pool.domains(); ++d) {
+    const std::size_t free =
+        std::min<std::size_t>(draft.pool.free_count(d, accelerators), rule.vms_per_replica);
+    const std::size_t lacking = rule.vms_per_replica - free;
+    const bool floor_holds = soon >= rule.vms_per_replica + keep_free;
+    const shortage need{&rule, d, free, lacking, nullptr, standbys_kept};
+    const bool pending = floor_holds && draft.pool.pending_count(d, accelerators) >= lacking;
+    if ((pending || keep_free == 0) && obtain(draft, need, sources::standbys)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+// When VMs are left over. Not while a borrower waits for its VMs: it would wait for ever, and its
+// lender be drained again and again.
+void return_what_was_lent(plan_draft& draft, std::size_t keep_free) {
+  for (const model_rule* rule : draft.models()) {
+    while (draft.count_active(rule->id) < draft.base_replicas(*rule) &&
+           lay_down(draft, *rule, keep_free)) {
+    }
+  }
+}
+
+}  // namespace
+
+bool has_too_few(const plan_draft& draft, const model_rule& rule) {
+  const std::uint32_t count = draft.count_active(rule.id);
+  return count > 0 && count >= draft.base_replicas(rule) && !draft.in_change(rule.id) &&
+         draft.busy_replicas(rule.id) > overload * count;
+}
+
+std::vector<std::uint32_t> wanted_replicas(const plan_draft& draft) {
+  const bool lending = somebody_borrows(draft);
+  std::vector<std::uint32_t> wanted;
+  for (const model_rule* rule : draft.models()) {
+    wanted.push_back(wanted_of(draft, *rule, lending));
+  }
+  return wanted;
+}
+
+void shed_surplus(plan_draft& draft, const std::vector<std::uint32_t>& wanted) {
+  for (std::size_t i = 0; i < wanted.size(); ++i) {
+    shed(draft, draft.models()[i]->id, wanted[i]);
+  }
+  for (draft_replica& r : draft.replicas) {
+    if (r.active() && r.rule == nullptr) {
+      shed(draft, r.plan.model, 0);
+    }
+  }
+}
+
+void follow_demand(plan_draft& draft, std::size_t standbys_kept) {
+  const std::size_t keep_free = draft.wanted().spare_vms_per_data_centre;
+  bool waiting = false;
+  for (const model_rule* rule : draft.models()) {
+    if (has_too_few(draft, *rule) && !lay_down(draft, *rule, keep_free)) {
+      waiting = on_their_way(draft, *rule, standbys_kept, keep_free) ||
+                borrow(draft, *rule, keep_free) || waiting;
+    }
+  }
+  if (!waiting) {
+    return_what_was_lent(draft, keep_free);
+  }
+}
+
+}  // namespace arbutus
--- /dev/null
+++ b/tests/core/planner_property_test.cpp
@@ -0,0 +1,200 @@
+// What holds for every plan, over seeded random histories.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+#include "core/planner_world.h"
+
+namespace arbutus {
+namespace {
+
+using testing::planner_world;
+
+planner_world random_world(rng& random) {
+  planner_world w;
+  const std::uint64_t domains = 1 + random.below(3);
+  for (std::uint64_t d = 0; d < domains; ++d) {
+    w.add_domain(2 + random.below(7), 1 + static_cast<std::uint32_t>(random.below(2)));
+  }
+  const std::uint64_t models = 1 + random.below(3);
+  for (std::uint64_t m = 0; m < models; ++m) {
+    model_rule& rule = w.add_model(
+        "llm-" + std::to_string(m), 1 + static_cast<std::uint32_t>(random.below(4)),
+        static_cast<std::uint32_t>(random.below(4)), static_cast<std::uint32_t>(random.below(2)));
+    rule.may_cross_fabric_domains = random.below(3) == 0;
+    w.demand.push_back({rule.id, 0.0});
+  }
+  w.config.wanted.spare_vms_per_data_centre = static_cast<std::uint32_t>(random.below(3));
+  w.config.wanted.standbys_per_replica = static_cast<std::uint32_t>(random.below(2));
+  w.config.wanted.vm_failures_per_day = 1;
+  return w;
+}
+
+// A node activates a standby of a broken replica that has one, as it would without the table.
+void activate_something(planner_world& w) {
+  w.in_force.clear();
+  for (const replica_plan& r : w.row.replicas) {
+    lost_mask lost = 0;
+    std::size_t i = 0;
+    for (const auto* list : {&r.members, &r.standbys}) {
+      for (const vm_id& vm : *list) {
+        lost |= w.conditions.at(vm) == vm_condition::lost ? lost_mask{1} << i : 0;
+        ++i;
+      }
+    }
+    if (const auto c = activate(r, w.row.version, lost); c && lost != 0) {
+      w.in_force.push_back(*c);
+    }
+  }
+}
+
+void change_something(planner_world& w, rng& random) {
+  auto vm = std::next(w.conditions.begin(),
+                      static_cast<std::ptrdiff_t>(random.below(w.conditions.size())));
+  model_rule& rule = w.config.wanted.models[random.below(w.config.wanted.models.size())];
+  switch (random.below(9)) {
+    case 0:
+    case 1:
+      vm->second = vm_condition::lost;
+      break;
+    case 2:
+    case 3:
+      vm->second = vm_condition::working;
+      break;
+    case 4:
+      vm->second = random.below(2) == 0 ? vm_condition::suspect : vm_condition::leaving;
+      break;
+    case 5:
+      w.demand[random.below(w.demand.size())].busy_replicas = random.unit() * 4;
+      break;
+    case 6:
+      rule.version = "v" + std::to_string(1 + random.below(2));
+      rule.placements[0].replicas = static_cast<std::uint32_t>(random.below(4));
+      ++w.config.version;
+      break;
+    case 7:
+      w.acknowledge = !w.acknowledge;
+      break;
+    default:
+      w.finish_drains = !w.finish_drains;
+      break;
+  }
+}
+
+std::map<vm_id, replica_id> owners(const assignment& a) {
+  std::map<vm_id, replica_id> list;
+  for (const replica_plan& r : a.replicas) {
+    for (const auto* vms : {&r.members, &r.standbys}) {
+      for (const vm_id& vm : *vms) {
+        list[vm] = r.id;
+      }
+    }
+  }
+  return list;
+}
+
+// A VM passes from one replica to another only when it was withdrawn and that was acknowledged,
+// or when its replica was drained empty.
+void expect_handed_over(const planner_input& in, const assignment& next) {
+  const auto before = owners(*in.current);
+  for (const auto& [vm, owner] : owners(next)) {
+    const auto found = before.find(vm);
+    if (found != before.end() && found->second != owner) {
+      EXPECT_TRUE(std::ranges::count(in.emptied, found->second) > 0)
+          << vm << " passes from " << found->second << " to " << owner << " undrained";
+    }
+    for (const withdrawal& w : in.current->withdrawals) {
+      const bool back = w.from == owner;  // its own activation, entered late
+      EXPECT_TRUE(w.vm != vm || back || w.since <= in.acknowledged)
+          << vm << " reused before its withdrawal was acknowledged";
+    }
+  }
+}
+
+void expect_serving_undisturbed(const planner_world& w, const assignment& next) {
+  for (const replica_plan& r : w.row.replicas) {
+    const replica_plan* after = next.find(r.id);
+    const auto activated = std::ranges::find(w.in_force, r.id, &composition::replica);
+    if (after != nullptr && activated != w.in_force.end() && w.whole(*after)) {
+      const bool kept = after->gen == activated->gen && after->members == activated->members;
+      EXPECT_TRUE(kept) << r.id << " was activated, serves, and is laid down anew";
+      continue;
+    }
+    if (!w.whole(r)) {
+      continue;
+    }
+    if (r.phase == replica_phase::draining) {
+      const bool emptied = w.finish_drains;
+      EXPECT_TRUE(after != nullptr || emptied) << r.id << " removed before it was empty";
+    } else {
+      ASSERT_NE(after, nullptr) << r.id << " removed while it served";
+      EXPECT_EQ(after->members, r.members) << r.id;
+      EXPECT_EQ(after->gen, r.gen) << r.id;
+    }
+  }
+}
+
+class planner_history : public ::testing::TestWithParam<std::uint64_t> {};
+
+// Symptom: a VM in two replicas, a serving replica stopped, rows written without end.
+// Sequence: losses, returns, leaves, activations without the table, changes of rules and load, in
+//   any order, with acknowledgements and drains held up now and then.
+// Cause: a move of the planner that skips a step of the handover.
+TEST_P(planner_history, keeps_every_rule) {
+  rng random(GetParam());
+  for (int history = 0; history < 20; ++history) {
+    planner_world w = random_world(random);
+    for (int i = 0; i < 100; ++i) {
+      change_something(w, random);
+      if (random.below(4) == 0) {
+        activate_something(w);
+      }
+      const planner_input in = w.input();
+      const plan p = make_plan(in);
+      const findings breaches = check_invariants(p.next);
+      ASSERT_TRUE(breaches.empty()) << breaches.front() << '\n' << w.text();
+      expect_handed_over(in, p.next);
+      expect_serving_undisturbed(w, p.next);
+      ASSERT_EQ(p.changed, !p.reasons.empty());
+      if (p.changed) {
+        ASSERT_EQ(p.next.version, w.row.version + 1);
+        planner_input again = in;
+        again.current = &p.next;
+        const plan second = make_plan(again);
+        std::string why;
+        for (const std::string& reason : second.reasons) {
+          why += "  second: " + reason + '\n';
+        }
+        w.reasons = p.reasons;
+        const std::string before = w.text();
+        w.row = p.next;
+        ASSERT_FALSE(second.changed)
+            << "seed " << GetParam() << " history " << history << " step " << i << '\n'
+            << before << "->\n"
+            << w.text() << why;
+      }
+      ASSERT_FALSE(HasFailure()) << w.text();
+      w.in_force.clear();
+    }
+  }
+}
+
+// Symptom: rows are written without end though nothing happens.
+TEST_P(planner_history, comes_to_rest) {
+  rng random(GetParam() + 1000);
+  for (int history = 0; history < 40; ++history) {
+    planner_world w = random_world(random);
+    for (int i = 0; i < 20; ++i) {
+      change_something(w, random);
+      w.step();
+    }
+    w.acknowledge = true;
+    w.finish_drains = true;
+    EXPECT_LT(w.settle(60), 60) << w.text();
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(seeds, planner_history, ::testing::Range<std::uint64_t>(1, 41));
+
+}  // namespace
+}  // namespace arbutus
--- /dev/null
+++ b/tests/core/planner_world.h
@@ -0,0 +1,142 @@
+// A data centre for planner tests: VMs, rules, the row, and what the planner would be told.
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+
+#include "base/rng.h"
+#include "version/planner.h"
+
+namespace arbutus::testing {
+
+struct planner_world {
+  configuration config;
+  assignment row;
+  std::map<vm_id, vm_condition> conditions;
+  std::vector<composition> in_force;
+  std::vector<replica_demand> demand;
+  bool acknowledge = true;  // every live node has the row
+  bool finish_drains = true;
+  std::vector<std::string> reasons;  // of the last plan
+
+  planner_world() {
+    row.data_centre = data_centre_id{"hall-a"};
+    row.version = 1;
+    config.version = 1;
+    config.assets.data_centres = {{data_centre_id{"hall-a"}, "sk-west"}};
+  }
+
+  static std::string vm_name(std::size_t domain, std::size_t i) {
+    return "vm-" + std::to_string(domain) + "-" + (i < 10 ? "0" : "") + std::to_string(i);
+  }
+
+  void add_domain(std::size_t vms, std::uint32_t accelerators = 1) {
+    const std::size_t domain = domains_++;
+    for (std::size_t i = 0; i < vms; ++i) {
+      vm_record r;
+      r.id = vm_id{vm_name(domain, i)};
+      r.data_centre = row.data_centre;
+      r.fabric_domain = fabric_domain_id{"fd-" + std::to_string(domain)};
+      r.accelerators = accelerators;
+      conditions[r.id] = vm_condition::working;
+      config.assets.vms.push_back(r);
+    }
+  }
+
+  model_rule& add_model(const std::string& name, std::uint32_t vms, std::uint32_t replicas,
+                        std::uint32_t rank = 0) {
+    model_rule m;
+    m.id = model_id{name};
+    m.version = "v1";
+    m.vms_per_replica = vms;
+    m.rank = rank;
+    m.placements = {{row.data_centre, replicas}};
+    config.wanted.models.push_back(m);
+    return config.wanted.models.back();
+  }
+
+  void set(const vm_id& vm, vm_condition c) { conditions[vm] = c; }
+
+  [[nodiscard]] bool whole(const replica_plan& r) const {
+    return std::ranges::all_of(r.members, [&](const vm_id& vm) {
+      const auto found = conditions.find(vm);
+      return found != conditions.end() && found->second != vm_condition::lost;
+    });
+  }
+
+  [[nodiscard]] std::size_t serving(const std::string& model = "") const {
+    return static_cast<std::size_t>(std::ranges::count_if(row.replicas, [&](const auto& r) {
+      return r.phase == replica_phase::active && whole(r) &&
+             (model.empty() || r.model.str() == model);
+    }));
+  }
+
+  [[nodiscard]] planner_input input() const {
+    planner_input in;
+    in.config = &config;
+    in.current = &row;
+    in.data_centre = row.data_centre;
+    for (const auto& [vm, condition] : conditions) {
+      in.health.push_back({vm, condition});
+    }
+    in.in_force = in_force;
+    in.demand = demand;
+    in.acknowledged = acknowledge ? row.version : 0;
+    for (const replica_plan& r : row.replicas) {
+      if (r.phase == replica_phase::draining && finish_drains) {
+        in.emptied.push_back(r.id);
+      }
+      if (r.phase == replica_phase::active && whole(r)) {
+        in.serving.push_back(r.id);
+      }
+    }
+    return in;
+  }
+
+  // Plans once and writes the row; false when there was nothing to do.
+  bool step() {
+    const plan p = make_plan(input());
+    reasons = p.reasons;
+    if (p.changed) {
+      row = p.next;
+    }
+    return p.changed;
+  }
+
+  // Until nothing changes; the number of rows written, at most `limit`.
+  int settle(int limit = 50) {
+    int rows = 0;
+    while (rows < limit && step()) {
+      ++rows;
+    }
+    return rows;
+  }
+
+  [[nodiscard]] std::string text() const {
+    std::string s;
+    for (const replica_plan& r : row.replicas) {
+      s += r.id.str() + (r.phase == replica_phase::draining ? " draining" : "") + " [";
+      for (const vm_id& vm : r.members) {
+        s += vm.str() + " ";
+      }
+      s += "| ";
+      for (const vm_id& vm : r.standbys) {
+        s += vm.str() + " ";
+      }
+      s += "] " + to_string(r.gen) + "\n";
+    }
+    for (const withdrawal& w : row.withdrawals) {
+      s += "withdrawn " + w.vm.str() + " since " + std::to_string(w.since) + "\n";
+    }
+    for (const std::string& why : reasons) {
+      s += "  " + why + "\n";
+    }
+    return s;
+  }
+
+ private:
+  std::size_t domains_ = 0;
+};
+
+}  // namespace arbutus::testing
