--- a/src/process/config_replica.cpp
+++ b/src/process/config_replica.cpp
@@ -62,7 +62,12 @@
   config_wants wants;
   read_started_.reset();
   if (const auto* row = std::get_if<head_row>(&result)) {
+    retried_ = false;
     judge_head(*row, wants, now);
+  } else if (!retried_) {
+    // One lost reply should not cost a whole interval; a table that is away is not pressed.
+    retried_ = true;
+    next_read_ = std::min(next_read_, now + random_.jitter(timing_.head_retry));
   }
   return wants;
 }
--- a/src/process/config_replica.h
+++ b/src/process/config_replica.h
@@ -139,6 +139,7 @@
   std::size_t rank_ = SIZE_MAX;                // among the live, for reading and healing the head
   time_point next_read_;
   std::optional<time_point> read_started_;
+  bool retried_ = false;  // the newest read that failed was a retry
 };
 
 }  // namespace arbutus
--- a/src/process/control_timing.h
+++ b/src/process/control_timing.h
@@ -56,6 +56,8 @@
 
   duration head_read_by_readers = 1s;
   duration head_read_by_others = 10s;
+  // The first read after a failed one follows within this.
+  duration head_retry = 200ms;
   std::size_t head_readers = 2;
   // A request for content, or a read of the head, without an answer is tried elsewhere after this.
   duration fetch_timeout = 700ms;
