--- a/src/process/coordinator_decide.cpp
+++ b/src/process/coordinator_decide.cpp
@@ -160,7 +160,11 @@
           },
       .has_requests =
           [this](const node_id& node, const replica_id& id) {
-            return node == settings.self && in_flight.contains(id);
+            if (node == settings.self) {
+              return in_flight.contains(id);
+            }
+            const auto theirs = in_use_of.find(node);
+            return theirs != in_use_of.end() && theirs->second.contains(id);
           },
       .in_force = [this](const replica_plan& r) { return repairs.in_force(r); },
       .seen = [this](const vm_id& vm) { return seen.latest(vm); },
--- a/src/process/coordinator_inputs.cpp
+++ b/src/process/coordinator_inputs.cpp
@@ -208,6 +208,7 @@
   if (!m.table_reachable && !rows.unreadable_since()) {
     rows.look(now);  // to know for oneself before a repair depends on it
   }
+  in_use_of[from] = {m.in_use.begin(), m.in_use.end()};
   peer_usage& u = usage_of[from];
   u = {{}, now};
   for (const workspace_usage& w : m.usage) {
--- a/src/process/coordinator_parts.h
+++ b/src/process/coordinator_parts.h
@@ -153,6 +153,9 @@
   time_point table_since{};
 
   std::map<replica_id, std::map<generation, std::uint32_t>> in_flight;
+  // Draining replicas that a peer still uses, by its newest heartbeat: the same message that
+  // acknowledges the row that drains them.
+  std::map<node_id, std::set<replica_id>> in_use_of;
   std::map<workspace_id, double> usage;
   struct peer_usage {
     std::map<workspace_id, double> rates;
--- a/src/process/coordinator_tick.cpp
+++ b/src/process/coordinator_tick.cpp
@@ -48,6 +48,12 @@
     for (const auto& [workspace, rate] : usage) {
       beat.usage.push_back({workspace, rate});
     }
+    for (const auto& [id, counts] : in_flight) {
+      const replica_plan* replica = rows.row().find(id);
+      if (replica != nullptr && replica->phase == replica_phase::draining) {
+        beat.in_use.push_back(id);
+      }
+    }
     seen.take_deltas(beat, peer, peers->echoed(peer), now);
     emit(peer_send{peer, encode(gossip_message{beat}), false});
   }
--- a/src/process/gossip.cpp
+++ b/src/process/gossip.cpp
@@ -280,6 +280,7 @@
   silent_field,
   activations_field,
   usage_field,
+  in_use_field,
 };
 
 unsigned flags_of(const heartbeat& h) {
@@ -312,6 +313,7 @@
   j.push_back(encode_list(h.usage, [](const workspace_usage& u) {
     return json{u.workspace.str(), hundredths(u.requests_per_second)};
   }));
+  j.push_back(encode_list(h.in_use, [](const replica_id& r) { return json(r.str()); }));
   const auto empty = [](const json& part) {
     return part.is_string() ? part.get_ref<const std::string&>().empty()
                             : part.is_array() && part.empty();
@@ -350,6 +352,8 @@
     return workspace_usage{workspace_id{u.at(0).get<std::string>()},
                            static_cast<double>(whole(u.at(1))) / 100.0};
   });
+  h.in_use = decode_list<replica_id>(
+      j, in_use_field, [](const json& r) { return replica_id{r.get<std::string>()}; });
   return h;
 }
 
--- a/src/process/gossip.h
+++ b/src/process/gossip.h
@@ -66,6 +66,7 @@
   std::vector<probe_failure> failures;
   std::vector<composition> activations;
   std::vector<workspace_usage> usage;
+  std::vector<replica_id> in_use;  // draining replicas at which the sender still has requests
   auto operator<=>(const heartbeat&) const = default;
 };
 
--- a/src/process/row_keeper.cpp
+++ b/src/process/row_keeper.cpp
@@ -184,6 +184,7 @@
   } else if (!repair_since_) {
     repair_since_ = now;
     ++counters_.restored_copies;
+    read_soon(now);
   }
 }
 
--- a/tests/core/coordinator_test.cpp
+++ b/tests/core/coordinator_test.cpp
@@ -362,6 +362,24 @@
                                 patience));
 }
 
+// Symptom: an answer that a node is still passing on breaks off when its replica is stopped.
+// Sequence: as above, but the engine is done already; the node is not.
+// Cause: the engine's own report cannot tell.
+TEST_F(coordination, drain_waits_for_every_node) {
+  bring_up();
+  for (const replica_plan& r : row_.replicas) {
+    world_->node(2).report_in_flight(r.id, r.gen, 1);
+  }
+  world_->apply_rules([](rules& r) { r.models.front().placements.front().replicas = 1; });
+  world_->run_for(20s);
+  EXPECT_EQ(world_->row_in_table().replicas.size(), 2U);
+  for (const replica_plan& r : row_.replicas) {
+    world_->node(2).report_in_flight(r.id, r.gen, 0);
+  }
+  EXPECT_TRUE(
+      world_->run_until([&] { return world_->row_in_table().replicas.size() == 1; }, patience));
+}
+
 // Symptom: a node that starts during an outage can serve nobody.
 // Sequence: the table is down; a node is replaced.
 // Cause: the row is only in the table and in its peers.
--- /dev/null
+++ b/tests/core/drains_test.cpp
@@ -0,0 +1,117 @@
+// When a draining replica may be taken out of the row: each test withholds one proof.
+#include "process/drains.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include <set>
+
+namespace arbutus {
+namespace {
+
+using namespace std::chrono_literals;
+
+const replica_id r{"r"};
+const vm_id a{"a"};
+const node_id peer{"n1"};
+
+class emptying : public ::testing::Test {
+ protected:
+  emptying() {
+    row_.version = 6;
+    replica_plan p;
+    p.id = r;
+    p.phase = replica_phase::draining;
+    p.members = {a};
+    row_.replicas = {p};
+    watch_.rebase(row_);
+    report(0, engine_state::draining, now_);
+  }
+  void report(std::uint32_t running, engine_state state, time_point at) {
+    seen_.report.vm = a;
+    seen_.report.replica = r;
+    seen_.report.state = state;
+    seen_.report.running = running;
+    seen_.at = at;
+  }
+  bool empty() {
+    const drain_context context{
+        .row = row_,
+        .acknowledged = acknowledged_,
+        .nodes = {peer},
+        .version_of = [this](const node_id&) { return acknowledged_; },
+        .has_requests = [this](const node_id&, const replica_id&) { return busy_; },
+        .in_force = planned,
+        .seen = [this](const vm_id&) { return &seen_; },
+        .lost = [this](const vm_id&) { return lost_; },
+    };
+    return watch_.emptied(now_, context).contains(r);
+  }
+
+  assignment row_;
+  drain_watch watch_;
+  observation seen_;
+  std::uint64_t acknowledged_ = 6;
+  bool busy_ = false;
+  bool lost_ = false;
+  time_point now_{1s};
+};
+
+TEST_F(emptying, with_every_proof_it_is_empty) {
+  EXPECT_TRUE(empty());
+}
+
+TEST_F(emptying, every_node_has_to_acknowledge) {
+  acknowledged_ = 5;
+  EXPECT_FALSE(empty());
+}
+
+TEST_F(emptying, every_node_has_to_be_done) {
+  busy_ = true;
+  EXPECT_FALSE(empty());
+}
+
+TEST_F(emptying, the_engine_has_to_be_empty) {
+  report(1, engine_state::draining, now_);
+  EXPECT_FALSE(empty());
+}
+
+TEST_F(emptying, the_engine_has_to_refuse_new_work) {
+  report(0, engine_state::ready, now_);
+  EXPECT_FALSE(empty());
+}
+
+// Symptom: a request that was on its way when the drain began is cut off.
+// Sequence: the engine reports itself empty, the request arrives, then the last node acknowledges.
+// Cause: the report is older than the acknowledgement.
+TEST_F(emptying, the_report_has_to_be_newer_than_the_acknowledgements) {
+  report(0, engine_state::draining, now_ - 1ms);
+  EXPECT_FALSE(empty());
+  report(0, engine_state::draining, now_ + 1ms);
+  EXPECT_TRUE(empty());
+}
+
+TEST_F(emptying, a_lost_member_runs_nothing) {
+  report(3, engine_state::ready, now_);
+  lost_ = true;
+  EXPECT_TRUE(empty());
+}
+
+TEST_F(emptying, status_names_who_is_waited_for) {
+  acknowledged_ = 5;
+  const drain_context context{
+      .row = row_,
+      .acknowledged = 5,
+      .nodes = {peer},
+      .version_of = [](const node_id&) { return 5U; },
+      .has_requests = [](const node_id&, const replica_id&) { return false; },
+      .in_force = planned,
+      .seen = [this](const vm_id&) { return &seen_; },
+      .lost = [](const vm_id&) { return false; }};
+  const auto status = watch_.status(context);
+  ASSERT_EQ(status.size(), 1U);
+  EXPECT_THAT(status.front().waiting_for, ::testing::ElementsAre(peer));
+}
+
+}  // namespace
+}  // namespace arbutus
--- a/tests/core/gossip_test.cpp
+++ b/tests/core/gossip_test.cpp
@@ -44,6 +44,7 @@
   h.failures.push_back({vm_id{"vm9"}, 400ms, 77, 2});
   h.activations.push_back({replica_id{"r"}, {9, 1, 1}, {vm_id{"a"}, vm_id{"b"}}});
   h.usage.push_back({workspace_id{"odtok"}, 12.25});
+  h.in_use.push_back(replica_id{"dispatch-llm/1"});
   return h;
 }
 
--- /dev/null
+++ b/tests/core/permission_test.cpp
@@ -0,0 +1,124 @@
+// The evidence that a route needs: each test takes one piece of it away.
+#include "process/permission.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+namespace arbutus {
+namespace {
+
+using namespace std::chrono_literals;
+
+class permitting : public ::testing::Test {
+ protected:
+  permitting() {
+    for (const char* name : {"a", "b"}) {
+      observation o;
+      o.report.vm = vm_id{name};
+      o.report.incarnation = 5;
+      o.report.replica = target_.replica;
+      o.report.gen = target_.gen;
+      o.report.state = engine_state::ready;
+      o.at = time_point{10s};
+      seen_[o.report.vm] = o;
+      conditions_[o.report.vm] = target_condition::working;
+    }
+    observe();
+  }
+  void observe() {
+    for (const auto& [vm, o] : seen_) {
+      steady_.observe(o);
+    }
+  }
+  [[nodiscard]] permit ask(time_point now) const {
+    return permission_for(now, target_, steady_, [this](const vm_id& vm) {
+      return member_evidence{&seen_.at(vm), conditions_.at(vm), checks_tokens_};
+    });
+  }
+  [[nodiscard]] bool granted() const { return ask(now_).granted; }
+  engine_report& b() { return seen_.at(vm_id{"b"}).report; }
+
+  composition target_{replica_id{"r"}, {4, 0, 0}, {vm_id{"a"}, vm_id{"b"}}};
+  std::map<vm_id, observation> seen_;
+  std::map<vm_id, target_condition> conditions_;
+  steadiness steady_;
+  bool checks_tokens_ = true;
+  time_point now_{10100ms};
+};
+
+TEST_F(permitting, whole_replica_is_granted_until_its_oldest_observation_lapses) {
+  seen_.at(vm_id{"b"}).at = time_point{9900ms};
+  const permit p = ask(now_);
+  EXPECT_TRUE(p.granted);
+  EXPECT_EQ(p.valid_until, time_point{9900ms} + permission_time);
+}
+
+TEST_F(permitting, observations_age) {
+  EXPECT_TRUE(ask(time_point{10s} + permission_time - 1ms).granted);
+  EXPECT_FALSE(ask(time_point{10s} + permission_time).granted);
+}
+
+TEST_F(permitting, each_member_must_report_this_replica) {
+  b().replica = replica_id{"other"};
+  EXPECT_FALSE(granted());
+}
+
+TEST_F(permitting, each_member_must_report_exactly_this_generation) {
+  for (const generation g : {generation{3, 0, 0}, generation{4, 1, 1}, generation{5, 0, 0}}) {
+    b().gen = g;
+    EXPECT_FALSE(granted()) << to_string(g);
+  }
+}
+
+TEST_F(permitting, each_member_must_be_ready) {
+  for (const auto s :
+       {engine_state::idle, engine_state::loading, engine_state::draining, engine_state::failed}) {
+    b().state = s;
+    EXPECT_FALSE(granted());
+  }
+}
+
+TEST_F(permitting, no_member_may_leave_or_be_in_doubt) {
+  for (const auto c : {target_condition::unknown, target_condition::suspect, target_condition::lost,
+                       target_condition::leaving}) {
+    conditions_.at(vm_id{"b"}) = c;
+    EXPECT_FALSE(granted());
+  }
+  conditions_.at(vm_id{"b"}) = target_condition::working;
+  b().leaving = true;
+  EXPECT_FALSE(granted());
+}
+
+// Symptom: a replica is routed to although one of its processes is new and knows nothing.
+// Sequence: the process restarts and is ready again; its readiness counts from then on.
+// Cause: "ready" alone does not tell two processes apart.
+TEST_F(permitting, another_process_starts_a_new_spell) {
+  const time_point before = ask(now_).serving_since;
+  b().incarnation = 6;
+  seen_.at(vm_id{"b"}).at = time_point{11s};
+  observe();
+  EXPECT_GT(ask(time_point{11s}).serving_since, before);
+}
+
+// Symptom: a target that ignores tokens serves for a replica that it is about to leave.
+// Sequence: it obeys an order that was overtaken on its way, after the newer one.
+// Cause: nothing in the target compares the two.
+TEST_F(permitting, targets_that_ignore_tokens_have_to_settle) {
+  checks_tokens_ = false;
+  EXPECT_FALSE(granted());
+  for (auto& [vm, o] : seen_) {
+    o.at += settle_time;
+  }
+  observe();
+  EXPECT_TRUE(ask(now_ + settle_time).granted);
+  b().gen = {5, 0, 0};
+  seen_.at(vm_id{"b"}).at += 1s;
+  observe();
+  b().gen = target_.gen;
+  seen_.at(vm_id{"b"}).at += 1s;
+  observe();
+  EXPECT_FALSE(ask(now_ + settle_time + 2s).granted) << "a differing report starts it anew";
+}
+
+}  // namespace
+}  // namespace arbutus
--- /dev/null
+++ b/tests/core/row_keeper_test.cpp
@@ -0,0 +1,200 @@
+// One node's copy of the row, against answers given by hand.
+#include "process/row_keeper.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+namespace arbutus {
+namespace {
+
+using namespace std::chrono_literals;
+
+const data_centre_id hall{"hall-a"};
+const node_id self{"n0"};
+const std::vector<node_id> alone{self};
+
+assignment row_of(std::uint64_t version, const char* proposal = "other") {
+  assignment a;
+  a.data_centre = hall;
+  a.version = version;
+  a.proposal = proposal_id{proposal};
+  replica_plan r;
+  r.id = replica_id{"r"};
+  r.members = {vm_id{"a"}};
+  r.gen = {.row = 1, .step = 0, .lost = 0};
+  a.replicas = {r};
+  return a;
+}
+
+class row_keeping : public ::testing::Test {
+ protected:
+  void tick(duration d = 100ms) {
+    now_ += d;
+    for (effect& e : keeper_.tick(now_, alone)) {
+      asked_.push_back(std::move(e));
+    }
+  }
+  void answer_read(std::uint64_t table_version, const std::optional<assignment>& row) {
+    const table_row value{row ? encode(*row) : "", table_version};
+    (void)keeper_.on(now_, table_read_result{{row_key(hall)}, value});
+  }
+  void fail_read() {
+    (void)keeper_.on(now_, table_read_result{{row_key(hall)}, unknown{"timeout"}});
+  }
+  // The write that was asked for last; the list is emptied.
+  std::optional<table_write> take_write() {
+    std::optional<table_write> found;
+    for (const effect& e : asked_) {
+      if (const auto* w = std::get_if<table_write>(&e)) {
+        found = *w;
+      }
+    }
+    asked_.clear();
+    return found;
+  }
+  void propose(assignment next) { asked_ = keeper_.propose(now_, std::move(next)); }
+
+  time_point now_{1s};
+  row_keeper keeper_{self, hall, 1};
+  effects asked_;
+};
+
+TEST_F(row_keeping, first_row_must_not_exist_yet) {
+  tick();
+  answer_read(0, std::nullopt);
+  ASSERT_TRUE(keeper_.missing());
+  propose(row_of(1));
+  const auto write = take_write();
+  ASSERT_TRUE(write);
+  EXPECT_EQ(write->expected, 0U);
+  (void)keeper_.on(now_, table_write_result{*write, table_written{1}});
+  EXPECT_EQ(keeper_.row().version, 1U);
+  EXPECT_EQ(keeper_.counters().won, 1U);
+}
+
+// Symptom: a node follows a row that was overtaken.
+// Sequence: it reads version 7, then the table is restored and shows 4.
+// Cause: the read is newer than what is known only by time.
+TEST_F(row_keeping, never_steps_down_and_rewrites_a_restored_copy) {
+  tick();
+  answer_read(7, row_of(7));
+  tick(2s);
+  answer_read(4, row_of(4));
+  EXPECT_EQ(keeper_.row().version, 7U);
+  tick(500ms);  // a second read confirms it
+  EXPECT_FALSE(take_write());
+  answer_read(4, row_of(4));
+  tick(500ms);
+  const auto write = take_write();
+  ASSERT_TRUE(write);
+  EXPECT_EQ(write->expected, 4U);
+  const auto rewritten = std::get<assignment>(decode_assignment(write->value));
+  EXPECT_EQ(rewritten.version, 7U + row_restore_gap);
+  EXPECT_EQ(rewritten.replicas, row_of(7).replicas);
+}
+
+// Symptom: a restored copy is declared although nothing was restored.
+// Sequence: the answer to a read arrives after the reply to a later write.
+// Cause: the answer is older than the write.
+TEST_F(row_keeping, overtaken_read_is_no_restored_copy) {
+  tick();
+  answer_read(3, row_of(3));
+  tick(2s);  // this read is on its way
+  propose(row_of(4));
+  const auto write = take_write();
+  ASSERT_TRUE(write);
+  (void)keeper_.on(now_, table_write_result{*write, table_written{4}});
+  answer_read(3, row_of(3));
+  tick(500ms);
+  EXPECT_FALSE(take_write());
+  answer_read(4, std::get<assignment>(decode_assignment(write->value)));
+  tick(500ms);
+  EXPECT_FALSE(take_write());
+  EXPECT_EQ(keeper_.row().version, 4U);
+}
+
+// Symptom: a change is made twice.
+// Sequence: a write takes effect, its reply is lost; the row shows the proposal.
+// Cause: unknown is not refused.
+TEST_F(row_keeping, lost_reply_is_resolved_by_reading_back) {
+  tick();
+  answer_read(3, row_of(3));
+  propose(row_of(4));
+  const auto write = take_write();
+  ASSERT_TRUE(write);
+  now_ += 900ms;
+  const effects next = keeper_.on(now_, table_write_result{*write, unknown{"timeout"}});
+  ASSERT_EQ(next.size(), 1U);
+  EXPECT_TRUE(std::holds_alternative<table_read>(next.front()));
+  EXPECT_TRUE(keeper_.unwritable(now_));
+  answer_read(4, std::get<assignment>(decode_assignment(write->value)));
+  EXPECT_EQ(keeper_.counters().won, 1U);
+  EXPECT_EQ(keeper_.counters().lost, 0U);
+  EXPECT_FALSE(keeper_.unwritable(now_));
+}
+
+TEST_F(row_keeping, lost_race_is_counted_and_waits) {
+  tick();
+  answer_read(3, row_of(3));
+  propose(row_of(4));
+  const auto write = take_write();
+  ASSERT_TRUE(write);
+  (void)keeper_.on(now_, table_write_result{*write, refused{"version"}});
+  answer_read(4, row_of(4, "theirs"));
+  EXPECT_EQ(keeper_.counters().lost, 1U);
+  EXPECT_EQ(keeper_.row().proposal, proposal_id{"theirs"});
+  EXPECT_FALSE(keeper_.may_propose(now_));
+  EXPECT_TRUE(keeper_.may_propose(now_ + row_backoff_first));
+}
+
+// Symptom: a node that has just started plans from a row that others have left behind.
+// Sequence: it reads version 4 while a peer says 9.
+// Cause: the table was restored, or the read was overtaken.
+TEST_F(row_keeping, proposes_nothing_while_behind) {
+  tick();
+  answer_read(4, row_of(4));
+  keeper_.heard_from_peer(now_, 9);
+  EXPECT_TRUE(keeper_.behind());
+  EXPECT_FALSE(keeper_.may_propose(now_ + 1min));
+}
+
+// Symptom: targets refuse every order for ever.
+// Sequence: they obey version 9; table and nodes know 4 only.
+// Cause: the content of 9 is lost, its tokens are not.
+TEST_F(row_keeping, lost_content_is_laid_down_above_what_targets_obey) {
+  tick();
+  answer_read(4, row_of(4));
+  keeper_.heard_from_target(now_, 9);
+  for (int i = 0; i < 60; ++i) {
+    tick();
+    answer_read(4, row_of(4));
+    if (const auto write = take_write()) {
+      const auto row = std::get<assignment>(decode_assignment(write->value));
+      EXPECT_EQ(row.version, 9U + row_restore_gap);
+      EXPECT_EQ(row.replicas.front().gen.row, row.version);
+      EXPECT_GE(now_, time_point{1s} + row_lost_patience);
+      return;
+    }
+  }
+  FAIL() << "never written";
+}
+
+TEST_F(row_keeping, silent_table_counts_as_not_writable) {
+  tick();
+  tick(row_reply_patience);
+  EXPECT_TRUE(keeper_.unreadable_since());
+  EXPECT_TRUE(keeper_.unwritable(now_));
+  answer_read(1, row_of(1));
+  EXPECT_FALSE(keeper_.unwritable(now_));
+}
+
+TEST_F(row_keeping, takes_newer_copies_from_peers_only) {
+  fail_read();
+  EXPECT_TRUE(keeper_.adopt(now_, row_of(5)));
+  EXPECT_FALSE(keeper_.adopt(now_, row_of(5, "another")));
+  EXPECT_FALSE(keeper_.adopt(now_, row_of(4)));
+  EXPECT_EQ(keeper_.row().version, 5U);
+}
+
+}  // namespace
+}  // namespace arbutus
