Coordinator: hurried heartbeats leave at once, news of a row is read at once, ranks count from when writing is possible

Change: heartbeats that are due leave with the call that made them due; the pause between reads holds only for versions heard of before; the wait by rank starts anew when the table can be written.

--- a/src/process/coordinator.cpp
+++ b/src/process/coordinator.cpp
@@ -67,6 +67,7 @@
   std::visit([&](const auto& event) { p.on(now, event); }, in);
   p.note_changes(now);
   p.decide(now);
+  p.send_heartbeats(now);  // those that were hurried
   return std::exchange(p.out, {});
 }
 
--- a/src/process/coordinator_decide.cpp
+++ b/src/process/coordinator_decide.cpp
@@ -237,6 +237,8 @@
   next_plan_at = now + plan_interval;
   const bool old_rules = config->version < rows.row().config_version;
   if (old_rules || !rows.may_propose(now) || !may_judge(now)) {
+    // Ranks count from when writing is possible: after an outage all would be due at once.
+    need_since.reset();
     return;
   }
   plan p = next_plan(now);
--- a/src/process/row_keeper.cpp
+++ b/src/process/row_keeper.cpp
@@ -60,9 +60,14 @@
   if (version <= row_.version) {
     return;
   }
+  const bool news = version > highest_heard_;
   raise_heard(now, version);
   claimed_at_ = now;
-  read_soon(now);
+  if (news) {
+    next_read_ = std::min(next_read_, now + random_.jitter(row_read_spread));
+  } else {
+    read_soon(now);
+  }
 }
 
 void row_keeper::heard_from_target(time_point now, std::uint64_t version) {
