Control slopes; the second of two nodes answers at once; probers bounded closer

Cause: each heartbeat cost an acknowledgement of its own, and the unluckiest node had 11 targets for 8 probes a second. Change: of two nodes the first by id leads and the other answers at once, so that its heartbeat carries the acknowledgement; a node gets at most a tenth more targets than its fair part.

--- /dev/null
+++ b/src/process/control_slopes.cpp
@@ -0,0 +1,221 @@
+// Nodes of one data centre exchange heartbeats and probe targets for a while of virtual time.
+// Counted: what membership, observations and gossip cost; not the links and probes themselves,
+// which belong to the shells.
+#include "process/control_slopes.h"
+
+#include <malloc.h>
+
+#include <ctime>
+#include <iomanip>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "process/engine_wire.h"
+#include "process/gossip.h"
+#include "process/membership.h"
+#include "process/observations.h"
+
+namespace arbutus {
+
+namespace {
+
+constexpr duration tick_interval = 50ms;
+constexpr duration warm_up = 5s;
+constexpr duration measured = 20s;
+// TCP/IP header of a segment, once for the message and once for its acknowledgement; and the length
+// before a message.
+constexpr double header_bytes = 40.0;
+constexpr double framing_bytes = 4.0;
+
+struct control_cost {  // per node and second
+  double messages{};   // both directions
+  double payload{};    // bytes, both directions
+  double with_headers{};
+  double with_acknowledgements{};
+  double core_percent{};
+  double probes{};
+  double state_kilobytes{};
+};
+
+struct loop_node {
+  std::unique_ptr<membership> peers;
+  std::unique_ptr<observation_table> seen;
+};
+
+class control_loop {
+ public:
+  control_loop(std::size_t nodes, std::size_t targets, bool load_changes)
+      : load_changes_(load_changes) {
+    for (std::size_t i = 0; i < targets; ++i) {
+      vms_.emplace_back("vm-" + std::to_string(1000 + i));
+    }
+    for (std::size_t i = 0; i < nodes; ++i) {
+      ids_.emplace_back("node-" + std::to_string(100 + i));
+    }
+    const std::size_t before = heap_bytes();
+    for (std::size_t i = 0; i < nodes; ++i) {
+      add_node(i);
+    }
+    run_for(warm_up);
+    state_bytes_ = heap_bytes() - before;
+  }
+
+  control_cost measure() {
+    messages_ = answers_ = bytes_ = probes_ = 0;
+    const std::clock_t before = std::clock();
+    run_for(measured);
+    const double cpu = static_cast<double>(std::clock() - before) / CLOCKS_PER_SEC;
+    const double node_seconds = to_seconds(measured) * static_cast<double>(ids_.size());
+    control_cost cost;
+    // Each message is one node's sent and another's received.
+    cost.messages = 2.0 * static_cast<double>(messages_) / node_seconds;
+    cost.payload = 2.0 * static_cast<double>(bytes_) / node_seconds;
+    cost.with_headers = cost.payload + cost.messages * (header_bytes + framing_bytes);
+    const double acknowledgements = 2.0 * static_cast<double>(messages_ - answers_) / node_seconds;
+    cost.with_acknowledgements = cost.with_headers + acknowledgements * header_bytes;
+    cost.core_percent = 100.0 * cpu / node_seconds;
+    cost.probes = static_cast<double>(probes_) / node_seconds;
+    cost.state_kilobytes =
+        static_cast<double>(state_bytes_) / 1024.0 / static_cast<double>(ids_.size());
+    return cost;
+  }
+
+ private:
+  static std::size_t heap_bytes() { return mallinfo2().uordblks; }
+
+  void add_node(std::size_t i) {
+    loop_node n;
+    n.peers = std::make_unique<membership>(ids_[i], 0x70000000 + i, i, now_);
+    n.peers->set_nodes(ids_, now_);
+    n.peers->set_targets(vms_);
+    n.seen = std::make_unique<observation_table>(ids_[i]);
+    n.seen->set_targets(vms_);
+    nodes_.push_back(std::move(n));
+  }
+
+  void run_for(duration d) {
+    for (const time_point end = now_ + d; now_ < end; now_ += tick_interval) {
+      for (std::size_t i = 0; i < nodes_.size(); ++i) {
+        act(i);
+      }
+    }
+  }
+
+  void act(std::size_t i) {
+    loop_node& n = nodes_[i];
+    n.peers->tick(now_);
+    n.seen->set_own_targets(n.peers->own_targets(now_), now_);
+    for (const vm_id& vm : n.seen->next_probes(now_)) {
+      ++probes_;
+      probe(n, vm);
+    }
+    beat_where_due(i);
+    (void)n.seen->take_changes(now_);
+  }
+
+  void beat_where_due(std::size_t i) {
+    for (const node_id& peer : nodes_[i].peers->due(now_)) {
+      beat(i, peer);
+    }
+  }
+
+  // What the node does with the answer, decoding included.
+  void probe(loop_node& n, const vm_id& vm) {
+    engine_report report;
+    report.vm = vm;
+    report.incarnation = 0x12345678;
+    report.replica = replica_id{"replica-of-" + vm.str()};
+    report.gen.row = 1234;
+    report.state = engine_state::ready;
+    report.slots = 16;
+    report.running = load_changes_ ? static_cast<std::uint32_t>(probes_ % 16) : 4;
+    report.tokens_per_second = 31.0;
+    const outcome<engine_report> answer = decode_report(encode(report));
+    n.seen->own_probe({vm, now_, answer}, now_);
+  }
+
+  void beat(std::size_t from, const node_id& to) {
+    loop_node& sender = nodes_[from];
+    heartbeat beat = sender.peers->prepare(to, now_);
+    sender.peers->claim_config(beat, to, 7600, "00112233445566778899aabbccddeeff");
+    beat.assignment_version = 1234;
+    beat.table_reachable = true;
+    sender.seen->take_deltas(beat, to, sender.peers->echoed(to), now_);
+    const std::string bytes = encode(gossip_message{std::move(beat)});
+    ++messages_;
+    bytes_ += bytes.size();
+    receive(ids_[from], to, bytes);
+  }
+
+  void receive(const node_id& from, const node_id& to, const std::string& bytes) {
+    const auto place = std::ranges::lower_bound(ids_, to) - ids_.begin();
+    loop_node& n = nodes_[static_cast<std::size_t>(place)];
+    const auto decoded = decode_gossip(from, bytes);
+    const auto& beat = std::get<heartbeat>(std::get<gossip_message>(decoded));
+    if (const auto h = n.peers->receive(beat, 1234, now_)) {
+      n.seen->merge(beat, *h, now_);
+    }
+    const std::size_t before = messages_;
+    beat_where_due(static_cast<std::size_t>(place));
+    // An answer at once carries the acknowledgement of what it answers.
+    answers_ += messages_ > before ? 1 : 0;
+  }
+
+  bool load_changes_;
+  std::vector<vm_id> vms_;
+  std::vector<node_id> ids_;
+  std::vector<loop_node> nodes_;
+  time_point now_{100s};
+  std::size_t messages_{};
+  std::size_t answers_{};
+  std::size_t bytes_{};
+  std::size_t probes_{};
+  std::size_t state_bytes_{};
+};
+
+control_cost cost_of(std::size_t nodes, std::size_t targets, bool load_changes) {
+  return control_loop(nodes, targets, load_changes).measure();
+}
+
+void print(std::ostream& out, std::size_t nodes, std::size_t targets, bool load_changes,
+           const control_cost& c) {
+  out << std::fixed << std::setprecision(1) << std::setw(3) << nodes << " nodes " << std::setw(4)
+      << targets << " targets " << (load_changes ? "load changes" : "quiet       ") << ": "
+      << std::setw(5) << c.messages << " messages/s " << std::setw(7) << c.payload << " B/s "
+      << std::setw(7) << c.with_headers << " with headers " << std::setw(7)
+      << c.with_acknowledgements << " and ACKs, " << std::setprecision(3) << c.core_percent
+      << "% core, " << std::setprecision(1) << c.probes << " probes/s, " << c.state_kilobytes
+      << " KB\n";
+}
+
+void print_slope(std::ostream& out, const char* over, double steps, const control_cost& low,
+                 const control_cost& high) {
+  out << "each further " << over << ": " << std::setprecision(2)
+      << (high.messages - low.messages) / steps << " messages/s, "
+      << (high.payload - low.payload) / steps << " B/s payload, "
+      << (high.with_acknowledgements - low.with_acknowledgements) / steps
+      << " B/s with headers and ACKs, " << std::setprecision(4)
+      << (high.core_percent - low.core_percent) / steps << "% core, " << std::setprecision(2)
+      << (high.state_kilobytes - low.state_kilobytes) / steps << " KB\n";
+}
+
+}  // namespace
+
+void print_control_slopes(std::ostream& out) {
+  for (const bool load_changes : {false, true}) {
+    const control_cost few_peers = cost_of(6, 81, load_changes);
+    const control_cost few_targets = cost_of(21, 27, load_changes);
+    const control_cost planned = cost_of(21, 81, load_changes);
+    const control_cost many_targets = cost_of(21, 170, load_changes);
+    print(out, 2, 19, load_changes, cost_of(2, 19, load_changes));
+    print(out, 6, 81, load_changes, few_peers);
+    print(out, 21, 27, load_changes, few_targets);
+    print(out, 21, 81, load_changes, planned);
+    print(out, 21, 170, load_changes, many_targets);
+    print_slope(out, "peer", 15.0, few_peers, planned);
+    print_slope(out, "target", 89.0, planned, many_targets);
+  }
+}
+
+}  // namespace arbutus
--- a/src/process/membership.cpp
+++ b/src/process/membership.cpp
@@ -14,11 +14,11 @@
 constexpr std::size_t remembered_incarnations = 4;
 constexpr std::size_t probers_per_target = 2;
 
-// A node may get a quarter more targets than its fair part before the next one takes them.
+// A node may get a tenth more targets than its fair part before the next one takes them.
 std::size_t target_limit(std::size_t targets, std::size_t nodes) {
   const double fair =
       static_cast<double>(targets * probers_per_target) / static_cast<double>(nodes);
-  return static_cast<std::size_t>(std::ceil(fair * 1.25)) + 1;
+  return static_cast<std::size_t>(std::ceil(fair * 1.1));
 }
 
 std::vector<node_id> by_weight(std::string_view subject, std::vector<node_id> nodes) {
@@ -107,13 +107,24 @@
     if (p.next_heartbeat > now) {
       continue;
     }
-    p.next_heartbeat = now + timing_.heartbeat_interval - random_.jitter(timing_.heartbeat_jitter);
+    p.next_heartbeat = now + interval_to(id);
     p.last_heartbeat = now;
     peers.push_back(id);
   }
   return peers;
 }
 
+// Of two nodes the first by id leads; the other answers at once, so that its heartbeat carries the
+// acknowledgement of the leader's segment, which otherwise costs a packet of its own. It beats by
+// itself when the leader is late.
+duration membership::interval_to(const node_id& id) {
+  const duration jitter = random_.jitter(timing_.heartbeat_jitter);
+  if (self_ < id) {
+    return timing_.heartbeat_interval - jitter;
+  }
+  return timing_.heartbeat_interval + jitter + timing_.heartbeat_jitter;
+}
+
 void membership::hurry(time_point now) {
   for (auto& [id, p] : peers_) {
     const time_point soonest = std::max(now, p.last_heartbeat + timing_.heartbeat_min_gap);
@@ -244,10 +255,18 @@
   claims.draining = beat.draining;
   claims.informed = beat.informed;
   claims.silent = beat.silent;
+  answer(beat.from, now);
   learn_from_majority(own);
   return result;
 }
 
+void membership::answer(const node_id& from, time_point now) {
+  peer& p = peers_.at(from);
+  if (from < self_ && now - p.last_heartbeat >= timing_.heartbeat_interval / 2) {
+    p.next_heartbeat = std::min(p.next_heartbeat, now);
+  }
+}
+
 // ---- views ----
 
 const membership::peer* membership::find(const node_id& id) const {
@@ -344,12 +363,18 @@
   const std::size_t limit = target_limit(targets_.size(), nodes.size());
   for (const vm_id& vm : targets_) {
     std::vector<node_id>& chosen = choice_->probers[vm];
-    for (const node_id& node : by_weight(vm.str(), nodes)) {
-      if (chosen.size() < probers_per_target && load[node] < limit) {
-        chosen.push_back(node);
-        ++load[node];
+    const std::vector<node_id> sorted = by_weight(vm.str(), nodes);
+    const auto choose = [&](bool beyond_limit) {
+      for (const node_id& node : sorted) {
+        const bool taken = std::ranges::count(chosen, node) != 0;
+        if (chosen.size() < probers_per_target && !taken && (beyond_limit || load[node] < limit)) {
+          chosen.push_back(node);
+          ++load[node];
+        }
       }
-    }
+    };
+    choose(false);
+    choose(true);  // all but one may be full
   }
   choice_->live = std::move(nodes);
 }
--- a/src/process/membership.h
+++ b/src/process/membership.h
@@ -54,7 +54,8 @@
   // ended; zero: none. After a pause no peer is blamed for the silence meanwhile.
   duration tick(time_point now);
 
-  // Peers to which a heartbeat is due; each is returned once per interval.
+  // Peers to which a heartbeat is due; each is returned once per interval. Ask after each received
+  // heartbeat, too: the answer to it is due at once.
   [[nodiscard]] std::vector<node_id> due(time_point now);
   // Makes a heartbeat due to every peer: news that must not wait.
   void hurry(time_point now);
@@ -164,6 +165,8 @@
   [[nodiscard]] std::size_t votes_in_all() const;
   void accept_process(peer& p, const message_stamp& stamp, heard& result, time_point now);
   void accept_echo(peer& p, const message_stamp& stamp, heard& result, time_point now);
+  [[nodiscard]] duration interval_to(const node_id& id);
+  void answer(const node_id& from, time_point now);
   void learn_from_majority(std::uint64_t own);
   void bury_silent_peers(time_point now);
   void choose_probers(time_point now);
