Coordinator: a replaced peer is told everything in full again

Change: what a peer was told is forgotten when its process is another one; a test that brings it about.

--- a/src/process/coordinator_inputs.cpp
+++ b/src/process/coordinator_inputs.cpp
@@ -189,11 +189,19 @@
   emit(notice{"gossip", "a message of " + m.from.str() + " cannot be decoded"});
 }
 
+// A restarted peer has echoed messages whose short forms it could not understand.
+void coordinator::parts::note_process(const node_id& from, const struct heard& h) {
+  if (h.restarted) {
+    seen.forget_peer(from);
+  }
+}
+
 void coordinator::parts::heard(time_point now, const node_id& from, const heartbeat& m) {
   const auto h = peers->receive(m, rows.row().version, now);
   if (!h) {
     return;
   }
+  note_process(from, *h);
   seen.merge(m, *h, now);
   for (const vm_record* vm :
        config ? config->assets.vms_of(settings.data_centre) : std::vector<const vm_record*>{}) {
@@ -241,6 +249,7 @@
 
 void coordinator::parts::heard(time_point now, const node_id& from, const lost_notice& m) {
   if (const auto h = peers->receive(from, m.stamp, now)) {
+    note_process(from, *h);
     seen.merge(from, m, *h, now);
     changed();
   }
--- a/src/process/coordinator_parts.h
+++ b/src/process/coordinator_parts.h
@@ -68,6 +68,7 @@
   void heard(time_point now, const node_id& from, const leaving_notice& m);
   void heard(time_point now, const node_id& from, const summary& m);
 
+  void note_process(const node_id& from, const struct heard& h);
   void take_wants(time_point now, const config_wants& wants);
   void take_configuration(time_point now);
   // To be called when a newest observation of `vm` may have come.
--- a/src/process/observations.h
+++ b/src/process/observations.h
@@ -71,7 +71,8 @@
   // `echoed`: newest own sequence that the peer is known to have (membership::echoed).
   void take_deltas(heartbeat& beat, const node_id& peer, std::uint64_t echoed, time_point now);
 
-  // The peer is no longer a node of this data centre.
+  // The peer is no longer a node of this data centre, or its process is another one (heard::
+  // restarted): the new one may echo messages whose short forms it could not understand.
   void forget_peer(const node_id& peer);
 
   [[nodiscard]] target_condition condition(const vm_id& vm, time_point now) const;
--- a/tests/core/coordinator_test.cpp
+++ b/tests/core/coordinator_test.cpp
@@ -393,6 +393,25 @@
   EXPECT_TRUE(serve_within(patience));
 }
 
+// Symptom: a node that was replaced never routes to some replica again.
+// Sequence: its first messages get lost; its new process echoes a message that a peer composed for
+// the old one; the peer takes that as proof that what the old one had been told is known.
+// Cause: the short form of an observation stands for an earlier message.
+TEST_F(coordination, replaced_node_learns_everything_anew) {
+  bring_up();
+  rng random{3};
+  for (int i = 0; i < 10; ++i) {
+    world_->cut(0, 1);
+    world_->cut(0, 2);
+    world_->kill_node(0);
+    world_->start_node(0);
+    world_->run_for(500ms + random.jitter(2s));
+    world_->cut(0, 1, false);
+    world_->cut(0, 2, false);
+    EXPECT_TRUE(serve_within(20s)) << "restart " << i;
+  }
+}
+
 // ---- pairs ----
 
 // Sequence: the table is down, and two members of one replica with two standbys die in turn.
