Coordination tests: unconfirmed rows, minorities, overtaken orders, missed activations

Cause: with some safeguards removed no test failed; and a node without a majority, with the table, would have replaced a member that only it did not see. Change: a scenario for each; a node without a majority waits ten seconds before it proposes.

--- a/src/process/coordinator_decide.cpp
+++ b/src/process/coordinator_decide.cpp
@@ -118,12 +118,18 @@
 
 // ---- planning ----
 
-// A node that sees most targets gone and hears few peers is more likely cut off itself: its plan
-// would take whole replicas apart that serve.
-bool coordinator::parts::may_judge(time_point now) const {
+// A node that hears few peers is more likely cut off itself than left over: what it does not reach
+// may serve, and its plan, which the table would accept, would take it apart. It waits, and does
+// nothing while it does not reach most targets.
+bool coordinator::parts::may_judge(time_point now) {
   if (peers->may_act_alone(rows.row().version, now)) {
+    minority_since.reset();
     return true;
   }
+  minority_since = minority_since.value_or(now);
+  if (now - *minority_since < minority_patience) {
+    return false;
+  }
   const auto vms = config->assets.vms_of(settings.data_centre);
   const auto reached = std::count_if(vms.begin(), vms.end(), [&](const vm_record* vm) {
     const target_condition c = seen.condition(vm->id, now);
--- a/tests/core/coordinator_test.cpp
+++ b/tests/core/coordinator_test.cpp
@@ -156,6 +156,19 @@
   EXPECT_TRUE(serve_within(patience));
 }
 
+// Symptom: a standby is used up for a member that works.
+// Sequence: as below, while the table is down.
+// Cause: a suspect is not lost.
+TEST_F(coordination, hiccup_of_a_member_activates_nothing) {
+  bring_up();
+  world_->table.up = false;
+  world_->run_for(5s);
+  world_->pause(row_.replicas.front().members.front(), 1200ms);
+  world_->run_for(10s);
+  EXPECT_EQ(activations(), 0U);
+  EXPECT_TRUE(all_serve());
+}
+
 // Symptom: whole replicas are moved because one probe took long.
 // Sequence: a member stands still for less than a second.
 // Cause: a straggler is not a loss.
@@ -210,6 +223,75 @@
   EXPECT_EQ(world_->row_in_table(), row_);
 }
 
+// Symptom: a replica that serves is taken apart.
+// Sequence: a node loses its peers and one member, but not the table.
+// Cause: as above; here most targets are in sight.
+TEST_F(coordination, node_without_a_majority_waits) {
+  bring_up();
+  world_->isolate(0);
+  world_->cut_target(0, row_.replicas.front().members.back());
+  world_->run_for(9s);
+  EXPECT_EQ(world_->row_in_table(), row_);
+}
+
+// Symptom: a data centre whose entry VMs mostly died repairs nothing any more.
+// Sequence: two of three nodes die, then a member.
+// Cause: the last one waits for a majority that is gone.
+TEST_F(coordination, last_node_goes_on_with_the_table) {
+  bring_up();
+  world_->kill_node(1);
+  world_->kill_node(2);
+  world_->run_for(1s);
+  world_->kill(row_.replicas.front().members.back());
+  EXPECT_TRUE(recovers(60s));
+}
+
+// Symptom: a member that was replaced long ago is formed again.
+// Sequence: a node is cut off from peers and table; the row changes; the replaced VM restarts and
+// knows no token.
+// Cause: to the node it is a member that has lost its order.
+TEST_F(coordination, node_with_an_unconfirmed_row_orders_nothing) {
+  bring_up();
+  world_->isolate(0);
+  world_->cut_table(0);
+  const vm_id replaced = row_.replicas.front().members.back();
+  world_->kill(replaced);
+  world_->run_for(15s);
+  const auto orders = [&] { return world_->node(0).status(world_->now()).counters.orders_sent; };
+  const std::uint64_t before = orders();
+  world_->start(replaced);
+  world_->run_for(15s);
+  EXPECT_EQ(orders(), before);
+}
+
+// Symptom: targets refuse every order of the row, which looks right.
+// Sequence: two nodes without the table replace a member that only they have lost; the third
+// writes a row for another reason without having heard of it.
+// Cause: what the targets obey is newer than what the row laid down.
+TEST_F(coordination, row_that_missed_an_activation_supersedes_it) {
+  bring_up();
+  const vm_id member = row_.replicas.front().members.back();
+  for (const std::size_t i : {1U, 2U}) {
+    world_->cut_table(i);
+    world_->cut_target(i, member);
+    world_->cut(0, i);
+    world_->cut(i, 0);
+  }
+  world_->apply_rules([](rules& r) { r.models.front().placements.front().replicas = 1; });
+  world_->run_for(14s);
+  EXPECT_GT(activations(), 0U);
+  EXPECT_GT(world_->row_in_table().version, row_.version);
+  for (const std::size_t i : {1U, 2U}) {
+    world_->cut_table(i, false);
+    world_->cut_target(i, member, false);
+    world_->cut(0, i, false);
+    world_->cut(i, 0, false);
+  }
+  replicas_ = 1;
+  world_->run_for(10s);
+  EXPECT_TRUE(serve_within(patience));
+}
+
 // Symptom: two compositions of one replica fight.
 // Sequence: the table is down; a minority node is cut off from its peers, not from the targets,
 // and loses sight of a member that the others still reach.
@@ -305,6 +387,54 @@
   }
 }
 
+// Symptom: a target that ignores tokens is called back to a replica that it left.
+// Sequence: a node decides on an order and is paused before its connection stands; meanwhile the
+// VM gets a newer order; the node goes on where it stood.
+// Cause: as above; the target does not compare the two orders.
+TEST_F(coordination, paused_node_holds_its_order_back) {
+  bring_up({.checks_tokens = false});
+  world_->connect_time = 50ms;
+  const replica_plan& r = row_.replicas.front();
+  world_->restart(r.members.front());  // to be formed again
+  const auto sent = [&](std::size_t i) {
+    return world_->node(i).status(world_->now()).counters.orders_sent;
+  };
+  std::vector<std::uint64_t> before{sent(0), sent(1), sent(2)};
+  std::size_t sender = 0;
+  ASSERT_TRUE(world_->run_until(
+      [&] {
+        for (sender = 0; sender < 3; ++sender) {
+          if (sent(sender) > before[sender]) {
+            return true;
+          }
+        }
+        return false;
+      },
+      patience));
+  world_->pause_node(sender, 20s);
+  world_->kill(r.members.back());  // the replica gets a newer composition
+  world_->run_for(25s);
+  EXPECT_EQ(world_->overtaken_orders, 0U);
+  EXPECT_TRUE(serve_within(patience));
+}
+
+// Symptom: targets that ignore tokens are thrown back to an old row.
+// Sequence: the table is restored from an old copy while all nodes are replaced.
+// Cause: a new node would believe the table before it has heard the targets.
+TEST_F(coordination, new_nodes_listen_before_they_order) {
+  bring_up({.checks_tokens = false});
+  const auto old_copy = world_->table.rows;
+  world_->kill(row_.replicas.front().members.back());
+  world_->run_for(15s);
+  world_->table.rows = old_copy;
+  for (std::size_t i = 0; i < world_->node_count(); ++i) {
+    world_->kill_node(i);
+    world_->start_node(i);
+  }
+  world_->run_for(30s);
+  EXPECT_EQ(world_->overtaken_orders, 0U);
+}
+
 // Symptom: a VM that is about to be taken away gets new requests until it is gone.
 // Sequence: the target itself says that it is leaving.
 // Cause: only its prober sees that.
@@ -322,15 +452,17 @@
   for (const vm_id& vm : world_->vms()) {
     world_->listed.push_back({vm, vm == r.members.back()});
   }
-  // From the moment that a node knows.
-  ASSERT_TRUE(world_->run_until(
-      [&] {
-        return world_->usable_routes(0).size() < replicas_ ||
-               world_->usable_routes(1).size() < replicas_ ||
-               world_->usable_routes(2).size() < replicas_;
-      },
-      patience));
-  EXPECT_LT(time_to_no_route(r.id), 2s);
+  // From the moment that a node knows: the news must not wait for heartbeats or for the row.
+  const auto known = [&] {
+    for (std::size_t i = 0; i < world_->node_count(); ++i) {
+      if (world_->usable_routes(i).size() < replicas_) {
+        return true;
+      }
+    }
+    return false;
+  };
+  ASSERT_TRUE(world_->run_until(known, patience));
+  EXPECT_LT(time_to_no_route(r.id), 50ms);
 }
 
 // Symptom: a planned stop cuts answers off.
@@ -394,21 +526,24 @@
 }
 
 // Symptom: a node that was replaced never routes to some replica again.
-// Sequence: its first messages get lost; its new process echoes a message that a peer composed for
+// Sequence: it is replaced while cut off; its new process echoes a message that a peer composed for
 // the old one; the peer takes that as proof that what the old one had been told is known.
 // Cause: the short form of an observation stands for an earlier message.
 TEST_F(coordination, replaced_node_learns_everything_anew) {
-  bring_up();
-  rng random{3};
-  for (int i = 0; i < 10; ++i) {
-    world_->cut(0, 1);
-    world_->cut(0, 2);
-    world_->kill_node(0);
-    world_->start_node(0);
-    world_->run_for(500ms + random.jitter(2s));
-    world_->cut(0, 1, false);
-    world_->cut(0, 2, false);
-    EXPECT_TRUE(serve_within(20s)) << "restart " << i;
+  for (const std::uint64_t seed : {4, 6, 8}) {  // which message crosses which is chance
+    SCOPED_TRACE(seed);
+    bring_up({.vms = 8, .standbys_per_replica = 0, .seed = seed});
+    rng random{seed};
+    for (int i = 0; i < 6; ++i) {
+      world_->isolate(0);
+      world_->run_for(12s);
+      world_->kill_node(0);
+      world_->start_node(0);
+      world_->run_for(1s + random.jitter(5s));
+      world_->isolate(0, false);
+      world_->run_for(10s);  // what it saw itself while cut off lapses
+      EXPECT_TRUE(all_serve()) << "restart " << i;
+    }
   }
 }
 
--- a/tests/core/fake_world.h
+++ b/tests/core/fake_world.h
@@ -93,7 +93,9 @@
   void cut_targets(std::size_t i, bool on = true);
   void apply_rules(const std::function<void(rules&)>& change);
   fake_table table;
-  double drop = 0;  // share of node-to-node messages
+  double drop = 0;                     // share of node-to-node messages
+  duration connect_time = 2ms;         // until the bytes of an order can go out
+  std::uint64_t overtaken_orders = 0;  // obeyed by targets that ignore tokens, though older
   std::vector<vm_list_entry> listed;
   std::vector<std::string> violations;
 
--- a/tests/core/fake_world_io.cpp
+++ b/tests/core/fake_world_io.cpp
@@ -137,10 +137,10 @@
 void fake_world::do_order(std::size_t i, const order& o) {
   // A connection is set up first; the node is asked again directly before the bytes go.
   const auto incarnation = nodes_[i].incarnation;
-  at(now_ + network_delay, [=, this] {
+  const auto send = [=, this] {
     fake_node& n = nodes_[i];
-    if (!n.up || n.incarnation != incarnation || n.paused) {
-      return;  // the core's own deadline covers an order whose answer never comes
+    if (!n.up || n.incarnation != incarnation) {
+      return;
     }
     if (!n.core->may_send(now_, o)) {
       feed(i, order_result{o, refused{"out of date"}});
@@ -152,6 +152,14 @@
           return order_result{o, obey(e, o)};
         },
         order_result{o, unknown{"timeout"}});
+  };
+  at(now_ + connect_time, [=, this] {
+    fake_node& n = nodes_[i];
+    if (n.paused && n.incarnation == incarnation) {
+      n.waiting.insert(n.waiting.begin(), send);  // goes on where it stood
+    } else {
+      send();
+    }
   });
 }
 
@@ -209,6 +217,7 @@
   if (e.record.checks_tokens && (stale || (o.kind == order_kind::form && other_members))) {
     return refused{"old token"};
   }
+  overtaken_orders += o.target.gen < r.gen ? 1 : 0;
   const bool loaded = r.state == engine_state::loading || r.state == engine_state::ready;
   if (o.kind == order_kind::drain) {
     r.state = same && loaded ? engine_state::draining : r.state;
