Coordinator: old rules are used only when the newer ones seem lost

Cause: with the configuration's head restored from an old copy and all nodes replaced, no row was ever proposed again. Change: planning by older rules than the row's waits a minute; tests for both sides, and for the news of a broken connection. Conclusion: both pass; the fake world no longer forgets to wake a replaced node.

--- a/src/process/coordinator_decide.cpp
+++ b/src/process/coordinator_decide.cpp
@@ -138,6 +138,17 @@
   return 2 * static_cast<std::size_t>(reached) >= vms.size();
 }
 
+// Planning by older rules than the row was made for would take back an accepted configuration.
+// Only when the newer rules seem to be lost for good, repair goes before that.
+bool coordinator::parts::knows_rules(time_point now) {
+  if (config->version >= rows.row().config_version) {
+    old_rules_since.reset();
+    return true;
+  }
+  old_rules_since = old_rules_since.value_or(now);
+  return now - *old_rules_since >= old_rules_patience;
+}
+
 std::set<replica_id> coordinator::parts::overtaken(time_point now) {
   std::set<replica_id> result;
   for (const replica_plan& replica : rows.row().replicas) {
@@ -199,9 +210,12 @@
 }  // namespace
 
 plan coordinator::parts::next_plan(time_point now) {
+  // Whether these rules may be used was decided by knows_rules().
+  assignment current = rows.row();
+  current.config_version = std::min(current.config_version, config->version);
   planner_input in;
   in.config = &*config;
-  in.current = &rows.row();
+  in.current = &current;
   in.data_centre = settings.data_centre;
   for (const vm_record* vm : config->assets.vms_of(settings.data_centre)) {
     in.health.push_back({vm->id, planner_condition(seen.condition(vm->id, now))});
@@ -241,8 +255,7 @@
   }
   plan_by = time_point::max();
   next_plan_at = now + plan_interval;
-  const bool old_rules = config->version < rows.row().config_version;
-  if (old_rules || !rows.may_propose(now) || !may_judge(now)) {
+  if (!knows_rules(now) || !rows.may_propose(now) || !may_judge(now)) {
     // Ranks count from when writing is possible: after an outage all would be due at once.
     need_since.reset();
     return;
--- a/src/process/coordinator_parts.h
+++ b/src/process/coordinator_parts.h
@@ -36,6 +36,8 @@
 // A node without a majority proposes only after so long: by then the others have either come back
 // or are gone.
 inline constexpr duration minority_patience = 10s;
+// Longer than any peer or store needs to hand over a configuration that still exists.
+inline constexpr duration old_rules_patience = 60s;
 inline constexpr duration vm_list_interval = 2s;
 inline constexpr std::size_t vm_list_readers = 2;
 // A peer that cannot read the table is given the row this often until it has it.
@@ -99,6 +101,7 @@
   [[nodiscard]] plan next_plan(time_point now);
   [[nodiscard]] std::optional<time_point> proposal_due(time_point now);
   [[nodiscard]] bool may_judge(time_point now);
+  [[nodiscard]] bool knows_rules(time_point now);
   [[nodiscard]] std::optional<lost_mask> overtaken_by(const replica_plan& replica) const;
   [[nodiscard]] std::set<replica_id> overtaken(time_point now);
   [[nodiscard]] std::map<vm_id, wanted_state> wanted() const;
@@ -147,6 +150,7 @@
 
   std::optional<time_point> need_since;  // the row should change
   std::optional<time_point> minority_since;
+  std::optional<time_point> old_rules_since;
   time_point next_plan_at{};
   time_point plan_by = time_point::max();  // set by an event, after the debounce
   std::vector<std::string> plan_reasons;
--- a/tests/core/coordinator_test.cpp
+++ b/tests/core/coordinator_test.cpp
@@ -85,6 +85,17 @@
   EXPECT_EQ(activations(), 0U);
 }
 
+// Symptom: each node sends one more request to a dead machine.
+// Sequence: a member dies and one node's connection breaks.
+// Cause: the others would find it by their own probes only.
+TEST_F(coordination, broken_connection_is_news_for_all) {
+  bring_up();
+  const replica_plan& r = row_.replicas.front();
+  world_->kill(r.members.back());
+  world_->connection_error(0, r.members.back());
+  EXPECT_LT(time_to_no_route(r.id), 50ms);
+}
+
 // Symptom: one dead machine keeps a replica dark for as long as the table is out.
 // Sequence: the table goes down, then a member dies; later the table comes back.
 // Cause: a new composition seems to need a row, which cannot be written.
@@ -246,6 +257,45 @@
   EXPECT_TRUE(recovers(60s));
 }
 
+// Symptom: an accepted configuration is taken back.
+// Sequence: a node is cut off while new rules are accepted; it comes back to the table, but the
+// content of the new rules cannot be had.
+// Cause: to its old rules the new row looks wrong.
+TEST_F(coordination, node_with_old_rules_proposes_nothing) {
+  bring_up();
+  world_->isolate(0);
+  world_->cut_table(0);
+  world_->apply_rules([](rules& r) { r.models.front().placements.front().replicas = 1; });
+  world_->run_for(20s);
+  const assignment newer = world_->row_in_table();
+  ASSERT_EQ(newer.replicas.size(), 1U);
+  world_->table.objects.clear();
+  world_->cut_table(0, false);
+  world_->run_for(40s);
+  EXPECT_EQ(world_->row_in_table(), newer);
+}
+
+// Symptom: nothing is repaired any more.
+// Sequence: the configuration's head is restored from an old copy while all nodes are replaced;
+// then a member dies.
+// Cause: the row was made for rules that nobody has any more.
+TEST_F(coordination, lost_rules_do_not_stop_repair) {
+  bring_up();
+  const table_row head = world_->table.rows.at(config_head_key);
+  world_->apply_rules([](rules& r) { r.vm_repair_hours = 5; });
+  world_->apply_rules([](rules& r) { r.standbys_per_replica = 0; });
+  world_->run_for(10s);
+  ASSERT_EQ(world_->row_in_table().config_version, 3U);
+  world_->table.rows.at(config_head_key) = head;
+  for (std::size_t i = 0; i < world_->node_count(); ++i) {
+    world_->kill_node(i);
+    world_->start_node(i);
+  }
+  EXPECT_TRUE(serve_within(patience));
+  world_->kill(row_.replicas.front().members.back());
+  EXPECT_TRUE(recovers(90s));
+}
+
 // Symptom: a member that was replaced long ago is formed again.
 // Sequence: a node is cut off from peers and table; the row changes; the replaced VM restarts and
 // knows no token.
--- a/tests/core/fake_world.cpp
+++ b/tests/core/fake_world.cpp
@@ -121,6 +121,7 @@
   n.up = true;
   n.paused = false;
   n.waiting.clear();
+  n.wake_at = time_point::max();
   n.row_seen = n.config_seen = 0;
   n.published = {};
   coordinator_settings s;
--- a/tests/core/fake_world.h
+++ b/tests/core/fake_world.h
@@ -81,6 +81,8 @@
   void start(const vm_id& vm);    // comes back as a new process
   void restart(const vm_id& vm);  // new process at once
   void pause(const vm_id& vm, duration d);
+  // The request path of this node sees a connection refused.
+  void connection_error(std::size_t i, const vm_id& vm) { feed(i, target_error{vm}); }
   void set_leaving(const vm_id& vm) { engine(vm).report.leaving = true; }
   void kill_node(std::size_t i);
   void start_node(std::size_t i);  // as a new process that knows nothing
