--- /dev/null
+++ b/tests/core/coordination_fixture.h
@@ -0,0 +1,64 @@
+// What the coordination tests share: a world at rest, and how to wait for what follows.
+#pragma once
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include <optional>
+
+#include "fake_world.h"
+#include "process/row_keeper.h"
+
+namespace arbutus::testing {
+
+using ::testing::IsEmpty;
+
+// Long enough for the nodes to agree, order, load and be observed.
+inline constexpr duration patience = 30s;
+
+// A world whose replicas all serve and whose row is at rest.
+class coordination : public ::testing::Test {
+ protected:
+  void bring_up(world_options o = {}) {
+    world_.emplace(o);
+    replicas_ = o.replicas;
+    ASSERT_TRUE(world_->run_until([&] { return world_->all_serve(replicas_); }, patience));
+    world_->run_for(3s);
+    row_ = world_->row_in_table();
+    ASSERT_EQ(row_.replicas.size(), replicas_);
+    for (const replica_plan& r : row_.replicas) {
+      ASSERT_EQ(r.standbys.size(), o.standbys_per_replica);
+    }
+  }
+  void TearDown() override { EXPECT_THAT(world_->violations, IsEmpty()); }
+
+  [[nodiscard]] bool all_serve() const { return world_->all_serve(replicas_); }
+  [[nodiscard]] bool serve_within(duration d) {
+    return world_->run_until([&] { return all_serve(); }, d);
+  }
+  [[nodiscard]] duration time_until(const std::function<bool()>& condition) {
+    const time_point start = world_->now();
+    EXPECT_TRUE(world_->run_until(condition, patience));
+    return world_->now() - start;
+  }
+  [[nodiscard]] duration time_to_no_route(const replica_id& id) {
+    return time_until([&] { return !world_->routed_anywhere(id); });
+  }
+  // Loses a route, then has all again.
+  [[nodiscard]] bool recovers(duration d = patience) {
+    return world_->run_until([&] { return !all_serve(); }, 5s) && serve_within(d);
+  }
+  [[nodiscard]] std::uint64_t activations() {
+    std::uint64_t sum = 0;
+    for (std::size_t i = 0; i < world_->node_count(); ++i) {
+      sum += world_->node(i).status(world_->now()).counters.activations;
+    }
+    return sum;
+  }
+
+  std::optional<fake_world> world_;
+  std::size_t replicas_{};
+  assignment row_;  // at rest
+};
+
+}  // namespace arbutus::testing
--- /dev/null
+++ b/tests/core/coordinator_pairs_test.cpp
@@ -0,0 +1,85 @@
+// Faults in pairs.
+// Invariants are checked by the fake world after every step.
+#include "coordination_fixture.h"
+
+namespace arbutus::testing {
+namespace {
+
+// Sequence: the table is down, and two members of one replica with two standbys die in turn.
+TEST_F(coordination, two_members_die_while_the_table_is_down) {
+  bring_up({.vms = 8, .fabric_domains = 1, .standbys_per_replica = 2});
+  world_->table.up = false;
+  world_->run_for(5s);
+  const replica_plan& r = row_.replicas.front();
+  world_->kill(r.members.front());
+  world_->run_for(4s);
+  world_->kill(r.members.back());
+  EXPECT_TRUE(recovers());
+}
+
+// Sequence: a member dies and its standby dies while it loads; the table is down.
+TEST_F(coordination, standby_dies_while_it_loads) {
+  bring_up({.vms = 8, .fabric_domains = 1, .standbys_per_replica = 2});
+  world_->table.up = false;
+  world_->run_for(5s);
+  const replica_plan& r = row_.replicas.front();
+  world_->kill(r.members.front());
+  ASSERT_TRUE(world_->run_until(
+      [&] { return !world_->engine(r.standbys.front()).report.replica.empty(); }, patience));
+  world_->kill(r.standbys.front());
+  EXPECT_TRUE(recovers());
+}
+
+// Sequence: a fabric domain goes dark while replies to writes are lost and a node is paused.
+TEST_F(coordination, fabric_domain_goes_dark_with_lost_replies_and_a_paused_node) {
+  bring_up({.vms = 8, .standbys_per_replica = 0, .spare_vms = 2});
+  world_->table.lose_write_replies = 2;
+  world_->pause_node(0, 8s);
+  for (std::size_t i = 0; i < 4; ++i) {
+    world_->kill(world_->vms()[i]);
+  }
+  world_->run_for(10s);
+  EXPECT_TRUE(serve_within(patience));
+}
+
+// Sequence: a member dies while the table is down; the only node that repairs dies, too.
+TEST_F(coordination, repairing_node_dies) {
+  bring_up({.nodes = 5});
+  world_->table.up = false;
+  world_->run_for(5s);
+  world_->kill(row_.replicas.front().members.back());
+  ASSERT_TRUE(world_->run_until([&] { return activations() > 0; }, patience));
+  for (std::size_t i = 0; i < world_->node_count(); ++i) {
+    if (world_->node(i).status(world_->now()).counters.activations > 0) {
+      world_->kill_node(i);
+      break;
+    }
+  }
+  EXPECT_TRUE(serve_within(patience));
+}
+
+// Sequence: targets ignore fencing tokens; a member dies, then each node in turn is cut off.
+TEST_F(coordination, targets_without_token_check_and_partitions) {
+  bring_up({.checks_tokens = false});
+  world_->kill(row_.replicas.front().members.back());
+  for (std::size_t i = 0; i < world_->node_count(); ++i) {
+    world_->isolate(i);
+    world_->run_for(6s);
+    world_->isolate(i, false);
+    world_->run_for(2s);
+  }
+  EXPECT_TRUE(serve_within(patience));
+}
+
+// Sequence: messages get lost all the time, and one link works in one direction only.
+TEST_F(coordination, lossy_and_one_way_links) {
+  bring_up();
+  world_->drop = 0.05;
+  world_->cut(0, 1);
+  world_->run_for(30s);
+  world_->kill(row_.replicas.front().members.back());
+  EXPECT_TRUE(recovers());
+}
+
+}  // namespace
+}  // namespace arbutus::testing
--- /dev/null
+++ b/tests/core/fake_world_checks.cpp
@@ -0,0 +1,192 @@
+// The faults, what tests look at, and the invariants.
+#include <algorithm>
+#include <sstream>
+
+#include "fake_world.h"
+#include "process/permission.h"
+#include "process/row_keeper.h"
+
+namespace arbutus::testing {
+
+namespace {
+
+// Beyond the permission time: an observation is dated by when its probe was sent.
+constexpr duration route_slack = 100ms;
+
+template <class T>
+std::string text(const T& value) {
+  std::ostringstream out;
+  out << value;
+  return out.str();
+}
+
+}  // namespace
+
+void fake_world::kill(const vm_id& vm) {
+  engine(vm).up = false;
+  engine(vm).changed_at = now_;
+}
+
+void fake_world::restart(const vm_id& vm) {
+  fake_engine& e = engine(vm);
+  const std::uint64_t incarnation = e.report.incarnation + 1;
+  e.report = {};
+  e.report.vm = vm;
+  e.report.incarnation = incarnation;
+  e.report.slots = 8;
+  e.members.clear();
+  e.waiting.clear();
+  e.paused = false;
+  e.changed_at = now_;
+}
+
+void fake_world::start(const vm_id& vm) {
+  restart(vm);
+  engine(vm).up = true;
+}
+
+void fake_world::pause(const vm_id& vm, duration d) {
+  engine(vm).paused = true;
+  engine(vm).changed_at = now_;
+  const auto incarnation = engine(vm).report.incarnation;
+  at(now_ + d, [this, vm, incarnation] {
+    fake_engine& e = engine(vm);
+    if (e.report.incarnation != incarnation || !e.paused) {
+      return;
+    }
+    e.paused = false;
+    for (auto& work : std::exchange(e.waiting, {})) {
+      work();
+    }
+  });
+}
+
+// ---- links ----
+
+void fake_world::cut(std::size_t a, std::size_t b, bool on) {
+  if (on) {
+    cuts_.insert({a, b});
+  } else {
+    cuts_.erase({a, b});
+  }
+}
+
+void fake_world::isolate(std::size_t i, bool on) {
+  for (std::size_t other = 0; other < nodes_.size(); ++other) {
+    cut(i, other, on);
+    cut(other, i, on);
+  }
+}
+
+void fake_world::cut_table(std::size_t i, bool on) {
+  if (on) {
+    table_cuts_.insert(i);
+  } else {
+    table_cuts_.erase(i);
+  }
+}
+
+void fake_world::cut_target(std::size_t i, const vm_id& vm, bool on) {
+  if (on) {
+    target_cuts_.insert({i, vm});
+  } else {
+    target_cuts_.erase({i, vm});
+  }
+}
+
+void fake_world::cut_targets(std::size_t i, bool on) {
+  for (const vm_id& vm : vms()) {
+    cut_target(i, vm, on);
+  }
+}
+
+// ---- views and invariants ----
+
+std::vector<vm_id> fake_world::vms() const {
+  std::vector<vm_id> result;
+  for (const auto& [vm, e] : engines_) {
+    result.push_back(vm);
+  }
+  return result;
+}
+
+std::vector<replica_route> fake_world::usable_routes(std::size_t i) const {
+  std::vector<replica_route> result;
+  const fake_node& n = nodes_.at(i);
+  if (!n.up || n.paused) {
+    return result;
+  }
+  for (const replica_route& r : n.published.replicas) {
+    if (now_ < r.valid_until && !r.draining) {
+      result.push_back(r);
+    }
+  }
+  return result;
+}
+
+bool fake_world::routed_anywhere(const replica_id& id) const {
+  for (std::size_t i = 0; i < nodes_.size(); ++i) {
+    const auto routes = usable_routes(i);
+    const auto same = [&](const replica_route& r) { return r.id == id; };
+    if (std::any_of(routes.begin(), routes.end(), same)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+bool fake_world::all_serve(std::size_t replicas) const {
+  for (std::size_t i = 0; i < nodes_.size(); ++i) {
+    if (nodes_[i].up && usable_routes(i).size() < replicas) {
+      return false;
+    }
+  }
+  return true;
+}
+
+assignment fake_world::row_in_table() const {
+  const auto found = table.rows.find(row_key(data_centre_id{"hall-a"}));
+  return found == table.rows.end() ? assignment{}
+                                   : std::get<assignment>(decode_assignment(found->second.value));
+}
+
+void fake_world::violate(const std::string& text) {
+  violations.push_back(std::to_string(to_seconds(now_.time_since_epoch())) + " s: " + text);
+}
+
+void fake_world::check() {
+  std::map<vm_id, replica_id> owners;
+  for (std::size_t i = 0; i < nodes_.size(); ++i) {
+    fake_node& n = nodes_[i];
+    if (!n.up) {
+      continue;
+    }
+    const std::uint64_t row = n.core->row().version;
+    const std::uint64_t config = n.core->config() != nullptr ? n.core->config()->version : 0;
+    if (row < n.row_seen || config < n.config_seen) {
+      violate("node " + text(n.id) + " stepped down");
+    }
+    n.row_seen = row;
+    n.config_seen = config;
+    check_routes(i, owners);
+  }
+}
+
+// A usable route must match what its members serve, or what they served a permission time ago.
+void fake_world::check_routes(std::size_t i, std::map<vm_id, replica_id>& owners) {
+  for (const replica_route& r : usable_routes(i)) {
+    for (const vm_id& vm : r.members) {
+      const fake_engine& e = engines_.at(vm);
+      const bool matches = e.up && !e.paused && e.report.replica == r.id && e.report.gen == r.gen;
+      if (!matches && now_ > e.changed_at + permission_time + route_slack) {
+        violate("node " + text(nodes_[i].id) + " routes to " + text(r.id) + " without " + text(vm));
+      }
+      const auto [owner, first] = owners.try_emplace(vm, r.id);
+      if (!first && owner->second != r.id) {
+        violate("VM " + text(vm) + " is routed to for two replicas");
+      }
+    }
+  }
+}
+
+}  // namespace arbutus::testing
