Coordination tests: suspicion, orders held back after a pause, one first write

Cause: with these safeguards removed no test failed. Change: hiccup_of_a_member_activates_nothing became suspicion_activates_nothing, in which each node in turn loses sight of the member: a pause of the member was not seen as suspicion at all, so the old test could not fail; paused_node_holds_its_order_back became paused_order.is_held_back for a short and a long pause, and counts the order held back.

--- a/src/process/coordinator.h
+++ b/src/process/coordinator.h
@@ -36,6 +36,8 @@
 class coordinator {
  public:
   explicit coordinator(coordinator_settings settings);
+  coordinator(const coordinator&) = delete;
+  coordinator& operator=(const coordinator&) = delete;
   coordinator(coordinator&&) noexcept;
   coordinator& operator=(coordinator&&) noexcept;
   ~coordinator();
--- a/src/process/drains.cpp
+++ b/src/process/drains.cpp
@@ -55,9 +55,10 @@
     const time_point since = d.acknowledged_at.value_or(now);
     d.acknowledged_at = since;
     const auto members = context.in_force(*replica).members;
-    const bool empty = std::all_of(members.begin(), members.end(), [&](const vm_id& vm) {
-      return context.lost(vm) || empty_since(context.seen(vm), id, since);
-    });
+    const auto is_empty = [&context, since, name = replica->id](const vm_id& vm) {
+      return context.lost(vm) || empty_since(context.seen(vm), name, since);
+    };
+    const bool empty = std::all_of(members.begin(), members.end(), is_empty);
     if (empty) {
       result.insert(id);
     }
--- a/tests/core/coordinator_members_test.cpp
+++ b/tests/core/coordinator_members_test.cpp
@@ -8,6 +8,7 @@
 TEST_F(coordination, brings_replicas_up_from_nothing) {
   bring_up();
   EXPECT_EQ(world_->table.writes_refused, 0U);
+  EXPECT_EQ(world_->table.writes_won, 1U);
 }
 
 TEST_F(coordination, leaves_the_row_alone_at_rest) {
@@ -111,14 +112,19 @@
 }
 
 // Symptom: a standby is used up for a member that works.
-// Sequence: as below, while the table is down.
+// Sequence: the table is down; one node after the other does not reach the member for a moment.
 // Cause: a suspect is not lost.
-TEST_F(coordination, hiccup_of_a_member_activates_nothing) {
+TEST_F(coordination, suspicion_activates_nothing) {
   bring_up();
   world_->table.up = false;
   world_->run_for(5s);
-  world_->pause(row_.replicas.front().members.front(), 1200ms);
-  world_->run_for(10s);
+  const vm_id member = row_.replicas.front().members.front();
+  for (std::size_t i = 0; i < world_->node_count(); ++i) {
+    world_->cut_target(i, member);
+    world_->run_for(1500ms);
+    world_->cut_target(i, member, false);
+    world_->run_for(5s);
+  }
   EXPECT_EQ(activations(), 0U);
   EXPECT_TRUE(all_serve());
 }
--- a/tests/core/coordinator_nodes_test.cpp
+++ b/tests/core/coordinator_nodes_test.cpp
@@ -171,33 +171,38 @@
 // Sequence: a node decides on an order and is paused before its connection stands; meanwhile the
 // VM gets a newer order; the node goes on where it stood.
 // Cause: as above; the target does not compare the two orders.
-TEST_F(coordination, paused_node_holds_its_order_back) {
+class paused_order : public coordination, public ::testing::WithParamInterface<duration> {};
+
+TEST_P(paused_order, is_held_back) {
   bring_up({.checks_tokens = false});
   world_->connect_time = 50ms;
+  const auto counters = [&](std::size_t i) {
+    return world_->node(i).status(world_->now()).counters;
+  };
   const replica_plan& r = row_.replicas.front();
+  const std::vector<std::uint64_t> before{counters(0).orders_sent, counters(1).orders_sent,
+                                          counters(2).orders_sent};
   world_->restart(r.members.front());  // to be formed again
-  const auto sent = [&](std::size_t i) {
-    return world_->node(i).status(world_->now()).counters.orders_sent;
-  };
-  std::vector<std::uint64_t> before{sent(0), sent(1), sent(2)};
   std::size_t sender = 0;
-  ASSERT_TRUE(world_->run_until(
-      [&] {
-        for (sender = 0; sender < 3; ++sender) {
-          if (sent(sender) > before[sender]) {
-            return true;
-          }
-        }
-        return false;
-      },
-      patience));
-  world_->pause_node(sender, 20s);
+  const auto ordered = [&] {
+    for (sender = 0; sender < before.size(); ++sender) {
+      if (counters(sender).orders_sent > before[sender]) {
+        return true;
+      }
+    }
+    return false;
+  };
+  ASSERT_TRUE(world_->run_until(ordered, patience));
+  world_->pause_node(sender, GetParam());
   world_->kill(r.members.back());  // the replica gets a newer composition
-  world_->run_for(25s);
+  world_->run_for(GetParam() + 5s);
+  EXPECT_GT(counters(sender).orders_withheld, 0U);
   EXPECT_EQ(world_->overtaken_orders, 0U);
   EXPECT_TRUE(serve_within(patience));
 }
 
+INSTANTIATE_TEST_SUITE_P(coordination, paused_order, ::testing::Values(1500ms, 20s));
+
 // Symptom: targets that ignore tokens are thrown back to an old row.
 // Sequence: the table is restored from an old copy while all nodes are replaced.
 // Cause: a new node would believe the table before it has heard the targets.
