--- /dev/null
+++ b/src/node/configure.cpp
@@ -0,0 +1,195 @@
+// Proposing a configuration on behalf of an operator.
+#include "node/configure.h"
+
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+#include "connection/clock.h"
+#include "node/error_body.h"
+#include "process/config_replica.h"
+#include "version/import.h"
+
+namespace arbutus {
+
+namespace {
+
+using json = nlohmann::json;
+
+// How long one proposal is pursued before the operator is told that it is not known.
+constexpr duration proposal_timeout = 10s;
+constexpr duration pause_between_reads = 200ms;
+
+struct change {
+  std::uint64_t base{};
+  proposal_id id;
+  std::string inventory;
+  std::string rules;
+};
+
+void send_json(response_writer& writer, int status, const json& body) {
+  http_headers headers;
+  headers.add("content-type", "application/json");
+  writer.send(status, headers, body.dump(-1, ' ', false, json::error_handler_t::replace));
+}
+
+void refuse(response_writer& writer, int status, std::string code, std::string message) {
+  call_error error;
+  error.status = status;
+  error.code = std::move(code);
+  error.message = std::move(message);
+  send_error(writer, error);
+}
+
+std::optional<change> parse_change(const std::string& text) {
+  const json body = json::parse(text, nullptr, false);
+  const auto is_text = [&](const char* key) { return body.contains(key) && body[key].is_string(); };
+  if (!body.is_object() || !is_text("proposal") || !is_text("inventory") || !is_text("rules") ||
+      !body.contains("base_version") || !body["base_version"].is_number_unsigned()) {
+    return std::nullopt;
+  }
+  return change{body["base_version"].get<std::uint64_t>(),
+                proposal_id{body["proposal"].get<std::string>()},
+                body["inventory"].get<std::string>(), body["rules"].get<std::string>()};
+}
+
+json findings_json(const findings& list) {
+  json result = json::array();
+  for (const finding& f : list) {
+    std::ostringstream text;
+    text << f;
+    result.push_back(text.str());
+  }
+  return result;
+}
+
+json head_json(const std::optional<config_head>& head) {
+  if (!head) {
+    return nullptr;
+  }
+  return {{"version", head->version},
+          {"hash", head->hash},
+          {"proposal", head->proposals.empty() ? "" : head->proposals.front().str()}};
+}
+
+outcome<head_row> read_head_row(platform_client& platform) {
+  const auto row =
+      platform.read({std::string(config_head_key)}, monotonic_now() + platform_timeout);
+  return match(
+      row,
+      [](const table_row& r) -> outcome<head_row> {
+        if (r.version == 0) {
+          return head_row{};
+        }
+        const auto head = decode_head(r.value);
+        if (const auto* known = std::get_if<config_head>(&head)) {
+          return head_row{*known, r.version};
+        }
+        return unknown{"the head row is damaged"};
+      },
+      [](const refused& r) -> outcome<head_row> { return r; },
+      [](const unknown& u) -> outcome<head_row> { return u; });
+}
+
+// Carries out the steps of one proposal and answers the operator.
+class proposal_run {
+ public:
+  proposal_run(platform_client& platform, response_writer& writer, config_proposer proposer)
+      : platform_(platform), writer_(writer), proposer_(std::move(proposer)) {}
+
+  void run() {
+    const time_point deadline = monotonic_now() + proposal_timeout;
+    proposal_step step = proposer_.start();
+    while (!answered_) {
+      const bool out_of_time = monotonic_now() >= deadline;
+      step = std::visit([&](const auto& s) { return carry_out(s, out_of_time); }, step);
+    }
+  }
+
+ private:
+  proposal_step carry_out(const put_content& s, bool) {
+    return proposer_.put_result(
+        platform_.put({s.name, s.content}, monotonic_now() + platform_timeout));
+  }
+
+  proposal_step carry_out(const write_head& s, bool) {
+    const table_write write{std::string(config_head_key), encode(s.head), s.expected_row};
+    const auto result = platform_.write(write, monotonic_now() + platform_timeout);
+    return proposer_.write_result(match(
+        result, [](const table_written& w) -> outcome<std::uint64_t> { return w.version; },
+        [](const refused& r) -> outcome<std::uint64_t> { return r; },
+        [](const unknown& u) -> outcome<std::uint64_t> { return u; }));
+  }
+
+  proposal_step carry_out(const read_head&, bool) {
+    return proposer_.read_result(read_head_row(platform_));
+  }
+
+  proposal_step carry_out(const proposal_accepted& s, bool) {
+    answer(200, {{"version", s.version}});
+    return s;
+  }
+
+  proposal_step carry_out(const proposal_conflict& s, bool) {
+    answer(409, {{"current", head_json(s.current)}});
+    return s;
+  }
+
+  proposal_step carry_out(const proposal_failed& s, bool) {
+    answer(503, {{"error", {{"type", "not_run"}, {"message", s.reason}}}});
+    return s;
+  }
+
+  proposal_step carry_out(const proposal_unresolved& s, bool out_of_time) {
+    if (out_of_time) {
+      answer(502, {{"error", {{"type", "unknown"}, {"message", s.reason}}}});
+      return s;
+    }
+    sleep_until(monotonic_now() + pause_between_reads);
+    return proposer_.read_back();
+  }
+
+  void answer(int status, const json& body) {
+    send_json(writer_, status, body);
+    answered_ = true;
+  }
+
+  platform_client& platform_;
+  response_writer& writer_;
+  config_proposer proposer_;
+  bool answered_ = false;
+};
+
+}  // namespace
+
+void serve_configure(platform_client& platform, control& core, const http_request& request,
+                     response_writer& writer) {
+  const std::shared_ptr<const node_view> view = core.view();
+  const std::uint64_t known = view->config ? view->config->version : 0;
+  if (request.method == "GET") {
+    send_json(writer, 200, {{"version", known}});
+    return;
+  }
+  if (request.method != "POST") {
+    refuse(writer, 405, "method_not_allowed", "use GET or POST");
+    return;
+  }
+  const std::optional<change> asked = parse_change(request.body);
+  if (!asked) {
+    refuse(writer, 400, "invalid_change",
+           "expected base_version, proposal, inventory and rules as JSON");
+    return;
+  }
+  const import_result imported = import_texts(asked->inventory, std::string(inventory_file_name),
+                                              asked->rules, std::string(rules_file_name));
+  if (has_errors(imported.problems)) {
+    send_json(writer, 422, {{"findings", findings_json(imported.problems)}});
+    return;
+  }
+  const std::string base_content =
+      view->config ? encode_content(view->config->assets, view->config->wanted) : std::string{};
+  config_proposer proposer(asked->id, encode_content(imported.assets, imported.wanted), asked->base,
+                           known, base_content);
+  proposal_run(platform, writer, std::move(proposer)).run();
+}
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/node/node.cpp
@@ -0,0 +1,211 @@
+// Joins the parts of a node.
+#include "node/node.h"
+
+#include <optional>
+
+#include "connection/clock.h"
+#include "node/configure.h"
+#include "node/front.h"
+#include "node/peer_links.h"
+#include "node/status_json.h"
+
+namespace arbutus {
+
+namespace {
+
+coordinator_settings core_settings(const node_options& options) {
+  coordinator_settings settings;
+  settings.self = options.self;
+  settings.data_centre = options.data_centre;
+  settings.incarnation = options.incarnation;
+  settings.seed = options.seed;
+  settings.bootstrap_peers = options.bootstrap_peers;
+  return settings;
+}
+
+}  // namespace
+
+// In order of construction: what is below uses what is above.
+struct node::parts {
+  explicit parts(node_options o)
+      : options(std::move(o)),
+        runtime(options.workers),
+        client(runtime),
+        platform(client, options.platform, options.data_centre),
+        engines(client),
+        measured(options.workers),
+        gates(runtime, options.seed),
+        limits(options.self),
+        core(runtime, platform, engines, core_settings(options)),
+        context{options.self,
+                options.incarnation,
+                options.data_centre,
+                runtime,
+                client,
+                platform,
+                core,
+                gates,
+                limits,
+                services,
+                measured},
+        callers(context, paths()) {}
+
+  operator_paths paths() {
+    operator_paths result;
+    result.key_hash = options.operator_key_hash;
+    result.status = [this] { return status_json(status(), monotonic_now()); };
+    result.gauges = [this] { return gauges(); };
+    result.configure = [this](const http_request& request, response_writer& writer) {
+      serve_configure(platform, core, request, writer);
+    };
+    return result;
+  }
+
+  status_view status() {
+    status_view view;
+    core.call([&](time_point now, coordinator& c) {
+      view = c.status(now);
+      return effects{};
+    });
+    return view;
+  }
+
+  std::string gauges();
+  void on_view(const std::shared_ptr<const node_view>& view);
+  void listen();
+
+  node_options options;
+  fiber_runtime runtime;
+  http_client client;
+  platform_client platform;
+  engine_client engines;
+  metrics measured;
+  model_gates gates;
+  shared_limits limits;
+  service_health services;
+  control core;
+  call_context context;
+  front callers;
+  std::unique_ptr<peer_links> links;
+  std::unique_ptr<http_server> server;
+  std::uint64_t peers_of_config = 0;  // configuration version whose peers are linked; worker 0
+  bool running = false;
+};
+
+// Called on worker 0 for each new view.
+void node::parts::on_view(const std::shared_ptr<const node_view>& view) {
+  gates.refresh(view);
+  if (!view->config || view->config->version == peers_of_config) {
+    return;
+  }
+  peers_of_config = view->config->version;
+  limits.configure(monotonic_now(), *view->config);
+  // Links to removed peers are ended in a fiber of their own, since that may wait.
+  runtime.post(0, [this, view] { links->set_peers(view->config->assets.nodes); });
+}
+
+std::string node::parts::gauges() {
+  const std::shared_ptr<const node_view> view = core.view();
+  const link_counters traffic = links->counters();
+  std::string text;
+  const auto add = [&text](std::string_view name, std::uint64_t value) {
+    text += std::string("# TYPE ").append(name).append(" gauge\n");
+    text += std::string(name).append(" ").append(std::to_string(value)).append("\n");
+  };
+  add("arbutusworks_config_version", view->config ? view->config->version : 0);
+  add("arbutusworks_assignment_version", view->routes.assignment_version);
+  add("arbutusworks_routable_replicas", view->routes.replicas.size());
+  add("arbutusworks_live_nodes", view->live_nodes);
+  add("arbutusworks_requests_active", server->active());
+  add("arbutusworks_connections_open", server->connections());
+  add("arbutusworks_link_bytes_in", traffic.bytes_in);
+  add("arbutusworks_link_bytes_out", traffic.bytes_out);
+  add("arbutusworks_link_frames_in", traffic.frames_in);
+  add("arbutusworks_link_frames_out", traffic.frames_out);
+  return text;
+}
+
+void node::parts::listen() {
+  links = std::make_unique<peer_links>(runtime, options.links, options.self,
+                                       [this](peer_message m) { core.feed(std::move(m)); });
+  links->set_peers(options.bootstrap_peers);
+  core.set_peer_sender([this](const peer_send& message) { links->send(message); });
+  core.set_view_listener([this](const std::shared_ptr<const node_view>& v) { on_view(v); });
+  core.set_notice_listener(options.on_notice);
+  const auto handler = [this](const http_request& request, response_writer& writer) {
+    callers.serve(request, writer);
+  };
+  server = std::make_unique<http_server>(runtime, options.callers, options.limits, handler,
+                                         server_error_body);
+}
+
+node::node(node_options options) : parts_(std::make_unique<parts>(std::move(options))) {
+  parts_->runtime.run();
+  parts_->listen();
+}
+
+node::~node() {
+  if (parts_->running) {
+    parts_->core.stop();
+  }
+  parts_->server.reset();
+  parts_->links.reset();
+  parts_->runtime.stop();
+  parts_->runtime.join();
+}
+
+void node::start() {
+  parts_->running = true;
+  parts_->core.start();
+}
+
+bool node::stop() {
+  parts& p = *parts_;
+  p.callers.begin_drain();
+  p.core.call([](time_point now, coordinator& c) {
+    c.begin_drain(now);
+    return effects{};
+  });
+  // New callers still come until the balancer has noticed; they are served like all others.
+  bool clean = false;
+  p.runtime.run_on(0, [&p, &clean] {
+    sleep_until(monotonic_now() + p.options.balancer_lag);
+    clean = p.server->drain(monotonic_now() + p.options.drain_timeout);
+  });
+  p.core.stop();
+  p.running = false;
+  return clean;
+}
+
+std::uint16_t node::caller_port() const {
+  return parts_->server->port();
+}
+
+std::uint16_t node::link_port() const {
+  return parts_->links->port();
+}
+
+status_view node::status() const {
+  return parts_->status();
+}
+
+bool node::has_configuration() const {
+  return parts_->core.view()->config != nullptr;
+}
+
+std::size_t node::routable_replicas() const {
+  const std::shared_ptr<const node_view> view = parts_->core.view();
+  const time_point now = monotonic_now();
+  std::size_t count = 0;
+  for (const replica_route& route : view->routes.replicas) {
+    count += may_use(now, route) ? 1 : 0;
+  }
+  return count;
+}
+
+std::uint64_t node::config_version() const {
+  const std::shared_ptr<const node_view> view = parts_->core.view();
+  return view->config ? view->config->version : 0;
+}
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/node/node.h
@@ -0,0 +1,63 @@
+// A node: the one process between callers and targets. Joins the parts, and ends them gracefully.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "connection/http_server.h"
+#include "node/platform_client.h"
+#include "process/status_view.h"
+#include "version/inventory.h"
+
+namespace arbutus {
+
+struct node_options {
+  node_id self;
+  data_centre_id data_centre;
+  socket_address callers;  // where callers are listened for; port 0: any
+  socket_address links;    // where other nodes are
+  platform_addresses platform;
+  std::vector<node_record> bootstrap_peers;
+  std::size_t workers = 2;
+  http_server_limits limits;
+  std::string operator_key_hash;  // SHA-256; empty: no /admin
+  std::uint64_t incarnation{};    // differs after every start
+  std::uint64_t seed{};
+  // The platform's balancer goes on sending callers for so long after /readyz began to fail.
+  duration balancer_lag = 3s;
+  // Requests in flight get so long to end when the node stops.
+  duration drain_timeout = 60s;
+  std::function<void(const notice&)> on_notice;  // may be empty; called on worker 0
+};
+
+class node {
+ public:
+  // Listens at once; throws boost::system::system_error when an address cannot be listened on.
+  explicit node(node_options options);
+  ~node();
+  node(const node&) = delete;
+  node& operator=(const node&) = delete;
+
+  void start();
+
+  // Graceful: readiness fails first, requests in flight finish, new ones are served until the
+  // balancer has taken note. Returns when the node has ended; true if nothing was cut off.
+  bool stop();
+
+  [[nodiscard]] std::uint16_t caller_port() const;
+  [[nodiscard]] std::uint16_t link_port() const;
+  [[nodiscard]] status_view status() const;
+  [[nodiscard]] bool has_configuration() const;
+  // Replicas that this node routes to now.
+  [[nodiscard]] std::size_t routable_replicas() const;
+  [[nodiscard]] std::uint64_t config_version() const;
+
+ private:
+  struct parts;
+  std::unique_ptr<parts> parts_;
+};
+
+}  // namespace arbutus
