--- /dev/null
+++ b/src/standin/answer.cpp
@@ -0,0 +1,72 @@
+// Answers out of hashes.
+#include "standin/answer.h"
+
+#include <algorithm>
+#include <array>
+
+#include "base/hash.h"
+#include "base/rng.h"
+
+namespace arbutus {
+
+namespace {
+
+constexpr std::array<std::string_view, 16> syllables = {"ba", "den", "fo", "gil", "ha", "jor",
+                                                        "ka", "lem", "mi", "nor", "po", "ras",
+                                                        "se", "tul", "vo", "zin"};
+constexpr std::uint64_t least_syllables = 2;
+
+}  // namespace
+
+std::string chat_prompt(const std::vector<standin_message>& messages) {
+  std::string prompt;
+  for (const standin_message& m : messages) {
+    prompt += m.role + ": " + m.content + "\n";
+  }
+  return prompt;
+}
+
+std::uint64_t answer_seed(const model_id& model, std::string_view prompt) {
+  return stable_hash(prompt, stable_hash(model.str()));
+}
+
+std::string answer_token(std::uint64_t seed, std::uint32_t offset) {
+  // The offset goes through the generator before it meets the seed: seeds one step apart would
+  // otherwise give the same words one position apart.
+  rng words(seed ^ rng(offset)());
+  std::uint64_t bits = words();
+  std::string token = " ";
+  const std::uint64_t count = least_syllables + bits % 2;
+  for (std::uint64_t i = 0; i < count; ++i) {
+    bits >>= 4U;
+    token += syllables[bits % syllables.size()];
+  }
+  return token;
+}
+
+std::string expected_answer(const model_id& model, std::string_view prompt,
+                            std::uint32_t max_tokens) {
+  const std::uint64_t seed = answer_seed(model, prompt);
+  std::string text;
+  for (std::uint32_t i = 0; i < max_tokens; ++i) {
+    text += answer_token(seed, i);
+  }
+  return text;
+}
+
+std::uint32_t count_tokens(std::string_view prompt) {
+  return static_cast<std::uint32_t>(std::max<std::size_t>(1, prompt.size() / bytes_per_token));
+}
+
+std::vector<std::uint64_t> prefix_hashes(const model_id& model, std::string_view prompt) {
+  std::vector<std::uint64_t> hashes;
+  std::uint64_t hash = stable_hash(model.str());
+  while (prompt.size() >= bytes_per_block) {
+    hash = stable_hash(prompt.substr(0, bytes_per_block), hash);
+    hashes.push_back(hash);
+    prompt.remove_prefix(bytes_per_block);
+  }
+  return hashes;
+}
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/standin/answer_stream.cpp
@@ -0,0 +1,48 @@
+// Tokens of one answer, in order, faults aside.
+#include "standin/answer_stream.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "standin/answer.h"
+
+namespace arbutus {
+
+answer_stream::answer_stream(const generation_request& request, const answer_faults& faults)
+    : shown_as_(request.id),
+      seed_(answer_seed(request.model, request.prompt)),
+      faults_(faults),
+      first_(std::min(request.resume_offset, request.max_tokens)),
+      next_(first_),
+      last_(request.max_tokens),
+      end_(request.max_tokens),
+      duplicate_at_(first_ + (end_ - first_) / 2) {
+  if (faults_.truncate) {
+    last_ = duplicate_at_;
+  }
+}
+
+std::vector<standin_token> answer_stream::take(time_point now, std::uint32_t produced) {
+  std::vector<standin_token> tokens;
+  if (now < faults_.not_before) {
+    return tokens;
+  }
+  const std::uint32_t limit = std::min(last_, first_ + std::min(produced, total()));
+  for (; next_ < limit; ++next_) {
+    tokens.push_back({next_, answer_token(seed_, next_)});
+    if (faults_.duplicate && next_ == duplicate_at_) {
+      tokens.push_back(tokens.back());
+    }
+  }
+  shown_ = shown_ || !tokens.empty();
+  return tokens;
+}
+
+void answer_stream::cross(answer_stream& a, answer_stream& b) {
+  std::swap(a.shown_as_, b.shown_as_);
+  std::swap(a.seed_, b.seed_);
+  a.faults_.not_before = time_point{};
+  b.faults_.not_before = time_point{};
+}
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/standin/batch_standin.cpp
@@ -0,0 +1,139 @@
+// The batch moves from finish to finish, since only there the speed of the others changes.
+#include "standin/batch_standin.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace arbutus {
+
+namespace {
+
+// Sums of fractions of a token end a little below whole numbers; times are whole microseconds.
+constexpr double rounding = 1e-6;
+
+std::uint32_t whole_tokens(double produced) {
+  return static_cast<std::uint32_t>(produced + rounding);
+}
+
+// Up, so that the job is there when this time has passed.
+duration round_up(double seconds) {
+  return duration{static_cast<duration::rep>(std::ceil(seconds * 1e6))};
+}
+
+}  // namespace
+
+double batch_standin::slowdown() const {
+  const double others = static_cast<double>(std::max<std::size_t>(1, running_.size()) - 1);
+  const double full = std::max(1.0, static_cast<double>(settings_.slots) - 1.0);
+  return 1.0 + settings_.slowdown_when_full * others / full;
+}
+
+double batch_standin::tokens_per_second(double speed) const {
+  return settings_.tokens_per_second * speed / slowdown();
+}
+
+double batch_standin::seconds_until(const job_state& job, std::uint32_t wanted,
+                                    double speed) const {
+  const double missing = std::max(0.0, static_cast<double>(wanted) - job.produced);
+  const double prefill = job.prefill_left / (settings_.prefill_tokens_per_second * speed);
+  return prefill * slowdown() + missing / tokens_per_second(speed);
+}
+
+double batch_standin::seconds_to_next_finish(double speed) const {
+  double least = std::numeric_limits<double>::infinity();
+  for (const batch_handle handle : running_) {
+    const job_state& job = jobs_.at(handle);
+    least = std::min(least, seconds_until(job, job.job.tokens, speed));
+  }
+  return least;
+}
+
+void batch_standin::progress_by(double seconds, double speed) {
+  const double prefill_rate = settings_.prefill_tokens_per_second * speed / slowdown();
+  for (const batch_handle handle : running_) {
+    job_state& job = jobs_.at(handle);
+    const double prefill_time = std::min(seconds, job.prefill_left / prefill_rate);
+    job.prefill_left = std::max(0.0, job.prefill_left - prefill_time * prefill_rate);
+    job.produced += (seconds - prefill_time) * tokens_per_second(speed);
+    job.produced = std::min(job.produced, static_cast<double>(job.job.tokens));
+  }
+}
+
+void batch_standin::finish_done() {
+  std::erase_if(running_, [this](batch_handle handle) {
+    const job_state& job = jobs_.at(handle);
+    return job.prefill_left <= 0 && whole_tokens(job.produced) >= job.job.tokens;
+  });
+}
+
+void batch_standin::fill_slots() {
+  while (running_.size() < settings_.slots && !queue_.empty()) {
+    const batch_handle next = queue_.begin()->second;
+    queue_.erase(queue_.begin());
+    jobs_.at(next).started = true;
+    running_.push_back(next);
+  }
+}
+
+void batch_standin::advance(time_point now, double speed) {
+  while (at_ < now && speed > 0 && !running_.empty()) {
+    const double next = seconds_to_next_finish(speed);
+    const duration step = std::min(round_up(std::min(next, 1e9)), duration{now - at_});
+    progress_by(to_seconds(step), speed);
+    at_ += step;
+    finish_done();
+    fill_slots();
+  }
+  at_ = std::max(at_, now);
+}
+
+batch_handle batch_standin::add(const batch_job& job) {
+  const batch_handle handle = ++last_handle_;
+  jobs_[handle] = {job, static_cast<double>(job.prefill_tokens), 0.0, false};
+  queue_.emplace(job.priority, handle);
+  fill_slots();
+  return handle;
+}
+
+void batch_standin::remove(batch_handle handle) {
+  const auto found = jobs_.find(handle);
+  if (found == jobs_.end()) {
+    return;
+  }
+  queue_.erase({found->second.job.priority, handle});
+  std::erase(running_, handle);
+  jobs_.erase(found);
+  fill_slots();
+}
+
+void batch_standin::reset(const batch_settings& settings) {
+  settings_ = settings;
+  jobs_.clear();
+  running_.clear();
+  queue_.clear();
+}
+
+batch_progress batch_standin::progress(batch_handle handle, std::uint32_t wanted,
+                                       double speed) const {
+  const auto found = jobs_.find(handle);
+  if (found == jobs_.end()) {
+    return {};
+  }
+  const job_state& job = found->second;
+  batch_progress result{job.started, whole_tokens(job.produced), std::nullopt};
+  if (job.started && speed > 0) {
+    result.remaining = round_up(seconds_until(job, wanted, speed));
+  }
+  return result;
+}
+
+std::uint32_t batch_standin::running() const {
+  return static_cast<std::uint32_t>(running_.size());
+}
+
+std::uint32_t batch_standin::queued() const {
+  return static_cast<std::uint32_t>(queue_.size());
+}
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/standin/cache_standin.cpp
@@ -0,0 +1,132 @@
+// Blocks in order of use, and the events about them.
+#include "standin/cache_standin.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cstdio>
+
+namespace arbutus {
+
+namespace {
+
+// Engines keep a bounded backlog of events for those that read them late.
+constexpr std::size_t kept_events = 4096;
+
+constexpr std::string_view blob_mark = "arbutus-kv";
+constexpr std::size_t hex_digits = 16;
+
+}  // namespace
+
+cache_standin::cache_standin(const cache_settings& settings, std::uint64_t seed)
+    : settings_(settings), random_(seed) {}
+
+std::size_t cache_standin::cached(const std::vector<std::uint64_t>& chain) {
+  std::size_t count = 0;
+  for (const std::uint64_t block : chain) {
+    const auto found = entries_.find(block);
+    if (found == entries_.end()) {
+      break;
+    }
+    by_use_.splice(by_use_.begin(), by_use_, found->second.use);
+    ++count;
+  }
+  return count;
+}
+
+void cache_standin::store(time_point now, const std::vector<std::uint64_t>& chain) {
+  std::uint64_t before = 0;
+  const std::size_t fitting = std::min(chain.size(), settings_.blocks);
+  for (std::size_t i = 0; i < fitting; ++i) {
+    put(now, chain[i], before);
+    before = chain[i];
+  }
+}
+
+void cache_standin::put(time_point now, std::uint64_t block, std::uint64_t before) {
+  const auto found = entries_.find(block);
+  if (found != entries_.end()) {
+    by_use_.splice(by_use_.begin(), by_use_, found->second.use);
+    return;
+  }
+  if (entries_.size() >= settings_.blocks) {
+    publish(now, cache_change::removed, by_use_.back());
+    entries_.erase(by_use_.back());
+    by_use_.pop_back();
+  }
+  by_use_.push_front(block);
+  entries_[block] = {before, by_use_.begin()};
+  publish(now, cache_change::stored, block);
+}
+
+void cache_standin::publish(time_point now, cache_change change, std::uint64_t block) {
+  ++last_sequence_;
+  if (random_.unit() < settings_.event_loss) {
+    return;
+  }
+  events_.push_back({last_sequence_, change, block, now});
+  if (events_.size() > kept_events) {
+    events_.pop_front();
+  }
+}
+
+std::string cache_standin::export_prefix(std::uint64_t block) const {
+  std::vector<std::uint64_t> chain;
+  for (std::uint64_t next = block; next != 0;) {
+    const auto found = entries_.find(next);
+    if (found == entries_.end()) {
+      return {};
+    }
+    chain.push_back(next);
+    next = found->second.before;
+  }
+  std::string blob(blob_mark);
+  for (auto i = chain.rbegin(); i != chain.rend(); ++i) {
+    char text[hex_digits + 1];
+    std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(*i));
+    blob += text;
+  }
+  return blob;
+}
+
+bool cache_standin::import_prefix(time_point now, std::string_view blob) {
+  if (!blob.starts_with(blob_mark)) {
+    return false;
+  }
+  blob.remove_prefix(blob_mark.size());
+  std::vector<std::uint64_t> chain;
+  for (; blob.size() >= hex_digits; blob.remove_prefix(hex_digits)) {
+    std::uint64_t block = 0;
+    const char* const end = blob.data() + hex_digits;
+    if (std::from_chars(blob.data(), end, block, 16).ptr != end) {
+      return false;
+    }
+    chain.push_back(block);
+  }
+  if (!blob.empty()) {
+    return false;
+  }
+  store(now, chain);
+  return true;
+}
+
+std::vector<cache_event> cache_standin::events(time_point now, std::uint64_t since) const {
+  std::vector<cache_event> published;
+  for (const cache_event& e : events_) {
+    if (e.sequence > since && e.at + settings_.event_lag <= now) {
+      published.push_back(e);
+    }
+  }
+  return published;
+}
+
+double cache_standin::used() const {
+  return static_cast<double>(entries_.size()) /
+         static_cast<double>(std::max<std::size_t>(1, settings_.blocks));
+}
+
+void cache_standin::clear() {
+  entries_.clear();
+  by_use_.clear();
+}
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/standin/cache_standin.h
@@ -0,0 +1,72 @@
+// The prefix cache of a stand-in engine: a limited number of blocks, the least recently used one
+// gives way, and every change is published late and with gaps.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <list>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "base/rng.h"
+#include "base/units.h"
+
+namespace arbutus {
+
+enum class cache_change { stored, removed };
+
+struct cache_event {
+  std::uint64_t sequence{};  // from 1; a step of more than 1 shows a gap
+  cache_change change = cache_change::stored;
+  std::uint64_t block{};
+  time_point at;
+};
+
+struct cache_settings {
+  std::size_t blocks = 4096;
+  duration event_lag{};
+  double event_loss = 0;  // fraction of events that are never published
+};
+
+class cache_standin {
+ public:
+  cache_standin(const cache_settings& settings, std::uint64_t seed);
+
+  // How many leading blocks of the chain are cached; they count as used now.
+  [[nodiscard]] std::size_t cached(const std::vector<std::uint64_t>& chain);
+
+  // Caches the whole chain, as far as the memory reaches.
+  void store(time_point now, const std::vector<std::uint64_t>& chain);
+
+  // Opaque to its carrier. Empty if the block or one before it is not cached.
+  [[nodiscard]] std::string export_prefix(std::uint64_t block) const;
+  // False: not a blob of export_prefix().
+  bool import_prefix(time_point now, std::string_view blob);
+
+  // Published events after `since`, oldest first. Old ones are forgotten: a gap too.
+  [[nodiscard]] std::vector<cache_event> events(time_point now, std::uint64_t since) const;
+
+  [[nodiscard]] double used() const;
+  void clear();
+
+ private:
+  struct entry {
+    std::uint64_t before{};  // the block in front of it; 0: none
+    std::list<std::uint64_t>::iterator use;
+  };
+
+  void put(time_point now, std::uint64_t block, std::uint64_t before);
+  void publish(time_point now, cache_change change, std::uint64_t block);
+
+  cache_settings settings_;
+  // Invariant: `by_use_` holds exactly the keys of `entries_`, the most recently used first.
+  std::unordered_map<std::uint64_t, entry> entries_;
+  std::list<std::uint64_t> by_use_;
+  std::deque<cache_event> events_;
+  std::uint64_t last_sequence_{};
+  rng random_;
+};
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/standin/completion_wire.h
@@ -0,0 +1,51 @@
+// Completion and chat requests and answers as stand-in engines put them on the wire.
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <string>
+
+#include "base/outcome.h"
+#include "connection/http_message.h"
+#include "standin/answer_stream.h"
+
+namespace arbutus {
+
+enum class completion_kind { text, chat };
+
+struct completion_call {
+  completion_kind kind = completion_kind::text;
+  bool stream = false;
+  generation_request request;
+};
+
+// Body and headers x-request-id, x-replica, x-generation, x-priority, x-resume-offset,
+// x-deadline-ms (time left, from arrival).
+[[nodiscard]] outcome<completion_call> parse_completion(completion_kind kind,
+                                                        const http_request& request);
+
+// Writes the parts of one answer. `id` is the id shown.
+class completion_writer {
+ public:
+  completion_writer(const completion_call& call, const request_id& id);
+
+  // One server-sent event per token; the last token of the answer carries the finish reason.
+  [[nodiscard]] std::string frames(std::span<const standin_token> tokens);
+  // What follows the last token.
+  [[nodiscard]] std::string end();
+
+  // The whole answer as one JSON body.
+  [[nodiscard]] std::string body(std::span<const standin_token> tokens) const;
+
+ private:
+  [[nodiscard]] std::string frame(const standin_token& token, bool last) const;
+
+  completion_kind kind_;
+  model_id model_;
+  std::uint32_t prompt_tokens_;
+  std::uint32_t max_tokens_;
+  std::string id_;  // as a JSON string
+  bool finished_ = false;
+};
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/standin/engine_answers.cpp
@@ -0,0 +1,142 @@
+// Completions of a stand-in engine over HTTP: one fiber for each, which wakes when its next token
+// is due.
+#include <algorithm>
+
+#include "standin/engine_server.h"
+#include "standin/standin_http.h"
+
+namespace arbutus {
+
+namespace {
+
+// Frees what the request holds, also when its caller has gone.
+class request_closer {
+ public:
+  request_closer(std::mutex& mutex, engine_standin& engine, batch_handle handle)
+      : mutex_(mutex), engine_(engine), handle_(handle) {}
+  ~request_closer() { close(); }
+  request_closer(const request_closer&) = delete;
+  request_closer& operator=(const request_closer&) = delete;
+
+  void close() {
+    const std::lock_guard lock(mutex_);
+    engine_.close(monotonic_now(), handle_);
+  }
+
+ private:
+  std::mutex& mutex_;
+  engine_standin& engine_;
+  batch_handle handle_;
+};
+
+http_headers answer_headers(const completion_call& call, const request_id& id) {
+  http_headers headers{{"content-type", call.stream ? "text/event-stream" : "application/json"},
+                       {"x-request-id", id.str()}};
+  if (!call.request.replica.empty()) {
+    headers.add("x-replica", call.request.replica.str());
+  }
+  if (!call.request.gen.empty()) {
+    headers.add("x-generation", call.request.gen);
+  }
+  return headers;
+}
+
+// Puts the steps of one answer on the wire.
+class answer_sender {
+ public:
+  answer_sender(const completion_call& call, response_writer& writer)
+      : call_(call), writer_(writer) {}
+
+  // False once nothing more can be sent.
+  bool send(const stream_step& step) {
+    if (step.state == stream_state::open && step.tokens.empty()) {
+      return true;
+    }
+    if (step.tokens.empty() && step.state == stream_state::cut) {
+      break_off();
+      return false;
+    }
+    if (!wire_) {
+      wire_.emplace(call_, step.shown_as);
+    }
+    return call_.stream ? send_frames(step) : send_body(step);
+  }
+
+ private:
+  void break_off() {
+    if (!writer_.started()) {
+      cut(writer_);
+    }
+  }
+
+  bool send_frames(const stream_step& step) {
+    if (!writer_.started() && !writer_.start(200, answer_headers(call_, step.shown_as))) {
+      return false;
+    }
+    std::string text = wire_->frames(step.tokens);
+    if (step.state == stream_state::finished) {
+      text += wire_->end();
+    }
+    return writer_.write(text) && (step.state != stream_state::finished || writer_.finish());
+  }
+
+  // A cut body is half there, and then its connection closes.
+  bool send_body(const stream_step& step) {
+    const http_headers headers = answer_headers(call_, step.shown_as);
+    const std::string body = wire_->body(step.tokens);
+    if (step.state == stream_state::finished) {
+      return writer_.send(200, headers, body);
+    }
+    return writer_.start(200, headers) &&
+           writer_.write(std::string_view(body).substr(0, body.size() / 2));
+  }
+
+  const completion_call& call_;
+  response_writer& writer_;
+  std::optional<completion_writer> wire_;  // from the first token on
+};
+
+}  // namespace
+
+void engine_server::complete(completion_kind kind, const http_request& request,
+                             response_writer& writer) {
+  const outcome<completion_call> parsed = parse_completion(kind, request);
+  if (!is_ok(parsed)) {
+    send_not_run(writer, {400, std::get<refused>(parsed).reason});
+    return;
+  }
+  const auto& call = std::get<completion_call>(parsed);
+  std::unique_lock lock(mutex_);
+  const auto submitted = engine_.submit(monotonic_now(), call.request);
+  lock.unlock();
+  if (const auto* refusal = std::get_if<not_run>(&submitted)) {
+    send_not_run(writer, *refusal);
+    return;
+  }
+  answer(call, std::get<batch_handle>(submitted), writer);
+}
+
+void engine_server::answer(const completion_call& call, batch_handle handle,
+                           response_writer& writer) {
+  request_closer closer(mutex_, engine_, handle);
+  answer_sender sender(call, writer);
+  writer.on_gone([&closer] { closer.close(); });
+  while (may_answer(writer)) {
+    std::unique_lock lock(mutex_);
+    const stream_step step = engine_.take(monotonic_now(), handle, !call.stream);
+    lock.unlock();
+    if (step.state == stream_state::expired) {
+      send_not_run(writer, {503, "deadline passed in the queue"});
+      return;
+    }
+    if (!sender.send(step) || step.state != stream_state::open) {
+      return;
+    }
+    const time_point look_at = monotonic_now() + look_interval;
+    if (!wait_until(writer, std::min(step.next_at.value_or(look_at), look_at))) {
+      return;
+    }
+  }
+}
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/standin/engine_fabric.cpp
@@ -0,0 +1,57 @@
+// Groups of engines.
+#include "standin/engine_fabric.h"
+
+#include <algorithm>
+
+#include "standin/engine_standin.h"
+
+namespace arbutus {
+
+void engine_fabric::enter(engine_standin& engine) {
+  engines_[engine.vm()] = &engine;
+}
+
+void engine_fabric::leave(const vm_id& vm) {
+  engines_.erase(vm);
+}
+
+engine_standin* engine_fabric::find(const vm_id& vm) const {
+  const auto found = engines_.find(vm);
+  return found == engines_.end() ? nullptr : found->second;
+}
+
+bool engine_fabric::whole(time_point now, const composition& group) const {
+  return std::all_of(group.members.begin(), group.members.end(), [&](const vm_id& vm) {
+    const engine_standin* const member = find(vm);
+    return member != nullptr && member->serves_in(now, group);
+  });
+}
+
+double engine_fabric::speed(const composition& group) const {
+  double least = group.members.empty() ? 0.0 : 1e9;
+  for (const vm_id& vm : group.members) {
+    const engine_standin* const member = find(vm);
+    least = std::min(least, member == nullptr ? 0.0 : member->speed());
+  }
+  return least;
+}
+
+template <class Visit>
+void engine_fabric::for_groups_of(const vm_id& vm, Visit&& visit) {
+  for (const auto& [id, engine] : engines_) {
+    const std::vector<vm_id>& members = engine->group().members;
+    if (std::find(members.begin(), members.end(), vm) != members.end()) {
+      visit(*engine);
+    }
+  }
+}
+
+void engine_fabric::settle(time_point now, const vm_id& vm) {
+  for_groups_of(vm, [now](engine_standin& engine) { engine.advance(now); });
+}
+
+void engine_fabric::member_lost(time_point now, const vm_id& vm) {
+  for_groups_of(vm, [now](engine_standin& engine) { engine.cut_requests(now); });
+}
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/standin/engine_fabric.h
@@ -0,0 +1,50 @@
+// The stand-in engines that can form replicas with each other. A replica is as fast as its slowest
+// member, stands still while one is paused, and loses all it runs when one dies.
+#pragma once
+
+#include <map>
+
+#include "base/id.h"
+#include "base/units.h"
+#include "standin/weight_standin.h"
+#include "version/assignment.h"
+
+namespace arbutus {
+
+class engine_standin;
+
+// Not locked: whoever uses a fabric from several threads holds one lock for it and all its engines.
+class engine_fabric {
+ public:
+  explicit engine_fabric(const weight_standin& weights = weight_standin{}) : weights_(weights) {}
+  engine_fabric(const engine_fabric&) = delete;
+  engine_fabric& operator=(const engine_fabric&) = delete;
+
+  // Engines enter and leave by themselves; the fabric outlives them.
+  void enter(engine_standin& engine);
+  void leave(const vm_id& vm);
+
+  [[nodiscard]] engine_standin* find(const vm_id& vm) const;
+  [[nodiscard]] weight_standin& weights() noexcept { return weights_; }
+
+  // Whether every member is up, holds this composition and has its weights.
+  [[nodiscard]] bool whole(time_point now, const composition& group) const;
+
+  // Of the slowest member; 0 while one is paused.
+  [[nodiscard]] double speed(const composition& group) const;
+
+  // Moves the replicas of this VM on to `now`; to be called before its speed changes.
+  void settle(time_point now, const vm_id& vm);
+
+  // This VM has left the group it was in: all requests of that replica are cut.
+  void member_lost(time_point now, const vm_id& vm);
+
+ private:
+  template <class Visit>
+  void for_groups_of(const vm_id& vm, Visit&& visit);
+
+  std::map<vm_id, engine_standin*> engines_;
+  weight_standin weights_;
+};
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/standin/engine_requests.cpp
@@ -0,0 +1,219 @@
+// Requests of one stand-in engine: taken in or refused, batched, answered.
+#include <algorithm>
+
+#include "standin/answer.h"
+#include "standin/engine_standin.h"
+
+namespace arbutus {
+
+namespace {
+
+// How long an answer that is to be crossed waits for another one to be crossed with.
+constexpr duration cross_wait = 300ms;
+
+constexpr int conflict_status = 409;
+constexpr int unavailable_status = 503;
+
+bool take_one(std::uint32_t& count) {
+  if (count == 0) {
+    return false;
+  }
+  --count;
+  return true;
+}
+
+stream_state state_after(time_point now, const answer_stream& answer, bool all_made) {
+  if (now < answer.not_before()) {
+    return stream_state::open;
+  }
+  if (answer.truncated()) {
+    return stream_state::cut;
+  }
+  return all_made && answer.complete() ? stream_state::finished : stream_state::open;
+}
+
+}  // namespace
+
+void engine_standin::advance(time_point now) {
+  batch_.advance(now, fabric_.speed(group_));
+}
+
+std::optional<not_run> engine_standin::refusal(time_point now, const generation_request& r) const {
+  const bool other_replica = !r.replica.empty() && r.replica != group_.replica;
+  const bool other_generation = !r.gen.empty() && r.gen != to_string(group_.gen);
+  if (other_replica || other_generation) {
+    return not_run{conflict_status, "this VM holds another replica or generation"};
+  }
+  switch (state(now)) {
+    case engine_state::draining:
+      return not_run{conflict_status, "draining"};
+    case engine_state::ready:
+      break;
+    case engine_state::idle:
+    case engine_state::loading:
+    case engine_state::failed:
+      return not_run{unavailable_status, "not ready"};
+  }
+  if (group_.members.front() != vm_) {
+    return not_run{conflict_status, "not the head of its replica"};
+  }
+  if (r.replica.empty() && r.model != model_) {
+    return not_run{conflict_status, "another model"};
+  }
+  if (!fabric_.whole(now, group_)) {
+    return not_run{unavailable_status, "a member is missing"};
+  }
+  if (batch_.queued() >= settings_.queue_limit) {
+    return not_run{unavailable_status, "queue full"};
+  }
+  return std::nullopt;
+}
+
+std::variant<batch_handle, not_run> engine_standin::submit(time_point now,
+                                                           const generation_request& request) {
+  advance(now);
+  if (auto refused = refusal(now, request)) {
+    ++counters_.not_run;
+    return *std::move(refused);
+  }
+  ++counters_.accepted;
+  if (settings_.records_runs) {
+    ++runs_[request.id];
+  }
+  open_stream stream{request.id, answer_stream(request, next_faults(now)),
+                     prefix_hashes(request.model, request.prompt), std::nullopt};
+  if (request.expiry) {
+    stream.expires_at = now + *request.expiry;
+  }
+  const std::uint64_t cached = cache_.cached(stream.prefix) * tokens_per_block;
+  const std::uint64_t prompt = count_tokens(request.prompt);
+  batch_job job;
+  job.priority = request.priority;
+  job.prefill_tokens = static_cast<std::uint32_t>(prompt - std::min(prompt, cached)) +
+                       std::min(request.resume_offset, request.max_tokens);
+  job.tokens = stream.answer.total();
+  const batch_handle handle = batch_.add(job);
+  streams_.emplace(handle, std::move(stream));
+  cross_if_asked(now, handle);
+  note_load(now);
+  return handle;
+}
+
+answer_faults engine_standin::next_faults(time_point now) {
+  answer_faults faults;
+  if (take_one(faults_.late)) {
+    faults.not_before = now + faults_.late_by;
+  }
+  faults.truncate = take_one(faults_.truncated);
+  faults.duplicate = take_one(faults_.duplicated);
+  return faults;
+}
+
+void engine_standin::cross_if_asked(time_point now, batch_handle handle) {
+  if (faults_.crossed == 0) {
+    return;
+  }
+  open_stream& own = streams_.at(handle);
+  for (auto& [other_handle, other] : streams_) {
+    if (other_handle != handle && !other.answer.shown() && !other.cut && !other.finished) {
+      answer_stream::cross(own.answer, other.answer);
+      --faults_.crossed;
+      return;
+    }
+  }
+  own.answer.hold_until(now + cross_wait);
+}
+
+stream_step engine_standin::take(time_point now, batch_handle handle, bool whole) {
+  advance(now);
+  const auto found = streams_.find(handle);
+  if (found == streams_.end() || found->second.cut) {
+    return {stream_state::cut, {}, {}, {}};
+  }
+  open_stream& stream = found->second;
+  answer_stream& answer = stream.answer;
+  const double speed = fabric_.speed(group_);
+  const batch_progress made = batch_.progress(handle, answer.total(), speed);
+  if (!made.started && stream.expires_at && now >= *stream.expires_at) {
+    return expire(stream, handle);
+  }
+  if (made.produced > 0) {
+    cache_prompt(now, stream);
+  }
+  const bool all_made = made.remaining == duration{};
+  stream_step step{stream_state::open, answer.shown_as(), {}, {}};
+  if (all_made || !whole) {
+    step.tokens = answer.take(now, made.produced);
+    step.state = state_after(now, answer, all_made);
+  }
+  if (step.state == stream_state::finished) {
+    ++counters_.completed;
+    stream.finished = true;
+  }
+  const std::uint32_t wanted = whole ? answer.total() : made.produced + 1;
+  if (const auto left = batch_.progress(handle, wanted, speed).remaining) {
+    step.next_at = std::max(now + *left, answer.not_before());
+  }
+  return step;
+}
+
+// It never had a slot: the caller may be told that it did not run.
+stream_step engine_standin::expire(open_stream& stream, batch_handle handle) {
+  ++counters_.not_run;
+  --counters_.accepted;
+  if (settings_.records_runs) {
+    --runs_[stream.id];
+  }
+  stream.finished = true;
+  batch_.remove(handle);
+  return {stream_state::expired, stream.id, {}, {}};
+}
+
+// The prompt is in the cache once its first token is there.
+void engine_standin::cache_prompt(time_point now, open_stream& stream) {
+  if (!stream.prefix.empty()) {
+    cache_.store(now, stream.prefix);
+    stream.prefix.clear();
+  }
+}
+
+void engine_standin::close(time_point now, batch_handle handle) {
+  advance(now);
+  const auto found = streams_.find(handle);
+  if (found == streams_.end()) {
+    return;
+  }
+  if (!found->second.finished && !found->second.cut) {
+    ++counters_.cancelled;
+  }
+  batch_.remove(handle);
+  streams_.erase(found);
+  note_load(now);
+}
+
+bool engine_standin::cancel(time_point now, const request_id& id) {
+  advance(now);
+  for (auto& [handle, stream] : streams_) {
+    if (stream.id == id && !stream.cut && !stream.finished) {
+      ++counters_.cancelled;
+      stream.cut = true;
+      batch_.remove(handle);
+      note_load(now);
+      return true;
+    }
+  }
+  return false;
+}
+
+void engine_standin::cut_requests(time_point now) {
+  for (auto& [handle, stream] : streams_) {
+    if (!stream.cut && !stream.finished) {
+      ++counters_.cut;
+      stream.cut = true;
+    }
+  }
+  batch_.reset(batch_.settings());
+  note_load(now);
+}
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/standin/engine_server.h
@@ -0,0 +1,58 @@
+// A stand-in engine behind HTTP, one port for each VM.
+//
+//   GET  /report                  encode(engine_report)
+//   POST /order                   encode(order); 200 or 409 with the report after it
+//   POST /v1/completions, /v1/chat/completions
+//   POST /cancel/REQUEST_ID
+//   GET  /cache-events?since=N    {"events":[{"seq":1,"kind":"stored","block":"hex"}]}
+//   GET  /kv/BLOCK, PUT /kv/BLOCK
+//   POST /faults, GET /counters   answered also while the engine is paused or silent
+// An error body with type "not_run" proves that the request did not run.
+#pragma once
+
+#include <mutex>
+#include <string>
+
+#include "connection/http_server.h"
+#include "standin/completion_wire.h"
+#include "standin/engine_standin.h"
+#include "standin/restartable_server.h"
+
+namespace arbutus {
+
+class engine_server {
+ public:
+  // `mutex` guards the engine and its fabric. All outlive the server.
+  engine_server(fiber_runtime& runtime, const socket_address& address, std::mutex& mutex,
+                engine_standin& engine);
+
+  // When the process of the engine dies and comes back.
+  void close() { server_.close(); }
+  void open() { server_.open(); }
+
+  [[nodiscard]] std::uint16_t port() const noexcept { return server_.port(); }
+
+ private:
+  void handle(const http_request& request, response_writer& writer);
+  bool handle_always(const http_request& request, response_writer& writer);
+  void report(response_writer& writer);
+  void order_from(const http_request& request, time_point received_at, response_writer& writer);
+  void complete(completion_kind kind, const http_request& request, response_writer& writer);
+  void answer(const completion_call& call, batch_handle handle, response_writer& writer);
+  void cancel(const std::string& id, response_writer& writer);
+  void cache_events(const std::string& since, response_writer& writer);
+  void kv(const http_request& request, const std::string& block, response_writer& writer);
+
+  // False: the caller went while the engine stood still or kept silent.
+  bool may_answer(response_writer& writer);
+  bool wait_while_paused(response_writer& writer);
+  void send(response_writer& writer, int status, const http_headers& headers,
+            std::string_view body);
+  void send_not_run(response_writer& writer, const not_run& refusal);
+
+  std::mutex& mutex_;
+  engine_standin& engine_;     // under mutex_
+  restartable_server server_;  // last: its handlers use the others
+};
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/standin/engine_standin.cpp
@@ -0,0 +1,229 @@
+// Orders, roles and faults of one stand-in engine.
+#include "standin/engine_standin.h"
+
+#include <algorithm>
+
+namespace arbutus {
+
+engine_standin::engine_standin(engine_fabric& fabric, const vm_id& vm,
+                               const engine_settings& settings)
+    : fabric_(fabric),
+      vm_(vm),
+      settings_(settings),
+      incarnation_(settings.first_incarnation),
+      batch_(settings.usual.batch),
+      cache_(settings.cache, settings.seed) {
+  fabric_.enter(*this);
+}
+
+engine_standin::~engine_standin() {
+  fabric_.leave(vm_);
+}
+
+engine_state engine_standin::state(time_point now) const {
+  if (group_.replica.empty()) {
+    return engine_state::idle;
+  }
+  if (now < ready_at_) {
+    return engine_state::loading;
+  }
+  return draining_ ? engine_state::draining : engine_state::ready;
+}
+
+bool engine_standin::serves_in(time_point now, const composition& group) const {
+  return up_ && group_ == group && now >= ready_at_;
+}
+
+const model_profile& engine_standin::profile(const model_id& model) const {
+  const auto found = settings_.models.find(model);
+  return found == settings_.models.end() ? settings_.usual : found->second;
+}
+
+// Each member holds its own part of the weights: a VM that takes another place loads anew.
+std::string engine_standin::shard_of(const order& o) const {
+  const std::vector<vm_id>& members = o.target.members;
+  const auto rank = std::find(members.begin(), members.end(), vm_) - members.begin();
+  return o.model.str() + '/' + o.model_version + '/' + std::to_string(rank) + '/' +
+         std::to_string(members.size());
+}
+
+// Empty: none.
+std::string engine_standin::refusal(const order& o, time_point now, time_point received_at) const {
+  if (o.vm != vm_) {
+    return "for another VM";
+  }
+  if (now - received_at > o.valid_for) {
+    return "too late";
+  }
+  if (o.expected_incarnation != 0 && o.expected_incarnation != incarnation_) {
+    return "for another incarnation";
+  }
+  if (settings_.checks_tokens && o.target.gen < highest_) {
+    return "old fencing token";
+  }
+  const bool holds = group_.replica == o.target.replica;
+  if (o.kind == order_kind::drain && !holds) {
+    return "not in this replica";
+  }
+  if (o.kind != order_kind::form) {
+    return {};
+  }
+  const std::vector<vm_id>& members = o.target.members;
+  if (o.target.replica.empty() || std::find(members.begin(), members.end(), vm_) == members.end()) {
+    return "not a member of this composition";
+  }
+  const bool same_token = !group_.replica.empty() && o.target.gen == group_.gen;
+  if (settings_.checks_tokens && same_token && o.target != group_) {
+    return "fencing token used for another composition";
+  }
+  return {};
+}
+
+order_reply engine_standin::apply(time_point now, const order& o, time_point received_at) {
+  advance(now);
+  const std::string reason = refusal(o, now, received_at);
+  if (!reason.empty()) {
+    ++counters_.orders_refused;
+    return {false, report(now), reason};
+  }
+  ++counters_.orders_done;
+  highest_ = std::max(highest_, o.target.gen);
+  switch (o.kind) {
+    case order_kind::form:
+      form(now, o);
+      break;
+    case order_kind::drain:
+      draining_ = true;
+      break;
+    case order_kind::release:
+      if (group_.replica == o.target.replica) {
+        drop_role(now);
+        resident_.clear();
+      }
+      break;
+  }
+  return {true, report(now), {}};
+}
+
+void engine_standin::form(time_point now, const order& o) {
+  const bool repeated =
+      group_ == o.target && model_ == o.model && model_version_ == o.model_version;
+  if (repeated) {
+    return;
+  }
+  drop_role(now);
+  const model_profile& wanted = profile(o.model);
+  const std::string shard = shard_of(o);
+  if (resident_ != shard) {
+    resident_ = shard;
+    resident_at_ = now + fabric_.weights().load_time(now, wanted.weight_bytes);
+  }
+  ready_at_ = std::max(now, resident_at_) + settings_.form_time;
+  group_ = o.target;
+  model_ = o.model;
+  model_version_ = o.model_version;
+  batch_.reset(wanted.batch);
+}
+
+// Requests that run at this moment are cut: only a drained engine gives up its role without harm.
+void engine_standin::drop_role(time_point now) {
+  const std::uint64_t before = counters_.cut;
+  leave_group(now);
+  counters_.cut_by_order += counters_.cut - before;
+}
+
+void engine_standin::leave_group(time_point now) {
+  cut_requests(now);
+  fabric_.member_lost(now, vm_);
+  group_ = {};
+  model_ = {};
+  model_version_.clear();
+  draining_ = false;
+}
+
+engine_report engine_standin::report(time_point now) {
+  advance(now);
+  note_load(now);
+  const load_sample& load = load_.front();
+  engine_report r;
+  r.vm = vm_;
+  r.incarnation = incarnation_;
+  r.replica = group_.replica;
+  r.gen = group_.gen;
+  r.model_version = model_version_;
+  r.state = state(now);
+  r.leaving = leaving_;
+  r.running = load.running;
+  r.queued = load.queued;
+  r.slots = batch_.settings().slots;
+  r.tokens_per_second = batch_.tokens_per_second(fabric_.speed(group_));
+  r.kv_used = load.kv_used;
+  return r;
+}
+
+void engine_standin::note_load(time_point now) {
+  const load_sample s{now, batch_.running(), batch_.queued(), cache_.used()};
+  const bool unchanged = !load_.empty() && load_.back().running == s.running &&
+                         load_.back().queued == s.queued && load_.back().kv_used == s.kv_used;
+  if (!unchanged) {
+    load_.push_back(s);
+  }
+  const time_point shown = now - settings_.report_lag;
+  while (load_.size() > 1 && load_[1].at <= shown) {
+    load_.pop_front();
+  }
+}
+
+void engine_standin::kill(time_point now) {
+  if (!up_) {
+    return;
+  }
+  fabric_.settle(now, vm_);
+  leave_group(now);
+  up_ = false;
+  paused_at_.reset();
+  resident_.clear();
+  highest_ = {};
+  cache_.clear();
+  load_.clear();
+}
+
+void engine_standin::restart(time_point now) {
+  kill(now);
+  up_ = true;
+  ready_at_ = now;
+  ++incarnation_;
+}
+
+void engine_standin::pause(time_point now) {
+  if (!up_ || paused()) {
+    return;
+  }
+  fabric_.settle(now, vm_);
+  paused_at_ = now;
+}
+
+void engine_standin::resume(time_point now) {
+  if (!paused()) {
+    return;
+  }
+  fabric_.settle(now, vm_);
+  for (time_point* const end : {&ready_at_, &resident_at_}) {
+    if (*end > *paused_at_) {
+      *end += now - *paused_at_;
+    }
+  }
+  paused_at_.reset();
+}
+
+void engine_standin::set_straggler(time_point now, double speed) {
+  fabric_.settle(now, vm_);
+  speed_ = speed;
+}
+
+std::uint32_t engine_standin::runs(const request_id& id) const {
+  const auto found = runs_.find(id);
+  return found == runs_.end() ? 0 : found->second;
+}
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/standin/engine_standin.h
@@ -0,0 +1,203 @@
+// Stand-in for the model engine of one target VM: takes orders, loads weights, batches requests,
+// and fails in the ways engines fail. A value: no socket, no clock, no lock.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "base/id.h"
+#include "base/units.h"
+#include "process/effects.h"
+#include "process/report.h"
+#include "standin/answer_stream.h"
+#include "standin/batch_standin.h"
+#include "standin/cache_standin.h"
+#include "standin/engine_fabric.h"
+
+namespace arbutus {
+
+struct model_profile {
+  std::uint64_t weight_bytes{};  // that each member loads
+  batch_settings batch;
+};
+
+struct engine_settings {
+  bool checks_tokens = true;   // refuses an order with an old fencing token
+  duration form_time = 100ms;  // to join a group once the weights are there
+  std::uint32_t queue_limit = 64;
+  duration report_lag{};  // of load; identity and state are never old
+  cache_settings cache;
+  model_profile usual;
+  std::map<model_id, model_profile> models;  // where they differ from `usual`
+  std::uint64_t first_incarnation = 1;
+  std::uint64_t seed = 1;
+  bool records_runs = false;  // keep a count for every request id; grows without bound
+};
+
+// Faults of the next answers; each number counts down.
+struct next_answers {
+  std::uint32_t crossed{};  // pairs: each gets the other's answer and request id
+  std::uint32_t late{};
+  duration late_by{};
+  std::uint32_t truncated{};
+  std::uint32_t duplicated{};
+};
+
+struct engine_counters {
+  std::uint64_t accepted{};
+  std::uint64_t completed{};
+  std::uint64_t cancelled{};  // by the caller
+  std::uint64_t cut{};        // by the loss of a member
+  std::uint64_t cut_by_order{};
+  std::uint64_t not_run{};
+  std::uint64_t orders_done{};
+  std::uint64_t orders_refused{};
+};
+
+struct order_reply {
+  bool accepted = false;
+  engine_report report;  // after the order
+  std::string reason;    // why refused
+};
+
+// Proof that a request did not run.
+struct not_run {
+  int status{};
+  std::string reason;
+};
+
+enum class stream_state {
+  open,
+  finished,  // all tokens were taken
+  cut,       // breaks off here
+  expired,   // dropped from the queue, not run
+};
+
+struct stream_step {
+  stream_state state = stream_state::open;
+  request_id shown_as;  // the id to answer under
+  std::vector<standin_token> tokens;
+  std::optional<time_point> next_at;  // when there will be more; none: not known
+};
+
+class engine_standin {
+ public:
+  engine_standin(engine_fabric& fabric, const vm_id& vm, const engine_settings& settings);
+  ~engine_standin();
+  engine_standin(const engine_standin&) = delete;
+  engine_standin& operator=(const engine_standin&) = delete;
+
+  [[nodiscard]] const vm_id& vm() const noexcept { return vm_; }
+
+  // ---- orders and reports ----
+
+  // `received_at`: when the order arrived; a paused engine gets to it later, perhaps too late.
+  order_reply apply(time_point now, const order& o, time_point received_at);
+  [[nodiscard]] engine_report report(time_point now);
+
+  // ---- requests, on the head of a replica ----
+
+  [[nodiscard]] std::variant<batch_handle, not_run> submit(time_point now,
+                                                           const generation_request& request);
+  // What there is to send. `whole`: nothing before all of it can be sent.
+  [[nodiscard]] stream_step take(time_point now, batch_handle handle, bool whole);
+  // The caller is done with it or gone; cancels what still runs.
+  void close(time_point now, batch_handle handle);
+  // False: not known, or over.
+  bool cancel(time_point now, const request_id& id);
+  [[nodiscard]] cache_standin& cache() noexcept { return cache_; }
+
+  // ---- faults ----
+
+  void kill(time_point now);     // role, weights and cache are lost
+  void restart(time_point now);  // up again, as a new incarnation
+  void pause(time_point now);
+  void resume(time_point now);
+  void set_straggler(time_point now, double speed);  // 1: normal
+  void set_leaving(bool leaving) { leaving_ = leaving; }
+  void set_silent(bool silent) { silent_ = silent; }  // does all, answers nothing
+  void set_checks_tokens(bool checks) { settings_.checks_tokens = checks; }
+  [[nodiscard]] next_answers& faults() noexcept { return faults_; }
+
+  [[nodiscard]] bool up() const noexcept { return up_; }
+  [[nodiscard]] bool paused() const noexcept { return paused_at_.has_value(); }
+  [[nodiscard]] bool silent() const noexcept { return silent_; }
+  [[nodiscard]] const engine_counters& counters() const noexcept { return counters_; }
+  // How often this request was taken in; with records_runs only.
+  [[nodiscard]] std::uint32_t runs(const request_id& id) const;
+
+  // ---- for the fabric ----
+
+  [[nodiscard]] const composition& group() const noexcept { return group_; }
+  [[nodiscard]] bool serves_in(time_point now, const composition& group) const;
+  [[nodiscard]] double speed() const { return up_ && !paused() ? speed_ : 0.0; }
+  void advance(time_point now);
+  void cut_requests(time_point now);
+
+ private:
+  struct open_stream {
+    request_id id;
+    answer_stream answer;
+    std::vector<std::uint64_t> prefix;
+    std::optional<time_point> expires_at;
+    bool cut = false;
+    bool finished = false;
+  };
+  struct load_sample {
+    time_point at;
+    std::uint32_t running{};
+    std::uint32_t queued{};
+    double kv_used{};
+  };
+
+  [[nodiscard]] engine_state state(time_point now) const;
+  [[nodiscard]] std::string refusal(const order& o, time_point now, time_point received_at) const;
+  void form(time_point now, const order& o);
+  void drop_role(time_point now);
+  void leave_group(time_point now);
+  [[nodiscard]] std::string shard_of(const order& o) const;
+  [[nodiscard]] const model_profile& profile(const model_id& model) const;
+
+  [[nodiscard]] std::optional<not_run> refusal(time_point now, const generation_request& r) const;
+  [[nodiscard]] answer_faults next_faults(time_point now);
+  void cross_if_asked(time_point now, batch_handle handle);
+  [[nodiscard]] stream_step expire(open_stream& stream, batch_handle handle);
+  void cache_prompt(time_point now, open_stream& stream);
+  void note_load(time_point now);
+
+  engine_fabric& fabric_;
+  vm_id vm_;
+  engine_settings settings_;
+  next_answers faults_;
+  engine_counters counters_;
+  std::uint64_t incarnation_;
+
+  bool up_ = true;
+  bool leaving_ = false;
+  bool silent_ = false;
+  double speed_ = 1.0;
+  std::optional<time_point> paused_at_;
+
+  composition group_;  // replica empty: none
+  model_id model_;
+  std::string model_version_;
+  bool draining_ = false;
+  time_point ready_at_;
+  std::string resident_;  // the shard whose weights are in memory from `resident_at_` on
+  time_point resident_at_;
+  generation highest_;  // fencing token; forgotten when the process dies
+
+  batch_standin batch_;
+  cache_standin cache_;
+  std::map<batch_handle, open_stream> streams_;
+  std::deque<load_sample> load_;  // by time; the first is the newest that may be shown
+  std::unordered_map<request_id, std::uint32_t> runs_;
+};
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/standin/fault_commands.h
@@ -0,0 +1,34 @@
+// Faults as JSON, for stand-ins that run as processes of their own. Unknown names are refused: a
+// fault that was mistyped would otherwise pass for a system that withstands it.
+#pragma once
+
+#include <functional>
+#include <string>
+#include <string_view>
+
+#include "base/outcome.h"
+#include "base/units.h"
+#include "standin/engine_standin.h"
+#include "standin/service_standin.h"
+#include "standin/store_gate.h"
+
+namespace arbutus {
+
+struct fault_set {};
+
+// {"down":true,"down_ms":500,"latency_ms":20,"writes_per_second":300,"reads_per_second":2000,
+//  "lose_requests":1,"lose_replies":1,"lose_fraction":0.01,"cut_off":["hall-a"]}
+outcome<fault_set> set_faults(store_faults& faults, time_point now, std::string_view json);
+
+// {"paused":true,"speed":0.2,"leaving":true,"silent":true,"checks_tokens":false,"crossed":1,
+//  "late":1,"late_ms":500,"truncated":1,"duplicated":1}
+outcome<fault_set> set_faults(engine_standin& engine, time_point now, std::string_view json);
+
+// {"late":1,"late_ms":500,"cut_before":1,"cut_after":1}
+outcome<fault_set> set_faults(service_faults& faults, std::string_view json);
+
+[[nodiscard]] std::string encode(const store_counters& c);
+[[nodiscard]] std::string encode(const engine_counters& c);
+[[nodiscard]] std::string encode(const service_counters& c);
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/standin/fleet.h
@@ -0,0 +1,88 @@
+// All stand-ins of an inventory in this process: one port for each target VM and service instance,
+// one for the platform, and a function for each fault. For trials and for tests of processes.
+//
+// Every function may be called from any thread or fiber. Names that the inventory does not have
+// throw std::out_of_range.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "connection/fiber_runtime.h"
+#include "process/report.h"
+#include "standin/engine_server.h"
+#include "standin/platform_server.h"
+#include "standin/service_server.h"
+#include "version/inventory.h"
+
+namespace arbutus {
+
+struct fleet_settings {
+  engine_settings engine;              // checks_tokens comes from the inventory
+  double weight_bytes_per_second = 0;  // of the weight store, shared; 0: no limit
+  duration vm_list_lag{};
+  endpoint platform{"127.0.0.1", 0};
+  store_faults table;  // latency and rate limits to start with
+  store_faults objects;
+};
+
+class standin_fleet {
+ public:
+  // Listens at the addresses of the inventory; port 0 takes any free one. The runtime outlives the
+  // fleet. Throws boost::system::system_error when an address cannot be listened on.
+  standin_fleet(fiber_runtime& runtime, const inventory& assets, const fleet_settings& settings);
+  ~standin_fleet();
+  standin_fleet(const standin_fleet&) = delete;
+  standin_fleet& operator=(const standin_fleet&) = delete;
+
+  // As given, with the ports that were chosen.
+  [[nodiscard]] const inventory& assets() const noexcept;
+  [[nodiscard]] const endpoint& platform() const noexcept;
+
+  // ---- target VMs ----
+  void kill_vm(const vm_id& vm);     // the engine's process dies
+  void restart_vm(const vm_id& vm);  // it is up again, empty
+  void kill_fabric_domain(const fabric_domain_id& domain);
+  void restart_fabric_domain(const fabric_domain_id& domain);
+  void pause_vm(const vm_id& vm);
+  void resume_vm(const vm_id& vm);
+  void set_straggler(const vm_id& vm, double speed);  // 1: normal
+  void set_leaving(const vm_id& vm, bool leaving);    // by its report, and by the list of VMs
+  void remove_vm(const vm_id& vm);                    // killed, and gone from the list of VMs
+  void set_silent(const vm_id& vm, bool silent);      // does all, answers nothing
+  void set_checks_tokens(const vm_id& vm, bool checks);
+  void set_answer_faults(const vm_id& vm, const next_answers& faults);
+
+  // ---- platform ----
+  void table_outage(bool down);
+  void lose_replies(std::uint64_t writes);  // of the table, after the write took effect
+  void set_table_faults(const std::function<void(store_faults&)>& change);
+  void set_object_faults(const std::function<void(store_faults&)>& change);
+  void cut_off(const data_centre_id& dc, bool cut);  // from all of the platform
+  [[nodiscard]] table_copy table_snapshot();
+  void restore_table(table_copy old);
+
+  // ---- services ----
+  void set_service_faults(const service_id& service, const service_faults& faults);
+  // `index` counts the instances of the service in the order of the inventory.
+  void kill_service_instance(const service_id& service, std::size_t index);
+  void restart_service_instance(const service_id& service, std::size_t index);
+
+  // ---- what happened ----
+  [[nodiscard]] engine_report report(const vm_id& vm);
+  [[nodiscard]] engine_counters counters(const vm_id& vm);
+  // Times a request was taken in, over all VMs; needs engine.records_runs.
+  [[nodiscard]] std::uint32_t runs(const request_id& id);
+  [[nodiscard]] store_counters table_counters();
+  [[nodiscard]] service_counters counters(const service_id& service);
+  [[nodiscard]] std::uint32_t executions_of(const service_id& service, const std::string& key);
+
+ private:
+  struct state;
+  std::unique_ptr<state> state_;
+};
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/standin/object_standin.h
@@ -0,0 +1,35 @@
+// Stand-in for the platform's object store: whole objects by name, with the faults of the real one.
+#pragma once
+
+#include <map>
+#include <string>
+
+#include "base/units.h"
+#include "standin/store_gate.h"
+
+namespace arbutus {
+
+struct object_reply {
+  store_status status = store_status::ok;  // `conflict` does not occur: a put replaces
+  std::string content;
+  duration latency{};
+};
+
+class object_standin {
+ public:
+  explicit object_standin(std::uint64_t seed = 2) : gate_(seed) {}
+
+  [[nodiscard]] object_reply get(time_point now, const std::string& name,
+                                 const data_centre_id& from = {});
+  object_reply put(time_point now, const std::string& name, std::string content,
+                   const data_centre_id& from = {});
+
+  [[nodiscard]] store_faults& faults() noexcept { return gate_.faults(); }
+  [[nodiscard]] const store_counters& counters() const noexcept { return gate_.counters(); }
+
+ private:
+  std::map<std::string, std::string> objects_;
+  store_gate gate_;
+};
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/standin/service_server.cpp
@@ -0,0 +1,53 @@
+// The HTTP shell of a plain service.
+#include "standin/service_server.h"
+
+#include "standin/fault_commands.h"
+#include "standin/standin_http.h"
+
+namespace arbutus {
+
+service_server::service_server(fiber_runtime& runtime, const socket_address& address,
+                               service_site& site)
+    : site_(site),
+      server_(runtime, address, [this](const http_request& request, response_writer& writer) {
+        handle(request, writer);
+      }) {}
+
+void service_server::handle(const http_request& request, response_writer& writer) {
+  if (request.method == "GET" && request.target == "/standin/executions") {
+    std::unique_lock lock(site_.mutex);
+    const std::string body = encode(site_.service.counters());
+    lock.unlock();
+    send_json(writer, 200, body);
+  } else if (request.method == "POST" && request.target == "/faults") {
+    std::unique_lock lock(site_.mutex);
+    const auto result = set_faults(site_.service.faults(), request.body);
+    lock.unlock();
+    send_fault_result(writer, result);
+  } else {
+    call(request, writer);
+  }
+}
+
+void service_server::call(const http_request& request, response_writer& writer) {
+  const service_call asked{request.method, request.target,
+                           idempotency_key{header_text(request, "idempotency-key")},
+                           request_id{header_text(request, "x-request-id")}, request.body};
+  std::unique_lock lock(site_.mutex);
+  const service_reply reply = site_.service.call(asked);
+  lock.unlock();
+  if (reply.late_by > duration{} && !wait_for(writer, reply.late_by)) {
+    return;
+  }
+  if (reply.cut) {
+    cut(writer);
+    return;
+  }
+  http_headers headers{{"content-type", "application/json"}};
+  if (!asked.id.empty()) {
+    headers.add("x-request-id", asked.id.str());
+  }
+  writer.send(200, headers, reply.body);
+}
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/standin/standin_http.cpp
@@ -0,0 +1,71 @@
+// Small answers over HTTP.
+#include "standin/standin_http.h"
+
+#include <algorithm>
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+#include "connection/fiber_runtime.h"
+
+namespace arbutus {
+
+// The server closes the connection of an answer that was begun and not finished; to the caller it
+// is no answer.
+void cut(response_writer& writer) {
+  writer.start(200, {});
+}
+
+void send_json(response_writer& writer, int status, std::string_view body) {
+  writer.send(status, {{"content-type", "application/json"}}, body);
+}
+
+void send_error(response_writer& writer, int status, std::string_view type,
+                std::string_view message) {
+  const nlohmann::json body = {{"error", {{"type", type}, {"message", message}}}};
+  send_json(writer, status, body.dump());
+}
+
+void send_fault_result(response_writer& writer, const outcome<fault_set>& result) {
+  if (is_ok(result)) {
+    send_json(writer, 200, "{}");
+  } else if (const auto* no = std::get_if<refused>(&result)) {
+    send_error(writer, 400, "invalid", no->reason);
+  } else {
+    send_error(writer, 500, "unknown", std::get<unknown>(result).reason);
+  }
+}
+
+bool wait_until(response_writer& writer, time_point until) {
+  for (time_point now = monotonic_now(); now < until; now = monotonic_now()) {
+    if (writer.caller_gone() || !sleep_until(std::min(until, now + look_interval))) {
+      return false;
+    }
+  }
+  return !writer.caller_gone();
+}
+
+bool wait_for(response_writer& writer, duration d) {
+  return wait_until(writer, monotonic_now() + d);
+}
+
+std::string header_text(const http_request& request, std::string_view name) {
+  return std::string(request.headers.find(name).value_or(std::string_view{}));
+}
+
+std::uint64_t header_number(const http_request& request, std::string_view name,
+                            std::uint64_t fallback) {
+  const std::string_view text = request.headers.find(name).value_or(std::string_view{});
+  std::uint64_t value = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  return error == std::errc{} && end == text.data() + text.size() && !text.empty() ? value
+                                                                                   : fallback;
+}
+
+std::optional<std::string> after(std::string_view target, std::string_view prefix) {
+  if (!target.starts_with(prefix)) {
+    return std::nullopt;
+  }
+  return std::string(target.substr(prefix.size()));
+}
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/standin/standin_http.h
@@ -0,0 +1,52 @@
+// What the HTTP shells of the stand-ins share.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "base/outcome.h"
+#include "base/units.h"
+#include "connection/clock.h"
+#include "connection/http_message.h"
+#include "connection/http_server.h"
+#include "standin/fault_commands.h"
+
+namespace arbutus {
+
+// How long a waiting shell goes without looking whether a fault has changed.
+inline constexpr duration look_interval = 10ms;
+
+// Ends the exchange without an answer: the caller sees its connection close.
+void cut(response_writer& writer);
+
+void send_json(response_writer& writer, int status, std::string_view body);
+// {"error":{"type":TYPE,"message":MESSAGE}}
+void send_error(response_writer& writer, int status, std::string_view type,
+                std::string_view message);
+void send_fault_result(response_writer& writer, const outcome<fault_set>& result);
+
+// Waits; false if the caller goes first.
+bool wait_until(response_writer& writer, time_point until);
+bool wait_for(response_writer& writer, duration d);
+
+// Waits while `holds()`; false if the caller goes first.
+template <class Condition>
+bool wait_while(response_writer& writer, Condition&& holds) {
+  while (holds()) {
+    if (!wait_for(writer, look_interval)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+[[nodiscard]] std::string header_text(const http_request& request, std::string_view name);
+// `fallback` if the field is missing or not a number.
+[[nodiscard]] std::uint64_t header_number(const http_request& request, std::string_view name,
+                                          std::uint64_t fallback);
+
+// The rest of `target` behind `prefix`, if it begins so.
+[[nodiscard]] std::optional<std::string> after(std::string_view target, std::string_view prefix);
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/standin/store_gate.cpp
@@ -0,0 +1,86 @@
+// Faults of the platform's stores.
+#include "standin/store_gate.h"
+
+#include <algorithm>
+
+namespace arbutus {
+
+store_status status_of(gate_verdict verdict) {
+  switch (verdict) {
+    case gate_verdict::pass:
+      return store_status::ok;
+    case gate_verdict::down:
+      return store_status::down;
+    case gate_verdict::limited:
+      return store_status::limited;
+    case gate_verdict::unreachable:
+      return store_status::cut;
+  }
+  return store_status::down;
+}
+
+bool rate_limit::take(time_point now, double per_second) {
+  if (per_second <= 0) {
+    started_ = false;
+    return true;
+  }
+  if (!started_) {
+    started_ = true;
+    filled_at_ = now;
+    tokens_ = per_second;
+  }
+  const double gained = to_seconds(now - filled_at_) * per_second;
+  tokens_ = std::clamp(tokens_ + gained, 0.0, std::max(1.0, per_second));
+  filled_at_ = now;
+  if (tokens_ < 1.0) {
+    return false;
+  }
+  tokens_ -= 1.0;
+  return true;
+}
+
+gate_verdict store_gate::verdict(time_point now, store_access access, const data_centre_id& from) {
+  if (faults_.cut_off.contains(from)) {
+    return gate_verdict::unreachable;
+  }
+  if (faults_.down || now < faults_.down_until) {
+    return gate_verdict::down;
+  }
+  const bool allowed = access == store_access::read
+                           ? read_limit_.take(now, faults_.reads_per_second)
+                           : write_limit_.take(now, faults_.writes_per_second);
+  return allowed ? gate_verdict::pass : gate_verdict::limited;
+}
+
+gate_pass store_gate::enter(time_point now, store_access access, const data_centre_id& from) {
+  const gate_pass pass{verdict(now, access, from), faults_.latency};
+  if (pass.verdict != gate_verdict::pass) {
+    ++counters_.refused;
+  } else if (access == store_access::read) {
+    ++counters_.reads;
+  }
+  return pass;
+}
+
+bool store_gate::lose_request() {
+  if (faults_.lose_requests == 0) {
+    return false;
+  }
+  --faults_.lose_requests;
+  return true;
+}
+
+bool store_gate::wrote() {
+  ++counters_.writes;
+  bool lost = false;
+  if (faults_.lose_replies > 0) {
+    --faults_.lose_replies;
+    lost = true;
+  } else if (faults_.lose_fraction > 0) {
+    lost = random_.unit() < faults_.lose_fraction;
+  }
+  counters_.lost_replies += lost ? 1 : 0;
+  return lost;
+}
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/standin/table_standin.h
@@ -0,0 +1,70 @@
+// Stand-in for the platform's table service: rows with a version each, conditional writes, and the
+// faults of the real one. A value: no socket, no clock.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/units.h"
+#include "process/effects.h"
+#include "standin/store_gate.h"
+
+namespace arbutus {
+
+struct table_reply {
+  store_status status = store_status::ok;
+  table_row row;       // as it is after the call; version 0: none
+  duration latency{};  // before the answer leaves
+};
+
+// What a backup holds. The version counter is part of it: after an old copy is put back, versions
+// are given a second time, as a real restore may do.
+struct table_copy {
+  std::map<std::string, table_row> rows;
+  std::uint64_t last_version{};
+};
+
+class table_standin {
+ public:
+  explicit table_standin(std::uint64_t seed = 1) : gate_(seed) {}
+
+  // `from`: the caller's data centre, for partitions; may be empty.
+  [[nodiscard]] table_reply read(time_point now, const std::string& key,
+                                 const data_centre_id& from = {});
+
+  // `expected`: the version of the row; 0: it must not exist.
+  table_reply write(time_point now, const std::string& key, std::string value,
+                    std::uint64_t expected, const data_centre_id& from = {});
+
+  // Removes a row. A row of the same name that comes later has a higher version.
+  table_reply erase(time_point now, const std::string& key, std::uint64_t expected,
+                    const data_centre_id& from = {});
+
+  struct listing {
+    store_status status = store_status::ok;
+    std::vector<std::string> keys;
+    duration latency{};
+  };
+  [[nodiscard]] listing list(time_point now, std::string_view prefix,
+                             const data_centre_id& from = {});
+
+  [[nodiscard]] const table_copy& snapshot() const noexcept { return content_; }
+  void restore(table_copy old) { content_ = std::move(old); }
+
+  [[nodiscard]] store_faults& faults() noexcept { return gate_.faults(); }
+  [[nodiscard]] const store_counters& counters() const noexcept { return gate_.counters(); }
+
+ private:
+  [[nodiscard]] table_row row(const std::string& key) const;
+  template <class Change>
+  table_reply change(time_point now, const std::string& key, std::uint64_t expected,
+                     const data_centre_id& from, Change&& apply);
+
+  table_copy content_;
+  store_gate gate_;
+};
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/standin/vm_list_standin.cpp
@@ -0,0 +1,26 @@
+// The lagging list of VMs.
+#include "standin/vm_list_standin.h"
+
+namespace arbutus {
+
+void vm_list_standin::set(time_point now, const vm_id& vm, vm_presence presence) {
+  changes_[vm].push_back({now, presence});
+}
+
+std::vector<vm_list_entry> vm_list_standin::read(time_point now) const {
+  std::vector<vm_list_entry> shown;
+  for (const auto& [vm, changes] : changes_) {
+    vm_presence presence = vm_presence::gone;
+    for (const change& c : changes) {
+      if (c.at + lag_ <= now) {
+        presence = c.presence;
+      }
+    }
+    if (presence != vm_presence::gone) {
+      shown.push_back({vm, presence == vm_presence::leaving});
+    }
+  }
+  return shown;
+}
+
+}  // namespace arbutus
