--- a/src/version/cross_check.cpp
+++ b/src/version/cross_check.cpp
@@ -8,7 +8,6 @@
 #include <utility>
 #include <vector>
 
-#include "version/assignment.h"
 #include "version/field_text.h"
 
 namespace arbutus {
@@ -37,8 +36,8 @@
     check_workspaces();
     check_classes();
     check_prefixes();
-    check_models();
-    check_room();
+    findings room = check_room(assets_, wanted_, places_);
+    problems_.insert(problems_.end(), room.begin(), room.end());
     return std::move(problems_);
   }
 
@@ -272,10 +271,6 @@
         check_reference(path + "/models/" + std::to_string(i), "model", workspace.models[i].str(),
                         models);
       }
-      if (workspace.key_hashes.empty()) {
-        warning(path,
-                "workspace " + in_quotes(workspace.id.str()) + " has no key; nobody can use it");
-      }
       for (std::size_t i = 0; i < workspace.key_hashes.size(); ++i) {
         const std::size_t owner = owners.emplace(workspace.key_hashes[i], w).first->second;
         if (owner != w) {
@@ -346,99 +341,6 @@
     }
   }
 
-  // ---- room ----
-
-  // How many VMs of each fabric domain of `dc` could be members of `model`.
-  std::map<fabric_domain_id, std::uint32_t> fitting_vms(const model_rule& model,
-                                                        const data_centre_id& dc) const {
-    std::map<fabric_domain_id, std::uint32_t> count;
-    for (const vm_record& vm : assets_.vms) {
-      if (vm.data_centre == dc && vm.accelerators >= model.accelerators_per_vm) {
-        ++count[vm.fabric_domain];
-      }
-    }
-    return count;
-  }
-
-  void check_models() {
-    for (std::size_t m = 0; m < wanted_.models.size(); ++m) {
-      const model_rule& model = wanted_.models[m];
-      const std::string path = indexed("models", m);
-      if (model.placements.empty()) {
-        warning(path, "model " + in_quotes(model.id.str()) + " is placed nowhere",
-                "replicas = { DATA_CENTRE = COUNT }");
-      }
-      if (model.vms_per_replica + wanted_.standbys_per_replica > max_positions) {
-        error(path + "/vms_per_replica",
-              "members and standbys of a replica are more than " + std::to_string(max_positions),
-              "at most " + std::to_string(max_positions) + " together");
-      }
-      for (std::size_t p = 0; p < model.placements.size(); ++p) {
-        check_placement(model, model.placements[p], path + "/placements/" + std::to_string(p));
-      }
-    }
-  }
-
-  void check_placement(const model_rule& model, const model_placement& wanted,
-                       const std::string& path) {
-    if (wanted.replicas == 0 || model.vms_per_replica == 0) {
-      return;
-    }
-    std::uint32_t vms = 0;
-    std::uint32_t largest = 0;
-    std::uint32_t in_domains = 0;  // replicas that fit without crossing
-    for (const auto& [domain, count] : fitting_vms(model, wanted.data_centre)) {
-      vms += count;
-      largest = std::max(largest, count);
-      in_domains += count / model.vms_per_replica;
-    }
-    const std::string what =
-        "model " + in_quotes(model.id.str()) + " in " + in_quotes(wanted.data_centre.str());
-    const std::string need = std::to_string(model.vms_per_replica) + " VMs with " +
-                             std::to_string(model.accelerators_per_vm) + " accelerators each";
-    if (vms < model.vms_per_replica) {
-      error(path, what + " can never fit: " + std::to_string(vms) + " such VMs are there",
-            need + " for one replica");
-      return;
-    }
-    if (in_domains == 0 && !model.may_cross_fabric_domains) {
-      error(path,
-            what + " can never fit: a replica is larger than any fabric domain (largest: " +
-                std::to_string(largest) + " such VMs) and may not cross",
-            need + " in one fabric domain, or may_cross_fabric_domains = true");
-      return;
-    }
-    const std::uint32_t fits =
-        model.may_cross_fabric_domains ? vms / model.vms_per_replica : in_domains;
-    if (fits < wanted.replicas) {
-      warning(path, what + ": " + std::to_string(wanted.replicas) + " replicas wanted, at most " +
-                        std::to_string(fits) + " fit");
-    }
-  }
-
-  // All models of a data centre together.
-  void check_room() {
-    std::map<data_centre_id, std::uint64_t> wanted;
-    for (const model_rule& model : wanted_.models) {
-      for (const model_placement& p : model.placements) {
-        wanted[p.data_centre] += std::uint64_t{p.replicas} * model.vms_per_replica;
-      }
-    }
-    std::map<data_centre_id, std::uint64_t> present;
-    for (const vm_record& vm : assets_.vms) {
-      ++present[vm.data_centre];
-    }
-    for (std::size_t i = 0; i < assets_.data_centres.size(); ++i) {
-      const data_centre_id& dc = assets_.data_centres[i].id;
-      const std::uint64_t vms = present[dc];
-      if (wanted[dc] > vms) {
-        warning(indexed("data_centres", i), "the models want " + std::to_string(wanted[dc]) +
-                                                " VMs in " + in_quotes(dc.str()) + ", which has " +
-                                                std::to_string(vms));
-      }
-    }
-  }
-
   const inventory& assets_;
   const rules& wanted_;
   const place_index& places_;
--- a/src/version/cross_check.h
+++ b/src/version/cross_check.h
@@ -9,6 +9,10 @@
 
 namespace arbutus {
 
+// Models that can never fit, or not all of them; part of cross_check.
+[[nodiscard]] findings check_room(const inventory& assets, const rules& wanted,
+                                  const place_index& places);
+
 // All findings in one run. `places` says where each record was read; it may be empty.
 [[nodiscard]] findings cross_check(const inventory& assets, const rules& wanted,
                                    const place_index& places);
--- /dev/null
+++ b/src/version/cross_check_room.cpp
@@ -0,0 +1,148 @@
+// Whether the models fit the VMs that there are.
+#include <algorithm>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "version/assignment.h"
+#include "version/cross_check.h"
+#include "version/field_text.h"
+
+namespace arbutus {
+
+namespace {
+
+class room_checker {
+ public:
+  room_checker(const inventory& assets, const rules& wanted, const place_index& places)
+      : assets_(assets), wanted_(wanted), places_(places) {}
+
+  findings run() {
+    check_models();
+    check_together();
+    return std::move(problems_);
+  }
+
+ private:
+  void add(severity level, const std::string& path, std::string message, std::string expected) {
+    if (problems_.size() < max_findings) {
+      problems_.push_back({level, places_.at(path), std::move(message), std::move(expected)});
+    }
+  }
+  void error(const std::string& path, std::string message, std::string expected) {
+    add(severity::error, path, std::move(message), std::move(expected));
+  }
+  void warning(const std::string& path, std::string message, std::string expected = {}) {
+    add(severity::warning, path, std::move(message), std::move(expected));
+  }
+
+  // How many VMs of each fabric domain of `dc` could be members of `model`.
+  std::map<fabric_domain_id, std::uint32_t> fitting_vms(const model_rule& model,
+                                                        const data_centre_id& dc) const {
+    std::map<fabric_domain_id, std::uint32_t> count;
+    for (const vm_record& vm : assets_.vms) {
+      if (vm.data_centre == dc && vm.accelerators >= model.accelerators_per_vm) {
+        ++count[vm.fabric_domain];
+      }
+    }
+    return count;
+  }
+
+  void check_models() {
+    for (std::size_t m = 0; m < wanted_.models.size(); ++m) {
+      const model_rule& model = wanted_.models[m];
+      const std::string path = "models/" + std::to_string(m);
+      if (model.placements.empty()) {
+        warning(path, "model " + in_quotes(model.id.str()) + " is placed nowhere",
+                "replicas = { DATA_CENTRE = COUNT }");
+      }
+      if (model.vms_per_replica + wanted_.standbys_per_replica > max_positions) {
+        error(path + "/vms_per_replica",
+              "members and standbys of a replica are more than " + std::to_string(max_positions),
+              "at most " + std::to_string(max_positions) + " together");
+      }
+      for (std::size_t p = 0; p < model.placements.size(); ++p) {
+        check_placement(model, model.placements[p], path + "/placements/" + std::to_string(p));
+      }
+    }
+  }
+
+  void check_placement(const model_rule& model, const model_placement& wanted,
+                       const std::string& path) {
+    if (wanted.replicas == 0 || model.vms_per_replica == 0) {
+      return;
+    }
+    std::uint32_t vms = 0;
+    std::uint32_t largest = 0;
+    std::uint32_t in_domains = 0;  // replicas that fit without crossing
+    for (const auto& [domain, count] : fitting_vms(model, wanted.data_centre)) {
+      vms += count;
+      largest = std::max(largest, count);
+      in_domains += count / model.vms_per_replica;
+    }
+    const std::string what =
+        "model " + in_quotes(model.id.str()) + " in " + in_quotes(wanted.data_centre.str());
+    const std::string need = std::to_string(model.vms_per_replica) + " VMs with " +
+                             std::to_string(model.accelerators_per_vm) + " accelerators each";
+    if (vms < model.vms_per_replica) {
+      short_of_room_.insert(wanted.data_centre);
+      error(path, what + " can never fit: " + std::to_string(vms) + " such VMs are there",
+            need + " for one replica");
+      return;
+    }
+    if (in_domains == 0 && !model.may_cross_fabric_domains) {
+      short_of_room_.insert(wanted.data_centre);
+      error(path,
+            what + " can never fit: a replica is larger than any fabric domain (largest: " +
+                std::to_string(largest) + " such VMs) and may not cross",
+            need + " in one fabric domain, or may_cross_fabric_domains = true");
+      return;
+    }
+    const std::uint32_t fits =
+        model.may_cross_fabric_domains ? vms / model.vms_per_replica : in_domains;
+    if (fits < wanted.replicas) {
+      short_of_room_.insert(wanted.data_centre);
+      warning(path, what + ": " + std::to_string(wanted.replicas) + " replicas wanted, at most " +
+                        std::to_string(fits) + " fit");
+    }
+  }
+
+  // All models of a data centre together, where each by itself fits.
+  void check_together() {
+    std::map<data_centre_id, std::uint64_t> wanted;
+    for (const model_rule& model : wanted_.models) {
+      for (const model_placement& p : model.placements) {
+        wanted[p.data_centre] += std::uint64_t{p.replicas} * model.vms_per_replica;
+      }
+    }
+    std::map<data_centre_id, std::uint64_t> present;
+    for (const vm_record& vm : assets_.vms) {
+      ++present[vm.data_centre];
+    }
+    for (std::size_t i = 0; i < assets_.data_centres.size(); ++i) {
+      const data_centre_id& dc = assets_.data_centres[i].id;
+      const std::uint64_t vms = present[dc];
+      if (wanted[dc] > vms && !short_of_room_.contains(dc)) {
+        warning("data_centres/" + std::to_string(i),
+                "the models want " + std::to_string(wanted[dc]) + " VMs in " + in_quotes(dc.str()) +
+                    ", which has " + std::to_string(vms));
+      }
+    }
+  }
+
+  const inventory& assets_;
+  const rules& wanted_;
+  const place_index& places_;
+  std::set<data_centre_id> short_of_room_;  // reported for one model already
+  findings problems_;
+};
+
+}  // namespace
+
+findings check_room(const inventory& assets, const rules& wanted, const place_index& places) {
+  return room_checker(assets, wanted, places).run();
+}
+
+}  // namespace arbutus
--- a/src/version/import.cpp
+++ b/src/version/import.cpp
@@ -1,6 +1,7 @@
 // Files of a configuration directory, and both imports together.
 #include "version/import.h"
 
+#include <algorithm>
 #include <fstream>
 #include <utility>
 
@@ -83,6 +84,8 @@
   append(result.problems, std::move(wanted.problems));
   assets.places.merge(std::move(wanted.places));
   append(result.problems, cross_check(result.assets, result.wanted, assets.places));
+  std::stable_sort(result.problems.begin(), result.problems.end(),
+                   [](const finding& a, const finding& b) { return a.where < b.where; });
   return result;
 }
 
--- a/src/version/import_rules.cpp
+++ b/src/version/import_rules.cpp
@@ -137,7 +137,14 @@
 
 void read_key_hashes(table_reader& table, const std::string& path, workspace_rule& workspace,
                      rules_import& result) {
-  for (placed<std::string>& text : table.texts("key_hashes")) {
+  auto texts = table.texts("key_hashes");
+  if (texts.empty()) {
+    result.problems.push_back({severity::warning, table.place_of("key_hashes"),
+                               "[[workspace]] key_hashes: " + in_quotes(workspace.id.str()) +
+                                   " has no key, nobody can use it",
+                               ""});
+  }
+  for (placed<std::string>& text : texts) {
     if (!is_key_hash(text.value)) {
       // The text is not shown: it may be the key itself, pasted by mistake.
       result.problems.push_back({severity::error, text.at, "key_hashes: an entry is no hash",
--- a/src/version/toml_reader.cpp
+++ b/src/version/toml_reader.cpp
@@ -1,8 +1,6 @@
-// TOML by toml++, turned into plain values; and the typed reading of tables.
+// Typed reading of TOML tables.
 #include "version/toml_reader.h"
 
-#include <toml++/toml.h>
-
 #include <algorithm>
 #include <array>
 #include <cmath>
@@ -14,72 +12,6 @@
 
 namespace {
 
-// Goes wrong: "a.a.a. ..." nests one table per dot, and taking thousands of nested tables apart
-// overflows the stack, which ends the program without a finding. The parser limits how deeply
-// values nest, but not this. No line of a real file has as many dots.
-constexpr std::ptrdiff_t max_dots_per_line = 128;
-
-place to_place(const std::string& file, const toml::source_position& at) {
-  return {file, static_cast<std::uint32_t>(at.line), static_cast<std::uint32_t>(at.column)};
-}
-
-bool dots_within_limit(std::string_view text, const std::string& file, findings& problems) {
-  std::uint32_t line = 1;
-  while (!text.empty()) {
-    const std::string_view first = text.substr(0, text.find('\n'));
-    if (std::count(first.begin(), first.end(), '.') > max_dots_per_line) {
-      problems.push_back({severity::error,
-                          {file, line, 1},
-                          "too many dots in one line",
-                          "at most " + std::to_string(max_dots_per_line)});
-      return false;
-    }
-    text.remove_prefix(std::min(text.size(), first.size() + 1));
-    ++line;
-  }
-  return true;
-}
-
-toml_value convert(const toml::node& node, const std::string& file);
-
-toml_table convert_table(const toml::table& source, const std::string& file) {
-  toml_table result{to_place(file, source.source().begin), {}};
-  result.fields.reserve(source.size());
-  for (const auto& [key, value] : source) {
-    result.fields.push_back(
-        {std::string(key.str()), to_place(file, key.source().begin), convert(value, file)});
-  }
-  return result;
-}
-
-std::vector<toml_value> convert_array(const toml::array& source, const std::string& file) {
-  std::vector<toml_value> result;
-  result.reserve(source.size());
-  for (const toml::node& item : source) {
-    result.push_back(convert(item, file));
-  }
-  return result;
-}
-
-toml_value convert(const toml::node& node, const std::string& file) {
-  toml_value result;
-  result.at = to_place(file, node.source().begin);
-  if (const auto* table = node.as_table()) {
-    result.data = convert_table(*table, file);
-  } else if (const auto* array = node.as_array()) {
-    result.data = convert_array(*array, file);
-  } else if (const auto* text = node.as_string()) {
-    result.data = text->get();
-  } else if (const auto* whole = node.as_integer()) {
-    result.data = whole->get();
-  } else if (const auto* real = node.as_floating_point()) {
-    result.data = real->get();
-  } else if (const auto* flag = node.as_boolean()) {
-    result.data = flag->get();
-  }
-  return result;
-}
-
 std::string type_name(const toml_value& value) {
   constexpr std::array<std::string_view, 7> names = {
       "a date or time", "true or false", "a whole number", "a number",
@@ -117,22 +49,6 @@
 
 }  // namespace
 
-std::optional<toml_table> parse_toml(std::string_view text, const std::string& file_name,
-                                     findings& problems) {
-  if (!dots_within_limit(text, file_name, problems)) {
-    return std::nullopt;
-  }
-  try {
-    return convert_table(toml::parse(text, file_name), file_name);
-  } catch (const toml::parse_error& e) {
-    problems.push_back({severity::error, to_place(file_name, e.source().begin),
-                        std::string(e.description()), "TOML"});
-  } catch (const std::exception& e) {
-    problems.push_back({severity::error, {file_name, 0, 0}, e.what(), "TOML"});
-  }
-  return std::nullopt;
-}
-
 table_reader::table_reader(const toml_table& table, std::string name, findings& problems)
     : table_(&table), name_(std::move(name)), problems_(&problems) {}
 
