Stand-ins in a namespace of their own; the finish is an event of its own

Cause: two types named answer_stream in one namespace break the one definition rule; the node takes an event with text for a token and waits for a finish without text. Change: namespace arbutus::standin; last event of a stream has no text, the finish reason and the number of tokens; cache blocks are those of hash_prefix.

--- a/src/standin/answer.cpp
+++ b/src/standin/answer.cpp
@@ -7,7 +7,7 @@
 #include "base/hash.h"
 #include "base/rng.h"
 
-namespace arbutus {
+namespace arbutus::standin {
 
 namespace {
 
@@ -58,15 +58,4 @@
   return static_cast<std::uint32_t>(std::max<std::size_t>(1, prompt.size() / bytes_per_token));
 }
 
-std::vector<std::uint64_t> prefix_hashes(const model_id& model, std::string_view prompt) {
-  std::vector<std::uint64_t> hashes;
-  std::uint64_t hash = stable_hash(model.str());
-  while (prompt.size() >= bytes_per_block) {
-    hash = stable_hash(prompt.substr(0, bytes_per_block), hash);
-    hashes.push_back(hash);
-    prompt.remove_prefix(bytes_per_block);
-  }
-  return hashes;
-}
-
-}  // namespace arbutus
+}  // namespace arbutus::standin
--- a/src/standin/answer.h
+++ b/src/standin/answer.h
@@ -8,13 +8,14 @@
 #include <vector>
 
 #include "base/id.h"
+#include "request/prefix_hash.h"
 
-namespace arbutus {
+namespace arbutus::standin {
 
-// Prompt text per token, and tokens per block of the prefix cache, as common engines have them.
+// Prompt text per token, about what tokenizers make of plain text.
 inline constexpr std::size_t bytes_per_token = 4;
-inline constexpr std::size_t tokens_per_block = 64;
-inline constexpr std::size_t bytes_per_block = bytes_per_token * tokens_per_block;
+// A block of the prefix cache; its blocks are those of hash_prefix(prompt, model).
+inline constexpr std::size_t tokens_per_block = prefix_block_bytes / bytes_per_token;
 
 // One message of a chat request.
 struct standin_message {
@@ -38,9 +39,4 @@
 // At least 1.
 [[nodiscard]] std::uint32_t count_tokens(std::string_view prompt);
 
-// Names of the prompt's full blocks, first block first. Each name covers all text before it too:
-// prompts with the same name at a position agree up to the end of that block.
-[[nodiscard]] std::vector<std::uint64_t> prefix_hashes(const model_id& model,
-                                                       std::string_view prompt);
-
-}  // namespace arbutus
+}  // namespace arbutus::standin
--- a/src/standin/answer_stream.cpp
+++ b/src/standin/answer_stream.cpp
@@ -6,7 +6,7 @@
 
 #include "standin/answer.h"
 
-namespace arbutus {
+namespace arbutus::standin {
 
 answer_stream::answer_stream(const generation_request& request, const answer_faults& faults)
     : shown_as_(request.id),
@@ -45,4 +45,4 @@
   b.faults_.not_before = time_point{};
 }
 
-}  // namespace arbutus
+}  // namespace arbutus::standin
--- a/src/standin/answer_stream.h
+++ b/src/standin/answer_stream.h
@@ -10,7 +10,7 @@
 #include "base/id.h"
 #include "base/units.h"
 
-namespace arbutus {
+namespace arbutus::standin {
 
 struct generation_request {
   request_id id;
@@ -70,4 +70,4 @@
   bool shown_ = false;
 };
 
-}  // namespace arbutus
+}  // namespace arbutus::standin
--- a/src/standin/batch_standin.cpp
+++ b/src/standin/batch_standin.cpp
@@ -5,7 +5,7 @@
 #include <cmath>
 #include <limits>
 
-namespace arbutus {
+namespace arbutus::standin {
 
 namespace {
 
@@ -136,4 +136,4 @@
   return static_cast<std::uint32_t>(queue_.size());
 }
 
-}  // namespace arbutus
+}  // namespace arbutus::standin
--- a/src/standin/batch_standin.h
+++ b/src/standin/batch_standin.h
@@ -11,7 +11,7 @@
 
 #include "base/units.h"
 
-namespace arbutus {
+namespace arbutus::standin {
 
 struct batch_settings {
   std::uint32_t slots = 8;
@@ -86,4 +86,4 @@
   std::set<std::pair<std::uint32_t, batch_handle>> queue_;  // by priority, then by arrival
 };
 
-}  // namespace arbutus
+}  // namespace arbutus::standin
--- a/src/standin/cache_standin.cpp
+++ b/src/standin/cache_standin.cpp
@@ -5,7 +5,7 @@
 #include <charconv>
 #include <cstdio>
 
-namespace arbutus {
+namespace arbutus::standin {
 
 namespace {
 
@@ -129,4 +129,4 @@
   by_use_.clear();
 }
 
-}  // namespace arbutus
+}  // namespace arbutus::standin
--- a/src/standin/cache_standin.h
+++ b/src/standin/cache_standin.h
@@ -13,7 +13,7 @@
 #include "base/rng.h"
 #include "base/units.h"
 
-namespace arbutus {
+namespace arbutus::standin {
 
 enum class cache_change { stored, removed };
 
@@ -69,4 +69,4 @@
   rng random_;
 };
 
-}  // namespace arbutus
+}  // namespace arbutus::standin
--- a/src/standin/completion_wire.cpp
+++ b/src/standin/completion_wire.cpp
@@ -7,7 +7,7 @@
 #include "standin/answer.h"
 #include "standin/standin_http.h"
 
-namespace arbutus {
+namespace arbutus::standin {
 
 namespace {
 
@@ -68,7 +68,7 @@
       max_tokens_(call.request.max_tokens),
       id_(quoted(id.str())) {}
 
-std::string completion_writer::frame(const standin_token& token, bool last) const {
+std::string completion_writer::frame(const standin_token& token, bool finish) const {
   const bool chat = kind_ == completion_kind::chat;
   std::string text = "data: {\"id\":" + id_ + ",\"object\":";
   text += chat ? "\"chat.completion.chunk\"" : "\"text_completion\"";
@@ -76,29 +76,23 @@
   text += chat ? "\"delta\":{\"content\":\"" : "\"text\":\"";
   text += token.text;
   text += chat ? "\"}" : "\"";
-  if (last) {
+  if (finish) {
     text += ",\"finish_reason\":\"stop\"";
   }
   text += "}],\"offset\":" + std::to_string(token.offset) + "}\n\n";
   return text;
 }
 
-std::string completion_writer::frames(std::span<const standin_token> tokens) {
+std::string completion_writer::frames(std::span<const standin_token> tokens) const {
   std::string text;
   for (const standin_token& t : tokens) {
-    const bool last = t.offset + 1 == max_tokens_;
-    finished_ = finished_ || last;
-    text += frame(t, last);
+    text += frame(t, false);
   }
   return text;
 }
 
-std::string completion_writer::end() {
-  std::string text;
-  if (!finished_) {
-    text = frame({max_tokens_, ""}, true);
-  }
-  return text + "data: [DONE]\n\n";
+std::string completion_writer::end() const {
+  return frame({max_tokens_, ""}, true) + "data: [DONE]\n\n";
 }
 
 std::string completion_writer::body(std::span<const standin_token> tokens) const {
@@ -119,4 +113,4 @@
   return text;
 }
 
-}  // namespace arbutus
+}  // namespace arbutus::standin
--- a/src/standin/completion_wire.h
+++ b/src/standin/completion_wire.h
@@ -9,7 +9,7 @@
 #include "connection/http_message.h"
 #include "standin/answer_stream.h"
 
-namespace arbutus {
+namespace arbutus::standin {
 
 enum class completion_kind { text, chat };
 
@@ -29,23 +29,23 @@
  public:
   completion_writer(const completion_call& call, const request_id& id);
 
-  // One server-sent event per token; the last token of the answer carries the finish reason.
-  [[nodiscard]] std::string frames(std::span<const standin_token> tokens);
-  // What follows the last token.
-  [[nodiscard]] std::string end();
+  // One server-sent event per token.
+  [[nodiscard]] std::string frames(std::span<const standin_token> tokens) const;
+  // What follows the last token: an event without text that carries the finish reason and, as its
+  // offset, the number of tokens of the whole answer; then the end mark.
+  [[nodiscard]] std::string end() const;
 
   // The whole answer as one JSON body.
   [[nodiscard]] std::string body(std::span<const standin_token> tokens) const;
 
  private:
-  [[nodiscard]] std::string frame(const standin_token& token, bool last) const;
+  [[nodiscard]] std::string frame(const standin_token& token, bool finish) const;
 
   completion_kind kind_;
   model_id model_;
   std::uint32_t prompt_tokens_;
   std::uint32_t max_tokens_;
   std::string id_;  // as a JSON string
-  bool finished_ = false;
 };
 
-}  // namespace arbutus
+}  // namespace arbutus::standin
--- a/src/standin/engine_answers.cpp
+++ b/src/standin/engine_answers.cpp
@@ -5,7 +5,7 @@
 #include "standin/engine_server.h"
 #include "standin/standin_http.h"
 
-namespace arbutus {
+namespace arbutus::standin {
 
 namespace {
 
@@ -139,4 +139,4 @@
   }
 }
 
-}  // namespace arbutus
+}  // namespace arbutus::standin
--- a/src/standin/engine_fabric.cpp
+++ b/src/standin/engine_fabric.cpp
@@ -5,7 +5,7 @@
 
 #include "standin/engine_standin.h"
 
-namespace arbutus {
+namespace arbutus::standin {
 
 void engine_fabric::enter(engine_standin& engine) {
   engines_[engine.vm()] = &engine;
@@ -54,4 +54,4 @@
   for_groups_of(vm, [now](engine_standin& engine) { engine.cut_requests(now); });
 }
 
-}  // namespace arbutus
+}  // namespace arbutus::standin
--- a/src/standin/engine_fabric.h
+++ b/src/standin/engine_fabric.h
@@ -9,7 +9,7 @@
 #include "standin/weight_standin.h"
 #include "version/assignment.h"
 
-namespace arbutus {
+namespace arbutus::standin {
 
 class engine_standin;
 
@@ -47,4 +47,4 @@
   weight_standin weights_;
 };
 
-}  // namespace arbutus
+}  // namespace arbutus::standin
--- a/src/standin/engine_requests.cpp
+++ b/src/standin/engine_requests.cpp
@@ -4,7 +4,7 @@
 #include "standin/answer.h"
 #include "standin/engine_standin.h"
 
-namespace arbutus {
+namespace arbutus::standin {
 
 namespace {
 
@@ -81,7 +81,7 @@
     ++runs_[request.id];
   }
   open_stream stream{request.id, answer_stream(request, next_faults(now)),
-                     prefix_hashes(request.model, request.prompt), std::nullopt};
+                     hash_prefix(request.prompt, request.model.str()), std::nullopt};
   if (request.expiry) {
     stream.expires_at = now + *request.expiry;
   }
@@ -216,4 +216,4 @@
   note_load(now);
 }
 
-}  // namespace arbutus
+}  // namespace arbutus::standin
--- a/src/standin/engine_server.cpp
+++ b/src/standin/engine_server.cpp
@@ -10,7 +10,7 @@
 #include "standin/fault_commands.h"
 #include "standin/standin_http.h"
 
-namespace arbutus {
+namespace arbutus::standin {
 
 namespace {
 
@@ -170,4 +170,4 @@
   send(writer, blob.empty() ? 404 : 200, {{"content-type", "application/octet-stream"}}, blob);
 }
 
-}  // namespace arbutus
+}  // namespace arbutus::standin
--- a/src/standin/engine_server.h
+++ b/src/standin/engine_server.h
@@ -18,7 +18,7 @@
 #include "standin/engine_standin.h"
 #include "standin/restartable_server.h"
 
-namespace arbutus {
+namespace arbutus::standin {
 
 class engine_server {
  public:
@@ -55,4 +55,4 @@
   restartable_server server_;  // last: its handlers use the others
 };
 
-}  // namespace arbutus
+}  // namespace arbutus::standin
--- a/src/standin/engine_standin.cpp
+++ b/src/standin/engine_standin.cpp
@@ -3,7 +3,7 @@
 
 #include <algorithm>
 
-namespace arbutus {
+namespace arbutus::standin {
 
 engine_standin::engine_standin(engine_fabric& fabric, const vm_id& vm,
                                const engine_settings& settings)
@@ -226,4 +226,4 @@
   return found == runs_.end() ? 0 : found->second;
 }
 
-}  // namespace arbutus
+}  // namespace arbutus::standin
--- a/src/standin/engine_standin.h
+++ b/src/standin/engine_standin.h
@@ -20,7 +20,7 @@
 #include "standin/cache_standin.h"
 #include "standin/engine_fabric.h"
 
-namespace arbutus {
+namespace arbutus::standin {
 
 struct model_profile {
   std::uint64_t weight_bytes{};  // that each member loads
@@ -200,4 +200,4 @@
   std::unordered_map<request_id, std::uint32_t> runs_;
 };
 
-}  // namespace arbutus
+}  // namespace arbutus::standin
--- a/src/standin/fault_commands.cpp
+++ b/src/standin/fault_commands.cpp
@@ -5,7 +5,7 @@
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
-namespace arbutus {
+namespace arbutus::standin {
 
 namespace {
 
@@ -111,4 +111,4 @@
       .dump();
 }
 
-}  // namespace arbutus
+}  // namespace arbutus::standin
--- a/src/standin/fault_commands.h
+++ b/src/standin/fault_commands.h
@@ -12,7 +12,7 @@
 #include "standin/service_standin.h"
 #include "standin/store_gate.h"
 
-namespace arbutus {
+namespace arbutus::standin {
 
 struct fault_set {};
 
@@ -31,4 +31,4 @@
 [[nodiscard]] std::string encode(const engine_counters& c);
 [[nodiscard]] std::string encode(const service_counters& c);
 
-}  // namespace arbutus
+}  // namespace arbutus::standin
--- a/src/standin/fleet.cpp
+++ b/src/standin/fleet.cpp
@@ -11,7 +11,7 @@
 #include "standin/fault_commands.h"
 #include "standin/standin_http.h"
 
-namespace arbutus {
+namespace arbutus::standin {
 
 namespace {
 
@@ -334,4 +334,4 @@
   return state_->with_service(service, [&](service_standin& s) { return s.executions_of(key); });
 }
 
-}  // namespace arbutus
+}  // namespace arbutus::standin
--- a/src/standin/fleet.h
+++ b/src/standin/fleet.h
@@ -18,7 +18,7 @@
 #include "standin/service_server.h"
 #include "version/inventory.h"
 
-namespace arbutus {
+namespace arbutus::standin {
 
 struct fleet_settings {
   engine_settings engine;              // checks_tokens comes from the inventory
@@ -85,4 +85,11 @@
   std::unique_ptr<state> state_;
 };
 
+}  // namespace arbutus::standin
+
+namespace arbutus {
+
+using standin::fleet_settings;
+using standin::standin_fleet;
+
 }  // namespace arbutus
--- a/src/standin/object_standin.cpp
+++ b/src/standin/object_standin.cpp
@@ -3,7 +3,7 @@
 
 #include <utility>
 
-namespace arbutus {
+namespace arbutus::standin {
 
 object_reply object_standin::get(time_point now, const std::string& name,
                                  const data_centre_id& from) {
@@ -31,4 +31,4 @@
   return {gate_.wrote() ? store_status::cut : store_status::ok, {}, pass.latency};
 }
 
-}  // namespace arbutus
+}  // namespace arbutus::standin
--- a/src/standin/object_standin.h
+++ b/src/standin/object_standin.h
@@ -7,7 +7,7 @@
 #include "base/units.h"
 #include "standin/store_gate.h"
 
-namespace arbutus {
+namespace arbutus::standin {
 
 struct object_reply {
   store_status status = store_status::ok;  // `conflict` does not occur: a put replaces
@@ -32,4 +32,4 @@
   store_gate gate_;
 };
 
-}  // namespace arbutus
+}  // namespace arbutus::standin
--- a/src/standin/platform_server.cpp
+++ b/src/standin/platform_server.cpp
@@ -6,7 +6,7 @@
 #include "standin/fault_commands.h"
 #include "standin/standin_http.h"
 
-namespace arbutus {
+namespace arbutus::standin {
 
 namespace {
 
@@ -187,4 +187,4 @@
   send_json(writer, 200, "{\"table\":" + table + ",\"objects\":" + objects + "}");
 }
 
-}  // namespace arbutus
+}  // namespace arbutus::standin
--- a/src/standin/platform_server.h
+++ b/src/standin/platform_server.h
@@ -20,7 +20,7 @@
 #include "standin/table_standin.h"
 #include "standin/vm_list_standin.h"
 
-namespace arbutus {
+namespace arbutus::standin {
 
 // Every member is used under `mutex` only.
 struct platform_standin {
@@ -53,4 +53,4 @@
   std::unique_ptr<http_server> server_;  // last: its handlers use the others
 };
 
-}  // namespace arbutus
+}  // namespace arbutus::standin
--- a/src/standin/restartable_server.cpp
+++ b/src/standin/restartable_server.cpp
@@ -7,7 +7,7 @@
 #include <mutex>
 #include <optional>
 
-namespace arbutus {
+namespace arbutus::standin {
 
 namespace {
 
@@ -73,4 +73,4 @@
   return state_->address.port;
 }
 
-}  // namespace arbutus
+}  // namespace arbutus::standin
--- a/src/standin/restartable_server.h
+++ b/src/standin/restartable_server.h
@@ -5,7 +5,7 @@
 
 #include "connection/http_server.h"
 
-namespace arbutus {
+namespace arbutus::standin {
 
 class restartable_server {
  public:
@@ -28,4 +28,4 @@
   std::unique_ptr<state> state_;
 };
 
-}  // namespace arbutus
+}  // namespace arbutus::standin
--- a/src/standin/service_server.cpp
+++ b/src/standin/service_server.cpp
@@ -4,7 +4,7 @@
 #include "standin/fault_commands.h"
 #include "standin/standin_http.h"
 
-namespace arbutus {
+namespace arbutus::standin {
 
 service_server::service_server(fiber_runtime& runtime, const socket_address& address,
                                service_site& site)
@@ -50,4 +50,4 @@
   writer.send(200, headers, reply.body);
 }
 
-}  // namespace arbutus
+}  // namespace arbutus::standin
--- a/src/standin/service_server.h
+++ b/src/standin/service_server.h
@@ -8,7 +8,7 @@
 #include "standin/restartable_server.h"
 #include "standin/service_standin.h"
 
-namespace arbutus {
+namespace arbutus::standin {
 
 // What all instances of one service share: a call that runs on two of them has run twice.
 struct service_site {
@@ -38,4 +38,4 @@
   restartable_server server_;  // last: its handlers use the other
 };
 
-}  // namespace arbutus
+}  // namespace arbutus::standin
--- a/src/standin/service_standin.cpp
+++ b/src/standin/service_standin.cpp
@@ -6,7 +6,7 @@
 
 #include "base/hash.h"
 
-namespace arbutus {
+namespace arbutus::standin {
 
 namespace {
 
@@ -59,4 +59,4 @@
   return found == executions_.end() ? 0 : found->second;
 }
 
-}  // namespace arbutus
+}  // namespace arbutus::standin
--- a/src/standin/service_standin.h
+++ b/src/standin/service_standin.h
@@ -10,7 +10,7 @@
 #include "base/id.h"
 #include "base/units.h"
 
-namespace arbutus {
+namespace arbutus::standin {
 
 struct service_call {
   std::string method;
@@ -63,4 +63,4 @@
   std::unordered_map<std::string, std::uint32_t> executions_;
 };
 
-}  // namespace arbutus
+}  // namespace arbutus::standin
--- a/src/standin/standin_http.cpp
+++ b/src/standin/standin_http.cpp
@@ -7,7 +7,7 @@
 
 #include "connection/fiber_runtime.h"
 
-namespace arbutus {
+namespace arbutus::standin {
 
 // The server closes the connection of an answer that was begun and not finished; to the caller it
 // is no answer.
@@ -68,4 +68,4 @@
   return std::string(target.substr(prefix.size()));
 }
 
-}  // namespace arbutus
+}  // namespace arbutus::standin
--- a/src/standin/standin_http.h
+++ b/src/standin/standin_http.h
@@ -12,7 +12,7 @@
 #include "connection/http_server.h"
 #include "standin/fault_commands.h"
 
-namespace arbutus {
+namespace arbutus::standin {
 
 // How long a waiting shell goes without looking whether a fault has changed.
 inline constexpr duration look_interval = 10ms;
@@ -49,4 +49,4 @@
 // The rest of `target` behind `prefix`, if it begins so.
 [[nodiscard]] std::optional<std::string> after(std::string_view target, std::string_view prefix);
 
-}  // namespace arbutus
+}  // namespace arbutus::standin
--- a/src/standin/store_gate.cpp
+++ b/src/standin/store_gate.cpp
@@ -3,7 +3,7 @@
 
 #include <algorithm>
 
-namespace arbutus {
+namespace arbutus::standin {
 
 store_status status_of(gate_verdict verdict) {
   switch (verdict) {
@@ -83,4 +83,4 @@
   return lost;
 }
 
-}  // namespace arbutus
+}  // namespace arbutus::standin
--- a/src/standin/store_gate.h
+++ b/src/standin/store_gate.h
@@ -9,7 +9,7 @@
 #include "base/rng.h"
 #include "base/units.h"
 
-namespace arbutus {
+namespace arbutus::standin {
 
 struct store_faults {
   bool down = false;
@@ -92,4 +92,4 @@
   rng random_;
 };
 
-}  // namespace arbutus
+}  // namespace arbutus::standin
--- a/src/standin/table_standin.cpp
+++ b/src/standin/table_standin.cpp
@@ -3,7 +3,7 @@
 
 #include <utility>
 
-namespace arbutus {
+namespace arbutus::standin {
 
 table_row table_standin::row(const std::string& key) const {
   const auto found = content_.rows.find(key);
@@ -70,4 +70,4 @@
   return result;
 }
 
-}  // namespace arbutus
+}  // namespace arbutus::standin
--- a/src/standin/table_standin.h
+++ b/src/standin/table_standin.h
@@ -12,7 +12,7 @@
 #include "process/effects.h"
 #include "standin/store_gate.h"
 
-namespace arbutus {
+namespace arbutus::standin {
 
 struct table_reply {
   store_status status = store_status::ok;
@@ -67,4 +67,4 @@
   store_gate gate_;
 };
 
-}  // namespace arbutus
+}  // namespace arbutus::standin
--- a/src/standin/vm_list_standin.cpp
+++ b/src/standin/vm_list_standin.cpp
@@ -1,7 +1,7 @@
 // The lagging list of VMs.
 #include "standin/vm_list_standin.h"
 
-namespace arbutus {
+namespace arbutus::standin {
 
 void vm_list_standin::set(time_point now, const vm_id& vm, vm_presence presence) {
   changes_[vm].push_back({now, presence});
@@ -23,4 +23,4 @@
   return shown;
 }
 
-}  // namespace arbutus
+}  // namespace arbutus::standin
--- a/src/standin/vm_list_standin.h
+++ b/src/standin/vm_list_standin.h
@@ -8,7 +8,7 @@
 #include "base/units.h"
 #include "process/effects.h"
 
-namespace arbutus {
+namespace arbutus::standin {
 
 enum class vm_presence { live, leaving, gone };
 
@@ -32,4 +32,4 @@
   duration lag_{};
 };
 
-}  // namespace arbutus
+}  // namespace arbutus::standin
--- a/src/standin/weight_standin.h
+++ b/src/standin/weight_standin.h
@@ -6,7 +6,7 @@
 
 #include "base/units.h"
 
-namespace arbutus {
+namespace arbutus::standin {
 
 class weight_standin {
  public:
@@ -35,4 +35,4 @@
   std::uint64_t loaded_bytes_{};
 };
 
-}  // namespace arbutus
+}  // namespace arbutus::standin
