Stand-ins: tests in virtual time; a finished job is finished to the microsecond

Cause: a job could have all its tokens and still count as open for one more microsecond. Change: one rule says when a job is done; tests of stores, engines and their faults.

--- a/src/standin/batch_standin.cpp
+++ b/src/standin/batch_standin.cpp
@@ -16,9 +16,17 @@
   return static_cast<std::uint32_t>(produced + rounding);
 }
 
+// Far beyond any test, and still a number of microseconds.
+constexpr double longest_seconds = 1e9;
+
 // Up, so that the job is there when this time has passed.
 duration round_up(double seconds) {
-  return duration{static_cast<duration::rep>(std::ceil(seconds * 1e6))};
+  return duration{static_cast<duration::rep>(std::ceil(std::min(seconds, longest_seconds) * 1e6))};
+}
+
+// Down, so that no job stands still at its end while others wait; but never not at all.
+duration round_down(double seconds) {
+  return std::max(duration{1}, from_seconds(std::min(seconds, longest_seconds)));
 }
 
 }  // namespace
@@ -60,10 +68,14 @@
   }
 }
 
+bool batch_standin::has_made(const job_state& job, std::uint32_t wanted) {
+  return job.prefill_left <= 0 && whole_tokens(job.produced) >= wanted;
+}
+
 void batch_standin::finish_done() {
   std::erase_if(running_, [this](batch_handle handle) {
     const job_state& job = jobs_.at(handle);
-    return job.prefill_left <= 0 && whole_tokens(job.produced) >= job.job.tokens;
+    return has_made(job, job.job.tokens);
   });
 }
 
@@ -78,8 +90,8 @@
 
 void batch_standin::advance(time_point now, double speed) {
   while (at_ < now && speed > 0 && !running_.empty()) {
-    const double next = seconds_to_next_finish(speed);
-    const duration step = std::min(round_up(std::min(next, 1e9)), duration{now - at_});
+    const duration next = round_down(seconds_to_next_finish(speed));
+    const duration step = std::min(next, duration{now - at_});
     progress_by(to_seconds(step), speed);
     at_ += step;
     finish_done();
@@ -122,7 +134,9 @@
   }
   const job_state& job = found->second;
   batch_progress result{job.started, whole_tokens(job.produced), std::nullopt};
-  if (job.started && speed > 0) {
+  if (job.started && has_made(job, wanted)) {
+    result.remaining = duration{};
+  } else if (job.started && speed > 0) {
     result.remaining = round_up(seconds_until(job, wanted, speed));
   }
   return result;
--- a/src/standin/batch_standin.h
+++ b/src/standin/batch_standin.h
@@ -72,6 +72,7 @@
   [[nodiscard]] double seconds_until(const job_state& job, std::uint32_t wanted,
                                      double speed) const;
   void progress_by(double seconds, double speed);
+  [[nodiscard]] static bool has_made(const job_state& job, std::uint32_t wanted);
   void finish_done();
   void fill_slots();
   [[nodiscard]] double seconds_to_next_finish(double speed) const;
--- a/src/standin/store_gate.cpp
+++ b/src/standin/store_gate.cpp
@@ -32,10 +32,11 @@
   const double gained = to_seconds(now - filled_at_) * per_second;
   tokens_ = std::clamp(tokens_ + gained, 0.0, std::max(1.0, per_second));
   filled_at_ = now;
-  if (tokens_ < 1.0) {
+  constexpr double rounding = 1e-9;
+  if (tokens_ < 1.0 - rounding) {
     return false;
   }
-  tokens_ -= 1.0;
+  tokens_ = std::max(0.0, tokens_ - 1.0);
   return true;
 }
 
--- /dev/null
+++ b/tests/shell/standin_engine_test.cpp
@@ -0,0 +1,448 @@
+// One stand-in engine and groups of them, in virtual time.
+#include <gtest/gtest.h>
+
+#include <memory>
+
+#include "standin/answer.h"
+#include "standin/engine_standin.h"
+
+namespace arbutus::standin {
+namespace {
+
+const model_id dispatch{"dispatch-llm"};
+const replica_id r1{"r1"};
+
+engine_settings quick_settings() {
+  engine_settings s;
+  s.form_time = 1s;
+  s.usual.weight_bytes = 1000;
+  s.usual.batch.slots = 2;
+  s.usual.batch.tokens_per_second = 10;
+  s.usual.batch.prefill_tokens_per_second = 1e9;
+  s.usual.batch.slowdown_when_full = 0;
+  s.records_runs = true;
+  return s;
+}
+
+class standin_engine : public testing::Test {
+ protected:
+  engine_standin& add(const char* name, const engine_settings& settings = quick_settings()) {
+    engines.push_back(std::make_unique<engine_standin>(fabric, vm_id{name}, settings));
+    return *engines.back();
+  }
+
+  order make_order(order_kind kind, const engine_standin& e, generation gen) {
+    order o;
+    o.kind = kind;
+    o.vm = e.vm();
+    o.target = {r1, gen, members};
+    o.model = dispatch;
+    o.model_version = "1";
+    return o;
+  }
+  bool apply(engine_standin& e, order_kind kind, generation gen) {
+    return e.apply(now, make_order(kind, e, gen), now).accepted;
+  }
+
+  // Three VMs, formed and ready.
+  void form_group(generation gen = {7, 0, 0}) {
+    for (const auto& e : engines) {
+      ASSERT_TRUE(apply(*e, order_kind::form, gen));
+    }
+    now += 10s;
+  }
+  void add_group(const engine_settings& settings = quick_settings()) {
+    for (const char* name : {"a1", "a2", "a3"}) {
+      members.emplace_back(name);
+      add(name, settings);
+    }
+    form_group();
+  }
+  engine_standin& head() { return *engines.front(); }
+
+  generation_request make_request(const char* id, std::uint32_t tokens = 10) {
+    generation_request r;
+    r.id = request_id{id};
+    r.model = dispatch;
+    r.prompt = std::string("prompt of ") + id;
+    r.max_tokens = tokens;
+    return r;
+  }
+  batch_handle submit(const generation_request& r) {
+    const auto submitted = head().submit(now, r);
+    EXPECT_TRUE(std::holds_alternative<batch_handle>(submitted));
+    const auto* handle = std::get_if<batch_handle>(&submitted);
+    return handle == nullptr ? 0 : *handle;
+  }
+  int refused_with(engine_standin& e, const generation_request& r) {
+    const auto submitted = e.submit(now, r);
+    const auto* refusal = std::get_if<not_run>(&submitted);
+    return refusal == nullptr ? 0 : refusal->status;
+  }
+
+  static std::string text_of(const stream_step& step) {
+    std::string text;
+    for (const standin_token& t : step.tokens) {
+      text += t.text;
+    }
+    return text;
+  }
+  std::string expected(const generation_request& r) {
+    return expected_answer(r.model, r.prompt, r.max_tokens);
+  }
+
+  time_point now{100s};
+  engine_fabric fabric{weight_standin{1000.0}};
+  std::vector<vm_id> members;
+  std::vector<std::unique_ptr<engine_standin>> engines;
+};
+
+TEST_F(standin_engine, loads_at_the_shared_rate_and_is_then_ready) {
+  members = {vm_id{"a1"}, vm_id{"a2"}};
+  engine_standin& first = add("a1");
+  engine_standin& second = add("a2");
+  EXPECT_EQ(first.report(now).state, engine_state::idle);
+  apply(first, order_kind::form, {7, 0, 0});
+  apply(second, order_kind::form, {7, 0, 0});
+  now += 2s;
+  EXPECT_EQ(first.report(now).state, engine_state::ready);
+  EXPECT_EQ(second.report(now).state, engine_state::loading);
+  EXPECT_EQ(refused_with(first, make_request("q")), 503);
+  now += 1s;
+  EXPECT_EQ(second.report(now).state, engine_state::ready);
+  EXPECT_EQ(refused_with(first, make_request("q")), 0);
+}
+
+TEST_F(standin_engine, answers_as_expected_token_by_token) {
+  add_group();
+  const generation_request r = make_request("q", 10);
+  const batch_handle h = submit(r);
+  stream_step step = head().take(now, h, false);
+  EXPECT_TRUE(step.tokens.empty());
+  ASSERT_TRUE(step.next_at);
+  now = *step.next_at;
+  step = head().take(now, h, false);
+  EXPECT_EQ(text_of(step), answer_token(answer_seed(r.model, r.prompt), 0));
+  std::string text = text_of(step);
+  now += 1s;
+  step = head().take(now, h, false);
+  EXPECT_EQ(step.state, stream_state::finished);
+  EXPECT_EQ(text + text_of(step), expected(r));
+  EXPECT_EQ(head().counters().completed, 1U);
+}
+
+TEST_F(standin_engine, resumes_behind_the_tokens_the_caller_has) {
+  add_group();
+  generation_request r = make_request("q", 10);
+  r.resume_offset = 7;
+  const batch_handle h = submit(r);
+  now += 1s;
+  const stream_step step = head().take(now, h, true);
+  ASSERT_EQ(step.tokens.size(), 3U);
+  EXPECT_EQ(step.tokens.front().offset, 7U);
+  EXPECT_EQ(expected_answer(r.model, r.prompt, 7) + text_of(step), expected(r));
+}
+
+TEST_F(standin_engine, runs_by_priority_and_slows_with_the_batch) {
+  engine_settings settings = quick_settings();
+  settings.usual.batch.slowdown_when_full = 1.0;
+  add_group(settings);
+  const batch_handle a = submit(make_request("a", 10));
+  const batch_handle b = submit(make_request("b", 10));
+  generation_request urgent = make_request("urgent", 10);
+  generation_request batch = make_request("batch", 10);
+  batch.priority = 1;
+  const batch_handle later = submit(batch);
+  const batch_handle sooner = submit(urgent);
+  now += 1s;
+  EXPECT_EQ(head().take(now, a, false).tokens.size(), 5U);
+  EXPECT_EQ(head().report(now).queued, 2U);
+  now += 1s;
+  EXPECT_EQ(head().take(now, b, true).state, stream_state::finished);
+  now += 1s;
+  EXPECT_EQ(head().take(now, sooner, false).tokens.size(), 5U);
+  EXPECT_EQ(head().take(now, later, false).tokens.size(), 5U);
+  EXPECT_EQ(head().report(now).queued, 0U);
+}
+
+TEST_F(standin_engine, queues_the_less_urgent_behind_the_urgent) {
+  add_group();
+  submit(make_request("a", 10));
+  submit(make_request("b", 20));
+  generation_request batch = make_request("batch", 10);
+  batch.priority = 1;
+  const batch_handle later = submit(batch);
+  const batch_handle sooner = submit(make_request("urgent", 20));
+  now += 1500ms;
+  EXPECT_EQ(head().take(now, sooner, false).tokens.size(), 5U);
+  EXPECT_TRUE(head().take(now, later, false).tokens.empty());
+}
+
+// Symptom: callers of a replica see their streams break.
+// Sequence: requests run on the head, another member's process dies.
+// Cause: a replica is lost with any one of its members.
+TEST_F(standin_engine, loses_all_it_runs_with_one_member) {
+  add_group();
+  const batch_handle running = submit(make_request("a", 100));
+  submit(make_request("b", 100));
+  const batch_handle queued = submit(make_request("c", 100));
+  now += 1s;
+  engines[2]->kill(now);
+  EXPECT_EQ(head().take(now, running, false).state, stream_state::cut);
+  EXPECT_EQ(head().take(now, queued, false).state, stream_state::cut);
+  EXPECT_EQ(refused_with(head(), make_request("d")), 503);
+  EXPECT_EQ(head().counters().cut, 3U);
+  EXPECT_EQ(head().runs(request_id{"d"}), 0U);
+}
+
+TEST_F(standin_engine, serves_again_once_the_member_is_back_in_the_group) {
+  add_group();
+  engines[2]->restart(now);
+  EXPECT_EQ(engines[2]->report(now).incarnation, 2U);
+  EXPECT_EQ(engines[2]->report(now).state, engine_state::idle);
+  EXPECT_EQ(refused_with(head(), make_request("a")), 503);
+  apply(*engines[2], order_kind::form, {7, 0, 0});
+  now += 2s;
+  EXPECT_EQ(refused_with(head(), make_request("b")), 0);
+}
+
+TEST_F(standin_engine, stands_still_while_a_member_is_paused) {
+  add_group();
+  const batch_handle h = submit(make_request("a", 100));
+  now += 1s;
+  EXPECT_EQ(head().take(now, h, false).tokens.size(), 10U);
+  engines[1]->pause(now);
+  now += 5s;
+  EXPECT_TRUE(head().take(now, h, false).tokens.empty());
+  engines[1]->resume(now);
+  now += 1s;
+  EXPECT_EQ(head().take(now, h, false).tokens.size(), 10U);
+}
+
+TEST_F(standin_engine, is_as_slow_as_its_slowest_member) {
+  add_group();
+  const batch_handle h = submit(make_request("a", 100));
+  engines[1]->set_straggler(now, 0.2);
+  now += 1s;
+  EXPECT_EQ(head().take(now, h, false).tokens.size(), 2U);
+}
+
+// Symptom: a VM that was given to another replica goes back to the old one.
+// Sequence: an order is delayed, a newer one is carried out, then the old one arrives.
+// Cause: the network or a paused sender keeps an order that is no longer true.
+TEST_F(standin_engine, refuses_an_old_token_unless_it_does_not_check) {
+  add_group();
+  EXPECT_FALSE(apply(head(), order_kind::form, {6, 9, 3}));
+  EXPECT_FALSE(apply(head(), order_kind::release, {6, 0, 0}));
+  EXPECT_EQ(head().report(now).gen, (generation{7, 0, 0}));
+  head().set_checks_tokens(false);
+  EXPECT_TRUE(apply(head(), order_kind::form, {6, 9, 3}));
+  EXPECT_EQ(head().report(now).gen, (generation{6, 9, 3}));
+}
+
+TEST_F(standin_engine, refuses_one_token_for_two_compositions) {
+  add_group();
+  order other = make_order(order_kind::form, head(), {7, 0, 0});
+  other.target.replica = replica_id{"r2"};
+  EXPECT_FALSE(head().apply(now, other, now).accepted);
+}
+
+TEST_F(standin_engine, refuses_an_order_for_another_incarnation_or_vm) {
+  add_group();
+  order o = make_order(order_kind::release, head(), {8, 0, 0});
+  o.expected_incarnation = 2;
+  EXPECT_FALSE(head().apply(now, o, now).accepted);
+  o.expected_incarnation = 1;
+  o.vm = vm_id{"a2"};
+  EXPECT_FALSE(head().apply(now, o, now).accepted);
+  EXPECT_EQ(head().counters().orders_refused, 2U);
+}
+
+// Symptom: an engine obeys an order whose sender gave up on it long ago.
+// Sequence: the order arrives at a paused engine, which resumes after the order's validity.
+// Cause: a paused process does not know that it was paused.
+TEST_F(standin_engine, refuses_an_order_it_comes_to_too_late) {
+  add_group();
+  const order o = make_order(order_kind::release, head(), {8, 0, 0});
+  EXPECT_FALSE(head().apply(now + 3s, o, now).accepted);
+  EXPECT_TRUE(head().apply(now + 4s, o, now + 3s).accepted);
+}
+
+TEST_F(standin_engine, repeats_of_an_order_change_nothing) {
+  add_group();
+  submit(make_request("a", 100));
+  EXPECT_TRUE(apply(head(), order_kind::form, {7, 0, 0}));
+  EXPECT_EQ(head().report(now).state, engine_state::ready);
+  EXPECT_EQ(head().counters().cut, 0U);
+}
+
+TEST_F(standin_engine, loads_nothing_anew_for_a_new_generation_in_the_same_place) {
+  add_group();
+  const std::uint64_t before = fabric.weights().loaded_bytes();
+  form_group({8, 0, 0});
+  EXPECT_EQ(fabric.weights().loaded_bytes(), before);
+  EXPECT_EQ(refused_with(head(), make_request("a")), 0);
+}
+
+TEST_F(standin_engine, drains_without_cutting) {
+  add_group();
+  const generation_request r = make_request("a", 10);
+  const batch_handle h = submit(r);
+  EXPECT_TRUE(apply(head(), order_kind::drain, {7, 0, 0}));
+  EXPECT_EQ(refused_with(head(), make_request("b")), 409);
+  now += 1s;
+  EXPECT_EQ(text_of(head().take(now, h, true)), expected(r));
+  EXPECT_TRUE(apply(head(), order_kind::release, {7, 0, 0}));
+  EXPECT_EQ(head().report(now).state, engine_state::idle);
+  EXPECT_EQ(head().counters().cut_by_order, 0U);
+}
+
+TEST_F(standin_engine, counts_what_a_release_cuts) {
+  add_group();
+  submit(make_request("a", 10));
+  apply(head(), order_kind::release, {7, 0, 0});
+  EXPECT_EQ(head().counters().cut_by_order, 1U);
+}
+
+TEST_F(standin_engine, does_not_run_what_was_meant_for_another_composition) {
+  add_group();
+  generation_request r = make_request("a");
+  r.replica = replica_id{"r2"};
+  EXPECT_EQ(refused_with(head(), r), 409);
+  r.replica = r1;
+  r.gen = to_string(generation{6, 0, 0});
+  EXPECT_EQ(refused_with(head(), r), 409);
+  r.gen = to_string(generation{7, 0, 0});
+  EXPECT_EQ(refused_with(*engines[1], r), 409);
+  EXPECT_EQ(head().runs(r.id), 0U);
+  EXPECT_EQ(refused_with(head(), r), 0);
+  EXPECT_EQ(head().runs(r.id), 1U);
+}
+
+TEST_F(standin_engine, drops_what_expired_in_the_queue_as_not_run) {
+  add_group();
+  submit(make_request("a", 100));
+  submit(make_request("b", 100));
+  generation_request r = make_request("c");
+  r.expiry = 2s;
+  const batch_handle h = submit(r);
+  EXPECT_EQ(head().take(now + 1s, h, false).state, stream_state::open);
+  EXPECT_EQ(head().take(now + 2s, h, false).state, stream_state::expired);
+  EXPECT_EQ(head().runs(r.id), 0U);
+}
+
+TEST_F(standin_engine, frees_the_slot_of_a_cancelled_request) {
+  add_group();
+  const batch_handle a = submit(make_request("a", 100));
+  submit(make_request("b", 100));
+  submit(make_request("c", 100));
+  EXPECT_TRUE(head().cancel(now, request_id{"a"}));
+  EXPECT_FALSE(head().cancel(now, request_id{"a"}));
+  EXPECT_EQ(head().take(now, a, false).state, stream_state::cut);
+  EXPECT_EQ(head().report(now).queued, 0U);
+  EXPECT_EQ(head().report(now).running, 2U);
+}
+
+// Symptom: a caller gets a whole, well-formed answer to somebody else's request.
+// Sequence: two requests run side by side, each connection gets the other's answer.
+// Cause: an engine mixes up the requests of its batch.
+TEST_F(standin_engine, crosses_two_answers_under_their_own_ids) {
+  add_group();
+  head().faults().crossed = 1;
+  const generation_request a = make_request("a");
+  const generation_request b = make_request("b");
+  const batch_handle first = submit(a);
+  const batch_handle second = submit(b);
+  now += 1s;
+  const stream_step step = head().take(now, first, true);
+  EXPECT_EQ(step.shown_as, b.id);
+  EXPECT_EQ(text_of(step), expected(b));
+  EXPECT_EQ(head().take(now, second, true).shown_as, a.id);
+  const batch_handle third = submit(make_request("c"));
+  EXPECT_EQ(head().take(now, third, true).shown_as, request_id{"c"});
+}
+
+TEST_F(standin_engine, truncates_doubles_and_delays_answers) {
+  add_group();
+  head().faults().truncated = 1;
+  const batch_handle half = submit(make_request("a", 10));
+  head().faults().duplicated = 1;
+  const batch_handle doubled = submit(make_request("b", 10));
+  now += 1s;
+  const stream_step cut = head().take(now, half, false);
+  EXPECT_EQ(cut.state, stream_state::cut);
+  EXPECT_EQ(cut.tokens.size(), 5U);
+  const stream_step twice = head().take(now, doubled, false);
+  ASSERT_EQ(twice.tokens.size(), 11U);
+  EXPECT_EQ(twice.tokens[5].offset, twice.tokens[6].offset);
+  head().faults().late = 1;
+  head().faults().late_by = 4s;
+  const batch_handle late = submit(make_request("c", 10));
+  EXPECT_TRUE(head().take(now + 3s, late, false).tokens.empty());
+  EXPECT_EQ(head().take(now + 4s, late, false).state, stream_state::finished);
+}
+
+TEST_F(standin_engine, skips_the_prefill_of_cached_blocks) {
+  engine_settings settings = quick_settings();
+  settings.usual.batch.prefill_tokens_per_second = 64;
+  add_group(settings);
+  generation_request r = make_request("a", 10);
+  r.prompt = std::string(2 * prefix_block_bytes, 'x');
+  EXPECT_EQ(head().take(now, submit(r), true).next_at, now + 3s);
+  now += 3s;
+  const batch_handle again = submit(r);
+  // Only what was cached by the first answer counts; nobody has looked at it yet.
+  EXPECT_EQ(head().take(now, again, true).next_at, now + 3s);
+  head().close(now, again);
+  EXPECT_EQ(head().take(now, 1, true).state, stream_state::finished);
+  EXPECT_EQ(head().take(now, submit(r), true).next_at, now + 1s);
+}
+
+TEST_F(standin_engine, reports_load_late_but_identity_at_once) {
+  engine_settings settings = quick_settings();
+  settings.report_lag = 2s;
+  add_group(settings);
+  EXPECT_EQ(head().report(now).running, 0U);
+  now += 5s;
+  submit(make_request("a", 1000));
+  EXPECT_EQ(head().report(now + 1s).running, 0U);
+  EXPECT_EQ(head().report(now + 2s).running, 1U);
+  head().set_leaving(true);
+  EXPECT_TRUE(head().report(now + 2s).leaving);
+}
+
+TEST(standin_cache, evicts_the_least_recently_used_and_tells_late_with_gaps) {
+  cache_standin cache({2, 1s, 0.0}, 1);
+  const time_point now{10s};
+  cache.store(now, {1});
+  cache.store(now, {2});
+  EXPECT_EQ(cache.cached({1}), 1U);
+  cache.store(now, {3});
+  EXPECT_EQ(cache.cached({1}), 1U);
+  EXPECT_EQ(cache.cached({2}), 0U);
+  EXPECT_TRUE(cache.events(now + 999ms, 0).empty());
+  const auto events = cache.events(now + 1s, 1);
+  ASSERT_EQ(events.size(), 3U);
+  EXPECT_EQ(events[1].change, cache_change::removed);
+  EXPECT_EQ(events[1].block, 2U);
+
+  cache_standin gappy({1000, 0s, 0.5}, 1);
+  for (std::uint64_t block = 1; block <= 1000; ++block) {
+    gappy.store(now, {block});
+  }
+  EXPECT_NEAR(static_cast<double>(gappy.events(now, 0).size()), 500.0, 80.0);
+}
+
+TEST(standin_cache, moves_a_prefix_to_another_engine) {
+  cache_standin from({8, 0s, 0.0}, 1);
+  cache_standin to({8, 0s, 0.0}, 2);
+  const time_point now{10s};
+  from.store(now, {11, 12, 13});
+  EXPECT_TRUE(from.export_prefix(14).empty());
+  EXPECT_TRUE(to.import_prefix(now, from.export_prefix(12)));
+  EXPECT_EQ(to.cached({11, 12, 13}), 2U);
+  EXPECT_FALSE(to.import_prefix(now, "something else"));
+}
+
+}  // namespace
+}  // namespace arbutus::standin
