--- a/src/node/configure.h
+++ b/src/node/configure.h
@@ -7,9 +7,6 @@
 
 namespace arbutus {
 
-// The row of the table that names the accepted configuration.
-inline constexpr std::string_view config_head_key = "config/head";
-
 // POST {"base_version":N,"proposal":"ID","inventory":"CSV text","rules":"TOML text"}:
 //   200 {"version":N}              accepted; in force within seconds
 //   409 {"current":{...}}          somebody else's was accepted meanwhile; nothing was changed
--- a/src/node/model_attempt.cpp
+++ b/src/node/model_attempt.cpp
@@ -186,15 +186,19 @@
     if (end_.first_token == time_point::min()) {
       end_.first_token = monotonic_now();
     }
+    if (frame.last && !is_whole(frame.id, frame.offset + 1)) {
+      return false;
+    }
     return sink_(text) || give_up("caller gone");
   }
 
   bool on_finish(const engine_frame& frame, std::string_view text) {
-    if (answer_.finish(frame.id, frame.offset) != end_verdict::whole) {
-      return give_up("the finish does not match the tokens");
-    }
-    end_.delivered_all = true;
-    return sink_(text) || give_up("caller gone");
+    return is_whole(frame.id, frame.offset) && (sink_(text) || give_up("caller gone"));
+  }
+
+  bool is_whole(const request_id& id, std::uint64_t tokens) {
+    return answer_.finish(id, tokens) == end_verdict::whole ||
+           give_up("the finish does not match the tokens");
   }
 
   const model_attempt& attempt_;
--- a/src/node/model_attempt.h
+++ b/src/node/model_attempt.h
@@ -27,10 +27,9 @@
   std::string reason;  // why it is not done, for logs and metrics
   std::string body;    // whole answers
   std::string content_type;
-  bool engine_error = false;   // a whole answer that is an error of the caller's making (4xx)
-  bool target_lost = false;    // the connection was refused or broke
-  bool delivered_all = false;  // streams: the finish frame was passed on
-  time_point first_token;      // min(): none came
+  bool engine_error = false;  // a whole answer that is an error of the caller's making (4xx)
+  bool target_lost = false;   // the connection was refused or broke
+  time_point first_token;     // min(): none came
   duration total{};
 };
 
--- a/src/node/sse.cpp
+++ b/src/node/sse.cpp
@@ -46,6 +46,7 @@
   const json& choice = choices->front();
   if (has_text(choice)) {
     frame.kind = frame_kind::token;
+    frame.last = is_finish(choice);
   } else if (is_finish(choice)) {
     frame.kind = frame_kind::finish;
   } else {
--- a/src/node/sse.h
+++ b/src/node/sse.h
@@ -26,12 +26,19 @@
   std::size_t taken_ = 0;  // bytes of buffer_ that were given out
 };
 
-enum class frame_kind { token, finish, done, other, malformed };
+enum class frame_kind {
+  token,
+  finish,  // no token; the answer is complete
+  done,    // [DONE]
+  other,   // nothing of the answer
+  malformed,
+};
 
 struct engine_frame {
   frame_kind kind = frame_kind::malformed;
   request_id id;
   std::uint64_t offset{};  // of the token; for finish: how many tokens the answer has
+  bool last = false;       // a token that completes the answer
 };
 
 [[nodiscard]] engine_frame parse_frame(std::string_view frame);
