--- a/src/request/expected_completion.cpp
+++ b/src/request/expected_completion.cpp
@@ -185,7 +185,9 @@
     return nullptr;
   }
   for (candidate& c : all) {
-    if (!c.avoided || c.tried) {
+    // Only while it is idle: a straggler that is kept full by probes of all nodes never recovers,
+    // and each of those requests waits behind the others.
+    if (!c.avoided || c.tried || c.load >= 1) {
       continue;
     }
     learnt& known = learnt_[c.route->id];
--- a/src/request/limits.cpp
+++ b/src/request/limits.cpp
@@ -121,12 +121,20 @@
   b.counted = now;
 }
 
-// Down at once, up in steps: a peer can only make room after it heard of the demand, and both
-// using the same part of the limit meanwhile would break it.
+// Down at once, up only into room that peers have told to be free, and there only by this node's
+// part of the demand: else a node and the peer that makes room for it use the same part of the
+// limit for an exchange or two, seen as a rate above the limit whenever demand moves.
 void rate_limits::move_share(time_point now, bucket& b) const {
   const double wanted = wanted_share(now, b);
-  const double rise = settings_.max_rise * b.limit.per_second;
-  b.share = std::min(wanted, b.share + rise);
+  double room = b.limit.per_second - b.share;
+  double demand = b.demand;
+  for (const node_id& peer : others_) {
+    const auto told = b.peers.find(peer);
+    room -= told != b.peers.end() ? told->second.share : equal_share(b);
+    demand += told != b.peers.end() && is_heard(now, peer) ? told->second.demand : 0;
+  }
+  const double part = demand > 0 ? b.demand / demand : 1.0;
+  b.share = std::min(wanted, b.share + std::max(room, 0.0) * part);
 }
 
 // What this node and the peers it hears may use together is the limit less what the unheard ones
--- a/src/request/limits.h
+++ b/src/request/limits.h
@@ -5,8 +5,11 @@
 // off from others presumes that they go on using the share they last told, so the sides of a cut
 // together stay near the limit, however long it lasts.
 //
-// Stated bound while cut: limit * (1 + max_rise) plus limit / nodes for each node that was
-// started anew inside the cut, plus one burst.
+// Stated bound: the sum of the shares stays under 1.25 of the limit through any sequence of cuts
+// and demands, plus limit / nodes for each node that was started anew while cut off (the others
+// still reckon with its former share). While nothing is cut it is the limit, but for the
+// moments in which demand moves. Each node may also hold its part of the burst, at least one
+// request. The price: demand that moves to the other side of a cut finds only that side's part.
 //
 // Not thread-safe.
 #pragma once
@@ -38,7 +41,6 @@
   duration told_every = 1s;     // how often usage is exchanged
   duration peer_timeout = 5s;   // unheard for longer: presumed to keep its last share
   double floor_part = 0.2;      // of limit / nodes, kept by each node without any demand
-  double max_rise = 0.10;       // of the limit, per exchange: peers must hear of it first
   duration demand_window = 5s;  // time constant of the demand's moving average
 };
 
