--- a/src/standin/answer.h
+++ b/src/standin/answer.h
@@ -40,3 +40,9 @@
 [[nodiscard]] std::uint32_t count_tokens(std::string_view prompt);
 
 }  // namespace arbutus::standin
+
+namespace arbutus {
+
+using standin::expected_answer;
+
+}  // namespace arbutus
--- a/src/standin/completion_wire.h
+++ b/src/standin/completion_wire.h
@@ -7,7 +7,7 @@
 
 #include "base/outcome.h"
 #include "connection/http_message.h"
-#include "standin/answer_stream.h"
+#include "standin/standin_answer.h"
 
 namespace arbutus::standin {
 
--- a/src/standin/engine_standin.h
+++ b/src/standin/engine_standin.h
@@ -15,10 +15,10 @@
 #include "base/units.h"
 #include "process/effects.h"
 #include "process/report.h"
-#include "standin/answer_stream.h"
 #include "standin/batch_standin.h"
 #include "standin/cache_standin.h"
 #include "standin/engine_fabric.h"
+#include "standin/standin_answer.h"
 
 namespace arbutus::standin {
 
@@ -143,7 +143,7 @@
  private:
   struct open_stream {
     request_id id;
-    answer_stream answer;
+    standin_answer answer;
     std::vector<std::uint64_t> prefix;
     std::optional<time_point> expires_at;
     bool cut = false;
