--- a/tests/shell/standin_engine_test.cpp
+++ b/tests/shell/standin_engine_test.cpp
@@ -304,6 +304,20 @@
   EXPECT_EQ(head().counters().cut_by_order, 1U);
 }
 
+// Symptom: a request ends, or shows another's tokens, when a connection from before is closed.
+// Sequence: a request is cut by a new generation, a new one begins, the old connection is closed.
+// Cause: handles that start anew with each batch.
+TEST_F(standin_engine, gives_no_handle_twice) {
+  add_group();
+  const batch_handle old = submit(make_request("a", 100));
+  form_group({8, 0, 0});
+  const batch_handle fresh = submit(make_request("b", 10));
+  EXPECT_EQ(head().take(now, old, false).state, stream_state::cut);
+  head().close(now, old);
+  now += 1s;
+  EXPECT_EQ(head().take(now, fresh, true).state, stream_state::finished);
+}
+
 TEST_F(standin_engine, does_not_run_what_was_meant_for_another_composition) {
   add_group();
   generation_request r = make_request("a");
--- a/tests/shell/standin_http_test.cpp
+++ b/tests/shell/standin_http_test.cpp
@@ -254,6 +254,31 @@
   EXPECT_EQ(fleet->report(a1).running, 0U);
 }
 
+TEST_F(standin_http, frees_the_slot_of_an_answer_it_breaks_off) {
+  form();
+  next_answers faults;
+  faults.truncated = 1;
+  fleet->set_answer_faults(a1, faults);
+  fleet->set_straggler(a1, 0.1);
+  in_fiber([&] {
+    const answer a = stream(completion("q1", 40, true));
+    EXPECT_EQ(a.result.outcome, call_outcome::unknown);
+    EXPECT_EQ(a.text, expected_answer(dispatch, "q1", 20));
+  });
+  // What is not freed now would never end.
+  fleet->set_straggler(a1, 0.0);
+  await([&] { return fleet->report(a1).running == 0; });
+}
+
+TEST_F(standin_http, shows_that_a_vm_leaves_in_its_report_and_in_the_list) {
+  fleet->set_leaving(a2, true);
+  EXPECT_TRUE(fleet->report(a2).leaving);
+  EXPECT_EQ(call(platform(), "GET", "/vms").response.body,
+            R"([{"leaving":false,"vm":"a1"},{"leaving":true,"vm":"a2"}])");
+  fleet->remove_vm(a2);
+  EXPECT_EQ(call(platform(), "GET", "/vms").response.body, R"([{"leaving":false,"vm":"a1"}])");
+}
+
 TEST_F(standin_http, keeps_silent_but_does_what_it_is_told) {
   form();
   fleet->set_silent(a1, true);
@@ -322,6 +347,10 @@
 TEST_F(standin_http, refuses_faults_it_does_not_know) {
   EXPECT_EQ(call(platform(), "POST", "/faults", R"({"table":{"dwon":true}})").response.status, 400);
   EXPECT_EQ(call(address(a1), "POST", "/faults", R"({"silnet":true})").response.status, 400);
+  // A command with one unknown name changes nothing at all.
+  EXPECT_EQ(
+      call(platform(), "POST", "/faults", R"({"table":{"down":true,"zzz":1}})").response.status,
+      400);
   EXPECT_EQ(call(platform(), "GET", "/table/k").response.status, 404);
 }
 
