--- a/src/node/configure.cpp
+++ b/src/node/configure.cpp
@@ -6,7 +6,7 @@
 
 #include "connection/clock.h"
 #include "node/error_body.h"
-#include "process/config_replica.h"
+#include "process/config_proposer.h"
 #include "version/import.h"
 
 namespace arbutus {
--- a/src/node/keyed_driver.cpp
+++ b/src/node/keyed_driver.cpp
@@ -58,7 +58,7 @@
       if (!call_.may_send(now)) {
         return false;
       }
-      call_.sent(now);
+      call_.sent();
       return true;
     };
     const call_result result = send_(permit);
