Trial: a repair counts only when the lost VM is no longer a member

Cause: the trial took a replica that served again with its dead member still in it for a repair. Change: it waits for a composition without the lost VM, and prints what the node knows if none comes.

--- a/src/cli/trial.cpp
+++ b/src/cli/trial.cpp
@@ -13,6 +13,7 @@
 #include "cli/trial_fleet.h"
 #include "cli/trial_load.h"
 #include "connection/clock.h"
+#include "node/status_json.h"
 
 namespace arbutus {
 
@@ -140,8 +141,14 @@
   }
   s.tell("killing " + lost.vm.str() + ", a member of " + lost.replica.str() + how);
   fleet.standins().kill_vm(lost.vm);
-  s.wait("not routed to", [&] { return !fleet.is_serving(lost.node, lost.replica); });
-  s.wait("repaired and serving again", [&] { return fleet.is_serving(lost.node, lost.replica); });
+  s.wait("not routed to", [&] { return !fleet.is_routed_to(lost.node, lost.replica); });
+  const bool repaired = s.wait("repaired and serving again", [&] {
+    return fleet.serves_without(lost.node, lost.replica, lost.vm);
+  });
+  if (!repaired) {
+    s.tell("what the node knows: " +
+           status_json(fleet.nodes()[lost.node]->status(), monotonic_now()));
+  }
 }
 
 void stop_one_node(trial_fleet& fleet, trial_load& load, story& s) {
--- a/src/cli/trial_fleet.cpp
+++ b/src/cli/trial_fleet.cpp
@@ -1,6 +1,7 @@
 // The fleet of `trial`.
 #include "cli/trial_fleet.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <sstream>
 
@@ -181,7 +182,16 @@
   return found;
 }
 
-bool trial_fleet::is_serving(std::size_t n, const replica_id& replica) {
+bool trial_fleet::serves_without(std::size_t n, const replica_id& replica, const vm_id& without) {
+  for (const replica_status& r : nodes_[n]->status().replicas) {
+    if (r.id == replica) {
+      return r.serving && std::find(r.members.begin(), r.members.end(), without) == r.members.end();
+    }
+  }
+  return false;
+}
+
+bool trial_fleet::is_routed_to(std::size_t n, const replica_id& replica) {
   for (const replica_status& r : nodes_[n]->status().replicas) {
     if (r.id == replica) {
       return r.serving;
--- a/src/cli/trial_fleet.h
+++ b/src/cli/trial_fleet.h
@@ -44,8 +44,10 @@
     std::size_t node = 0;  // a node of its data centre
   };
   [[nodiscard]] member find_member(std::size_t data_centre);
-  // Which VM of this replica reports it from its first place, for waiting until it serves again.
-  [[nodiscard]] bool is_serving(std::size_t node, const replica_id& replica);
+  // Whether the node routes to the replica, and none of its members is `without`.
+  [[nodiscard]] bool serves_without(std::size_t node, const replica_id& replica,
+                                    const vm_id& without);
+  [[nodiscard]] bool is_routed_to(std::size_t node, const replica_id& replica);
 
  private:
   [[nodiscard]] std::string inventory_text() const;
