Planner: a lender's VMs reach the borrower

VMs that were free beside a lender's were not set aside, so that a standby took one and the borrower did not fit; and a model that lacked a placement took what had been lent to another. Change: borrow sets the whole room aside; nobody borrows while a placement is unmet.

--- a/src/version/planner.cpp
+++ b/src/version/planner.cpp
@@ -109,7 +109,7 @@
   drain_leaving(draft);
   repair_and_fill(draft, wanted);
   roll(draft);
-  follow_demand(draft, standbys_kept(draft));
+  follow_demand(draft, wanted, standbys_kept(draft));
   reserve_standbys(draft);
 }
 
--- a/src/version/wanted.cpp
+++ b/src/version/wanted.cpp
@@ -4,6 +4,7 @@
 #include "version/wanted.h"
 
 #include <algorithm>
+#include <optional>
 #include <tuple>
 
 #include "version/placement.h"
@@ -90,36 +91,60 @@
   return count > 1 && draft.busy_replicas(r.plan.model) <= lend_below * (count - 1);
 }
 
-bool suffices(const plan_draft& draft, const model_rule& rule, const draft_replica& r,
-              std::size_t keep_free) {
+// The domain in which the borrower fits once `r` has gone.
+std::optional<domain_index> room_after(const plan_draft& draft, const model_rule& rule,
+                                       const draft_replica& r, std::size_t keep_free) {
   const std::uint32_t accelerators = rule.accelerators_per_vm;
   const auto after = [&](domain_index d) {
     return draft.pool.free_count(d, accelerators) + draft.pool.pending_count(d, accelerators) +
            draft.usable_in(r, d, accelerators);
   };
   if (after(any_domain) < rule.vms_per_replica + keep_free) {
-    return false;
+    return std::nullopt;
   }
   for (domain_index d = 0; d < draft.pool.domains(); ++d) {
     if (after(d) >= rule.vms_per_replica) {
-      return true;
+      return d;
     }
   }
-  return false;
+  return std::nullopt;
 }
 
+// What is free already is set aside too. Otherwise a later pass takes it, the borrower does not
+// fit when the drain is over, and the next plan drains another lender for the same end.
 bool borrow(plan_draft& draft, const model_rule& rule, std::size_t keep_free) {
   draft_replica* lender = nullptr;
+  domain_index domain = any_domain;
   for (draft_replica& r : draft.replicas) {
-    if (r.plan.model != rule.id && can_lend(draft, r) && suffices(draft, rule, r, keep_free) &&
-        (lender == nullptr || comes_before(*lender, r))) {
+    if (r.plan.model == rule.id || !can_lend(draft, r) ||
+        (lender != nullptr && !comes_before(*lender, r))) {
+      continue;
+    }
+    if (const auto room = room_after(draft, rule, r, keep_free)) {
       lender = &r;
+      domain = *room;
     }
   }
-  if (lender != nullptr) {
-    draft.drain(*lender, "lent to " + rule.id.str());
+  if (lender == nullptr) {
+    return false;
+  }
+  draft.drain(*lender, "lent to " + rule.id.str());
+  const std::size_t free = std::min<std::size_t>(
+      rule.vms_per_replica, draft.pool.free_count(domain, rule.accelerators_per_vm));
+  draft.pool.promise(domain, rule.accelerators_per_vm, free, rule.vms_per_replica - free);
+  return true;
+}
+
+// A model that lacks a replica of its placements comes before one that only wants more, and would
+// take what the lender gave.
+bool placements_unmet(const plan_draft& draft, const std::vector<std::uint32_t>& wanted) {
+  for (std::size_t i = 0; i < wanted.size(); ++i) {
+    if (draft.count_active(draft.models()[i]->id) < wanted[i]) {
+      return true;
+    }
   }
-  return lender != nullptr;
+  return std::ranges::any_of(draft.replicas,
+                             [](const draft_replica& r) { return r.active() && r.broken(); });
 }
 
 bool on_their_way(plan_draft& draft, const model_rule& rule, std::size_t standbys_kept,
@@ -179,13 +204,15 @@
   }
 }
 
-void follow_demand(plan_draft& draft, std::size_t standbys_kept) {
+void follow_demand(plan_draft& draft, const std::vector<std::uint32_t>& wanted,
+                   std::size_t standbys_kept) {
+  const bool may_borrow = !placements_unmet(draft, wanted);
   const std::size_t keep_free = draft.wanted().spare_vms_per_data_centre;
   bool waiting = false;
   for (const model_rule* rule : draft.models()) {
     if (has_too_few(draft, *rule) && !lay_down(draft, *rule, keep_free)) {
       waiting = on_their_way(draft, *rule, standbys_kept, keep_free) ||
-                borrow(draft, *rule, keep_free) || waiting;
+                (may_borrow && borrow(draft, *rule, keep_free)) || waiting;
     }
   }
   if (!waiting) {
--- a/src/version/wanted.h
+++ b/src/version/wanted.h
@@ -20,6 +20,7 @@
 
 // Lays down one more replica for an overloaded model: on free VMs, else on idle standbys, else by
 // draining a replica of a model with little load. `standbys_kept` stay with each replica.
-void follow_demand(plan_draft& draft, std::size_t standbys_kept);
+void follow_demand(plan_draft& draft, const std::vector<std::uint32_t>& wanted,
+                   std::size_t standbys_kept);
 
 }  // namespace arbutus
