--- a/src/request/keyed.h
+++ b/src/request/keyed.h
@@ -69,7 +69,7 @@
   duration record_for = 10min;      // how long the outcome is tried to be recorded
   duration first_backoff = 50ms;    // between tries to reach the table
   duration max_backoff = 1s;
-  std::size_t max_body = 16 * 1024;
+  std::size_t max_body = 16'384;
 };
 
 // ---- what the shell has to do ----
