Node settings, command line, check subcommand and structured log

Cause: a node must know its settings are right before it starts, operators one program with help and exit statuses, and a stalled log reader must not stop it. Change: settings from TOML checked whole and against the inventory; subcommands by Boost.Program_options; check; log lines by Boost.Log through a bounded queue.

--- /dev/null
+++ b/src/cli/check.cpp
@@ -0,0 +1,129 @@
+// The check subcommand: reads configurations and node settings as the other commands would, and
+// names every mistake in one run. It asks nobody and changes nothing.
+#include <algorithm>
+#include <filesystem>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "cli/commands.h"
+#include "process/settings.h"
+#include "version/import.h"
+
+namespace arbutus {
+
+namespace fs = std::filesystem;
+
+namespace {
+
+struct named_settings {
+  node_settings settings;
+  std::string file;
+};
+
+class checker {
+ public:
+  void take(const fs::path& path) {
+    std::error_code error;
+    if (fs::is_directory(path, error)) {
+      take_directory(path);
+    } else if (path.extension() == ".csv") {
+      take_inventory(path);
+    } else if (path.filename() == rules_file_name) {
+      take_rules(path);
+    } else {
+      take_settings(path);
+    }
+  }
+
+  // Settings that were read without errors must tell the same of their node as the inventory, when
+  // just one configuration is given.
+  void compare() {
+    if (directories_ != 1 || !assets_) {
+      return;
+    }
+    for (const named_settings& node : settings_) {
+      append(compare_settings(node.settings, *assets_, node.file));
+    }
+  }
+
+  int print(std::ostream& out, bool strict) const {
+    for (const finding& problem : problems_) {
+      out << problem << '\n';
+    }
+    const auto errors = count(severity::error);
+    const auto warnings = count(severity::warning);
+    out << "checked " << directories_ << " configurations and " << files_ << " files: " << errors
+        << " errors, " << warnings << " warnings\n";
+    const bool failed = errors > 0 || (strict && warnings > 0);
+    return to_status(failed ? exit_code::findings : exit_code::ok);
+  }
+
+ private:
+  void append(findings more) {
+    problems_.insert(problems_.end(), std::make_move_iterator(more.begin()),
+                     std::make_move_iterator(more.end()));
+  }
+
+  std::ptrdiff_t count(severity level) const {
+    return std::count_if(problems_.begin(), problems_.end(),
+                         [&](const finding& f) { return f.level == level; });
+  }
+
+  void take_directory(const fs::path& path) {
+    ++directories_;
+    import_result result = import_directory(path);
+    if (!has_errors(result.problems)) {
+      assets_ = std::move(result.assets);
+    }
+    append(std::move(result.problems));
+  }
+
+  std::optional<std::string> text_of(const fs::path& path, std::size_t limit) {
+    ++files_;
+    return read_text_file(path, limit, problems_);
+  }
+
+  void take_inventory(const fs::path& path) {
+    if (const auto text = text_of(path, max_inventory_bytes)) {
+      append(import_inventory(*text, path.string()).problems);
+    }
+  }
+
+  void take_rules(const fs::path& path) {
+    if (const auto text = text_of(path, max_toml_bytes)) {
+      append(import_rules(*text, path.string()).problems);
+    }
+  }
+
+  void take_settings(const fs::path& path) {
+    const auto text = text_of(path, max_toml_bytes);
+    if (!text) {
+      return;
+    }
+    settings_result result = load_settings(*text, path.string());
+    if (!has_errors(result.problems)) {
+      settings_.push_back({std::move(result.settings), path.string()});
+    }
+    append(std::move(result.problems));
+  }
+
+  findings problems_;
+  std::optional<inventory> assets_;  // of the configuration, when it is sound
+  std::vector<named_settings> settings_;
+  std::size_t directories_ = 0;
+  std::size_t files_ = 0;
+};
+
+}  // namespace
+
+int run_check(const check_options& options, std::ostream& out) {
+  checker check;
+  for (const std::string& path : options.paths) {
+    check.take(path);
+  }
+  check.compare();
+  return check.print(out, options.strict);
+}
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/cli/commands.h
@@ -0,0 +1,100 @@
+// The subcommands of the program: what each takes, and what its exit status means.
+#pragma once
+
+#include <cstdint>
+#include <ostream>
+#include <string>
+#include <vector>
+
+#include "base/units.h"
+#include "version/inventory.h"
+
+namespace arbutus {
+
+// Exit status of the program, for scripts. Documented in docs/operators/commands.md.
+enum class exit_code {
+  ok = 0,
+  failure = 1,      // the command ran and did not succeed
+  usage = 2,        // the command line is wrong; nothing was done
+  findings = 3,     // the input has errors; nothing was done
+  conflict = 4,     // somebody else changed the configuration meanwhile; nothing was done
+  unreachable = 5,  // proven not done: the other side could not be reached
+  unknown = 6,      // may have been done: no answer, and reading back did not settle it
+};
+
+constexpr int to_status(exit_code code) {
+  return static_cast<int>(code);
+}
+
+struct check_options {
+  std::vector<std::string> paths;  // configuration directories, or files
+  bool strict = false;             // warnings count as errors
+};
+
+struct node_options {
+  std::string settings_file;
+};
+
+struct apply_options {
+  std::string directory;
+  endpoint table;
+  endpoint objects;
+  bool dry_run = false;
+  duration timeout = 30s;
+};
+
+struct status_options {
+  std::vector<endpoint> nodes;  // callers' endpoints
+  bool json = false;
+  duration timeout = 2s;
+};
+
+struct bench_options {
+  std::string filter;  // part of a benchmark's name; empty: all
+  duration length = 1s;
+  std::uint64_t seed = 1;
+  bool json = false;
+};
+
+struct load_options {
+  std::vector<endpoint> nodes;
+  std::string key;
+  std::string model;
+  std::string request_class;
+  double rate = 10;  // requests a second
+  duration length = 10s;
+  std::uint32_t prompt_tokens = 200;
+  std::uint32_t answer_tokens = 50;
+  bool stream = false;
+  std::uint64_t seed = 1;
+  bool json = false;
+};
+
+struct trial_options {
+  std::string directory;  // empty: the embedded example
+  duration length = 10s;
+  std::uint64_t seed = 1;
+  bool json = false;
+};
+
+// Stand-ins for what the platform and the targets give, at the endpoints of a configuration.
+struct standin_options {
+  std::string directory;
+  std::string settings_file;  // of any node: names the platform's endpoints
+  bool platform = true;
+  bool engines = true;
+  bool services = true;
+  std::uint64_t seed = 1;
+};
+
+// Each returns the exit status. Results go to `out`, failures to standard error.
+int run_check(const check_options& options, std::ostream& out);
+int run_node(const node_options& options, std::ostream& out);
+int run_apply(const apply_options& options, std::ostream& out);
+int run_status(const status_options& options, std::ostream& out);
+int run_bench(const bench_options& options, std::ostream& out);
+int run_load(const load_options& options, std::ostream& out);
+int run_trial(const trial_options& options, std::ostream& out);
+int run_standin(const standin_options& options, std::ostream& out);
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/cli/options.cpp
@@ -0,0 +1,371 @@
+// The command line by Boost.Program_options: one entry of `specs` for each subcommand.
+#include "cli/options.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/program_options.hpp>
+#include <cmath>
+#include <sstream>
+#include <stdexcept>
+#include <string_view>
+
+#include "version/field_text.h"
+
+namespace arbutus {
+
+namespace {
+
+namespace po = boost::program_options;
+
+using strings = std::vector<std::string>;
+
+// A value that the library accepts but the command does not.
+struct usage_error : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+// ---- values ----
+
+endpoint endpoint_from(const std::string& text, std::string_view option) {
+  const auto parsed = parse_endpoint(text);
+  if (!parsed) {
+    throw usage_error("--" + std::string(option) + ": " + in_quotes(text) + " is no endpoint; " +
+                      std::string(endpoint_expected));
+  }
+  return *parsed;
+}
+
+endpoint endpoint_of(const po::variables_map& values, const char* option) {
+  return endpoint_from(values[option].as<std::string>(), option);
+}
+
+std::vector<endpoint> endpoints_of(const po::variables_map& values, const char* option) {
+  std::vector<endpoint> result;
+  for (const std::string& text : values[option].as<strings>()) {
+    result.push_back(endpoint_from(text, option));
+  }
+  return result;
+}
+
+double positive(const po::variables_map& values, const char* option) {
+  constexpr double most = 1e6;
+  const double value = values[option].as<double>();
+  if (!std::isfinite(value) || value <= 0 || value > most) {
+    throw usage_error("--" + std::string(option) + ": expected a number above 0, at most 1000000");
+  }
+  return value;
+}
+
+duration seconds_of(const po::variables_map& values, const char* option) {
+  return from_seconds(positive(values, option));
+}
+
+// The library reads "-1" as a huge unsigned number; the range catches that.
+std::uint32_t count_of(const po::variables_map& values, const char* option) {
+  constexpr std::int64_t most = 1'000'000;
+  const auto value = values[option].as<std::int64_t>();
+  if (value < 1 || value > most) {
+    throw usage_error("--" + std::string(option) + ": expected a whole number from 1 to 1000000");
+  }
+  return static_cast<std::uint32_t>(value);
+}
+
+po::typed_value<std::string>* text() {
+  return po::value<std::string>();
+}
+
+po::typed_value<double>* number(double fallback, const char* shown) {
+  return po::value<double>()->default_value(fallback, shown);
+}
+
+po::typed_value<std::uint64_t>* seed_value() {
+  return po::value<std::uint64_t>()->default_value(1);
+}
+
+po::typed_value<std::int64_t>* count_value(std::int64_t fallback) {
+  return po::value<std::int64_t>()->default_value(fallback);
+}
+
+std::string text_or(const po::variables_map& values, const char* option) {
+  return values.count(option) != 0 ? values[option].as<std::string>() : std::string();
+}
+
+// ---- subcommands ----
+
+void add_node(po::options_description& add) {
+  add.add_options()("settings", text()->required()->value_name("FILE"), "settings of this node");
+}
+
+command make_node(const po::variables_map& values) {
+  return node_options{values["settings"].as<std::string>()};
+}
+
+void add_check(po::options_description& add) {
+  add.add_options()("path", po::value<strings>()->required()->value_name("DIR|FILE"),
+                    "configuration directories, or files")(
+      "strict", po::bool_switch(), "warnings make the exit status 3 as well");
+}
+
+command make_check(const po::variables_map& values) {
+  return check_options{values["path"].as<strings>(), values["strict"].as<bool>()};
+}
+
+void add_apply(po::options_description& add) {
+  add.add_options()("directory", text()->required()->value_name("DIR"),
+                    "inventory.csv and rules.toml")(
+      "table", text()->required()->value_name("IP:PORT"), "the platform's table service")(
+      "objects", text()->required()->value_name("IP:PORT"), "the platform's object store")(
+      "dry-run", po::bool_switch(), "show what would change, change nothing")(
+      "timeout", number(30, "30")->value_name("SECONDS"), "give up after that");
+}
+
+command make_apply(const po::variables_map& values) {
+  apply_options options;
+  options.directory = values["directory"].as<std::string>();
+  options.table = endpoint_of(values, "table");
+  options.objects = endpoint_of(values, "objects");
+  options.dry_run = values["dry-run"].as<bool>();
+  options.timeout = seconds_of(values, "timeout");
+  return options;
+}
+
+void add_status(po::options_description& add) {
+  add.add_options()("node", po::value<strings>()->required()->value_name("IP:PORT"),
+                    "nodes to ask, at their callers' endpoints")(
+      "json", po::bool_switch(), "print JSON")("timeout", number(2, "2")->value_name("SECONDS"),
+                                               "for each node");
+}
+
+command make_status(const po::variables_map& values) {
+  return status_options{endpoints_of(values, "node"), values["json"].as<bool>(),
+                        seconds_of(values, "timeout")};
+}
+
+void add_bench(po::options_description& add) {
+  add.add_options()("filter", text()->value_name("TEXT"), "only benchmarks with this in the name")(
+      "seconds", number(1, "1")->value_name("SECONDS"), "for each benchmark")(
+      "seed", seed_value()->value_name("N"), "of the random numbers")("json", po::bool_switch(),
+                                                                      "print JSON");
+}
+
+command make_bench(const po::variables_map& values) {
+  return bench_options{text_or(values, "filter"), seconds_of(values, "seconds"),
+                       values["seed"].as<std::uint64_t>(), values["json"].as<bool>()};
+}
+
+void add_load(po::options_description& add) {
+  add.add_options()("node", po::value<strings>()->required()->value_name("IP:PORT"),
+                    "nodes to call in turn")("key", text()->required()->value_name("KEY"),
+                                             "API key of the workspace")(
+      "model", text()->required()->value_name("ID"), "model to ask")(
+      "class", text()->value_name("NAME"), "class of the requests")(
+      "rate", number(10, "10")->value_name("N"), "requests a second")(
+      "seconds", number(10, "10")->value_name("SECONDS"), "how long")(
+      "prompt-tokens", count_value(200)->value_name("N"), "length of each prompt")(
+      "answer-tokens", count_value(50)->value_name("N"), "length of each answer")(
+      "stream", po::bool_switch(), "ask for streamed answers")(
+      "seed", seed_value()->value_name("N"), "of the random numbers")("json", po::bool_switch(),
+                                                                      "print JSON");
+}
+
+command make_load(const po::variables_map& values) {
+  load_options options;
+  options.nodes = endpoints_of(values, "node");
+  options.key = values["key"].as<std::string>();
+  options.model = values["model"].as<std::string>();
+  options.request_class = text_or(values, "class");
+  options.rate = positive(values, "rate");
+  options.length = seconds_of(values, "seconds");
+  options.prompt_tokens = count_of(values, "prompt-tokens");
+  options.answer_tokens = count_of(values, "answer-tokens");
+  options.stream = values["stream"].as<bool>();
+  options.seed = values["seed"].as<std::uint64_t>();
+  options.json = values["json"].as<bool>();
+  return options;
+}
+
+void add_trial(po::options_description& add) {
+  add.add_options()("directory", text()->value_name("DIR"),
+                    "configuration to try; without it, an embedded example")(
+      "seconds", number(10, "10")->value_name("SECONDS"), "how long")(
+      "seed", seed_value()->value_name("N"), "of the random numbers")("json", po::bool_switch(),
+                                                                      "print JSON");
+}
+
+command make_trial(const po::variables_map& values) {
+  return trial_options{text_or(values, "directory"), seconds_of(values, "seconds"),
+                       values["seed"].as<std::uint64_t>(), values["json"].as<bool>()};
+}
+
+void add_standin(po::options_description& add) {
+  add.add_options()("directory", text()->required()->value_name("DIR"),
+                    "configuration whose targets to stand in for")(
+      "settings", text()->required()->value_name("FILE"),
+      "settings of any node, for the platform's endpoints")("only", text()->value_name("PART"),
+                                                            "one of platform, engines, services")(
+      "seed", seed_value()->value_name("N"), "of the random numbers");
+}
+
+command make_standin(const po::variables_map& values) {
+  standin_options options;
+  options.directory = values["directory"].as<std::string>();
+  options.settings_file = values["settings"].as<std::string>();
+  options.seed = values["seed"].as<std::uint64_t>();
+  const std::string only = text_or(values, "only");
+  if (!only.empty() && only != "platform" && only != "engines" && only != "services") {
+    throw usage_error("--only: " + in_quotes(only) +
+                      " is not known; expected platform, engines or services");
+  }
+  options.platform = only.empty() || only == "platform";
+  options.engines = only.empty() || only == "engines";
+  options.services = only.empty() || only == "services";
+  return options;
+}
+
+struct command_spec {
+  std::string_view name;
+  std::string_view summary;
+  std::string_view arguments;   // as shown after the name
+  std::string_view positional;  // option that takes the arguments without a name
+  int positional_count;         // -1: any number
+  void (*add)(po::options_description&);
+  command (*make)(const po::variables_map&);
+  std::string_view examples;
+};
+
+constexpr std::array<command_spec, 8> specs = {{
+    {"node", "Run a node in front of the targets, until SIGTERM.", "FILE", "settings", 1, add_node,
+     make_node, "  arbutusworks node examples/small/nodes/lab-a-node-1.toml\n"},
+    {"check", "Check configurations and node settings; name every mistake with its place.",
+     "DIR|FILE...", "path", -1, add_check, make_check,
+     "  arbutusworks check examples/odtok\n"
+     "  arbutusworks check examples/odtok examples/odtok/nodes/*.toml\n"},
+    {"apply", "Propose a configuration; when another came first, show what changed.",
+     "DIR --table IP:PORT --objects IP:PORT", "directory", 1, add_apply, make_apply,
+     "  arbutusworks apply examples/small --table 127.0.0.1:23500 --objects 127.0.0.1:23501\n"},
+    {"status", "Show what nodes know: configuration, replicas, targets.", "IP:PORT...", "node", -1,
+     add_status, make_status, "  arbutusworks status 127.0.0.1:23400 127.0.0.1:23402\n"},
+    {"bench", "Measure the decisions, without a network.", "", "", 0, add_bench, make_bench,
+     "  arbutusworks bench\n  arbutusworks bench --filter planner --seconds 5 --json\n"},
+    {"load", "Send requests at a steady rate and report what came back, and when.",
+     "--node IP:PORT... --key KEY --model ID", "", 0, add_load, make_load,
+     "  arbutusworks load --node 127.0.0.1:23400 --key example-desk --model tiny-llm --rate 50\n"},
+    {"trial", "Run nodes, platform and targets in this process and show the main job.", "[DIR]",
+     "directory", 1, add_trial, make_trial,
+     "  arbutusworks trial\n  arbutusworks trial examples/odtok --seconds 60\n"},
+    {"standin", "Stand in for the platform and the targets of a configuration.",
+     "DIR --settings FILE", "directory", 1, add_standin, make_standin,
+     "  arbutusworks standin examples/small --settings "
+     "examples/small/nodes/lab-a-node-1.toml\n"},
+}};
+
+// ---- help ----
+
+std::string overview() {
+  std::ostringstream out;
+  out << "Serves models whose replicas span several VMs.\n\n"
+         "Usage: arbutusworks COMMAND [OPTION...]\n\nCommands:\n";
+  for (const command_spec& spec : specs) {
+    out << "  " << spec.name << std::string(10 - spec.name.size(), ' ') << spec.summary << '\n';
+  }
+  out << "\n  arbutusworks COMMAND --help   explains a command\n"
+         "  arbutusworks --version        prints the version\n\n"
+         "Exit status: 0 done, 1 failed, 2 wrong command line, 3 errors in the input,\n"
+         "4 conflict with another change, 5 not done since unreachable, 6 unknown.\n\n"
+         "Examples:\n"
+         "  arbutusworks trial\n"
+         "  arbutusworks check examples/odtok\n";
+  return out.str();
+}
+
+po::options_description options_of(const command_spec& spec) {
+  po::options_description options("Options");
+  spec.add(options);
+  options.add_options()("help,h", "print this");
+  return options;
+}
+
+std::string usage_of(const command_spec& spec) {
+  std::string text = "Usage: arbutusworks " + std::string(spec.name);
+  if (!spec.arguments.empty()) {
+    text += ' ' + std::string(spec.arguments);
+  }
+  return text + " [OPTION...]\n";
+}
+
+std::string help_of(const command_spec& spec) {
+  std::ostringstream out;
+  out << spec.summary << "\n\n" << usage_of(spec) << '\n' << options_of(spec) << '\n';
+  out << "Examples:\n" << spec.examples;
+  return out.str();
+}
+
+early_exit wrong_usage(const std::string& message, const std::string& hint) {
+  return {to_status(exit_code::usage), "arbutusworks: " + message + '\n' + hint};
+}
+
+early_exit unknown_command(const std::string& name) {
+  std::vector<std::string_view> names;
+  for (const command_spec& spec : specs) {
+    names.push_back(spec.name);
+  }
+  const finding problem = unknown_word({}, "command", name, names);
+  return wrong_usage(problem.message, "Commands are listed by: arbutusworks --help\n");
+}
+
+// ---- parsing ----
+
+std::variant<command, early_exit> parse_with(const command_spec& spec, const strings& arguments) {
+  const bool help = std::any_of(arguments.begin(), arguments.end(),
+                                [](const std::string& a) { return a == "--help" || a == "-h"; });
+  if (help) {
+    return early_exit{to_status(exit_code::ok), help_of(spec)};
+  }
+  try {
+    const po::options_description options = options_of(spec);
+    po::positional_options_description positional;
+    if (!spec.positional.empty()) {
+      positional.add(std::string(spec.positional).c_str(), spec.positional_count);
+    }
+    po::variables_map values;
+    po::store(po::command_line_parser(arguments).options(options).positional(positional).run(),
+              values);
+    po::notify(values);
+    return spec.make(values);
+  } catch (const po::error& e) {
+    return wrong_usage(e.what(), usage_of(spec));
+  } catch (const usage_error& e) {
+    return wrong_usage(e.what(), usage_of(spec));
+  }
+}
+
+}  // namespace
+
+std::variant<command, early_exit> parse_command_line(const strings& arguments) {
+  if (arguments.empty()) {
+    return wrong_usage("no command is given", '\n' + overview());
+  }
+  const std::string& first = arguments.front();
+  if (first == "--version") {
+    return early_exit{to_status(exit_code::ok), "arbutusworks " ARBUTUS_VERSION "\n"};
+  }
+  const auto find = [](const std::string& name) {
+    return std::find_if(specs.begin(), specs.end(),
+                        [&](const command_spec& s) { return s.name == name; });
+  };
+  const bool asks_help = first == "--help" || first == "-h" || first == "help";
+  if (asks_help && arguments.size() == 1) {
+    return early_exit{to_status(exit_code::ok), overview()};
+  }
+  const std::string& name = asks_help ? arguments[1] : first;
+  const auto spec = find(name);
+  if (spec == specs.end()) {
+    return unknown_command(name);
+  }
+  if (asks_help) {
+    return early_exit{to_status(exit_code::ok), help_of(*spec)};
+  }
+  return parse_with(*spec, {arguments.begin() + 1, arguments.end()});
+}
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/process/settings.cpp
@@ -0,0 +1,253 @@
+// Node settings from TOML.
+#include "process/settings.h"
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <utility>
+
+#include "version/field_text.h"
+#include "version/toml_reader.h"
+
+namespace arbutus {
+
+namespace {
+
+constexpr std::array<std::string_view, 4> level_names = {"debug", "info", "warning", "error"};
+constexpr std::array<std::string_view, 2> format_names = {"text", "json"};
+
+constexpr whole_range header_bytes{1024, 1024 * 1024};
+constexpr whole_range body_bytes{1024, 1024 * 1024 * 1024};
+constexpr whole_range connections{1, 1'000'000};
+constexpr whole_range workers{0, 1024};
+// A timeout of an hour or more is most likely given in another unit.
+constexpr whole_range timeout_ms{1, 3'600'000};
+
+class settings_reader {
+ public:
+  settings_reader(const toml_table& document, findings& problems)
+      : root_(document, "", problems), problems_(problems) {}
+
+  node_settings read() {
+    read_node();
+    read_listen();
+    read_platform();
+    for (table_reader& table : root_.tables("peer")) {
+      read_peer(table);
+    }
+    read_limits();
+    read_log();
+    read_threads();
+    read_timing();
+    root_.finish();
+    return std::move(settings_);
+  }
+
+ private:
+  void read_node() {
+    if (auto table = root_.table("node", presence::required)) {
+      table->read("id", settings_.id);
+      table->read("data_centre", settings_.data_centre);
+      table->finish();
+    }
+  }
+
+  void read_endpoint(table_reader& table, std::string_view key, endpoint& value) {
+    table.read(key, value, presence::required);
+    if (value.port != 0) {
+      use_endpoint(value, table.place_of(key));
+    }
+  }
+
+  // Goes wrong: with one endpoint for two purposes the second listener fails only at the start, or
+  // a peer is asked for what it does not serve.
+  void use_endpoint(const endpoint& value, place where) {
+    const auto [first, is_new] = used_.emplace(value, where);
+    if (!is_new) {
+      problems_.push_back({severity::error, std::move(where),
+                           "endpoint " + to_string(value) + " is taken at line " +
+                               std::to_string(first->second.line),
+                           "endpoints that differ"});
+    }
+  }
+
+  void read_listen() {
+    if (auto table = root_.table("listen", presence::required)) {
+      read_endpoint(*table, "callers", settings_.listen.callers);
+      read_endpoint(*table, "links", settings_.listen.links);
+      table->finish();
+    }
+  }
+
+  // One server may give all three services, so these endpoints may be equal.
+  void read_platform() {
+    if (auto table = root_.table("platform", presence::required)) {
+      table->read("table", settings_.platform.table, presence::required);
+      table->read("objects", settings_.platform.objects, presence::required);
+      table->read("vms", settings_.platform.vms, presence::required);
+      table->finish();
+    }
+  }
+
+  void read_peer(table_reader& table) {
+    peer_settings peer;
+    table.read("id", peer.id);
+    table.read("data_centre", peer.data_centre);
+    read_endpoint(table, "link", peer.link);
+    read_endpoint(table, "caller", peer.caller);
+    table.finish();
+    check_peer_id(table, peer.id);
+    settings_.peers.push_back(std::move(peer));
+  }
+
+  void check_peer_id(table_reader& table, const node_id& id) {
+    if (id.empty()) {
+      return;
+    }
+    if (id == settings_.id) {
+      table.problem("id", in_quotes(id.str()) + " is this node itself", "another node");
+    }
+    const auto same = [&](const peer_settings& p) { return p.id == id; };
+    if (std::any_of(settings_.peers.begin(), settings_.peers.end(), same)) {
+      table.problem("id", in_quotes(id.str()) + " is listed already", "each peer once");
+    }
+  }
+
+  void read_limits() {
+    auto table = root_.table("limits");
+    if (!table) {
+      return;
+    }
+    limit_settings& limits = settings_.limits;
+    const auto optional = presence::optional;
+    table->read("header_bytes", limits.header_bytes, optional, header_bytes);
+    table->read("body_bytes", limits.body_bytes, optional, body_bytes);
+    table->read("connections", limits.connections, optional, connections);
+    table->read_ms("header_timeout_ms", limits.header_timeout, optional, timeout_ms);
+    table->read_ms("body_timeout_ms", limits.body_timeout, optional, timeout_ms);
+    table->read_ms("idle_timeout_ms", limits.idle_timeout, optional, timeout_ms);
+    table->read_ms("write_timeout_ms", limits.write_timeout, optional, timeout_ms);
+    table->finish();
+  }
+
+  void read_log() {
+    auto table = root_.table("log");
+    if (!table) {
+      return;
+    }
+    auto level = static_cast<std::size_t>(settings_.log.level);
+    auto format = static_cast<std::size_t>(settings_.log.format);
+    table->read_word("level", level, level_names);
+    table->read_word("format", format, format_names);
+    settings_.log.level = static_cast<log_level>(level);
+    settings_.log.format = static_cast<log_format>(format);
+    table->finish();
+  }
+
+  void read_threads() {
+    if (auto table = root_.table("threads")) {
+      table->read("workers", settings_.workers, presence::optional, workers);
+      table->finish();
+    }
+  }
+
+  static void read_override(table_reader& table, std::string_view key,
+                            std::optional<duration>& value) {
+    duration given{};
+    table.read_ms(key, given, presence::optional, timeout_ms);
+    if (given > duration::zero()) {
+      value = given;
+    }
+  }
+
+  void read_timing() {
+    auto table = root_.table("timing");
+    if (!table) {
+      return;
+    }
+    timing_settings& timing = settings_.timing;
+    read_override(*table, "heartbeat_ms", timing.heartbeat);
+    read_override(*table, "probe_ms", timing.probe);
+    read_override(*table, "permission_ms", timing.permission);
+    read_override(*table, "settle_ms", timing.settle);
+    read_override(*table, "config_poll_ms", timing.config_poll);
+    read_override(*table, "vm_list_poll_ms", timing.vm_list_poll);
+    read_override(*table, "balancer_lag_ms", timing.balancer_lag);
+    read_override(*table, "stop_limit_ms", timing.stop_limit);
+    check_permission(*table, timing);
+    table->finish();
+  }
+
+  // Goes wrong: when an observation lapses before the next one comes, every replica flaps between
+  // routed and not routed.
+  static void check_permission(table_reader& table, const timing_settings& timing) {
+    if (timing.probe && timing.permission && *timing.permission <= *timing.probe) {
+      table.problem("permission_ms", "observations lapse before the next probe",
+                    "more than probe_ms");
+    }
+  }
+
+  table_reader root_;
+  findings& problems_;
+  node_settings settings_;
+  std::map<endpoint, place> used_;
+};
+
+}  // namespace
+
+settings_result load_settings(std::string_view text, const std::string& file_name) {
+  settings_result result;
+  const auto document = parse_toml(text, file_name, result.problems);
+  if (!document) {
+    return result;
+  }
+  if (document->fields.empty()) {
+    result.problems.push_back({severity::error,
+                               {file_name, 0, 0},
+                               "the settings are empty",
+                               "[node], [listen] and [platform] tables"});
+    return result;
+  }
+  result.settings = settings_reader(*document, result.problems).read();
+  return result;
+}
+
+findings compare_settings(const node_settings& settings, const inventory& assets,
+                          const std::string& file_name) {
+  findings problems;
+  const auto differs = [&](const std::string& what, const std::string& here,
+                           const std::string& there) {
+    if (here != there) {
+      problems.push_back({severity::error,
+                          {file_name, 0, 0},
+                          what + " is " + here + ", but the inventory has another",
+                          there});
+    }
+  };
+  const node_record* record = assets.find_node(settings.id);
+  if (record == nullptr) {
+    problems.push_back({severity::error,
+                        {file_name, 0, 0},
+                        "node " + in_quotes(settings.id.str()) + " is not in the inventory",
+                        ""});
+    return problems;
+  }
+  differs("data_centre", settings.data_centre.str(), record->data_centre.str());
+  differs("links", to_string(settings.listen.links), to_string(record->link));
+  differs("callers", to_string(settings.listen.callers), to_string(record->caller));
+  return problems;
+}
+
+std::optional<log_level> parse_log_level(std::string_view name) {
+  const auto found = std::find(level_names.begin(), level_names.end(), name);
+  if (found == level_names.end()) {
+    return std::nullopt;
+  }
+  return static_cast<log_level>(found - level_names.begin());
+}
+
+std::string_view to_string(log_level level) {
+  return level_names[static_cast<std::size_t>(level)];
+}
+
+}  // namespace arbutus
--- a/src/version/toml_reader.cpp
+++ b/src/version/toml_reader.cpp
@@ -213,27 +213,30 @@
 }
 
 void table_reader::read_word(std::string_view key, std::size_t& position,
-                             const std::vector<std::string>& words) {
-  const std::vector<std::string_view> candidates(words.begin(), words.end());
+                             std::span<const std::string_view> words) {
   const auto* found = take_as<std::string>(key, presence::optional, "a text");
   if (found == nullptr) {
     return;
   }
   const auto match = std::find(words.begin(), words.end(), *found);
   if (match == words.end()) {
-    problems_->push_back(unknown_word(place_of(key), path(key), *found, candidates));
+    problems_->push_back(unknown_word(place_of(key), path(key), *found, words));
     return;
   }
   position = static_cast<std::size_t>(match - words.begin());
 }
 
-std::optional<table_reader> table_reader::table(std::string_view key) {
+std::optional<table_reader> table_reader::table(std::string_view key, presence need) {
   const std::string name = '[' + std::string(key) + ']';
-  const auto* found = take_as<toml_table>(key, presence::optional, "a table, as " + name);
-  if (found == nullptr) {
-    return std::nullopt;
+  const std::string expected = "a table, as " + name;
+  const auto* found = take_as<toml_table>(key, presence::optional, expected);
+  if (found != nullptr) {
+    return table_reader(*found, name, *problems_);
+  }
+  if (need == presence::required && find(key) == nullptr) {
+    problem(key, "is missing", expected);
   }
-  return table_reader(*found, name, *problems_);
+  return std::nullopt;
 }
 
 std::vector<table_reader> table_reader::tables(std::string_view key) {
--- a/src/version/toml_reader.h
+++ b/src/version/toml_reader.h
@@ -6,6 +6,7 @@
 #include <limits>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -92,12 +93,13 @@
   // Whole numbers under free keys, as in `replicas = { hall-a = 3 }`, each with the key's place.
   [[nodiscard]] std::vector<placed<std::pair<std::string, std::uint32_t>>> counts(
       std::string_view key, whole_range range);
-  // One of `words`; its position among them.
+  // One of `words`, as its position among them.
   void read_word(std::string_view key, std::size_t& position,
-                 const std::vector<std::string>& words);
+                 std::span<const std::string_view> words);
 
   // The table below `key`, as [key]; empty when absent.
-  [[nodiscard]] std::optional<table_reader> table(std::string_view key);
+  [[nodiscard]] std::optional<table_reader> table(std::string_view key,
+                                                  presence need = presence::optional);
   // The tables below `key`, as [[key]].
   [[nodiscard]] std::vector<table_reader> tables(std::string_view key);
 
