--- a/src/cli/check.cpp
+++ b/src/cli/check.cpp
@@ -21,6 +21,10 @@
   std::string file;
 };
 
+std::string counted(std::size_t count, const std::string& what) {
+  return std::to_string(count) + ' ' + what + (count == 1 ? "" : "s");
+}
+
 class checker {
  public:
   void take(const fs::path& path) {
@@ -53,8 +57,9 @@
     }
     const auto errors = count(severity::error);
     const auto warnings = count(severity::warning);
-    out << "checked " << directories_ << " configurations and " << files_ << " files: " << errors
-        << " errors, " << warnings << " warnings\n";
+    out << "checked " << counted(directories_, "configuration") << " and "
+        << counted(files_, "file") << ": " << counted(errors, "error") << ", "
+        << counted(warnings, "warning") << '\n';
     const bool failed = errors > 0 || (strict && warnings > 0);
     return to_status(failed ? exit_code::findings : exit_code::ok);
   }
@@ -65,9 +70,9 @@
                      std::make_move_iterator(more.end()));
   }
 
-  std::ptrdiff_t count(severity level) const {
-    return std::count_if(problems_.begin(), problems_.end(),
-                         [&](const finding& f) { return f.level == level; });
+  std::size_t count(severity level) const {
+    const auto matches = [&](const finding& f) { return f.level == level; };
+    return static_cast<std::size_t>(std::count_if(problems_.begin(), problems_.end(), matches));
   }
 
   void take_directory(const fs::path& path) {
--- a/src/cli/options.cpp
+++ b/src/cli/options.cpp
@@ -60,7 +60,16 @@
   return from_seconds(positive(values, option));
 }
 
-// The library reads "-1" as a huge unsigned number; the range catches that.
+// The library would read "-1" into an unsigned type as a huge number, so these are signed and
+// checked here.
+std::uint64_t seed_of(const po::variables_map& values) {
+  const auto value = values["seed"].as<std::int64_t>();
+  if (value < 0) {
+    throw usage_error("--seed: expected a whole number from 0");
+  }
+  return static_cast<std::uint64_t>(value);
+}
+
 std::uint32_t count_of(const po::variables_map& values, const char* option) {
   constexpr std::int64_t most = 1'000'000;
   const auto value = values[option].as<std::int64_t>();
@@ -78,10 +87,6 @@
   return po::value<double>()->default_value(fallback, shown);
 }
 
-po::typed_value<std::uint64_t>* seed_value() {
-  return po::value<std::uint64_t>()->default_value(1);
-}
-
 po::typed_value<std::int64_t>* count_value(std::int64_t fallback) {
   return po::value<std::int64_t>()->default_value(fallback);
 }
@@ -144,13 +149,13 @@
 void add_bench(po::options_description& add) {
   add.add_options()("filter", text()->value_name("TEXT"), "only benchmarks with this in the name")(
       "seconds", number(1, "1")->value_name("SECONDS"), "for each benchmark")(
-      "seed", seed_value()->value_name("N"), "of the random numbers")("json", po::bool_switch(),
-                                                                      "print JSON");
+      "seed", count_value(1)->value_name("N"), "of the random numbers")("json", po::bool_switch(),
+                                                                        "print JSON");
 }
 
 command make_bench(const po::variables_map& values) {
-  return bench_options{text_or(values, "filter"), seconds_of(values, "seconds"),
-                       values["seed"].as<std::uint64_t>(), values["json"].as<bool>()};
+  return bench_options{text_or(values, "filter"), seconds_of(values, "seconds"), seed_of(values),
+                       values["json"].as<bool>()};
 }
 
 void add_load(po::options_description& add) {
@@ -164,8 +169,8 @@
       "prompt-tokens", count_value(200)->value_name("N"), "length of each prompt")(
       "answer-tokens", count_value(50)->value_name("N"), "length of each answer")(
       "stream", po::bool_switch(), "ask for streamed answers")(
-      "seed", seed_value()->value_name("N"), "of the random numbers")("json", po::bool_switch(),
-                                                                      "print JSON");
+      "seed", count_value(1)->value_name("N"), "of the random numbers")("json", po::bool_switch(),
+                                                                        "print JSON");
 }
 
 command make_load(const po::variables_map& values) {
@@ -179,7 +184,7 @@
   options.prompt_tokens = count_of(values, "prompt-tokens");
   options.answer_tokens = count_of(values, "answer-tokens");
   options.stream = values["stream"].as<bool>();
-  options.seed = values["seed"].as<std::uint64_t>();
+  options.seed = seed_of(values);
   options.json = values["json"].as<bool>();
   return options;
 }
@@ -188,13 +193,13 @@
   add.add_options()("directory", text()->value_name("DIR"),
                     "configuration to try; without it, an embedded example")(
       "seconds", number(10, "10")->value_name("SECONDS"), "how long")(
-      "seed", seed_value()->value_name("N"), "of the random numbers")("json", po::bool_switch(),
-                                                                      "print JSON");
+      "seed", count_value(1)->value_name("N"), "of the random numbers")("json", po::bool_switch(),
+                                                                        "print JSON");
 }
 
 command make_trial(const po::variables_map& values) {
-  return trial_options{text_or(values, "directory"), seconds_of(values, "seconds"),
-                       values["seed"].as<std::uint64_t>(), values["json"].as<bool>()};
+  return trial_options{text_or(values, "directory"), seconds_of(values, "seconds"), seed_of(values),
+                       values["json"].as<bool>()};
 }
 
 void add_standin(po::options_description& add) {
@@ -203,14 +208,14 @@
       "settings", text()->required()->value_name("FILE"),
       "settings of any node, for the platform's endpoints")("only", text()->value_name("PART"),
                                                             "one of platform, engines, services")(
-      "seed", seed_value()->value_name("N"), "of the random numbers");
+      "seed", count_value(1)->value_name("N"), "of the random numbers");
 }
 
 command make_standin(const po::variables_map& values) {
   standin_options options;
   options.directory = values["directory"].as<std::string>();
   options.settings_file = values["settings"].as<std::string>();
-  options.seed = values["seed"].as<std::uint64_t>();
+  options.seed = seed_of(values);
   const std::string only = text_or(values, "only");
   if (!only.empty() && only != "platform" && only != "engines" && only != "services") {
     throw usage_error("--only: " + in_quotes(only) +
@@ -315,23 +320,50 @@
 
 // ---- parsing ----
 
+// Without guessing: a prefix that is taken for an option today may mean another one tomorrow.
+constexpr int option_style =
+    po::command_line_style::default_style & ~po::command_line_style::allow_guessing;
+
+std::string unknown_option_message(const po::options_description& options,
+                                   const std::string& given) {
+  std::vector<std::string> names;
+  for (const auto& option : options.options()) {
+    names.push_back("--" + option->long_name());
+  }
+  const std::vector<std::string_view> candidates(names.begin(), names.end());
+  return unknown_word({}, "option", given, candidates).message;
+}
+
+std::string missing_option_message(const command_spec& spec, const std::string& given) {
+  const bool positional = given == "--" + std::string(spec.positional);
+  return positional ? "an argument is missing" : "option \"" + given + "\" is missing";
+}
+
 std::variant<command, early_exit> parse_with(const command_spec& spec, const strings& arguments) {
   const bool help = std::any_of(arguments.begin(), arguments.end(),
                                 [](const std::string& a) { return a == "--help" || a == "-h"; });
   if (help) {
     return early_exit{to_status(exit_code::ok), help_of(spec)};
   }
+  const po::options_description options = options_of(spec);
   try {
-    const po::options_description options = options_of(spec);
     po::positional_options_description positional;
     if (!spec.positional.empty()) {
       positional.add(std::string(spec.positional).c_str(), spec.positional_count);
     }
     po::variables_map values;
-    po::store(po::command_line_parser(arguments).options(options).positional(positional).run(),
+    po::store(po::command_line_parser(arguments)
+                  .options(options)
+                  .positional(positional)
+                  .style(option_style)
+                  .run(),
               values);
     po::notify(values);
     return spec.make(values);
+  } catch (const po::unknown_option& e) {
+    return wrong_usage(unknown_option_message(options, e.get_option_name()), usage_of(spec));
+  } catch (const po::required_option& e) {
+    return wrong_usage(missing_option_message(spec, e.get_option_name()), usage_of(spec));
   } catch (const po::error& e) {
     return wrong_usage(e.what(), usage_of(spec));
   } catch (const usage_error& e) {
