--- /dev/null
+++ b/fuzz/decode_report.cpp
@@ -0,0 +1,17 @@
+// Fuzz entry: reports and orders as targets and nodes send them.
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+#include "input.h"
+#include "process/engine_wire.h"
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
+  const std::string_view text = arbutus::fuzz::as_text(data, size);
+  const auto decoded = arbutus::decode_report(text);
+  if (const auto* report = std::get_if<arbutus::engine_report>(&decoded)) {
+    (void)arbutus::encode(*report);
+  }
+  (void)arbutus::decode_order(text);
+  return 0;
+}
--- /dev/null
+++ b/fuzz/import_inventory.cpp
@@ -0,0 +1,22 @@
+// Fuzz entry: inventory from CSV. What has no errors must survive storing.
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+#include "input.h"
+#include "version/configuration.h"
+#include "version/cross_check.h"
+#include "version/import.h"
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
+  const std::string_view text = arbutus::fuzz::as_text(data, size);
+  const auto result = arbutus::import_inventory(text, "inventory.csv");
+  if (!arbutus::has_errors(result.problems)) {
+    const auto encoded = arbutus::encode_content(result.assets, {});
+    const auto decoded = arbutus::decode_content(encoded, 1);
+    arbutus::fuzz::require(arbutus::is_ok(decoded));
+    arbutus::fuzz::require(std::get<0>(decoded).assets == result.assets);
+  }
+  (void)arbutus::cross_check(result.assets, {}, result.places);
+  return 0;
+}
--- /dev/null
+++ b/fuzz/input.h
@@ -0,0 +1,22 @@
+// What the fuzz entries share: bytes as text, and a check that ends the run.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <cstdlib>
+#include <string_view>
+
+namespace arbutus::fuzz {
+
+inline std::string_view as_text(const std::uint8_t* data, std::size_t size) {
+  return {reinterpret_cast<const char*>(data), size};
+}
+
+// The fuzzer reports an abort together with the input that led to it.
+inline void require(bool holds) {
+  if (!holds) {
+    std::abort();
+  }
+}
+
+}  // namespace arbutus::fuzz
