--- a/src/standin/answer_stream.cpp
+++ b/src/standin/answer_stream.cpp
@@ -6,9 +6,9 @@
 
 #include "standin/answer.h"
 
-namespace arbutus {
+namespace arbutus::standin {
 
-standin_answer::standin_answer(const generation_request& request, const answer_faults& faults)
+answer_stream::answer_stream(const generation_request& request, const answer_faults& faults)
     : shown_as_(request.id),
       seed_(answer_seed(request.model, request.prompt)),
       faults_(faults),
@@ -22,7 +22,7 @@
   }
 }
 
-std::vector<standin_token> standin_answer::take(time_point now, std::uint32_t produced) {
+std::vector<standin_token> answer_stream::take(time_point now, std::uint32_t produced) {
   std::vector<standin_token> tokens;
   if (now < faults_.not_before) {
     return tokens;
@@ -38,11 +38,11 @@
   return tokens;
 }
 
-void standin_answer::cross(standin_answer& a, standin_answer& b) {
+void answer_stream::cross(answer_stream& a, answer_stream& b) {
   std::swap(a.shown_as_, b.shown_as_);
   std::swap(a.seed_, b.seed_);
   a.faults_.not_before = time_point{};
   b.faults_.not_before = time_point{};
 }
 
-}  // namespace arbutus
+}  // namespace arbutus::standin
--- a/src/standin/answer_stream.h
+++ b/src/standin/answer_stream.h
@@ -10,7 +10,7 @@
 #include "base/id.h"
 #include "base/units.h"
 
-namespace arbutus {
+namespace arbutus::standin {
 
 struct generation_request {
   request_id id;
@@ -36,9 +36,9 @@
   bool duplicate = false;  // one token in the middle goes out twice
 };
 
-class standin_answer {
+class answer_stream {
  public:
-  standin_answer(const generation_request& request, const answer_faults& faults);
+  answer_stream(const generation_request& request, const answer_faults& faults);
 
   // Tokens to be made for this answer.
   [[nodiscard]] std::uint32_t total() const noexcept { return end_ - first_; }
@@ -55,7 +55,7 @@
   void hold_until(time_point t) { faults_.not_before = t; }
 
   // Each gets the other's answer under the other's name, from now on without delay.
-  static void cross(standin_answer& a, standin_answer& b);
+  static void cross(answer_stream& a, answer_stream& b);
 
  private:
   request_id shown_as_;
@@ -70,4 +70,4 @@
   bool shown_ = false;
 };
 
-}  // namespace arbutus
+}  // namespace arbutus::standin
