Commands node, apply, status, standin; limits exchanged between nodes; keys for operators

Cause: the subcommands were placeholders, limits were not told to peers, settings had knobs without effect. Change: the commands are real; leases of limits travel beside coordination; settings lose the timing that nodes have to share and gain the operators' key hash.

--- a/src/cli/check.cpp
+++ b/src/cli/check.cpp
@@ -61,7 +61,7 @@
         << counted(files_, "file") << ": " << counted(errors, "error") << ", "
         << counted(warnings, "warning") << '\n';
     const bool failed = errors > 0 || (strict && warnings > 0);
-    return to_status(failed ? exit_code::findings : exit_code::ok);
+    return to_status(failed ? exit_code::input_errors : exit_code::ok);
   }
 
  private:
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -14,12 +14,12 @@
 // Exit status of the program, for scripts. Documented in docs/operators/commands.md.
 enum class exit_code {
   ok = 0,
-  failure = 1,      // the command ran and did not succeed
-  usage = 2,        // the command line is wrong; nothing was done
-  findings = 3,     // the input has errors; nothing was done
-  conflict = 4,     // somebody else changed the configuration meanwhile; nothing was done
-  unreachable = 5,  // proven not done: the other side could not be reached
-  unknown = 6,      // may have been done: no answer, and reading back did not settle it
+  failure = 1,       // the command ran and did not succeed
+  usage = 2,         // the command line is wrong; nothing was done
+  input_errors = 3,  // the input has errors; nothing was done
+  conflict = 4,      // somebody else changed the configuration meanwhile; nothing was done
+  unreachable = 5,   // proven not done: the other side could not be reached
+  unknown = 6,       // may have been done: no answer, and reading back did not settle it
 };
 
 constexpr int to_status(exit_code code) {
@@ -37,14 +37,17 @@
 
 struct apply_options {
   std::string directory;
-  endpoint table;
-  endpoint objects;
+  std::vector<endpoint> nodes;  // asked one after the other until one answers
+  std::string key;              // the operators'
+  std::uint64_t base = 0;       // version the change was made on; 0: the one in force now
+  std::string proposal;         // of an earlier try whose outcome is unknown; empty: a new one
   bool dry_run = false;
   duration timeout = 30s;
 };
 
 struct status_options {
   std::vector<endpoint> nodes;  // callers' endpoints
+  std::string key;              // the operators'
   bool json = false;
   duration timeout = 2s;
 };
@@ -71,10 +74,7 @@
 };
 
 struct trial_options {
-  std::string directory;  // empty: the embedded example
-  duration length = 10s;
-  std::uint64_t seed = 1;
-  bool json = false;
+  bool keep_up = false;  // stay for own calls until interrupted
 };
 
 // Stand-ins for what the platform and the targets give, at the endpoints of a configuration.
--- a/src/cli/options.cpp
+++ b/src/cli/options.cpp
@@ -5,6 +5,7 @@
 #include <array>
 #include <boost/program_options.hpp>
 #include <cmath>
+#include <cstdlib>
 #include <sstream>
 #include <stdexcept>
 #include <string_view>
@@ -35,10 +36,6 @@
   return *parsed;
 }
 
-endpoint endpoint_of(const po::variables_map& values, const char* option) {
-  return endpoint_from(values[option].as<std::string>(), option);
-}
-
 std::vector<endpoint> endpoints_of(const po::variables_map& values, const char* option) {
   std::vector<endpoint> result;
   for (const std::string& text : values[option].as<strings>()) {
@@ -62,14 +59,18 @@
 
 // The library would read "-1" into an unsigned type as a huge number, so these are signed and
 // checked here.
-std::uint64_t seed_of(const po::variables_map& values) {
-  const auto value = values["seed"].as<std::int64_t>();
+std::uint64_t whole_of(const po::variables_map& values, const char* option) {
+  const auto value = values[option].as<std::int64_t>();
   if (value < 0) {
-    throw usage_error("--seed: expected a whole number from 0");
+    throw usage_error("--" + std::string(option) + ": expected a whole number from 0");
   }
   return static_cast<std::uint64_t>(value);
 }
 
+std::uint64_t seed_of(const po::variables_map& values) {
+  return whole_of(values, "seed");
+}
+
 std::uint32_t count_of(const po::variables_map& values, const char* option) {
   constexpr std::int64_t most = 1'000'000;
   const auto value = values[option].as<std::int64_t>();
@@ -115,11 +116,24 @@
   return check_options{values["path"].as<strings>(), values["strict"].as<bool>()};
 }
 
+// The operators' key; a variable of the environment keeps it out of the list of processes.
+std::string operator_key(const po::variables_map& values) {
+  if (values.count("key") != 0) {
+    return values["key"].as<std::string>();
+  }
+  const char* from_environment = std::getenv("ARBUTUSWORKS_KEY");
+  return from_environment == nullptr ? std::string() : from_environment;
+}
+
 void add_apply(po::options_description& add) {
   add.add_options()("directory", text()->required()->value_name("DIR"),
                     "inventory.csv and rules.toml")(
-      "table", text()->required()->value_name("IP:PORT"), "the platform's table service")(
-      "objects", text()->required()->value_name("IP:PORT"), "the platform's object store")(
+      "node", po::value<strings>()->required()->value_name("IP:PORT"),
+      "nodes to propose through, tried in turn")("key", text()->value_name("KEY"),
+                                                 "the operators' key; else from ARBUTUSWORKS_KEY")(
+      "base", count_value(0)->value_name("N"),
+      "version the change was made on; 0: the one in force")(
+      "proposal", text()->value_name("ID"), "resolve an earlier try instead of a new one")(
       "dry-run", po::bool_switch(), "show what would change, change nothing")(
       "timeout", number(30, "30")->value_name("SECONDS"), "give up after that");
 }
@@ -127,8 +141,10 @@
 command make_apply(const po::variables_map& values) {
   apply_options options;
   options.directory = values["directory"].as<std::string>();
-  options.table = endpoint_of(values, "table");
-  options.objects = endpoint_of(values, "objects");
+  options.nodes = endpoints_of(values, "node");
+  options.key = operator_key(values);
+  options.base = whole_of(values, "base");
+  options.proposal = text_or(values, "proposal");
   options.dry_run = values["dry-run"].as<bool>();
   options.timeout = seconds_of(values, "timeout");
   return options;
@@ -137,13 +153,14 @@
 void add_status(po::options_description& add) {
   add.add_options()("node", po::value<strings>()->required()->value_name("IP:PORT"),
                     "nodes to ask, at their callers' endpoints")(
+      "key", text()->value_name("KEY"), "the operators' key; else from ARBUTUSWORKS_KEY")(
       "json", po::bool_switch(), "print JSON")("timeout", number(2, "2")->value_name("SECONDS"),
                                                "for each node");
 }
 
 command make_status(const po::variables_map& values) {
-  return status_options{endpoints_of(values, "node"), values["json"].as<bool>(),
-                        seconds_of(values, "timeout")};
+  return status_options{endpoints_of(values, "node"), operator_key(values),
+                        values["json"].as<bool>(), seconds_of(values, "timeout")};
 }
 
 void add_bench(po::options_description& add) {
@@ -190,16 +207,11 @@
 }
 
 void add_trial(po::options_description& add) {
-  add.add_options()("directory", text()->value_name("DIR"),
-                    "configuration to try; without it, an embedded example")(
-      "seconds", number(10, "10")->value_name("SECONDS"), "how long")(
-      "seed", count_value(1)->value_name("N"), "of the random numbers")("json", po::bool_switch(),
-                                                                        "print JSON");
+  add.add_options()("keep-up", po::bool_switch(), "stay for calls of your own until interrupted");
 }
 
 command make_trial(const po::variables_map& values) {
-  return trial_options{text_or(values, "directory"), seconds_of(values, "seconds"), seed_of(values),
-                       values["json"].as<bool>()};
+  return trial_options{values["keep-up"].as<bool>()};
 }
 
 void add_standin(po::options_description& add) {
@@ -246,18 +258,19 @@
      "  arbutusworks check examples/odtok\n"
      "  arbutusworks check examples/odtok examples/odtok/nodes/*.toml\n"},
     {"apply", "Propose a configuration; when another came first, show what changed.",
-     "DIR --table IP:PORT --objects IP:PORT", "directory", 1, add_apply, make_apply,
-     "  arbutusworks apply examples/small --table 127.0.0.1:23500 --objects 127.0.0.1:23501\n"},
+     "DIR --node IP:PORT...", "directory", 1, add_apply, make_apply,
+     "  ARBUTUSWORKS_KEY=example-operator arbutusworks apply examples/small --node "
+     "127.0.0.1:23400\n"},
     {"status", "Show what nodes know: configuration, replicas, targets.", "IP:PORT...", "node", -1,
-     add_status, make_status, "  arbutusworks status 127.0.0.1:23400 127.0.0.1:23402\n"},
+     add_status, make_status,
+     "  arbutusworks status 127.0.0.1:23400 127.0.0.1:23402 --key example-operator\n"},
     {"bench", "Measure the decisions, without a network.", "", "", 0, add_bench, make_bench,
      "  arbutusworks bench\n  arbutusworks bench --filter planner --seconds 5 --json\n"},
     {"load", "Send requests at a steady rate and report what came back, and when.",
      "--node IP:PORT... --key KEY --model ID", "", 0, add_load, make_load,
      "  arbutusworks load --node 127.0.0.1:23400 --key example-desk --model tiny-llm --rate 50\n"},
-    {"trial", "Run nodes, platform and targets in this process and show the main job.", "[DIR]",
-     "directory", 1, add_trial, make_trial,
-     "  arbutusworks trial\n  arbutusworks trial examples/odtok --seconds 60\n"},
+    {"trial", "Run nodes, platform and targets in this process and show the main job.", "", "", 0,
+     add_trial, make_trial, "  arbutusworks trial\n  arbutusworks trial --keep-up\n"},
     {"standin", "Stand in for the platform and the targets of a configuration.",
      "DIR --settings FILE", "directory", 1, add_standin, make_standin,
      "  arbutusworks standin examples/small --settings "
--- /dev/null
+++ b/src/cli/session.cpp
@@ -0,0 +1,36 @@
+// Calls of commands.
+#include "cli/session.h"
+
+#include "connection/clock.h"
+
+namespace arbutus {
+
+session::session() : runtime_(1) {
+  runtime_.run();
+  client_.emplace(runtime_);
+}
+
+session::~session() {
+  client_.reset();
+  runtime_.stop();
+  runtime_.join();
+}
+
+call_result session::call(const endpoint& node, const std::string& method,
+                          const std::string& target, const std::string& key,
+                          const std::string& body, duration timeout) {
+  http_request request;
+  request.method = method;
+  request.target = target;
+  request.body = body;
+  if (!key.empty()) {
+    request.headers.add("authorization", "Bearer " + key);
+  }
+  call_result result;
+  runtime_.run_on(0, [&] {
+    result = client_->fetch({node.host, node.port}, request, monotonic_now() + timeout);
+  });
+  return result;
+}
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/cli/session.h
@@ -0,0 +1,28 @@
+// A short conversation of a command with nodes: calls over HTTP from a runtime of its own.
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include "connection/http_client.h"
+#include "version/inventory.h"
+
+namespace arbutus {
+
+class session {
+ public:
+  session();
+  ~session();
+  session(const session&) = delete;
+  session& operator=(const session&) = delete;
+
+  // With the operators' key, unless it is empty.
+  call_result call(const endpoint& node, const std::string& method, const std::string& target,
+                   const std::string& key, const std::string& body, duration timeout);
+
+ private:
+  fiber_runtime runtime_;
+  std::optional<http_client> client_;
+};
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/cli/signals.cpp
@@ -0,0 +1,32 @@
+// Signals that end a command.
+#include "cli/signals.h"
+
+#include <csignal>
+
+namespace arbutus {
+
+namespace {
+
+sigset_t end_signals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGTERM);
+  return signals;
+}
+
+}  // namespace
+
+void block_end_signals() {
+  const sigset_t signals = end_signals();
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+}
+
+int wait_for_end_signal() {
+  const sigset_t signals = end_signals();
+  int received = 0;
+  sigwait(&signals, &received);
+  return received;
+}
+
+}  // namespace arbutus
--- a/src/cli/trial_fleet.cpp
+++ b/src/cli/trial_fleet.cpp
@@ -64,7 +64,7 @@
   client_ = std::make_unique<http_client>(runtime_);
   const socket_address platform{standins_->platform().host, standins_->platform().port};
   for (std::size_t i = 0; i < data_centres * nodes_per_data_centre; ++i) {
-    node_options options;
+    node_setup options;
     const std::string centre = centre_name(i / nodes_per_data_centre);
     options.self = node_id{centre + "-node-" + std::to_string(i % nodes_per_data_centre + 1)};
     options.data_centre = data_centre_id{centre};
--- a/src/node/call_context.cpp
+++ b/src/node/call_context.cpp
@@ -49,37 +49,6 @@
 
 }  // namespace
 
-void shared_limits::configure(time_point now, const configuration& config) {
-  const std::lock_guard guard(lock_);
-  if (config.version == config_version_) {
-    return;
-  }
-  config_version_ = config.version;
-  std::vector<node_id> nodes;
-  for (const node_record& node : config.assets.nodes) {
-    nodes.push_back(node.id);
-  }
-  limits_.set_nodes(now, nodes);
-  for (const workspace_rule& workspace : config.wanted.workspaces) {
-    limits_.set_limit(now, workspace.id, {workspace.requests_per_second, workspace.burst});
-  }
-}
-
-limit_verdict shared_limits::take(time_point now, const workspace_id& workspace) {
-  const std::lock_guard guard(lock_);
-  return limits_.take(now, workspace);
-}
-
-std::vector<usage> shared_limits::tell(time_point now) {
-  const std::lock_guard guard(lock_);
-  return limits_.tell(now);
-}
-
-void shared_limits::heard(time_point now, const node_id& peer, const std::vector<usage>& told) {
-  const std::lock_guard guard(lock_);
-  limits_.heard(now, peer, told);
-}
-
 std::optional<std::uint64_t> number_header(const http_headers& headers, std::string_view name) {
   const auto text = headers.find(name);
   if (!text) {
--- a/src/node/call_context.h
+++ b/src/node/call_context.h
@@ -5,7 +5,6 @@
 #include <atomic>
 #include <cstdint>
 #include <memory>
-#include <mutex>
 #include <optional>
 #include <string>
 
@@ -13,29 +12,14 @@
 #include "connection/http_server.h"
 #include "node/control.h"
 #include "node/error_body.h"
+#include "node/limit_exchange.h"
 #include "node/metrics.h"
 #include "node/model_gate.h"
 #include "node/platform_client.h"
 #include "node/service_health.h"
-#include "request/limits.h"
 
 namespace arbutus {
 
-// Limits of workspaces at this node, under one lock: taken once per request.
-class shared_limits {
- public:
-  explicit shared_limits(node_id self) : limits_(std::move(self)) {}
-  void configure(time_point now, const configuration& config);
-  [[nodiscard]] limit_verdict take(time_point now, const workspace_id& workspace);
-  [[nodiscard]] std::vector<usage> tell(time_point now);
-  void heard(time_point now, const node_id& peer, const std::vector<usage>& told);
-
- private:
-  std::mutex lock_;
-  rate_limits limits_;
-  std::uint64_t config_version_ = 0;
-};
-
 // Lives as long as the node; the parts outlive every call.
 struct call_context {
   node_id self;
@@ -46,7 +30,7 @@
   platform_client& platform;
   control& core;
   model_gates& gates;
-  shared_limits& limits;
+  limit_exchange& limits;
   service_health& services;
   metrics& measured;
   std::atomic<std::uint64_t> next_request{1};
--- /dev/null
+++ b/src/node/limit_exchange.cpp
@@ -0,0 +1,115 @@
+// Leases of limits between nodes.
+#include "node/limit_exchange.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace arbutus {
+
+namespace {
+
+using json = nlohmann::json;
+
+std::int64_t count(time_point t) {
+  return t.time_since_epoch().count();
+}
+
+time_point moment(const json& j) {
+  return time_point{duration{j.get<std::int64_t>()}};
+}
+
+std::vector<node_id> peers_to_tell(const inventory& assets, const node_id& self) {
+  const node_record* own = assets.find_node(self);
+  const bool all = assets.nodes.size() <= limit_mesh_nodes;
+  std::vector<node_id> peers;
+  for (const node_record& node : assets.nodes) {
+    const bool near = own != nullptr && node.data_centre == own->data_centre;
+    if (node.id != self && (all || near)) {
+      peers.push_back(node.id);
+    }
+  }
+  return peers;
+}
+
+}  // namespace
+
+std::string encode(const limit_message& message) {
+  json workspaces = json::array();
+  for (const auto& w : message.workspaces) {
+    workspaces.push_back({w.workspace.str(), w.demand, w.lent});
+  }
+  json body = {count(message.stamp), nullptr, workspaces};
+  if (message.echo) {
+    body[1] = count(*message.echo);
+  }
+  const std::vector<std::uint8_t> bytes = json::to_msgpack(body);
+  return {bytes.begin(), bytes.end()};
+}
+
+outcome<limit_message> decode_limit_message(std::string_view bytes) {
+  try {
+    const json body = json::from_msgpack(bytes.begin(), bytes.end());
+    limit_message message;
+    message.stamp = moment(body.at(0));
+    if (!body.at(1).is_null()) {
+      message.echo = moment(body.at(1));
+    }
+    for (const json& w : body.at(2)) {
+      message.workspaces.push_back(
+          {workspace_id{w.at(0).get<std::string>()}, w.at(1).get<double>(), w.at(2).get<double>()});
+    }
+    return message;
+  } catch (const std::exception& e) {
+    return refused{std::string("malformed: ") + e.what()};
+  }
+}
+
+limit_exchange::limit_exchange(time_point now, node_id self)
+    : self_(self), limits_(now, std::move(self)) {}
+
+void limit_exchange::configure(time_point now, const configuration& config) {
+  const std::lock_guard guard(lock_);
+  if (config.version == config_version_) {
+    return;
+  }
+  config_version_ = config.version;
+  std::vector<node_id> nodes;
+  for (const node_record& node : config.assets.nodes) {
+    nodes.push_back(node.id);
+  }
+  limits_.set_nodes(now, nodes);
+  has_limits_ = false;
+  for (const workspace_rule& workspace : config.wanted.workspaces) {
+    limits_.set_limit(now, workspace.id, {workspace.requests_per_second, workspace.burst});
+    has_limits_ = has_limits_ || workspace.requests_per_second > 0;
+  }
+  told_ = peers_to_tell(config.assets, self_);
+}
+
+limit_verdict limit_exchange::take(time_point now, const workspace_id& workspace) {
+  const std::lock_guard guard(lock_);
+  return limits_.take(now, workspace);
+}
+
+std::vector<peer_send> limit_exchange::tell(time_point now) {
+  const std::lock_guard guard(lock_);
+  std::vector<peer_send> messages;
+  if (!has_limits_) {
+    return messages;
+  }
+  limits_.update(now);
+  for (const node_id& peer : told_) {
+    messages.push_back({peer, encode(limits_.tell(now, peer)), false});
+  }
+  return messages;
+}
+
+void limit_exchange::heard(time_point now, const node_id& peer, std::string_view bytes) {
+  const auto message = decode_limit_message(bytes);
+  if (const auto* known = std::get_if<limit_message>(&message)) {
+    const std::lock_guard guard(lock_);
+    limits_.heard(now, peer, *known);
+  }
+}
+
+}  // namespace arbutus
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-coordinator_settings core_settings(const node_options& options) {
+coordinator_settings core_settings(const node_setup& options) {
   coordinator_settings settings;
   settings.self = options.self;
   settings.data_centre = options.data_centre;
@@ -27,7 +27,7 @@
 
 // In order of construction: what is below uses what is above.
 struct node::parts {
-  explicit parts(node_options o)
+  explicit parts(node_setup o)
       : options(std::move(o)),
         runtime(options.workers),
         client(runtime),
@@ -35,7 +35,7 @@
         engines(client),
         measured(options.workers),
         gates(runtime, options.seed),
-        limits(options.self),
+        limits(monotonic_now(), options.self),
         core(runtime, platform, engines, core_settings(options)),
         context{options.self,
                 options.incarnation,
@@ -73,15 +73,16 @@
   std::string gauges();
   void on_view(const std::shared_ptr<const node_view>& view);
   void listen();
+  void exchange_limits();
 
-  node_options options;
+  node_setup options;
   fiber_runtime runtime;
   http_client client;
   platform_client platform;
   engine_client engines;
   metrics measured;
   model_gates gates;
-  shared_limits limits;
+  limit_exchange limits;
   service_health services;
   control core;
   call_context context;
@@ -126,10 +127,15 @@
 }
 
 void node::parts::listen() {
-  links = std::make_unique<peer_links>(runtime, options.links, options.self,
-                                       [this](peer_message m) { core.feed(std::move(m)); });
+  links = std::make_unique<peer_links>(runtime, options.links, options.self);
+  links->set_receiver(link_channel::coordination,
+                      [this](peer_message m) { core.feed(std::move(m)); });
+  links->set_receiver(link_channel::limits, [this](const peer_message& m) {
+    limits.heard(monotonic_now(), m.from, m.bytes);
+  });
   links->set_peers(options.bootstrap_peers);
-  core.set_peer_sender([this](const peer_send& message) { links->send(message); });
+  core.set_peer_sender(
+      [this](const peer_send& message) { links->send(link_channel::coordination, message); });
   core.set_view_listener([this](const std::shared_ptr<const node_view>& v) { on_view(v); });
   core.set_notice_listener(options.on_notice);
   const auto handler = [this](const http_request& request, response_writer& writer) {
@@ -139,7 +145,7 @@
                                          server_error_body);
 }
 
-node::node(node_options options) : parts_(std::make_unique<parts>(std::move(options))) {
+node::node(node_setup options) : parts_(std::make_unique<parts>(std::move(options))) {
   parts_->runtime.run();
   parts_->listen();
 }
@@ -149,14 +155,24 @@
     parts_->core.stop();
   }
   parts_->server.reset();
+  parts_->runtime.stop();  // ends the exchange of limits, which uses the links
   parts_->links.reset();
-  parts_->runtime.stop();
   parts_->runtime.join();
 }
 
+// Exchanges leases of limits with the peers until the runtime stops.
+void node::parts::exchange_limits() {
+  while (sleep_until(monotonic_now() + limit_settings{}.told_every)) {
+    for (const peer_send& message : limits.tell(monotonic_now())) {
+      links->send(link_channel::limits, message);
+    }
+  }
+}
+
 void node::start() {
   parts_->running = true;
   parts_->core.start();
+  parts_->runtime.post(0, [this] { parts_->exchange_limits(); });
 }
 
 bool node::stop() {
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -14,7 +14,7 @@
 
 namespace arbutus {
 
-struct node_options {
+struct node_setup {
   node_id self;
   data_centre_id data_centre;
   socket_address callers;  // where callers are listened for; port 0: any
@@ -36,7 +36,7 @@
 class node {
  public:
   // Listens at once; throws boost::system::system_error when an address cannot be listened on.
-  explicit node(node_options options);
+  explicit node(node_setup options);
   ~node();
   node(const node&) = delete;
   node& operator=(const node&) = delete;
--- a/src/node/peer_links.cpp
+++ b/src/node/peer_links.cpp
@@ -24,15 +24,31 @@
 
 }  // namespace
 
-peer_links::peer_links(fiber_runtime& runtime, const socket_address& listen, node_id self,
-                       on_message received)
+peer_links::peer_links(fiber_runtime& runtime, const socket_address& listen, node_id self)
     : runtime_(runtime), self_(std::move(self)) {
-  const auto on_frame = [received = std::move(received)](const node_id& from,
-                                                         std::span<const std::uint8_t> bytes) {
-    received({from, std::string(bytes.begin(), bytes.end())});
-  };
-  server_ = std::make_unique<link_server>(runtime, listen, self_, link_limits{}, on_frame,
-                                          [](const node_id&, bool) {});
+  server_ = std::make_unique<link_server>(
+      runtime, listen, self_, link_limits{},
+      [this](const node_id& from, std::span<const std::uint8_t> bytes) { receive(from, bytes); },
+      [](const node_id&, bool) {});
+}
+
+void peer_links::set_receiver(link_channel channel, on_message received) {
+  const std::lock_guard guard(lock_);
+  receivers_[static_cast<std::size_t>(channel)] = std::move(received);
+}
+
+void peer_links::receive(const node_id& from, std::span<const std::uint8_t> bytes) {
+  if (bytes.empty() || bytes[0] >= link_channels) {
+    return;  // of a newer release
+  }
+  on_message received;
+  {
+    const std::lock_guard guard(lock_);
+    received = receivers_[bytes[0]];
+  }
+  if (received) {
+    received({from, std::string(bytes.begin() + 1, bytes.end())});
+  }
 }
 
 void peer_links::set_peers(const std::vector<node_record>& peers) {
@@ -61,14 +77,18 @@
   }
 }
 
-void peer_links::send(const peer_send& message) {
+void peer_links::send(link_channel channel, const peer_send& message) {
   const std::lock_guard guard(lock_);
   const auto found = peers_.find(message.to);
   if (found == peers_.end()) {
     return;
   }
   const frame_priority priority = message.urgent ? frame_priority::urgent : frame_priority::state;
-  found->second.link->send({message.bytes.begin(), message.bytes.end()}, priority);
+  std::vector<std::uint8_t> frame;
+  frame.reserve(message.bytes.size() + 1);
+  frame.push_back(static_cast<std::uint8_t>(channel));
+  frame.insert(frame.end(), message.bytes.begin(), message.bytes.end());
+  found->second.link->send(std::move(frame), priority);
 }
 
 link_counters peer_links::counters() const {
--- a/src/node/peer_links.h
+++ b/src/node/peer_links.h
@@ -1,6 +1,7 @@
 // Links to the other nodes: one outgoing link per known peer, one server for incoming ones.
 #pragma once
 
+#include <array>
 #include <functional>
 #include <map>
 #include <memory>
@@ -14,23 +15,31 @@
 
 namespace arbutus {
 
+// What a frame is about; its first byte.
+enum class link_channel : std::uint8_t { coordination, limits };
+inline constexpr std::size_t link_channels = 2;
+
 class peer_links {
  public:
   using on_message = std::function<void(peer_message)>;
 
   // Listens at once; throws boost::system::system_error. The runtime outlives this object.
-  peer_links(fiber_runtime& runtime, const socket_address& listen, node_id self,
-             on_message received);
+  peer_links(fiber_runtime& runtime, const socket_address& listen, node_id self);
+
+  // Before the first peer is set. Called on any worker.
+  void set_receiver(link_channel channel, on_message received);
 
   [[nodiscard]] std::uint16_t port() const noexcept { return server_->port(); }
 
   // Peers that this node may send to; links to others are closed.
   void set_peers(const std::vector<node_record>& peers);
-  void send(const peer_send& message);
+  void send(link_channel channel, const peer_send& message);
 
   [[nodiscard]] link_counters counters() const;
 
  private:
+  void receive(const node_id& from, std::span<const std::uint8_t> bytes);
+
   struct peer {
     endpoint address;
     std::unique_ptr<link_client> link;
@@ -38,7 +47,8 @@
 
   fiber_runtime& runtime_;
   node_id self_;
-  mutable std::mutex lock_;  // guards peers_
+  mutable std::mutex lock_;  // guards the two below
+  std::array<on_message, link_channels> receivers_;
   std::map<node_id, peer> peers_;
   std::unique_ptr<link_server> server_;  // last: its handlers use the rest
 };
--- a/src/process/settings.cpp
+++ b/src/process/settings.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "version/field_text.h"
+#include "version/secret.h"
 #include "version/toml_reader.h"
 
 namespace arbutus {
@@ -39,6 +40,7 @@
     read_log();
     read_threads();
     read_timing();
+    read_operators();
     root_.finish();
     return std::move(settings_);
   }
@@ -118,7 +120,7 @@
     if (!table) {
       return;
     }
-    limit_settings& limits = settings_.limits;
+    connection_limits& limits = settings_.limits;
     const auto optional = presence::optional;
     table->read("header_bytes", limits.header_bytes, optional, header_bytes);
     table->read("body_bytes", limits.body_bytes, optional, body_bytes);
@@ -166,25 +168,21 @@
       return;
     }
     timing_settings& timing = settings_.timing;
-    read_override(*table, "heartbeat_ms", timing.heartbeat);
-    read_override(*table, "probe_ms", timing.probe);
-    read_override(*table, "permission_ms", timing.permission);
-    read_override(*table, "settle_ms", timing.settle);
-    read_override(*table, "config_poll_ms", timing.config_poll);
-    read_override(*table, "vm_list_poll_ms", timing.vm_list_poll);
     read_override(*table, "balancer_lag_ms", timing.balancer_lag);
     read_override(*table, "stop_limit_ms", timing.stop_limit);
-    check_permission(*table, timing);
     table->finish();
   }
 
-  // Goes wrong: when an observation lapses before the next one comes, every replica flaps between
-  // routed and not routed.
-  static void check_permission(table_reader& table, const timing_settings& timing) {
-    if (timing.probe && timing.permission && *timing.permission <= *timing.probe) {
-      table.problem("permission_ms", "observations lapse before the next probe",
-                    "more than probe_ms");
+  void read_operators() {
+    auto table = root_.table("operators");
+    if (!table) {
+      return;
     }
+    table->read("key_hash", settings_.operator_key_hash, presence::required);
+    if (!is_key_hash(settings_.operator_key_hash)) {
+      table->problem("key_hash", "is no SHA-256 in hexadecimal", "64 digits from 0 to f");
+    }
+    table->finish();
   }
 
   table_reader root_;
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -38,7 +38,7 @@
 
 // What one caller may cost. Sized for a small entry VM: 2,000 connections with 16 KiB of header
 // each stay at 32 MiB.
-struct limit_settings {
+struct connection_limits {
   std::uint32_t header_bytes = 16 * 1024;
   std::uint32_t body_bytes = 8 * 1024 * 1024;
   std::uint32_t connections = 2000;
@@ -56,14 +56,9 @@
   log_format format = log_format::text;
 };
 
-// What is not set keeps the value that the part itself names.
+// What is not set keeps the value that the part itself names. Timing that the nodes of a data
+// centre have to share (process/control_timing.h) is no setting of one node.
 struct timing_settings {
-  std::optional<duration> heartbeat;     // to other nodes
-  std::optional<duration> probe;         // of each engine
-  std::optional<duration> permission;    // how long an observation lets a replica be routed to
-  std::optional<duration> settle;        // from the last member's report to serving
-  std::optional<duration> config_poll;   // of the accepted configuration
-  std::optional<duration> vm_list_poll;  // of the platform's list
   std::optional<duration> balancer_lag;  // until the balancer sends nothing more after not ready
   std::optional<duration> stop_limit;    // for what is in flight at a planned stop
 };
@@ -74,9 +69,10 @@
   listen_settings listen;
   platform_settings platform;
   std::vector<peer_settings> peers;
-  limit_settings limits;
+  connection_limits limits;
   log_settings log;
-  std::uint32_t workers = 0;  // threads of the request path; 0: one for each core
+  std::uint32_t workers = 0;      // threads of the request path; 0: one for each core
+  std::string operator_key_hash;  // SHA-256 in hexadecimal; empty: nobody may change or look
   timing_settings timing;
 };
 
--- a/src/version/import_rules.cpp
+++ b/src/version/import_rules.cpp
@@ -130,11 +130,6 @@
   result.wanted.services.push_back(std::move(service));
 }
 
-bool is_key_hash(std::string_view text) {
-  const auto digit = [](char c) { return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f'); };
-  return text.size() == sha256_hex_length && std::all_of(text.begin(), text.end(), digit);
-}
-
 void read_key_hashes(table_reader& table, const std::string& path, workspace_rule& workspace,
                      rules_import& result) {
   auto texts = table.texts("key_hashes");
--- a/src/version/secret.cpp
+++ b/src/version/secret.cpp
@@ -4,6 +4,7 @@
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
 
+#include <algorithm>
 #include <array>
 
 namespace arbutus {
@@ -24,6 +25,11 @@
   return hex;
 }
 
+bool is_key_hash(std::string_view text) {
+  const auto digit = [](char c) { return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f'); };
+  return text.size() == sha256_hex_length && std::all_of(text.begin(), text.end(), digit);
+}
+
 bool equal_constant_time(std::string_view a, std::string_view b) {
   return a.size() == b.size() && CRYPTO_memcmp(a.data(), b.data(), a.size()) == 0;
 }
--- a/src/version/secret.h
+++ b/src/version/secret.h
@@ -16,6 +16,9 @@
 // SHA-256 in lower-case hexadecimal; empty when the cryptographic library fails.
 [[nodiscard]] std::string sha256_hex(std::string_view text);
 
+// Whether the text has the form that sha256_hex() gives.
+[[nodiscard]] bool is_key_hash(std::string_view text);
+
 // Takes as long for a first difference at the start as at the end; only the lengths show.
 [[nodiscard]] bool equal_constant_time(std::string_view a, std::string_view b);
 
