--- a/src/process/coordinator_decide.cpp
+++ b/src/process/coordinator_decide.cpp
@@ -160,7 +160,11 @@
           },
       .has_requests =
           [this](const node_id& node, const replica_id& id) {
-            return node == settings.self && in_flight.contains(id);
+            if (node == settings.self) {
+              return in_flight.contains(id);
+            }
+            const auto theirs = in_use_of.find(node);
+            return theirs != in_use_of.end() && theirs->second.contains(id);
           },
       .in_force = [this](const replica_plan& r) { return repairs.in_force(r); },
       .seen = [this](const vm_id& vm) { return seen.latest(vm); },
@@ -233,6 +237,8 @@
   next_plan_at = now + plan_interval;
   const bool old_rules = config->version < rows.row().config_version;
   if (old_rules || !rows.may_propose(now) || !may_judge(now)) {
+    // Ranks count from when writing is possible: after an outage all would be due at once.
+    need_since.reset();
     return;
   }
   plan p = next_plan(now);
