Reports and orders: whole numbers are checked before they are taken

Cause: fuzzing found that a report with -20.5 as a whole number is undefined behaviour in the library's conversion, and 2^40 is cut silently: a broken target could look idle.

--- a/src/process/engine_wire.cpp
+++ b/src/process/engine_wire.cpp
@@ -2,6 +2,8 @@
 #include "process/engine_wire.h"
 
 #include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <utility>
 
 namespace arbutus {
 
@@ -28,9 +30,24 @@
   return *parsed;
 }
 
+// The library's own conversion takes any number: -20.5 or 2^40 into 32 bits would be undefined or
+// silently cut, and a load of 0 that is none draws requests to a broken target.
+template <class T>
+T decode_whole(const json& j) {
+  if (!j.is_number_integer()) {
+    throw std::invalid_argument("expected a whole number");
+  }
+  const bool fits = j.is_number_unsigned() ? std::in_range<T>(j.get<std::uint64_t>())
+                                           : std::in_range<T>(j.get<std::int64_t>());
+  if (!fits) {
+    throw std::out_of_range("the number does not fit");
+  }
+  return j.get<T>();
+}
+
 template <class Enum>
 Enum decode_enum(const json& j, Enum last) {
-  const auto value = j.get<unsigned>();
+  const auto value = decode_whole<unsigned>(j);
   if (value > static_cast<unsigned>(last)) {
     throw std::out_of_range("enumerator");
   }
@@ -56,14 +73,14 @@
   return guarded<engine_report>(text, [](const json& j) {
     engine_report r;
     r.vm = vm_id{j.at("vm").get<std::string>()};
-    r.incarnation = j.at("inc").get<std::uint64_t>();
+    r.incarnation = decode_whole<std::uint64_t>(j.at("inc"));
     r.replica = replica_id{j.at("rep").get<std::string>()};
     r.gen = decode_generation(j.at("gen"));
     r.model_version = j.at("ver").get<std::string>();
     r.state = decode_enum(j.at("st"), engine_state::failed);
-    r.running = j.at("run").get<std::uint32_t>();
-    r.queued = j.at("q").get<std::uint32_t>();
-    r.slots = j.at("slots").get<std::uint32_t>();
+    r.running = decode_whole<std::uint32_t>(j.at("run"));
+    r.queued = decode_whole<std::uint32_t>(j.at("q"));
+    r.slots = decode_whole<std::uint32_t>(j.at("slots"));
     r.tokens_per_second = j.at("tps").get<double>();
     r.kv_used = j.at("kv").get<double>();
     r.leaving = j.value("leaving", false);
@@ -100,8 +117,8 @@
     }
     o.model = model_id{j.at("model").get<std::string>()};
     o.model_version = j.at("ver").get<std::string>();
-    o.expected_incarnation = j.at("inc").get<std::uint64_t>();
-    o.valid_for = duration{j.at("ttl_us").get<std::int64_t>()};
+    o.expected_incarnation = decode_whole<std::uint64_t>(j.at("inc"));
+    o.valid_for = duration{decode_whole<std::int64_t>(j.at("ttl_us"))};
     return o;
   });
 }
