--- /dev/null
+++ b/spec/assignment.pml
@@ -0,0 +1,519 @@
+/* Who a VM belongs to: the assignment row, repairs while the table is away, orders to engines, serving.
+ *
+ * Replica P has two members (VM 0 and 1) and a standby (VM 3); of replica Q one slot is shown (VM 2), its other
+ * members never fail. Two nodes act; each may be cut off from the table, from its peer and from any engine for as long
+ * as it likes, suspect any member rightly or wrongly, and be paused at any step, also with an order half sent
+ * (`pending`). Replies of row writes may be lost. A VM that was replaced may return, with its old role or
+ * restarted (roles and highest token gone).
+ *
+ * The row gives each VM one status, so no VM stands in two replicas of one row. `generation` is (row, lost mask);
+ * tokens compare (row number, VMs lost, mask, row identity).
+ *
+ * Time: PERMISSION and SETTLE are ticks. What a node may have observed within the permission time is kept with
+ * the VM (`prev`), because any node may have observed it at any moment.
+ *
+ * Properties
+ *   !served_twice   no VM is in two replicas that some nodes serve
+ *   !wrong_group    a served replica's members were all started as this very group
+ *   !two_owners     no VM is reserved to, or in, P in one node's view and Q in another's
+ *   !stolen         no order moves a VM to another replica while a node still counts on its present role
+ *   !unmergeable    a repair that was made while the table was away can be written to the row later
+ *
+ * Environment: TOKENS (engines refuse lower tokens), RESTART (one VM restarts), RESTORE (the table is restored
+ * once from an old copy and one node is replaced by one that knows nothing).
+ *
+ * Safeguards (each can be removed by -D):
+ *   GIVE_AT_ONCE          a reservation moves from P to Q in one row version
+ *   GIVE_UNACKNOWLEDGED   a withdrawn VM is given away before every node has acknowledged the withdrawal
+ *   ACK_WITH_ORDER        a node acknowledges while an order of its own to the VM is half sent
+ *   DROP_ACTIVATION       a node that hears a newer row forgets its repair in place of merging it
+ *   STEP_ONLY             a generation counts the lost members but does not name them
+ *   NUMBER_ONLY           rows of one number are taken for equal (a restored table grows a second row N)
+ *   KEEP_GENERATION       a replica keeps its generation when its members have changed
+ *   NO_SETTLE             a member counts as soon as it reports the role
+ *   NO_READ_BEFORE_SEND   an order is sent without reading what the VM does now
+ *   STEP_DOWN             a node follows a restored table to an older row
+ *   START_WITHOUT_PEER    a new node acts on the table's row before it has asked its peer
+ */
+
+#define VMS 4
+#ifndef MAX_ROWS
+#define MAX_ROWS 4
+#endif
+#define PERMISSION 1
+#ifdef NO_SETTLE
+#define SETTLE 0
+#else
+#define SETTLE 2
+#endif
+#define NONE 7
+
+/* Status of a VM in a row. */
+#define P0 1
+#define P1 2
+#define Q0 3
+#define STANDBY_P 4
+#define STANDBY_Q 5
+#define WITHDRAWN 6 /* belongs to nobody until all nodes have acknowledged */
+
+#define P 0
+#define Q 1
+
+/* Rows ever written, by identity; the table shows one of them. */
+short row_status[MAX_ROWS];
+byte row_number[MAX_ROWS];
+byte row_generation_p[MAX_ROWS];
+byte row_generation_q[MAX_ROWS];
+byte rows = 1;
+byte table;
+bool restored;
+
+#define STATUS(r, x) ((row_status[r] >> (3 * (x))) & 7)
+#define AS(x, s) ((s) << (3 * (x)))
+#define IN_P(s) ((s) == P0 || (s) == P1 || (s) == STANDBY_P)
+#define IN_Q(s) ((s) == Q0 || (s) == STANDBY_Q)
+
+/* Role of a VM, as ordered and reported: replica, row and lost mask. 0: none. */
+#define ROLE(replica, r, mask) (128 | ((replica) << 6) | ((r) << 4) | (mask))
+#define IS_ROLE(c) ((c) & 128) /* 0: none */
+#define REPLICA(c) (((c) >> 6) & 1)
+#define ROW(c) (((c) >> 4) & 3)
+#define MASK(c) ((c) & 15)
+#define COUNT(m) (((m) & 1) + (((m) >> 1) & 1) + (((m) >> 2) & 1) + (((m) >> 3) & 1))
+#define TOKEN(c) ((c) == 0 -> 0 : 512 * row_number[ROW(c)] + 64 * COUNT(MASK(c)) + 4 * MASK(c) + ROW(c))
+
+byte role[VMS];
+byte group[VMS];   /* ghost: the members the role was started with */
+byte highest[VMS]; /* order with the highest token */
+byte since[VMS];   /* ticks in the role, up to SETTLE */
+byte prev[VMS];    /* settled role left within the permission time */
+byte prev_group[VMS];
+byte left[VMS];    /* ticks since it was left */
+bool vm_restarted;
+
+/* Nodes. An activation is 16 | lost mask, for the row the node knows; 0: none. */
+byte known[2];
+byte act_p[2], act_q[2];
+bool ready[2] = true;
+bool replaced;
+/* Derived from the above by refresh(). */
+byte p0[2], p1[2], q0[2];       /* members, NONE if none is left */
+byte gen_p[2], gen_q[2];        /* roles that the members must report */
+byte own_p[2], own_q[2];        /* VMs in or reserved to the replica */
+/* An order whose checks are done and that is half sent. */
+byte pending[2], pending_vm[2], pending_group[2];
+
+bool served_twice, wrong_group, two_owners, stolen, unmergeable;
+
+/* Marks that a situation came about; only in the runs that look for it. */
+#ifdef WITNESS
+bool saw_two_repairs, saw_repair_after_withdrawal, saw_late_order, saw_returned, saw_heal, saw_given, saw_merge;
+#define SAW(x, condition) x = x || (condition)
+#else
+#define SAW(x, condition) skip
+#endif
+
+byte i, s, a, b, c, base, number; /* scratch, zero between steps */
+short st;
+
+#define LOST(m, x) (((m) >> (x)) & 1)
+
+/* The composition is a pure function of the row and the lost mask: a, b for P, c for Q. */
+inline compose(r, mask_p, mask_q) {
+  a = NONE; b = NONE; c = NONE;
+  i = 0;
+  do
+  :: i < VMS ->
+     s = STATUS(r, i);
+     if
+     :: s == P0 && !LOST(mask_p, i) -> a = i
+     :: s == P1 && !LOST(mask_p, i) -> b = i
+     :: s == Q0 && !LOST(mask_q, i) -> c = i
+     :: else
+     fi;
+     i++
+  :: else -> break
+  od;
+  i = 0;
+  do
+  :: i < VMS ->
+     s = STATUS(r, i);
+     if
+     :: s == STANDBY_P && !LOST(mask_p, i) && a == NONE -> a = i
+     :: s == STANDBY_P && !LOST(mask_p, i) && a != NONE && b == NONE -> b = i
+     :: s == STANDBY_Q && !LOST(mask_q, i) && c == NONE -> c = i
+     :: else
+     fi;
+     i++
+  :: else -> break
+  od
+}
+
+inline refresh(n) {
+  compose(known[n], MASK(act_p[n]), MASK(act_q[n]));
+  p0[n] = a; p1[n] = b; q0[n] = c;
+  if
+  :: a == NONE || b == NONE -> p0[n] = NONE; p1[n] = NONE
+  :: else
+  fi;
+  gen_p[n] = (act_p[n] -> ROLE(P, known[n], MASK(act_p[n])) : row_generation_p[known[n]]);
+  gen_q[n] = (act_q[n] -> ROLE(Q, known[n], MASK(act_q[n])) : row_generation_q[known[n]]);
+  own_p[n] = 0; own_q[n] = 0;
+  i = 0;
+  do
+  :: i < VMS ->
+     if
+     :: IN_P(STATUS(known[n], i)) -> own_p[n] = own_p[n] | (1 << i)
+     :: IN_Q(STATUS(known[n], i)) -> own_q[n] = own_q[n] | (1 << i)
+     :: else
+     fi;
+     i++
+  :: else -> break
+  od;
+  i = 0; a = 0; b = 0; c = 0; s = 0
+}
+
+/* Does a report count as the generation wanted? */
+#ifdef STEP_ONLY
+#define EQUAL(c, d) (IS_ROLE(c) && REPLICA(c) == REPLICA(d) && ROW(c) == ROW(d) && COUNT(MASK(c)) == COUNT(MASK(d)))
+#elif defined(NUMBER_ONLY)
+#define EQUAL(c, d) (IS_ROLE(c) && REPLICA(c) == REPLICA(d) && row_number[ROW(c)] == row_number[ROW(d)] && MASK(c) == MASK(d))
+#else
+#define EQUAL(c, d) ((c) == (d))
+#endif
+
+#define HOLDS_NOW(x, c) (EQUAL(role[x], c) && since[x] >= SETTLE)
+#define HELD(x, c) (prev[x] && EQUAL(prev[x], c))
+#define COUNTS(x, c) (HOLDS_NOW(x, c) || HELD(x, c))
+#define SERVES_P(n) (p0[n] != NONE && COUNTS(p0[n], gen_p[n]) && COUNTS(p1[n], gen_p[n]))
+#define SERVES_Q(n) (q0[n] != NONE && COUNTS(q0[n], gen_q[n]))
+#define TWICE(n, k) (SERVES_P(n) && SERVES_Q(k) && (p0[n] == q0[k] || p1[n] == q0[k]))
+#define GROUP_P(n) (p0[n] | (p1[n] << 3))
+#define STRANGER(n, x, c, g) ((HOLDS_NOW(x, c) && group[x] != (g)) || (HELD(x, c) && prev_group[x] != (g)))
+#define WRONG(n) (SERVES_P(n) && (STRANGER(n, p0[n], gen_p[n], GROUP_P(n)) || STRANGER(n, p1[n], gen_p[n], GROUP_P(n))))
+
+/* ---- the table ---- */
+
+#define ROOM (rows < MAX_ROWS)
+
+/* Writes `st` over the row in the table, generations as in row r; the writer hears of it like any node. */
+inline write(r, its_number) {
+  row_number[rows] = its_number;
+  row_status[rows] = st;
+  row_generation_p[rows] = row_generation_p[r];
+  row_generation_q[rows] = row_generation_q[r];
+  table = rows;
+  rows++;
+  st = 0
+}
+
+inline learn(n, r) {
+  known[n] = r;
+  act_p[n] = 0;
+  act_q[n] = 0
+}
+
+#define NEWER(r, n) (row_number[r] > row_number[known[n]])
+#define BAKED(n, r) ((!act_p[n] || TOKEN(row_generation_p[r]) >= TOKEN(gen_p[n])) && (!act_q[n] || TOKEN(row_generation_q[r]) >= TOKEN(gen_q[n])))
+#ifdef DROP_ACTIVATION
+#define MAY_LEARN(n, r) NEWER(r, n)
+#else
+#define MAY_LEARN(n, r) (NEWER(r, n) && BAKED(n, r))
+#endif
+
+/* Gives VM x another status in st. */
+inline put(x, status) {
+  st = (st & ~AS(x, 7)) | AS(x, status)
+}
+
+/* Writes the node's repairs of P and Q into a successor of row `base`. */
+inline merge(n) {
+  st = row_status[base];
+  i = 0;
+  do
+  :: i < VMS ->
+     s = STATUS(base, i);
+     if
+     :: act_p[n] && p0[n] != NONE && (i == p0[n] || i == p1[n]) ->
+        unmergeable = unmergeable || IN_Q(s);
+        if
+        :: i == p0[n] -> put(i, P0)
+        :: else -> put(i, P1)
+        fi
+     :: act_p[n] && p0[n] != NONE && i != p0[n] && i != p1[n] && (s == P0 || s == P1 || (IN_P(s) && LOST(act_p[n], i))) ->
+        put(i, WITHDRAWN)
+     :: act_q[n] && q0[n] != NONE && i == q0[n] ->
+        unmergeable = unmergeable || IN_P(s);
+        put(i, Q0)
+     :: act_q[n] && q0[n] != NONE && i != q0[n] && (s == Q0 || (IN_Q(s) && LOST(act_q[n], i))) ->
+        put(i, WITHDRAWN)
+     :: else
+     fi;
+     i++
+  :: else -> break
+  od;
+  i = 0; s = 0;
+#ifndef IGNORE_UNMERGEABLE
+  assert(!unmergeable);
+#endif
+  SAW(saw_merge, base != known[n]);
+  write(base, number);
+#ifndef KEEP_GENERATION
+  if
+  :: act_p[n] && p0[n] != NONE -> row_generation_p[table] = gen_p[n]
+  :: else
+  fi;
+  if
+  :: act_q[n] && q0[n] != NONE -> row_generation_q[table] = gen_q[n]
+  :: else
+  fi;
+#endif
+  base = 0; number = 0
+}
+
+#define UNBAKED_P(n) (act_p[n] && p0[n] != NONE && TOKEN(gen_p[n]) > TOKEN(row_generation_p[table]))
+#define UNBAKED_Q(n) (act_q[n] && q0[n] != NONE && TOKEN(gen_q[n]) > TOKEN(row_generation_q[table]))
+#define UNBAKED(n) (UNBAKED_P(n) || UNBAKED_Q(n))
+
+/* The node has seen the withdrawal and has no order of its own to the VM half sent. */
+#ifdef ACK_WITH_ORDER
+#define ACKNOWLEDGED(n, x) (ready[n] && STATUS(known[n], x) == WITHDRAWN)
+#else
+#define ACKNOWLEDGED(n, x) (ready[n] && STATUS(known[n], x) == WITHDRAWN && !(pending[n] && pending_vm[n] == (x)))
+#endif
+#ifdef GIVE_UNACKNOWLEDGED
+#define MAY_GIVE(x) true
+#else
+#define MAY_GIVE(x) (ACKNOWLEDGED(0, x) && ACKNOWLEDGED(1, x))
+#endif
+
+/* ---- engines ---- */
+
+inline leave_role(x) {
+  if
+  :: role[x] && since[x] >= SETTLE -> prev[x] = role[x]; prev_group[x] = group[x]; left[x] = 0
+  :: else
+  fi;
+  role[x] = 0; group[x] = 0; since[x] = 0
+}
+
+/* Node n counts on the role that VM x has. */
+#define WANTED(n, x) (ready[n] && ((role[x] == gen_p[n] && (p0[n] == (x) || p1[n] == (x))) || (role[x] == gen_q[n] && q0[n] == (x))))
+
+inline deliver(me) {
+  d_step {
+    i = pending_vm[me];
+    if
+#ifdef TOKENS
+    :: TOKEN(pending[me]) < TOKEN(highest[i]) /* refused */
+#endif
+    :: pending[me] == role[i] /* idempotent */
+    :: else ->
+       stolen = role[i] && REPLICA(role[i]) != REPLICA(pending[me]) && (WANTED(0, i) || WANTED(1, i));
+       SAW(saw_late_order, TOKEN(pending[me]) < TOKEN(role[i]));
+       leave_role(i);
+       highest[i] = pending[me];
+       role[i] = pending[me];
+       group[i] = pending_group[me]
+    fi;
+#ifndef TOKENS
+    highest[i] = 0;
+#endif
+    i = 0;
+    pending[me] = 0; pending_vm[me] = 0; pending_group[me] = 0;
+#ifndef IGNORE_STOLEN
+    assert(!stolen)
+#endif
+  }
+}
+
+inline age(x) {
+  if
+  :: role[x] && since[x] < SETTLE -> since[x]++
+  :: else
+  fi;
+  if
+  :: prev[x] && left[x] == PERMISSION -> prev[x] = 0; prev_group[x] = 0; left[x] = 0
+  :: prev[x] && left[x] < PERMISSION -> left[x]++
+  :: else
+  fi
+}
+
+/* ---- a node ---- */
+
+/* Directly before an order the VM's report is read: it shows an equal or higher token, and the order is not sent. */
+#ifdef NO_READ_BEFORE_SEND
+#define MAY_ORDER(x, c) (role[x] != (c))
+#else
+#define MAY_ORDER(x, c) (TOKEN(role[x]) < TOKEN(c))
+#endif
+
+inline prepare(me, x, code, members) {
+  pending[me] = code;
+  pending_vm[me] = x;
+  pending_group[me] = members
+}
+
+#define FREE_TO_WRITE(n) (ready[n] && ROOM && table == known[n] && !act_p[n] && !act_q[n])
+/* A stale node has raised a member's token beyond the replica's with a lower row. */
+#define OVERTAKEN(n, x) (IS_ROLE(role[x]) && REPLICA(role[x]) == P && TOKEN(role[x]) > TOKEN(gen_p[n]) && row_number[ROW(role[x])] < row_number[known[n]])
+#define REPORTS_MORE(n, x) (IS_ROLE(role[x]) && REPLICA(role[x]) == P && ROW(role[x]) == known[n] && TOKEN(role[x]) > TOKEN(gen_p[n]))
+
+proctype node(byte me) {
+end:
+  do
+  :: atomic {
+       if
+       /* Hears a newer row, from the table or from its peer. */
+       :: ready[me] && MAY_LEARN(me, table) -> learn(me, table)
+       :: ready[me] && ready[1 - me] && MAY_LEARN(me, known[1 - me]) -> learn(me, known[1 - me])
+#ifdef STEP_DOWN
+       :: ready[me] && row_number[table] < row_number[known[me]] -> learn(me, table)
+#endif
+
+       /* Hears of a greater activation for the row it knows, from its peer or in a VM's report. */
+       :: ready[me] && ready[1 - me] && known[me] == known[1 - me] && act_p[1 - me] && TOKEN(gen_p[1 - me]) > TOKEN(gen_p[me]) ->
+          act_p[me] = act_p[1 - me]
+       :: ready[me] && ready[1 - me] && known[me] == known[1 - me] && act_q[1 - me] && TOKEN(gen_q[1 - me]) > TOKEN(gen_q[me]) ->
+          act_q[me] = act_q[1 - me]
+       :: ready[me] && REPORTS_MORE(me, 1) -> act_p[me] = 16 | MASK(role[1])
+
+       /* Suspects a member, rightly or wrongly, and activates a standby on its own.
+        * Hazards: two nodes repair P with the same standby for different members; a node that cannot see the table
+        * activates a standby whose reservation is being withdrawn. */
+       :: ready[me] && (p0[me] == 0 || p1[me] == 0) ->
+          act_p[me] = 16 | act_p[me] | 1;
+          SAW(saw_two_repairs, act_p[1 - me] == (16 | 2) && known[0] == known[1]);
+          SAW(saw_repair_after_withdrawal, row_number[table] > row_number[known[me]] && STATUS(table, 3) == WITHDRAWN)
+       :: ready[me] && (p0[me] == 1 || p1[me] == 1) -> act_p[me] = 16 | act_p[me] | 2
+       :: ready[me] && q0[me] == 2 -> act_q[me] = 16 | act_q[me] | 4
+       /* The generation is raised to the known row, members unchanged: else no order would be obeyed any more. */
+       :: ready[me] && !act_p[me] && p0[me] != NONE && (OVERTAKEN(me, p0[me]) || OVERTAKEN(me, p1[me])) -> act_p[me] = 16
+
+       /* Orders: checked here, sent later. */
+       :: ready[me] && !pending[me] && p0[me] != NONE && MAY_ORDER(p0[me], gen_p[me]) -> prepare(me, p0[me], gen_p[me], GROUP_P(me))
+       :: ready[me] && !pending[me] && p1[me] != NONE && MAY_ORDER(p1[me], gen_p[me]) -> prepare(me, p1[me], gen_p[me], GROUP_P(me))
+       :: ready[me] && !pending[me] && q0[me] != NONE && MAY_ORDER(q0[me], gen_q[me]) ->
+          /* Hazard: a lost VM returns after being replaced, with its old role. */
+          SAW(saw_returned, q0[me] == 0 && role[0] && REPLICA(role[0]) == P);
+          prepare(me, q0[me], gen_q[me], 0)
+       /* Hazard: the node wakes up with an order half sent, and it arrives now; or it is lost. */
+       :: pending[me] -> deliver(me)
+       :: pending[me] -> prepare(me, 0, 0, 0)
+
+       /* Writes, conditional on the row that the table shows. The writer hears of it like any other node, so that
+        * a lost reply is the ordinary case. */
+       :: ready[me] && ROOM && UNBAKED(me) && (table == known[me] || NEWER(table, me)) ->
+          base = table; number = row_number[table] + 1
+       /* Hazard: an old copy of the table was restored. The node heals it and never steps down. */
+       :: ready[me] && ROOM && table != known[me] && row_number[table] <= row_number[known[me]] ->
+          base = known[me]; number = row_number[known[me]] + 1;
+          SAW(saw_heal, true)
+       :: FREE_TO_WRITE(me) && STATUS(table, 3) == STANDBY_P ->
+          st = row_status[table];
+#ifdef GIVE_AT_ONCE
+          put(3, STANDBY_Q);
+#else
+          put(3, WITHDRAWN);
+#endif
+          write(table, row_number[table] + 1)
+       :: FREE_TO_WRITE(me) && STATUS(table, 3) == WITHDRAWN && MAY_GIVE(3) ->
+          st = row_status[table];
+          put(3, STANDBY_Q);
+          write(table, row_number[table] + 1);
+          SAW(saw_given, true)
+       :: FREE_TO_WRITE(me) && STATUS(table, 0) == WITHDRAWN && MAY_GIVE(0) ->
+          st = row_status[table];
+          put(0, STANDBY_Q);
+          write(table, row_number[table] + 1);
+          SAW(saw_given, true)
+
+#ifdef RESTORE
+       /* Replaced by a node that knows nothing. */
+       :: ready[0] && ready[1] && !replaced ->
+          replaced = true;
+          ready[me] = false;
+          prepare(me, 0, 0, 0);
+          learn(me, 0)
+       :: !ready[me] ->
+          ready[me] = true;
+#ifdef START_WITHOUT_PEER
+          learn(me, table)
+#else
+          learn(me, (row_number[table] > row_number[known[1 - me]] -> table : known[1 - me]))
+#endif
+#endif
+       fi;
+       d_step {
+         if
+         :: number -> merge(me)
+         :: else
+         fi;
+         refresh(me)
+       }
+     }
+  od
+}
+
+active proctype engines() {
+end:
+  do
+  :: d_step { true -> age(0); age(1); age(2); age(3) }
+#ifdef RESTART
+  :: d_step { !vm_restarted -> vm_restarted = true; leave_role(0); highest[0] = 0 }
+  :: d_step { !vm_restarted -> vm_restarted = true; leave_role(3); highest[3] = 0 }
+#endif
+#ifdef RESTORE
+  :: atomic { !restored && table > 0 -> restored = true; table = 0 }
+  :: atomic { !restored && table > 1 -> restored = true; table = 1 }
+#endif
+  od
+}
+
+/* ---- properties ---- */
+
+active proctype monitor() {
+end:
+  do
+#ifndef IGNORE_SERVED_TWICE
+  :: atomic { TWICE(0, 0) || TWICE(0, 1) || TWICE(1, 0) || TWICE(1, 1) -> served_twice = true; assert(!served_twice) }
+#endif
+#ifndef IGNORE_WRONG_GROUP
+  :: atomic { WRONG(0) || WRONG(1) -> wrong_group = true; assert(!wrong_group) }
+#endif
+#ifndef IGNORE_TWO_OWNERS
+  :: atomic { ready[0] && ready[1] && ((own_p[0] & own_q[1]) || (own_p[1] & own_q[0])) -> two_owners = true; assert(!two_owners) }
+#endif
+  :: false
+  od
+}
+
+init {
+  byte n;
+
+  atomic {
+    row_status[0] = AS(0, P0) | AS(1, P1) | AS(2, Q0) | AS(3, STANDBY_P);
+    row_number[0] = 1;
+    row_generation_p[0] = ROLE(P, 0, 0);
+    row_generation_q[0] = ROLE(Q, 0, 0);
+    role[0] = ROLE(P, 0, 0); role[1] = role[0]; role[2] = ROLE(Q, 0, 0);
+    group[0] = 0 | (1 << 3); group[1] = group[0];
+    since[0] = SETTLE; since[1] = SETTLE; since[2] = SETTLE;
+#ifdef TOKENS
+    highest[0] = role[0]; highest[1] = role[1]; highest[2] = role[2];
+#endif
+    do
+    :: n < 2 -> refresh(n); n++
+    :: else -> break
+    od;
+    run node(0);
+    run node(1)
+  }
+}
+
+#ifdef WITNESS
+active proctype witness() {
+  WITNESS;
+  assert(false)
+}
+#endif
