--- a/src/standin/answer_stream.cpp
+++ b/src/standin/standin_answer.cpp
@@ -1,5 +1,5 @@
 // Tokens of one answer, in order, faults aside.
-#include "standin/answer_stream.h"
+#include "standin/standin_answer.h"
 
 #include <algorithm>
 #include <utility>
