--- a/src/cli/trial.cpp
+++ b/src/cli/trial.cpp
@@ -1,18 +1,18 @@
 // The trial's story: a fleet comes up, requests are answered, things fail, promises are counted.
-#include "cli/trial.h"
-
 #include <algorithm>
 #include <cmath>
-#include <csignal>
 #include <functional>
 #include <iomanip>
 #include <iostream>
 #include <nlohmann/json.hpp>
 #include <thread>
 
+#include "cli/commands.h"
+#include "cli/signals.h"
 #include "cli/trial_fleet.h"
 #include "cli/trial_load.h"
 #include "connection/clock.h"
+#include "node/status_json.h"
 
 namespace arbutus {
 
@@ -140,8 +140,14 @@
   }
   s.tell("killing " + lost.vm.str() + ", a member of " + lost.replica.str() + how);
   fleet.standins().kill_vm(lost.vm);
-  s.wait("not routed to", [&] { return !fleet.is_serving(lost.node, lost.replica); });
-  s.wait("repaired and serving again", [&] { return fleet.is_serving(lost.node, lost.replica); });
+  s.wait("not routed to", [&] { return !fleet.is_routed_to(lost.node, lost.replica); });
+  const bool repaired = s.wait("repaired and serving again", [&] {
+    return fleet.serves_without(lost.node, lost.replica, lost.vm);
+  });
+  if (!repaired) {
+    s.tell("what the node knows: " +
+           status_json(fleet.nodes()[lost.node]->status(), monotonic_now()));
+  }
 }
 
 void stop_one_node(trial_fleet& fleet, trial_load& load, story& s) {
@@ -184,27 +190,14 @@
                "'{\"model\":\"dispatch-llm\",\"prompt\":\"Flooded cellar\",\"max_tokens\":20,"
                "\"stream\":true}'\n\nCtrl-C ends it."
             << std::endl;
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGINT);
-  sigaddset(&signals, SIGTERM);
-  int received = 0;
-  sigwait(&signals, &received);
-}
-
-void block_signals() {
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGINT);
-  sigaddset(&signals, SIGTERM);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  wait_for_end_signal();
 }
 
 }  // namespace
 
-int run_trial(const trial_options& options) {
+int run_trial(const trial_options& options, std::ostream& /*out*/) {
   if (options.keep_up) {
-    block_signals();  // before any thread starts, so that sigwait gets them
+    block_end_signals();
   }
   story s;
   s.tell("six nodes in three data centres, 21 target VMs, a platform and a plain service start");
--- a/src/cli/trial_fleet.cpp
+++ b/src/cli/trial_fleet.cpp
@@ -1,6 +1,7 @@
 // The fleet of `trial`.
 #include "cli/trial_fleet.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <sstream>
 
@@ -63,7 +64,7 @@
   client_ = std::make_unique<http_client>(runtime_);
   const socket_address platform{standins_->platform().host, standins_->platform().port};
   for (std::size_t i = 0; i < data_centres * nodes_per_data_centre; ++i) {
-    node_options options;
+    node_setup options;
     const std::string centre = centre_name(i / nodes_per_data_centre);
     options.self = node_id{centre + "-node-" + std::to_string(i % nodes_per_data_centre + 1)};
     options.data_centre = data_centre_id{centre};
@@ -181,7 +182,16 @@
   return found;
 }
 
-bool trial_fleet::is_serving(std::size_t n, const replica_id& replica) {
+bool trial_fleet::serves_without(std::size_t n, const replica_id& replica, const vm_id& without) {
+  for (const replica_status& r : nodes_[n]->status().replicas) {
+    if (r.id == replica) {
+      return r.serving && std::find(r.members.begin(), r.members.end(), without) == r.members.end();
+    }
+  }
+  return false;
+}
+
+bool trial_fleet::is_routed_to(std::size_t n, const replica_id& replica) {
   for (const replica_status& r : nodes_[n]->status().replicas) {
     if (r.id == replica) {
       return r.serving;
