Observations: errors of connections do not count as failed probes

The dead member's head cut the requests of both nodes; each counted its own connection error as a failed probe and told the other, so two accusers made the working head lost, and the one standby stood in for it. Ruled out: the votes (both nodes were live and informed), the table's state, timing of probes. Change: an own connection error makes a target suspect at once and adds no failed probe.

--- a/src/process/observation_probes.cpp
+++ b/src/process/observation_probes.cpp
@@ -129,7 +129,7 @@
   }
   target& t = found->second;
   const bool known = own_link_fails(t);
-  add_failure(self_, t, result.sent_at, 0, now);
+  add_failure(self_, t, result.sent_at, 1, now);
   return own_link_fails(t) && (!known || t.failures.at(self_).count <= 2);
 }
 
--- a/src/process/observations.cpp
+++ b/src/process/observations.cpp
@@ -102,7 +102,7 @@
 // ---- failures ----
 
 void observation_table::add_failure(const node_id& by, target& t, time_point started,
-                                    std::uint32_t count, time_point now) {
+                                    std::uint32_t probes, time_point now) {
   if (resumed_at_ && started < *resumed_at_) {
     return;
   }
@@ -118,7 +118,7 @@
     f.count = 0;
   }
   f.newest = started;
-  f.count = std::max(f.count + (by == self_ ? 1 : 0), count);
+  f.count = by == self_ ? f.count + probes : std::max(f.count, probes);
   settle(t, now);
 }
 
--- a/src/process/observations.h
+++ b/src/process/observations.h
@@ -128,7 +128,9 @@
   void accept(const node_id& by, const observation& seen, time_point now);
   void merge(const node_id& from, const probe_failure& failure, const heard& h, time_point now);
   void refute(target& t, const node_id& by, time_point seen_at, time_point now);
-  void add_failure(const node_id& by, target& t, time_point started, std::uint32_t count,
+  // `probes`: failed probes that this failure adds (own: one, or none for a connection's error) or
+  // stands for (told by a peer: all in a row).
+  void add_failure(const node_id& by, target& t, time_point started, std::uint32_t probes,
                    time_point now);
   void own_success(const engine_report& report, time_point sent_at, time_point now);
   void settle(target& t, time_point now);
--- a/tests/core/observations_test.cpp
+++ b/tests/core/observations_test.cpp
@@ -140,6 +140,29 @@
   EXPECT_EQ(t.condition(vm, start + 610ms), working);
 }
 
+// Symptom: with the table down, a dead member is not replaced; the one standby stands in for the
+// replica's head, which works. Sequence: a member dies; the head cuts the requests of both nodes;
+// each tells the other. Cause: an error of a connection was told and counted as a failed probe, so
+// that two nodes with one cut request each made the head lost.
+TEST(Observations, CutRequestsOfTwoNodesDoNotMakeATargetLost) {
+  observation_table t = make();
+  t.own_probe({vm, start, report()}, start);
+  observation_table other(peer);
+  other.set_targets({vm});
+  other.merge(saying(report(), 0ms), composed(start), start);
+  ASSERT_TRUE(other.own_error(vm, start + 300ms));
+  ASSERT_TRUE(t.own_error(vm, start + 300ms));
+  const auto told = other.failure_of(vm, start + 310ms);
+  ASSERT_TRUE(told);
+  heartbeat beat;
+  beat.from = peer;
+  beat.failures.push_back(*told);
+  t.merge(beat, composed(start + 310ms), start + 320ms);
+  EXPECT_EQ(t.condition(vm, start + 330ms), suspect);
+  t.own_probe({vm, start + 400ms, report()}, start + 410ms);
+  EXPECT_EQ(t.condition(vm, start + 410ms), working);
+}
+
 // Symptom: after one failed connection a node never uses a target again. Sequence: it is not one of
 // the target's probers, and no error follows since nothing is sent. Cause: nobody tried its link.
 TEST(Observations, ATargetThatOthersProbeIsProbedAfterAnOwnError) {
