Connections: one file for a call, one for the pool

Change: a call and the pool part; the server's shared state moves to the server; the read buffer lives as long as the call.

--- /dev/null
+++ b/src/connection/http_call.cpp
@@ -0,0 +1,178 @@
+// One request and its answer on one connection.
+#include "connection/http_call.h"
+
+#include <algorithm>
+#include <boost/asio/error.hpp>
+
+namespace arbutus {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace {
+
+constexpr std::size_t read_buffer_size = 16 * 1024;
+
+// A target that answers before it has read the whole request has an answer waiting; more than this
+// is not spent on it.
+constexpr duration early_answer_wait = 250ms;
+
+http_headers headers_of(const http::fields& fields) {
+  http_headers headers;
+  for (const auto& field : fields) {
+    headers.add(std::string(field.name_string()), std::string(field.value()));
+  }
+  return headers;
+}
+
+}  // namespace
+
+call_failure failure_of(const error_code& error) {
+  if (error == asio::error::timed_out) {
+    return call_failure::deadline;
+  }
+  if (error == asio::error::operation_aborted) {
+    return call_failure::cancelled;
+  }
+  if (error == http::error::body_limit || error == http::error::header_limit ||
+      error == http::error::buffer_overflow) {
+    return call_failure::too_large;
+  }
+  const bool closed_early =
+      error == http::error::end_of_stream || error == http::error::partial_message;
+  if (closed_early ||
+      error.category() != http::make_error_code(http::error::bad_value).category()) {
+    return call_failure::connection_lost;
+  }
+  return call_failure::malformed;
+}
+
+call_result failed_call(call_outcome outcome, call_failure failure, std::string detail) {
+  call_result result;
+  result.outcome = outcome;
+  result.failure = failure;
+  result.detail = std::move(detail);
+  return result;
+}
+
+bool build_request(const socket_address& target, const http_request& request, wire_request& wire) {
+  const bool target_ok =
+      request.target.find_first_of(std::string_view(" \r\n\0", 4)) == std::string::npos &&
+      !request.target.empty();
+  if (!target_ok || !is_safe_field(request.method, "")) {
+    return false;
+  }
+  wire.version(11);
+  wire.method_string(request.method);
+  wire.target(request.target);
+  for (const auto& [name, value] : request.headers) {
+    if (!is_safe_field(name, value)) {
+      return false;
+    }
+    if (!is_framing_field(name)) {
+      wire.insert(name, value);
+    }
+  }
+  if (wire.find(http::field::host) == wire.end()) {
+    wire.set(http::field::host, to_string(target));
+  }
+  wire.body() = {request.body.data(), request.body.size()};
+  wire.prepare_payload();
+  return true;
+}
+
+call_result http_call::run(const answer_sink& sink, const http_client_limits& limits) {
+  connection_.stream.set_deadline(deadline_);
+  error_code write_error;
+  http::write(connection_.stream, request_, write_error);
+  if (write_error && (!sent() || !await_early_answer(write_error))) {
+    return broken(write_error);
+  }
+  error_code error;
+  auto parser = read_headers(limits, sink.bounded, error);
+  if (error) {
+    return broken(write_error ? write_error : error);
+  }
+  result_.response.status = static_cast<int>(parser->get().result_int());
+  result_.response.headers = headers_of(parser->get());
+  if (!sink.on_headers(result_.response.status, result_.response.headers)) {
+    return abandoned();
+  }
+  if (!read_body(*parser, sink, error)) {
+    return error ? broken(error) : abandoned();
+  }
+  // Bytes behind the answer belong to no request of ours, so the two sides disagree on framing.
+  reusable_ = !write_error && parser->keep_alive() && connection_.input.size() == 0;
+  result_.outcome = call_outcome::ok;
+  return std::move(result_);
+}
+
+// A target may refuse a large request before reading all of it, and close. Its answer still
+// counts.
+bool http_call::await_early_answer(const error_code& write_error) {
+  if (write_error == asio::error::timed_out || write_error == asio::error::operation_aborted) {
+    return false;
+  }
+  connection_.stream.set_deadline(std::min(deadline_, monotonic_now() + early_answer_wait));
+  return true;
+}
+
+// Answers with a status of 1xx only announce the real one.
+std::unique_ptr<http_call::answer_parser> http_call::read_headers(const http_client_limits& limits,
+                                                                  bool bounded_body,
+                                                                  error_code& error) {
+  for (;;) {
+    auto parser = std::make_unique<answer_parser>();
+    parser->header_limit(static_cast<std::uint32_t>(limits.header_bytes));
+    if (bounded_body) {
+      parser->body_limit(limits.body_bytes);
+    } else {
+      parser->body_limit(boost::none);
+    }
+    parser->skip(request_.method() == http::verb::head);
+    http::read_header(connection_.stream, connection_.input, *parser, error);
+    const bool informational = !error && parser->get().result_int() / 100 == 1;
+    if (!informational) {
+      return parser;
+    }
+  }
+}
+
+// False with `error` clear if the sink wants no more.
+bool http_call::read_body(answer_parser& parser, const answer_sink& sink, error_code& error) {
+  const auto buffer = std::make_unique_for_overwrite<char[]>(read_buffer_size);
+  while (!parser.is_done()) {
+    auto& body = parser.get().body();
+    body.data = buffer.get();
+    body.size = read_buffer_size;
+    http::read_some(connection_.stream, connection_.input, parser, error);
+    if (error == http::error::need_buffer) {
+      error = {};
+    }
+    const std::size_t count = read_buffer_size - body.size;
+    if (count > 0 && !sink.on_chunk({buffer.get(), count})) {
+      error = {};
+      return false;
+    }
+    if (error) {
+      return false;
+    }
+  }
+  return true;
+}
+
+call_result http_call::broken(const error_code& error) {
+  result_.outcome = sent() ? call_outcome::unknown : call_outcome::not_sent;
+  result_.failure = failure_of(error);
+  result_.detail = error.message();
+  return std::move(result_);
+}
+
+call_result http_call::abandoned() {
+  result_.outcome = call_outcome::unknown;
+  result_.failure = call_failure::abandoned;
+  return std::move(result_);
+}
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/connection/http_call.h
@@ -0,0 +1,76 @@
+// One request and its answer on one connection of the HTTP client. Only for the .cpp files of this
+// folder.
+#pragma once
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <memory>
+
+#include "connection/fiber_stream.h"
+#include "connection/http_client.h"
+
+namespace arbutus {
+
+using wire_request = boost::beast::http::request<boost::beast::http::span_body<const char>>;
+
+// An open connection to a target. Between calls it holds no more than its socket.
+struct http_connection {
+  explicit http_connection(fiber_stream s) : stream(std::move(s)) {}
+
+  fiber_stream stream;
+  boost::beast::flat_buffer input;  // bytes received and not yet parsed
+  time_point idle_since{};
+};
+
+// How a failed operation on a stream is reported.
+[[nodiscard]] call_failure failure_of(const boost::system::error_code& error);
+
+[[nodiscard]] call_result failed_call(call_outcome outcome, call_failure failure,
+                                      std::string detail);
+
+// Fills `wire`, which refers to the body of `request`. False if the request holds text that would
+// break its framing.
+[[nodiscard]] bool build_request(const socket_address& target, const http_request& request,
+                                 wire_request& wire);
+
+// Where the parts of one answer go.
+struct answer_sink {
+  const http_client::headers_handler& on_headers;
+  const http_client::chunk_handler& on_chunk;
+  bool bounded;  // whether the body must stay within the limit
+};
+
+class http_call {
+ public:
+  http_call(http_connection& connection, const wire_request& request, time_point deadline)
+      : connection_(connection), request_(request), deadline_(deadline) {}
+
+  // Once.
+  call_result run(const answer_sink& sink, const http_client_limits& limits);
+
+  // True if any byte of the request may have left.
+  [[nodiscard]] bool sent() const { return connection_.stream.written() != written_before_; }
+
+  // Whether another request may follow: only after a whole answer with nothing behind it.
+  [[nodiscard]] bool reusable() const { return reusable_; }
+
+ private:
+  using answer_parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
+  using error_code = boost::system::error_code;
+
+  bool await_early_answer(const error_code& write_error);
+  std::unique_ptr<answer_parser> read_headers(const http_client_limits& limits, bool bounded_body,
+                                              error_code& error);
+  bool read_body(answer_parser& parser, const answer_sink& sink, error_code& error);
+  call_result broken(const error_code& error);
+  call_result abandoned();
+
+  http_connection& connection_;
+  const wire_request& request_;
+  time_point deadline_;
+  std::uint64_t written_before_{connection_.stream.written()};
+  call_result result_;
+  bool reusable_{false};
+};
+
+}  // namespace arbutus
--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -68,6 +68,58 @@
   return state_->core.active();
 }
 
+void server_core::closed() {
+  const std::lock_guard lock(empty_mutex_);
+  registry_.closed();
+  empty_.notify_all();
+}
+
+bool server_core::wait_until_empty(time_point deadline) {
+  std::unique_lock lock(empty_mutex_);
+  return empty_.wait_until(lock, to_steady(deadline), [this] { return registry_.size() == 0; });
+}
+
+void server_core::close_idle() {
+  registry_.for_each([](http_exchange& exchange) { exchange.close_if_idle(); });
+}
+
+void server_core::close_all() {
+  draining_ = true;
+  closing_ = true;
+  registry_.for_each([](http_exchange& exchange) { exchange.close_now(); });
+  registry_.wait_until_empty();
+  // The last one may still be leaving closed().
+  const std::lock_guard lock(empty_mutex_);
+}
+
+bool response_writer::send(int status, const http_headers& headers, std::string_view body) {
+  return exchange_.send(status, headers, body);
+}
+
+bool response_writer::start(int status, const http_headers& headers) {
+  return exchange_.start(status, headers);
+}
+
+bool response_writer::write(std::string_view chunk) {
+  return exchange_.write(chunk);
+}
+
+bool response_writer::finish() {
+  return exchange_.finish();
+}
+
+bool response_writer::started() const {
+  return exchange_.started();
+}
+
+bool response_writer::caller_gone() {
+  return exchange_.caller_gone();
+}
+
+void response_writer::on_gone(std::function<void()> notice) {
+  exchange_.on_gone(std::move(notice));
+}
+
 std::string default_error_body(int status, std::string_view reason) {
   return "{\"error\":{\"code\":" + std::to_string(status) + ",\"message\":\"" +
          std::string(reason) + "\"}}\n";
