--- a/src/standin/engine_standin.h
+++ b/src/standin/engine_standin.h
@@ -15,10 +15,10 @@
 #include "base/units.h"
 #include "process/effects.h"
 #include "process/report.h"
-#include "standin/answer_stream.h"
 #include "standin/batch_standin.h"
 #include "standin/cache_standin.h"
 #include "standin/engine_fabric.h"
+#include "standin/standin_answer.h"
 
 namespace arbutus::standin {
 
