--- a/src/process/config_replica.cpp
+++ b/src/process/config_replica.cpp
@@ -40,8 +40,7 @@
 
 config_wants config_replica::tick(const std::vector<node_id>& live, time_point now) {
   config_wants wants;
-  rank_ = rank_in(live, self_);
-  const bool reader = rank_ < timing_.head_readers;
+  const bool reader = reads_head(live);
   if (reader) {
     next_read_ = std::min(next_read_, now + timing_.head_read_by_readers);
   }
@@ -75,25 +74,18 @@
 void config_replica::judge_head(const head_row& row, config_wants& wants, time_point now) {
   const std::uint64_t version = row.head ? row.head->version : 0;
   if (row.head && version > in_force_.version) {
-    old_row_seen_.reset();
     consider(*row.head, true, nullptr);
     fetch_all(wants, now);
     return;
   }
   if (row.head && version == in_force_.version && row.head->hash == in_force_.hash) {
-    old_row_seen_.reset();
     head_ = *row.head;
     return;
   }
   if (in_force_.version == 0) {
     return;
   }
-  // The other reader gets a second to heal it, so that the table is written once.
-  const bool seen_before = old_row_seen_ == row.row_version;
-  old_row_seen_ = row.row_version;
-  if (rank_ == 0 || seen_before) {
-    heal(row, wants);
-  }
+  heal(row, wants);
 }
 
 config_wants config_replica::peer_has(const node_id& peer, std::uint64_t version,
--- a/src/process/config_replica.h
+++ b/src/process/config_replica.h
@@ -135,8 +135,6 @@
   std::optional<node_id> same_as_us_;          // a peer with the configuration in force
   std::map<key, candidate> candidates_;        // at most max_candidates; all beat in_force_
   std::optional<want_healed> to_heal_;         // waits until the content is stored
-  std::optional<std::uint64_t> old_row_seen_;  // row version that was in need of healing
-  std::size_t rank_ = SIZE_MAX;                // among the live, for reading and healing the head
   time_point next_read_;
   std::optional<time_point> read_started_;
   bool retried_ = false;  // the newest read that failed was a retry
