Keyed calls: ask and mark the send in one step; forget replicas that were re-formed

Between may_send() and sent() a fiber could be suspended; begin_send() leaves no place for that. A re-formed replica inherited the speed learnt on its former VMs.

--- a/src/request/expected_completion.cpp
+++ b/src/request/expected_completion.cpp
@@ -51,6 +51,12 @@
                       .last_resort = choice->avoided || choice->tried};
 }
 
+// A replica that was a straggler and got another member would else stay avoided by its name.
+void expected_completion::forget(const replica_id& replica) {
+  learnt_.erase(replica);
+  prefixes_.forget(replica);
+}
+
 void expected_completion::sent(time_point now, const replica_id& replica,
                                const request_facts& facts) {
   prefixes_.sent(now, replica, facts.prefix);
--- a/src/request/expected_completion.h
+++ b/src/request/expected_completion.h
@@ -37,8 +37,10 @@
                                const expected_completion_settings& settings = {});
 
   void set_nodes(std::uint32_t nodes) { settings_.nodes = nodes; }
-  // For cache events, and to forget a replica that was formed anew.
+  // For cache events.
   [[nodiscard]] prefix_index& prefixes() { return prefixes_; }
+  // The replica has a new generation or is gone: other VMs, other speed, empty cache.
+  void forget(const replica_id& replica);
 
   std::optional<route_choice> choose(time_point now, const routing_snapshot& routes,
                                      const request_facts& facts, const in_flight& flights,
--- a/src/request/in_flight.cpp
+++ b/src/request/in_flight.cpp
@@ -46,6 +46,13 @@
   return result;
 }
 
+void in_flight::forget(const replica_id& replica) {
+  const auto found = replicas_.find(replica);
+  if (found != replicas_.end() && found->second.open.empty()) {
+    replicas_.erase(found);
+  }
+}
+
 std::uint32_t in_flight::count(const replica_id& replica) const {
   const auto found = replicas_.find(replica);
   return found == replicas_.end() ? 0 : static_cast<std::uint32_t>(found->second.open.size());
--- a/src/request/in_flight.h
+++ b/src/request/in_flight.h
@@ -25,6 +25,9 @@
   // Returns the attempt that ended; empty if it is not known.
   std::optional<attempt> ended(time_point now, const request_id& id, const replica_id& replica);
 
+  // The replica is gone for good; does nothing while attempts on it are open.
+  void forget(const replica_id& replica);
+
   [[nodiscard]] std::uint32_t count(const replica_id& replica) const;
   [[nodiscard]] std::uint32_t total() const { return total_; }
   // Sends and ends after `since`, as far as `history` reaches back.
--- a/src/request/keyed.cpp
+++ b/src/request/keyed.cpp
@@ -123,6 +123,14 @@
   return step_ == step::ready && send_until_ && now < *send_until_ && now < facts_.deadline;
 }
 
+bool keyed_call::begin_send(time_point now) {
+  if (!may_send(now)) {
+    return false;
+  }
+  sent();
+  return true;
+}
+
 void keyed_call::sent() {
   if (step_ == step::ready) {
     may_have_sent_ = true;
--- a/src/request/keyed.h
+++ b/src/request/keyed.h
@@ -123,7 +123,10 @@
   [[nodiscard]] keyed_effects tick(time_point now, wall_time wall);
   [[nodiscard]] time_point next_tick() const;
 
-  // To be asked directly before the first byte is written. After sent() it is false for good.
+  // Asks and marks in one step, directly before the first byte is written, with the connection
+  // already open: nothing that can suspend the caller may come between this and the write.
+  [[nodiscard]] bool begin_send(time_point now);
+  // The two halves of begin_send(). After sent() the first is false for good.
   [[nodiscard]] bool may_send(time_point now) const;
   void sent();
   // The attempt ended without an answer. Proven not run only if `how` says so.
--- a/tests/core/request_keyed_test.cpp
+++ b/tests/core/request_keyed_test.cpp
@@ -68,13 +68,7 @@
     }
     take(call.on(now, wall, table_write_result{w, result}));
   }
-  bool send() {
-    if (!call.may_send(now)) {
-      return false;
-    }
-    call.sent();
-    return true;
-  }
+  bool send() { return call.begin_send(now); }
 };
 
 using kind = keyed_reply::kind;
--- a/tests/core/request_router_test.cpp
+++ b/tests/core/request_router_test.cpp
@@ -154,6 +154,20 @@
   EXPECT_NE(fresh.choose(now, routes, once, {}, {})->replica.str(), "a");
 }
 
+// Symptom: a repaired replica gets no requests. Cause: its speed was learnt on another VM.
+TEST(Router, ForgetsTheSpeedOfAFormerComposition) {
+  routing_snapshot routes;
+  routes.replicas = {route("a"), route("b", 3), route("c", 3)};
+  expected_completion policy(1);
+  learn(policy, "a", 10s);
+  learn(policy, "b", 1s);
+  learn(policy, "c", 1s);
+  EXPECT_LE(count_choices(policy, routes)["a"], 1);
+  policy.forget(replica_id("a"));
+  routes.replicas[1].running = routes.replicas[2].running = 8;
+  EXPECT_EQ(count_choices(policy, routes)["a"], 200);
+}
+
 TEST(Router, AvoidsWhatJustFailed) {
   routing_snapshot routes;
   routes.replicas = {route("a"), route("b", 3)};
@@ -216,6 +230,11 @@
   EXPECT_EQ(flights.ended_since(a, now + 1s), 1U);
   EXPECT_EQ(flights.total(), 1U);
   EXPECT_EQ(flights.sent_since(replica_id("b"), now), 0U);
+  flights.forget(a);
+  EXPECT_EQ(flights.count(a), 1U) << "an attempt is open";
+  EXPECT_TRUE(flights.ended(now + 2s, request_id("2"), a));
+  flights.forget(a);
+  EXPECT_EQ(flights.sent_since(a, now - 1s), 0U);
 }
 
 TEST(Spill, UsableSlotsAreDividedAndCorrected) {
