--- a/src/cli/standin.cpp
+++ b/src/cli/standin.cpp
@@ -5,6 +5,7 @@
 
 #include "cli/commands.h"
 #include "cli/signals.h"
+#include "connection/clock.h"
 #include "process/settings.h"
 #include "standin/fleet.h"
 #include "version/import.h"
@@ -13,6 +14,9 @@
 
 namespace {
 
+using standin::engine_settings;
+using standin::model_profile;
+
 constexpr std::size_t standin_workers = 3;
 
 std::optional<endpoint> platform_of(const std::string& settings_file, findings& problems) {
@@ -43,6 +47,20 @@
   return assets;
 }
 
+// Slots come from the rules; weights and speeds are the stand-in's own. Incarnations count from the
+// time of start: after a restart of this process no engine passes for the one it was before.
+engine_settings engines_for(const rules& wanted, std::uint64_t seed) {
+  engine_settings settings;
+  settings.seed = seed;
+  settings.first_incarnation = static_cast<std::uint64_t>(wall_now().milliseconds);
+  for (const model_rule& rule : wanted.models) {
+    model_profile profile = settings.usual;
+    profile.batch.slots = rule.slots;
+    settings.models.emplace(rule.id, profile);
+  }
+  return settings;
+}
+
 }  // namespace
 
 int run_standin(const standin_options& options, std::ostream& out) {
@@ -59,7 +77,7 @@
   fiber_runtime runtime(standin_workers);
   runtime.run();
   fleet_settings settings;
-  settings.engine.seed = options.seed;
+  settings.engine = engines_for(imported.wanted, options.seed);
   settings.platform = options.platform ? *platform : endpoint{platform->host, 0};
   try {
     const standin_fleet fleet(runtime, part_of(imported.assets, options), settings);
--- a/src/standin/engine_standin.h
+++ b/src/standin/engine_standin.h
@@ -143,7 +143,7 @@
  private:
   struct open_stream {
     request_id id;
-    answer_stream answer;
+    standin_answer answer;
     std::vector<std::uint64_t> prefix;
     std::optional<time_point> expires_at;
     bool cut = false;
--- a/src/standin/standin_answer.cpp
+++ b/src/standin/standin_answer.cpp
@@ -8,7 +8,7 @@
 
 namespace arbutus::standin {
 
-answer_stream::answer_stream(const generation_request& request, const answer_faults& faults)
+standin_answer::standin_answer(const generation_request& request, const answer_faults& faults)
     : shown_as_(request.id),
       seed_(answer_seed(request.model, request.prompt)),
       faults_(faults),
@@ -22,7 +22,7 @@
   }
 }
 
-std::vector<standin_token> answer_stream::take(time_point now, std::uint32_t produced) {
+std::vector<standin_token> standin_answer::take(time_point now, std::uint32_t produced) {
   std::vector<standin_token> tokens;
   if (now < faults_.not_before) {
     return tokens;
@@ -38,7 +38,7 @@
   return tokens;
 }
 
-void answer_stream::cross(answer_stream& a, answer_stream& b) {
+void standin_answer::cross(standin_answer& a, standin_answer& b) {
   std::swap(a.shown_as_, b.shown_as_);
   std::swap(a.seed_, b.seed_);
   a.faults_.not_before = time_point{};
--- a/src/standin/standin_answer.h
+++ b/src/standin/standin_answer.h
@@ -36,9 +36,9 @@
   bool duplicate = false;  // one token in the middle goes out twice
 };
 
-class answer_stream {
+class standin_answer {
  public:
-  answer_stream(const generation_request& request, const answer_faults& faults);
+  standin_answer(const generation_request& request, const answer_faults& faults);
 
   // Tokens to be made for this answer.
   [[nodiscard]] std::uint32_t total() const noexcept { return end_ - first_; }
@@ -55,7 +55,7 @@
   void hold_until(time_point t) { faults_.not_before = t; }
 
   // Each gets the other's answer under the other's name, from now on without delay.
-  static void cross(answer_stream& a, answer_stream& b);
+  static void cross(standin_answer& a, standin_answer& b);
 
  private:
   request_id shown_as_;
