--- a/src/standin/engine_requests.cpp
+++ b/src/standin/engine_requests.cpp
@@ -22,7 +22,7 @@
   return true;
 }
 
-stream_state state_after(time_point now, const answer_stream& answer, bool all_made) {
+stream_state state_after(time_point now, const standin_answer& answer, bool all_made) {
   if (now < answer.not_before()) {
     return stream_state::open;
   }
@@ -80,7 +80,7 @@
   if (settings_.records_runs) {
     ++runs_[request.id];
   }
-  open_stream stream{request.id, answer_stream(request, next_faults(now)),
+  open_stream stream{request.id, standin_answer(request, next_faults(now)),
                      hash_prefix(request.prompt, request.model.str()), std::nullopt};
   if (request.expiry) {
     stream.expires_at = now + *request.expiry;
@@ -116,7 +116,7 @@
   open_stream& own = streams_.at(handle);
   for (auto& [other_handle, other] : streams_) {
     if (other_handle != handle && !other.answer.shown() && !other.cut && !other.finished) {
-      answer_stream::cross(own.answer, other.answer);
+      standin_answer::cross(own.answer, other.answer);
       --faults_.crossed;
       return;
     }
@@ -131,7 +131,7 @@
     return {stream_state::cut, {}, {}, {}};
   }
   open_stream& stream = found->second;
-  answer_stream& answer = stream.answer;
+  standin_answer& answer = stream.answer;
   const double speed = fabric_.speed(group_);
   const batch_progress made = batch_.progress(handle, answer.total(), speed);
   if (!made.started && stream.expires_at && now >= *stream.expires_at) {
