--- a/src/standin/engine_requests.cpp
+++ b/src/standin/engine_requests.cpp
@@ -2,6 +2,7 @@
 #include <algorithm>
 
 #include "standin/answer.h"
+#include "standin/countdown.h"
 #include "standin/engine_standin.h"
 
 namespace arbutus::standin {
@@ -14,14 +15,6 @@
 constexpr int conflict_status = 409;
 constexpr int unavailable_status = 503;
 
-bool take_one(std::uint32_t& count) {
-  if (count == 0) {
-    return false;
-  }
-  --count;
-  return true;
-}
-
 stream_state state_after(time_point now, const standin_answer& answer, bool all_made) {
   if (now < answer.not_before()) {
     return stream_state::open;
--- a/src/standin/platform_server.cpp
+++ b/src/standin/platform_server.cpp
@@ -101,6 +101,8 @@
     vms(request, writer);
   } else if (request.target == "/faults") {
     faults(request, writer);
+  } else if (request.target == "/snapshot" || request.target == "/restore") {
+    back_up(request.target == "/restore", writer);
   } else if (request.target == "/counters") {
     counters(writer);
   } else if (request.target.starts_with("/faults/") && other_faults_) {
@@ -179,6 +181,17 @@
   send_fault_result(writer, result);
 }
 
+void platform_server::back_up(bool restore, response_writer& writer) {
+  std::unique_lock lock(platform_.mutex);
+  if (restore) {
+    platform_.table.restore(platform_.backup);
+  } else {
+    platform_.backup = platform_.table.snapshot();
+  }
+  lock.unlock();
+  send_json(writer, 200, "{}");
+}
+
 void platform_server::counters(response_writer& writer) {
   std::unique_lock lock(platform_.mutex);
   const std::string table = encode(platform_.table.counters());
--- a/src/standin/platform_server.h
+++ b/src/standin/platform_server.h
@@ -5,6 +5,8 @@
 //   there DELETE /table/KEY            if-match: VERSION; 200 or 412 GET    /table-list/PREFIX JSON
 //   array of keys GET    /objects/NAME, PUT /objects/NAME GET    /vms [{"vm":"a1","leaving":false}]
 //   POST   /faults               {"table":{..},"objects":{..},"vm_list_lag_ms":500}
+//   POST   /snapshot             keeps a copy of the table, as a backup does
+//   POST   /restore              puts that copy back
 //   GET    /counters
 // An outage answers 503, a rate limit 429, a lost reply closes the connection. x-data-centre names
 // the caller's data centre, for partitions.
@@ -28,6 +30,7 @@
   table_standin table;
   object_standin objects;
   vm_list_standin vms;
+  table_copy backup;
 };
 
 class platform_server {
@@ -46,6 +49,7 @@
   void objects(const http_request& request, const std::string& name, response_writer& writer);
   void vms(const http_request& request, response_writer& writer);
   void faults(const http_request& request, response_writer& writer);
+  void back_up(bool restore, response_writer& writer);
   void counters(response_writer& writer);
 
   platform_standin& platform_;
--- a/src/standin/service_standin.cpp
+++ b/src/standin/service_standin.cpp
@@ -5,21 +5,10 @@
 #include <nlohmann/json.hpp>
 
 #include "base/hash.h"
+#include "standin/countdown.h"
 
 namespace arbutus::standin {
 
-namespace {
-
-bool take_one(std::uint32_t& count) {
-  if (count == 0) {
-    return false;
-  }
-  --count;
-  return true;
-}
-
-}  // namespace
-
 std::string service_standin::expected_body(const service_id& service, const service_call& c) {
   return nlohmann::json{{"service", service.str()},
                         {"method", c.method},
--- a/src/standin/store_gate.cpp
+++ b/src/standin/store_gate.cpp
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 
+#include "standin/countdown.h"
+
 namespace arbutus::standin {
 
 store_status status_of(gate_verdict verdict) {
@@ -64,22 +66,12 @@
 }
 
 bool store_gate::lose_request() {
-  if (faults_.lose_requests == 0) {
-    return false;
-  }
-  --faults_.lose_requests;
-  return true;
+  return take_one(faults_.lose_requests);
 }
 
 bool store_gate::wrote() {
   ++counters_.writes;
-  bool lost = false;
-  if (faults_.lose_replies > 0) {
-    --faults_.lose_replies;
-    lost = true;
-  } else if (faults_.lose_fraction > 0) {
-    lost = random_.unit() < faults_.lose_fraction;
-  }
+  const bool lost = take_one(faults_.lose_replies) || random_.unit() < faults_.lose_fraction;
   counters_.lost_replies += lost ? 1 : 0;
   return lost;
 }
--- a/tests/shell/standin_http_test.cpp
+++ b/tests/shell/standin_http_test.cpp
@@ -344,6 +344,17 @@
   EXPECT_TRUE(call(platform(), "GET", "/vms", {}, {{"x-data-centre", "hall-b"}}).ok());
 }
 
+TEST_F(standin_http, puts_an_old_copy_of_the_table_back) {
+  const auto put = [&](const char* version, const char* value) {
+    return call(platform(), "PUT", "/table/k", value, {{"if-match", version}}).response.status;
+  };
+  EXPECT_EQ(put("0", "old"), 200);
+  EXPECT_EQ(call(platform(), "POST", "/snapshot").response.status, 200);
+  EXPECT_EQ(put("1", "new"), 200);
+  EXPECT_EQ(call(platform(), "POST", "/restore").response.status, 200);
+  EXPECT_EQ(call(platform(), "GET", "/table/k").response.body, "old");
+}
+
 TEST_F(standin_http, refuses_faults_it_does_not_know) {
   EXPECT_EQ(call(platform(), "POST", "/faults", R"({"table":{"dwon":true}})").response.status, 400);
   EXPECT_EQ(call(address(a1), "POST", "/faults", R"({"silnet":true})").response.status, 400);
