Standin command: a platform alone lists the VMs of engines elsewhere

Cause: with only the platform stood in for, its list of VMs was empty; a command for a VM with an unknown fault had already killed it when it was refused. Change: the fleet knows the whole inventory and starts a part of it; commands are checked before they act.

--- a/src/cli/standin.cpp
+++ b/src/cli/standin.cpp
@@ -36,17 +36,6 @@
   return platform.table;
 }
 
-// Leaves out what the command was not asked to stand in for.
-inventory part_of(inventory assets, const standin_options& options) {
-  if (!options.engines) {
-    assets.vms.clear();
-  }
-  if (!options.services) {
-    assets.services.clear();
-  }
-  return assets;
-}
-
 // Slots come from the rules; weights and speeds are the stand-in's own. Incarnations count from the
 // time of start: after a restart of this process no engine passes for the one it was before.
 engine_settings engines_for(const rules& wanted, std::uint64_t seed) {
@@ -78,12 +67,14 @@
   runtime.run();
   fleet_settings settings;
   settings.engine = engines_for(imported.wanted, options.seed);
+  settings.engines = options.engines;
+  settings.services = options.services;
   settings.platform = options.platform ? *platform : endpoint{platform->host, 0};
   try {
-    const standin_fleet fleet(runtime, part_of(imported.assets, options), settings);
-    out << "standing in for " << fleet.assets().vms.size() << " VMs, "
-        << fleet.assets().services.size() << " service targets and the platform at "
-        << to_string(fleet.platform()) << std::endl;
+    const standin_fleet fleet(runtime, imported.assets, settings);
+    out << "standing in for " << (options.engines ? fleet.assets().vms.size() : 0) << " VMs, "
+        << (options.services ? fleet.assets().services.size() : 0)
+        << " service targets and the platform at " << to_string(fleet.platform()) << std::endl;
     wait_for_end_signal();
   } catch (const boost::system::system_error& e) {
     std::cerr << "standin: cannot listen: " << e.what() << '\n';
--- a/src/standin/fleet.cpp
+++ b/src/standin/fleet.cpp
@@ -4,6 +4,7 @@
 #include <map>
 #include <mutex>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <utility>
 
 #include "base/hash.h"
@@ -41,6 +42,22 @@
   return settings;
 }
 
+std::optional<bool> take_flag(nlohmann::json& command, const char* name) {
+  if (!command.is_object() || !command.contains(name) || !command[name].is_boolean()) {
+    return std::nullopt;
+  }
+  const bool value = command[name].get<bool>();
+  command.erase(name);
+  return value;
+}
+
+// Tries them on an engine that nobody uses, so that a refused command has changed nothing.
+outcome<fault_set> check_engine_faults(std::string_view command) {
+  engine_fabric fabric;
+  engine_standin unused(fabric, vm_id{}, {});
+  return set_faults(unused, monotonic_now(), command);
+}
+
 }  // namespace
 
 struct standin_fleet::state {
@@ -138,7 +155,8 @@
 // Over HTTP: /faults/vm/VM takes what an engine's own /faults takes, "killed" and "leaving" besides
 // with all that follows from them; /faults/service/SERVICE.
 void standin_fleet::state::faults(const http_request& request, response_writer& writer) {
-  if (const auto vm = after(request.target, "/faults/vm/"); vm && engines.contains(vm_id{*vm})) {
+  const auto vm = after(request.target, "/faults/vm/");
+  if (vm && assets.find_vm(vm_id{*vm}) != nullptr) {
     vm_faults(vm_id{*vm}, request, writer);
     return;
   }
@@ -156,21 +174,24 @@
 void standin_fleet::state::vm_faults(const vm_id& vm, const http_request& request,
                                      response_writer& writer) {
   auto command = nlohmann::json::parse(request.body, nullptr, false);
-  if (!command.is_object()) {
-    send_error(writer, 400, "invalid", "not a JSON object");
+  const auto killed = take_flag(command, "killed");
+  const auto engine_command = command.dump();
+  if (const auto valid = check_engine_faults(engine_command); !is_ok(valid)) {
+    send_fault_result(writer, valid);
     return;
   }
-  const auto killed = command.find("killed");
-  if (killed != command.end() && killed->is_boolean()) {
-    *killed ? kill(vm) : restart(vm);
-    command.erase(killed);
-  }
-  if (const auto leaving = command.find("leaving");
-      leaving != command.end() && leaving->is_boolean()) {
+  if (const auto leaving = take_flag(command, "leaving")) {
     list(vm, *leaving ? vm_presence::leaving : vm_presence::live);
   }
+  if (!engines.contains(vm)) {
+    send_json(writer, 200, R"({"note":"listed only: the engine is not in this process"})");
+    return;
+  }
+  if (killed) {
+    *killed ? kill(vm) : restart(vm);
+  }
   const auto result = with_engine(vm, [&](engine_standin& engine, time_point now) {
-    return set_faults(engine, now, command.dump());
+    return set_faults(engine, now, engine_command);
   });
   send_fault_result(writer, result);
 }
@@ -178,8 +199,12 @@
 standin_fleet::standin_fleet(fiber_runtime& runtime, const inventory& assets,
                              const fleet_settings& settings)
     : state_(std::make_unique<state>(runtime, assets, settings)) {
-  state_->start_engines(settings);
-  state_->start_services();
+  if (settings.engines) {
+    state_->start_engines(settings);
+  }
+  if (settings.services) {
+    state_->start_services();
+  }
   state_->start_platform(settings);
 }
 
--- a/src/standin/fleet.h
+++ b/src/standin/fleet.h
@@ -21,6 +21,9 @@
 namespace arbutus::standin {
 
 struct fleet_settings {
+  // What this process stands in for; its platform lists all VMs in any case.
+  bool engines = true;
+  bool services = true;
   engine_settings engine;              // checks_tokens comes from the inventory
   double weight_bytes_per_second = 0;  // of the weight store, shared; 0: no limit
   duration vm_list_lag{};
--- a/tests/shell/standin_http_test.cpp
+++ b/tests/shell/standin_http_test.cpp
@@ -359,6 +359,9 @@
   EXPECT_EQ(call(platform(), "POST", "/faults", R"({"table":{"dwon":true}})").response.status, 400);
   EXPECT_EQ(call(address(a1), "POST", "/faults", R"({"silnet":true})").response.status, 400);
   // A command with one unknown name changes nothing at all.
+  EXPECT_EQ(call(platform(), "POST", "/faults/vm/a2", R"({"killed":true,"zzz":1})").response.status,
+            400);
+  EXPECT_TRUE(call(address(a2), "GET", "/report").ok());
   EXPECT_EQ(
       call(platform(), "POST", "/faults", R"({"table":{"down":true,"zzz":1}})").response.status,
       400);
@@ -379,6 +382,17 @@
 // Symptom: one job card is written twice, on two instances.
 // Sequence: the first instance writes it and dies before it answers; the caller tries the second.
 // Cause: no answer is taken for not done.
+TEST_F(standin_http, lists_vms_whose_engines_are_elsewhere) {
+  fleet_settings settings = make_settings();
+  settings.engines = false;
+  settings.services = false;
+  fleet = std::make_unique<standin_fleet>(runtime, make_inventory(), settings);
+  EXPECT_EQ(call(platform(), "POST", "/faults/vm/a1", R"({"leaving":true})").response.status, 200);
+  EXPECT_EQ(call(platform(), "POST", "/faults/vm/b1", R"({"leaving":true})").response.status, 404);
+  EXPECT_EQ(call(platform(), "GET", "/vms").response.body,
+            R"([{"leaving":true,"vm":"a1"},{"leaving":false,"vm":"a2"}])");
+}
+
 TEST_F(standin_http, records_calls_over_all_instances_of_a_service) {
   service_faults faults;
   faults.cut_after = 1;
