--- a/src/process/msgpack_bounds.cpp
+++ b/src/process/msgpack_bounds.cpp
@@ -42,7 +42,7 @@
       return 0;
     }
     if (head <= 0x8f) {
-      return 2U * (head & 0x0fU);
+      return std::uint64_t{2} * (head & 0x0fU);
     }
     if (head <= 0x9f) {
       return head & 0x0fU;
