--- a/src/process/coordinator_decide.cpp
+++ b/src/process/coordinator_decide.cpp
@@ -118,12 +118,18 @@
 
 // ---- planning ----
 
-// A node that sees most targets gone and hears few peers is more likely cut off itself: its plan
-// would take whole replicas apart that serve.
-bool coordinator::parts::may_judge(time_point now) const {
+// A node that hears few peers is more likely cut off itself than left over: what it does not reach
+// may serve, and its plan, which the table would accept, would take it apart. It waits, and does
+// nothing while it does not reach most targets.
+bool coordinator::parts::may_judge(time_point now) {
   if (peers->may_act_alone(rows.row().version, now)) {
+    minority_since.reset();
     return true;
   }
+  minority_since = minority_since.value_or(now);
+  if (now - *minority_since < minority_patience) {
+    return false;
+  }
   const auto vms = config->assets.vms_of(settings.data_centre);
   const auto reached = std::count_if(vms.begin(), vms.end(), [&](const vm_record* vm) {
     const target_condition c = seen.condition(vm->id, now);
@@ -151,7 +157,7 @@
   return {
       .row = rows.row(),
       .acknowledged = peers->acknowledged_by_all(rows.row().version, now),
-      .nodes = peers->counted(now),
+      .nodes = peers->counted(rows.row().version, now),
       .version_of =
           [this](const node_id& node) {
             const peer_claims* claims = peers->claims(node);
@@ -160,7 +166,11 @@
           },
       .has_requests =
           [this](const node_id& node, const replica_id& id) {
-            return node == settings.self && in_flight.contains(id);
+            if (node == settings.self) {
+              return in_flight.contains(id);
+            }
+            const auto theirs = in_use_of.find(node);
+            return theirs != in_use_of.end() && theirs->second.contains(id);
           },
       .in_force = [this](const replica_plan& r) { return repairs.in_force(r); },
       .seen = [this](const vm_id& vm) { return seen.latest(vm); },
@@ -233,6 +243,8 @@
   next_plan_at = now + plan_interval;
   const bool old_rules = config->version < rows.row().config_version;
   if (old_rules || !rows.may_propose(now) || !may_judge(now)) {
+    // Ranks count from when writing is possible: after an outage all would be due at once.
+    need_since.reset();
     return;
   }
   plan p = next_plan(now);
--- a/src/process/coordinator_inputs.cpp
+++ b/src/process/coordinator_inputs.cpp
@@ -28,6 +28,9 @@
     return;
   }
   emit(rows.on(now, r));
+  if (std::holds_alternative<table_row>(r.result) && !rows.behind()) {
+    peers->row_read();
+  }
   note_row(now);
 }
 
@@ -62,8 +65,10 @@
   }
   for (const vm_list_entry& e : *list) {
     if (e.leaving) {
+      listed_leaving.insert(e.vm);
       note_leaving(now, e.vm, 0);
-    } else {
+    } else if (listed_leaving.erase(e.vm) > 0) {
+      // Only what the list itself said: it lags behind a target that says it leaves.
       seen.clear_leaving(e.vm);
     }
   }
@@ -72,11 +77,12 @@
 // ---- targets ----
 
 void coordinator::parts::on(time_point now, const probe_result& r) {
+  const auto* report = std::get_if<engine_report>(&r.result);
+  if (report != nullptr && report->leaving) {
+    note_leaving(now, r.vm, report->incarnation);
+  }
   const bool news = seen.own_probe(r, now);
-  if (const auto* report = std::get_if<engine_report>(&r.result)) {
-    if (report->leaving) {
-      note_leaving(now, r.vm, report->incarnation);
-    }
+  if (report != nullptr) {
     note_observation(now, r.vm);
   }
   if (news) {
@@ -183,11 +189,19 @@
   emit(notice{"gossip", "a message of " + m.from.str() + " cannot be decoded"});
 }
 
+// A restarted peer has echoed messages whose short forms it could not understand.
+void coordinator::parts::note_process(const node_id& from, const struct heard& h) {
+  if (h.restarted) {
+    seen.forget_peer(from);
+  }
+}
+
 void coordinator::parts::heard(time_point now, const node_id& from, const heartbeat& m) {
-  const auto h = peers->receive(m, now);
+  const auto h = peers->receive(m, rows.row().version, now);
   if (!h) {
     return;
   }
+  note_process(from, *h);
   seen.merge(m, *h, now);
   for (const vm_record* vm :
        config ? config->assets.vms_of(settings.data_centre) : std::vector<const vm_record*>{}) {
@@ -202,6 +216,7 @@
   if (!m.table_reachable && !rows.unreadable_since()) {
     rows.look(now);  // to know for oneself before a repair depends on it
   }
+  in_use_of[from] = {m.in_use.begin(), m.in_use.end()};
   peer_usage& u = usage_of[from];
   u = {{}, now};
   for (const workspace_usage& w : m.usage) {
@@ -234,6 +249,7 @@
 
 void coordinator::parts::heard(time_point now, const node_id& from, const lost_notice& m) {
   if (const auto h = peers->receive(from, m.stamp, now)) {
+    note_process(from, *h);
     seen.merge(from, m, *h, now);
     changed();
   }
--- a/src/process/coordinator_tick.cpp
+++ b/src/process/coordinator_tick.cpp
@@ -36,8 +36,7 @@
 void coordinator::parts::send_heartbeats(time_point now) {
   for (const node_id& peer : peers->due(now)) {
     heartbeat beat = peers->prepare(peer, now);
-    beat.config_version = configs.in_force().version;
-    beat.config_hash = configs.in_force().hash;
+    peers->claim_config(beat, peer, configs.in_force().version, configs.in_force().hash);
     beat.assignment_version = rows.row().version;
     beat.table_reachable = !rows.unwritable(now);
     beat.draining = leaving;
@@ -49,6 +48,12 @@
     for (const auto& [workspace, rate] : usage) {
       beat.usage.push_back({workspace, rate});
     }
+    for (const auto& [id, counts] : in_flight) {
+      const replica_plan* replica = rows.row().find(id);
+      if (replica != nullptr && replica->phase == replica_phase::draining) {
+        beat.in_use.push_back(id);
+      }
+    }
     seen.take_deltas(beat, peer, peers->echoed(peer), now);
     emit(peer_send{peer, encode(gossip_message{beat}), false});
   }
--- a/src/process/row_keeper.cpp
+++ b/src/process/row_keeper.cpp
@@ -60,9 +60,14 @@
   if (version <= row_.version) {
     return;
   }
+  const bool news = version > highest_heard_;
   raise_heard(now, version);
   claimed_at_ = now;
-  read_soon(now);
+  if (news) {
+    next_read_ = std::min(next_read_, now + random_.jitter(row_read_spread));
+  } else {
+    read_soon(now);
+  }
 }
 
 void row_keeper::heard_from_target(time_point now, std::uint64_t version) {
@@ -184,6 +189,7 @@
   } else if (!repair_since_) {
     repair_since_ = now;
     ++counters_.restored_copies;
+    read_soon(now);
   }
 }
 
@@ -214,13 +220,15 @@
   if (content == nullptr) {
     return {};
   }
-  open_write sent{.proposal = content->proposal, .expected = r.asked.expected, .sent_at = now};
+  open_write sent{.proposal = content->proposal, .expected = r.asked.expected, .sent_at = {}};
   if (write_ && write_->proposal == sent.proposal) {
+    sent.sent_at = write_->sent_at;
     write_.reset();
   }
   std::erase_if(unresolved_, [&](const open_write& w) { return w.proposal == sent.proposal; });
   if (const auto* written = std::get_if<table_written>(&r.result)) {
     unresolved_.push_back(sent);
+    confirmed_at_ = sent.sent_at;
     take(now, {written->version, content->version, content->proposal}, *content);
     return {};
   }
--- a/src/request/expected_completion.cpp
+++ b/src/request/expected_completion.cpp
@@ -9,7 +9,7 @@
 
 // Candidates within this part of the best are equal: the choice among them is drawn, or nodes
 // with the same reports would all send to the same replica.
-constexpr double equal_within = 0.05;
+constexpr double equal_within = 0.01;
 // Part of its slots that a replica is trusted with directly after a repair.
 constexpr double least_slow_start = 0.1;
 // A lone observation must not turn a replica into a straggler or a marvel.
@@ -51,6 +51,12 @@
                       .last_resort = choice->avoided || choice->tried};
 }
 
+// A replica that was a straggler and got another member would else stay avoided by its name.
+void expected_completion::forget(const replica_id& replica) {
+  learnt_.erase(replica);
+  prefixes_.forget(replica);
+}
+
 void expected_completion::sent(time_point now, const replica_id& replica,
                                const request_facts& facts) {
   prefixes_.sent(now, replica, facts.prefix);
@@ -185,7 +191,9 @@
     return nullptr;
   }
   for (candidate& c : all) {
-    if (!c.avoided || c.tried) {
+    // Only while it is idle: a straggler that is kept full by probes of all nodes never recovers,
+    // and each of those requests waits behind the others.
+    if (!c.avoided || c.tried || c.load >= 1) {
       continue;
     }
     learnt& known = learnt_[c.route->id];
