--- a/src/version/plan_draft.cpp
+++ b/src/version/plan_draft.cpp
@@ -18,6 +18,7 @@
 
 std::vector<const model_rule*> by_rank(const std::vector<model_rule>& models) {
   std::vector<const model_rule*> list;
+  list.reserve(models.size());
   for (const model_rule& rule : models) {
     list.push_back(&rule);
   }
--- a/src/version/wanted.cpp
+++ b/src/version/wanted.cpp
@@ -112,7 +112,7 @@
 
 // What is free already is set aside too. Otherwise a later pass takes it, the borrower does not
 // fit when the drain is over, and the next plan drains another lender for the same end.
-bool borrow(plan_draft& draft, const model_rule& rule, std::size_t keep_free) {
+void borrow(plan_draft& draft, const model_rule& rule, std::size_t keep_free) {
   draft_replica* lender = nullptr;
   domain_index domain = any_domain;
   for (draft_replica& r : draft.replicas) {
@@ -126,13 +126,12 @@
     }
   }
   if (lender == nullptr) {
-    return false;
+    return;
   }
   draft.drain(*lender, "lent to " + rule.id.str());
   const std::size_t free = std::min<std::size_t>(
       rule.vms_per_replica, draft.pool.free_count(domain, rule.accelerators_per_vm));
   draft.pool.promise(domain, rule.accelerators_per_vm, free, rule.vms_per_replica - free);
-  return true;
 }
 
 // A model that lacks a replica of its placements comes before one that only wants more, and would
@@ -166,8 +165,7 @@
   return false;
 }
 
-// When VMs are left over. Not while a borrower waits for its VMs: it would wait for ever, and its
-// lender be drained again and again.
+// When VMs are left over; those that a borrower waits for are set aside by now.
 void return_what_was_lent(plan_draft& draft, std::size_t keep_free) {
   for (const model_rule* rule : draft.models()) {
     while (draft.count_active(rule->id) < draft.base_replicas(*rule) &&
@@ -208,16 +206,14 @@
                    std::size_t standbys_kept) {
   const bool may_borrow = !placements_unmet(draft, wanted);
   const std::size_t keep_free = draft.wanted().spare_vms_per_data_centre;
-  bool waiting = false;
   for (const model_rule* rule : draft.models()) {
-    if (has_too_few(draft, *rule) && !lay_down(draft, *rule, keep_free)) {
-      waiting = on_their_way(draft, *rule, standbys_kept, keep_free) ||
-                (may_borrow && borrow(draft, *rule, keep_free)) || waiting;
+    const bool settled = !has_too_few(draft, *rule) || lay_down(draft, *rule, keep_free) ||
+                         on_their_way(draft, *rule, standbys_kept, keep_free);
+    if (!settled && may_borrow) {
+      borrow(draft, *rule, keep_free);
     }
   }
-  if (!waiting) {
-    return_what_was_lent(draft, keep_free);
-  }
+  return_what_was_lent(draft, keep_free);
 }
 
 }  // namespace arbutus
--- a/tests/core/planner_cost_test.cpp
+++ b/tests/core/planner_cost_test.cpp
@@ -66,7 +66,11 @@
               << "; 1,700 VMs " << ten.steady_ms << ' ' << ten.one_lost_ms << ' '
               << ten.domain_lost_ms << '\n';
     EXPECT_LT(ten.steady_ms, 50 * one.steady_ms);
-    EXPECT_LT(ten.domain_lost_ms, 200);
+    EXPECT_LT(ten.one_lost_ms, 50 * one.one_lost_ms);
+    EXPECT_LT(ten.domain_lost_ms, 50 * one.domain_lost_ms);
+#ifdef NDEBUG  // milliseconds mean something in an optimised build only
+    EXPECT_LT(ten.domain_lost_ms, 100);
+#endif
   }
 }
 
--- a/tests/core/planner_repair_test.cpp
+++ b/tests/core/planner_repair_test.cpp
@@ -237,6 +237,27 @@
   EXPECT_EQ(w.row.replicas[0].model_version, "v2");
 }
 
+// Symptom: a model is dark while the successor of its only replica loads.
+// Sequence: the successor is laid down; the old one is then one too many, and is drained.
+// Cause: a replica that was laid down is counted as if it served.
+TEST(planner_roll, predecessor_stays_until_its_successor_serves) {
+  planner_world w;
+  w.add_domain(6);
+  w.add_model("llm", 3, 1);
+  w.settle();
+  const replica_id old = w.row.replicas[0].id;
+  w.config.wanted.models[0].version = "v2";
+  ASSERT_TRUE(w.step());
+  ASSERT_EQ(w.row.replicas.size(), 2U);
+  planner_input in = w.input();
+  in.serving = {old};
+  EXPECT_FALSE(make_plan(in).changed);
+  const plan p = make_plan(w.input());
+  const replica_plan* after = p.next.find(old);
+  ASSERT_NE(after, nullptr);
+  EXPECT_EQ(after->phase, replica_phase::draining);
+}
+
 TEST(planner_roll, unwanted_replica_drains_and_is_removed_when_empty) {
   planner_world w = small_world();
   w.config.wanted.models[0].placements[0].replicas = 1;
