--- a/src/connection/bench_connections.cpp
+++ b/src/connection/bench_connections.cpp
@@ -2,10 +2,12 @@
 #include "connection/bench_connections.h"
 
 #include <sys/resource.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <atomic>
 #include <boost/fiber/operations.hpp>
+#include <fstream>
 #include <thread>
 
 #include "connection/clock.h"
@@ -20,6 +22,9 @@
 constexpr std::size_t callers_per_worker = 16;
 constexpr std::size_t concurrent_streams = 16;
 
+// Below the usual limit of 1024 open files with both ends of each in one process.
+constexpr std::size_t open_connections = 400;
+
 // About the size of a small JSON answer and of one token as a server-sent event.
 constexpr std::size_t answer_bytes = 256;
 constexpr std::size_t chunk_bytes = 64;
@@ -163,6 +168,40 @@
           client.counters().frames_dropped};
 }
 
+std::size_t resident_bytes() {
+  std::ifstream statm("/proc/self/statm");
+  std::size_t total_pages = 0;
+  std::size_t resident_pages = 0;
+  statm >> total_pages >> resident_pages;
+  return resident_pages * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
+}
+
+connection_memory bench_memory() {
+  fiber_runtime runtime(1);
+  runtime.run();
+  std::atomic<std::size_t> waiting{0};
+  const http_server server(runtime, any_port, {},
+                           [&](const http_request&, response_writer& writer) {
+                             ++waiting;
+                             while (waiting < open_connections) {
+                               sleep_until(monotonic_now() + 1ms);
+                             }
+                             writer.send(200, {}, "");
+                           });
+  http_client_limits limits;
+  limits.idle_per_target = open_connections;
+  http_client client(runtime, limits);
+  const std::size_t before = resident_bytes();
+  std::size_t busy = 0;
+  run_callers(runtime, open_connections, [&](std::size_t) {
+    client.fetch({"127.0.0.1", server.port()}, {}, monotonic_now() + 10s);
+    busy = std::max(busy, resident_bytes());
+  });
+  const std::size_t after = resident_bytes();
+  return {open_connections, (busy - before) / open_connections,
+          (after - before) / open_connections};
+}
+
 idle_cost bench_idle(duration each) {
   fiber_runtime runtime(most_workers);
   runtime.run();
@@ -187,6 +226,7 @@
 
 connection_figures bench_connections(duration each) {
   connection_figures figures;
+  figures.memory = bench_memory();  // first, while nothing has grown the heap yet
   figures.idle = bench_idle(4 * each);
   figures.requests.push_back(bench_requests(1, 1, each));
   for (std::size_t workers = 1; workers <= most_workers; ++workers) {
@@ -212,6 +252,9 @@
       << " us a thousand\n";
   out << "frames, 1 link: " << static_cast<std::uint64_t>(figures.frames.per_second) << "/s, "
       << figures.frames.dropped << " dropped before the kernel\n";
+  out << "memory, " << figures.memory.connections
+      << " connections, both ends: " << figures.memory.busy_bytes_each << " bytes each busy, "
+      << figures.memory.idle_bytes_each << " idle\n";
 }
 
 }  // namespace arbutus
--- a/src/connection/bench_connections.h
+++ b/src/connection/bench_connections.h
@@ -40,11 +40,20 @@
   std::uint64_t dropped{};
 };
 
+// Resident memory that open connections take, both sides together: while each carries a request,
+// and idle afterwards (stacks of fibers that have ended are kept for the next ones).
+struct connection_memory {
+  std::size_t connections{};
+  std::size_t busy_bytes_each{};
+  std::size_t idle_bytes_each{};
+};
+
 struct connection_figures {
   idle_cost idle;
   std::vector<request_rate> requests;
   stream_rate streams;
   frame_rate frames;
+  connection_memory memory;
 };
 
 // Each figure is measured for about `each`; all of them take about 15 times that. Not from a fiber.
--- a/tests/shell/connection_client_test.cpp
+++ b/tests/shell/connection_client_test.cpp
@@ -61,6 +61,22 @@
   });
 }
 
+TEST_F(connection_client, what_never_left_on_a_kept_connection_is_not_sent) {
+  play([&] {
+    auto caller = target.accept();
+    caller.read_until("card");
+    caller.send(ok_answer);
+    EXPECT_EQ(caller.read_all(), "");
+  });
+  in_fiber([&] {
+    EXPECT_TRUE(fetch().ok());
+    ASSERT_EQ(client.idle_connections(), 1U);
+    const auto result = fetch(monotonic_now());
+    EXPECT_EQ(result.outcome, call_outcome::not_sent);
+    EXPECT_EQ(result.failure, call_failure::deadline);
+  });
+}
+
 struct broken_answer {
   std::string name;
   std::string bytes;
