--- a/src/cli/options.cpp
+++ b/src/cli/options.cpp
@@ -324,6 +324,7 @@
 
 early_exit unknown_command(const std::string& name) {
   std::vector<std::string_view> names;
+  names.reserve(specs.size());
   for (const command_spec& spec : specs) {
     names.push_back(spec.name);
   }
@@ -340,6 +341,7 @@
 std::string unknown_option_message(const po::options_description& options,
                                    const std::string& given) {
   std::vector<std::string> names;
+  names.reserve(options.options().size());
   for (const auto& option : options.options()) {
     names.push_back("--" + option->long_name());
   }
--- a/src/version/cross_check.cpp
+++ b/src/version/cross_check.cpp
@@ -17,10 +17,6 @@
 // Paths that the nodes answer themselves.
 constexpr std::string_view model_api_prefix = "/v1";
 
-std::string indexed(std::string_view list, std::size_t index) {
-  return std::string(list) + '/' + std::to_string(index);
-}
-
 class checker {
  public:
   checker(const inventory& assets, const rules& wanted, const place_index& places)
@@ -212,7 +208,7 @@
     for (std::size_t m = 0; m < wanted_.models.size(); ++m) {
       const auto& placements = wanted_.models[m].placements;
       for (std::size_t p = 0; p < placements.size(); ++p) {
-        check_reference(indexed("models", m) + "/placements/" + std::to_string(p), "data centre",
+        check_reference(indexed(indexed("models", m) + "/placements", p), "data centre",
                         placements[p].data_centre.str(), names);
       }
     }
@@ -248,13 +244,13 @@
       warning(path, "service " + in_quotes(service.id.str()) + " has no target in the inventory");
     }
     for (std::size_t i = 0; i < service.workspaces.size(); ++i) {
-      check_reference(path + "/workspaces/" + std::to_string(i), "workspace",
-                      service.workspaces[i].str(), workspaces);
+      check_reference(indexed(path + "/workspaces", i), "workspace", service.workspaces[i].str(),
+                      workspaces);
     }
     for (std::size_t i = 0; i < service.idempotent_calls.size(); ++i) {
       const std::string& call = service.idempotent_calls[i].path_prefix;
       if (!is_below(call, service.path_prefix)) {
-        error(path + "/idempotent_calls/" + std::to_string(i),
+        error(indexed(path + "/idempotent_calls", i),
               "path " + in_quotes(call) + " is not below the service's path",
               "a path below " + service.path_prefix);
       }
@@ -268,13 +264,12 @@
       const workspace_rule& workspace = wanted_.workspaces[w];
       const std::string path = indexed("workspaces", w);
       for (std::size_t i = 0; i < workspace.models.size(); ++i) {
-        check_reference(path + "/models/" + std::to_string(i), "model", workspace.models[i].str(),
-                        models);
+        check_reference(indexed(path + "/models", i), "model", workspace.models[i].str(), models);
       }
       for (std::size_t i = 0; i < workspace.key_hashes.size(); ++i) {
         const std::size_t owner = owners.emplace(workspace.key_hashes[i], w).first->second;
         if (owner != w) {
-          error(path + "/key_hashes/" + std::to_string(i),
+          error(indexed(path + "/key_hashes", i),
                 "the key belongs to workspace " + in_quotes(wanted_.workspaces[owner].id.str()) +
                     " already",
                 "a key of its own for each workspace");
--- a/src/version/cross_check_room.cpp
+++ b/src/version/cross_check_room.cpp
@@ -53,7 +53,7 @@
   void check_models() {
     for (std::size_t m = 0; m < wanted_.models.size(); ++m) {
       const model_rule& model = wanted_.models[m];
-      const std::string path = "models/" + std::to_string(m);
+      const std::string path = indexed("models", m);
       if (model.placements.empty()) {
         warning(path, "model " + in_quotes(model.id.str()) + " is placed nowhere",
                 "replicas = { DATA_CENTRE = COUNT }");
@@ -64,7 +64,7 @@
               "at most " + std::to_string(max_positions) + " together");
       }
       for (std::size_t p = 0; p < model.placements.size(); ++p) {
-        check_placement(model, model.placements[p], path + "/placements/" + std::to_string(p));
+        check_placement(model, model.placements[p], indexed(path + "/placements", p));
       }
     }
   }
@@ -125,9 +125,9 @@
       const data_centre_id& dc = assets_.data_centres[i].id;
       const std::uint64_t vms = present[dc];
       if (wanted[dc] > vms && !short_of_room_.contains(dc)) {
-        warning("data_centres/" + std::to_string(i),
-                "the models want " + std::to_string(wanted[dc]) + " VMs in " + in_quotes(dc.str()) +
-                    ", which has " + std::to_string(vms));
+        warning(indexed("data_centres", i), "the models want " + std::to_string(wanted[dc]) +
+                                                " VMs in " + in_quotes(dc.str()) + ", which has " +
+                                                std::to_string(vms));
       }
     }
   }
--- a/src/version/import.cpp
+++ b/src/version/import.cpp
@@ -25,6 +25,13 @@
 
 }  // namespace
 
+std::string indexed(std::string_view list, std::size_t index) {
+  std::string path(list);
+  path += '/';
+  path += std::to_string(index);
+  return path;
+}
+
 void place_index::note(std::string path, place where) {
   places_.insert_or_assign(std::move(path), std::move(where));
 }
--- a/src/version/import.h
+++ b/src/version/import.h
@@ -23,6 +23,9 @@
 inline constexpr std::size_t max_inventory_bytes = std::size_t{4} << 20U;
 inline constexpr std::size_t max_toml_bytes = std::size_t{2} << 20U;
 
+// "vms/3": the record at `index` of `list`, as place_index names it.
+[[nodiscard]] std::string indexed(std::string_view list, std::size_t index);
+
 // Where each record and field was read, so that checks across both files can point at it.
 class place_index {
  public:
--- a/src/version/import_inventory.cpp
+++ b/src/version/import_inventory.cpp
@@ -109,13 +109,8 @@
   csv_field missing_;
 };
 
-template <class Record>
-std::string next_path(std::string_view list, const std::vector<Record>& records) {
-  return std::string(list) + '/' + std::to_string(records.size());
-}
-
 void read_data_centre(row_reader& row, inventory& assets) {
-  row.set_path(next_path("data_centres", assets.data_centres));
+  row.set_path(indexed("data_centres", assets.data_centres.size()));
   data_centre_record record;
   record.id = data_centre_id{row.name("id")};
   record.region = row.name("region");
@@ -123,7 +118,7 @@
 }
 
 void read_vm(row_reader& row, inventory& assets) {
-  row.set_path(next_path("vms", assets.vms));
+  row.set_path(indexed("vms", assets.vms.size()));
   vm_record record;
   record.id = vm_id{row.name("id")};
   record.address = row.address("address");
@@ -135,7 +130,7 @@
 }
 
 void read_node(row_reader& row, inventory& assets) {
-  row.set_path(next_path("nodes", assets.nodes));
+  row.set_path(indexed("nodes", assets.nodes.size()));
   node_record record;
   record.id = node_id{row.name("id")};
   record.data_centre = data_centre_id{row.name("data_centre")};
@@ -145,7 +140,7 @@
 }
 
 void read_service(row_reader& row, inventory& assets) {
-  row.set_path(next_path("services_at", assets.services));
+  row.set_path(indexed("services_at", assets.services.size()));
   service_target record;
   record.service = service_id{row.name("id")};
   record.data_centre = data_centre_id{row.name("data_centre")};
--- a/src/version/import_rules.cpp
+++ b/src/version/import_rules.cpp
@@ -33,7 +33,7 @@
                                  std::string(name_expected)});
       continue;
     }
-    result.places.note(path + '/' + std::string(key) + '/' + std::to_string(ids.size()), text.at);
+    result.places.note(indexed(path + '/' + std::string(key), ids.size()), text.at);
     ids.emplace_back(std::move(text.value));
   }
 }
@@ -50,13 +50,13 @@
                      rules_import& result) {
   for (const auto& [entry, at] : table.counts("replicas", any_count)) {
     const auto& [data_centre, count] = entry;
-    result.places.note(path + "/placements/" + std::to_string(model.placements.size()), at);
+    result.places.note(indexed(path + "/placements", model.placements.size()), at);
     model.placements.push_back({data_centre_id{data_centre}, count});
   }
 }
 
 void read_model(table_reader& table, rules_import& result) {
-  const std::string path = "models/" + std::to_string(result.wanted.models.size());
+  const std::string path = indexed("models", result.wanted.models.size());
   note_fields(table, path, {"id", "vms_per_replica"}, result.places);
   model_rule model;
   table.read("id", model.id);
@@ -107,14 +107,14 @@
                                  "method and path, as \"GET /crew/cards\""});
       continue;
     }
-    const std::string index = std::to_string(service.idempotent_calls.size());
-    result.places.note(path + "/idempotent_calls/" + index, text.at);
+    result.places.note(indexed(path + "/idempotent_calls", service.idempotent_calls.size()),
+                       text.at);
     service.idempotent_calls.push_back(std::move(*call));
   }
 }
 
 void read_service(table_reader& table, rules_import& result) {
-  const std::string path = "services/" + std::to_string(result.wanted.services.size());
+  const std::string path = indexed("services", result.wanted.services.size());
   note_fields(table, path, {"id", "path_prefix"}, result.places);
   service_rule service;
   table.read("id", service.id);
@@ -146,14 +146,13 @@
                                  "64 digits 0-9 a-f, the SHA-256 of the key"});
       continue;
     }
-    const std::string index = std::to_string(workspace.key_hashes.size());
-    result.places.note(path + "/key_hashes/" + index, text.at);
+    result.places.note(indexed(path + "/key_hashes", workspace.key_hashes.size()), text.at);
     workspace.key_hashes.push_back(std::move(text.value));
   }
 }
 
 void read_workspace(table_reader& table, rules_import& result) {
-  const std::string path = "workspaces/" + std::to_string(result.wanted.workspaces.size());
+  const std::string path = indexed("workspaces", result.wanted.workspaces.size());
   note_fields(table, path, {"id"}, result.places);
   workspace_rule workspace;
   table.read("id", workspace.id);
@@ -167,7 +166,7 @@
 }
 
 void read_class(table_reader& table, rules_import& result) {
-  const std::string path = "classes/" + std::to_string(result.wanted.classes.size());
+  const std::string path = indexed("classes", result.wanted.classes.size());
   note_fields(table, path, {"name", "first_token_ms"}, result.places);
   class_rule entry;
   table.read_name("name", entry.name, presence::required);
--- a/tests/core/import_test.cpp
+++ b/tests/core/import_test.cpp
@@ -9,6 +9,7 @@
 #include <sstream>
 
 #include "version/configuration.h"
+#include "version/field_text.h"
 #include "version/import_csv.h"
 #include "version/secret.h"
 #include "version/toml_reader.h"
@@ -253,6 +254,19 @@
   EXPECT_EQ(text_of(key.problems).find("my-secret-key"), std::string::npos);
 }
 
+// Symptom: a node calls another address than the file shows. Sequence: a NUL stands within an
+// address; the C function that parses it stops there. Cause: text that ends early.
+TEST(import, endpoints_are_ip_numbers_and_ports_only) {
+  EXPECT_EQ(parse_endpoint("10.0.0.1:80"), (endpoint{"10.0.0.1", 80}));
+  EXPECT_EQ(parse_endpoint("[fd00::1]:65535"), (endpoint{"fd00::1", 65535}));
+  for (const std::string_view text :
+       {"", ":", ":80", "10.0.0.1", "10.0.0.1:", "10.0.0.1:0", "10.0.0.1:+8", "10.0.0.1:80 ",
+        "10.0.0:80", "fd00::1:80", "[10.0.0.1]:80", "[]:80", "host:80"}) {
+    EXPECT_FALSE(parse_endpoint(text).has_value()) << text;
+  }
+  EXPECT_FALSE(parse_endpoint(std::string_view("10.0.0.1\0x:80", 13)).has_value());
+}
+
 class scratch_directory {
  public:
   scratch_directory() {
