--- a/src/connection/http_exchange.cpp
+++ b/src/connection/http_exchange.cpp
@@ -50,13 +50,13 @@
 
 // What Beast lets pass and two readers could frame differently. One of them would then take a part
 // of the body for the next request: seen as an answer to a request that nobody sent.
-bool is_framed_beyond_doubt(const http::fields& fields, bool chunked) {
+bool is_framed_beyond_doubt(const http::request<http::string_body>& fields, bool chunked) {
   const auto lengths = fields.count(http::field::content_length);
   const auto encodings = fields.count(http::field::transfer_encoding);
   if (lengths > 1 || encodings > 1 || (lengths > 0 && encodings > 0)) {
     return false;
   }
-  if (encodings == 1 && !chunked) {
+  if (encodings == 1 && (!chunked || fields.version() < 11)) {
     return false;
   }
   return fields[http::field::content_length].find(',') == boost::beast::string_view::npos;
@@ -158,7 +158,7 @@
     refuse(400, "the length of the request body is ambiguous");
     return false;
   }
-  const bool asks_first = parser.get()[http::field::expect] == "100-continue";
+  const bool asks_first = equal_ignoring_case(parser.get()[http::field::expect], "100-continue");
   if (asks_first && !parser.is_done() && input_.size() == 0) {
     constexpr std::string_view go_on = "HTTP/1.1 100 Continue\r\n\r\n";
     asio::write(stream_, asio::buffer(go_on), error);
@@ -382,56 +382,4 @@
   }
 }
 
-void server_core::closed() {
-  const std::lock_guard lock(empty_mutex_);
-  registry_.closed();
-  empty_.notify_all();
-}
-
-bool server_core::wait_until_empty(time_point deadline) {
-  std::unique_lock lock(empty_mutex_);
-  return empty_.wait_until(lock, to_steady(deadline), [this] { return registry_.size() == 0; });
-}
-
-void server_core::close_idle() {
-  registry_.for_each([](http_exchange& exchange) { exchange.close_if_idle(); });
-}
-
-void server_core::close_all() {
-  draining_ = true;
-  closing_ = true;
-  registry_.for_each([](http_exchange& exchange) { exchange.close_now(); });
-  registry_.wait_until_empty();
-  // The last one may still be leaving closed().
-  const std::lock_guard lock(empty_mutex_);
-}
-
-bool response_writer::send(int status, const http_headers& headers, std::string_view body) {
-  return exchange_.send(status, headers, body);
-}
-
-bool response_writer::start(int status, const http_headers& headers) {
-  return exchange_.start(status, headers);
-}
-
-bool response_writer::write(std::string_view chunk) {
-  return exchange_.write(chunk);
-}
-
-bool response_writer::finish() {
-  return exchange_.finish();
-}
-
-bool response_writer::started() const {
-  return exchange_.started();
-}
-
-bool response_writer::caller_gone() {
-  return exchange_.caller_gone();
-}
-
-void response_writer::on_gone(std::function<void()> notice) {
-  exchange_.on_gone(std::move(notice));
-}
-
 }  // namespace arbutus
--- a/src/process/observations.h
+++ b/src/process/observations.h
@@ -71,7 +71,8 @@
   // `echoed`: newest own sequence that the peer is known to have (membership::echoed).
   void take_deltas(heartbeat& beat, const node_id& peer, std::uint64_t echoed, time_point now);
 
-  // The peer is no longer a node of this data centre.
+  // The peer is no longer a node of this data centre, or its process is another one (heard::
+  // restarted): the new one may echo messages whose short forms it could not understand.
   void forget_peer(const node_id& peer);
 
   [[nodiscard]] target_condition condition(const vm_id& vm, time_point now) const;
@@ -119,10 +120,7 @@
     std::uint64_t load_sequence{};
     time_point at;
   };
-  struct known_slots {  // fulls received from a peer's process
-    std::uint64_t incarnation{};
-    std::map<std::uint32_t, engine_report> reports;
-  };
+  using known_slots = std::map<std::uint32_t, engine_report>;  // fulls received from a peer
   struct accuser {  // a peer whose failures others refuted may have a bad link of its own
     double refuted{};
     time_point at;
@@ -131,7 +129,9 @@
   void accept(const node_id& by, const observation& seen, time_point now);
   void merge(const node_id& from, const probe_failure& failure, const heard& h, time_point now);
   void refute(target& t, const node_id& by, time_point seen_at, time_point now);
-  void add_failure(const node_id& by, target& t, time_point started, std::uint32_t count,
+  // `probes`: failed probes that this failure adds (own: one, or none for a connection's error) or
+  // stands for (told by a peer: all in a row).
+  void add_failure(const node_id& by, target& t, time_point started, std::uint32_t probes,
                    time_point now);
   void own_success(const engine_report& report, time_point sent_at, time_point now);
   void settle(target& t, time_point now);
