Connections: a silent server no longer passes for one that closes

Cause: the test of strangers on a link passed when the server's limit on the hello was removed, since its own patience ended the wait.

Change: raw peers tell an end from silence; owners of connections say that they do not move, and sizes are computed unsigned, as the linter asks.

--- a/src/connection/cancel_token.h
+++ b/src/connection/cancel_token.h
@@ -29,6 +29,8 @@
     ~scope();
     scope(const scope&) = delete;
     scope& operator=(const scope&) = delete;
+    scope(scope&&) = delete;
+    scope& operator=(scope&&) = delete;
 
    private:
     std::shared_ptr<cancel_state> state_;
--- a/src/connection/fiber_runtime.h
+++ b/src/connection/fiber_runtime.h
@@ -18,7 +18,7 @@
 
 // One stack per fiber. Parsing JSON and writing logs fit well into half of it; only pages that were
 // touched take memory.
-constexpr std::size_t fiber_stack_size = 128 * 1024;
+constexpr std::size_t fiber_stack_size = 128UL * 1024;
 
 // Ready fibers a worker runs before it looks at its sockets again. Without a bound, fibers that
 // keep each other ready would starve every socket; with a bound of one, each switch would pay a
@@ -31,6 +31,8 @@
   ~fiber_runtime();  // stops and joins
   fiber_runtime(const fiber_runtime&) = delete;
   fiber_runtime& operator=(const fiber_runtime&) = delete;
+  fiber_runtime(fiber_runtime&&) = delete;
+  fiber_runtime& operator=(fiber_runtime&&) = delete;
 
   [[nodiscard]] std::size_t workers() const noexcept;
 
--- a/src/connection/fiber_stream.cpp
+++ b/src/connection/fiber_stream.cpp
@@ -83,7 +83,7 @@
 }
 
 void fiber_stream::close_gently(time_point deadline) {
-  constexpr std::size_t most_discarded = 1024 * 1024;
+  constexpr std::size_t most_discarded = 1024UL * 1024;
   error_code error;
   socket_.shutdown(tcp::socket::shutdown_send, error);
   set_deadline(deadline);
--- a/src/connection/http_call.cpp
+++ b/src/connection/http_call.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr std::size_t read_buffer_size = 16 * 1024;
+constexpr std::size_t read_buffer_size = 16UL * 1024;
 
 // A target that answers before it has read the whole request has an answer waiting; more than this
 // is not spent on it.
--- a/src/connection/http_client.h
+++ b/src/connection/http_client.h
@@ -58,10 +58,10 @@
 
 struct http_client_limits {
   duration connect_timeout{1s};
-  std::size_t header_bytes{64 * 1024};
-  std::size_t body_bytes{64 * 1024 * 1024};  // of whole answers; streams have no limit
-  std::size_t idle_per_target{32};           // kept open for each target and worker
-  duration idle_expiry{30s};                 // below the idle timeout of the targets
+  std::size_t header_bytes{64UL * 1024};
+  std::size_t body_bytes{64UL * 1024 * 1024};  // of whole answers; streams have no limit
+  std::size_t idle_per_target{32};             // kept open for each target and worker
+  duration idle_expiry{30s};                   // below the idle timeout of the targets
 };
 
 class http_client {
@@ -75,6 +75,8 @@
   ~http_client();
   http_client(const http_client&) = delete;
   http_client& operator=(const http_client&) = delete;
+  http_client(http_client&&) = delete;
+  http_client& operator=(http_client&&) = delete;
 
   // The calls run in a fiber of the runtime. `deadline` covers connecting, sending and the whole
   // answer.
--- a/src/connection/http_server.h
+++ b/src/connection/http_server.h
@@ -47,8 +47,8 @@
 };
 
 struct http_server_limits {
-  std::size_t header_bytes{32 * 1024};
-  std::size_t body_bytes{8 * 1024 * 1024};
+  std::size_t header_bytes{32UL * 1024};
+  std::size_t body_bytes{8UL * 1024 * 1024};
   std::size_t connections{4096};
   duration read_timeout{15s};   // from the first byte of a request to its last
   duration idle_timeout{60s};   // without any byte between requests
@@ -73,6 +73,8 @@
   ~http_server();
   http_server(const http_server&) = delete;
   http_server& operator=(const http_server&) = delete;
+  http_server(http_server&&) = delete;
+  http_server& operator=(http_server&&) = delete;
 
   [[nodiscard]] std::uint16_t port() const noexcept;
 
--- a/src/connection/link.h
+++ b/src/connection/link.h
@@ -24,7 +24,7 @@
 namespace arbutus {
 
 // Longest payload of a frame in bytes. A length above it means that the peer speaks something else.
-constexpr std::size_t max_frame_bytes = 1024 * 1024;
+constexpr std::size_t max_frame_bytes = 1024UL * 1024;
 
 enum class frame_priority : std::uint8_t {
   state,   // superseded by later frames: the oldest are dropped when the peer is slow
@@ -37,7 +37,7 @@
   duration write_timeout{3s};  // a peer that takes nothing for so long is not up
   duration first_backoff{50ms};
   duration longest_backoff{2s};
-  std::size_t queue_bytes{256 * 1024};
+  std::size_t queue_bytes{256UL * 1024};
 };
 
 // Sums since the start, both of bytes as they are handed to TCP (length prefixes and hello frames
@@ -68,6 +68,8 @@
   ~link_server();
   link_server(const link_server&) = delete;
   link_server& operator=(const link_server&) = delete;
+  link_server(link_server&&) = delete;
+  link_server& operator=(link_server&&) = delete;
 
   [[nodiscard]] std::uint16_t port() const noexcept;
   [[nodiscard]] link_counters counters() const;
@@ -88,6 +90,8 @@
   ~link_client();
   link_client(const link_client&) = delete;
   link_client& operator=(const link_client&) = delete;
+  link_client(link_client&&) = delete;
+  link_client& operator=(link_client&&) = delete;
 
   // Queues a frame of 1 to max_frame_bytes. False if it is not queued: it is too long or empty, or
   // it is state and the link is down. From any thread; does not suspend.
--- a/src/connection/link_client.cpp
+++ b/src/connection/link_client.cpp
@@ -16,7 +16,7 @@
 namespace {
 
 // Frames that wait are written together up to this many bytes: one packet costs less than many.
-constexpr std::size_t bytes_at_once = 16 * 1024;
+constexpr std::size_t bytes_at_once = 16UL * 1024;
 
 }  // namespace
 
--- a/src/connection/link_wire.cpp
+++ b/src/connection/link_wire.cpp
@@ -17,7 +17,7 @@
 
 // A buffer that grew for one long frame is given back before the next, so that an idle link holds
 // little.
-constexpr std::size_t usual_buffer = 4 * 1024;
+constexpr std::size_t usual_buffer = 4UL * 1024;
 
 std::size_t read_prefix(const std::uint8_t* at) {
   std::size_t length = 0;
--- a/src/connection/listener.h
+++ b/src/connection/listener.h
@@ -25,6 +25,8 @@
   ~listener();
   listener(const listener&) = delete;
   listener& operator=(const listener&) = delete;
+  listener(listener&&) = delete;
+  listener& operator=(listener&&) = delete;
 
   [[nodiscard]] std::uint16_t port() const noexcept { return port_; }
 
--- a/tests/shell/connection_bad_http_test.cpp
+++ b/tests/shell/connection_bad_http_test.cpp
@@ -173,7 +173,7 @@
   watched<bool> failed;
   http_server endless(runtime, any_port, limits, [&](const http_request&, response_writer& writer) {
     writer.start(200, {});
-    const std::string chunk(64 * 1024, 'x');
+    const std::string chunk(64UL * 1024, 'x');
     while (writer.write(chunk)) {
     }
     EXPECT_FALSE(writer.finish());
--- a/tests/shell/connection_client_test.cpp
+++ b/tests/shell/connection_client_test.cpp
@@ -321,7 +321,7 @@
   http_server_limits limits;
   limits.body_bytes = 1000;
   http_server server(runtime, any_port, limits, [](const http_request&, response_writer&) {});
-  const std::string body(16 * 1024 * 1024, 'b');
+  const std::string body(16UL * 1024 * 1024, 'b');
   in_fiber([&] {
     const auto result = client.fetch(local(server.port()), {"POST", "/", {}, body, {}}, soon());
     EXPECT_TRUE(result.ok()) << to_string(result.failure) << " " << result.detail;
--- a/tests/shell/connection_http_test.cpp
+++ b/tests/shell/connection_http_test.cpp
@@ -69,7 +69,7 @@
 TEST_F(connection_http, carries_large_bodies_both_ways) {
   http_server server(runtime, any_port, {}, echo);
   http_client client(runtime);
-  const std::string body(5 * 1024 * 1024, 'b');
+  const std::string body(5UL * 1024 * 1024, 'b');
   in_fiber([&] {
     const auto result = client.fetch(local(server.port()), {"PUT", "/", {}, body, {}}, soon());
     ASSERT_TRUE(result.ok()) << result.detail;
--- a/tests/shell/connection_link_test.cpp
+++ b/tests/shell/connection_link_test.cpp
@@ -117,7 +117,7 @@
 // Cause: a queue without bound, or one that refuses the new in favour of the old.
 TEST_F(connection_link, a_slow_peer_gets_the_newest_state) {
   const raw_listener peer;
-  limits.queue_bytes = 8 * 1024;
+  limits.queue_bytes = 8UL * 1024;
   auto client = make_client(peer.port());
   auto slow = peer.accept();
   slow.send(hello_of_b);
@@ -170,6 +170,7 @@
     auto caller = raw_connection::to(server->port());
     caller.send(stranger);
     EXPECT_EQ(caller.read_all(), "");
+    EXPECT_FALSE(caller.silent());
   }
   EXPECT_EQ(server_sees.get(), "");
   auto client = make_client(server->port());
--- a/tests/shell/connection_runtime_test.cpp
+++ b/tests/shell/connection_runtime_test.cpp
@@ -83,6 +83,7 @@
   constexpr int per_thread = 500;
   watched<int> done;
   std::vector<std::thread> threads;
+  threads.reserve(3);
   for (int t = 0; t < 3; ++t) {
     threads.emplace_back([&] {
       for (int i = 0; i < per_thread; ++i) {
--- a/tests/shell/raw_peer.h
+++ b/tests/shell/raw_peer.h
@@ -7,6 +7,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <cerrno>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -87,7 +88,7 @@
     return seen;
   }
 
-  // Everything up to the end of the peer; `ended` tells that from a silence that was too long.
+  // Everything up to the end of the peer, a reset, or a silence that is too long.
   std::string read_all() {
     std::string seen;
     char buffer[4096];
@@ -95,17 +96,21 @@
       const auto count = ::recv(socket_, buffer, sizeof buffer, 0);
       if (count <= 0) {
         ended_ = count == 0;
+        silent_ = count < 0 && errno == EAGAIN;
         return seen;
       }
       seen.append(buffer, static_cast<std::size_t>(count));
     }
   }
 
+  // Of the last read_all(): an orderly end, or neither end nor reset within the patience.
   [[nodiscard]] bool ended() const { return ended_; }
+  [[nodiscard]] bool silent() const { return silent_; }
 
  private:
   int socket_;
   bool ended_{false};
+  bool silent_{false};
 };
 
 class raw_listener {
@@ -117,8 +122,11 @@
     socklen_t size = sizeof address;
     // NOLINTNEXTLINE(cppcoreguidelines-pro-type-reinterpret-cast): the form of the system call
     auto* generic = reinterpret_cast<sockaddr*>(&address);
-    ::bind(socket_, generic, size);
-    ::listen(socket_, 64);
+    const bool listening = ::bind(socket_, generic, size) == 0 && ::listen(socket_, 64) == 0;
+    if (!listening) {
+      close();
+      return;
+    }
     ::getsockname(socket_, generic, &size);
     port_ = ntohs(address.sin_port);
     const timeval limit{raw_patience, 0};
@@ -126,6 +134,8 @@
   }
   raw_listener(const raw_listener&) = delete;
   raw_listener& operator=(const raw_listener&) = delete;
+  raw_listener(raw_listener&&) = delete;
+  raw_listener& operator=(raw_listener&&) = delete;
   ~raw_listener() { close(); }
 
   [[nodiscard]] std::uint16_t port() const { return port_; }
