Node: calls pass on to other data centres; re-formed replicas are forgotten

Cause: a call that cannot be answered in time here was refused although others had room; what was learnt of a replica outlived its re-forming. Change: a refused call goes once through a node of another data centre when its sums promise an earlier answer; gates forget what belongs to an old generation; keyed sends ask and mark in one step. Spill-over is not measured under load yet.

--- a/src/node/keyed_driver.cpp
+++ b/src/node/keyed_driver.cpp
@@ -53,14 +53,7 @@
   }
 
   void carry_out(const keyed_send&) {
-    const auto permit = [this] {
-      const time_point now = monotonic_now();
-      if (!call_.may_send(now)) {
-        return false;
-      }
-      call_.sent();
-      return true;
-    };
+    const auto permit = [this] { return call_.begin_send(monotonic_now()); };
     const call_result result = send_(permit);
     if (result.ok()) {
       keyed_answer answer;
--- a/src/node/model_call.cpp
+++ b/src/node/model_call.cpp
@@ -7,6 +7,7 @@
 
 #include "connection/clock.h"
 #include "node/model_attempt.h"
+#include "node/spill_call.h"
 #include "request/prefix_hash.h"
 
 namespace arbutus {
@@ -123,7 +124,9 @@
       return;
     }
     if (entry.what == admission_end::kind::rejected) {
-      finish_with(rejection_error(entry.why));
+      if (!spilled(entry.why)) {
+        finish_with(rejection_error(entry.why));
+      }
       return;
     }
     const bool served = attempts();
@@ -155,6 +158,29 @@
     return std::nullopt;
   }
 
+  // What cannot be answered in time here may be elsewhere. True if the caller has its answer.
+  bool spilled(const rejected& why) {
+    const time_point now = monotonic_now();
+    const std::shared_ptr<const node_view> view = node_.core.view();
+    const bool before = request_.headers.find(spilled_header).has_value();
+    std::optional<duration> local_wait;
+    if (why.reason != reject_reason::no_capacity) {
+      local_wait = std::max(why.retry_after, gate_->expected_wait(facts_));
+    }
+    const auto entry = choose_spill_entry(now, node_, *view, facts_, local_wait, before);
+    if (!entry) {
+      return false;
+    }
+    ++call_.measured.attempts;
+    const spill_end end = relay_call(node_, request_, writer_, *entry, call_.deadline, cancel_);
+    if (!end.answered) {
+      return false;  // a model call may be repeated, so the refusal here stands
+    }
+    node_.measured.count(current_worker(), "arbutusworks_spilled_total");
+    finish(end.whole ? "done" : "unknown", end.whole ? "" : "spilled");
+    return true;
+  }
+
   static call_error rejection_error(const rejected& why) {
     call_error error;
     error.status = why.reason == reject_reason::queue_full ? 429 : 503;
--- a/src/node/model_gate.cpp
+++ b/src/node/model_gate.cpp
@@ -193,9 +193,27 @@
   return admission_.running();
 }
 
+// A replica that was formed anew has an empty cache, another speed and none of the requests that
+// were counted for its predecessor.
+void model_gate::forget_re_formed(const routing_snapshot& routes) {
+  for (const replica_route& route : routes.replicas) {
+    if (route.model != model_) {
+      continue;
+    }
+    const auto [known, is_new] = generations_.try_emplace(route.id, route.gen);
+    if (is_new || known->second == route.gen) {
+      continue;
+    }
+    known->second = route.gen;
+    router_.forget(route.id);
+    flights_.forget(route.id);
+  }
+}
+
 void model_gate::refresh(const std::shared_ptr<const node_view>& view) {
   const std::lock_guard guard(lock_);
   view_ = view;
+  forget_re_formed(view->routes);
   const time_point now = monotonic_now();
   apply_capacity(now, *view);
   refuse(admission_.tick(now));
--- a/src/node/model_gate.h
+++ b/src/node/model_gate.h
@@ -77,6 +77,7 @@
 
  private:
   void apply_capacity(time_point now, const node_view& view);
+  void forget_re_formed(const routing_snapshot& routes);
   void start(const std::vector<request_id>& ids);
   void refuse(const std::vector<rejection>& list);
   void refuse(const rejection& one);
@@ -95,6 +96,7 @@
   // Invariant: holds exactly the requests that admission_ has waiting.
   std::unordered_map<request_id, admission_waiter*> waiters_;
   std::shared_ptr<const node_view> view_;
+  std::map<replica_id, generation> generations_;  // as last seen; replicas that left stay known
   bool pumping_ = false;  // a fiber looks after hopeless requests while any wait
 };
 
