--- /dev/null
+++ b/tests/process/configuration_test.py
@@ -0,0 +1,162 @@
+"""A configuration is proposed through real nodes, and is in force everywhere soon, whatever fails."""
+
+import time
+import unittest
+
+from driver import OPERATOR_KEY, ProcessTest, authorization, call, in_parallel, wait_until
+
+# What the measure asks for, from the acceptance to the last node.
+IN_FORCE_SECONDS = 3.0
+EXIT_OK = 0
+EXIT_CONFLICT = 4
+
+
+class Applied(ProcessTest):
+    """The tests share one fleet: versions go on rising from test to test."""
+
+    def setUp(self):
+        self.addCleanup(self.fleet.heal)
+        self.version = self.newest()
+        self.share = 10.0 + self.version  # other rules than in force
+
+    def newest(self):
+        return max(n.config_version() for n in self.fleet.nodes)
+
+    def directory(self, name="changed", **rules):
+        return self.fleet.configuration_copy(name, share=self.share, **rules)
+
+    def apply(self, *more, nodes=None):
+        return self.fleet.apply(self.directory(), *more, nodes=nodes)
+
+    def in_force(self, version, nodes=None):
+        nodes = self.fleet.nodes if nodes is None else nodes
+        return all(n.config_version() >= version for n in nodes)
+
+    def assert_applied(self, result, what):
+        """Within the measure, counted from the end of the command."""
+        self.assertEqual(result.returncode, EXIT_OK, result)
+        self.assertIn(f"version {self.version + 1}", result.stdout)
+        _, seconds = wait_until(lambda: self.in_force(self.version + 1), "in force on all nodes")
+        self.measured(f"{what}, in force on all six nodes after the acceptance", seconds)
+        self.assertLess(seconds, IN_FORCE_SECONDS)
+        self.assertEqual(self.newest(), self.version + 1)
+
+    def test_in_force_everywhere(self):
+        self.assert_applied(self.apply(), "table well")
+
+    def test_reply_of_the_table_lost(self):
+        # Symptom: an operator is told that a change failed, applies it again, and it is there twice;
+        #   or nodes never hear of a change that is in the table.
+        # Sequence: the head is written, the reply does not arrive.
+        # Cause: no reply says nothing about the write.
+        self.fleet.table_fault(lose_replies=1)
+        self.assert_applied(self.apply(), "reply lost")
+
+    def test_request_to_the_table_lost(self):
+        # The same silence, but the write took no effect: it has to be done again.
+        self.fleet.table_fault(lose_requests=1)
+        self.assert_applied(self.apply(), "request lost")
+
+    def test_table_slow(self):
+        # Symptom: nodes run on different configurations for long.
+        # Sequence: table and object store answer each call after 400 ms.
+        # Cause: nodes that look one after the other, or only at the table, add up its delays.
+        self.fleet.platform_fault(latency_ms=400)
+        self.assert_applied(self.apply(), "table and objects take 400 ms")
+
+    def test_same_proposal_again(self):
+        # Symptom: a change is applied a second time, over what another operator did since.
+        # Sequence: a proposal is accepted, its command is started again with the same id.
+        # Cause: the table cannot tell a repeat from a new change; the head's list of proposals can.
+        first = self.apply("--proposal", f"again-{self.version}", "--base", self.version)
+        self.assert_applied(first, "first of two")
+        again = self.apply("--proposal", f"again-{self.version}", "--base", self.version)
+        self.assertEqual(again.returncode, EXIT_OK, again)
+        self.assertEqual(again.stdout, first.stdout)
+        self.assertEqual(self.fleet.head().json["version"], self.version + 1)
+
+    def test_two_operators_race(self):
+        # Symptom: a change that was reported as accepted is gone.
+        # Sequence: two operators edit the same version and apply at the same time.
+        # Cause: the later write replaces the earlier one instead of building on it.
+        mine = self.directory("mine", deadline_ms=21000)
+        theirs = self.directory("theirs", deadline_ms=22000)
+        nodes = self.fleet.nodes
+        results = in_parallel([
+            lambda: self.fleet.apply(mine, "--base", self.version, nodes=nodes[:3]),
+            lambda: self.fleet.apply(theirs, "--base", self.version, nodes=nodes[3:])])
+        codes = sorted(r.returncode for r in results)
+        self.assertEqual(codes, [EXIT_OK, EXIT_CONFLICT], results)
+        loser = next(r for r in results if r.returncode == EXIT_CONFLICT)
+        self.assertIn(f"version {self.version + 1}", loser.stderr)
+        self.assertIn("deadline", loser.stderr, "the conflict has to name what changed")
+        wait_until(lambda: self.in_force(self.version + 1), "the winner is in force")
+        self.assertEqual(self.fleet.head().json["version"], self.version + 1)
+
+    def test_stale_base(self):
+        # The same without a race: the base is older than what is in force.
+        self.assert_applied(self.apply(), "before the stale change")
+        result = self.apply("--base", self.version)
+        self.assertEqual(result.returncode, EXIT_CONFLICT, result)
+        self.assertEqual(self.fleet.head().json["version"], self.version + 1)
+
+    def test_table_restored_from_an_old_copy(self):
+        # Symptom: nodes fall back to an old configuration; callers with new keys are turned away.
+        # Sequence: the table is copied, a change is accepted, the copy is put back.
+        # Cause: nodes that follow the table follow it back as well.
+        call(self.fleet.platform_port, "POST", "/snapshot")
+        self.assert_applied(self.apply(), "before the restore")
+        wanted = self.version + 1
+        call(self.fleet.platform_port, "POST", "/restore")
+        self.assertEqual(self.fleet.head().json["version"], self.version)
+
+        def healed():
+            for node in self.fleet.nodes:
+                self.assertGreaterEqual(node.config_version(), wanted, f"{node.name} went back")
+            return self.fleet.head().json["version"] >= wanted
+
+        _, seconds = wait_until(healed, "the head is healed", timeout=20)
+        self.measured("restored table, until the head is healed", seconds)
+
+    def test_new_node_while_the_platform_is_away(self):
+        # Symptom: a replaced VM serves nobody until the platform is back.
+        # Sequence: table and object store are down, a node starts with no memory.
+        # Cause: a node that knows only the platform has nothing to begin with.
+        node = self.fleet.extra_node
+        self.addCleanup(node.kill)
+        self.fleet.platform_fault(down=True)
+        begun = time.monotonic()
+        node.start()
+        wait_until(lambda: node.config_version() == self.version, "the new node has it")
+        self.measured("new node, platform away, from its start to the configuration",
+                      time.monotonic() - begun)
+        wait_until(node.is_ready, "the new node is ready")
+        seconds = self.fleet.wait_whole([node])
+        self.measured("and until it routes to all replicas", seconds)
+
+    def test_proposal_while_the_platform_is_away(self):
+        # Refused as not done, and it was not.
+        self.fleet.platform_fault(down=True)
+        result = self.apply("--timeout", "3")
+        self.assertNotEqual(result.returncode, EXIT_OK)
+        self.fleet.heal()
+        self.assertEqual(self.fleet.head().json["version"], self.version)
+
+    def test_bad_configuration_is_refused_whole(self):
+        directory = self.directory("bad")
+        rules = directory / "rules.toml"
+        rules.write_text(rules.read_text().replace("slots = 8", "slots = 0\nslotz = 1"))
+        result = self.fleet.apply(directory)
+        self.assertEqual(result.returncode, 3, result)
+        self.assertIn("slotz", result.stderr)
+        # And by the node, for those who do not use the command.
+        body = {"base_version": self.version, "proposal": "bad",
+                "inventory": self.fleet.inventory_text(), "rules": rules.read_text()}
+        reply = call(self.fleet.nodes[0].port, "POST", "/admin/configuration", body,
+                     authorization(OPERATOR_KEY))
+        self.assertEqual(reply.status, 422)
+        self.assertEqual(self.newest(), self.version)
+
+
+if __name__ == "__main__":
+    unittest.main(verbosity=2)
