--- a/src/cli/options.cpp
+++ b/src/cli/options.cpp
@@ -259,8 +259,7 @@
      "  arbutusworks check examples/odtok examples/odtok/nodes/*.toml\n"},
     {"apply", "Propose a configuration; when another came first, show what changed.",
      "DIR --node IP:PORT...", "directory", 1, add_apply, make_apply,
-     "  ARBUTUSWORKS_KEY=example-operator arbutusworks apply examples/small --node "
-     "127.0.0.1:23400\n"},
+     "  arbutusworks apply examples/small --node 127.0.0.1:23400 --key example-operator\n"},
     {"status", "Show what nodes know: configuration, replicas, targets.", "IP:PORT...", "node", -1,
      add_status, make_status,
      "  arbutusworks status 127.0.0.1:23400 127.0.0.1:23402 --key example-operator\n"},
