Import and keys: tests of four safeguards that none had seen removed

Cause: taking away each safeguard by turns showed four that no test noticed: the reset of counted dots after a bracket, the length of compared secrets, the refusal of an empty key, the bound on unknown keys. Change: a test for each.

--- a/tests/core/configuration_test.cpp
+++ b/tests/core/configuration_test.cpp
@@ -117,6 +117,7 @@
   EXPECT_TRUE(equal_constant_time("abc", "abc"));
   EXPECT_FALSE(equal_constant_time("abc", "abd"));
   EXPECT_FALSE(equal_constant_time("abc", "ab"));
+  EXPECT_FALSE(equal_constant_time("ab", "abc"));
 }
 
 TEST(secret, a_key_opens_its_own_workspace_only) {
@@ -128,6 +129,8 @@
   ASSERT_NE(authenticate(wanted, "key-w"), nullptr);
   EXPECT_EQ(authenticate(wanted, "key-w")->id, workspace_id{"w"});
   EXPECT_EQ(authenticate(wanted, "other"), nullptr);
+  // Also when the hash of nothing stands in the rules, from a script with an empty variable.
+  wanted.workspaces.push_back({workspace_id{"u"}, {sha256_hex("")}, {}});
   EXPECT_EQ(authenticate(wanted, ""), nullptr);
   // The hash itself is no key.
   EXPECT_EQ(authenticate(wanted, sha256_hex("new")), nullptr);
--- a/tests/core/import_test.cpp
+++ b/tests/core/import_test.cpp
@@ -227,17 +227,25 @@
   EXPECT_THAT(nested(2), HasSubstr("key \"a\" is not known"));
   EXPECT_THAT(nested(3), HasSubstr("r.toml:5: error: values or keys nest too deeply"));
   EXPECT_THAT(nested(120), HasSubstr("nest too deeply"));
+  std::string siblings;
+  for (int i = 0; i < 100; ++i) {
+    siblings += "k" + std::to_string(i) + " = [{ a.b = 1.5 }, { c.d = 2.5 }]\n";
+  }
+  EXPECT_EQ(text_of(import_rules(siblings, "r.toml").problems).find("nest"), std::string::npos);
 }
 
 TEST(import, the_number_of_findings_is_bounded) {
   std::string rows = "kind,id\n";
   std::string tables;
+  std::string keys;
   for (int i = 0; i < 20'000; ++i) {
+    keys += "k" + std::to_string(i) + " = 1\n";
     rows += "x,\xff\n";
     tables += "[[model]]\n";
   }
   EXPECT_LT(import_inventory(rows, "i.csv").problems.size(), 1100U);
   EXPECT_LT(import_rules(tables, "r.toml").problems.size(), 1100U);
+  EXPECT_LT(import_rules(keys, "r.toml").problems.size(), 1100U);
 }
 
 TEST(import, a_workspace_without_a_key_is_a_warning) {
