--- a/tests/shell/connection_client_test.cpp
+++ b/tests/shell/connection_client_test.cpp
@@ -61,6 +61,22 @@
   });
 }
 
+TEST_F(connection_client, what_never_left_on_a_kept_connection_is_not_sent) {
+  play([&] {
+    auto caller = target.accept();
+    caller.read_until("card");
+    caller.send(ok_answer);
+    EXPECT_EQ(caller.read_all(), "");
+  });
+  in_fiber([&] {
+    EXPECT_TRUE(fetch().ok());
+    ASSERT_EQ(client.idle_connections(), 1U);
+    const auto result = fetch(monotonic_now());
+    EXPECT_EQ(result.outcome, call_outcome::not_sent);
+    EXPECT_EQ(result.failure, call_failure::deadline);
+  });
+}
+
 struct broken_answer {
   std::string name;
   std::string bytes;
@@ -305,7 +321,7 @@
   http_server_limits limits;
   limits.body_bytes = 1000;
   http_server server(runtime, any_port, limits, [](const http_request&, response_writer&) {});
-  const std::string body(16 * 1024 * 1024, 'b');
+  const std::string body(16UL * 1024 * 1024, 'b');
   in_fiber([&] {
     const auto result = client.fetch(local(server.port()), {"POST", "/", {}, body, {}}, soon());
     EXPECT_TRUE(result.ok()) << to_string(result.failure) << " " << result.detail;
