--- a/tests/process/configuration_test.py
+++ b/tests/process/configuration_test.py
@@ -96,8 +96,10 @@
     def test_stale_base(self):
         # The same without a race: the base is older than what is in force.
         self.assert_applied(self.apply(), "before the stale change")
-        result = self.apply("--base", self.version)
+        stale = self.directory("stale", deadline_ms=23000)
+        result = self.fleet.apply(stale, "--base", self.version)
         self.assertEqual(result.returncode, EXIT_CONFLICT, result)
+        self.assertIn("deadline", result.stderr, "the conflict has to name what differs")
         self.assertEqual(self.fleet.head().json["version"], self.version + 1)
 
     def test_table_restored_from_an_old_copy(self):
@@ -120,11 +122,11 @@
 
     def test_new_node_while_the_platform_is_away(self):
         # Symptom: a replaced VM serves nobody until the platform is back.
-        # Sequence: table and object store are down, a node starts with no memory.
+        # Sequence: table and object store are down, a node's VM is replaced; it remembers nothing.
         # Cause: a node that knows only the platform has nothing to begin with.
-        node = self.fleet.extra_node
-        self.addCleanup(node.kill)
+        node = self.fleet.nodes[1]
         self.fleet.platform_fault(down=True)
+        node.kill()
         begun = time.monotonic()
         node.start()
         wait_until(lambda: node.config_version() == self.version, "the new node has it")
--- a/tests/process/driver.py
+++ b/tests/process/driver.py
@@ -299,17 +299,13 @@
         vm_names = [f"{dc}-vm-{i}" for dc in DATA_CENTRES for i in range(vms_per_data_centre)]
         node_names = [f"{dc}-node-{i}" for dc in DATA_CENTRES
                       for i in range(NODES_PER_DATA_CENTRE)]
-        # One more node than runs at first, for tests that add one.
-        node_names.append(f"{DATA_CENTRES[0]}-node-{NODES_PER_DATA_CENTRE}")
         ports = iter(free_ports(len(vm_names) + len(DATA_CENTRES) + 2 * len(node_names) + 1))
         self.platform_port = next(ports)
         self.vm_ports = {name: next(ports) for name in vm_names}
         self.service_ports = {dc: next(ports) for dc in DATA_CENTRES}
-        nodes = [self._make_node(name, next(ports), next(ports)) for name in node_names]
-        self.extra_node = nodes.pop()
-        self.nodes = nodes
+        self.nodes = [self._make_node(name, next(ports), next(ports)) for name in node_names]
         self._write_configuration()
-        for node in [*self.nodes, self.extra_node]:
+        for node in self.nodes:
             self._write_settings(node)
         self.configuration = self.directory / "configuration"
         first_settings = self._settings_file(self.nodes[0].name)
@@ -357,7 +353,7 @@
         for name, port in self.vm_ports.items():
             dc = name.rsplit("-vm-", 1)[0]
             rows.append(f"vm,{name},{dc},,{LOOPBACK}:{port},{dc}-fabric,2,{checks},,")
-        for node in [*self.nodes, self.extra_node]:
+        for node in self.nodes:
             rows.append(f"node,{node.name},{node.data_centre},,,,,,"
                         f"{LOOPBACK}:{node.link_port},{node.endpoint}")
         for dc, port in self.service_ports.items():
@@ -439,7 +435,7 @@
             return False
 
     def close(self):
-        for process in [*self.nodes, self.extra_node, self.standin]:
+        for process in [*self.nodes, self.standin]:
             if process.is_running():
                 with contextlib.suppress(ProcessLookupError):
                     process.send(signal.SIGCONT)
@@ -448,7 +444,7 @@
             shutil.rmtree(self.directory, ignore_errors=True)
 
     def print_logs(self, lines=40):
-        for process in [*self.nodes, self.extra_node, self.standin]:
+        for process in [*self.nodes, self.standin]:
             if process.log_file.exists():
                 print(f"---- {process.name}\n{process.log(lines)}", file=sys.stderr)
 
@@ -525,11 +521,11 @@
 
 
 class OwnershipWatch:
-    """Polls the reports of all engines from a thread of its own, for VMs that two replicas claim.
+    """Polls the engines and nodes of a data centre, from a thread of its own, for VMs in two replicas.
 
-    Replicas hold their members by one row, and each VM reports the one replica it is in. So what can
-    be seen from outside is a replica that counts as serving in some node's status with a member that
-    reports another replica, and a member that two replicas of one status name.
+    An engine reports the one replica it is in. Two owners show as a VM that changes its replica
+    within one generation, that goes back to an older row's replica, or that two replicas of one
+    node's status name.
     """
 
     def __init__(self, fleet, data_centre):
@@ -539,6 +535,7 @@
         self.findings = []
         self.polls = 0
         self.owners = {}  # (vm, generation) -> replica
+        self.newest = {}  # vm -> generation it reported last, as numbers
         self._ended = threading.Event()
         self._thread = threading.Thread(target=self._run, daemon=True)
 
@@ -560,6 +557,7 @@
         for vm in self.vms:
             report = self.fleet.report(vm)
             if report and report["rep"]:
+                self._look_back(vm, report)
                 owner = self.owners.setdefault((vm, report["gen"]), report["rep"])
                 if owner != report["rep"]:
                     self.findings.append(f"{vm}: {owner} and {report['rep']} at {report['gen']}")
@@ -568,6 +566,13 @@
             if status:
                 self._look_at(node, status)
 
+    def _look_back(self, vm, report):
+        generation = (report["inc"], *map(int, report["gen"].split(".")))
+        before = self.newest.get(vm, generation)
+        if generation < before:
+            self.findings.append(f"{vm}: went back from {before} to {generation}")
+        self.newest[vm] = generation
+
     def _look_at(self, node, status):
         owners = {}
         for replica in status["replicas"]:
@@ -578,6 +583,77 @@
                 owners[vm] = replica["replica"]
 
 
+class Load:
+    """Asks for completions through some nodes without pause, from threads of its own."""
+
+    def __init__(self, nodes, callers_per_node=2, tokens=8, stream=True):
+        self.bodies = [completion_body(f"load {i}", tokens, stream) for i in range(4)]
+        self.expected = {}  # prompt -> text
+        self.whole = 0
+        self.wrong = []  # answers that are not the one right answer
+        self.refused = []  # (node, type, code)
+        self.unanswered = []  # (node, what happened)
+        self._lock = threading.Lock()
+        self._ended = threading.Event()
+        self._threads = [threading.Thread(target=self._run, args=(node,), daemon=True)
+                         for node in nodes for _ in range(callers_per_node)]
+
+    def learn(self, fleet):
+        """Asks an engine for the right answers. Before anything fails."""
+        for body in self.bodies:
+            self.expected[body["prompt"]] = text_of(fleet.ask_engine({**body, "stream": False}))
+        return self
+
+    def __enter__(self):
+        for thread in self._threads:
+            thread.start()
+        return self
+
+    def __exit__(self, *_):
+        self.end()
+
+    def end(self):
+        self._ended.set()
+        for thread in self._threads:
+            thread.join()
+
+    def _run(self, node):
+        turn = 0
+        while not self._ended.is_set():
+            body = self.bodies[turn % len(self.bodies)]
+            turn += 1
+            try:
+                self._judge(node, body, complete(node.port, body, timeout=30.0))
+            except (OSError, http.client.HTTPException) as error:
+                if node.is_running():  # a killed node answers nobody
+                    self._note(self.unanswered, (node.name, repr(error)))
+                return
+
+    def _judge(self, node, body, reply):
+        if reply.status != 200:
+            self._note(self.refused, (node.name, reply.error["type"], reply.error["code"]))
+            time.sleep(POLL_SECONDS)
+            return
+        try:
+            text = text_of(reply)
+        except AssertionError as error:
+            self._note(self.wrong, (node.name, str(error)))
+            return
+        if text != self.expected[body["prompt"]]:
+            self._note(self.wrong, (node.name, body["prompt"], text))
+        with self._lock:
+            self.whole += 1
+
+    def _note(self, into, what):
+        with self._lock:
+            into.append(what)
+
+    def __repr__(self):
+        return (f"{self.whole} whole, {len(self.wrong)} wrong {self.wrong[:3]}, "
+                f"{len(self.refused)} refused {self.refused[:3]}, "
+                f"{len(self.unanswered)} unanswered {self.unanswered[:3]}")
+
+
 class ProcessTest(unittest.TestCase):
     """A test on a fleet that its class starts once. Prints the logs of all processes on failure."""
 
