--- a/src/request/outcome.cpp
+++ b/src/request/outcome.cpp
@@ -10,7 +10,7 @@
     case execution::done:
       return "done";
     case execution::not_run:
-      return "not run";
+      return "not_run";
     case execution::unknown:
       break;
   }
