A conflict names what the other operator changed

Cause: apply prints the list "changed" of a 409, but the node never sent one: an operator learnt that something changed, not what, and had to compare by hand.

Change: changes_between() compares two contents record by record, by name. The node sends what the accepted configuration changed on the base, or, when the base's content is not at hand, what it differs in from the proposed one.

--- a/src/node/configure.cpp
+++ b/src/node/configure.cpp
@@ -7,6 +7,7 @@
 #include "connection/clock.h"
 #include "node/error_body.h"
 #include "process/config_proposer.h"
+#include "version/config_changes.h"
 #include "version/import.h"
 
 namespace arbutus {
@@ -90,11 +91,21 @@
       [](const unknown& u) -> outcome<head_row> { return u; });
 }
 
+// What a conflict is explained with: contents as encode_content gives them.
+struct known_contents {
+  std::string base;  // that the operator's change was made on; empty: not at hand
+  std::string proposed;
+};
+
 // Carries out the steps of one proposal and answers the operator.
 class proposal_run {
  public:
-  proposal_run(platform_client& platform, response_writer& writer, config_proposer proposer)
-      : platform_(platform), writer_(writer), proposer_(std::move(proposer)) {}
+  proposal_run(platform_client& platform, response_writer& writer, config_proposer proposer,
+               known_contents contents)
+      : platform_(platform),
+        writer_(writer),
+        proposer_(std::move(proposer)),
+        contents_(std::move(contents)) {}
 
   void run() {
     const time_point deadline = monotonic_now() + proposal_timeout;
@@ -130,10 +141,25 @@
   }
 
   proposal_step carry_out(const proposal_conflict& s, bool) {
-    answer(409, {{"current", head_json(s.current)}});
+    answer(409, {{"current", head_json(s.current)}, {"changed", changed(s.current)}});
     return s;
   }
 
+  // What the other operator changed. Without the content of the base, what the proposed one would
+  // have changed back: the operator sees the other's change in it, among the own ones.
+  json changed(const std::optional<config_head>& current) {
+    if (!current) {
+      return json::array();
+    }
+    const auto content = platform_.get({current->hash}, monotonic_now() + platform_timeout);
+    if (!is_ok(content)) {
+      return json::array();
+    }
+    const bool has_base = !contents_.base.empty();
+    return changes_between(has_base ? contents_.base : contents_.proposed,
+                           std::get<std::string>(content));
+  }
+
   proposal_step carry_out(const proposal_failed& s, bool) {
     answer(503, {{"error", {{"type", "not_run"}, {"message", s.reason}}}});
     return s;
@@ -156,6 +182,7 @@
   platform_client& platform_;
   response_writer& writer_;
   config_proposer proposer_;
+  known_contents contents_;
   bool answered_ = false;
 };
 
@@ -187,9 +214,11 @@
   }
   const std::string base_content =
       view->config ? encode_content(view->config->assets, view->config->wanted) : std::string{};
-  config_proposer proposer(asked->id, encode_content(imported.assets, imported.wanted), asked->base,
-                           known, base_content);
-  proposal_run(platform, writer, std::move(proposer)).run();
+  known_contents contents;
+  contents.base = known == asked->base ? base_content : std::string{};
+  contents.proposed = encode_content(imported.assets, imported.wanted);
+  config_proposer proposer(asked->id, contents.proposed, asked->base, known, base_content);
+  proposal_run(platform, writer, std::move(proposer), std::move(contents)).run();
 }
 
 }  // namespace arbutus
--- /dev/null
+++ b/src/version/config_changes.cpp
@@ -0,0 +1,136 @@
+// Walks two contents side by side. The depth is that of the content's format, so recursion is
+// bounded by it.
+#include "version/config_changes.h"
+
+#include <algorithm>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <optional>
+
+namespace arbutus {
+
+namespace {
+
+using json = nlohmann::json;
+
+constexpr std::size_t longest_value = 80;
+constexpr int deepest = 8;
+
+std::string shown(const json& value) {
+  std::string text = value.is_string() ? value.get<std::string>()
+                                       : value.dump(-1, ' ', false, json::error_handler_t::replace);
+  if (text.size() > longest_value) {
+    text.resize(longest_value);
+    text += "...";
+  }
+  return text;
+}
+
+// What a record is called among its like; empty: it has no name.
+std::string name_of(const json& record) {
+  std::string name;
+  for (const char* key : {"id", "name", "service", "data_centre"}) {
+    if (record.is_object() && record.contains(key) && record[key].is_string()) {
+      name += (name.empty() ? "" : " at ") + record[key].get<std::string>();
+      if (std::string_view(key) == "id" || std::string_view(key) == "name") {
+        break;
+      }
+    }
+  }
+  return name;
+}
+
+using named_records = std::map<std::string, const json*>;
+
+// Empty: not a list of records with different names.
+std::optional<named_records> by_name(const json& list) {
+  named_records result;
+  for (const json& record : list) {
+    const std::string name = name_of(record);
+    if (name.empty() || !result.emplace(name, &record).second) {
+      return std::nullopt;
+    }
+  }
+  return result;
+}
+
+class comparison {
+ public:
+  void compare(const std::string& place, const json& before, const json& after, int depth = 0) {
+    if (before == after) {
+      return;
+    }
+    if (depth < deepest && before.is_object() && after.is_object()) {
+      compare_fields(place, before, after, depth);
+      return;
+    }
+    if (depth < deepest && before.is_array() && after.is_array()) {
+      const auto old_records = by_name(before);
+      const auto new_records = by_name(after);
+      if (old_records && new_records) {
+        compare_records(place, *old_records, *new_records, depth);
+        return;
+      }
+    }
+    lines_.push_back(place + ": " + shown(before) + " -> " + shown(after));
+  }
+
+  std::vector<std::string> take() { return std::move(lines_); }
+
+ private:
+  static std::string below(const std::string& place, const std::string& name) {
+    return place.empty() ? name : place + ' ' + name;
+  }
+
+  void compare_fields(const std::string& place, const json& before, const json& after, int depth) {
+    for (const auto& [key, value] : before.items()) {
+      compare(below(place, key), value, after.value(key, json{}), depth + 1);
+    }
+    for (const auto& [key, value] : after.items()) {
+      if (!before.contains(key)) {
+        compare(below(place, key), json{}, value, depth + 1);
+      }
+    }
+  }
+
+  void compare_records(const std::string& place, const named_records& before,
+                       const named_records& after, int depth) {
+    for (const auto& [name, record] : before) {
+      const auto same = after.find(name);
+      if (same == after.end()) {
+        lines_.push_back(below(place, name) + ": removed");
+      } else {
+        compare(below(place, name), *record, *same->second, depth + 1);
+      }
+    }
+    for (const auto& [name, record] : after) {
+      if (!before.contains(name)) {
+        lines_.push_back(below(place, name) + ": added");
+      }
+    }
+  }
+
+  std::vector<std::string> lines_;
+};
+
+}  // namespace
+
+std::vector<std::string> changes_between(std::string_view before, std::string_view after,
+                                         std::size_t most) {
+  const json old_content = json::parse(before, nullptr, false);
+  const json new_content = json::parse(after, nullptr, false);
+  if (old_content.is_discarded() || new_content.is_discarded()) {
+    return {};
+  }
+  comparison walk;
+  walk.compare("", old_content, new_content);
+  std::vector<std::string> lines = walk.take();
+  if (lines.size() > most) {
+    const std::size_t rest = lines.size() - most;
+    lines.resize(most);
+    lines.push_back("and " + std::to_string(rest) + " more");
+  }
+  return lines;
+}
+
+}  // namespace arbutus
