Status leaves out standbys that already stand in

Cause: after a repair without the table, status named the same VM as member and as standby; an operator would count on a standby that is used up.

Change: standbys in force as members are left out. Found by tests/process/repair_test.py.

--- a/src/process/coordinator_views.cpp
+++ b/src/process/coordinator_views.cpp
@@ -130,6 +130,20 @@
 
 }  // namespace
 
+namespace {
+
+// Without those that already stand in for a lost member: an operator would count on them twice.
+std::vector<vm_id> unused_standbys(const replica_plan& replica, const composition& in_force) {
+  std::vector<vm_id> unused = replica.standbys;
+  std::erase_if(unused, [&](const vm_id& vm) {
+    return std::find(in_force.members.begin(), in_force.members.end(), vm) !=
+           in_force.members.end();
+  });
+  return unused;
+}
+
+}  // namespace
+
 status_view coordinator::parts::status(time_point now) const {
   status_view s;
   s.self = settings.self;
@@ -147,7 +161,7 @@
     const composition in_force = repairs.in_force(replica);
     const permit p = permission(now, in_force);
     s.replicas.push_back({replica.id, replica.model, replica.phase, in_force.gen, in_force.members,
-                          replica.standbys, p.granted, p.why_not});
+                          unused_standbys(replica, in_force), p.granted, p.why_not});
     for (const vm_id& vm : replica.standbys) {
       idle_because[vm] = "reserved for " + replica.id.str();
     }
