--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -53,10 +53,10 @@
 };
 
 struct bench_options {
-  std::string filter;  // part of a benchmark's name; empty: all
-  duration length = 1s;
+  std::string filter;    // part of a benchmark's name; empty: all
+  bool full = false;     // print the long tables, too
+  duration length = 1s;  // of each measurement of the connections, in the long tables
   std::uint64_t seed = 1;
-  bool json = false;
 };
 
 struct load_options {
--- a/src/cli/options.cpp
+++ b/src/cli/options.cpp
@@ -164,15 +164,16 @@
 }
 
 void add_bench(po::options_description& add) {
-  add.add_options()("filter", text()->value_name("TEXT"), "only benchmarks with this in the name")(
-      "seconds", number(1, "1")->value_name("SECONDS"), "for each benchmark")(
-      "seed", count_value(1)->value_name("N"), "of the random numbers")("json", po::bool_switch(),
-                                                                        "print JSON");
+  add.add_options()("filter", text()->value_name("TEXT"), "only parts with this in the name")(
+      "full", po::bool_switch(), "print all figures and the long tables")(
+      "seconds", number(1, "1")->value_name("SECONDS"),
+      "for each measurement of connections, with --full")("seed", count_value(1)->value_name("N"),
+                                                          "of the random numbers");
 }
 
 command make_bench(const po::variables_map& values) {
-  return bench_options{text_or(values, "filter"), seconds_of(values, "seconds"), seed_of(values),
-                       values["json"].as<bool>()};
+  return bench_options{text_or(values, "filter"), values["full"].as<bool>(),
+                       seconds_of(values, "seconds"), seed_of(values)};
 }
 
 void add_load(po::options_description& add) {
@@ -263,8 +264,8 @@
     {"status", "Show what nodes know: configuration, replicas, targets.", "IP:PORT...", "node", -1,
      add_status, make_status,
      "  arbutusworks status 127.0.0.1:23400 127.0.0.1:23402 --key example-operator\n"},
-    {"bench", "Measure the decisions, without a network.", "", "", 0, add_bench, make_bench,
-     "  arbutusworks bench\n  arbutusworks bench --filter planner --seconds 5 --json\n"},
+    {"bench", "Measure the decisions, without a network; prints a signature of them.", "", "", 0,
+     add_bench, make_bench, "  arbutusworks bench\n  arbutusworks bench --filter planner --full\n"},
     {"load", "Send requests at a steady rate and report what came back, and when.",
      "--node IP:PORT... --key KEY --model ID", "", 0, add_load, make_load,
      "  arbutusworks load --node 127.0.0.1:23400 --key example-desk --model tiny-llm --rate 50\n"},
--- a/src/process/control_slopes.cpp
+++ b/src/process/control_slopes.cpp
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "base/hash.h"
 #include "process/engine_wire.h"
 #include "process/gossip.h"
 #include "process/membership.h"
@@ -45,8 +46,8 @@
 
 class control_loop {
  public:
-  control_loop(std::size_t nodes, std::size_t targets, bool load_changes)
-      : load_changes_(load_changes) {
+  control_loop(std::size_t nodes, std::size_t targets, bool load_changes, std::uint64_t seed = 0)
+      : load_changes_(load_changes), seed_(seed) {
     for (std::size_t i = 0; i < targets; ++i) {
       vms_.emplace_back("vm-" + std::to_string(1000 + i));
     }
@@ -81,12 +82,15 @@
     return cost;
   }
 
+  // Of all messages so far.
+  [[nodiscard]] std::uint64_t signature() const { return signature_; }
+
  private:
   static std::size_t heap_bytes() { return mallinfo2().uordblks; }
 
   void add_node(std::size_t i) {
     loop_node n;
-    n.peers = std::make_unique<membership>(ids_[i], 0x70000000 + i, i, now_);
+    n.peers = std::make_unique<membership>(ids_[i], 0x70000000 + i, seed_ + i, now_);
     n.peers->set_nodes(ids_, now_);
     n.peers->set_targets(vms_);
     n.seen = std::make_unique<observation_table>(ids_[i]);
@@ -145,6 +149,7 @@
     const std::string bytes = encode(gossip_message{std::move(beat)});
     ++messages_;
     bytes_ += bytes.size();
+    signature_ = stable_hash(bytes, signature_);
     receive(ids_[from], to, bytes);
   }
 
@@ -163,6 +168,8 @@
   }
 
   bool load_changes_;
+  std::uint64_t seed_;
+  std::uint64_t signature_{};
   std::vector<vm_id> vms_;
   std::vector<node_id> ids_;
   std::vector<loop_node> nodes_;
@@ -202,6 +209,11 @@
 
 }  // namespace
 
+std::uint64_t control_signature(std::size_t nodes, std::size_t targets, std::uint64_t seed) {
+  constexpr bool load_changes = true;
+  return control_loop(nodes, targets, load_changes, seed).signature();
+}
+
 void print_control_slopes(std::ostream& out) {
   for (const bool load_changes : {false, true}) {
     const control_cost few_peers = cost_of(6, 81, load_changes);
--- a/tests/shell/cli_options_test.cpp
+++ b/tests/shell/cli_options_test.cpp
@@ -61,7 +61,13 @@
   EXPECT_TRUE(apply.dry_run);
   EXPECT_EQ(apply.timeout, 1500ms);
   EXPECT_EQ(parsed_as<status_options>({"status", "10.0.0.1:1", "10.0.0.1:2"}).nodes.size(), 2U);
-  EXPECT_EQ(parsed_as<bench_options>({"bench", "--seed", "9"}).seed, 9U);
+  const auto bench = parsed_as<bench_options>(
+      {"bench", "--seed", "9", "--filter", "planner", "--full", "--seconds", "0.5"});
+  EXPECT_EQ(bench.seed, 9U);
+  EXPECT_EQ(bench.filter, "planner");
+  EXPECT_TRUE(bench.full);
+  EXPECT_EQ(bench.length, 500ms);
+  EXPECT_FALSE(parsed_as<bench_options>({"bench"}).full);
   const auto load = parsed_as<load_options>({"load", "--node", "10.0.0.1:1", "--key", "k",
                                              "--model", "m", "--rate", "0.5", "--stream",
                                              "--prompt-tokens", "7", "--class", "c"});
@@ -107,6 +113,8 @@
   EXPECT_THAT(exit_of({"apply", "d"}).text, HasSubstr("--node\" is missing"));
   EXPECT_EQ(exit_of({"apply", "d", "--node", "10.0.0.1:1", "--base", "-1"}).status, 2);
   EXPECT_EQ(exit_of({"trial", "a"}).status, 2);
+  EXPECT_EQ(exit_of({"bench", "--seed", "-1"}).status, 2);
+  EXPECT_EQ(exit_of({"bench", "--seconds", "0"}).status, 2);
   EXPECT_EQ(exit_of({"standin", "d", "--settings", "s", "--only", "x"}).status, 2);
 }
 
