Service calls that may not be repeated get a fresh connection

Cause: a kept connection may close just as the request is written to it; the call then ends as unknown although it most likely never ran, and its record is spent. Change: one attempt, one new connection. Figures: none, a connect per such call on a local network.

--- a/src/node/service_call.cpp
+++ b/src/node/service_call.cpp
@@ -142,10 +142,12 @@
     return out;
   }
 
-  call_result send_to(const endpoint& instance, const send_permit& permit) {
+  // `use`: a kept connection may close just as the request is written, which leaves it unknown
+  // whether it ran; what may not be repeated gets a fresh one.
+  call_result send_to(const endpoint& instance, const send_permit& permit, connection_use use) {
     ++call_.measured.attempts;
     call_result result =
-        node_.client.fetch(address_of(instance), outgoing(), call_.deadline, cancel_, permit);
+        node_.client.fetch(address_of(instance), outgoing(), call_.deadline, cancel_, permit, use);
     if (result.ok()) {
       node_.services.worked(instance);
     } else if (result.failure != call_failure::cancelled &&
@@ -160,7 +162,7 @@
     execution worst = execution::not_run;
     std::string reason = "no instance is known";
     for (std::size_t i = 0; i < std::min<std::size_t>(list.size(), max_attempts); ++i) {
-      const call_result result = send_to(list[i], {});
+      const call_result result = send_to(list[i], {}, connection_use::pooled);
       if (result.ok()) {
         pass_on(result.response);
         return;
@@ -201,7 +203,7 @@
     result.outcome = call_outcome::not_sent;
     result.failure = call_failure::connect_failed;
     for (const endpoint& instance : instances()) {
-      result = send_to(instance, permit);
+      result = send_to(instance, permit, connection_use::fresh);
       const bool next = result.outcome == call_outcome::not_sent &&
                         result.failure == call_failure::connect_failed;
       if (!next) {
