Command line: the first example of apply can be typed as it stands

Cause: the test that each command's help opens its examples with the command failed after the example of apply began with a variable. Change: the plain form stands first, the one with the variable second.

--- a/src/cli/options.cpp
+++ b/src/cli/options.cpp
@@ -259,6 +259,7 @@
      "  arbutusworks check examples/odtok examples/odtok/nodes/*.toml\n"},
     {"apply", "Propose a configuration; when another came first, show what changed.",
      "DIR --node IP:PORT...", "directory", 1, add_apply, make_apply,
+     "  arbutusworks apply examples/small --node 127.0.0.1:23400 --key example-operator\n"
      "  ARBUTUSWORKS_KEY=example-operator arbutusworks apply examples/small --node "
      "127.0.0.1:23400\n"},
     {"status", "Show what nodes know: configuration, replicas, targets.", "IP:PORT...", "node", -1,
