--- a/tests/process/idle_cost.py
+++ b/tests/process/idle_cost.py
@@ -1,20 +1,33 @@
 """What a node costs at rest: processor time, resident memory, and bytes of probes and links.
 
-No test: run it by hand, `python3 tests/process/idle_cost.py [SECONDS]`, with ARBUTUSWORKS naming the
-binary. Six nodes, fifteen targets and the stand-in run as real processes on loopback, nobody calls.
-Bytes are the kernel's own count for each connection (`ss -ti`), TCP payload, without headers.
+No test: run it by hand, with ARBUTUSWORKS naming the binary. Nodes and the stand-in run as real
+processes on loopback, nobody calls. Bytes and segments are the kernel's own count for each
+connection (`ss -ti`): payload, to which each segment adds at least 40 bytes of headers.
 """
 
+import argparse
+
 import collections
 import re
 import statistics
 import subprocess
-import sys
 import time
 
 import driver
 
-SECONDS = float(sys.argv[1]) if len(sys.argv) > 1 else 20.0
+# IPv4 and TCP without options.
+HEADER_BYTES = 40
+
+
+def arguments():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument("--data-centres", type=int, default=3)
+    parser.add_argument("--nodes", type=int, default=2, help="in each data centre")
+    parser.add_argument("--vms", type=int, default=5, help="in each data centre")
+    parser.add_argument("--replicas", type=int, default=2, help="of two VMs, in each data centre")
+    parser.add_argument("--limits", action="store_true", help="limit the rate of the workspaces")
+    return parser.parse_args()
 
 
 class Traffic(collections.namedtuple("Traffic", "sent received segments_out segments_in")):
@@ -54,18 +67,30 @@
     return total, count
 
 
-def print_traffic(name, traffic, connections_used, nodes):
-    per_node = [count / SECONDS / nodes for count in traffic]
-    print(f"{name}: {connections_used} connections; per node {per_node[0]:.0f} B/s out, "
-          f"{per_node[1]:.0f} B/s in, {per_node[2]:.2f} segments/s out, {per_node[3]:.2f} in")
+def print_traffic(name, traffic, used, node_seconds):
+    sent, received, out, back = (count / node_seconds for count in traffic)
+    wire = sent + received + HEADER_BYTES * (out + back)
+    print(f"{name}: {used} connections; per node and second {sent:.0f} bytes out, {received:.0f} "
+          f"in, {out:.2f} segments out, {back:.2f} in; {wire:.0f} bytes with headers")
+    return wire
 
 
-def main():
-    fleet = driver.Fleet().start()
-    time.sleep(5.0)  # not a test: the first seconds carry what is said once only
+def start_fleet(options):
+    driver.DATA_CENTRES = driver.DATA_CENTRES[:options.data_centres]
+    driver.NODES_PER_DATA_CENTRE = options.nodes
+    fleet = driver.Fleet(vms_per_data_centre=options.vms,
+                         replicas_per_data_centre=options.replicas)
+    if options.limits:
+        rules = fleet.configuration / "rules.toml"
+        rules.write_text(rules.read_text().replace(
+            "share = 0.5", "share = 0.5\nrequests_per_second = 100.0\nburst = 200.0"))
+    return fleet.start()
+
+
+def measure(fleet, seconds):
     nodes = fleet.nodes
     cpu, net, started = [n.cpu_seconds() for n in nodes], connections(), time.monotonic()
-    time.sleep(SECONDS)
+    time.sleep(seconds)
     took = time.monotonic() - started
     cpu_after, net_after = [n.cpu_seconds() for n in nodes], connections()
     cores = [100 * (b - a) / took for a, b in zip(cpu, cpu_after, strict=True)]
@@ -73,15 +98,23 @@
     print(f"{len(nodes)} nodes, {len(fleet.vm_ports)} targets, {took:.1f} s at rest")
     print(f"core: median {statistics.median(cores):.2f}%, most {max(cores):.2f}%")
     print(f"resident: median {statistics.median(memory):.1f} MiB, most {max(memory):.1f} MiB")
-    vm_ports = set(fleet.vm_ports.values())
-    link_ports = {n.link_port for n in nodes}
-    for name, wanted in (("targets", vm_ports), ("services", set(fleet.service_ports.values())),
-                         ("platform", {fleet.platform_port}), ("links", link_ports)):
+    whole = 0.0
+    for name, wanted in (("targets", set(fleet.vm_ports.values())),
+                         ("platform", {fleet.platform_port}),
+                         ("links", {n.link_port for n in nodes})):
         total, count = grown(net, net_after, lambda _, remote, w=wanted: remote in w)
         if name == "links":
-            # A link carries frames one way only; what a node receives is what another sends.
-            total = Traffic(total.sent, total.sent, *total[2:])
-        print_traffic(name, total, count, len(nodes))
+            # What one node sends another receives: each is on the wire of both.
+            total = Traffic(total.sent, total.sent, *2 * [total.segments_out + total.segments_in])
+        whole += print_traffic(name, total, count, took * len(nodes))
+    print(f"together {whole:.0f} bytes with headers, the mean of all nodes")
+
+
+def main():
+    options = arguments()
+    fleet = start_fleet(options)
+    time.sleep(5.0)  # not a test: the first seconds carry what is said once only
+    measure(fleet, options.seconds)
     fleet.close()
 
 
