--- a/src/process/coordinator_decide.cpp
+++ b/src/process/coordinator_decide.cpp
@@ -255,8 +255,6 @@
   plan_by = time_point::max();
   next_plan_at = now + plan_interval;
   if (!knows_rules(now) || !rows.may_propose(now) || !may_judge(now)) {
-    // Ranks count from when writing is possible: after an outage all would be due at once.
-    need_since.reset();
     return;
   }
   plan p = next_plan(now);
