--- a/spec/assignment.pml
+++ b/spec/assignment.pml
@@ -26,15 +26,21 @@
  * Safeguards (each can be removed by -D):
  *   GIVE_AT_ONCE          a reservation moves from P to Q in one row version
  *   GIVE_UNACKNOWLEDGED   a withdrawn VM is given away before every node has acknowledged the withdrawal
+ *   RETURNED_IS_FREE      a member that was replaced is given away without acknowledgements when it returns
  *   ACK_WITH_ORDER        a node acknowledges while an order of its own to the VM is half sent
  *   DROP_ACTIVATION       a node that hears a newer row forgets its repair in place of merging it
  *   STEP_ONLY             a generation counts the lost members but does not name them
  *   NUMBER_ONLY           rows of one number are taken for equal (a restored table grows a second row N)
  *   KEEP_GENERATION       a replica keeps its generation when its members have changed
  *   NO_SETTLE             a member counts as soon as it reports the role
- *   NO_READ_BEFORE_SEND   an order is sent without reading what the VM does now
+ *   SHORT_SETTLE          the settle time is no longer than the permission time
+ *   NO_READ_BEFORE_SEND   an order is sent without reading what the VM does now (holds without it: a second line)
  *   STEP_DOWN             a node follows a restored table to an older row
  *   START_WITHOUT_PEER    a new node acts on the table's row before it has asked its peer
+ * IGNORE_x leaves property x out, where a missing safeguard breaks several.
+ *
+ * Bounds: an acknowledgement is read at the moment of the write it allows (it must be asked for after the row was
+ * read); a row write lands at once or never; a member is suspected only while a standby is left.
  */
 
 #define VMS 4
@@ -44,6 +50,8 @@
 #define PERMISSION 1
 #ifdef NO_SETTLE
 #define SETTLE 0
+#elif defined(SHORT_SETTLE)
+#define SETTLE PERMISSION
 #else
 #define SETTLE 2
 #endif
@@ -296,6 +304,8 @@
 #endif
 #ifdef GIVE_UNACKNOWLEDGED
 #define MAY_GIVE(x) true
+#elif defined(RETURNED_IS_FREE)
+#define MAY_GIVE(x) ((x) == 0 || (ACKNOWLEDGED(0, x) && ACKNOWLEDGED(1, x)))
 #else
 #define MAY_GIVE(x) (ACKNOWLEDGED(0, x) && ACKNOWLEDGED(1, x))
 #endif
