Node: in-flight counts reach the core in no wrong order

Cause: read as a newcomer: two workers' counts could arrive swapped, and a count could stay behind under an old generation; a drain would then wait for ever. Change: the core takes the count itself when it is told of a first or last request, over all generations. Not shown by a test yet: it needs two workers and a swap that no test can bring about from outside.

--- a/src/node/model_call.cpp
+++ b/src/node/model_call.cpp
@@ -259,8 +259,9 @@
     attempt.workspace = facts_.workspace;
     attempt.deadline = call_.deadline;
     const time_point sent = monotonic_now();
-    gate_->sent(sent, route.id, facts_);
-    report_in_flight(route);
+    if (gate_->sent(sent, route.id, facts_) == 1) {
+      report_in_flight(route);
+    }
     const auto sink = [&](std::string_view frame) { return pass_frame(frame, sent); };
     const attempt_end end = run_attempt(node_, attempt, route, answer, sink, cancel_);
     attempt_result result;
@@ -269,8 +270,9 @@
     result.failed = end.ran != execution::done;
     result.total = end.total;
     result.first_token = end.first_token == time_point::min() ? end.total : end.first_token - sent;
-    gate_->ended(monotonic_now(), facts_, result);
-    report_in_flight(route);
+    if (gate_->ended(monotonic_now(), facts_, result) == 0) {
+      report_in_flight(route);
+    }
     ++call_.measured.attempts;
     if (result.failed) {
       tried_.push_back(route.id);
@@ -281,10 +283,13 @@
     return end;
   }
 
+  // The core needs to know whether there are any. Goes wrong: counts taken by two workers reach the
+  // core in the other order, the last says one, and a drain waits for a request that ended long
+  // ago. So the count is taken when the core hears of it, and every first and last is told. It is
+  // one count over all generations: the requests of an old one are work of the replica as well.
   void report_in_flight(const replica_route& route) {
-    const std::uint32_t count = gate_->in_flight_at(route.id);
-    node_.core.post([id = route.id, gen = route.gen, count](time_point, coordinator& core) {
-      core.report_in_flight(id, gen, count);
+    node_.core.post([gate = gate_, id = route.id](time_point, coordinator& core) {
+      core.report_in_flight(id, generation{}, gate->in_flight_at(id));
       return effects{};
     });
   }
--- a/src/node/model_gate.cpp
+++ b/src/node/model_gate.cpp
@@ -130,10 +130,12 @@
   return router_.choose(now, view.routes, facts, flights_, tried);
 }
 
-void model_gate::sent(time_point now, const replica_id& replica, const request_facts& facts) {
+std::uint32_t model_gate::sent(time_point now, const replica_id& replica,
+                               const request_facts& facts) {
   const std::lock_guard guard(lock_);
   flights_.sent(now, facts.id, replica, facts.cost);
   router_.sent(now, replica, facts);
+  return flights_.count(replica);
 }
 
 void model_gate::first_token(time_point now, const request_facts& facts,
@@ -143,10 +145,12 @@
   hedging_.observe(request_class, latency);
 }
 
-void model_gate::ended(time_point now, const request_facts& facts, const attempt_result& result) {
+std::uint32_t model_gate::ended(time_point now, const request_facts& facts,
+                                const attempt_result& result) {
   const std::lock_guard guard(lock_);
   flights_.ended(now, facts.id, result.replica);
   router_.observe(now, result);
+  return flights_.count(result.replica);
 }
 
 void model_gate::first_attempt(time_point now) {
--- a/src/node/model_gate.h
+++ b/src/node/model_gate.h
@@ -54,10 +54,11 @@
 
   std::optional<route_choice> choose(time_point now, const node_view& view,
                                      const request_facts& facts, std::span<const replica_id> tried);
-  void sent(time_point now, const replica_id& replica, const request_facts& facts);
+  // Both return how many of this node's requests are at the replica now.
+  std::uint32_t sent(time_point now, const replica_id& replica, const request_facts& facts);
   void first_token(time_point now, const request_facts& facts, std::string_view request_class,
                    duration latency);
-  void ended(time_point now, const request_facts& facts, const attempt_result& result);
+  std::uint32_t ended(time_point now, const request_facts& facts, const attempt_result& result);
 
   void first_attempt(time_point now);
   retry_decision retry(time_point now, const attempt_note& note, execution last,
