Accepted is told once the node that proposed holds it

Cause: the model of configurations shows that a table restored between the write and the first read loses an accepted version without a trace; the code told the operator as soon as the table had it. Change: the node reads the head at once and answers when the version is in force on itself (3 s at most; the answer says whether it is). Conclusion: the window is now a restore together with the loss of that one node.

--- a/src/cli/apply.cpp
+++ b/src/cli/apply.cpp
@@ -132,7 +132,10 @@
     const json body = json::parse(response.body, nullptr, false);
     switch (response.status) {
       case status_ok:
-        out_ << "accepted as version " << number_in(body, "version") << '\n';
+        out_ << "accepted as version " << number_in(body, "version")
+             << (body.value("in_force_here", false)
+                     ? ", in force on the node that took it\n"
+                     : ", not yet in force on the node that took it\n");
         return to_status(exit_code::ok);
       case status_conflict:
         return conflict(body);
--- a/src/node/configure.cpp
+++ b/src/node/configure.cpp
@@ -19,6 +19,9 @@
 // How long one proposal is pursued before the operator is told that it is not known.
 constexpr duration proposal_timeout = 10s;
 constexpr duration pause_between_reads = 200ms;
+// How long an accepted version may take to be in force on the node that proposed it.
+constexpr duration in_force_timeout = 3s;
+constexpr duration pause_for_view = 10ms;
 
 struct change {
   std::uint64_t base{};
@@ -100,9 +103,10 @@
 // Carries out the steps of one proposal and answers the operator.
 class proposal_run {
  public:
-  proposal_run(platform_client& platform, response_writer& writer, config_proposer proposer,
-               known_contents contents)
+  proposal_run(platform_client& platform, control& core, response_writer& writer,
+               config_proposer proposer, known_contents contents)
       : platform_(platform),
+        core_(core),
         writer_(writer),
         proposer_(std::move(proposer)),
         contents_(std::move(contents)) {}
@@ -136,7 +140,7 @@
   }
 
   proposal_step carry_out(const proposal_accepted& s, bool) {
-    answer(200, {{"version", s.version}});
+    answer(200, {{"version", s.version}, {"in_force_here", wait_in_force(s.version)}});
     return s;
   }
 
@@ -145,6 +149,23 @@
     return s;
   }
 
+  // Goes wrong: the table is restored from an old copy right after it took the write, before any
+  // node read it, and an accepted version is lost without a trace. A node that holds it heals the
+  // table; so this one takes it before the operator is told.
+  bool wait_in_force(std::uint64_t version) {
+    core_.post(
+        [](time_point, coordinator&) { return effects{table_read{std::string(config_head_key)}}; });
+    const time_point deadline = monotonic_now() + in_force_timeout;
+    while (monotonic_now() < deadline) {
+      const std::shared_ptr<const node_view> view = core_.view();
+      if (view->config && view->config->version >= version) {
+        return true;
+      }
+      sleep_until(monotonic_now() + pause_for_view);
+    }
+    return false;
+  }
+
   // What the other operator changed. Without the content of the base, what the proposed one would
   // have changed back: the operator sees the other's change in it, among the own ones.
   json changed(const std::optional<config_head>& current) {
@@ -180,6 +201,7 @@
   }
 
   platform_client& platform_;
+  control& core_;
   response_writer& writer_;
   config_proposer proposer_;
   known_contents contents_;
@@ -218,7 +240,7 @@
   contents.base = known == asked->base ? base_content : std::string{};
   contents.proposed = encode_content(imported.assets, imported.wanted);
   config_proposer proposer(asked->id, contents.proposed, asked->base, known, base_content);
-  proposal_run(platform, writer, std::move(proposer), std::move(contents)).run();
+  proposal_run(platform, core, writer, std::move(proposer), std::move(contents)).run();
 }
 
 }  // namespace arbutus
