--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -60,16 +60,10 @@
 };
 
 struct load_options {
-  std::vector<endpoint> nodes;
-  std::string key;
-  std::string model;
-  std::string request_class;
-  double rate = 10;  // requests a second
-  duration length = 10s;
-  std::uint32_t prompt_tokens = 200;
-  std::uint32_t answer_tokens = 50;
-  bool stream = false;
-  std::uint64_t seed = 1;
+  std::string experiment_file;
+  std::string out_directory;          // for the results as files; empty: none are written
+  std::vector<std::string> variants;  // of the experiment, by name; empty: all
+  std::uint64_t seed = 0;             // 0: as the experiment says
   bool json = false;
 };
 
--- a/src/cli/options.cpp
+++ b/src/cli/options.cpp
@@ -71,15 +71,6 @@
   return whole_of(values, "seed");
 }
 
-std::uint32_t count_of(const po::variables_map& values, const char* option) {
-  constexpr std::int64_t most = 1'000'000;
-  const auto value = values[option].as<std::int64_t>();
-  if (value < 1 || value > most) {
-    throw usage_error("--" + std::string(option) + ": expected a whole number from 1 to 1000000");
-  }
-  return static_cast<std::uint32_t>(value);
-}
-
 po::typed_value<std::string>* text() {
   return po::value<std::string>();
 }
@@ -176,31 +167,20 @@
 }
 
 void add_load(po::options_description& add) {
-  add.add_options()("node", po::value<strings>()->required()->value_name("IP:PORT"),
-                    "nodes to call in turn")("key", text()->required()->value_name("KEY"),
-                                             "API key of the workspace")(
-      "model", text()->required()->value_name("ID"), "model to ask")(
-      "class", text()->value_name("NAME"), "class of the requests")(
-      "rate", number(10, "10")->value_name("N"), "requests a second")(
-      "seconds", number(10, "10")->value_name("SECONDS"), "how long")(
-      "prompt-tokens", count_value(200)->value_name("N"), "length of each prompt")(
-      "answer-tokens", count_value(50)->value_name("N"), "length of each answer")(
-      "stream", po::bool_switch(), "ask for streamed answers")(
-      "seed", count_value(1)->value_name("N"), "of the random numbers")("json", po::bool_switch(),
-                                                                        "print JSON");
+  add.add_options()("experiment", text()->required()->value_name("FILE"), "what to run")(
+      "out", text()->value_name("DIR"), "write the results there: text, JSON and a page")(
+      "variant", po::value<strings>()->value_name("NAME"), "run only these variants")(
+      "seed", count_value(0)->value_name("N"), "of the random numbers; 0: as the file says")(
+      "json", po::bool_switch(), "print JSON");
 }
 
 command make_load(const po::variables_map& values) {
   load_options options;
-  options.nodes = endpoints_of(values, "node");
-  options.key = values["key"].as<std::string>();
-  options.model = values["model"].as<std::string>();
-  options.request_class = text_or(values, "class");
-  options.rate = positive(values, "rate");
-  options.length = seconds_of(values, "seconds");
-  options.prompt_tokens = count_of(values, "prompt-tokens");
-  options.answer_tokens = count_of(values, "answer-tokens");
-  options.stream = values["stream"].as<bool>();
+  options.experiment_file = values["experiment"].as<std::string>();
+  options.out_directory = text_or(values, "out");
+  if (values.count("variant") != 0) {
+    options.variants = values["variant"].as<strings>();
+  }
   options.seed = seed_of(values);
   options.json = values["json"].as<bool>();
   return options;
@@ -266,9 +246,10 @@
      "  arbutusworks status 127.0.0.1:23400 127.0.0.1:23402 --key example-operator\n"},
     {"bench", "Measure the decisions, without a network.", "", "", 0, add_bench, make_bench,
      "  arbutusworks bench\n  arbutusworks bench --filter planner --seconds 5 --json\n"},
-    {"load", "Send requests at a steady rate and report what came back, and when.",
-     "--node IP:PORT... --key KEY --model ID", "", 0, add_load, make_load,
-     "  arbutusworks load --node 127.0.0.1:23400 --key example-desk --model tiny-llm --rate 50\n"},
+    {"load", "Run an experiment: calls and faults, latencies and broken promises.", "FILE",
+     "experiment", 1, add_load, make_load,
+     "  arbutusworks load experiments/overload.toml\n"
+     "  arbutusworks load experiments/overload.toml --variant double --out build/experiments\n"},
     {"trial", "Run nodes, platform and targets in this process and show the main job.", "", "", 0,
      add_trial, make_trial, "  arbutusworks trial\n  arbutusworks trial --keep-up\n"},
     {"standin", "Stand in for the platform and the targets of a configuration.",
--- a/src/cli/trial_load.cpp
+++ b/src/cli/trial_load.cpp
@@ -89,7 +89,7 @@
 
 void trial_load::call_once(std::size_t node, std::size_t workspace, std::uint64_t serial,
                            bool stream) {
-  const trial_workspace& who = fleet_.workspaces()[workspace];
+  const fleet_workspace& who = fleet_.workspaces()[workspace];
   const std::string prompt = prompt_of(workspace, serial);
   const std::string expected = standin::expected_answer(dispatch_model, prompt, answer_tokens);
   http_request request;
--- a/src/cli/trial_load.h
+++ b/src/cli/trial_load.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-#include "cli/trial_fleet.h"
+#include "load/fleet.h"
 
 namespace arbutus {
 
@@ -29,7 +29,7 @@
 
 class trial_load {
  public:
-  explicit trial_load(trial_fleet& fleet) : fleet_(fleet) {}
+  explicit trial_load(fleet& f) : fleet_(f) {}
 
   // Callers of every workspace on every node, one request after the other, until stop().
   void start(std::size_t callers_per_workspace);
@@ -49,7 +49,7 @@
   void record(const std::string& workspace, double first_ms, double total_ms);
   void count(const std::string& workspace, std::uint64_t trial_counts::*field);
 
-  trial_fleet& fleet_;
+  fleet& fleet_;
   std::atomic<bool> stopping_{false};
   std::atomic<std::size_t> running_{0};
   std::atomic<std::size_t> left_out_{static_cast<std::size_t>(-1)};
--- /dev/null
+++ b/src/load/checker.cpp
@@ -0,0 +1,115 @@
+// The checker of promises.
+#include "load/checker.h"
+
+#include <algorithm>
+#include <numeric>
+
+#include "standin/answer.h"
+#include "standin/service_standin.h"
+
+namespace arbutus {
+
+namespace {
+
+constexpr std::size_t most_samples = 8;
+
+// What is wrong with an answer, for people.
+std::string difference(const std::string& expected, const std::string& got) {
+  if (expected.starts_with(got)) {
+    return "cut after " + std::to_string(got.size()) + " of " + std::to_string(expected.size()) +
+           " bytes, and called whole";
+  }
+  const auto at = std::mismatch(expected.begin(), expected.end(), got.begin(), got.end()).first;
+  return "another text from byte " + std::to_string(at - expected.begin()) + " on";
+}
+
+}  // namespace
+
+promise_checker::promise_checker(const model_id& model, const service_id& service,
+                                 std::string booking_path)
+    : model_(model), service_(service), booking_path_(std::move(booking_path)) {}
+
+std::string promise_checker::booking_body(const std::string& key) {
+  return R"({"drain":")" + key + R"(","crew":3})";
+}
+
+std::string promise_checker::expected(const planned_call& call) const {
+  if (call.kind == call_kind::booking) {
+    return standin::service_standin::expected_body(
+        service_,
+        {"POST", booking_path_, idempotency_key{call.prompt}, {}, booking_body(call.prompt)});
+  }
+  return expected_answer(model_, call.prompt, call.answer_tokens);
+}
+
+call_end promise_checker::end_of(const raw_answer& answer) {
+  if (answer.called_whole) {
+    return call_end::whole;
+  }
+  if (!answer.reached) {
+    return call_end::unreached;
+  }
+  if (answer.status == 0) {
+    return call_end::silent;
+  }
+  const bool refused = answer.status != 200 && answer.error_type == "not_run";
+  return refused ? call_end::not_run : call_end::unknown;
+}
+
+call_end promise_checker::check_answer(const planned_call& call, const raw_answer& answer) {
+  call_end end = end_of(answer);
+  if (end == call_end::whole) {
+    const std::string right = expected(call);
+    if (answer.text != right) {
+      end = call_end::wrong;
+      broken(promise::own_answer,
+             "request " + answer.id.str() + ": " + difference(right, answer.text));
+    }
+  }
+  if (end == call_end::silent) {
+    broken(promise::answered, "a call of workspace " + std::to_string(call.workspace) + " at " +
+                                  std::to_string(to_seconds(call.at)) +
+                                  " s ended without any answer");
+  }
+  if (call.kind == call_kind::booking) {
+    booking_seen& seen = bookings_[call.prompt];
+    const bool did_not_run = end == call_end::not_run || end == call_end::unreached;
+    ++(end == call_end::whole ? seen.done : did_not_run ? seen.not_run : seen.other);
+  } else if (end == call_end::not_run && !answer.id.empty()) {
+    not_run_.push_back(answer.id);
+  }
+  return end;
+}
+
+void promise_checker::check_not_run(const request_id& id, std::uint32_t runs) {
+  if (runs > 0) {
+    broken(promise::not_run, "request " + id.str() + " was called not run and was taken in " +
+                                 std::to_string(runs) + " times");
+  }
+}
+
+void promise_checker::check_booking(const std::string& key, const booking_seen& seen,
+                                    std::uint32_t executions) {
+  const std::string ran = key + " ran " + std::to_string(executions) + " times";
+  if (executions > 1) {
+    broken(promise::at_most_once, ran);
+  } else if (seen.done > 0 && executions == 0) {
+    broken(promise::at_most_once, ran + ", and was called done");
+  } else if (seen.done == 0 && seen.other == 0 && executions > 0) {
+    broken(promise::not_run, ran + ", and every caller was told that it did not");
+  }
+}
+
+void promise_checker::broken(promise which, std::string what) {
+  ++counts_[static_cast<std::size_t>(which)];
+  if (samples_.size() < most_samples) {
+    samples_.push_back(std::string(promise_names[static_cast<std::size_t>(which)]) + ": " +
+                       std::move(what));
+  }
+}
+
+std::uint64_t promise_checker::violations() const {
+  return std::accumulate(counts_.begin(), counts_.end(), std::uint64_t{0});
+}
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/load/fleet.h
@@ -0,0 +1,105 @@
+// A fleet inside this process, for `trial` and `load`: stand-ins of the platform, of target VMs and
+// of a plain service, and nodes in several data centres, all on loopback with free ports.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "connection/fiber_runtime.h"
+#include "connection/http_client.h"
+#include "node/node.h"
+#include "standin/fleet.h"
+#include "version/configuration.h"
+
+namespace arbutus {
+
+// One who calls, with a key that opens nothing outside this process.
+struct fleet_workspace {
+  std::string name;
+  std::string key;
+  double share = 1.0;
+};
+
+// What the fleet consists of. Every data centre is alike.
+struct fleet_shape {
+  std::size_t data_centres = 3;
+  std::size_t nodes_per_data_centre = 2;
+  std::size_t vms_per_data_centre = 7;
+  std::uint32_t replicas_per_data_centre = 2;
+  std::uint32_t vms_per_replica = 2;
+  std::uint32_t slots = 8;
+  std::uint32_t standbys_per_replica = 1;
+  model_id model{"dispatch-llm"};
+  std::size_t node_workers = 1;
+  std::size_t runtime_workers = 3;  // of the stand-ins and of the callers
+  fleet_settings standins;
+  duration balancer_lag = 300ms;
+  std::uint64_t seed = 1;
+  std::vector<fleet_workspace> workspaces;
+  std::vector<class_rule> classes;
+};
+
+inline constexpr std::string_view fleet_service = "crew-api";
+inline constexpr std::string_view fleet_service_path = "/crew";
+
+class fleet {
+ public:
+  explicit fleet(fleet_shape shape);
+  ~fleet();
+  fleet(const fleet&) = delete;
+  fleet& operator=(const fleet&) = delete;
+
+  // Proposes the rules with this share for the first workspace through the first node, as `apply`
+  // does. Returns the version, or 0 if it was not accepted.
+  std::uint64_t apply(double first_share);
+
+  [[nodiscard]] const fleet_shape& shape() const { return shape_; }
+  [[nodiscard]] standin_fleet& standins() { return *standins_; }
+  [[nodiscard]] std::vector<std::unique_ptr<node>>& nodes() { return nodes_; }
+  [[nodiscard]] socket_address caller_address(std::size_t node) const;
+  [[nodiscard]] data_centre_id data_centre(std::size_t index) const;
+  [[nodiscard]] fiber_runtime& runtime() { return runtime_; }
+  [[nodiscard]] http_client& client() { return *client_; }
+  [[nodiscard]] const std::vector<fleet_workspace>& workspaces() const { return shape_.workspaces; }
+  [[nodiscard]] std::size_t wanted_replicas() const;
+  // Over all data centres, as the node that knows fewest of its own sees it.
+  [[nodiscard]] std::size_t serving_replicas() const;
+  [[nodiscard]] bool all_in_force(std::uint64_t version) const;
+  // A member of a replica that serves now, and the replica.
+  struct member {
+    vm_id vm;
+    replica_id replica;
+    std::size_t node = 0;  // a node of its data centre
+  };
+  // The last member of the last serving replica there; `vm` is empty when none serves.
+  [[nodiscard]] member find_member(std::size_t data_centre);
+  // Where the serving replicas answer: the address of each one's first member, and that VM.
+  struct replica_head {
+    vm_id vm;
+    socket_address address;
+  };
+  [[nodiscard]] std::vector<replica_head> heads() const;
+  // Whether the node routes to the replica, and none of its members is `without`.
+  [[nodiscard]] bool serves_without(std::size_t node, const replica_id& replica,
+                                    const vm_id& without);
+  [[nodiscard]] bool is_routed_to(std::size_t node, const replica_id& replica);
+
+ private:
+  [[nodiscard]] inventory assets_without_ports() const;
+  [[nodiscard]] std::string inventory_text() const;
+  [[nodiscard]] std::string rules_text(double first_share) const;
+  void start_nodes();
+
+  fleet_shape shape_;
+  // In order of construction: the runtime outlives all that runs on it.
+  fiber_runtime runtime_;
+  std::unique_ptr<standin_fleet> standins_;
+  std::unique_ptr<http_client> client_;
+  std::vector<std::unique_ptr<node>> nodes_;
+  std::uint64_t version_ = 0;
+};
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/load/report_json.cpp
@@ -0,0 +1,82 @@
+// The report as JSON.
+#include <nlohmann/json.hpp>
+
+#include "load/report.h"
+
+namespace arbutus {
+
+namespace {
+
+using json = nlohmann::json;
+
+json quantiles_of(const latency_histogram& h) {
+  return {{"count", h.count()},        {"mean_ms", h.mean()},        {"p50_ms", h.quantile(0.5)},
+          {"p90_ms", h.quantile(0.9)}, {"p95_ms", h.quantile(0.95)}, {"p99_ms", h.quantile(0.99)}};
+}
+
+json cell_of(const std::string& workspace, const std::string& request_class,
+             const load_cell& cell) {
+  json ends;
+  for (std::size_t i = 0; i < call_end_names.size(); ++i) {
+    ends[std::string(call_end_names[i])] = cell.ends[i];
+  }
+  return {{"workspace", workspace},
+          {"class", request_class},
+          {"calls", cell.calls()},
+          {"ends", ends},
+          {"useful", cell.useful},
+          {"first_token", quantiles_of(cell.first_token)},
+          {"total", quantiles_of(cell.total)},
+          {"per_token", quantiles_of(cell.per_token)}};
+}
+
+json variant_of(const variant_result& v) {
+  json cells = json::array();
+  for (const auto& [name, cell] : v.cells) {
+    cells.push_back(cell_of(name.first, name.second, cell));
+  }
+  json broken;
+  for (std::size_t i = 0; i < promise_names.size(); ++i) {
+    broken[std::string(promise_names[i])] = v.broken[i];
+  }
+  json timeline = json::array();
+  for (const load_second& s : v.timeline) {
+    timeline.push_back({{"whole", s.whole}, {"refused", s.refused}, {"failed", s.failed}});
+  }
+  json marks = json::array();
+  for (const fault_mark& mark : v.marks) {
+    marks.push_back({{"at_seconds", mark.at_seconds}, {"text", mark.text}});
+  }
+  return {{"name", v.name},
+          {"rounds", v.rounds},
+          {"measured_seconds", v.measured_seconds},
+          {"passed", v.passed()},
+          {"expects_violations", v.expects_violations},
+          {"all", cell_of("", "", v.sum())},
+          {"cells", cells},
+          {"late_start", quantiles_of(v.late_start)},
+          {"broken", broken},
+          {"samples", v.samples},
+          {"problems", v.problems},
+          {"not_run_checked", v.not_run_checked},
+          {"bookings_checked", v.bookings_checked},
+          {"timeline", timeline},
+          {"faults", marks}};
+}
+
+}  // namespace
+
+std::string json_report(const experiment_report& report) {
+  json variants = json::array();
+  for (const variant_result& v : report.variants) {
+    variants.push_back(variant_of(v));
+  }
+  const json body = {{"name", report.name},
+                     {"description", report.description},
+                     {"seed", report.seed},
+                     {"passed", report.passed()},
+                     {"variants", variants}};
+  return body.dump(1, ' ', false, json::error_handler_t::replace);
+}
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/load/report_text.cpp
@@ -0,0 +1,97 @@
+// The report as text.
+#include <algorithm>
+#include <iomanip>
+#include <ostream>
+
+#include "load/report.h"
+
+namespace arbutus {
+
+namespace {
+
+constexpr double quantiles[] = {0.5, 0.95, 0.99};
+
+void print_quantiles(std::ostream& out, const latency_histogram& h) {
+  for (const double p : quantiles) {
+    if (h.count() == 0) {
+      out << std::setw(9) << '-';
+    } else {
+      out << std::setw(9) << h.quantile(p);
+    }
+  }
+}
+
+void print_cell(std::ostream& out, const std::string& workspace, const std::string& request_class,
+                const load_cell& cell, double seconds) {
+  out << "  " << std::left << std::setw(16) << workspace << std::setw(13) << request_class
+      << std::right << std::setw(8) << cell.calls() << std::setw(8) << cell.of(call_end::whole)
+      << std::setw(8) << cell.useful << std::setw(8)
+      << cell.of(call_end::not_run) + cell.of(call_end::unreached) << std::setw(8)
+      << cell.of(call_end::unknown) + cell.of(call_end::silent) << std::setw(7)
+      << cell.of(call_end::wrong) << std::setprecision(1) << std::setw(10)
+      << static_cast<double>(cell.of(call_end::whole)) / std::max(seconds, 1e-9)
+      << std::setprecision(2);
+  print_quantiles(out, cell.first_token);
+  print_quantiles(out, cell.total);
+  print_quantiles(out, cell.per_token);
+  out << '\n';
+}
+
+void print_promises(std::ostream& out, const variant_result& v) {
+  for (std::size_t i = 0; i < v.broken.size(); ++i) {
+    if (v.broken[i] > 0) {
+      out << "  BROKEN " << v.broken[i] << " times: " << promise_names[i] << '\n';
+    }
+  }
+  for (const std::string& sample : v.samples) {
+    out << "    " << sample << '\n';
+  }
+  for (const std::string& problem : v.problems) {
+    out << "  NOT MEASURED: " << problem << '\n';
+  }
+  if (v.violations() == 0 && v.problems.empty()) {
+    out << "  no promise broken; " << v.not_run_checked << " refused calls and "
+        << v.bookings_checked << " booking keys looked up at the targets\n";
+  }
+  if (v.expects_violations) {
+    out << (v.violations() > 0 ? "  (a safeguard was off: the checker noticed)\n"
+                               : "  FAILED: a safeguard was off and the checker saw nothing\n");
+  }
+}
+
+void print_variant(std::ostream& out, const variant_result& v) {
+  out << "\n"
+      << v.name << " (" << v.rounds << (v.rounds == 1 ? " round" : " rounds") << ", "
+      << v.measured_seconds << " s; calls began late by p50 " << v.late_start.quantile(0.5)
+      << ", p99 " << v.late_start.quantile(0.99) << " ms)\n";
+  for (const fault_mark& mark : v.marks) {
+    out << "  " << std::setw(6) << mark.at_seconds << " s  " << mark.text << '\n';
+  }
+  out << "  workspace       class           calls   whole  useful refused unknown  wrong  answers"
+         "   first token ms: p50/95/99    whole answer ms: p50/95/99       ms a token: p50/95/99\n"
+      << "                                                                                    /s\n";
+  for (const auto& [name, cell] : v.cells) {
+    print_cell(out, name.first, name.second, cell, v.measured_seconds);
+  }
+  if (v.cells.size() > 1) {
+    print_cell(out, "all", "", v.sum(), v.measured_seconds);
+  }
+  print_promises(out, v);
+}
+
+}  // namespace
+
+void print_report(std::ostream& out, const experiment_report& report) {
+  const auto flags = out.flags();
+  const auto precision = out.precision();
+  out << std::fixed << std::setprecision(2);
+  out << report.name << ", seed " << report.seed << "\n" << report.description << '\n';
+  for (const variant_result& v : report.variants) {
+    print_variant(out, v);
+  }
+  out << (report.passed() ? "\nEvery promise held.\n" : "\nThe experiment FAILED.\n");
+  out.flags(flags);
+  out.precision(precision);
+}
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/load/results.cpp
@@ -0,0 +1,131 @@
+// Results of a load run.
+#include "load/results.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace arbutus {
+
+namespace {
+
+constexpr std::size_t most_samples = 12;
+
+void append(std::vector<std::string>& list, const std::vector<std::string>& more) {
+  for (const std::string& text : more) {
+    if (list.size() < most_samples) {
+      list.push_back(text);
+    }
+  }
+}
+
+}  // namespace
+
+void load_cell::add(const call_timing& timing, call_end end) {
+  ++ends[static_cast<std::size_t>(end)];
+  useful += timing.useful ? 1U : 0U;
+  if (end != call_end::whole) {
+    return;
+  }
+  total.add(timing.total);
+  if (timing.first_token > duration{}) {
+    first_token.add(timing.first_token);
+  }
+  if (timing.per_token > duration{}) {
+    per_token.add(timing.per_token);
+  }
+}
+
+load_cell& load_cell::operator+=(const load_cell& other) {
+  first_token += other.first_token;
+  total += other.total;
+  per_token += other.per_token;
+  for (std::size_t i = 0; i < ends.size(); ++i) {
+    ends[i] += other.ends[i];
+  }
+  useful += other.useful;
+  return *this;
+}
+
+std::uint64_t load_cell::calls() const {
+  return std::accumulate(ends.begin(), ends.end(), std::uint64_t{0});
+}
+
+void variant_result::add(const cell_name& cell, const call_timing& timing, call_end end) {
+  const auto second = static_cast<std::size_t>(std::max(0.0, to_seconds(timing.ended_at)));
+  if (timeline.size() <= second) {
+    timeline.resize(second + 1);
+  }
+  load_second& now = timeline[second];
+  const bool refused = end == call_end::not_run || end == call_end::unreached;
+  ++(end == call_end::whole ? now.whole : refused ? now.refused : now.failed);
+  if (timing.measured) {
+    cells[cell].add(timing, end);
+    late_start.add(timing.late_start);
+  }
+}
+
+void variant_result::add(const promise_checker& checker) {
+  for (std::size_t i = 0; i < broken.size(); ++i) {
+    broken[i] += checker.count(static_cast<promise>(i));
+  }
+  append(samples, checker.samples());
+  not_run_checked += checker.not_run_checked();
+  bookings_checked += checker.bookings_checked();
+}
+
+variant_result& variant_result::operator+=(const variant_result& other) {
+  rounds += other.rounds;
+  measured_seconds += other.measured_seconds;
+  for (const auto& [name_of, cell] : other.cells) {
+    cells[name_of] += cell;
+  }
+  late_start += other.late_start;
+  timeline.resize(std::max(timeline.size(), other.timeline.size()));
+  for (std::size_t i = 0; i < other.timeline.size(); ++i) {
+    timeline[i].whole += other.timeline[i].whole;
+    timeline[i].refused += other.timeline[i].refused;
+    timeline[i].failed += other.timeline[i].failed;
+  }
+  marks = other.marks;
+  for (std::size_t i = 0; i < broken.size(); ++i) {
+    broken[i] += other.broken[i];
+  }
+  append(samples, other.samples);
+  append(problems, other.problems);
+  not_run_checked += other.not_run_checked;
+  bookings_checked += other.bookings_checked;
+  return *this;
+}
+
+load_cell variant_result::sum() const {
+  load_cell all;
+  for (const auto& [name_of, cell] : cells) {
+    all += cell;
+  }
+  return all;
+}
+
+load_cell variant_result::sum_of(const std::string& workspace) const {
+  load_cell all;
+  for (const auto& [name_of, cell] : cells) {
+    if (name_of.first == workspace) {
+      all += cell;
+    }
+  }
+  return all;
+}
+
+std::uint64_t variant_result::violations() const {
+  return std::accumulate(broken.begin(), broken.end(), std::uint64_t{0});
+}
+
+bool variant_result::passed() const {
+  return problems.empty() && (violations() > 0) == expects_violations;
+}
+
+bool experiment_report::passed() const {
+  return std::all_of(variants.begin(), variants.end(),
+                     [](const variant_result& v) { return v.passed(); });
+}
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/load/run.h
@@ -0,0 +1,33 @@
+// Runs the variants of an experiment, one after the other, round by round.
+#pragma once
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "load/experiment.h"
+#include "load/results.h"
+
+namespace arbutus {
+
+// What can be told while a variant runs.
+struct load_progress {
+  std::string variant;
+  std::uint32_t round{};
+  double elapsed_seconds{};
+  double planned_seconds{};
+  std::uint64_t begun{};
+  std::uint64_t ended{};
+  std::uint64_t not_whole{};
+  std::uint64_t violations{};
+};
+
+struct load_run_options {
+  std::vector<std::string> only;                          // names of variants; empty: all
+  std::function<void(const load_progress&)> on_progress;  // may be empty
+};
+
+[[nodiscard]] experiment_report run_experiment(const experiment& what,
+                                               const load_run_options& options);
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/load/schedule.cpp
@@ -0,0 +1,159 @@
+// Poisson arrivals of a mix of calls.
+#include "load/schedule.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "base/rng.h"
+#include "standin/answer.h"
+
+namespace arbutus {
+
+namespace {
+
+// A repeated booking comes this long after the first at most: some meet it while it still runs.
+constexpr duration longest_repeat_gap = 400ms;
+// A closed workload takes its calls from so many; it starts again at the first when they are used
+// up.
+constexpr std::size_t closed_calls = 4096;
+
+double exponential(rng& random, double rate) {
+  return -std::log1p(-random.unit()) / rate;
+}
+
+std::string filled_to(std::string text, std::size_t bytes, rng& random) {
+  static constexpr std::string_view words[] = {"drain ", "cellar ", "brief ", "crew ",
+                                               "gate ",  "lease ",  "unit ",  "note ",
+                                               "flood ", "tenant ", "pump ",  "address "};
+  while (text.size() < bytes) {
+    text += words[random.below(std::size(words))];
+  }
+  text.resize(bytes);
+  return text;
+}
+
+class planner {
+ public:
+  planner(const workload& work, const variant& how, std::uint64_t seed)
+      : work_(work), how_(how), random_(seed) {
+    for (const load_workspace& w : work.workspaces) {
+      weights_.push_back(weight_of(w));
+    }
+    for (const load_class& c : work.classes) {
+      class_weights_.push_back(c.fraction);
+    }
+  }
+
+  std::vector<planned_call> plan() {
+    double all = 0;
+    double usual = 0;
+    for (std::size_t i = 0; i < weights_.size(); ++i) {
+      all += weights_[i];
+      usual += work_.workspaces[i].weight;
+    }
+    const double change = how_.rate_factor * all / usual;
+    if (work_.arrivals == arrival_kind::closed) {
+      for (std::size_t i = 0; i < closed_calls; ++i) {
+        calls_.push_back(model_call({}));
+      }
+      return std::move(calls_);
+    }
+    arrive(work_.rate * change, [this](duration at) { calls_.push_back(model_call(at)); });
+    if (how_.target == call_target::nodes || how_.check_self == self_check::repeated) {
+      arrive(work_.bookings_per_second * change, [this](duration at) { add_booking(at); });
+    }
+    std::stable_sort(calls_.begin(), calls_.end(),
+                     [](const planned_call& a, const planned_call& b) { return a.at < b.at; });
+    return std::move(calls_);
+  }
+
+ private:
+  [[nodiscard]] double weight_of(const load_workspace& w) const {
+    const std::string& name = w.caller.name;
+    const bool left_out = (!how_.only_workspace.empty() && name != how_.only_workspace) ||
+                          name == how_.without_workspace;
+    if (left_out) {
+      return 0;
+    }
+    return name == how_.workspace ? w.weight * how_.workspace_factor : w.weight;
+  }
+
+  template <class Add>
+  void arrive(double rate, Add add) {
+    if (rate <= 0) {
+      return;
+    }
+    const double end = to_seconds(work_.warm_up + work_.length);
+    for (double t = exponential(random_, rate); t < end; t += exponential(random_, rate)) {
+      add(from_seconds(t));
+    }
+  }
+
+  std::uint32_t pick(const std::vector<double>& weights) {
+    double sum = 0;
+    for (const double w : weights) {
+      sum += w;
+    }
+    double left = random_.unit() * sum;
+    for (std::uint32_t i = 0; i < weights.size(); ++i) {
+      left -= weights[i];
+      if (left < 0) {
+        return i;
+      }
+    }
+    return static_cast<std::uint32_t>(weights.size() - 1);
+  }
+
+  planned_call model_call(duration at) {
+    planned_call call;
+    call.at = at;
+    call.workspace = pick(weights_);
+    call.request_class = pick(class_weights_);
+    call.kind = random_.unit() < work_.streamed ? call_kind::streamed : call_kind::whole;
+    call.answer_tokens = work_.answer_tokens;
+    const std::uint64_t session = random_.below(work_.sessions);
+    call.prompt = prompt_of(call.workspace, session);
+    return call;
+  }
+
+  // The serial number makes every prompt, and so every right answer, different.
+  std::string prompt_of(std::uint32_t workspace, std::uint64_t session) {
+    rng of_session(workspace * 1000 + session + 1);
+    const std::size_t bytes = std::size_t{work_.prompt_tokens} * standin::bytes_per_token;
+    const auto shared = static_cast<std::size_t>(work_.shared_prefix * static_cast<double>(bytes));
+    std::string prefix = "session " + std::to_string(workspace) + '-' + std::to_string(session);
+    prefix = filled_to(prefix + ": ", std::max(shared, prefix.size() + 2), of_session);
+    prefix += " call " + std::to_string(++serial_) + ' ';
+    return filled_to(prefix, std::max(bytes, prefix.size()), random_);
+  }
+
+  void add_booking(duration at) {
+    planned_call call;
+    call.at = at;
+    call.kind = call_kind::booking;
+    call.workspace = pick(weights_);
+    call.request_class = pick(class_weights_);
+    call.prompt = "booking-" + std::to_string(++serial_);
+    calls_.push_back(call);
+    if (random_.unit() < work_.repeated) {
+      call.at += random_.jitter(longest_repeat_gap);
+      calls_.push_back(call);
+    }
+  }
+
+  const workload& work_;
+  const variant& how_;
+  rng random_;
+  std::vector<double> weights_;
+  std::vector<double> class_weights_;
+  std::vector<planned_call> calls_;
+  std::uint64_t serial_ = 0;
+};
+
+}  // namespace
+
+std::vector<planned_call> plan_calls(const workload& work, const variant& how, std::uint64_t seed) {
+  return planner(work, how, seed).plan();
+}
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/load/variant_run.cpp
@@ -0,0 +1,317 @@
+// One round of one variant.
+#include "load/variant_run.h"
+
+#include <algorithm>
+#include <limits>
+#include <thread>
+
+#include "base/hash.h"
+#include "connection/clock.h"
+
+namespace arbutus {
+
+namespace {
+
+constexpr std::size_t caller_workers = 2;
+constexpr duration ready_timeout = 30s;
+constexpr std::chrono::milliseconds poll_interval{5};
+// How long after its own timeout a call may still hang before the run gives up on it.
+constexpr duration grace = 5s;
+constexpr std::size_t idle_connections = 512;
+constexpr std::uint32_t many_faults = 1'000'000;
+
+const std::string booking_path = std::string(fleet_service_path) + "/job-cards";
+
+http_client_limits caller_limits() {
+  http_client_limits limits;
+  limits.idle_per_target = idle_connections;
+  return limits;
+}
+
+bool is_direct(const variant& how) {
+  return how.target != call_target::nodes || how.check_self != self_check::none;
+}
+
+}  // namespace
+
+variant_run::variant_run(const experiment& what, const variant& how, std::uint32_t round)
+    : what_(what),
+      how_(how),
+      round_(round),
+      plan_(plan_calls(what.work, how, what.seed + round)),
+      callers_(caller_workers),
+      checker_(what.model, service_id{fleet_service}, booking_path) {
+  result_.name = how.name;
+  result_.rounds = 1;
+  result_.expects_violations = how.check_self != self_check::none;
+  for (std::size_t i = 0; i < caller_workers; ++i) {
+    shards_.push_back(std::make_unique<shard>());
+  }
+}
+
+variant_run::~variant_run() {
+  client_.reset();
+  callers_.stop();
+  callers_.join();
+}
+
+variant_result variant_run::run(const std::function<void(const load_progress&)>& on_progress) {
+  callers_.run();
+  client_ = std::make_unique<http_client>(callers_, caller_limits());
+  if (!bring_up()) {
+    return std::move(result_);
+  }
+  find_targets();
+  set_safeguard_off();
+  start_callers();
+  wait_and_play(on_progress);
+  for (const auto& part : shards_) {
+    const std::lock_guard guard(part->lock);
+    result_ += part->result;
+  }
+  check_executions();
+  result_.add(checker_);
+  return std::move(result_);
+}
+
+bool variant_run::bring_up() {
+  if (!what_.nodes.empty()) {
+    return true;
+  }
+  fleet_shape shape = what_.shape;
+  if (how_.node_workers != 0) {
+    shape.node_workers = how_.node_workers;
+  }
+  const double first_share = shape.workspaces.front().share;
+  fleet_ = std::make_unique<fleet>(std::move(shape));
+  const std::uint64_t version = fleet_->apply(first_share);
+  if (version == 0) {
+    result_.problems.emplace_back("the configuration was not accepted");
+    return false;
+  }
+  const time_point deadline = monotonic_now() + ready_timeout;
+  while (!fleet_->all_in_force(version) || fleet_->serving_replicas() < fleet_->wanted_replicas()) {
+    if (monotonic_now() > deadline) {
+      result_.problems.emplace_back("only " + std::to_string(fleet_->serving_replicas()) +
+                                    " replicas serve after 30 s");
+      return false;
+    }
+    std::this_thread::sleep_for(poll_interval);
+  }
+  return true;
+}
+
+void variant_run::find_targets() {
+  if (!fleet_) {
+    for (const endpoint& e : what_.nodes) {
+      targets_.push_back({e.host, e.port});
+    }
+  } else if (is_direct(how_)) {
+    for (const fleet::replica_head& head : fleet_->heads()) {
+      targets_.push_back(head.address);
+      target_vms_.push_back(head.vm);
+    }
+  } else {
+    for (std::size_t i = 0; i < fleet_->nodes().size(); ++i) {
+      targets_.push_back(fleet_->caller_address(i));
+    }
+  }
+  for (std::size_t i = 0; i < targets_.size(); ++i) {
+    left_out_.push_back(std::make_unique<std::atomic<bool>>(false));
+  }
+}
+
+// What a node prevents is let through here, to see that the checker notices it.
+void variant_run::set_safeguard_off() {
+  standin::next_answers faults;
+  faults.crossed = how_.check_self == self_check::crossed ? many_faults : 0;
+  faults.duplicated = how_.check_self == self_check::duplicated ? many_faults : 0;
+  for (const vm_id& vm : target_vms_) {
+    fleet_->standins().set_answer_faults(vm, faults);
+  }
+}
+
+void variant_run::start_callers() {
+  const bool closed = what_.work.arrivals == arrival_kind::closed;
+  const std::size_t generators = closed ? what_.work.callers : caller_workers;
+  generators_ = generators;
+  start_ = monotonic_now();
+  for (std::size_t i = 0; i < generators; ++i) {
+    const std::size_t worker = i % caller_workers;
+    callers_.post(worker, [this, worker, i, closed] {
+      if (closed) {
+        call_in_turn(worker, i);
+      } else {
+        arrive(worker);
+      }
+      --generators_;
+    });
+  }
+}
+
+// Open loop: every call begins at its time, whether earlier ones have ended or not.
+void variant_run::arrive(std::size_t worker) {
+  for (std::size_t i = worker; i < plan_.size(); i += caller_workers) {
+    const planned_call& planned = plan_[i];
+    const time_point intended = start_ + planned.at;
+    if (intended > monotonic_now() && !sleep_until(intended)) {
+      return;
+    }
+    ++begun_;
+    callers_.post(worker, [this, worker, &planned, intended] { call(worker, planned, intended); });
+  }
+}
+
+void variant_run::call_in_turn(std::size_t worker, std::size_t first) {
+  const time_point end = start_ + what_.work.warm_up + what_.work.length;
+  for (std::size_t i = first;; i += what_.work.callers) {
+    const time_point now = monotonic_now();
+    if (now >= end) {
+      return;
+    }
+    ++begun_;
+    call(worker, plan_[i % plan_.size()], now);
+  }
+}
+
+std::size_t variant_run::least_reported() {
+  std::size_t best = 0;
+  std::uint32_t least = std::numeric_limits<std::uint32_t>::max();
+  const std::size_t first = turn_++ % targets_.size();
+  for (std::size_t i = 0; i < targets_.size(); ++i) {
+    const std::size_t candidate = (first + i) % targets_.size();
+    const engine_report report = fleet_->standins().report(target_vms_[candidate]);
+    if (report.running + report.queued < least) {
+      least = report.running + report.queued;
+      best = candidate;
+    }
+  }
+  return best;
+}
+
+std::size_t variant_run::pick_target() {
+  if (how_.target == call_target::direct_least) {
+    return least_reported();
+  }
+  if (how_.target == call_target::direct_random) {
+    return rng(what_.seed + turn_++).below(targets_.size());
+  }
+  std::size_t chosen = turn_++ % targets_.size();
+  for (std::size_t i = 0; i < targets_.size() && *left_out_[chosen]; ++i) {
+    chosen = (chosen + 1) % targets_.size();
+  }
+  return chosen;
+}
+
+call_address variant_run::address_for(const planned_call& planned) {
+  call_address to;
+  to.key = what_.work.workspaces[planned.workspace].caller.key;
+  to.request_class = what_.work.classes[planned.request_class].rule.name;
+  const std::size_t target = pick_target();
+  to.target = targets_[target];
+  if (is_direct(how_)) {
+    to.request_id = "direct-" + std::to_string(serial_++);
+    if (planned.kind == call_kind::booking) {
+      const endpoint& e = fleet_->standins().assets().services.front().address;
+      to.target = {e.host, e.port};
+    }
+  }
+  return to;
+}
+
+void variant_run::call(std::size_t worker, const planned_call& planned, time_point intended) {
+  const time_point begun = monotonic_now();
+  const timed_answer answer = make_call(*client_, address_for(planned), what_.model, booking_path,
+                                        planned, begun + what_.work.timeout);
+  record(worker, planned, intended, begun, answer);
+  ++ended_;
+}
+
+void variant_run::record(std::size_t worker, const planned_call& planned, time_point intended,
+                         time_point begun, const timed_answer& answer) {
+  const class_rule& limits = what_.work.classes[planned.request_class].rule;
+  call_timing timing;
+  timing.measured = intended >= start_ + what_.work.warm_up;
+  timing.late_start = begun - intended;
+  timing.total = answer.ended - intended;
+  timing.ended_at = answer.ended - start_;
+  if (answer.first_token != time_point::min()) {
+    timing.first_token = answer.first_token - intended;
+  }
+  if (answer.tokens > 1) {
+    timing.per_token = (answer.ended - answer.first_token) / (answer.tokens - 1);
+  }
+  const std::string request_class = planned.kind == call_kind::booking ? "booking" : limits.name;
+  const cell_name cell{what_.work.workspaces[planned.workspace].caller.name, request_class};
+  const call_end end = check(planned, answer.raw);
+  const bool in_time = timing.total <= limits.deadline && timing.first_token <= limits.first_token;
+  timing.useful = end == call_end::whole && in_time;
+  not_whole_ += end == call_end::whole ? 0U : 1U;
+  shard& own = *shards_[worker];
+  const std::lock_guard guard(own.lock);
+  own.result.add(cell, timing, end);
+}
+
+call_end variant_run::check(const planned_call& planned, const raw_answer& answer) {
+  const std::lock_guard guard(checker_lock_);
+  return checker_.check_answer(planned, answer);
+}
+
+void variant_run::wait_and_play(const std::function<void(const load_progress&)>& on_progress) {
+  std::unique_ptr<fault_player> faults;
+  if (fleet_ && how_.with_faults) {
+    faults = std::make_unique<fault_player>(
+        *fleet_, what_.faults, [this](std::size_t node) { *left_out_.at(node) = true; });
+  }
+  const duration planned = what_.work.warm_up + what_.work.length;
+  const time_point latest = start_ + planned + what_.work.timeout + grace;
+  while (generators_ > 0 || ended_ < begun_) {
+    const time_point now = monotonic_now();
+    if (faults) {
+      faults->play(now - start_);
+    }
+    report_progress(on_progress, now - start_);
+    if (now > latest) {
+      result_.problems.push_back(std::to_string(begun_ - ended_) + " calls never ended");
+      break;
+    }
+    std::this_thread::sleep_for(poll_interval);
+  }
+  result_.measured_seconds = to_seconds(what_.work.length);
+  if (faults) {
+    faults->finish(monotonic_now() - start_);
+    result_.marks = faults->marks();
+    for (std::size_t i = 0; i < faults->unclean_stops(); ++i) {
+      checker_.broken(promise::clean_stop, "a node was stopped and cut off requests");
+    }
+  }
+}
+
+void variant_run::report_progress(const std::function<void(const load_progress&)>& on_progress,
+                                  duration elapsed) {
+  if (!on_progress) {
+    return;
+  }
+  load_progress progress;
+  progress.variant = how_.name;
+  progress.round = round_ + 1;
+  progress.elapsed_seconds = to_seconds(elapsed);
+  progress.planned_seconds = to_seconds(what_.work.warm_up + what_.work.length);
+  progress.begun = begun_;
+  progress.ended = ended_;
+  progress.not_whole = not_whole_;
+  on_progress(progress);
+}
+
+void variant_run::check_executions() {
+  if (!fleet_) {
+    return;
+  }
+  standin_fleet& standins = fleet_->standins();
+  checker_.check_executions([&](const request_id& id) { return standins.runs(id); },
+                            [&](const std::string& key) {
+                              return standins.executions_of(service_id{fleet_service}, key);
+                            });
+}
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/load/variant_run.h
@@ -0,0 +1,76 @@
+// One round of one variant: brings a fleet up, makes the planned calls at their times, plays the
+// faults, and checks.
+#pragma once
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <vector>
+
+#include "load/caller.h"
+#include "load/faults.h"
+#include "load/run.h"
+
+namespace arbutus {
+
+class variant_run {
+ public:
+  variant_run(const experiment& what, const variant& how, std::uint32_t round);
+  ~variant_run();
+  variant_run(const variant_run&) = delete;
+  variant_run& operator=(const variant_run&) = delete;
+
+  // Once.
+  variant_result run(const std::function<void(const load_progress&)>& on_progress);
+
+ private:
+  // What one worker's callers recorded; merged after the run.
+  struct shard {
+    std::mutex lock;  // guards result
+    variant_result result;
+  };
+
+  bool bring_up();
+  void find_targets();
+  void start_callers();
+  void arrive(std::size_t worker);
+  void call_in_turn(std::size_t worker, std::size_t first);
+  void call(std::size_t worker, const planned_call& planned, time_point intended);
+  [[nodiscard]] call_address address_for(const planned_call& planned);
+  [[nodiscard]] std::size_t pick_target();
+  [[nodiscard]] std::size_t least_reported();
+  void record(std::size_t worker, const planned_call& planned, time_point intended,
+              time_point begun, const timed_answer& answer);
+  [[nodiscard]] call_end check(const planned_call& planned, const raw_answer& answer);
+  void wait_and_play(const std::function<void(const load_progress&)>& on_progress);
+  void report_progress(const std::function<void(const load_progress&)>& on_progress,
+                       duration elapsed);
+  void check_executions();
+  void set_safeguard_off();
+
+  const experiment& what_;
+  const variant& how_;
+  std::uint32_t round_;
+  std::vector<planned_call> plan_;
+  std::unique_ptr<fleet> fleet_;  // null with existing nodes
+  fiber_runtime callers_;
+  std::unique_ptr<http_client> client_;
+  std::vector<std::unique_ptr<shard>> shards_;
+  std::vector<socket_address> targets_;
+  std::vector<vm_id> target_vms_;  // of direct targets, in the order of targets_
+  std::vector<std::unique_ptr<std::atomic<bool>>> left_out_;
+  std::mutex checker_lock_;  // guards checker_ while callers run
+  promise_checker checker_;
+  variant_result result_;
+
+  time_point start_;
+  std::atomic<std::uint64_t> turn_{0};    // of the targets
+  std::atomic<std::uint64_t> serial_{0};  // of the request ids made here
+  std::atomic<std::uint64_t> begun_{0};
+  std::atomic<std::uint64_t> ended_{0};
+  std::atomic<std::uint64_t> not_whole_{0};
+  std::atomic<std::size_t> generators_{0};  // fibers that still begin calls
+};
+
+}  // namespace arbutus
