Probes: few nodes before many targets see each in time

Symptom: with two nodes before 19 targets replicas that work are not routed to now and then; with six before 81 they never all are. Cause: the budget of 8 probes a second, meant for 21 nodes before 81 targets, stretches the interval beyond the permission time. Change: the budget gives way so that each target is probed every 1.125 s at most; at 21 nodes before 81 targets nothing changes. The new test fails without the change (4.6 s at 6 nodes, 10 s at one). It does not fail for 2 nodes, whose phases differ in virtual time.

--- a/src/process/control_timing.h
+++ b/src/process/control_timing.h
@@ -40,6 +40,10 @@
   // Each target is probed so often by each of its probers, if the budget allows.
   duration probe_interval = 1s;
   double probes_per_second = 8.0;
+  // But never more seldom than this: with the heartbeat that carries it, an observation would get
+  // older than permission_time, and replicas that work would not be routed to. Two nodes before 19
+  // targets, or few survivors, need more than the budget; 21 nodes before 81 do not.
+  duration longest_probe_interval = 1125ms;
   // Beside that for suspects: the answer is urgent, but a dark fabric domain must not flood.
   double urgent_probes_per_second = 4.0;
   std::size_t urgent_probe_burst = 4;
--- a/src/process/observation_probes.cpp
+++ b/src/process/observation_probes.cpp
@@ -7,8 +7,10 @@
 
 namespace {
 
-// Ticks may come late; probes missed meanwhile may follow together, up to so many.
+// Ticks may come late; probes missed meanwhile may follow together, up to so many, or those of so
+// long.
 constexpr double most_tokens = 3.0;
+constexpr duration most_lateness = 250ms;
 
 }  // namespace
 
@@ -46,10 +48,19 @@
   return slot;
 }
 
+// Probes a second that this node may send.
+double observation_table::probe_rate() const {
+  const double needed =
+      static_cast<double>(own_.size()) / to_seconds(timing_.longest_probe_interval);
+  return std::max(timing_.probes_per_second, needed);
+}
+
 void observation_table::refill(time_point now) {
   const double elapsed = refilled_at_ ? to_seconds(now - *refilled_at_) : 0.0;
   refilled_at_ = now;
-  tokens_ = std::min(tokens_ + elapsed * timing_.probes_per_second, most_tokens);
+  const double rate = probe_rate();
+  const double most = std::max(most_tokens, rate * to_seconds(most_lateness));
+  tokens_ = std::min(tokens_ + elapsed * rate, most);
   urgent_tokens_ = std::min(urgent_tokens_ + elapsed * timing_.urgent_probes_per_second,
                             static_cast<double>(timing_.urgent_probe_burst));
 }
--- a/src/process/observations.h
+++ b/src/process/observations.h
@@ -135,6 +135,7 @@
                    time_point now);
   void own_success(const engine_report& report, time_point sent_at, time_point now);
   void settle(target& t, time_point now);
+  [[nodiscard]] double probe_rate() const;
   void refill(time_point now);
   [[nodiscard]] std::vector<vm_id> urgent_probes(time_point now);
   [[nodiscard]] std::vector<vm_id> due_probes(time_point now);
--- a/tests/core/observations_test.cpp
+++ b/tests/core/observations_test.cpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include "core/fake_data_centre.h"
+#include "process/permission.h"
 
 namespace arbutus {
 namespace {
@@ -394,6 +395,28 @@
   }
 }
 
+// Symptom: replicas that work are not routed to now and then, with few nodes before many targets,
+// or for good after most nodes are gone. Sequence: a node has more targets than its budget of
+// probes reaches in time. Cause: permission lapses between two probes of a member.
+TEST(Observations, FewNodesStillSeeEachTargetWithinThePermissionTime) {
+  for (const auto& [nodes, targets] : {std::pair{2, 19}, {6, 81}, {1, 81}}) {
+    fake_data_centre dc(static_cast<std::size_t>(nodes), static_cast<std::size_t>(targets), 4);
+    dc.run_for(10s);
+    duration oldest{};
+    for (int step = 0; step < 200; ++step) {
+      dc.run_for(100ms);
+      for (std::size_t i = 0; i < static_cast<std::size_t>(nodes); ++i) {
+        for (const vm_id& id : dc.vms()) {
+          const observation* seen = dc.node(i).seen->latest(id);
+          ASSERT_NE(seen, nullptr);
+          oldest = std::max(oldest, dc.now - seen->at);
+        }
+      }
+    }
+    EXPECT_LE(oldest, permission_time) << nodes << " nodes, " << targets << " targets";
+  }
+}
+
 void change_something(fake_data_centre& dc, rng& random) {
   const vm_id id = dc.vm(random.below(dc.vms().size()));
   engine_report& r = dc.target(id).report;
