Limits travel with heartbeats

Cause: with one limited workspace each node sends every peer a second segment a second, acknowledged by itself. Change: the message goes behind the heartbeat to the same peer, in one write; peers that got no heartbeat within the second are told alone. The new test fails without the change.

--- a/src/node/limit_exchange.cpp
+++ b/src/node/limit_exchange.cpp
@@ -91,6 +91,17 @@
   return limits_.take(now, workspace);
 }
 
+// A message of its own costs a segment and its acknowledgement, more bytes than it carries. With a
+// heartbeat, which goes to the same peers as often, it costs its payload alone.
+std::optional<peer_send> limit_exchange::tell_with(time_point now, const node_id& peer) {
+  const std::lock_guard guard(lock_);
+  const bool partner = std::find(told_.begin(), told_.end(), peer) != told_.end();
+  if (!has_limits_ || !partner || !accompanied_.insert(peer).second) {
+    return std::nullopt;
+  }
+  return peer_send{peer, encode(limits_.tell(now, peer)), false};
+}
+
 std::vector<peer_send> limit_exchange::tell(time_point now) {
   const std::lock_guard guard(lock_);
   std::vector<peer_send> messages;
@@ -99,8 +110,11 @@
   }
   limits_.update(now);
   for (const node_id& peer : told_) {
-    messages.push_back({peer, encode(limits_.tell(now, peer)), false});
+    if (!accompanied_.contains(peer)) {
+      messages.push_back({peer, encode(limits_.tell(now, peer)), false});
+    }
   }
+  accompanied_.clear();
   return messages;
 }
 
--- a/src/node/limit_exchange.h
+++ b/src/node/limit_exchange.h
@@ -4,6 +4,8 @@
 
 #include <functional>
 #include <mutex>
+#include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -30,7 +32,11 @@
   void configure(time_point now, const configuration& config);
   [[nodiscard]] limit_verdict take(time_point now, const workspace_id& workspace);
 
-  // What to send; call once every limit_settings::told_every.
+  // To be sent together with another message to `peer`, which is about to go; empty if there is
+  // nothing to say or the peer was told since the last tell().
+  [[nodiscard]] std::optional<peer_send> tell_with(time_point now, const node_id& peer);
+  // What to send to peers that no other message went to meanwhile; call once every
+  // limit_settings::told_every.
   [[nodiscard]] std::vector<peer_send> tell(time_point now);
   // Damaged bytes are ignored: the next message comes in a second.
   void heard(time_point now, const node_id& peer, std::string_view bytes);
@@ -39,8 +45,9 @@
   node_id self_;
   std::mutex lock_;  // guards all below
   rate_limits limits_;
-  std::vector<node_id> told_;  // peers that leases are exchanged with
-  bool has_limits_ = false;    // some workspace has one: without any, nothing is sent
+  std::vector<node_id> told_;      // peers that leases are exchanged with
+  std::set<node_id> accompanied_;  // of these, told by tell_with() since the last tell()
+  bool has_limits_ = false;        // some workspace has one: without any, nothing is sent
   std::uint64_t config_version_ = 0;
 };
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -73,6 +73,7 @@
   std::string gauges();
   void on_view(const std::shared_ptr<const node_view>& view);
   void listen();
+  void send_to_peer(const peer_send& message);
   void exchange_limits();
 
   node_setup options;
@@ -134,8 +135,7 @@
     limits.heard(monotonic_now(), m.from, m.bytes);
   });
   links->set_peers(options.bootstrap_peers);
-  core.set_peer_sender(
-      [this](const peer_send& message) { links->send(link_channel::coordination, message); });
+  core.set_peer_sender([this](const peer_send& message) { send_to_peer(message); });
   core.set_view_listener([this](const std::shared_ptr<const node_view>& v) { on_view(v); });
   core.set_notice_listener(options.on_notice);
   const auto handler = [this](const http_request& request, response_writer& writer) {
@@ -160,6 +160,14 @@
   parts_->runtime.join();
 }
 
+void node::parts::send_to_peer(const peer_send& message) {
+  links->send(link_channel::coordination, message);
+  // Behind it in the queue, so that both leave in one write.
+  if (const auto limit = limits.tell_with(monotonic_now(), message.to)) {
+    links->send(link_channel::limits, *limit);
+  }
+}
+
 // Exchanges leases of limits with the peers until the runtime stops.
 void node::parts::exchange_limits() {
   while (sleep_until(monotonic_now() + limit_settings{}.told_every)) {
--- /dev/null
+++ b/tests/shell/limit_exchange_test.cpp
@@ -0,0 +1,65 @@
+// When limits are spoken of with peers.
+#include "node/limit_exchange.h"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+
+namespace arbutus {
+namespace {
+
+constexpr time_point start{100s};
+const node_id self{"a"};
+const node_id near_peer{"b"};
+const node_id far_peer{"c"};
+
+std::unique_ptr<limit_exchange> make(double requests_per_second) {
+  configuration config;
+  config.version = 1;
+  config.assets.data_centres = {{data_centre_id{"x"}, "r"}, {data_centre_id{"y"}, "r"}};
+  config.assets.nodes = {{self, data_centre_id{"x"}, {}, {}},
+                         {near_peer, data_centre_id{"x"}, {}, {}},
+                         {far_peer, data_centre_id{"y"}, {}, {}}};
+  workspace_rule workspace;
+  workspace.id = workspace_id{"desk"};
+  workspace.requests_per_second = requests_per_second;
+  workspace.burst = requests_per_second;
+  config.wanted.workspaces = {workspace};
+  auto exchange = std::make_unique<limit_exchange>(start, self);
+  exchange->configure(start, config);
+  return exchange;
+}
+
+std::vector<node_id> receivers(const std::vector<peer_send>& messages) {
+  std::vector<node_id> nodes;
+  for (const peer_send& m : messages) {
+    nodes.push_back(m.to);
+  }
+  return nodes;
+}
+
+// Symptom: limits double the traffic between nodes. Sequence: each second a heartbeat and, at
+// another moment, a message about limits go to the same peer. Cause: two segments, both
+// acknowledged, where one would do.
+TEST(limit_exchange, a_peer_that_a_heartbeat_told_is_not_told_again) {
+  const auto exchange = make(10);
+  const auto with_heartbeat = exchange->tell_with(start + 500ms, near_peer);
+  ASSERT_TRUE(with_heartbeat);
+  EXPECT_EQ(with_heartbeat->to, near_peer);
+  EXPECT_FALSE(exchange->tell_with(start + 600ms, near_peer));
+  EXPECT_EQ(receivers(exchange->tell(start + 1s)), (std::vector<node_id>{far_peer}));
+  // Without a heartbeat meanwhile, both are told alone.
+  EXPECT_EQ(receivers(exchange->tell(start + 2s)), (std::vector<node_id>{near_peer, far_peer}));
+  EXPECT_TRUE(exchange->tell_with(start + 2500ms, near_peer));
+}
+
+TEST(limit_exchange, says_nothing_without_limits_or_to_strangers) {
+  const auto none = make(0);
+  EXPECT_FALSE(none->tell_with(start, near_peer));
+  EXPECT_TRUE(none->tell(start + 1s).empty());
+  const auto some = make(10);
+  EXPECT_FALSE(some->tell_with(start, node_id{"stranger"}));
+}
+
+}  // namespace
+}  // namespace arbutus
