Node: links end before their workers do

Cause: a node without peers hung when it was destroyed. The runtime was stopped first; a worker without fibers ended at once, and what the links then posted to it never ran. Change: the links are destroyed while the workers still run.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -155,8 +155,10 @@
     parts_->core.stop();
   }
   parts_->server.reset();
-  parts_->runtime.stop();  // ends the exchange of limits, which uses the links
+  // Before the runtime stops: a worker without fibers ends at once, and what the links post to it
+  // then never runs, so that this would wait for ever.
   parts_->links.reset();
+  parts_->runtime.stop();
   parts_->runtime.join();
 }
 
