--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 JOBS ?= $(shell nproc)
 PRESET ?= release
 
-.PHONY: install build run check test lint spec
+.PHONY: install build run check test lint spec experiments
 install:
 	@tools/install.sh
 build: install
@@ -12,6 +12,11 @@
 	@build/$(PRESET)/arbutusworks trial
 test: build
 	@ctest --test-dir build/$(PRESET) --output-on-failure -j $(JOBS)
+# Every experiment, one after the other: they share the machine with nothing, least of all each other.
+experiments: build
+	@for e in experiments/*.toml; do \
+	  build/$(PRESET)/arbutusworks load $$e --out build/experiments || failed="$$failed $$e"; \
+	done; test -z "$$failed" || { echo "failed:$$failed"; exit 1; }
 lint: build
 	@tools/lint.sh
 spec: install
--- a/src/load/experiment.cpp
+++ b/src/load/experiment.cpp
@@ -39,6 +39,7 @@
     read_workload();
     read_classes();
     read_workspaces();
+    read_workspace_name(root_, "apart", result_.apart);
     read_faults();
     read_variants();
     root_.finish();
--- a/src/load/experiment.h
+++ b/src/load/experiment.h
@@ -115,6 +115,7 @@
   std::string name;
   std::string description;
   std::uint64_t seed = 1;
+  std::string apart;            // a workspace; the report also sums all others
   std::uint32_t rounds = 1;     // how often all variants are run, in turn
   fleet_shape shape;            // workspaces and classes come from the workload
   std::vector<endpoint> nodes;  // existing nodes to call instead of a fleet in this process
--- a/src/load/report_text.cpp
+++ b/src/load/report_text.cpp
@@ -53,9 +53,9 @@
     out << "  no promise broken; " << v.not_run_checked << " refused calls and "
         << v.bookings_checked << " booking keys looked up at the targets\n";
   }
-  if (v.expects_violations) {
-    out << (v.violations() > 0 ? "  (a safeguard was off: the checker noticed)\n"
-                               : "  FAILED: a safeguard was off and the checker saw nothing\n");
+  if (v.expects_broken) {
+    out << (v.passed() ? "  (a safeguard was off: the checker noticed)\n"
+                       : "  FAILED: a safeguard was off and the checker did not see just that\n");
   }
 }
 
@@ -67,15 +67,17 @@
   for (const fault_mark& mark : v.marks) {
     out << "  " << std::setw(6) << mark.at_seconds << " s  " << mark.text << '\n';
   }
-  out << "  workspace       class           calls   whole  useful refused unknown  wrong  answers"
-         "   first token ms: p50/95/99    whole answer ms: p50/95/99       ms a token: p50/95/99\n"
-      << "                                                                                    /s\n";
+  out << "  workspace       class           calls   whole  useful refused unknown  wrong   whole/s"
+         "   first token ms 50/95/99    whole answer ms 50/95/99       ms a token 50/95/99\n";
   for (const auto& [name, cell] : v.cells) {
     print_cell(out, name.first, name.second, cell, v.measured_seconds);
   }
   if (v.cells.size() > 1) {
     print_cell(out, "all", "", v.sum(), v.measured_seconds);
   }
+  if (!v.apart.empty()) {
+    print_cell(out, "not " + v.apart, "", v.sum_without(v.apart), v.measured_seconds);
+  }
   print_promises(out, v);
 }
 
--- a/src/load/results.cpp
+++ b/src/load/results.cpp
@@ -86,7 +86,9 @@
     timeline[i].refused += other.timeline[i].refused;
     timeline[i].failed += other.timeline[i].failed;
   }
-  marks = other.marks;
+  if (!other.marks.empty()) {
+    marks = other.marks;
+  }
   for (std::size_t i = 0; i < broken.size(); ++i) {
     broken[i] += other.broken[i];
   }
@@ -105,10 +107,10 @@
   return all;
 }
 
-load_cell variant_result::sum_of(const std::string& workspace) const {
+load_cell variant_result::sum_without(const std::string& workspace) const {
   load_cell all;
   for (const auto& [name_of, cell] : cells) {
-    if (name_of.first == workspace) {
+    if (name_of.first != workspace) {
       all += cell;
     }
   }
@@ -120,7 +122,14 @@
 }
 
 bool variant_result::passed() const {
-  return problems.empty() && (violations() > 0) == expects_violations;
+  if (!problems.empty()) {
+    return false;
+  }
+  if (!expects_broken) {
+    return violations() == 0;
+  }
+  const std::uint64_t expected = broken[static_cast<std::size_t>(*expects_broken)];
+  return expected > 0 && expected == violations();
 }
 
 bool experiment_report::passed() const {
--- a/src/load/results.h
+++ b/src/load/results.h
@@ -5,6 +5,7 @@
 #include <array>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -53,6 +54,7 @@
 
 struct variant_result {
   std::string name;
+  std::string apart;  // workspace that the sum of all others is shown without; empty: none
   std::uint32_t rounds{};
   double measured_seconds{};
   std::map<cell_name, load_cell> cells;
@@ -63,7 +65,8 @@
   std::vector<std::string> samples;
   std::uint64_t not_run_checked{};
   std::uint64_t bookings_checked{};
-  bool expects_violations = false;
+  // A safeguard was off on purpose: this promise has to be seen broken, and no other.
+  std::optional<promise> expects_broken;
   std::vector<std::string> problems;  // the run itself did not work
 
   void add(const cell_name& cell, const call_timing& timing, call_end end);
@@ -71,8 +74,8 @@
   variant_result& operator+=(const variant_result& other);
 
   [[nodiscard]] load_cell sum() const;
-  // Of one workspace over its classes.
-  [[nodiscard]] load_cell sum_of(const std::string& workspace) const;
+  // Of all workspaces but this one.
+  [[nodiscard]] load_cell sum_without(const std::string& workspace) const;
   [[nodiscard]] std::uint64_t violations() const;
   // Whether promises held, or broke where they had to.
   [[nodiscard]] bool passed() const;
--- a/src/load/schedule.cpp
+++ b/src/load/schedule.cpp
@@ -59,7 +59,7 @@
       return std::move(calls_);
     }
     arrive(work_.rate * change, [this](duration at) { calls_.push_back(model_call(at)); });
-    if (how_.target == call_target::nodes || how_.check_self == self_check::repeated) {
+    if (has_bookings()) {
       arrive(work_.bookings_per_second * change, [this](duration at) { add_booking(at); });
     }
     std::stable_sort(calls_.begin(), calls_.end(),
@@ -78,6 +78,14 @@
     return name == how_.workspace ? w.weight * how_.workspace_factor : w.weight;
   }
 
+  // Stand-ins called directly for their answers are not the service; a safeguard of bookings is
+  // tried on the service itself.
+  [[nodiscard]] bool has_bookings() const {
+    const bool through_nodes =
+        how_.target == call_target::nodes && how_.check_self == self_check::none;
+    return through_nodes || how_.check_self == self_check::repeated;
+  }
+
   template <class Add>
   void arrive(double rate, Add add) {
     if (rate <= 0) {
--- a/src/load/variant_run.cpp
+++ b/src/load/variant_run.cpp
@@ -28,6 +28,19 @@
   return limits;
 }
 
+std::optional<promise> expected_break(self_check check) {
+  switch (check) {
+    case self_check::none:
+      break;
+    case self_check::crossed:
+    case self_check::duplicated:
+      return promise::own_answer;
+    case self_check::repeated:
+      return promise::at_most_once;
+  }
+  return std::nullopt;
+}
+
 bool is_direct(const variant& how) {
   return how.target != call_target::nodes || how.check_self != self_check::none;
 }
@@ -42,8 +55,9 @@
       callers_(caller_workers),
       checker_(what.model, service_id{fleet_service}, booking_path) {
   result_.name = how.name;
+  result_.apart = what.apart;
   result_.rounds = 1;
-  result_.expects_violations = how.check_self != self_check::none;
+  result_.expects_broken = expected_break(how.check_self);
   for (std::size_t i = 0; i < caller_workers; ++i) {
     shards_.push_back(std::make_unique<shard>());
   }
--- a/src/node/error_body.cpp
+++ b/src/node/error_body.cpp
@@ -27,9 +27,12 @@
                                               nlohmann::json::error_handler_t::replace);
 }
 
-bool send_error(response_writer& writer, const call_error& error) {
+bool send_error(response_writer& writer, const call_error& error, const request_id& id) {
   http_headers headers;
   headers.add("content-type", "application/json");
+  if (!id.empty()) {
+    headers.add("x-request-id", id.str());
+  }
   if (error.retry_after > duration::zero()) {
     headers.add("retry-after", whole_seconds(error.retry_after));
   }
--- a/src/node/error_body.h
+++ b/src/node/error_body.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <string_view>
 
+#include "base/id.h"
 #include "base/units.h"
 #include "connection/http_server.h"
 #include "request/outcome.h"
@@ -22,8 +23,9 @@
 // {"error":{"type":"not_run"|"unknown","code":...,"message":...}}
 [[nodiscard]] std::string error_body(const call_error& error);
 
-// Answers at once; true if the caller could be reached.
-bool send_error(response_writer& writer, const call_error& error);
+// Answers at once; true if the caller could be reached. `id` names the call, so that a caller or an
+// operator can look up what became of it; empty when it has none.
+bool send_error(response_writer& writer, const call_error& error, const request_id& id = {});
 
 // The last frame of a stream that was begun and cannot be completed: it says that it is cut.
 [[nodiscard]] std::string error_frame(const call_error& error);
--- a/src/node/model_call.cpp
+++ b/src/node/model_call.cpp
@@ -348,7 +348,7 @@
       writer_.write(error_frame(cut));
       writer_.finish();
     } else {
-      send_error(writer_, error);
+      send_error(writer_, error, call_.id);
     }
     finish(std::string(to_string(writer_.started() && body_.stream && call_.measured.tokens > 0
                                      ? execution::unknown
--- a/src/node/service_call.cpp
+++ b/src/node/service_call.cpp
@@ -277,7 +277,7 @@
   }
 
   void finish_with(const call_error& error) {
-    send_error(writer_, error);
+    send_error(writer_, error, call_.id);
     finish(std::string(to_string(error.ran)), error.code);
   }
 
