--- a/src/cli/trial_load.cpp
+++ b/src/cli/trial_load.cpp
@@ -1,22 +1,17 @@
 // Callers of the trial.
 #include "cli/trial_load.h"
 
-#include <nlohmann/json.hpp>
 #include <thread>
 
 #include "connection/clock.h"
-#include "node/sse.h"
-#include "standin/answer.h"
+#include "load/caller.h"
 
 namespace arbutus {
 
 namespace {
 
-using json = nlohmann::json;
-
 constexpr std::uint32_t answer_tokens = 24;
 constexpr duration call_timeout = 20s;
-const model_id dispatch_model{"dispatch-llm"};
 
 std::string prompt_of(std::size_t workspace, std::uint64_t serial) {
   return "Workspace " + std::to_string(workspace) +
@@ -24,54 +19,6 @@
          std::to_string(serial);
 }
 
-// Takes a stream apart as a caller would.
-class stream_reader {
- public:
-  bool on_bytes(std::string_view bytes, time_point now) {
-    splitter_.append(bytes);
-    while (const auto frame = splitter_.next()) {
-      if (first_ == time_point::min()) {
-        first_ = now;
-      }
-      on_frame(*frame);
-    }
-    return true;
-  }
-  [[nodiscard]] const std::string& text() const { return text_; }
-  [[nodiscard]] bool done() const { return done_; }
-  [[nodiscard]] const std::string& error() const { return error_; }
-  [[nodiscard]] time_point first() const { return first_; }
-
- private:
-  void on_frame(std::string_view frame) {
-    frame.remove_prefix(std::min<std::size_t>(frame.size(), std::string_view("data: ").size()));
-    if (frame.starts_with("[DONE]")) {
-      done_ = true;
-      return;
-    }
-    const json body = json::parse(frame, nullptr, false);
-    if (body.contains("error")) {
-      error_ = body["error"].value("type", "unknown");
-    } else if (body.contains("choices")) {
-      text_ += body["choices"][0].value("text", "");
-    }
-  }
-
-  sse_splitter splitter_;
-  std::string text_;
-  std::string error_;
-  bool done_ = false;
-  time_point first_ = time_point::min();
-};
-
-std::string error_type(const std::string& body) {
-  const json parsed = json::parse(body, nullptr, false);
-  if (!parsed.is_object() || !parsed.contains("error")) {
-    return "unknown";
-  }
-  return parsed["error"].value("type", "unknown");
-}
-
 }  // namespace
 
 void trial_load::record(const std::string& workspace, double first_ms, double total_ms) {
@@ -90,58 +37,36 @@
 void trial_load::call_once(std::size_t node, std::size_t workspace, std::uint64_t serial,
                            bool stream) {
   const fleet_workspace& who = fleet_.workspaces()[workspace];
-  const std::string prompt = prompt_of(workspace, serial);
-  const std::string expected = standin::expected_answer(dispatch_model, prompt, answer_tokens);
-  http_request request;
-  request.method = "POST";
-  request.target = "/v1/completions";
-  request.headers.add("authorization", "Bearer " + who.key);
-  request.body = json{
-      {"model", dispatch_model.str()},
-      {"prompt", prompt},
-      {"max_tokens", answer_tokens},
-      {"stream",
-       stream}}.dump();
+  planned_call call;
+  call.kind = stream ? call_kind::streamed : call_kind::whole;
+  call.workspace = static_cast<std::uint32_t>(workspace);
+  call.prompt = prompt_of(workspace, serial);
+  call.answer_tokens = answer_tokens;
   const time_point begun = monotonic_now();
-  stream_reader reader;
-  std::string body;
-  int status = 0;
-  const call_result result = fleet_.client().stream(
-      fleet_.caller_address(node), request, begun + call_timeout,
-      [&](int s, const http_headers&) {
-        status = s;
-        return true;
-      },
-      [&](std::string_view bytes) {
-        if (status == 200 && stream) {
-          return reader.on_bytes(bytes, monotonic_now());
-        }
-        body.append(bytes);
-        return true;
-      });
-  const time_point ended = monotonic_now();
-  if (status != 200) {
-    const bool silent = !result.ok() && status == 0;
-    const std::string type = error_type(body);
-    count(who.name, silent              ? &trial_counts::silent
-                    : type == "not_run" ? &trial_counts::not_run
-                                        : &trial_counts::unknown);
-    return;
-  }
-  std::string text = reader.text();
-  bool said_whole = reader.done();
-  if (!stream) {
-    const json parsed = json::parse(body, nullptr, false);
-    said_whole = result.ok() && parsed.contains("choices");
-    text = said_whole ? parsed["choices"][0].value("text", "") : "";
-  }
-  if (!said_whole) {
-    count(who.name, &trial_counts::unknown);
-  } else if (text != expected) {
-    count(who.name, &trial_counts::wrong);
-  } else {
-    const time_point first = stream ? reader.first() : ended;
-    record(who.name, to_milliseconds(first - begun), to_milliseconds(ended - begun));
+  const timed_answer answer =
+      make_call(fleet_.client(), {fleet_.caller_address(node), who.key, {}, {}},
+                fleet_.shape().model, {}, call, begun + call_timeout);
+  promise_checker checker(fleet_.shape().model, service_id{fleet_service}, {});
+  switch (checker.check_answer(call, answer.raw)) {
+    case call_end::whole: {
+      const time_point first = stream ? answer.first_token : answer.ended;
+      record(who.name, to_milliseconds(first - begun), to_milliseconds(answer.ended - begun));
+      return;
+    }
+    case call_end::wrong:
+      count(who.name, &trial_counts::wrong);
+      return;
+    case call_end::not_run:
+      count(who.name, &trial_counts::not_run);
+      return;
+    case call_end::unknown:
+      count(who.name, &trial_counts::unknown);
+      return;
+    // In the trial no node goes away without notice: a node that cannot be reached is a fault too.
+    case call_end::unreached:
+    case call_end::silent:
+      count(who.name, &trial_counts::silent);
+      return;
   }
 }
 
--- a/src/load/caller.cpp
+++ b/src/load/caller.cpp
@@ -16,11 +16,13 @@
 constexpr int status_ok = 200;
 constexpr std::string_view data_prefix = "data: ";
 
-std::string error_type(const json& body) {
+void read_error(const json& body, raw_answer& raw) {
+  raw.error_type = "unknown";
   if (!body.is_object() || !body.contains("error") || !body["error"].is_object()) {
-    return "unknown";
+    return;
   }
-  return body["error"].value("type", "unknown");
+  raw.error_type = body["error"].value("type", "unknown");
+  raw.error_code = body["error"].value("code", "");
 }
 
 std::string text_of(const json& body) {
@@ -88,7 +90,7 @@
     raw_answer& raw = answer_.raw;
     raw.reached = result.outcome != call_outcome::not_sent;
     if (raw.status != status_ok) {
-      raw.error_type = error_type(json::parse(body_, nullptr, false));
+      read_error(json::parse(body_, nullptr, false), raw);
     } else if (call_.kind == call_kind::booking) {
       raw.called_whole = result.ok();
       raw.text = std::move(body_);
@@ -112,7 +114,7 @@
       return;
     }
     if (body.contains("error")) {
-      answer_.raw.error_type = error_type(body);
+      read_error(body, answer_.raw);
       return;
     }
     const std::string text = text_of(body);
--- a/src/load/checker.h
+++ b/src/load/checker.h
@@ -44,6 +44,7 @@
   bool called_whole = false;  // an end mark, or a whole body
   std::string text;           // of the answer
   std::string error_type;     // of an error body or frame: "not_run", "unknown", ...
+  std::string error_code;     // of an error body or frame: "too_late", "no_replica", ...
   request_id id;              // as the node named it
 };
 
--- a/src/load/report_json.cpp
+++ b/src/load/report_json.cpp
@@ -56,6 +56,7 @@
           {"all_but_apart", cell_of("", "", v.sum_without(v.apart))},
           {"cells", cells},
           {"late_start", quantiles_of(v.late_start)},
+          {"not_whole", v.reasons},
           {"broken", broken},
           {"samples", v.samples},
           {"problems", v.problems},
--- a/src/load/report_text.cpp
+++ b/src/load/report_text.cpp
@@ -78,6 +78,9 @@
   if (!v.apart.empty()) {
     print_cell(out, "not " + v.apart, "", v.sum_without(v.apart), v.measured_seconds);
   }
+  for (const auto& [reason, count] : v.reasons) {
+    out << "  not whole: " << count << " x " << reason << '\n';
+  }
   print_promises(out, v);
 }
 
--- a/src/load/results.cpp
+++ b/src/load/results.cpp
@@ -80,6 +80,9 @@
     cells[name_of] += cell;
   }
   late_start += other.late_start;
+  for (const auto& [reason, count] : other.reasons) {
+    reasons[reason] += count;
+  }
   timeline.resize(std::max(timeline.size(), other.timeline.size()));
   for (std::size_t i = 0; i < other.timeline.size(); ++i) {
     timeline[i].whole += other.timeline[i].whole;
--- a/src/load/results.h
+++ b/src/load/results.h
@@ -59,8 +59,9 @@
   double measured_seconds{};
   std::map<cell_name, load_cell> cells;
   latency_histogram late_start;
-  std::vector<load_second> timeline;  // of all rounds, by second of the run
-  std::vector<fault_mark> marks;      // of the last round
+  std::map<std::string, std::uint64_t> reasons;  // of calls that were not whole, by error code
+  std::vector<load_second> timeline;             // of all rounds, by second of the run
+  std::vector<fault_mark> marks;                 // of the last round
   std::array<std::uint64_t, promise_names.size()> broken{};
   std::vector<std::string> samples;
   std::uint64_t not_run_checked{};
--- a/src/load/variant_run.cpp
+++ b/src/load/variant_run.cpp
@@ -264,6 +264,11 @@
   shard& own = *shards_[worker];
   const std::lock_guard guard(own.lock);
   own.result.add(cell, timing, end);
+  if (timing.measured && end != call_end::whole) {
+    const std::string& code = answer.raw.error_code;
+    const std::string told(call_end_names[static_cast<std::size_t>(end)]);
+    ++own.result.reasons[cell.second + ", " + told + ", " + (code.empty() ? "no code" : code)];
+  }
 }
 
 call_end variant_run::check(const planned_call& planned, const raw_answer& answer) {
