--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 	@build/$(PRESET)/arbutusworks trial
 test: build
 	@ctest --test-dir build/$(PRESET) --output-on-failure -j $(JOBS)
-# Every experiment, one after the other: they share the machine with nothing, least of all each other.
+# Every experiment, one after the other, so that none disturbs another; under five minutes.
 experiments: build
 	@for e in experiments/*.toml; do \
 	  build/$(PRESET)/arbutusworks load $$e --out build/experiments || failed="$$failed $$e"; \
