Nodes with several workers end; no label for made-up model names

Cause: told to stop together, nodes with more than one worker logged that they had stopped and never ended: the runtime was stopped before the links that live on its workers. Metrics took the caller's model name as a label before it was checked, so any caller could grow them. Change: the exchange of limits is a periodic with an end of its own; links end before the runtime. The label is set after the check.

--- a/src/node/model_call.cpp
+++ b/src/node/model_call.cpp
@@ -141,10 +141,11 @@
     if (auto error = parse_body(api_, request_.body, body_)) {
       return error;
     }
-    call_.measured.target = body_.model.str();
     if (auto error = check_model(call_, body_.model)) {
       return error;
     }
+    // Only now: a label for every name that a caller makes up would fill the memory.
+    call_.measured.target = body_.model.str();
     facts_.id = call_.id;
     facts_.workspace = call_.workspace->id;
     facts_.model = body_.model;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -7,6 +7,7 @@
 #include "node/configure.h"
 #include "node/front.h"
 #include "node/peer_links.h"
+#include "node/periodic.h"
 #include "node/status_json.h"
 
 namespace arbutus {
@@ -74,7 +75,7 @@
   void on_view(const std::shared_ptr<const node_view>& view);
   void listen();
   void send_to_peer(const peer_send& message);
-  void exchange_limits();
+  void tell_limits();
 
   node_setup options;
   fiber_runtime runtime;
@@ -90,7 +91,8 @@
   front callers;
   std::unique_ptr<peer_links> links;
   std::unique_ptr<http_server> server;
-  std::uint64_t peers_of_config = 0;  // configuration version whose peers are linked; worker 0
+  std::unique_ptr<periodic> limit_teller;  // uses the links
+  std::uint64_t peers_of_config = 0;       // configuration version whose peers are linked; worker 0
   bool running = false;
 };
 
@@ -154,9 +156,12 @@
   if (parts_->running) {
     parts_->core.stop();
   }
+  // Goes wrong: parts that end on their workers wait for ever when the runtime was stopped before
+  // them. So the runtime is last.
   parts_->server.reset();
-  parts_->runtime.stop();  // ends the exchange of limits, which uses the links
+  parts_->limit_teller.reset();
   parts_->links.reset();
+  parts_->runtime.stop();
   parts_->runtime.join();
 }
 
@@ -168,19 +173,18 @@
   }
 }
 
-// Exchanges leases of limits with the peers until the runtime stops.
-void node::parts::exchange_limits() {
-  while (sleep_until(monotonic_now() + limit_settings{}.told_every)) {
-    for (const peer_send& message : limits.tell(monotonic_now())) {
-      links->send(link_channel::limits, message);
-    }
+// Leases of limits, to the peers.
+void node::parts::tell_limits() {
+  for (const peer_send& message : limits.tell(monotonic_now())) {
+    links->send(link_channel::limits, message);
   }
 }
 
 void node::start() {
   parts_->running = true;
   parts_->core.start();
-  parts_->runtime.post(0, [this] { parts_->exchange_limits(); });
+  parts_->limit_teller = std::make_unique<periodic>(parts_->runtime, 0, limit_settings{}.told_every,
+                                                    [this] { parts_->tell_limits(); });
 }
 
 bool node::stop() {
--- a/tests/process/stop_test.py
+++ b/tests/process/stop_test.py
@@ -129,5 +129,19 @@
                 and not any(vm in r["members"] for r in replicas))
 
 
+class StopsTogether(ProcessTest):
+    fleet_options = {"workers": 4, "balancer_lag_ms": BALANCER_LAG_MS}
+
+    def test_all_nodes_stop_at_once(self):
+        # Symptom: a node logs that it has stopped, and its process never ends.
+        # Sequence: all nodes of a fleet, each with several workers, are told to stop together.
+        # Cause: the workers were stopped before the links that live on them, which then waited
+        #   for a worker that had ended.
+        for node in self.fleet.nodes:
+            node.send(signal.SIGTERM)
+        for node in self.fleet.nodes:
+            self.assertEqual(node.wait(20), 0, node.name)
+
+
 if __name__ == "__main__":
     unittest.main(verbosity=2)
