Process tests: request lengths that two readers could take differently

Cause: the two cases so far are refused by Beast itself; with the server's own check taken out, both tests still passed.

Change: four framings that only the server's check refuses, and one that both refuse. With the check taken out four of the five fail.

--- a/tests/process/whole_path_test.py
+++ b/tests/process/whole_path_test.py
@@ -115,6 +115,20 @@
         reply = parse_raw(send_raw(self.port, head + b"Content-Length: 5\r\n\r\n{}xyz"))
         self.assert_not_run(reply, 400)
 
+    def test_lengths_that_two_readers_could_take_differently(self):
+        # The same by other ways; a parser that is only lenient lets these pass.
+        for lines, version in ((["Content-Length: 2, 2"], "1.1"),
+                               (["Content-Length: 2", "Content-Length: 2"], "1.1"),
+                               (["Transfer-Encoding: chunked"], "1.0"),
+                               (["Transfer-Encoding: gzip"], "1.1"),
+                               (["Transfer-Encoding: chunked", "Transfer-Encoding: chunked"], "1.1")):
+            with self.subTest(lines=lines):
+                head = f"POST /v1/completions HTTP/{version}\r\nHost: x\r\n"
+                head += "\r\n".join(lines) + "\r\n\r\n"
+                received = send_raw(self.port, head.encode() + b"0\r\n\r\n", end=True)
+                self.assert_not_run(parse_raw(received), 400)
+                self.assertNotIn(b"401 ", received)
+
     def test_truncated_request(self):
         body = json.dumps(completion_body("x")).encode()
         reply = self.raw({"Content-Length": len(body)}, body[:10], end=True)
