--- a/tests/process/idle_cost.py
+++ b/tests/process/idle_cost.py
@@ -76,7 +76,7 @@
 
 
 def start_fleet(options):
-    driver.DATA_CENTRES = driver.DATA_CENTRES[:options.data_centres]
+    driver.DATA_CENTRES = tuple(f"lab-{chr(ord('a') + i)}" for i in range(options.data_centres))
     driver.NODES_PER_DATA_CENTRE = options.nodes
     fleet = driver.Fleet(vms_per_data_centre=options.vms,
                          replicas_per_data_centre=options.replicas)
