Sums for other data centres: at most two a second from a node

Cause: each node sent one sum to each other data centre every 2 s; with 15 others and ten models that is 4.2 KB/s, worked out, of a budget of 7. Change: the interval grows with the number of data centres (7.5 s at 16, 2 s as before up to 5), and sums count for three intervals, at least 10 s.

--- a/src/process/summaries.cpp
+++ b/src/process/summaries.cpp
@@ -5,11 +5,20 @@
 
 namespace arbutus {
 
+duration summary_interval_for(const inventory& assets) {
+  const auto others = static_cast<duration::rep>(assets.data_centres.size()) - 1;
+  return std::max(summary_interval, others * summary_spacing);
+}
+
+duration summary_lifetime_for(const inventory& assets) {
+  return std::max(summary_lifetime, summary_lifetime_intervals * summary_interval_for(assets));
+}
+
 std::vector<node_id> summary_board::due(time_point now, const inventory& assets) {
   if (now < next_) {
     return {};
   }
-  next_ = now + summary_interval;
+  next_ = now + summary_interval_for(assets);
   ++round_;
   const auto own = assets.nodes_of(own_);
   const auto is_self = [&](const node_record* n) { return n->id == self_; };
@@ -44,9 +53,10 @@
 
 std::vector<remote_capacity> summary_board::elsewhere(time_point now,
                                                       const inventory& assets) const {
+  const duration lifetime = summary_lifetime_for(assets);
   std::vector<remote_capacity> result;
   for (const auto& [dc, e] : entries_) {
-    if (now - e.at > summary_lifetime) {
+    if (now - e.at > lifetime) {
       continue;
     }
     std::vector<endpoint> entry_points;
--- a/src/process/summaries.h
+++ b/src/process/summaries.h
@@ -16,10 +16,18 @@
 
 namespace arbutus {
 
-// Slower than heartbeats inside a data centre: 15 others at the size to come.
+// Slower than heartbeats inside a data centre...
 inline constexpr duration summary_interval = 2s;
-// Older sums are not passed to the request path.
+// ...and a node sends no more than one sum in so long: each costs a segment, its acknowledgement
+// and the same at the receiver, and with 15 other data centres one each in 2 s was over half of the
+// traffic budget.
+inline constexpr duration summary_spacing = 500ms;
+// Older sums are not passed to the request path; at long intervals two in a row may be lost.
 inline constexpr duration summary_lifetime = 10s;
+inline constexpr int summary_lifetime_intervals = 3;
+
+[[nodiscard]] duration summary_interval_for(const inventory& assets);
+[[nodiscard]] duration summary_lifetime_for(const inventory& assets);
 
 class summary_board {
  public:
