--- a/src/connection/link_wire.cpp
+++ b/src/connection/link_wire.cpp
@@ -60,7 +60,10 @@
 }
 
 void detect_dead_peer(boost::asio::ip::tcp::socket& socket, duration silence) {
-  constexpr int idle_seconds = 15;
+  // Links between data centres carry a frame every few minutes, and a node has hundreds: after 15 s
+  // of silence their keep-alives alone would take half of its traffic budget. A dead peer is found
+  // by the next frame, too.
+  constexpr int idle_seconds = 120;
   constexpr int probe_seconds = 2;
   constexpr int probes = 3;
   const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(silence);
