--- a/src/node/model_call.cpp
+++ b/src/node/model_call.cpp
@@ -2,11 +2,11 @@
 #include "node/model_call.h"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 #include <vector>
 
 #include "connection/clock.h"
 #include "node/model_attempt.h"
+#include "node/model_request.h"
 #include "node/spill_call.h"
 #include "request/prefix_hash.h"
 
@@ -14,8 +14,6 @@
 
 namespace {
 
-using json = nlohmann::json;
-
 // Work is counted in tokens to be generated; 1 is a mean request.
 constexpr double mean_tokens = 128.0;
 constexpr double smallest_cost = 0.05;
@@ -24,77 +22,13 @@
 // How often a request that no replica may take looks again, while its deadline allows.
 constexpr duration look_again = 25ms;
 
-struct parsed_body {
-  model_id model;
-  std::string prompt;
-  std::uint32_t max_tokens = 128;
-  bool stream = false;
-};
-
-call_error invalid(std::string code, std::string message, int status = 400) {
-  call_error error;
-  error.status = status;
-  error.code = std::move(code);
-  error.message = std::move(message);
-  return error;
-}
-
-std::optional<call_error> read_prompt(model_api api, const json& body, std::string& prompt) {
-  if (api == model_api::completions) {
-    const auto found = body.find("prompt");
-    if (found == body.end() || !found->is_string()) {
-      return invalid("invalid_prompt", "'prompt' has to be a string");
-    }
-    prompt = found->get<std::string>();
-    return std::nullopt;
-  }
-  const auto messages = body.find("messages");
-  if (messages == body.end() || !messages->is_array() || messages->empty()) {
-    return invalid("invalid_messages", "'messages' has to be a list that is not empty");
-  }
-  for (const json& message : *messages) {
-    if (!message.is_object() || !message.contains("role") || !message["role"].is_string() ||
-        !message.contains("content") || !message["content"].is_string()) {
-      return invalid("invalid_messages", "each message has a 'role' and a 'content' as strings");
-    }
-    prompt += message["role"].get<std::string>() + ": " + message["content"].get<std::string>();
-    prompt += '\n';
-  }
-  return std::nullopt;
-}
-
-std::optional<call_error> parse_body(model_api api, const std::string& text, parsed_body& parsed) {
-  const json body = json::parse(text, nullptr, false);
-  if (!body.is_object()) {
-    return invalid("invalid_json", "the body has to be a JSON object");
-  }
-  const auto model = body.find("model");
-  if (model == body.end() || !model->is_string()) {
-    return invalid("invalid_model", "'model' has to be a string");
-  }
-  parsed.model = model_id{model->get<std::string>()};
-  if (const auto tokens = body.find("max_tokens"); tokens != body.end()) {
-    if (!tokens->is_number_unsigned() || *tokens == 0 || *tokens > 1'000'000) {
-      return invalid("invalid_max_tokens", "'max_tokens' has to be a whole number from 1");
-    }
-    parsed.max_tokens = tokens->get<std::uint32_t>();
-  }
-  if (const auto stream = body.find("stream"); stream != body.end()) {
-    if (!stream->is_boolean()) {
-      return invalid("invalid_stream", "'stream' has to be true or false");
-    }
-    parsed.stream = stream->get<bool>();
-  }
-  return read_prompt(api, body, parsed.prompt);
-}
-
 std::optional<call_error> check_model(const call_state& call, const model_id& model) {
   if (call.view->config->wanted.find_model(model) == nullptr) {
-    return invalid("unknown_model", "the rules know no model of this name", 404);
+    return invalid_request("unknown_model", "the rules know no model of this name", 404);
   }
   const auto& allowed = call.workspace->models;
   if (std::find(allowed.begin(), allowed.end(), model) == allowed.end()) {
-    return invalid("model_not_allowed", "this workspace may not use the model", 403);
+    return invalid_request("model_not_allowed", "this workspace may not use the model", 403);
   }
   return std::nullopt;
 }
@@ -138,7 +72,7 @@
     if (auto error = begin_call(node_, request_, call_)) {
       return error;
     }
-    if (auto error = parse_body(api_, request_.body, body_)) {
+    if (auto error = parse_model_request(api_, request_.body, body_)) {
       return error;
     }
     if (auto error = check_model(call_, body_.model)) {
@@ -327,7 +261,7 @@
 
   // The engine found fault with the request itself.
   void pass_on(const attempt_end& end) {
-    call_error error = invalid("engine_refused", end.reason, end.status);
+    call_error error = invalid_request("engine_refused", end.reason, end.status);
     finish_with(error);
   }
 
@@ -369,7 +303,7 @@
   const http_request& request_;
   response_writer& writer_;
   call_state call_;
-  parsed_body body_;
+  model_request body_;
   request_facts facts_;
   attempt_note note_;
   model_gate* gate_ = nullptr;
