--- a/src/cli/apply.cpp
+++ b/src/cli/apply.cpp
@@ -132,10 +132,7 @@
     const json body = json::parse(response.body, nullptr, false);
     switch (response.status) {
       case status_ok:
-        out_ << "accepted as version " << number_in(body, "version")
-             << (body.value("in_force_here", false)
-                     ? ", in force on the node that took it\n"
-                     : ", not yet in force on the node that took it\n");
+        print_accepted(body);
         return to_status(exit_code::ok);
       case status_conflict:
         return conflict(body);
@@ -151,6 +148,16 @@
     }
   }
 
+  void print_accepted(const json& body) {
+    out_ << "accepted as version " << number_in(body, "version")
+         << (body.value("in_force_here", false) ? ", in force on the node that took it\n"
+                                                : ", not yet in force on the node that took it\n");
+    // Beside the result: a repeated proposal has the same result, but nothing to show.
+    for (const json& line : body.value("changed", json::array())) {
+      std::cerr << "  " << line.get<std::string>() << '\n';
+    }
+  }
+
   int conflict(const json& body) {
     std::ostringstream text;
     const json current = body.value("current", json{});
--- a/src/node/configure.cpp
+++ b/src/node/configure.cpp
@@ -140,7 +140,13 @@
   }
 
   proposal_step carry_out(const proposal_accepted& s, bool) {
-    answer(200, {{"version", s.version}, {"in_force_here", wait_in_force(s.version)}});
+    // Shown to the operator: a base that was taken without having been read shows here.
+    const json changes = contents_.base.empty()
+                             ? json::array()
+                             : json(changes_between(contents_.base, contents_.proposed));
+    answer(200, {{"version", s.version},
+                 {"in_force_here", wait_in_force(s.version)},
+                 {"changed", changes}});
     return s;
   }
 
