--- a/src/process/settings.cpp
+++ b/src/process/settings.cpp
@@ -195,17 +195,11 @@
 
 settings_result load_settings(std::string_view text, const std::string& file_name) {
   settings_result result;
-  const auto document = parse_toml(text, file_name, result.problems);
+  const auto document = parse_filled_toml(
+      text, file_name, "the settings", "[node], [listen] and [platform] tables", result.problems);
   if (!document) {
     return result;
   }
-  if (document->fields.empty()) {
-    result.problems.push_back({severity::error,
-                               {file_name, 0, 0},
-                               "the settings are empty",
-                               "[node], [listen] and [platform] tables"});
-    return result;
-  }
   result.settings = settings_reader(*document, result.problems).read();
   return result;
 }
--- a/src/version/import_rules.cpp
+++ b/src/version/import_rules.cpp
@@ -211,17 +211,12 @@
 
 rules_import import_rules(std::string_view text, const std::string& file_name) {
   rules_import result;
-  const auto document = parse_toml(text, file_name, result.problems);
+  const auto document = parse_filled_toml(
+      text, file_name, "the rules", "[[model]], [[service]], [[workspace]] and [[class]] tables",
+      result.problems);
   if (!document) {
     return result;
   }
-  if (document->fields.empty()) {
-    result.problems.push_back({severity::error,
-                               {file_name, 0, 0},
-                               "the rules are empty",
-                               "[[model]], [[service]], [[workspace]] and [[class]] tables"});
-    return result;
-  }
   table_reader root(*document, "", result.problems);
   read_each(root, "model", result, read_model);
   read_each(root, "service", result, read_service);
--- a/src/version/toml_parse.cpp
+++ b/src/version/toml_parse.cpp
@@ -159,4 +159,15 @@
   return std::nullopt;
 }
 
+std::optional<toml_table> parse_filled_toml(std::string_view text, const std::string& file_name,
+                                            const std::string& what, const std::string& expected,
+                                            findings& problems) {
+  auto document = parse_toml(text, file_name, problems);
+  if (document && document->fields.empty()) {
+    problems.push_back({severity::error, {file_name, 0, 0}, what + " are empty", expected});
+    return std::nullopt;
+  }
+  return document;
+}
+
 }  // namespace arbutus
--- a/src/version/toml_reader.h
+++ b/src/version/toml_reader.h
@@ -46,6 +46,14 @@
                                                    const std::string& file_name,
                                                    findings& problems);
 
+// The same for a text that has to say something: an empty one is a finding. `what` names it
+// ("the rules"), `expected` what should stand in it.
+[[nodiscard]] std::optional<toml_table> parse_filled_toml(std::string_view text,
+                                                          const std::string& file_name,
+                                                          const std::string& what,
+                                                          const std::string& expected,
+                                                          findings& problems);
+
 enum class presence { optional, required };
 
 struct whole_range {
