--- a/src/base/id.h
+++ b/src/base/id.h
@@ -38,6 +38,8 @@
 using replica_id = name_id<struct replica_tag>;
 using service_id = name_id<struct service_tag>;
 using node_id = name_id<struct node_tag>;
+// One life of a target's process: a restart at the same address is another target.
+using target_id = name_id<struct target_tag>;
 
 // Identifies one request from its first hop to its last.
 using request_id = name_id<struct request_tag>;
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -35,6 +35,11 @@
   std::string settings_file;
 };
 
+// A node on a platform that keeps configuration and targets.
+struct hosted_options {
+  std::string settings_file;
+};
+
 struct apply_options {
   std::string directory;
   std::vector<endpoint> nodes;  // asked one after the other until one answers
@@ -84,6 +89,7 @@
 // Each returns the exit status. Results go to `out`, failures to standard error.
 int run_check(const check_options& options, std::ostream& out);
 int run_node(const node_options& options, std::ostream& out);
+int run_hosted(const hosted_options& options, std::ostream& out);
 int run_apply(const apply_options& options, std::ostream& out);
 int run_status(const status_options& options, std::ostream& out);
 int run_bench(const bench_options& options, std::ostream& out);
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -21,7 +21,8 @@
       [](const bench_options& o) { return run_bench(o, std::cout); },
       [](const load_options& o) { return run_load(o, std::cout); },
       [](const trial_options& o) { return run_trial(o, std::cout); },
-      [](const standin_options& o) { return run_standin(o, std::cout); });
+      [](const standin_options& o) { return run_standin(o, std::cout); },
+      [](const hosted_options& o) { return run_hosted(o, std::cout); });
 }
 
 int print(const early_exit& e) {
--- a/src/cli/node.cpp
+++ b/src/cli/node.cpp
@@ -8,7 +8,7 @@
 #include <thread>
 
 #include "cli/commands.h"
-#include "cli/log.h"
+#include "node/log.h"
 #include "cli/signals.h"
 #include "connection/clock.h"
 #include "process/settings.h"
--- a/src/cli/options.cpp
+++ b/src/cli/options.cpp
@@ -97,6 +97,10 @@
   return node_options{values["settings"].as<std::string>()};
 }
 
+command make_hosted(const po::variables_map& values) {
+  return hosted_options{values["settings"].as<std::string>()};
+}
+
 void add_check(po::options_description& add) {
   add.add_options()("path", po::value<strings>()->required()->value_name("DIR|FILE"),
                     "configuration directories, or files")(
@@ -231,9 +235,11 @@
   std::string_view examples;
 };
 
-constexpr std::array<command_spec, 8> specs = {{
+constexpr std::array<command_spec, 9> specs = {{
     {"node", "Run a node in front of the targets, until SIGTERM.", "FILE", "settings", 1, add_node,
      make_node, "  arbutusworks node examples/small/nodes/lab-a-node-1.toml\n"},
+    {"hosted", "Run a node on a platform that keeps configuration and targets, until SIGTERM.", "FILE",
+     "settings", 1, add_node, make_hosted, "  arbutusworks hosted /etc/arbutusworks/node.toml\n"},
     {"check", "Check configurations and node settings; name every mistake with its place.",
      "DIR|FILE...", "path", -1, add_check, make_check,
      "  arbutusworks check examples/odtok\n"
--- a/src/cli/signals.cpp
+++ b/src/cli/signals.cpp
@@ -29,4 +29,18 @@
   return received;
 }
 
+void block_signals() {
+  sigset_t signals = end_signals();
+  sigaddset(&signals, SIGHUP);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+}
+
+signal_kind wait_for_signal() {
+  sigset_t signals = end_signals();
+  sigaddset(&signals, SIGHUP);
+  int received = 0;
+  sigwait(&signals, &received);
+  return received == SIGHUP ? signal_kind::reload : signal_kind::end;
+}
+
 }  // namespace arbutus
--- a/src/connection/await.h
+++ b/src/connection/await.h
@@ -10,15 +10,11 @@
 #include <utility>
 
 #include "base/units.h"
+#include "connection/clock.h"
 #include "connection/fiber_worker.h"
 
 namespace arbutus {
 
-// monotonic_now() counts from the same start as the standard library's steady clock.
-[[nodiscard]] inline std::chrono::steady_clock::time_point to_steady(time_point t) {
-  return std::chrono::steady_clock::time_point{t.time_since_epoch()};
-}
-
 // Something that happens once; one fiber waits for it.
 class one_shot {
  public:
--- a/src/connection/clock.cpp
+++ b/src/connection/clock.cpp
@@ -1,11 +1,22 @@
-// The clocks of this machine, from the standard library.
+// The clocks of this machine.
 #include "connection/clock.h"
 
+#include <ctime>
+
 namespace arbutus {
 
 time_point monotonic_now() {
-  const auto since_start = std::chrono::steady_clock::now().time_since_epoch();
-  return time_point{std::chrono::duration_cast<duration>(since_start)};
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return time_point{std::chrono::duration_cast<duration>(std::chrono::seconds{now.tv_sec} +
+                                                         std::chrono::nanoseconds{now.tv_nsec})};
+}
+
+std::chrono::steady_clock::time_point to_steady(time_point t) {
+  if (t == time_point::max()) {
+    return std::chrono::steady_clock::time_point::max();
+  }
+  return std::chrono::steady_clock::now() + (t - monotonic_now());
 }
 
 wall_time wall_now() {
--- a/src/connection/http_exchange.cpp
+++ b/src/connection/http_exchange.cpp
@@ -249,7 +249,7 @@
   if (phase_ != phase::waiting) {
     return false;
   }
-  keep_alive_ = keep_alive_ && !core_.draining();
+  keep_alive_ = keep_alive_ && !core_.close_after_answers();
   if (head_only_ || !may_have_body(status)) {
     http::response<http::empty_body> message;
     put_head(message, status, headers);
@@ -270,7 +270,7 @@
     return false;
   }
   // Callers of HTTP/1.0 know no chunks: the end of the connection ends their answer.
-  keep_alive_ = keep_alive_ && !core_.draining() && version_ >= 11;
+  keep_alive_ = keep_alive_ && !core_.close_after_answers() && version_ >= 11;
   http::response<http::empty_body> message;
   put_head(message, status, headers);
   message.chunked(version_ >= 11);
--- a/src/connection/http_exchange.h
+++ b/src/connection/http_exchange.h
@@ -41,6 +41,8 @@
   void closed();
 
   void begin_drain() { draining_ = true; }
+  void begin_closing_after_answers() { close_after_answers_ = true; }
+  [[nodiscard]] bool close_after_answers() const { return close_after_answers_ || draining_; }
   bool wait_until_empty(time_point deadline);
 
   // For the connections of the calling worker.
@@ -54,6 +56,7 @@
   connection_registry<http_exchange> registry_;
   std::atomic<std::size_t> active_{0};
   std::atomic<bool> draining_{false};
+  std::atomic<bool> close_after_answers_{false};
   std::atomic<bool> closing_{false};
   boost::fibers::mutex empty_mutex_;  // a connection is closed under it, so that no wait misses it
   boost::fibers::condition_variable empty_;
--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -47,6 +47,10 @@
   return state_->door.port();
 }
 
+void http_server::close_after_answers() {
+  state_->core.begin_closing_after_answers();
+}
+
 void http_server::stop_accepting() {
   state_->door.close();
 }
--- a/src/connection/http_server.h
+++ b/src/connection/http_server.h
@@ -78,6 +78,10 @@
 
   [[nodiscard]] std::uint16_t port() const noexcept;
 
+  // From now on each answer says that its connection closes, and closes it. New connections and
+  // requests are served as before: the balancer still sends some.
+  void close_after_answers();
+
   // Closes the listening socket; connections go on.
   void stop_accepting();
 
--- a/src/node/control.cpp
+++ b/src/node/control.cpp
@@ -22,10 +22,6 @@
   return static_cast<std::uint32_t>(std::max<std::ptrdiff_t>(live, 1));
 }
 
-std::chrono::steady_clock::time_point steady(time_point t) {
-  return std::chrono::steady_clock::time_point{t.time_since_epoch()};
-}
-
 }  // namespace
 
 struct control::state : std::enable_shared_from_this<control::state> {
@@ -99,7 +95,7 @@
 
 void control::state::wait_until(time_point until) {
   std::unique_lock lock(wake_lock);
-  wake.wait_until(lock, steady(until), [this] { return woken || stopping; });
+  wake.wait_until(lock, to_steady(until), [this] { return woken || stopping; });
   woken = false;
 }
 
--- /dev/null
+++ b/src/node/hosted_call.cpp
@@ -0,0 +1,162 @@
+// First steps of a hosted call, and its end.
+#include "node/hosted_call.h"
+
+#include "node/hosted_parts.h"
+#include "node/log.h"
+
+namespace arbutus {
+
+namespace {
+
+// Beyond this a caller's wish is not honoured: no route waits for longer.
+constexpr duration longest_wait = 120s;
+
+class call_start {
+ public:
+  call_start(hosted_state& node, hosted_request& call) : node_(node), call_(call) {}
+
+  // False if the call was answered.
+  bool run() {
+    if (call_.head.id.empty()) {
+      return end(400, {}, "the request has no id");
+    }
+    if (!node_.map) {
+      return end(503, retry_after_stale, "no configuration is known yet");
+    }
+    call_.map = node_.map;
+    call_.way = call_.map->find_route(call_.head.host, call_.head.path);
+    const bool current = node_.lease.valid(call_.arrived);
+    if (call_.way == nullptr) {
+      // Only a current version may say that something is not there.
+      return current ? end(404, {}, "no route has this host and path")
+                     : end(503, retry_after_stale, "the configuration may be out of date");
+    }
+    if (call_.map->has_workspaces() && call_.way->needs_workspace && !find_workspace(current)) {
+      return false;
+    }
+    set_deadline();
+    return find_service();
+  }
+
+ private:
+  bool end(int status, duration retry_after, std::string_view reason) {
+    answer_own(node_, call_, status, retry_after, reason);
+    return false;
+  }
+
+  bool find_workspace(bool current) {
+    if (!current) {
+      return end(503, retry_after_stale, "keys cannot be checked: the configuration is stale");
+    }
+    const workspace_shape* workspace =
+        call_.head.key.empty() ? nullptr : call_.map->find_workspace(call_.head.key);
+    if (workspace == nullptr) {
+      return end(401, {}, "the key is not known");
+    }
+    call_.workspace = workspace->id;
+    call_.urgency = workspace->priority;
+    return true;
+  }
+
+  void set_deadline() {
+    duration wait = std::min(call_.way->timeout, longest_wait);
+    if (call_.head.time_left) {
+      wait = std::min(wait, *call_.head.time_left);
+    }
+    call_.deadline = call_.arrived + wait;
+    if (!call_.urgency) {
+      call_.urgency = call_.way->priority;
+    }
+  }
+
+  bool find_service() {
+    const service_id* id = pick_service(*call_.way, call_.head.id.str());
+    call_.service = id == nullptr ? nullptr : call_.map->find_service(*id);
+    if (call_.service == nullptr) {
+      return end(503, retry_after_no_target, "the route's service is not configured");
+    }
+    node_.retries_of(call_.service->id).first_send(call_.arrived);
+    return true;
+  }
+
+  hosted_state& node_;
+  hosted_request& call_;
+};
+
+}  // namespace
+
+bool key_usable(const hosted_state& node, const hosted_request& call) {
+  if (call.workspace.empty()) {
+    return true;
+  }
+  // The newest version decides: the key may have been withdrawn while the call waited.
+  const time_point now = monotonic_now();
+  return node.lease.valid(now) && node.map->find_workspace(call.head.key) != nullptr;
+}
+
+void answer_own(hosted_state& node, hosted_request& call, int status, duration retry_after,
+                std::string_view reason) {
+  own_answer answer;
+  answer.status = status;
+  answer.reason = std::string(reason);
+  const bool promises_not_run = status == 503 || status == 429 || status == 408;
+  // Goes wrong: a caller that is told "not run" repeats the request, and it runs twice.
+  if (promises_not_run && call.may_have_run > 0) {
+    const bool repeatable = call.way != nullptr && call.way->repeatable();
+    answer.status = repeatable ? 502 : 504;
+  } else if (promises_not_run) {
+    answer.retry_after = retry_after;
+  }
+  const bool sent =
+      call.writer.send(answer.status, own_headers(answer, call.head.id), own_body(answer));
+  finish_call(node, call, sent ? (call.may_have_run > 0 ? "failed" : "refused") : "caller_gone",
+              reason, answer.status);
+}
+
+void finish_call(hosted_state& node, hosted_request& call, std::string_view result,
+                 std::string_view reason, int status) {
+  const time_point now = monotonic_now();
+  const duration total = now - call.arrived;
+  finished_call measured;
+  measured.workspace = call.workspace;
+  measured.request_class = call.way == nullptr ? "none" : call.way->name;
+  measured.target = call.service == nullptr ? "none" : call.service->id.str();
+  measured.result = std::string(result);
+  measured.total = total;
+  measured.attempts = call.sends;
+  if (call.first_event > time_point{}) {
+    measured.first_token = call.first_event - call.arrived;
+  }
+  node.metrics.record(measured);
+  log_line(result == "done" ? log_level::debug : log_level::info, "request", "ended",
+           {{"request", call.head.id},
+            {"route", call.way == nullptr ? std::string_view("-") : call.way->name},
+            {"result", result},
+            {"reason", reason},
+            {"status", status},
+            {"targets", call.targets},
+            {"sends", call.sends},
+            {"may_have_run", call.may_have_run},
+            {"events", call.events},
+            {"first_event_ms", to_milliseconds(measured.first_token)},
+            {"total_ms", to_milliseconds(total)},
+            {"version", call.map ? call.map->version() : 0},
+            {"lease_age_ms", to_milliseconds(node.lease.age(now).value_or(-1ms))}});
+}
+
+void serve_hosted_call(hosted_state& node, const http_request& request, response_writer& writer) {
+  hosted_request call{request, writer, read_head(request), nullptr, nullptr, nullptr, {}, {}, {}, {}, 0, 0, {}, {}, 0};
+  call.arrived = monotonic_now();
+  node.requests_seen = true;
+  call_start start(node, call);
+  if (!start.run()) {
+    return;
+  }
+  if (call.service->engine && call.way->kind == route_kind::stream) {
+    serve_stream(node, call);
+  } else {
+    serve_whole(node, call);
+  }
+}
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/node/hosted_metrics.h
@@ -0,0 +1,26 @@
+// Counters and latency histograms of a hosted node, as Prometheus text.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "node/metrics.h"
+
+namespace arbutus {
+
+class hosted_metrics {
+ public:
+  // Labels are from bounded sets: routes' kinds, reasons, actions. Never ids of requests.
+  void count(std::string_view name, std::string_view labels = {}, std::uint64_t by = 1) {
+    calls_.count(0, name, labels, by);
+  }
+  void record(const finished_call& call) { calls_.record(0, call); }
+  [[nodiscard]] std::string text(std::string_view gauges) const { return calls_.text(gauges); }
+
+ private:
+  metrics calls_{1};
+};
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/node/hosted_node.cpp
@@ -0,0 +1,180 @@
+// A hosted node's parts.
+#include "node/hosted_node.h"
+
+#include "connection/clock.h"
+#include "connection/http_server.h"
+#include "node/hosted_call.h"
+#include "node/hosted_state.h"
+#include "node/keeper_loop.h"
+#include "node/log.h"
+#include "node/peer_links.h"
+#include "node/store_watch.h"
+
+namespace arbutus {
+
+namespace {
+
+socket_address address_of_endpoint(const endpoint& e) {
+  return {e.host, e.port};
+}
+
+// The balancer asks once a second and takes a node out after two answers that are not 200, so that
+// new connections may come for this long after readiness failed.
+constexpr duration balancer_lag = 2500ms;
+// Left of the grace for the process to end in order.
+constexpr duration end_margin = 800ms;
+
+http_server_limits caller_server_limits() {
+  http_server_limits limits;
+  // Operators' limits may rise with a version; these bound memory: at most 16 KiB of header and the
+  // largest body that the platform's operators may allow.
+  limits.header_bytes = 64UL * 1024;
+  limits.body_bytes = 8UL * 1024 * 1024;
+  limits.connections = 3000;
+  limits.read_timeout = 10s;
+  limits.idle_timeout = 60s;
+  // A caller that takes nothing for so long is gone: its stream would be late by far.
+  limits.write_timeout = 8s;
+  return limits;
+}
+
+http_server_limits small_server_limits() {
+  http_server_limits limits;
+  limits.body_bytes = 4096;
+  limits.connections = 64;
+  return limits;
+}
+
+void send_text(response_writer& writer, int status, std::string_view body) {
+  writer.send(status, {{"Content-Type", "text/plain; version=0.0.4"}}, body);
+}
+
+}  // namespace
+
+struct hosted_node::parts {
+  explicit parts(const hosted_settings& settings)
+      : runtime(1), state(settings, runtime), watch(state) {}
+
+  void listen() {
+    const hosted_listen& at = state.settings.listen;
+    links = std::make_unique<peer_links>(runtime, address_of_endpoint(at.links), state.settings.id);
+    keeper = std::make_unique<keeper_loop>(state, *links);
+    links->set_receiver(link_channel::coordination, [this](const peer_message& m) {
+      if (const auto beat = decode_node_beat(m.bytes)) {
+        keeper->heard(monotonic_now(), m.from, *beat);
+      } else {
+        log_line(log_level::warning, "links", "unreadable beat", {{"peer", m.from}});
+      }
+    });
+    ready = std::make_unique<http_server>(
+        runtime, address_of_endpoint(at.ready), small_server_limits(),
+        [this](const http_request&, response_writer& w) { serve_ready(w); });
+    metrics = std::make_unique<http_server>(
+        runtime, address_of_endpoint(at.metrics), small_server_limits(),
+        [this](const http_request&, response_writer& w) {
+          send_text(w, 200, state.metrics.text(gauges()));
+        });
+    callers = std::make_unique<http_server>(
+        runtime, address_of_endpoint(at.callers), caller_server_limits(),
+        [this](const http_request& r, response_writer& w) { serve_hosted_call(state, r, w); });
+  }
+
+  // Ready: a configuration is in force and confirmed, and some target is known. A node that cannot
+  // confirm keys would refuse most requests; its callers are better off elsewhere.
+  [[nodiscard]] bool is_ready() const {
+    return !state.stopping && state.map && state.fleet_known &&
+           state.lease.valid(monotonic_now());
+  }
+
+  void serve_ready(response_writer& writer) {
+    const bool is = is_ready();
+    if (is != was_ready) {
+      was_ready = is;
+      log_line(log_level::info, "node", is ? "ready" : "not ready",
+               {{"stopping", state.stopping},
+                {"configured", state.map != nullptr},
+                {"lease_age_ms",
+                 to_milliseconds(state.lease.age(monotonic_now()).value_or(-1ms))}});
+    }
+    send_text(writer, is ? 200 : 503, is ? "ready\n" : "not ready\n");
+  }
+
+  [[nodiscard]] std::string gauges() const {
+    std::string text;
+    const auto add = [&text](std::string_view name, std::uint64_t value) {
+      text += std::string("# TYPE ").append(name).append(" gauge\n");
+      text += std::string(name).append(" ").append(std::to_string(value)).append("\n");
+    };
+    add("arbutusworks_config_version", state.map ? state.map->version() : 0);
+    add("arbutusworks_targets", state.fleet.all().size());
+    add("arbutusworks_requests_active", callers->active());
+    add("arbutusworks_connections_open", callers->connections());
+    add("arbutusworks_ready", is_ready() ? 1 : 0);
+    add("arbutusworks_log_lines_dropped", dropped_log_lines());
+    return text;
+  }
+
+  void start() {
+    runtime.post(0, [this] { watch.follow_configuration(); });
+    runtime.post(0, [this] { watch.follow_targets(); });
+    runtime.post(0, [this] {
+      watch.follow_nodes([this](const std::vector<node_record>& nodes) { link_to(nodes); });
+    });
+    runtime.post(0, [this] { keeper->run(); });
+  }
+
+  void link_to(const std::vector<node_record>& nodes) {
+    links->set_peers(nodes);
+    std::vector<node_id> ids;
+    for (const node_record& n : nodes) {
+      ids.push_back(n.id);
+    }
+    keeper->set_peers(std::move(ids));
+  }
+
+  fiber_runtime runtime;
+  hosted_state state;
+  store_watch watch;
+  std::unique_ptr<peer_links> links;
+  std::unique_ptr<keeper_loop> keeper;
+  std::unique_ptr<http_server> ready;
+  std::unique_ptr<http_server> metrics;
+  std::unique_ptr<http_server> callers;
+  bool was_ready = false;
+};
+
+hosted_node::hosted_node(const hosted_settings& settings)
+    : parts_(std::make_unique<parts>(settings)) {
+  parts_->runtime.run();
+  parts_->listen();
+}
+
+hosted_node::~hosted_node() {
+  // Goes wrong: parts that end on their worker wait for ever when the runtime was stopped before
+  // them. So the runtime is last.
+  parts_->callers.reset();
+  parts_->ready.reset();
+  parts_->metrics.reset();
+  parts_->runtime.stop();
+  parts_->links.reset();
+  parts_->runtime.join();
+}
+
+void hosted_node::start() {
+  parts_->start();
+}
+
+bool hosted_node::stop() {
+  parts& p = *parts_;
+  bool clean = false;
+  const time_point begun = monotonic_now();
+  p.runtime.run_on(0, [&] {
+    p.state.stopping = true;
+    p.callers->close_after_answers();
+    sleep_until(begun + balancer_lag);
+    clean = p.callers->drain(begun + p.state.settings.bounds.grace - end_margin);
+  });
+  return clean;
+}
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/node/hosted_parts.h
@@ -0,0 +1,56 @@
+// The steps of a hosted call that streams and whole answers share. Only for the hosted_*.cpp files.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "connection/clock.h"
+#include "connection/http_server.h"
+#include "node/hosted_state.h"
+#include "platform/dialect.h"
+
+namespace arbutus {
+
+// One request of a caller.
+struct hosted_request {
+  const http_request& wire;
+  response_writer& writer;
+  call_head head;
+  std::shared_ptr<const service_map> map;  // the version it began with
+  const route* way = nullptr;
+  const service_shape* service = nullptr;
+  workspace_id workspace;
+  std::optional<std::uint32_t> urgency;
+  time_point arrived;
+  time_point deadline;
+
+  // What became of it, for its log line and the metrics.
+  std::uint32_t sends = 0;        // that may have reached a target
+  std::uint32_t may_have_run = 0; // of those, the ones that no target disowned
+  std::string targets;            // tried, in order
+  time_point first_event{};
+  std::uint64_t events = 0;
+};
+
+// Ends it with an answer of this node's. A status that promises "not run" is turned into one that
+// promises nothing when a target may have run it.
+void answer_own(hosted_state& node, hosted_request& call, int status, duration retry_after,
+                std::string_view reason);
+
+// Its one log line and its figures. `result`: "done", "refused", "failed", "caller_gone".
+void finish_call(hosted_state& node, hosted_request& call, std::string_view result,
+                 std::string_view reason, int status);
+
+// Whether the key may still be used: checked directly before each send.
+[[nodiscard]] bool key_usable(const hosted_state& node, const hosted_request& call);
+
+void serve_stream(hosted_state& node, hosted_request& call);
+void serve_whole(hosted_state& node, hosted_request& call);
+
+// Not run, nobody to ask: a replica forms within about this.
+inline constexpr duration retry_after_no_target = 400ms;
+// The platform does not confirm the configuration: callers are sent to other nodes meanwhile.
+inline constexpr duration retry_after_stale = 700ms;
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/node/hosted_state.cpp
@@ -0,0 +1,97 @@
+// Shared state of a hosted node.
+#include "node/hosted_state.h"
+
+namespace arbutus {
+
+namespace {
+
+socket_address address_of_endpoint(const endpoint& e) {
+  return {e.host, e.port};
+}
+
+// Nodes of a deployment at the least, while none has been heard: each takes a small part of the
+// burst.
+constexpr std::size_t least_nodes = 6;
+
+}  // namespace
+
+http_client_limits target_client_limits() {
+  http_client_limits limits;
+  // A live target accepts within two round trips, 6 ms; a lost opening packet is sent again only
+  // after a second, so waiting longer than this gains nothing over another target.
+  limits.connect_timeout = 300ms;
+  limits.idle_per_target = 64;
+  limits.idle_expiry = 10s;
+  return limits;
+}
+
+http_client_limits control_client_limits() {
+  http_client_limits limits;
+  limits.connect_timeout = 250ms;
+  limits.body_bytes = 256UL * 1024;
+  limits.idle_per_target = 1;
+  limits.idle_expiry = 5s;
+  return limits;
+}
+
+http_client_limits platform_client_limits() {
+  http_client_limits limits;
+  limits.connect_timeout = 500ms;
+  limits.body_bytes = 16UL * 1024 * 1024;
+  limits.idle_per_target = 4;
+  limits.idle_expiry = 10s;
+  return limits;
+}
+
+hosted_state::hosted_state(hosted_settings s, fiber_runtime& r)
+    : settings(std::move(s)),
+      runtime(r),
+      targets(r, target_client_limits()),
+      control(r, control_client_limits()),
+      platform(r, platform_client_limits()),
+      store(platform, address_of_endpoint(settings.store)),
+      engines(control),
+      lease({.bound = settings.bounds.key_withdrawal}) {}
+
+const std::vector<serving_replica>& hosted_state::replicas(const service_shape& service,
+                                                           const model_id& model) {
+  if (cached_revision_ != fleet.revision() || cached_version_ != map->version()) {
+    cached_.clear();
+    cached_revision_ = fleet.revision();
+    cached_version_ = map->version();
+  }
+  const auto found = cached_.find(model);
+  if (found != cached_.end()) {
+    return found->second;
+  }
+  const model_shape* shape = service.engine->find_model(model);
+  return cached_[model] = shape == nullptr
+                              ? std::vector<serving_replica>{}
+                              : serving_replicas(fleet, service.id, model, shape->size);
+}
+
+std::vector<service_instance> hosted_state::instances_of(const service_id& service) const {
+  std::vector<service_instance> result;
+  for (const auto& [id, view] : fleet.all()) {
+    const target_record& record = view.record;
+    if (record.service == service && view.listed && !view.lost && !record.draining) {
+      result.push_back({id, record.address, record.data_centre, record.slots});
+    }
+  }
+  return result;
+}
+
+retry_window& hosted_state::retries_of(const service_id& service) {
+  const auto found = retries.find(service);
+  if (found != retries.end()) {
+    return found->second;
+  }
+  retry_window_settings window;
+  window.ratio = settings.bounds.retry_ratio;
+  window.burst = settings.bounds.retry_burst;
+  window.window = settings.bounds.retry_window;
+  window.nodes = std::max(least_nodes, peers.known() + 1);
+  return retries.emplace(service, retry_window(window)).first->second;
+}
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/node/hosted_state.h
@@ -0,0 +1,73 @@
+// What the parts of a hosted node share: it lives as long as the process.
+//
+// A hosted node runs on one worker: an entry VM there has a quarter of a core, and a second thread
+// would only add switches. Fibers of one worker run one at a time, so nothing here needs a lock; a
+// fiber may be suspended at any call that waits, and what it read before may have changed after.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "connection/http_client.h"
+#include "node/attempt_registry.h"
+#include "node/hosted_metrics.h"
+#include "platform/engines.h"
+#include "platform/store.h"
+#include "process/config_lease.h"
+#include "process/fleet_view.h"
+#include "process/hosted_settings.h"
+#include "process/node_beat.h"
+#include "process/silence.h"
+#include "request/instance_choice.h"
+#include "request/replica_choice.h"
+#include "request/retry_window.h"
+#include "version/service_map.h"
+
+namespace arbutus {
+
+struct hosted_state {
+  hosted_state(hosted_settings s, fiber_runtime& r);
+
+  hosted_settings settings;
+  fiber_runtime& runtime;
+  http_client targets;  // requests that are passed on
+  http_client control;  // reports and orders: a target that does not answer at once is a finding
+  http_client platform;
+  platform_store store;
+  platform_engines engines;
+
+  std::shared_ptr<const service_map> map;  // null until the first version was read
+  config_lease lease;
+  fleet_view fleet;
+  bool fleet_known = false;  // the list of targets was read once
+  load_table loads;
+  instance_table instances;
+  std::map<service_id, retry_window> retries;
+  silence_monitor silence;
+  attempt_registry attempts;
+  peer_table peers;
+  hosted_metrics metrics;
+  bool requests_seen = false;
+  bool stopping = false;
+
+  // Replicas of a model that may be sent requests now; built anew only when something changed.
+  [[nodiscard]] const std::vector<serving_replica>& replicas(const service_shape& service,
+                                                             const model_id& model);
+  [[nodiscard]] std::vector<service_instance> instances_of(const service_id& service) const;
+  [[nodiscard]] retry_window& retries_of(const service_id& service);
+
+ private:
+  std::uint64_t cached_revision_ = 0;
+  std::uint64_t cached_version_ = 0;
+  std::map<model_id, std::vector<serving_replica>> cached_;
+};
+
+// The rates and sizes at which a node talks to targets.
+[[nodiscard]] http_client_limits target_client_limits();
+[[nodiscard]] http_client_limits control_client_limits();
+[[nodiscard]] http_client_limits platform_client_limits();
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/node/hosted_stream.cpp
@@ -0,0 +1,315 @@
+// Streams of a model: sent to a replica, passed on event by event, and gone on with on another
+// replica when theirs breaks.
+#include <algorithm>
+#include <vector>
+
+#include "node/hosted_parts.h"
+#include "node/log.h"
+#include "request/event_relay.h"
+
+namespace arbutus {
+
+namespace {
+
+// An attempt with less time than this cannot bring a first event any more: reading a prompt and one
+// pass take about 60 ms on an idle replica.
+constexpr duration least_useful_time = 60ms;
+
+// Silent replicas and refusals are worth another look at the fleet at once; more looks than this
+// mean that nothing there can serve.
+constexpr std::uint32_t most_sends = 6;
+
+class stream_call {
+ public:
+  stream_call(hosted_state& node, hosted_request& call)
+      : node_(node),
+        call_(call),
+        model_(call.service->engine->find_model(call.head.model)),
+        relay_(call.head.resume_after) {}
+
+  void run() {
+    if (model_ == nullptr) {
+      answer_own(node_, call_, 503, retry_after_no_target, "no such model is configured");
+      return;
+    }
+    call_.writer.on_gone([this] {
+      gone_ = true;
+      if (running_ != nullptr) {
+        running_->cancel.cancel();
+      }
+    });
+    while (!ended_) {
+      next_attempt();
+    }
+    call_.writer.on_gone({});
+  }
+
+ private:
+  // Why an attempt did not end the call.
+  enum class ending : std::uint8_t {
+    whole,      // the caller has its whole answer
+    not_run,    // the target did not run it
+    not_sent,   // no byte left
+    broken,     // it may have run in part
+    refused_by_us,  // the key was withdrawn meanwhile
+  };
+
+  void end_own(int status, duration retry_after, std::string_view reason) {
+    ended_ = true;
+    if (gone_) {
+      finish_call(node_, call_, "caller_gone", reason, 0);
+    } else if (started_) {
+      // The connection closes without the last chunk: the caller sees that the answer is cut.
+      finish_call(node_, call_, "cut", reason, 200);
+    } else {
+      answer_own(node_, call_, status, retry_after, reason);
+    }
+  }
+
+  [[nodiscard]] bool may_send_again(time_point now) {
+    const bool repeat = call_.sends > 0;
+    if (!repeat) {
+      return true;
+    }
+    if (call_.may_have_run > 0 && !call_.way->repeatable()) {
+      return false;
+    }
+    if (call_.may_have_run >= call_.way->max_attempts || call_.sends >= most_sends) {
+      return false;
+    }
+    return node_.retries_of(call_.service->id).take(now);
+  }
+
+  void next_attempt() {
+    const time_point now = monotonic_now();
+    if (gone_) {
+      end_own(0, {}, "the caller has gone");
+      return;
+    }
+    if (now + least_useful_time >= call_.deadline) {
+      end_own(call_.may_have_run > 0 ? 504 : 503, retry_after_no_target, "no time is left");
+      return;
+    }
+    if (!key_usable(node_, call_)) {
+      end_own(503, retry_after_stale, "the key cannot be confirmed");
+      return;
+    }
+    const auto& replicas = node_.replicas(*call_.service, model_->id);
+    const std::vector<target_id> suspected = node_.silence.silent(now);
+    const choice_request wanted{node_.settings.data_centre, call_.head.size, call_.deadline - now,
+                                avoided_, suspected};
+    const replica_choice choice = choose_replica(*call_.service->engine, *model_, replicas,
+                                                 node_.loads, wanted);
+    if (const auto* none = std::get_if<no_replica>(&choice)) {
+      end_own(503, none->retry_after, none->reason);
+      return;
+    }
+    if (!may_send_again(now)) {
+      end_own(503, retry_after_no_target, last_reason_);
+      return;
+    }
+    const chosen_replica& chosen = std::get<chosen_replica>(choice);
+    const serving_replica replica = replicas[chosen.index];
+    const ending how = attempt(replica, chosen.expected);
+    judge(replica, how);
+  }
+
+  void judge(const serving_replica& replica, ending how) {
+    if (how == ending::whole) {
+      ended_ = true;
+      return;
+    }
+    if (how == ending::refused_by_us) {
+      end_own(503, retry_after_stale, "the key was withdrawn");
+      return;
+    }
+    if (how == ending::broken) {
+      ++call_.may_have_run;
+    }
+    avoided_.push_back(replica.head);
+    log_line(log_level::info, "request", "attempt ended",
+             {{"request", call_.head.id},
+              {"target", replica.head},
+              {"reason", last_reason_},
+              {"ran", how == ending::broken ? "perhaps" : "no"},
+              {"last_event", relay_.last_id()},
+              {"sends", call_.sends}});
+    node_.metrics.count("arbutusworks_attempts_broken", "ran=\"" +
+                            std::string(how == ending::broken ? "perhaps" : "no") + "\"");
+    relay_.restart();
+  }
+
+  ending attempt(const serving_replica& replica, const replica_estimate& expected) {
+    attempt_registry::attempt own;
+    own.resumable = call_.way->repeatable();
+    const attempt_registry::scope listed(node_.attempts, replica.head, own);
+    running_ = &own;
+    head_ = replica.head;
+    expected_ = expected;
+    had_first_ = false;
+    answer_ = {};
+    failure_body_.clear();
+    passing_on facts;
+    facts.target = replica.head;
+    facts.time_left = call_.deadline - monotonic_now();
+    facts.workspace = call_.workspace;
+    facts.urgency = call_.urgency;
+    facts.resume_after = relay_.last_id();
+    call_.targets += (call_.targets.empty() ? "" : ",") + replica.head.str();
+    ++call_.sends;
+    const time_point sent_at = monotonic_now();
+    node_.loads.sent(head_, call_.head.size);
+    node_.silence.sent(sent_at, head_, expected.to_first_event);
+    const call_result result = node_.targets.stream(
+        {replica.address.host, replica.address.port}, make_target_request(call_.wire, facts),
+        call_.deadline,
+        [this](int status, const http_headers& headers) { return on_head(status, headers); },
+        [this](std::string_view bytes) { return on_bytes(bytes); }, own.cancel,
+        [this] { return key_usable(node_, call_); });
+    const time_point now = monotonic_now();
+    node_.loads.ended(head_, call_.head.size, had_first_);
+    node_.silence.ended(now, head_, had_first_);
+    running_ = nullptr;
+    return read_end(result, own);
+  }
+
+  bool on_head(int status, const http_headers& headers) {
+    answer_ = read_answer(status, headers, call_.head.id);
+    status_ = status;
+    if (answer_.kind == answer_kind::own) {
+      headers_ = headers;
+    }
+    return answer_.kind == answer_kind::own || answer_.kind == answer_kind::not_run;
+  }
+
+  bool on_bytes(std::string_view bytes) {
+    if (answer_.kind != answer_kind::own || status_ != 200) {
+      constexpr std::size_t most_failure_bytes = 64UL * 1024;
+      failure_body_.append(bytes);
+      return failure_body_.size() < most_failure_bytes;
+    }
+    const time_point now = monotonic_now();
+    note_event(now);
+    const std::string_view events = relay_.take(bytes);
+    if (!events.empty() && !pass_on(events)) {
+      return false;
+    }
+    return !relay_.out_of_order();
+  }
+
+  void note_event(time_point now) {
+    if (!had_first_) {
+      had_first_ = true;
+      node_.loads.first_event(head_, call_.head.size);
+      node_.silence.first_event(head_);
+      if (call_.first_event == time_point{}) {
+        call_.first_event = now;
+      }
+    }
+    const replica_load load = node_.loads.total(head_);
+    const auto reading = from_seconds(load.unread_tokens /
+                                      std::max(call_.service->engine->read_tokens_per_s, 1.0));
+    node_.silence.event(now, head_, expected_.between_events + reading);
+  }
+
+  bool pass_on(std::string_view events) {
+    if (!started_) {
+      started_ = true;
+      if (!call_.writer.start(200, caller_headers(headers_))) {
+        gone_ = true;
+        return false;
+      }
+    }
+    if (!call_.writer.write(events)) {
+      gone_ = true;
+      return false;
+    }
+    return true;
+  }
+
+  ending read_end(const call_result& result, const attempt_registry::attempt& own) {
+    call_.events = relay_.events();
+    if (own.moved) {
+      last_reason_ = "its replica lost a member";
+      return ending::broken;
+    }
+    if (result.failure == call_failure::not_permitted) {
+      return ending::refused_by_us;
+    }
+    if (result.outcome == call_outcome::not_sent) {
+      last_reason_ = "could not be sent";
+      --call_.sends;
+      return ending::not_sent;
+    }
+    if (answer_.kind == answer_kind::not_run && status_ != 0) {
+      last_reason_ = "the target did not run it";
+      return ending::not_run;
+    }
+    if (result.ok() && answer_.kind == answer_kind::own && status_ == 200) {
+      if (relay_.inside_event()) {
+        last_reason_ = "the stream ended inside an event";
+        return ending::broken;
+      }
+      return finish_stream();
+    }
+    if (result.ok() && answer_.kind == answer_kind::own) {
+      return pass_failure();
+    }
+    last_reason_ = relay_.out_of_order() ? "events out of order"
+                   : result.failure == call_failure::abandoned
+                       ? "the answer was not this request's"
+                       : to_string(result.failure);
+    return ending::broken;
+  }
+
+  ending finish_stream() {
+    if (!started_) {
+      started_ = true;
+      call_.writer.start(200, caller_headers(headers_));
+    }
+    const bool reached = call_.writer.finish();
+    finish_call(node_, call_, reached ? "done" : "caller_gone", "", 200);
+    return ending::whole;
+  }
+
+  // A failure of the target's own counts as run. What may be repeated is tried elsewhere.
+  ending pass_failure() {
+    const bool again = call_.way->repeatable() &&
+                       call_.may_have_run + 1 < call_.way->max_attempts && status_ >= 500;
+    if (again || started_) {
+      last_reason_ = "the target failed";
+      return ending::broken;
+    }
+    call_.writer.send(status_, caller_headers(headers_), failure_body_);
+    finish_call(node_, call_, "failed", "the target's own failure", status_);
+    return ending::whole;
+  }
+
+  hosted_state& node_;
+  hosted_request& call_;
+  const model_shape* model_;
+  event_relay relay_;
+  std::vector<target_id> avoided_;
+  attempt_registry::attempt* running_ = nullptr;
+  std::string_view last_reason_ = "no attempt was made";
+  bool gone_ = false;
+  bool started_ = false;  // the caller has the head of its answer
+  bool ended_ = false;
+
+  // Of the running attempt.
+  target_id head_;
+  replica_estimate expected_;
+  bool had_first_ = false;
+  answer_head answer_;
+  int status_ = 0;
+  http_headers headers_;
+  std::string failure_body_;
+};
+
+}  // namespace
+
+void serve_stream(hosted_state& node, hosted_request& call) {
+  stream_call(node, call).run();
+}
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/node/hosted_whole.cpp
@@ -0,0 +1,197 @@
+// Calls of plain services on a hosted node: the answer is passed on whole.
+#include <algorithm>
+#include <vector>
+
+#include "node/hosted_parts.h"
+#include "node/log.h"
+
+namespace arbutus {
+
+namespace {
+
+// With less time than this left, another instance could not answer any more.
+constexpr duration least_useful_time = 10ms;
+constexpr std::uint32_t most_sends = 4;
+
+class whole_call {
+ public:
+  whole_call(hosted_state& node, hosted_request& call) : node_(node), call_(call) {}
+
+  void run() {
+    call_.writer.on_gone([this] {
+      gone_ = true;
+      cancel_.cancel();
+    });
+    while (!ended_) {
+      next_attempt();
+    }
+    call_.writer.on_gone({});
+  }
+
+ private:
+  void end_own(int status, duration retry_after, std::string_view reason) {
+    ended_ = true;
+    if (gone_) {
+      finish_call(node_, call_, "caller_gone", reason, 0);
+    } else {
+      answer_own(node_, call_, status, retry_after, reason);
+    }
+  }
+
+  [[nodiscard]] bool may_send_again(time_point now) {
+    if (call_.sends == 0) {
+      return true;
+    }
+    if (call_.may_have_run > 0 && !call_.way->repeatable()) {
+      return false;
+    }
+    if (call_.may_have_run >= call_.way->max_attempts || call_.sends >= most_sends) {
+      return false;
+    }
+    return node_.retries_of(call_.service->id).take(now);
+  }
+
+  void next_attempt() {
+    const time_point now = monotonic_now();
+    if (gone_) {
+      end_own(0, {}, "the caller has gone");
+      return;
+    }
+    if (now + least_useful_time >= call_.deadline) {
+      end_own(call_.may_have_run > 0 ? 504 : 503, retry_after_no_target, "no time is left");
+      return;
+    }
+    if (!key_usable(node_, call_)) {
+      end_own(503, retry_after_stale, "the key cannot be confirmed");
+      return;
+    }
+    const std::vector<service_instance> instances = node_.instances_of(call_.service->id);
+    const auto chosen =
+        node_.instances.choose(now, instances, node_.settings.data_centre, avoided_);
+    if (!chosen) {
+      end_own(503, retry_after_no_target, last_reason_);
+      return;
+    }
+    if (!may_send_again(now)) {
+      end_own(503, retry_after_no_target, last_reason_);
+      return;
+    }
+    attempt(instances[*chosen]);
+  }
+
+  // A kept connection may close just as the request is written to it, and it is then unknown
+  // whether it ran: what may not be repeated gets a fresh one.
+  [[nodiscard]] connection_use connection() const {
+    return call_.way->repeatable() ? connection_use::pooled : connection_use::fresh;
+  }
+
+  void attempt(const service_instance& instance) {
+    passing_on facts;
+    facts.target = instance.id;
+    facts.time_left = call_.deadline - monotonic_now();
+    facts.workspace = call_.workspace;
+    facts.urgency = call_.urgency;
+    call_.targets += (call_.targets.empty() ? "" : ",") + instance.id.str();
+    ++call_.sends;
+    node_.instances.sent(instance.id);
+    const call_result result = node_.targets.fetch(
+        {instance.address.host, instance.address.port}, make_target_request(call_.wire, facts),
+        call_.deadline, cancel_, [this] { return key_usable(node_, call_); }, connection());
+    judge(instance, result);
+  }
+
+  void judge(const service_instance& instance, const call_result& result) {
+    const time_point now = monotonic_now();
+    avoided_.push_back(instance.id);
+    if (result.failure == call_failure::not_permitted) {
+      node_.instances.ended(now, instance.id, call_end::withdrawn);
+      end_own(503, retry_after_stale, "the key was withdrawn");
+      return;
+    }
+    if (result.outcome == call_outcome::not_sent) {
+      node_.instances.ended(now, instance.id, gone_ ? call_end::withdrawn : call_end::failed);
+      --call_.sends;
+      last_reason_ = "could not be sent";
+      return;
+    }
+    if (!result.ok()) {
+      const bool own_reason = gone_ || result.failure == call_failure::cancelled;
+      node_.instances.ended(now, instance.id,
+                            own_reason ? call_end::withdrawn : call_end::failed);
+      ++call_.may_have_run;
+      broken(instance, to_string(result.failure));
+      return;
+    }
+    read_answer_of(now, instance, result.response);
+  }
+
+  void read_answer_of(time_point now, const service_instance& instance,
+                      const http_response& response) {
+    const answer_head head = read_answer(response.status, response.headers, call_.head.id);
+    if (head.running) {
+      node_.instances.told(now, instance.id,
+                           *head.running + static_cast<double>(head.waiting.value_or(0)));
+    }
+    switch (head.kind) {
+      case answer_kind::not_run:
+        node_.instances.ended(now, instance.id, call_end::not_run);
+        broken(instance, "the target did not run it");
+        return;
+      case answer_kind::foreign:
+      case answer_kind::unsigned_success:
+        node_.instances.ended(now, instance.id, call_end::failed);
+        ++call_.may_have_run;
+        broken(instance, "the answer was not this request's");
+        return;
+      case answer_kind::own:
+        node_.instances.ended(now, instance.id, call_end::answered);
+        pass_on(instance, response);
+        return;
+    }
+  }
+
+  void broken(const service_instance& instance, std::string_view reason) {
+    last_reason_ = reason;
+    log_line(log_level::info, "request", "attempt ended",
+             {{"request", call_.head.id},
+              {"target", instance.id},
+              {"reason", reason},
+              {"may_have_run", call_.may_have_run},
+              {"sends", call_.sends}});
+    node_.metrics.count("arbutusworks_attempts_broken");
+  }
+
+  // A failure of the target's own counts as run: only what may be repeated is tried elsewhere.
+  void pass_on(const service_instance& instance, const http_response& response) {
+    const bool failed = response.status >= 500;
+    if (failed && call_.way->repeatable() && call_.may_have_run + 1 < call_.way->max_attempts &&
+        node_.retries_of(call_.service->id).left() >= 1) {
+      ++call_.may_have_run;
+      kept_failure_ = response;
+      broken(instance, "the target failed");
+      return;
+    }
+    ended_ = true;
+    const bool reached =
+        call_.writer.send(response.status, caller_headers(response.headers), response.body);
+    finish_call(node_, call_, !reached ? "caller_gone" : failed ? "failed" : "done",
+                failed ? "the target's own failure" : "", response.status);
+  }
+
+  hosted_state& node_;
+  hosted_request& call_;
+  cancel_token cancel_ = cancel_token::make();
+  std::vector<target_id> avoided_;
+  std::string_view last_reason_ = "no instance is known";
+  std::optional<http_response> kept_failure_;
+  bool gone_ = false;
+  bool ended_ = false;
+};
+
+}  // namespace
+
+void serve_whole(hosted_state& node, hosted_request& call) {
+  whole_call(node, call).run();
+}
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/node/keeper_loop.cpp
@@ -0,0 +1,259 @@
+// The keeper's clockwork.
+#include "node/keeper_loop.h"
+
+#include <boost/fiber/condition_variable.hpp>
+
+#include "connection/clock.h"
+#include "node/log.h"
+#include "process/duty.h"
+
+namespace arbutus {
+
+namespace {
+
+// A replica's repair takes some 500 ms of engines' time; a tick of this adds 4 percent of that.
+constexpr duration tick_interval = 20ms;
+// Answers of engines come within 3 ms. An order without one is asked about, not repeated blindly.
+constexpr duration order_timeout = 300ms;
+// A suspect's member is asked twice, so a dead one is known 2 x this after the silence. Live ones
+// answer within 3 ms; the rest is room for a node that is short of processor time.
+constexpr duration probe_timeout = 90ms;
+// Whether an engine still writes its record: half a heartbeat late.
+constexpr double late_record = 1.9;
+// Peers learn of sends within this; the same load is then double-booked for 100 ms on average.
+constexpr duration beat_interval = 200ms;
+
+}  // namespace
+
+keeper_loop::keeper_loop(hosted_state& node, peer_links& links)
+    : node_(node), links_(links), started_(monotonic_now()) {}
+
+void keeper_loop::run() {
+  while (sleep_until(monotonic_now() + tick_interval)) {
+    const time_point now = monotonic_now();
+    watch_silence(now);
+    if (node_.map && node_.fleet_known && !node_.stopping) {
+      keep(now);
+    }
+    if (now - told_peers_at_ >= beat_interval) {
+      told_peers_at_ = now;
+      tell_peers(now);
+    }
+  }
+}
+
+void keeper_loop::keep(time_point now) {
+  std::vector<duty_node> living = {{node_.settings.id, node_.settings.data_centre}};
+  for (const auto& [id, data_centre] : node_.peers.living(now)) {
+    living.push_back({id, data_centre});
+  }
+  const auto duties = duties_of(node_.settings.id, node_.settings.data_centres, living);
+  if (duties != duties_) {
+    duties_ = duties;
+    std::string names;
+    for (const data_centre_id& d : duties) {
+      names += (names.empty() ? "" : ",") + d.str();
+    }
+    log_line(log_level::info, "keeper", "duties",
+             {{"data_centres", names}, {"living_nodes", std::uint64_t{living.size()}}});
+  }
+  // In the first moment no peer has been heard yet.
+  constexpr duration settle = 500ms;
+  if (now - started_ < settle) {
+    return;
+  }
+  if (!duties_.empty()) {
+    check_records(now);
+  }
+  for (const service_shape& service : node_.map->services()) {
+    if (!service.engine) {
+      continue;
+    }
+    auto found = keepers_.find(service.id);
+    if (found == keepers_.end()) {
+      keeper_settings settings;
+      settings.stall = node_.settings.bounds.stall;
+      found = keepers_
+                  .emplace(service.id,
+                           replica_keeper(settings, started_, node_.settings.cold_start))
+                  .first;
+    }
+    const replica_keeper::duties own{duties_, node_.settings.data_centres.size(),
+                                     node_.requests_seen};
+    if (duties_.empty()) {
+      continue;
+    }
+    for (const keeper_effect& wanted : found->second.tick(now, node_.fleet, service, own)) {
+      carry_out(service.id, wanted);
+    }
+  }
+}
+
+void keeper_loop::carry_out(const service_id& service, const keeper_effect& wanted) {
+  node_.runtime.post(0, [this, service, wanted] {
+    replica_keeper& keeper = keepers_.at(service);
+    const time_point deadline = monotonic_now() + order_timeout;
+    if (const auto* question = std::get_if<report_question>(&wanted)) {
+      const auto result = node_.engines.report(question->to, question->address, deadline);
+      const time_point now = monotonic_now();
+      if (const auto* report = std::get_if<target_report>(&result)) {
+        node_.fleet.reported(now, question->to, report->member_of, report->loaded, report->pace);
+        keeper.on_report(now, question->to, *report);
+      } else {
+        if (std::holds_alternative<unknown>(result)) {
+          node_.fleet.probe_failed(now, question->to);
+        }
+        keeper.on_report(now, question->to, std::nullopt);
+      }
+      return;
+    }
+    const auto& order = std::get<replica_order>(wanted);
+    const order_outcome outcome = node_.engines.order(order, deadline);
+    static constexpr std::string_view names[] = {"begun",   "holds",     "conflict", "outdated",
+                                                 "another", "refused",   "no_answer", "not_sent"};
+    log_line(log_level::info, "keeper", "order",
+             {{"target", order.to},
+              {"action", to_string(order.action)},
+              {"replica", order.replica.name},
+              {"epoch", order.replica.epoch},
+              {"model", order.model},
+              {"expected_orders", order.expected_orders},
+              {"outcome", names[static_cast<std::size_t>(outcome)]}});
+    node_.metrics.count("arbutusworks_orders",
+                        "action=\"" + std::string(to_string(order.action)) + "\",outcome=\"" +
+                            std::string(names[static_cast<std::size_t>(outcome)]) + "\"");
+    keeper.on_order(monotonic_now(), order, outcome);
+  });
+}
+
+void keeper_loop::watch_silence(time_point now) {
+  for (const target_id& head : node_.silence.silent(now)) {
+    if (checking_.insert(head).second) {
+      node_.runtime.post(0, [this, head] {
+        check_replica(head);
+        checking_.erase(head);
+      });
+    }
+  }
+}
+
+bool keeper_loop::probe(const target_id& id, duration timeout) {
+  const target_view* view = node_.fleet.find(id);
+  if (view == nullptr) {
+    return false;
+  }
+  const endpoint address = view->record.address;
+  const auto result = node_.engines.report(id, address, monotonic_now() + timeout);
+  const time_point now = monotonic_now();
+  if (const auto* report = std::get_if<target_report>(&result)) {
+    node_.fleet.reported(now, id, report->member_of, report->loaded, report->pace);
+    return true;
+  }
+  node_.fleet.probe_failed(now, id);
+  return false;
+}
+
+// Asks every member of a silent replica at once; one that does not answer is asked again.
+void keeper_loop::check_replica(const target_id& head) {
+  const target_view* view = node_.fleet.find(head);
+  if (view == nullptr || !view->record.member_of) {
+    node_.silence.found_well(monotonic_now(), head);
+    node_.attempts.move_away(head);
+    return;
+  }
+  const replica_key key = view->record.member_of->replica;
+  std::vector<target_id> members;
+  for (const auto& [id, v] : node_.fleet.all()) {
+    if (v.record.member_of && v.record.member_of->replica == key) {
+      members.push_back(id);
+    }
+  }
+  struct shared {
+    std::size_t pending = 0;
+    bool failed = false;
+    boost::fibers::mutex lock;
+    boost::fibers::condition_variable done;
+  };
+  const auto state = std::make_shared<shared>();
+  state->pending = members.size();
+  for (const target_id& member : members) {
+    node_.runtime.post(0, [this, member, head, state] {
+      bool well = probe(member, probe_timeout);
+      if (!well) {
+        // Whatever the second answer is, these streams are late already: they go on elsewhere.
+        const std::size_t moved = node_.attempts.move_away(head);
+        log_line(log_level::info, "fleet", "suspected",
+                 {{"target", member}, {"head", head}, {"streams_moved", std::uint64_t{moved}}});
+        well = probe(member, probe_timeout);
+        if (!well) {
+          log_line(log_level::warning, "fleet", "lost", {{"target", member}, {"head", head}});
+        }
+      }
+      const std::lock_guard guard(state->lock);
+      state->failed = state->failed || !well;
+      --state->pending;
+      state->done.notify_all();
+    });
+  }
+  std::unique_lock guard(state->lock);
+  state->done.wait(guard, [&state] { return state->pending == 0; });
+  node_.silence.found_well(monotonic_now(), head);
+  node_.metrics.count("arbutusworks_silent_replicas",
+                      state->failed ? "found=\"lost\"" : "found=\"well\"");
+}
+
+// Spares carry no streams whose silence would tell: their records going stale does.
+void keeper_loop::check_records(time_point now) {
+  const auto late = from_seconds(to_seconds(node_.settings.bounds.target_heartbeat) * late_record);
+  for (const auto& [id, view] : node_.fleet.all()) {
+    const bool own = duties_.contains(view.record.data_centre) && view.listed && !view.lost;
+    if (own && now - view.heard_at > late && probing_.insert(id).second) {
+      node_.runtime.post(0, [this, id = id] {
+        if (!probe(id, order_timeout)) {
+          probe(id, order_timeout);
+        }
+        probing_.erase(id);
+      });
+    }
+  }
+}
+
+void keeper_loop::tell_peers(time_point now) {
+  node_.loads.forget_peers(now);
+  node_beat beat;
+  beat.data_centre = node_.settings.data_centre;
+  beat.leaving = node_.stopping;
+  beat.requests_seen = node_.requests_seen;
+  beat.loads = node_.loads.own();
+  for (const auto& [id, view] : node_.fleet.all()) {
+    if (view.lost && view.listed) {
+      beat.lost.push_back(id);
+    }
+  }
+  const std::string bytes = encode(beat);
+  for (const node_id& peer : peer_ids_) {
+    if (peer != node_.settings.id) {
+      links_.send(link_channel::coordination, {peer, bytes, false});
+    }
+  }
+}
+
+void keeper_loop::heard(time_point now, const node_id& peer, const node_beat& beat) {
+  node_.peers.heard(now, peer, beat);
+  node_.requests_seen = node_.requests_seen || beat.requests_seen;
+  node_.loads.heard(peer, now, beat.loads);
+  for (const target_id& id : beat.lost) {
+    const target_view* view = node_.fleet.find(id);
+    // A peer's word is a suspicion: this node asks for itself.
+    if (view != nullptr && view->listed && !view->lost && probing_.insert(id).second) {
+      node_.runtime.post(0, [this, id] {
+        if (!probe(id, probe_timeout)) {
+          probe(id, probe_timeout);
+        }
+        probing_.erase(id);
+      });
+    }
+  }
+}
+
+}  // namespace arbutus
--- a/src/cli/log.cpp
+++ b/src/node/log.cpp
@@ -1,6 +1,6 @@
 // Log lines by Boost.Log. A line is put together where it is logged and handed to a sink with a
 // thread of its own.
-#include "cli/log.h"
+#include "node/log.h"
 
 #include <algorithm>
 #include <array>
--- a/src/node/periodic.cpp
+++ b/src/node/periodic.cpp
@@ -19,8 +19,7 @@
 
   // False when it is time to end.
   bool wait(duration interval) {
-    const std::chrono::steady_clock::time_point until{
-        (monotonic_now() + interval).time_since_epoch()};
+    const auto until = to_steady(monotonic_now() + interval);
     std::unique_lock guard(lock);
     return !changed.wait_until(guard, until, [this] { return stopping; });
   }
--- /dev/null
+++ b/src/process/duty.h
@@ -0,0 +1,51 @@
+// Which node keeps the replicas of a data centre.
+//
+// Its own nodes come first, in the order of their names, then those of other data centres: a data
+// centre whose nodes are all gone still has engines. Two nodes that both think it is their turn do
+// no harm, since every order names the state it was decided on; they only waste orders.
+#pragma once
+
+#include <algorithm>
+#include <set>
+#include <span>
+#include <tuple>
+#include <vector>
+
+#include "base/hash.h"
+#include "base/id.h"
+
+namespace arbutus {
+
+struct duty_node {
+  node_id id;
+  data_centre_id data_centre;
+};
+
+// Of the nodes that live, the one that keeps `data_centre`; empty if none lives.
+[[nodiscard]] inline node_id keeper_of(const data_centre_id& data_centre,
+                                       std::span<const duty_node> living) {
+  const auto order = [&](const duty_node& n) {
+    const bool away = n.data_centre != data_centre;
+    // Spread the orphaned data centres over the others' nodes.
+    const std::uint64_t weight = away ? ~rendezvous_weight(data_centre.str(), n.id.str()) : 0;
+    return std::tuple(away, weight, n.id);
+  };
+  const auto first = std::min_element(
+      living.begin(), living.end(),
+      [&](const duty_node& a, const duty_node& b) { return order(a) < order(b); });
+  return first == living.end() ? node_id{} : first->id;
+}
+
+[[nodiscard]] inline std::set<data_centre_id> duties_of(const node_id& self,
+                                                        std::span<const data_centre_id> all,
+                                                        std::span<const duty_node> living) {
+  std::set<data_centre_id> result;
+  for (const data_centre_id& data_centre : all) {
+    if (keeper_of(data_centre, living) == self) {
+      result.insert(data_centre);
+    }
+  }
+  return result;
+}
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/process/fleet_view.h
@@ -0,0 +1,120 @@
+// What a node knows of the targets: a live inventory, fed by the platform's list of targets and by
+// the targets' own reports.
+//
+// A value: fed with (now, observation). Ids are never reused, addresses may be.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/id.h"
+#include "base/units.h"
+#include "version/inventory.h"
+
+namespace arbutus {
+
+enum class member_state : std::uint8_t {
+  joining,  // gets the model's weights ready
+  ready,    // a member that may be opened (the head), or that works for its head
+  open,     // the head serves
+  closing,  // the head finishes what it has
+  broken,   // the head lost a member and gave up
+};
+
+[[nodiscard]] std::string_view to_string(member_state state);
+
+// A replica is known by its name and epoch; a greater epoch is a later composition.
+struct replica_key {
+  std::string name;
+  std::uint64_t epoch{};
+  auto operator<=>(const replica_key&) const = default;
+};
+
+struct membership {
+  replica_key replica;
+  std::uint32_t rank{};  // 0: the head, which gets the requests
+  member_state state = member_state::joining;
+  auto operator<=>(const membership&) const = default;
+};
+
+// One life of a target, as it tells of itself.
+struct target_record {
+  target_id id;
+  service_id service;
+  endpoint address;
+  data_centre_id data_centre;
+  std::uint32_t slots = 1;
+  bool draining = false;  // leaves soon; gets nothing new
+  fabric_domain_id domain;
+  std::vector<model_id> staged;  // weights on its host
+  model_id loaded;               // the model it runs or last ran; empty: none
+  std::optional<membership> member_of;
+  bool operator==(const target_record&) const = default;
+};
+
+// What is known of a target beside its own words.
+struct target_view {
+  target_record record;
+  time_point heard_at{};    // its record last changed or it answered
+  bool listed = true;       // in the platform's list; false: kept for what may still run there
+  time_point unlisted_at{};
+  std::uint32_t failed_probes = 0;  // in a row
+  bool lost = false;                // does not answer; nothing is sent there
+  double pace = 1;                  // above 1: slower than it should be
+};
+
+class fleet_view {
+ public:
+  // From the platform's list. `observed_at`: when the question was sent.
+  void listed(time_point observed_at, target_record record);
+  void unlisted(time_point now, const target_id& id);
+  // A whole list: what it does not hold is unlisted.
+  void replace_all(time_point now, const std::vector<target_record>& records);
+
+  // A target's own report.
+  void reported(time_point now, const target_id& id, const std::optional<membership>& member_of,
+                const model_id& loaded, double pace);
+  // It did not answer a probe in time. Lost after `probes_until_lost` in a row.
+  void probe_failed(time_point now, const target_id& id);
+
+  // Targets that left the list are forgotten after `remembered`.
+  void forget_old(time_point now);
+
+  [[nodiscard]] const std::map<target_id, target_view>& all() const { return targets_; }
+  [[nodiscard]] const target_view* find(const target_id& id) const;
+  // Rises with each change that may alter what is routed to.
+  [[nodiscard]] std::uint64_t revision() const { return revision_; }
+
+  // One lost datagram or a busy link is no death: two probes in a row have to fail.
+  static constexpr std::uint32_t probes_until_lost = 2;
+  // Longer than a target goes on after it left the list (a drain and its grace, seconds).
+  static constexpr duration remembered = 60s;
+
+ private:
+  std::map<target_id, target_view> targets_;
+  std::uint64_t revision_{1};
+};
+
+// A replica that may be sent requests.
+struct serving_replica {
+  replica_key key;
+  service_id service;
+  model_id model;
+  target_id head;
+  endpoint address;
+  data_centre_id data_centre;
+  std::vector<target_id> members;
+  bool crosses_domains = false;
+  double pace = 1;  // of its slowest member, beyond that of the model
+};
+
+// Replicas whose head is open and whose members are all present, listed, alive and not leaving.
+[[nodiscard]] std::vector<serving_replica> serving_replicas(const fleet_view& fleet,
+                                                            const service_id& service,
+                                                            const model_id& model,
+                                                            std::uint32_t size);
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/process/hosted_settings.cpp
@@ -0,0 +1,112 @@
+// Settings of a hosted node from TOML.
+#include "process/hosted_settings.h"
+
+#include <array>
+
+#include "version/toml_reader.h"
+
+namespace arbutus {
+
+namespace {
+
+constexpr std::array<std::string_view, 4> level_names = {"debug", "info", "warning", "error"};
+// A bound of an hour or more is most likely given in another unit.
+constexpr whole_range bound_ms{1, 3'600'000};
+
+class hosted_reader {
+ public:
+  hosted_reader(const toml_table& document, findings& problems) : root_(document, "", problems) {}
+
+  hosted_settings read() {
+    read_node();
+    read_listen();
+    if (auto table = root_.table("platform", presence::required)) {
+      table->read("store", settings_.store, presence::required);
+      table->finish();
+    }
+    read_bounds();
+    read_log();
+    root_.finish();
+    return std::move(settings_);
+  }
+
+ private:
+  void read_node() {
+    auto table = root_.table("node", presence::required);
+    if (!table) {
+      return;
+    }
+    table->read("id", settings_.id);
+    table->read("data_centre", settings_.data_centre);
+    for (const auto& name : table->texts("data_centres")) {
+      settings_.data_centres.emplace_back(name.value);
+    }
+    table->read("cold_start", settings_.cold_start);
+    table->finish();
+  }
+
+  void read_listen() {
+    auto table = root_.table("listen", presence::required);
+    if (!table) {
+      return;
+    }
+    table->read("callers", settings_.listen.callers, presence::required);
+    table->read("ready", settings_.listen.ready, presence::required);
+    table->read("links", settings_.listen.links, presence::required);
+    table->read("metrics", settings_.listen.metrics, presence::required);
+    table->finish();
+  }
+
+  void read_bounds() {
+    auto table = root_.table("bounds");
+    if (!table) {
+      return;
+    }
+    hosted_bounds& bounds = settings_.bounds;
+    const auto optional = presence::optional;
+    table->read_ms("key_withdrawal_ms", bounds.key_withdrawal, optional, bound_ms);
+    table->read_ms("drain_ms", bounds.drain, optional, bound_ms);
+    table->read_ms("stall_ms", bounds.stall, optional, bound_ms);
+    table->read_ms("target_heartbeat_ms", bounds.target_heartbeat, optional, bound_ms);
+    read_seconds(*table, "grace_s", bounds.grace);
+    read_seconds(*table, "retry_window_s", bounds.retry_window);
+    table->read("retry_ratio", bounds.retry_ratio, optional, real_range{0, 10, false});
+    table->read("retry_burst", bounds.retry_burst, optional, real_range{0, 1e6, false});
+    table->finish();
+  }
+
+  static void read_seconds(table_reader& table, std::string_view key, duration& value) {
+    double seconds = to_seconds(value);
+    table.read(key, seconds, presence::optional, real_range{0, 3600, true});
+    value = from_seconds(seconds);
+  }
+
+  void read_log() {
+    auto table = root_.table("log");
+    if (!table) {
+      return;
+    }
+    auto level = static_cast<std::size_t>(settings_.log.level);
+    table->read_word("level", level, level_names);
+    settings_.log.level = static_cast<log_level>(level);
+    table->finish();
+  }
+
+  table_reader root_;
+  hosted_settings settings_;
+};
+
+}  // namespace
+
+hosted_settings_result load_hosted_settings(std::string_view text, const std::string& file_name) {
+  hosted_settings_result result;
+  const auto document = parse_filled_toml(
+      text, file_name, "the settings", "[node], [listen] and [platform] tables", result.problems);
+  if (!document) {
+    return result;
+  }
+  result.settings = hosted_reader(*document, result.problems).read();
+  return result;
+}
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/process/replica_keeper.h
@@ -0,0 +1,174 @@
+// Keeps replicas of a data centre's engines whole: makes spare engines ready for a model, forms
+// replicas of them, opens them, and takes apart those that lost a member.
+//
+// There is no row that says who belongs to whom. The truth is in the engines: each keeps the
+// replica it joined, with its epoch, and counts the orders it obeyed. Every order names the count
+// it was decided on, so that of two nodes that order the same engine one is refused, and an order
+// that arrives late finds another count. Two rules make that safe:
+//
+// - A replica is opened only after each member reported ready in it, at that epoch.
+// - A replica is taken apart head first: its members are used elsewhere only once the head was
+//   seen outside of it, or cannot serve any more. The order that took the head out also voids
+//   every order to open it that may still be on its way.
+//
+// A value: fed with (now, what is known), returns orders and questions.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "base/id.h"
+#include "base/units.h"
+#include "process/domain_shape.h"
+#include "process/fleet_view.h"
+#include "version/service_map.h"
+
+namespace arbutus {
+
+enum class order_action : std::uint8_t { join, open, close, leave };
+
+[[nodiscard]] std::string_view to_string(order_action action);
+
+struct replica_order {
+  target_id to;
+  endpoint address;
+  order_action action = order_action::join;
+  replica_key replica;
+  model_id model;                  // join
+  std::vector<target_id> members;  // join; the first is the head
+  std::uint64_t expected_orders{};  // orders that the target must have obeyed so far
+};
+
+// Asks a target for its report.
+struct report_question {
+  target_id to;
+  endpoint address;
+};
+
+using keeper_effect = std::variant<replica_order, report_question>;
+using keeper_effects = std::vector<keeper_effect>;
+
+enum class order_outcome : std::uint8_t {
+  begun,      // obeyed; the count of orders rose
+  holds,      // the state was there already
+  conflict,   // another count, or it does not fit the target's state
+  outdated,   // the epoch is lower than one the target knows
+  another,    // the address belongs to another target now
+  refused,    // not understood
+  no_answer,  // may or may not be obeyed, now or later
+  not_sent,   // no connection: not obeyed
+};
+
+struct target_report {
+  std::optional<membership> member_of;
+  model_id loaded;
+  std::uint64_t orders{};  // obeyed in this life
+  bool busy = false;       // an order is being carried out
+  double pace = 1;
+  std::uint32_t queued{};
+  std::uint32_t active{};
+};
+
+struct keeper_settings {
+  duration stall = 4s;  // an open head whose member is lost gives up after this
+  // Added to `stall`: lag of the leave order's answer and of the target's own timer.
+  duration stall_margin = 500ms;
+  // A member that was told to join a replica, and neither did nor refused, is asked again.
+  duration order_retry = 250ms;
+  // A replica of ready spares forms in 0.2 s (join) and 0.3 s (open); one that has not after this
+  // is taken apart, so that its members are not held by one that does not answer.
+  duration form_timeout = 3s;
+  // A closing head may go on with its requests so long before its replica is taken apart. Longest
+  // usual generation: 80 events of 50 ms.
+  duration close_timeout = 6s;
+  duration report_retry = 100ms;
+  // While the replicas of the start are loading the store's share is used for those of whole
+  // replicas; after this the rest is ordered at once, as loads are cheap until the first request.
+  duration cold_start_rush = 8500ms;
+};
+
+class replica_keeper {
+ public:
+  replica_keeper(const keeper_settings& settings, time_point started, bool cold_start)
+      : settings_(settings), started_(started), cold_start_(cold_start) {}
+
+  struct duties {
+    std::set<data_centre_id> data_centres;  // whose engines this node orders
+    std::size_t all_data_centres = 1;       // that have engines: the load limits are shared
+    bool requests_seen = false;             // loads cost their full time from then on
+  };
+
+  // What to do now for the engines of `service`. Call every few tens of ms.
+  [[nodiscard]] keeper_effects tick(time_point now, const fleet_view& fleet,
+                                    const service_shape& service, const duties& own);
+
+  void on_order(time_point now, const replica_order& order, order_outcome outcome);
+  void on_report(time_point now, const target_id& id, const std::optional<target_report>& report);
+
+  // Replicas being formed by this node, for status and tests.
+  [[nodiscard]] std::size_t forming() const { return forming_.size(); }
+
+ private:
+  // What this node knows of an engine beyond the fleet view.
+  struct engine_memory {
+    std::optional<std::uint64_t> orders;  // obeyed; empty: ask first
+    bool order_pending = false;
+    bool report_pending = false;
+    time_point ask_after{};    // next question or repeated order, not earlier
+    model_id ready_for;        // joins a replica of this model in 0.2 s
+    std::optional<replica_key> orphan_of;   // told to leave a replica whose head may still serve
+    std::optional<time_point> usable_from;  // that head must have noticed by then
+  };
+  struct forming_replica {
+    replica_key key;
+    model_id model;
+    std::vector<target_id> members;
+    time_point begun;
+    bool failed = false;  // is being taken apart
+  };
+  struct standing_replica {
+    replica_key key;
+    std::vector<const target_view*> members;
+  };
+
+  struct round;  // one tick
+
+  void note_engines(round& r);
+  void ask_reports(round& r);
+  void advance_forming(round& r);
+  void mend_standing(round& r);
+  void take_apart(round& r, const standing_replica& replica);
+  void orphan(round& r, const standing_replica& replica);
+  void find_free(round& r);
+  void form(round& r);
+  void form_in(round& r, const fabric_domain_id& domain, const model_shape& model);
+  void prepare(round& r);
+  void send(round& r, const target_view& to, order_action action, const replica_key& replica,
+            const model_id& model = {}, const std::vector<target_id>& members = {});
+  [[nodiscard]] bool may_order(const round& r, const target_id& id) const;
+  [[nodiscard]] const model_id& model_of(const target_view& view) const;
+  [[nodiscard]] std::uint64_t next_epoch(const round& r);
+
+  keeper_settings settings_;
+  time_point started_;
+  bool cold_start_;
+  std::uint64_t last_epoch_ = 0;
+  std::map<target_id, engine_memory> memory_;
+  std::vector<forming_replica> forming_;
+  // When this node began to close a head, so that it is not waited for endlessly.
+  std::map<replica_key, time_point> closing_since_;
+};
+
+// Names: a spare holds a replica of itself alone, which is never opened; a real one is named after
+// its head, so that a node that never saw the head's record knows whom to ask.
+[[nodiscard]] std::string spare_name(const target_id& id);
+[[nodiscard]] std::string replica_name(const target_id& head);
+[[nodiscard]] bool is_spare_name(std::string_view name);
+[[nodiscard]] target_id head_of(std::string_view name);
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/request/instance_choice.cpp
@@ -0,0 +1,75 @@
+// Choosing instances of plain services.
+#include "request/instance_choice.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace arbutus {
+
+double instance_table::failure_share(time_point now, const known& k) const {
+  const double half_lives =
+      to_seconds(now - k.failures_at) / to_seconds(settings_.failure_half_life);
+  return k.failures * std::exp2(-std::max(0.0, half_lives));
+}
+
+std::optional<std::size_t> instance_table::choose(time_point now,
+                                                  std::span<const service_instance> candidates,
+                                                  const data_centre_id& home,
+                                                  std::span<const target_id> avoided) const {
+  std::optional<std::size_t> best;
+  double best_cost = std::numeric_limits<double>::max();
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    const service_instance& candidate = candidates[i];
+    if (std::find(avoided.begin(), avoided.end(), candidate.id) != avoided.end()) {
+      continue;
+    }
+    double cost = candidate.data_centre == home ? 0 : settings_.away_cost;
+    if (const auto found = known_.find(candidate.id); found != known_.end()) {
+      const known& k = found->second;
+      const bool fresh = now - k.told_at < settings_.told_load_memory;
+      cost += std::max(k.active, fresh ? k.told_calls : 0.0);
+      cost += settings_.failure_cost * failure_share(now, k);
+    }
+    if (cost < best_cost) {
+      best_cost = cost;
+      best = i;
+    }
+  }
+  return best;
+}
+
+void instance_table::sent(const target_id& id) {
+  known_[id].active += 1;
+}
+
+void instance_table::ended(time_point now, const target_id& id, call_end end) {
+  known& k = known_[id];
+  k.active = std::max(0.0, k.active - 1);
+  if (end == call_end::withdrawn) {
+    return;
+  }
+  const double before = failure_share(now, k);
+  const double outcome = end == call_end::answered ? 0 : 1;
+  k.failures = before + settings_.failure_weight * (outcome - before);
+  k.failures_at = now;
+}
+
+void instance_table::told(time_point now, const target_id& id, double calls) {
+  known& k = known_[id];
+  k.told_calls = calls;
+  k.told_at = now;
+}
+
+void instance_table::forget(const std::vector<target_id>& gone) {
+  for (const target_id& id : gone) {
+    known_.erase(id);
+  }
+}
+
+double instance_table::active(const target_id& id) const {
+  const auto found = known_.find(id);
+  return found == known_.end() ? 0 : found->second.active;
+}
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/request/replica_choice.h
@@ -0,0 +1,113 @@
+// Which replica gets a request of a model, and when none should.
+//
+// A replica batches: all its requests advance by passes. Reading a prompt takes time of its own in
+// a pass, and a pass with requests that generate runs `stride` steps. So the time to the first
+// event of a new request is: the rest of the running pass, the prompts still unread there, its own
+// prompt, and one pass. All parameters are the operators'; the load is what this node sent itself,
+// plus what its peers told.
+//
+// It answers steady loads up to the replicas' slots, and bursts beyond them: there a request that
+// would only make others late is refused with the time until a place becomes free.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "base/id.h"
+#include "base/units.h"
+#include "process/fleet_view.h"
+#include "version/service_map.h"
+
+namespace arbutus {
+
+// Size of a generation, as its caller declares it.
+struct generation_size {
+  double prompt_tokens = 0;
+  double answer_tokens = 0;
+};
+
+// Requests of this node and its peers at one replica.
+struct replica_load {
+  double active = 0;         // requests
+  double unread_tokens = 0;  // of prompts whose first event has not come yet
+};
+
+// Loads by head; a head that lives again has another id.
+class load_table {
+ public:
+  void sent(const target_id& head, const generation_size& size);
+  void first_event(const target_id& head, const generation_size& size);
+  void ended(const target_id& head, const generation_size& size, bool had_first_event);
+
+  // What a peer has at each head, as it last told.
+  void heard(const node_id& peer, time_point now, std::map<target_id, replica_load> loads);
+  void forget_peers(time_point now);
+
+  // Own load alone, to tell peers.
+  [[nodiscard]] const std::map<target_id, replica_load>& own() const { return own_; }
+  [[nodiscard]] replica_load total(const target_id& head) const;
+
+  // A peer that is not heard for so long has ended, or its requests have: twice the longest usual
+  // generation would hide capacity, a heartbeat's loss would double-book it.
+  static constexpr duration peer_memory = 1500ms;
+
+ private:
+  struct peer_loads {
+    time_point heard_at;
+    std::map<target_id, replica_load> loads;
+  };
+  std::map<target_id, replica_load> own_;
+  std::map<node_id, peer_loads> peers_;
+};
+
+struct choice_settings {
+  // Added for a replica in another data centre: its bytes are dear, and it has its own callers.
+  duration away_penalty = 8ms;
+  // One-way delay between data centres where the operators name none.
+  duration away_delay = 2ms;
+  // Requests beyond a replica's slots wait in the engine for one to end; such a wait ends in no
+  // known time, so only this many are sent beyond the slots.
+  double beyond_slots = 2;
+};
+
+struct replica_estimate {
+  duration to_first_event{};
+  duration between_events{};
+  double active = 0;  // requests there now
+};
+
+// Expected times of a request of `size` on a replica that has `load`.
+[[nodiscard]] replica_estimate estimate(const engine_parameters& engine, const model_shape& model,
+                                        const replica_load& load, const generation_size& size,
+                                        double pace, bool crosses_domains);
+
+struct chosen_replica {
+  std::size_t index{};  // in the candidates
+  replica_estimate expected;
+};
+struct no_replica {
+  duration retry_after{};  // until a place is expected
+  std::string_view reason;
+};
+using replica_choice = std::variant<chosen_replica, no_replica>;
+
+struct choice_request {
+  data_centre_id home;
+  generation_size size;
+  duration time_left{};
+  std::span<const target_id> avoided;    // heads tried already
+  std::span<const target_id> suspected;  // heads that have gone silent
+};
+
+[[nodiscard]] replica_choice choose_replica(const engine_parameters& engine,
+                                            const model_shape& model,
+                                            std::span<const serving_replica> candidates,
+                                            const load_table& loads, const choice_request& request,
+                                            const choice_settings& settings = {});
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/version/service_map.cpp
@@ -0,0 +1,95 @@
+// Look-ups in an accepted version.
+#include "version/service_map.h"
+
+#include <algorithm>
+
+#include "base/hash.h"
+
+namespace arbutus {
+
+namespace {
+
+std::string lower_host(std::string_view host) {
+  std::string result(host.substr(0, host.find(':')));
+  std::transform(result.begin(), result.end(), result.begin(), [](char c) {
+    return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+  });
+  return result;
+}
+
+}  // namespace
+
+const model_shape* engine_parameters::find_model(const model_id& id) const {
+  const auto found =
+      std::find_if(models.begin(), models.end(), [&](const model_shape& m) { return m.id == id; });
+  return found == models.end() ? nullptr : &*found;
+}
+
+service_map::service_map(std::uint64_t version, std::vector<route> routes,
+                         std::vector<service_shape> services,
+                         std::vector<workspace_shape> workspaces, const caller_limits& limits)
+    : version_(version),
+      routes_(std::move(routes)),
+      services_(std::move(services)),
+      workspaces_(std::move(workspaces)),
+      limits_(limits) {
+  for (std::size_t i = 0; i < routes_.size(); ++i) {
+    by_host_[lower_host(routes_[i].host)].push_back(i);
+  }
+  for (auto& [host, positions] : by_host_) {
+    std::stable_sort(positions.begin(), positions.end(), [this](std::size_t a, std::size_t b) {
+      return routes_[a].prefix.size() > routes_[b].prefix.size();
+    });
+  }
+  for (std::size_t i = 0; i < workspaces_.size(); ++i) {
+    for (const std::string& key : workspaces_[i].keys) {
+      by_key_.emplace(key, i);
+    }
+  }
+}
+
+const route* service_map::find_route(std::string_view host, std::string_view path) const {
+  const auto found = by_host_.find(lower_host(host));
+  if (found == by_host_.end()) {
+    return nullptr;
+  }
+  for (const std::size_t position : found->second) {
+    if (path.starts_with(routes_[position].prefix)) {
+      return &routes_[position];
+    }
+  }
+  return nullptr;
+}
+
+const workspace_shape* service_map::find_workspace(std::string_view key) const {
+  const auto found = by_key_.find(std::string(key));
+  return found == by_key_.end() ? nullptr : &workspaces_[found->second];
+}
+
+const service_shape* service_map::find_service(const service_id& id) const {
+  const auto found = std::find_if(services_.begin(), services_.end(),
+                                  [&](const service_shape& s) { return s.id == id; });
+  return found == services_.end() ? nullptr : &*found;
+}
+
+const service_id* pick_service(const route& r, std::string_view subject) {
+  double total = 0;
+  for (const route_share& share : r.shares) {
+    total += std::max(share.weight, 0.0);
+  }
+  if (total <= 0) {
+    return r.shares.empty() ? nullptr : &r.shares.front().service;
+  }
+  constexpr double buckets = 1 << 20;
+  const auto bucket = static_cast<double>(stable_hash(subject) % (1U << 20U));
+  double at = bucket / buckets * total;
+  for (const route_share& share : r.shares) {
+    at -= std::max(share.weight, 0.0);
+    if (at < 0) {
+      return &share.service;
+    }
+  }
+  return &r.shares.back().service;
+}
+
+}  // namespace arbutus
--- a/tests/shell/cli_log_test.cpp
+++ b/tests/shell/cli_log_test.cpp
@@ -7,7 +7,7 @@
 #include <nlohmann/json.hpp>
 #include <sstream>
 
-#include "cli/log.h"
+#include "node/log.h"
 
 namespace arbutus {
 namespace {
