Plain services are not probed as engines; silent list makes engines be asked

Cause: records of targets change only when more than their counter does, so all looked stale; plain services do not answer reports and were taken for lost. Change: only engines are asked, and only while the list cannot be read.

--- a/src/node/hosted_state.h
+++ b/src/node/hosted_state.h
@@ -43,6 +43,7 @@
   config_lease lease;
   fleet_view fleet;
   bool fleet_known = false;  // the list of targets was read once
+  time_point fleet_read_at{};  // question of the newest answer from the list
   load_table loads;
   instance_table instances;
   std::map<service_id, retry_window> retries;
--- a/src/node/keeper_loop.cpp
+++ b/src/node/keeper_loop.cpp
@@ -18,8 +18,9 @@
 // A suspect's member is asked twice, so a dead one is known 2 x this after the silence. Live ones
 // answer within 3 ms; the rest is room for a node that is short of processor time.
 constexpr duration probe_timeout = 90ms;
-// Whether an engine still writes its record: half a heartbeat late.
-constexpr double late_record = 1.9;
+// While the platform's list cannot be read, engines are asked themselves so often. The list itself
+// drops a silent one after three heartbeats.
+constexpr double heartbeats_between_questions = 2;
 // Peers learn of sends within this; the same load is then double-booked for 100 ms on average.
 constexpr duration beat_interval = 200ms;
 
@@ -63,7 +64,7 @@
     return;
   }
   if (!duties_.empty()) {
-    check_records(now);
+    check_unheard(now);
   }
   for (const service_shape& service : node_.map->services()) {
     if (!service.engine) {
@@ -109,6 +110,9 @@
     }
     const auto& order = std::get<replica_order>(wanted);
     const order_outcome outcome = node_.engines.order(order, deadline);
+    if (outcome == order_outcome::no_answer || outcome == order_outcome::not_sent) {
+      node_.fleet.probe_failed(monotonic_now(), order.to);
+    }
     static constexpr std::string_view names[] = {"begun",   "holds",     "conflict", "outdated",
                                                  "another", "refused",   "no_answer", "not_sent"};
     log_line(log_level::info, "keeper", "order",
@@ -202,11 +206,18 @@
                       state->failed ? "found=\"lost\"" : "found=\"well\"");
 }
 
-// Spares carry no streams whose silence would tell: their records going stale does.
-void keeper_loop::check_records(time_point now) {
-  const auto late = from_seconds(to_seconds(node_.settings.bounds.target_heartbeat) * late_record);
+// Spares carry no streams whose silence would tell that they died. Usually the platform's list
+// does; while it cannot be read, they are asked.
+void keeper_loop::check_unheard(time_point now) {
+  const auto late = from_seconds(to_seconds(node_.settings.bounds.target_heartbeat) *
+                                 heartbeats_between_questions);
+  if (now - node_.fleet_read_at < late) {
+    return;
+  }
   for (const auto& [id, view] : node_.fleet.all()) {
-    const bool own = duties_.contains(view.record.data_centre) && view.listed && !view.lost;
+    const service_shape* service = node_.map->find_service(view.record.service);
+    const bool own = service != nullptr && service->engine && view.listed && !view.lost &&
+                     duties_.contains(view.record.data_centre);
     if (own && now - view.heard_at > late && probing_.insert(id).second) {
       node_.runtime.post(0, [this, id = id] {
         if (!probe(id, order_timeout)) {
--- a/src/node/keeper_loop.h
+++ b/src/node/keeper_loop.h
@@ -26,7 +26,7 @@
   void keep(time_point now);
   void carry_out(const service_id& service, const keeper_effect& effect);
   void watch_silence(time_point now);
-  void check_records(time_point now);
+  void check_unheard(time_point now);
   void check_replica(const target_id& head);
   bool probe(const target_id& id, duration timeout);
   void tell_peers(time_point now);
--- a/src/node/store_watch.cpp
+++ b/src/node/store_watch.cpp
@@ -187,6 +187,7 @@
   }
   node_.fleet.replace_all(asked, records);
   node_.fleet_known = true;
+  node_.fleet_read_at = asked;
   position = first_version;
   log_line(log_level::info, "fleet", "read whole",
            {{"targets", std::uint64_t{records.size()}}, {"position", position}});
@@ -214,6 +215,7 @@
         take_target(asked, row);
       }
       position = std::max(position, rows->version);
+      node_.fleet_read_at = asked;
       note_dependency("targets", targets_up_, true, "watched");
     } else if (std::holds_alternative<history_dropped>(result)) {
       positioned = false;
