Keeper: domains of one model, staged engines at once, replicas of what is left; lost engines asked again

Cause: a domain of 4+3+2 kept a third of its engines as spares that no replica could use; engines that came back with their weights waited behind loads; an engine once lost stayed lost. Change: plan over the whole fleet by replicas that last through losses and the loss of a domain; staged joins are no loads; slow replicas across domains of what is left over; lost engines are asked until the list drops them.

--- a/src/node/keeper_loop.cpp
+++ b/src/node/keeper_loop.cpp
@@ -23,6 +23,10 @@
 constexpr double heartbeats_between_questions = 2;
 // Peers learn of sends within this; the same load is then double-booked for 100 ms on average.
 constexpr duration beat_interval = 200ms;
+constexpr duration plan_log_interval = 1s;
+// A lost engine that lives serves again within this; one that is dead is asked some ten times until
+// the list drops it.
+constexpr duration lost_interval = 400ms;
 
 }  // namespace
 
@@ -33,6 +37,7 @@
   while (sleep_until(monotonic_now() + tick_interval)) {
     const time_point now = monotonic_now();
     watch_silence(now);
+    ask_lost(now);
     if (node_.map && node_.fleet_known && !node_.stopping) {
       keep(now);
     }
@@ -72,13 +77,12 @@
     }
     auto found = keepers_.find(service.id);
     if (found == keepers_.end()) {
-      keeper_settings settings;
-      settings.stall = node_.settings.bounds.stall;
       found = keepers_
                   .emplace(service.id,
-                           replica_keeper(settings, started_, node_.settings.cold_start))
+                           replica_keeper({}, started_, node_.settings.cold_start))
                   .first;
     }
+    tell_capacity(service);
     const replica_keeper::duties own{duties_, node_.settings.data_centres.size(),
                                      node_.requests_seen};
     if (duties_.empty()) {
@@ -87,6 +91,46 @@
     for (const keeper_effect& wanted : found->second.tick(now, node_.fleet, service, own)) {
       carry_out(service.id, wanted);
     }
+    tell_plan(now, found->second);
+  }
+}
+
+// What the keeper of a data centre has to work with, at most once a second.
+void keeper_loop::tell_plan(time_point now, const replica_keeper& keeper) {
+  if (now - told_plan_at_ < plan_log_interval || keeper.plan() == told_plan_) {
+    return;
+  }
+  told_plan_at_ = now;
+  told_plan_ = keeper.plan();
+  std::string text;
+  const auto add = [&text](const std::vector<std::uint32_t>& counts) {
+    for (const std::uint32_t n : counts) {
+      text += (text.ends_with('[') ? "" : "+") + std::to_string(n);
+    }
+  };
+  for (const auto& d : told_plan_) {
+    text += (text.empty() ? "" : "; ") + d.domain.str() + " ready [";
+    add(d.ready);
+    text += "] wanted [";
+    add(d.wanted);
+    text += "] blank " + std::to_string(d.blank) + " free " + std::to_string(d.free);
+  }
+  log_line(log_level::info, "keeper", "plan", {{"domains", text}});
+}
+
+// One line for each change of what may be sent requests.
+void keeper_loop::tell_capacity(const service_shape& service) {
+  for (const model_shape& model : service.engine->models) {
+    const std::size_t serving = node_.replicas(service, model.id).size();
+    const auto [known, is_new] = capacity_.emplace(model.id, serving);
+    if (!is_new && known->second == serving) {
+      continue;
+    }
+    log_line(log_level::info, "fleet", "capacity",
+             {{"model", model.id},
+              {"replicas", std::uint64_t{serving}},
+              {"before", std::uint64_t{is_new ? 0 : known->second}}});
+    known->second = serving;
   }
 }
 
@@ -157,6 +201,26 @@
   return false;
 }
 
+// Goes wrong: a lost engine that lives, as after a cut, writes no new record, since nothing of it
+// changed; it would stay lost. One would see a fleet that is whole and serves little. So lost
+// engines are asked until the platform's list drops them.
+void keeper_loop::ask_lost(time_point now) {
+  if (now - asked_lost_at_ < lost_interval) {
+    return;
+  }
+  asked_lost_at_ = now;
+  for (const auto& [id, view] : node_.fleet.all()) {
+    if (view.lost && view.listed && probing_.insert(id).second) {
+      node_.runtime.post(0, [this, id = id] {
+        if (probe(id, order_timeout)) {
+          log_line(log_level::info, "fleet", "back", {{"target", id}});
+        }
+        probing_.erase(id);
+      });
+    }
+  }
+}
+
 // Asks every member of a silent replica at once; one that does not answer is asked again.
 void keeper_loop::check_replica(const target_id& head) {
   const target_view* view = node_.fleet.find(head);
--- a/src/node/keeper_loop.h
+++ b/src/node/keeper_loop.h
@@ -24,9 +24,12 @@
 
  private:
   void keep(time_point now);
+  void tell_capacity(const service_shape& service);
+  void tell_plan(time_point now, const replica_keeper& keeper);
   void carry_out(const service_id& service, const keeper_effect& effect);
   void watch_silence(time_point now);
   void check_unheard(time_point now);
+  void ask_lost(time_point now);
   void check_replica(const target_id& head);
   bool probe(const target_id& id, duration timeout);
   void tell_peers(time_point now);
@@ -39,7 +42,11 @@
   std::set<target_id> probing_;
   std::vector<node_id> peer_ids_;
   std::set<data_centre_id> duties_;
+  std::map<model_id, std::size_t> capacity_;  // replicas that may be sent requests, as last told
   time_point told_peers_at_{};
+  time_point told_plan_at_{};
+  time_point asked_lost_at_{};
+  std::vector<replica_keeper::domain_plan> told_plan_;
 };
 
 }  // namespace arbutus
--- a/src/process/domain_shape.cpp
+++ b/src/process/domain_shape.cpp
@@ -1,98 +1,177 @@
-// Shaping one domain: all splits of its engines are tried; a domain has a few dozen engines.
+// Planning by local search: one domain at a time is shaped anew, given the others, until nothing
+// improves. Domains are few (6 to 16) and have some dozen engines.
 #include "process/domain_shape.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace arbutus {
 
 namespace {
 
-// A model without any replica serves nobody: worse than any split that has one.
-constexpr double cost_of_none = 1e3;
+// Stands for "no replica at all": worse than any plan that has one of each model.
+constexpr double least_replicas = 0.05;
+constexpr int most_rounds = 8;
 
-double model_cost(const shape_demand& model, std::uint32_t replicas) {
-  const double total = model.replicas_elsewhere + replicas;
-  if (total <= 0) {
-    return model.work > 0 ? cost_of_none : 0;
-  }
-  return model.work * model.work / total;
-}
+class search {
+ public:
+  search(std::span<const shape_domain> domains, std::span<const shape_model> models,
+         const shape_settings& settings)
+      : domains_(domains), models_(models), settings_(settings) {}
 
-// Spares go first to the models with most replicas here, since those lose members most often.
-std::vector<std::uint32_t> spread_spares(std::uint32_t left,
-                                         const std::vector<shape_demand>& models,
-                                         const std::vector<std::uint32_t>& replicas) {
-  std::vector<std::uint32_t> spares(models.size(), 0);
-  while (left > 0) {
-    std::size_t best = 0;
-    double best_need = -1;
-    for (std::size_t i = 0; i < models.size(); ++i) {
-      const double members = static_cast<double>(replicas[i]) * models[i].size + 0.5;
-      const double need = members / (spares[i] + 1.0) + models[i].work;
-      if (need > best_need) {
-        best_need = need;
-        best = i;
+  fleet_shape run() {
+    for (const shape_domain& domain : domains_) {
+      shape_.push_back(first_shape(domain));
+    }
+    replicas_.resize(domains_.size());
+    for (std::size_t d = 0; d < domains_.size(); ++d) {
+      replicas_[d] = replicas_of(d, shape_[d]);
+    }
+    scale_ = cost();
+    bool improved = true;
+    for (int round = 0; improved && round < most_rounds; ++round) {
+      improved = false;
+      for (std::size_t d = 0; d < domains_.size(); ++d) {
+        improved = reshape(d) || improved;
       }
     }
-    ++spares[best];
-    --left;
+    return shape_;
   }
-  return spares;
-}
 
-class search {
- public:
-  search(std::uint32_t engines, const std::vector<shape_demand>& models)
-      : models_(models), engines_(engines), trial_(models.size(), 0) {}
+ private:
+  using split = std::vector<std::uint32_t>;
 
-  domain_shape run() {
-    try_model(0, engines_);
-    return best_;
+  [[nodiscard]] std::uint32_t engines(std::size_t d) const {
+    std::uint32_t sum = domains_[d].blank;
+    for (const std::uint32_t n : domains_[d].ready) {
+      sum += n;
+    }
+    return sum;
   }
 
- private:
-  void try_model(std::size_t index, std::uint32_t left) {
-    if (index == models_.size()) {
-      judge(left);
-      return;
+  // What is ready stays; blanks go to the model with most work until the search says otherwise.
+  [[nodiscard]] split first_shape(const shape_domain& domain) const {
+    split result = domain.ready;
+    result.resize(models_.size(), 0);
+    std::size_t heaviest = 0;
+    for (std::size_t m = 1; m < models_.size(); ++m) {
+      heaviest = models_[m].work > models_[heaviest].work ? m : heaviest;
     }
-    const std::uint32_t most = left / std::max(models_[index].size, 1U);
-    for (std::uint32_t n = 0; n <= most; ++n) {
-      trial_[index] = n;
-      try_model(index + 1, left - n * models_[index].size);
+    result[heaviest] += domain.blank;
+    return result;
+  }
+
+  [[nodiscard]] std::vector<double> replicas_of(std::size_t d, const split& s) const {
+    std::vector<double> result;
+    const std::uint32_t all = engines(d);
+    for (std::size_t m = 0; m < models_.size(); ++m) {
+      result.push_back(lasting_replicas(s[m], all, models_[m].size, settings_.losses));
+    }
+    return result;
+  }
+
+  // Engines of a domain that would have to be made ready for another model.
+  [[nodiscard]] double changes(std::size_t d, const split& s) const {
+    double count = 0;
+    for (std::size_t m = 0; m < models_.size(); ++m) {
+      const std::uint32_t have = m < domains_[d].ready.size() ? domains_[d].ready[m] : 0;
+      count += have > s[m] ? have - s[m] : 0;
     }
-    trial_[index] = 0;
+    return count;
   }
 
-  void judge(std::uint32_t left) {
-    double cost = 0;
-    for (std::size_t i = 0; i < models_.size(); ++i) {
-      cost += model_cost(models_[i], trial_[i]);
+  // Of the models' replicas, without those of domain `away` (none: the number of domains).
+  [[nodiscard]] double cost_without(const std::vector<double>& totals, std::size_t away) const {
+    double sum = 0;
+    for (std::size_t m = 0; m < models_.size(); ++m) {
+      const double lost = away < replicas_.size() ? replicas_[away][m] : 0;
+      sum += models_[m].work * models_[m].work / (totals[m] - lost + least_replicas);
     }
-    const auto spares = spread_spares(left, models_, trial_);
-    for (std::size_t i = 0; i < models_.size(); ++i) {
-      if (spares[i] > 0 && trial_[i] > 0) {
-        cost -= spare_worth;
+    return sum;
+  }
+
+  [[nodiscard]] double cost() const {
+    std::vector<double> totals(models_.size(), 0);
+    for (const auto& of_domain : replicas_) {
+      for (std::size_t m = 0; m < models_.size(); ++m) {
+        totals[m] += of_domain[m];
       }
     }
-    if (cost < best_cost_) {
-      best_cost_ = cost;
-      best_ = {trial_, spares};
+    double without_one = 0;
+    for (std::size_t d = 0; d < replicas_.size(); ++d) {
+      without_one += cost_without(totals, d);
+    }
+    without_one /= static_cast<double>(std::max<std::size_t>(replicas_.size(), 1));
+    return (1 - settings_.domain_loss) * cost_without(totals, replicas_.size()) +
+           settings_.domain_loss * without_one;
+  }
+
+  bool reshape(std::size_t d) {
+    best_ = cost() + scale_ * settings_.change_cost * changes(d, shape_[d]);
+    best_split_ = shape_[d];
+    const split before = shape_[d];
+    split trial(models_.size(), 0);
+    try_model(d, 0, engines(d), trial);
+    shape_[d] = best_split_;
+    replicas_[d] = replicas_of(d, best_split_);
+    return best_split_ != before;
+  }
+
+  void try_model(std::size_t d, std::size_t model, std::uint32_t left, split& trial) {
+    if (model + 1 == models_.size()) {
+      trial[model] = left;
+      judge(d, trial);
+      return;
+    }
+    for (std::uint32_t n = 0; n <= left; ++n) {
+      trial[model] = n;
+      try_model(d, model + 1, left - n, trial);
     }
   }
 
-  const std::vector<shape_demand>& models_;
-  std::uint32_t engines_;
-  std::vector<std::uint32_t> trial_;
-  double best_cost_ = std::numeric_limits<double>::max();
-  domain_shape best_;
+  void judge(std::size_t d, const split& trial) {
+    replicas_[d] = replicas_of(d, trial);
+    const double c = cost() + scale_ * settings_.change_cost * changes(d, trial);
+    constexpr double least_gain = 1e-9;
+    if (c < best_ - least_gain) {
+      best_ = c;
+      best_split_ = trial;
+    }
+  }
+
+  std::span<const shape_domain> domains_;
+  std::span<const shape_model> models_;
+  shape_settings settings_;
+  fleet_shape shape_;
+  std::vector<std::vector<double>> replicas_;  // lasting ones, by domain and model
+  double scale_ = 0;
+  double best_ = 0;
+  split best_split_;
 };
 
 }  // namespace
 
-domain_shape shape_domain(std::uint32_t engines, const std::vector<shape_demand>& models) {
-  return search(engines, models).run();
+double lasting_replicas(std::uint32_t own, std::uint32_t all, std::uint32_t size,
+                        std::uint32_t losses) {
+  if (own < size || all == 0) {
+    return 0;
+  }
+  double sum = 0;
+  for (std::uint32_t lost = 0; lost <= losses; ++lost) {
+    // Losses fall on the models by their engines.
+    const double left = own - static_cast<double>(lost) * own / all;
+    sum += std::floor(left / size + 1e-9);
+  }
+  return sum / (losses + 1);
+}
+
+fleet_shape plan_shape(std::span<const shape_domain> domains, std::span<const shape_model> models,
+                       const shape_settings& settings) {
+  if (models.empty()) {
+    return fleet_shape(domains.size());
+  }
+  return search(domains, models, settings).run();
 }
 
 }  // namespace arbutus
--- a/src/process/domain_shape.h
+++ b/src/process/domain_shape.h
@@ -1,37 +1,50 @@
-// How many replicas of each model the engines of one fabric domain should form, and which spare
-// engines should be made ready for which model.
+// How many engines of each fabric domain should be made ready for which model.
 //
-// A replica is slow unless its members share a domain, so each domain is shaped by itself, given
-// what stands elsewhere.
+// A replica is slow unless its members share a domain, so engines of a domain that are ready for
+// the same model repair each other's replicas: what is left of one that lost a member serves as
+// spares of the others. So a plan counts the replicas that a domain still forms after losses, and
+// by that count a domain of one model mostly does better than a mixed one.
 #pragma once
 
 #include <cstdint>
+#include <span>
 #include <vector>
 
 namespace arbutus {
 
-// One model, as the shape of a domain sees it.
-struct shape_demand {
-  std::uint32_t size = 1;       // engines of a replica
-  double work = 0;              // share of the service's work, any unit
-  double replicas_elsewhere{};  // that stand or form in other domains
+struct shape_model {
+  std::uint32_t size = 1;  // engines of a replica
+  double work = 0;         // share of the service's work, any unit
 };
 
-struct domain_shape {
-  std::vector<std::uint32_t> replicas;  // by model
-  std::vector<std::uint32_t> spares;    // engines beyond those, made ready for the model
+struct shape_domain {
+  std::vector<std::uint32_t> ready;  // engines by model that they are ready for, or loading
+  std::uint32_t blank = 0;           // engines that are ready for none
 };
 
-// Shapes `engines` engines. Minimises the sum of work² / replicas, which is least when each model
-// has replicas in proportion to its work, less `spare_worth` for each model that has a spare.
-[[nodiscard]] domain_shape shape_domain(std::uint32_t engines,
-                                        const std::vector<shape_demand>& models);
-
-// A replica that loses a member is repaired in about half a second with a spare of its model in
-// its domain, and stays down for the load of a model, 12 to 16 s, without one. At two lost engines
-// every three seconds among 54, a domain of nine loses one each 9 s on average, so that a spare
-// saves more replica time than a sixth replica of a model adds. In units of work²/replicas at a
-// dozen replicas, where one more replica changes the sum by about 0.01.
-inline constexpr double spare_worth = 0.006;
+// Engines by domain and model; those of a domain sum up to what it has.
+using fleet_shape = std::vector<std::vector<std::uint32_t>>;
+
+struct shape_settings {
+  // Engines of a domain that may be lost before others come: with 20 of 54 lost in half a minute,
+  // and a load of 12 to 16 s until one that came can serve, about a third of a domain is away.
+  std::uint32_t losses = 3;
+  // Weight of the plans' worth with one domain away, each in turn: some days lose a whole domain for
+  // 7 to 8 of their 34 s.
+  double domain_loss = 0.25;
+  // Cost of making a ready engine ready for another model, as a part of the whole cost: a change
+  // has to gain more than the 12 to 16 s without the engine, of half a minute.
+  double change_cost = 0.06;
+};
+
+// Minimises the sum of work² / replicas over the models, which is least when each has replicas in
+// proportion to its work. Deterministic: nodes that see the same plan the same.
+[[nodiscard]] fleet_shape plan_shape(std::span<const shape_domain> domains,
+                                     std::span<const shape_model> models,
+                                     const shape_settings& settings = {});
+
+// Replicas of `size` that `own` of a domain's `all` engines form, averaged over the losses.
+[[nodiscard]] double lasting_replicas(std::uint32_t own, std::uint32_t all, std::uint32_t size,
+                                      std::uint32_t losses);
 
 }  // namespace arbutus
--- a/src/process/replica_keeper.cpp
+++ b/src/process/replica_keeper.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 
 namespace arbutus {
 
@@ -10,6 +11,19 @@
 
 constexpr std::string_view spare_prefix = "s.";
 constexpr std::string_view replica_prefix = "r.";
+constexpr char name_separator = '.';
+
+bool spans_domains(const std::vector<const target_view*>& members) {
+  return std::any_of(members.begin(), members.end(), [&](const target_view* m) {
+    return m->record.domain != members.front()->record.domain;
+  });
+}
+
+// Weights on the host: no load from the weight store is needed.
+bool is_staged(const target_view& view, const model_id& model) {
+  const auto& staged = view.record.staged;
+  return std::find(staged.begin(), staged.end(), model) != staged.end();
+}
 
 }  // namespace
 
@@ -18,12 +32,12 @@
   return names[static_cast<std::size_t>(action)];
 }
 
-std::string spare_name(const target_id& id) {
-  return std::string(spare_prefix) + id.str();
+std::string spare_name(const model_id& model, const target_id& id) {
+  return std::string(spare_prefix) + model.str() + name_separator + id.str();
 }
 
-std::string replica_name(const target_id& head) {
-  return std::string(replica_prefix) + head.str();
+std::string replica_name(const model_id& model, const target_id& head) {
+  return std::string(replica_prefix) + model.str() + name_separator + head.str();
 }
 
 bool is_spare_name(std::string_view name) {
@@ -31,9 +45,22 @@
 }
 
 target_id head_of(std::string_view name) {
-  return target_id{name.substr(name.find('.') + 1)};
+  return target_id{name.substr(name.rfind(name_separator) + 1)};
 }
 
+model_id model_in(std::string_view name) {
+  const auto first = name.find(name_separator);
+  const auto last = name.rfind(name_separator);
+  return first < last ? model_id{name.substr(first + 1, last - first - 1)} : model_id{};
+}
+
+// Engines of a domain by what they are ready for, beside what they should be.
+struct replica_keeper::domain_state {
+  std::vector<std::uint32_t> ready;
+  std::uint32_t blank = 0;
+  std::vector<std::uint32_t> wanted;
+};
+
 // What one tick works on.
 struct replica_keeper::round {
   time_point now;
@@ -45,8 +72,22 @@
   std::map<replica_key, standing_replica> standing;     // of this node's data centres
   std::map<replica_key, standing_replica> standing_all; // of all
   std::set<target_id> taken;  // members of a replica that stands or forms
+  std::vector<standing_replica> far;  // whole ones that span domains
   // Engines that may be used for a replica, by domain.
   std::map<fabric_domain_id, std::vector<const target_view*>> free;
+  std::map<fabric_domain_id, domain_state> domains;  // of all data centres
+  // Engines that load a model from the weight store.
+  std::size_t loading = 0;
+  std::size_t loading_own = 0;
+
+  [[nodiscard]] std::optional<std::size_t> model_index(const model_id& id) const {
+    for (std::size_t i = 0; i < engine.models.size(); ++i) {
+      if (engine.models[i].id == id) {
+        return i;
+      }
+    }
+    return std::nullopt;
+  }
 
   [[nodiscard]] bool is_own(const target_view& view) const {
     return own.data_centres.contains(view.record.data_centre);
@@ -61,22 +102,25 @@
   if (!service.engine) {
     return {};
   }
-  round r{now, fleet, service, *service.engine, own, {}, {}, {}, {}, {}};
+  round r{now, fleet, service, *service.engine, own, {}, {}, {}, {}, {}, {}, {}, 0, 0};
   note_engines(r);
   ask_reports(r);
   advance_forming(r);
   mend_standing(r);
   find_free(r);
   form(r);
+  survey(r);
   prepare(r);
   return std::move(r.out);
 }
 
-const model_id& replica_keeper::model_of(const target_view& view) const {
-  return view.record.loaded;
-}
-
 void replica_keeper::note_engines(round& r) {
+  for (auto& [id, memory] : memory_) {
+    // An order to load that was lost leaves the engine as it was.
+    if (!memory.load_for.empty() && r.now - memory.load_begun > settings_.load_timeout) {
+      memory.load_for = {};
+    }
+  }
   std::erase_if(memory_, [&](const auto& entry) { return r.fleet.find(entry.first) == nullptr; });
   for (const auto& [id, view] : r.fleet.all()) {
     if (view.record.service != r.service.id) {
@@ -88,8 +132,12 @@
       standing_replica& group = r.standing_all[own.replica];
       group.key = own.replica;
       group.members.push_back(&view);
+      engine_memory& memory = memory_[id];
       if (own.state != member_state::joining && !view.record.loaded.empty()) {
-        memory_[id].ready_for = view.record.loaded;
+        memory.ready_for = view.record.loaded;
+        if (memory.load_for == view.record.loaded) {
+          memory.load_for = {};
+        }
       }
     }
   }
@@ -179,6 +227,9 @@
 
 // Replicas that stand, whoever formed them.
 void replica_keeper::mend_standing(round& r) {
+  std::erase_if(closing_since_, [&](const auto& entry) {
+    return !r.standing_all.contains(entry.first);
+  });
   for (const auto& [key, group] : r.standing) {
     if (is_spare_name(key.name)) {
       continue;
@@ -196,7 +247,7 @@
       continue;  // its head was seen outside of it: the members are free
     }
     const model_shape* model =
-        head_in ? r.engine.find_model(model_of(*head)) : nullptr;
+        head_in ? r.engine.find_model(model_in(key.name)) : nullptr;
     bool whole = model != nullptr && group.members.size() == model->size;
     bool all_ready = true;
     for (const target_view* member : group.members) {
@@ -209,6 +260,13 @@
       take_apart(r, group);
       continue;
     }
+    if (spans_domains(group.members)) {
+      r.far.push_back(group);
+      if (const auto since = closing_since_.find(key); since != closing_since_.end()) {
+        take_apart(r, group);
+        continue;
+      }
+    }
     for (const target_view* member : group.members) {
       r.taken.insert(member->record.id);
     }
@@ -237,8 +295,10 @@
                                  [](const target_view* m) { return !m->lost; }) &&
                      (state == member_state::open || state == member_state::closing);
   // A member that only leaves stays as long as the head has work: let that finish.
-  const model_shape* model = r.engine.find_model(model_of(*head));
-  const bool graceful = works && model != nullptr && replica.members.size() == model->size;
+  const model_shape* model = r.engine.find_model(model_in(replica.key.name));
+  // A replica across domains is slow: its requests end sooner if they go on elsewhere.
+  const bool graceful = works && model != nullptr && replica.members.size() == model->size &&
+                        !spans_domains(replica.members);
   const auto since = closing_since_.emplace(replica.key, r.now).first->second;
   if (!may_order(r, head->record.id)) {
     return;
@@ -253,8 +313,9 @@
 }
 
 // The head does not answer, and may serve all the same: it may be cut off from this node alone.
-// What goes wrong: its members join another replica while it still accepts requests. So the members
-// leave, which stops it, and are used only after the time in which it must have noticed.
+// What goes wrong: its members join another replica and are still counted on by the old head. So
+// they are first ordered to leave, and used only once they were seen outside: an engine without a
+// replica works for nobody, and a head without a member moves nothing.
 void replica_keeper::orphan(round& r, const standing_replica& replica) {
   const target_view* head = r.fleet.find(head_of(replica.key.name));
   if (head != nullptr) {
@@ -272,7 +333,6 @@
       continue;
     }
     r.taken.insert(id);
-    memory_[id].orphan_of = replica.key;
     if (round::alive(member) && r.is_own(*member) && may_order(r, id)) {
       send(r, *member, order_action::leave, replica.key);
     }
@@ -287,15 +347,6 @@
     if (!usable) {
       continue;
     }
-    engine_memory& memory = memory_[id];
-    if (memory.orphan_of) {
-      // Counted from when it was seen outside, since the order to leave may have been late.
-      memory.orphan_of.reset();
-      memory.usable_from = r.now + settings_.stall + settings_.stall_margin;
-    }
-    if (memory.usable_from && r.now < *memory.usable_from) {
-      continue;
-    }
     r.free[view.record.domain].push_back(&view);
   }
 }
@@ -312,9 +363,8 @@
   }
   std::map<model_id, double> replicas;
   for (const auto& [key, group] : r.standing_all) {
-    const target_view* head = r.fleet.find(head_of(key.name));
-    if (!is_spare_name(key.name) && head != nullptr) {
-      replicas[model_of(*head)] += 1;
+    if (!is_spare_name(key.name)) {
+      replicas[model_in(key.name)] += 1;
     }
   }
   std::stable_sort(models.begin(), models.end(), [&](const auto* a, const auto* b) {
@@ -326,141 +376,247 @@
       form_in(r, domain, *model);
     }
   }
+  // While the first replicas load, what is ready waits for the rest of its domain.
+  if (!cold_start_ || r.own.requests_seen) {
+    for (const model_shape* model : models) {
+      form_across(r, *model);
+    }
+  }
+}
+
+// Free engines that join a replica of the model at once.
+std::vector<const target_view*> replica_keeper::ready_engines(
+    const std::vector<const target_view*>& free, const model_shape& model) const {
+  std::vector<const target_view*> ready;
+  for (const target_view* view : free) {
+    const engine_memory& memory = memory_.at(view->record.id);
+    const auto& own = view->record.member_of;
+    const bool loading = own && own->state == member_state::joining;
+    if (memory.ready_for == model.id && !loading && memory.load_for.empty() && memory.orders &&
+        !memory.order_pending) {
+      ready.push_back(view);
+    }
+  }
+  return ready;
 }
 
 void replica_keeper::form_in(round& r, const fabric_domain_id& domain, const model_shape& model) {
   auto& free = r.free[domain];
   for (;;) {
-    std::vector<const target_view*> ready;
-    for (const target_view* view : free) {
-      const engine_memory& memory = memory_[view->record.id];
-      const auto& own = view->record.member_of;
-      const bool loading = own && own->state == member_state::joining;
-      if (memory.ready_for == model.id && !loading && memory.orders && !memory.order_pending) {
-        ready.push_back(view);
-      }
-    }
+    std::vector<const target_view*> ready = ready_engines(free, model);
     if (ready.size() < model.size) {
+      reclaim(r, domain, model, ready.size());
       return;
     }
     ready.resize(model.size);
-    forming_replica f;
-    f.key = {replica_name(ready.front()->record.id), next_epoch(r)};
-    f.model = model.id;
-    f.begun = r.now;
-    for (const target_view* view : ready) {
-      f.members.push_back(view->record.id);
-    }
-    for (const target_view* view : ready) {
-      if (may_order(r, view->record.id)) {
-        send(r, *view, order_action::join, f.key, f.model, f.members);
-      }
-      r.taken.insert(view->record.id);
+    begin_forming(r, model, ready);
+  }
+}
+
+void replica_keeper::begin_forming(round& r, const model_shape& model,
+                                   const std::vector<const target_view*>& members) {
+  forming_replica f;
+  f.key = {replica_name(model.id, members.front()->record.id), next_epoch(r)};
+  f.model = model.id;
+  f.begun = r.now;
+  for (const target_view* view : members) {
+    f.members.push_back(view->record.id);
+  }
+  for (const target_view* view : members) {
+    if (may_order(r, view->record.id)) {
+      send(r, *view, order_action::join, f.key, f.model, f.members);
     }
+    r.taken.insert(view->record.id);
+  }
+  for (auto& [domain, free] : r.free) {
     std::erase_if(free, [&](const target_view* v) { return r.taken.contains(v->record.id); });
-    forming_.push_back(std::move(f));
   }
+  forming_.push_back(std::move(f));
 }
 
-// Gives engines that are ready for no model one, within what the weight store allows.
-void replica_keeper::prepare(round& r) {
-  std::uint32_t loading = 0;
-  std::map<fabric_domain_id, std::uint32_t> engines;
-  std::map<fabric_domain_id, std::map<model_id, std::uint32_t>> assigned;
-  std::map<fabric_domain_id, std::map<model_id, double>> replicas;
+// What is left over in the domains of a data centre still makes a replica, a slow one: callers are
+// served late by it rather than refused.
+void replica_keeper::form_across(round& r, const model_shape& model) {
+  for (const data_centre_id& data_centre : r.own.data_centres) {
+    std::vector<const target_view*> ready;
+    for (const auto& [domain, free] : r.free) {
+      for (const target_view* view : ready_engines(free, model)) {
+        if (view->record.data_centre == data_centre) {
+          ready.push_back(view);
+        }
+      }
+    }
+    if (ready.size() >= model.size) {
+      ready.resize(model.size);
+      begin_forming(r, model, ready);
+    }
+  }
+}
+
+// A domain that lacks members which a slow replica across domains holds gets them back.
+void replica_keeper::reclaim(round& r, const fabric_domain_id& domain, const model_shape& model,
+                             std::size_t ready) {
+  if (ready == 0) {
+    return;
+  }
+  for (const standing_replica& far : r.far) {
+    const auto here = std::count_if(
+        far.members.begin(), far.members.end(),
+        [&](const target_view* member) { return member->record.domain == domain; });
+    const bool fits = model_in(far.key.name) == model.id &&
+                      ready + static_cast<std::size_t>(here) >= model.size;
+    if (fits && !closing_since_.contains(far.key)) {
+      closing_since_.emplace(far.key, r.now);
+      return;
+    }
+  }
+}
+
+// What each domain has, of all data centres, so that every keeper plans the same.
+void replica_keeper::survey(round& r) {
   for (const auto& [id, view] : r.fleet.all()) {
     if (view.record.service != r.service.id || !round::alive(&view) || view.record.draining) {
       continue;
     }
-    ++engines[view.record.domain];
-    const auto& own = view.record.member_of;
     const engine_memory& memory = memory_[id];
-    const bool loads = own && own->state == member_state::joining && memory.ready_for.empty();
-    if (loads || (memory.order_pending && memory.ready_for.empty())) {
-      loading += r.is_own(view) ? 1 : 0;
-    }
-    const model_id& model = loads || memory.ready_for.empty() ? view.record.loaded
-                                                              : memory.ready_for;
-    if (!model.empty()) {
-      ++assigned[view.record.domain][model];
+    const bool loads = is_loading(view, memory);
+    if (loads && !is_staged(view, model_for(view, memory))) {
+      ++r.loading;
+      r.loading_own += r.is_own(view) ? 1 : 0;
+    }
+    domain_state& domain = r.domains[view.record.domain];
+    domain.ready.resize(r.engine.models.size(), 0);
+    const auto position = r.model_index(model_for(view, memory));
+    if (position) {
+      ++domain.ready[*position];
+    } else {
+      ++domain.blank;
     }
   }
-  for (const auto& [domain, models] : assigned) {
-    for (const model_shape& model : r.engine.models) {
-      const auto found = models.find(model.id);
-      if (found != models.end()) {
-        replicas[domain][model.id] = static_cast<double>(found->second / model.size);
-      }
-    }
+  std::vector<shape_domain> domains;
+  for (const auto& [id, domain] : r.domains) {
+    domains.push_back({domain.ready, domain.blank});
+  }
+  std::vector<shape_model> models;
+  for (const model_shape& model : r.engine.models) {
+    models.push_back({model.size, model.work_share});
+  }
+  const fleet_shape shape = plan_shape(domains, models);
+  std::size_t index = 0;
+  plan_.clear();
+  for (auto& [id, domain] : r.domains) {
+    domain.wanted = shape[index++];
+    const auto free = r.free.find(id);
+    plan_.push_back({id, domain.ready, domain.wanted, domain.blank,
+                     free == r.free.end() ? 0 : free->second.size()});
+  }
+}
+
+// The model that an engine is ready for or gets ready for.
+model_id replica_keeper::model_for(const target_view& view, const engine_memory& memory) const {
+  if (!memory.load_for.empty()) {
+    return memory.load_for;
+  }
+  if (memory.ready_for.empty() && view.record.member_of) {
+    return model_in(view.record.member_of->replica.name);
   }
+  return memory.ready_for;
+}
+
+bool replica_keeper::is_loading(const target_view& view, const engine_memory& memory) const {
+  const auto& own = view.record.member_of;
+  const bool joining = own && own->state == member_state::joining;
+  return !memory.load_for.empty() || (joining && memory.ready_for.empty());
+}
+
+// How much is gained by making this engine ready for this model; empty: nothing.
+std::optional<double> replica_keeper::gain_of_load(const round& r, const target_view& view,
+                                                   std::size_t model) const {
+  const engine_memory& memory = memory_.at(view.record.id);
+  const model_shape& shape = r.engine.models[model];
+  const domain_state& domain = r.domains.at(view.record.domain);
+  if (memory.ready_for == shape.id || domain.ready[model] >= domain.wanted[model]) {
+    return std::nullopt;
+  }
+  const auto current = r.model_index(memory.ready_for);
+  // An engine that is ready for a model is given up only where the plan has too many of it.
+  if (current && domain.ready[*current] <= domain.wanted[*current]) {
+    return std::nullopt;
+  }
+  const bool staged = is_staged(view, shape.id);
+  // Whole replicas first, those that take the fewest loads to complete; the model that has fewest
+  // replicas for its work before others.
+  const std::uint32_t missing = shape.size - domain.ready[model] % shape.size;
+  double replicas = 0;
+  for (const auto& [id, other] : r.domains) {
+    replicas += std::floor(static_cast<double>(other.ready[model]) / shape.size);
+  }
+  constexpr double weight_of_share = 10;
+  constexpr double weight_of_staged = 5;  // 1 to 2 s in place of 12 to 16 s
+  constexpr double weight_of_blank = 2;
+  return weight_of_share * shape.work_share / (replicas + 1) -
+         static_cast<double>(missing) / shape.size + (staged ? weight_of_staged : 0) +
+         (current ? 0 : weight_of_blank);
+}
+
+// Makes engines ready for the models that the plan wants, within what the weight store allows.
+void replica_keeper::prepare(round& r) {
   const bool rush = cold_start_ && !r.own.requests_seen &&
                     r.now - started_ >= settings_.cold_start_rush;
   const auto share = std::max<std::size_t>(
       1, r.engine.loads_at_once * std::max<std::size_t>(1, r.own.data_centres.size()) /
              std::max<std::size_t>(1, r.own.all_data_centres));
-  const std::size_t most_loading = rush ? 1000 : share;
-  // Whole replicas first, those that take the fewest loads to complete.
-  struct candidate {
-    const target_view* view;
-    const model_shape* model;
-    double urgency;
-  };
   for (;;) {
-    if (loading >= most_loading) {
-      return;
-    }
-    std::optional<candidate> best;
+    // Each data centre has its share of the store's rate, and all may use what others leave.
+    const bool may_load = rush || r.loading_own < share || r.loading < r.engine.loads_at_once;
+    const target_view* best = nullptr;
+    std::size_t best_model = 0;
+    double best_gain = 0;
     for (const auto& [domain, free] : r.free) {
-      std::vector<shape_demand> demands;
-      for (const model_shape& model : r.engine.models) {
-        double elsewhere = 0;
-        for (auto& [other, counts] : replicas) {
-          elsewhere += other == domain ? 0 : counts[model.id];
-        }
-        demands.push_back({model.size, model.work_share, elsewhere});
-      }
-      const domain_shape wanted = shape_domain(engines[domain], demands);
       for (const target_view* view : free) {
-        const engine_memory& memory = memory_[view->record.id];
-        const bool loading_now =
-            view->record.member_of && view->record.member_of->state == member_state::joining;
-        if (!memory.ready_for.empty() || loading_now || !may_order(r, view->record.id)) {
+        if (is_loading(*view, memory_[view->record.id]) || !may_order(r, view->record.id)) {
           continue;
         }
-        for (std::size_t i = 0; i < r.engine.models.size(); ++i) {
-          const model_shape& model = r.engine.models[i];
-          const std::uint32_t have = assigned[domain][model.id];
-          const std::uint32_t in_replicas = wanted.replicas[i] * model.size;
-          if (have >= in_replicas + wanted.spares[i]) {
-            continue;
-          }
-          const bool staged = std::find(view->record.staged.begin(), view->record.staged.end(),
-                                        model.id) != view->record.staged.end();
-          const std::uint32_t missing = model.size - have % model.size;
-          double urgency = have < in_replicas ? 10.0 - missing : 1.0;
-          double total = demands[i].replicas_elsewhere + have / model.size;
-          urgency += model.work_share / (total + 1.0) + (staged ? 5.0 : 0.0);
-          if (!best || urgency > best->urgency) {
-            best = candidate{view, &model, urgency};
+        for (std::size_t m = 0; m < r.engine.models.size(); ++m) {
+          const auto gain = gain_of_load(r, *view, m);
+          const bool allowed = may_load || is_staged(*view, r.engine.models[m].id);
+          if (gain && allowed && (best == nullptr || *gain > best_gain)) {
+            best = view;
+            best_model = m;
+            best_gain = *gain;
           }
         }
       }
     }
-    if (!best) {
+    if (best == nullptr) {
       return;
     }
-    const target_id id = best->view->record.id;
-    const fabric_domain_id domain = best->view->record.domain;
-    send(r, *best->view, order_action::join, {spare_name(id), next_epoch(r)}, best->model->id,
-         {id});
-    ++loading;
-    ++assigned[domain][best->model->id];
-    replicas[domain][best->model->id] =
-        static_cast<double>(assigned[domain][best->model->id] / best->model->size);
-    std::erase_if(r.free[domain], [&](const target_view* v) { return v->record.id == id; });
+    load(r, *best, best_model);
   }
 }
 
+void replica_keeper::load(round& r, const target_view& view, std::size_t model) {
+  const target_id& id = view.record.id;
+  engine_memory& memory = memory_[id];
+  domain_state& domain = r.domains[view.record.domain];
+  if (const auto current = r.model_index(memory.ready_for)) {
+    --domain.ready[*current];
+  } else {
+    --domain.blank;
+  }
+  ++domain.ready[model];
+  if (!is_staged(view, r.engine.models[model].id)) {
+    ++r.loading;
+    ++r.loading_own;
+  }
+  memory.ready_for = {};
+  memory.load_for = r.engine.models[model].id;
+  memory.load_begun = r.now;
+  send(r, view, order_action::join, {spare_name(memory.load_for, id), next_epoch(r)}, memory.load_for, {id});
+  std::erase_if(r.free[view.record.domain],
+                [&](const target_view* v) { return v->record.id == id; });
+}
+
 void replica_keeper::on_order(time_point now, const replica_order& order, order_outcome outcome) {
   const auto found = memory_.find(order.to);
   if (found == memory_.end()) {
@@ -471,9 +627,13 @@
   switch (outcome) {
     case order_outcome::begun:
       memory.orders = order.expected_orders + 1;
-      memory.ask_after = now + settings_.order_retry;
+      memory.ask_after = now + (order.action == order_action::open ? settings_.open_retry
+                                                                   : settings_.order_retry);
       break;
     case order_outcome::holds:
+      // Done at once, which counts as an order, or so before, which does not; the first is usual
+      // for leaving. A wrong count only costs one refused order.
+      memory.orders = order.expected_orders + (order.action == order_action::leave ? 1 : 0);
       memory.ask_after = now + settings_.order_retry;
       break;
     case order_outcome::outdated:
--- a/src/process/replica_keeper.h
+++ b/src/process/replica_keeper.h
@@ -75,11 +75,10 @@
 };
 
 struct keeper_settings {
-  duration stall = 4s;  // an open head whose member is lost gives up after this
-  // Added to `stall`: lag of the leave order's answer and of the target's own timer.
-  duration stall_margin = 500ms;
   // A member that was told to join a replica, and neither did nor refused, is asked again.
   duration order_retry = 250ms;
+  // A head that was told to open takes 300 ms, and its record some more to say so.
+  duration open_retry = 600ms;
   // A replica of ready spares forms in 0.2 s (join) and 0.3 s (open); one that has not after this
   // is taken apart, so that its members are not held by one that does not answer.
   duration form_timeout = 3s;
@@ -87,6 +86,8 @@
   // usual generation: 80 events of 50 ms.
   duration close_timeout = 6s;
   duration report_retry = 100ms;
+  // A load takes 12 to 16 s, and longer while many load; after this it is taken for lost.
+  duration load_timeout = 40s;
   // While the replicas of the start are loading the store's share is used for those of whole
   // replicas; after this the rest is ordered at once, as loads are cheap until the first request.
   duration cold_start_rush = 8500ms;
@@ -110,6 +111,17 @@
   void on_order(time_point now, const replica_order& order, order_outcome outcome);
   void on_report(time_point now, const target_id& id, const std::optional<target_report>& report);
 
+  // What each domain has and should have, by model; for logs.
+  struct domain_plan {
+    fabric_domain_id domain;
+    std::vector<std::uint32_t> ready;
+    std::vector<std::uint32_t> wanted;
+    std::uint32_t blank = 0;
+    std::size_t free = 0;
+    bool operator==(const domain_plan&) const = default;
+  };
+  [[nodiscard]] const std::vector<domain_plan>& plan() const { return plan_; }
+
   // Replicas being formed by this node, for status and tests.
   [[nodiscard]] std::size_t forming() const { return forming_.size(); }
 
@@ -121,8 +133,8 @@
     bool report_pending = false;
     time_point ask_after{};    // next question or repeated order, not earlier
     model_id ready_for;        // joins a replica of this model in 0.2 s
-    std::optional<replica_key> orphan_of;   // told to leave a replica whose head may still serve
-    std::optional<time_point> usable_from;  // that head must have noticed by then
+    model_id load_for;         // told to get ready for this one; empty: nothing is under way
+    time_point load_begun{};
   };
   struct forming_replica {
     replica_key key;
@@ -136,6 +148,7 @@
     std::vector<const target_view*> members;
   };
 
+  struct domain_state;
   struct round;  // one tick
 
   void note_engines(round& r);
@@ -147,11 +160,23 @@
   void find_free(round& r);
   void form(round& r);
   void form_in(round& r, const fabric_domain_id& domain, const model_shape& model);
+  void form_across(round& r, const model_shape& model);
+  void begin_forming(round& r, const model_shape& model,
+                     const std::vector<const target_view*>& members);
+  void reclaim(round& r, const fabric_domain_id& domain, const model_shape& model,
+               std::size_t ready);
+  [[nodiscard]] std::vector<const target_view*> ready_engines(
+      const std::vector<const target_view*>& free, const model_shape& model) const;
+  void survey(round& r);
   void prepare(round& r);
+  void load(round& r, const target_view& view, std::size_t model);
+  [[nodiscard]] bool is_loading(const target_view& view, const engine_memory& memory) const;
+  [[nodiscard]] std::optional<double> gain_of_load(const round& r, const target_view& view,
+                                                   std::size_t model) const;
   void send(round& r, const target_view& to, order_action action, const replica_key& replica,
             const model_id& model = {}, const std::vector<target_id>& members = {});
   [[nodiscard]] bool may_order(const round& r, const target_id& id) const;
-  [[nodiscard]] const model_id& model_of(const target_view& view) const;
+  [[nodiscard]] model_id model_for(const target_view& view, const engine_memory& memory) const;
   [[nodiscard]] std::uint64_t next_epoch(const round& r);
 
   keeper_settings settings_;
@@ -160,14 +185,16 @@
   std::uint64_t last_epoch_ = 0;
   std::map<target_id, engine_memory> memory_;
   std::vector<forming_replica> forming_;
+  std::vector<domain_plan> plan_;
   // When this node began to close a head, so that it is not waited for endlessly.
   std::map<replica_key, time_point> closing_since_;
 };
 
-// Names: a spare holds a replica of itself alone, which is never opened; a real one is named after
-// its head, so that a node that never saw the head's record knows whom to ask.
-[[nodiscard]] std::string spare_name(const target_id& id);
-[[nodiscard]] std::string replica_name(const target_id& head);
+// Names: a spare holds a replica of itself alone, which is never opened. Both kinds name model and
+// head, so that a node knows what an engine loads, and whom to ask of a head it never saw.
+[[nodiscard]] std::string spare_name(const model_id& model, const target_id& id);
+[[nodiscard]] std::string replica_name(const model_id& model, const target_id& head);
+[[nodiscard]] model_id model_in(std::string_view name);
 [[nodiscard]] bool is_spare_name(std::string_view name);
 [[nodiscard]] target_id head_of(std::string_view name);
 
