Keeper: members join after their head, a refused order voids its plan, no guessed counts

Cause: two keepers of one data centre, one of them cut off with a stale view. Asked to leave a replica that it was no longer in, an engine answers that this holds, and the keeper counted that as an obeyed order; its guess met the true count of an engine that had joined another replica since. It also took members for free because its old record of their head did not show them. Change: after such an answer the engine is asked; a plan ends with the first refused order; members join after their head, so that a head that is seen outside later has left for good; a node that is cut off from the platform and all peers leaves the keeping to peers of its data centre.

--- a/src/node/keeper_loop.cpp
+++ b/src/node/keeper_loop.cpp
@@ -24,6 +24,7 @@
 // Peers learn of sends within this; the same load is then double-booked for 100 ms on average.
 constexpr duration beat_interval = 200ms;
 constexpr duration plan_log_interval = 1s;
+constexpr duration isolated_after = 1s;
 // A lost engine that lives serves again within this; one that is dead is asked some ten times until
 // the list drops it.
 constexpr duration lost_interval = 400ms;
@@ -53,7 +54,12 @@
   for (const auto& [id, data_centre] : node_.peers.living(now)) {
     living.push_back({id, data_centre});
   }
-  const auto duties = duties_of(node_.settings.id, node_.settings.data_centres, living);
+  // Cut off from the platform and from all peers, this node sees only what it had: peers of its
+  // data centre know better, if there are any.
+  const bool isolated = living.size() == 1 && now - node_.fleet_read_at > isolated_after &&
+                        node_.peers.any_of(node_.settings.data_centre);
+  const auto duties = isolated ? std::set<data_centre_id>{}
+                               : duties_of(node_.settings.id, node_.settings.data_centres, living);
   if (duties != duties_) {
     duties_ = duties;
     std::string names;
@@ -137,12 +143,13 @@
 void keeper_loop::carry_out(const service_id& service, const keeper_effect& wanted) {
   node_.runtime.post(0, [this, service, wanted] {
     replica_keeper& keeper = keepers_.at(service);
-    const time_point deadline = monotonic_now() + order_timeout;
+    const time_point asked = monotonic_now();
+    const time_point deadline = asked + order_timeout;
     if (const auto* question = std::get_if<report_question>(&wanted)) {
       const auto result = node_.engines.report(question->to, question->address, deadline);
       const time_point now = monotonic_now();
       if (const auto* report = std::get_if<target_report>(&result)) {
-        node_.fleet.reported(now, question->to, report->member_of, report->loaded, report->pace);
+        node_.fleet.reported(asked, question->to, report->member_of, report->loaded, report->pace);
         keeper.on_report(now, question->to, *report);
       } else {
         if (std::holds_alternative<unknown>(result)) {
@@ -191,10 +198,11 @@
     return false;
   }
   const endpoint address = view->record.address;
-  const auto result = node_.engines.report(id, address, monotonic_now() + timeout);
+  const time_point asked = monotonic_now();
+  const auto result = node_.engines.report(id, address, asked + timeout);
   const time_point now = monotonic_now();
   if (const auto* report = std::get_if<target_report>(&result)) {
-    node_.fleet.reported(now, id, report->member_of, report->loaded, report->pace);
+    node_.fleet.reported(asked, id, report->member_of, report->loaded, report->pace);
     return true;
   }
   node_.fleet.probe_failed(now, id);
--- a/src/process/fleet_view.cpp
+++ b/src/process/fleet_view.cpp
@@ -23,6 +23,7 @@
   view.lost = false;
   view.failed_probes = 0;
   view.heard_at = std::max(view.heard_at, observed_at);
+  view.state_at = std::max(view.state_at, observed_at);
   if (changed) {
     view.record = std::move(record);
     ++revision_;
@@ -55,7 +56,7 @@
   }
 }
 
-void fleet_view::reported(time_point now, const target_id& id,
+void fleet_view::reported(time_point asked, const target_id& id,
                           const std::optional<membership>& member_of, const model_id& loaded,
                           double pace) {
   const auto found = targets_.find(id);
@@ -65,7 +66,8 @@
   target_view& view = found->second;
   const bool changed = view.lost || view.record.member_of != member_of ||
                        view.record.loaded != loaded || view.pace != pace;
-  view.heard_at = std::max(view.heard_at, now);
+  view.heard_at = std::max(view.heard_at, asked);
+  view.state_at = std::max(view.state_at, asked);
   view.failed_probes = 0;
   view.lost = false;
   view.record.member_of = member_of;
--- a/src/process/fleet_view.h
+++ b/src/process/fleet_view.h
@@ -59,6 +59,7 @@
 struct target_view {
   target_record record;
   time_point heard_at{};    // its record last changed or it answered
+  time_point state_at{};    // what it says of its replica was so at this time or later
   bool listed = true;       // in the platform's list; false: kept for what may still run there
   time_point unlisted_at{};
   std::uint32_t failed_probes = 0;  // in a row
@@ -74,8 +75,8 @@
   // A whole list: what it does not hold is unlisted.
   void replace_all(time_point now, const std::vector<target_record>& records);
 
-  // A target's own report.
-  void reported(time_point now, const target_id& id, const std::optional<membership>& member_of,
+  // A target's own report, to a question sent at `asked`.
+  void reported(time_point asked, const target_id& id, const std::optional<membership>& member_of,
                 const model_id& loaded, double pace);
   // It did not answer a probe in time. Lost after `probes_until_lost` in a row.
   void probe_failed(time_point now, const target_id& id);
--- a/src/process/node_beat.h
+++ b/src/process/node_beat.h
@@ -53,6 +53,16 @@
     return result;
   }
 
+  // Whether a peer of this data centre was ever heard.
+  [[nodiscard]] bool any_of(const data_centre_id& data_centre) const {
+    for (const auto& [id, p] : peers_) {
+      if (p.data_centre == data_centre && !p.leaving) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   // Peers ever heard: a bound on those that may send.
   [[nodiscard]] std::size_t known() const { return peers_.size(); }
 
--- a/src/process/replica_keeper.cpp
+++ b/src/process/replica_keeper.cpp
@@ -13,6 +13,10 @@
 constexpr std::string_view replica_prefix = "r.";
 constexpr char name_separator = '.';
 
+// How far the epoch is raised when an engine knows a greater one than this node has ever seen. The
+// epochs of a day of repairs stay below this.
+constexpr std::uint64_t epoch_leap = 1000;
+
 bool spans_domains(const std::vector<const target_view*>& members) {
   return std::any_of(members.begin(), members.end(), [&](const target_view* m) {
     return m->record.domain != members.front()->record.domain;
@@ -141,7 +145,11 @@
       }
     }
   }
+  std::erase_if(first_seen_, [&](const auto& entry) {
+    return !r.standing_all.contains(entry.first);
+  });
   for (const auto& [key, group] : r.standing_all) {
+    first_seen_.emplace(key, r.now);
     const bool own = std::any_of(group.members.begin(), group.members.end(),
                                  [&](const target_view* v) { return r.is_own(*v); });
     if (own) {
@@ -150,16 +158,22 @@
   }
 }
 
+void replica_keeper::ask(round& r, const target_view& view) {
+  engine_memory& memory = memory_[view.record.id];
+  if (!memory.report_pending && r.now >= memory.ask_after) {
+    memory.report_pending = true;
+    r.out.emplace_back(report_question{view.record.id, view.record.address});
+  }
+}
+
 // The count of obeyed orders stands only in an engine's own report.
 void replica_keeper::ask_reports(round& r) {
   for (const auto& [id, view] : r.fleet.all()) {
     if (view.record.service != r.service.id || !r.is_own(view) || !round::alive(&view)) {
       continue;
     }
-    engine_memory& memory = memory_[id];
-    if (!memory.orders && !memory.report_pending && r.now >= memory.ask_after) {
-      memory.report_pending = true;
-      r.out.emplace_back(report_question{id, view.record.address});
+    if (!memory_[id].orders) {
+      ask(r, view);
     }
   }
 }
@@ -180,10 +194,6 @@
                     *memory.orders});
 }
 
-std::uint64_t replica_keeper::next_epoch(const round& /*r*/) {
-  return ++last_epoch_;
-}
-
 // Replicas that this node has begun to form: members that have not joined are told again, a whole
 // one is opened.
 void replica_keeper::advance_forming(round& r) {
@@ -205,7 +215,9 @@
       const target_view& view = *r.fleet.find(id);
       const auto& own = view.record.member_of;
       const bool joined = own && own->replica == f.key;
-      if (!joined && may_order(r, id)) {
+      const bool is_head = id == f.members.front();
+      // Members after their head, see mend_standing.
+      if (!joined && !f.told.contains(id) && (is_head || f.head_joined) && may_order(r, id)) {
         send(r, view, order_action::join, f.key, f.model, f.members);
       }
       whole = whole && joined && own->state != member_state::joining;
@@ -243,8 +255,16 @@
     const target_view* head = r.fleet.find(head_id);
     const bool head_in = head != nullptr && head->record.member_of &&
                          head->record.member_of->replica == key;
+    if (head != nullptr && !head_in && head->state_at > first_seen_.at(key)) {
+      continue;  // its head was seen outside of it since: the members are free
+    }
     if (head != nullptr && !head_in) {
-      continue;  // its head was seen outside of it: the members are free
+      // Members join after their head, so that it was inside before they said so.
+      ask(r, *head);
+      for (const target_view* member : group.members) {
+        r.taken.insert(member->record.id);
+      }
+      continue;
     }
     const model_shape* model =
         head_in ? r.engine.find_model(model_in(key.name)) : nullptr;
@@ -319,12 +339,10 @@
 void replica_keeper::orphan(round& r, const standing_replica& replica) {
   const target_view* head = r.fleet.find(head_of(replica.key.name));
   if (head != nullptr) {
-    engine_memory& memory = memory_[head->record.id];
     if (may_order(r, head->record.id)) {
       send(r, *head, order_action::leave, replica.key);
-    } else if (!memory.orders && !memory.report_pending && r.now >= memory.ask_after) {
-      memory.report_pending = true;
-      r.out.emplace_back(report_question{head->record.id, head->record.address});
+    } else if (!memory_[head->record.id].orders) {
+      ask(r, *head);
     }
   }
   for (const target_view* member : replica.members) {
@@ -416,18 +434,16 @@
 void replica_keeper::begin_forming(round& r, const model_shape& model,
                                    const std::vector<const target_view*>& members) {
   forming_replica f;
-  f.key = {replica_name(model.id, members.front()->record.id), next_epoch(r)};
+  f.key = {replica_name(model.id, members.front()->record.id), next_epoch()};
   f.model = model.id;
   f.begun = r.now;
   for (const target_view* view : members) {
     f.members.push_back(view->record.id);
   }
-  for (const target_view* view : members) {
-    if (may_order(r, view->record.id)) {
-      send(r, *view, order_action::join, f.key, f.model, f.members);
-    }
-    r.taken.insert(view->record.id);
+  if (may_order(r, f.members.front())) {
+    send(r, *members.front(), order_action::join, f.key, f.model, f.members);
   }
+  r.taken.insert(f.members.begin(), f.members.end());
   for (auto& [domain, free] : r.free) {
     std::erase_if(free, [&](const target_view* v) { return r.taken.contains(v->record.id); });
   }
@@ -612,11 +628,26 @@
   memory.ready_for = {};
   memory.load_for = r.engine.models[model].id;
   memory.load_begun = r.now;
-  send(r, view, order_action::join, {spare_name(memory.load_for, id), next_epoch(r)}, memory.load_for, {id});
+  send(r, view, order_action::join, {spare_name(memory.load_for, id), next_epoch()}, memory.load_for, {id});
   std::erase_if(r.free[view.record.domain],
                 [&](const target_view* v) { return v->record.id == id; });
 }
 
+// An order that was refused shows that the engine is not as this node thought: what was planned with
+// it is void, since another node may have used it meanwhile.
+void replica_keeper::give_up(const replica_key& key) {
+  std::erase_if(forming_, [&](const forming_replica& f) { return f.key == key; });
+}
+
+void replica_keeper::note_joined(const replica_order& order) {
+  for (forming_replica& f : forming_) {
+    if (f.key == order.replica) {
+      f.told.insert(order.to);
+      f.head_joined = f.head_joined || order.to == f.members.front();
+    }
+  }
+}
+
 void replica_keeper::on_order(time_point now, const replica_order& order, order_outcome outcome) {
   const auto found = memory_.find(order.to);
   if (found == memory_.end()) {
@@ -624,38 +655,42 @@
   }
   engine_memory& memory = found->second;
   memory.order_pending = false;
+  memory.assumed_orders.reset();
+  memory.ask_after = now + (order.action == order_action::open ? settings_.open_retry
+                                                               : settings_.order_retry);
   switch (outcome) {
     case order_outcome::begun:
       memory.orders = order.expected_orders + 1;
-      memory.ask_after = now + (order.action == order_action::open ? settings_.open_retry
-                                                                   : settings_.order_retry);
+      if (order.action == order_action::join) {
+        note_joined(order);
+      }
       break;
     case order_outcome::holds:
-      // Done at once, which counts as an order, or so before, which does not; the first is usual
-      // for leaving. A wrong count only costs one refused order.
-      memory.orders = order.expected_orders + (order.action == order_action::leave ? 1 : 0);
-      memory.ask_after = now + settings_.order_retry;
+      // Either it was done at once, which counts as an order, or the state was there before, for
+      // whatever reason; then the count may be any. What goes wrong with a guess alone: another node
+      // has used the engine meanwhile, and it is taken out of a replica that serves. So a report is
+      // asked, and the guess only stands in for its count, which lags.
+      memory.assumed_orders = order.expected_orders + 1;
+      memory.orders.reset();
+      memory.ask_after = now;
       break;
     case order_outcome::outdated:
-      last_epoch_ += 1000;
+      last_epoch_ += epoch_leap;
       memory.orders.reset();
       memory.ask_after = now;
+      give_up(order.replica);
       break;
     case order_outcome::conflict:
+      memory.orders.reset();
+      give_up(order.replica);
+      break;
     case order_outcome::another:
     case order_outcome::refused:
     case order_outcome::no_answer:
     case order_outcome::not_sent:
       memory.orders.reset();
-      memory.ask_after = now + settings_.order_retry;
       break;
   }
-  if (outcome == order_outcome::outdated) {
-    for (forming_replica& f : forming_) {
-      f.failed = f.failed || f.key == order.replica;
-    }
-    std::erase_if(forming_, [](const forming_replica& f) { return f.failed; });
-  }
 }
 
 void replica_keeper::on_report(time_point now, const target_id& id,
@@ -664,11 +699,13 @@
   if (found == memory_.end()) {
     return;
   }
-  found->second.report_pending = false;
-  found->second.ask_after = now + settings_.report_retry;
+  engine_memory& memory = found->second;
+  memory.report_pending = false;
+  memory.ask_after = now + settings_.report_retry;
   if (report) {
-    found->second.orders = report->orders;
-    found->second.ask_after = now;
+    memory.orders = std::max(report->orders, memory.assumed_orders.value_or(0));
+    memory.assumed_orders.reset();
+    memory.ask_after = now;
   }
 }
 
--- a/src/process/replica_keeper.h
+++ b/src/process/replica_keeper.h
@@ -129,6 +129,7 @@
   // What this node knows of an engine beyond the fleet view.
   struct engine_memory {
     std::optional<std::uint64_t> orders;  // obeyed; empty: ask first
+    std::optional<std::uint64_t> assumed_orders;  // after an order whose count is not certain
     bool order_pending = false;
     bool report_pending = false;
     time_point ask_after{};    // next question or repeated order, not earlier
@@ -141,7 +142,9 @@
     model_id model;
     std::vector<target_id> members;
     time_point begun;
-    bool failed = false;  // is being taken apart
+    bool head_joined = false;   // the others are told only then
+    std::set<target_id> told;   // obeyed the order to join
+    bool failed = false;        // done or given up
   };
   struct standing_replica {
     replica_key key;
@@ -152,6 +155,7 @@
   struct round;  // one tick
 
   void note_engines(round& r);
+  void ask(round& r, const target_view& view);
   void ask_reports(round& r);
   void advance_forming(round& r);
   void mend_standing(round& r);
@@ -177,7 +181,9 @@
             const model_id& model = {}, const std::vector<target_id>& members = {});
   [[nodiscard]] bool may_order(const round& r, const target_id& id) const;
   [[nodiscard]] model_id model_for(const target_view& view, const engine_memory& memory) const;
-  [[nodiscard]] std::uint64_t next_epoch(const round& r);
+  [[nodiscard]] std::uint64_t next_epoch() { return ++last_epoch_; }
+  void give_up(const replica_key& key);
+  void note_joined(const replica_order& order);
 
   keeper_settings settings_;
   time_point started_;
@@ -186,6 +192,7 @@
   std::map<target_id, engine_memory> memory_;
   std::vector<forming_replica> forming_;
   std::vector<domain_plan> plan_;
+  std::map<replica_key, time_point> first_seen_;  // when an engine was first seen in it
   // When this node began to close a head, so that it is not waited for endlessly.
   std::map<replica_key, time_point> closing_since_;
 };
