Keeper: an order rests on a count of orders and a state that were seen together

Cause: reports lag by 200 ms and overwrote newer records, so replicas flickered between open and not, and counts that were guessed after leaving were refused: repairs took 1.1 to 1.5 s and plans were made on states that had passed. Change: the count is kept with the replica it was seen in; what an obeyed order has done is known at once; a report only fills in what nothing newer says.

--- a/src/node/keeper_loop.cpp
+++ b/src/node/keeper_loop.cpp
@@ -149,7 +149,7 @@
       const auto result = node_.engines.report(question->to, question->address, deadline);
       const time_point now = monotonic_now();
       if (const auto* report = std::get_if<target_report>(&result)) {
-        node_.fleet.reported(asked, question->to, report->member_of, report->loaded, report->pace);
+        take_report(asked, question->to, *report);
         keeper.on_report(now, question->to, *report);
       } else {
         if (std::holds_alternative<unknown>(result)) {
@@ -177,10 +177,20 @@
     node_.metrics.count("arbutusworks_orders",
                         "action=\"" + std::string(to_string(order.action)) + "\",outcome=\"" +
                             std::string(names[static_cast<std::size_t>(outcome)]) + "\"");
-    keeper.on_order(monotonic_now(), order, outcome);
+    keeper.on_order(monotonic_now(), node_.fleet, order, outcome);
   });
 }
 
+void keeper_loop::take_report(time_point asked, const target_id& id, const target_report& report) {
+  const target_view* view = node_.fleet.find(id);
+  const service_shape* service =
+      view == nullptr || !node_.map ? nullptr : node_.map->find_service(view->record.service);
+  const duration lag =
+      service != nullptr && service->engine ? service->engine->report_lag : duration{};
+  node_.fleet.reported(asked, asked - lag - lag / 4, id, report.member_of, report.loaded,
+                       report.pace);
+}
+
 void keeper_loop::watch_silence(time_point now) {
   for (const target_id& head : node_.silence.silent(now)) {
     if (checking_.insert(head).second) {
@@ -202,7 +212,7 @@
   const auto result = node_.engines.report(id, address, asked + timeout);
   const time_point now = monotonic_now();
   if (const auto* report = std::get_if<target_report>(&result)) {
-    node_.fleet.reported(asked, id, report->member_of, report->loaded, report->pace);
+    take_report(asked, id, *report);
     return true;
   }
   node_.fleet.probe_failed(now, id);
--- a/src/node/keeper_loop.h
+++ b/src/node/keeper_loop.h
@@ -32,6 +32,7 @@
   void ask_lost(time_point now);
   void check_replica(const target_id& head);
   bool probe(const target_id& id, duration timeout);
+  void take_report(time_point asked, const target_id& id, const target_report& report);
   void tell_peers(time_point now);
 
   hosted_state& node_;
--- a/src/process/fleet_view.cpp
+++ b/src/process/fleet_view.cpp
@@ -56,7 +56,7 @@
   }
 }
 
-void fleet_view::reported(time_point asked, const target_id& id,
+void fleet_view::reported(time_point asked, time_point as_of, const target_id& id,
                           const std::optional<membership>& member_of, const model_id& loaded,
                           double pace) {
   const auto found = targets_.find(id);
@@ -64,20 +64,36 @@
     return;
   }
   target_view& view = found->second;
-  const bool changed = view.lost || view.record.member_of != member_of ||
-                       view.record.loaded != loaded || view.pace != pace;
+  bool changed = view.lost || view.pace != pace;
   view.heard_at = std::max(view.heard_at, asked);
-  view.state_at = std::max(view.state_at, asked);
   view.failed_probes = 0;
   view.lost = false;
-  view.record.member_of = member_of;
-  view.record.loaded = loaded;
   view.pace = pace;
+  if (as_of > view.state_at) {
+    changed = changed || view.record.member_of != member_of || view.record.loaded != loaded;
+    view.state_at = as_of;
+    view.record.member_of = member_of;
+    view.record.loaded = loaded;
+  }
   if (changed) {
     ++revision_;
   }
 }
 
+void fleet_view::ordered(time_point now, const target_id& id,
+                         const std::optional<membership>& member_of) {
+  const auto found = targets_.find(id);
+  if (found == targets_.end()) {
+    return;
+  }
+  target_view& view = found->second;
+  view.state_at = std::max(view.state_at, now);
+  if (view.record.member_of != member_of) {
+    view.record.member_of = member_of;
+    ++revision_;
+  }
+}
+
 void fleet_view::probe_failed(time_point now, const target_id& id) {
   const auto found = targets_.find(id);
   if (found == targets_.end() || found->second.lost) {
--- a/src/process/fleet_view.h
+++ b/src/process/fleet_view.h
@@ -75,9 +75,12 @@
   // A whole list: what it does not hold is unlisted.
   void replace_all(time_point now, const std::vector<target_record>& records);
 
-  // A target's own report, to a question sent at `asked`.
-  void reported(time_point asked, const target_id& id, const std::optional<membership>& member_of,
-                const model_id& loaded, double pace);
+  // A target's own report, to a question sent at `asked`. What it says was so at `as_of`: reports
+  // lag, so that the list or an order's answer may be newer, and is then kept.
+  void reported(time_point asked, time_point as_of, const target_id& id,
+                const std::optional<membership>& member_of, const model_id& loaded, double pace);
+  // The target obeyed an order of this node's.
+  void ordered(time_point now, const target_id& id, const std::optional<membership>& member_of);
   // It did not answer a probe in time. Lost after `probes_until_lost` in a row.
   void probe_failed(time_point now, const target_id& id);
 
--- a/src/process/replica_keeper.cpp
+++ b/src/process/replica_keeper.cpp
@@ -172,16 +172,26 @@
     if (view.record.service != r.service.id || !r.is_own(view) || !round::alive(&view)) {
       continue;
     }
-    if (!memory_[id].orders) {
+    if (!is_current(view, memory_[id])) {
       ask(r, view);
     }
   }
 }
 
+// Whether the count of orders was seen together with what the fleet view says of the engine now.
+bool replica_keeper::is_current(const target_view& view, const engine_memory& memory) {
+  std::optional<replica_key> now_in;
+  if (view.record.member_of) {
+    now_in = view.record.member_of->replica;
+  }
+  return memory.orders && memory.at_that_count == now_in;
+}
+
 bool replica_keeper::may_order(const round& r, const target_id& id) const {
   const auto found = memory_.find(id);
-  return found != memory_.end() && found->second.orders && !found->second.order_pending &&
-         r.now >= found->second.ask_after;
+  const target_view* view = r.fleet.find(id);
+  return found != memory_.end() && view != nullptr && is_current(*view, found->second) &&
+         !found->second.order_pending && r.now >= found->second.ask_after;
 }
 
 void replica_keeper::send(round& r, const target_view& to, order_action action,
@@ -341,7 +351,7 @@
   if (head != nullptr) {
     if (may_order(r, head->record.id)) {
       send(r, *head, order_action::leave, replica.key);
-    } else if (!memory_[head->record.id].orders) {
+    } else if (!is_current(*head, memory_[head->record.id])) {
       ask(r, *head);
     }
   }
@@ -410,7 +420,7 @@
     const engine_memory& memory = memory_.at(view->record.id);
     const auto& own = view->record.member_of;
     const bool loading = own && own->state == member_state::joining;
-    if (memory.ready_for == model.id && !loading && memory.load_for.empty() && memory.orders &&
+    if (memory.ready_for == model.id && !loading && memory.load_for.empty() && is_current(*view, memory) &&
         !memory.order_pending) {
       ready.push_back(view);
     }
@@ -648,31 +658,20 @@
   }
 }
 
-void replica_keeper::on_order(time_point now, const replica_order& order, order_outcome outcome) {
+void replica_keeper::on_order(time_point now, fleet_view& fleet, const replica_order& order,
+                              order_outcome outcome) {
   const auto found = memory_.find(order.to);
   if (found == memory_.end()) {
     return;
   }
   engine_memory& memory = found->second;
   memory.order_pending = false;
-  memory.assumed_orders.reset();
   memory.ask_after = now + (order.action == order_action::open ? settings_.open_retry
                                                                : settings_.order_retry);
   switch (outcome) {
     case order_outcome::begun:
-      memory.orders = order.expected_orders + 1;
-      if (order.action == order_action::join) {
-        note_joined(order);
-      }
-      break;
     case order_outcome::holds:
-      // Either it was done at once, which counts as an order, or the state was there before, for
-      // whatever reason; then the count may be any. What goes wrong with a guess alone: another node
-      // has used the engine meanwhile, and it is taken out of a replica that serves. So a report is
-      // asked, and the guess only stands in for its count, which lags.
-      memory.assumed_orders = order.expected_orders + 1;
-      memory.orders.reset();
-      memory.ask_after = now;
+      obeyed(now, fleet, memory, order, outcome);
       break;
     case order_outcome::outdated:
       last_epoch_ += epoch_leap;
@@ -682,6 +681,7 @@
       break;
     case order_outcome::conflict:
       memory.orders.reset();
+      memory.ask_after = now;
       give_up(order.replica);
       break;
     case order_outcome::another:
@@ -693,6 +693,29 @@
   }
 }
 
+// The engine compared the count first, so that it was in the replica that the order was based on.
+// What it says was so before counts no order; leaving is done at once and answered alike.
+void replica_keeper::obeyed(time_point now, fleet_view& fleet, engine_memory& memory,
+                            const replica_order& order, order_outcome outcome) {
+  const target_view* view = fleet.find(order.to);
+  const bool left = order.action == order_action::leave && memory.at_that_count == order.replica;
+  memory.orders = order.expected_orders + (outcome == order_outcome::begun || left ? 1 : 0);
+  if (order.action == order_action::join) {
+    note_joined(order);
+    memory.at_that_count = order.replica;
+    const bool is_head = order.members.front() == order.to;
+    if (outcome == order_outcome::begun && view != nullptr) {
+      fleet.ordered(now, order.to, membership{order.replica, is_head ? 0U : 1U,
+                                              member_state::joining});
+    }
+  }
+  if (left) {
+    memory.at_that_count.reset();
+    memory.ask_after = now;
+    fleet.ordered(now, order.to, std::nullopt);
+  }
+}
+
 void replica_keeper::on_report(time_point now, const target_id& id,
                                const std::optional<target_report>& report) {
   const auto found = memory_.find(id);
@@ -702,10 +725,13 @@
   engine_memory& memory = found->second;
   memory.report_pending = false;
   memory.ask_after = now + settings_.report_retry;
-  if (report) {
-    memory.orders = std::max(report->orders, memory.assumed_orders.value_or(0));
-    memory.assumed_orders.reset();
-    memory.ask_after = now;
+  if (!report || memory.order_pending) {
+    return;
+  }
+  memory.orders = report->orders;
+  memory.at_that_count.reset();
+  if (report->member_of) {
+    memory.at_that_count = report->member_of->replica;
   }
 }
 
--- a/src/process/replica_keeper.h
+++ b/src/process/replica_keeper.h
@@ -108,7 +108,10 @@
   [[nodiscard]] keeper_effects tick(time_point now, const fleet_view& fleet,
                                     const service_shape& service, const duties& own);
 
-  void on_order(time_point now, const replica_order& order, order_outcome outcome);
+  // The fleet view is told what an obeyed order has made of its target.
+  void on_order(time_point now, fleet_view& fleet, const replica_order& order,
+                order_outcome outcome);
+  // `report` is empty when there was no answer.
   void on_report(time_point now, const target_id& id, const std::optional<target_report>& report);
 
   // What each domain has and should have, by model; for logs.
@@ -128,8 +131,10 @@
  private:
   // What this node knows of an engine beyond the fleet view.
   struct engine_memory {
-    std::optional<std::uint64_t> orders;  // obeyed; empty: ask first
-    std::optional<std::uint64_t> assumed_orders;  // after an order whose count is not certain
+    // Orders obeyed, and the replica it was in at that count: what is ordered on one is refused
+    // unless the other still holds. Empty: ask first.
+    std::optional<std::uint64_t> orders;
+    std::optional<replica_key> at_that_count;
     bool order_pending = false;
     bool report_pending = false;
     time_point ask_after{};    // next question or repeated order, not earlier
@@ -182,6 +187,9 @@
   [[nodiscard]] bool may_order(const round& r, const target_id& id) const;
   [[nodiscard]] model_id model_for(const target_view& view, const engine_memory& memory) const;
   [[nodiscard]] std::uint64_t next_epoch() { return ++last_epoch_; }
+  [[nodiscard]] static bool is_current(const target_view& view, const engine_memory& memory);
+  void obeyed(time_point now, fleet_view& fleet, engine_memory& memory,
+              const replica_order& order, order_outcome outcome);
   void give_up(const replica_key& key);
   void note_joined(const replica_order& order);
 
