Keeper: a plan holds only as long as its members are as they were chosen; names of one keeper's life

Change: a forming replica ends when a member is in anything else than when it was chosen; names of replicas carry the keeper's life. A stand-in engine as a value and a fleet of them in virtual time.

--- a/src/node/hosted_state.cpp
+++ b/src/node/hosted_state.cpp
@@ -1,6 +1,10 @@
 // Shared state of a hosted node.
 #include "node/hosted_state.h"
 
+#include <array>
+#include <cstdio>
+#include <random>
+
 namespace arbutus {
 
 namespace {
@@ -9,6 +13,15 @@
   return {e.host, e.port};
 }
 
+// Random, since neither the time of day nor a counter is safe: the one may step back, the other is
+// not kept.
+std::string fresh_origin() {
+  std::random_device device;
+  std::array<char, 16> text{};
+  std::snprintf(text.data(), text.size(), "%08x", device());
+  return text.data();
+}
+
 // Nodes of a deployment at the least, while none has been heard: each takes a small part of the
 // burst.
 constexpr std::size_t least_nodes = 6;
@@ -45,6 +58,7 @@
 
 hosted_state::hosted_state(hosted_settings s, fiber_runtime& r)
     : settings(std::move(s)),
+      origin(fresh_origin()),
       runtime(r),
       targets(r, target_client_limits()),
       control(r, control_client_limits()),
--- a/src/node/hosted_state.h
+++ b/src/node/hosted_state.h
@@ -32,6 +32,7 @@
   hosted_state(hosted_settings s, fiber_runtime& r);
 
   hosted_settings settings;
+  std::string origin;  // of this life of the process: differs after every start
   fiber_runtime& runtime;
   http_client targets;  // requests that are passed on
   http_client control;  // reports and orders: a target that does not answer at once is a finding
--- a/src/node/keeper_loop.cpp
+++ b/src/node/keeper_loop.cpp
@@ -85,7 +85,7 @@
     if (found == keepers_.end()) {
       found = keepers_
                   .emplace(service.id,
-                           replica_keeper({}, started_, node_.settings.cold_start))
+                           replica_keeper({}, node_.origin, started_, node_.settings.cold_start))
                   .first;
     }
     tell_capacity(service);
--- a/src/process/replica_keeper.cpp
+++ b/src/process/replica_keeper.cpp
@@ -40,8 +40,9 @@
   return std::string(spare_prefix) + model.str() + name_separator + id.str();
 }
 
-std::string replica_name(const model_id& model, const target_id& head) {
-  return std::string(replica_prefix) + model.str() + name_separator + head.str();
+std::string replica_name(const model_id& model, std::string_view origin, const target_id& head) {
+  return std::string(replica_prefix) + model.str() + name_separator + std::string(origin) +
+         name_separator + head.str();
 }
 
 bool is_spare_name(std::string_view name) {
@@ -54,8 +55,9 @@
 
 model_id model_in(std::string_view name) {
   const auto first = name.find(name_separator);
-  const auto last = name.rfind(name_separator);
-  return first < last ? model_id{name.substr(first + 1, last - first - 1)} : model_id{};
+  const auto second = first == std::string_view::npos ? first : name.find(name_separator, first + 1);
+  return second == std::string_view::npos ? model_id{}
+                                          : model_id{name.substr(first + 1, second - first - 1)};
 }
 
 // Engines of a domain by what they are ready for, beside what they should be.
@@ -180,11 +182,7 @@
 
 // Whether the count of orders was seen together with what the fleet view says of the engine now.
 bool replica_keeper::is_current(const target_view& view, const engine_memory& memory) {
-  std::optional<replica_key> now_in;
-  if (view.record.member_of) {
-    now_in = view.record.member_of->replica;
-  }
-  return memory.orders && memory.at_that_count == now_in;
+  return memory.orders && memory.at_that_count == replica_of(view);
 }
 
 bool replica_keeper::may_order(const round& r, const target_id& id) const {
@@ -204,6 +202,22 @@
                     *memory.orders});
 }
 
+std::optional<replica_key> replica_keeper::replica_of(const target_view& view) {
+  if (!view.record.member_of) {
+    return std::nullopt;
+  }
+  return view.record.member_of->replica;
+}
+
+// Goes wrong: another node used a member meanwhile; told to join after all, it would leave a replica
+// that serves.
+bool replica_keeper::is_still_chosen(const round& r, const forming_replica& f) const {
+  return std::all_of(f.members.begin(), f.members.end(), [&](const target_id& id) {
+    const auto in = replica_of(*r.fleet.find(id));
+    return in == f.key || (!f.told.contains(id) && in == f.chosen_from.at(id));
+  });
+}
+
 // Replicas that this node has begun to form: members that have not joined are told again, a whole
 // one is opened.
 void replica_keeper::advance_forming(round& r) {
@@ -217,7 +231,7 @@
         break;
       }
     }
-    if (any_gone || r.now - f.begun > settings_.form_timeout) {
+    if (any_gone || r.now - f.begun > settings_.form_timeout || !is_still_chosen(r, f)) {
       f.failed = true;
       continue;
     }
@@ -444,11 +458,12 @@
 void replica_keeper::begin_forming(round& r, const model_shape& model,
                                    const std::vector<const target_view*>& members) {
   forming_replica f;
-  f.key = {replica_name(model.id, members.front()->record.id), next_epoch()};
+  f.key = {replica_name(model.id, origin_, members.front()->record.id), next_epoch()};
   f.model = model.id;
   f.begun = r.now;
   for (const target_view* view : members) {
     f.members.push_back(view->record.id);
+    f.chosen_from.emplace(view->record.id, replica_of(*view));
   }
   if (may_order(r, f.members.front())) {
     send(r, *members.front(), order_action::join, f.key, f.model, f.members);
--- a/src/process/replica_keeper.h
+++ b/src/process/replica_keeper.h
@@ -95,8 +95,13 @@
 
 class replica_keeper {
  public:
-  replica_keeper(const keeper_settings& settings, time_point started, bool cold_start)
-      : settings_(settings), started_(started), cold_start_(cold_start) {}
+  // `origin` without dots, see replica_name().
+  replica_keeper(const keeper_settings& settings, std::string origin, time_point started,
+                 bool cold_start)
+      : settings_(settings),
+        origin_(std::move(origin)),
+        started_(started),
+        cold_start_(cold_start) {}
 
   struct duties {
     std::set<data_centre_id> data_centres;  // whose engines this node orders
@@ -149,6 +154,8 @@
     time_point begun;
     bool head_joined = false;   // the others are told only then
     std::set<target_id> told;   // obeyed the order to join
+    // What each member was in when it was chosen: the choice holds only as long as that does.
+    std::map<target_id, std::optional<replica_key>> chosen_from;
     bool failed = false;        // done or given up
   };
   struct standing_replica {
@@ -187,6 +194,8 @@
   [[nodiscard]] bool may_order(const round& r, const target_id& id) const;
   [[nodiscard]] model_id model_for(const target_view& view, const engine_memory& memory) const;
   [[nodiscard]] std::uint64_t next_epoch() { return ++last_epoch_; }
+  [[nodiscard]] static std::optional<replica_key> replica_of(const target_view& view);
+  [[nodiscard]] bool is_still_chosen(const round& r, const forming_replica& f) const;
   [[nodiscard]] static bool is_current(const target_view& view, const engine_memory& memory);
   void obeyed(time_point now, fleet_view& fleet, engine_memory& memory,
               const replica_order& order, order_outcome outcome);
@@ -194,6 +203,7 @@
   void note_joined(const replica_order& order);
 
   keeper_settings settings_;
+  std::string origin_;
   time_point started_;
   bool cold_start_;
   std::uint64_t last_epoch_ = 0;
@@ -206,9 +216,12 @@
 };
 
 // Names: a spare holds a replica of itself alone, which is never opened. Both kinds name model and
-// head, so that a node knows what an engine loads, and whom to ask of a head it never saw.
+// head, so that a node knows what an engine loads, and whom to ask of a head it never saw. `origin`
+// differs for each life of a keeper: two that choose the same head and epoch at once would else
+// mix their members under one name.
 [[nodiscard]] std::string spare_name(const model_id& model, const target_id& id);
-[[nodiscard]] std::string replica_name(const model_id& model, const target_id& head);
+[[nodiscard]] std::string replica_name(const model_id& model, std::string_view origin,
+                                       const target_id& head);
 [[nodiscard]] model_id model_in(std::string_view name);
 [[nodiscard]] bool is_spare_name(std::string_view name);
 [[nodiscard]] target_id head_of(std::string_view name);
--- /dev/null
+++ b/src/standin/hosted_engine.cpp
@@ -0,0 +1,113 @@
+// The stand-in engine's orders.
+#include "standin/hosted_engine.h"
+
+#include <algorithm>
+
+namespace arbutus::standin {
+
+order_outcome hosted_engine::take(time_point now, const replica_order& order) {
+  advance(now);
+  if (order.expected_orders != orders_) {
+    return order_outcome::conflict;
+  }
+  order_outcome result = order_outcome::holds;
+  switch (order.action) {
+    case order_action::join:
+      result = join(now, order);
+      break;
+    case order_action::open:
+      if (!is_in(order.replica) || record_.member_of->rank != 0 ||
+          record_.member_of->state == member_state::joining) {
+        return order_outcome::conflict;
+      }
+      if (record_.member_of->state == member_state::ready) {
+        open_at_ = now + settings_.open_time;
+        ++orders_;
+        result = order_outcome::begun;
+      }
+      break;
+    case order_action::close:
+      if (is_in(order.replica) && record_.member_of->state == member_state::open) {
+        record_.member_of->state = member_state::ready;
+        ++orders_;
+        result = order_outcome::begun;
+      }
+      open_at_.reset();
+      break;
+    case order_action::leave:
+      if (is_in(order.replica)) {
+        record_.member_of.reset();
+        ready_at_.reset();
+        open_at_.reset();
+        ++orders_;
+      }
+      break;
+  }
+  remember(now);
+  return result;
+}
+
+order_outcome hosted_engine::join(time_point now, const replica_order& order) {
+  if (order.replica.epoch < newest_epoch_) {
+    return order_outcome::outdated;
+  }
+  if (is_in(order.replica)) {
+    return members_ == order.members ? order_outcome::holds : order_outcome::outdated;
+  }
+  newest_epoch_ = order.replica.epoch;
+  const auto position = std::find(order.members.begin(), order.members.end(), record_.id);
+  const auto rank = static_cast<std::uint32_t>(position - order.members.begin());
+  const bool staged = std::find(record_.staged.begin(), record_.staged.end(), order.model) !=
+                      record_.staged.end();
+  const duration needed = last_model_ == order.model ? settings_.rejoin_time
+                          : staged                   ? settings_.warm_time
+                                                     : settings_.load_time;
+  record_.member_of = membership{order.replica, rank, member_state::joining};
+  record_.staged = {order.model};
+  last_model_ = order.model;
+  members_ = order.members;
+  ready_at_ = now + needed;
+  open_at_.reset();
+  ++orders_;
+  return order_outcome::begun;
+}
+
+void hosted_engine::advance(time_point now) {
+  if (ready_at_ && now >= *ready_at_ && record_.member_of) {
+    record_.member_of->state = member_state::ready;
+    record_.loaded = last_model_;
+    ready_in_.push_back(record_.member_of->replica);
+    const time_point at = *ready_at_;
+    ready_at_.reset();
+    remember(at);
+  }
+  if (open_at_ && now >= *open_at_ && record_.member_of) {
+    record_.member_of->state = member_state::open;
+    const time_point at = *open_at_;
+    open_at_.reset();
+    remember(at);
+  }
+}
+
+void hosted_engine::remember(time_point now) {
+  past_.push_back({now, record_.member_of, record_.loaded, orders_});
+}
+
+target_report hosted_engine::report(time_point now) const {
+  target_report result;
+  for (const snapshot& s : past_) {
+    if (s.at > now - settings_.report_lag) {
+      break;
+    }
+    result.member_of = s.member_of;
+    result.loaded = s.loaded;
+    result.orders = s.orders;
+  }
+  return result;
+}
+
+bool hosted_engine::was_ready_in(const replica_key& key) const {
+  return std::find(ready_in_.begin(), ready_in_.end(), key) != ready_in_.end();
+}
+
+}  // namespace arbutus::standin
--- /dev/null
+++ b/src/standin/hosted_engine.h
@@ -0,0 +1,80 @@
+// A stand-in engine of a platform where engines keep their own replicas: a value in virtual time.
+//
+// It joins, opens, closes and leaves by order, counts the orders that it began, refuses those that
+// were decided on another count, and remembers what it said before, since its reports lag.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/units.h"
+#include "process/fleet_view.h"
+#include "process/replica_keeper.h"
+
+namespace arbutus::standin {
+
+struct hosted_engine_settings {
+  duration rejoin_time = 200ms;  // the model of its last replica
+  duration warm_time = 1s;       // weights on the host
+  duration load_time = 4s;
+  duration open_time = 300ms;
+  duration report_lag = 200ms;
+};
+
+class hosted_engine {
+ public:
+  hosted_engine(target_record record, const hosted_engine_settings& settings)
+      : settings_(settings), record_(std::move(record)) {}
+
+  // Carries an order out, whenever it arrives.
+  order_outcome take(time_point now, const replica_order& order);
+
+  // Joins and openings that are due by `now`.
+  void advance(time_point now);
+
+  // What a question at `now` is told: the state of `report_lag` ago.
+  [[nodiscard]] target_report report(time_point now) const;
+
+  [[nodiscard]] const target_record& record() const { return record_; }
+  [[nodiscard]] bool is_open() const {
+    return record_.member_of && record_.member_of->rank == 0 &&
+           record_.member_of->state == member_state::open;
+  }
+  // Of the replica it is in; the first is the head.
+  [[nodiscard]] const std::vector<target_id>& members() const { return members_; }
+  [[nodiscard]] std::uint64_t orders() const { return orders_; }
+  // Whether it was ever ready in that replica.
+  [[nodiscard]] bool was_ready_in(const replica_key& key) const;
+
+  void set_draining() { record_.draining = true; }
+
+ private:
+  struct snapshot {
+    time_point at;
+    std::optional<membership> member_of;
+    model_id loaded;
+    std::uint64_t orders = 0;
+  };
+
+  order_outcome join(time_point now, const replica_order& order);
+  void remember(time_point now);
+  [[nodiscard]] bool is_in(const replica_key& key) const {
+    return record_.member_of && record_.member_of->replica == key;
+  }
+
+  hosted_engine_settings settings_;
+  target_record record_;
+  std::vector<target_id> members_;
+  std::uint64_t orders_ = 0;
+  std::uint64_t newest_epoch_ = 0;
+  model_id last_model_;  // of its last replica
+  std::optional<time_point> ready_at_;
+  std::optional<time_point> open_at_;
+  std::vector<replica_key> ready_in_;
+  std::deque<snapshot> past_;
+};
+
+}  // namespace arbutus::standin
--- /dev/null
+++ b/tests/shell/keeper_world.h
@@ -0,0 +1,309 @@
+// A fleet of stand-in engines and several keepers in virtual time, and a check after every step
+// that no engine serves two replicas and no replica serves that is not whole.
+#pragma once
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <memory>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/rng.h"
+#include "process/replica_keeper.h"
+#include "standin/hosted_engine.h"
+
+namespace arbutus::testing_support {
+
+inline const service_id llm{"llm"};
+inline const model_id large{"large"};
+inline const model_id small{"small"};
+
+inline service_shape two_models() {
+  service_shape service;
+  service.id = llm;
+  engine_parameters engine;
+  engine.slots = 8;
+  engine.loads_at_once = 6;
+  engine.models = {{large, 4, 0.57, 1.0, 4s, 1s}, {small, 3, 0.43, 0.6, 4s, 1s}};
+  service.engine = engine;
+  return service;
+}
+
+class keeper_world {
+ public:
+  struct faults {
+    double order_lost = 0;   // obeyed, and the answer is lost
+    double order_late = 0;   // obeyed seconds later; no answer
+    duration longest_late = 6s;
+  };
+
+  explicit keeper_world(std::uint64_t seed, std::size_t keepers = 1) : random_(seed) {
+    for (std::size_t i = 0; i < keepers; ++i) {
+      nodes_.push_back(std::make_unique<keeper_node>(keeper_node{{}, replica_keeper({}, "k" + std::to_string(i), now_, true), true, {}}));
+    }
+  }
+
+  target_id add_engine(const std::string& domain) {
+    target_record record;
+    record.id = target_id{"i-" + std::to_string(next_id_++)};
+    record.service = llm;
+    record.address = {"10.0.0.1", static_cast<std::uint16_t>(1000 + next_id_)};
+    record.data_centre = data_centre_id{"a"};
+    record.domain = fabric_domain_id{domain};
+    engines_.emplace(record.id, standin::hosted_engine(record, {}));
+    return record.id;
+  }
+
+  void add_domain(const std::string& domain, int engines) {
+    for (int i = 0; i < engines; ++i) {
+      add_engine(domain);
+    }
+  }
+
+  // Dies without a word; the list drops it after three heartbeats.
+  void kill(const target_id& id) {
+    dead_.insert(id);
+    drop_from_list_[id] = now_ + 3600ms;
+  }
+  // The node keeps deciding on what it saw before.
+  void cut_from_list(std::size_t node, bool cut) { nodes_[node]->hears_list = !cut; }
+  void set_faults(const faults& f) { faults_ = f; }
+  void drain(const target_id& id) { engines_.at(id).set_draining(); }
+
+  void run(duration length) {
+    const time_point until = now_ + length;
+    while (now_ < until) {
+      step();
+      if (::testing::Test::HasFatalFailure()) {
+        return;
+      }
+    }
+  }
+
+  [[nodiscard]] bool run_until(const std::function<bool()>& holds, duration longest) {
+    const time_point until = now_ + longest;
+    while (now_ < until && !::testing::Test::HasFatalFailure()) {
+      if (holds()) {
+        return true;
+      }
+      step();
+    }
+    return holds();
+  }
+
+  // Open heads whose members are all there and alive.
+  [[nodiscard]] std::size_t serving(const model_id& model) const {
+    std::size_t count = 0;
+    for (const auto& [id, engine] : engines_) {
+      count += engine.is_open() && model_in(engine.record().member_of->replica.name) == model &&
+                       is_whole(engine)
+                   ? 1
+                   : 0;
+    }
+    return count;
+  }
+
+  // The head of some replica of the model that serves.
+  [[nodiscard]] target_id head(const model_id& model) const {
+    for (const auto& [id, engine] : engines_) {
+      if (engine.is_open() && !dead_.contains(id) && is_whole(engine) &&
+          model_in(engine.record().member_of->replica.name) == model) {
+        return id;
+      }
+    }
+    return {};
+  }
+  [[nodiscard]] const standin::hosted_engine& engine(const target_id& id) const {
+    return engines_.at(id);
+  }
+  [[nodiscard]] std::vector<target_id> living() const {
+    std::vector<target_id> result;
+    for (const auto& [id, engine] : engines_) {
+      if (!dead_.contains(id)) {
+        result.push_back(id);
+      }
+    }
+    return result;
+  }
+  [[nodiscard]] std::size_t orders_sent() const { return orders_sent_; }
+  [[nodiscard]] time_point now() const { return now_; }
+  rng& random() { return random_; }
+  void requests_begin() { requests_seen_ = true; }
+
+ private:
+  struct keeper_node {
+    fleet_view fleet;
+    replica_keeper keeper;
+    bool hears_list = true;
+    std::map<target_id, target_record> told;  // as the list last said
+  };
+  struct event {
+    time_point at;
+    std::size_t order;
+    std::function<void()> act;
+    bool operator<(const event& other) const {
+      return std::tie(at, order) > std::tie(other.at, other.order);
+    }
+  };
+
+  void later(duration after, std::function<void()> act) {
+    events_.push({now_ + after, next_event_++, std::move(act)});
+  }
+
+  void step() {
+    constexpr duration tick = 20ms;
+    now_ += tick;
+    while (!events_.empty() && events_.top().at <= now_) {
+      const auto act = events_.top().act;
+      events_.pop();
+      act();
+    }
+    for (auto& [id, engine] : engines_) {
+      if (!dead_.contains(id)) {
+        engine.advance(now_);
+      }
+    }
+    if (++ticks_ % 5 == 0) {
+      read_list();
+    }
+    replica_keeper::duties duties{{data_centre_id{"a"}}, 1, requests_seen_};
+    for (std::size_t n = 0; n < nodes_.size(); ++n) {
+      for (const keeper_effect& e : nodes_[n]->keeper.tick(now_, nodes_[n]->fleet, service_, duties)) {
+        carry_out(n, e);
+      }
+    }
+    check();
+  }
+
+  void read_list() {
+    for (const auto& n : nodes_) {
+      if (!n->hears_list) {
+        continue;
+      }
+      for (const auto& [id, engine] : engines_) {
+        const auto dropped = drop_from_list_.find(id);
+        if (dropped != drop_from_list_.end() && now_ >= dropped->second) {
+          n->fleet.unlisted(now_, id);
+        } else if (!n->told.contains(id) || n->told[id] != engine.record()) {
+          n->told[id] = engine.record();
+          n->fleet.listed(now_, engine.record());
+        }
+      }
+    }
+  }
+
+  void carry_out(std::size_t n, const keeper_effect& e) {
+    constexpr duration way = 2ms;
+    constexpr duration timeout = 300ms;
+    if (const auto* question = std::get_if<report_question>(&e)) {
+      const target_id id = question->to;
+      const time_point asked = now_;
+      if (dead_.contains(id)) {
+        later(timeout, [this, n, id] {
+          nodes_[n]->fleet.probe_failed(now_, id);
+          nodes_[n]->keeper.on_report(now_, id, std::nullopt);
+        });
+        return;
+      }
+      later(way, [this, n, id, asked] {
+        const target_report report = engines_.at(id).report(now_);
+        nodes_[n]->fleet.reported(asked, asked - 250ms, id, report.member_of, report.loaded, 1);
+        nodes_[n]->keeper.on_report(now_, id, report);
+      });
+      return;
+    }
+    const replica_order order = std::get<replica_order>(e);
+    ++orders_sent_;
+    const double luck = random_.unit();
+    const bool late = luck < faults_.order_late;
+    const bool lost = !late && luck < faults_.order_late + faults_.order_lost;
+    if (late) {
+      later(random_.jitter(faults_.longest_late), [this, order] { arrive(order); });
+    }
+    if (late || dead_.contains(order.to)) {
+      later(timeout, [this, n, order] {
+        nodes_[n]->fleet.probe_failed(now_, order.to);
+        nodes_[n]->keeper.on_order(now_, nodes_[n]->fleet, order, order_outcome::no_answer);
+      });
+      return;
+    }
+    later(way, [this, n, order, lost] {
+      const order_outcome outcome = arrive(order);
+      if (!lost) {
+        nodes_[n]->keeper.on_order(now_, nodes_[n]->fleet, order, outcome);
+      }
+    });
+    if (lost) {
+      later(timeout, [this, n, order] {
+        nodes_[n]->keeper.on_order(now_, nodes_[n]->fleet, order, order_outcome::no_answer);
+      });
+    }
+  }
+
+  order_outcome arrive(const replica_order& order) {
+    if (dead_.contains(order.to)) {
+      return order_outcome::no_answer;
+    }
+    standin::hosted_engine& engine = engines_.at(order.to);
+    const auto before = engine.record().member_of;
+    const auto members = engine.members();
+    const order_outcome outcome = engine.take(now_, order);
+    // No engine joins another replica while the head of its own serves.
+    if (order.action == order_action::join && outcome == order_outcome::begun && before &&
+        before->replica != order.replica) {
+      const standin::hosted_engine& head = engines_.at(members.front());
+      const bool serves = !dead_.contains(members.front()) && head.is_open() &&
+                          head.record().member_of->replica == before->replica;
+      EXPECT_FALSE(serves && members.front() != order.to)
+          << order.to << " joins " << order.replica.name << " epoch " << order.replica.epoch
+          << " from " << before->replica.name << " epoch " << before->replica.epoch;
+    }
+    return outcome;
+  }
+
+  [[nodiscard]] bool is_whole(const standin::hosted_engine& head) const {
+    const replica_key& key = head.record().member_of->replica;
+    for (const target_id& id : head.members()) {
+      const auto& own = engines_.at(id).record().member_of;
+      if (dead_.contains(id) || !own || own->replica != key) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  // An open head whose replica never was whole would begin requests that nobody can run.
+  void check() {
+    for (const auto& [id, engine] : engines_) {
+      if (dead_.contains(id) || !engine.is_open()) {
+        continue;
+      }
+      const replica_key& key = engine.record().member_of->replica;
+      ASSERT_FALSE(is_spare_name(key.name)) << "a spare serves";
+      for (const target_id& member : engine.members()) {
+        ASSERT_TRUE(engines_.at(member).was_ready_in(key))
+            << member << " was never ready in " << key.name << " epoch " << key.epoch;
+      }
+    }
+  }
+
+  service_shape service_ = two_models();
+  time_point now_{1h};
+  rng random_;
+  faults faults_;
+  bool requests_seen_ = false;
+  std::map<target_id, standin::hosted_engine> engines_;
+  std::set<target_id> dead_;
+  std::map<target_id, time_point> drop_from_list_;
+  std::vector<std::unique_ptr<keeper_node>> nodes_;
+  std::priority_queue<event> events_;
+  std::size_t next_event_ = 0;
+  std::size_t orders_sent_ = 0;
+  int ticks_ = 0;
+  int next_id_ = 1;
+};
+
+}  // namespace arbutus::testing_support
--- /dev/null
+++ b/tests/shell/replica_keeper_test.cpp
@@ -0,0 +1,138 @@
+// Keepers over stand-in engines, in virtual time. What must hold is checked after every step.
+#include <gtest/gtest.h>
+
+#include "keeper_world.h"
+
+namespace arbutus::testing_support {
+namespace {
+
+TEST(ReplicaKeeper, FormsReplicasOfBothModels) {
+  keeper_world world(1);
+  world.add_domain("d0", 9);
+  world.add_domain("d1", 9);
+  EXPECT_TRUE(world.run_until(
+      [&] { return world.serving(large) >= 2 && world.serving(small) >= 2; }, 40s));
+}
+
+TEST(ReplicaKeeper, RepairsWithASpareWithinASecond) {
+  // Symptom: a replica that lost a member is down for the load of a model. Sequence: a domain of
+  // nine holds two replicas of four and a spare; a member dies and is found lost. Cause: spares are
+  // not made ready, or the survivors are not used again.
+  keeper_world world(2);
+  world.add_domain("d0", 9);
+  world.add_domain("d1", 9);
+  world.add_domain("d2", 9);
+  ASSERT_TRUE(world.run_until([&] { return world.serving(large) >= 3; }, 60s));
+  world.requests_begin();
+  world.run(20s);
+  const std::size_t before = world.serving(large);
+  const target_id head = world.head(large);
+  world.kill(world.engine(head).members().back());
+  world.run(100ms);
+  EXPECT_LT(world.serving(large), before);
+  // The list drops the dead engine after 3.6 s; the repair itself takes under 1.2 s.
+  EXPECT_TRUE(world.run_until([&] { return world.serving(large) >= before; }, 4800ms));
+}
+
+TEST(ReplicaKeeper, UsesSurvivorsOfALostHead) {
+  // Symptom: engines of a replica whose head died are used by nobody. Cause: nothing tells them to
+  // leave, and none may join elsewhere before it left.
+  keeper_world world(3);
+  world.add_domain("d0", 9);
+  world.add_domain("d1", 9);
+  ASSERT_TRUE(world.run_until([&] { return world.serving(small) >= 2; }, 60s));
+  world.requests_begin();
+  world.run(20s);
+  const std::size_t before = world.serving(small);
+  const target_id head = world.head(small);
+  const std::vector<target_id> members = world.engine(head).members();
+  world.kill(head);
+  EXPECT_TRUE(world.run_until(
+      [&] {
+        const auto& own = world.engine(members.back()).record().member_of;
+        return own && head_of(own->replica.name) != head;
+      },
+      8s));
+  EXPECT_GE(world.serving(small) + 1, before);
+}
+
+TEST(ReplicaKeeper, LeavesADrainingMemberInTime) {
+  // Symptom: requests are cut when an engine is taken away. Cause: its replica serves on with it.
+  keeper_world world(4);
+  world.add_domain("d0", 9);
+  ASSERT_TRUE(world.run_until([&] { return world.serving(large) + world.serving(small) >= 2; }, 60s));
+  world.run(5s);
+  const target_id head = world.serving(large) > 0 ? world.head(large) : world.head(small);
+  const target_id leaving = world.engine(head).members().back();
+  const replica_key key = world.engine(head).record().member_of->replica;
+  world.drain(leaving);
+  EXPECT_TRUE(world.run_until(
+      [&] {
+        const auto& own = world.engine(head).record().member_of;
+        return !own || own->replica != key || own->state != member_state::open;
+      },
+      1s));
+}
+
+TEST(ReplicaKeeper, StaleKeeperTakesNoEngineOfAServingReplica) {
+  // Symptom: an engine joins a replica while the head of its own serves. Sequence: a keeper loses
+  // the list and goes on with what it knew; another one forms a replica anew. The stale one orders
+  // the head out of the old replica, is told that this holds, and takes its members for free.
+  // Cause: the count of orders was guessed, and not seen together with the engine's state.
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    keeper_world world(seed, 2);
+    world.add_domain("d0", 9);
+    world.add_domain("d1", 8);
+    world.run(25s);
+    world.requests_begin();
+    world.cut_from_list(1, true);
+    for (int i = 0; i < 4; ++i) {
+      const auto living = world.living();
+      world.kill(living[world.random().below(living.size())]);
+      world.run(2s);
+    }
+    world.cut_from_list(1, false);
+    world.run(10s);
+    ASSERT_FALSE(HasFailure()) << "seed " << seed;
+    EXPECT_GE(world.serving(large) + world.serving(small), 2U) << "seed " << seed;
+  }
+}
+
+TEST(ReplicaKeeper, LateAndLostOrdersDoNoHarm) {
+  // Symptom: an engine leaves or joins seconds after the order was given up. Sequence: a third of
+  // the orders are obeyed up to 6 s later without an answer, a tenth lose their answer, engines die
+  // and come, two keepers work on the same engines. Cause: orders that name no state they rest on.
+  for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+    keeper_world world(seed, 2);
+    world.add_domain("d0", 9);
+    world.add_domain("d1", 9);
+    world.run(15s);
+    world.requests_begin();
+    world.set_faults({.order_lost = 0.1, .order_late = 0.3});
+    for (int i = 0; i < 5; ++i) {
+      const auto living = world.living();
+      world.kill(living[world.random().below(living.size())]);
+      world.add_engine(world.random().below(2) == 0 ? "d0" : "d1");
+      world.run(2s);
+    }
+    world.set_faults({});
+    world.run(20s);
+    ASSERT_FALSE(HasFailure()) << "seed " << seed;
+    EXPECT_GE(world.serving(large) + world.serving(small), 2U) << "seed " << seed;
+  }
+}
+
+TEST(ReplicaKeeper, SettlesAndThenOrdersNothing) {
+  // Symptom: orders go on although nothing happens, and each is paid for. Cause: a plan that never
+  // holds still.
+  keeper_world world(5, 1);
+  world.add_domain("d0", 9);
+  world.add_domain("d1", 9);
+  world.run(60s);
+  const std::size_t before = world.orders_sent();
+  world.run(20s);
+  EXPECT_EQ(world.orders_sent(), before);
+}
+
+}  // namespace
+}  // namespace arbutus::testing_support
