Hubs: one node of a data centre follows the store, the others hear from it

Change: the living node with the lowest name of a data centre follows the tables; the others ask it by the same positions, with proofs that age from their own stamp, and go on at the store when it stops. Loads are summed by the hubs, so that messages grow with the nodes, not their square.

--- a/src/node/hosted_node.cpp
+++ b/src/node/hosted_node.cpp
@@ -58,7 +58,7 @@
   void listen() {
     const hosted_listen& at = state.settings.listen;
     links = std::make_unique<peer_links>(runtime, address_of_endpoint(at.links), state.settings.id);
-    keeper = std::make_unique<keeper_loop>(state, *links);
+    keeper = std::make_unique<keeper_loop>(state, *links, watch);
     links->set_receiver(link_channel::coordination, [this](const peer_message& m) {
       if (const auto beat = decode_node_beat(m.bytes)) {
         keeper->heard(monotonic_now(), m.from, *beat);
@@ -118,20 +118,12 @@
     runtime.post(0, [this] { watch.follow_configuration(); });
     runtime.post(0, [this] { watch.follow_targets(); });
     runtime.post(0, [this] {
-      watch.follow_nodes([this](const std::vector<node_record>& nodes) { link_to(nodes); });
+      watch.follow_nodes(
+          [this](const std::vector<node_record>& nodes) { state.peers.set_known(nodes); });
     });
     runtime.post(0, [this] { keeper->run(); });
   }
 
-  void link_to(const std::vector<node_record>& nodes) {
-    links->set_peers(nodes);
-    std::vector<node_id> ids;
-    for (const node_record& n : nodes) {
-      ids.push_back(n.id);
-    }
-    keeper->set_peers(std::move(ids));
-  }
-
   fiber_runtime runtime;
   hosted_state state;
   store_watch watch;
--- a/src/node/hosted_state.cpp
+++ b/src/node/hosted_state.cpp
@@ -65,7 +65,8 @@
       platform(r, platform_client_limits()),
       store(platform, address_of_endpoint(settings.store)),
       engines(control),
-      lease({.bound = settings.bounds.key_withdrawal}) {}
+      lease({.bound = settings.bounds.key_withdrawal}),
+      peers(settings.id, settings.data_centre) {}
 
 const std::vector<serving_replica>& hosted_state::replicas(const service_shape& service,
                                                            const model_id& model) {
--- a/src/node/hosted_state.h
+++ b/src/node/hosted_state.h
@@ -19,7 +19,9 @@
 #include "process/config_lease.h"
 #include "process/fleet_view.h"
 #include "process/hosted_settings.h"
+#include "process/feed_log.h"
 #include "process/node_beat.h"
+#include "process/peer_table.h"
 #include "process/silence.h"
 #include "request/instance_choice.h"
 #include "request/replica_choice.h"
@@ -51,6 +53,9 @@
   silence_monitor silence;
   attempt_registry attempts;
   peer_table peers;
+  // The followed tables, for the nodes that hear them from this one.
+  feed_log target_rows;
+  feed_log configuration_rows;
   hosted_metrics metrics;
   bool requests_seen = false;
   bool stopping = false;
--- a/src/node/keeper_loop.cpp
+++ b/src/node/keeper_loop.cpp
@@ -1,11 +1,11 @@
 // The keeper's clockwork.
 #include "node/keeper_loop.h"
 
+#include <algorithm>
 #include <boost/fiber/condition_variable.hpp>
 
 #include "connection/clock.h"
 #include "node/log.h"
-#include "process/duty.h"
 
 namespace arbutus {
 
@@ -31,8 +31,8 @@
 
 }  // namespace
 
-keeper_loop::keeper_loop(hosted_state& node, peer_links& links)
-    : node_(node), links_(links), started_(monotonic_now()) {}
+keeper_loop::keeper_loop(hosted_state& node, peer_links& links, store_watch& watch)
+    : node_(node), links_(links), watch_(watch), started_(monotonic_now()) {}
 
 void keeper_loop::run() {
   while (sleep_until(monotonic_now() + tick_interval)) {
@@ -50,16 +50,12 @@
 }
 
 void keeper_loop::keep(time_point now) {
-  std::vector<duty_node> living = {{node_.settings.id, node_.settings.data_centre}};
-  for (const auto& [id, data_centre] : node_.peers.living(now)) {
-    living.push_back({id, data_centre});
-  }
   // Cut off from the platform and from all peers, this node sees only what it had: peers of its
   // data centre know better, if there are any.
-  const bool isolated = living.size() == 1 && now - node_.fleet_read_at > isolated_after &&
-                        node_.peers.any_of(node_.settings.data_centre);
+  const bool isolated = node_.peers.living(now) == 0 && now - node_.fleet_read_at > isolated_after &&
+                        node_.peers.any_in(node_.settings.data_centre);
   const auto duties = isolated ? std::set<data_centre_id>{}
-                               : duties_of(node_.settings.id, node_.settings.data_centres, living);
+                               : node_.peers.duties(now, node_.settings.data_centres);
   if (duties != duties_) {
     duties_ = duties;
     std::string names;
@@ -67,7 +63,7 @@
       names += (names.empty() ? "" : ",") + d.str();
     }
     log_line(log_level::info, "keeper", "duties",
-             {{"data_centres", names}, {"living_nodes", std::uint64_t{living.size()}}});
+             {{"data_centres", names}, {"living_peers", std::uint64_t{node_.peers.living(now)}}});
   }
   // In the first moment no peer has been heard yet.
   constexpr duration settle = 500ms;
@@ -311,30 +307,86 @@
   }
 }
 
-void keeper_loop::tell_peers(time_point now) {
-  node_.loads.forget_peers(now);
+node_beat keeper_loop::beat_for(time_point now, const node_id& peer) const {
+  const data_centre_id& home = node_.settings.data_centre;
+  const bool same = node_.peers.data_centre_of(peer) == home;
   node_beat beat;
-  beat.data_centre = node_.settings.data_centre;
+  beat.data_centre = home;
+  beat.hub = !node_.stopping && node_.peers.is_hub(now);
   beat.leaving = node_.stopping;
   beat.requests_seen = node_.requests_seen;
-  beat.loads = node_.loads.own();
+  beat.stamp_us = now.time_since_epoch().count();
+  beat.echo_us = node_.peers.newest_stamp(peer);
+  beat.targets_position = node_.target_rows.position();
+  beat.configuration_position = node_.configuration_rows.position();
   for (const auto& [id, view] : node_.fleet.all()) {
     if (view.lost && view.listed) {
       beat.lost.push_back(id);
     }
   }
-  const std::string bytes = encode(beat);
-  for (const node_id& peer : peer_ids_) {
-    if (peer != node_.settings.id) {
-      links_.send(link_channel::coordination, {peer, bytes, false});
+  if (beat.hub) {
+    // A node of this data centre hears of all others, another hub of this data centre.
+    beat.loads = same ? node_.loads.all_but(peer) : node_.loads.all_of(home);
+  } else if (node_.peers.hub_of(now, home) == peer) {
+    beat.loads = node_.loads.own();
+  }
+  const auto asked = positions_.find(peer);
+  if (beat.hub && same && asked != positions_.end()) {
+    if (node_.fleet_known) {
+      beat.targets = feed_news{node_.target_rows.since(asked->second.targets),
+                               node_.target_rows.needs_whole(asked->second.targets),
+                               node_.target_rows.position(), now - node_.fleet_read_at};
+    }
+    if (const auto age = node_.lease.age(now)) {
+      beat.configuration = feed_news{node_.configuration_rows.since(asked->second.configuration),
+                                     false, node_.configuration_rows.position(), *age};
+    }
+  }
+  return beat;
+}
+
+// Links to those that are told; each costs both sides a connection.
+void keeper_loop::link_to(const std::vector<node_id>& peers) {
+  if (peers == linked_) {
+    return;
+  }
+  linked_ = peers;
+  std::vector<node_record> records;
+  for (const node_record& n : node_.peers.records()) {
+    if (std::find(peers.begin(), peers.end(), n.id) != peers.end()) {
+      records.push_back(n);
     }
   }
+  // In a fiber of its own, since ending a link may wait.
+  node_.runtime.post(0, [this, records] { links_.set_peers(records); });
+}
+
+void keeper_loop::tell_peers(time_point now) {
+  node_.loads.forget_peers(now);
+  std::vector<node_id> peers = node_.peers.to_tell(now);
+  std::sort(peers.begin(), peers.end());
+  link_to(peers);
+  for (const node_id& peer : peers) {
+    links_.send(link_channel::coordination, {peer, encode(beat_for(now, peer)), false});
+    node_.peers.told(now, peer);
+  }
 }
 
 void keeper_loop::heard(time_point now, const node_id& peer, const node_beat& beat) {
-  node_.peers.heard(now, peer, beat);
+  node_.peers.heard(now, peer, beat.hub, beat.leaving, beat.stamp_us);
+  positions_[peer] = {beat.targets_position, beat.configuration_position};
   node_.requests_seen = node_.requests_seen || beat.requests_seen;
-  node_.loads.heard(peer, now, beat.loads);
+  const bool same = beat.data_centre == node_.settings.data_centre;
+  const bool hub = node_.peers.is_hub(now);
+  // Loads come to the hub from its data centre and from other hubs, and to others from their hub.
+  if (hub ? (same ? !beat.hub : beat.hub) : (same && beat.hub)) {
+    node_.loads.heard(peer, beat.data_centre, now, beat.loads);
+  }
+  if (same && beat.hub && beat.echo_us > 0) {
+    // What the hub says was so after this node sent the stamp that it echoes.
+    const time_point asked{duration{beat.echo_us}};
+    watch_.take_news(asked, now, beat);
+  }
   for (const target_id& id : beat.lost) {
     const target_view* view = node_.fleet.find(id);
     // A peer's word is a suspicion: this node asks for itself.
--- a/src/node/keeper_loop.h
+++ b/src/node/keeper_loop.h
@@ -8,19 +8,19 @@
 
 #include "node/hosted_state.h"
 #include "node/peer_links.h"
+#include "node/store_watch.h"
 #include "process/replica_keeper.h"
 
 namespace arbutus {
 
 class keeper_loop {
  public:
-  keeper_loop(hosted_state& node, peer_links& links);
+  keeper_loop(hosted_state& node, peer_links& links, store_watch& watch);
 
   // In a fiber of its own until the runtime stops.
   void run();
 
   void heard(time_point now, const node_id& peer, const node_beat& beat);
-  void set_peers(std::vector<node_id> peers) { peer_ids_ = std::move(peers); }
 
  private:
   void keep(time_point now);
@@ -34,14 +34,23 @@
   bool probe(const target_id& id, duration timeout);
   void take_report(time_point asked, const target_id& id, const target_report& report);
   void tell_peers(time_point now);
+  void link_to(const std::vector<node_id>& peers);
+  [[nodiscard]] node_beat beat_for(time_point now, const node_id& peer) const;
 
   hosted_state& node_;
   peer_links& links_;
+  store_watch& watch_;
   time_point started_;
   std::map<service_id, replica_keeper> keepers_;
   std::set<target_id> checking_;  // heads whose replicas are being asked
   std::set<target_id> probing_;
-  std::vector<node_id> peer_ids_;
+  // How far each peer said it is in the followed tables.
+  struct positions {
+    std::uint64_t targets{};
+    std::uint64_t configuration{};
+  };
+  std::map<node_id, positions> positions_;
+  std::vector<node_id> linked_;
   std::set<data_centre_id> duties_;
   std::map<model_id, std::size_t> capacity_;  // replicas that may be sent requests, as last told
   time_point told_peers_at_{};
--- a/src/node/store_watch.cpp
+++ b/src/node/store_watch.cpp
@@ -27,6 +27,11 @@
 constexpr duration target_interval_at_start = 80ms;
 constexpr duration start_phase = 12s;
 constexpr duration retry_pause = 100ms;
+// Whether the hub still feeds this node is looked at so often.
+constexpr duration look_interval = 100ms;
+// Four beats of the hub: then this node asks the store itself, and its lease still has over 2 s.
+constexpr duration fed_for = 800ms;
+constexpr duration fed_proof_age = 1700ms;
 constexpr duration read_timeout = 1500ms;
 
 constexpr std::string_view node_table = "nodes";
@@ -48,10 +53,69 @@
             {"lease_age_ms", to_milliseconds(node_.lease.age(monotonic_now()).value_or(-1ms))}});
 }
 
-void store_watch::take_configuration(const std::string& text, std::uint64_t row_version) {
-  if (row_version <= configuration_row_) {
-    return;  // an answer that was overtaken by a newer one
+bool store_watch::is_fed(time_point now) const {
+  return now - fed_at_ < fed_for && !node_.peers.is_hub(now);
+}
+
+void store_watch::take_news(time_point asked, time_point now, const node_beat& beat) {
+  if (beat.targets) {
+    take_target_news(asked - beat.targets->age, *beat.targets);
+  }
+  if (beat.configuration) {
+    for (const feed_row& row : beat.configuration->rows) {
+      take_configuration_row(row);
+    }
+    node_.configuration_rows.advance(beat.configuration->position);
+    configuration_positioned_ = true;
+    // The hub held everything up to its position at its proof, and this node now holds the same.
+    if (node_.map && beat.configuration->position >= node_.configuration_rows.position()) {
+      node_.lease.proved(asked - beat.configuration->age);
+    }
+    // A hub whose own proof grows old does not keep others current.
+    if (beat.configuration->age < fed_proof_age) {
+      fed_at_ = now;
+    }
+  }
+}
+
+void store_watch::take_target_news(time_point asked, const feed_news& news) {
+  if (news.whole && news.position > node_.target_rows.position()) {
+    replace_targets(asked, news.rows, news.position);
+  } else if (!news.whole) {
+    // Rows of an answer to an older beat may come again.
+    for (const feed_row& row : news.rows) {
+      if (row.version > node_.target_rows.position()) {
+        take_target(asked, row);
+        node_.target_rows.take(row);
+      }
+    }
+    node_.target_rows.advance(news.position);
   }
+  targets_positioned_ = targets_positioned_ || node_.fleet_known;
+  node_.fleet_read_at = std::max(node_.fleet_read_at, asked);
+}
+
+void store_watch::replace_targets(time_point asked, const std::vector<feed_row>& rows,
+                                  std::uint64_t position) {
+  std::vector<target_record> records;
+  for (const feed_row& row : rows) {
+    std::string problem;
+    if (auto record = read_target_record(target_id{row.key}, row.value, problem)) {
+      records.push_back(std::move(*record));
+    } else {
+      log_line(log_level::warning, "fleet", "unreadable record",
+               {{"target", row.key}, {"reason", problem}});
+    }
+  }
+  node_.fleet.replace_all(asked, records);
+  node_.target_rows.replace(rows, position);
+  node_.fleet_known = true;
+  node_.fleet_read_at = std::max(node_.fleet_read_at, asked);
+  log_line(log_level::info, "fleet", "read whole",
+           {{"targets", std::uint64_t{records.size()}}, {"position", position}});
+}
+
+void store_watch::put_in_force(const std::string& text, std::uint64_t row_version) {
   service_map_result result = read_service_map(text);
   if (!result.map) {
     for (const finding& f : result.problems) {
@@ -60,7 +124,6 @@
     }
     return;
   }
-  configuration_row_ = row_version;
   if (node_.map && result.map->version() < node_.map->version()) {
     log_line(log_level::error, "configuration", "kept: the store has an older version",
              {{"version", node_.map->version()}, {"offered", result.map->version()}});
@@ -73,69 +136,71 @@
             {"row", row_version}});
 }
 
-// The whole row, when there is no position to go on from.
-bool store_watch::read_configuration(std::uint64_t& position) {
+void store_watch::take_configuration_row(const feed_row& row) {
+  node_.configuration_rows.take(row);
+  // An answer that was overtaken by a newer one changes nothing.
+  if (row.key == configuration_key && !row.removed && row.version > configuration_row_) {
+    configuration_row_ = row.version;
+    put_in_force(row.value, row.version);
+  }
+}
+
+// The whole table, when there is no position to go on from.
+bool store_watch::read_configuration() {
   const time_point asked = monotonic_now();
   const auto result = node_.store.read(configuration_table, {}, asked + read_timeout);
   const auto* rows = std::get_if<store_rows>(&result);
-  if (rows == nullptr || rows->version < position) {
-    note_dependency("configuration", configuration_up_, false,
-                    rows == nullptr ? "no answer" : "an old answer");
+  const bool usable = rows != nullptr && rows->version >= node_.configuration_rows.position();
+  note_dependency("configuration", configuration_up_, usable,
+                  rows == nullptr ? "no answer" : "whole table");
+  if (!usable) {
     return false;
   }
   for (const store_row& row : rows->rows) {
-    if (row.key == configuration_key) {
-      take_configuration(row.value, row.version);
-    }
+    take_configuration_row({row.key, row.value, row.version, row.removed});
   }
-  position = rows->version;
+  node_.configuration_rows.advance(rows->version);
   if (node_.map) {
     node_.lease.proved(asked);
   }
-  note_dependency("configuration", configuration_up_, true, "read");
   return true;
 }
 
 void store_watch::follow_configuration() {
-  std::uint64_t position = 0;
-  bool positioned = false;
   for (;;) {
-    if (!positioned) {
-      positioned = read_configuration(position);
-      if (!sleep_until(monotonic_now() + (positioned ? 0ms : retry_pause))) {
-        return;
-      }
-      continue;
-    }
     const time_point asked = monotonic_now();
-    const auto result = node_.store.watch(configuration_table, position, configuration_wait,
-                                          asked + configuration_wait + answer_slack);
-    if (const auto* rows = std::get_if<store_rows>(&result)) {
-      for (const store_row& row : rows->rows) {
-        if (row.key == configuration_key && !row.removed) {
-          take_configuration(row.value, row.version);
+    duration pause{};
+    if (is_fed(asked)) {
+      pause = look_interval;
+    } else if (!configuration_positioned_) {
+      configuration_positioned_ = read_configuration();
+      pause = configuration_positioned_ ? 0ms : retry_pause;
+    } else {
+      const auto result =
+          node_.store.watch(configuration_table, node_.configuration_rows.position(),
+                            configuration_wait, asked + configuration_wait + answer_slack);
+      if (const auto* rows = std::get_if<store_rows>(&result)) {
+        for (const store_row& row : rows->rows) {
+          take_configuration_row({row.key, row.value, row.version, row.removed});
         }
+        node_.configuration_rows.advance(rows->version);
+        node_.lease.proved(asked);
+        note_dependency("configuration", configuration_up_, true, "watched");
+        pause = rows->rows.empty() ? 0ms : configuration_pause;
+      } else if (std::holds_alternative<history_dropped>(result)) {
+        configuration_positioned_ = false;
+      } else {
+        note_dependency("configuration", configuration_up_, false, "the watch failed");
+        pause = retry_pause;
       }
-      position = std::max(position, rows->version);
-      node_.lease.proved(asked);
-      note_dependency("configuration", configuration_up_, true, "watched");
-      if (!sleep_until(monotonic_now() + (rows->rows.empty() ? 0ms : configuration_pause))) {
-        return;
-      }
-      continue;
-    }
-    const bool dropped = std::holds_alternative<history_dropped>(result);
-    positioned = !dropped;
-    if (!dropped) {
-      note_dependency("configuration", configuration_up_, false, "the watch failed");
     }
-    if (!sleep_until(monotonic_now() + (dropped ? 0ms : retry_pause))) {
+    if (!sleep_until(monotonic_now() + pause)) {
       return;
     }
   }
 }
 
-void store_watch::take_target(time_point asked, const store_row& row) {
+void store_watch::take_target(time_point asked, const feed_row& row) {
   const target_id id{row.key};
   if (row.removed) {
     node_.fleet.unlisted(asked, id);
@@ -159,73 +224,64 @@
   node_.fleet.listed(asked, std::move(*record));
 }
 
-bool store_watch::read_targets(std::uint64_t& position) {
-  std::vector<target_record> records;
+bool store_watch::read_targets() {
+  std::vector<feed_row> all;
   std::string from;
   std::uint64_t first_version = 0;
   const time_point asked = monotonic_now();
   for (;;) {
     const auto result = node_.store.read(target_table, from, monotonic_now() + read_timeout);
     const auto* rows = std::get_if<store_rows>(&result);
-    if (rows == nullptr || rows->version < position) {
+    if (rows == nullptr || rows->version < node_.target_rows.position()) {
       return false;
     }
+    // Pages are read one after the other: what changed meanwhile comes again behind the first.
     first_version = first_version == 0 ? rows->version : first_version;
     for (const store_row& row : rows->rows) {
-      std::string problem;
-      if (auto record = read_target_record(target_id{row.key}, row.value, problem)) {
-        records.push_back(std::move(*record));
-      } else {
-        log_line(log_level::warning, "fleet", "unreadable record",
-                 {{"target", row.key}, {"reason", problem}});
-      }
+      all.push_back({row.key, row.value, row.version, false});
     }
     if (!rows->more || rows->rows.empty()) {
       break;
     }
     from = rows->rows.back().key + '\x01';
   }
-  node_.fleet.replace_all(asked, records);
-  node_.fleet_known = true;
-  node_.fleet_read_at = asked;
-  position = first_version;
-  log_line(log_level::info, "fleet", "read whole",
-           {{"targets", std::uint64_t{records.size()}}, {"position", position}});
+  replace_targets(asked, all, first_version);
   return true;
 }
 
 void store_watch::follow_targets() {
-  std::uint64_t position = 0;
-  bool positioned = false;
   const time_point started = monotonic_now();
   for (;;) {
     const time_point asked = monotonic_now();
-    if (!positioned) {
-      positioned = read_targets(position);
-      note_dependency("targets", targets_up_, positioned, "whole list");
-      if (!sleep_until(asked + (positioned ? target_interval_at_start : retry_pause))) {
-        return;
-      }
-      continue;
-    }
-    const auto result =
-        node_.store.watch(target_table, position, 0ms, asked + answer_slack);
-    if (const auto* rows = std::get_if<store_rows>(&result)) {
-      for (const store_row& row : rows->rows) {
-        take_target(asked, row);
-      }
-      position = std::max(position, rows->version);
-      node_.fleet_read_at = asked;
-      note_dependency("targets", targets_up_, true, "watched");
-    } else if (std::holds_alternative<history_dropped>(result)) {
-      positioned = false;
-      continue;
+    time_point next =
+        asked + (asked - started < start_phase ? target_interval_at_start : target_interval);
+    node_.fleet.forget_old(asked);
+    if (is_fed(asked)) {
+      next = asked + look_interval;
+    } else if (!targets_positioned_) {
+      targets_positioned_ = read_targets();
+      note_dependency("targets", targets_up_, targets_positioned_, "whole list");
+      next = targets_positioned_ ? next : asked + retry_pause;
     } else {
-      note_dependency("targets", targets_up_, false, "the watch failed");
+      const auto result = node_.store.watch(target_table, node_.target_rows.position(), 0ms,
+                                            asked + answer_slack);
+      if (const auto* rows = std::get_if<store_rows>(&result)) {
+        for (const store_row& row : rows->rows) {
+          const feed_row changed{row.key, row.value, row.version, row.removed};
+          take_target(asked, changed);
+          node_.target_rows.take(changed);
+        }
+        node_.target_rows.advance(rows->version);
+        node_.fleet_read_at = asked;
+        note_dependency("targets", targets_up_, true, "watched");
+      } else if (std::holds_alternative<history_dropped>(result)) {
+        targets_positioned_ = false;
+        next = asked;
+      } else {
+        note_dependency("targets", targets_up_, false, "the watch failed");
+      }
     }
-    node_.fleet.forget_old(asked);
-    const bool starting = asked - started < start_phase;
-    if (!sleep_until(asked + (starting ? target_interval_at_start : target_interval))) {
+    if (!sleep_until(next)) {
       return;
     }
   }
--- a/src/node/store_watch.h
+++ b/src/node/store_watch.h
@@ -17,18 +17,30 @@
   // Each runs in a fiber of its own until the runtime stops.
   void follow_configuration();
   void follow_targets();
+  // What the hub of this data centre passed on, and was so after `asked`.
+  void take_news(time_point asked, time_point now, const node_beat& beat);
   // Writes this node's own row and reads those of its peers. `found`: called with all of them.
   void follow_nodes(const std::function<void(const std::vector<node_record>&)>& found);
 
  private:
-  bool read_configuration(std::uint64_t& position);
-  void take_configuration(const std::string& text, std::uint64_t row_version);
-  bool read_targets(std::uint64_t& position);
-  void take_target(time_point asked, const store_row& row);
+  bool read_configuration();
+  void take_configuration_row(const feed_row& row);
+  void put_in_force(const std::string& text, std::uint64_t row_version);
+  bool read_targets();
+  void take_target_news(time_point asked, const feed_news& news);
+  void replace_targets(time_point asked, const std::vector<feed_row>& rows,
+                       std::uint64_t position);
+  void take_target(time_point asked, const feed_row& row);
   void note_dependency(std::string_view name, bool& up, bool now_up, std::string_view reason);
+  // Whether the hub keeps this node current, so that it need not ask the store itself.
+  [[nodiscard]] bool is_fed(time_point now) const;
 
   hosted_state& node_;
-  std::uint64_t configuration_row_ = 0;  // version of the row that is in force
+  // Version of the newest configuration row that was read, whether or not it could be understood.
+  std::uint64_t configuration_row_ = 0;
+  bool configuration_positioned_ = false;  // the log holds all up to its position
+  bool targets_positioned_ = false;
+  time_point fed_at_{};
   bool configuration_up_ = true;
   bool targets_up_ = true;
 };
--- /dev/null
+++ b/src/process/feed_log.h
@@ -0,0 +1,82 @@
+// The newest rows of a table that is followed, to be passed on to nodes that do not follow it
+// themselves.
+//
+// The store charges each question and bounds their rate for all nodes together. So one node of a
+// data centre follows the store, and the others ask it by the same positions: whoever stops hearing
+// it goes on at the store where it was.
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace arbutus {
+
+struct feed_row {
+  std::string key;
+  std::string value;
+  std::uint64_t version{};
+  bool removed = false;
+  bool operator==(const feed_row&) const = default;
+};
+
+class feed_log {
+ public:
+  // A row of the feed, or of the whole table.
+  void take(const feed_row& row) {
+    feed_row& known = rows_[row.key];
+    if (row.version >= known.version) {
+      known = row;
+    }
+  }
+
+  // The table was read whole at `position`: what it does not hold is gone since then.
+  void replace(const std::vector<feed_row>& rows, std::uint64_t position) {
+    for (auto& [key, known] : rows_) {
+      const bool there = std::any_of(rows.begin(), rows.end(),
+                                     [&k = key](const feed_row& r) { return r.key == k; });
+      if (!there && !known.removed) {
+        known = {key, {}, position, true};
+      }
+    }
+    for (const feed_row& row : rows) {
+      take(row);
+    }
+    advance(position);
+    complete_from_ = position;
+  }
+
+  void advance(std::uint64_t position) { position_ = std::max(position_, position); }
+
+  // Everything up to this position is in the log.
+  [[nodiscard]] std::uint64_t position() const { return position_; }
+
+  // What was removed before this position may be missing: whoever is behind it needs the whole table.
+  [[nodiscard]] bool needs_whole(std::uint64_t after) const { return after < complete_from_; }
+
+  // Rows behind `after`, oldest first; the whole table if that is needed.
+  [[nodiscard]] std::vector<feed_row> since(std::uint64_t after) const {
+    std::vector<feed_row> result;
+    if (after >= position_) {
+      return result;
+    }
+    const bool whole = needs_whole(after);
+    for (const auto& [key, row] : rows_) {
+      if (whole ? !row.removed : row.version > after) {
+        result.push_back(row);
+      }
+    }
+    std::sort(result.begin(), result.end(),
+              [](const feed_row& a, const feed_row& b) { return a.version < b.version; });
+    return result;
+  }
+
+ private:
+  std::map<std::string, feed_row> rows_;  // removed ones stay, as those behind must hear of them
+  std::uint64_t position_ = 0;
+  std::uint64_t complete_from_ = 1;  // of the last whole read; 1: none yet
+};
+
+}  // namespace arbutus
--- a/src/process/node_beat.cpp
+++ b/src/process/node_beat.cpp
@@ -12,7 +12,33 @@
 
 using nlohmann::json;
 
-constexpr std::size_t beat_depth = 4;
+constexpr std::size_t beat_depth = 6;
+
+json news_to_json(const std::optional<feed_news>& news) {
+  if (!news) {
+    return nullptr;
+  }
+  json rows = json::array();
+  for (const feed_row& row : news->rows) {
+    rows.push_back({row.key, row.value, row.version, row.removed});
+  }
+  return {std::move(rows), news->whole, news->position, news->age.count()};
+}
+
+std::optional<feed_news> news_from_json(const json& from) {
+  if (from.is_null()) {
+    return std::nullopt;
+  }
+  feed_news news;
+  for (const json& row : from.at(0)) {
+    news.rows.push_back({row.at(0).get<std::string>(), row.at(1).get<std::string>(),
+                         row.at(2).get<std::uint64_t>(), row.at(3).get<bool>()});
+  }
+  news.whole = from.at(1).get<bool>();
+  news.position = from.at(2).get<std::uint64_t>();
+  news.age = duration{from.at(3).get<std::int64_t>()};
+  return news;
+}
 
 }  // namespace
 
@@ -26,8 +52,18 @@
   for (const target_id& id : beat.lost) {
     lost.push_back(id.str());
   }
-  const json document = {beat.data_centre.str(), beat.leaving, beat.requests_seen,
-                         std::move(loads), std::move(lost)};
+  const json document = {beat.data_centre.str(),
+                         beat.hub,
+                         beat.leaving,
+                         beat.requests_seen,
+                         beat.stamp_us,
+                         beat.echo_us,
+                         beat.targets_position,
+                         beat.configuration_position,
+                         std::move(loads),
+                         std::move(lost),
+                         news_to_json(beat.targets),
+                         news_to_json(beat.configuration)};
   std::string bytes;
   json::to_msgpack(document, bytes);
   return bytes;
@@ -41,15 +77,22 @@
     const json document = json::from_msgpack(bytes);
     node_beat beat;
     beat.data_centre = data_centre_id{document.at(0).get<std::string>()};
-    beat.leaving = document.at(1).get<bool>();
-    beat.requests_seen = document.at(2).get<bool>();
-    for (const json& entry : document.at(3)) {
+    beat.hub = document.at(1).get<bool>();
+    beat.leaving = document.at(2).get<bool>();
+    beat.requests_seen = document.at(3).get<bool>();
+    beat.stamp_us = document.at(4).get<std::int64_t>();
+    beat.echo_us = document.at(5).get<std::int64_t>();
+    beat.targets_position = document.at(6).get<std::uint64_t>();
+    beat.configuration_position = document.at(7).get<std::uint64_t>();
+    for (const json& entry : document.at(8)) {
       beat.loads[target_id{entry.at(0).get<std::string>()}] = {entry.at(1).get<double>(),
                                                                entry.at(2).get<double>()};
     }
-    for (const json& entry : document.at(4)) {
+    for (const json& entry : document.at(9)) {
       beat.lost.emplace_back(entry.get<std::string>());
     }
+    beat.targets = news_from_json(document.at(10));
+    beat.configuration = news_from_json(document.at(11));
     return beat;
   } catch (const json::exception&) {
     return std::nullopt;
--- a/src/process/node_beat.h
+++ b/src/process/node_beat.h
@@ -1,7 +1,13 @@
-// What nodes on a hosted platform tell each other several times a second: that they live, what they
-// have sent to which replica, and which targets do not answer them.
+// What nodes on a hosted platform tell each other several times a second.
+//
+// One node of each data centre, its hub, follows the platform's store and keeps the replicas. The
+// others tell it that they live and what they have sent where; its answers carry what changed in
+// the store, the proof that the configuration is still the newest, and what all others have sent.
+// Hubs tell each other. So the number of messages grows with the nodes, not with their square, and
+// the questions to the store do not grow at all.
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -10,64 +16,40 @@
 
 #include "base/id.h"
 #include "base/units.h"
+#include "process/feed_log.h"
 #include "request/replica_choice.h"
 
 namespace arbutus {
 
+// A part of a followed table, behind the position that was asked for.
+struct feed_news {
+  std::vector<feed_row> rows;
+  bool whole = false;        // the whole table, not only what changed
+  std::uint64_t position{};  // of the sender, with these rows
+  duration age{};            // since the sender's newest question to the store was sent
+};
+
 struct node_beat {
   data_centre_id data_centre;
+  bool hub = false;      // follows the store and keeps the data centre
   bool leaving = false;  // keeps no replicas from now on
   bool requests_seen = false;
+  // The sender's clock, and the newest such stamp that it has of the receiver. What the beat says
+  // was so after the receiver sent that stamp: a beat may be on its way for any time.
+  std::int64_t stamp_us{};
+  std::int64_t echo_us{};  // 0: none yet
+  // How far the sender is in the tables, for the hub to go on behind.
+  std::uint64_t targets_position{};
+  std::uint64_t configuration_position{};
   std::map<target_id, replica_load> loads;
   std::vector<target_id> lost;
+  // Of a hub, to a node of its data centre.
+  std::optional<feed_news> targets;
+  std::optional<feed_news> configuration;
 };
 
 [[nodiscard]] std::string encode(const node_beat& beat);
 // Empty when the bytes are damaged.
 [[nodiscard]] std::optional<node_beat> decode_node_beat(std::string_view bytes);
 
-// Peers as this node hears them.
-class peer_table {
- public:
-  void heard(time_point now, const node_id& from, const node_beat& beat) {
-    peers_[from] = {now, beat.data_centre, beat.leaving};
-  }
-
-  struct peer {
-    time_point heard_at;
-    data_centre_id data_centre;
-    bool leaving = false;
-  };
-
-  // Five lost beats in a row: shorter takes a pause of the peer for its end, and the orders of two
-  // keepers then meet; longer leaves replicas broken without a keeper.
-  static constexpr duration alive_for = 1200ms;
-
-  [[nodiscard]] std::vector<std::pair<node_id, data_centre_id>> living(time_point now) const {
-    std::vector<std::pair<node_id, data_centre_id>> result;
-    for (const auto& [id, p] : peers_) {
-      if (now - p.heard_at < alive_for && !p.leaving) {
-        result.emplace_back(id, p.data_centre);
-      }
-    }
-    return result;
-  }
-
-  // Whether a peer of this data centre was ever heard.
-  [[nodiscard]] bool any_of(const data_centre_id& data_centre) const {
-    for (const auto& [id, p] : peers_) {
-      if (p.data_centre == data_centre && !p.leaving) {
-        return true;
-      }
-    }
-    return false;
-  }
-
-  // Peers ever heard: a bound on those that may send.
-  [[nodiscard]] std::size_t known() const { return peers_.size(); }
-
- private:
-  std::map<node_id, peer> peers_;
-};
-
 }  // namespace arbutus
--- /dev/null
+++ b/src/process/peer_table.cpp
@@ -0,0 +1,164 @@
+// Peers and hubs.
+#include "process/peer_table.h"
+
+#include <algorithm>
+
+#include "process/duty.h"
+
+namespace arbutus {
+
+void peer_table::set_known(const std::vector<node_record>& nodes) {
+  records_.clear();
+  std::set<node_id> named;
+  for (const node_record& n : nodes) {
+    if (n.id == self_) {
+      continue;
+    }
+    named.insert(n.id);
+    records_.push_back(n);
+    peers_[n.id].data_centre = n.data_centre;
+  }
+  std::erase_if(peers_, [&](const auto& entry) { return !named.contains(entry.first); });
+}
+
+void peer_table::told(time_point now, const node_id& id) {
+  const auto found = peers_.find(id);
+  if (found == peers_.end()) {
+    return;
+  }
+  peer& p = found->second;
+  p.last_told = now;
+  if (p.first_told == time_point{}) {
+    p.first_told = now;
+  }
+}
+
+void peer_table::heard(time_point now, const node_id& id, bool hub, bool leaving,
+                       std::int64_t stamp_us) {
+  const auto found = peers_.find(id);
+  if (found == peers_.end()) {
+    return;  // its row will be read soon
+  }
+  peer& p = found->second;
+  p.heard_at = now;
+  p.hub = hub;
+  p.leaving = leaving;
+  p.stamp_us = std::max(p.stamp_us, stamp_us);
+}
+
+bool peer_table::lives(time_point now, const node_id& id) const {
+  const auto found = peers_.find(id);
+  return found != peers_.end() && found->second.heard_at != time_point{} &&
+         now - found->second.heard_at < alive_for;
+}
+
+std::size_t peer_table::living(time_point now) const {
+  return static_cast<std::size_t>(std::count_if(
+      peers_.begin(), peers_.end(), [&](const auto& entry) { return lives(now, entry.first); }));
+}
+
+bool peer_table::any_in(const data_centre_id& data_centre) const {
+  return std::any_of(peers_.begin(), peers_.end(), [&](const auto& entry) {
+    return entry.second.data_centre == data_centre && !entry.second.leaving &&
+           entry.second.heard_at != time_point{};
+  });
+}
+
+data_centre_id peer_table::data_centre_of(const node_id& id) const {
+  const auto found = peers_.find(id);
+  return found == peers_.end() ? data_centre_id{} : found->second.data_centre;
+}
+
+std::int64_t peer_table::newest_stamp(const node_id& id) const {
+  const auto found = peers_.find(id);
+  return found == peers_.end() ? 0 : found->second.stamp_us;
+}
+
+// Living, or not yet proved otherwise.
+bool peer_table::presumed(time_point now, const peer& p) const {
+  if (p.leaving) {
+    return false;
+  }
+  if (p.heard_at != time_point{}) {
+    return now - p.heard_at < alive_for;
+  }
+  return p.first_told == time_point{} || now - p.first_told < benefit_of_doubt;
+}
+
+node_id peer_table::hub_of(time_point now, const data_centre_id& data_centre) const {
+  // The map is in the order of the names.
+  for (const auto& [id, p] : peers_) {
+    if (p.data_centre == data_centre && presumed(now, p)) {
+      const bool self_first = data_centre == data_centre_ && self_ < id;
+      return self_first ? self_ : id;
+    }
+  }
+  return data_centre == data_centre_ ? self_ : node_id{};
+}
+
+std::set<data_centre_id> peer_table::duties(time_point now,
+                                            const std::vector<data_centre_id>& all) const {
+  std::set<data_centre_id> result;
+  if (!is_hub(now)) {
+    return result;
+  }
+  std::vector<duty_node> hubs;
+  for (const data_centre_id& data_centre : all) {
+    const node_id hub = hub_of(now, data_centre);
+    if (!hub.empty()) {
+      hubs.push_back({hub, data_centre});
+    }
+  }
+  return duties_of(self_, all, hubs);
+}
+
+void peer_table::add_candidates(time_point now, const data_centre_id& data_centre,
+                                std::vector<node_id>& result) const {
+  std::size_t found = 0;
+  for (const auto& [id, p] : peers_) {
+    if (p.data_centre != data_centre) {
+      continue;
+    }
+    if (presumed(now, p)) {
+      result.push_back(id);
+      if (++found == candidates) {
+        return;
+      }
+    } else if (now - p.last_told >= silent_interval) {
+      result.push_back(id);
+    }
+  }
+}
+
+bool peer_table::is_candidate(time_point now) const {
+  std::size_t before = 0;
+  for (const auto& [id, p] : peers_) {
+    before += p.data_centre == data_centre_ && id < self_ && presumed(now, p) ? 1 : 0;
+  }
+  return before < candidates;
+}
+
+std::vector<node_id> peer_table::to_tell(time_point now) const {
+  std::vector<node_id> result;
+  add_candidates(now, data_centre_, result);
+  if (is_hub(now)) {
+    std::set<data_centre_id> others;
+    for (const auto& [id, p] : peers_) {
+      if (p.data_centre != data_centre_) {
+        others.insert(p.data_centre);
+      }
+    }
+    for (const data_centre_id& other : others) {
+      add_candidates(now, other, result);
+    }
+  }
+  // Whoever told this node gets an answer, as long as it has reason to ask.
+  for (const auto& [id, p] : peers_) {
+    if (is_candidate(now) && lives(now, id) && std::find(result.begin(), result.end(), id) == result.end()) {
+      result.push_back(id);
+    }
+  }
+  return result;
+}
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/process/peer_table.h
@@ -0,0 +1,85 @@
+// Peers of a hosted node: who is there, who lives, whom to tell, and which node is the hub of a data
+// centre. A value in virtual time.
+//
+// The hub of a data centre is its living node with the lowest name. A node tells the two lowest
+// that it takes for living, so that the next hub is known when the first one ends; a hub also tells
+// those of the other data centres. Two nodes that both take themselves for the hub do no harm: each
+// order names the state it was decided on, and each follows the store.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <vector>
+
+#include "base/id.h"
+#include "base/units.h"
+#include "version/inventory.h"
+
+namespace arbutus {
+
+class peer_table {
+ public:
+  peer_table(node_id self, data_centre_id data_centre)
+      : self_(std::move(self)), data_centre_(std::move(data_centre)) {}
+
+  // Rows of the store, this node's own among them. A peer that is in no row any more is forgotten.
+  void set_known(const std::vector<node_record>& nodes);
+
+  void told(time_point now, const node_id& peer);
+  void heard(time_point now, const node_id& peer, bool hub, bool leaving, std::int64_t stamp_us);
+
+  // Whom to tell now.
+  [[nodiscard]] std::vector<node_id> to_tell(time_point now) const;
+
+  // The hub of a data centre as far as this node can see; empty if none lives.
+  [[nodiscard]] node_id hub_of(time_point now, const data_centre_id& data_centre) const;
+  [[nodiscard]] bool is_hub(time_point now) const { return hub_of(now, data_centre_) == self_; }
+
+  // Data centres that this node keeps: its own if it is the hub, and those without a living node
+  // that fall to it among the hubs.
+  [[nodiscard]] std::set<data_centre_id> duties(time_point now,
+                                                const std::vector<data_centre_id>& all) const;
+
+  // Heard lately.
+  [[nodiscard]] bool lives(time_point now, const node_id& peer) const;
+  [[nodiscard]] std::size_t living(time_point now) const;
+  [[nodiscard]] bool any_in(const data_centre_id& data_centre) const;
+  [[nodiscard]] data_centre_id data_centre_of(const node_id& peer) const;
+  [[nodiscard]] std::int64_t newest_stamp(const node_id& peer) const;
+  [[nodiscard]] std::size_t known() const { return peers_.size(); }
+  [[nodiscard]] const std::vector<node_record>& records() const { return records_; }
+
+  // Six beats lost in a row: shorter takes a pause of the peer for its end, and the orders of two
+  // keepers then meet; longer leaves replicas broken without a keeper.
+  static constexpr duration alive_for = 1200ms;
+  // A peer that was told and never answered is taken for living so long: links come up within it.
+  static constexpr duration benefit_of_doubt = 1500ms;
+  // Silent ones are told so often, since they may return.
+  static constexpr duration silent_interval = 1s;
+  static constexpr std::size_t candidates = 2;
+
+ private:
+  struct peer {
+    data_centre_id data_centre;
+    time_point first_told{};  // since it was last heard, or ever
+    time_point last_told{};
+    time_point heard_at{};
+    bool hub = false;
+    bool leaving = false;
+    std::int64_t stamp_us{};
+  };
+
+  [[nodiscard]] bool presumed(time_point now, const peer& p) const;
+  // Among those that the nodes of its data centre tell.
+  [[nodiscard]] bool is_candidate(time_point now) const;
+  void add_candidates(time_point now, const data_centre_id& data_centre,
+                      std::vector<node_id>& result) const;
+
+  node_id self_;
+  data_centre_id data_centre_;
+  std::map<node_id, peer> peers_;  // without this node
+  std::vector<node_record> records_;
+};
+
+}  // namespace arbutus
--- a/src/request/replica_choice.cpp
+++ b/src/request/replica_choice.cpp
@@ -12,6 +12,15 @@
   return std::find(list.begin(), list.end(), id) != list.end();
 }
 
+void add_loads(std::map<target_id, replica_load>& sum,
+               const std::map<target_id, replica_load>& loads) {
+  for (const auto& [id, load] : loads) {
+    replica_load& total = sum[id];
+    total.active += load.active;
+    total.unread_tokens += load.unread_tokens;
+  }
+}
+
 // Goes wrong: counts of a head that was forgotten in between would wrap below zero.
 void subtract(double& value, double by) {
   value = std::max(0.0, value - by);
@@ -43,9 +52,29 @@
   }
 }
 
-void load_table::heard(const node_id& peer, time_point now,
+void load_table::heard(const node_id& peer, const data_centre_id& data_centre, time_point now,
                        std::map<target_id, replica_load> loads) {
-  peers_[peer] = {now, std::move(loads)};
+  peers_[peer] = {now, data_centre, std::move(loads)};
+}
+
+std::map<target_id, replica_load> load_table::all_but(const node_id& peer) const {
+  std::map<target_id, replica_load> sum = own_;
+  for (const auto& [id, told] : peers_) {
+    if (id != peer) {
+      add_loads(sum, told.loads);
+    }
+  }
+  return sum;
+}
+
+std::map<target_id, replica_load> load_table::all_of(const data_centre_id& data_centre) const {
+  std::map<target_id, replica_load> sum = own_;
+  for (const auto& [id, told] : peers_) {
+    if (told.data_centre == data_centre) {
+      add_loads(sum, told.loads);
+    }
+  }
+  return sum;
 }
 
 void load_table::forget_peers(time_point now) {
--- a/src/request/replica_choice.h
+++ b/src/request/replica_choice.h
@@ -44,10 +44,15 @@
   void first_event(const target_id& head, const generation_size& size);
   void ended(const target_id& head, const generation_size& size, bool had_first_event);
 
-  // What a peer has at each head, as it last told.
-  void heard(const node_id& peer, time_point now, std::map<target_id, replica_load> loads);
+  // What a peer and those it speaks for have at each head, as it last told.
+  void heard(const node_id& peer, const data_centre_id& data_centre, time_point now,
+             std::map<target_id, replica_load> loads);
   void forget_peers(time_point now);
 
+  // To tell others: all that is known beside what `peer` told; own and peers' of one data centre.
+  [[nodiscard]] std::map<target_id, replica_load> all_but(const node_id& peer) const;
+  [[nodiscard]] std::map<target_id, replica_load> all_of(const data_centre_id& data_centre) const;
+
   // Own load alone, to tell peers.
   [[nodiscard]] const std::map<target_id, replica_load>& own() const { return own_; }
   [[nodiscard]] replica_load total(const target_id& head) const;
@@ -59,6 +64,7 @@
  private:
   struct peer_loads {
     time_point heard_at;
+    data_centre_id data_centre;
     std::map<target_id, replica_load> loads;
   };
   std::map<target_id, replica_load> own_;
