Shares are of engines' time; the plan is kept while nothing changed; the hub alone asks lost targets

Cause: the share of work was taken as work in replicas, so a model with replicas of 16 got as many as one with replicas of 4 that has eight times its requests; 71 nodes asked every lost target. Change: work counts by share and size; the plan is computed when the fleet changed; nodes hear from their hub who is still lost; fewer questions for the nodes' rows.

--- a/src/node/keeper_loop.cpp
+++ b/src/node/keeper_loop.cpp
@@ -223,6 +223,10 @@
     return;
   }
   asked_lost_at_ = now;
+  // A hub asks for its data centre; the others hear from it who is back.
+  if (!node_.peers.is_hub(now) && now - hub_heard_at_ < peer_table::alive_for) {
+    return;
+  }
   for (const auto& [id, view] : node_.fleet.all()) {
     if (view.lost && view.listed && probing_.insert(id).second) {
       node_.runtime.post(0, [this, id = id] {
@@ -386,6 +390,8 @@
     // What the hub says was so after this node sent the stamp that it echoes.
     const time_point asked{duration{beat.echo_us}};
     watch_.take_news(asked, now, beat);
+    hub_heard_at_ = now;
+    node_.fleet.found_by_others(now, beat.lost);
   }
   for (const target_id& id : beat.lost) {
     const target_view* view = node_.fleet.find(id);
--- a/src/node/keeper_loop.h
+++ b/src/node/keeper_loop.h
@@ -56,6 +56,7 @@
   time_point told_peers_at_{};
   time_point told_plan_at_{};
   time_point asked_lost_at_{};
+  time_point hub_heard_at_{};  // its last answer that echoed a stamp of this node
   std::vector<replica_keeper::domain_plan> told_plan_;
 };
 
--- a/src/node/store_watch.cpp
+++ b/src/node/store_watch.cpp
@@ -38,6 +38,7 @@
 // A node that came to another address is found within this.
 constexpr duration node_interval = 5s;
 constexpr duration node_interval_at_start = 300ms;
+constexpr duration node_interval_of_fed = 15s;
 
 }  // namespace
 
@@ -254,7 +255,9 @@
   for (;;) {
     const time_point asked = monotonic_now();
     time_point next =
-        asked + (asked - started < start_phase ? target_interval_at_start : target_interval);
+        asked + (asked - started < start_phase && node_.peers.is_hub(asked)
+                     ? target_interval_at_start
+                     : target_interval);
     node_.fleet.forget_old(asked);
     if (is_fed(asked)) {
       next = asked + look_interval;
@@ -316,8 +319,12 @@
       }
       found(peers);
     }
+    // A hub has to find those that came; others only need a hub.
     const bool starting = now - started < start_phase / 4;
-    if (!sleep_until(now + (starting ? node_interval_at_start : node_interval))) {
+    const duration interval = starting && !is_fed(now)   ? node_interval_at_start
+                              : node_.peers.is_hub(now) ? node_interval
+                                                        : node_interval_of_fed;
+    if (!sleep_until(now + interval)) {
       return;
     }
   }
--- a/src/process/domain_shape.h
+++ b/src/process/domain_shape.h
@@ -14,12 +14,14 @@
 
 struct shape_model {
   std::uint32_t size = 1;  // engines of a replica
-  double work = 0;         // share of the service's work, any unit
+  double work = 0;         // in replicas' worth, any unit
+  bool operator==(const shape_model&) const = default;
 };
 
 struct shape_domain {
   std::vector<std::uint32_t> ready;  // engines by model that they are ready for, or loading
   std::uint32_t blank = 0;           // engines that are ready for none
+  bool operator==(const shape_domain&) const = default;
 };
 
 // Engines by domain and model; those of a domain sum up to what it has.
--- a/src/process/fleet_view.cpp
+++ b/src/process/fleet_view.cpp
@@ -103,9 +103,20 @@
   ++view.failed_probes;
   if (view.failed_probes >= probes_until_lost) {
     view.lost = true;
+    view.lost_at = now;
     ++revision_;
   }
-  (void)now;
+}
+
+void fleet_view::found_by_others(time_point now, const std::vector<target_id>& still_lost) {
+  for (auto& [id, view] : targets_) {
+    const bool known = std::find(still_lost.begin(), still_lost.end(), id) != still_lost.end();
+    if (view.lost && !known && now - view.lost_at > hub_knows_within) {
+      view.lost = false;
+      view.failed_probes = 0;
+      ++revision_;
+    }
+  }
 }
 
 void fleet_view::forget_old(time_point now) {
--- a/src/process/fleet_view.h
+++ b/src/process/fleet_view.h
@@ -64,6 +64,7 @@
   time_point unlisted_at{};
   std::uint32_t failed_probes = 0;  // in a row
   bool lost = false;                // does not answer; nothing is sent there
+  time_point lost_at{};
   double pace = 1;                  // above 1: slower than it should be
 };
 
@@ -84,6 +85,10 @@
   // It did not answer a probe in time. Lost after `probes_until_lost` in a row.
   void probe_failed(time_point now, const target_id& id);
 
+  // The hub, which asks lost targets again and again, names those that are still lost. Others are
+  // back, unless this node lost them so lately that the hub may not know.
+  void found_by_others(time_point now, const std::vector<target_id>& still_lost);
+
   // Targets that left the list are forgotten after `remembered`.
   void forget_old(time_point now);
 
@@ -94,6 +99,8 @@
 
   // One lost datagram or a busy link is no death: two probes in a row have to fail.
   static constexpr std::uint32_t probes_until_lost = 2;
+  // A hub hears of a loss within a beat, asks twice and answers within another one.
+  static constexpr duration hub_knows_within = 1s;
   // Longer than a target goes on after it left the list (a drain and its grace, seconds).
   static constexpr duration remembered = 60s;
 
--- a/src/process/replica_keeper.cpp
+++ b/src/process/replica_keeper.cpp
@@ -410,8 +410,8 @@
     }
   }
   std::stable_sort(models.begin(), models.end(), [&](const auto* a, const auto* b) {
-    return replicas[a->id] / std::max(a->work_share, 1e-3) <
-           replicas[b->id] / std::max(b->work_share, 1e-3);
+    return replicas[a->id] * a->size / std::max(a->work_share, 1e-3) <
+           replicas[b->id] * b->size / std::max(b->work_share, 1e-3);
   });
   for (const fabric_domain_id& domain : domains) {
     for (const model_shape* model : models) {
@@ -540,9 +540,15 @@
   }
   std::vector<shape_model> models;
   for (const model_shape& model : r.engine.models) {
-    models.push_back({model.size, model.work_share});
+    // The share is one of engines' time: a replica of twice the size does twice the work.
+    models.push_back({model.size, model.work_share / model.size});
   }
-  const fleet_shape shape = plan_shape(domains, models);
+  if (domains != planned_domains_ || models != planned_models_) {
+    planned_ = plan_shape(domains, models);
+    planned_domains_ = domains;
+    planned_models_ = models;
+  }
+  const fleet_shape& shape = planned_;
   std::size_t index = 0;
   plan_.clear();
   for (auto& [id, domain] : r.domains) {
@@ -595,7 +601,7 @@
   constexpr double weight_of_share = 10;
   constexpr double weight_of_staged = 5;  // 1 to 2 s in place of 12 to 16 s
   constexpr double weight_of_blank = 2;
-  return weight_of_share * shape.work_share / (replicas + 1) -
+  return weight_of_share * shape.work_share / shape.size / (replicas + 1) -
          static_cast<double>(missing) / shape.size + (staged ? weight_of_staged : 0) +
          (current ? 0 : weight_of_blank);
 }
--- a/src/process/replica_keeper.h
+++ b/src/process/replica_keeper.h
@@ -210,6 +210,11 @@
   std::map<target_id, engine_memory> memory_;
   std::vector<forming_replica> forming_;
   std::vector<domain_plan> plan_;
+  // The last plan and what it was made of: it is costly at some hundred engines, and most ticks
+  // change nothing.
+  std::vector<shape_domain> planned_domains_;
+  std::vector<shape_model> planned_models_;
+  fleet_shape planned_;
   std::map<replica_key, time_point> first_seen_;  // when an engine was first seen in it
   // When this node began to close a head, so that it is not waited for endlessly.
   std::map<replica_key, time_point> closing_since_;
--- a/src/version/service_map.h
+++ b/src/version/service_map.h
@@ -55,7 +55,7 @@
 struct model_shape {
   model_id id;
   std::uint32_t size = 1;  // engines of a replica
-  double work_share = 1;   // of the service's work, as operators expect it at the start
+  double work_share = 1;   // of the engines' time, as operators expect it at the start
   double pace = 1;         // factor on all times of a replica
   duration load_time{};    // from the shared weight store
   duration warm_time{};    // when the weights are on the host already
