Plan by the fourth power of use, gains relative to the cost

Cause: with work²/replicas a model of large replicas got four of them beside 37 small ones; and a gain counted only above an absolute figure that such costs never reach.

--- a/src/process/domain_shape.cpp
+++ b/src/process/domain_shape.cpp
@@ -86,7 +86,8 @@
     double sum = 0;
     for (std::size_t m = 0; m < models_.size(); ++m) {
       const double lost = away < replicas_.size() ? replicas_[away][m] : 0;
-      sum += models_[m].work * models_[m].work / (totals[m] - lost + least_replicas);
+      const double use = models_[m].work / (totals[m] - lost + least_replicas);
+      sum += models_[m].work * use * use * use * use;
     }
     return sum;
   }
@@ -133,8 +134,8 @@
   void judge(std::size_t d, const split& trial) {
     replicas_[d] = replicas_of(d, trial);
     const double c = cost() + scale_ * settings_.change_cost * changes(d, trial);
-    constexpr double least_gain = 1e-9;
-    if (c < best_ - least_gain) {
+    constexpr double least_gain = 1e-6;  // as a part of the cost, whatever its unit
+    if (c < best_ * (1 - least_gain)) {
       best_ = c;
       best_split_ = trial;
     }
--- a/src/process/domain_shape.h
+++ b/src/process/domain_shape.h
@@ -39,8 +39,10 @@
   double change_cost = 0.06;
 };
 
-// Minimises the sum of work² / replicas over the models, which is least when each has replicas in
-// proportion to its work. Deterministic: nodes that see the same plan the same.
+// Minimises the sum over the models of work x (work / replicas)^4: a model that has half of the
+// replicas that it needs costs sixteen times as much, as its callers wait. With a power of one, models
+// of large replicas get far too few: 4 in place of 6 beside 37 of a quarter of the size.
+// Deterministic: nodes that see the same plan the same.
 [[nodiscard]] fleet_shape plan_shape(std::span<const shape_domain> domains,
                                      std::span<const shape_model> models,
                                      const shape_settings& settings = {});
