--- a/src/cli/hosted.cpp
+++ b/src/cli/hosted.cpp
@@ -38,8 +38,8 @@
     return;
   }
   set_log_level(changed->log.level);
-  const bool same = changed->store == current.store &&
-                    changed->listen.callers == current.listen.callers;
+  const bool same =
+      changed->store == current.store && changed->listen.callers == current.listen.callers;
   log_line(same ? log_level::info : log_level::warning, "settings",
            same ? "reloaded" : "reloaded; other addresses are used after a restart",
            {{"file", file}});
--- a/src/cli/node.cpp
+++ b/src/cli/node.cpp
@@ -8,9 +8,9 @@
 #include <thread>
 
 #include "cli/commands.h"
-#include "node/log.h"
 #include "cli/signals.h"
 #include "connection/clock.h"
+#include "node/log.h"
 #include "process/settings.h"
 #include "version/import.h"
 
--- a/src/cli/options.cpp
+++ b/src/cli/options.cpp
@@ -238,8 +238,9 @@
 constexpr std::array<command_spec, 9> specs = {{
     {"node", "Run a node in front of the targets, until SIGTERM.", "FILE", "settings", 1, add_node,
      make_node, "  arbutusworks node examples/small/nodes/lab-a-node-1.toml\n"},
-    {"hosted", "Run a node on a platform that keeps configuration and targets, until SIGTERM.", "FILE",
-     "settings", 1, add_node, make_hosted, "  arbutusworks hosted /etc/arbutusworks/node.toml\n"},
+    {"hosted", "Run a node on a platform that keeps configuration and targets, until SIGTERM.",
+     "FILE", "settings", 1, add_node, make_hosted,
+     "  arbutusworks hosted /etc/arbutusworks/node.toml\n"},
     {"check", "Check configurations and node settings; name every mistake with its place.",
      "DIR|FILE...", "path", -1, add_check, make_check,
      "  arbutusworks check examples/odtok\n"
--- a/src/node/hosted_call.cpp
+++ b/src/node/hosted_call.cpp
@@ -145,7 +145,9 @@
 }
 
 void serve_hosted_call(hosted_state& node, const http_request& request, response_writer& writer) {
-  hosted_request call{request, writer, read_head(request), nullptr, nullptr, nullptr, {}, {}, {}, {}, 0, 0, {}, {}, 0};
+  hosted_request call{
+      request, writer, read_head(request), nullptr, nullptr, nullptr, {}, {}, {}, {}, 0, 0, {},
+      {},      0};
   call.arrived = monotonic_now();
   node.requests_seen = true;
   call_start start(node, call);
--- a/src/node/hosted_node.cpp
+++ b/src/node/hosted_node.cpp
@@ -69,11 +69,11 @@
     ready = std::make_unique<http_server>(
         runtime, address_of_endpoint(at.ready), small_server_limits(),
         [this](const http_request&, response_writer& w) { serve_ready(w); });
-    metrics = std::make_unique<http_server>(
-        runtime, address_of_endpoint(at.metrics), small_server_limits(),
-        [this](const http_request&, response_writer& w) {
-          send_text(w, 200, state.metrics.text(gauges()));
-        });
+    metrics = std::make_unique<http_server>(runtime, address_of_endpoint(at.metrics),
+                                            small_server_limits(),
+                                            [this](const http_request&, response_writer& w) {
+                                              send_text(w, 200, state.metrics.text(gauges()));
+                                            });
     callers = std::make_unique<http_server>(
         runtime, address_of_endpoint(at.callers), caller_server_limits(),
         [this](const http_request& r, response_writer& w) { serve_hosted_call(state, r, w); });
@@ -82,19 +82,18 @@
   // Ready: a configuration is in force and confirmed, and some target is known. A node that cannot
   // confirm keys would refuse most requests; its callers are better off elsewhere.
   [[nodiscard]] bool is_ready() const {
-    return !state.stopping && state.map && state.fleet_known &&
-           state.lease.valid(monotonic_now());
+    return !state.stopping && state.map && state.fleet_known && state.lease.valid(monotonic_now());
   }
 
   void serve_ready(response_writer& writer) {
     const bool is = is_ready();
     if (is != was_ready) {
       was_ready = is;
-      log_line(log_level::info, "node", is ? "ready" : "not ready",
-               {{"stopping", state.stopping},
-                {"configured", state.map != nullptr},
-                {"lease_age_ms",
-                 to_milliseconds(state.lease.age(monotonic_now()).value_or(-1ms))}});
+      log_line(
+          log_level::info, "node", is ? "ready" : "not ready",
+          {{"stopping", state.stopping},
+           {"configured", state.map != nullptr},
+           {"lease_age_ms", to_milliseconds(state.lease.age(monotonic_now()).value_or(-1ms))}});
     }
     send_text(writer, is ? 200 : 503, is ? "ready\n" : "not ready\n");
   }
--- a/src/node/hosted_parts.h
+++ b/src/node/hosted_parts.h
@@ -26,9 +26,9 @@
   time_point deadline;
 
   // What became of it, for its log line and the metrics.
-  std::uint32_t sends = 0;        // that may have reached a target
-  std::uint32_t may_have_run = 0; // of those, the ones that no target disowned
-  std::string targets;            // tried, in order
+  std::uint32_t sends = 0;         // that may have reached a target
+  std::uint32_t may_have_run = 0;  // of those, the ones that no target disowned
+  std::string targets;             // tried, in order
   time_point first_event{};
   std::uint64_t events = 0;
 };
--- a/src/node/hosted_state.h
+++ b/src/node/hosted_state.h
@@ -17,9 +17,9 @@
 #include "platform/engines.h"
 #include "platform/store.h"
 #include "process/config_lease.h"
+#include "process/feed_log.h"
 #include "process/fleet_view.h"
 #include "process/hosted_settings.h"
-#include "process/feed_log.h"
 #include "process/node_beat.h"
 #include "process/peer_table.h"
 #include "process/silence.h"
@@ -45,7 +45,7 @@
   std::shared_ptr<const service_map> map;  // null until the first version was read
   config_lease lease;
   fleet_view fleet;
-  bool fleet_known = false;  // the list of targets was read once
+  bool fleet_known = false;    // the list of targets was read once
   time_point fleet_read_at{};  // question of the newest answer from the list
   load_table loads;
   instance_table instances;
--- a/src/node/hosted_stream.cpp
+++ b/src/node/hosted_stream.cpp
@@ -47,10 +47,10 @@
  private:
   // Why an attempt did not end the call.
   enum class ending : std::uint8_t {
-    whole,      // the caller has its whole answer
-    not_run,    // the target did not run it
-    not_sent,   // no byte left
-    broken,     // it may have run in part
+    whole,          // the caller has its whole answer
+    not_run,        // the target did not run it
+    not_sent,       // no byte left
+    broken,         // it may have run in part
     refused_by_us,  // the key was withdrawn meanwhile
   };
 
@@ -98,8 +98,8 @@
     const std::vector<target_id> suspected = node_.silence.silent(now);
     const choice_request wanted{node_.settings.data_centre, call_.head.size, call_.deadline - now,
                                 avoided_, suspected};
-    const replica_choice choice = choose_replica(*call_.service->engine, *model_, replicas,
-                                                 node_.loads, wanted);
+    const replica_choice choice =
+        choose_replica(*call_.service->engine, *model_, replicas, node_.loads, wanted);
     if (const auto* none = std::get_if<no_replica>(&choice)) {
       end_own(503, none->retry_after, none->reason);
       return;
@@ -134,8 +134,8 @@
               {"ran", how == ending::broken ? "perhaps" : "no"},
               {"last_event", relay_.last_id()},
               {"sends", call_.sends}});
-    node_.metrics.count("arbutusworks_attempts_broken", "ran=\"" +
-                            std::string(how == ending::broken ? "perhaps" : "no") + "\"");
+    node_.metrics.count("arbutusworks_attempts_broken",
+                        "ran=\"" + std::string(how == ending::broken ? "perhaps" : "no") + "\"");
     relay_.restart();
   }
 
@@ -207,8 +207,8 @@
       }
     }
     const replica_load load = node_.loads.total(head_);
-    const auto reading = from_seconds(load.unread_tokens /
-                                      std::max(call_.service->engine->read_tokens_per_s, 1.0));
+    const auto reading =
+        from_seconds(load.unread_tokens / std::max(call_.service->engine->read_tokens_per_s, 1.0));
     node_.silence.event(now, head_, expected_.between_events + reading);
   }
 
@@ -255,10 +255,9 @@
     if (result.ok() && answer_.kind == answer_kind::own) {
       return pass_failure();
     }
-    last_reason_ = relay_.out_of_order() ? "events out of order"
-                   : result.failure == call_failure::abandoned
-                       ? "the answer was not this request's"
-                       : to_string(result.failure);
+    last_reason_ = relay_.out_of_order()                       ? "events out of order"
+                   : result.failure == call_failure::abandoned ? "the answer was not this request's"
+                                                               : to_string(result.failure);
     return ending::broken;
   }
 
--- a/src/node/hosted_whole.cpp
+++ b/src/node/hosted_whole.cpp
@@ -116,8 +116,7 @@
     }
     if (!result.ok()) {
       const bool own_reason = gone_ || result.failure == call_failure::cancelled;
-      node_.instances.ended(now, instance.id,
-                            own_reason ? call_end::withdrawn : call_end::failed);
+      node_.instances.ended(now, instance.id, own_reason ? call_end::withdrawn : call_end::failed);
       ++call_.may_have_run;
       broken(instance, to_string(result.failure));
       return;
@@ -174,7 +173,10 @@
     ended_ = true;
     const bool reached =
         call_.writer.send(response.status, caller_headers(response.headers), response.body);
-    finish_call(node_, call_, !reached ? "caller_gone" : failed ? "failed" : "done",
+    finish_call(node_, call_,
+                !reached ? "caller_gone"
+                : failed ? "failed"
+                         : "done",
                 failed ? "the target's own failure" : "", response.status);
   }
 
--- a/src/node/keeper_loop.cpp
+++ b/src/node/keeper_loop.cpp
@@ -20,11 +20,11 @@
 constexpr duration probe_timeout = 90ms;
 // While the platform's list cannot be read, engines are asked themselves so often. The list itself
 // drops a silent one after three heartbeats.
-constexpr double heartbeats_between_questions = 2;
+constexpr double heartbeats_between_questions = 3;
 // Peers learn of sends within this; the same load is then double-booked for 100 ms on average.
 constexpr duration beat_interval = 200ms;
 constexpr duration plan_log_interval = 1s;
-constexpr duration isolated_after = 1s;
+constexpr duration isolated_after = 2500ms;  // the feed may wait a second for its answer
 // A lost engine that lives serves again within this; one that is dead is asked some ten times until
 // the list drops it.
 constexpr duration lost_interval = 400ms;
@@ -52,10 +52,11 @@
 void keeper_loop::keep(time_point now) {
   // Cut off from the platform and from all peers, this node sees only what it had: peers of its
   // data centre know better, if there are any.
-  const bool isolated = node_.peers.living(now) == 0 && now - node_.fleet_read_at > isolated_after &&
+  const bool isolated = node_.peers.living(now) == 0 &&
+                        now - node_.fleet_read_at > isolated_after &&
                         node_.peers.any_in(node_.settings.data_centre);
-  const auto duties = isolated ? std::set<data_centre_id>{}
-                               : node_.peers.duties(now, node_.settings.data_centres);
+  const auto duties =
+      isolated ? std::set<data_centre_id>{} : node_.peers.duties(now, node_.settings.data_centres);
   if (duties != duties_) {
     duties_ = duties;
     std::string names;
@@ -160,8 +161,8 @@
     if (outcome == order_outcome::no_answer || outcome == order_outcome::not_sent) {
       node_.fleet.probe_failed(monotonic_now(), order.to);
     }
-    static constexpr std::string_view names[] = {"begun",   "holds",     "conflict", "outdated",
-                                                 "another", "refused",   "no_answer", "not_sent"};
+    static constexpr std::string_view names[] = {"begun",   "holds",   "conflict",  "outdated",
+                                                 "another", "refused", "no_answer", "not_sent"};
     log_line(log_level::info, "keeper", "order",
              {{"target", order.to},
               {"action", to_string(order.action)},
--- a/src/node/store_watch.cpp
+++ b/src/node/store_watch.cpp
@@ -20,11 +20,13 @@
 constexpr duration answer_slack = 1200ms;
 // Versions in a row: one more read within this is coalesced with the next.
 constexpr duration configuration_pause = 40ms;
-// Records of targets change about every second each. Asked as often as this, a node is told of a
-// change within 200 ms on average 100 ms after it, for 5 calls a second.
-constexpr duration target_interval = 200ms;
+// Records of targets change only when a replica or a target does. The feed is asked to wait for the
+// next change: at rest that is a call a second, and a change is known at once.
+constexpr duration target_wait = 1s;
+// Changes come in bursts, as when a replica forms: those within this are read together.
+constexpr duration target_pause = 100ms;
 // In the first seconds replicas form, and each wait costs loads that are cheap only then.
-constexpr duration target_interval_at_start = 80ms;
+constexpr duration target_pause_at_start = 60ms;
 constexpr duration start_phase = 12s;
 constexpr duration retry_pause = 100ms;
 // Whether the hub still feeds this node is looked at so often.
@@ -255,9 +257,8 @@
   for (;;) {
     const time_point asked = monotonic_now();
     time_point next =
-        asked + (asked - started < start_phase && node_.peers.is_hub(asked)
-                     ? target_interval_at_start
-                     : target_interval);
+        asked + (asked - started < start_phase && node_.peers.is_hub(asked) ? target_pause_at_start
+                                                                            : target_pause);
     node_.fleet.forget_old(asked);
     if (is_fed(asked)) {
       next = asked + look_interval;
@@ -266,8 +267,8 @@
       note_dependency("targets", targets_up_, targets_positioned_, "whole list");
       next = targets_positioned_ ? next : asked + retry_pause;
     } else {
-      const auto result = node_.store.watch(target_table, node_.target_rows.position(), 0ms,
-                                            asked + answer_slack);
+      const auto result = node_.store.watch(target_table, node_.target_rows.position(), target_wait,
+                                            asked + target_wait + answer_slack);
       if (const auto* rows = std::get_if<store_rows>(&result)) {
         for (const store_row& row : rows->rows) {
           const feed_row changed{row.key, row.value, row.version, row.removed};
@@ -284,14 +285,13 @@
         note_dependency("targets", targets_up_, false, "the watch failed");
       }
     }
-    if (!sleep_until(next)) {
+    if (!sleep_until(std::max(next, monotonic_now()))) {
       return;
     }
   }
 }
 
-void store_watch::follow_nodes(
-    const std::function<void(const std::vector<node_record>&)>& found) {
+void store_watch::follow_nodes(const std::function<void(const std::vector<node_record>&)>& found) {
   const endpoint& link = node_.settings.listen.links;
   const nlohmann::json own = {node_.settings.data_centre.str(), to_string(link)};
   bool written = false;
@@ -313,15 +313,15 @@
         }
         const auto address = parse_endpoint(document[1].get<std::string>());
         if (address) {
-          peers.push_back({node_id{row.key}, data_centre_id{document[0].get<std::string>()},
-                           *address, {}});
+          peers.push_back(
+              {node_id{row.key}, data_centre_id{document[0].get<std::string>()}, *address, {}});
         }
       }
       found(peers);
     }
     // A hub has to find those that came; others only need a hub.
     const bool starting = now - started < start_phase / 4;
-    const duration interval = starting && !is_fed(now)   ? node_interval_at_start
+    const duration interval = starting && !is_fed(now)  ? node_interval_at_start
                               : node_.peers.is_hub(now) ? node_interval
                                                         : node_interval_of_fed;
     if (!sleep_until(now + interval)) {
--- a/src/node/store_watch.h
+++ b/src/node/store_watch.h
@@ -28,8 +28,7 @@
   void put_in_force(const std::string& text, std::uint64_t row_version);
   bool read_targets();
   void take_target_news(time_point asked, const feed_news& news);
-  void replace_targets(time_point asked, const std::vector<feed_row>& rows,
-                       std::uint64_t position);
+  void replace_targets(time_point asked, const std::vector<feed_row>& rows, std::uint64_t position);
   void take_target(time_point asked, const feed_row& row);
   void note_dependency(std::string_view name, bool& up, bool now_up, std::string_view reason);
   // Whether the hub keeps this node current, so that it need not ask the store itself.
--- a/src/process/domain_shape.h
+++ b/src/process/domain_shape.h
@@ -31,8 +31,8 @@
   // Engines of a domain that may be lost before others come: with 20 of 54 lost in half a minute,
   // and a load of 12 to 16 s until one that came can serve, about a third of a domain is away.
   std::uint32_t losses = 3;
-  // Weight of the plans' worth with one domain away, each in turn: some days lose a whole domain for
-  // 7 to 8 of their 34 s.
+  // Weight of the plans' worth with one domain away, each in turn: some days lose a whole domain
+  // for 7 to 8 of their 34 s.
   double domain_loss = 0.25;
   // Cost of making a ready engine ready for another model, as a part of the whole cost: a change
   // has to gain more than the 12 to 16 s without the engine, of half a minute.
@@ -40,8 +40,8 @@
 };
 
 // Minimises the sum over the models of work x (work / replicas)^4: a model that has half of the
-// replicas that it needs costs sixteen times as much, as its callers wait. With a power of one, models
-// of large replicas get far too few: 4 in place of 6 beside 37 of a quarter of the size.
+// replicas that it needs costs sixteen times as much, as its callers wait. With a power of one,
+// models of large replicas get far too few: 4 in place of 6 beside 37 of a quarter of the size.
 // Deterministic: nodes that see the same plan the same.
 [[nodiscard]] fleet_shape plan_shape(std::span<const shape_domain> domains,
                                      std::span<const shape_model> models,
--- a/src/process/duty.h
+++ b/src/process/duty.h
@@ -30,9 +30,9 @@
     const std::uint64_t weight = away ? ~rendezvous_weight(data_centre.str(), n.id.str()) : 0;
     return std::tuple(away, weight, n.id);
   };
-  const auto first = std::min_element(
-      living.begin(), living.end(),
-      [&](const duty_node& a, const duty_node& b) { return order(a) < order(b); });
+  const auto first =
+      std::min_element(living.begin(), living.end(),
+                       [&](const duty_node& a, const duty_node& b) { return order(a) < order(b); });
   return first == living.end() ? node_id{} : first->id;
 }
 
--- a/src/process/feed_log.h
+++ b/src/process/feed_log.h
@@ -53,7 +53,8 @@
   // Everything up to this position is in the log.
   [[nodiscard]] std::uint64_t position() const { return position_; }
 
-  // What was removed before this position may be missing: whoever is behind it needs the whole table.
+  // What was removed before this position may be missing: whoever is behind it needs the whole
+  // table.
   [[nodiscard]] bool needs_whole(std::uint64_t after) const { return after < complete_from_; }
 
   // Rows behind `after`, oldest first; the whole table if that is needed.
--- a/src/process/fleet_view.cpp
+++ b/src/process/fleet_view.cpp
@@ -153,8 +153,8 @@
       if (own.rank == 0 && own.state == member_state::open && member->record.loaded == model) {
         head = member;
       }
-      const bool works = own.rank == 0 || own.state == member_state::ready ||
-                         own.state == member_state::open;
+      const bool works =
+          own.rank == 0 || own.state == member_state::ready || own.state == member_state::open;
       if (works) {
         ranks.insert(own.rank);
       }
--- a/src/process/fleet_view.h
+++ b/src/process/fleet_view.h
@@ -58,14 +58,14 @@
 // What is known of a target beside its own words.
 struct target_view {
   target_record record;
-  time_point heard_at{};    // its record last changed or it answered
-  time_point state_at{};    // what it says of its replica was so at this time or later
-  bool listed = true;       // in the platform's list; false: kept for what may still run there
+  time_point heard_at{};  // its record last changed or it answered
+  time_point state_at{};  // what it says of its replica was so at this time or later
+  bool listed = true;     // in the platform's list; false: kept for what may still run there
   time_point unlisted_at{};
   std::uint32_t failed_probes = 0;  // in a row
   bool lost = false;                // does not answer; nothing is sent there
   time_point lost_at{};
-  double pace = 1;                  // above 1: slower than it should be
+  double pace = 1;  // above 1: slower than it should be
 };
 
 class fleet_view {
--- a/src/process/hosted_settings.h
+++ b/src/process/hosted_settings.h
@@ -23,12 +23,12 @@
 };
 
 struct hosted_bounds {
-  duration key_withdrawal = 5s;    // a withdrawn key is dead everywhere after this
-  duration drain = 2s;             // a leaving target gets nothing new after this
-  duration grace = 8s;             // from SIGTERM until the process is killed
-  duration stall = 4s;             // an engine that lost a member of its replica gives up after this
-  double retry_ratio = 0.2;        // repeated sends for each request, of all nodes
-  double retry_burst = 100;        // and beyond that in a window
+  duration key_withdrawal = 5s;  // a withdrawn key is dead everywhere after this
+  duration drain = 2s;           // a leaving target gets nothing new after this
+  duration grace = 8s;           // from SIGTERM until the process is killed
+  duration stall = 4s;           // an engine that lost a member of its replica gives up after this
+  double retry_ratio = 0.2;      // repeated sends for each request, of all nodes
+  double retry_burst = 100;      // and beyond that in a window
   duration retry_window = 10s;
   duration target_heartbeat = 1200ms;  // how often a living target refreshes its record
 };
--- a/src/process/peer_table.cpp
+++ b/src/process/peer_table.cpp
@@ -154,7 +154,8 @@
   }
   // Whoever told this node gets an answer, as long as it has reason to ask.
   for (const auto& [id, p] : peers_) {
-    if (is_candidate(now) && lives(now, id) && std::find(result.begin(), result.end(), id) == result.end()) {
+    if (is_candidate(now) && lives(now, id) &&
+        std::find(result.begin(), result.end(), id) == result.end()) {
       result.push_back(id);
     }
   }
--- a/src/process/peer_table.h
+++ b/src/process/peer_table.h
@@ -1,5 +1,5 @@
-// Peers of a hosted node: who is there, who lives, whom to tell, and which node is the hub of a data
-// centre. A value in virtual time.
+// Peers of a hosted node: who is there, who lives, whom to tell, and which node is the hub of a
+// data centre. A value in virtual time.
 //
 // The hub of a data centre is its living node with the lowest name. A node tells the two lowest
 // that it takes for living, so that the next hub is known when the first one ends; a hub also tells
--- a/src/process/replica_keeper.cpp
+++ b/src/process/replica_keeper.cpp
@@ -55,7 +55,8 @@
 
 model_id model_in(std::string_view name) {
   const auto first = name.find(name_separator);
-  const auto second = first == std::string_view::npos ? first : name.find(name_separator, first + 1);
+  const auto second =
+      first == std::string_view::npos ? first : name.find(name_separator, first + 1);
   return second == std::string_view::npos ? model_id{}
                                           : model_id{name.substr(first + 1, second - first - 1)};
 }
@@ -75,9 +76,9 @@
   const engine_parameters& engine;
   const duties& own;
   keeper_effects out;
-  std::map<replica_key, standing_replica> standing;     // of this node's data centres
-  std::map<replica_key, standing_replica> standing_all; // of all
-  std::set<target_id> taken;  // members of a replica that stands or forms
+  std::map<replica_key, standing_replica> standing;      // of this node's data centres
+  std::map<replica_key, standing_replica> standing_all;  // of all
+  std::set<target_id> taken;          // members of a replica that stands or forms
   std::vector<standing_replica> far;  // whole ones that span domains
   // Engines that may be used for a replica, by domain.
   std::map<fabric_domain_id, std::vector<const target_view*>> free;
@@ -147,9 +148,8 @@
       }
     }
   }
-  std::erase_if(first_seen_, [&](const auto& entry) {
-    return !r.standing_all.contains(entry.first);
-  });
+  std::erase_if(first_seen_,
+                [&](const auto& entry) { return !r.standing_all.contains(entry.first); });
   for (const auto& [key, group] : r.standing_all) {
     first_seen_.emplace(key, r.now);
     const bool own = std::any_of(group.members.begin(), group.members.end(),
@@ -197,9 +197,8 @@
                           const std::vector<target_id>& members) {
   engine_memory& memory = memory_[to.record.id];
   memory.order_pending = true;
-  r.out.emplace_back(
-      replica_order{to.record.id, to.record.address, action, replica, model, members,
-                    *memory.orders});
+  r.out.emplace_back(replica_order{to.record.id, to.record.address, action, replica, model, members,
+                                   *memory.orders});
 }
 
 std::optional<replica_key> replica_keeper::replica_of(const target_view& view) {
@@ -209,8 +208,8 @@
   return view.record.member_of->replica;
 }
 
-// Goes wrong: another node used a member meanwhile; told to join after all, it would leave a replica
-// that serves.
+// Goes wrong: another node used a member meanwhile; told to join after all, it would leave a
+// replica that serves.
 bool replica_keeper::is_still_chosen(const round& r, const forming_replica& f) const {
   return std::all_of(f.members.begin(), f.members.end(), [&](const target_id& id) {
     const auto in = replica_of(*r.fleet.find(id));
@@ -263,9 +262,8 @@
 
 // Replicas that stand, whoever formed them.
 void replica_keeper::mend_standing(round& r) {
-  std::erase_if(closing_since_, [&](const auto& entry) {
-    return !r.standing_all.contains(entry.first);
-  });
+  std::erase_if(closing_since_,
+                [&](const auto& entry) { return !r.standing_all.contains(entry.first); });
   for (const auto& [key, group] : r.standing) {
     if (is_spare_name(key.name)) {
       continue;
@@ -277,8 +275,8 @@
     }
     const target_id head_id = head_of(key.name);
     const target_view* head = r.fleet.find(head_id);
-    const bool head_in = head != nullptr && head->record.member_of &&
-                         head->record.member_of->replica == key;
+    const bool head_in =
+        head != nullptr && head->record.member_of && head->record.member_of->replica == key;
     if (head != nullptr && !head_in && head->state_at > first_seen_.at(key)) {
       continue;  // its head was seen outside of it since: the members are free
     }
@@ -290,8 +288,7 @@
       }
       continue;
     }
-    const model_shape* model =
-        head_in ? r.engine.find_model(model_in(key.name)) : nullptr;
+    const model_shape* model = head_in ? r.engine.find_model(model_in(key.name)) : nullptr;
     bool whole = model != nullptr && group.members.size() == model->size;
     bool all_ready = true;
     for (const target_view* member : group.members) {
@@ -325,8 +322,8 @@
 // Head first. Until it is out, the members stay where they are.
 void replica_keeper::take_apart(round& r, const standing_replica& replica) {
   const target_view* head = r.fleet.find(head_of(replica.key.name));
-  const bool head_in = head != nullptr && head->record.member_of &&
-                       head->record.member_of->replica == replica.key;
+  const bool head_in =
+      head != nullptr && head->record.member_of && head->record.member_of->replica == replica.key;
   if (!head_in || !round::alive(head)) {
     orphan(r, replica);
     return;
@@ -434,8 +431,8 @@
     const engine_memory& memory = memory_.at(view->record.id);
     const auto& own = view->record.member_of;
     const bool loading = own && own->state == member_state::joining;
-    if (memory.ready_for == model.id && !loading && memory.load_for.empty() && is_current(*view, memory) &&
-        !memory.order_pending) {
+    if (memory.ready_for == model.id && !loading && memory.load_for.empty() &&
+        is_current(*view, memory) && !memory.order_pending) {
       ready.push_back(view);
     }
   }
@@ -501,11 +498,11 @@
     return;
   }
   for (const standing_replica& far : r.far) {
-    const auto here = std::count_if(
-        far.members.begin(), far.members.end(),
-        [&](const target_view* member) { return member->record.domain == domain; });
-    const bool fits = model_in(far.key.name) == model.id &&
-                      ready + static_cast<std::size_t>(here) >= model.size;
+    const auto here =
+        std::count_if(far.members.begin(), far.members.end(),
+                      [&](const target_view* member) { return member->record.domain == domain; });
+    const bool fits =
+        model_in(far.key.name) == model.id && ready + static_cast<std::size_t>(here) >= model.size;
     if (fits && !closing_since_.contains(far.key)) {
       closing_since_.emplace(far.key, r.now);
       return;
@@ -608,8 +605,8 @@
 
 // Makes engines ready for the models that the plan wants, within what the weight store allows.
 void replica_keeper::prepare(round& r) {
-  const bool rush = cold_start_ && !r.own.requests_seen &&
-                    r.now - started_ >= settings_.cold_start_rush;
+  const bool rush =
+      cold_start_ && !r.own.requests_seen && r.now - started_ >= settings_.cold_start_rush;
   const auto share = std::max<std::size_t>(
       1, r.engine.loads_at_once * std::max<std::size_t>(1, r.own.data_centres.size()) /
              std::max<std::size_t>(1, r.own.all_data_centres));
@@ -659,13 +656,14 @@
   memory.ready_for = {};
   memory.load_for = r.engine.models[model].id;
   memory.load_begun = r.now;
-  send(r, view, order_action::join, {spare_name(memory.load_for, id), next_epoch()}, memory.load_for, {id});
+  send(r, view, order_action::join, {spare_name(memory.load_for, id), next_epoch()},
+       memory.load_for, {id});
   std::erase_if(r.free[view.record.domain],
                 [&](const target_view* v) { return v->record.id == id; });
 }
 
-// An order that was refused shows that the engine is not as this node thought: what was planned with
-// it is void, since another node may have used it meanwhile.
+// An order that was refused shows that the engine is not as this node thought: what was planned
+// with it is void, since another node may have used it meanwhile.
 void replica_keeper::give_up(const replica_key& key) {
   std::erase_if(forming_, [&](const forming_replica& f) { return f.key == key; });
 }
@@ -687,8 +685,8 @@
   }
   engine_memory& memory = found->second;
   memory.order_pending = false;
-  memory.ask_after = now + (order.action == order_action::open ? settings_.open_retry
-                                                               : settings_.order_retry);
+  memory.ask_after =
+      now + (order.action == order_action::open ? settings_.open_retry : settings_.order_retry);
   switch (outcome) {
     case order_outcome::begun:
     case order_outcome::holds:
@@ -726,8 +724,8 @@
     memory.at_that_count = order.replica;
     const bool is_head = order.members.front() == order.to;
     if (outcome == order_outcome::begun && view != nullptr) {
-      fleet.ordered(now, order.to, membership{order.replica, is_head ? 0U : 1U,
-                                              member_state::joining});
+      fleet.ordered(now, order.to,
+                    membership{order.replica, is_head ? 0U : 1U, member_state::joining});
     }
   }
   if (left) {
--- a/src/process/replica_keeper.h
+++ b/src/process/replica_keeper.h
@@ -39,8 +39,8 @@
   endpoint address;
   order_action action = order_action::join;
   replica_key replica;
-  model_id model;                  // join
-  std::vector<target_id> members;  // join; the first is the head
+  model_id model;                   // join
+  std::vector<target_id> members;   // join; the first is the head
   std::uint64_t expected_orders{};  // orders that the target must have obeyed so far
 };
 
@@ -142,9 +142,9 @@
     std::optional<replica_key> at_that_count;
     bool order_pending = false;
     bool report_pending = false;
-    time_point ask_after{};    // next question or repeated order, not earlier
-    model_id ready_for;        // joins a replica of this model in 0.2 s
-    model_id load_for;         // told to get ready for this one; empty: nothing is under way
+    time_point ask_after{};  // next question or repeated order, not earlier
+    model_id ready_for;      // joins a replica of this model in 0.2 s
+    model_id load_for;       // told to get ready for this one; empty: nothing is under way
     time_point load_begun{};
   };
   struct forming_replica {
@@ -152,11 +152,11 @@
     model_id model;
     std::vector<target_id> members;
     time_point begun;
-    bool head_joined = false;   // the others are told only then
-    std::set<target_id> told;   // obeyed the order to join
+    bool head_joined = false;  // the others are told only then
+    std::set<target_id> told;  // obeyed the order to join
     // What each member was in when it was chosen: the choice holds only as long as that does.
     std::map<target_id, std::optional<replica_key>> chosen_from;
-    bool failed = false;        // done or given up
+    bool failed = false;  // done or given up
   };
   struct standing_replica {
     replica_key key;
@@ -197,8 +197,8 @@
   [[nodiscard]] static std::optional<replica_key> replica_of(const target_view& view);
   [[nodiscard]] bool is_still_chosen(const round& r, const forming_replica& f) const;
   [[nodiscard]] static bool is_current(const target_view& view, const engine_memory& memory);
-  void obeyed(time_point now, fleet_view& fleet, engine_memory& memory,
-              const replica_order& order, order_outcome outcome);
+  void obeyed(time_point now, fleet_view& fleet, engine_memory& memory, const replica_order& order,
+              order_outcome outcome);
   void give_up(const replica_key& key);
   void note_joined(const replica_order& order);
 
--- a/src/process/silence.h
+++ b/src/process/silence.h
@@ -40,8 +40,8 @@
 
  private:
   struct state {
-    std::size_t waiting = 0;   // streams without a first event
-    std::size_t running = 0;   // streams with one
+    std::size_t waiting = 0;  // streams without a first event
+    std::size_t running = 0;  // streams with one
     time_point last_event{};
     duration gap{};
     time_point first_by{};  // when a first event was last overdue, if nothing came at all
--- a/src/request/replica_choice.cpp
+++ b/src/request/replica_choice.cpp
@@ -103,13 +103,12 @@
       model.pace * std::max(pace, 1.0) * (crosses_domains ? engine.cross_domain_factor : 1.0);
   const double writers = std::min(load.active, static_cast<double>(engine.slots));
   const double context_k = (engine.usual_prompt + engine.usual_answer / 2) / 1000;
-  const double step_ms = to_milliseconds(engine.step) +
-                         (writers + 1) * (engine.step_per_sequence_ms +
-                                          engine.context_ms_per_k * context_k);
+  const double step_ms =
+      to_milliseconds(engine.step) +
+      (writers + 1) * (engine.step_per_sequence_ms + engine.context_ms_per_k * context_k);
   const double pass_ms = step_ms * engine.stride;
   const double read_ms_per_token = 1000.0 / std::max(engine.read_tokens_per_s, 1.0);
-  const double pairs_ms =
-      size.prompt_tokens * size.prompt_tokens / 2e6 * engine.pair_ms_per_m;
+  const double pairs_ms = size.prompt_tokens * size.prompt_tokens / 2e6 * engine.pair_ms_per_m;
   const double own_read_ms = size.prompt_tokens * read_ms_per_token + pairs_ms;
   const double others_read_ms = load.unread_tokens * read_ms_per_token;
   // Half a pass until the running one ends, when there is one.
@@ -129,9 +128,8 @@
 }
 
 replica_choice choose_replica(const engine_parameters& engine, const model_shape& model,
-                              std::span<const serving_replica> candidates,
-                              const load_table& loads, const choice_request& request,
-                              const choice_settings& settings) {
+                              std::span<const serving_replica> candidates, const load_table& loads,
+                              const choice_request& request, const choice_settings& settings) {
   std::optional<chosen_replica> best;
   double best_cost = std::numeric_limits<double>::max();
   duration soonest = duration::max();
@@ -142,12 +140,11 @@
       continue;
     }
     const replica_load load = loads.total(replica.head);
-    const replica_estimate expected = estimate(engine, model, load, request.size, replica.pace,
-                                               replica.crosses_domains);
+    const replica_estimate expected =
+        estimate(engine, model, load, request.size, replica.pace, replica.crosses_domains);
     any_known = true;
     soonest = std::min(soonest, expected.to_first_event);
-    const bool full =
-        load.active >= static_cast<double>(engine.slots) + settings.beyond_slots;
+    const bool full = load.active >= static_cast<double>(engine.slots) + settings.beyond_slots;
     if (full || expected.to_first_event > request.time_left) {
       continue;
     }
--- a/src/request/retry_window.h
+++ b/src/request/retry_window.h
@@ -14,10 +14,10 @@
 namespace arbutus {
 
 struct retry_window_settings {
-  double ratio = 0.2;      // repeated sends per request, from operators
-  double burst = 100;      // beyond that in a window, of all nodes together
-  duration window = 10s;   // any span of this length counts
-  std::size_t nodes = 6;   // that may send; more than there are is safe
+  double ratio = 0.2;     // repeated sends per request, from operators
+  double burst = 100;     // beyond that in a window, of all nodes together
+  duration window = 10s;  // any span of this length counts
+  std::size_t nodes = 6;  // that may send; more than there are is safe
   // Part of the bound that is used: a send may arrive later than it was counted, and nodes may be
   // added before this one knows.
   double used = 0.7;
--- a/src/standin/hosted_engine.cpp
+++ b/src/standin/hosted_engine.cpp
@@ -57,8 +57,8 @@
   newest_epoch_ = order.replica.epoch;
   const auto position = std::find(order.members.begin(), order.members.end(), record_.id);
   const auto rank = static_cast<std::uint32_t>(position - order.members.begin());
-  const bool staged = std::find(record_.staged.begin(), record_.staged.end(), order.model) !=
-                      record_.staged.end();
+  const bool staged =
+      std::find(record_.staged.begin(), record_.staged.end(), order.model) != record_.staged.end();
   const duration needed = last_model_ == order.model ? settings_.rejoin_time
                           : staged                   ? settings_.warm_time
                                                      : settings_.load_time;
--- a/src/version/service_map.h
+++ b/src/version/service_map.h
@@ -63,22 +63,22 @@
 
 // How engines of a service batch. All times are those of a replica with pace 1.
 struct engine_parameters {
-  std::uint32_t slots = 1;       // requests that a replica runs at once
-  std::uint64_t kv_capacity{};   // tokens
-  std::uint32_t stride = 1;      // steps of a pass while some request generates
-  duration step{};               // of one token for all that generate
-  double step_per_sequence_ms{}; // added to a step for each request that generates
-  double context_ms_per_k{};     // added to a step for each 1,000 tokens of context
-  double read_tokens_per_s = 1;  // prompt tokens
-  double pair_ms_per_m{};        // for each million pairs of a token and an earlier one
-  std::uint32_t chunk = 1;       // most prompt tokens read in a step
-  duration report_lag{};         // age of a report's figures
-  double loads_per_s{};          // starts of loads that the weight store allows
+  std::uint32_t slots = 1;          // requests that a replica runs at once
+  std::uint64_t kv_capacity{};      // tokens
+  std::uint32_t stride = 1;         // steps of a pass while some request generates
+  duration step{};                  // of one token for all that generate
+  double step_per_sequence_ms{};    // added to a step for each request that generates
+  double context_ms_per_k{};        // added to a step for each 1,000 tokens of context
+  double read_tokens_per_s = 1;     // prompt tokens
+  double pair_ms_per_m{};           // for each million pairs of a token and an earlier one
+  std::uint32_t chunk = 1;          // most prompt tokens read in a step
+  duration report_lag{};            // age of a report's figures
+  double loads_per_s{};             // starts of loads that the weight store allows
   std::uint32_t loads_at_once = 1;  // beyond it loads slow each other down
-  double usual_prompt{};         // mean tokens
-  double usual_answer{};         // mean tokens
-  double cross_domain_factor = 1;  // slowdown of a replica that spans fabric domains
-  duration open_time{};          // from the order to serve until the head serves
+  double usual_prompt{};            // mean tokens
+  double usual_answer{};            // mean tokens
+  double cross_domain_factor = 1;   // slowdown of a replica that spans fabric domains
+  duration open_time{};             // from the order to serve until the head serves
   std::vector<model_shape> models;
 
   [[nodiscard]] const model_shape* find_model(const model_id& id) const;
@@ -87,7 +87,7 @@
 struct service_shape {
   service_id id;
   std::string health_path;
-  std::uint32_t max_connections{};  // of all callers together, to one target
+  std::uint32_t max_connections{};          // of all callers together, to one target
   std::optional<engine_parameters> engine;  // empty: a plain service
 };
 
--- a/tests/shell/keeper_world.h
+++ b/tests/shell/keeper_world.h
@@ -35,14 +35,15 @@
 class keeper_world {
  public:
   struct faults {
-    double order_lost = 0;   // obeyed, and the answer is lost
-    double order_late = 0;   // obeyed seconds later; no answer
+    double order_lost = 0;  // obeyed, and the answer is lost
+    double order_late = 0;  // obeyed seconds later; no answer
     duration longest_late = 6s;
   };
 
   explicit keeper_world(std::uint64_t seed, std::size_t keepers = 1) : random_(seed) {
     for (std::size_t i = 0; i < keepers; ++i) {
-      nodes_.push_back(std::make_unique<keeper_node>(keeper_node{{}, replica_keeper({}, "k" + std::to_string(i), now_, true), true, {}}));
+      nodes_.push_back(std::make_unique<keeper_node>(
+          keeper_node{{}, replica_keeper({}, "k" + std::to_string(i), now_, true), true, {}}));
     }
   }
 
@@ -171,7 +172,8 @@
     }
     replica_keeper::duties duties{{data_centre_id{"a"}}, 1, requests_seen_};
     for (std::size_t n = 0; n < nodes_.size(); ++n) {
-      for (const keeper_effect& e : nodes_[n]->keeper.tick(now_, nodes_[n]->fleet, service_, duties)) {
+      for (const keeper_effect& e :
+           nodes_[n]->keeper.tick(now_, nodes_[n]->fleet, service_, duties)) {
         carry_out(n, e);
       }
     }
--- a/tests/shell/replica_keeper_test.cpp
+++ b/tests/shell/replica_keeper_test.cpp
@@ -10,8 +10,8 @@
   keeper_world world(1);
   world.add_domain("d0", 9);
   world.add_domain("d1", 9);
-  EXPECT_TRUE(world.run_until(
-      [&] { return world.serving(large) >= 2 && world.serving(small) >= 2; }, 40s));
+  EXPECT_TRUE(
+      world.run_until([&] { return world.serving(large) >= 2 && world.serving(small) >= 2; }, 40s));
 }
 
 TEST(ReplicaKeeper, RepairsWithASpareWithinASecond) {
@@ -60,7 +60,8 @@
   // Symptom: requests are cut when an engine is taken away. Cause: its replica serves on with it.
   keeper_world world(4);
   world.add_domain("d0", 9);
-  ASSERT_TRUE(world.run_until([&] { return world.serving(large) + world.serving(small) >= 2; }, 60s));
+  ASSERT_TRUE(
+      world.run_until([&] { return world.serving(large) + world.serving(small) >= 2; }, 60s));
   world.run(5s);
   const target_id head = world.serving(large) > 0 ? world.head(large) : world.head(small);
   const target_id leaving = world.engine(head).members().back();
