Stand-in of the platform's protocol; hosted nodes tested before it

A store with rows, a feed and outages, engines that keep their replicas, stall without a member and obey orders by count, and a plain service, on loopback; six tests of two nodes in one process: streams, calls, keys, a member's death in the middle of streams, the store away, a planned stop.

--- /dev/null
+++ b/src/standin/hosted_platform.cpp
@@ -0,0 +1,475 @@
+// The stand-in platform's HTTP.
+#include "standin/hosted_platform.h"
+
+#include <algorithm>
+#include <atomic>
+#include <mutex>
+#include <nlohmann/json.hpp>
+
+#include "connection/clock.h"
+#include "platform/base64.h"
+#include "standin/standin_http.h"
+
+namespace arbutus::standin {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr duration tick = 10ms;
+constexpr duration list_delay = 400ms;  // until the list drops a dead engine
+
+// The value of `name` in a query, not unescaped: keys here are plain.
+std::string query_of(const std::string& target, const std::string& name) {
+  const auto at = target.find(name + "=");
+  if (at == std::string::npos) {
+    return {};
+  }
+  const auto from = at + name.size() + 1;
+  return target.substr(from, target.find('&', from) - from);
+}
+
+json group_of(const std::optional<membership>& own) {
+  return {{"name", own->replica.name},
+          {"epoch", own->replica.epoch},
+          {"rank", own->rank},
+          {"state", std::string(to_string(own->state))}};
+}
+
+void add_state(json& document, const std::optional<membership>& own, const model_id& loaded) {
+  document["models"] = json::array();
+  if (!loaded.empty()) {
+    document["models"].push_back({{"name", loaded.str()}, {"version", 1}});
+  }
+  if (own) {
+    document["group"] = group_of(own);
+  }
+}
+
+struct store_row_state {
+  std::string value;
+  std::uint64_t version{};
+  bool removed = false;
+};
+
+}  // namespace
+
+struct hosted_platform::state {
+  struct engine_process {
+    hosted_engine engine;
+    bool dead = false;
+    time_point drop_at{};
+    std::string listed;  // its record as last written
+    std::unique_ptr<restartable_server> server;
+  };
+
+  state(fiber_runtime& r, const hosted_platform_settings& s) : runtime(r), settings(s) {}
+
+  // ---- store ----
+
+  void put(const std::string& table, const std::string& key, std::string value) {
+    tables[table][key] = {std::move(value), ++version, false};
+  }
+  void remove(const std::string& table, const std::string& key) {
+    tables[table][key] = {{}, ++version, true};
+  }
+
+  json row_json(const std::string& table, const std::string& key, const store_row_state& row) {
+    json entry = {{"table", table}, {"part", ""}, {"key", key}, {"ver", row.version}};
+    if (row.removed) {
+      entry["removed"] = true;
+    } else {
+      entry["value"] = base64_encode(row.value);
+    }
+    return entry;
+  }
+
+  json changes(const std::string& table, std::uint64_t after) {
+    json rows = json::array();
+    for (const auto& [key, row] : tables[table]) {
+      if (row.version > after) {
+        rows.push_back(row_json(table, key, row));
+      }
+    }
+    return rows;
+  }
+
+  std::string rows_of(const std::string& table) {
+    json rows = json::array();
+    const std::lock_guard guard(mutex);
+    for (const auto& [key, row] : tables[table]) {
+      if (!row.removed) {
+        rows.push_back(row_json(table, key, row));
+      }
+    }
+    return json{{"rows", rows}, {"has-more", false}, {"ver", version}}.dump();
+  }
+
+  // Empty while there is nothing to tell and `until` has not come.
+  std::string changes_or_nothing(const std::string& table, std::uint64_t after, time_point until) {
+    const std::lock_guard guard(mutex);
+    const json rows = changes(table, after);
+    if (rows.empty() && monotonic_now() < until) {
+      return {};
+    }
+    return json{{"rows", rows}, {"ver", version}}.dump();
+  }
+
+  void serve_store(const http_request& request, response_writer& writer) {
+    const std::string path = request.target.substr(0, request.target.find('?'));
+    if (down) {
+      send_json(writer, 503, "{}");
+      return;
+    }
+    const std::string table = query_of(request.target, "table");
+    if (path == "/api/rows-get") {
+      send_json(writer, 200, rows_of(table));
+    } else if (path == "/api/rows-feed") {
+      feed(request, writer, table);
+    } else if (path == "/api/rows-tx") {
+      write(request, writer);
+    } else {
+      send_json(writer, 404, "{}");
+    }
+  }
+
+  void feed(const http_request& request, response_writer& writer, const std::string& table) {
+    const std::uint64_t after = std::stoull("0" + query_of(request.target, "after"));
+    const auto wait =
+        std::chrono::milliseconds(std::stoull("0" + query_of(request.target, "wait-ms")));
+    const time_point until = monotonic_now() + wait;
+    for (;;) {
+      const std::string body = changes_or_nothing(table, after, until);
+      if (!body.empty()) {
+        send_json(writer, 200, body);
+        return;
+      }
+      if (down || !wait_for(writer, tick)) {
+        send_json(writer, 503, "{}");
+        return;
+      }
+    }
+  }
+
+  void write(const http_request& request, response_writer& writer) {
+    const json body = json::parse(request.body, nullptr, false);
+    const std::uint64_t made = body.is_object() ? apply(body) : 0;
+    send_json(writer, made == 0 ? 412 : 200, json{{"ver", made}}.dump());
+  }
+
+  // 0: a condition does not hold.
+  std::uint64_t apply(const json& body) {
+    const std::lock_guard guard(mutex);
+    for (const json& c : body.value("precondition", json::array())) {
+      const auto& rows = tables[c.value("table", "")];
+      const auto found = rows.find(c.value("key", ""));
+      const std::uint64_t there =
+          found == rows.end() || found->second.removed ? 0 : found->second.version;
+      if (there != c.value("ver", std::uint64_t{0})) {
+        return 0;
+      }
+    }
+    for (const json& w : body.value("writes", json::array())) {
+      put(w.value("table", ""), w.value("key", ""),
+          base64_decode(w.value("value", "")).value_or(""));
+    }
+    return version;
+  }
+
+  // ---- engines ----
+
+  void serve_engine(engine_process& e, const http_request& request, response_writer& writer) {
+    if (request.headers.find("X-Expect-Instance") != e.engine.record().id.str()) {
+      writer.send(421, {{"X-Instance-Id", e.engine.record().id.str()}}, "");
+      return;
+    }
+    if (request.target == "/api/report") {
+      send_json(writer, 200, report_json(e));
+    } else if (request.target == "/api/order") {
+      order(e, request, writer);
+    } else {
+      run(e, request, writer);
+    }
+  }
+
+  std::string report_json(const engine_process& e) {
+    const std::lock_guard guard(mutex);
+    const target_report report = e.engine.report(monotonic_now());
+    json document = {{"sequence", report.orders}, {"busy", false}, {"pace", 1.0}};
+    add_state(document, report.member_of, report.loaded);
+    return document.dump();
+  }
+
+  order_outcome take(engine_process& e, const replica_order& o) {
+    const std::lock_guard guard(mutex);
+    return e.engine.take(monotonic_now(), o);
+  }
+
+  bool is_open(const engine_process& e) {
+    const std::lock_guard guard(mutex);
+    return e.engine.is_open();
+  }
+
+  void order(engine_process& e, const http_request& request, response_writer& writer) {
+    const json body = json::parse(request.body, nullptr, false);
+    replica_order o;
+    o.to = e.engine.record().id;
+    const std::string action = body.value("operation", "");
+    o.action = action == "join"    ? order_action::join
+               : action == "open"  ? order_action::open
+               : action == "close" ? order_action::close
+                                   : order_action::leave;
+    o.replica = {body.value("group", ""), body.value("epoch", std::uint64_t{0})};
+    o.model = model_id{body.value("model", "")};
+    o.expected_orders = body.value("precondition", std::uint64_t{0});
+    for (const json& m : body.value("members", json::array())) {
+      o.members.emplace_back(m.get<std::string>());
+    }
+    static const std::map<order_outcome, int> statuses = {{order_outcome::begun, 202},
+                                                          {order_outcome::holds, 200},
+                                                          {order_outcome::conflict, 409},
+                                                          {order_outcome::outdated, 412}};
+    const auto found = statuses.find(take(e, o));
+    send_json(writer, found == statuses.end() ? 400 : found->second, "{}");
+  }
+
+  [[nodiscard]] bool is_whole(const engine_process& head) const {
+    if (!head.engine.is_open() || head.dead) {
+      return false;
+    }
+    const replica_key& key = head.engine.record().member_of->replica;
+    return std::all_of(head.engine.members().begin(), head.engine.members().end(),
+                       [&](const target_id& id) {
+                         const engine_process& member = *engines.at(id.str());
+                         const auto& own = member.engine.record().member_of;
+                         return !member.dead && own && own->replica == key;
+                       });
+  }
+
+  void note_run(const http_request& request) {
+    const std::lock_guard guard(mutex);
+    ++runs[header_text(request, "X-Request-Id")];
+    leaked += request.headers.find("Authorization") || !request.headers.find("X-Tenant") ? 1 : 0;
+  }
+
+  void run(engine_process& e, const http_request& request, response_writer& writer) {
+    const std::string id = header_text(request, "X-Request-Id");
+    if (!is_open(e)) {
+      writer.send(503, {{"X-Not-Executed", "1"}, {"X-Request-Id", id}}, "");
+      return;
+    }
+    note_run(request);
+    writer.start(200, {{"X-Request-Id", id},
+                       {"X-Response-Seal", "seal." + id},
+                       {"Content-Type", "text/event-stream"}});
+    const int from = static_cast<int>(header_number(request, "Last-Event-Id", 0));
+    for (int i = from + 1; i <= settings.events; ++i) {
+      // A head without a member moves nothing, and does not say so.
+      const bool stalls = !wait_while(writer, [&] {
+        const std::lock_guard guard(mutex);
+        return !is_whole(e);
+      });
+      if (stalls || !wait_for(writer, settings.event_gap)) {
+        return;
+      }
+      if (!writer.write("id: " + std::to_string(i) + "\ndata: " + id + "\n\n")) {
+        return;
+      }
+    }
+    writer.finish();
+  }
+
+  // ---- plain service ----
+
+  void serve_plain(const http_request& request, response_writer& writer) {
+    const std::string id = header_text(request, "X-Request-Id");
+    note_run(request);
+    writer.send(200, {{"X-Request-Id", id}, {"X-Response-Seal", "seal." + id}}, "card " + id);
+  }
+
+  // ---- the list ----
+
+  std::string record_json(const engine_process& e) {
+    const target_record& r = e.engine.record();
+    json document = {{"service", r.service.str()},
+                     {"address", to_string(r.address)},
+                     {"zone", r.data_centre.str()},
+                     {"slots", r.slots},
+                     {"state", "ready"},
+                     {"domain", r.domain.str()}};
+    document["staged"] = json::array();
+    for (const model_id& m : r.staged) {
+      document["staged"].push_back(m.str());
+    }
+    add_state(document, r.member_of, r.loaded);
+    return document.dump();
+  }
+
+  void refresh() {
+    const time_point now = monotonic_now();
+    const std::lock_guard guard(mutex);
+    for (auto& [id, e] : engines) {
+      if (e->dead) {
+        if (now >= e->drop_at && !e->listed.empty()) {
+          e->listed.clear();
+          remove("servers", id);
+        }
+        continue;
+      }
+      e->engine.advance(now);
+      std::string record = record_json(*e);
+      if (record != e->listed) {
+        put("servers", id, record);
+        e->listed = std::move(record);
+      }
+    }
+  }
+
+  std::string configuration(bool keys) {
+    ++config_version;
+    json route = {
+        {"name", "summary"},         {"hostname", hosted_host}, {"prefix", "/llm/"},
+        {"route-type", "streaming"}, {"timeout-ms", 8000},      {"target-latency-ms", 300},
+        {"service", "llm"},          {"max-attempts", 3},       {"public", false},
+        {"stream-resume", true},     {"gap-target-ms", 300}};
+    json once = {{"name", "card"},         {"hostname", hosted_host}, {"prefix", "/card/"},
+                 {"route-type", "unsafe"}, {"timeout-ms", 1500},      {"service", "api"},
+                 {"max-attempts", 1},      {"public", false}};
+    json model = {{"name", hosted_model}, {"size", 3},     {"share", 1.0},
+                  {"pace", 1.0},          {"load-s", 0.3}, {"warm-s", 0.2}};
+    json engine = {{"slots", 16},
+                   {"stride", 1},
+                   {"step_ms", 1.0},
+                   {"read_per_s", 100000.0},
+                   {"report_lag_ms", 20},
+                   {"loads_at_once", 9},
+                   {"usual", {{"prompt", 100}, {"answer", 20}}},
+                   {"far_x", 2.5},
+                   {"models", json::array({model})}};
+    json document = {
+        {"version", config_version},
+        {"routes", json::array({route, once})},
+        {"services", json::array({{{"name", "llm"}, {"engine", engine}}, {{"name", "api"}}})},
+        {"limits", json::object()},
+        {"tenants",
+         json::array({{{"name", "desk"},
+                       {"api-keys", keys ? json::array({hosted_key}) : json::array()}}})}};
+    return document.dump();
+  }
+
+  fiber_runtime& runtime;
+  hosted_platform_settings settings;
+  mutable std::mutex mutex;  // of all below; never held across a wait
+  std::map<std::string, std::map<std::string, store_row_state>> tables;
+  std::uint64_t version = 0;
+  std::uint64_t config_version = 0;
+  std::map<std::string, std::unique_ptr<engine_process>> engines;
+  std::map<std::string, int> runs;
+  int leaked = 0;
+  std::atomic<bool> down{false};
+  std::unique_ptr<http_server> store;
+  std::unique_ptr<http_server> plain;
+  std::unique_ptr<periodic> refresher;  // last: uses the rest
+};
+
+hosted_platform::hosted_platform(fiber_runtime& runtime, const hosted_platform_settings& settings)
+    : state_(std::make_unique<state>(runtime, settings)) {
+  state& s = *state_;
+  s.store = std::make_unique<http_server>(
+      runtime, socket_address{settings.ip, settings.store_port}, http_server_limits{},
+      [&s](const http_request& r, response_writer& w) { s.serve_store(r, w); });
+  s.plain = std::make_unique<http_server>(
+      runtime, socket_address{settings.ip, 0}, http_server_limits{},
+      [&s](const http_request& r, response_writer& w) { s.serve_plain(r, w); });
+  for (const std::string& data_centre : settings.data_centres) {
+    for (std::size_t i = 0; i < settings.engines_each; ++i) {
+      target_record record;
+      record.id = target_id{"i-" + data_centre + "-" + std::to_string(i)};
+      record.service = service_id{"llm"};
+      record.data_centre = data_centre_id{data_centre};
+      record.domain = fabric_domain_id{data_centre + "-d0"};
+      auto process = std::make_unique<state::engine_process>(
+          state::engine_process{hosted_engine(record, settings.engine), false, {}, {}, nullptr});
+      state::engine_process* e = process.get();
+      e->server = std::make_unique<restartable_server>(
+          runtime, socket_address{settings.ip, 0},
+          [&s, e](const http_request& r, response_writer& w) { s.serve_engine(*e, r, w); });
+      record.address = {settings.ip, e->server->port()};
+      e->engine = hosted_engine(record, settings.engine);
+      s.engines.emplace(record.id.str(), std::move(process));
+    }
+  }
+  const json plain = {{"service", "api"},
+                      {"address", settings.ip + ":" + std::to_string(s.plain->port())},
+                      {"zone", settings.data_centres.front()},
+                      {"slots", 6},
+                      {"state", "ready"}};
+  s.put("servers", "i-api", plain.dump());
+  configure();
+  s.refresher = std::make_unique<periodic>(runtime, 0, tick, [&s] { s.refresh(); });
+}
+
+hosted_platform::~hosted_platform() {
+  state_->refresher.reset();
+  state_->store.reset();
+  state_->plain.reset();
+  for (auto& [id, e] : state_->engines) {
+    e->server.reset();
+  }
+}
+
+std::uint16_t hosted_platform::store_port() const {
+  return state_->store->port();
+}
+
+void hosted_platform::configure(bool keys) {
+  const std::lock_guard guard(state_->mutex);
+  state_->put("op", "config", state_->configuration(keys));
+}
+
+void hosted_platform::set_store_down(bool down) {
+  state_->down = down;
+}
+
+std::string hosted_platform::find_member(bool head) const {
+  const std::lock_guard guard(state_->mutex);
+  for (const auto& [id, e] : state_->engines) {
+    if (state_->is_whole(*e)) {
+      return head ? id : e->engine.members().back().str();
+    }
+  }
+  return {};
+}
+
+void hosted_platform::kill_engine(const std::string& id) {
+  restartable_server* server = nullptr;
+  {
+    const std::lock_guard guard(state_->mutex);
+    state::engine_process& e = *state_->engines.at(id);
+    e.dead = true;
+    e.drop_at = monotonic_now() + list_delay;
+    server = e.server.get();
+  }
+  server->close();
+}
+
+std::size_t hosted_platform::serving() const {
+  const std::lock_guard guard(state_->mutex);
+  std::size_t count = 0;
+  for (const auto& [id, e] : state_->engines) {
+    count += state_->is_whole(*e) ? 1 : 0;
+  }
+  return count;
+}
+
+std::map<std::string, int> hosted_platform::runs() const {
+  const std::lock_guard guard(state_->mutex);
+  return state_->runs;
+}
+
+int hosted_platform::leaked() const {
+  const std::lock_guard guard(state_->mutex);
+  return state_->leaked;
+}
+
+}  // namespace arbutus::standin
