--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -40,6 +40,13 @@
   std::string settings_file;
 };
 
+// Stands in for such a platform, with some engines and a plain service, on loopback.
+struct platform_options {
+  std::vector<std::string> data_centres;
+  std::uint32_t engines_each = 9;
+  std::uint16_t store_port = 0;  // 0: any
+};
+
 struct apply_options {
   std::string directory;
   std::vector<endpoint> nodes;  // asked one after the other until one answers
@@ -90,6 +97,7 @@
 int run_check(const check_options& options, std::ostream& out);
 int run_node(const node_options& options, std::ostream& out);
 int run_hosted(const hosted_options& options, std::ostream& out);
+int run_platform(const platform_options& options, std::ostream& out);
 int run_apply(const apply_options& options, std::ostream& out);
 int run_status(const status_options& options, std::ostream& out);
 int run_bench(const bench_options& options, std::ostream& out);
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -22,7 +22,8 @@
       [](const load_options& o) { return run_load(o, std::cout); },
       [](const trial_options& o) { return run_trial(o, std::cout); },
       [](const standin_options& o) { return run_standin(o, std::cout); },
-      [](const hosted_options& o) { return run_hosted(o, std::cout); });
+      [](const hosted_options& o) { return run_hosted(o, std::cout); },
+      [](const platform_options& o) { return run_platform(o, std::cout); });
 }
 
 int print(const early_exit& e) {
--- a/src/cli/options.cpp
+++ b/src/cli/options.cpp
@@ -97,6 +97,25 @@
   return node_options{values["settings"].as<std::string>()};
 }
 
+void add_platform(po::options_description& add) {
+  add.add_options()("data-centre", po::value<strings>()->required()->value_name("NAME"),
+                    "data centres of the engines; the first has the plain service")(
+      "engines", count_value(9)->value_name("N"), "engines of each data centre")(
+      "store-port", count_value(0)->value_name("PORT"), "of the store; 0: any");
+}
+
+command make_platform(const po::variables_map& values) {
+  constexpr std::uint64_t most_engines = 100;
+  constexpr std::uint64_t highest_port = 65535;
+  const std::uint64_t engines = whole_of(values, "engines");
+  const std::uint64_t port = whole_of(values, "store-port");
+  if (engines == 0 || engines > most_engines || port > highest_port) {
+    throw usage_error("--engines: expected 1 to 100; --store-port: expected 0 to 65535");
+  }
+  return platform_options{values["data-centre"].as<strings>(), static_cast<std::uint32_t>(engines),
+                          static_cast<std::uint16_t>(port)};
+}
+
 command make_hosted(const po::variables_map& values) {
   return hosted_options{values["settings"].as<std::string>()};
 }
@@ -235,12 +254,15 @@
   std::string_view examples;
 };
 
-constexpr std::array<command_spec, 9> specs = {{
+constexpr std::array<command_spec, 10> specs = {{
     {"node", "Run a node in front of the targets, until SIGTERM.", "FILE", "settings", 1, add_node,
      make_node, "  arbutusworks node examples/small/nodes/lab-a-node-1.toml\n"},
     {"hosted", "Run a node on a platform that keeps configuration and targets, until SIGTERM.",
      "FILE", "settings", 1, add_node, make_hosted,
      "  arbutusworks hosted /etc/arbutusworks/node.toml\n"},
+    {"platform", "Stand in for a platform that keeps configuration and targets, until interrupted.",
+     "NAME...", "data-centre", -1, add_platform, make_platform,
+     "  arbutusworks platform lab-a lab-b --store-port 23900\n"},
     {"check", "Check configurations and node settings; name every mistake with its place.",
      "DIR|FILE...", "path", -1, add_check, make_check,
      "  arbutusworks check examples/odtok\n"
--- a/src/node/hosted_call.cpp
+++ b/src/node/hosted_call.cpp
@@ -94,6 +94,19 @@
   return node.lease.valid(now) && node.map->find_workspace(call.head.key) != nullptr;
 }
 
+bool may_send_again(hosted_state& node, const hosted_request& call, time_point now) {
+  if (call.sends == 0) {
+    return true;
+  }
+  if (call.may_have_run > 0 && !call.way->repeatable()) {
+    return false;
+  }
+  if (call.may_have_run >= call.way->max_attempts || call.sends >= most_sends) {
+    return false;
+  }
+  return node.retries_of(call.service->id).take(now);
+}
+
 void answer_own(hosted_state& node, hosted_request& call, int status, duration retry_after,
                 std::string_view reason) {
   own_answer answer;
--- a/src/node/hosted_parts.h
+++ b/src/node/hosted_parts.h
@@ -45,9 +45,16 @@
 // Whether the key may still be used: checked directly before each send.
 [[nodiscard]] bool key_usable(const hosted_state& node, const hosted_request& call);
 
+// Whether the request may be sent, or sent once more: what may have run only if it may be repeated,
+// to no more targets than its route allows, and within the budget that all nodes share.
+[[nodiscard]] bool may_send_again(hosted_state& node, const hosted_request& call, time_point now);
+
 void serve_stream(hosted_state& node, hosted_request& call);
 void serve_whole(hosted_state& node, hosted_request& call);
 
+// Sends that no target ran do not count against the route's limit; more of them than this mean that
+// nothing there can serve.
+inline constexpr std::uint32_t most_sends = 6;
 // Not run, nobody to ask: a replica forms within about this.
 inline constexpr duration retry_after_no_target = 400ms;
 // The platform does not confirm the configuration: callers are sent to other nodes meanwhile.
--- a/src/node/hosted_stream.cpp
+++ b/src/node/hosted_stream.cpp
@@ -15,10 +15,6 @@
 // pass take about 60 ms on an idle replica.
 constexpr duration least_useful_time = 60ms;
 
-// Silent replicas and refusals are worth another look at the fleet at once; more looks than this
-// mean that nothing there can serve.
-constexpr std::uint32_t most_sends = 6;
-
 class stream_call {
  public:
   stream_call(hosted_state& node, hosted_request& call)
@@ -66,20 +62,6 @@
     }
   }
 
-  [[nodiscard]] bool may_send_again(time_point now) {
-    const bool repeat = call_.sends > 0;
-    if (!repeat) {
-      return true;
-    }
-    if (call_.may_have_run > 0 && !call_.way->repeatable()) {
-      return false;
-    }
-    if (call_.may_have_run >= call_.way->max_attempts || call_.sends >= most_sends) {
-      return false;
-    }
-    return node_.retries_of(call_.service->id).take(now);
-  }
-
   void next_attempt() {
     const time_point now = monotonic_now();
     if (gone_) {
@@ -104,7 +86,7 @@
       end_own(503, none->retry_after, none->reason);
       return;
     }
-    if (!may_send_again(now)) {
+    if (!may_send_again(node_, call_, now)) {
       end_own(503, retry_after_no_target, last_reason_);
       return;
     }
--- a/src/node/hosted_whole.cpp
+++ b/src/node/hosted_whole.cpp
@@ -11,7 +11,6 @@
 
 // With less time than this left, another instance could not answer any more.
 constexpr duration least_useful_time = 10ms;
-constexpr std::uint32_t most_sends = 4;
 
 class whole_call {
  public:
@@ -38,19 +37,6 @@
     }
   }
 
-  [[nodiscard]] bool may_send_again(time_point now) {
-    if (call_.sends == 0) {
-      return true;
-    }
-    if (call_.may_have_run > 0 && !call_.way->repeatable()) {
-      return false;
-    }
-    if (call_.may_have_run >= call_.way->max_attempts || call_.sends >= most_sends) {
-      return false;
-    }
-    return node_.retries_of(call_.service->id).take(now);
-  }
-
   void next_attempt() {
     const time_point now = monotonic_now();
     if (gone_) {
@@ -72,7 +58,7 @@
       end_own(503, retry_after_no_target, last_reason_);
       return;
     }
-    if (!may_send_again(now)) {
+    if (!may_send_again(node_, call_, now)) {
       end_own(503, retry_after_no_target, last_reason_);
       return;
     }
@@ -166,7 +152,6 @@
     if (failed && call_.way->repeatable() && call_.may_have_run + 1 < call_.way->max_attempts &&
         node_.retries_of(call_.service->id).left() >= 1) {
       ++call_.may_have_run;
-      kept_failure_ = response;
       broken(instance, "the target failed");
       return;
     }
@@ -185,7 +170,6 @@
   cancel_token cancel_ = cancel_token::make();
   std::vector<target_id> avoided_;
   std::string_view last_reason_ = "no instance is known";
-  std::optional<http_response> kept_failure_;
   bool gone_ = false;
   bool ended_ = false;
 };
--- /dev/null
+++ b/src/process/replica_keeper_load.cpp
@@ -0,0 +1,188 @@
+// Which engine gets ready for which model.
+#include <algorithm>
+#include <cmath>
+
+#include "process/replica_keeper_round.h"
+
+namespace arbutus {
+
+namespace {
+
+// Weights on the host: no load from the weight store is needed.
+bool is_staged(const target_view& view, const model_id& model) {
+  const auto& staged = view.record.staged;
+  return std::find(staged.begin(), staged.end(), model) != staged.end();
+}
+
+}  // namespace
+
+// What each domain has, of all data centres, so that every keeper plans the same.
+void replica_keeper::survey(round& r) {
+  for (const auto& [id, view] : r.fleet.all()) {
+    if (view.record.service != r.service.id || !round::alive(&view) || view.record.draining) {
+      continue;
+    }
+    const engine_memory& memory = memory_[id];
+    const bool loads = is_loading(view, memory);
+    if (loads && !is_staged(view, model_for(view, memory))) {
+      ++r.loading;
+      r.loading_own += r.is_own(view) ? 1 : 0;
+    }
+    domain_state& domain = r.domains[view.record.domain];
+    domain.ready.resize(r.engine.models.size(), 0);
+    const auto position = r.model_index(model_for(view, memory));
+    if (position) {
+      ++domain.ready[*position];
+    } else {
+      ++domain.blank;
+    }
+  }
+  std::vector<shape_domain> domains;
+  for (const auto& [id, domain] : r.domains) {
+    domains.push_back({domain.ready, domain.blank});
+  }
+  std::vector<shape_model> models;
+  for (const model_shape& model : r.engine.models) {
+    // The share is one of engines' time: a replica of twice the size does twice the work.
+    models.push_back({model.size, model.work_share / model.size});
+  }
+  if (domains != planned_domains_ || models != planned_models_) {
+    planned_ = plan_shape(domains, models);
+    planned_domains_ = domains;
+    planned_models_ = models;
+  }
+  const fleet_shape& shape = planned_;
+  std::size_t index = 0;
+  plan_.clear();
+  for (auto& [id, domain] : r.domains) {
+    domain.wanted = shape[index++];
+    const auto free = r.free.find(id);
+    plan_.push_back({id, domain.ready, domain.wanted, domain.blank,
+                     free == r.free.end() ? 0 : free->second.size()});
+  }
+  note_shortages(r);
+}
+
+// The model that an engine is ready for or gets ready for.
+model_id replica_keeper::model_for(const target_view& view, const engine_memory& memory) const {
+  if (!memory.load_for.empty()) {
+    return memory.load_for;
+  }
+  if (memory.ready_for.empty() && view.record.member_of) {
+    return model_in(view.record.member_of->replica.name);
+  }
+  return memory.ready_for;
+}
+
+void replica_keeper::note_shortages(const round& r) {
+  for (const auto& [id, domain] : r.domains) {
+    for (std::size_t m = 0; m < r.engine.models.size(); ++m) {
+      const std::pair key(id, r.engine.models[m].id);
+      if (domain.ready[m] < domain.wanted[m]) {
+        short_since_.emplace(key, r.now);
+      } else {
+        short_since_.erase(key);
+      }
+    }
+  }
+}
+
+bool replica_keeper::is_loading(const target_view& view, const engine_memory& memory) const {
+  const auto& own = view.record.member_of;
+  const bool joining = own && own->state == member_state::joining;
+  return !memory.load_for.empty() || (joining && memory.ready_for.empty());
+}
+
+// How much is gained by making this engine ready for this model; empty: nothing.
+std::optional<double> replica_keeper::gain_of_load(const round& r, const target_view& view,
+                                                   std::size_t model) const {
+  const engine_memory& memory = memory_.at(view.record.id);
+  const model_shape& shape = r.engine.models[model];
+  const domain_state& domain = r.domains.at(view.record.domain);
+  if (memory.ready_for == shape.id || domain.ready[model] >= domain.wanted[model]) {
+    return std::nullopt;
+  }
+  const auto current = r.model_index(memory.ready_for);
+  // An engine that is ready for a model is given up only where the plan has too many of it, and has
+  // wanted the other for some time.
+  const auto since = short_since_.find({view.record.domain, shape.id});
+  const bool lasts = since != short_since_.end() && r.now - since->second >= settings_.change_after;
+  if (current && (domain.ready[*current] <= domain.wanted[*current] || !lasts)) {
+    return std::nullopt;
+  }
+  const bool staged = is_staged(view, shape.id);
+  // Whole replicas first, those that take the fewest loads to complete; the model that has fewest
+  // replicas for its work before others.
+  const std::uint32_t missing = shape.size - domain.ready[model] % shape.size;
+  double replicas = 0;
+  for (const auto& [id, other] : r.domains) {
+    replicas += std::floor(static_cast<double>(other.ready[model]) / shape.size);
+  }
+  constexpr double weight_of_share = 10;
+  constexpr double weight_of_staged = 5;  // 1 to 2 s in place of 12 to 16 s
+  constexpr double weight_of_blank = 2;
+  return weight_of_share * shape.work_share / shape.size / (replicas + 1) -
+         static_cast<double>(missing) / shape.size + (staged ? weight_of_staged : 0) +
+         (current ? 0 : weight_of_blank);
+}
+
+// Makes engines ready for the models that the plan wants, within what the weight store allows.
+void replica_keeper::prepare(round& r) {
+  const bool rush =
+      cold_start_ && !r.own.requests_seen && r.now - started_ >= settings_.cold_start_rush;
+  const auto share = std::max<std::size_t>(
+      1, r.engine.loads_at_once * std::max<std::size_t>(1, r.own.data_centres.size()) /
+             std::max<std::size_t>(1, r.own.all_data_centres));
+  for (;;) {
+    // Each data centre has its share of the store's rate, and all may use what others leave.
+    const bool may_load = rush || r.loading_own < share || r.loading < r.engine.loads_at_once;
+    const target_view* best = nullptr;
+    std::size_t best_model = 0;
+    double best_gain = 0;
+    for (const auto& [domain, free] : r.free) {
+      for (const target_view* view : free) {
+        if (is_loading(*view, memory_[view->record.id]) || !may_order(r, view->record.id)) {
+          continue;
+        }
+        for (std::size_t m = 0; m < r.engine.models.size(); ++m) {
+          const auto gain = gain_of_load(r, *view, m);
+          const bool allowed = may_load || is_staged(*view, r.engine.models[m].id);
+          if (gain && allowed && (best == nullptr || *gain > best_gain)) {
+            best = view;
+            best_model = m;
+            best_gain = *gain;
+          }
+        }
+      }
+    }
+    if (best == nullptr) {
+      return;
+    }
+    load(r, *best, best_model);
+  }
+}
+
+void replica_keeper::load(round& r, const target_view& view, std::size_t model) {
+  const target_id& id = view.record.id;
+  engine_memory& memory = memory_[id];
+  domain_state& domain = r.domains[view.record.domain];
+  if (const auto current = r.model_index(memory.ready_for)) {
+    --domain.ready[*current];
+  } else {
+    --domain.blank;
+  }
+  ++domain.ready[model];
+  if (!is_staged(view, r.engine.models[model].id)) {
+    ++r.loading;
+    ++r.loading_own;
+  }
+  memory.ready_for = {};
+  memory.load_for = r.engine.models[model].id;
+  memory.load_begun = r.now;
+  send(r, view, order_action::join, {spare_name(memory.load_for, id), next_epoch()},
+       memory.load_for, {id});
+  std::erase_if(r.free[view.record.domain],
+                [&](const target_view* v) { return v->record.id == id; });
+}
+
+}  // namespace arbutus
