Fresh connections are closed after their call; nodes take their hub's word of a loss

Cause: calls that may not be repeated take fresh connections, which went into the pool, where no such call looks; at 48 to 110 connections a target resets new ones, and a third of the lookups ended as perhaps run without having been offered to a target. And 80 nodes each asked 16 members of each silent replica twice.

--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -124,7 +124,9 @@
         // so a new connection may carry the request.
         retry = was_idle && result.outcome == call_outcome::not_sent &&
                 result.failure == call_failure::connection_lost;
-        if (!once.reusable() || link->stream.aborted()) {
+        // Calls that take fresh connections only would fill the pool with ones that nobody uses,
+        // until the target takes no more: seen as resets of every new connection.
+        if (!once.reusable() || link->stream.aborted() || use == connection_use::fresh) {
           link->stream.socket().close();
         }
       }
--- a/src/connection/http_client.h
+++ b/src/connection/http_client.h
@@ -53,7 +53,7 @@
 
 // Whether a call may go over a connection that was used before. The target may close an idle
 // connection just while a request is written to it, and the outcome is then unknown. For calls that
-// may not be repeated, a new connection is worth its round trip.
+// may not be repeated, a new connection is worth its round trip; it is closed after the call.
 enum class connection_use : std::uint8_t { pooled, fresh };
 
 struct http_client_limits {
--- a/src/node/keeper_loop.cpp
+++ b/src/node/keeper_loop.cpp
@@ -24,6 +24,9 @@
 // Peers learn of sends within this; the same load is then double-booked for 100 ms on average.
 constexpr duration beat_interval = 200ms;
 constexpr duration plan_log_interval = 1s;
+// Members of a silent replica that a node asks: all of the usual 3 to 4; of 16, about five nodes
+// have streams there and find the dead one together.
+constexpr std::size_t most_asked = 6;
 constexpr duration isolated_after = 2500ms;  // the feed may wait a second for its answer
 // A lost engine that lives serves again within this; one that is dead is asked some ten times until
 // the list drops it.
@@ -32,7 +35,11 @@
 }  // namespace
 
 keeper_loop::keeper_loop(hosted_state& node, peer_links& links, store_watch& watch)
-    : node_(node), links_(links), watch_(watch), started_(monotonic_now()) {}
+    : node_(node),
+      links_(links),
+      watch_(watch),
+      started_(monotonic_now()),
+      random_(stable_hash(node.origin)) {}
 
 void keeper_loop::run() {
   while (sleep_until(monotonic_now() + tick_interval)) {
@@ -216,6 +223,20 @@
   return false;
 }
 
+// Of a large replica, a part: every node with a stream there asks, and the first that finds the
+// dead member tells the hub, which tells all.
+void keeper_loop::choose_asked(const target_id& head, std::vector<target_id>& members) {
+  if (members.size() <= most_asked) {
+    return;
+  }
+  std::erase(members, head);
+  while (members.size() >= most_asked) {
+    std::swap(members[random_.below(members.size())], members.back());
+    members.pop_back();
+  }
+  members.push_back(head);
+}
+
 // Goes wrong: a lost engine that lives, as after a cut, writes no new record, since nothing of it
 // changed; it would stay lost. One would see a fleet that is whole and serves little. So lost
 // engines are asked until the platform's list drops them.
@@ -255,6 +276,7 @@
       members.push_back(id);
     }
   }
+  choose_asked(head, members);
   struct shared {
     std::size_t pending = 0;
     bool failed = false;
@@ -377,6 +399,19 @@
   }
 }
 
+// The hub has asked it twice: if each node did, a death would cost as many questions as there are
+// nodes.
+void keeper_loop::lose(time_point now, const target_id& id) {
+  node_.fleet.lost_by_others(now, id);
+  const target_view* view = node_.fleet.find(id);
+  if (!view->record.member_of) {
+    return;
+  }
+  const std::size_t moved = node_.attempts.move_away(head_of(view->record.member_of->replica.name));
+  log_line(log_level::warning, "fleet", "lost",
+           {{"target", id}, {"told_by", "hub"}, {"streams_moved", std::uint64_t{moved}}});
+}
+
 void keeper_loop::heard(time_point now, const node_id& peer, const node_beat& beat) {
   node_.peers.heard(now, peer, beat.hub, beat.leaving, beat.stamp_us);
   positions_[peer] = {beat.targets_position, beat.configuration_position};
@@ -396,6 +431,10 @@
   }
   for (const target_id& id : beat.lost) {
     const target_view* view = node_.fleet.find(id);
+    if (same && beat.hub && view != nullptr && view->listed && !view->lost) {
+      lose(now, id);
+      continue;
+    }
     // A peer's word is a suspicion: this node asks for itself.
     if (view != nullptr && view->listed && !view->lost && probing_.insert(id).second) {
       node_.runtime.post(0, [this, id] {
--- a/src/node/keeper_loop.h
+++ b/src/node/keeper_loop.h
@@ -6,6 +6,8 @@
 #include <memory>
 #include <set>
 
+#include "base/hash.h"
+#include "base/rng.h"
 #include "node/hosted_state.h"
 #include "node/peer_links.h"
 #include "node/store_watch.h"
@@ -33,6 +35,8 @@
   void check_replica(const target_id& head);
   bool probe(const target_id& id, duration timeout);
   void take_report(time_point asked, const target_id& id, const target_report& report);
+  void lose(time_point now, const target_id& id);
+  void choose_asked(const target_id& head, std::vector<target_id>& members);
   void tell_peers(time_point now);
   void link_to(const std::vector<node_id>& peers);
   [[nodiscard]] node_beat beat_for(time_point now, const node_id& peer) const;
@@ -41,6 +45,7 @@
   peer_links& links_;
   store_watch& watch_;
   time_point started_;
+  rng random_;
   std::map<service_id, replica_keeper> keepers_;
   std::set<target_id> checking_;  // heads whose replicas are being asked
   std::set<target_id> probing_;
