Silent hubs are told until they return

Cause: a silent peer was told once a second over a link that was closed before it was up, so that a hub that returned was not heard and a data centre had two or three keepers. Test: PeerTable.ASilentHubIsToldUntilItReturns fails before.

--- a/src/process/peer_table.cpp
+++ b/src/process/peer_table.cpp
@@ -27,7 +27,6 @@
     return;
   }
   peer& p = found->second;
-  p.last_told = now;
   if (p.first_told == time_point{}) {
     p.first_told = now;
   }
@@ -119,13 +118,11 @@
     if (p.data_centre != data_centre) {
       continue;
     }
-    if (presumed(now, p)) {
-      result.push_back(id);
-      if (++found == candidates) {
-        return;
-      }
-    } else if (now - p.last_told >= silent_interval) {
-      result.push_back(id);
+    // Silent ones as well: a hub that returns has to be heard, or there are two from then on.
+    // Telling only now and then would open a link each time and close it before it is up.
+    result.push_back(id);
+    if (presumed(now, p) && ++found == candidates) {
+      return;
     }
   }
 }
--- a/src/process/peer_table.h
+++ b/src/process/peer_table.h
@@ -2,9 +2,10 @@
 // data centre. A value in virtual time.
 //
 // The hub of a data centre is its living node with the lowest name. A node tells the two lowest
-// that it takes for living, so that the next hub is known when the first one ends; a hub also tells
-// those of the other data centres. Two nodes that both take themselves for the hub do no harm: each
-// order names the state it was decided on, and each follows the store.
+// that it takes for living, and silent ones before them, so that the next hub is known when the
+// first one ends; a hub also tells those of the other data centres. Two nodes that both take
+// themselves for the hub do no harm: each order names the state it was decided on, and each follows
+// the store.
 #pragma once
 
 #include <cstdint>
@@ -55,15 +56,12 @@
   static constexpr duration alive_for = 1200ms;
   // A peer that was told and never answered is taken for living so long: links come up within it.
   static constexpr duration benefit_of_doubt = 1500ms;
-  // Silent ones are told so often, since they may return.
-  static constexpr duration silent_interval = 1s;
   static constexpr std::size_t candidates = 2;
 
  private:
   struct peer {
     data_centre_id data_centre;
     time_point first_told{};  // since it was last heard, or ever
-    time_point last_told{};
     time_point heard_at{};
     bool hub = false;
     bool leaving = false;
--- a/tests/core/hosted_values_test.cpp
+++ b/tests/core/hosted_values_test.cpp
@@ -1,6 +1,7 @@
 // Smaller values of a hosted node: silence, instances, shapes of domains, feeds, peers, settings.
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <numeric>
 
 #include "process/domain_shape.h"
@@ -191,6 +192,23 @@
   EXPECT_TRUE(peers.duties(start + 3s, three).empty());
 }
 
+TEST(PeerTable, ASilentHubIsToldUntilItReturns) {
+  // Symptom: three nodes keep one data centre, take each other's replicas apart, and streams are
+  // cut. Sequence: the hub is killed and returns; the next one is the hub meanwhile. Cause: the
+  // silent one is told once a second, over a link that is closed again before it is up, so it is
+  // never heard.
+  peer_table peers(node_id{"a3"}, data_centre_id{"a"});
+  peers.set_known(six_nodes());
+  for (duration at = 0ms; at < 5s; at += 200ms) {
+    const std::vector<node_id> told = peers.to_tell(start + at);
+    for (const node_id& id : told) {
+      peers.told(start + at, id);
+    }
+    EXPECT_EQ(std::count(told.begin(), told.end(), node_id{"a1"}), 1) << at.count();
+    peers.heard(start + at, node_id{"a2"}, true, false, 1);
+  }
+}
+
 TEST(PeerTable, ADataCentreWithoutNodesFallsToOneHub) {
   // Symptom: engines of a data centre whose only node died are ordered by nobody, or by two nodes.
   peer_table a(node_id{"a1"}, data_centre_id{"a"});
