No peer's word of a loss alone, and no more configuration than a hub's link takes

Cause: a hub passed a storm of versions to 24 nodes over 20 Mbit/s; its probes failed, it lost 44 engines in half a second, and nodes that took its word moved all streams, twice: cut, with planned work only. Change: a node asks a target once before it follows a peer's word; a hub passes on 256 KB of configuration at most, others read the store.

--- a/src/node/keeper_loop.cpp
+++ b/src/node/keeper_loop.cpp
@@ -24,6 +24,8 @@
 // Peers learn of sends within this; the same load is then double-booked for 100 ms on average.
 constexpr duration beat_interval = 200ms;
 constexpr duration plan_log_interval = 1s;
+// Bytes of configuration to all nodes of a hub together: 100 ms of a link of 20 Mbit/s.
+constexpr std::size_t most_passed_on = 256UL * 1024;
 // Members of a silent replica that a node asks: all of the usual 3 to 4; of 16, about five nodes
 // have streams there and find the dead one together.
 constexpr std::size_t most_asked = 6;
@@ -334,6 +336,16 @@
   }
 }
 
+// Goes wrong: versions in quick succession, passed on whole to two dozen nodes, choke the link of a
+// hub. Its probes then fail, and it takes the fleet for lost. Whoever gets no news asks the store.
+bool keeper_loop::is_too_much(std::uint64_t after) const {
+  std::size_t bytes = 0;
+  for (const feed_row& row : node_.configuration_rows.since(after)) {
+    bytes += row.value.size();
+  }
+  return bytes * (node_.peers.living(monotonic_now()) + 1) > most_passed_on;
+}
+
 node_beat keeper_loop::beat_for(time_point now, const node_id& peer) const {
   const data_centre_id& home = node_.settings.data_centre;
   const bool same = node_.peers.data_centre_of(peer) == home;
@@ -364,7 +376,8 @@
                                node_.target_rows.needs_whole(asked->second.targets),
                                node_.target_rows.position(), now - node_.fleet_read_at};
     }
-    if (const auto age = node_.lease.age(now)) {
+    const auto age = node_.lease.age(now);
+    if (age && !is_too_much(asked->second.configuration)) {
       beat.configuration = feed_news{node_.configuration_rows.since(asked->second.configuration),
                                      false, node_.configuration_rows.position(), *age};
     }
@@ -399,17 +412,21 @@
   }
 }
 
-// The hub has asked it twice: if each node did, a death would cost as many questions as there are
-// nodes.
-void keeper_loop::lose(time_point now, const target_id& id) {
-  node_.fleet.lost_by_others(now, id);
-  const target_view* view = node_.fleet.find(id);
-  if (!view->record.member_of) {
-    return;
+// A peer's word is a suspicion. Goes wrong if it is believed: a node whose link is choked loses
+// every target within half a second, and all others would move their streams away from replicas
+// that work. So this node asks for itself, once, as the peer has asked twice.
+void keeper_loop::doubt(const target_id& id) {
+  if (!probe(id, probe_timeout)) {
+    node_.fleet.probe_failed(monotonic_now(), id);
+    const target_view* view = node_.fleet.find(id);
+    if (view != nullptr && view->record.member_of) {
+      const std::size_t moved =
+          node_.attempts.move_away(head_of(view->record.member_of->replica.name));
+      log_line(log_level::warning, "fleet", "lost",
+               {{"target", id}, {"told_by", "peer"}, {"streams_moved", std::uint64_t{moved}}});
+    }
   }
-  const std::size_t moved = node_.attempts.move_away(head_of(view->record.member_of->replica.name));
-  log_line(log_level::warning, "fleet", "lost",
-           {{"target", id}, {"told_by", "hub"}, {"streams_moved", std::uint64_t{moved}}});
+  probing_.erase(id);
 }
 
 void keeper_loop::heard(time_point now, const node_id& peer, const node_beat& beat) {
@@ -431,18 +448,8 @@
   }
   for (const target_id& id : beat.lost) {
     const target_view* view = node_.fleet.find(id);
-    if (same && beat.hub && view != nullptr && view->listed && !view->lost) {
-      lose(now, id);
-      continue;
-    }
-    // A peer's word is a suspicion: this node asks for itself.
     if (view != nullptr && view->listed && !view->lost && probing_.insert(id).second) {
-      node_.runtime.post(0, [this, id] {
-        if (!probe(id, probe_timeout)) {
-          probe(id, probe_timeout);
-        }
-        probing_.erase(id);
-      });
+      node_.runtime.post(0, [this, id] { doubt(id); });
     }
   }
 }
--- a/src/node/keeper_loop.h
+++ b/src/node/keeper_loop.h
@@ -35,7 +35,8 @@
   void check_replica(const target_id& head);
   bool probe(const target_id& id, duration timeout);
   void take_report(time_point asked, const target_id& id, const target_report& report);
-  void lose(time_point now, const target_id& id);
+  void doubt(const target_id& id);
+  [[nodiscard]] bool is_too_much(std::uint64_t after) const;
   void choose_asked(const target_id& head, std::vector<target_id>& members);
   void tell_peers(time_point now);
   void link_to(const std::vector<node_id>& peers);
--- a/src/node/store_watch.cpp
+++ b/src/node/store_watch.cpp
@@ -64,6 +64,9 @@
   if (beat.targets) {
     take_target_news(asked - beat.targets->age, *beat.targets);
   }
+  if (!beat.configuration) {
+    fed_at_ = {};
+  }
   if (beat.configuration) {
     for (const feed_row& row : beat.configuration->rows) {
       take_configuration_row(row);
--- a/src/process/fleet_view.cpp
+++ b/src/process/fleet_view.cpp
@@ -108,12 +108,6 @@
   }
 }
 
-void fleet_view::lost_by_others(time_point now, const target_id& id) {
-  for (std::uint32_t i = 0; i < probes_until_lost; ++i) {
-    probe_failed(now, id);
-  }
-}
-
 void fleet_view::found_by_others(time_point now, const std::vector<target_id>& still_lost) {
   for (auto& [id, view] : targets_) {
     const bool known = std::find(still_lost.begin(), still_lost.end(), id) != still_lost.end();
--- a/src/process/fleet_view.h
+++ b/src/process/fleet_view.h
@@ -89,9 +89,6 @@
   // back, unless this node lost them so lately that the hub may not know.
   void found_by_others(time_point now, const std::vector<target_id>& still_lost);
 
-  // The hub has asked this one twice in vain.
-  void lost_by_others(time_point now, const target_id& id);
-
   // Targets that left the list are forgotten after `remembered`.
   void forget_old(time_point now);
 
