A request's story from its id, and a bound on the log in bytes

Cause: on-call engineers put the lines of a failed request together by hand, and under a load of refusals lines were dropped one by one once 4,096 waited, so that an id was often half there. Change: arbutusworks explain ID reads log lines of all nodes and tells the request's lines in order, what happened to its targets, what its nodes knew, and the cause in words. [log] bytes_per_second (64 KiB by default on hosted nodes) leaves out whole requests, chosen by id when they arrive; beliefs go on. The three walks of OPERATIONS.md are tests over the nodes' own logs before the stand-in. Before: 2 lines of 300 bytes for each of 2,000 refusals a second wrote 1.2 MB/s; after: 64 KiB/s, no line of a kept request lost (LogBudget tests, virtual time).

--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -47,6 +47,12 @@
   std::uint16_t store_port = 0;  // 0: any
 };
 
+// Tells what became of a request, from the log lines of all nodes.
+struct explain_options {
+  std::string request;             // its id
+  std::vector<std::string> files;  // empty: standard input
+};
+
 struct apply_options {
   std::string directory;
   std::vector<endpoint> nodes;  // asked one after the other until one answers
@@ -98,6 +104,7 @@
 int run_node(const node_options& options, std::ostream& out);
 int run_hosted(const hosted_options& options, std::ostream& out);
 int run_platform(const platform_options& options, std::ostream& out);
+int run_explain(const explain_options& options, std::ostream& out);
 int run_apply(const apply_options& options, std::ostream& out);
 int run_status(const status_options& options, std::ostream& out);
 int run_bench(const bench_options& options, std::ostream& out);
--- /dev/null
+++ b/src/cli/explain.cpp
@@ -0,0 +1,37 @@
+// `explain`: the story of one request, from the log lines of all nodes.
+#include <fstream>
+#include <iostream>
+
+#include "cli/commands.h"
+#include "node/log_story.h"
+
+namespace arbutus {
+
+int run_explain(const explain_options& options, std::ostream& out) {
+  log_reader reader;
+  std::size_t unreadable = 0;
+  if (options.files.empty()) {
+    unreadable = reader.read(std::cin, options.request);
+  }
+  for (const std::string& name : options.files) {
+    std::ifstream file(name);
+    if (!file) {
+      std::cerr << "explain: cannot read " << name << '\n';
+      return to_status(exit_code::input_errors);
+    }
+    unreadable += reader.read(file, options.request);
+  }
+  if (unreadable > 0) {
+    std::cerr << "explain: " << unreadable << " lines are not of a node and were left out\n";
+  }
+  const auto story = reader.tell(options.request);
+  if (!story) {
+    std::cerr << "explain: no line names request " << options.request
+              << "; with log level \"info\" those that went well have none\n";
+    return to_status(exit_code::failure);
+  }
+  out << to_text(*story);
+  return to_status(exit_code::ok);
+}
+
+}  // namespace arbutus
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -23,7 +23,8 @@
       [](const trial_options& o) { return run_trial(o, std::cout); },
       [](const standin_options& o) { return run_standin(o, std::cout); },
       [](const hosted_options& o) { return run_hosted(o, std::cout); },
-      [](const platform_options& o) { return run_platform(o, std::cout); });
+      [](const platform_options& o) { return run_platform(o, std::cout); },
+      [](const explain_options& o) { return run_explain(o, std::cout); });
 }
 
 int print(const early_exit& e) {
--- a/src/cli/options.cpp
+++ b/src/cli/options.cpp
@@ -120,6 +120,20 @@
   return hosted_options{values["settings"].as<std::string>()};
 }
 
+void add_explain(po::options_description& add) {
+  add.add_options()("words", po::value<strings>()->required()->value_name("ID FILE"),
+                    "a request's id, then log files; without one, standard input");
+}
+
+command make_explain(const po::variables_map& values) {
+  strings words = values["words"].as<strings>();
+  explain_options options;
+  options.request = words.front();
+  words.erase(words.begin());
+  options.files = std::move(words);
+  return options;
+}
+
 void add_check(po::options_description& add) {
   add.add_options()("path", po::value<strings>()->required()->value_name("DIR|FILE"),
                     "configuration directories, or files")(
@@ -254,7 +268,7 @@
   std::string_view examples;
 };
 
-constexpr std::array<command_spec, 10> specs = {{
+constexpr std::array<command_spec, 11> specs = {{
     {"node", "Run a node in front of the targets, until SIGTERM.", "FILE", "settings", 1, add_node,
      make_node, "  arbutusworks node examples/small/nodes/lab-a-node-1.toml\n"},
     {"hosted", "Run a node on a platform that keeps configuration and targets, until SIGTERM.",
@@ -263,6 +277,10 @@
     {"platform", "Stand in for a platform that keeps configuration and targets, until interrupted.",
      "NAME...", "data-centre", -1, add_platform, make_platform,
      "  arbutusworks platform lab-a lab-b --store-port 23900\n"},
+    {"explain", "Tell what became of a request, from the log lines of all nodes.", "ID [FILE...]",
+     "words", -1, add_explain, make_explain,
+     "  arbutusworks explain 4f1d22a07c9be853 /var/log/arbutusworks/*.log\n"
+     "  zcat old/*.gz | arbutusworks explain 4f1d22a07c9be853\n"},
     {"check", "Check configurations and node settings; name every mistake with its place.",
      "DIR|FILE...", "path", -1, add_check, make_check,
      "  arbutusworks check examples/odtok\n"
--- a/src/node/hosted_call.cpp
+++ b/src/node/hosted_call.cpp
@@ -141,6 +141,9 @@
     measured.first_token = call.first_event - call.arrived;
   }
   node.metrics.record(measured);
+  if (!call.logged) {
+    return;
+  }
   log_line(result == "done" ? log_level::debug : log_level::info, "request", "ended",
            {{"request", call.head.id},
             {"route", call.way == nullptr ? std::string_view("-") : call.way->name},
@@ -162,6 +165,7 @@
       request, writer, read_head(request), nullptr, nullptr, nullptr, {}, {}, {}, {}, 0, 0, {},
       {},      0};
   call.arrived = monotonic_now();
+  call.logged = log_keeps_request(call.arrived, call.head.id.str());
   node.requests_seen = true;
   call_start start(node, call);
   if (!start.run()) {
--- a/src/node/hosted_node.cpp
+++ b/src/node/hosted_node.cpp
@@ -110,6 +110,7 @@
     add("arbutusworks_connections_open", callers->connections());
     add("arbutusworks_ready", is_ready() ? 1 : 0);
     add("arbutusworks_log_lines_dropped", dropped_log_lines());
+    add("arbutusworks_log_requests_left_out", requests_without_log());
     return text;
   }
 
--- a/src/node/hosted_parts.h
+++ b/src/node/hosted_parts.h
@@ -31,6 +31,7 @@
   std::string targets;             // tried, in order
   time_point first_event{};
   std::uint64_t events = 0;
+  bool logged = true;  // whether its lines are written: all or none
 };
 
 // Ends it with an answer of this node's. A status that promises "not run" is turned into one that
--- a/src/node/hosted_stream.cpp
+++ b/src/node/hosted_stream.cpp
@@ -109,13 +109,15 @@
       ++call_.may_have_run;
     }
     avoided_.push_back(replica.head);
-    log_line(log_level::info, "request", "attempt ended",
-             {{"request", call_.head.id},
-              {"target", replica.head},
-              {"reason", last_reason_},
-              {"ran", how == ending::broken ? "perhaps" : "no"},
-              {"last_event", relay_.last_id()},
-              {"sends", call_.sends}});
+    if (call_.logged) {
+      log_line(log_level::info, "request", "attempt ended",
+               {{"request", call_.head.id},
+                {"target", replica.head},
+                {"reason", last_reason_},
+                {"ran", how == ending::broken ? "perhaps" : "no"},
+                {"last_event", relay_.last_id()},
+                {"sends", call_.sends}});
+    }
     node_.metrics.count("arbutusworks_attempts_broken",
                         "ran=\"" + std::string(how == ending::broken ? "perhaps" : "no") + "\"");
     relay_.restart();
--- a/src/node/hosted_whole.cpp
+++ b/src/node/hosted_whole.cpp
@@ -137,12 +137,14 @@
 
   void broken(const service_instance& instance, std::string_view reason) {
     last_reason_ = reason;
-    log_line(log_level::info, "request", "attempt ended",
-             {{"request", call_.head.id},
-              {"target", instance.id},
-              {"reason", reason},
-              {"may_have_run", call_.may_have_run},
-              {"sends", call_.sends}});
+    if (call_.logged) {
+      log_line(log_level::info, "request", "attempt ended",
+               {{"request", call_.head.id},
+                {"target", instance.id},
+                {"reason", reason},
+                {"may_have_run", call_.may_have_run},
+                {"sends", call_.sends}});
+    }
     node_.metrics.count("arbutusworks_attempts_broken");
   }
 
--- a/src/node/log.cpp
+++ b/src/node/log.cpp
@@ -16,9 +16,15 @@
 #include <boost/shared_ptr.hpp>
 #include <chrono>
 #include <cstdio>
+#include <mutex>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <type_traits>
 
+#include "base/hash.h"
+#include "connection/clock.h"
+#include "process/log_budget.h"
+
 namespace arbutus {
 
 namespace {
@@ -52,8 +58,14 @@
   boost::shared_ptr<log_sink> sink;
   log_format format = log_format::text;
   std::string node;
+  std::optional<log_budget> budget;  // empty: no bound
 };
 
+std::mutex& budget_lock() {
+  static std::mutex value;
+  return value;
+}
+
 log_state& state() {
   static log_state value;
   return value;
@@ -130,6 +142,12 @@
   return dump(line);
 }
 
+// The lock is held for a few additions.
+bool may_write(std::size_t bytes) {
+  const std::lock_guard guard(budget_lock());
+  return !state().budget || state().budget->spend(monotonic_now(), bytes);
+}
+
 }  // namespace
 
 namespace detail {
@@ -143,6 +161,10 @@
   const std::string line = state().format == log_format::json
                                ? json_line(level, part, message, fields)
                                : text_line(level, part, message, fields);
+  if (!may_write(line.size())) {
+    dropped.fetch_add(1, std::memory_order_relaxed);
+    return;
+  }
   thread_local blog::sources::logger logger;
   if (blog::record record = logger.open_record()) {
     blog::record_ostream stream(record);
@@ -162,6 +184,10 @@
   state().sink = boost::make_shared<log_sink>(backend);
   state().format = settings.format;
   state().node = node.str();
+  state().budget.reset();
+  if (settings.bytes_per_second > 0) {
+    state().budget.emplace(settings.bytes_per_second);
+  }
   blog::core::get()->add_sink(state().sink);
   set_log_level(settings.level);
 }
@@ -180,6 +206,16 @@
   detail::least_log_level = level;
 }
 
+bool log_keeps_request(time_point now, std::string_view request) {
+  const std::lock_guard guard(budget_lock());
+  return !state().budget || state().budget->keeps_request(now, stable_hash(request));
+}
+
+std::uint64_t requests_without_log() {
+  const std::lock_guard guard(budget_lock());
+  return state().budget ? state().budget->requests_left_out() : 0;
+}
+
 std::uint64_t dropped_log_lines() {
   return dropped.load(std::memory_order_relaxed);
 }
--- a/src/node/log.h
+++ b/src/node/log.h
@@ -1,4 +1,4 @@
-// Structured log lines on standard error: UTC time, level, part, node, message and fields, as text
+// Structured log lines: UTC time, level, part, node, message and fields, as text
 // or JSON. The library that writes them stays behind this header.
 #pragma once
 
@@ -11,6 +11,7 @@
 #include <variant>
 
 #include "base/id.h"
+#include "base/units.h"
 #include "process/settings.h"
 
 namespace arbutus {
@@ -53,7 +54,13 @@
 // May be called at any time, from any thread.
 void set_log_level(log_level level);
 
-// Lines that were lost because the reader of `out` was too slow.
+// Whether a request that arrives now has its lines written, all or none: ask once, when it arrives.
+[[nodiscard]] bool log_keeps_request(time_point now, std::string_view request);
+
+// Requests whose lines were left out whole, as the log would have grown beyond its rate.
+[[nodiscard]] std::uint64_t requests_without_log();
+
+// Lines that were lost because the reader of `out` was too slow, or beyond twice the rate.
 [[nodiscard]] std::uint64_t dropped_log_lines();
 
 [[nodiscard]] inline bool log_enabled(log_level level) {
--- /dev/null
+++ b/src/node/log_story.cpp
@@ -0,0 +1,340 @@
+// Stories of requests.
+#include "node/log_story.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cstdio>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <set>
+
+namespace arbutus {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// A target's trouble begins before the request notices it: streams end up to 4 s after their
+// replica lost a member (the engines' own stall), so that much is looked back.
+constexpr auto looked_back = 5s;
+
+// Fields that every line has, which are members of logged_line.
+constexpr std::array<std::string_view, 5> common_fields = {"time", "level", "part", "node",
+                                                           "message"};
+
+template <class Number>
+bool read_number(std::string_view text, std::size_t at, std::size_t digits, Number& value) {
+  if (at + digits > text.size()) {
+    return false;
+  }
+  const char* begin = text.data() + at;
+  const auto [end, error] = std::from_chars(begin, begin + digits, value);
+  return error == std::errc() && end == begin + digits;
+}
+
+// "2026-01-31T23:59:59.123456Z"
+std::optional<wall_clock_time> read_time(std::string_view text) {
+  int year = 0;
+  unsigned month = 0;
+  unsigned day = 0;
+  int hour = 0;
+  int minute = 0;
+  int second = 0;
+  int micro = 0;
+  const bool numbers = read_number(text, 0, 4, year) && read_number(text, 5, 2, month) &&
+                       read_number(text, 8, 2, day) && read_number(text, 11, 2, hour) &&
+                       read_number(text, 14, 2, minute) && read_number(text, 17, 2, second) &&
+                       read_number(text, 20, 6, micro);
+  const std::chrono::year_month_day date{std::chrono::year{year}, std::chrono::month{month},
+                                         std::chrono::day{day}};
+  if (!numbers || !date.ok()) {
+    return std::nullopt;
+  }
+  return wall_clock_time(std::chrono::sys_days(date)) + std::chrono::hours(hour) +
+         std::chrono::minutes(minute) + std::chrono::seconds(second) +
+         std::chrono::microseconds(micro);
+}
+
+std::string value_text(const nlohmann::ordered_json& value) {
+  return value.is_string() ? value.get<std::string>() : value.dump();
+}
+
+bool in_order(const logged_line& a, const logged_line& b) {
+  return a.time < b.time;
+}
+
+// Of all lines of a request the one that says how it ended at a node.
+bool is_end(const logged_line& line) {
+  return line.part == "request" && line.message == "ended";
+}
+
+std::set<std::string> targets_of(const std::vector<logged_line>& own) {
+  std::set<std::string> result;
+  for (const logged_line& line : own) {
+    if (const auto target = line.field("target"); !target.empty()) {
+      result.emplace(target);
+    }
+    std::string_view rest = line.field("targets");
+    while (!rest.empty()) {
+      const auto comma = rest.find(',');
+      result.emplace(rest.substr(0, comma));
+      rest = comma == std::string_view::npos ? std::string_view{} : rest.substr(comma + 1);
+    }
+  }
+  return result;
+}
+
+wall_clock_time beginning(const std::vector<logged_line>& own) {
+  wall_clock_time first = own.front().time;
+  for (const logged_line& line : own) {
+    double total_ms = 0;
+    const std::string_view text = line.field("total_ms");
+    std::from_chars(text.data(), text.data() + text.size(), total_ms);
+    const auto total =
+        std::chrono::microseconds{static_cast<std::int64_t>(std::max(total_ms, 0.0) * 1000)};
+    first = std::min(first, line.time - total);
+  }
+  return first;
+}
+
+// Lines that a newer one of the same kind replaces; empty: not a belief.
+std::string belief_kind(const logged_line& line) {
+  if (line.part == "configuration" && line.message == "in force") {
+    return "configuration";
+  }
+  if (line.part == "store" && (line.message == "lost" || line.message == "regained")) {
+    return "store " + std::string(line.field("what"));
+  }
+  if (line.part == "fleet" && line.message == "capacity") {
+    return "capacity " + std::string(line.field("model"));
+  }
+  if (line.part == "keeper" && line.message == "duties") {
+    return "duties";
+  }
+  if (line.part == "node") {
+    return "node";
+  }
+  return {};
+}
+
+struct known_reason {
+  std::string_view reason;
+  std::string_view cause;
+};
+
+// What each reason means and where to look on. The reasons are those of the nodes' lines.
+constexpr std::array<known_reason, 22> known_reasons = {{
+    {"every replica is full",
+     "Each replica of the model had all its places taken. The replicas that the node counted stand "
+     "below; few of them: look at keeper plan of the data centre, else there was more load than "
+     "the fleet serves."},
+    {"no replica of the model serves",
+     "No replica of the model was open and unsuspected. Look at keeper plan and keeper order of "
+     "the data centre."},
+    {"its replica lost a member",
+     "The streams of a replica stopped together and one of its members did not answer, so the "
+     "request was sent on, as far as its route allows."},
+    {"no time is left", "The time that the caller or the route allows was used up."},
+    {"connection lost",
+     "The connection to the target broke while it answered: the target ended or was cut off."},
+    {"reset", "The target or the network reset the connection."},
+    {"timeout", "The target did not answer within the time that was left."},
+    {"could not be sent", "No connection to the target came about, so that it did not run there."},
+    {"the target did not run it",
+     "The target turned it away: it was full, stalled, or not the head of its replica any more."},
+    {"the target failed", "The target answered with a failure of its own."},
+    {"the target's own failure", "The target answered with a failure of its own, passed on as is."},
+    {"the stream ended inside an event", "The target broke off in the middle of an event."},
+    {"events out of order", "The target's events did not follow on each other."},
+    {"the answer was not this request's",
+     "The target sent an answer without its signature, or to another request."},
+    {"no configuration is known yet", "The node had just started and reached no store yet."},
+    {"the configuration may be out of date",
+     "The node could not confirm its configuration, so that it may not say that a route is not "
+     "there. See its store lines below."},
+    {"keys cannot be checked: the configuration is stale",
+     "The node had no proof, young enough, that its configuration is the newest: a key might have "
+     "been withdrawn. See its store lines below, and the link to its hub."},
+    {"the key cannot be confirmed",
+     "The proof that the configuration is the newest ran out while the request waited."},
+    {"the key was withdrawn", "A newer configuration took the caller's key away."},
+    {"the key is not known", "No workspace of the configuration in force has the caller's key."},
+    {"no route has this host and path", "No route of the configuration in force fits."},
+    {"no instance is known", "No instance of the service was listed as ready."},
+}};
+
+std::string cause_of(const std::vector<logged_line>& own) {
+  const auto end = std::find_if(own.rbegin(), own.rend(), is_end);
+  if (end == own.rend()) {
+    return "No line says that it ended: it is still running, its lines were left out, or the node "
+           "ended before.";
+  }
+  if (end->field("result") == "done") {
+    return {};
+  }
+  const std::string_view reason = end->field("reason");
+  std::string text = std::string(end->field("result")) + ": " + std::string(reason) + ". ";
+  const auto known = std::find_if(known_reasons.begin(), known_reasons.end(),
+                                  [&](const known_reason& k) { return k.reason == reason; });
+  if (known != known_reasons.end()) {
+    text += known->cause;
+  }
+  // Why it was not served at first: the last decision alone rarely tells.
+  for (const logged_line& line : own) {
+    if (line.message == "attempt ended") {
+      text += " Before: " + std::string(line.field("reason")) + " at " +
+              std::string(line.field("target")) + ".";
+    }
+  }
+  return text;
+}
+
+void add_line(std::string& text, const logged_line& line, wall_clock_time start) {
+  const auto offset = std::chrono::duration<double>(line.time - start).count();
+  std::array<char, 32> number{};
+  std::snprintf(number.data(), number.size(), "%+10.3f s  ", offset);
+  text += number.data();
+  text += line.node + "  " + line.part + ' ' + line.message;
+  for (const auto& [key, value] : line.fields) {
+    if (key != "request") {
+      // Quoted: a caller chose some of these values, and control characters stay out.
+      text += ' ' + key + '=' +
+              nlohmann::json(value).dump(-1, ' ', true, nlohmann::json::error_handler_t::replace);
+    }
+  }
+  text += '\n';
+}
+
+}  // namespace
+
+std::string_view logged_line::field(std::string_view key) const {
+  const auto found =
+      std::find_if(fields.begin(), fields.end(), [&](const auto& f) { return f.first == key; });
+  return found == fields.end() ? std::string_view{} : std::string_view(found->second);
+}
+
+std::optional<logged_line> read_log_line(std::string_view text) {
+  const auto brace = text.find('{');
+  if (brace == std::string_view::npos) {
+    return std::nullopt;
+  }
+  const auto value = nlohmann::ordered_json::parse(text.substr(brace), nullptr, false);
+  if (!value.is_object()) {
+    return std::nullopt;
+  }
+  logged_line line;
+  const auto take = [&](const char* key, std::string& into) {
+    const auto found = value.find(key);
+    if (found == value.end() || !found->is_string()) {
+      return false;
+    }
+    into = found->get<std::string>();
+    return true;
+  };
+  std::string time;
+  if (!take("time", time) || !take("node", line.node) || !take("part", line.part) ||
+      !take("message", line.message)) {
+    return std::nullopt;
+  }
+  const auto read = read_time(time);
+  if (!read) {
+    return std::nullopt;
+  }
+  line.time = *read;
+  for (const auto& [key, field] : value.items()) {
+    if (std::find(common_fields.begin(), common_fields.end(), key) == common_fields.end()) {
+      line.fields.emplace_back(key, value_text(field));
+    }
+  }
+  return line;
+}
+
+std::size_t log_reader::read(std::istream& lines, std::string_view request) {
+  std::size_t unreadable = 0;
+  std::string text;
+  while (std::getline(lines, text)) {
+    // Most lines of a large log are on other requests: they are not parsed.
+    const bool other =
+        text.find("\"request\":") != std::string::npos && text.find(request) == std::string::npos;
+    if (text.empty() || other) {
+      continue;
+    }
+    auto line = read_log_line(text);
+    if (!line) {
+      ++unreadable;
+    } else if (line->field("request") == request) {
+      own_.push_back(std::move(*line));
+    } else if (line->field("request").empty()) {
+      others_.push_back(std::move(*line));
+    }
+  }
+  return unreadable;
+}
+
+std::optional<request_story> log_reader::tell(std::string_view request) const {
+  request_story story;
+  story.request = std::string(request);
+  std::copy_if(own_.begin(), own_.end(), std::back_inserter(story.own),
+               [&](const logged_line& line) { return line.field("request") == request; });
+  if (story.own.empty()) {
+    return std::nullopt;
+  }
+  std::stable_sort(story.own.begin(), story.own.end(), in_order);
+  story.cause = cause_of(story.own);
+  const wall_clock_time from = beginning(story.own) - looked_back;
+  const wall_clock_time until = story.own.back().time;
+  const std::set<std::string> targets = targets_of(story.own);
+  std::set<std::string> nodes;
+  for (const logged_line& line : story.own) {
+    nodes.insert(line.node);
+  }
+  std::map<std::string, std::map<std::string, const logged_line*>> newest;
+  for (const logged_line& line : others_) {
+    if (line.time > until) {
+      continue;
+    }
+    const bool of_target = targets.contains(std::string(line.field("target"))) ||
+                           targets.contains(std::string(line.field("head")));
+    if (of_target && line.time >= from) {
+      story.around.push_back(line);
+    }
+    const std::string kind = belief_kind(line);
+    if (!kind.empty() && nodes.contains(line.node)) {
+      const logged_line*& known = newest[line.node][kind];
+      known = known == nullptr || known->time <= line.time ? &line : known;
+    }
+  }
+  std::stable_sort(story.around.begin(), story.around.end(), in_order);
+  for (const auto& [node, kinds] : newest) {
+    node_belief belief{node, {}};
+    for (const auto& [kind, line] : kinds) {
+      belief.lines.push_back(*line);
+    }
+    std::stable_sort(belief.lines.begin(), belief.lines.end(), in_order);
+    story.beliefs.push_back(std::move(belief));
+  }
+  return story;
+}
+
+std::string to_text(const request_story& story) {
+  const wall_clock_time start = beginning(story.own);
+  std::string text = "request " + story.request + '\n';
+  text += story.cause.empty() ? "  served whole\n" : "  " + story.cause + '\n';
+  std::vector<logged_line> lines = story.own;
+  lines.insert(lines.end(), story.around.begin(), story.around.end());
+  std::stable_sort(lines.begin(), lines.end(), in_order);
+  text += "in order, from its arrival by the nodes' clocks\n";
+  for (const logged_line& line : lines) {
+    add_line(text, line, start);
+  }
+  for (const node_belief& belief : story.beliefs) {
+    text += "newest of what " + belief.node + " knew\n";
+    for (const logged_line& line : belief.lines) {
+      add_line(text, line, start);
+    }
+  }
+  return text;
+}
+
+}  // namespace arbutus
--- a/src/process/hosted_settings.cpp
+++ b/src/process/hosted_settings.cpp
@@ -1,15 +1,12 @@
 // Settings of a hosted node from TOML.
 #include "process/hosted_settings.h"
 
-#include <array>
-
 #include "version/toml_reader.h"
 
 namespace arbutus {
 
 namespace {
 
-constexpr std::array<std::string_view, 4> level_names = {"debug", "info", "warning", "error"};
 // A bound of an hour or more is most likely given in another unit.
 constexpr whole_range bound_ms{1, 3'600'000};
 
@@ -86,9 +83,7 @@
     if (!table) {
       return;
     }
-    auto level = static_cast<std::size_t>(settings_.log.level);
-    table->read_word("level", level, level_names);
-    settings_.log.level = static_cast<log_level>(level);
+    read_log_volume(*table, settings_.log);
     table->finish();
   }
 
--- a/src/process/hosted_settings.h
+++ b/src/process/hosted_settings.h
@@ -33,6 +33,10 @@
   duration target_heartbeat = 1200ms;  // how often a living target refreshes its record
 };
 
+// Ten times what a node wrote on the heaviest day measured (docs/MEASUREMENTS.md); a collector of
+// 340 nodes then takes 22 MB/s at the very worst.
+inline constexpr std::uint32_t default_log_rate = 64 * 1024;
+
 struct hosted_settings {
   node_id id;
   data_centre_id data_centre;
@@ -41,7 +45,7 @@
   endpoint store;
   hosted_bounds bounds;
   bool cold_start = false;  // the whole deployment starts for the first time
-  log_settings log;
+  log_settings log{.bytes_per_second = default_log_rate};
 };
 
 struct hosted_settings_result {
--- a/src/process/settings.cpp
+++ b/src/process/settings.cpp
@@ -137,12 +137,10 @@
     if (!table) {
       return;
     }
-    auto level = static_cast<std::size_t>(settings_.log.level);
     auto format = static_cast<std::size_t>(settings_.log.format);
-    table->read_word("level", level, level_names);
     table->read_word("format", format, format_names);
-    settings_.log.level = static_cast<log_level>(level);
     settings_.log.format = static_cast<log_format>(format);
+    read_log_volume(*table, settings_.log);
     table->finish();
   }
 
@@ -230,6 +228,14 @@
   return problems;
 }
 
+void read_log_volume(table_reader& table, log_settings& log) {
+  constexpr whole_range rate{0, 1'000'000'000};
+  auto level = static_cast<std::size_t>(log.level);
+  table.read_word("level", level, level_names);
+  log.level = static_cast<log_level>(level);
+  table.read("bytes_per_second", log.bytes_per_second, presence::optional, rate);
+}
+
 std::optional<log_level> parse_log_level(std::string_view name) {
   const auto found = std::find(level_names.begin(), level_names.end(), name);
   if (found == level_names.end()) {
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -54,6 +54,9 @@
 struct log_settings {
   log_level level = log_level::info;
   log_format format = log_format::text;
+  // What is written at most in the long run; more is left out by whole requests
+  // (process/log_budget.h). 0: all.
+  std::uint32_t bytes_per_second = 0;
 };
 
 // What is not set keeps the value that the part itself names. Timing that the nodes of a data
@@ -90,6 +93,10 @@
                                         const std::string& file_name);
 
 // Names as the settings write them: "debug", "info", "warning", "error".
+class table_reader;
+// Level and bytes a second, which both kinds of nodes have; the table is not finished.
+void read_log_volume(table_reader& table, log_settings& log);
+
 [[nodiscard]] std::optional<log_level> parse_log_level(std::string_view name);
 [[nodiscard]] std::string_view to_string(log_level level);
 
--- a/tests/core/hosted_values_test.cpp
+++ b/tests/core/hosted_values_test.cpp
@@ -8,6 +8,7 @@
 #include "process/feed_log.h"
 #include "process/fleet_view.h"
 #include "process/hosted_settings.h"
+#include "process/log_budget.h"
 #include "process/node_beat.h"
 #include "process/peer_table.h"
 #include "process/silence.h"
@@ -54,6 +55,57 @@
   EXPECT_TRUE(silence.silent(start + 3s).empty());
 }
 
+// ---- volume of the log ----
+
+constexpr std::uint64_t hash_step = 0x9E3779B97F4A7C15;  // spreads evenly over all hashes
+
+TEST(LogBudget, WritesAllWhileThereIsRoom) {
+  log_budget budget(10'000);
+  for (int i = 0; i < 100; ++i) {
+    const time_point now = start + i * 100ms;
+    EXPECT_TRUE(budget.keeps_request(now, ~0ULL));
+    EXPECT_TRUE(budget.spend(now, 500));
+  }
+  EXPECT_EQ(budget.requests_left_out(), 0U);
+}
+
+TEST(LogBudget, LeavesOutWholeRequestsOnceItsRateIsReached) {
+  // Symptom: the story of a request that a caller complains of is half there. Sequence: a node
+  // refuses 2,000 requests a second, with two lines of 300 bytes each; the log holds 64 KB a
+  // second. Cause: lines are dropped one by one.
+  log_budget budget(64 * 1024);
+  std::uint64_t kept = 0;
+  std::uint64_t bytes = 0;
+  constexpr int seconds = 20;
+  for (int i = 0; i < seconds * 2000; ++i) {
+    const time_point now = start + i * 500us;
+    if (!budget.keeps_request(now, static_cast<std::uint64_t>(i) * hash_step)) {
+      continue;
+    }
+    ++kept;
+    for (int line = 0; line < 2; ++line) {
+      ASSERT_TRUE(budget.spend(now, 300)) << "a line of a request that is kept";
+      bytes += 300;
+    }
+  }
+  EXPECT_LE(bytes, (seconds + 3) * 64 * 1024U);
+  EXPECT_GE(bytes, seconds * 60 * 1024U);
+  EXPECT_EQ(budget.requests_left_out(), seconds * 2000 - kept);
+  EXPECT_EQ(budget.lines_left_out(), 0U);
+}
+
+TEST(LogBudget, BeliefsAreWrittenWhenRequestsAreLeftOut) {
+  log_budget budget(1000);
+  ASSERT_TRUE(budget.spend(start, 2000));
+  EXPECT_FALSE(budget.keeps_request(start, hash_step));
+  EXPECT_TRUE(budget.spend(start, 200));
+  // Even these end: a fault that writes in a loop must not fill the disk of whoever collects.
+  while (budget.spend(start, 200)) {
+  }
+  EXPECT_EQ(budget.lines_left_out(), 1U);
+  EXPECT_TRUE(budget.spend(start + 2s, 200));
+}
+
 // ---- instances of plain services ----
 
 service_instance instance(const std::string& id) {
--- a/tests/shell/cli_options_test.cpp
+++ b/tests/shell/cli_options_test.cpp
@@ -32,8 +32,8 @@
 }
 
 TEST(cli_options, every_command_explains_itself_with_an_example) {
-  for (const std::string name :
-       {"node", "check", "apply", "status", "bench", "load", "trial", "standin", "hosted"}) {
+  for (const std::string name : {"node", "check", "apply", "status", "bench", "load", "trial",
+                                 "standin", "hosted", "explain"}) {
     for (const auto& arguments : {std::vector<std::string>{name, "--help"}, {"help", name}}) {
       const early_exit help = exit_of(arguments);
       EXPECT_EQ(help.status, 0) << name;
--- /dev/null
+++ b/tests/shell/explain_test.cpp
@@ -0,0 +1,110 @@
+// The three ways of docs/OPERATIONS.md from a failed request's id to its cause, walked over the
+// logs that nodes write before a stand-in of the platform.
+#include <gmock/gmock.h>
+
+#include <sstream>
+
+#include "hosted_fixture.h"
+#include "node/log.h"
+#include "node/log_story.h"
+
+namespace arbutus::testing_support {
+namespace {
+
+using testing::HasSubstr;
+
+// All log lines of a test, of both nodes: they share one process, and so one log.
+class Explain : public hosted_fixture {
+ protected:
+  explicit Explain(const standin::hosted_platform_settings& settings = {})
+      : hosted_fixture(settings) {
+    start_log({log_level::debug, log_format::json}, node_id{"edges"}, log_);
+  }
+  ~Explain() override { stop_log(); }
+
+  // Ends the log.
+  std::optional<request_story> explained(const std::string& id) {
+    stop_log();
+    std::istringstream lines(log_.str());
+    log_reader reader;
+    EXPECT_EQ(reader.read(lines, id), 0U) << "a line that its own reader cannot read";
+    return reader.tell(id);
+  }
+
+  static bool has(const std::vector<logged_line>& lines, std::string_view message) {
+    return std::any_of(lines.begin(), lines.end(),
+                       [&](const logged_line& l) { return l.message == message; });
+  }
+
+ private:
+  std::ostringstream log_;
+};
+
+// One replica of the model, with 16 places and 2 beyond, and answers of 2 s.
+class ExplainLoad : public Explain {
+ protected:
+  ExplainLoad() : Explain({.engines_each = 3, .events = 40, .event_gap = 50ms}) {}
+};
+
+TEST_F(ExplainLoad, ARefusalUnderLoad) {
+  ASSERT_TRUE(eventually([&] {
+    return platform_.serving() >= 1 && ask(0, "/llm/x", "warm-0").response.status == 200;
+  }));
+  constexpr std::size_t callers = 30;
+  std::vector<std::thread> threads;
+  std::vector<call_result> results(callers);
+  for (std::size_t i = 0; i < callers; ++i) {
+    threads.emplace_back([&, i] { results[i] = ask(0, "/llm/2f", "l" + std::to_string(i)); });
+  }
+  for (std::thread& t : threads) {
+    t.join();
+  }
+  const auto refused = std::find_if(results.begin(), results.end(),
+                                    [](const call_result& r) { return r.response.status == 503; });
+  ASSERT_NE(refused, results.end());
+  const std::string id = "l" + std::to_string(refused - results.begin());
+  const auto story = explained(id);
+  ASSERT_TRUE(story);
+  EXPECT_THAT(story->cause, HasSubstr("every replica is full"));
+  ASSERT_EQ(story->beliefs.size(), 1U);
+  EXPECT_TRUE(has(story->beliefs[0].lines, "capacity")) << "how many replicas the node counted";
+}
+
+TEST_F(Explain, AStreamWhoseReplicaLostAMember) {
+  ASSERT_TRUE(serves());
+  std::vector<std::thread> threads;
+  for (std::size_t i = 0; i < 12; ++i) {
+    threads.emplace_back([&, i] { (void)ask(i % 2, "/llm/2f", "m" + std::to_string(i)); });
+  }
+  ASSERT_TRUE(eventually([&] { return platform_.runs().count("m5") > 0; }));
+  const std::string lost = platform_.find_member(false);
+  platform_.kill_engine(lost);
+  for (std::thread& t : threads) {
+    t.join();
+  }
+  // Which of the streams were on that replica is the nodes' choice: those that ran twice.
+  std::string moved;
+  for (const auto& [id, count] : platform_.runs()) {
+    moved = count > 1 ? id : moved;
+  }
+  ASSERT_FALSE(moved.empty()) << "no stream was on the replica";
+  const auto story = explained(moved);
+  ASSERT_TRUE(story);
+  EXPECT_TRUE(has(story->own, "attempt ended"));
+  EXPECT_TRUE(has(story->around, "suspected") || has(story->around, "lost")) << to_text(*story);
+}
+
+TEST_F(Explain, AKeyThatCannotBeChecked) {
+  ASSERT_TRUE(serves());
+  platform_.set_store_down(true);
+  ASSERT_TRUE(eventually([&] { return ask(0, "/llm/2f", "d0").response.status == 503; }));
+  const auto story = explained("d0");
+  ASSERT_TRUE(story);
+  EXPECT_THAT(story->cause, HasSubstr("cannot be checked"));
+  ASSERT_EQ(story->beliefs.size(), 1U);
+  EXPECT_TRUE(has(story->beliefs[0].lines, "lost")) << "since when the store is away";
+  EXPECT_TRUE(has(story->beliefs[0].lines, "in force")) << "which version it acted on";
+}
+
+}  // namespace
+}  // namespace arbutus::testing_support
--- /dev/null
+++ b/tests/shell/hosted_fixture.h
@@ -0,0 +1,101 @@
+// Two hosted nodes before a stand-in of the platform, over real sockets in one process.
+#pragma once
+
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "connection/http_client.h"
+#include "connection_fixture.h"
+#include "node/hosted_node.h"
+#include "standin/hosted_platform.h"
+
+namespace arbutus::testing_support {
+
+inline std::uint16_t next_port() {
+  static std::uint16_t port = static_cast<std::uint16_t>(20000 + (getpid() % 300) * 32);
+  return port++;
+}
+
+struct one_node {
+  explicit one_node(const std::string& name, std::uint16_t store_port) {
+    settings.id = node_id{name};
+    settings.data_centre = data_centre_id{"lab-a"};
+    settings.data_centres = {settings.data_centre};
+    settings.listen = {{"127.0.0.1", next_port()},
+                       {"127.0.0.1", next_port()},
+                       {"127.0.0.1", next_port()},
+                       {"127.0.0.1", next_port()}};
+    settings.store = {"127.0.0.1", store_port};
+    settings.cold_start = true;
+    settings.bounds.grace = 4s;
+    node = std::make_unique<hosted_node>(settings);
+    node->start();
+  }
+  hosted_settings settings;
+  std::unique_ptr<hosted_node> node;
+};
+
+class hosted_fixture : public connection_fixture {
+ protected:
+  explicit hosted_fixture(const standin::hosted_platform_settings& settings = {})
+      : platform_(runtime, settings) {
+    for (int i = 0; i < 2; ++i) {
+      nodes_.push_back(
+          std::make_unique<one_node>("edge-" + std::to_string(i), platform_.store_port()));
+    }
+  }
+  ~hosted_fixture() override { nodes_.clear(); }
+
+  call_result ask(std::size_t node, const std::string& target, const std::string& id,
+                  const std::string& key = standin::hosted_key) {
+    http_request request;
+    request.method = "POST";
+    request.target = target;
+    request.headers = {{"Host", standin::hosted_host}, {"X-Request-Id", id},
+                       {"X-Deadline-Ms", "6000"},      {"X-Model", standin::hosted_model},
+                       {"X-Token-Count", "100,20"},    {"Authorization", "Bearer " + key}};
+    call_result result;
+    runtime.run_on(0, [&] {
+      result = client_.fetch(local(nodes_[node]->settings.listen.callers.port), request,
+                             monotonic_now() + 8s);
+    });
+    return result;
+  }
+
+  bool eventually(const std::function<bool()>& holds) {
+    const time_point limit = soon();
+    while (!holds()) {
+      if (monotonic_now() > limit) {
+        return false;
+      }
+      std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    return true;
+  }
+
+  bool serves() {
+    return eventually([&] {
+      return platform_.serving() >= 2 && ask(0, "/llm/x", "warm-0").response.status == 200 &&
+             ask(1, "/llm/x", "warm-1").response.status == 200;
+    });
+  }
+
+  static std::string whole_stream(const std::string& id) {
+    std::string text;
+    for (int i = 1; i <= 10; ++i) {
+      text += "id: " + std::to_string(i) + "\ndata: " + id + "\n\n";
+    }
+    return text;
+  }
+
+  http_client client_{runtime};
+  standin::hosted_platform platform_;
+  std::vector<std::unique_ptr<one_node>> nodes_;
+};
+
+}  // namespace arbutus::testing_support
--- /dev/null
+++ b/tests/shell/log_story_test.cpp
@@ -0,0 +1,128 @@
+// Stories of requests from log lines: which lines belong to one, and what cause is named.
+#include "node/log_story.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include <sstream>
+
+namespace arbutus {
+namespace {
+
+using testing::HasSubstr;
+using testing::Not;
+
+std::string line(const std::string& second, const std::string& node, const std::string& rest) {
+  return R"({"time":"2026-03-01T10:00:)" + second + R"(Z","level":"info","node":")" + node +
+         R"(",)" + rest + "}\n";
+}
+
+request_story story_of(const std::string& text, const std::string& id) {
+  std::istringstream lines(text);
+  log_reader reader;
+  EXPECT_EQ(reader.read(lines, id), 0U);
+  const auto story = reader.tell(id);
+  EXPECT_TRUE(story) << "no line names " << id;
+  return story.value_or(request_story{});
+}
+
+TEST(LogStory, ReadsALineBehindWhatACollectorPutBeforeIt) {
+  const auto read = read_log_line(
+      R"(12.5 n-1 {"time":"2026-03-01T10:00:07.250000Z","level":"info","part":"fleet","node":"n-1",)"
+      R"("message":"lost","target":"e-4","age_ms":12.5,"listed":true})");
+  ASSERT_TRUE(read);
+  EXPECT_EQ(read->node, "n-1");
+  EXPECT_EQ(read->message, "lost");
+  EXPECT_EQ(read->field("target"), "e-4");
+  EXPECT_EQ(read->field("age_ms"), "12.5");
+  EXPECT_EQ(read->field("listed"), "true");
+  EXPECT_EQ(read->field("none"), "");
+}
+
+TEST(LogStory, WhatIsNoLineOfANodeIsCounted) {
+  std::istringstream lines(
+      "Starting...\n{\"time\":1}\n{\"time\":\"2026-13-01T10:00:07.250000Z\",\"node\":\"n\","
+      "\"part\":\"p\",\"message\":\"m\"}\n{broken\n\n");
+  log_reader reader;
+  EXPECT_EQ(reader.read(lines, "r"), 4U);
+  EXPECT_FALSE(reader.tell("r"));
+}
+
+TEST(LogStory, ARequestIsFollowedAcrossNodesInOrderOfTime) {
+  // A caller whose first attempt was refused came back to another node under the same id.
+  const std::string text =
+      line("05.000000", "n-2",
+           R"("part":"request","message":"ended","request":"r-1","result":"failed",)"
+           R"("reason":"the target's own failure","targets":"e-1","total_ms":400.0)") +
+      line("04.000000", "n-1",
+           R"("part":"request","message":"ended","request":"r-1","result":"refused",)"
+           R"("reason":"every replica is full","targets":"","total_ms":2.0)") +
+      line("04.500000", "n-1",
+           R"("part":"request","message":"ended","request":"r-10","result":"refused",)"
+           R"("reason":"every replica is full","targets":"","total_ms":2.0)");
+  const request_story story = story_of(text, "r-1");
+  ASSERT_EQ(story.own.size(), 2U);
+  EXPECT_EQ(story.own[0].node, "n-1");
+  EXPECT_THAT(story.cause, HasSubstr("failed: the target's own failure."));
+}
+
+TEST(LogStory, TellsWhatHappenedToItsTargetsAndNotToOthers) {
+  const std::string text =
+      line("01.000000", "n-1", R"("part":"fleet","message":"lost","target":"e-1","head":"e-1")") +
+      line("08.000000", "n-1", R"("part":"fleet","message":"lost","target":"e-2","head":"e-1")") +
+      line("08.000000", "n-1", R"("part":"fleet","message":"lost","target":"e-9","head":"e-9")") +
+      line("09.000000", "n-2", R"("part":"keeper","message":"order","target":"e-1")") +
+      line("09.500000", "n-1",
+           R"("part":"request","message":"ended","request":"r","result":"cut","reason":"reset",)"
+           R"("targets":"e-1","total_ms":2000.0)") +
+      line("11.000000", "n-1", R"("part":"fleet","message":"back","target":"e-1")");
+  const request_story story = story_of(text, "r");
+  ASSERT_EQ(story.around.size(), 2U) << "the loss of its replica and the order; not what came "
+                                        "long before, later, or to others";
+  EXPECT_EQ(story.around[0].field("target"), "e-2");
+  EXPECT_EQ(story.around[1].node, "n-2");
+}
+
+TEST(LogStory, KeepsTheNewestOfWhatItsNodeBelieved) {
+  const std::string text =
+      line("01.000000", "n-1", R"("part":"configuration","message":"in force","version":3)") +
+      line("02.000000", "n-1", R"("part":"configuration","message":"in force","version":4)") +
+      line("03.000000", "n-1", R"("part":"store","message":"lost","what":"targets")") +
+      line("03.000000", "n-2", R"("part":"store","message":"lost","what":"targets")") +
+      line("04.000000", "n-1", R"("part":"fleet","message":"capacity","model":"m","replicas":2)") +
+      line("05.000000", "n-1",
+           R"("part":"request","message":"ended","request":"r","result":"refused",)"
+           R"("reason":"every replica is full","targets":"","total_ms":1.0)") +
+      line("06.000000", "n-1", R"("part":"configuration","message":"in force","version":5)");
+  const request_story story = story_of(text, "r");
+  ASSERT_EQ(story.beliefs.size(), 1U);
+  ASSERT_EQ(story.beliefs[0].lines.size(), 3U);
+  EXPECT_EQ(story.beliefs[0].lines[0].field("version"), "4");
+  const std::string shown = to_text(story);
+  EXPECT_THAT(shown, HasSubstr("replicas=\"2\""));
+  EXPECT_THAT(shown, Not(HasSubstr("n-2")));
+}
+
+TEST(LogStory, SaysSoWhenNoLineTellsTheEnd) {
+  const std::string text =
+      line("09.500000", "n-1",
+           R"("part":"request","message":"attempt ended","request":"r","target":"e-1",)"
+           R"("reason":"reset")");
+  EXPECT_THAT(story_of(text, "r").cause, HasSubstr("No line says that it ended"));
+}
+
+TEST(LogStory, AValueOfACallerCannotForgeALine) {
+  // Symptom: the story shows an event that never was. Sequence: a caller's id holds a line break,
+  // which the log escapes and the reader unescapes. Cause: values printed as they are.
+  const std::string text =
+      line("09.500000", "n-1",
+           R"("part":"request","message":"ended","request":"r","result":"done","reason":"",)"
+           R"("route":"a\n+0.000 s  n-1  fleet lost\u001b[31m","total_ms":1.0)");
+  const std::string shown = to_text(story_of(text, "r"));
+  EXPECT_THAT(shown, HasSubstr("served whole"));
+  EXPECT_EQ(shown.find('\x1b'), std::string::npos);
+  EXPECT_EQ(std::count(shown.begin(), shown.end(), '\n'), 4) << shown;
+}
+
+}  // namespace
+}  // namespace arbutus
