A hub that the store turns away hands over; withheld configurations are read once; failed questions back off

Cause: a store that turned away some nodes, hubs among them, left all nodes of a data centre asking for themselves, three questions a second each; nodes that were cut off asked ten times a second; a hub that could not pass on a storm of configurations made its nodes follow targets at the store as well. Change: a hub whose questions fail three times in a row, or once silently, says so in its beat, and the next one that is served follows the store; a beat says that rows are withheld, and the node reads them once per 400 ms while it stays fed; pauses double to 800 ms; the list is not asked while the configuration's question fails; fed nodes read the table of nodes every 45 s.

--- a/src/node/keeper_loop.cpp
+++ b/src/node/keeper_loop.cpp
@@ -152,6 +152,7 @@
     const time_point asked = monotonic_now();
     const time_point deadline = asked + order_timeout;
     if (const auto* question = std::get_if<report_question>(&wanted)) {
+      count_question("order");
       const auto result = node_.engines.report(question->to, question->address, deadline);
       const time_point now = monotonic_now();
       if (const auto* report = std::get_if<target_report>(&result)) {
@@ -208,7 +209,12 @@
   }
 }
 
-bool keeper_loop::probe(const target_id& id, duration timeout) {
+void keeper_loop::count_question(std::string_view why) {
+  node_.metrics.count("arbutusworks_questions", "why=\"" + std::string(why) + "\"");
+}
+
+bool keeper_loop::probe(const target_id& id, duration timeout, std::string_view why) {
+  count_question(why);
   const target_view* view = node_.fleet.find(id);
   if (view == nullptr) {
     return false;
@@ -254,7 +260,7 @@
   for (const auto& [id, view] : node_.fleet.all()) {
     if (view.lost && view.listed && probing_.insert(id).second) {
       node_.runtime.post(0, [this, id = id] {
-        if (probe(id, order_timeout)) {
+        if (probe(id, order_timeout, "lost")) {
           log_line(log_level::info, "fleet", "back", {{"target", id}});
         }
         probing_.erase(id);
@@ -289,13 +295,13 @@
   state->pending = members.size();
   for (const target_id& member : members) {
     node_.runtime.post(0, [this, member, head, state] {
-      bool well = probe(member, probe_timeout);
+      bool well = probe(member, probe_timeout, "silent");
       if (!well) {
         // Whatever the second answer is, these streams are late already: they go on elsewhere.
         const std::size_t moved = node_.attempts.move_away(head);
         log_line(log_level::info, "fleet", "suspected",
                  {{"target", member}, {"head", head}, {"streams_moved", std::uint64_t{moved}}});
-        well = probe(member, probe_timeout);
+        well = probe(member, probe_timeout, "silent");
         if (!well) {
           log_line(log_level::warning, "fleet", "lost", {{"target", member}, {"head", head}});
         }
@@ -327,8 +333,8 @@
                      duties_.contains(view.record.data_centre);
     if (own && now - view.heard_at > late && probing_.insert(id).second) {
       node_.runtime.post(0, [this, id = id] {
-        if (!probe(id, order_timeout)) {
-          probe(id, order_timeout);
+        if (!probe(id, order_timeout, "unheard")) {
+          probe(id, order_timeout, "unheard");
         }
         probing_.erase(id);
       });
@@ -353,6 +359,7 @@
   beat.data_centre = home;
   beat.hub = !node_.stopping && node_.peers.is_hub(now);
   beat.leaving = node_.stopping;
+  beat.turned_away = node_.peers.turned_away();
   beat.requests_seen = node_.requests_seen;
   beat.stamp_us = now.time_since_epoch().count();
   beat.echo_us = node_.peers.newest_stamp(peer);
@@ -374,12 +381,16 @@
     if (node_.fleet_known) {
       beat.targets = feed_news{node_.target_rows.since(asked->second.targets),
                                node_.target_rows.needs_whole(asked->second.targets),
-                               node_.target_rows.position(), now - node_.fleet_read_at};
+                               node_.target_rows.position(), now - node_.fleet_read_at, false};
     }
     const auto age = node_.lease.age(now);
-    if (age && !is_too_much(asked->second.configuration)) {
-      beat.configuration = feed_news{node_.configuration_rows.since(asked->second.configuration),
-                                     false, node_.configuration_rows.position(), *age};
+    if (age) {
+      feed_news news{{}, false, node_.configuration_rows.position(), *age, false};
+      news.withheld = is_too_much(asked->second.configuration);
+      if (!news.withheld) {
+        news.rows = node_.configuration_rows.since(asked->second.configuration);
+      }
+      beat.configuration = std::move(news);
     }
   }
   return beat;
@@ -416,7 +427,7 @@
 // every target within half a second, and all others would move their streams away from replicas
 // that work. So this node asks for itself, once, as the peer has asked twice.
 void keeper_loop::doubt(const target_id& id) {
-  if (!probe(id, probe_timeout)) {
+  if (!probe(id, probe_timeout, "doubted")) {
     node_.fleet.probe_failed(monotonic_now(), id);
     const target_view* view = node_.fleet.find(id);
     if (view != nullptr && view->record.member_of) {
@@ -430,7 +441,7 @@
 }
 
 void keeper_loop::heard(time_point now, const node_id& peer, const node_beat& beat) {
-  node_.peers.heard(now, peer, beat.hub, beat.leaving, beat.stamp_us);
+  node_.peers.heard(now, peer, {beat.hub, beat.leaving, beat.turned_away, beat.stamp_us});
   positions_[peer] = {beat.targets_position, beat.configuration_position};
   node_.requests_seen = node_.requests_seen || beat.requests_seen;
   const bool same = beat.data_centre == node_.settings.data_centre;
--- a/src/node/keeper_loop.h
+++ b/src/node/keeper_loop.h
@@ -33,7 +33,9 @@
   void check_unheard(time_point now);
   void ask_lost(time_point now);
   void check_replica(const target_id& head);
-  bool probe(const target_id& id, duration timeout);
+  void count_question(std::string_view why);
+  // `why` is for the metrics: each question to a target has its price.
+  bool probe(const target_id& id, duration timeout, std::string_view why);
   void take_report(time_point asked, const target_id& id, const target_report& report);
   void doubt(const target_id& id);
   [[nodiscard]] bool is_too_much(std::uint64_t after) const;
--- a/src/node/store_watch.cpp
+++ b/src/node/store_watch.cpp
@@ -16,8 +16,10 @@
 // proves that the configuration is still the newest, and a proof counts from its question. With
 // 700 ms a node asks 1.4 times a second and its proof is 0.7 to 1.4 s old.
 constexpr duration configuration_wait = 700ms;
-// Beyond the wait, for the store's own slowness; then the connection may be a silent one.
-constexpr duration answer_slack = 1200ms;
+// Beyond the wait, for the store's own slowness (240 ms when it is sixty times slower); then the
+// connection may be a silent one. Wait, slack and a beat leave room for another hub's first
+// question before the nodes' proofs are too old.
+constexpr duration answer_slack = 500ms;
 // Versions in a row: one more read within this is coalesced with the next.
 constexpr duration configuration_pause = 40ms;
 // Records of targets change only when a replica or a target does. The feed is asked to wait for the
@@ -29,6 +31,17 @@
 constexpr duration target_pause_at_start = 60ms;
 constexpr duration start_phase = 12s;
 constexpr duration retry_pause = 100ms;
+// Each failure in a row doubles the pause up to this: a node that is cut off or turned away asked
+// ten times a second, and 25 of them made two thirds of all calls of a day. The lease is over four
+// times as long.
+constexpr duration longest_retry_pause = 800ms;
+// Failures in a row after which a hub hands over; the first three take 300 ms.
+constexpr std::uint32_t failures_to_hand_over = 3;
+// A node that was turned away and is fed by another hub asks so often whether it is served again.
+constexpr duration ask_again_interval = 2s;
+// While its hub withholds the newest configuration a node reads it itself, but in a storm of
+// versions only every so often; the operators' bound until it must be in force is 2 to 3 s.
+constexpr duration withheld_interval = 400ms;
 // Whether the hub still feeds this node is looked at so often.
 constexpr duration look_interval = 100ms;
 // Four beats of the hub: then this node asks the store itself, and its lease still has over 2 s.
@@ -40,7 +53,8 @@
 // A node that came to another address is found within this.
 constexpr duration node_interval = 5s;
 constexpr duration node_interval_at_start = 300ms;
-constexpr duration node_interval_of_fed = 15s;
+// A fed node needs them only when its hub ends, and has the row of the next one mostly.
+constexpr duration node_interval_of_fed = 45s;
 
 }  // namespace
 
@@ -56,6 +70,12 @@
             {"lease_age_ms", to_milliseconds(node_.lease.age(monotonic_now()).value_or(-1ms))}});
 }
 
+// Calls to the store are dear: which fiber makes them has to be seen.
+void store_watch::count_call(std::string_view what, bool answered) {
+  node_.metrics.count("arbutusworks_store_calls", "what=\"" + std::string(what) + "\",answered=\"" +
+                                                      (answered ? "yes" : "no") + "\"");
+}
+
 bool store_watch::is_fed(time_point now) const {
   return now - fed_at_ < fed_for && !node_.peers.is_hub(now);
 }
@@ -66,8 +86,10 @@
   }
   if (!beat.configuration) {
     fed_at_ = {};
+    return;
   }
-  if (beat.configuration) {
+  withheld_ = beat.configuration->withheld;
+  if (!withheld_) {
     for (const feed_row& row : beat.configuration->rows) {
       take_configuration_row(row);
     }
@@ -77,13 +99,41 @@
     if (node_.map && beat.configuration->position >= node_.configuration_rows.position()) {
       node_.lease.proved(asked - beat.configuration->age);
     }
-    // A hub whose own proof grows old does not keep others current.
-    if (beat.configuration->age < fed_proof_age) {
-      fed_at_ = now;
-    }
+  }
+  // A hub whose own proof grows old does not keep others current.
+  if (beat.configuration->age < fed_proof_age) {
+    fed_at_ = now;
+  }
+}
+
+bool store_watch::must_ask(time_point now) const {
+  if (!is_fed(now)) {
+    return true;
+  }
+  return (withheld_ && now - asked_at_ >= withheld_interval) ||
+         (node_.peers.turned_away() && now - asked_at_ >= ask_again_interval);
+}
+
+void store_watch::note_answer(time_point now, bool answered) {
+  failures_ = answered ? 0 : failures_ + 1;
+  withheld_ = withheld_ && !answered;
+  // A silent question has waited for all of its time: that alone is long enough.
+  const bool silent = now - asked_at_ >= configuration_wait + answer_slack;
+  const bool turned_away =
+      !answered && (node_.peers.turned_away() || silent || failures_ >= failures_to_hand_over);
+  if (turned_away != node_.peers.turned_away()) {
+    node_.peers.set_turned_away(turned_away);
+    log_line(log_level::info, "store", turned_away ? "turned away" : "served again",
+             {{"failures", failures_}, {"hub", node_.peers.is_hub(now)}});
   }
 }
 
+duration store_watch::pause_after_failure() const {
+  constexpr std::uint32_t most_doublings = 3;
+  return std::min(retry_pause * (1U << std::min(failures_ > 0 ? failures_ - 1 : 0, most_doublings)),
+                  longest_retry_pause);
+}
+
 void store_watch::take_target_news(time_point asked, const feed_news& news) {
   if (news.whole && news.position > node_.target_rows.position()) {
     replace_targets(asked, news.rows, news.position);
@@ -156,6 +206,7 @@
   const time_point asked = monotonic_now();
   const auto result = node_.store.read(configuration_table, {}, asked + read_timeout);
   const auto* rows = std::get_if<store_rows>(&result);
+  count_call("configuration whole", rows != nullptr);
   const bool usable = rows != nullptr && rows->version >= node_.configuration_rows.position();
   note_dependency("configuration", configuration_up_, usable,
                   rows == nullptr ? "no answer" : "whole table");
@@ -174,30 +225,16 @@
 
 void store_watch::follow_configuration() {
   for (;;) {
+    duration pause = look_interval;
     const time_point asked = monotonic_now();
-    duration pause{};
-    if (is_fed(asked)) {
-      pause = look_interval;
-    } else if (!configuration_positioned_) {
-      configuration_positioned_ = read_configuration();
-      pause = configuration_positioned_ ? 0ms : retry_pause;
-    } else {
-      const auto result =
-          node_.store.watch(configuration_table, node_.configuration_rows.position(),
-                            configuration_wait, asked + configuration_wait + answer_slack);
-      if (const auto* rows = std::get_if<store_rows>(&result)) {
-        for (const store_row& row : rows->rows) {
-          take_configuration_row({row.key, row.value, row.version, row.removed});
-        }
-        node_.configuration_rows.advance(rows->version);
-        node_.lease.proved(asked);
-        note_dependency("configuration", configuration_up_, true, "watched");
-        pause = rows->rows.empty() ? 0ms : configuration_pause;
-      } else if (std::holds_alternative<history_dropped>(result)) {
-        configuration_positioned_ = false;
-      } else {
-        note_dependency("configuration", configuration_up_, false, "the watch failed");
-        pause = retry_pause;
+    if (must_ask(asked)) {
+      // A first question, and one about a change that is known of, need not wait for the next.
+      const bool at_once = failures_ > 0 || withheld_ || asked - asked_at_ > 2 * configuration_wait;
+      asked_at_ = asked;
+      const bool answered = ask_configuration(asked, at_once ? 0ms : configuration_wait, pause);
+      note_answer(monotonic_now(), answered);
+      if (!answered) {
+        pause = pause_after_failure();
       }
     }
     if (!sleep_until(monotonic_now() + pause)) {
@@ -206,6 +243,35 @@
   }
 }
 
+// False: no answer, or none that helps. `pause`: until the next question.
+bool store_watch::ask_configuration(time_point asked, duration wait, duration& pause) {
+  pause = 0ms;
+  if (!configuration_positioned_) {
+    configuration_positioned_ = read_configuration();
+    return configuration_positioned_;
+  }
+  const auto result = node_.store.watch(configuration_table, node_.configuration_rows.position(),
+                                        wait, asked + wait + answer_slack);
+  const auto* rows = std::get_if<store_rows>(&result);
+  count_call("configuration news", rows != nullptr);
+  if (std::holds_alternative<history_dropped>(result)) {
+    configuration_positioned_ = false;
+    return true;
+  }
+  note_dependency("configuration", configuration_up_, rows != nullptr,
+                  rows == nullptr ? "the watch failed" : "watched");
+  if (rows == nullptr) {
+    return false;
+  }
+  for (const store_row& row : rows->rows) {
+    take_configuration_row({row.key, row.value, row.version, row.removed});
+  }
+  node_.configuration_rows.advance(rows->version);
+  node_.lease.proved(asked);
+  pause = rows->rows.empty() ? 0ms : configuration_pause;
+  return true;
+}
+
 void store_watch::take_target(time_point asked, const feed_row& row) {
   const target_id id{row.key};
   if (row.removed) {
@@ -238,6 +304,7 @@
   for (;;) {
     const auto result = node_.store.read(target_table, from, monotonic_now() + read_timeout);
     const auto* rows = std::get_if<store_rows>(&result);
+    count_call("targets whole", rows != nullptr);
     if (rows == nullptr || rows->version < node_.target_rows.position()) {
       return false;
     }
@@ -263,7 +330,8 @@
         asked + (asked - started < start_phase && node_.peers.is_hub(asked) ? target_pause_at_start
                                                                             : target_pause);
     node_.fleet.forget_old(asked);
-    if (is_fed(asked)) {
+    // While the store does not answer about the configuration, that question alone is repeated.
+    if (is_fed(asked) || failures_ > 0) {
       next = asked + look_interval;
     } else if (!targets_positioned_) {
       targets_positioned_ = read_targets();
@@ -272,6 +340,7 @@
     } else {
       const auto result = node_.store.watch(target_table, node_.target_rows.position(), target_wait,
                                             asked + target_wait + answer_slack);
+      count_call("targets news", std::holds_alternative<store_rows>(result));
       if (const auto* rows = std::get_if<store_rows>(&result)) {
         for (const store_row& row : rows->rows) {
           const feed_row changed{row.key, row.value, row.version, row.removed};
@@ -294,43 +363,60 @@
   }
 }
 
+// Nodes that are fed know their hub; who is not, or is the hub, has to know who else is there.
+bool store_watch::must_read_nodes(time_point now, time_point started, time_point read_at) const {
+  const bool starting = now - started < start_phase / 4;
+  const bool fed = is_fed(now);
+  const duration interval =
+      fed ? node_interval_of_fed : (starting ? node_interval_at_start : node_interval);
+  // One who lost its hub a moment ago may hear the next one any time.
+  return now - read_at >= interval && (fed || starting || now - fed_at_ > 2 * fed_for);
+}
+
 void store_watch::follow_nodes(const std::function<void(const std::vector<node_record>&)>& found) {
   const endpoint& link = node_.settings.listen.links;
   const nlohmann::json own = {node_.settings.data_centre.str(), to_string(link)};
   bool written = false;
   const time_point started = monotonic_now();
+  time_point read_at{};
   for (;;) {
     const time_point now = monotonic_now();
     if (!written) {
       transaction t;
       t.writes.push_back({std::string(node_table), node_.settings.id.str(), own.dump()});
       written = is_ok(node_.store.write(t, now + read_timeout));
+      count_call("own row", written);
     }
-    const auto result = node_.store.read(node_table, {}, monotonic_now() + read_timeout);
-    if (const auto* rows = std::get_if<store_rows>(&result)) {
-      std::vector<node_record> peers;
-      for (const store_row& row : rows->rows) {
-        const auto document = nlohmann::json::parse(row.value, nullptr, false);
-        if (!document.is_array() || document.size() < 2 || !document[1].is_string()) {
-          continue;
-        }
-        const auto address = parse_endpoint(document[1].get<std::string>());
-        if (address) {
-          peers.push_back(
-              {node_id{row.key}, data_centre_id{document[0].get<std::string>()}, *address, {}});
-        }
-      }
-      found(peers);
+    if (must_read_nodes(now, started, read_at)) {
+      read_at = now;
+      read_nodes(found);
     }
-    // A hub has to find those that came; others only need a hub.
-    const bool starting = now - started < start_phase / 4;
-    const duration interval = starting && !is_fed(now)  ? node_interval_at_start
-                              : node_.peers.is_hub(now) ? node_interval
-                                                        : node_interval_of_fed;
-    if (!sleep_until(now + interval)) {
+    if (!sleep_until(now + (written ? look_interval : pause_after_failure()))) {
       return;
     }
   }
 }
 
+void store_watch::read_nodes(const std::function<void(const std::vector<node_record>&)>& found) {
+  const auto result = node_.store.read(node_table, {}, monotonic_now() + read_timeout);
+  const auto* rows = std::get_if<store_rows>(&result);
+  count_call("nodes", rows != nullptr);
+  if (rows == nullptr) {
+    return;
+  }
+  std::vector<node_record> peers;
+  for (const store_row& row : rows->rows) {
+    const auto document = nlohmann::json::parse(row.value, nullptr, false);
+    if (!document.is_array() || document.size() < 2 || !document[1].is_string()) {
+      continue;
+    }
+    const auto address = parse_endpoint(document[1].get<std::string>());
+    if (address) {
+      peers.push_back(
+          {node_id{row.key}, data_centre_id{document[0].get<std::string>()}, *address, {}});
+    }
+  }
+  found(peers);
+}
+
 }  // namespace arbutus
--- a/src/node/store_watch.h
+++ b/src/node/store_watch.h
@@ -24,6 +24,8 @@
 
  private:
   bool read_configuration();
+  bool ask_configuration(time_point asked, duration wait, duration& pause);
+  void read_nodes(const std::function<void(const std::vector<node_record>&)>& found);
   void take_configuration_row(const feed_row& row);
   void put_in_force(const std::string& text, std::uint64_t row_version);
   bool read_targets();
@@ -31,8 +33,14 @@
   void replace_targets(time_point asked, const std::vector<feed_row>& rows, std::uint64_t position);
   void take_target(time_point asked, const feed_row& row);
   void note_dependency(std::string_view name, bool& up, bool now_up, std::string_view reason);
+  void count_call(std::string_view what, bool answered);
   // Whether the hub keeps this node current, so that it need not ask the store itself.
   [[nodiscard]] bool is_fed(time_point now) const;
+  // A node that the store turned away asks now and then whether it is served again.
+  [[nodiscard]] bool must_ask(time_point now) const;
+  void note_answer(time_point now, bool answered);
+  [[nodiscard]] duration pause_after_failure() const;
+  [[nodiscard]] bool must_read_nodes(time_point now, time_point started, time_point read_at) const;
 
   hosted_state& node_;
   // Version of the newest configuration row that was read, whether or not it could be understood.
@@ -40,6 +48,9 @@
   bool configuration_positioned_ = false;  // the log holds all up to its position
   bool targets_positioned_ = false;
   time_point fed_at_{};
+  time_point asked_at_{};       // last question about the configuration
+  std::uint32_t failures_ = 0;  // of such questions in a row
+  bool withheld_ = false;       // the hub has a newer configuration than it passes on
   bool configuration_up_ = true;
   bool targets_up_ = true;
 };
--- a/src/process/node_beat.cpp
+++ b/src/process/node_beat.cpp
@@ -22,7 +22,7 @@
   for (const feed_row& row : news->rows) {
     rows.push_back({row.key, row.value, row.version, row.removed});
   }
-  return {std::move(rows), news->whole, news->position, news->age.count()};
+  return {std::move(rows), news->whole, news->position, news->age.count(), news->withheld};
 }
 
 std::optional<feed_news> news_from_json(const json& from) {
@@ -37,6 +37,7 @@
   news.whole = from.at(1).get<bool>();
   news.position = from.at(2).get<std::uint64_t>();
   news.age = duration{from.at(3).get<std::int64_t>()};
+  news.withheld = from.at(4).get<bool>();
   return news;
 }
 
@@ -63,7 +64,8 @@
                          std::move(loads),
                          std::move(lost),
                          news_to_json(beat.targets),
-                         news_to_json(beat.configuration)};
+                         news_to_json(beat.configuration),
+                         beat.turned_away};
   std::string bytes;
   json::to_msgpack(document, bytes);
   return bytes;
@@ -93,6 +95,7 @@
     }
     beat.targets = news_from_json(document.at(10));
     beat.configuration = news_from_json(document.at(11));
+    beat.turned_away = document.at(12).get<bool>();
     return beat;
   } catch (const json::exception&) {
     return std::nullopt;
--- a/src/process/node_beat.h
+++ b/src/process/node_beat.h
@@ -27,12 +27,15 @@
   bool whole = false;        // the whole table, not only what changed
   std::uint64_t position{};  // of the sender, with these rows
   duration age{};            // since the sender's newest question to the store was sent
+  // There are rows behind the position asked for, and they are left out: to be read at the store.
+  bool withheld = false;
 };
 
 struct node_beat {
   data_centre_id data_centre;
-  bool hub = false;      // follows the store and keeps the data centre
-  bool leaving = false;  // keeps no replicas from now on
+  bool hub = false;          // follows the store and keeps the data centre
+  bool leaving = false;      // keeps no replicas from now on
+  bool turned_away = false;  // the store does not serve it: another has to be the hub
   bool requests_seen = false;
   // The sender's clock, and the newest such stamp that it has of the receiver. What the beat says
   // was so after the receiver sent that stamp: a beat may be on its way for any time.
--- a/src/process/peer_table.cpp
+++ b/src/process/peer_table.cpp
@@ -32,17 +32,16 @@
   }
 }
 
-void peer_table::heard(time_point now, const node_id& id, bool hub, bool leaving,
-                       std::int64_t stamp_us) {
+void peer_table::heard(time_point now, const node_id& id, const peer_word& word) {
   const auto found = peers_.find(id);
   if (found == peers_.end()) {
     return;  // its row will be read soon
   }
   peer& p = found->second;
   p.heard_at = now;
-  p.hub = hub;
-  p.leaving = leaving;
-  p.stamp_us = std::max(p.stamp_us, stamp_us);
+  const std::int64_t newest = std::max(p.word.stamp_us, word.stamp_us);
+  p.word = word;
+  p.word.stamp_us = newest;
 }
 
 bool peer_table::lives(time_point now, const node_id& id) const {
@@ -58,7 +57,7 @@
 
 bool peer_table::any_in(const data_centre_id& data_centre) const {
   return std::any_of(peers_.begin(), peers_.end(), [&](const auto& entry) {
-    return entry.second.data_centre == data_centre && !entry.second.leaving &&
+    return entry.second.data_centre == data_centre && !entry.second.word.leaving &&
            entry.second.heard_at != time_point{};
   });
 }
@@ -70,12 +69,12 @@
 
 std::int64_t peer_table::newest_stamp(const node_id& id) const {
   const auto found = peers_.find(id);
-  return found == peers_.end() ? 0 : found->second.stamp_us;
+  return found == peers_.end() ? 0 : found->second.word.stamp_us;
 }
 
 // Living, or not yet proved otherwise.
 bool peer_table::presumed(time_point now, const peer& p) const {
-  if (p.leaving) {
+  if (p.word.leaving) {
     return false;
   }
   if (p.heard_at != time_point{}) {
@@ -84,15 +83,22 @@
   return p.first_told == time_point{} || now - p.first_told < benefit_of_doubt;
 }
 
-node_id peer_table::hub_of(time_point now, const data_centre_id& data_centre) const {
+node_id peer_table::first_of(time_point now, const data_centre_id& data_centre,
+                             bool must_be_served) const {
+  const bool self_may = data_centre == data_centre_ && !(must_be_served && turned_away_);
   // The map is in the order of the names.
   for (const auto& [id, p] : peers_) {
-    if (p.data_centre == data_centre && presumed(now, p)) {
-      const bool self_first = data_centre == data_centre_ && self_ < id;
-      return self_first ? self_ : id;
+    if (p.data_centre == data_centre && (must_be_served ? may_be_hub(now, p) : presumed(now, p))) {
+      return self_may && self_ < id ? self_ : id;
     }
   }
-  return data_centre == data_centre_ ? self_ : node_id{};
+  return self_may ? self_ : node_id{};
+}
+
+node_id peer_table::hub_of(time_point now, const data_centre_id& data_centre) const {
+  const node_id served = first_of(now, data_centre, true);
+  // With the store away from all of them the first one keeps the replicas.
+  return served.empty() ? first_of(now, data_centre, false) : served;
 }
 
 std::set<data_centre_id> peer_table::duties(time_point now,
@@ -121,7 +127,7 @@
     // Silent ones as well: a hub that returns has to be heard, or there are two from then on.
     // Telling only now and then would open a link each time and close it before it is up.
     result.push_back(id);
-    if (presumed(now, p) && ++found == candidates) {
+    if (may_be_hub(now, p) && ++found == candidates) {
       return;
     }
   }
@@ -130,7 +136,7 @@
 bool peer_table::is_candidate(time_point now) const {
   std::size_t before = 0;
   for (const auto& [id, p] : peers_) {
-    before += p.data_centre == data_centre_ && id < self_ && presumed(now, p) ? 1 : 0;
+    before += p.data_centre == data_centre_ && id < self_ && may_be_hub(now, p) ? 1 : 0;
   }
   return before < candidates;
 }
--- a/src/process/peer_table.h
+++ b/src/process/peer_table.h
@@ -1,11 +1,11 @@
 // Peers of a hosted node: who is there, who lives, whom to tell, and which node is the hub of a
 // data centre. A value in virtual time.
 //
-// The hub of a data centre is its living node with the lowest name. A node tells the two lowest
-// that it takes for living, and silent ones before them, so that the next hub is known when the
-// first one ends; a hub also tells those of the other data centres. Two nodes that both take
-// themselves for the hub do no harm: each order names the state it was decided on, and each follows
-// the store.
+// The hub of a data centre is its living node with the lowest name that the store serves. A node
+// tells the two lowest that it takes for such, and silent ones before them, so that the next hub is
+// known when the first one ends; a hub also tells those of the other data centres. Two nodes that
+// both take themselves for the hub do no harm: each order names the state it was decided on, and
+// each follows the store.
 #pragma once
 
 #include <cstdint>
@@ -28,7 +28,20 @@
   void set_known(const std::vector<node_record>& nodes);
 
   void told(time_point now, const node_id& peer);
-  void heard(time_point now, const node_id& peer, bool hub, bool leaving, std::int64_t stamp_us);
+  // What a beat of a peer said of itself.
+  struct peer_word {
+    bool hub = false;
+    bool leaving = false;
+    bool turned_away = false;  // the store does not serve it
+    std::int64_t stamp_us{};
+  };
+  void heard(time_point now, const node_id& peer, const peer_word& word);
+
+  // Goes wrong without it: the store turns some nodes away and serves others; a hub among the first
+  // knows nothing new, and all nodes of its data centre ask the store for themselves, 3 calls a
+  // second each. So it hands over to the next that is served, until it is served again.
+  void set_turned_away(bool is) { turned_away_ = is; }
+  [[nodiscard]] bool turned_away() const { return turned_away_; }
 
   // Whom to tell now.
   [[nodiscard]] std::vector<node_id> to_tell(time_point now) const;
@@ -63,12 +76,17 @@
     data_centre_id data_centre;
     time_point first_told{};  // since it was last heard, or ever
     time_point heard_at{};
-    bool hub = false;
-    bool leaving = false;
-    std::int64_t stamp_us{};
+    peer_word word;
   };
 
   [[nodiscard]] bool presumed(time_point now, const peer& p) const;
+  // Presumed, and served by the store as far as it said.
+  [[nodiscard]] bool may_be_hub(time_point now, const peer& p) const {
+    return presumed(now, p) && !p.word.turned_away;
+  }
+  // The first in the order of the names, among those that the store serves or among all that live.
+  [[nodiscard]] node_id first_of(time_point now, const data_centre_id& data_centre,
+                                 bool must_be_served) const;
   // Among those that the nodes of its data centre tell.
   [[nodiscard]] bool is_candidate(time_point now) const;
   void add_candidates(time_point now, const data_centre_id& data_centre,
@@ -76,6 +94,7 @@
 
   node_id self_;
   data_centre_id data_centre_;
+  bool turned_away_ = false;
   std::map<node_id, peer> peers_;  // without this node
   std::vector<node_record> records_;
 };
--- a/tests/core/hosted_values_test.cpp
+++ b/tests/core/hosted_values_test.cpp
@@ -205,7 +205,7 @@
   beat.echo_us = 99;
   beat.loads[target_id{"x"}] = {3, 500};
   beat.lost = {target_id{"y"}};
-  beat.targets = feed_news{{{"x", "{}", 7, false}}, true, 9, 20ms};
+  beat.targets = feed_news{{{"x", "{}", 7, false}}, true, 9, 20ms, true};
   const std::string bytes = encode(beat);
   const auto back = decode_node_beat(bytes);
   ASSERT_TRUE(back);
@@ -239,7 +239,7 @@
   EXPECT_FALSE(peers.is_hub(start + 1s));
   EXPECT_TRUE(peers.is_hub(start + 2s));
   EXPECT_TRUE(peers.duties(start + 2s, three).contains(data_centre_id{"a"}));
-  peers.heard(start + 3s, node_id{"a1"}, true, false, 1);
+  peers.heard(start + 3s, node_id{"a1"}, {true, false, false, 1});
   EXPECT_FALSE(peers.is_hub(start + 3s));
   EXPECT_TRUE(peers.duties(start + 3s, three).empty());
 }
@@ -257,7 +257,7 @@
       peers.told(start + at, id);
     }
     EXPECT_EQ(std::count(told.begin(), told.end(), node_id{"a1"}), 1) << at.count();
-    peers.heard(start + at, node_id{"a2"}, true, false, 1);
+    peers.heard(start + at, node_id{"a2"}, {true, false, false, 1});
   }
 }
 
@@ -274,8 +274,8 @@
   }
   const time_point now = start + 2s;
   for (const char* name : {"a1", "a2", "b1", "b2"}) {
-    a.heard(now, node_id{name}, true, false, 1);
-    b.heard(now, node_id{name}, true, false, 1);
+    a.heard(now, node_id{name}, {true, false, false, 1});
+    b.heard(now, node_id{name}, {true, false, false, 1});
   }
   const data_centre_id c{"c"};
   EXPECT_NE(a.duties(now, three).contains(c), b.duties(now, three).contains(c));
@@ -290,6 +290,44 @@
   EXPECT_EQ(hub.to_tell(start).size(), 5U);
 }
 
+TEST(PeerTable, AHubThatTheStoreTurnsAwayHandsOver) {
+  // Symptom: all nodes of a data centre ask the store for themselves, for as long as it turns one
+  // away. Sequence: the store refuses the hub and serves the others; the hub hears nothing new, and
+  // its nodes' proofs grow old. Cause: whoever has the lowest name stays the hub.
+  peer_table first(node_id{"a1"}, data_centre_id{"a"});
+  peer_table second(node_id{"a2"}, data_centre_id{"a"});
+  peer_table third(node_id{"a3"}, data_centre_id{"a"});
+  for (peer_table* p : {&first, &second, &third}) {
+    p->set_known(six_nodes());
+  }
+  first.set_turned_away(true);
+  const peer_table::peer_word turned_away{.hub = false, .turned_away = true, .stamp_us = 1};
+  second.heard(start, node_id{"a1"}, turned_away);
+  third.heard(start, node_id{"a1"}, turned_away);
+  EXPECT_FALSE(first.is_hub(start));
+  EXPECT_TRUE(second.is_hub(start));
+  EXPECT_EQ(third.hub_of(start, data_centre_id{"a"}), node_id{"a2"});
+  // Two are told that may be the hub, and the first, to be heard when it is served again.
+  EXPECT_EQ(second.to_tell(start)[0], node_id{"a1"});
+  EXPECT_EQ(third.to_tell(start).size(), 2U);
+
+  // It is away from all: the first in the order of names keeps the replicas all the same.
+  second.set_turned_away(true);
+  third.set_turned_away(true);
+  third.heard(start, node_id{"a2"}, turned_away);
+  second.heard(start, node_id{"a3"}, turned_away);
+  first.heard(start, node_id{"a2"}, turned_away);
+  first.heard(start, node_id{"a3"}, turned_away);
+  EXPECT_TRUE(first.is_hub(start));
+  EXPECT_FALSE(second.is_hub(start));
+  EXPECT_FALSE(third.is_hub(start));
+
+  first.set_turned_away(false);
+  EXPECT_TRUE(first.is_hub(start));
+  second.heard(start, node_id{"a1"}, {.hub = true, .stamp_us = 2});
+  EXPECT_FALSE(second.is_hub(start));
+}
+
 // ---- fleet view ----
 
 TEST(FleetView, AnOldReportDoesNotUndoANewerRecord) {
