--- a/src/node/hosted_stream.cpp
+++ b/src/node/hosted_stream.cpp
@@ -143,7 +143,8 @@
     ++call_.sends;
     const time_point sent_at = monotonic_now();
     node_.loads.sent(head_, call_.head.size);
-    node_.silence.sent(sent_at, head_, expected.to_first_event);
+    sent_at_ = sent_at;
+    node_.silence.sent(sent_at, head_, model_->id, expected.to_first_event);
     const call_result result = node_.targets.stream(
         {replica.address.host, replica.address.port}, make_target_request(call_.wire, facts),
         call_.deadline,
@@ -185,7 +186,7 @@
     if (!had_first_) {
       had_first_ = true;
       node_.loads.first_event(head_, call_.head.size);
-      node_.silence.first_event(head_);
+      node_.silence.first_event(head_, now - sent_at_, expected_.to_first_event);
       if (call_.first_event == time_point{}) {
         call_.first_event = now;
       }
@@ -281,6 +282,7 @@
 
   // Of the running attempt.
   target_id head_;
+  time_point sent_at_{};
   replica_estimate expected_;
   bool had_first_ = false;
   answer_head answer_;
--- a/src/process/silence.cpp
+++ b/src/process/silence.cpp
@@ -5,24 +5,56 @@
 
 namespace arbutus {
 
-void silence_monitor::sent(time_point now, const target_id& head, duration expected_first) {
+namespace {
+
+duration scaled(duration d, double by) {
+  return duration{static_cast<duration::rep>(static_cast<double>(d.count()) * by)};
+}
+
+}  // namespace
+
+void silence_monitor::forget_idle(time_point now) {
+  std::erase_if(heads_, [&](const auto& entry) {
+    const state& s = entry.second;
+    return s.running == 0 && s.waiting == 0 && now - s.idle_since > settings_.remembered;
+  });
+}
+
+void silence_monitor::sent(time_point now, const target_id& head, const model_id& model,
+                           duration expected_first) {
+  forget_idle(now);
   state& s = heads_[head];
+  s.model = model;
   if (s.waiting == 0) {
-    s.first_by = now + 2 * expected_first;
+    const auto known = first_ratio_.find(model);
+    const double ratio = known == first_ratio_.end() ? 1 : known->second;
+    constexpr double least_factor = 2;
+    s.first_by =
+        now + scaled(expected_first, std::clamp(ratio * settings_.first_factor, least_factor,
+                                                settings_.most_first_factor));
   }
   ++s.waiting;
 }
 
 void silence_monitor::event(time_point now, const target_id& head, duration expected_gap) {
   state& s = heads_[head];
+  const duration before = scaled(s.seen, settings_.seen_decay);
+  // After a time without a running stream the gap says nothing.
+  const bool follows = s.running > 0 && s.last_event != time_point{};
+  s.seen = follows ? std::max(before, std::min(now - s.last_event, settings_.most_seen)) : before;
   s.last_event = now;
   s.gap = expected_gap;
+  s.found_well = 0;
+  s.first_by = std::max(s.first_by, now + expected_gap);
 }
 
-void silence_monitor::first_event(const target_id& head) {
+void silence_monitor::first_event(const target_id& head, duration waited, duration expected_first) {
   state& s = heads_[head];
   s.waiting -= s.waiting > 0 ? 1 : 0;
   ++s.running;
+  double& ratio = first_ratio_[s.model];
+  const double now_seen = to_seconds(waited) / std::max(to_seconds(expected_first), 1e-3);
+  ratio = std::clamp(now_seen, ratio * settings_.first_decay, settings_.most_first_factor);
 }
 
 void silence_monitor::ended(time_point now, const target_id& head, bool had_first_event) {
@@ -33,28 +65,38 @@
   state& s = found->second;
   std::size_t& count = had_first_event ? s.running : s.waiting;
   count -= count > 0 ? 1 : 0;
+  if (s.running == 0) {
+    s.last_event = {};
+  }
   if (s.running == 0 && s.waiting == 0) {
-    heads_.erase(found);
+    s.idle_since = now;
+    s.found_well = 0;
   }
-  (void)now;
 }
 
 void silence_monitor::found_well(time_point now, const target_id& head) {
   if (const auto found = heads_.find(head); found != heads_.end()) {
-    found->second.quiet_until = now + settings_.pause;
+    constexpr std::uint32_t most_doublings = 3;
+    state& s = found->second;
+    s.quiet_until = now + settings_.pause * (1U << std::min(s.found_well, most_doublings));
+    ++s.found_well;
   }
 }
 
+duration silence_monitor::longest_gap(const state& s) const {
+  return std::max({settings_.least, s.gap + settings_.margin,
+                   scaled(s.seen, settings_.seen_factor) + settings_.margin});
+}
+
 std::vector<target_id> silence_monitor::silent(time_point now) const {
   std::vector<target_id> result;
   for (const auto& [head, s] : heads_) {
     if (now < s.quiet_until) {
       continue;
     }
-    const bool stopped =
-        s.running > 0 && now - s.last_event > std::max(settings_.least, s.gap + settings_.margin);
-    const bool never_began = s.running == 0 && s.waiting > 0 &&
-                             now > std::max(s.first_by, s.last_event) + settings_.least;
+    const bool stopped = s.running > 0 && now - s.last_event > longest_gap(s);
+    const bool never_began =
+        s.running == 0 && s.waiting > 0 && now > s.first_by + settings_.least_first;
     if (stopped || never_began) {
       result.push_back(head);
     }
