A peer's word of a loss is a suspicion; only the keeper of a data centre asks

Change: a peer's word makes a replica the last choice, and with the silence of a node's own streams moves them without a question. Hubs pass on what other hubs say within their data centre.

--- a/src/node/hosted_state.h
+++ b/src/node/hosted_state.h
@@ -23,6 +23,7 @@
 #include "process/node_beat.h"
 #include "process/peer_table.h"
 #include "process/silence.h"
+#include "process/suspicions.h"
 #include "request/instance_choice.h"
 #include "request/replica_choice.h"
 #include "request/retry_window.h"
@@ -51,6 +52,7 @@
   instance_table instances;
   std::map<service_id, retry_window> retries;
   silence_monitor silence;
+  suspicions suspected;  // by peers
   attempt_registry attempts;
   peer_table peers;
   // The followed tables, for the nodes that hear them from this one.
--- a/src/node/hosted_stream.cpp
+++ b/src/node/hosted_stream.cpp
@@ -77,7 +77,7 @@
       return;
     }
     const auto& replicas = node_.replicas(*call_.service, model_->id);
-    const std::vector<target_id> suspected = node_.silence.silent(now);
+    const std::vector<target_id> suspected = suspected_heads(now, replicas);
     const choice_request wanted{node_.settings.data_centre, call_.head.size, call_.deadline - now,
                                 avoided_, suspected};
     const replica_choice choice =
@@ -96,6 +96,18 @@
     judge(replica, how);
   }
 
+  // Those that have gone silent here, and those of which a peer takes a member for lost.
+  [[nodiscard]] std::vector<target_id> suspected_heads(
+      time_point now, const std::vector<serving_replica>& replicas) const {
+    std::vector<target_id> heads = node_.silence.silent(now);
+    for (const serving_replica& replica : replicas) {
+      if (node_.suspected.contains_any(now, replica.members)) {
+        heads.push_back(replica.head);
+      }
+    }
+    return heads;
+  }
+
   void judge(const serving_replica& replica, ending how) {
     if (how == ending::whole) {
       ended_ = true;
--- a/src/node/keeper_loop.cpp
+++ b/src/node/keeper_loop.cpp
@@ -284,6 +284,14 @@
       members.push_back(id);
     }
   }
+  // Two witnesses: a peer that asked, and the streams here.
+  if (node_.suspected.contains_any(monotonic_now(), members)) {
+    const std::size_t moved = node_.attempts.move_away(head);
+    log_line(log_level::info, "fleet", "suspected",
+             {{"head", head}, {"told_by", "peer"}, {"streams_moved", std::uint64_t{moved}}});
+    node_.silence.found_well(monotonic_now(), head);
+    return;
+  }
   choose_asked(head, members);
   struct shared {
     std::size_t pending = 0;
@@ -365,11 +373,16 @@
   beat.echo_us = node_.peers.newest_stamp(peer);
   beat.targets_position = node_.target_rows.position();
   beat.configuration_position = node_.configuration_rows.position();
+  std::set<target_id> lost;
+  if (beat.hub && same) {
+    lost = node_.suspected.of_hubs(now);
+  }
   for (const auto& [id, view] : node_.fleet.all()) {
     if (view.lost && view.listed) {
-      beat.lost.push_back(id);
+      lost.insert(id);
     }
   }
+  beat.lost.assign(lost.begin(), lost.end());
   if (beat.hub) {
     // A node of this data centre hears of all others, another hub of this data centre.
     beat.loads = same ? node_.loads.all_but(peer) : node_.loads.all_of(home);
@@ -423,9 +436,7 @@
   }
 }
 
-// A peer's word is a suspicion. Goes wrong if it is believed: a node whose link is choked loses
-// every target within half a second, and all others would move their streams away from replicas
-// that work. So this node asks for itself, once, as the peer has asked twice.
+// The keeper asks for itself, once, as the peer has asked twice.
 void keeper_loop::doubt(const target_id& id) {
   if (!probe(id, probe_timeout, "doubted")) {
     node_.fleet.probe_failed(monotonic_now(), id);
@@ -457,9 +468,11 @@
     hub_heard_at_ = now;
     node_.fleet.found_by_others(now, beat.lost);
   }
+  node_.suspected.told(now, peer, beat.hub, beat.lost);
   for (const target_id& id : beat.lost) {
     const target_view* view = node_.fleet.find(id);
-    if (view != nullptr && view->listed && !view->lost && probing_.insert(id).second) {
+    const bool own = view != nullptr && duties_.contains(view->record.data_centre);
+    if (own && view->listed && !view->lost && probing_.insert(id).second) {
       node_.runtime.post(0, [this, id] { doubt(id); });
     }
   }
--- a/tests/core/hosted_values_test.cpp
+++ b/tests/core/hosted_values_test.cpp
@@ -12,6 +12,7 @@
 #include "process/node_beat.h"
 #include "process/peer_table.h"
 #include "process/silence.h"
+#include "process/suspicions.h"
 #include "request/instance_choice.h"
 
 namespace arbutus {
@@ -119,6 +120,25 @@
   EXPECT_EQ(alarms, 4);
 }
 
+// ---- what peers suspect ----
+
+TEST(Suspicions, LastAsLongAsTheyAreRepeated) {
+  suspicions words;
+  const node_id hub{"b1"};
+  words.told(start, node_id{"a2"}, false, {target_id{"x"}});
+  words.told(start, hub, true, {target_id{"y"}});
+  EXPECT_TRUE(words.contains(start, target_id{"x"}));
+  EXPECT_TRUE(words.contains_any(start, {target_id{"z"}, target_id{"y"}}));
+  EXPECT_FALSE(words.contains(start, target_id{"z"}));
+  // A node's word goes no further than its hub, or two hubs would keep each other's alive.
+  EXPECT_EQ(words.of_hubs(start), std::set<target_id>{target_id{"y"}});
+  // Taken back.
+  words.told(start + 200ms, hub, true, {});
+  EXPECT_FALSE(words.contains(start + 200ms, target_id{"y"}));
+  // Never repeated, as by a peer that ended.
+  EXPECT_FALSE(words.contains(start + suspicions::remembered, target_id{"x"}));
+}
+
 // ---- volume of the log ----
 
 constexpr std::uint64_t hash_step = 0x9E3779B97F4A7C15;  // spreads evenly over all hashes
