A replica is drawn among those that are about as good; a fuller one has a wait before all its places are taken

Change: the draw spreads over what the unseen sends of others may change (Little's law); the wait for a place rises as in a queue of as many servers. Load tests: 70 nodes that send at once put 70 on one of six replicas before, 20 at most now.

--- a/src/node/hosted_state.h
+++ b/src/node/hosted_state.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "base/rng.h"
 #include "connection/http_client.h"
 #include "node/attempt_registry.h"
 #include "node/hosted_metrics.h"
@@ -59,6 +60,7 @@
   feed_log target_rows;
   feed_log configuration_rows;
   hosted_metrics metrics;
+  rng random;  // for what nodes must not all decide alike
   bool requests_seen = false;
   bool stopping = false;
 
--- a/src/node/hosted_stream.cpp
+++ b/src/node/hosted_stream.cpp
@@ -78,8 +78,9 @@
     }
     const auto& replicas = node_.replicas(*call_.service, model_->id);
     const std::vector<target_id> suspected = suspected_heads(now, replicas);
-    const choice_request wanted{node_.settings.data_centre, call_.head.size, call_.deadline - now,
-                                avoided_, suspected};
+    const choice_request wanted{
+        node_.settings.data_centre, call_.head.size, call_.deadline - now, avoided_, suspected,
+        node_.random.unit()};
     const replica_choice choice =
         choose_replica(*call_.service->engine, *model_, replicas, node_.loads, wanted);
     if (const auto* none = std::get_if<no_replica>(&choice)) {
--- a/src/request/replica_choice.cpp
+++ b/src/request/replica_choice.cpp
@@ -2,7 +2,7 @@
 #include "request/replica_choice.h"
 
 #include <algorithm>
-#include <limits>
+#include <cmath>
 
 namespace arbutus {
 
@@ -26,6 +26,81 @@
   value = std::max(0.0, value - by);
 }
 
+// One token of each running request and of one more.
+double estimate_step_ms(const engine_parameters& engine, double active) {
+  const double writers = std::min(active, static_cast<double>(engine.slots)) + 1;
+  const double context_k = (engine.usual_prompt + engine.usual_answer / 2) / 1000;
+  return to_milliseconds(engine.step) +
+         writers * (engine.step_per_sequence_ms + engine.context_ms_per_k * context_k);
+}
+
+// How long until a place is free, when one of the running requests has to end first: they end
+// spread over a usual generation. Below that the load is known in part only, so that the wait
+// rises before all places are taken: about as in a queue with as many servers as there are slots
+// (Erlang C for 26 to 30 servers is 0.1 at four fifths of the load, and hardly anything at half).
+double wait_for_place_ms(const engine_parameters& engine, double active, double generation_ms) {
+  const double slots = std::max<double>(engine.slots, 1);
+  const double between_ends_ms = generation_ms / slots;
+  if (active >= slots) {
+    return between_ends_ms * (active - slots + 1);
+  }
+  constexpr double steepness = 8;
+  const double use = active / slots;
+  const double queue = std::pow(use, steepness) / (1 - use);
+  // One end away at most, as there is a place by all that is known.
+  return between_ends_ms * std::min(queue, 1.0);
+}
+
+// What the sends of others that this node has not heard of yet may add to a replica's time, on
+// average. By Little's law as many requests arrive in a generation's time as are running.
+duration unseen_delay(const engine_parameters& engine, const model_shape& model,
+                      std::span<const serving_replica> candidates, const load_table& loads,
+                      duration load_age) {
+  double all = 0;
+  double of_others = 0;
+  for (const serving_replica& replica : candidates) {
+    const double active = loads.total(replica.head).active;
+    all += active;
+    of_others += active - loads.own_active(replica.head);
+  }
+  const double count = static_cast<double>(std::max<std::size_t>(candidates.size(), 1));
+  const double generation_ms =
+      engine.usual_answer * estimate_step_ms(engine, all / count) * model.pace;
+  const double arrivals =
+      of_others / count * std::min(1.0, to_milliseconds(load_age) / std::max(generation_ms, 1.0));
+  const double read_ms =
+      engine.usual_prompt * 1000.0 / std::max(engine.read_tokens_per_s, 1.0) * model.pace;
+  return from_seconds(arrivals * read_ms / 1000);
+}
+
+struct candidate {
+  std::size_t index{};
+  replica_estimate expected;
+  double cost_s = 0;
+};
+
+// Among those about as good as the best: the draw falls on each by exp(-worse / spread).
+const candidate& draw_one(std::vector<candidate>& candidates, double spread_s, double draw) {
+  std::stable_sort(candidates.begin(), candidates.end(),
+                   [](const candidate& a, const candidate& b) { return a.cost_s < b.cost_s; });
+  const double best = candidates.front().cost_s;
+  const auto weight = [&](const candidate& c) {
+    return spread_s > 0 ? std::exp((best - c.cost_s) / spread_s) : 0.0;
+  };
+  double sum = 0;
+  for (const candidate& c : candidates) {
+    sum += weight(c);
+  }
+  double left = draw * sum;
+  for (const candidate& c : candidates) {
+    left -= weight(c);
+    if (left < 0) {
+      return c;
+    }
+  }
+  return candidates.front();
+}
+
 }  // namespace
 
 void load_table::sent(const target_id& head, const generation_size& size) {
@@ -96,16 +171,17 @@
   return sum;
 }
 
+double load_table::own_active(const target_id& head) const {
+  const auto found = own_.find(head);
+  return found == own_.end() ? 0 : found->second.active;
+}
+
 replica_estimate estimate(const engine_parameters& engine, const model_shape& model,
                           const replica_load& load, const generation_size& size, double pace,
                           bool crosses_domains) {
   const double factor =
       model.pace * std::max(pace, 1.0) * (crosses_domains ? engine.cross_domain_factor : 1.0);
-  const double writers = std::min(load.active, static_cast<double>(engine.slots));
-  const double context_k = (engine.usual_prompt + engine.usual_answer / 2) / 1000;
-  const double step_ms =
-      to_milliseconds(engine.step) +
-      (writers + 1) * (engine.step_per_sequence_ms + engine.context_ms_per_k * context_k);
+  const double step_ms = estimate_step_ms(engine, load.active);
   const double pass_ms = step_ms * engine.stride;
   const double read_ms_per_token = 1000.0 / std::max(engine.read_tokens_per_s, 1.0);
   const double pairs_ms = size.prompt_tokens * size.prompt_tokens / 2e6 * engine.pair_ms_per_m;
@@ -114,12 +190,7 @@
   // Half a pass until the running one ends, when there is one.
   const double running_ms = load.active > 0.5 ? pass_ms / 2 : 0;
   double first_ms = running_ms + others_read_ms + own_read_ms + pass_ms;
-  const double beyond = load.active - static_cast<double>(engine.slots);
-  if (beyond >= 0) {
-    // One of the running requests has to end first; they end spread over a usual generation.
-    const double generation_ms = engine.usual_answer * step_ms;
-    first_ms += generation_ms * (beyond + 1) / std::max<double>(engine.slots, 1);
-  }
+  first_ms += wait_for_place_ms(engine, load.active, engine.usual_answer * step_ms);
   replica_estimate result;
   result.to_first_event = from_seconds(first_ms * factor / 1000);
   result.between_events = from_seconds(pass_ms * factor / 1000);
@@ -130,8 +201,7 @@
 replica_choice choose_replica(const engine_parameters& engine, const model_shape& model,
                               std::span<const serving_replica> candidates, const load_table& loads,
                               const choice_request& request, const choice_settings& settings) {
-  std::optional<chosen_replica> best;
-  double best_cost = std::numeric_limits<double>::max();
+  std::vector<candidate> usable;
   duration soonest = duration::max();
   bool any_known = false;
   for (std::size_t i = 0; i < candidates.size(); ++i) {
@@ -155,13 +225,12 @@
     if (contains(request.suspected, replica.head)) {
       cost += 10;  // only when there is nothing else
     }
-    if (cost < best_cost) {
-      best_cost = cost;
-      best = chosen_replica{i, expected};
-    }
+    usable.push_back({i, expected, cost});
   }
-  if (best) {
-    return *best;
+  if (!usable.empty()) {
+    const duration spread = unseen_delay(engine, model, candidates, loads, settings.load_age);
+    const candidate& chosen = draw_one(usable, to_seconds(spread), request.draw);
+    return chosen_replica{chosen.index, chosen.expected};
   }
   if (!any_known) {
     return no_replica{500ms, "no replica of the model serves"};
--- a/src/request/replica_choice.h
+++ b/src/request/replica_choice.h
@@ -3,11 +3,15 @@
 // A replica batches: all its requests advance by passes. Reading a prompt takes time of its own in
 // a pass, and a pass with requests that generate runs `stride` steps. So the time to the first
 // event of a new request is: the rest of the running pass, the prompts still unread there, its own
-// prompt, and one pass. All parameters are the operators'; the load is what this node sent itself,
-// plus what its peers told.
+// prompt, and one pass; and, the fuller the replica, the wait for a place. All parameters are the
+// operators'; the load is what this node sent itself, plus what its peers told.
 //
 // It answers steady loads up to the replicas' slots, and bursts beyond them: there a request that
 // would only make others late is refused with the time until a place becomes free.
+//
+// What peers told is some hundred milliseconds old. Were the best replica always taken, all nodes
+// would take the same one until they hear of each other. So one of those that are about as good is
+// drawn: about as good is what the sends of others that are not known yet may change.
 #pragma once
 
 #include <cstdint>
@@ -56,6 +60,7 @@
   // Own load alone, to tell peers.
   [[nodiscard]] const std::map<target_id, replica_load>& own() const { return own_; }
   [[nodiscard]] replica_load total(const target_id& head) const;
+  [[nodiscard]] double own_active(const target_id& head) const;
 
   // A peer that is not heard for so long has ended, or its requests have: twice the longest usual
   // generation would hide capacity, a heartbeat's loss would double-book it.
@@ -76,6 +81,9 @@
   duration away_penalty = 8ms;
   // One-way delay between data centres where the operators name none.
   duration away_delay = 2ms;
+  // Age of what a node knows of the others' sends: a beat to the hub and one from it, 200 ms apart
+  // each, half of that on average, and another 100 ms between hubs.
+  duration load_age = 300ms;
   // Requests beyond a replica's slots wait in the engine for one to end; such a wait ends in no
   // known time, so only this many are sent beyond the slots.
   double beyond_slots = 2;
@@ -108,6 +116,7 @@
   duration time_left{};
   std::span<const target_id> avoided;    // heads tried already
   std::span<const target_id> suspected;  // heads that have gone silent
+  double draw = 0;                       // uniform in [0, 1); 0: always the best
 };
 
 [[nodiscard]] replica_choice choose_replica(const engine_parameters& engine,
--- a/tests/core/replica_choice_test.cpp
+++ b/tests/core/replica_choice_test.cpp
@@ -119,6 +119,52 @@
   }
 }
 
+TEST(ReplicaChoice, ManyNodesDoNotAllTakeTheSameReplica) {
+  // Symptom: first events take 450 ms where 60 ms are expected, on a fleet that is half used.
+  // Load: 70 nodes and six replicas; each node sends one request in 300 ms, before it hears of the
+  // others' sends. Taking the best of what is known, all 70 sends went to one replica.
+  std::vector<serving_replica> six;
+  std::map<target_id, replica_load> told;
+  for (int i = 0; i < 6; ++i) {
+    six.push_back(replica("r" + std::to_string(i)));
+    told[six.back().head] = {12.0 + 0.1 * i, 0};
+  }
+  rng random(7);
+  std::map<std::size_t, int> sends;
+  for (int node = 0; node < 70; ++node) {
+    load_table loads;
+    loads.heard(node_id{"hub"}, data_centre_id{"a"}, time_point{1s}, told);
+    choice_request request = wanted();
+    request.draw = random.unit();
+    ++sends[std::get<chosen_replica>(choose_replica(engine(), model, six, loads, request)).index];
+  }
+  for (const auto& [index, count] : sends) {
+    EXPECT_LE(count, 20) << index;
+  }
+  EXPECT_EQ(sends.size(), 6U);
+}
+
+TEST(ReplicaChoice, ANodeThatSeesAllSendsTakesTheBest) {
+  load_table loads;
+  const std::vector<serving_replica> two = {replica("x"), replica("y")};
+  loads.sent(target_id{"x"}, {1000, 200});
+  choice_request request = wanted();
+  request.draw = 0.99;
+  const auto choice = choose_replica(engine(), model, two, loads, request);
+  EXPECT_EQ(std::get<chosen_replica>(choice).index, 1U);
+}
+
+TEST(ReplicaChoice, GoesAwayBeforeHomeIsFull) {
+  // Symptom: a data centre's callers wait for places while another's replicas are half empty.
+  // Load: home has 24 of 26 places taken and away 12. The time of a pass hardly tells them apart.
+  load_table loads;
+  const std::vector<serving_replica> two = {replica("home", "a"), replica("away", "b")};
+  loads.heard(node_id{"p"}, data_centre_id{"a"}, time_point{1s},
+              {{target_id{"home"}, {24, 0}}, {target_id{"away"}, {12, 0}}});
+  const auto choice = choose_replica(engine(), model, two, loads, wanted());
+  EXPECT_EQ(std::get<chosen_replica>(choice).index, 1U);
+}
+
 TEST(LoadTable, CountsPeersUntilTheyAreSilent) {
   load_table loads;
   const time_point now{10s};
