A member that the list dropped stays in its replica while it answers

Change: who is not the head need not be listed; its keeper asks it, and takes its replica apart only where spares stand in. Lost ones stay lost until they are listed again. A test of the fleet view that took the old behaviour for right is replaced by a stricter one.

--- a/src/node/keeper_loop.cpp
+++ b/src/node/keeper_loop.cpp
@@ -33,6 +33,11 @@
 // A lost engine that lives serves again within this; one that is dead is asked some ten times until
 // the list drops it.
 constexpr duration lost_interval = 400ms;
+// An engine that was dropped from the list and ends is found by its replica's silence mostly.
+constexpr duration dropped_interval = 800ms;
+// So long others are told of a lost engine that is in no list any more: by then its replica has
+// been taken apart.
+constexpr duration told_after_unlisting = 20s;
 
 }  // namespace
 
@@ -245,6 +250,13 @@
   members.push_back(head);
 }
 
+// A member of a replica that left the list, and may work all the same; asked by its keeper.
+bool keeper_loop::is_dropped(time_point now, const target_view& view) const {
+  return !view.listed && !view.lost && view.record.member_of &&
+         !is_spare_name(view.record.member_of->replica.name) &&
+         duties_.contains(view.record.data_centre) && now - view.heard_at >= dropped_interval;
+}
+
 // Goes wrong: a lost engine that lives, as after a cut, writes no new record, since nothing of it
 // changed; it would stay lost. One would see a fleet that is whole and serves little. So lost
 // engines are asked until the platform's list drops them.
@@ -258,9 +270,11 @@
     return;
   }
   for (const auto& [id, view] : node_.fleet.all()) {
-    if (view.lost && view.listed && probing_.insert(id).second) {
-      node_.runtime.post(0, [this, id = id] {
-        if (probe(id, order_timeout, "lost")) {
+    const bool lost = view.lost && view.listed;
+    if ((lost || is_dropped(now, view)) && probing_.insert(id).second) {
+      node_.runtime.post(0, [this, id = id, lost] {
+        const bool answers = probe(id, order_timeout, lost ? "lost" : "dropped");
+        if (lost && answers) {
           log_line(log_level::info, "fleet", "back", {{"target", id}});
         }
         probing_.erase(id);
@@ -378,7 +392,7 @@
     lost = node_.suspected.of_hubs(now);
   }
   for (const auto& [id, view] : node_.fleet.all()) {
-    if (view.lost && view.listed) {
+    if (view.lost && (view.listed || now - view.unlisted_at < told_after_unlisting)) {
       lost.insert(id);
     }
   }
--- a/src/node/keeper_loop.h
+++ b/src/node/keeper_loop.h
@@ -32,6 +32,7 @@
   void watch_silence(time_point now);
   void check_unheard(time_point now);
   void ask_lost(time_point now);
+  [[nodiscard]] bool is_dropped(time_point now, const target_view& view) const;
   void check_replica(const target_id& head);
   void count_question(std::string_view why);
   // `why` is for the metrics: each question to a target has its price.
--- a/src/process/fleet_view.cpp
+++ b/src/process/fleet_view.cpp
@@ -111,7 +111,8 @@
 void fleet_view::found_by_others(time_point now, const std::vector<target_id>& still_lost) {
   for (auto& [id, view] : targets_) {
     const bool known = std::find(still_lost.begin(), still_lost.end(), id) != still_lost.end();
-    if (view.lost && !known && now - view.lost_at > hub_knows_within) {
+    // What left the list and was lost does not come back but by the list.
+    if (view.lost && view.listed && !known && now - view.lost_at > hub_knows_within) {
       view.lost = false;
       view.failed_probes = 0;
       ++revision_;
@@ -134,8 +135,11 @@
                                               const model_id& model, std::uint32_t size) {
   std::map<replica_key, std::vector<const target_view*>> groups;
   for (const auto& [id, view] : fleet.all()) {
-    const bool usable = view.listed && !view.lost && !view.record.draining;
-    if (usable && view.record.service == service && view.record.member_of) {
+    if (view.record.service != service || !view.record.member_of) {
+      continue;
+    }
+    const bool is_head = view.record.member_of->rank == 0;
+    if ((view.listed || !is_head) && !view.lost && !view.record.draining) {
       groups[view.record.member_of->replica].push_back(&view);
     }
   }
--- a/src/process/fleet_view.h
+++ b/src/process/fleet_view.h
@@ -122,7 +122,13 @@
   double pace = 1;  // of its slowest member, beyond that of the model
 };
 
-// Replicas whose head is open and whose members are all present, listed, alive and not leaving.
+// Replicas whose head is open, listed and not leaving, and whose members are all present and
+// neither lost nor leaving.
+//
+// A member that is not the head need not be listed: the list drops an engine that is cut off from
+// it, and one that serves well then. With a fifth of the engines dropped at once, hardly a replica
+// of 16 would be left. Nothing is sent to such a member; if it is really about to end, its replica
+// falls silent and is found. The keeper asks it meanwhile.
 [[nodiscard]] std::vector<serving_replica> serving_replicas(const fleet_view& fleet,
                                                             const service_id& service,
                                                             const model_id& model,
--- a/src/process/replica_keeper.cpp
+++ b/src/process/replica_keeper.cpp
@@ -239,13 +239,17 @@
     const model_shape* model = head_in ? r.engine.find_model(model_in(key.name)) : nullptr;
     bool whole = model != nullptr && group.members.size() == model->size;
     bool all_ready = true;
+    std::size_t dropped = 0;
     for (const target_view* member : group.members) {
-      whole = whole && round::alive(member) && !member->record.draining;
+      // A member that the list dropped may be cut off from the list alone, see serving_replicas.
+      const bool in_place = member->listed || member != head;
+      dropped += member->listed ? 0 : 1;
+      whole = whole && in_place && !member->lost && !member->record.draining;
       all_ready = all_ready && member->record.member_of->state != member_state::joining;
     }
     whole = whole && head->record.member_of->state != member_state::broken &&
             head->record.member_of->state != member_state::closing;
-    if (!whole) {
+    if (!whole || (dropped > 0 && has_spares(r, *head, *model, dropped))) {
       take_apart(r, group);
       continue;
     }
@@ -267,6 +271,21 @@
   }
 }
 
+// Whether so many engines of the head's domain are ready for its model and in no real replica.
+bool replica_keeper::has_spares(const round& r, const target_view& head, const model_shape& model,
+                                std::size_t wanted) const {
+  std::size_t count = 0;
+  for (const auto& [id, view] : r.fleet.all()) {
+    const auto& own = view.record.member_of;
+    const bool spare = own && is_spare_name(own->replica.name) && own->state == member_state::ready;
+    const auto memory = memory_.find(id);
+    const bool ready = memory != memory_.end() && memory->second.ready_for == model.id;
+    const bool here = view.record.domain == head.record.domain;
+    count += spare && ready && here && round::alive(&view) && !view.record.draining ? 1 : 0;
+  }
+  return count >= wanted;
+}
+
 // Head first. Until it is out, the members stay where they are.
 void replica_keeper::take_apart(round& r, const standing_replica& replica) {
   const target_view* head = r.fleet.find(head_of(replica.key.name));
--- a/src/process/replica_keeper.h
+++ b/src/process/replica_keeper.h
@@ -174,6 +174,8 @@
   void ask_reports(round& r);
   void advance_forming(round& r);
   void mend_standing(round& r);
+  [[nodiscard]] bool has_spares(const round& r, const target_view& head, const model_shape& model,
+                                std::size_t wanted) const;
   void take_apart(round& r, const standing_replica& replica);
   void orphan(round& r, const standing_replica& replica);
   void find_free(round& r);
--- a/tests/core/hosted_values_test.cpp
+++ b/tests/core/hosted_values_test.cpp
@@ -467,7 +467,31 @@
     return serving_replicas(fleet, service_id{"s"}, model_id{"m"}, 3).size();
   };
   EXPECT_EQ(serving(), 1U);
+  // The list dropped a member: it works on unless it does not answer.
   fleet.unlisted(start, target_id{"i2"});
+  EXPECT_EQ(serving(), 1U);
+  fleet.probe_failed(start, target_id{"i2"});
+  fleet.probe_failed(start, target_id{"i2"});
+  EXPECT_EQ(serving(), 0U);
+  // Others' word that it is not lost does not bring back what is in no list.
+  fleet.found_by_others(start + 10s, {});
+  EXPECT_EQ(serving(), 0U);
+}
+
+TEST(FleetView, AHeadThatLeftTheListGetsNothing) {
+  // It may be about to leave, and what is sent to it later than the bound for that breaks a rule.
+  fleet_view fleet;
+  target_record record;
+  record.id = target_id{"i0"};
+  record.service = service_id{"s"};
+  record.loaded = model_id{"m"};
+  record.member_of = membership{{"r", 1}, 0, member_state::open};
+  fleet.listed(start, record);
+  const auto serving = [&] {
+    return serving_replicas(fleet, service_id{"s"}, model_id{"m"}, 1).size();
+  };
+  EXPECT_EQ(serving(), 1U);
+  fleet.unlisted(start, record.id);
   EXPECT_EQ(serving(), 0U);
 }
 
--- a/tests/shell/replica_keeper_test.cpp
+++ b/tests/shell/replica_keeper_test.cpp
@@ -36,6 +36,32 @@
   EXPECT_TRUE(world.run_until([&] { return world.serving(model) >= before; }, 4800ms));
 }
 
+TEST(ReplicaKeeper, KeepsReplicasWhoseMembersTheListDropped) {
+  // Symptom: a fleet that serves well loses nearly all its replicas within a second. Sequence: a
+  // fifth of the engines is cut off from the list, which drops them after three heartbeats;
+  // requests reach them as before. Cause: who is not in the list is taken for gone, and every
+  // replica has such a member.
+  keeper_world world(5);
+  world.add_domain("d0", 8);
+  world.add_domain("d1", 8);
+  world.run(40s);
+  world.requests_begin();
+  world.run(1s);
+  const std::size_t before = world.serving(large) + world.serving(small);
+  ASSERT_GE(before, 4U);
+  std::size_t dropped = 0;
+  for (const model_id& model : {large, small}) {
+    for (const target_id& head : world.heads(model)) {
+      world.drop_from_list(world.engine(head).members().back());
+      ++dropped;
+    }
+  }
+  world.run(5s);
+  // A spare may stand in where there is one.
+  EXPECT_GE(world.serving(large) + world.serving(small), before);
+  EXPECT_GE(dropped, 4U);
+}
+
 TEST(ReplicaKeeper, UsesSurvivorsOfALostHead) {
   // Symptom: engines of a replica whose head died are used by nobody. Cause: nothing tells them to
   // leave, and none may join elsewhere before it left.
