Many dropped members keep their replicas; surplus engines complete one; a new keeper knows what engines are ready for

Change: a dropped member is replaced by a spare only while at most two are dropped; engines that form no whole replica change model at once where they complete one of another; what an engine last ran counts; an answer that would not be whole in time costs 2 s in the choice.

--- a/src/process/replica_keeper.cpp
+++ b/src/process/replica_keeper.cpp
@@ -13,6 +13,9 @@
 constexpr std::string_view spare_prefix = "s.";
 constexpr std::string_view replica_prefix = "r.";
 constexpr char name_separator = '.';
+// Engines that leave do so one or two at a time. When the list drops more at once they are cut off
+// from it, and to take their replicas apart would cost those as well that stand in.
+constexpr std::size_t few_dropped = 2;
 
 bool spans_domains(const std::vector<const target_view*>& members) {
   return std::any_of(members.begin(), members.end(), [&](const target_view* m) {
@@ -94,6 +97,12 @@
           memory.load_for = {};
         }
       }
+      r.dropped += view.listed || view.lost || is_spare_name(own.replica.name) ? 0 : 1;
+    } else if (engine_memory& memory = memory_[id];
+               memory.ready_for.empty() && memory.load_for.empty()) {
+      // This keeper never saw it in a replica, another did: it joins one of that model at once, or
+      // within the 1 to 2 s of warming up. Taken for blank, it would get ready a second time first.
+      memory.ready_for = view.record.loaded;
     }
   }
   std::erase_if(first_seen_,
@@ -249,7 +258,8 @@
     }
     whole = whole && head->record.member_of->state != member_state::broken &&
             head->record.member_of->state != member_state::closing;
-    if (!whole || (dropped > 0 && has_spares(r, *head, *model, dropped))) {
+    const bool replaceable = dropped > 0 && r.dropped <= few_dropped;
+    if (!whole || (replaceable && has_spares(r, *head, *model, dropped))) {
       take_apart(r, group);
       continue;
     }
--- a/src/process/replica_keeper.h
+++ b/src/process/replica_keeper.h
@@ -193,6 +193,8 @@
   void prepare(round& r);
   void load(round& r, const target_view& view, std::size_t model);
   [[nodiscard]] bool is_loading(const target_view& view, const engine_memory& memory) const;
+  [[nodiscard]] static bool completes_with_surplus(const round& r, const domain_state& domain,
+                                                   std::size_t from, std::size_t to);
   [[nodiscard]] std::optional<double> gain_of_load(const round& r, const target_view& view,
                                                    std::size_t model) const;
   void send(round& r, const target_view& to, order_action action, const replica_key& replica,
--- a/src/process/replica_keeper_load.cpp
+++ b/src/process/replica_keeper_load.cpp
@@ -93,6 +93,17 @@
   return !memory.load_for.empty() || (joining && memory.ready_for.empty());
 }
 
+// Whether engines that form no whole replica of their model would complete one of another: nothing
+// is lost by that but spares. Goes wrong otherwise: 15 engines wait for a 16th for ten seconds and
+// a load, beside 3 that no replica of 4 has a use for.
+bool replica_keeper::completes_with_surplus(const round& r, const domain_state& domain,
+                                            std::size_t from, std::size_t to) {
+  const std::uint32_t surplus = domain.ready[from] % r.engine.models[from].size;
+  const std::uint32_t size = r.engine.models[to].size;
+  const std::uint32_t begun = domain.ready[to] % size;
+  return begun > 0 && size - begun <= surplus;
+}
+
 // How much is gained by making this engine ready for this model; empty: nothing.
 std::optional<double> replica_keeper::gain_of_load(const round& r, const target_view& view,
                                                    std::size_t model) const {
@@ -107,7 +118,8 @@
   // wanted the other for some time.
   const auto since = short_since_.find({view.record.domain, shape.id});
   const bool lasts = since != short_since_.end() && r.now - since->second >= settings_.change_after;
-  if (current && (domain.ready[*current] <= domain.wanted[*current] || !lasts)) {
+  if (current && (domain.ready[*current] <= domain.wanted[*current] ||
+                  !(lasts || completes_with_surplus(r, domain, *current, model)))) {
     return std::nullopt;
   }
   const bool staged = is_staged(view, shape.id);
--- a/src/process/replica_keeper_round.h
+++ b/src/process/replica_keeper_round.h
@@ -32,6 +32,7 @@
   // Engines that may be used for a replica, by domain.
   std::map<fabric_domain_id, std::vector<const target_view*>> free;
   std::map<fabric_domain_id, domain_state> domains;  // of all data centres
+  std::size_t dropped = 0;  // members of real replicas that the list dropped and nobody lost
   // Engines that load a model from the weight store.
   std::size_t loading = 0;
   std::size_t loading_own = 0;
--- a/src/request/replica_choice.cpp
+++ b/src/request/replica_choice.cpp
@@ -73,6 +73,16 @@
   return from_seconds(arrivals * read_ms / 1000);
 }
 
+// Whether an answer of the declared length would not be whole in time. Goes wrong otherwise: a long
+// one begins on a replica across domains, two and a half times slower, and is cut at its deadline.
+bool ends_late(const engine_parameters& engine, const replica_estimate& expected,
+               const choice_request& request) {
+  const double events = request.size.answer_tokens / std::max<double>(engine.stride, 1);
+  const duration whole =
+      expected.to_first_event + from_seconds(events * to_seconds(expected.between_events));
+  return whole > request.time_left;
+}
+
 struct candidate {
   std::size_t index{};
   replica_estimate expected;
@@ -222,6 +232,9 @@
     if (replica.data_centre != request.home) {
       cost += to_seconds(settings.away_penalty + 2 * settings.away_delay);
     }
+    if (ends_late(engine, expected, request)) {
+      cost += to_seconds(settings.late_end_penalty);
+    }
     if (contains(request.suspected, replica.head)) {
       cost += 10;  // only when there is nothing else
     }
--- a/src/request/replica_choice.h
+++ b/src/request/replica_choice.h
@@ -84,6 +84,9 @@
   // Age of what a node knows of the others' sends: a beat to the hub and one from it, 200 ms apart
   // each, half of that on average, and another 100 ms between hubs.
   duration load_age = 300ms;
+  // For a replica where the answer would not be whole in time: more than any wait for a place
+  // elsewhere, less than a silent one costs.
+  duration late_end_penalty = 2s;
   // Requests beyond a replica's slots wait in the engine for one to end; such a wait ends in no
   // known time, so only this many are sent beyond the slots.
   double beyond_slots = 2;
--- a/tests/core/replica_choice_test.cpp
+++ b/tests/core/replica_choice_test.cpp
@@ -154,6 +154,23 @@
   EXPECT_EQ(std::get<chosen_replica>(choice).index, 1U);
 }
 
+TEST(ReplicaChoice, LongAnswersAvoidSlowReplicas) {
+  // Symptom: long answers are cut at their deadline on a calm day. Sequence: left over engines of
+  // two domains make a replica, two and a half times slower; it is idle, so its first event is
+  // soonest. Cause: only the first event is looked at.
+  load_table loads;
+  std::vector<serving_replica> two = {replica("across"), replica("busy")};
+  two[0].crosses_domains = true;
+  loads.sent(target_id{"busy"}, {6000, 200});
+  choice_request request = wanted();
+  request.size = {200, 540};
+  auto choice = choose_replica(engine(), model, two, loads, request);
+  EXPECT_EQ(std::get<chosen_replica>(choice).index, 1U);
+  request.size = {200, 40};
+  choice = choose_replica(engine(), model, two, loads, request);
+  EXPECT_EQ(std::get<chosen_replica>(choice).index, 0U);
+}
+
 TEST(ReplicaChoice, GoesAwayBeforeHomeIsFull) {
   // Symptom: a data centre's callers wait for places while another's replicas are half empty.
   // Load: home has 24 of 26 places taken and away 12. The time of a pass hardly tells them apart.
--- a/tests/shell/replica_keeper_test.cpp
+++ b/tests/shell/replica_keeper_test.cpp
@@ -62,6 +62,29 @@
   EXPECT_GE(dropped, 4U);
 }
 
+TEST(ReplicaKeeper, TakesNoReplicaApartWhenManyMembersAreDropped) {
+  // Symptom: spares are used up for members that work, and replicas are down meanwhile. Sequence:
+  // the list drops a member of each replica at once. Cause: each is replaced as if it were alone.
+  keeper_world world(6);
+  for (const char* domain : {"d0", "d1", "d2"}) {
+    world.add_domain(domain, 10);
+  }
+  world.run(40s);
+  world.requests_begin();
+  world.run(1s);
+  const std::size_t before = world.serving(large) + world.serving(small);
+  ASSERT_FALSE(world.head_with_spare().empty());
+  for (const model_id& model : {large, small}) {
+    for (const target_id& head : world.heads(model)) {
+      world.drop_from_list(world.engine(head).members().back());
+    }
+  }
+  for (int i = 0; i < 50; ++i) {
+    world.run(100ms);
+    ASSERT_GE(world.serving(large) + world.serving(small), before) << "after " << i << " x 100 ms";
+  }
+}
+
 TEST(ReplicaKeeper, UsesSurvivorsOfALostHead) {
   // Symptom: engines of a replica whose head died are used by nobody. Cause: nothing tells them to
   // leave, and none may join elsewhere before it left.
