--- a/src/node/hosted_node.cpp
+++ b/src/node/hosted_node.cpp
@@ -142,13 +142,15 @@
 }
 
 hosted_node::~hosted_node() {
-  // Goes wrong: parts that end on their worker wait for ever when the runtime was stopped before
-  // them. So the runtime is last.
+  // Goes wrong: parts that end on their worker wait for ever when it ends between the question
+  // whether it runs and their turn. One would see a process that logs its end and stays. So they
+  // end before the runtime is stopped, and the keeper, whose fibers use the links, before them.
   parts_->callers.reset();
   parts_->ready.reset();
   parts_->metrics.reset();
-  parts_->runtime.stop();
+  parts_->runtime.run_on(0, [this] { parts_->keeper->end(); });
   parts_->links.reset();
+  parts_->runtime.stop();
   parts_->runtime.join();
 }
 
--- a/src/node/keeper_loop.cpp
+++ b/src/node/keeper_loop.cpp
@@ -49,7 +49,7 @@
       random_(stable_hash(node.origin)) {}
 
 void keeper_loop::run() {
-  while (sleep_until(monotonic_now() + tick_interval)) {
+  while (!ended_ && sleep_until(monotonic_now() + tick_interval) && !ended_) {
     const time_point now = monotonic_now();
     watch_silence(now);
     ask_lost(now);
@@ -63,6 +63,12 @@
   }
 }
 
+void keeper_loop::end() {
+  ended_ = true;
+  while (linking_ > 0 && sleep_until(monotonic_now() + tick_interval)) {
+  }
+}
+
 void keeper_loop::keep(time_point now) {
   // Cut off from the platform and from all peers, this node sees only what it had: peers of its
   // data centre know better, if there are any.
@@ -440,7 +446,13 @@
     }
   }
   // In a fiber of its own, since ending a link may wait.
-  node_.runtime.post(0, [this, records] { links_.set_peers(records); });
+  ++linking_;
+  node_.runtime.post(0, [this, records] {
+    if (!ended_) {
+      links_.set_peers(records);
+    }
+    --linking_;
+  });
 }
 
 void keeper_loop::tell_peers(time_point now) {
--- a/src/node/keeper_loop.h
+++ b/src/node/keeper_loop.h
@@ -19,9 +19,12 @@
  public:
   keeper_loop(hosted_state& node, peer_links& links, store_watch& watch);
 
-  // In a fiber of its own until the runtime stops.
+  // In a fiber of its own until end() or the runtime stops.
   void run();
 
+  // On the worker: returns when nothing uses the links any more.
+  void end();
+
   void heard(time_point now, const node_id& peer, const node_beat& beat);
 
  private:
@@ -60,6 +63,8 @@
   };
   std::map<node_id, positions> positions_;
   std::vector<node_id> linked_;
+  std::size_t linking_ = 0;  // fibers that change the links
+  bool ended_ = false;
   std::set<data_centre_id> duties_;
   std::map<model_id, std::size_t> capacity_;  // replicas that may be sent requests, as last told
   time_point told_peers_at_{};
