--- a/src/process/node_beat.cpp
+++ b/src/process/node_beat.cpp
@@ -22,7 +22,8 @@
   for (const feed_row& row : news->rows) {
     rows.push_back({row.key, row.value, row.version, row.removed});
   }
-  return {std::move(rows), news->whole, news->position, news->age.count(), news->withheld, news->after};
+  return {std::move(rows),   news->whole,    news->position,
+          news->age.count(), news->withheld, news->after};
 }
 
 std::optional<feed_news> news_from_json(const json& from) {
