--- /dev/null
+++ b/src/node/keeper_beats.cpp
@@ -0,0 +1,143 @@
+// What nodes tell each other, and what they make of it.
+#include <algorithm>
+
+#include "connection/clock.h"
+#include "node/keeper_loop.h"
+#include "node/log.h"
+
+namespace arbutus {
+
+namespace {
+
+// Bytes of configuration to all nodes of a hub together: 100 ms of a link of 20 Mbit/s.
+constexpr std::size_t most_passed_on = 256UL * 1024;
+// So long others are told of a lost engine that is in no list any more: by then its replica has
+// been taken apart.
+constexpr duration told_after_unlisting = 20s;
+
+}  // namespace
+
+// Goes wrong: versions in quick succession, passed on whole to two dozen nodes, choke the link of a
+// hub. Its probes then fail, and it takes the fleet for lost. Whoever gets no news asks the store.
+bool keeper_loop::is_too_much(std::uint64_t after) const {
+  std::size_t bytes = 0;
+  for (const feed_row& row : node_.configuration_rows.since(after)) {
+    bytes += row.value.size();
+  }
+  return bytes * (node_.peers.living(monotonic_now()) + 1) > most_passed_on;
+}
+
+node_beat keeper_loop::beat_for(time_point now, const node_id& peer) const {
+  const data_centre_id& home = node_.settings.data_centre;
+  const bool same = node_.peers.data_centre_of(peer) == home;
+  node_beat beat;
+  beat.data_centre = home;
+  beat.hub = !node_.stopping && node_.peers.is_hub(now);
+  beat.leaving = node_.stopping;
+  beat.turned_away = node_.peers.turned_away();
+  beat.requests_seen = node_.requests_seen;
+  beat.stamp_us = now.time_since_epoch().count();
+  beat.echo_us = node_.peers.newest_stamp(peer);
+  beat.targets_position = node_.target_rows.position();
+  beat.configuration_position = node_.configuration_rows.position();
+  std::set<target_id> lost;
+  if (beat.hub && same) {
+    lost = node_.suspected.of_hubs(now);
+  }
+  for (const auto& [id, view] : node_.fleet.all()) {
+    if (view.lost && (view.listed || now - view.unlisted_at < told_after_unlisting)) {
+      lost.insert(id);
+    }
+  }
+  beat.lost.assign(lost.begin(), lost.end());
+  if (beat.hub) {
+    // A node of this data centre hears of all others, another hub of this data centre.
+    beat.loads = same ? node_.loads.all_but(peer) : node_.loads.all_of(home);
+  } else if (node_.peers.hub_of(now, home) == peer) {
+    beat.loads = node_.loads.own();
+  }
+  const auto asked = positions_.find(peer);
+  if (beat.hub && same && asked != positions_.end()) {
+    if (node_.fleet_known) {
+      beat.targets = feed_news{node_.target_rows.since(asked->second.targets),
+                               node_.target_rows.needs_whole(asked->second.targets),
+                               node_.target_rows.position(),
+                               asked->second.targets,
+                               now - node_.fleet_read_at,
+                               false};
+    }
+    const auto age = node_.lease.age(now);
+    if (age) {
+      feed_news news{{},   false, node_.configuration_rows.position(), asked->second.configuration,
+                     *age, false};
+      news.withheld = is_too_much(asked->second.configuration);
+      if (!news.withheld) {
+        news.rows = node_.configuration_rows.since(asked->second.configuration);
+      }
+      beat.configuration = std::move(news);
+    }
+  }
+  return beat;
+}
+
+// Links to those that are told; each costs both sides a connection.
+void keeper_loop::link_to(const std::vector<node_id>& peers) {
+  if (peers == linked_) {
+    return;
+  }
+  linked_ = peers;
+  std::vector<node_record> records;
+  for (const node_record& n : node_.peers.records()) {
+    if (std::find(peers.begin(), peers.end(), n.id) != peers.end()) {
+      records.push_back(n);
+    }
+  }
+  // In a fiber of its own, since ending a link may wait.
+  ++linking_;
+  node_.runtime.post(0, [this, records] {
+    if (!ended_) {
+      links_.set_peers(records);
+    }
+    --linking_;
+  });
+}
+
+void keeper_loop::tell_peers(time_point now) {
+  node_.loads.forget_peers(now);
+  std::vector<node_id> peers = node_.peers.to_tell(now);
+  std::sort(peers.begin(), peers.end());
+  link_to(peers);
+  for (const node_id& peer : peers) {
+    links_.send(link_channel::coordination, {peer, encode(beat_for(now, peer)), false});
+    node_.peers.told(now, peer);
+  }
+}
+
+void keeper_loop::heard(time_point now, const node_id& peer, const node_beat& beat) {
+  node_.peers.heard(now, peer, {beat.hub, beat.leaving, beat.turned_away, beat.stamp_us});
+  positions_[peer] = {beat.targets_position, beat.configuration_position};
+  node_.requests_seen = node_.requests_seen || beat.requests_seen;
+  const bool same = beat.data_centre == node_.settings.data_centre;
+  const bool hub = node_.peers.is_hub(now);
+  // Loads come to the hub from its data centre and from other hubs, and to others from their hub.
+  if (hub ? (same ? !beat.hub : beat.hub) : (same && beat.hub)) {
+    node_.loads.heard(peer, beat.data_centre, now, beat.loads);
+  }
+  if (same && beat.hub && beat.echo_us > 0) {
+    // What the hub says was so after this node sent the stamp that it echoes.
+    const time_point asked{duration{beat.echo_us}};
+    watch_.take_news(asked, now, beat);
+    hub_heard_at_ = now;
+    node_.fleet.found_by_others(now, beat.lost);
+  }
+  node_.suspected.told(now, peer, beat.hub, beat.lost);
+  for (const target_id& id : beat.lost) {
+    const target_view* view = node_.fleet.find(id);
+    const bool own = view != nullptr && duties_.contains(view->record.data_centre);
+    if (own && view->listed && !view->lost && probing_.insert(id).second) {
+      node_.runtime.post(0, [this, id] { doubt(id); });
+    }
+  }
+}
+
+}  // namespace arbutus
--- a/src/node/keeper_loop.h
+++ b/src/node/keeper_loop.h
@@ -1,5 +1,5 @@
-// Runs the replica keeper: asks and orders engines, notices replicas that went silent, and tells
-// peers.
+// Runs the replica keeper: asks and orders engines (keeper_loop), notices replicas that went silent
+// and targets that are lost (keeper_losses), and tells peers (keeper_beats).
 #pragma once
 
 #include <map>
@@ -28,6 +28,9 @@
   void heard(time_point now, const node_id& peer, const node_beat& beat);
 
  private:
+  // Answers of engines come within 3 ms. An order without one is asked about, not repeated blindly.
+  static constexpr duration order_timeout = 300ms;
+
   void keep(time_point now);
   void tell_capacity(const service_shape& service);
   void tell_plan(time_point now, const replica_keeper& keeper);
