Targets are known by life; rows that are older than they look prove nothing; foreign entries name no target

Cause: an engine may start again under its id, and entries may come from other writers. While the store was away replicas had been formed; the list was then read whole, and rows of before overrode what the engines had answered since. Change: a target_id is an engine's name and its start. An ended life never comes back. Names of replicas carry a digest of their members' lives. A keeper that takes a data centre over leaps beyond the epochs of the one before. Counts are asked anew while the list is old. Members of a replica are free only by the head's own word. A row is as old as the last look before it. A node that the store serves again waits 0.6 s before it takes the hub's duty from a living one. Entries with missing, mistyped or unknown fields are unlisted, logged and counted; one undecodable value no longer hides its page.

--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -216,6 +216,10 @@
   return state_->call(target, request, deadline, {on_headers, on_chunk, false}, token, permit, use);
 }
 
+void http_client::forget(const socket_address& target) {
+  state_->pool().idle.erase(target);
+}
+
 std::size_t http_client::idle_connections() const {
   std::size_t count = 0;
   for (const auto& [target, idle] : state_->pool().idle) {
--- a/src/connection/http_client.h
+++ b/src/connection/http_client.h
@@ -91,6 +91,10 @@
                      const cancel_token& token = {}, const send_permit& permit = {},
                      connection_use use = connection_use::pooled);
 
+  // Closes the calling worker's idle connections to a target that has started again: they are dead,
+  // and silent if it lost its power.
+  void forget(const socket_address& target);
+
   // Open idle connections of the calling worker.
   [[nodiscard]] std::size_t idle_connections() const;
 
--- a/src/node/hosted_state.cpp
+++ b/src/node/hosted_state.cpp
@@ -99,6 +99,11 @@
   return result;
 }
 
+void hosted_state::forget_connections(const endpoint& address) {
+  targets.forget(address_of_endpoint(address));
+  control.forget(address_of_endpoint(address));
+}
+
 retry_window& hosted_state::retries_of(const service_id& service) {
   const auto found = retries.find(service);
   if (found != retries.end()) {
--- a/src/node/hosted_state.h
+++ b/src/node/hosted_state.h
@@ -69,6 +69,8 @@
                                                              const model_id& model);
   [[nodiscard]] std::vector<service_instance> instances_of(const service_id& service) const;
   [[nodiscard]] retry_window& retries_of(const service_id& service);
+  // The target at this address has started again.
+  void forget_connections(const endpoint& address);
 
  private:
   std::uint64_t cached_revision_ = 0;
--- a/src/node/keeper_loop.cpp
+++ b/src/node/keeper_loop.cpp
@@ -85,7 +85,7 @@
     }
     tell_capacity(service);
     const replica_keeper::duties own{duties_, node_.settings.data_centres.size(),
-                                     node_.requests_seen};
+                                     node_.requests_seen, now - node_.fleet_read_at};
     if (duties_.empty()) {
       continue;
     }
@@ -177,14 +177,22 @@
   });
 }
 
-void keeper_loop::take_report(time_point asked, const target_id& id, const target_report& report) {
+bool keeper_loop::take_report(time_point asked, const target_id& id, const target_report& report) {
   const target_view* view = node_.fleet.find(id);
   const service_shape* service =
       view == nullptr || !node_.map ? nullptr : node_.map->find_service(view->record.service);
   const duration lag =
       service != nullptr && service->engine ? service->engine->report_lag : duration{};
-  node_.fleet.reported(asked, asked - lag - lag / 4, id, report.member_of, report.loaded,
-                       report.pace);
+  const endpoint address = view == nullptr ? endpoint{} : view->record.address;
+  const bool same =
+      node_.fleet.reported(asked, asked - lag - lag / 4, id,
+                           {report.life, report.member_of, report.loaded, report.pace});
+  if (!same) {
+    log_line(log_level::info, "fleet", "started again",
+             {{"target", report.life}, {"before", id}, {"told_by", "report"}});
+    node_.forget_connections(address);
+  }
+  return same;
 }
 
 }  // namespace arbutus
--- a/src/node/keeper_loop.h
+++ b/src/node/keeper_loop.h
@@ -43,7 +43,8 @@
   void count_question(std::string_view why);
   // `why` is for the metrics: each question to a target has its price.
   bool probe(const target_id& id, duration timeout, std::string_view why);
-  void take_report(time_point asked, const target_id& id, const target_report& report);
+  // False: another life of the engine answered.
+  bool take_report(time_point asked, const target_id& id, const target_report& report);
   void doubt(const target_id& id);
   [[nodiscard]] bool is_too_much(std::uint64_t after) const;
   void choose_asked(const target_id& head, std::vector<target_id>& members);
--- a/src/node/keeper_losses.cpp
+++ b/src/node/keeper_losses.cpp
@@ -54,8 +54,7 @@
   const auto result = node_.engines.report(id, address, asked + timeout);
   const time_point now = monotonic_now();
   if (const auto* report = std::get_if<target_report>(&result)) {
-    take_report(asked, id, *report);
-    return true;
+    return take_report(asked, id, *report);
   }
   node_.fleet.probe_failed(now, id);
   return false;
--- a/src/node/store_watch.cpp
+++ b/src/node/store_watch.cpp
@@ -6,6 +6,7 @@
 #include "connection/clock.h"
 #include "node/log.h"
 #include "platform/documents.h"
+#include "process/target_life.h"
 #include "version/field_text.h"
 
 namespace arbutus {
@@ -49,6 +50,11 @@
 constexpr duration fed_proof_age = 1700ms;
 constexpr duration read_timeout = 1500ms;
 
+// Between two looks at the list that is followed: the feed's wait, and a late answer.
+constexpr duration longest_followed_gap = target_wait + 1s;
+// Of a reason in a log line: what others wrote may be long.
+constexpr std::size_t longest_reason = 200;
+
 constexpr std::string_view node_table = "nodes";
 // A node that came to another address is found within this.
 constexpr duration node_interval = 5s;
@@ -125,7 +131,7 @@
   const bool turned_away =
       !answered && (node_.peers.turned_away() || silent || failures_ >= failures_to_hand_over);
   if (turned_away != node_.peers.turned_away()) {
-    node_.peers.set_turned_away(turned_away);
+    node_.peers.set_turned_away(now, turned_away);
     log_line(log_level::info, "store", turned_away ? "turned away" : "served again",
              {{"failures", failures_}, {"hub", node_.peers.is_hub(now)}});
   }
@@ -156,17 +162,13 @@
 
 void store_watch::replace_targets(time_point asked, const std::vector<feed_row>& rows,
                                   std::uint64_t position) {
-  std::vector<target_record> records;
+  std::vector<fleet_view::listed_row> records;
   for (const feed_row& row : rows) {
-    std::string problem;
-    if (auto record = read_target_record(target_id{row.key}, row.value, problem)) {
-      records.push_back(std::move(*record));
-    } else {
-      log_line(log_level::warning, "fleet", "unreadable record",
-               {{"target", row.key}, {"reason", problem}});
+    if (auto record = read_record(row)) {
+      records.push_back({std::move(*record), row.version});
     }
   }
-  node_.fleet.replace_all(asked, records);
+  node_.fleet.replace_all(asked, records, written_after(asked));
   node_.target_rows.replace(rows, position);
   node_.fleet_known = true;
   node_.fleet_read_at = std::max(node_.fleet_read_at, asked);
@@ -276,19 +278,20 @@
 }
 
 void store_watch::take_target(time_point asked, const feed_row& row) {
-  const target_id id{row.key};
+  const target_id known = node_.fleet.life_now(row.key);
   if (row.removed) {
-    node_.fleet.unlisted(asked, id);
-    log_line(log_level::info, "fleet", "unlisted", {{"target", id}});
+    node_.fleet.unlisted(asked, known);
+    log_line(log_level::info, "fleet", "unlisted", {{"target", known}});
     return;
   }
-  std::string problem;
-  auto record = read_target_record(id, row.value, problem);
+  auto record = read_record(row);
   if (!record) {
-    log_line(log_level::warning, "fleet", "unreadable record",
-             {{"target", id}, {"reason", problem}});
+    // Whoever wrote it, the engine's own word is gone from the list: it gets nothing new until its
+    // next record, as if it had left.
+    node_.fleet.unlisted(asked, known);
     return;
   }
+  const target_id id = record->id;
   const target_view* before = node_.fleet.find(id);
   if (before == nullptr || !before->listed) {
     log_line(log_level::info, "fleet", "listed",
@@ -296,7 +299,40 @@
   } else if (record->draining && !before->record.draining) {
     log_line(log_level::info, "fleet", "draining", {{"target", id}});
   }
-  node_.fleet.listed(asked, std::move(*record));
+  const endpoint address = record->address;
+  if (!node_.fleet.listed(asked, std::move(*record), row.version, written_after(asked))) {
+    log_line(log_level::info, "fleet", "record of an ended life", {{"target", id}});
+  } else if (!known.empty() && known != id) {
+    log_line(log_level::info, "fleet", "started again", {{"target", id}, {"before", known}});
+    node_.forget_connections(address);
+  }
+}
+
+// A row behind the last position was written since this node was there. After a gap that is no
+// longer about now; without one it is, and nothing is said.
+std::optional<time_point> store_watch::written_after(time_point asked) const {
+  if (!node_.fleet_known || asked - node_.fleet_read_at <= longest_followed_gap) {
+    return std::nullopt;
+  }
+  return node_.fleet_read_at;
+}
+
+// Empty for a record that names no target to use; the others hold.
+std::optional<target_record> store_watch::read_record(const feed_row& row) {
+  std::string problem = "its value cannot be decoded";
+  std::optional<target_record> record;
+  if (row.readable) {
+    record = read_target_record(row.key, row.value, problem);
+  }
+  if (!record) {
+    node_.metrics.count("arbutusworks_unreadable_records");
+    // Once for each version of a row; a name may be anything.
+    log_line(log_level::warning, "fleet", "unreadable record",
+             {{"target", row.key.substr(0, longest_engine_name)},
+              {"version", row.version},
+              {"reason", problem.substr(0, longest_reason)}});
+  }
+  return record;
 }
 
 bool store_watch::read_targets() {
@@ -314,7 +350,7 @@
     // Pages are read one after the other: what changed meanwhile comes again behind the first.
     first_version = first_version == 0 ? rows->version : first_version;
     for (const store_row& row : rows->rows) {
-      all.push_back({row.key, row.value, row.version, false});
+      all.push_back({row.key, row.value, row.version, false, row.readable});
     }
     if (!rows->more || rows->rows.empty()) {
       break;
@@ -346,7 +382,7 @@
       count_call("targets news", std::holds_alternative<store_rows>(result));
       if (const auto* rows = std::get_if<store_rows>(&result)) {
         for (const store_row& row : rows->rows) {
-          const feed_row changed{row.key, row.value, row.version, row.removed};
+          const feed_row changed{row.key, row.value, row.version, row.removed, row.readable};
           take_target(asked, changed);
           node_.target_rows.take(changed);
         }
--- a/src/node/store_watch.h
+++ b/src/node/store_watch.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <vector>
 
 #include "node/hosted_state.h"
@@ -32,6 +33,8 @@
   void take_target_news(time_point asked, const feed_news& news);
   void replace_targets(time_point asked, const std::vector<feed_row>& rows, std::uint64_t position);
   void take_target(time_point asked, const feed_row& row);
+  std::optional<target_record> read_record(const feed_row& row);
+  [[nodiscard]] std::optional<time_point> written_after(time_point asked) const;
   void note_dependency(std::string_view name, bool& up, bool now_up, std::string_view reason);
   void count_call(std::string_view what, bool answered);
   // Whether the hub keeps this node current, so that it need not ask the store itself.
--- a/src/process/feed_log.h
+++ b/src/process/feed_log.h
@@ -19,6 +19,7 @@
   std::string value;
   std::uint64_t version{};
   bool removed = false;
+  bool readable = true;  // false: the value could not be decoded, and is empty
   bool operator==(const feed_row&) const = default;
 };
 
--- a/src/process/fleet_view.cpp
+++ b/src/process/fleet_view.cpp
@@ -6,6 +6,9 @@
 #include <set>
 #include <string_view>
 
+#include "process/replica_name.h"
+#include "process/target_life.h"
+
 namespace arbutus {
 
 std::string_view to_string(member_state state) {
@@ -14,7 +17,51 @@
   return names[static_cast<std::size_t>(state)];
 }
 
-void fleet_view::listed(time_point observed_at, target_record record) {
+bool fleet_view::take_life(time_point now, const target_id& life) {
+  engine_lives& known = lives_[std::string(engine_of(life))];
+  if (known.now == life) {
+    return true;
+  }
+  if (std::find(known.ended.begin(), known.ended.end(), life) != known.ended.end()) {
+    return false;
+  }
+  if (!known.now.empty()) {
+    targets_.erase(known.now);
+    known.ended.push_back(known.now);
+    if (known.ended.size() > most_ended) {
+      known.ended.erase(known.ended.begin());
+    }
+    ++revision_;
+  }
+  known.now = life;
+  targets_[life].life_seen = now;
+  return true;
+}
+
+// Goes wrong: while the store is away nobody can write, and replicas are formed all the same. When
+// it is back, rows are read that are older than what the targets answered since.
+void fleet_view::take_row_state(target_view& view, const target_record& record, time_point as_of) {
+  if (as_of >= view.state_at) {
+    view.record = record;
+    view.state_at = as_of;
+    view.doubted = false;
+    return;
+  }
+  const bool differs =
+      view.record.member_of != record.member_of || view.record.loaded != record.loaded;
+  const std::optional<membership> member_of = view.record.member_of;
+  const model_id loaded = view.record.loaded;
+  view.record = record;
+  view.record.member_of = member_of;
+  view.record.loaded = loaded;
+  view.doubted = view.doubted || differs;
+}
+
+bool fleet_view::listed(time_point observed_at, target_record record, std::uint64_t row_version,
+                        std::optional<time_point> written_after) {
+  if (!take_life(observed_at, record.id)) {
+    return false;
+  }
   target_view& view = targets_[record.id];
   const bool changed = !view.listed || view.record != record || view.lost;
   // A record that arrives was written by a living process; one that is repeated in a whole list was
@@ -23,11 +70,26 @@
   view.lost = false;
   view.failed_probes = 0;
   view.heard_at = std::max(view.heard_at, observed_at);
-  view.state_at = std::max(view.state_at, observed_at);
-  if (changed) {
+  view.row_version = std::max(view.row_version, row_version);
+  if (!written_after) {
+    // Followed without a gap: written since the last look, and newer than any answer before that.
+    view.state_at = std::max(view.state_at, observed_at);
+    view.doubted = false;
     view.record = std::move(record);
-    ++revision_;
+  } else {
+    take_row_state(view, record, *written_after);
   }
+  revision_ += changed ? 1 : 0;
+  return true;
+}
+
+void fleet_view::unlisted_engine(time_point now, std::string_view engine) {
+  unlisted(now, life_now(engine));
+}
+
+target_id fleet_view::life_now(std::string_view engine) const {
+  const auto found = lives_.find(engine);
+  return found == lives_.end() ? target_id{} : found->second.now;
 }
 
 void fleet_view::unlisted(time_point now, const target_id& id) {
@@ -40,13 +102,16 @@
   ++revision_;
 }
 
-void fleet_view::replace_all(time_point now, const std::vector<target_record>& records) {
+void fleet_view::replace_all(time_point now, const std::vector<listed_row>& rows,
+                             std::optional<time_point> written_after) {
   std::set<target_id> present;
-  for (const target_record& record : records) {
+  for (const auto& [record, version] : rows) {
     present.insert(record.id);
     const auto known = targets_.find(record.id);
-    if (known == targets_.end() || !known->second.listed || known->second.record != record) {
-      listed(now, record);
+    const bool is_news = known == targets_.end() || !known->second.listed ||
+                         known->second.row_version < version || version == 0;
+    if (is_news) {
+      listed(now, record, version, written_after);
     }
   }
   for (const auto& [id, view] : targets_) {
@@ -56,28 +121,74 @@
   }
 }
 
-void fleet_view::reported(time_point asked, time_point as_of, const target_id& id,
-                          const std::optional<membership>& member_of, const model_id& loaded,
-                          double pace) {
+bool fleet_view::reported(time_point asked, time_point as_of, const target_id& id,
+                          const target_answer& answer) {
+  if (answer.life != id) {
+    replace_by_answer(asked, as_of, id, answer);
+    return false;
+  }
   const auto found = targets_.find(id);
   if (found == targets_.end()) {
-    return;
+    return true;
   }
   target_view& view = found->second;
-  bool changed = view.lost || view.pace != pace;
+  bool changed = view.lost || view.pace != answer.pace;
   view.heard_at = std::max(view.heard_at, asked);
   view.failed_probes = 0;
   view.lost = false;
-  view.pace = pace;
+  view.pace = answer.pace;
+  if (as_of > view.told_at) {
+    view.told_at = as_of;
+    view.told_replica.reset();
+    if (answer.member_of) {
+      view.told_replica = answer.member_of->replica;
+    }
+  }
   if (as_of > view.state_at) {
-    changed = changed || view.record.member_of != member_of || view.record.loaded != loaded;
+    view.doubted = false;
+    changed =
+        changed || view.record.member_of != answer.member_of || view.record.loaded != answer.loaded;
     view.state_at = as_of;
-    view.record.member_of = member_of;
-    view.record.loaded = loaded;
+    view.record.member_of = answer.member_of;
+    view.record.loaded = answer.loaded;
   }
   if (changed) {
     ++revision_;
   }
+  return true;
+}
+
+// The answer is newer than the life that was asked only if that one was known when the question was
+// sent: else the engine has started once more since it answered.
+void fleet_view::replace_by_answer(time_point asked, time_point as_of, const target_id& id,
+                                   const target_answer& answer) {
+  const target_view* before = find(id);
+  const bool is_newer =
+      before != nullptr && engine_of(answer.life) == engine_of(id) && before->life_seen <= asked;
+  if (!is_newer) {
+    return;
+  }
+  target_view next = *before;
+  next.record.id = answer.life;
+  next.record.member_of = answer.member_of;
+  next.record.loaded = answer.loaded;
+  next.record.draining = false;
+  next.heard_at = asked;
+  next.state_at = as_of;
+  next.life_seen = asked;
+  next.told_at = as_of;
+  next.told_replica.reset();
+  if (answer.member_of) {
+    next.told_replica = answer.member_of->replica;
+  }
+  next.doubted = false;
+  next.failed_probes = 0;
+  next.lost = false;
+  next.pace = answer.pace;
+  if (take_life(asked, answer.life)) {
+    targets_[answer.life] = std::move(next);
+    ++revision_;
+  }
 }
 
 void fleet_view::ordered(time_point now, const target_id& id,
@@ -88,6 +199,12 @@
   }
   target_view& view = found->second;
   view.state_at = std::max(view.state_at, now);
+  view.doubted = false;
+  view.told_at = view.state_at;
+  view.told_replica.reset();
+  if (member_of) {
+    view.told_replica = member_of->replica;
+  }
   if (view.record.member_of != member_of) {
     view.record.member_of = member_of;
     ++revision_;
@@ -124,6 +241,7 @@
   std::erase_if(targets_, [now](const auto& entry) {
     return !entry.second.listed && now - entry.second.unlisted_at > remembered;
   });
+  std::erase_if(lives_, [this](const auto& entry) { return !targets_.contains(entry.second.now); });
 }
 
 const target_view* fleet_view::find(const target_id& id) const {
@@ -169,6 +287,11 @@
     if (head == nullptr || ranks.size() != size) {
       continue;
     }
+    // One of them started again, and an order of before put it back under the same name: the head
+    // does not work with this life of it.
+    if (!is_of_lives(key.name, replica.members)) {
+      continue;
+    }
     replica.key = key;
     replica.service = service;
     replica.model = model;
--- a/src/process/fleet_view.h
+++ b/src/process/fleet_view.h
@@ -1,7 +1,8 @@
 // What a node knows of the targets: a live inventory, fed by the platform's list of targets and by
 // the targets' own reports.
 //
-// A value: fed with (now, observation). Ids are never reused, addresses may be.
+// A value: fed with (now, observation). A target_id names one life of an engine (target_life.h);
+// engines start again under their name, and addresses are given to others.
 #pragma once
 
 #include <cstdint>
@@ -60,26 +61,55 @@
   target_record record;
   time_point heard_at{};  // its record last changed or it answered
   time_point state_at{};  // what it says of its replica was so at this time or later
-  bool listed = true;     // in the platform's list; false: kept for what may still run there
+  // Of the newest answer of its own, to a question or an order; a row may be older than it looks.
+  std::optional<replica_key> told_replica;
+  time_point told_at{};
+  bool doubted = false;         // its row and its answers differ, and neither is known to be newer
+  std::uint64_t row_version{};  // of its newest row
+  bool listed = true;           // in the platform's list; false: kept for what may still run there
   time_point unlisted_at{};
+  time_point life_seen{};           // when this life was first heard of
   std::uint32_t failed_probes = 0;  // in a row
   bool lost = false;                // does not answer; nothing is sent there
   time_point lost_at{};
   double pace = 1;  // above 1: slower than it should be
 };
 
+// What a target said of itself when it was asked.
+struct target_answer {
+  target_id life;  // which may be another one than the one that was asked
+  std::optional<membership> member_of;
+  model_id loaded;
+  double pace = 1;
+};
+
+// Of two lives of one engine that are both known, the one heard of first has ended, and never comes
+// back: records and answers of it that arrive late change nothing. Goes wrong otherwise: a load, a
+// suspicion or a count of orders of the one is taken for the other's, and a replica whose member
+// started again looks whole.
 class fleet_view {
  public:
-  // From the platform's list. `observed_at`: when the question was sent.
-  void listed(time_point observed_at, target_record record);
+  // From the platform's list. `observed_at`: when the question was sent. `written_after`: a time
+  // that its writing is known to be behind; by default the same, as for a list that is followed.
+  // False: the record is of a life that has ended, and was dropped.
+  bool listed(time_point observed_at, target_record record, std::uint64_t row_version = 0,
+              std::optional<time_point> written_after = std::nullopt);
   void unlisted(time_point now, const target_id& id);
-  // A whole list: what it does not hold is unlisted.
-  void replace_all(time_point now, const std::vector<target_record>& records);
+  // The list has nothing under this engine's name that could be used, whichever life it knew.
+  void unlisted_engine(time_point now, std::string_view engine);
+  struct listed_row {
+    target_record record;
+    std::uint64_t version{};
+  };
+  // A whole list: what it does not hold is unlisted. A row that was known says nothing new.
+  void replace_all(time_point now, const std::vector<listed_row>& rows,
+                   std::optional<time_point> written_after = std::nullopt);
 
   // A target's own report, to a question sent at `asked`. What it says was so at `as_of`: reports
-  // lag, so that the list or an order's answer may be newer, and is then kept.
-  void reported(time_point asked, time_point as_of, const target_id& id,
-                const std::optional<membership>& member_of, const model_id& loaded, double pace);
+  // lag, so that the list or an order's answer may be newer, and is then kept. False: it was
+  // another life than `id` that answered; if it is a newer one, it has taken the place of `id`.
+  bool reported(time_point asked, time_point as_of, const target_id& id,
+                const target_answer& answer);
   // The target obeyed an order of this node's.
   void ordered(time_point now, const target_id& id, const std::optional<membership>& member_of);
   // It did not answer a probe in time. Lost after `probes_until_lost` in a row.
@@ -94,6 +124,8 @@
 
   [[nodiscard]] const std::map<target_id, target_view>& all() const { return targets_; }
   [[nodiscard]] const target_view* find(const target_id& id) const;
+  // The life of the engine that is known now; empty: none.
+  [[nodiscard]] target_id life_now(std::string_view engine) const;
   // Rises with each change that may alter what is routed to.
   [[nodiscard]] std::uint64_t revision() const { return revision_; }
 
@@ -103,9 +135,24 @@
   static constexpr duration hub_knows_within = 1s;
   // Longer than a target goes on after it left the list (a drain and its grace, seconds).
   static constexpr duration remembered = 60s;
+  // Ended lives of an engine that are remembered. One that starts again every few seconds is at its
+  // ninth after the longest time that a record or an answer was seen to be late (12 s).
+  static constexpr std::size_t most_ended = 8;
 
  private:
+  struct engine_lives {
+    target_id now;
+    std::vector<target_id> ended;  // the newest last
+  };
+
+  // Whether `life` is, or has now become, the engine's life.
+  bool take_life(time_point now, const target_id& life);
+  static void take_row_state(target_view& view, const target_record& record, time_point as_of);
+  void replace_by_answer(time_point asked, time_point as_of, const target_id& id,
+                         const target_answer& answer);
+
   std::map<target_id, target_view> targets_;
+  std::map<std::string, engine_lives, std::less<>> lives_;
   std::uint64_t revision_{1};
 };
 
--- a/src/process/node_beat.cpp
+++ b/src/process/node_beat.cpp
@@ -20,7 +20,7 @@
   }
   json rows = json::array();
   for (const feed_row& row : news->rows) {
-    rows.push_back({row.key, row.value, row.version, row.removed});
+    rows.push_back({row.key, row.value, row.version, row.removed, row.readable});
   }
   return {std::move(rows),   news->whole,    news->position,
           news->age.count(), news->withheld, news->after};
@@ -33,7 +33,8 @@
   feed_news news;
   for (const json& row : from.at(0)) {
     news.rows.push_back({row.at(0).get<std::string>(), row.at(1).get<std::string>(),
-                         row.at(2).get<std::uint64_t>(), row.at(3).get<bool>()});
+                         row.at(2).get<std::uint64_t>(), row.at(3).get<bool>(),
+                         row.at(4).get<bool>()});
   }
   news.whole = from.at(1).get<bool>();
   news.position = from.at(2).get<std::uint64_t>();
--- a/src/process/peer_table.cpp
+++ b/src/process/peer_table.cpp
@@ -83,9 +83,26 @@
   return p.first_told == time_point{} || now - p.first_told < benefit_of_doubt;
 }
 
+void peer_table::set_turned_away(time_point now, bool is) {
+  if (turned_away_ && !is) {
+    served_since_ = now;
+  }
+  turned_away_ = is;
+}
+
+bool peer_table::is_served(time_point now) const {
+  if (turned_away_ || served_since_ == time_point{} || now - served_since_ >= served_settles) {
+    return !turned_away_;
+  }
+  return std::none_of(peers_.begin(), peers_.end(), [&](const auto& entry) {
+    const peer& p = entry.second;
+    return p.data_centre == data_centre_ && entry.first < self_ && presumed(now, p);
+  });
+}
+
 node_id peer_table::first_of(time_point now, const data_centre_id& data_centre,
                              bool must_be_served) const {
-  const bool self_may = data_centre == data_centre_ && !(must_be_served && turned_away_);
+  const bool self_may = data_centre == data_centre_ && (!must_be_served || is_served(now));
   // The map is in the order of the names.
   for (const auto& [id, p] : peers_) {
     if (p.data_centre == data_centre && (must_be_served ? may_be_hub(now, p) : presumed(now, p))) {
--- a/src/process/peer_table.h
+++ b/src/process/peer_table.h
@@ -40,7 +40,7 @@
   // Goes wrong without it: the store turns some nodes away and serves others; a hub among the first
   // knows nothing new, and all nodes of its data centre ask the store for themselves, 3 calls a
   // second each. So it hands over to the next that is served, until it is served again.
-  void set_turned_away(bool is) { turned_away_ = is; }
+  void set_turned_away(time_point now, bool is);
   [[nodiscard]] bool turned_away() const { return turned_away_; }
 
   // Whom to tell now.
@@ -70,6 +70,12 @@
   // A peer that was told and never answered is taken for living so long: links come up within it.
   static constexpr duration benefit_of_doubt = 1500ms;
   static constexpr std::size_t candidates = 2;
+  // Goes wrong without it: the store comes back for all at once, each node sees itself served and
+  // has not heard yet that others are. Some 20 of the 27 nodes of a data centre then took
+  // themselves for its hub, with what they knew of the engines 8 s before. So who is served again
+  // leaves the duty with the first of the names until the others' beats must have come: two from
+  // them, and one that is late.
+  static constexpr duration served_settles = 600ms;
 
  private:
   struct peer {
@@ -84,6 +90,8 @@
   [[nodiscard]] bool may_be_hub(time_point now, const peer& p) const {
     return presumed(now, p) && !p.word.turned_away;
   }
+  // Whether this node may call itself served, see served_settles.
+  [[nodiscard]] bool is_served(time_point now) const;
   // The first in the order of the names, among those that the store serves or among all that live.
   [[nodiscard]] node_id first_of(time_point now, const data_centre_id& data_centre,
                                  bool must_be_served) const;
@@ -95,6 +103,7 @@
   node_id self_;
   data_centre_id data_centre_;
   bool turned_away_ = false;
+  time_point served_since_{};      // again, after it was turned away
   std::map<node_id, peer> peers_;  // without this node
   std::vector<node_record> records_;
 };
--- a/src/process/replica_keeper.cpp
+++ b/src/process/replica_keeper.cpp
@@ -10,9 +10,6 @@
 
 namespace {
 
-constexpr std::string_view spare_prefix = "s.";
-constexpr std::string_view replica_prefix = "r.";
-constexpr char name_separator = '.';
 // Engines that leave do so one or two at a time. When the list drops more at once they are cut off
 // from it, and to take their replicas apart would cost those as well that stand in.
 constexpr std::size_t few_dropped = 2;
@@ -30,31 +27,6 @@
   return names[static_cast<std::size_t>(action)];
 }
 
-std::string spare_name(const model_id& model, const target_id& id) {
-  return std::string(spare_prefix) + model.str() + name_separator + id.str();
-}
-
-std::string replica_name(const model_id& model, std::string_view origin, const target_id& head) {
-  return std::string(replica_prefix) + model.str() + name_separator + std::string(origin) +
-         name_separator + head.str();
-}
-
-bool is_spare_name(std::string_view name) {
-  return name.starts_with(spare_prefix);
-}
-
-target_id head_of(std::string_view name) {
-  return target_id{name.substr(name.rfind(name_separator) + 1)};
-}
-
-model_id model_in(std::string_view name) {
-  const auto first = name.find(name_separator);
-  const auto second =
-      first == std::string_view::npos ? first : name.find(name_separator, first + 1);
-  return second == std::string_view::npos ? model_id{}
-                                          : model_id{name.substr(first + 1, second - first - 1)};
-}
-
 keeper_effects replica_keeper::tick(time_point now, const fleet_view& fleet,
                                     const service_shape& service, const duties& own) {
   if (!service.engine) {
@@ -62,6 +34,7 @@
   }
   round r{now, fleet, service, *service.engine, own, {}, {}, {}, {}, {}, {}, {}, 0, 0};
   note_engines(r);
+  note_duties(own);
   ask_reports(r);
   advance_forming(r);
   mend_standing(r);
@@ -72,6 +45,20 @@
   return std::move(r.out);
 }
 
+// Goes wrong: an order of the keeper before this one arrives seconds late, at an engine that has
+// started again meanwhile. Its count fits, as counts start anew, and the engine leaves a replica
+// that serves. So the first epoch of a keeper for a data centre is beyond all that the one before
+// it can have used, and engines refuse to join under a lower one than they know.
+void replica_keeper::note_duties(const duties& own) {
+  const bool is_new =
+      std::any_of(own.data_centres.begin(), own.data_centres.end(),
+                  [this](const data_centre_id& d) { return !kept_data_centres_.contains(d); });
+  kept_data_centres_ = own.data_centres;
+  if (is_new) {
+    last_epoch_ += epoch_leap;
+  }
+}
+
 void replica_keeper::note_engines(round& r) {
   for (auto& [id, memory] : memory_) {
     // An order to load that was lost leaves the engine as it was.
@@ -139,14 +126,23 @@
 
 // Whether the count of orders was seen together with what the fleet view says of the engine now.
 bool replica_keeper::is_current(const target_view& view, const engine_memory& memory) {
-  return memory.orders && memory.at_that_count == replica_of(view);
+  return memory.orders && memory.at_that_count == replica_of(view) && !view.doubted;
 }
 
-bool replica_keeper::may_order(const round& r, const target_id& id) const {
+bool replica_keeper::may_order(round& r, const target_id& id) {
   const auto found = memory_.find(id);
   const target_view* view = r.fleet.find(id);
-  return found != memory_.end() && view != nullptr && is_current(*view, found->second) &&
-         !found->second.order_pending && r.now >= found->second.ask_after;
+  const bool fits = found != memory_.end() && view != nullptr && is_current(*view, found->second) &&
+                    !found->second.order_pending && r.now >= found->second.ask_after;
+  // Goes wrong: this node hears nothing of the list, the engine has started again and joined a
+  // replica of another keeper, and its new count is by chance the one of before. An engine takes
+  // seconds from its start until it serves; so without news a count is good for less.
+  if (fits && r.own.list_age > settings_.list_is_old &&
+      r.now - found->second.counted_at > settings_.count_good_for) {
+    ask(r, *view);
+    return false;
+  }
+  return fits;
 }
 
 void replica_keeper::send(round& r, const target_view& to, order_action action,
@@ -234,10 +230,12 @@
     const target_view* head = r.fleet.find(head_id);
     const bool head_in =
         head != nullptr && head->record.member_of && head->record.member_of->replica == key;
-    if (head != nullptr && !head_in && head->state_at > first_seen_.at(key)) {
-      continue;  // its head was seen outside of it since: the members are free
+    // Its own word alone: its row may be one of before, see fleet_view.
+    const bool head_out = head != nullptr && head->told_replica != key;
+    if (head_out && !head_in && head->told_at > first_seen_.at(key)) {
+      continue;  // its head has left since: the members are free
     }
-    if (head != nullptr && !head_in) {
+    if (head != nullptr && !head_in && round::alive(head)) {
       // Members join after their head, so that it was inside before they said so.
       ask(r, *head);
       for (const target_view* member : group.members) {
@@ -249,13 +247,17 @@
     bool whole = model != nullptr && group.members.size() == model->size;
     bool all_ready = true;
     std::size_t dropped = 0;
+    std::vector<target_id> lives;
     for (const target_view* member : group.members) {
+      lives.push_back(member->record.id);
       // A member that the list dropped may be cut off from the list alone, see serving_replicas.
       const bool in_place = member->listed || member != head;
       dropped += member->listed ? 0 : 1;
       whole = whole && in_place && !member->lost && !member->record.draining;
       all_ready = all_ready && member->record.member_of->state != member_state::joining;
     }
+    // With a member that started again since it was formed it serves nobody.
+    whole = whole && is_of_lives(key.name, lives);
     whole = whole && head->record.member_of->state != member_state::broken &&
             head->record.member_of->state != member_state::closing;
     const bool replaceable = dropped > 0 && r.dropped <= few_dropped;
@@ -432,13 +434,13 @@
 void replica_keeper::begin_forming(round& r, const model_shape& model,
                                    const std::vector<const target_view*>& members) {
   forming_replica f;
-  f.key = {replica_name(model.id, origin_, members.front()->record.id), next_epoch()};
   f.model = model.id;
   f.begun = r.now;
   for (const target_view* view : members) {
     f.members.push_back(view->record.id);
     f.chosen_from.emplace(view->record.id, replica_of(*view));
   }
+  f.key = {replica_name(model.id, origin_, f.members), next_epoch()};
   if (may_order(r, f.members.front())) {
     send(r, *members.front(), order_action::join, f.key, f.model, f.members);
   }
--- a/src/process/replica_keeper.h
+++ b/src/process/replica_keeper.h
@@ -26,6 +26,7 @@
 #include "base/units.h"
 #include "process/domain_shape.h"
 #include "process/fleet_view.h"
+#include "process/replica_name.h"
 #include "version/service_map.h"
 
 namespace arbutus {
@@ -65,6 +66,7 @@
 };
 
 struct target_report {
+  target_id life;  // that answered
   std::optional<membership> member_of;
   model_id loaded;
   std::uint64_t orders{};  // obeyed in this life
@@ -86,6 +88,11 @@
   // usual generation: 80 events of 50 ms.
   duration close_timeout = 6s;
   duration report_retry = 100ms;
+  // The list is asked for changes that it waits a second for, and its hub tells within a beat.
+  duration list_is_old = 1500ms;
+  // Counts of orders rest on the list while that is new, and else on a report as old as this. An
+  // engine that starts again serves in no replica before 1.6 s, the least time of warming up.
+  duration count_good_for = 500ms;
   // A load takes 12 to 16 s, and longer while many load; after this it is taken for lost.
   duration load_timeout = 40s;
   // An engine that is ready for a model is made ready for another only when the plan has wanted
@@ -110,6 +117,7 @@
     std::set<data_centre_id> data_centres;  // whose engines this node orders
     std::size_t all_data_centres = 1;       // that have engines: the load limits are shared
     bool requests_seen = false;             // loads cost their full time from then on
+    duration list_age{};                    // since the list of targets was last known to be new
   };
 
   // What to do now for the engines of `service`. Call every few tens of ms.
@@ -121,6 +129,9 @@
                 order_outcome outcome);
   // `report` is empty when there was no answer.
   void on_report(time_point now, const target_id& id, const std::optional<target_report>& report);
+  // Epochs that a keeper may have used beyond those that others can see: its orders of the last
+  // second or two, some dozens at the start of a data centre of 81 engines. Far more than that.
+  static constexpr std::uint64_t epoch_leap = 1000;
 
   // What each domain has and should have, by model; for logs.
   struct domain_plan {
@@ -143,6 +154,7 @@
     // unless the other still holds. Empty: ask first.
     std::optional<std::uint64_t> orders;
     std::optional<replica_key> at_that_count;
+    time_point counted_at{};  // when the engine was last known to have that count
     bool order_pending = false;
     bool report_pending = false;
     time_point ask_after{};  // next question or repeated order, not earlier
@@ -169,6 +181,7 @@
   struct domain_state;
   struct round;  // one tick
 
+  void note_duties(const duties& own);
   void note_engines(round& r);
   void ask(round& r, const target_view& view);
   void ask_reports(round& r);
@@ -199,7 +212,7 @@
                                                    std::size_t model) const;
   void send(round& r, const target_view& to, order_action action, const replica_key& replica,
             const model_id& model = {}, const std::vector<target_id>& members = {});
-  [[nodiscard]] bool may_order(const round& r, const target_id& id) const;
+  [[nodiscard]] bool may_order(round& r, const target_id& id);
   [[nodiscard]] model_id model_for(const target_view& view, const engine_memory& memory) const;
   [[nodiscard]] std::uint64_t next_epoch() { return ++last_epoch_; }
   [[nodiscard]] static std::optional<replica_key> replica_of(const target_view& view);
@@ -215,6 +228,7 @@
   time_point started_;
   bool cold_start_;
   std::uint64_t last_epoch_ = 0;
+  std::set<data_centre_id> kept_data_centres_;  // in the last tick
   std::map<target_id, engine_memory> memory_;
   std::vector<forming_replica> forming_;
   std::vector<domain_plan> plan_;
@@ -230,15 +244,4 @@
   std::map<replica_key, time_point> closing_since_;
 };
 
-// Names: a spare holds a replica of itself alone, which is never opened. Both kinds name model and
-// head, so that a node knows what an engine loads, and whom to ask of a head it never saw. `origin`
-// differs for each life of a keeper: two that choose the same head and epoch at once would else
-// mix their members under one name.
-[[nodiscard]] std::string spare_name(const model_id& model, const target_id& id);
-[[nodiscard]] std::string replica_name(const model_id& model, std::string_view origin,
-                                       const target_id& head);
-[[nodiscard]] model_id model_in(std::string_view name);
-[[nodiscard]] bool is_spare_name(std::string_view name);
-[[nodiscard]] target_id head_of(std::string_view name);
-
 }  // namespace arbutus
--- a/src/process/replica_keeper_load.cpp
+++ b/src/process/replica_keeper_load.cpp
@@ -153,13 +153,14 @@
     double best_gain = 0;
     for (const auto& [domain, free] : r.free) {
       for (const target_view* view : free) {
-        if (is_loading(*view, memory_[view->record.id]) || !may_order(r, view->record.id)) {
+        if (is_loading(*view, memory_[view->record.id])) {
           continue;
         }
         for (std::size_t m = 0; m < r.engine.models.size(); ++m) {
           const auto gain = gain_of_load(r, *view, m);
           const bool allowed = may_load || is_staged(*view, r.engine.models[m].id);
-          if (gain && allowed && (best == nullptr || *gain > best_gain)) {
+          const bool better = gain && allowed && (best == nullptr || *gain > best_gain);
+          if (better && may_order(r, view->record.id)) {
             best = view;
             best_model = m;
             best_gain = *gain;
--- a/src/process/replica_keeper_orders.cpp
+++ b/src/process/replica_keeper_orders.cpp
@@ -5,14 +5,6 @@
 
 namespace arbutus {
 
-namespace {
-
-// How far the epoch is raised when an engine knows a greater one than this node has ever seen. The
-// epochs of a day of repairs stay below this.
-constexpr std::uint64_t epoch_leap = 1000;
-
-}  // namespace
-
 // An order that was refused shows that the engine is not as this node thought: what was planned
 // with it is void, since another node may have used it meanwhile.
 void replica_keeper::give_up(const replica_key& key) {
@@ -70,6 +62,7 @@
   const target_view* view = fleet.find(order.to);
   const bool left = order.action == order_action::leave && memory.at_that_count == order.replica;
   memory.orders = order.expected_orders + (outcome == order_outcome::begun || left ? 1 : 0);
+  memory.counted_at = now;
   if (order.action == order_action::join) {
     note_joined(order);
     memory.at_that_count = order.replica;
@@ -95,10 +88,11 @@
   engine_memory& memory = found->second;
   memory.report_pending = false;
   memory.ask_after = now + settings_.report_retry;
-  if (!report || memory.order_pending) {
+  if (!report || report->life != id || memory.order_pending) {
     return;
   }
   memory.orders = report->orders;
+  memory.counted_at = now;
   memory.at_that_count.reset();
   if (report->member_of) {
     memory.at_that_count = report->member_of->replica;
--- /dev/null
+++ b/src/process/target_life.cpp
@@ -0,0 +1,19 @@
+// Digest of a replica's members.
+#include "process/target_life.h"
+
+#include <array>
+#include <cstdio>
+
+namespace arbutus {
+
+std::string lives_digest(std::span<const target_id> members) {
+  std::uint64_t sum = 0;  // so that the order does not matter
+  for (const target_id& member : members) {
+    sum += stable_hash(member.str());
+  }
+  std::array<char, 17> text{};
+  std::snprintf(text.data(), text.size(), "%08x", static_cast<std::uint32_t>(sum ^ (sum >> 32U)));
+  return text.data();
+}
+
+}  // namespace arbutus
--- a/src/standin/hosted_engine.cpp
+++ b/src/standin/hosted_engine.cpp
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 
+#include "process/target_life.h"
+
 namespace arbutus::standin {
 
 order_outcome hosted_engine::take(time_point now, const replica_order& order) {
@@ -55,7 +57,10 @@
     return members_ == order.members ? order_outcome::holds : order_outcome::outdated;
   }
   newest_epoch_ = order.replica.epoch;
-  const auto position = std::find(order.members.begin(), order.members.end(), record_.id);
+  // Orders name engines, not their lives.
+  const auto position = std::find_if(
+      order.members.begin(), order.members.end(),
+      [this](const target_id& member) { return engine_of(member) == engine_of(record_.id); });
   const auto rank = static_cast<std::uint32_t>(position - order.members.begin());
   const bool staged =
       std::find(record_.staged.begin(), record_.staged.end(), order.model) != record_.staged.end();
@@ -95,6 +100,7 @@
 
 target_report hosted_engine::report(time_point now) const {
   target_report result;
+  result.life = record_.id;
   for (const snapshot& s : past_) {
     if (s.at > now - settings_.report_lag) {
       break;
@@ -106,6 +112,15 @@
   return result;
 }
 
+void hosted_engine::start_again(const target_id& life) {
+  target_record fresh = record_;
+  fresh.id = life;
+  fresh.loaded = {};
+  fresh.member_of.reset();
+  fresh.draining = false;
+  *this = hosted_engine(fresh, settings_);
+}
+
 bool hosted_engine::was_ready_in(const replica_key& key) const {
   return std::find(ready_in_.begin(), ready_in_.end(), key) != ready_in_.end();
 }
--- a/src/standin/hosted_engine.h
+++ b/src/standin/hosted_engine.h
@@ -51,6 +51,9 @@
 
   void set_draining() { record_.draining = true; }
 
+  // Starts again as another life: it knows nothing of before but the weights on its host.
+  void start_again(const target_id& life);
+
  private:
   struct snapshot {
     time_point at;
--- a/src/standin/hosted_platform.h
+++ b/src/standin/hosted_platform.h
@@ -54,6 +54,10 @@
   // Of the engines that are in a real replica: a head, or another member.
   [[nodiscard]] std::string find_member(bool head) const;
   void kill_engine(const std::string& id);
+  // It starts again under its id, at its address; what it ran goes on to nowhere.
+  void restart_engine(const std::string& id);
+  // Something else than an engine writes into the list; `value` as it stands there.
+  void write_entry(const std::string& key, const std::string& value);
 
   // Replicas that serve and are whole.
   [[nodiscard]] std::size_t serving() const;
--- /dev/null
+++ b/tests/core/target_life_test.cpp
@@ -0,0 +1,148 @@
+// Engines that start again under their name: what is known of the one life says nothing of the
+// next.
+#include "process/target_life.h"
+
+#include <gtest/gtest.h>
+
+#include "process/fleet_view.h"
+#include "process/replica_name.h"
+#include "request/replica_choice.h"
+
+namespace arbutus {
+namespace {
+
+constexpr time_point start{1h};
+const target_id first = life_of("i-7", 1000);
+const target_id second = life_of("i-7", 400);  // the time of day went back meanwhile
+const target_id third = life_of("i-7", 2000);
+
+target_record record_of(const target_id& life) {
+  target_record record;
+  record.id = life;
+  record.service = service_id{"s"};
+  record.address = {"10.0.0.7", 9000};
+  record.loaded = model_id{"m"};
+  return record;
+}
+
+TEST(TargetLife, NamesTheEngineAndItsStart) {
+  EXPECT_EQ(engine_of(first), "i-7");
+  EXPECT_NE(first, second);
+  EXPECT_EQ(engine_of(life_of("i-7", std::nullopt)), "i-7");
+  EXPECT_TRUE(is_engine_name("i-7f3a_91C2"));
+  for (const char* odd : {"", "a~1", "a.b", "a b", "a\nb", "\xff"}) {
+    EXPECT_FALSE(is_engine_name(odd)) << odd;
+  }
+  EXPECT_FALSE(is_engine_name(std::string(longest_engine_name + 1, 'a')));
+}
+
+TEST(TargetLife, TheNextLifeTakesThePlaceOfTheOneBefore) {
+  // Symptom: an engine that lost its power is asked in vain for seconds after it is back. Sequence:
+  // it is found lost, starts again under its name, and its record says so. Cause: loss is kept by
+  // name.
+  fleet_view fleet;
+  fleet.listed(start, record_of(first));
+  fleet.probe_failed(start, first);
+  fleet.probe_failed(start, first);
+  ASSERT_TRUE(fleet.find(first)->lost);
+  const std::uint64_t before = fleet.revision();
+  EXPECT_TRUE(fleet.listed(start + 1s, record_of(second)));
+  EXPECT_EQ(fleet.find(first), nullptr);
+  ASSERT_NE(fleet.find(second), nullptr);
+  EXPECT_FALSE(fleet.find(second)->lost);
+  EXPECT_GT(fleet.revision(), before);
+  EXPECT_EQ(fleet.life_now("i-7"), second);
+}
+
+TEST(TargetLife, WhatAnEndedLifeSaidComesTooLate) {
+  // Symptom: a replica is routed to that is not there. Sequence: an engine starts again; its record
+  // of before, written late, comes behind the one of its new life. Cause: the last record wins.
+  fleet_view fleet;
+  fleet.listed(start, record_of(first));
+  fleet.listed(start + 1s, record_of(second));
+  target_record late = record_of(first);
+  late.member_of = membership{{"r", 1}, 0, member_state::open};
+  EXPECT_FALSE(fleet.listed(start + 2s, late));
+  EXPECT_EQ(fleet.life_now("i-7"), second);
+  EXPECT_TRUE(serving_replicas(fleet, service_id{"s"}, model_id{"m"}, 1).empty());
+  // Neither does an answer of it, nor a word about it.
+  EXPECT_FALSE(fleet.reported(start + 3s, start + 3s, second, {first, late.member_of, {}, 1}));
+  fleet.probe_failed(start + 3s, first);
+  fleet.probe_failed(start + 3s, first);
+  EXPECT_EQ(fleet.life_now("i-7"), second);
+  EXPECT_FALSE(fleet.find(second)->lost);
+  EXPECT_FALSE(fleet.find(second)->record.member_of);
+}
+
+TEST(TargetLife, AnAnswerTellsOfANewLifeBeforeTheListDoes) {
+  fleet_view fleet;
+  target_record record = record_of(first);
+  record.member_of = membership{{"r", 1}, 0, member_state::open};
+  fleet.listed(start, record);
+  EXPECT_FALSE(fleet.reported(start + 1s, start + 800ms, first, {second, std::nullopt, {}, 1}));
+  ASSERT_NE(fleet.find(second), nullptr);
+  EXPECT_EQ(fleet.find(second)->record.address, record.address);
+  EXPECT_FALSE(fleet.find(second)->record.member_of);
+  EXPECT_EQ(fleet.find(first), nullptr);
+}
+
+TEST(TargetLife, AnAnswerFromBeforeTheNewestLifeIsDropped) {
+  // Symptom: an engine that started twice in a row is taken for its middle life, for ever.
+  // Sequence: it is asked; it answers as its second life; the record of its third comes before that
+  // answer. Cause: a life not heard of before is taken for the newest.
+  fleet_view fleet;
+  fleet.listed(start, record_of(first));
+  const time_point asked = start + 1s;
+  fleet.listed(start + 1100ms, record_of(third));
+  EXPECT_FALSE(fleet.reported(asked, asked, third, {second, std::nullopt, {}, 1}));
+  EXPECT_EQ(fleet.life_now("i-7"), third);
+}
+
+TEST(TargetLife, LoadsAreOfOneLife) {
+  load_table loads;
+  loads.sent(first, {1000, 100});
+  EXPECT_EQ(loads.total(second).active, 0);
+  EXPECT_EQ(loads.total(first).active, 1);
+}
+
+TEST(TargetLife, AReplicaWhoseMemberStartedAgainIsNotWhole) {
+  // Symptom: streams are sent to a replica that moves nothing until it breaks after seconds.
+  // Sequence: a member starts again, and an order to join of before reaches its new life: name,
+  // epoch and rank read as they did. Cause: members are compared by their names.
+  const target_id head = life_of("i-1", 5);
+  const std::vector<target_id> members = {head, first};
+  const replica_key key{replica_name(model_id{"m"}, "k1", members), 4};
+  fleet_view fleet;
+  const auto list = [&](const target_id& life, std::uint32_t rank, member_state state) {
+    target_record record = record_of(life);
+    record.member_of = membership{key, rank, state};
+    fleet.listed(start, record);
+  };
+  const auto serving = [&] {
+    return serving_replicas(fleet, service_id{"s"}, model_id{"m"}, 2).size();
+  };
+  list(head, 0, member_state::open);
+  list(first, 1, member_state::ready);
+  EXPECT_EQ(serving(), 1U);
+  list(second, 1, member_state::ready);
+  EXPECT_EQ(serving(), 0U);
+}
+
+TEST(ReplicaName, TellsModelHeadAndLives) {
+  const std::vector<target_id> members = {first, life_of("i-8", 9)};
+  const std::string name = replica_name(model_id{"m0"}, "k1", members);
+  EXPECT_EQ(model_in(name), model_id{"m0"});
+  EXPECT_EQ(head_of(name), first);
+  EXPECT_FALSE(is_spare_name(name));
+  EXPECT_TRUE(is_of_lives(name, std::vector<target_id>{members[1], members[0]}));
+  EXPECT_FALSE(is_of_lives(name, std::vector<target_id>{members[1], second}));
+  EXPECT_FALSE(is_of_lives(name, std::vector<target_id>{first}));
+  const std::string spare = spare_name(model_id{"m0"}, first);
+  EXPECT_TRUE(is_spare_name(spare));
+  EXPECT_EQ(head_of(spare), first);
+  EXPECT_EQ(model_in(spare), model_id{"m0"});
+  EXPECT_TRUE(model_in("").empty());
+}
+
+}  // namespace
+}  // namespace arbutus
--- a/tests/shell/replica_keeper_test.cpp
+++ b/tests/shell/replica_keeper_test.cpp
@@ -174,6 +174,72 @@
   }
 }
 
+TEST(ReplicaKeeper, AMemberThatStartsAgainIsReplaced) {
+  // Symptom: a replica serves nobody until its head breaks after seconds. Sequence: a member starts
+  // again within the three heartbeats after which the list would drop it. Cause: the list never
+  // said that it was gone.
+  keeper_world world(8);
+  for (const char* domain : {"d0", "d1", "d2"}) {
+    world.add_domain(domain, 10);
+  }
+  world.run(40s);
+  world.requests_begin();
+  world.run(1s);
+  const target_id head = world.head_with_spare();
+  ASSERT_FALSE(head.empty());
+  const model_id model = model_in(world.engine(head).record().member_of->replica.name);
+  const std::size_t before = world.serving(model);
+  world.restart(world.engine(head).members().back());
+  EXPECT_LT(world.serving(model), before);
+  EXPECT_TRUE(world.run_until([&] { return world.serving(model) >= before; }, 1500ms));
+}
+
+TEST(ReplicaKeeper, AHeadThatStartsAgainFreesItsMembers) {
+  keeper_world world(9);
+  world.add_domain("d0", 9);
+  world.add_domain("d1", 9);
+  world.run(40s);
+  world.requests_begin();
+  world.run(1s);
+  const std::size_t before = world.serving(large) + world.serving(small);
+  world.restart(world.head(small));
+  world.run(200ms);
+  EXPECT_TRUE(
+      world.run_until([&] { return world.serving(large) + world.serving(small) >= before; }, 10s));
+}
+
+TEST(ReplicaKeeper, LateOrdersOfAnEarlierLifeDoNoHarm) {
+  // Symptom: an engine leaves a replica that serves. Sequence: an order to join is late; its engine
+  // starts again, obeys as many orders as it had before, and is a member when the late one comes.
+  // Cause: counts of orders start anew with each life.
+  for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    keeper_world world(seed, 2);
+    world.add_domain("d0", 7);
+    world.add_domain("d1", 5);
+    world.run(20s);
+    world.requests_begin();
+    world.set_faults({.order_lost = 0.1, .order_late = 0.3, .longest_late = 12s});
+    for (int i = 0; i < 30; ++i) {
+      const auto living = world.living();
+      world.restart(living[world.random().below(living.size())]);
+      if (i % 3 == 0) {
+        // Twice in a row, or with its own orders still on their way.
+        const auto again = world.living();
+        world.restart(again[world.random().below(again.size())]);
+      }
+      world.cut_from_list(i % 2, i % 5 == 0);
+      world.run(world.random().jitter(2s));
+      ASSERT_FALSE(::testing::Test::HasFailure());
+    }
+    world.cut_from_list(0, false);
+    world.cut_from_list(1, false);
+    world.set_faults({});
+    EXPECT_TRUE(
+        world.run_until([&] { return world.serving(large) + world.serving(small) >= 2; }, 60s));
+  }
+}
+
 TEST(ReplicaKeeper, ChangesNoModelForADomainThatIsAwayForSeconds) {
   // Symptom: engines load another model for 12 to 16 s because a domain is dark for 8 s, and then
   // too many have it. Sequence: a domain of one model dies; the plan wants others in its place.
