Plans count the replicas that losses leave on average, not those of average losses

The plan floored average survivors, so that mixed domains looked worthless. Change: the exact average over which engines are hit.

--- a/src/process/domain_shape.cpp
+++ b/src/process/domain_shape.cpp
@@ -151,6 +151,30 @@
   split best_split_;
 };
 
+// Replicas of `size` that the model's `own` of `all` engines form on average when any `lost` of
+// them all are lost: the lost fall on the model's in a hypergeometric number.
+double expected_replicas(std::uint32_t own, std::uint32_t all, std::uint32_t size,
+                         std::uint32_t lost) {
+  double sum = 0;
+  // Chance that none of the lost is the model's, then one more at a time.
+  const std::uint32_t others = all - own;
+  for (std::uint32_t hit = lost > others ? lost - others : 0; hit <= std::min(own, lost); ++hit) {
+    double chance = 1;
+    // C(own, hit) C(others, lost - hit) / C(all, lost), as a product of small factors.
+    for (std::uint32_t i = 0; i < hit; ++i) {
+      chance *= static_cast<double>(own - i) / (i + 1);
+    }
+    for (std::uint32_t i = 0; i < lost - hit; ++i) {
+      chance *= static_cast<double>(others - i) / (i + 1);
+    }
+    for (std::uint32_t i = 0; i < lost; ++i) {
+      chance *= static_cast<double>(i + 1) / (all - i);
+    }
+    sum += chance * ((own - hit) / size);
+  }
+  return sum;
+}
+
 }  // namespace
 
 double lasting_replicas(std::uint32_t own, std::uint32_t all, std::uint32_t size,
@@ -160,9 +184,7 @@
   }
   double sum = 0;
   for (std::uint32_t lost = 0; lost <= losses; ++lost) {
-    // Losses fall on the models by their engines.
-    const double left = own - static_cast<double>(lost) * own / all;
-    sum += std::floor(left / size + 1e-9);
+    sum += expected_replicas(own, all, size, std::min(lost, all));
   }
   return sum / (losses + 1);
 }
--- a/tests/core/hosted_values_test.cpp
+++ b/tests/core/hosted_values_test.cpp
@@ -259,6 +259,33 @@
   EXPECT_DOUBLE_EQ(lasting_replicas(3, 9, 4, 3), 0);
 }
 
+TEST(DomainShape, CountsWhatLossesHitOnAverage) {
+  // Five of eight for a model of 4: whole without a loss and with one; of two lost both are the
+  // model's in 10 of 28 cases, and of three at least two are in 40 of 56.
+  EXPECT_DOUBLE_EQ(lasting_replicas(5, 8, 4, 0), 1);
+  EXPECT_DOUBLE_EQ(lasting_replicas(5, 8, 4, 1), 1);
+  EXPECT_NEAR(lasting_replicas(5, 8, 4, 2), (1 + 1 + 18 / 28.0) / 3, 1e-9);
+  EXPECT_NEAR(lasting_replicas(5, 8, 4, 3), (1 + 1 + 18 / 28.0 + 16 / 56.0) / 4, 1e-9);
+  // A domain of two engines that loses three has none left.
+  EXPECT_NEAR(lasting_replicas(2, 2, 2, 3), 0.25, 1e-9);
+}
+
+TEST(DomainShape, EnginesThatAWholeReplicaLeavesOverServeTheOtherModel) {
+  // Load: domains of 8 that have lost an engine, models of 4 and 2. Seven engines ready for the
+  // model of 4 hold one replica and three that do nothing.
+  const std::vector<shape_domain> domains(6, {{0, 0}, 7});
+  const std::vector<shape_model> models = {{4, 0.67 / 4}, {2, 0.33 / 2}};
+  const fleet_shape shape = plan_shape(domains, models, {.losses = 1});
+  double large = 0;
+  double small = 0;
+  for (const auto& domain : shape) {
+    large += lasting_replicas(domain[0], 7, 4, 1);
+    small += lasting_replicas(domain[1], 7, 2, 1);
+  }
+  EXPECT_GE(large, 4);
+  EXPECT_GE(small, 4);
+}
+
 // ---- feeds ----
 
 TEST(FeedLog, GivesWhatIsBehindAPosition) {
