--- a/src/node/error_body.cpp
+++ b/src/node/error_body.cpp
@@ -47,8 +47,8 @@
   call_error error;
   error.status = status;
   error.message = std::string(reason);
-  // Goes wrong otherwise: a caller that half-closes behind its whole request ends the call, which may
-  // be with a target by then; told "not_run" it would send a booking again.
+  // Goes wrong otherwise: a caller that half-closes behind its whole request ends the call, which
+  // may be with a target by then; told "not_run" it would send a booking again.
   constexpr int no_answer = 500;
   error.code = status == no_answer ? "no_answer" : "bad_request";
   error.ran = status == no_answer ? execution::unknown : execution::not_run;
--- a/src/node/hosted_call.cpp
+++ b/src/node/hosted_call.cpp
@@ -21,7 +21,7 @@
       return end(400, {}, "the request has no id");
     }
     if (!node_.map) {
-      return end(503, retry_after_stale, "no configuration is known yet");
+      return end(503, retry_after_stale(node_, call_.arrived), "no configuration is known yet");
     }
     call_.map = node_.map;
     call_.way = call_.map->find_route(call_.head.host, call_.head.path);
@@ -29,7 +29,8 @@
     if (call_.way == nullptr) {
       // Only a current version may say that something is not there.
       return current ? end(404, {}, "no route has this host and path")
-                     : end(503, retry_after_stale, "the configuration may be out of date");
+                     : end(503, retry_after_stale(node_, call_.arrived),
+                           "the configuration may be out of date");
     }
     if (call_.map->has_workspaces() && call_.way->needs_workspace && !find_workspace(current)) {
       return false;
@@ -46,7 +47,8 @@
 
   bool find_workspace(bool current) {
     if (!current) {
-      return end(503, retry_after_stale, "keys cannot be checked: the configuration is stale");
+      return end(503, retry_after_stale(node_, call_.arrived),
+                 "keys cannot be checked: the configuration is stale");
     }
     const workspace_shape* workspace =
         call_.head.key.empty() ? nullptr : call_.map->find_workspace(call_.head.key);
@@ -85,6 +87,10 @@
 
 }  // namespace
 
+duration retry_after_stale(const hosted_state& node, time_point now) {
+  return node.peers.any_served_here(now) ? retry_after_stale_here : retry_after_stale_all;
+}
+
 bool key_usable(const hosted_state& node, const hosted_request& call) {
   if (call.workspace.empty()) {
     return true;
--- a/src/node/hosted_parts.h
+++ b/src/node/hosted_parts.h
@@ -58,7 +58,11 @@
 inline constexpr std::uint32_t most_sends = 6;
 // Not run, nobody to ask: a replica forms within about this.
 inline constexpr duration retry_after_no_target = 400ms;
-// The platform does not confirm the configuration: callers are sent to other nodes meanwhile.
-inline constexpr duration retry_after_stale = 700ms;
+// The platform does not confirm the configuration to this node. Callers that return reach another
+// one: where a peer of the data centre is served they may come at once, and are mostly answered in
+// their aim; with all of them away nothing is gained before some time has passed.
+inline constexpr duration retry_after_stale_here = 50ms;
+inline constexpr duration retry_after_stale_all = 700ms;
+[[nodiscard]] duration retry_after_stale(const hosted_state& node, time_point now);
 
 }  // namespace arbutus
--- a/src/node/hosted_stream.cpp
+++ b/src/node/hosted_stream.cpp
@@ -73,7 +73,7 @@
       return;
     }
     if (!key_usable(node_, call_)) {
-      end_own(503, retry_after_stale, "the key cannot be confirmed");
+      end_own(503, retry_after_stale(node_, monotonic_now()), "the key cannot be confirmed");
       return;
     }
     const auto& replicas = node_.replicas(*call_.service, model_->id);
@@ -115,7 +115,7 @@
       return;
     }
     if (how == ending::refused_by_us) {
-      end_own(503, retry_after_stale, "the key was withdrawn");
+      end_own(503, retry_after_stale(node_, monotonic_now()), "the key was withdrawn");
       return;
     }
     if (how == ending::broken) {
--- a/src/node/hosted_whole.cpp
+++ b/src/node/hosted_whole.cpp
@@ -48,7 +48,7 @@
       return;
     }
     if (!key_usable(node_, call_)) {
-      end_own(503, retry_after_stale, "the key cannot be confirmed");
+      end_own(503, retry_after_stale(node_, monotonic_now()), "the key cannot be confirmed");
       return;
     }
     const std::vector<service_instance> instances = node_.instances_of(call_.service->id);
@@ -91,7 +91,7 @@
     avoided_.push_back(instance.id);
     if (result.failure == call_failure::not_permitted) {
       node_.instances.ended(now, instance.id, call_end::withdrawn);
-      end_own(503, retry_after_stale, "the key was withdrawn");
+      end_own(503, retry_after_stale(node_, monotonic_now()), "the key was withdrawn");
       return;
     }
     if (result.outcome == call_outcome::not_sent) {
--- a/src/node/keeper_beats.cpp
+++ b/src/node/keeper_beats.cpp
@@ -18,16 +18,31 @@
 }  // namespace
 
 // Goes wrong: versions in quick succession, passed on whole to two dozen nodes, choke the link of a
-// hub. Its probes then fail, and it takes the fleet for lost. Whoever gets no news asks the store.
-bool keeper_loop::is_too_much(std::uint64_t after) const {
+// hub. Its probes then fail, and it takes the fleet for lost. So what would be too much for all is
+// withheld from those that can read it at the store themselves, and passed on to the others as far
+// as the round allows. Goes wrong without that: nodes that the store turns away have no proof for
+// as long as the configuration is large, and refuse every caller (28 of 81 nodes for 6 s).
+feed_news keeper_loop::configuration_news(time_point now, const node_id& peer,
+                                          std::uint64_t after) {
+  feed_news news{{},   false, node_.configuration_rows.position(), after, *node_.lease.age(now),
+                 false};
+  news.rows = node_.configuration_rows.since(after);
   std::size_t bytes = 0;
-  for (const feed_row& row : node_.configuration_rows.since(after)) {
+  for (const feed_row& row : news.rows) {
     bytes += row.value.size();
   }
-  return bytes * (node_.peers.living(monotonic_now()) + 1) > most_passed_on;
+  const bool fits_all = bytes * (node_.peers.living(now) + 1) <= most_passed_on;
+  const bool needs_it = node_.peers.is_turned_away(peer) && bytes <= may_pass_on_;
+  news.withheld = !fits_all && !needs_it;
+  if (news.withheld) {
+    news.rows.clear();
+  } else if (!fits_all) {
+    may_pass_on_ -= bytes;
+  }
+  return news;
 }
 
-node_beat keeper_loop::beat_for(time_point now, const node_id& peer) const {
+node_beat keeper_loop::beat_for(time_point now, const node_id& peer) {
   const data_centre_id& home = node_.settings.data_centre;
   const bool same = node_.peers.data_centre_of(peer) == home;
   node_beat beat;
@@ -66,15 +81,8 @@
                                now - node_.fleet_read_at,
                                false};
     }
-    const auto age = node_.lease.age(now);
-    if (age) {
-      feed_news news{{},   false, node_.configuration_rows.position(), asked->second.configuration,
-                     *age, false};
-      news.withheld = is_too_much(asked->second.configuration);
-      if (!news.withheld) {
-        news.rows = node_.configuration_rows.since(asked->second.configuration);
-      }
-      beat.configuration = std::move(news);
+    if (node_.lease.age(now)) {
+      beat.configuration = configuration_news(now, peer, asked->second.configuration);
     }
   }
   return beat;
@@ -107,6 +115,12 @@
   std::vector<node_id> peers = node_.peers.to_tell(now);
   std::sort(peers.begin(), peers.end());
   link_to(peers);
+  may_pass_on_ = most_passed_on;
+  // Another one is first each time, so that what is left of the round falls to all of them.
+  if (!peers.empty()) {
+    const auto first = static_cast<std::ptrdiff_t>(random_.below(peers.size()));
+    std::rotate(peers.begin(), peers.begin() + first, peers.end());
+  }
   for (const node_id& peer : peers) {
     links_.send(link_channel::coordination, {peer, encode(beat_for(now, peer)), false});
     node_.peers.told(now, peer);
--- a/src/node/keeper_loop.h
+++ b/src/node/keeper_loop.h
@@ -46,11 +46,12 @@
   // False: another life of the engine answered.
   bool take_report(time_point asked, const target_id& id, const target_report& report);
   void doubt(const target_id& id);
-  [[nodiscard]] bool is_too_much(std::uint64_t after) const;
+  [[nodiscard]] feed_news configuration_news(time_point now, const node_id& peer,
+                                             std::uint64_t after);
   void choose_asked(const target_id& head, std::vector<target_id>& members);
   void tell_peers(time_point now);
   void link_to(const std::vector<node_id>& peers);
-  [[nodiscard]] node_beat beat_for(time_point now, const node_id& peer) const;
+  [[nodiscard]] node_beat beat_for(time_point now, const node_id& peer);
 
   hosted_state& node_;
   peer_links& links_;
@@ -66,6 +67,7 @@
     std::uint64_t configuration{};
   };
   std::map<node_id, positions> positions_;
+  std::size_t may_pass_on_ = 0;  // bytes of configuration, in this round of beats
   std::vector<node_id> linked_;
   std::size_t linking_ = 0;  // fibers that change the links
   bool ended_ = false;
--- a/src/process/domain_shape.cpp
+++ b/src/process/domain_shape.cpp
@@ -170,7 +170,8 @@
     for (std::uint32_t i = 0; i < lost; ++i) {
       chance *= static_cast<double>(i + 1) / (all - i);
     }
-    sum += chance * ((own - hit) / size);
+    const std::uint32_t whole = (own - hit) / size;
+    sum += chance * whole;
   }
   return sum;
 }
--- a/src/process/fleet_view.cpp
+++ b/src/process/fleet_view.cpp
@@ -11,6 +11,14 @@
 
 namespace arbutus {
 
+namespace {
+
+std::optional<replica_key> replica_in(const std::optional<membership>& member_of) {
+  return member_of ? std::optional<replica_key>(member_of->replica) : std::nullopt;
+}
+
+}  // namespace
+
 std::string_view to_string(member_state state) {
   static constexpr std::array<std::string_view, 5> names = {"joining", "ready", "open", "closing",
                                                             "broken"};
@@ -139,10 +147,7 @@
   view.pace = answer.pace;
   if (as_of > view.told_at) {
     view.told_at = as_of;
-    view.told_replica.reset();
-    if (answer.member_of) {
-      view.told_replica = answer.member_of->replica;
-    }
+    view.told_replica = replica_in(answer.member_of);
   }
   if (as_of > view.state_at) {
     view.doubted = false;
@@ -177,10 +182,7 @@
   next.state_at = as_of;
   next.life_seen = asked;
   next.told_at = as_of;
-  next.told_replica.reset();
-  if (answer.member_of) {
-    next.told_replica = answer.member_of->replica;
-  }
+  next.told_replica = replica_in(answer.member_of);
   next.doubted = false;
   next.failed_probes = 0;
   next.lost = false;
@@ -201,10 +203,7 @@
   view.state_at = std::max(view.state_at, now);
   view.doubted = false;
   view.told_at = view.state_at;
-  view.told_replica.reset();
-  if (member_of) {
-    view.told_replica = member_of->replica;
-  }
+  view.told_replica = replica_in(member_of);
   if (view.record.member_of != member_of) {
     view.record.member_of = member_of;
     ++revision_;
--- a/src/process/peer_table.cpp
+++ b/src/process/peer_table.cpp
@@ -67,6 +67,18 @@
   return found == peers_.end() ? data_centre_id{} : found->second.data_centre;
 }
 
+bool peer_table::is_turned_away(const node_id& id) const {
+  const auto found = peers_.find(id);
+  return found != peers_.end() && found->second.word.turned_away;
+}
+
+bool peer_table::any_served_here(time_point now) const {
+  return std::any_of(peers_.begin(), peers_.end(), [&](const auto& entry) {
+    return entry.second.data_centre == data_centre_ && lives(now, entry.first) &&
+           may_be_hub(now, entry.second);
+  });
+}
+
 std::int64_t peer_table::newest_stamp(const node_id& id) const {
   const auto found = peers_.find(id);
   return found == peers_.end() ? 0 : found->second.word.stamp_us;
--- a/src/process/peer_table.h
+++ b/src/process/peer_table.h
@@ -60,6 +60,10 @@
   [[nodiscard]] std::size_t living(time_point now) const;
   [[nodiscard]] bool any_in(const data_centre_id& data_centre) const;
   [[nodiscard]] data_centre_id data_centre_of(const node_id& peer) const;
+  // As it last said.
+  [[nodiscard]] bool is_turned_away(const node_id& peer) const;
+  // Whether a living peer of this node's data centre is served by the store.
+  [[nodiscard]] bool any_served_here(time_point now) const;
   [[nodiscard]] std::int64_t newest_stamp(const node_id& peer) const;
   [[nodiscard]] std::size_t known() const { return peers_.size(); }
   [[nodiscard]] const std::vector<node_record>& records() const { return records_; }
--- a/tests/core/hosted_values_test.cpp
+++ b/tests/core/hosted_values_test.cpp
@@ -448,6 +448,20 @@
   EXPECT_FALSE(second.is_hub(start));
 }
 
+TEST(PeerTable, KnowsWhetherAnotherNodeHereIsServed) {
+  peer_table table(node_id{"a1"}, data_centre_id{"a"});
+  table.set_known(
+      {{node_id{"a2"}, data_centre_id{"a"}, {}, {}}, {node_id{"b1"}, data_centre_id{"b"}, {}, {}}});
+  table.heard(start, node_id{"b1"}, {.stamp_us = 1});
+  EXPECT_FALSE(table.any_served_here(start));
+  table.heard(start, node_id{"a2"}, {.turned_away = true, .stamp_us = 1});
+  EXPECT_FALSE(table.any_served_here(start));
+  EXPECT_TRUE(table.is_turned_away(node_id{"a2"}));
+  table.heard(start, node_id{"a2"}, {.stamp_us = 2});
+  EXPECT_TRUE(table.any_served_here(start));
+  EXPECT_FALSE(table.any_served_here(start + peer_table::alive_for));
+}
+
 TEST(PeerTable, AStoreThatServesAllAgainMakesNoCrowdOfHubs) {
   // Symptom: all nodes of a data centre order its engines at once, on what they knew seconds ago.
   // Sequence: the store is away from all; the first name keeps the replicas; the store is back, and
--- a/tests/shell/keeper_world.h
+++ b/tests/shell/keeper_world.h
@@ -44,8 +44,8 @@
 
   explicit keeper_world(std::uint64_t seed, std::size_t keepers = 1) : random_(seed) {
     for (std::size_t i = 0; i < keepers; ++i) {
-      nodes_.push_back(std::make_unique<keeper_node>(
-          keeper_node{{}, replica_keeper({}, "k" + std::to_string(i), now_, true), true, {}}));
+      nodes_.push_back(std::make_unique<keeper_node>(keeper_node{
+          {}, replica_keeper({}, "k" + std::to_string(i), now_, true), true, false, {}}));
     }
   }
 
