The stand-in's engines start again, and its list has entries of another writer; the soak does both

Cause: lives and foreign entries were tested as values alone. Change: /restart and /foreign of the stand-in; a stream ends with the life that it ran in; two tests of nodes over sockets; two faults of the soak.

--- a/src/standin/hosted_control.cpp
+++ b/src/standin/hosted_control.cpp
@@ -27,6 +27,15 @@
       platform_.kill_engine(id);
     }
     answer["killed"] = id;
+  } else if (path == "/restart") {
+    const std::string id = platform_.find_member(set);
+    if (!id.empty()) {
+      platform_.restart_engine(id);
+    }
+    answer["restarted"] = id;
+  } else if (path == "/foreign") {
+    platform_.write_entry("not-an-engine", R"({"service":"llm","state":"asleep","slots":"many"})");
+    platform_.write_entry("\x01 odd", "{");
   } else if (path == "/store") {
     platform_.set_store_down(set);
   } else if (path == "/configure") {
--- a/src/standin/hosted_platform.cpp
+++ b/src/standin/hosted_platform.cpp
@@ -217,6 +217,11 @@
     return e.engine.take(monotonic_now(), o);
   }
 
+  target_id life_of_engine(const engine_process& e) {
+    const std::lock_guard guard(mutex);
+    return e.engine.record().id;
+  }
+
   bool is_open(const engine_process& e) {
     const std::lock_guard guard(mutex);
     return e.engine.is_open();
@@ -271,15 +276,19 @@
       return;
     }
     note_run(request);
+    const target_id life = life_of_engine(e);
     writer.start(200, {{"X-Request-Id", id},
                        {"X-Response-Seal", "seal." + id},
                        {"Content-Type", "text/event-stream"}});
     const int from = static_cast<int>(header_number(request, "Last-Event-Id", 0));
     for (int i = from + 1; i <= settings.events; ++i) {
+      if (life_of_engine(e) != life) {
+        return;  // it has started again, and its connections are gone
+      }
       // A head without a member moves nothing, and does not say so.
       const bool stalls = !wait_while(writer, [&] {
         const std::lock_guard guard(mutex);
-        return !is_whole(e);
+        return e.engine.record().id == life && !is_whole(e);
       });
       if (stalls || !wait_for(writer, settings.event_gap)) {
         return;
--- a/tests/process/soak.py
+++ b/tests/process/soak.py
@@ -277,6 +277,14 @@
     def kill_engine(self, _node, draw):
         self.command("POST", f"/kill?head={draw.randrange(2)}")
 
+    def restart_engine(self, _node, draw):
+        for _ in range(draw.randrange(1, 3)):
+            self.command("POST", f"/restart?head={draw.randrange(2)}")
+            time.sleep(draw.uniform(0.0, 0.4))
+
+    def foreign_entry(self, _node, _draw):
+        self.command("POST", "/foreign")
+
     def store_away(self, _node, draw):
         self.command("POST", "/store?down=1")
         time.sleep(draw.uniform(0.2, 5))
@@ -303,7 +311,8 @@
         """Faults in series, up to four at a time."""
         kinds = ([self.harm_store] * 4 + [self.harm_callers, self.stop_the_clock, self.kill_node,
                                           self.terminate_node, self.new_version, self.store_away] * 2
-                 + [self.kill_engine, self.withdraw_key])
+                 + [self.kill_engine, self.withdraw_key, self.foreign_entry]
+                 + [self.restart_engine] * 2)
         with ThreadPoolExecutor(max_workers=4) as pool:
             until = time.monotonic() + self.seconds
             running = []
--- a/tests/shell/hosted_node_test.cpp
+++ b/tests/shell/hosted_node_test.cpp
@@ -53,6 +53,46 @@
   EXPECT_TRUE(eventually([&] { return platform_.serving() >= 2; }));
 }
 
+TEST_F(HostedNode, StreamsGoOnWhenAnEngineStartsAgain) {
+  // Symptom: streams stall until they are cut, or callers are sent to a replica that is none.
+  // Sequence: a member of a replica starts again under its id while streams run. Cause: the id is
+  // still listed, and what was known of it is taken for true.
+  ASSERT_TRUE(serves());
+  std::vector<std::thread> callers;
+  std::vector<call_result> results(12);
+  for (std::size_t i = 0; i < results.size(); ++i) {
+    callers.emplace_back([&, i] { results[i] = ask(i % 2, "/llm/2f", "a" + std::to_string(i)); });
+  }
+  ASSERT_TRUE(eventually([&] { return platform_.runs().count("a5") > 0; }));
+  platform_.restart_engine(platform_.find_member(false));
+  platform_.restart_engine(platform_.find_member(true));
+  for (std::thread& t : callers) {
+    t.join();
+  }
+  for (std::size_t i = 0; i < results.size(); ++i) {
+    const std::string id = "a" + std::to_string(i);
+    if (results[i].response.status == 200) {
+      EXPECT_EQ(results[i].response.body, whole_stream(id));
+    }
+    EXPECT_LE(platform_.runs()[id], 3);
+  }
+  EXPECT_TRUE(eventually([&] { return platform_.serving() >= 2; }));
+}
+
+TEST_F(HostedNode, EntriesOfAnotherWriterStopNothing) {
+  // Symptom: a node knows no target any more. Sequence: something else than an engine writes into
+  // the list, also bytes that are none. Cause: one row that cannot be read fails the whole answer.
+  ASSERT_TRUE(serves());
+  platform_.write_entry("x", "{");
+  platform_.write_entry("\x01\x02", R"({"service":"llm"})");
+  platform_.write_entry("i-odd",
+                        R"({"service":"llm","address":"127.0.0.1:1","zone":"lab-a","slots":"9"})");
+  platform_.kill_engine(platform_.find_member(false));
+  EXPECT_TRUE(eventually([&] { return platform_.serving() >= 2; }))
+      << "what the list says behind those rows is not heard";
+  EXPECT_EQ(ask(0, "/llm/2f", "beside").response.body, whole_stream("beside"));
+}
+
 TEST_F(HostedNode, AWithdrawnKeyIsRefusedWithinTheBound) {
   // Symptom: a request runs with a key that the newest version no longer has.
   ASSERT_TRUE(serves());
