--- a/spec/replica.pml
+++ b/spec/replica.pml
@@ -46,12 +46,14 @@
 #define RESTARTS 0
 #endif
 
-byte cnt[ENGINES];
 #if RESTARTS > 0
+byte cnt[ENGINES] = 1; /* each has obeyed one order, as spares have, before it is looked at; a new life has not */
 byte top[ENGINES];  /* greatest epoch that this life knows */
 byte life[ENGINES];
 byte restarts;
 byte head_life[GROUPS], member_life[GROUPS]; /* in its name */
+#else
+byte cnt[ENGINES];
 #endif
 #ifdef ROWS
 byte row[ENGINES];  /* the replica that its row names */
