Hubs by strength, and replicas across data centres for models that none can hold

Cause: the hub of a data centre was its living node with the lowest name, also where 3 of 59 nodes have half a core and the others an eighth. Change: nodes tell their processor share and link in their row; hubs are the strongest first, names among equals. A plan sets engines apart for models that no domain holds (far_shape); the keeper with most free engines of such a model takes those of other data centres in. Only the head's keeper opens it and takes it apart. Capacity is looked at four times a second for the log, not fifty.

--- a/src/cli/bench.cpp
+++ b/src/cli/bench.cpp
@@ -16,6 +16,7 @@
 #include "process/control_slopes.h"
 #include "process/failure_day.h"
 #include "process/fleet_sizes.h"
+#include "process/hub_cost.h"
 #include "request/policy_bench.h"
 #include "version/planner_bench.h"
 
@@ -100,11 +101,12 @@
   void (*print)(std::ostream& out, const bench_options& options);
 };
 
-constexpr std::array<bench_table, 5> tables = {{
+constexpr std::array<bench_table, 6> tables = {{
     {"planner cost", [](std::ostream& out, const bench_options&) { print_planner_cost(out); }},
     {"days of failures", [](std::ostream& out, const bench_options&) { print_failure_day(out); }},
     {"control slopes", [](std::ostream& out, const bench_options&) { print_control_slopes(out); }},
     {"fleet sizes", [](std::ostream& out, const bench_options&) { print_fleet_sizes(out); }},
+    {"hub cost", [](std::ostream& out, const bench_options&) { print_hub_cost(out); }},
     {"connections", print_connections},
 }};
 
--- a/src/node/hosted_state.cpp
+++ b/src/node/hosted_state.cpp
@@ -68,7 +68,7 @@
       store(platform, address_of_endpoint(settings.store)),
       engines(control),
       lease({.bound = settings.bounds.key_withdrawal}),
-      peers(settings.id, settings.data_centre),
+      peers(settings.id, settings.data_centre, settings.strength),
       random(stable_hash(origin)) {}
 
 const std::vector<serving_replica>& hosted_state::replicas(const service_shape& service,
--- a/src/node/keeper_loop.cpp
+++ b/src/node/keeper_loop.cpp
@@ -15,6 +15,10 @@
 // Peers learn of sends within this; the same load is then double-booked for 100 ms on average.
 constexpr duration beat_interval = 200ms;
 constexpr duration plan_log_interval = 1s;
+// Each look counts the replicas of all models anew when a target changed: 1 ms at 1,100 engines,
+// while many change each second. On a node with an eighth of a core that was a third of it, for a
+// line of its log.
+constexpr duration capacity_log_interval = 250ms;
 constexpr duration isolated_after = 2500ms;  // the feed may wait a second for its answer
 
 }  // namespace
@@ -62,7 +66,10 @@
       names += (names.empty() ? "" : ",") + d.str();
     }
     log_line(log_level::info, "keeper", "duties",
-             {{"data_centres", names}, {"living_peers", std::uint64_t{node_.peers.living(now)}}});
+             {{"data_centres", names},
+              {"living_peers", std::uint64_t{node_.peers.living(now)}},
+              {"processor_permille", node_.settings.strength.processor_permille},
+              {"link_mbps", node_.settings.strength.link_mbps}});
   }
   // In the first moment no peer has been heard yet.
   constexpr duration settle = 500ms;
@@ -83,7 +90,9 @@
                            replica_keeper({}, node_.origin, started_, node_.settings.cold_start))
                   .first;
     }
-    tell_capacity(service);
+    if (now - told_capacity_at_ >= capacity_log_interval) {
+      tell_capacity(service);
+    }
     const replica_keeper::duties own{duties_, node_.settings.data_centres.size(),
                                      node_.requests_seen, now - node_.fleet_read_at};
     if (duties_.empty()) {
@@ -94,6 +103,9 @@
     }
     tell_plan(now, found->second);
   }
+  if (now - told_capacity_at_ >= capacity_log_interval) {
+    told_capacity_at_ = now;
+  }
 }
 
 // What the keeper of a data centre has to work with, at most once a second.
--- a/src/node/keeper_loop.h
+++ b/src/node/keeper_loop.h
@@ -76,6 +76,7 @@
   std::map<model_id, std::size_t> capacity_;  // replicas that may be sent requests, as last told
   time_point told_peers_at_{};
   time_point told_plan_at_{};
+  time_point told_capacity_at_{};
   time_point asked_lost_at_{};
   time_point hub_heard_at_{};  // its last answer that echoed a stamp of this node
   std::vector<replica_keeper::domain_plan> told_plan_;
--- a/src/node/store_watch.cpp
+++ b/src/node/store_watch.cpp
@@ -62,6 +62,29 @@
 // A fed node needs them only when its hub ends, and has the row of the next one mostly.
 constexpr duration node_interval_of_fed = 45s;
 
+// [data centre, link endpoint, processor in permille of a core, link in Mbit/s]. Empty for a row
+// that cannot be read; one that tells no strength is of a node that starts with other settings, and
+// comes last among hubs.
+std::optional<node_record> read_node_record(const store_row& row) {
+  const auto document = nlohmann::json::parse(row.value, nullptr, false);
+  if (!document.is_array() || document.size() < 2 || !document[0].is_string() ||
+      !document[1].is_string()) {
+    return std::nullopt;
+  }
+  const auto address = parse_endpoint(document[1].get<std::string>());
+  if (!address) {
+    return std::nullopt;
+  }
+  node_record record{
+      node_id{row.key}, data_centre_id{document[0].get<std::string>()}, *address, {}, {}};
+  const bool tells_strength =
+      document.size() >= 4 && document[2].is_number_unsigned() && document[3].is_number_unsigned();
+  if (tells_strength) {
+    record.strength = {document[2].get<std::uint32_t>(), document[3].get<std::uint32_t>()};
+  }
+  return record;
+}
+
 }  // namespace
 
 void store_watch::note_dependency(std::string_view name, bool& up, bool now_up,
@@ -414,7 +437,9 @@
 
 void store_watch::follow_nodes(const std::function<void(const std::vector<node_record>&)>& found) {
   const endpoint& link = node_.settings.listen.links;
-  const nlohmann::json own = {node_.settings.data_centre.str(), to_string(link)};
+  const node_strength& strength = node_.settings.strength;
+  const nlohmann::json own = {node_.settings.data_centre.str(), to_string(link),
+                              strength.processor_permille, strength.link_mbps};
   bool written = false;
   const time_point started = monotonic_now();
   time_point read_at{};
@@ -445,14 +470,8 @@
   }
   std::vector<node_record> peers;
   for (const store_row& row : rows->rows) {
-    const auto document = nlohmann::json::parse(row.value, nullptr, false);
-    if (!document.is_array() || document.size() < 2 || !document[1].is_string()) {
-      continue;
-    }
-    const auto address = parse_endpoint(document[1].get<std::string>());
-    if (address) {
-      peers.push_back(
-          {node_id{row.key}, data_centre_id{document[0].get<std::string>()}, *address, {}});
+    if (auto record = read_node_record(row)) {
+      peers.push_back(std::move(*record));
     }
   }
   found(peers);
--- a/src/process/hosted_settings.cpp
+++ b/src/process/hosted_settings.cpp
@@ -1,6 +1,8 @@
 // Settings of a hosted node from TOML.
 #include "process/hosted_settings.h"
 
+#include <cmath>
+
 #include "version/toml_reader.h"
 
 namespace arbutus {
@@ -22,6 +24,7 @@
       table->finish();
     }
     read_bounds();
+    read_machine();
     read_log();
     root_.finish();
     return std::move(settings_);
@@ -72,6 +75,21 @@
     table->finish();
   }
 
+  void read_machine() {
+    auto table = root_.table("machine");
+    if (!table) {
+      return;
+    }
+    constexpr double most_cores = 1024;
+    double processor = 0;
+    double link_mbps = 0;
+    table->read("processor", processor, presence::optional, real_range{0, most_cores, true});
+    table->read("link_mbps", link_mbps, presence::optional, real_range{0, 1e6, true});
+    table->finish();
+    settings_.strength = {static_cast<std::uint32_t>(std::lround(processor * 1000)),
+                          static_cast<std::uint32_t>(std::lround(link_mbps))};
+  }
+
   static void read_seconds(table_reader& table, std::string_view key, duration& value) {
     double seconds = to_seconds(value);
     table.read(key, seconds, presence::optional, real_range{0, 3600, true});
--- /dev/null
+++ b/src/process/hub_cost.cpp
@@ -0,0 +1,171 @@
+// A fleet that serves, as the list of targets would tell of it.
+#include "process/hub_cost.h"
+
+#include <array>
+#include <ctime>
+#include <iomanip>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "process/domain_shape.h"
+#include "process/replica_keeper.h"
+
+namespace arbutus {
+
+namespace {
+
+const model_id large{"large"};
+const model_id small{"small"};
+constexpr std::uint32_t large_size = 32;
+constexpr std::uint32_t small_size = 8;
+constexpr time_point begin{1h};
+
+service_shape shape_of_service() {
+  service_shape service;
+  service.id = service_id{"llm"};
+  engine_parameters engine;
+  engine.slots = 22;
+  engine.loads_at_once = 136;
+  engine.models = {{large, large_size, 0.5, 1.0, 16s, 1600ms},
+                   {small, small_size, 0.5, 0.6, 12s, 1100ms}};
+  service.engine = engine;
+  return service;
+}
+
+data_centre_id data_centre_at(std::size_t index) {
+  return data_centre_id{"hall-" + std::to_string(index)};
+}
+
+// Domains serve the large and the small model by turns; what is left over stands ready.
+std::vector<target_record> records_of(const hub_cost_size& size) {
+  std::vector<target_record> records;
+  for (std::size_t d = 0; d < size.data_centres * size.domains; ++d) {
+    const std::uint32_t replica_size = d % 2 == 0 ? large_size : small_size;
+    const model_id& model = d % 2 == 0 ? large : small;
+    target_id head;
+    for (std::size_t e = 0; e < size.engines; ++e) {
+      target_record record;
+      record.id = target_id{"i-" + std::to_string(1'000'000 + d * size.engines + e)};
+      record.service = service_id{"llm"};
+      record.address = {"10.0.0.1", static_cast<std::uint16_t>(1000 + e)};
+      record.data_centre = data_centre_at(d / size.domains);
+      record.domain = fabric_domain_id{"domain-" + std::to_string(d)};
+      record.loaded = model;
+      const auto rank = static_cast<std::uint32_t>(e % replica_size);
+      const bool whole = e / replica_size < size.engines / replica_size;
+      head = rank == 0 ? record.id : head;
+      if (whole) {
+        record.member_of =
+            membership{{"r." + model.str() + ".k.d." + head.str(), 1 + e / replica_size},
+                       rank,
+                       rank == 0 ? member_state::open : member_state::ready};
+      } else {
+        record.member_of =
+            membership{{"s." + model.str() + "." + record.id.str(), 1}, 0, member_state::ready};
+      }
+      records.push_back(std::move(record));
+    }
+  }
+  return records;
+}
+
+class measured_keeper {
+ public:
+  explicit measured_keeper(const hub_cost_size& size)
+      : service_(shape_of_service()), keeper_({}, "k", begin, false), records_(records_of(size)) {
+    own_.data_centres = {data_centre_at(0)};
+    own_.all_data_centres = size.data_centres;
+    own_.requests_seen = true;
+    for (const target_record& record : records_) {
+      fleet_.listed(now_, record);
+    }
+    constexpr int until_settled = 20;  // ticks; every question has been answered by then
+    for (int i = 0; i < until_settled; ++i) {
+      tick();
+    }
+  }
+
+  // Mean processor time of a tick, in ms.
+  double time_ticks(int count, bool with_changes) {
+    const std::clock_t from = std::clock();
+    for (int i = 0; i < count; ++i) {
+      if (with_changes) {
+        target_record& record = records_[static_cast<std::size_t>(i) % records_.size()];
+        record.slots += 1;
+        fleet_.listed(now_, record);
+      }
+      tick();
+    }
+    return static_cast<double>(std::clock() - from) * 1000 / CLOCKS_PER_SEC / count;
+  }
+
+ private:
+  void tick() {
+    constexpr duration interval = 20ms;
+    now_ += interval;
+    for (const keeper_effect& e : keeper_.tick(now_, fleet_, service_, own_)) {
+      if (const auto* question = std::get_if<report_question>(&e)) {
+        const target_view* view = fleet_.find(question->to);
+        target_report report;
+        report.life = question->to;
+        report.member_of = view->record.member_of;
+        report.loaded = view->record.loaded;
+        keeper_.on_report(now_, question->to, report);
+      }
+    }
+  }
+
+  service_shape service_;
+  replica_keeper keeper_;
+  std::vector<target_record> records_;
+  fleet_view fleet_;
+  replica_keeper::duties own_;
+  time_point now_ = begin;
+};
+
+double time_plan(const hub_cost_size& size) {
+  constexpr int count = 10;
+  std::vector<shape_domain> domains(size.data_centres * size.domains);
+  for (std::size_t d = 0; d < domains.size(); ++d) {
+    const auto all = static_cast<std::uint32_t>(size.engines);
+    domains[d].ready =
+        d % 2 == 0 ? std::vector<std::uint32_t>{all, 0} : std::vector<std::uint32_t>{0, all};
+  }
+  const std::array<shape_model, 2> models = {shape_model{large_size, 0.5 / large_size},
+                                             shape_model{small_size, 0.5 / small_size}};
+  const std::clock_t from = std::clock();
+  for (int i = 0; i < count; ++i) {
+    domains.front().blank = static_cast<std::uint32_t>(i);
+    const fleet_shape shape = plan_shape(domains, models);
+    if (shape.size() != domains.size()) {
+      return 0;
+    }
+  }
+  return static_cast<double>(std::clock() - from) * 1000 / CLOCKS_PER_SEC / count;
+}
+
+}  // namespace
+
+hub_cost measure_hub_cost(const hub_cost_size& size) {
+  constexpr int ticks = 50;  // a second of them
+  measured_keeper keeper(size);
+  hub_cost cost;
+  cost.engines = size.data_centres * size.domains * size.engines;
+  cost.quiet_tick_ms = keeper.time_ticks(ticks, false);
+  cost.busy_tick_ms = keeper.time_ticks(ticks, true);
+  cost.plan_ms = time_plan(size);
+  return cost;
+}
+
+void print_hub_cost(std::ostream& out) {
+  constexpr std::array<hub_cost_size, 3> sizes = {{{5, 1, 13}, {3, 3, 37}, {5, 3, 73}}};
+  out << "engines  quiet tick ms  busy tick ms  plan ms\n" << std::fixed << std::setprecision(2);
+  for (const hub_cost_size& size : sizes) {
+    const hub_cost cost = measure_hub_cost(size);
+    out << std::setw(7) << cost.engines << std::setw(15) << cost.quiet_tick_ms << std::setw(14)
+        << cost.busy_tick_ms << std::setw(9) << cost.plan_ms << '\n';
+  }
+}
+
+}  // namespace arbutus
--- a/src/process/peer_table.cpp
+++ b/src/process/peer_table.cpp
@@ -17,8 +17,21 @@
     named.insert(n.id);
     records_.push_back(n);
     peers_[n.id].data_centre = n.data_centre;
+    peers_[n.id].strength = n.strength;
   }
   std::erase_if(peers_, [&](const auto& entry) { return !named.contains(entry.first); });
+  order_.clear();
+  for (const auto& [id, p] : peers_) {
+    order_.push_back(id);
+  }
+  // Stable: among equals the order of the names stays.
+  std::stable_sort(order_.begin(), order_.end(), [this](const node_id& a, const node_id& b) {
+    return peers_.at(a).strength > peers_.at(b).strength;
+  });
+}
+
+bool peer_table::before(const node_id& id, const peer& p) const {
+  return strength_ != p.strength ? strength_ > p.strength : self_ < id;
 }
 
 void peer_table::told(time_point now, const node_id& id) {
@@ -108,17 +121,17 @@
   }
   return std::none_of(peers_.begin(), peers_.end(), [&](const auto& entry) {
     const peer& p = entry.second;
-    return p.data_centre == data_centre_ && entry.first < self_ && presumed(now, p);
+    return p.data_centre == data_centre_ && !before(entry.first, p) && presumed(now, p);
   });
 }
 
 node_id peer_table::first_of(time_point now, const data_centre_id& data_centre,
                              bool must_be_served) const {
   const bool self_may = data_centre == data_centre_ && (!must_be_served || is_served(now));
-  // The map is in the order of the names.
-  for (const auto& [id, p] : peers_) {
+  for (const node_id& id : order_) {
+    const peer& p = peers_.at(id);
     if (p.data_centre == data_centre && (must_be_served ? may_be_hub(now, p) : presumed(now, p))) {
-      return self_may && self_ < id ? self_ : id;
+      return self_may && before(id, p) ? self_ : id;
     }
   }
   return self_may ? self_ : node_id{};
@@ -149,7 +162,8 @@
 void peer_table::add_candidates(time_point now, const data_centre_id& data_centre,
                                 std::vector<node_id>& result) const {
   std::size_t found = 0;
-  for (const auto& [id, p] : peers_) {
+  for (const node_id& id : order_) {
+    const peer& p = peers_.at(id);
     if (p.data_centre != data_centre) {
       continue;
     }
@@ -163,11 +177,11 @@
 }
 
 bool peer_table::is_candidate(time_point now) const {
-  std::size_t before = 0;
-  for (const auto& [id, p] : peers_) {
-    before += p.data_centre == data_centre_ && id < self_ && may_be_hub(now, p) ? 1 : 0;
-  }
-  return before < candidates;
+  const auto ahead = std::count_if(peers_.begin(), peers_.end(), [&](const auto& entry) {
+    const auto& [id, p] = entry;
+    return p.data_centre == data_centre_ && !before(id, p) && may_be_hub(now, p);
+  });
+  return static_cast<std::size_t>(ahead) < candidates;
 }
 
 std::vector<node_id> peer_table::to_tell(time_point now) const {
--- a/src/process/peer_table.h
+++ b/src/process/peer_table.h
@@ -1,8 +1,10 @@
 // Peers of a hosted node: who is there, who lives, whom to tell, and which node is the hub of a
 // data centre. A value in virtual time.
 //
-// The hub of a data centre is its living node with the lowest name that the store serves. A node
-// tells the two lowest that it takes for such, and silent ones before them, so that the next hub is
+// The hub of a data centre is its first living node that the store serves: the strongest first, and
+// by name among equals. Goes wrong by name alone: of 59 nodes of which 3 have half a core, one with
+// an eighth keeps 219 engines and feeds the others, and is late with all of it. A node
+// tells the first two that it takes for such, and silent ones before them, so that the next hub is
 // known when the first one ends; a hub also tells those of the other data centres. Two nodes that
 // both take themselves for the hub do no harm: each order names the state it was decided on, and
 // each follows the store.
@@ -21,8 +23,8 @@
 
 class peer_table {
  public:
-  peer_table(node_id self, data_centre_id data_centre)
-      : self_(std::move(self)), data_centre_(std::move(data_centre)) {}
+  peer_table(node_id self, data_centre_id data_centre, node_strength strength = {})
+      : self_(std::move(self)), data_centre_(std::move(data_centre)), strength_(strength) {}
 
   // Rows of the store, this node's own among them. A peer that is in no row any more is forgotten.
   void set_known(const std::vector<node_record>& nodes);
@@ -84,6 +86,7 @@
  private:
   struct peer {
     data_centre_id data_centre;
+    node_strength strength;
     time_point first_told{};  // since it was last heard, or ever
     time_point heard_at{};
     peer_word word;
@@ -96,7 +99,9 @@
   }
   // Whether this node may call itself served, see served_settles.
   [[nodiscard]] bool is_served(time_point now) const;
-  // The first in the order of the names, among those that the store serves or among all that live.
+  // Whether this node is a hub before the peer is.
+  [[nodiscard]] bool before(const node_id& id, const peer& p) const;
+  // The first in the order of hubs, among those that the store serves or among all that live.
   [[nodiscard]] node_id first_of(time_point now, const data_centre_id& data_centre,
                                  bool must_be_served) const;
   // Among those that the nodes of its data centre tell.
@@ -106,9 +111,11 @@
 
   node_id self_;
   data_centre_id data_centre_;
+  node_strength strength_;
   bool turned_away_ = false;
   time_point served_since_{};      // again, after it was turned away
   std::map<node_id, peer> peers_;  // without this node
+  std::vector<node_id> order_;     // of peers_, the strongest first
   std::vector<node_record> records_;
 };
 
--- a/src/process/replica_keeper.cpp
+++ b/src/process/replica_keeper.cpp
@@ -32,7 +32,7 @@
   if (!service.engine) {
     return {};
   }
-  round r{now, fleet, service, *service.engine, own, {}, {}, {}, {}, {}, {}, {}, {}, 0, 0};
+  round r{now, fleet, service, *service.engine, own};
   note_engines(r);
   note_duties(own);
   note_dark(r);
@@ -98,6 +98,10 @@
     if (view.record.service != r.service.id) {
       continue;
     }
+    if (round::alive(&view)) {
+      ++r.engines_of[view.record.domain];
+      ++r.engines_in[view.record.data_centre];
+    }
     if (view.record.member_of) {
       const membership& own = *view.record.member_of;
       last_epoch_ = std::max(last_epoch_, own.replica.epoch);
@@ -269,7 +273,8 @@
     // Its own word alone: its row may be one of before, see fleet_view.
     const bool head_out = head != nullptr && head->told_replica != key;
     if (head_out && !head_in && head->told_at > first_seen_.at(key)) {
-      continue;  // its head has left since: the members are free
+      r.left.insert(key);  // its head has left since: the members are free
+      continue;
     }
     if (head != nullptr && !head_in && round::alive(head)) {
       // Members join after their head, so that it was inside before they said so.
@@ -355,8 +360,17 @@
   // A replica across domains is slow: its requests end sooner if they go on elsewhere.
   const bool graceful = works && model != nullptr && replica.members.size() == model->size &&
                         !spans_domains(replica.members);
+  // Goes wrong: the keepers of two data centres have members each; while the one forms the replica,
+  // the other takes it for one that is not whole, and tells its head to leave.
+  const bool reclaimed = closing_since_.contains(replica.key);
+  if (!r.is_own(*head) && !reclaimed) {
+    return;
+  }
   const auto since = closing_since_.emplace(replica.key, r.now).first->second;
   if (!may_order(r, head->record.id)) {
+    if (!r.is_own(*head)) {
+      ask(r, *head);
+    }
     return;
   }
   if (graceful && r.now - since < settings_.close_timeout) {
@@ -374,6 +388,15 @@
 // replica works for nobody, and a head without a member moves nothing.
 void replica_keeper::orphan(round& r, const standing_replica& replica) {
   const target_view* head = r.fleet.find(head_of(replica.key.name));
+  // Another data centre's keeper sees more of its head; this node may have lost it alone.
+  const bool judged_too_soon = head != nullptr && !r.is_own(*head) && head->listed &&
+                               r.now - head->lost_at < settings_.back_within;
+  if (judged_too_soon) {
+    for (const target_view* member : replica.members) {
+      r.taken.insert(member->record.id);
+    }
+    return;
+  }
   if (head != nullptr) {
     if (may_order(r, head->record.id)) {
       send(r, *head, order_action::leave, replica.key);
@@ -406,124 +429,4 @@
   }
 }
 
-void replica_keeper::form(round& r) {
-  std::vector<fabric_domain_id> domains;
-  for (const auto& entry : r.free) {
-    domains.push_back(entry.first);
-  }
-  // The model with the fewest replicas for its work first.
-  std::vector<const model_shape*> models;
-  for (const model_shape& model : r.engine.models) {
-    models.push_back(&model);
-  }
-  std::map<model_id, double> replicas;
-  for (const auto& [key, group] : r.standing_all) {
-    if (!is_spare_name(key.name)) {
-      replicas[model_in(key.name)] += 1;
-    }
-  }
-  std::stable_sort(models.begin(), models.end(), [&](const auto* a, const auto* b) {
-    return replicas[a->id] * a->size / std::max(a->work_share, 1e-3) <
-           replicas[b->id] * b->size / std::max(b->work_share, 1e-3);
-  });
-  for (const fabric_domain_id& domain : domains) {
-    for (const model_shape* model : models) {
-      form_in(r, domain, *model);
-    }
-  }
-  // While the first replicas load, what is ready waits for the rest of its domain.
-  if (!cold_start_ || r.own.requests_seen) {
-    for (const model_shape* model : models) {
-      form_across(r, *model);
-    }
-  }
-}
-
-// Free engines that join a replica of the model at once.
-std::vector<const target_view*> replica_keeper::ready_engines(
-    const std::vector<const target_view*>& free, const model_shape& model) const {
-  std::vector<const target_view*> ready;
-  for (const target_view* view : free) {
-    const engine_memory& memory = memory_.at(view->record.id);
-    const auto& own = view->record.member_of;
-    const bool loading = own && own->state == member_state::joining;
-    if (memory.ready_for == model.id && !loading && memory.load_for.empty() &&
-        is_current(*view, memory) && !memory.order_pending) {
-      ready.push_back(view);
-    }
-  }
-  return ready;
-}
-
-void replica_keeper::form_in(round& r, const fabric_domain_id& domain, const model_shape& model) {
-  auto& free = r.free[domain];
-  for (;;) {
-    std::vector<const target_view*> ready = ready_engines(free, model);
-    if (ready.size() < model.size) {
-      reclaim(r, domain, model, ready.size());
-      return;
-    }
-    ready.resize(model.size);
-    begin_forming(r, model, ready);
-  }
-}
-
-void replica_keeper::begin_forming(round& r, const model_shape& model,
-                                   const std::vector<const target_view*>& members) {
-  forming_replica f;
-  f.model = model.id;
-  f.begun = r.now;
-  for (const target_view* view : members) {
-    f.members.push_back(view->record.id);
-    f.chosen_from.emplace(view->record.id, replica_of(*view));
-  }
-  f.key = {replica_name(model.id, origin_, f.members), next_epoch()};
-  if (may_order(r, f.members.front())) {
-    send(r, *members.front(), order_action::join, f.key, f.model, f.members);
-  }
-  r.taken.insert(f.members.begin(), f.members.end());
-  for (auto& [domain, free] : r.free) {
-    std::erase_if(free, [&](const target_view* v) { return r.taken.contains(v->record.id); });
-  }
-  forming_.push_back(std::move(f));
-}
-
-// What is left over in the domains of a data centre still makes a replica, a slow one: callers are
-// served late by it rather than refused.
-void replica_keeper::form_across(round& r, const model_shape& model) {
-  for (const data_centre_id& data_centre : r.own.data_centres) {
-    std::vector<const target_view*> ready;
-    for (const auto& [domain, free] : r.free) {
-      for (const target_view* view : ready_engines(free, model)) {
-        if (view->record.data_centre == data_centre) {
-          ready.push_back(view);
-        }
-      }
-    }
-    if (ready.size() >= model.size) {
-      ready.resize(model.size);
-      begin_forming(r, model, ready);
-    }
-  }
-}
-
-// A domain that lacks members which a slow replica across domains holds gets them back.
-void replica_keeper::reclaim(round& r, const fabric_domain_id& domain, const model_shape& model,
-                             std::size_t ready) {
-  if (ready == 0) {
-    return;
-  }
-  for (const standing_replica& far : r.far) {
-    const auto here =
-        std::count_if(far.members.begin(), far.members.end(),
-                      [&](const target_view* member) { return member->record.domain == domain; });
-    const bool fits =
-        model_in(far.key.name) == model.id && ready + static_cast<std::size_t>(here) >= model.size;
-    if (fits && !closing_since_.contains(far.key)) {
-      closing_since_.emplace(far.key, r.now);
-      return;
-    }
-  }
-}
-
 }  // namespace arbutus
--- a/src/process/replica_keeper.h
+++ b/src/process/replica_keeper.h
@@ -105,6 +105,10 @@
   // An engine that is ready for a model is made ready for another only when the plan has wanted
   // that for so long: domains that go dark are mostly back within 8 s, and a load takes 12 to 16 s.
   duration change_after = 10s;
+  // A model without a replica within one data centre is given one across data centres after this.
+  // Less than callers wait; more than a replica takes to form again once its members were seen
+  // free.
+  duration across_after = 1500ms;
   // While the replicas of the start are loading the store's share is used for those of whole
   // replicas; after this the rest is ordered at once, as loads are cheap until the first request.
   duration cold_start_rush = 8500ms;
@@ -203,6 +207,14 @@
   void form(round& r);
   void form_in(round& r, const fabric_domain_id& domain, const model_shape& model);
   void form_across(round& r, const model_shape& model);
+  void form_across_data_centres(round& r, const model_shape& model);
+  [[nodiscard]] std::vector<const target_view*> free_in(const round& r,
+                                                        const data_centre_id& data_centre,
+                                                        const model_shape& model) const;
+  [[nodiscard]] std::vector<const target_view*> free_elsewhere(const round& r,
+                                                               const model_shape& model) const;
+  [[nodiscard]] static bool has_most(const std::vector<const target_view*>& own,
+                                     const std::vector<const target_view*>& others);
   void begin_forming(round& r, const model_shape& model,
                      const std::vector<const target_view*>& members);
   void reclaim(round& r, const fabric_domain_id& domain, const model_shape& model,
@@ -248,6 +260,8 @@
   fleet_shape planned_;
   // Since when a domain has had fewer engines of a model than the plan wants.
   std::map<std::pair<fabric_domain_id, model_id>, time_point> short_since_;
+  // Since when a model has had no replica within one data centre.
+  std::map<model_id, time_point> no_near_since_;
   std::map<replica_key, time_point> first_seen_;  // when an engine was first seen in it
   // When this node began to close a head, so that it is not waited for endlessly.
   std::map<replica_key, time_point> closing_since_;
--- a/src/process/replica_keeper_load.cpp
+++ b/src/process/replica_keeper_load.cpp
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "process/far_shape.h"
 #include "process/replica_keeper_round.h"
 
 namespace arbutus {
@@ -47,7 +48,7 @@
     models.push_back({model.size, model.work_share / model.size});
   }
   if (domains != planned_domains_ || models != planned_models_) {
-    planned_ = plan_shape(domains, models);
+    planned_ = plan_fleet(domains, models, r.engine.cross_domain_factor);
     planned_domains_ = domains;
     planned_models_ = models;
   }
--- a/src/process/replica_keeper_round.h
+++ b/src/process/replica_keeper_round.h
@@ -24,15 +24,19 @@
   const service_shape& service;
   const engine_parameters& engine;
   const duties& own;
-  keeper_effects out;
-  std::map<replica_key, standing_replica> standing;      // of this node's data centres
-  std::map<replica_key, standing_replica> standing_all;  // of all
-  std::set<data_centre_id> dark;                         // nothing of them is ordered
-  std::set<target_id> taken;          // members of a replica that stands or forms
-  std::vector<standing_replica> far;  // whole ones that span domains
+  keeper_effects out = {};
+  std::map<replica_key, standing_replica> standing = {};      // of this node's data centres
+  std::map<replica_key, standing_replica> standing_all = {};  // of all
+  std::set<data_centre_id> dark = {};                         // nothing of them is ordered
+  std::set<target_id> taken = {};          // members of a replica that stands or forms
+  std::vector<standing_replica> far = {};  // whole ones that span domains
+  std::set<replica_key> left = {};         // whose head was seen outside: the members are free
   // Engines that may be used for a replica, by domain.
-  std::map<fabric_domain_id, std::vector<const target_view*>> free;
-  std::map<fabric_domain_id, domain_state> domains;  // of all data centres
+  std::map<fabric_domain_id, std::vector<const target_view*>> free = {};
+  std::map<fabric_domain_id, domain_state> domains = {};  // of all data centres
+  // Living engines of the service, of all data centres.
+  std::map<fabric_domain_id, std::size_t> engines_of = {};
+  std::map<data_centre_id, std::size_t> engines_in = {};
   std::size_t dropped = 0;  // members of real replicas that the list dropped and nobody lost
   // Engines that load a model from the weight store.
   std::size_t loading = 0;
--- /dev/null
+++ b/tests/core/hub_order_test.cpp
@@ -0,0 +1,67 @@
+// Which node is the hub of a data centre: the strongest that lives and is served.
+#include <gtest/gtest.h>
+
+#include "process/peer_table.h"
+
+namespace arbutus {
+namespace {
+
+const time_point start{1h};
+const data_centre_id here{"a"};
+constexpr node_strength weak{120, 20};
+constexpr node_strength strong{500, 200};
+
+std::vector<node_record> nodes() {
+  return {{node_id{"a1"}, here, {}, {}, weak},
+          {node_id{"a2"}, here, {}, {}, weak},
+          {node_id{"a8"}, here, {}, {}, strong},
+          {node_id{"a9"}, here, {}, {}, strong}};
+}
+
+peer_table table_of(const char* name, node_strength strength) {
+  peer_table table(node_id{name}, here, strength);
+  table.set_known(nodes());
+  return table;
+}
+
+TEST(HubOrder, TheStrongestIsTheHubWhateverItsName) {
+  // Symptom: proofs and loads reach the nodes of a large data centre late, and repairs take
+  // seconds. Sequence: the node with the lowest name has an eighth of a core; it keeps 219 engines
+  // and feeds 58 nodes. Cause: the hub is chosen by name alone.
+  EXPECT_EQ(table_of("a1", weak).hub_of(start, here), node_id{"a8"});
+  EXPECT_TRUE(table_of("a8", strong).is_hub(start));
+  EXPECT_FALSE(table_of("a9", strong).is_hub(start));
+}
+
+TEST(HubOrder, OtherStrongOnesFollowBeforeWeakOnes) {
+  peer_table second = table_of("a9", strong);
+  second.told(start, node_id{"a8"});
+  EXPECT_TRUE(second.is_hub(start + 2s));
+  peer_table weakest = table_of("a2", weak);
+  weakest.told(start, node_id{"a8"});
+  weakest.told(start, node_id{"a9"});
+  EXPECT_EQ(weakest.hub_of(start + 2s, here), node_id{"a1"});
+}
+
+TEST(HubOrder, ANodeTellsTheTwoStrongest) {
+  EXPECT_EQ(table_of("a1", weak).to_tell(start),
+            (std::vector<node_id>{node_id{"a8"}, node_id{"a9"}}));
+}
+
+TEST(HubOrder, AStrongOneThatTheStoreTurnsAwayHandsOverToTheNextStrongOne) {
+  peer_table second = table_of("a9", strong);
+  second.heard(start, node_id{"a8"}, {.turned_away = true, .stamp_us = 1});
+  EXPECT_TRUE(second.is_hub(start));
+  // Served again: the first one takes the duty back, and the second one leaves it.
+  second.heard(start + 1s, node_id{"a8"}, {.hub = true, .stamp_us = 2});
+  EXPECT_FALSE(second.is_hub(start + 1s));
+}
+
+TEST(HubOrder, OneThatTellsNoStrengthComesLast) {
+  peer_table table(node_id{"a5"}, here, weak);
+  table.set_known({{node_id{"a0"}, here, {}, {}}});
+  EXPECT_TRUE(table.is_hub(start));
+}
+
+}  // namespace
+}  // namespace arbutus
--- a/tests/shell/keeper_world.h
+++ b/tests/shell/keeper_world.h
@@ -42,29 +42,35 @@
     duration longest_late = 6s;
   };
 
-  explicit keeper_world(std::uint64_t seed, std::size_t keepers = 1) : random_(seed) {
+  explicit keeper_world(std::uint64_t seed, std::size_t keepers = 1,
+                        service_shape service = two_models())
+      : service_(std::move(service)), random_(seed) {
     for (std::size_t i = 0; i < keepers; ++i) {
-      nodes_.push_back(std::make_unique<keeper_node>(keeper_node{
-          {}, replica_keeper({}, "k" + std::to_string(i), now_, true), true, false, {}}));
+      nodes_.push_back(std::make_unique<keeper_node>(
+          keeper_node{{}, replica_keeper({}, "k" + std::to_string(i), now_, true)}));
     }
   }
 
-  target_id add_engine(const std::string& domain) {
+  target_id add_engine(const std::string& domain, const std::string& data_centre = "a") {
     target_record record;
     record.id = life_of("i-" + std::to_string(next_id_++), 1);
     record.service = llm;
     record.address = {"10.0.0.1", static_cast<std::uint16_t>(1000 + next_id_)};
-    record.data_centre = data_centre_id{"a"};
+    record.data_centre = data_centre_id{data_centre};
     record.domain = fabric_domain_id{domain};
     engines_.emplace(record.id, standin::hosted_engine(record, {}));
     return record.id;
   }
 
-  void add_domain(const std::string& domain, int engines) {
+  void add_domain(const std::string& domain, int engines, const std::string& data_centre = "a") {
     for (int i = 0; i < engines; ++i) {
-      add_engine(domain);
+      add_engine(domain, data_centre);
     }
   }
+  // Whose engines this keeper orders; all of "a" by default.
+  void keep(std::size_t node, const std::string& data_centre) {
+    nodes_[node]->keeps = {data_centre_id{data_centre}};
+  }
 
   // Dies without a word; the list drops it after three heartbeats.
   void kill(const target_id& id) {
@@ -191,7 +197,8 @@
     replica_keeper keeper;
     bool hears_list = true;
     bool cut_off = false;
-    std::map<target_id, target_record> told;  // as the list last said
+    std::map<target_id, target_record> told = {};  // as the list last said
+    std::set<data_centre_id> keeps = {data_centre_id{"a"}};
   };
   struct event {
     time_point at;
@@ -228,8 +235,8 @@
     if (ticks_ % 20 == 0) {
       ask_lost();
     }
-    replica_keeper::duties duties{{data_centre_id{"a"}}, 1, requests_seen_};
     for (std::size_t n = 0; n < nodes_.size(); ++n) {
+      const replica_keeper::duties duties{nodes_[n]->keeps, nodes_.size(), requests_seen_};
       for (const keeper_effect& e :
            nodes_[n]->keeper.tick(now_, nodes_[n]->fleet, service_, duties)) {
         carry_out(n, e);
@@ -402,7 +409,7 @@
     }
   }
 
-  service_shape service_ = two_models();
+  service_shape service_;
   time_point now_{1h};
   rng random_;
   faults faults_;
