Far replicas: as many as the share of work makes of the engines, at least one, with spares

Change: the model's share of the engines, fewer by the slowdown, at least one, and a spare for four members.

--- a/src/process/far_shape.cpp
+++ b/src/process/far_shape.cpp
@@ -9,8 +9,9 @@
 namespace {
 
 constexpr std::uint32_t room_for_losses = 8;  // one engine beyond the size for so many of it
-// Numbers of engines that are tried: a finer search moves no whole replica.
-constexpr std::uint32_t most_tries = 64;
+// With spares for a quarter of its members a replica of 16 outlives the loss of a few engines at
+// once without a load, which takes 12 to 16 s.
+constexpr std::uint32_t members_for_a_spare = 4;
 
 std::uint32_t engines_of(const shape_domain& domain) {
   return std::accumulate(domain.ready.begin(), domain.ready.end(), domain.blank);
@@ -51,50 +52,22 @@
   }
 
  private:
-  [[nodiscard]] std::uint32_t all_left() const {
-    return std::accumulate(
-        left_.begin(), left_.end(), 0U,
-        [](std::uint32_t sum, const shape_domain& d) { return sum + engines_of(d); });
-  }
-
-  // The same weights as in a plan by domains, see plan_shape().
-  [[nodiscard]] static double cost(const shape_model& model, double replicas) {
-    constexpr double least_replicas = 0.05;
-    const double use = model.work / (replicas + least_replicas);
-    return model.work * model.size * use * use * use * use;
-  }
-
-  [[nodiscard]] double cost_with(std::size_t m, std::uint32_t apart, std::uint32_t all) const {
-    const auto losses = static_cast<std::uint32_t>(settings_.losses * left_.size());
-    const double own =
-        lasting_replicas(apart, all, models_[m].size, std::min(losses, models_[m].size));
-    double sum = cost(models_[m], own / slowdown_);
-    double time_of_others = 0;
-    for (std::size_t o = 0; o < models_.size(); ++o) {
-      time_of_others += o == m ? 0 : models_[o].work * models_[o].size;
-    }
-    for (std::size_t o = 0; o < models_.size() && time_of_others > 0; ++o) {
-      if (o != m) {
-        const double share = models_[o].work * models_[o].size / time_of_others;
-        sum += cost(models_[o], (all - apart) * share / models_[o].size);
-      }
-    }
-    return sum;
-  }
-
+  // As many replicas as the model's share of the engines' time makes of them, fewer by the
+  // slowdown: each breaks with the first of its members, and holds the engines of several near ones
+  // of others. At least one, for its callers have no other; and spares, since it is formed anew
+  // after each loss.
   [[nodiscard]] std::uint32_t engines_wanted(std::size_t m) const {
-    const std::uint32_t all = all_left();
-    const std::uint32_t step = std::max(1U, all / most_tries);
-    std::uint32_t best = 0;
-    double best_cost = cost_with(m, 0, all);
-    for (std::uint32_t n = models_[m].size; n <= all; n += step) {
-      const double c = cost_with(m, n, all);
-      if (c < best_cost) {
-        best_cost = c;
-        best = n;
-      }
+    double time_of_all = 0;
+    for (const shape_model& model : models_) {
+      time_of_all += model.work * model.size;
     }
-    return best;
+    const std::uint32_t all = std::accumulate(
+        left_.begin(), left_.end(), 0U,
+        [](std::uint32_t sum, const shape_domain& d) { return sum + engines_of(d); });
+    const double replicas = models_[m].work / time_of_all * all / slowdown_;
+    const std::uint32_t size = models_[m].size;
+    const auto whole = std::max(1U, static_cast<std::uint32_t>(replicas));
+    return all < size ? 0 : std::min(all, whole * size + size / members_for_a_spare);
   }
 
   void set_apart(std::size_t m, std::uint32_t wanted) {
--- a/src/process/far_shape.h
+++ b/src/process/far_shape.h
@@ -2,9 +2,8 @@
 // where they must.
 //
 // Such a replica is slower by the operators' factor, but without it the model's callers are refused
-// all day. So engines are set apart for it, before each domain is shaped for the other models: as
-// many as weigh the models' work best, out of as few domains as can be, those first that are ready
-// for the model already.
+// all day. So engines are set apart for it, before each domain is shaped for the other models, out
+// of as few domains as can be, those first that are ready for the model already.
 #pragma once
 
 #include <span>
