outcomes: what became of requests over time, from the log lines of all nodes

Cause: at hundreds of nodes nobody reads logs by hand, and what was late, refused or cut, when and why was counted with scripts of the moment. Change: a command that prints by window, route, data centre and reason, with replicas by model, losses and orders beside it; a node's first line says its data centre.

--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -1,6 +1,7 @@
 // The subcommands of the program: what each takes, and what its exit status means.
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <ostream>
 #include <string>
@@ -54,6 +55,11 @@
   std::vector<std::string> files;  // empty: standard input
 };
 
+struct outcomes_options {
+  std::vector<std::string> files;  // none: standard input
+  std::chrono::seconds window{2};
+};
+
 struct apply_options {
   std::string directory;
   std::vector<endpoint> nodes;  // asked one after the other until one answers
@@ -105,6 +111,7 @@
 int run_node(const node_options& options, std::ostream& out);
 int run_hosted(const hosted_options& options, std::ostream& out);
 int run_platform(const platform_options& options, std::ostream& out);
+int run_outcomes(const outcomes_options& options, std::ostream& out);
 int run_explain(const explain_options& options, std::ostream& out);
 int run_apply(const apply_options& options, std::ostream& out);
 int run_status(const status_options& options, std::ostream& out);
--- a/src/cli/hosted.cpp
+++ b/src/cli/hosted.cpp
@@ -50,7 +50,8 @@
   hosted_node running(settings);
   running.start();
   log_line(log_level::info, "node", "started",
-           {{"callers", to_string(settings.listen.callers)},
+           {{"data_centre", settings.data_centre},
+            {"callers", to_string(settings.listen.callers)},
             {"store", to_string(settings.store)},
             {"cold_start", settings.cold_start}});
   while (wait_for_signal() == signal_kind::reload) {
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -24,7 +24,8 @@
       [](const standin_options& o) { return run_standin(o, std::cout); },
       [](const hosted_options& o) { return run_hosted(o, std::cout); },
       [](const platform_options& o) { return run_platform(o, std::cout); },
-      [](const explain_options& o) { return run_explain(o, std::cout); });
+      [](const explain_options& o) { return run_explain(o, std::cout); },
+      [](const outcomes_options& o) { return run_outcomes(o, std::cout); });
 }
 
 int print(const early_exit& e) {
--- a/src/cli/options.cpp
+++ b/src/cli/options.cpp
@@ -140,6 +140,22 @@
   return options;
 }
 
+void add_outcomes(po::options_description& add) {
+  add.add_options()("files", po::value<strings>()->value_name("FILE"),
+                    "log files; without one, standard input")(
+      "window", po::value<int>()->default_value(2)->value_name("SECONDS"),
+      "length of a line's time, in seconds");
+}
+
+command make_outcomes(const po::variables_map& values) {
+  outcomes_options options;
+  options.window = std::chrono::seconds(std::max(1, values["window"].as<int>()));
+  if (values.count("files") > 0) {
+    options.files = values["files"].as<strings>();
+  }
+  return options;
+}
+
 void add_check(po::options_description& add) {
   add.add_options()("path", po::value<strings>()->required()->value_name("DIR|FILE"),
                     "configuration directories, or files")(
@@ -274,7 +290,7 @@
   std::string_view examples;
 };
 
-constexpr std::array<command_spec, 11> specs = {{
+constexpr std::array<command_spec, 12> specs = {{
     {"node", "Run a node in front of the targets, until SIGTERM.", "FILE", "settings", 1, add_node,
      make_node, "  arbutusworks node examples/small/nodes/lab-a-node-1.toml\n"},
     {"hosted", "Run a node on a platform that keeps configuration and targets, until SIGTERM.",
@@ -287,6 +303,10 @@
      "words", -1, add_explain, make_explain,
      "  arbutusworks explain 4f1d22a07c9be853 /var/log/arbutusworks/*.log\n"
      "  zcat old/*.gz | arbutusworks explain 4f1d22a07c9be853\n"},
+    {"outcomes", "Show what became of requests over time, from the log lines of all nodes.",
+     "[FILE...]", "files", -1, add_outcomes, make_outcomes,
+     "  arbutusworks outcomes /var/log/arbutusworks/*.log\n"
+     "  arbutusworks outcomes --window 10 < evening.log\n"},
     {"check", "Check configurations and node settings; name every mistake with its place.",
      "DIR|FILE...", "path", -1, add_check, make_check,
      "  arbutusworks check examples/odtok\n"
--- a/src/cli/options.h
+++ b/src/cli/options.h
@@ -11,7 +11,7 @@
 
 using command = std::variant<node_options, check_options, apply_options, status_options,
                              bench_options, load_options, trial_options, standin_options,
-                             hosted_options, platform_options, explain_options>;
+                             hosted_options, platform_options, explain_options, outcomes_options>;
 
 // Nothing to run: help, the version, or a wrong command line.
 struct early_exit {
