--- a/src/connection/fiber_stream.cpp
+++ b/src/connection/fiber_stream.cpp
@@ -95,6 +95,12 @@
   socket_.close(error);
 }
 
+void fiber_stream::close_at_once() {
+  error_code error;
+  socket_.set_option(asio::socket_base::linger(true, 0), error);
+  socket_.close(error);
+}
+
 void fiber_stream::wait_readable(error_code& error) {
   wait_for(tcp::socket::wait_read, error);
 }
--- a/src/connection/fiber_stream.h
+++ b/src/connection/fiber_stream.h
@@ -40,6 +40,9 @@
   // closing with unread bytes would reset the connection and destroy answers on their way.
   void close_gently(time_point deadline);
 
+  // Closes with a reset: bytes that are still on their way are dropped.
+  void close_at_once();
+
   // Bytes handed to the kernel so far. Zero proves that the peer has seen nothing.
   [[nodiscard]] std::uint64_t written() const noexcept { return written_; }
 
--- a/tests/shell/connection_client_test.cpp
+++ b/tests/shell/connection_client_test.cpp
@@ -121,7 +121,7 @@
     caller.read_until("card");
     caller.send("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf");
     caller.read_all();
-    EXPECT_TRUE(caller.ended());
+    EXPECT_TRUE(caller.was_reset());
   });
   in_fiber([&] {
     const time_point deadline = monotonic_now() + 30ms;
@@ -274,7 +274,7 @@
     first.read_until("card");
     first.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n");
     first.read_all();
-    EXPECT_TRUE(first.ended());
+    EXPECT_TRUE(first.was_reset());
     auto second = target.accept();
     second.read_until("card");
     second.send(ok_answer);
@@ -297,7 +297,7 @@
     caller.read_until("card");
     token.cancel();
     caller.read_all();
-    EXPECT_TRUE(caller.ended());
+    EXPECT_TRUE(caller.was_reset());
   });
   in_fiber([&] {
     const auto result = fetch(soon(), token);
@@ -306,6 +306,30 @@
   });
 }
 
+TEST_F(connection_client, what_is_given_up_is_not_delivered_later) {
+  // Symptom: targets run requests seconds after their callers have left. Sequence: a target's link
+  // is cut, a request is written to it and stays on the way; the caller leaves; the cut heals, and
+  // the request arrives. Cause: the connection ended in order, so that what was sent is delivered.
+  // Here the target sees how the connection ends: by a reset, which drops what is on its way.
+  watched<bool> reset(false);
+  play([&] {
+    raw_connection peer = target.accept();
+    peer.read_until(end_of_header);
+    peer.read_all();
+    reset.set(peer.was_reset());
+  });
+  in_fiber([&] {
+    const auto token = cancel_token::make();
+    runtime.post(0, [token] {
+      sleep_until(monotonic_now() + 50ms);
+      token.cancel();
+    });
+    EXPECT_EQ(fetch(soon(), token).failure, call_failure::cancelled);
+  });
+  join();
+  EXPECT_TRUE(reset.get());
+}
+
 TEST_F(connection_client, an_answer_over_the_limit_is_given_up) {
   http_client_limits limits;
   limits.body_bytes = 10;
--- a/tests/shell/connection_http_test.cpp
+++ b/tests/shell/connection_http_test.cpp
@@ -180,7 +180,7 @@
     caller.send(early);
     caller.close();
     target.read_all();
-    EXPECT_TRUE(target.ended());
+    EXPECT_TRUE(target.was_reset());
     in_fiber([&] { EXPECT_TRUE(fiber_waits([&] { return server.connections() == 0; })); });
     EXPECT_EQ(handled, 1);
   }
--- a/tests/shell/raw_peer.h
+++ b/tests/shell/raw_peer.h
@@ -97,19 +97,22 @@
       if (count <= 0) {
         ended_ = count == 0;
         silent_ = count < 0 && errno == EAGAIN;
+        reset_ = count < 0 && errno == ECONNRESET;
         return seen;
       }
       seen.append(buffer, static_cast<std::size_t>(count));
     }
   }
 
-  // Of the last read_all(): an orderly end, or neither end nor reset within the patience.
+  // Of the last read_all(): an orderly end, a reset, or neither within the patience.
   [[nodiscard]] bool ended() const { return ended_; }
+  [[nodiscard]] bool was_reset() const { return reset_; }
   [[nodiscard]] bool silent() const { return silent_; }
 
  private:
   int socket_;
   bool ended_{false};
+  bool reset_{false};
   bool silent_{false};
 };
 
