--- a/src/node/store_watch.cpp
+++ b/src/node/store_watch.cpp
@@ -55,6 +55,9 @@
 // Of a reason in a log line: what others wrote may be long.
 constexpr std::size_t longest_reason = 200;
 
+// At most a line in so long, and none of a node that asks nothing.
+constexpr duration calls_log_interval = 5s;
+
 constexpr std::string_view node_table = "nodes";
 // A node that came to another address is found within this.
 constexpr duration node_interval = 5s;
@@ -103,6 +106,26 @@
 void store_watch::count_call(std::string_view what, bool answered) {
   node_.metrics.count("arbutusworks_store_calls", "what=\"" + std::string(what) + "\",answered=\"" +
                                                       (answered ? "yes" : "no") + "\"");
+  const auto found = calls_.find(what);
+  ++(found == calls_.end() ? calls_.emplace(what, 0).first->second : found->second);
+}
+
+// Goes wrong without it: the metrics of hundreds of nodes are gone with their processes, and nobody
+// can say who made the calls of a bad evening.
+void store_watch::tell_calls(time_point now) {
+  std::uint64_t all = 0;
+  std::string text;
+  for (const auto& [what, count] : calls_) {
+    all += count;
+    text += (text.empty() ? "" : ", ") + what + " " + std::to_string(count);
+  }
+  if (all == calls_told_ || now - told_calls_at_ < calls_log_interval) {
+    return;
+  }
+  calls_told_ = all;
+  told_calls_at_ = now;
+  log_line(log_level::info, "store", "calls",
+           {{"total", all}, {"by_kind", text}, {"hub", node_.peers.is_hub(now)}});
 }
 
 bool store_watch::is_fed(time_point now) const {
@@ -255,6 +278,7 @@
   for (;;) {
     duration pause = look_interval;
     const time_point asked = monotonic_now();
+    tell_calls(asked);
     if (must_ask(asked)) {
       // A first question, and one about a change that is known of, need not wait for the next.
       const bool at_once = failures_ > 0 || withheld_ || asked - asked_at_ > 2 * configuration_wait;
--- a/src/node/store_watch.h
+++ b/src/node/store_watch.h
@@ -3,7 +3,9 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "node/hosted_state.h"
@@ -37,6 +39,7 @@
   [[nodiscard]] std::optional<time_point> written_after(time_point asked) const;
   void note_dependency(std::string_view name, bool& up, bool now_up, std::string_view reason);
   void count_call(std::string_view what, bool answered);
+  void tell_calls(time_point now);
   // Whether the hub keeps this node current, so that it need not ask the store itself.
   [[nodiscard]] bool is_fed(time_point now) const;
   // A node that the store turned away asks now and then whether it is served again.
@@ -54,6 +57,9 @@
   time_point asked_at_{};       // last question about the configuration
   std::uint32_t failures_ = 0;  // of such questions in a row
   bool withheld_ = false;       // the hub has a newer configuration than it passes on
+  std::map<std::string, std::uint64_t, std::less<>> calls_;  // by what they ask, in this life
+  std::uint64_t calls_told_ = 0;                             // of them in the log
+  time_point told_calls_at_{};
   bool configuration_up_ = true;
   bool targets_up_ = true;
 };
