Nodes that start leave to their hub what comes after the tables; beats say where their sender is

Change: for 1.5 s after its start a node that has read the tables waits for its hub; rows are read at doubling intervals; beats carry the link and strength of their sender, so that a hub knows a node at once. Hubs read news of targets less often where there are more hubs; others twice a second. Test: ANodeThatJoinsIsKnownByItsBeat.

--- a/src/node/keeper_beats.cpp
+++ b/src/node/keeper_beats.cpp
@@ -47,6 +47,8 @@
   const bool same = node_.peers.data_centre_of(peer) == home;
   node_beat beat;
   beat.data_centre = home;
+  beat.link = node_.settings.listen.links;
+  beat.strength = node_.settings.strength;
   beat.hub = !node_.stopping && node_.peers.is_hub(now);
   beat.leaving = node_.stopping;
   beat.turned_away = node_.peers.turned_away();
@@ -128,6 +130,9 @@
 }
 
 void keeper_loop::heard(time_point now, const node_id& peer, const node_beat& beat) {
+  if (beat.link != endpoint{}) {
+    node_.peers.learn({peer, beat.data_centre, beat.link, {}, beat.strength});
+  }
   node_.peers.heard(now, peer, {beat.hub, beat.leaving, beat.turned_away, beat.stamp_us});
   positions_[peer] = {beat.targets_position, beat.configuration_position};
   node_.requests_seen = node_.requests_seen || beat.requests_seen;
--- a/src/node/store_watch.cpp
+++ b/src/node/store_watch.cpp
@@ -27,9 +27,19 @@
 // next change: at rest that is a call a second, and a change is known at once.
 constexpr duration target_wait = 1s;
 // Changes come in bursts, as when a replica forms: those within this are read together.
-constexpr duration target_pause = 100ms;
+// Each hub reads them for itself, so that with more hubs each waits longer.
+constexpr duration target_pause_of_hub = 40ms;  // for each data centre
+constexpr duration shortest_target_pause = 100ms;
+constexpr duration longest_target_pause = 250ms;
 // In the first seconds replicas form, and each wait costs loads that are cheap only then.
 constexpr duration target_pause_at_start = 60ms;
+// A node that is no hub keeps no replicas: until another hub feeds it, this is often enough. When a
+// hub of 59 nodes ended, each of them asked ten times a second.
+constexpr duration target_pause_of_others = 500ms;
+// From its start until its hub feeds it a node waits so long before it asks the store what is new:
+// it has read the tables whole, which proves its configuration for longer. Goes wrong otherwise: at
+// a start of 295 nodes each made 12 calls until its first beat came, 3,600 in all.
+constexpr duration hub_patience = 1500ms;
 constexpr duration start_phase = 12s;
 constexpr duration retry_pause = 100ms;
 // Each failure in a row doubles the pause up to this: a node that is cut off or turned away asked
@@ -61,7 +71,10 @@
 constexpr std::string_view node_table = "nodes";
 // A node that came to another address is found within this.
 constexpr duration node_interval = 5s;
+// The rows of nodes that start in the same moment come within some 300 ms; then the next read waits
+// twice as long each time.
 constexpr duration node_interval_at_start = 300ms;
+constexpr std::uint32_t most_node_doublings = 3;
 // A fed node needs them only when its hub ends, and has the row of the next one mostly.
 constexpr duration node_interval_of_fed = 45s;
 
@@ -90,6 +103,8 @@
 
 }  // namespace
 
+store_watch::store_watch(hosted_state& node) : node_(node), started_(monotonic_now()) {}
+
 void store_watch::note_dependency(std::string_view name, bool& up, bool now_up,
                                   std::string_view reason) {
   if (up == now_up) {
@@ -161,9 +176,25 @@
   }
 }
 
+bool store_watch::awaits_hub(time_point now) const {
+  return now - started_ < hub_patience && !node_.peers.is_hub(now) &&
+         node_.peers.any_in_data_centre();
+}
+
+duration store_watch::target_pause(time_point now) const {
+  if (!node_.peers.is_hub(now)) {
+    return target_pause_of_others;
+  }
+  if (now - started_ < start_phase) {
+    return target_pause_at_start;
+  }
+  const auto hubs = static_cast<std::int64_t>(node_.settings.data_centres.size());
+  return std::clamp(hubs * target_pause_of_hub, shortest_target_pause, longest_target_pause);
+}
+
 bool store_watch::must_ask(time_point now) const {
   if (!is_fed(now)) {
-    return true;
+    return !(configuration_positioned_ && awaits_hub(now));
   }
   return (withheld_ && now - asked_at_ >= withheld_interval) ||
          (node_.peers.turned_away() && now - asked_at_ >= ask_again_interval);
@@ -409,15 +440,12 @@
 }
 
 void store_watch::follow_targets() {
-  const time_point started = monotonic_now();
   for (;;) {
     const time_point asked = monotonic_now();
-    time_point next =
-        asked + (asked - started < start_phase && node_.peers.is_hub(asked) ? target_pause_at_start
-                                                                            : target_pause);
+    time_point next = asked + target_pause(asked);
     node_.fleet.forget_old(asked);
     // While the store does not answer about the configuration, that question alone is repeated.
-    if (is_fed(asked) || failures_ > 0) {
+    if (is_fed(asked) || failures_ > 0 || (targets_positioned_ && awaits_hub(asked))) {
       next = asked + look_interval;
     } else if (!targets_positioned_) {
       targets_positioned_ = read_targets();
@@ -450,13 +478,16 @@
 }
 
 // Nodes that are fed know their hub; who is not, or is the hub, has to know who else is there.
-bool store_watch::must_read_nodes(time_point now, time_point started, time_point read_at) const {
-  const bool starting = now - started < start_phase / 4;
+bool store_watch::must_read_nodes(time_point now) const {
+  const bool starting = now - started_ < start_phase / 4;
   const bool fed = is_fed(now);
+  const std::uint32_t doublings =
+      node_.peers.is_hub(now) ? 0 : std::min(nodes_reads_, most_node_doublings);
   const duration interval =
-      fed ? node_interval_of_fed : (starting ? node_interval_at_start : node_interval);
+      fed ? node_interval_of_fed
+          : (starting ? node_interval_at_start * (1U << doublings) : node_interval);
   // One who lost its hub a moment ago may hear the next one any time.
-  return now - read_at >= interval && (fed || starting || now - fed_at_ > 2 * fed_for);
+  return now - nodes_read_at_ >= interval && (fed || starting || now - fed_at_ > 2 * fed_for);
 }
 
 void store_watch::follow_nodes(const std::function<void(const std::vector<node_record>&)>& found) {
@@ -465,8 +496,6 @@
   const nlohmann::json own = {node_.settings.data_centre.str(), to_string(link),
                               strength.processor_permille, strength.link_mbps};
   bool written = false;
-  const time_point started = monotonic_now();
-  time_point read_at{};
   for (;;) {
     const time_point now = monotonic_now();
     if (!written) {
@@ -475,8 +504,9 @@
       written = is_ok(node_.store.write(t, now + read_timeout));
       count_call("own row", written);
     }
-    if (must_read_nodes(now, started, read_at)) {
-      read_at = now;
+    if (must_read_nodes(now)) {
+      nodes_read_at_ = now;
+      ++nodes_reads_;
       read_nodes(found);
     }
     if (!sleep_until(now + (written ? look_interval : pause_after_failure()))) {
--- a/src/node/store_watch.h
+++ b/src/node/store_watch.h
@@ -15,7 +15,7 @@
 
 class store_watch {
  public:
-  explicit store_watch(hosted_state& node) : node_(node) {}
+  explicit store_watch(hosted_state& node);
 
   // Each runs in a fiber of its own until the runtime stops.
   void follow_configuration();
@@ -42,13 +42,19 @@
   void tell_calls(time_point now);
   // Whether the hub keeps this node current, so that it need not ask the store itself.
   [[nodiscard]] bool is_fed(time_point now) const;
+  // A node that has just started and has read its tables leaves what comes next to its hub.
+  [[nodiscard]] bool awaits_hub(time_point now) const;
+  [[nodiscard]] duration target_pause(time_point now) const;
   // A node that the store turned away asks now and then whether it is served again.
   [[nodiscard]] bool must_ask(time_point now) const;
   void note_answer(time_point now, bool answered);
   [[nodiscard]] duration pause_after_failure() const;
-  [[nodiscard]] bool must_read_nodes(time_point now, time_point started, time_point read_at) const;
+  [[nodiscard]] bool must_read_nodes(time_point now) const;
 
   hosted_state& node_;
+  time_point started_;
+  time_point nodes_read_at_{};
+  std::uint32_t nodes_reads_ = 0;
   // Version of the newest configuration row that was read, whether or not it could be understood.
   std::uint64_t configuration_row_ = 0;
   bool configuration_positioned_ = false;  // the log holds all up to its position
--- a/src/process/node_beat.cpp
+++ b/src/process/node_beat.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include "process/msgpack_bounds.h"
+#include "version/field_text.h"
 
 namespace arbutus {
 
@@ -68,7 +69,10 @@
                          std::move(lost),
                          news_to_json(beat.targets),
                          news_to_json(beat.configuration),
-                         beat.turned_away};
+                         beat.turned_away,
+                         to_string(beat.link),
+                         beat.strength.processor_permille,
+                         beat.strength.link_mbps};
   std::string bytes;
   json::to_msgpack(document, bytes);
   return bytes;
@@ -99,6 +103,9 @@
     beat.targets = news_from_json(document.at(10));
     beat.configuration = news_from_json(document.at(11));
     beat.turned_away = document.at(12).get<bool>();
+    // Empty of a node that tells no address: it is known by its row.
+    beat.link = parse_endpoint(document.at(13).get<std::string>()).value_or(endpoint{});
+    beat.strength = {document.at(14).get<std::uint32_t>(), document.at(15).get<std::uint32_t>()};
     return beat;
   } catch (const json::exception&) {
     return std::nullopt;
--- a/src/process/node_beat.h
+++ b/src/process/node_beat.h
@@ -18,6 +18,7 @@
 #include "base/units.h"
 #include "process/feed_log.h"
 #include "request/replica_choice.h"
+#include "version/inventory.h"
 
 namespace arbutus {
 
@@ -34,6 +35,11 @@
 
 struct node_beat {
   data_centre_id data_centre;
+  // Where and what the sender is, as in its row: who has not read that yet knows it by its beat.
+  // Goes wrong without it: a hub drops the beats of a node that has just joined until it reads the
+  // rows again, which takes seconds, and never while the store turns the hub away.
+  endpoint link;
+  node_strength strength;
   bool hub = false;          // follows the store and keeps the data centre
   bool leaving = false;      // keeps no replicas from now on
   bool turned_away = false;  // the store does not serve it: another has to be the hub
--- a/src/process/peer_table.cpp
+++ b/src/process/peer_table.cpp
@@ -8,18 +8,42 @@
 namespace arbutus {
 
 void peer_table::set_known(const std::vector<node_record>& nodes) {
-  records_.clear();
+  std::vector<node_record> records;
   std::set<node_id> named;
   for (const node_record& n : nodes) {
     if (n.id == self_) {
       continue;
     }
     named.insert(n.id);
-    records_.push_back(n);
-    peers_[n.id].data_centre = n.data_centre;
-    peers_[n.id].strength = n.strength;
+    records.push_back(n);
+    peer& p = peers_[n.id];
+    p.data_centre = n.data_centre;
+    p.strength = n.strength;
+    p.in_rows = true;
   }
-  std::erase_if(peers_, [&](const auto& entry) { return !named.contains(entry.first); });
+  std::erase_if(peers_, [&](const auto& entry) {
+    return entry.second.in_rows && !named.contains(entry.first);
+  });
+  for (const node_record& n : records_) {
+    if (peers_.contains(n.id) && !named.contains(n.id)) {
+      records.push_back(n);
+    }
+  }
+  records_ = std::move(records);
+  sort_peers();
+}
+
+void peer_table::learn(const node_record& told) {
+  if (told.id == self_ || peers_.contains(told.id)) {
+    return;
+  }
+  peers_[told.id].data_centre = told.data_centre;
+  peers_[told.id].strength = told.strength;
+  records_.push_back(told);
+  sort_peers();
+}
+
+void peer_table::sort_peers() {
   order_.clear();
   for (const auto& [id, p] : peers_) {
     order_.push_back(id);
@@ -75,6 +99,11 @@
   });
 }
 
+bool peer_table::any_in_data_centre() const {
+  return std::any_of(peers_.begin(), peers_.end(),
+                     [&](const auto& entry) { return entry.second.data_centre == data_centre_; });
+}
+
 data_centre_id peer_table::data_centre_of(const node_id& id) const {
   const auto found = peers_.find(id);
   return found == peers_.end() ? data_centre_id{} : found->second.data_centre;
--- a/src/process/peer_table.h
+++ b/src/process/peer_table.h
@@ -26,9 +26,13 @@
   peer_table(node_id self, data_centre_id data_centre, node_strength strength = {})
       : self_(std::move(self)), data_centre_(std::move(data_centre)), strength_(strength) {}
 
-  // Rows of the store, this node's own among them. A peer that is in no row any more is forgotten.
+  // Rows of the store, this node's own among them. A peer that is in no row any more is forgotten,
+  // unless it told of itself since.
   void set_known(const std::vector<node_record>& nodes);
 
+  // A peer that told of itself, and may not have been in the rows when they were read.
+  void learn(const node_record& peer);
+
   void told(time_point now, const node_id& peer);
   // What a beat of a peer said of itself.
   struct peer_word {
@@ -61,6 +65,8 @@
   [[nodiscard]] bool lives(time_point now, const node_id& peer) const;
   [[nodiscard]] std::size_t living(time_point now) const;
   [[nodiscard]] bool any_in(const data_centre_id& data_centre) const;
+  // Whether another node of this node's data centre is known, living or not.
+  [[nodiscard]] bool any_in_data_centre() const;
   [[nodiscard]] data_centre_id data_centre_of(const node_id& peer) const;
   // As it last said.
   [[nodiscard]] bool is_turned_away(const node_id& peer) const;
@@ -87,6 +93,7 @@
   struct peer {
     data_centre_id data_centre;
     node_strength strength;
+    bool in_rows = false;
     time_point first_told{};  // since it was last heard, or ever
     time_point heard_at{};
     peer_word word;
@@ -99,6 +106,7 @@
   }
   // Whether this node may call itself served, see served_settles.
   [[nodiscard]] bool is_served(time_point now) const;
+  void sort_peers();
   // Whether this node is a hub before the peer is.
   [[nodiscard]] bool before(const node_id& id, const peer& p) const;
   // The first in the order of hubs, among those that the store serves or among all that live.
--- a/tests/core/hub_order_test.cpp
+++ b/tests/core/hub_order_test.cpp
@@ -1,6 +1,8 @@
 // Which node is the hub of a data centre: the strongest that lives and is served.
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 #include "process/peer_table.h"
 
 namespace arbutus {
@@ -63,5 +65,27 @@
   EXPECT_TRUE(table.is_hub(start));
 }
 
+TEST(HubOrder, ANodeThatJoinsIsKnownByItsBeat) {
+  // Symptom: a node that has just joined refuses its callers for seconds. Sequence: it reads the
+  // rows and tells its hub; the hub read them before and drops the beats; the store turns the hub
+  // away, so that it reads no rows. Cause: a peer was known by its row alone.
+  peer_table hub = table_of("a8", strong);
+  const node_record joined{node_id{"a7"}, here, {"10.0.0.7", 7000}, {}, weak};
+  hub.learn(joined);
+  hub.heard(start, joined.id, {.stamp_us = 1});
+  EXPECT_TRUE(hub.lives(start, joined.id));
+  const auto told = hub.to_tell(start);
+  EXPECT_EQ(std::count(told.begin(), told.end(), joined.id), 1);
+  // Rows that do not hold it yet do not end it; once they did, its removal does.
+  hub.set_known(nodes());
+  EXPECT_TRUE(hub.lives(start, joined.id));
+  EXPECT_EQ(std::count(hub.records().begin(), hub.records().end(), joined), 1);
+  auto rows = nodes();
+  rows.push_back(joined);
+  hub.set_known(rows);
+  hub.set_known(nodes());
+  EXPECT_FALSE(hub.lives(start, joined.id));
+}
+
 }  // namespace
 }  // namespace arbutus
