--- /dev/null
+++ b/fuzz/decode_node_beat.cpp
@@ -0,0 +1,16 @@
+// Fuzz entry: beats of peers.
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "input.h"
+#include "process/node_beat.h"
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
+  const std::string_view text = arbutus::fuzz::as_text(data, size);
+  if (const auto beat = arbutus::decode_node_beat(text)) {
+    arbutus::fuzz::require(arbutus::decode_node_beat(arbutus::encode(*beat)).has_value());
+  }
+  return 0;
+}
--- /dev/null
+++ b/fuzz/read_service_map.cpp
@@ -0,0 +1,15 @@
+// Fuzz entry: the operators' configuration as the platform's store holds it.
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "input.h"
+#include "platform/documents.h"
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
+  const std::string_view text = arbutus::fuzz::as_text(data, size);
+  const arbutus::service_map_result result = arbutus::read_service_map(text);
+  arbutus::fuzz::require(result.map.has_value() != arbutus::has_errors(result.problems));
+  return 0;
+}
