Take back square-root staffing

Cause: it was to give the model of few large replicas more than its share. What the large model gains is less than what the small one loses, whose replicas are fewer where engines die every three seconds. Conclusion: taken back; a share that follows what is seen is left to do.

--- a/src/process/replica_keeper.h
+++ b/src/process/replica_keeper.h
@@ -222,7 +222,6 @@
   [[nodiscard]] std::vector<const target_view*> ready_engines(
       const std::vector<const target_view*>& free, const model_shape& model) const;
   void survey(round& r);
-  [[nodiscard]] static std::vector<shape_model> wanted_models(const round& r);
   void note_shortages(const round& r);
   void prepare(round& r);
   void load(round& r, const target_view& view, std::size_t model);
--- a/src/process/replica_keeper_load.cpp
+++ b/src/process/replica_keeper_load.cpp
@@ -4,7 +4,6 @@
 
 #include "process/far_shape.h"
 #include "process/replica_keeper_round.h"
-#include "process/staffing.h"
 
 namespace arbutus {
 
@@ -43,7 +42,11 @@
   for (const auto& [id, domain] : r.domains) {
     domains.push_back({domain.ready, domain.blank});
   }
-  const std::vector<shape_model> models = wanted_models(r);
+  std::vector<shape_model> models;
+  for (const model_shape& model : r.engine.models) {
+    // The share is one of engines' time: a replica of twice the size does twice the work.
+    models.push_back({model.size, model.work_share / model.size});
+  }
   if (domains != planned_domains_ || models != planned_models_) {
     planned_ = plan_fleet(domains, models, r.engine.cross_domain_factor);
     planned_domains_ = domains;
@@ -61,25 +64,6 @@
   note_shortages(r);
 }
 
-// What the plan weighs: each model's replicas if all living engines were shared out.
-std::vector<shape_model> replica_keeper::wanted_models(const round& r) {
-  std::vector<model_demand> demands;
-  for (const model_shape& model : r.engine.models) {
-    demands.push_back({model.size, model.work_share});
-  }
-  std::uint32_t engines = 0;
-  for (const auto& [domain, count] : r.engines_of) {
-    engines += static_cast<std::uint32_t>(count);
-  }
-  const std::vector<double> replicas = staffed_replicas(demands, engines);
-  std::vector<shape_model> models;
-  for (std::size_t m = 0; m < demands.size(); ++m) {
-    // As a part of all engines, so that losses elsewhere do not make each plan a new one.
-    models.push_back({demands[m].size, engines > 0 ? replicas[m] / engines : 0});
-  }
-  return models;
-}
-
 // The model that an engine is ready for or gets ready for.
 model_id replica_keeper::model_for(const target_view& view, const engine_memory& memory) const {
   if (!memory.load_for.empty()) {
