--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -126,8 +126,8 @@
                 result.failure == call_failure::connection_lost;
         // Calls that take fresh connections only would fill the pool with ones that nobody uses,
         // until the target takes no more: seen as resets of every new connection.
-        // Goes wrong without the reset: the request is held up by a cut, its caller leaves, and when
-        // the cut heals the target gets it and works for nobody. One would see requests arrive
+        // Goes wrong without the reset: the request is held up by a cut, its caller leaves, and
+        // when the cut heals the target gets it and works for nobody. One would see requests arrive
         // seconds after their callers' deadline.
         if (!result.ok() || link->stream.aborted()) {
           link->stream.close_at_once();
--- a/src/process/hosted_settings.h
+++ b/src/process/hosted_settings.h
@@ -44,7 +44,7 @@
   hosted_listen listen;
   endpoint store;
   hosted_bounds bounds;
-  node_strength strength;  // of this VM
+  node_strength strength;   // of this VM
   bool cold_start = false;  // the whole deployment starts for the first time
   log_settings log{.bytes_per_second = default_log_rate};
 };
--- a/src/version/inventory.h
+++ b/src/version/inventory.h
@@ -32,8 +32,8 @@
 };
 
 // An entry VM: it runs one node of this system.
-// What an entry VM can do; 0: not told. Greater is stronger: a hub runs out of processor time before
-// its link is full, so that time is compared first.
+// What an entry VM can do; 0: not told. Greater is stronger: a hub runs out of processor time
+// before its link is full, so that time is compared first.
 struct node_strength {
   std::uint32_t processor_permille = 0;  // of a core
   std::uint32_t link_mbps = 0;
