Peers are looked up by data centre; the followers of the store in three files; tests take free ports

Change: candidates are counted once a round; the order of hubs is kept by data centre; whether any peer lives ends with the first. Moves only in store_watch, store_targets, store_nodes. The fixture passes over ports that are taken.

--- a/src/node/keeper_loop.cpp
+++ b/src/node/keeper_loop.cpp
@@ -54,8 +54,7 @@
 void keeper_loop::keep(time_point now) {
   // Cut off from the platform and from all peers, this node sees only what it had: peers of its
   // data centre know better, if there are any.
-  const bool isolated = node_.peers.living(now) == 0 &&
-                        now - node_.fleet_read_at > isolated_after &&
+  const bool isolated = !node_.peers.any_lives(now) && now - node_.fleet_read_at > isolated_after &&
                         node_.peers.any_in(node_.settings.data_centre);
   const auto duties =
       isolated ? std::set<data_centre_id>{} : node_.peers.duties(now, node_.settings.data_centres);
--- /dev/null
+++ b/src/node/store_nodes.cpp
@@ -0,0 +1,103 @@
+// The rows by which nodes find each other.
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+#include "connection/clock.h"
+#include "node/store_timing.h"
+#include "node/store_watch.h"
+#include "version/field_text.h"
+
+namespace arbutus {
+
+namespace {
+
+constexpr std::string_view node_table = "nodes";
+// A node that came to another address is found within this.
+constexpr duration node_interval = 5s;
+// The rows of nodes that start in the same moment come within some 300 ms; then the next read waits
+// twice as long each time.
+constexpr duration node_interval_at_start = 300ms;
+constexpr std::uint32_t most_node_doublings = 3;
+// A fed node needs them only when its hub ends, and has the row of the next one mostly.
+constexpr duration node_interval_of_fed = 45s;
+
+// [data centre, link endpoint, processor in permille of a core, link in Mbit/s]. Empty for a row
+// that cannot be read; one that tells no strength is of a node that starts with other settings, and
+// comes last among hubs.
+std::optional<node_record> read_node_record(const store_row& row) {
+  const auto document = nlohmann::json::parse(row.value, nullptr, false);
+  if (!document.is_array() || document.size() < 2 || !document[0].is_string() ||
+      !document[1].is_string()) {
+    return std::nullopt;
+  }
+  const auto address = parse_endpoint(document[1].get<std::string>());
+  if (!address) {
+    return std::nullopt;
+  }
+  node_record record{
+      node_id{row.key}, data_centre_id{document[0].get<std::string>()}, *address, {}, {}};
+  const bool tells_strength =
+      document.size() >= 4 && document[2].is_number_unsigned() && document[3].is_number_unsigned();
+  if (tells_strength) {
+    record.strength = {document[2].get<std::uint32_t>(), document[3].get<std::uint32_t>()};
+  }
+  return record;
+}
+
+}  // namespace
+
+// Nodes that are fed know their hub; who is not, or is the hub, has to know who else is there.
+bool store_watch::must_read_nodes(time_point now) const {
+  const bool starting = now - started_ < start_phase / 4;
+  const bool fed = is_fed(now);
+  const std::uint32_t doublings =
+      node_.peers.is_hub(now) ? 0 : std::min(nodes_reads_, most_node_doublings);
+  const duration interval =
+      fed ? node_interval_of_fed
+          : (starting ? node_interval_at_start * (1U << doublings) : node_interval);
+  // One who lost its hub a moment ago may hear the next one any time.
+  return now - nodes_read_at_ >= interval && (fed || starting || now - fed_at_ > 2 * fed_for);
+}
+
+void store_watch::follow_nodes(const std::function<void(const std::vector<node_record>&)>& found) {
+  const endpoint& link = node_.settings.listen.links;
+  const node_strength& strength = node_.settings.strength;
+  const nlohmann::json own = {node_.settings.data_centre.str(), to_string(link),
+                              strength.processor_permille, strength.link_mbps};
+  bool written = false;
+  for (;;) {
+    const time_point now = monotonic_now();
+    if (!written) {
+      transaction t;
+      t.writes.push_back({std::string(node_table), node_.settings.id.str(), own.dump()});
+      written = is_ok(node_.store.write(t, now + read_timeout));
+      count_call("own row", written);
+    }
+    if (must_read_nodes(now)) {
+      nodes_read_at_ = now;
+      ++nodes_reads_;
+      read_nodes(found);
+    }
+    if (!sleep_until(now + (written ? look_interval : pause_after_failure()))) {
+      return;
+    }
+  }
+}
+
+void store_watch::read_nodes(const std::function<void(const std::vector<node_record>&)>& found) {
+  const auto result = node_.store.read(node_table, {}, monotonic_now() + read_timeout);
+  const auto* rows = std::get_if<store_rows>(&result);
+  count_call("nodes", rows != nullptr);
+  if (rows == nullptr) {
+    return;
+  }
+  std::vector<node_record> peers;
+  for (const store_row& row : rows->rows) {
+    if (auto record = read_node_record(row)) {
+      peers.push_back(std::move(*record));
+    }
+  }
+  found(peers);
+}
+
+}  // namespace arbutus
--- /dev/null
+++ b/src/node/store_targets.cpp
@@ -0,0 +1,201 @@
+// Following the list of targets.
+#include <algorithm>
+
+#include "connection/clock.h"
+#include "node/log.h"
+#include "node/store_timing.h"
+#include "node/store_watch.h"
+#include "platform/documents.h"
+#include "process/target_life.h"
+
+namespace arbutus {
+
+namespace {
+
+// Records of targets change only when a replica or a target does. The feed is asked to wait for the
+// next change: at rest that is a call a second, and a change is known at once.
+constexpr duration target_wait = 1s;
+// Changes come in bursts, as when a replica forms: those within this are read together.
+// Each hub reads them for itself, so that with more hubs each waits longer.
+constexpr duration target_pause_of_hub = 40ms;  // for each data centre
+constexpr duration shortest_target_pause = 100ms;
+constexpr duration longest_target_pause = 250ms;
+// In the first seconds replicas form, and each wait costs loads that are cheap only then.
+constexpr duration target_pause_at_start = 60ms;
+// A node that is no hub keeps no replicas: until another hub feeds it, this is often enough. When a
+// hub of 59 nodes ended, each of them asked ten times a second.
+constexpr duration target_pause_of_others = 500ms;
+// Between two looks at the list that is followed: the feed's wait, and a late answer.
+constexpr duration longest_followed_gap = target_wait + 1s;
+// Of a reason in a log line: what others wrote may be long.
+constexpr std::size_t longest_reason = 200;
+
+}  // namespace
+
+duration store_watch::target_pause(time_point now) const {
+  if (!node_.peers.is_hub(now)) {
+    return target_pause_of_others;
+  }
+  if (now - started_ < start_phase) {
+    return target_pause_at_start;
+  }
+  const auto hubs = static_cast<std::int64_t>(node_.settings.data_centres.size());
+  return std::clamp(hubs * target_pause_of_hub, shortest_target_pause, longest_target_pause);
+}
+
+void store_watch::take_target_news(time_point asked, const feed_news& news) {
+  if (news.whole && news.position > node_.target_rows.position()) {
+    replace_targets(asked, news.rows, news.position);
+  } else if (!news.whole && node_.target_rows.can_follow(news.after)) {
+    // Rows of an answer to an older beat may come again.
+    for (const feed_row& row : news.rows) {
+      if (row.version > node_.target_rows.position()) {
+        take_target(asked, row);
+        node_.target_rows.take(row);
+      }
+    }
+    node_.target_rows.advance(news.position);
+  }
+  targets_positioned_ = targets_positioned_ || node_.fleet_known;
+  node_.fleet_read_at = std::max(node_.fleet_read_at, asked);
+}
+
+void store_watch::replace_targets(time_point asked, const std::vector<feed_row>& rows,
+                                  std::uint64_t position) {
+  std::vector<fleet_view::listed_row> records;
+  for (const feed_row& row : rows) {
+    if (auto record = read_record(row)) {
+      records.push_back({std::move(*record), row.version});
+    }
+  }
+  node_.fleet.replace_all(asked, records, written_after(asked));
+  node_.target_rows.replace(rows, position);
+  node_.fleet_known = true;
+  node_.fleet_read_at = std::max(node_.fleet_read_at, asked);
+  log_line(log_level::info, "fleet", "read whole",
+           {{"targets", std::uint64_t{records.size()}}, {"position", position}});
+}
+
+void store_watch::take_target(time_point asked, const feed_row& row) {
+  const target_id known = node_.fleet.life_now(row.key);
+  if (row.removed) {
+    node_.fleet.unlisted(asked, known);
+    log_line(log_level::info, "fleet", "unlisted", {{"target", known}});
+    return;
+  }
+  auto record = read_record(row);
+  if (!record) {
+    // Whoever wrote it, the engine's own word is gone from the list: it gets nothing new until its
+    // next record, as if it had left.
+    node_.fleet.unlisted(asked, known);
+    return;
+  }
+  const target_id id = record->id;
+  const target_view* before = node_.fleet.find(id);
+  if (before == nullptr || !before->listed) {
+    log_line(log_level::info, "fleet", "listed",
+             {{"target", id}, {"service", record->service}, {"domain", record->domain}});
+  } else if (record->draining && !before->record.draining) {
+    log_line(log_level::info, "fleet", "draining", {{"target", id}});
+  }
+  const endpoint address = record->address;
+  if (!node_.fleet.listed(asked, std::move(*record), row.version, written_after(asked))) {
+    log_line(log_level::info, "fleet", "record of an ended life", {{"target", id}});
+  } else if (!known.empty() && known != id) {
+    log_line(log_level::info, "fleet", "started again", {{"target", id}, {"before", known}});
+    node_.forget_connections(address);
+  }
+}
+
+// A row behind the last position was written since this node was there. After a gap that is no
+// longer about now; without one it is, and nothing is said.
+std::optional<time_point> store_watch::written_after(time_point asked) const {
+  if (!node_.fleet_known || asked - node_.fleet_read_at <= longest_followed_gap) {
+    return std::nullopt;
+  }
+  return node_.fleet_read_at;
+}
+
+// Empty for a record that names no target to use; the others hold.
+std::optional<target_record> store_watch::read_record(const feed_row& row) {
+  std::string problem = "its value cannot be decoded";
+  std::optional<target_record> record;
+  if (row.readable) {
+    record = read_target_record(row.key, row.value, problem);
+  }
+  if (!record) {
+    node_.metrics.count("arbutusworks_unreadable_records");
+    // Once for each version of a row; a name may be anything.
+    log_line(log_level::warning, "fleet", "unreadable record",
+             {{"target", row.key.substr(0, longest_engine_name)},
+              {"version", row.version},
+              {"reason", problem.substr(0, longest_reason)}});
+  }
+  return record;
+}
+
+bool store_watch::read_targets() {
+  std::vector<feed_row> all;
+  std::string from;
+  std::uint64_t first_version = 0;
+  const time_point asked = monotonic_now();
+  for (;;) {
+    const auto result = node_.store.read(target_table, from, monotonic_now() + read_timeout);
+    const auto* rows = std::get_if<store_rows>(&result);
+    count_call("targets whole", rows != nullptr);
+    if (rows == nullptr || rows->version < node_.target_rows.position()) {
+      return false;
+    }
+    // Pages are read one after the other: what changed meanwhile comes again behind the first.
+    first_version = first_version == 0 ? rows->version : first_version;
+    for (const store_row& row : rows->rows) {
+      all.push_back({row.key, row.value, row.version, false, row.readable});
+    }
+    if (!rows->more || rows->rows.empty()) {
+      break;
+    }
+    from = rows->rows.back().key + '\x01';
+  }
+  replace_targets(asked, all, first_version);
+  return true;
+}
+
+void store_watch::follow_targets() {
+  for (;;) {
+    const time_point asked = monotonic_now();
+    time_point next = asked + target_pause(asked);
+    node_.fleet.forget_old(asked);
+    // While the store does not answer about the configuration, that question alone is repeated.
+    if (is_fed(asked) || failures_ > 0 || (targets_positioned_ && awaits_hub(asked))) {
+      next = asked + look_interval;
+    } else if (!targets_positioned_) {
+      targets_positioned_ = read_targets();
+      note_dependency("targets", targets_up_, targets_positioned_, "whole list");
+      next = targets_positioned_ ? next : asked + retry_pause;
+    } else {
+      const auto result = node_.store.watch(target_table, node_.target_rows.position(), target_wait,
+                                            asked + target_wait + answer_slack);
+      count_call("targets news", std::holds_alternative<store_rows>(result));
+      if (const auto* rows = std::get_if<store_rows>(&result)) {
+        for (const store_row& row : rows->rows) {
+          const feed_row changed{row.key, row.value, row.version, row.removed, row.readable};
+          take_target(asked, changed);
+          node_.target_rows.take(changed);
+        }
+        node_.target_rows.advance(rows->version);
+        node_.fleet_read_at = asked;
+        note_dependency("targets", targets_up_, true, "watched");
+      } else if (std::holds_alternative<history_dropped>(result)) {
+        targets_positioned_ = false;
+        next = asked;
+      } else {
+        note_dependency("targets", targets_up_, false, "the watch failed");
+      }
+    }
+    if (!sleep_until(std::max(next, monotonic_now()))) {
+      return;
+    }
+  }
+}
+
+}  // namespace arbutus
--- a/src/process/peer_table.cpp
+++ b/src/process/peer_table.cpp
@@ -45,13 +45,15 @@
 
 void peer_table::sort_peers() {
   order_.clear();
-  for (const auto& [id, p] : peers_) {
-    order_.push_back(id);
+  for (const auto& entry : peers_) {
+    order_[entry.second.data_centre].push_back(&entry);
   }
   // Stable: among equals the order of the names stays.
-  std::stable_sort(order_.begin(), order_.end(), [this](const node_id& a, const node_id& b) {
-    return peers_.at(a).strength > peers_.at(b).strength;
-  });
+  for (auto& [data_centre, peers] : order_) {
+    std::stable_sort(peers.begin(), peers.end(), [](const auto* a, const auto* b) {
+      return a->second.strength > b->second.strength;
+    });
+  }
 }
 
 bool peer_table::before(const node_id& id, const peer& p) const {
@@ -81,15 +83,23 @@
   p.word.stamp_us = newest;
 }
 
+bool peer_table::lives(time_point now, const peer& p) {
+  return p.heard_at != time_point{} && now - p.heard_at < alive_for;
+}
+
 bool peer_table::lives(time_point now, const node_id& id) const {
   const auto found = peers_.find(id);
-  return found != peers_.end() && found->second.heard_at != time_point{} &&
-         now - found->second.heard_at < alive_for;
+  return found != peers_.end() && lives(now, found->second);
 }
 
 std::size_t peer_table::living(time_point now) const {
   return static_cast<std::size_t>(std::count_if(
-      peers_.begin(), peers_.end(), [&](const auto& entry) { return lives(now, entry.first); }));
+      peers_.begin(), peers_.end(), [&](const auto& entry) { return lives(now, entry.second); }));
+}
+
+bool peer_table::any_lives(time_point now) const {
+  return std::any_of(peers_.begin(), peers_.end(),
+                     [&](const auto& entry) { return lives(now, entry.second); });
 }
 
 bool peer_table::any_in(const data_centre_id& data_centre) const {
@@ -116,7 +126,7 @@
 
 bool peer_table::any_served_here(time_point now) const {
   return std::any_of(peers_.begin(), peers_.end(), [&](const auto& entry) {
-    return entry.second.data_centre == data_centre_ && lives(now, entry.first) &&
+    return entry.second.data_centre == data_centre_ && lives(now, entry.second) &&
            may_be_hub(now, entry.second);
   });
 }
@@ -157,9 +167,13 @@
 node_id peer_table::first_of(time_point now, const data_centre_id& data_centre,
                              bool must_be_served) const {
   const bool self_may = data_centre == data_centre_ && (!must_be_served || is_served(now));
-  for (const node_id& id : order_) {
-    const peer& p = peers_.at(id);
-    if (p.data_centre == data_centre && (must_be_served ? may_be_hub(now, p) : presumed(now, p))) {
+  const auto found = order_.find(data_centre);
+  if (found == order_.end()) {
+    return self_may ? self_ : node_id{};
+  }
+  for (const auto* entry : found->second) {
+    const auto& [id, p] = *entry;
+    if (must_be_served ? may_be_hub(now, p) : presumed(now, p)) {
       return self_may && before(id, p) ? self_ : id;
     }
   }
@@ -191,11 +205,12 @@
 void peer_table::add_candidates(time_point now, const data_centre_id& data_centre,
                                 std::vector<node_id>& result) const {
   std::size_t found = 0;
-  for (const node_id& id : order_) {
-    const peer& p = peers_.at(id);
-    if (p.data_centre != data_centre) {
-      continue;
-    }
+  const auto in_order = order_.find(data_centre);
+  if (in_order == order_.end()) {
+    return;
+  }
+  for (const auto* entry : in_order->second) {
+    const auto& [id, p] = *entry;
     // Silent ones as well: a hub that returns has to be heard, or there are two from then on.
     // Telling only now and then would open a link each time and close it before it is up.
     result.push_back(id);
@@ -227,10 +242,12 @@
       add_candidates(now, other, result);
     }
   }
+  if (!is_candidate(now)) {
+    return result;
+  }
   // Whoever told this node gets an answer, as long as it has reason to ask.
   for (const auto& [id, p] : peers_) {
-    if (is_candidate(now) && lives(now, id) &&
-        std::find(result.begin(), result.end(), id) == result.end()) {
+    if (lives(now, p) && std::find(result.begin(), result.end(), id) == result.end()) {
       result.push_back(id);
     }
   }
--- a/src/process/peer_table.h
+++ b/src/process/peer_table.h
@@ -25,6 +25,12 @@
  public:
   peer_table(node_id self, data_centre_id data_centre, node_strength strength = {})
       : self_(std::move(self)), data_centre_(std::move(data_centre)), strength_(strength) {}
+  // Moved, not copied: order_ points into peers_.
+  peer_table(const peer_table&) = delete;
+  peer_table& operator=(const peer_table&) = delete;
+  peer_table(peer_table&&) = default;
+  peer_table& operator=(peer_table&&) = default;
+  ~peer_table() = default;
 
   // Rows of the store, this node's own among them. A peer that is in no row any more is forgotten,
   // unless it told of itself since.
@@ -64,6 +70,7 @@
   // Heard lately.
   [[nodiscard]] bool lives(time_point now, const node_id& peer) const;
   [[nodiscard]] std::size_t living(time_point now) const;
+  [[nodiscard]] bool any_lives(time_point now) const;
   [[nodiscard]] bool any_in(const data_centre_id& data_centre) const;
   // Whether another node of this node's data centre is known, living or not.
   [[nodiscard]] bool any_in_data_centre() const;
@@ -99,6 +106,7 @@
     peer_word word;
   };
 
+  [[nodiscard]] static bool lives(time_point now, const peer& p);
   [[nodiscard]] bool presumed(time_point now, const peer& p) const;
   // Presumed, and served by the store as far as it said.
   [[nodiscard]] bool may_be_hub(time_point now, const peer& p) const {
@@ -123,7 +131,8 @@
   bool turned_away_ = false;
   time_point served_since_{};      // again, after it was turned away
   std::map<node_id, peer> peers_;  // without this node
-  std::vector<node_id> order_;     // of peers_, the strongest first
+  // Of each data centre, the strongest first; into peers_, whose entries stay where they are.
+  std::map<data_centre_id, std::vector<const std::pair<const node_id, peer>*>> order_;
   std::vector<node_record> records_;
 };
 
--- a/tests/shell/hosted_fixture.h
+++ b/tests/shell/hosted_fixture.h
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <boost/asio/ip/tcp.hpp>
 #include <functional>
 #include <memory>
 #include <string>
@@ -16,8 +17,23 @@
 
 namespace arbutus::testing_support {
 
+inline bool is_free(std::uint16_t port) {
+  boost::asio::io_context io;
+  boost::system::error_code error;
+  boost::asio::ip::tcp::acceptor door(io);
+  door.open(boost::asio::ip::tcp::v4(), error);
+  door.set_option(boost::asio::socket_base::reuse_address(true), error);
+  door.bind({boost::asio::ip::address_v4::loopback(), port}, error);
+  return !error;
+}
+
+// Tests run beside each other, and beside a soak whose nodes listen in the same range: what another
+// process has taken is passed over.
 inline std::uint16_t next_port() {
   static std::uint16_t port = static_cast<std::uint16_t>(20000 + (getpid() % 300) * 32);
+  while (!is_free(port)) {
+    ++port;
+  }
   return port++;
 }
 
