Explaining tests wait for a request's last line

The run shows the line of the refused request on standard output, in the form of no sink: the caller had its 503, the test ended the log, and the node wrote the line then. Change: the test asks each node once more before it ends the log. The checks are as they were.

--- a/tests/shell/explain_test.cpp
+++ b/tests/shell/explain_test.cpp
@@ -22,8 +22,11 @@
   }
   ~Explain() override { stop_log(); }
 
-  // Ends the log.
+  // Ends the log. A node writes a request's last line after its answer has left: once it has
+  // answered another request that line is written.
   std::optional<request_story> explained(const std::string& id) {
+    (void)ask(0, "/llm/x", "after-0");
+    (void)ask(1, "/llm/x", "after-1");
     stop_log();
     std::istringstream lines(log_.str());
     log_reader reader;
