Hubs pass a large list of targets on whole to one node a round; the others ask the store from where they are

By reading: a node behind the hub's last whole read was passed the whole list in every beat until it said that it had it. Change: list_budget decides it; a list that is withheld is no news, and the node asks the store's feed from its position. Small lists go to all as before. Tests: ListBudget.*, HostedNode.AListThatIsWithheldChangesNothing.

--- a/src/node/keeper_beats.cpp
+++ b/src/node/keeper_beats.cpp
@@ -42,6 +42,21 @@
   return news;
 }
 
+feed_news keeper_loop::target_news(time_point now, std::uint64_t after) {
+  feed_news news{node_.target_rows.since(after), node_.target_rows.needs_whole(after),
+                 node_.target_rows.position(),   after,
+                 now - node_.fleet_read_at,      false};
+  std::size_t bytes = 0;
+  for (const feed_row& row : news.rows) {
+    bytes += row.value.size();
+  }
+  news.withheld = news.whole && !whole_lists_.take(bytes, node_.peers.living(now) + 1);
+  if (news.withheld) {
+    news.rows.clear();
+  }
+  return news;
+}
+
 node_beat keeper_loop::beat_for(time_point now, const node_id& peer) {
   const data_centre_id& home = node_.settings.data_centre;
   const bool same = node_.peers.data_centre_of(peer) == home;
@@ -76,12 +91,7 @@
   const auto asked = positions_.find(peer);
   if (beat.hub && same && asked != positions_.end()) {
     if (node_.fleet_known) {
-      beat.targets = feed_news{node_.target_rows.since(asked->second.targets),
-                               node_.target_rows.needs_whole(asked->second.targets),
-                               node_.target_rows.position(),
-                               asked->second.targets,
-                               now - node_.fleet_read_at,
-                               false};
+      beat.targets = target_news(now, asked->second.targets);
     }
     if (node_.lease.age(now)) {
       beat.configuration = configuration_news(now, peer, asked->second.configuration);
@@ -118,6 +128,7 @@
   std::sort(peers.begin(), peers.end());
   link_to(peers);
   may_pass_on_ = most_passed_on;
+  whole_lists_.begin_round();
   // Another one is first each time, so that what is left of the round falls to all of them.
   if (!peers.empty()) {
     const auto first = static_cast<std::ptrdiff_t>(random_.below(peers.size()));
--- a/src/node/keeper_loop.h
+++ b/src/node/keeper_loop.h
@@ -11,6 +11,7 @@
 #include "node/hosted_state.h"
 #include "node/peer_links.h"
 #include "node/store_watch.h"
+#include "process/list_budget.h"
 #include "process/replica_keeper.h"
 
 namespace arbutus {
@@ -49,6 +50,7 @@
   void doubt(const target_id& id);
   [[nodiscard]] feed_news configuration_news(time_point now, const node_id& peer,
                                              std::uint64_t after);
+  [[nodiscard]] feed_news target_news(time_point now, std::uint64_t after);
   void choose_asked(const target_id& head, std::vector<target_id>& members);
   void tell_peers(time_point now);
   void link_to(const std::vector<node_id>& peers);
@@ -69,6 +71,7 @@
   };
   std::map<node_id, positions> positions_;
   std::size_t may_pass_on_ = 0;  // bytes of configuration, in this round of beats
+  list_budget whole_lists_;
   std::vector<node_id> linked_;
   std::size_t linking_ = 0;  // fibers that change the links
   bool ended_ = false;
--- a/src/node/store_targets.cpp
+++ b/src/node/store_targets.cpp
@@ -44,6 +44,10 @@
 }
 
 void store_watch::take_target_news(time_point asked, const feed_news& news) {
+  targets_withheld_ = news.withheld;
+  if (news.withheld) {
+    return;  // to be asked for at the store
+  }
   if (news.whole && news.position > node_.target_rows.position()) {
     replace_targets(asked, news.rows, news.position);
   } else if (!news.whole && node_.target_rows.can_follow(news.after)) {
@@ -166,7 +170,8 @@
     time_point next = asked + target_pause(asked);
     node_.fleet.forget_old(asked);
     // While the store does not answer about the configuration, that question alone is repeated.
-    if (is_fed(asked) || failures_ > 0 || (targets_positioned_ && awaits_hub(asked))) {
+    const bool waits = is_fed(asked) || (targets_positioned_ && awaits_hub(asked));
+    if ((waits && !targets_withheld_) || failures_ > 0) {
       next = asked + look_interval;
     } else if (!targets_positioned_) {
       targets_positioned_ = read_targets();
@@ -184,6 +189,7 @@
         }
         node_.target_rows.advance(rows->version);
         node_.fleet_read_at = asked;
+        targets_withheld_ = false;
         note_dependency("targets", targets_up_, true, "watched");
       } else if (std::holds_alternative<history_dropped>(result)) {
         targets_positioned_ = false;
--- a/src/node/store_watch.h
+++ b/src/node/store_watch.h
@@ -59,6 +59,7 @@
   std::uint64_t configuration_row_ = 0;
   bool configuration_positioned_ = false;  // the log holds all up to its position
   bool targets_positioned_ = false;
+  bool targets_withheld_ = false;  // the hub has a list that it does not pass on whole
   time_point fed_at_{};
   time_point asked_at_{};       // last question about the configuration
   std::uint32_t failures_ = 0;  // of such questions in a row
--- a/tests/shell/hosted_node_test.cpp
+++ b/tests/shell/hosted_node_test.cpp
@@ -117,6 +117,22 @@
   EXPECT_TRUE(eventually([&] { return ask(0, "/llm/2f", "d1").response.status == 200; }));
 }
 
+TEST_F(HostedNode, AListThatIsWithheldChangesNothing) {
+  // What the hub leaves out is no news: this node's list is as old as before.
+  fiber_runtime own_runtime(1);
+  hosted_state state(nodes_[0]->settings, own_runtime);
+  store_watch watch(state);
+  node_beat beat;
+  beat.data_centre = nodes_[0]->settings.data_centre;
+  beat.hub = true;
+  beat.targets = feed_news{{}, true, 90, 0, 0ms, true};
+  const time_point now = monotonic_now();
+  watch.take_news(now, now, beat);
+  EXPECT_EQ(state.target_rows.position(), 0U);
+  EXPECT_FALSE(state.fleet_known);
+  EXPECT_EQ(state.fleet_read_at, time_point{});
+}
+
 TEST_F(HostedNode, NewsForAnEarlierLifeAreNotTaken) {
   // Symptom: a node that was started again knows no configuration, or no replicas, for ever, while
   // all others serve. Sequence: it starts while the store is away from it; its hub still answers on
