Keeper: an address belongs to the newest target that has it; orders say why they are given

Cause: an engine ends behind a cut and another one starts at its address under another name. A report does not say whose it is, so that a keeper that asks the one which ended (dropped from the list, remembered for 60 s) is told the replica of the other. That replica has a member too many; it is taken apart, formed again of the same members under the same name, and so on. The order did not say why, so that nobody could tell.

Change: the newest row at an address says whose it is; whoever had it is forgotten. Orders carry their reason into the log.

FormsReplicasOnceWhereEnginesTookTheAddressOfOthers failed on the old code: 27 orders within 5 s.

--- a/src/node/keeper_loop.cpp
+++ b/src/node/keeper_loop.cpp
@@ -180,6 +180,7 @@
               {"epoch", order.replica.epoch},
               {"model", order.model},
               {"expected_orders", order.expected_orders},
+              {"reason", order.reason},
               {"outcome", names[static_cast<std::size_t>(outcome)]}});
     node_.metrics.count("arbutusworks_orders",
                         "action=\"" + std::string(to_string(order.action)) + "\",outcome=\"" +
--- a/src/process/fleet_view.cpp
+++ b/src/process/fleet_view.cpp
@@ -67,7 +67,7 @@
 
 bool fleet_view::listed(time_point observed_at, target_record record, std::uint64_t row_version,
                         std::optional<time_point> written_after) {
-  if (!take_life(observed_at, record.id)) {
+  if (!take_address(record, row_version) || !take_life(observed_at, record.id)) {
     return false;
   }
   target_view& view = targets_[record.id];
@@ -91,6 +91,36 @@
   return true;
 }
 
+// Goes wrong without it: an engine ends, and another one starts at its address under another name.
+// A report does not say whose it is, so that the keeper that asks the one which ended is told the
+// replica of the other: a member too many, for which the replica is taken apart, formed again of
+// the same members, and so on for as long as the old name is remembered. One would see capacity
+// that goes up and down once a second. Until its row lapses the old one is sent requests, too.
+bool fleet_view::take_address(const target_record& record, std::uint64_t row_version) {
+  if (row_version == 0) {
+    return true;
+  }
+  target_id& owner = owners_[record.address];
+  if (!owner.empty() && owner != record.id) {
+    const target_view* other = find(owner);
+    const bool is_there = other != nullptr && other->record.address == record.address;
+    if (is_there && other->row_version > row_version) {
+      return false;
+    }
+    if (is_there) {
+      forget(owner);
+    }
+  }
+  owner = record.id;
+  return true;
+}
+
+void fleet_view::forget(const target_id& id) {
+  lives_.erase(std::string(engine_of(id)));
+  targets_.erase(id);
+  ++revision_;
+}
+
 void fleet_view::unlisted_engine(time_point now, std::string_view engine) {
   unlisted(now, life_now(engine));
 }
@@ -241,6 +271,7 @@
     return !entry.second.listed && now - entry.second.unlisted_at > remembered;
   });
   std::erase_if(lives_, [this](const auto& entry) { return !targets_.contains(entry.second.now); });
+  std::erase_if(owners_, [this](const auto& entry) { return !targets_.contains(entry.second); });
 }
 
 const target_view* fleet_view::find(const target_id& id) const {
--- a/src/process/fleet_view.h
+++ b/src/process/fleet_view.h
@@ -91,7 +91,8 @@
  public:
   // From the platform's list. `observed_at`: when the question was sent. `written_after`: a time
   // that its writing is known to be behind; by default the same, as for a list that is followed.
-  // False: the record is of a life that has ended, and was dropped.
+  // False: the record is of a life that has ended, or its address is another target's by a newer
+  // row (row_version), and was dropped.
   bool listed(time_point observed_at, target_record record, std::uint64_t row_version = 0,
               std::optional<time_point> written_after = std::nullopt);
   void unlisted(time_point now, const target_id& id);
@@ -147,12 +148,16 @@
 
   // Whether `life` is, or has now become, the engine's life.
   bool take_life(time_point now, const target_id& life);
+  // Whether the address is the target's by its row of this version; whoever had it is forgotten.
+  bool take_address(const target_record& record, std::uint64_t row_version);
+  void forget(const target_id& id);
   static void take_row_state(target_view& view, const target_record& record, time_point as_of);
   void replace_by_answer(time_point asked, time_point as_of, const target_id& id,
                          const target_answer& answer);
 
   std::map<target_id, target_view> targets_;
   std::map<std::string, engine_lives, std::less<>> lives_;
+  std::map<endpoint, target_id> owners_;  // of addresses, by the newest row of a version
   std::uint64_t revision_{1};
 };
 
--- a/src/process/replica_keeper.cpp
+++ b/src/process/replica_keeper.cpp
@@ -177,12 +177,12 @@
 }
 
 void replica_keeper::send(round& r, const target_view& to, order_action action,
-                          const replica_key& replica, const model_id& model,
-                          const std::vector<target_id>& members) {
+                          const replica_key& replica, std::string_view reason,
+                          const model_id& model, const std::vector<target_id>& members) {
   engine_memory& memory = memory_[to.record.id];
   memory.order_pending = true;
   r.out.emplace_back(replica_order{to.record.id, to.record.address, action, replica, model, members,
-                                   *memory.orders});
+                                   *memory.orders, reason});
 }
 
 std::optional<replica_key> replica_keeper::replica_of(const target_view& view) {
@@ -225,14 +225,14 @@
       const bool is_head = id == f.members.front();
       // Members after their head, see mend_standing.
       if (!joined && !f.told.contains(id) && (is_head || f.head_joined) && may_order(r, id)) {
-        send(r, view, order_action::join, f.key, f.model, f.members);
+        send(r, view, order_action::join, f.key, "forms", f.model, f.members);
       }
       whole = whole && joined && own->state != member_state::joining;
     }
     const target_view& head = *r.fleet.find(f.members.front());
     if (whole && head.record.member_of->state == member_state::ready &&
         may_order(r, head.record.id)) {
-      send(r, head, order_action::open, f.key);
+      send(r, head, order_action::open, f.key, "whole");
     }
     if (whole && head.record.member_of->state == member_state::open) {
       f.failed = true;  // done: from now on it is one that stands
@@ -284,46 +284,73 @@
       }
       continue;
     }
-    const model_shape* model = head_in ? r.engine.find_model(model_in(key.name)) : nullptr;
-    bool whole = model != nullptr && group.members.size() == model->size;
-    bool all_ready = true;
-    std::size_t dropped = 0;
-    std::vector<target_id> lives;
-    for (const target_view* member : group.members) {
-      lives.push_back(member->record.id);
-      // A member that the list dropped may be cut off from the list alone, see serving_replicas.
-      const bool in_place = member->listed || member != head;
-      dropped += member->listed ? 0 : 1;
-      whole = whole && in_place && !member->lost && !member->record.draining;
-      all_ready = all_ready && member->record.member_of->state != member_state::joining;
-    }
-    // With a member that started again since it was formed it serves nobody.
-    whole = whole && is_of_lives(key.name, lives);
-    whole = whole && head->record.member_of->state != member_state::broken &&
-            head->record.member_of->state != member_state::closing;
-    const bool replaceable = dropped > 0 && r.dropped <= few_dropped;
-    if (!whole || (replaceable && has_spares(r, *head, *model, dropped))) {
-      take_apart(r, group);
+    if (const std::string_view reason = why_apart(r, group, head); !reason.empty()) {
+      take_apart(r, group, reason);
       continue;
     }
     if (spans_domains(group.members)) {
       r.far.push_back(group);
       if (const auto since = closing_since_.find(key); since != closing_since_.end()) {
-        take_apart(r, group);
+        take_apart(r, group, "a domain needs its members");
         continue;
       }
     }
     for (const target_view* member : group.members) {
       r.taken.insert(member->record.id);
     }
+    const bool all_ready =
+        std::all_of(group.members.begin(), group.members.end(), [](const target_view* m) {
+          return m->record.member_of->state != member_state::joining;
+        });
     // Formed by a node that ended before it could open it.
     if (all_ready && head->record.member_of->state == member_state::ready && r.is_own(*head) &&
         may_order(r, head_id)) {
-      send(r, *head, order_action::open, key);
+      send(r, *head, order_action::open, key, "whole");
     }
   }
 }
 
+// Empty: the replica serves, or will. Otherwise why it has to be taken apart.
+std::string_view replica_keeper::why_apart(const round& r, const standing_replica& replica,
+                                           const target_view* head) const {
+  const bool head_in =
+      head != nullptr && head->record.member_of && head->record.member_of->replica == replica.key;
+  const model_shape* model = head_in ? r.engine.find_model(model_in(replica.key.name)) : nullptr;
+  if (model == nullptr) {
+    return head_in ? "its model is not configured" : "its head is gone";
+  }
+  if (replica.members.size() != model->size) {
+    return "a member is in another replica or gone";
+  }
+  std::size_t dropped = 0;
+  std::vector<target_id> lives;
+  for (const target_view* member : replica.members) {
+    lives.push_back(member->record.id);
+    if (member->lost) {
+      return "a member is lost";
+    }
+    if (member->record.draining) {
+      return "a member leaves";
+    }
+    // A member that the list dropped may be cut off from the list alone, see serving_replicas.
+    dropped += member->listed ? 0 : 1;
+  }
+  if (!head->listed) {
+    return "its head is not listed";
+  }
+  // With a member that started again since it was formed it serves nobody.
+  if (!is_of_lives(replica.key.name, lives)) {
+    return "a member started again";
+  }
+  const member_state state = head->record.member_of->state;
+  if (state == member_state::broken || state == member_state::closing) {
+    return state == member_state::broken ? "its head gave up" : "its head closes";
+  }
+  const bool replaceable = dropped > 0 && r.dropped <= few_dropped;
+  return replaceable && has_spares(r, *head, *model, dropped) ? "spares replace an unlisted member"
+                                                               : "";
+}
+
 // Whether so many engines of the head's domain are ready for its model and in no real replica.
 bool replica_keeper::has_spares(const round& r, const target_view& head, const model_shape& model,
                                 std::size_t wanted) const {
@@ -340,12 +367,13 @@
 }
 
 // Head first. Until it is out, the members stay where they are.
-void replica_keeper::take_apart(round& r, const standing_replica& replica) {
+void replica_keeper::take_apart(round& r, const standing_replica& replica,
+                                std::string_view reason) {
   const target_view* head = r.fleet.find(head_of(replica.key.name));
   const bool head_in =
       head != nullptr && head->record.member_of && head->record.member_of->replica == replica.key;
   if (!head_in || !round::alive(head)) {
-    orphan(r, replica);
+    orphan(r, replica, reason);
     return;
   }
   for (const target_view* member : replica.members) {
@@ -375,18 +403,18 @@
   }
   if (graceful && r.now - since < settings_.close_timeout) {
     if (state == member_state::open) {
-      send(r, *head, order_action::close, replica.key);
+      send(r, *head, order_action::close, replica.key, reason);
     }
     return;
   }
-  send(r, *head, order_action::leave, replica.key);
+  send(r, *head, order_action::leave, replica.key, reason);
 }
 
 // The head does not answer, and may serve all the same: it may be cut off from this node alone.
 // What goes wrong: its members join another replica and are still counted on by the old head. So
 // they are first ordered to leave, and used only once they were seen outside: an engine without a
 // replica works for nobody, and a head without a member moves nothing.
-void replica_keeper::orphan(round& r, const standing_replica& replica) {
+void replica_keeper::orphan(round& r, const standing_replica& replica, std::string_view reason) {
   const target_view* head = r.fleet.find(head_of(replica.key.name));
   // Another data centre's keeper sees more of its head; this node may have lost it alone.
   const bool judged_too_soon = head != nullptr && !r.is_own(*head) && head->listed &&
@@ -399,7 +427,7 @@
   }
   if (head != nullptr) {
     if (may_order(r, head->record.id)) {
-      send(r, *head, order_action::leave, replica.key);
+      send(r, *head, order_action::leave, replica.key, reason);
     } else if (!is_current(*head, memory_[head->record.id])) {
       ask(r, *head);
     }
@@ -411,7 +439,7 @@
     }
     r.taken.insert(id);
     if (round::alive(member) && r.is_own(*member) && may_order(r, id)) {
-      send(r, *member, order_action::leave, replica.key);
+      send(r, *member, order_action::leave, replica.key, reason);
     }
   }
 }
--- a/src/process/replica_keeper.h
+++ b/src/process/replica_keeper.h
@@ -19,6 +19,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -43,6 +44,7 @@
   model_id model;                   // join
   std::vector<target_id> members;   // join; the first is the head
   std::uint64_t expected_orders{};  // orders that the target must have obeyed so far
+  std::string_view reason;          // for logs
 };
 
 // Asks a target for its report.
@@ -201,8 +203,10 @@
   void mend_standing(round& r);
   [[nodiscard]] bool has_spares(const round& r, const target_view& head, const model_shape& model,
                                 std::size_t wanted) const;
-  void take_apart(round& r, const standing_replica& replica);
-  void orphan(round& r, const standing_replica& replica);
+  [[nodiscard]] std::string_view why_apart(const round& r, const standing_replica& replica,
+                                           const target_view* head) const;
+  void take_apart(round& r, const standing_replica& replica, std::string_view reason);
+  void orphan(round& r, const standing_replica& replica, std::string_view reason);
   void find_free(round& r);
   void form(round& r);
   void form_in(round& r, const fabric_domain_id& domain, const model_shape& model);
@@ -231,7 +235,8 @@
   [[nodiscard]] std::optional<double> gain_of_load(const round& r, const target_view& view,
                                                    std::size_t model) const;
   void send(round& r, const target_view& to, order_action action, const replica_key& replica,
-            const model_id& model = {}, const std::vector<target_id>& members = {});
+            std::string_view reason, const model_id& model = {},
+            const std::vector<target_id>& members = {});
   [[nodiscard]] bool may_order(round& r, const target_id& id);
   [[nodiscard]] model_id model_for(const target_view& view, const engine_memory& memory) const;
   [[nodiscard]] std::uint64_t next_epoch() { return ++last_epoch_; }
--- a/src/process/replica_keeper_form.cpp
+++ b/src/process/replica_keeper_form.cpp
@@ -82,7 +82,7 @@
   }
   f.key = {replica_name(model.id, origin_, f.members), next_epoch()};
   if (may_order(r, f.members.front())) {
-    send(r, *members.front(), order_action::join, f.key, f.model, f.members);
+    send(r, *members.front(), order_action::join, f.key, "forms", f.model, f.members);
   }
   r.taken.insert(f.members.begin(), f.members.end());
   for (auto& [domain, free] : r.free) {
--- a/src/process/replica_keeper_load.cpp
+++ b/src/process/replica_keeper_load.cpp
@@ -193,7 +193,7 @@
   memory.ready_for = {};
   memory.load_for = r.engine.models[model].id;
   memory.load_begun = r.now;
-  send(r, view, order_action::join, {spare_name(memory.load_for, id), next_epoch()},
+  send(r, view, order_action::join, {spare_name(memory.load_for, id), next_epoch()}, "gets ready",
        memory.load_for, {id});
   std::erase_if(r.free[view.record.domain],
                 [&](const target_view* v) { return v->record.id == id; });
--- a/tests/core/target_life_test.cpp
+++ b/tests/core/target_life_test.cpp
@@ -144,5 +144,44 @@
   EXPECT_TRUE(model_in("").empty());
 }
 
+target_record at_address(const char* name, std::uint16_t port) {
+  target_record record;
+  record.id = target_id{name};
+  record.service = service_id{"llm"};
+  record.address = {"10.0.0.9", port};
+  return record;
+}
+
+TEST(TargetAddress, WhoeverHadItIsForgotten) {
+  // Symptom: replicas are taken apart and formed again of the same members, once a second.
+  // Sequence: an engine ends, another starts at its address; the keeper asks the first one, and the
+  // second answers. Cause: a report does not say whose it is.
+  fleet_view fleet;
+  const target_record before = at_address("i-1", 8000);
+  const target_record after = at_address("i-2", 8000);
+  fleet.listed(time_point{1s}, before, 5);
+  fleet.listed(time_point{2s}, after, 9);
+  EXPECT_EQ(fleet.find(before.id), nullptr);
+  const membership other{{"r.large.0.0.i-3", 4}, 1, member_state::ready};
+  fleet.reported(time_point{3s}, time_point{3s}, before.id, {before.id, other, model_id{"large"}});
+  EXPECT_EQ(fleet.find(before.id), nullptr);
+  // Its row lapses later; until then it stands in the list.
+  fleet.replace_all(time_point{4s}, {{before, 5}, {after, 9}});
+  EXPECT_EQ(fleet.find(before.id), nullptr);
+  ASSERT_NE(fleet.find(after.id), nullptr);
+  EXPECT_TRUE(fleet.find(after.id)->listed);
+}
+
+TEST(TargetAddress, TheNewestRowSaysWhoseItIs) {
+  fleet_view fleet;
+  fleet.listed(time_point{1s}, at_address("i-2", 8000), 9);
+  EXPECT_FALSE(fleet.listed(time_point{2s}, at_address("i-1", 8000), 5));
+  EXPECT_EQ(fleet.find(target_id{"i-1"}), nullptr);
+  // One that moved to another address left its own.
+  fleet.listed(time_point{3s}, at_address("i-2", 8001), 11);
+  EXPECT_TRUE(fleet.listed(time_point{4s}, at_address("i-1", 8000), 12));
+  EXPECT_NE(fleet.find(target_id{"i-2"}), nullptr);
+}
+
 }  // namespace
 }  // namespace arbutus
--- a/tests/shell/keeper_world.h
+++ b/tests/shell/keeper_world.h
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <map>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <set>
 #include <string>
@@ -51,11 +52,13 @@
     }
   }
 
-  target_id add_engine(const std::string& domain, const std::string& data_centre = "a") {
+  target_id add_engine(const std::string& domain, const std::string& data_centre = "a",
+                       std::optional<endpoint> address = std::nullopt) {
     target_record record;
     record.id = life_of("i-" + std::to_string(next_id_++), 1);
     record.service = llm;
-    record.address = {"10.0.0.1", static_cast<std::uint16_t>(1000 + next_id_)};
+    record.address = address.value_or(
+        endpoint{"10.0.0.1", static_cast<std::uint16_t>(1000 + next_id_)});
     record.data_centre = data_centre_id{data_centre};
     record.domain = fabric_domain_id{domain};
     engines_.emplace(record.id, standin::hosted_engine(record, {}));
@@ -77,6 +80,12 @@
     dead_.insert(id);
     drop_from_list_[id] = now_ + 3600ms;
   }
+  // Dies, and another engine starts at its address; reports do not say whose they are.
+  target_id replace(const target_id& id) {
+    kill(id);
+    const target_record& old = engines_.at(id).record();
+    return add_engine(old.domain.str(), old.data_centre.str(), old.address);
+  }
   // Cut off from the list, which drops it; it works on.
   void drop_from_list(const target_id& id) { drop_from_list_[id] = now_; }
   // The node keeps deciding on what it saw before.
@@ -256,7 +265,7 @@
           n->fleet.unlisted(now_, id);
         } else if (!n->told.contains(id) || n->told[id] != engine.record()) {
           n->told[id] = engine.record();
-          n->fleet.listed(now_, engine.record());
+          n->fleet.listed(now_, engine.record(), ++row_version_);
         }
       }
     }
@@ -268,6 +277,11 @@
       for (const auto& [id, engine] : engines_) {
         const target_view* view = n->fleet.find(id);
         const bool dropped = view != nullptr && !view->listed && view->record.member_of;
+        if (const auto* other = at_address_of(id); dropped && other != nullptr) {
+          const target_report report = other->report(now_);
+          n->fleet.reported(now_, now_ - 250ms, id, {id, report.member_of, report.loaded, 1});
+          continue;
+        }
         for (std::uint32_t i = 0;
              dropped && dead_.contains(id) && i < fleet_view::probes_until_lost; ++i) {
           n->fleet.probe_failed(now_, id);
@@ -276,6 +290,17 @@
     }
   }
 
+  // Who answers now where a dead engine was.
+  [[nodiscard]] const standin::hosted_engine* at_address_of(const target_id& dead) const {
+    for (const auto& [id, engine] : engines_) {
+      const bool same = engine.record().address == engines_.at(dead).record().address;
+      if (dead_.contains(dead) && same && !dead_.contains(id)) {
+        return &engine;
+      }
+    }
+    return nullptr;
+  }
+
   // As keeper_loop does: a lost engine that answers is back. Those of a cut come back one by one,
   // as connections to them are tried again.
   void ask_lost() {
@@ -421,6 +446,7 @@
   std::priority_queue<event> events_;
   std::size_t next_event_ = 0;
   std::size_t orders_sent_ = 0;
+  std::uint64_t row_version_ = 0;
   int ticks_ = 0;
   int next_id_ = 1;
   std::uint64_t newest_life_ = 1;
--- a/tests/shell/replica_keeper_test.cpp
+++ b/tests/shell/replica_keeper_test.cpp
@@ -36,6 +36,31 @@
   EXPECT_TRUE(world.run_until([&] { return world.serving(model) >= before; }, 4800ms));
 }
 
+TEST(ReplicaKeeper, FormsReplicasOnceWhereEnginesTookTheAddressOfOthers) {
+  // Symptom: the same replicas are taken apart and formed again once a second, for as long as the
+  // day lasts. Sequence: engines end, and others start at their addresses under other names; the
+  // keeper asks those that ended, and the others answer. Cause: their replicas have a member too
+  // many, the name of the one that ended.
+  keeper_world world(7);
+  for (const char* domain : {"d0", "d1"}) {
+    world.add_domain(domain, 10);
+  }
+  world.run(40s);
+  world.requests_begin();
+  world.run(1s);
+  for (const model_id& model : {large, small}) {
+    for (const target_id& head : world.heads(model)) {
+      world.replace(world.engine(head).members().back());
+    }
+  }
+  world.run(12s);
+  const std::size_t serving = world.serving(large) + world.serving(small);
+  const std::size_t orders = world.orders_sent();
+  world.run(5s);
+  EXPECT_EQ(world.serving(large) + world.serving(small), serving);
+  EXPECT_EQ(world.orders_sent(), orders);
+}
+
 TEST(ReplicaKeeper, KeepsReplicasWhoseMembersTheListDropped) {
   // Symptom: a fleet that serves well loses nearly all its replicas within a second. Sequence: a
   // fifth of the engines is cut off from the list, which drops them after three heartbeats;
