--- a/src/node/hosted_state.cpp
+++ b/src/node/hosted_state.cpp
@@ -73,11 +73,7 @@
 
 const std::vector<serving_replica>& hosted_state::replicas(const service_shape& service,
                                                            const model_id& model) {
-  if (cached_revision_ != fleet.revision() || cached_version_ != map->version()) {
-    cached_.clear();
-    cached_revision_ = fleet.revision();
-    cached_version_ = map->version();
-  }
+  drop_outdated_caches();
   const auto found = cached_.find(model);
   if (found != cached_.end()) {
     return found->second;
@@ -88,8 +84,22 @@
                               : serving_replicas(fleet, service.id, model, shape->size);
 }
 
-std::vector<service_instance> hosted_state::instances_of(const service_id& service) const {
-  std::vector<service_instance> result;
+void hosted_state::drop_outdated_caches() {
+  if (cached_revision_ != fleet.revision() || cached_version_ != map->version()) {
+    cached_.clear();
+    cached_instances_.clear();
+    cached_revision_ = fleet.revision();
+    cached_version_ = map->version();
+  }
+}
+
+const std::vector<service_instance>& hosted_state::instances_of(const service_id& service) {
+  drop_outdated_caches();
+  const auto [found, is_new] = cached_instances_.try_emplace(service);
+  std::vector<service_instance>& result = found->second;
+  if (!is_new) {
+    return result;
+  }
   for (const auto& [id, view] : fleet.all()) {
     const target_record& record = view.record;
     if (record.service == service && view.listed && !view.lost && !record.draining) {
--- a/src/node/hosted_state.h
+++ b/src/node/hosted_state.h
@@ -23,6 +23,7 @@
 #include "process/hosted_settings.h"
 #include "process/node_beat.h"
 #include "process/peer_table.h"
+#include "process/serving_feed.h"
 #include "process/silence.h"
 #include "process/suspicions.h"
 #include "request/instance_choice.h"
@@ -47,7 +48,10 @@
   std::shared_ptr<const service_map> map;  // null until the first version was read
   config_lease lease;
   fleet_view fleet;
-  bool fleet_known = false;    // the list of targets was read once
+  bool fleet_known = false;    // what serves is known, or the list of targets was read
+  // The record of every target is known. Only then may this node keep replicas: it would take
+  // those apart whose members it does not know.
+  bool fleet_complete = false;
   time_point fleet_read_at{};  // question of the newest answer from the list
   load_table loads;
   instance_table instances;
@@ -58,6 +62,8 @@
   peer_table peers;
   // The followed tables, for the nodes that hear them from this one.
   feed_log target_rows;
+  serving_feed served;        // of a hub: what it passes on
+  serving_follower followed;  // of another node: what it was told
   feed_log configuration_rows;
   hosted_metrics metrics;
   rng random;  // for what nodes must not all decide alike
@@ -67,7 +73,7 @@
   // Replicas of a model that may be sent requests now; built anew only when something changed.
   [[nodiscard]] const std::vector<serving_replica>& replicas(const service_shape& service,
                                                              const model_id& model);
-  [[nodiscard]] std::vector<service_instance> instances_of(const service_id& service) const;
+  [[nodiscard]] const std::vector<service_instance>& instances_of(const service_id& service);
   [[nodiscard]] retry_window& retries_of(const service_id& service);
   // The target at this address has started again.
   void forget_connections(const endpoint& address);
@@ -75,7 +81,10 @@
  private:
   std::uint64_t cached_revision_ = 0;
   std::uint64_t cached_version_ = 0;
+  void drop_outdated_caches();
+
   std::map<model_id, std::vector<serving_replica>> cached_;
+  std::map<service_id, std::vector<service_instance>> cached_instances_;
 };
 
 // The rates and sizes at which a node talks to targets.
--- a/src/node/keeper_beats.cpp
+++ b/src/node/keeper_beats.cpp
@@ -50,13 +50,70 @@
   for (const feed_row& row : news.rows) {
     bytes += row.value.size();
   }
-  news.withheld = news.whole && !whole_lists_.take(bytes, node_.peers.living(now) + 1);
+  news.withheld = news.whole && !whole_lists_.take(bytes);
   if (news.withheld) {
     news.rows.clear();
   }
   return news;
 }
 
+feed_news keeper_loop::served_news(time_point now, const serving_follower::position& after) {
+  const feed_log& rows = node_.served.rows();
+  const std::uint64_t from = after.life == node_.origin ? after.at : 0;
+  feed_news news{rows.since(from), rows.needs_whole(from),    rows.position(), from,
+                 now - node_.fleet_read_at, false};
+  std::size_t bytes = 0;
+  for (const feed_row& row : news.rows) {
+    bytes += row.value.size();
+  }
+  news.withheld = news.whole && !whole_lists_.take(bytes);
+  if (news.withheld) {
+    news.rows.clear();
+  }
+  return news;
+}
+
+// What this hub knows of the store, to a node of its data centre that has said how far it is.
+void keeper_loop::pass_on(time_point now, const node_id& peer, node_beat& beat) {
+  const auto found = positions_.find(peer);
+  if (found == positions_.end()) {
+    return;
+  }
+  const positions& at = found->second;
+  if (node_.fleet_complete && at.follows_records) {
+    beat.targets = target_news(now, at.targets);
+  } else if (node_.fleet_complete) {
+    beat.served = served_news(now, at.serving);
+  }
+  if (node_.lease.age(now)) {
+    beat.configuration = configuration_news(now, peer, at.configuration);
+  }
+}
+
+// What is the same in the beats to all peers.
+void keeper_loop::begin_round(time_point now) {
+  may_pass_on_ = most_passed_on;
+  whole_lists_.begin_round();
+  lost_.clear();
+  for (const auto& [id, view] : node_.fleet.all()) {
+    if (view.lost && (view.listed || now - view.unlisted_at < told_after_unlisting)) {
+      lost_.insert(id);
+    }
+  }
+  suspected_.clear();
+  all_loads_.clear();
+  if (!node_.peers.is_hub(now)) {
+    return;
+  }
+  all_loads_ = node_.loads.all();
+  if (node_.map && node_.fleet_complete) {
+    node_.served.update(node_.fleet, *node_.map);
+    std::set<target_id> suspects = node_.suspected.of_hubs(now);
+    suspects.insert(lost_.begin(), lost_.end());
+    suspected_ = node_.served.first_of_each(suspects);
+  }
+}
+
 node_beat keeper_loop::beat_for(time_point now, const node_id& peer) {
   const data_centre_id& home = node_.settings.data_centre;
   const bool same = node_.peers.data_centre_of(peer) == home;
@@ -70,32 +127,31 @@
   beat.requests_seen = node_.requests_seen;
   beat.stamp_us = now.time_since_epoch().count();
   beat.echo_us = node_.peers.newest_stamp(peer);
-  beat.targets_position = node_.target_rows.position();
+  beat.targets_position = watch_.records_position();
+  beat.follows_records = watch_.follows_records();
+  beat.life = node_.origin;
+  beat.serving = node_.followed.at();
   beat.configuration_position = node_.configuration_rows.position();
-  std::set<target_id> lost;
-  if (beat.hub && same) {
-    lost = node_.suspected.of_hubs(now);
-  }
-  for (const auto& [id, view] : node_.fleet.all()) {
-    if (view.lost && (view.listed || now - view.unlisted_at < told_after_unlisting)) {
-      lost.insert(id);
+  const auto told = positions_.find(peer);
+  const bool follows_served =
+      beat.hub && same && told != positions_.end() && !told->second.follows_records;
+  if (follows_served) {
+    beat.lost = suspected_;
+  } else {
+    std::set<target_id> lost = lost_;
+    if (beat.hub && same) {
+      lost.merge(node_.suspected.of_hubs(now));
     }
+    beat.lost.assign(lost.begin(), lost.end());
   }
-  beat.lost.assign(lost.begin(), lost.end());
   if (beat.hub) {
     // A node of this data centre hears of all others, another hub of this data centre.
-    beat.loads = same ? node_.loads.all_but(peer) : node_.loads.all_of(home);
+    beat.loads = same ? node_.loads.all_but(peer, all_loads_) : node_.loads.all_of(home);
   } else if (node_.peers.hub_of(now, home) == peer) {
     beat.loads = node_.loads.own();
   }
-  const auto asked = positions_.find(peer);
-  if (beat.hub && same && asked != positions_.end()) {
-    if (node_.fleet_known) {
-      beat.targets = target_news(now, asked->second.targets);
-    }
-    if (node_.lease.age(now)) {
-      beat.configuration = configuration_news(now, peer, asked->second.configuration);
-    }
+  if (beat.hub && same) {
+    pass_on(now, peer, beat);
   }
   return beat;
 }
@@ -127,8 +183,7 @@
   std::vector<node_id> peers = node_.peers.to_tell(now);
   std::sort(peers.begin(), peers.end());
   link_to(peers);
-  may_pass_on_ = most_passed_on;
-  whole_lists_.begin_round();
+  begin_round(now);
   // Another one is first each time, so that what is left of the round falls to all of them.
   if (!peers.empty()) {
     const auto first = static_cast<std::ptrdiff_t>(random_.below(peers.size()));
@@ -145,7 +200,8 @@
     node_.peers.learn({peer, beat.data_centre, beat.link, {}, beat.strength});
   }
   node_.peers.heard(now, peer, {beat.hub, beat.leaving, beat.turned_away, beat.stamp_us});
-  positions_[peer] = {beat.targets_position, beat.configuration_position};
+  positions_[peer] = {beat.follows_records, beat.targets_position, beat.serving,
+                      beat.configuration_position};
   node_.requests_seen = node_.requests_seen || beat.requests_seen;
   const bool same = beat.data_centre == node_.settings.data_centre;
   const bool hub = node_.peers.is_hub(now);
--- a/src/node/keeper_loop.cpp
+++ b/src/node/keeper_loop.cpp
@@ -28,7 +28,8 @@
       links_(links),
       watch_(watch),
       started_(monotonic_now()),
-      random_(stable_hash(node.origin)) {}
+      random_(stable_hash(node.origin)),
+      whole_lists_(node.settings.strength.link_mbps) {}
 
 void keeper_loop::run() {
   while (!ended_ && sleep_until(monotonic_now() + tick_interval) && !ended_) {
@@ -75,7 +76,7 @@
   if (now - started_ < settle) {
     return;
   }
-  if (!duties_.empty()) {
+  if (!duties_.empty() && node_.fleet_complete) {
     check_unheard(now);
   }
   for (const service_shape& service : node_.map->services()) {
@@ -94,7 +95,7 @@
     }
     const replica_keeper::duties own{duties_, node_.settings.data_centres.size(),
                                      node_.requests_seen, now - node_.fleet_read_at};
-    if (duties_.empty()) {
+    if (duties_.empty() || !node_.fleet_complete) {
       continue;
     }
     for (const keeper_effect& wanted : found->second.tick(now, node_.fleet, service, own)) {
--- a/src/node/keeper_loop.h
+++ b/src/node/keeper_loop.h
@@ -51,9 +51,12 @@
   [[nodiscard]] feed_news configuration_news(time_point now, const node_id& peer,
                                              std::uint64_t after);
   [[nodiscard]] feed_news target_news(time_point now, std::uint64_t after);
+  [[nodiscard]] feed_news served_news(time_point now, const serving_follower::position& after);
+  void pass_on(time_point now, const node_id& peer, node_beat& beat);
   void choose_asked(const target_id& head, std::vector<target_id>& members);
   void tell_peers(time_point now);
   void link_to(const std::vector<node_id>& peers);
+  void begin_round(time_point now);
   [[nodiscard]] node_beat beat_for(time_point now, const node_id& peer);
 
   hosted_state& node_;
@@ -66,12 +69,18 @@
   std::set<target_id> probing_;
   // How far each peer said it is in the followed tables.
   struct positions {
+    bool follows_records = true;
     std::uint64_t targets{};
+    serving_follower::position serving;
     std::uint64_t configuration{};
   };
   std::map<node_id, positions> positions_;
-  std::size_t may_pass_on_ = 0;  // bytes of configuration, in this round of beats
+  // Of one round of beats.
+  std::size_t may_pass_on_ = 0;  // bytes of configuration
   list_budget whole_lists_;
+  std::set<target_id> lost_;           // targets that this node takes for lost
+  std::vector<target_id> suspected_;   // for the nodes that follow what serves
+  std::map<target_id, replica_load> all_loads_;
   std::vector<node_id> linked_;
   std::size_t linking_ = 0;  // fibers that change the links
   bool ended_ = false;
--- a/src/node/store_targets.cpp
+++ b/src/node/store_targets.cpp
@@ -27,6 +27,11 @@
 constexpr duration target_pause_of_others = 500ms;
 // Between two looks at the list that is followed: the feed's wait, and a late answer.
 constexpr duration longest_followed_gap = target_wait + 1s;
+// A node that lacks records waits so long for its hub before it reads the table itself: two of the
+// times after which another node takes over from a hub that is silent.
+constexpr duration hub_passes_on_within = 3s;
+// At the start of a whole deployment, until the rows of the nodes must have been written and read.
+constexpr duration peers_known_within = 500ms;
 // Of a reason in a log line: what others wrote may be long.
 constexpr std::size_t longest_reason = 200;
 
@@ -43,14 +48,18 @@
   return std::clamp(hubs * target_pause_of_hub, shortest_target_pause, longest_target_pause);
 }
 
-void store_watch::take_target_news(time_point asked, const feed_news& news) {
+std::uint64_t store_watch::records_position() const {
+  return node_.fleet_complete ? node_.target_rows.position() : 0;
+}
+
+void store_watch::take_target_news(time_point asked, time_point now, const feed_news& news) {
   targets_withheld_ = news.withheld;
   if (news.withheld) {
     return;  // to be asked for at the store
   }
-  if (news.whole && news.position > node_.target_rows.position()) {
+  if (news.whole && (news.position > node_.target_rows.position() || !node_.fleet_complete)) {
     replace_targets(asked, news.rows, news.position);
-  } else if (!news.whole && node_.target_rows.can_follow(news.after)) {
+  } else if (!news.whole && node_.fleet_complete && node_.target_rows.can_follow(news.after)) {
     // Rows of an answer to an older beat may come again.
     for (const feed_row& row : news.rows) {
       if (row.version > node_.target_rows.position()) {
@@ -62,6 +71,34 @@
   }
   targets_positioned_ = targets_positioned_ || node_.fleet_known;
   node_.fleet_read_at = std::max(node_.fleet_read_at, asked);
+  targets_fed_at_ = now;
+}
+
+// What serves, and the position in the table of targets at which it was so: should the hub go
+// silent, this node goes on behind that position at the store. Records that come then are of
+// targets that changed, which is all that it needs of them.
+void store_watch::take_served_news(time_point asked, time_point now, const node_beat& beat) {
+  const feed_news& news = *beat.served;
+  targets_withheld_ = news.withheld;
+  if (news.withheld || follows_records()) {
+    return;
+  }
+  const bool first = !node_.fleet_known;
+  const bool taken = node_.followed.take(asked, beat.life, news.after, news.whole, news.position,
+                                         news.rows, node_.fleet);
+  if (!taken) {
+    return;
+  }
+  if (first || node_.fleet_complete) {
+    log_line(log_level::info, "fleet", "follows what serves",
+             {{"rows", std::uint64_t{news.rows.size()}}, {"position", beat.targets_position}});
+  }
+  node_.target_rows.go_on_from(beat.targets_position);
+  node_.fleet_complete = false;
+  node_.fleet_known = true;
+  targets_positioned_ = true;
+  node_.fleet_read_at = std::max(node_.fleet_read_at, asked);
+  targets_fed_at_ = now;
 }
 
 void store_watch::replace_targets(time_point asked, const std::vector<feed_row>& rows,
@@ -75,6 +112,8 @@
   node_.fleet.replace_all(asked, records, written_after(asked));
   node_.target_rows.replace(rows, position);
   node_.fleet_known = true;
+  node_.fleet_complete = true;
+  lacking_since_ = {};
   node_.fleet_read_at = std::max(node_.fleet_read_at, asked);
   log_line(log_level::info, "fleet", "read whole",
            {{"targets", std::uint64_t{records.size()}}, {"position", position}});
@@ -138,6 +177,12 @@
   return record;
 }
 
+// Goes wrong without it: 300 nodes that start together decode 1.3 MB each, on an eighth of a core.
+bool store_watch::may_read_pages(time_point now) const {
+  return follows_records() || node_.peers.is_hub(now) ||
+         (left_to_hub_ && now - lacking_since_ >= hub_passes_on_within);
+}
+
 bool store_watch::read_targets() {
   std::vector<feed_row> all;
   std::string from;
@@ -147,11 +192,17 @@
     const auto result = node_.store.read(target_table, from, monotonic_now() + read_timeout);
     const auto* rows = std::get_if<store_rows>(&result);
     count_call("targets whole", rows != nullptr);
-    if (rows == nullptr || rows->version < node_.target_rows.position()) {
+    if (rows == nullptr || rows->version < records_position()) {
       return false;
     }
     // Pages are read one after the other: what changed meanwhile comes again behind the first.
     first_version = first_version == 0 ? rows->version : first_version;
+    if (rows->more && !may_read_pages(asked)) {
+      left_to_hub_ = true;
+      log_line(log_level::info, "fleet", "long list left to the hub",
+               {{"position", rows->version}});
+      return false;
+    }
     for (const store_row& row : rows->rows) {
       all.push_back({row.key, row.value, row.version, false, row.readable});
     }
@@ -164,41 +215,83 @@
   return true;
 }
 
+void store_watch::look_at_duty(time_point now) {
+  // The rows of the nodes say who is strongest; they are read at once.
+  const bool peers_known =
+      nodes_reads_ > 0 && node_.peers.known() > 0 && !node_.settings.cold_start;
+  if (record_duty_.decided() || peers_known || now - started_ >= peers_known_within) {
+    record_duty_.update(now, node_.peers.is_hub(now), node_.peers.is_heir(now));
+  }
+}
+
+// The hub passes on what is needed. Its nodes read the table at their start all the same, if it is
+// a single page, to serve at once; a hub reads it whatever it takes, and others when no hub does.
+bool store_watch::must_read_whole(time_point now) {
+  const bool enough = targets_positioned_ && (node_.fleet_complete || !follows_records());
+  if (enough) {
+    lacking_since_ = {};
+    return false;
+  }
+  if (lacking_since_ == time_point{}) {
+    lacking_since_ = now;
+  }
+  const bool at_start = !node_.fleet_known && !left_to_hub_;
+  return node_.peers.is_hub(now) || at_start || now - lacking_since_ >= hub_passes_on_within;
+}
+
+// How long until the next look.
+duration store_watch::watch_targets(time_point asked) {
+  const auto result = node_.store.watch(target_table, node_.target_rows.position(), target_wait,
+                                        asked + target_wait + answer_slack);
+  count_call("targets news", std::holds_alternative<store_rows>(result));
+  if (std::holds_alternative<history_dropped>(result)) {
+    targets_positioned_ = false;
+    return 0ms;
+  }
+  const auto* rows = std::get_if<store_rows>(&result);
+  note_dependency("targets", targets_up_, rows != nullptr,
+                  rows == nullptr ? "the watch failed" : "watched");
+  if (rows == nullptr) {
+    return target_pause(asked);
+  }
+  for (const store_row& row : rows->rows) {
+    const feed_row changed{row.key, row.value, row.version, row.removed, row.readable};
+    take_target(asked, changed);
+    node_.target_rows.take(changed);
+    // The hub's next rows do not follow on what is known now.
+    node_.followed.forget_position();
+  }
+  node_.target_rows.advance(rows->version);
+  node_.fleet_read_at = asked;
+  targets_withheld_ = false;
+  return target_pause(asked);
+}
+
+duration store_watch::follow_targets_once(time_point asked) {
+  node_.fleet.forget_old(asked);
+  look_at_duty(asked);
+  // While the store does not answer about the configuration, that question alone is repeated.
+  if (failures_ > 0) {
+    return look_interval;
+  }
+  if (must_read_whole(asked)) {
+    targets_positioned_ = read_targets();
+    note_dependency("targets", targets_up_, targets_positioned_, "whole list");
+    return targets_positioned_ ? target_pause(asked) : retry_pause;
+  }
+  const bool fed = asked - targets_fed_at_ < fed_for && !node_.peers.is_hub(asked);
+  const bool waits = fed || !targets_positioned_ || awaits_hub(asked);
+  if (waits && !(targets_withheld_ && targets_positioned_)) {
+    return look_interval;
+  }
+  return watch_targets(asked);
+}
+
 void store_watch::follow_targets() {
   for (;;) {
     const time_point asked = monotonic_now();
-    time_point next = asked + target_pause(asked);
-    node_.fleet.forget_old(asked);
-    // While the store does not answer about the configuration, that question alone is repeated.
-    const bool waits = is_fed(asked) || (targets_positioned_ && awaits_hub(asked));
-    if ((waits && !targets_withheld_) || failures_ > 0) {
-      next = asked + look_interval;
-    } else if (!targets_positioned_) {
-      targets_positioned_ = read_targets();
-      note_dependency("targets", targets_up_, targets_positioned_, "whole list");
-      next = targets_positioned_ ? next : asked + retry_pause;
-    } else {
-      const auto result = node_.store.watch(target_table, node_.target_rows.position(), target_wait,
-                                            asked + target_wait + answer_slack);
-      count_call("targets news", std::holds_alternative<store_rows>(result));
-      if (const auto* rows = std::get_if<store_rows>(&result)) {
-        for (const store_row& row : rows->rows) {
-          const feed_row changed{row.key, row.value, row.version, row.removed, row.readable};
-          take_target(asked, changed);
-          node_.target_rows.take(changed);
-        }
-        node_.target_rows.advance(rows->version);
-        node_.fleet_read_at = asked;
-        targets_withheld_ = false;
-        note_dependency("targets", targets_up_, true, "watched");
-      } else if (std::holds_alternative<history_dropped>(result)) {
-        targets_positioned_ = false;
-        next = asked;
-      } else {
-        note_dependency("targets", targets_up_, false, "the watch failed");
-      }
-    }
-    if (!sleep_until(std::max(next, monotonic_now()))) {
+    const duration pause = follow_targets_once(asked);
+    if (!sleep_until(std::max(asked + pause, monotonic_now()))) {
       return;
     }
   }
--- a/src/node/store_watch.cpp
+++ b/src/node/store_watch.cpp
@@ -83,7 +83,9 @@
 
 void store_watch::take_news(time_point asked, time_point now, const node_beat& beat) {
   if (beat.targets) {
-    take_target_news(asked - beat.targets->age, *beat.targets);
+    take_target_news(asked - beat.targets->age, now, *beat.targets);
+  } else if (beat.served) {
+    take_served_news(asked - beat.served->age, now, beat);
   }
   if (!beat.configuration) {
     fed_at_ = {};
--- a/src/node/store_watch.h
+++ b/src/node/store_watch.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "node/hosted_state.h"
+#include "process/record_duty.h"
 #include "version/inventory.h"
 
 namespace arbutus {
@@ -22,6 +23,9 @@
   void follow_targets();
   // What the hub of this data centre passed on, and was so after `asked`.
   void take_news(time_point asked, time_point now, const node_beat& beat);
+  // Of the records of all targets, for the hub to go on behind; 0: they are not all known.
+  [[nodiscard]] std::uint64_t records_position() const;
+  [[nodiscard]] bool follows_records() const { return record_duty_.follows_records(); }
   // Writes this node's own row and reads those of its peers. `found`: called with all of them.
   void follow_nodes(const std::function<void(const std::vector<node_record>&)>& found);
 
@@ -32,7 +36,13 @@
   void take_configuration_row(const feed_row& row);
   void put_in_force(const std::string& text, std::uint64_t row_version);
   bool read_targets();
-  void take_target_news(time_point asked, const feed_news& news);
+  void take_target_news(time_point asked, time_point now, const feed_news& news);
+  void take_served_news(time_point asked, time_point now, const node_beat& beat);
+  void look_at_duty(time_point now);
+  [[nodiscard]] bool must_read_whole(time_point now);
+  [[nodiscard]] bool may_read_pages(time_point now) const;
+  duration follow_targets_once(time_point asked);
+  duration watch_targets(time_point asked);
   void replace_targets(time_point asked, const std::vector<feed_row>& rows, std::uint64_t position);
   void take_target(time_point asked, const feed_row& row);
   std::optional<target_record> read_record(const feed_row& row);
@@ -59,7 +69,11 @@
   std::uint64_t configuration_row_ = 0;
   bool configuration_positioned_ = false;  // the log holds all up to its position
   bool targets_positioned_ = false;
-  bool targets_withheld_ = false;  // the hub has a list that it does not pass on whole
+  bool targets_withheld_ = false;  // the hub has a list that it does not pass on in this round
+  bool left_to_hub_ = false;       // the list is longer than a page, and the hub passes on enough
+  record_duty record_duty_;
+  time_point targets_fed_at_{};  // the hub's last news of targets, or of what serves
+  time_point lacking_since_{};   // records that this node should know
   time_point fed_at_{};
   time_point asked_at_{};       // last question about the configuration
   std::uint32_t failures_ = 0;  // of such questions in a row
--- a/src/process/feed_log.h
+++ b/src/process/feed_log.h
@@ -9,7 +9,9 @@
 #include <algorithm>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace arbutus {
@@ -35,10 +37,12 @@
 
   // The table was read whole at `position`: what it does not hold is gone since then.
   void replace(const std::vector<feed_row>& rows, std::uint64_t position) {
+    std::set<std::string_view> present;
+    for (const feed_row& row : rows) {
+      present.insert(row.key);
+    }
     for (auto& [key, known] : rows_) {
-      const bool there = std::any_of(rows.begin(), rows.end(),
-                                     [&k = key](const feed_row& r) { return r.key == k; });
-      if (!there && !known.removed) {
+      if (!present.contains(key) && !known.removed) {
         known = {key, {}, position, true};
       }
     }
@@ -50,6 +54,12 @@
   }
 
   void advance(std::uint64_t position) { position_ = std::max(position_, position); }
+  // Holds no rows, and goes on from a position up to which another node knows the table.
+  void go_on_from(std::uint64_t position) {
+    rows_.clear();
+    position_ = position;
+    complete_from_ = position + 1;
+  }
 
   // Everything up to this position is in the log.
   [[nodiscard]] std::uint64_t position() const { return position_; }
--- a/src/process/fleet_view.cpp
+++ b/src/process/fleet_view.cpp
@@ -254,11 +254,21 @@
   }
 }
 
+void fleet_view::set_pace(const target_id& id, double pace) {
+  const auto found = targets_.find(id);
+  if (found != targets_.end() && found->second.pace != pace) {
+    found->second.pace = pace;
+    ++revision_;
+  }
+}
+
 void fleet_view::found_by_others(time_point now, const std::vector<target_id>& still_lost) {
   for (auto& [id, view] : targets_) {
-    const bool known = std::find(still_lost.begin(), still_lost.end(), id) != still_lost.end();
     // What left the list and was lost does not come back but by the list.
-    if (view.lost && view.listed && !known && now - view.lost_at > hub_knows_within) {
+    if (!view.lost || !view.listed || now - view.lost_at <= hub_knows_within) {
+      continue;
+    }
+    if (std::find(still_lost.begin(), still_lost.end(), id) == still_lost.end()) {
       view.lost = false;
       view.failed_probes = 0;
       ++revision_;
@@ -280,14 +290,16 @@
 }
 
 std::vector<serving_replica> serving_replicas(const fleet_view& fleet, const service_id& service,
-                                              const model_id& model, std::uint32_t size) {
+                                              const model_id& model, std::uint32_t size,
+                                              lost_targets lost) {
   std::map<replica_key, std::vector<const target_view*>> groups;
   for (const auto& [id, view] : fleet.all()) {
     if (view.record.service != service || !view.record.member_of) {
       continue;
     }
     const bool is_head = view.record.member_of->rank == 0;
-    if ((view.listed || !is_head) && !view.lost && !view.record.draining) {
+    const bool present = lost == lost_targets::kept || !view.lost;
+    if ((view.listed || !is_head) && present && !view.record.draining) {
       groups[view.record.member_of->replica].push_back(&view);
     }
   }
--- a/src/process/fleet_view.h
+++ b/src/process/fleet_view.h
@@ -120,6 +120,9 @@
   // back, unless this node lost them so lately that the hub may not know.
   void found_by_others(time_point now, const std::vector<target_id>& still_lost);
 
+  // Slower than it should be, as another node measured.
+  void set_pace(const target_id& id, double pace);
+
   // Targets that left the list are forgotten after `remembered`.
   void forget_old(time_point now);
 
@@ -174,6 +177,9 @@
   double pace = 1;  // of its slowest member, beyond that of the model
 };
 
+// Whether replicas with a member that this node takes for lost are named.
+enum class lost_targets : std::uint8_t { left_out, kept };
+
 // Replicas whose head is open, listed and not leaving, and whose members are all present and
 // neither lost nor leaving.
 //
@@ -184,6 +190,8 @@
 [[nodiscard]] std::vector<serving_replica> serving_replicas(const fleet_view& fleet,
                                                             const service_id& service,
                                                             const model_id& model,
-                                                            std::uint32_t size);
+                                                            std::uint32_t size,
+                                                            lost_targets lost =
+                                                                lost_targets::left_out);
 
 }  // namespace arbutus
--- a/src/process/list_budget.h
+++ b/src/process/list_budget.h
@@ -1,37 +1,42 @@
-// Which nodes a hub passes the whole list of targets on to, in one round of beats.
+// Which nodes a hub passes whole lists on to, in one round of beats.
 //
-// Goes wrong without a bound: all nodes start at once and read the list, their hub reads it a
-// moment later, and each node is behind that. The hub passes the list to all of them in every beat
-// until they say that they have it: 1.3 MB for each of 59 nodes, five times a second. Its link is
-// full for as long as it lasts; one would see leaving targets that are still used after four
-// seconds.
+// Goes wrong without a bound: all nodes start at once and are behind their hub, which passes its
+// list to all of them in every beat until they say that they have it. Its link is full for as long
+// as that lasts; one would see leaving targets that are still used after four seconds.
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
+#include <cstdint>
 
 namespace arbutus {
 
 class list_budget {
  public:
-  void begin_round() { passed_on_ = false; }
-
-  // Whether a list of so many bytes goes to one more of so many nodes. What is too much for all
-  // goes to one a round; the others ask the store from where they are, which is a call and few
-  // bytes.
-  [[nodiscard]] bool take(std::size_t bytes, std::size_t nodes) {
-    if (bytes * nodes <= most_bytes) {
-      return true;
+  // `link_mbps`: the node's own link; 0: not known.
+  explicit list_budget(std::uint32_t link_mbps)
+      : most_bytes_(std::max(least_bytes, link_mbps * bytes_per_mbps)) {}
+
+  void begin_round() { passed_on_ = 0; }
+
+  // Whether a list of so many bytes goes out in this round: as many as fit, one at least. The
+  // others come in the next rounds, or ask the store from where they are.
+  [[nodiscard]] bool take(std::size_t bytes) {
+    if (passed_on_ > 0 && passed_on_ + bytes > most_bytes_) {
+      return false;
     }
-    const bool first = !passed_on_;
-    passed_on_ = true;
-    return first;
+    passed_on_ += bytes;
+    return true;
   }
 
-  // 100 ms of a link of 20 Mbit/s, to all nodes together.
-  static constexpr std::size_t most_bytes = 256UL * 1024;
+  // 100 ms of a link, which leaves half of it between two rounds.
+  static constexpr std::size_t bytes_per_mbps = 12'500;
+  // As on a link of 20 Mbit/s.
+  static constexpr std::size_t least_bytes = 20 * bytes_per_mbps;
 
  private:
-  bool passed_on_ = false;
+  std::size_t most_bytes_;
+  std::size_t passed_on_ = 0;
 };
 
 }  // namespace arbutus
--- a/src/process/node_beat.cpp
+++ b/src/process/node_beat.cpp
@@ -72,7 +72,12 @@
                          beat.turned_away,
                          to_string(beat.link),
                          beat.strength.processor_permille,
-                         beat.strength.link_mbps};
+                         beat.strength.link_mbps,
+                         beat.follows_records,
+                         beat.life,
+                         beat.serving.life,
+                         beat.serving.at,
+                         news_to_json(beat.served)};
   std::string bytes;
   json::to_msgpack(document, bytes);
   return bytes;
@@ -106,6 +111,10 @@
     // Empty of a node that tells no address: it is known by its row.
     beat.link = parse_endpoint(document.at(13).get<std::string>()).value_or(endpoint{});
     beat.strength = {document.at(14).get<std::uint32_t>(), document.at(15).get<std::uint32_t>()};
+    beat.follows_records = document.at(16).get<bool>();
+    beat.life = document.at(17).get<std::string>();
+    beat.serving = {document.at(18).get<std::string>(), document.at(19).get<std::uint64_t>()};
+    beat.served = news_from_json(document.at(20));
     return beat;
   } catch (const json::exception&) {
     return std::nullopt;
--- a/src/process/node_beat.h
+++ b/src/process/node_beat.h
@@ -17,6 +17,7 @@
 #include "base/id.h"
 #include "base/units.h"
 #include "process/feed_log.h"
+#include "process/serving_feed.h"
 #include "request/replica_choice.h"
 #include "version/inventory.h"
 
@@ -50,11 +51,16 @@
   std::int64_t echo_us{};  // 0: none yet
   // How far the sender is in the tables, for the hub to go on behind.
   std::uint64_t targets_position{};
+  // Whether the sender follows the records of all targets, or what serves alone.
+  bool follows_records = true;
+  std::string life;                    // of the sender's process: its positions below are of it
+  serving_follower::position serving;  // of the rows of what serves, for their hub to go on behind
   std::uint64_t configuration_position{};
   std::map<target_id, replica_load> loads;
   std::vector<target_id> lost;
   // Of a hub, to a node of its data centre.
-  std::optional<feed_news> targets;
+  std::optional<feed_news> targets;  // records, or else:
+  std::optional<feed_news> served;   // what serves; positions are of the sender's life
   std::optional<feed_news> configuration;
 };
 
--- a/src/process/peer_table.cpp
+++ b/src/process/peer_table.cpp
@@ -204,20 +204,52 @@
 
 void peer_table::add_candidates(time_point now, const data_centre_id& data_centre,
                                 std::vector<node_id>& result) const {
-  std::size_t found = 0;
+  std::size_t served = 0;
+  std::size_t living = 0;
+  std::size_t silent = 0;
   const auto in_order = order_.find(data_centre);
   if (in_order == order_.end()) {
     return;
   }
   for (const auto* entry : in_order->second) {
     const auto& [id, p] = *entry;
-    // Silent ones as well: a hub that returns has to be heard, or there are two from then on.
-    // Telling only now and then would open a link each time and close it before it is up.
-    result.push_back(id);
-    if (may_be_hub(now, p) && ++found == candidates) {
-      return;
+    if (may_be_hub(now, p)) {
+      result.push_back(id);
+      if (++served == candidates) {
+        return;
+      }
+    } else if (presumed(now, p)) {
+      // Turned away by the store: the first ones keep the data centre where all are. Goes wrong
+      // when each is told: while the store is away, all nodes of a data centre tell each other.
+      if (living < candidates) {
+        result.push_back(id);
+      }
+      ++living;
+    } else if (silent < most_silent) {
+      // Goes wrong without them: a hub that returns is not heard, and there are two from then on.
+      // Telling only now and then would open a link each time and close it before it is up.
+      result.push_back(id);
+      ++silent;
+    }
+  }
+}
+
+bool peer_table::is_heir(time_point now) const {
+  std::size_t served_before = 0;
+  std::size_t living_before = 0;
+  bool any_served = is_served(now);
+  for (const auto& [id, p] : peers_) {
+    if (p.data_centre != data_centre_) {
+      continue;
+    }
+    const bool serves = may_be_hub(now, p);
+    any_served = any_served || serves;
+    if (!before(id, p)) {
+      served_before += serves ? 1 : 0;
+      living_before += presumed(now, p) ? 1 : 0;
     }
   }
+  return any_served ? is_served(now) && served_before < candidates : living_before < candidates;
 }
 
 bool peer_table::is_candidate(time_point now) const {
--- a/src/process/peer_table.h
+++ b/src/process/peer_table.h
@@ -61,6 +61,9 @@
   // The hub of a data centre as far as this node can see; empty if none lives.
   [[nodiscard]] node_id hub_of(time_point now, const data_centre_id& data_centre) const;
   [[nodiscard]] bool is_hub(time_point now) const { return hub_of(now, data_centre_) == self_; }
+  // Whether this node is the hub or would be the next one: among the first that the store serves,
+  // or among the first that live where it serves none.
+  [[nodiscard]] bool is_heir(time_point now) const;
 
   // Data centres that this node keeps: its own if it is the hub, and those without a living node
   // that fall to it among the hubs.
@@ -89,6 +92,9 @@
   // A peer that was told and never answered is taken for living so long: links come up within it.
   static constexpr duration benefit_of_doubt = 1500ms;
   static constexpr std::size_t candidates = 2;
+  // Silent ones before the candidates that are told all the same, so that a hub that returns is
+  // heard.
+  static constexpr std::size_t most_silent = 6;
   // Goes wrong without it: the store comes back for all at once, each node sees itself served and
   // has not heard yet that others are. Some 20 of the 27 nodes of a data centre then took
   // themselves for its hub, with what they knew of the engines 8 s before. So who is served again
--- a/src/request/replica_choice.cpp
+++ b/src/request/replica_choice.cpp
@@ -142,16 +142,34 @@
   peers_[peer] = {now, data_centre, std::move(loads)};
 }
 
-std::map<target_id, replica_load> load_table::all_but(const node_id& peer) const {
+std::map<target_id, replica_load> load_table::all() const {
   std::map<target_id, replica_load> sum = own_;
   for (const auto& [id, told] : peers_) {
-    if (id != peer) {
-      add_loads(sum, told.loads);
-    }
+    add_loads(sum, told.loads);
   }
   return sum;
 }
 
+std::map<target_id, replica_load> load_table::all_but(const node_id& peer,
+                                                      std::map<target_id, replica_load> all) const {
+  const auto told = peers_.find(peer);
+  if (told == peers_.end()) {
+    return all;
+  }
+  for (const auto& [id, load] : told->second.loads) {
+    const auto found = all.find(id);
+    if (found == all.end()) {
+      continue;
+    }
+    subtract(found->second.active, load.active);
+    subtract(found->second.unread_tokens, load.unread_tokens);
+    if (found->second.active < 0.5) {
+      all.erase(found);
+    }
+  }
+  return all;
+}
+
 std::map<target_id, replica_load> load_table::all_of(const data_centre_id& data_centre) const {
   std::map<target_id, replica_load> sum = own_;
   for (const auto& [id, told] : peers_) {
--- a/src/request/replica_choice.h
+++ b/src/request/replica_choice.h
@@ -53,8 +53,11 @@
              std::map<target_id, replica_load> loads);
   void forget_peers(time_point now);
 
-  // To tell others: all that is known beside what `peer` told; own and peers' of one data centre.
-  [[nodiscard]] std::map<target_id, replica_load> all_but(const node_id& peer) const;
+  // To tell others: all that is known, own and peers'; of that all but what `peer` told; own and
+  // peers' of one data centre.
+  [[nodiscard]] std::map<target_id, replica_load> all() const;
+  [[nodiscard]] std::map<target_id, replica_load> all_but(
+      const node_id& peer, std::map<target_id, replica_load> all) const;
   [[nodiscard]] std::map<target_id, replica_load> all_of(const data_centre_id& data_centre) const;
 
   // Own load alone, to tell peers.
--- a/tests/core/hub_order_test.cpp
+++ b/tests/core/hub_order_test.cpp
@@ -59,6 +59,71 @@
   EXPECT_FALSE(second.is_hub(start + 1s));
 }
 
+TEST(HubOrder, WhileTheStoreIsAwayNodesTellTheFirstOnesAlone) {
+  // Symptom: links between all nodes of a data centre fill up while the store is away, and proofs
+  // are late after it. Sequence: the store turns every node away; each looks for two that are
+  // served, finds none, and tells all. Cause: who is turned away was told like a silent hub.
+  std::vector<node_record> many;
+  for (int i = 100; i < 200; ++i) {
+    many.push_back({node_id{"n" + std::to_string(i)}, here, {}, {}, weak});
+  }
+  peer_table peers(node_id{"n150"}, here, weak);
+  peers.set_known(many);
+  for (const char* name : {"n100", "n101", "n102"}) {
+    peers.heard(start, node_id{name}, {.turned_away = true, .stamp_us = 1});
+  }
+  peers.set_turned_away(start, true);
+  for (const node_record& n : many) {
+    peers.told(start, n.id);
+  }
+  // The others were told when they were thought to be next, and nobody has heard of them.
+  for (const node_record& n : many) {
+    if (n.id.str() > "n102") {
+      peers.heard(start + 1s, n.id, {.turned_away = true, .stamp_us = 1});
+    }
+  }
+  EXPECT_FALSE(peers.is_heir(start + 1s));
+  // Whoever told this node is answered; of its own accord it tells the first ones alone.
+  peer_table quiet(node_id{"n150"}, here, weak);
+  quiet.set_known(many);
+  quiet.set_turned_away(start, true);
+  for (const char* name : {"n100", "n101"}) {
+    quiet.heard(start, node_id{name}, {.turned_away = true, .stamp_us = 1});
+  }
+  const auto told = quiet.to_tell(start + 100ms);
+  ASSERT_GE(told.size(), 2U);
+  EXPECT_EQ(told[0], node_id{"n100"});
+  EXPECT_EQ(told[1], node_id{"n101"});
+  EXPECT_LE(told.size(), 2 * peer_table::candidates);
+}
+
+TEST(HubOrder, OfADarkDataCentreAFewAreTold) {
+  // The other data centre of a hub has 100 nodes, and none answers.
+  std::vector<node_record> many;
+  for (int i = 100; i < 200; ++i) {
+    many.push_back({node_id{"n" + std::to_string(i)}, data_centre_id{"b"}, {}, {}, weak});
+  }
+  peer_table hub(node_id{"a1"}, here, weak);
+  hub.set_known(many);
+  for (const node_record& n : many) {
+    hub.told(start, n.id);
+  }
+  EXPECT_LE(hub.to_tell(start + 1h).size(), peer_table::most_silent + peer_table::candidates);
+}
+
+TEST(HubOrder, TheHubAndTheNextOneAreHeirs) {
+  EXPECT_TRUE(table_of("a8", strong).is_heir(start));
+  EXPECT_TRUE(table_of("a9", strong).is_heir(start));
+  EXPECT_FALSE(table_of("a1", weak).is_heir(start));
+  // With the store away from all, those that live first.
+  peer_table second = table_of("a9", strong);
+  second.set_turned_away(start, true);
+  for (const char* name : {"a1", "a2", "a8"}) {
+    second.heard(start, node_id{name}, {.turned_away = true, .stamp_us = 1});
+  }
+  EXPECT_TRUE(second.is_heir(start));
+}
+
 TEST(HubOrder, OneThatTellsNoStrengthComesLast) {
   peer_table table(node_id{"a5"}, here, weak);
   table.set_known({{node_id{"a0"}, here, {}, {}}});
--- a/tests/core/replica_choice_test.cpp
+++ b/tests/core/replica_choice_test.cpp
@@ -196,7 +196,7 @@
   loads.sent(target_id{"x"}, {100, 10});
   loads.heard(node_id{"p"}, data_centre_id{"a"}, time_point{1s}, {{target_id{"x"}, {5, 0}}});
   loads.heard(node_id{"q"}, data_centre_id{"b"}, time_point{1s}, {{target_id{"x"}, {2, 0}}});
-  EXPECT_EQ(loads.all_but(node_id{"p"})[target_id{"x"}].active, 3);
+  EXPECT_EQ(loads.all_but(node_id{"p"}, loads.all())[target_id{"x"}].active, 3);
   EXPECT_EQ(loads.all_of(data_centre_id{"a"})[target_id{"x"}].active, 6);
 }
 
--- /dev/null
+++ b/tests/core/serving_feed_test.cpp
@@ -0,0 +1,294 @@
+// What serves, passed on by a hub to the nodes that keep no replicas.
+#include "process/serving_feed.h"
+
+#include <gtest/gtest.h>
+
+#include "process/list_budget.h"
+#include "process/record_duty.h"
+#include "process/replica_name.h"
+
+namespace arbutus {
+namespace {
+
+const time_point start{1h};
+const service_id llm{"llm"};
+const service_id tablets{"tablets"};
+const model_id large{"large"};
+
+service_shape models(std::uint32_t size) {
+  service_shape service;
+  service.id = llm;
+  engine_parameters engine;
+  engine.models = {{large, size, 1.0, 1.0, 4s, 1s}};
+  service.engine = engine;
+  return service;
+}
+
+service_map services(std::uint32_t size) {
+  service_shape plain;
+  plain.id = tablets;
+  return {1, {}, {models(size), plain}, {}, caller_limits{}};
+}
+
+target_record engine(int number) {
+  target_record record;
+  record.id = target_id{"i-00000" + std::to_string(10'000 + number)};
+  record.service = llm;
+  record.address = {"10.1.20." + std::to_string(number % 250), 8163};
+  record.data_centre = data_centre_id{"hall-a"};
+  record.domain = fabric_domain_id{"hall-a-d" + std::to_string(number / 27)};
+  record.slots = 48;
+  record.staged = {large};
+  record.loaded = large;
+  return record;
+}
+
+// `size` engines from `first` on, the first as an open head.
+void add_replica(fleet_view& fleet, int first, std::uint32_t size, std::uint64_t epoch) {
+  std::vector<target_id> members;
+  for (std::uint32_t i = 0; i < size; ++i) {
+    members.push_back(engine(first + static_cast<int>(i)).id);
+  }
+  const replica_key key{replica_name(large, "0a1b2c3d", members), epoch};
+  for (std::uint32_t i = 0; i < size; ++i) {
+    target_record record = engine(first + static_cast<int>(i));
+    record.member_of = membership{key, i, i == 0 ? member_state::open : member_state::ready};
+    fleet.listed(start, record);
+  }
+}
+
+struct hub_and_node {
+  std::uint32_t size;
+  fleet_view known_to_hub = {};
+  serving_feed feed = {};
+  fleet_view known_to_node = {};
+  serving_follower follower = {};
+
+  // A beat of the hub to the node; bytes of its rows.
+  std::size_t pass_on() {
+    feed.update(known_to_hub, services(size));
+    const std::uint64_t after = follower.at().life == "hub" ? follower.at().at : 0;
+    const auto rows = feed.rows().since(after);
+    std::size_t bytes = 0;
+    for (const feed_row& row : rows) {
+      bytes += row.key.size() + row.value.size();
+    }
+    EXPECT_TRUE(follower.take(start, "hub", after, feed.rows().needs_whole(after),
+                              feed.rows().position(), rows, known_to_node));
+    return bytes;
+  }
+  [[nodiscard]] std::vector<serving_replica> at_hub() const {
+    return serving_replicas(known_to_hub, llm, large, size);
+  }
+  [[nodiscard]] std::vector<serving_replica> at_node() const {
+    return serving_replicas(known_to_node, llm, large, size);
+  }
+};
+
+void expect_same(const hub_and_node& both) {
+  const auto hub = both.at_hub();
+  const auto node = both.at_node();
+  ASSERT_EQ(hub.size(), node.size());
+  for (std::size_t i = 0; i < hub.size(); ++i) {
+    EXPECT_EQ(hub[i].key, node[i].key);
+    EXPECT_EQ(hub[i].head, node[i].head);
+    EXPECT_EQ(hub[i].address, node[i].address);
+    EXPECT_EQ(hub[i].members, node[i].members);
+    EXPECT_EQ(hub[i].crosses_domains, node[i].crosses_domains);
+    EXPECT_DOUBLE_EQ(hub[i].pace, node[i].pace);
+  }
+}
+
+TEST(ServingFeed, ANodeSendsToWhatItsHubSees) {
+  hub_and_node both{12};
+  add_replica(both.known_to_hub, 0, 12, 7);
+  add_replica(both.known_to_hub, 20, 12, 8);  // of two domains
+  both.known_to_hub.listed(start, engine(70));  // a spare
+  both.known_to_hub.set_pace(engine(3).id, 1.5);
+  both.pass_on();
+  expect_same(both);
+  EXPECT_EQ(both.known_to_node.find(engine(70).id), nullptr);
+  // What repeats costs nothing.
+  EXPECT_EQ(both.pass_on(), 0U);
+}
+
+TEST(ServingFeed, InstancesOfPlainServicesAreAmongTheRows) {
+  hub_and_node both{2};
+  target_record instance = engine(1);
+  instance.service = tablets;
+  instance.slots = 6;
+  both.known_to_hub.listed(start, instance);
+  both.pass_on();
+  const target_view* known = both.known_to_node.find(instance.id);
+  ASSERT_NE(known, nullptr);
+  EXPECT_EQ(known->record.service, tablets);
+  EXPECT_EQ(known->record.slots, 6U);
+  instance.draining = true;
+  both.known_to_hub.listed(start, instance);
+  both.pass_on();
+  EXPECT_FALSE(both.known_to_node.find(instance.id)->listed);
+}
+
+TEST(ServingFeed, AReplicaWithALeavingMemberIsSentNothingMore) {
+  // Symptom: a leaving engine gets new work. Sequence: a member of a replica says that it leaves;
+  // the node keeps the row that it was told. Cause: rows are told again only when they come anew.
+  hub_and_node both{4};
+  add_replica(both.known_to_hub, 0, 4, 1);
+  both.pass_on();
+  ASSERT_EQ(both.at_node().size(), 1U);
+  target_record leaving = both.known_to_hub.find(engine(2).id)->record;
+  leaving.draining = true;
+  both.known_to_hub.listed(start + 1s, leaving);
+  both.pass_on();
+  EXPECT_TRUE(both.at_node().empty());
+}
+
+TEST(ServingFeed, AMemberThatMovedBelongsToItsNewReplica) {
+  // Symptom: a repaired replica is not sent anything. Sequence: a member of one that ended is used
+  // for another; both changes come in one beat. Cause: the end of the one unlists the member of
+  // the other.
+  hub_and_node both{4};
+  add_replica(both.known_to_hub, 0, 4, 1);
+  add_replica(both.known_to_hub, 10, 4, 2);
+  both.pass_on();
+  ASSERT_EQ(both.at_node().size(), 2U);
+  // Engine 10 ends; 11 to 13 join engine 5 under it as the head, which sorts before them.
+  both.known_to_hub.unlisted(start + 1s, engine(10).id);
+  std::vector<target_id> members = {engine(5).id, engine(11).id, engine(12).id, engine(13).id};
+  const replica_key key{replica_name(large, "0a1b2c3d", members), 3};
+  for (const int n : {5, 11, 12, 13}) {
+    target_record record = engine(n);
+    const bool head = n == 5;
+    record.member_of = membership{key, head ? 0U : static_cast<std::uint32_t>(n - 10),
+                                  head ? member_state::open : member_state::ready};
+    both.known_to_hub.listed(start + 1s, record);
+  }
+  both.pass_on();
+  EXPECT_EQ(both.at_node().size(), 2U);
+  expect_same(both);
+}
+
+TEST(ServingFeed, WhatTheHubAloneTakesForLostStaysAmongTheRows) {
+  // Symptom: all nodes of a data centre refuse every call. Sequence: the hub's link is choked and
+  // its questions to engines go unanswered. Cause: what it takes for lost is passed on as a fact.
+  hub_and_node both{4};
+  add_replica(both.known_to_hub, 0, 4, 1);
+  add_replica(both.known_to_hub, 10, 4, 2);
+  for (const int n : {1, 2, 11}) {
+    for (std::uint32_t i = 0; i < fleet_view::probes_until_lost; ++i) {
+      both.known_to_hub.probe_failed(start, engine(n).id);
+    }
+  }
+  both.pass_on();
+  EXPECT_EQ(both.at_node().size(), 2U);
+  // It is told as a suspicion, one member a replica.
+  const std::set<target_id> lost = {engine(1).id, engine(2).id, engine(11).id};
+  EXPECT_EQ(both.feed.first_of_each(lost),
+            (std::vector<target_id>{engine(1).id, engine(11).id}));
+}
+
+TEST(ServingFeed, AnotherLifeOfTheHubPassesOnAllRows) {
+  // Symptom: a node sends to a replica that ended long ago. Sequence: its hub starts again and
+  // counts its changes anew; the node's position happens to be one of the new life. Cause: a
+  // position without the life that it is of.
+  hub_and_node both{4};
+  add_replica(both.known_to_hub, 0, 4, 1);
+  both.pass_on();
+  serving_feed other;
+  fleet_view seen_by_other;
+  add_replica(seen_by_other, 40, 4, 9);
+  other.update(seen_by_other, services(4));
+  EXPECT_FALSE(both.follower.take(start, "other", both.follower.at().at, false,
+                                  other.rows().position(), {}, both.known_to_node));
+  EXPECT_TRUE(both.follower.take(start, "other", 0, true, other.rows().position(),
+                                 other.rows().since(0), both.known_to_node));
+  ASSERT_EQ(both.at_node().size(), 1U);
+  EXPECT_EQ(both.at_node()[0].head, engine(40).id);
+}
+
+TEST(ServingFeed, RowsOfAnOlderBeatChangeNothing) {
+  hub_and_node both{4};
+  add_replica(both.known_to_hub, 0, 4, 1);
+  both.feed.update(both.known_to_hub, services(4));
+  const auto first = both.feed.rows().since(0);
+  const std::uint64_t first_at = both.feed.rows().position();
+  both.known_to_hub.unlisted(start, engine(0).id);
+  add_replica(both.known_to_hub, 10, 4, 2);
+  both.pass_on();
+  EXPECT_TRUE(
+      both.follower.take(start, "hub", 0, true, first_at, first, both.known_to_node));
+  ASSERT_EQ(both.at_node().size(), 1U);
+  EXPECT_EQ(both.at_node()[0].head, engine(10).id);
+}
+
+TEST(ServingFeed, DamagedRowsNameNoTarget) {
+  hub_and_node both{2};
+  add_replica(both.known_to_hub, 0, 2, 1);
+  both.feed.update(both.known_to_hub, services(2));
+  const std::string whole = both.feed.rows().since(0).front().value;
+  ASSERT_TRUE(decode_serving_entry(whole));
+  for (std::size_t length = 0; length < whole.size(); ++length) {
+    EXPECT_FALSE(decode_serving_entry(whole.substr(0, length))) << length;
+  }
+}
+
+TEST(ServingFeed, ThreeThousandEnginesAreWithinANodesBytes) {
+  // The load: 3,000 engines in replicas of 12 before 100 nodes of a data centre, whose hub has 200
+  // Mbit/s. All start at once; then a member is lost each second and its replica formed again.
+  constexpr std::uint32_t size = 12;
+  constexpr int replicas = 250;
+  constexpr std::size_t nodes = 100;
+  hub_and_node both{size};
+  for (int r = 0; r < replicas; ++r) {
+    add_replica(both.known_to_hub, r * static_cast<int>(size), size, 1);
+  }
+  const std::size_t whole = both.pass_on();
+  EXPECT_EQ(both.at_node().size(), static_cast<std::size_t>(replicas));
+  // All nodes have their rows within a second.
+  list_budget budget(200);
+  std::size_t served = 0;
+  for (int round = 0; round < 5; ++round) {
+    budget.begin_round();
+    for (; served < nodes && budget.take(whole); ++served) {
+    }
+  }
+  EXPECT_EQ(served, nodes);
+  // A changed replica a second costs a node a tenth of its 7 KB a second for control at most.
+  std::size_t changes = 0;
+  for (int second = 0; second < 10; ++second) {
+    const int first = second * static_cast<int>(size);
+    both.known_to_hub.unlisted(start, engine(first).id);
+    changes += both.pass_on();
+    add_replica(both.known_to_hub, first, size, 2);
+    changes += both.pass_on();
+  }
+  constexpr std::size_t control_bytes_per_s = 7'000;
+  EXPECT_LE(changes / 10, control_bytes_per_s / 10);
+}
+
+TEST(RecordDuty, TheNextInLineTakesTheRecordsAfterAWhile) {
+  record_duty duty;
+  duty.update(start, false, false);
+  EXPECT_FALSE(duty.follows_records());
+  duty.update(start + 100ms, false, true);
+  EXPECT_FALSE(duty.follows_records());
+  // A beat that was late: not for this.
+  duty.update(start + 200ms, false, false);
+  duty.update(start + 300ms, false, true);
+  duty.update(start + 300ms + record_duty::take_after, false, true);
+  EXPECT_TRUE(duty.follows_records());
+}
+
+TEST(RecordDuty, AHubTakesThemAtOnceAndKeepsThemForAWhile) {
+  record_duty duty;
+  duty.update(start, false, false);
+  duty.update(start + 1s, true, true);
+  EXPECT_TRUE(duty.follows_records());
+  duty.update(start + 2s, false, false);
+  EXPECT_TRUE(duty.follows_records());
+  duty.update(start + 2s + record_duty::leave_after, false, false);
+  EXPECT_FALSE(duty.follows_records());
+}
+
+}  // namespace
+}  // namespace arbutus
--- a/tests/shell/hosted_node_test.cpp
+++ b/tests/shell/hosted_node_test.cpp
@@ -152,10 +152,53 @@
   EXPECT_EQ(state.configuration_rows.position(), 0U);
   EXPECT_EQ(state.target_rows.position(), 0U);
   EXPECT_FALSE(state.lease.age(now));
-  // What continues from where it is, is taken.
+  // Nor are differences to a table that this node has never had whole.
   beat.targets = feed_news{{{"i-1", "{}", 85, true}}, false, 90, 0, 0ms, false};
   watch.take_news(now, now, beat);
+  EXPECT_EQ(state.target_rows.position(), 0U);
+  // The whole table is taken, and then what continues from it.
+  beat.targets = feed_news{{{"i-1", "{}", 85, false}}, true, 90, 0, 0ms, false};
+  watch.take_news(now, now, beat);
+  EXPECT_EQ(state.target_rows.position(), 90U);
+  beat.targets = feed_news{{{"i-1", "{}", 93, true}}, false, 95, 90, 0ms, false};
+  watch.take_news(now, now, beat);
+  EXPECT_EQ(state.target_rows.position(), 95U);
+}
+
+TEST_F(HostedNode, ANodeThatKeepsNoReplicasFollowsWhatServes) {
+  fiber_runtime own_runtime(1);
+  hosted_state state(nodes_[0]->settings, own_runtime);
+  store_watch watch(state);
+  serving_entry instance;
+  instance.members.emplace_back();
+  instance.members.front().id = target_id{"i-7"};
+  instance.members.front().service = service_id{"tablets"};
+  instance.members.front().address = {"10.0.0.7", 8000};
+  node_beat beat;
+  beat.data_centre = nodes_[0]->settings.data_centre;
+  beat.hub = true;
+  beat.life = "0a1b2c3d";
+  beat.targets_position = 90;
+  beat.served = feed_news{{{"i-7", encode(instance), 1, false}}, true, 1, 0, 0ms, false};
+  const time_point now = monotonic_now();
+  watch.take_news(now, now, beat);
+  EXPECT_TRUE(state.fleet_known);
+  EXPECT_NE(state.fleet.find(target_id{"i-7"}), nullptr);
+  EXPECT_EQ(state.followed.at(), (serving_follower::position{"0a1b2c3d", 1}));
+  // It may keep no replicas on that, and goes on at the store from where its hub was.
+  EXPECT_FALSE(state.fleet_complete);
+  EXPECT_EQ(watch.records_position(), 0U);
   EXPECT_EQ(state.target_rows.position(), 90U);
+  // Rows of another life of the hub do not follow on these.
+  beat.life = "4e5f6a7b";
+  beat.served = feed_news{{{"i-7", {}, 2, true}}, false, 2, 1, 0ms, false};
+  watch.take_news(now, now, beat);
+  EXPECT_TRUE(state.fleet.find(target_id{"i-7"})->listed);
+  // The whole table makes it a keeper.
+  beat.targets = feed_news{{}, true, 95, 0, 0ms, false};
+  watch.take_news(now, now, beat);
+  EXPECT_TRUE(state.fleet_complete);
+  EXPECT_EQ(watch.records_position(), 95U);
 }
 
 TEST_F(HostedNode, ANodeThatStopsCutsNothing) {
