--- a/src/node/hosted_state.h
+++ b/src/node/hosted_state.h
@@ -21,6 +21,7 @@
 #include "process/feed_log.h"
 #include "process/fleet_view.h"
 #include "process/hosted_settings.h"
+#include "process/misdirections.h"
 #include "process/node_beat.h"
 #include "process/peer_table.h"
 #include "process/serving_feed.h"
@@ -58,6 +59,7 @@
   std::map<service_id, retry_window> retries;
   silence_monitor silence;
   suspicions suspected;  // by peers
+  misdirections misdirected;
   attempt_registry attempts;
   peer_table peers;
   // The followed tables, for the nodes that hear them from this one.
--- a/src/node/hosted_stream.cpp
+++ b/src/node/hosted_stream.cpp
@@ -97,10 +97,13 @@
     judge(replica, how);
   }
 
-  // Those that have gone silent here, and those of which a peer takes a member for lost.
+  // Those that have gone silent here or are not meant, and those of which a peer takes a member for
+  // lost.
   [[nodiscard]] std::vector<target_id> suspected_heads(
       time_point now, const std::vector<serving_replica>& replicas) const {
     std::vector<target_id> heads = node_.silence.silent(now);
+    const std::vector<target_id> misdirected = node_.misdirected.heads(now);
+    heads.insert(heads.end(), misdirected.begin(), misdirected.end());
     for (const serving_replica& replica : replicas) {
       if (node_.suspected.contains_any(now, replica.members)) {
         heads.push_back(replica.head);
@@ -241,6 +244,9 @@
     }
     if (answer_.kind == answer_kind::not_run && status_ != 0) {
       last_reason_ = "the target did not run it";
+      if (answer_.is_misdirected) {
+        node_.misdirected.note(monotonic_now(), head_);
+      }
       return ending::not_run;
     }
     if (result.ok() && answer_.kind == answer_kind::own && status_ == 200) {
--- a/src/node/keeper_loop.cpp
+++ b/src/node/keeper_loop.cpp
@@ -187,6 +187,12 @@
                         "action=\"" + std::string(to_string(order.action)) + "\",outcome=\"" +
                             std::string(names[static_cast<std::size_t>(outcome)]) + "\"");
     keeper.on_order(monotonic_now(), node_.fleet, order, outcome);
+    // Goes wrong otherwise: replicas are formed with it again and again until its row lapses, and
+    // each time the others wait for it.
+    if (outcome == order_outcome::another) {
+      log_line(log_level::info, "fleet", "ended", {{"target", order.to}, {"told_by", "order"}});
+      node_.fleet.ended(order.to);
+    }
   });
 }
 
--- a/src/process/fleet_view.h
+++ b/src/process/fleet_view.h
@@ -111,6 +111,9 @@
   // another life than `id` that answered; if it is a newer one, it has taken the place of `id`.
   bool reported(time_point asked, time_point as_of, const target_id& id,
                 const target_answer& answer);
+  // Another target answers at its address: it has ended. Its row may stand in the list until it
+  // lapses; from a newer one on it is known again.
+  void ended(const target_id& id) { forget(id); }
   // The target obeyed an order of this node's.
   void ordered(time_point now, const target_id& id, const std::optional<membership>& member_of);
   // It did not answer a probe in time. Lost after `probes_until_lost` in a row.
--- a/tests/core/target_life_test.cpp
+++ b/tests/core/target_life_test.cpp
@@ -1,5 +1,6 @@
 // Engines that start again under their name: what is known of the one life says nothing of the
 // next.
+#include "process/misdirections.h"
 #include "process/target_life.h"
 
 #include <gtest/gtest.h>
@@ -172,6 +173,29 @@
   EXPECT_TRUE(fleet.find(after.id)->listed);
 }
 
+TEST(TargetAddress, ATargetThatEndedIsKnownAgainByItsNextRow) {
+  // Symptom: replicas are formed again and again with an engine that is not there. Sequence: it
+  // ended behind a cut, and its row lapses seconds later; orders to it are refused by another
+  // engine at its address. Cause: the refusal is taken for one of the order alone.
+  fleet_view fleet;
+  const target_record record = at_address("i-1", 8000);
+  fleet.listed(time_point{1s}, record, 5);
+  fleet.ended(record.id);
+  EXPECT_EQ(fleet.find(record.id), nullptr);
+  fleet.unlisted(time_point{2s}, record.id);
+  EXPECT_TRUE(fleet.listed(time_point{3s}, record, 8));
+  ASSERT_NE(fleet.find(record.id), nullptr);
+  EXPECT_TRUE(fleet.find(record.id)->listed);
+}
+
+TEST(Misdirections, LastUntilTheHeadMayBeOpenAgain) {
+  misdirections said;
+  const target_id head{"i-1"};
+  said.note(time_point{10s}, head);
+  EXPECT_EQ(said.heads(time_point{10s} + 500ms), std::vector<target_id>{head});
+  EXPECT_TRUE(said.heads(time_point{10s} + misdirections::remembered).empty());
+}
+
 TEST(TargetAddress, TheNewestRowSaysWhoseItIs) {
   fleet_view fleet;
   fleet.listed(time_point{1s}, at_address("i-2", 8000), 9);
