Fewer calls to the store: rows of nodes are read once, nodes that are not next wait longer

Change: nodes that all start for the first time read the rows after 0.4 s, when all are written; one that starts again reads them once. A node that would not be the next hub doubles its pause up to 3.2 s; heirs keep 0.8 s, and pass on what the others lack.

--- a/src/node/store_nodes.cpp
+++ b/src/node/store_nodes.cpp
@@ -14,9 +14,9 @@
 constexpr std::string_view node_table = "nodes";
 // A node that came to another address is found within this.
 constexpr duration node_interval = 5s;
-// The rows of nodes that start in the same moment come within some 300 ms; then the next read waits
-// twice as long each time.
-constexpr duration node_interval_at_start = 300ms;
+// Nodes that start in the same moment write their rows within some 300 ms. Whoever read them earlier
+// would have to read again; each read after the first waits twice as long.
+constexpr duration node_interval_at_start = 400ms;
 constexpr std::uint32_t most_node_doublings = 3;
 // A fed node needs them only when its hub ends, and has the row of the next one mostly.
 constexpr duration node_interval_of_fed = 45s;
@@ -48,15 +48,21 @@
 
 // Nodes that are fed know their hub; who is not, or is the hub, has to know who else is there.
 bool store_watch::must_read_nodes(time_point now) const {
-  const bool starting = now - started_ < start_phase / 4;
   const bool fed = is_fed(now);
+  // A node that starts again finds the rows of the others as they were.
+  const bool all_start = node_.settings.cold_start && now - started_ < start_phase / 4;
+  const bool searches = all_start || !nodes_known_;
+  if (searches && !all_start && nodes_reads_ == 0) {
+    return true;
+  }
   const std::uint32_t doublings =
       node_.peers.is_hub(now) ? 0 : std::min(nodes_reads_, most_node_doublings);
   const duration interval =
       fed ? node_interval_of_fed
-          : (starting ? node_interval_at_start * (1U << doublings) : node_interval);
+          : (searches ? node_interval_at_start * (1U << doublings) : node_interval);
+  const time_point read_at = nodes_reads_ == 0 ? started_ : nodes_read_at_;
   // One who lost its hub a moment ago may hear the next one any time.
-  return now - nodes_read_at_ >= interval && (fed || starting || now - fed_at_ > 2 * fed_for);
+  return now - read_at >= interval && (fed || searches || now - fed_at_ > 2 * fed_for);
 }
 
 void store_watch::follow_nodes(const std::function<void(const std::vector<node_record>&)>& found) {
@@ -97,6 +103,7 @@
       peers.push_back(std::move(*record));
     }
   }
+  nodes_known_ = true;
   found(peers);
 }
 
--- a/src/node/store_watch.cpp
+++ b/src/node/store_watch.cpp
@@ -24,6 +24,9 @@
 // ten times a second, and 25 of them made two thirds of all calls of a day. The lease is over four
 // times as long.
 constexpr duration longest_retry_pause = 800ms;
+// A node that would not be the next hub waits longer: the first that the store serves again passes
+// on to all others what they lack. With them, half of all calls are made while the store is away.
+constexpr duration longest_retry_pause_of_others = 3200ms;
 // Failures in a row after which a hub hands over; the first three take 300 ms.
 constexpr std::uint32_t failures_to_hand_over = 3;
 // A node that was turned away and is fed by another hub asks so often whether it is served again.
@@ -140,9 +143,11 @@
 }
 
 duration store_watch::pause_after_failure() const {
-  constexpr std::uint32_t most_doublings = 3;
+  constexpr std::uint32_t most_doublings = 5;
+  const duration longest = node_.peers.is_heir(monotonic_now()) ? longest_retry_pause
+                                                                 : longest_retry_pause_of_others;
   return std::min(retry_pause * (1U << std::min(failures_ > 0 ? failures_ - 1 : 0, most_doublings)),
-                  longest_retry_pause);
+                  longest);
 }
 
 void store_watch::put_in_force(const std::string& text, std::uint64_t row_version) {
--- a/src/node/store_watch.h
+++ b/src/node/store_watch.h
@@ -65,6 +65,7 @@
   time_point started_;
   time_point nodes_read_at_{};
   std::uint32_t nodes_reads_ = 0;
+  bool nodes_known_ = false;  // read once, with an answer
   // Version of the newest configuration row that was read, whether or not it could be understood.
   std::uint64_t configuration_row_ = 0;
   bool configuration_positioned_ = false;  // the log holds all up to its position
