--- a/src/node/control.h
+++ b/src/node/control.h
@@ -32,7 +32,7 @@
 // member has to be noticed, well over a slow answer of a busy VM.
 inline constexpr duration probe_timeout = 600ms;
 // Load and permissions are published at most this often; a change of who may be routed to is
-// published at once. Measured: at 81 targets a view costs about 60 us to make.
+// published at once.
 inline constexpr duration publish_interval = 50ms;
 
 class control {
--- a/src/node/hosted_state.h
+++ b/src/node/hosted_state.h
@@ -49,7 +49,7 @@
   std::shared_ptr<const service_map> map;  // null until the first version was read
   config_lease lease;
   fleet_view fleet;
-  bool fleet_known = false;    // what serves is known, or the list of targets was read
+  bool fleet_known = false;  // what serves is known, or the list of targets was read
   // The record of every target is known. Only then may this node keep replicas: it would take
   // those apart whose members it does not know.
   bool fleet_complete = false;
--- a/src/node/keeper_beats.cpp
+++ b/src/node/keeper_beats.cpp
@@ -15,22 +15,27 @@
 // been taken apart.
 constexpr duration told_after_unlisting = 20s;
 
+std::size_t bytes_of(const std::vector<feed_row>& rows) {
+  std::size_t bytes = 0;
+  for (const feed_row& row : rows) {
+    bytes += row.key.size() + row.value.size();
+  }
+  return bytes;
+}
+
 }  // namespace
 
 // Goes wrong: versions in quick succession, passed on whole to two dozen nodes, choke the link of a
 // hub. Its probes then fail, and it takes the fleet for lost. So what would be too much for all is
 // withheld from those that can read it at the store themselves, and passed on to the others as far
 // as the round allows. Goes wrong without that: nodes that the store turns away have no proof for
-// as long as the configuration is large, and refuse every caller (28 of 81 nodes for 6 s).
+// as long as the configuration is large, and refuse every caller.
 feed_news keeper_loop::configuration_news(time_point now, const node_id& peer,
                                           std::uint64_t after) {
   feed_news news{{},   false, node_.configuration_rows.position(), after, *node_.lease.age(now),
                  false};
   news.rows = node_.configuration_rows.since(after);
-  std::size_t bytes = 0;
-  for (const feed_row& row : news.rows) {
-    bytes += row.value.size();
-  }
+  const std::size_t bytes = bytes_of(news.rows);
   const bool fits_all = bytes * (node_.peers.living(now) + 1) <= most_passed_on;
   const bool needs_it = node_.peers.is_turned_away(peer) && bytes <= may_pass_on_;
   news.withheld = !fits_all && !needs_it;
@@ -42,34 +47,29 @@
   return news;
 }
 
+// A whole list that this round has no room for comes in a later one.
+void keeper_loop::withhold_beyond_budget(feed_news& news) {
+  news.withheld = news.whole && !whole_lists_.take(bytes_of(news.rows));
+  if (news.withheld) {
+    news.rows.clear();
+  }
+}
+
 feed_news keeper_loop::target_news(time_point now, std::uint64_t after) {
   feed_news news{node_.target_rows.since(after), node_.target_rows.needs_whole(after),
                  node_.target_rows.position(),   after,
                  now - node_.fleet_read_at,      false};
-  std::size_t bytes = 0;
-  for (const feed_row& row : news.rows) {
-    bytes += row.value.size();
-  }
-  news.withheld = news.whole && !whole_lists_.take(bytes);
-  if (news.withheld) {
-    news.rows.clear();
-  }
+  withhold_beyond_budget(news);
   return news;
 }
 
 feed_news keeper_loop::served_news(time_point now, const serving_follower::position& after) {
   const feed_log& rows = node_.served.rows();
   const std::uint64_t from = after.life == node_.origin ? after.at : 0;
-  feed_news news{rows.since(from), rows.needs_whole(from),    rows.position(), from,
+  feed_news news{rows.since(from),          rows.needs_whole(from),
+                 rows.position(),           from,
                  now - node_.fleet_read_at, false};
-  std::size_t bytes = 0;
-  for (const feed_row& row : news.rows) {
-    bytes += row.value.size();
-  }
-  news.withheld = news.whole && !whole_lists_.take(bytes);
-  if (news.withheld) {
-    news.rows.clear();
-  }
+  withhold_beyond_budget(news);
   return news;
 }
 
--- a/src/node/keeper_loop.h
+++ b/src/node/keeper_loop.h
@@ -50,6 +50,7 @@
   void doubt(const target_id& id);
   [[nodiscard]] feed_news configuration_news(time_point now, const node_id& peer,
                                              std::uint64_t after);
+  void withhold_beyond_budget(feed_news& news);
   [[nodiscard]] feed_news target_news(time_point now, std::uint64_t after);
   [[nodiscard]] feed_news served_news(time_point now, const serving_follower::position& after);
   void pass_on(time_point now, const node_id& peer, node_beat& beat);
@@ -78,8 +79,8 @@
   // Of one round of beats.
   std::size_t may_pass_on_ = 0;  // bytes of configuration
   list_budget whole_lists_;
-  std::set<target_id> lost_;           // targets that this node takes for lost
-  std::vector<target_id> suspected_;   // for the nodes that follow what serves
+  std::set<target_id> lost_;          // targets that this node takes for lost
+  std::vector<target_id> suspected_;  // for the nodes that follow what serves
   std::map<target_id, replica_load> all_loads_;
   std::vector<node_id> linked_;
   std::size_t linking_ = 0;  // fibers that change the links
--- a/src/node/keeper_losses.cpp
+++ b/src/node/keeper_losses.cpp
@@ -110,7 +110,7 @@
 // Whether requests would be sent to this head's replica. Goes wrong without the question: a member
 // has started again and the list has said so; those that are left all answer, and the streams of
 // their head stand still until it breaks off after the stall time. A node that stops then ends with
-// requests in flight (found with 3 of 50 seeds of random faults).
+// requests in flight.
 bool keeper_loop::is_whole(const target_view& head) {
   const service_shape* service = node_.map ? node_.map->find_service(head.record.service) : nullptr;
   if (service == nullptr || !service->engine) {
--- a/src/node/store_nodes.cpp
+++ b/src/node/store_nodes.cpp
@@ -14,8 +14,8 @@
 constexpr std::string_view node_table = "nodes";
 // A node that came to another address is found within this.
 constexpr duration node_interval = 5s;
-// Nodes that start in the same moment write their rows within some 300 ms. Whoever read them earlier
-// would have to read again; each read after the first waits twice as long.
+// Nodes that start in the same moment write their rows within some 300 ms. Whoever read them
+// earlier would have to read again; each read after the first waits twice as long.
 constexpr duration node_interval_at_start = 400ms;
 constexpr std::uint32_t most_node_doublings = 3;
 // A fed node needs them only when its hub ends, and has the row of the next one mostly.
--- a/src/node/store_watch.cpp
+++ b/src/node/store_watch.cpp
@@ -17,15 +17,14 @@
 // Versions in a row: one more read within this is coalesced with the next.
 constexpr duration configuration_pause = 40ms;
 // From its start until its hub feeds it a node waits so long before it asks the store what is new:
-// it has read the tables whole, which proves its configuration for longer. Goes wrong otherwise: at
-// a start of 295 nodes each made 12 calls until its first beat came, 3,600 in all.
+// it has read the tables whole, which proves its configuration for longer. Goes wrong otherwise:
+// hundreds of nodes that start together make a dozen calls each until their first beat comes.
 constexpr duration hub_patience = 1500ms;
-// Each failure in a row doubles the pause up to this: a node that is cut off or turned away asked
-// ten times a second, and 25 of them made two thirds of all calls of a day. The lease is over four
-// times as long.
+// Each failure in a row doubles the pause up to this: a node that is cut off or turned away would
+// ask ten times a second. The lease is over four times as long.
 constexpr duration longest_retry_pause = 800ms;
 // A node that would not be the next hub waits longer: the first that the store serves again passes
-// on to all others what they lack. With them, half of all calls are made while the store is away.
+// on to all others what they lack.
 constexpr duration longest_retry_pause_of_others = 3200ms;
 // Failures in a row after which a hub hands over; the first three take 300 ms.
 constexpr std::uint32_t failures_to_hand_over = 3;
@@ -144,8 +143,8 @@
 
 duration store_watch::pause_after_failure() const {
   constexpr std::uint32_t most_doublings = 5;
-  const duration longest = node_.peers.is_heir(monotonic_now()) ? longest_retry_pause
-                                                                 : longest_retry_pause_of_others;
+  const duration longest =
+      node_.peers.is_heir(monotonic_now()) ? longest_retry_pause : longest_retry_pause_of_others;
   return std::min(retry_pause * (1U << std::min(failures_ > 0 ? failures_ - 1 : 0, most_doublings)),
                   longest);
 }
--- a/src/process/domain_shape.h
+++ b/src/process/domain_shape.h
@@ -51,9 +51,8 @@
 // Replicas of `size` that `own` of a domain's `all` engines form, averaged over 0 to `losses`
 // losses that fall on any of them alike. The exact average, not the replicas of average numbers:
 // with 5 of 8 ready for a model of 4, one loss always leaves a replica, and two do in 9 of 14
-// cases. Counted by averages a mixed domain looked worthless, and domains of one model of 4 stood
-// with 7 engines, 3 of them idle: 11 of 44 on a day. Worth of 15 such days: 0.615 before, 0.638 to
-// 0.641 in three measurements.
+// cases. Counted by averages a mixed domain looks worthless, and domains of one model of 4 stand
+// with 7 engines, 3 of them idle.
 [[nodiscard]] double lasting_replicas(std::uint32_t own, std::uint32_t all, std::uint32_t size,
                                       std::uint32_t losses);
 
--- a/src/process/fleet_view.h
+++ b/src/process/fleet_view.h
@@ -190,11 +190,8 @@
 // it, and one that serves well then. With a fifth of the engines dropped at once, hardly a replica
 // of 16 would be left. Nothing is sent to such a member; if it is really about to end, its replica
 // falls silent and is found. The keeper asks it meanwhile.
-[[nodiscard]] std::vector<serving_replica> serving_replicas(const fleet_view& fleet,
-                                                            const service_id& service,
-                                                            const model_id& model,
-                                                            std::uint32_t size,
-                                                            lost_targets lost =
-                                                                lost_targets::left_out);
+[[nodiscard]] std::vector<serving_replica> serving_replicas(
+    const fleet_view& fleet, const service_id& service, const model_id& model, std::uint32_t size,
+    lost_targets lost = lost_targets::left_out);
 
 }  // namespace arbutus
--- a/src/process/hosted_settings.h
+++ b/src/process/hosted_settings.h
@@ -33,8 +33,7 @@
   duration target_heartbeat = 1200ms;  // how often a living target refreshes its record
 };
 
-// More than a node wrote in its fullest second of the heaviest days measured, 39 KB; 25 times its
-// mean there. A collector of 340 nodes then takes 22 MB/s at the very worst.
+// Bytes a second; a collector of 340 nodes then takes 22 MB/s at the very worst.
 inline constexpr std::uint32_t default_log_rate = 64 * 1024;
 
 struct hosted_settings {
--- a/src/process/replica_keeper.cpp
+++ b/src/process/replica_keeper.cpp
@@ -298,10 +298,9 @@
     for (const target_view* member : group.members) {
       r.taken.insert(member->record.id);
     }
-    const bool all_ready =
-        std::all_of(group.members.begin(), group.members.end(), [](const target_view* m) {
-          return m->record.member_of->state != member_state::joining;
-        });
+    const bool all_ready = std::all_of(
+        group.members.begin(), group.members.end(),
+        [](const target_view* m) { return m->record.member_of->state != member_state::joining; });
     // Formed by a node that ended before it could open it.
     if (all_ready && head->record.member_of->state == member_state::ready && r.is_own(*head) &&
         may_order(r, head_id)) {
@@ -348,7 +347,7 @@
   }
   const bool replaceable = dropped > 0 && r.dropped <= few_dropped;
   return replaceable && has_spares(r, *head, *model, dropped) ? "spares replace an unlisted member"
-                                                               : "";
+                                                              : "";
 }
 
 // Whether so many engines of the head's domain are ready for its model and in no real replica.
--- a/src/process/serving_feed.cpp
+++ b/src/process/serving_feed.cpp
@@ -49,8 +49,7 @@
 // What stands in a replica's row once, as each member has it.
 void complete_member(target_record& member, const serving_entry& entry, const replica_key& key) {
   const auto rank = static_cast<std::uint32_t>(entry.members.size());
-  member.member_of =
-      membership{key, rank, rank == 0 ? member_state::open : member_state::ready};
+  member.member_of = membership{key, rank, rank == 0 ? member_state::open : member_state::ready};
 }
 
 }  // namespace
@@ -238,10 +237,9 @@
   }
   for (const target_record& member : known->second.members) {
     const target_view* view = fleet.find(member.id);
-    const bool stays = next != nullptr && std::any_of(next->members.begin(), next->members.end(),
-                                                      [&](const target_record& m) {
-                                                        return m.id == member.id;
-                                                      });
+    const bool stays =
+        next != nullptr && std::any_of(next->members.begin(), next->members.end(),
+                                       [&](const target_record& m) { return m.id == member.id; });
     if (!stays && view != nullptr && is_of_row(*view, member)) {
       fleet.unlisted(asked, member.id);
     }
--- a/src/process/serving_feed.h
+++ b/src/process/serving_feed.h
@@ -55,8 +55,8 @@
  private:
   void put(const std::string& key, const serving_entry& entry);
 
-  std::uint64_t revision_ = 0;  // of the fleet view at the last update
-  std::uint64_t version_ = 0;   // of the services
+  std::uint64_t revision_ = 0;                  // of the fleet view at the last update
+  std::uint64_t version_ = 0;                   // of the services
   std::map<std::string, std::string> encoded_;  // by key
   std::map<std::string, std::vector<target_id>> members_;
   feed_log rows_;
--- a/src/process/silence.h
+++ b/src/process/silence.h
@@ -33,9 +33,8 @@
   // it is asked without an event in between doubles that, up to eight times.
   duration pause = 400ms;
   // A replica's passes grow with its load, which a node knows only in part. So a gap is compared
-  // with the longest lately seen as well: a replica that is full has gaps of 150 to 250 ms. With
-  // expected gaps alone 38,000 of the 57,000 questions of a heavy day, to 80 nodes and 300 engines,
-  // were on replicas that were well.
+  // with the longest lately seen as well: a replica that is full has gaps of 150 to 250 ms. Goes
+  // wrong with expected gaps alone: most questions under load are to replicas that are well.
   double seen_factor = 1.5;
   // The longest gap seen counts for less with each event after it: half after about 14, two thirds
   // of a second of one stream.
--- a/tests/core/serving_feed_test.cpp
+++ b/tests/core/serving_feed_test.cpp
@@ -102,7 +102,7 @@
 TEST(ServingFeed, ANodeSendsToWhatItsHubSees) {
   hub_and_node both{12};
   add_replica(both.known_to_hub, 0, 12, 7);
-  add_replica(both.known_to_hub, 20, 12, 8);  // of two domains
+  add_replica(both.known_to_hub, 20, 12, 8);    // of two domains
   both.known_to_hub.listed(start, engine(70));  // a spare
   both.known_to_hub.set_pace(engine(3).id, 1.5);
   both.pass_on();
@@ -183,8 +183,7 @@
   EXPECT_EQ(both.at_node().size(), 2U);
   // It is told as a suspicion, one member a replica.
   const std::set<target_id> lost = {engine(1).id, engine(2).id, engine(11).id};
-  EXPECT_EQ(both.feed.first_of_each(lost),
-            (std::vector<target_id>{engine(1).id, engine(11).id}));
+  EXPECT_EQ(both.feed.first_of_each(lost), (std::vector<target_id>{engine(1).id, engine(11).id}));
 }
 
 TEST(ServingFeed, AnotherLifeOfTheHubPassesOnAllRows) {
@@ -215,8 +214,7 @@
   both.known_to_hub.unlisted(start, engine(0).id);
   add_replica(both.known_to_hub, 10, 4, 2);
   both.pass_on();
-  EXPECT_TRUE(
-      both.follower.take(start, "hub", 0, true, first_at, first, both.known_to_node));
+  EXPECT_TRUE(both.follower.take(start, "hub", 0, true, first_at, first, both.known_to_node));
   ASSERT_EQ(both.at_node().size(), 1U);
   EXPECT_EQ(both.at_node()[0].head, engine(10).id);
 }
--- a/tests/core/target_life_test.cpp
+++ b/tests/core/target_life_test.cpp
@@ -1,11 +1,11 @@
 // Engines that start again under their name: what is known of the one life says nothing of the
 // next.
-#include "process/misdirections.h"
 #include "process/target_life.h"
 
 #include <gtest/gtest.h>
 
 #include "process/fleet_view.h"
+#include "process/misdirections.h"
 #include "process/replica_name.h"
 #include "request/replica_choice.h"
 
--- a/tests/shell/keeper_world.h
+++ b/tests/shell/keeper_world.h
@@ -57,8 +57,8 @@
     target_record record;
     record.id = life_of("i-" + std::to_string(next_id_++), 1);
     record.service = llm;
-    record.address = address.value_or(
-        endpoint{"10.0.0.1", static_cast<std::uint16_t>(1000 + next_id_)});
+    record.address =
+        address.value_or(endpoint{"10.0.0.1", static_cast<std::uint16_t>(1000 + next_id_)});
     record.data_centre = data_centre_id{data_centre};
     record.domain = fabric_domain_id{domain};
     engines_.emplace(record.id, standin::hosted_engine(record, {}));
