Take back: rows made when they change, fewer ticks beyond 1,000 engines

Hypothesis: the hub's processor time goes into encoding rows and into ticks.

What is left as a lead: beats with the loads of all heads, encoded anew for each of 100 nodes five times a second on a quarter of a core.

--- a/src/node/keeper_loop.cpp
+++ b/src/node/keeper_loop.cpp
@@ -12,9 +12,6 @@
 
 // A replica's repair takes some 500 ms of engines' time; a tick of this adds 4 percent of that.
 constexpr duration tick_interval = 20ms;
-// A tick looks at every engine. Beyond so many it comes less often, as much as there are more: its
-// hub would have no time left to pass on what the store says.
-constexpr std::size_t engines_of_a_tick = 1000;
 // Peers learn of sends within this; the same load is then double-booked for 100 ms on average.
 constexpr duration beat_interval = 200ms;
 constexpr duration plan_log_interval = 1s;
@@ -79,11 +76,6 @@
   if (now - started_ < settle) {
     return;
   }
-  const std::size_t engines = std::max(node_.fleet.all().size(), engines_of_a_tick);
-  if (now - kept_at_ < tick_interval * engines / engines_of_a_tick - tick_interval / 2) {
-    return;
-  }
-  kept_at_ = now;
   if (!duties_.empty() && node_.fleet_complete) {
     check_unheard(now);
   }
--- a/src/node/keeper_loop.h
+++ b/src/node/keeper_loop.h
@@ -88,7 +88,6 @@
   std::set<data_centre_id> duties_;
   std::map<model_id, std::size_t> capacity_;  // replicas that may be sent requests, as last told
   time_point told_peers_at_{};
-  time_point kept_at_{};  // last tick of the keepers
   time_point told_plan_at_{};
   time_point told_capacity_at_{};
   time_point asked_lost_at_{};
--- a/src/process/serving_feed.cpp
+++ b/src/process/serving_feed.cpp
@@ -106,30 +106,20 @@
   }
 }
 
-bool serving_feed::note(const std::string& key, source made_of) {
-  const auto [known, is_new] = sources_.try_emplace(key);
-  if (!is_new && known->second == made_of) {
-    return false;
-  }
-  known->second = std::move(made_of);
-  return true;
-}
-
 void serving_feed::put(const std::string& key, const serving_entry& entry) {
-  rows_.advance(rows_.position() + 1);
-  rows_.take({key, encode(entry), rows_.position(), false});
-}
-
-void serving_feed::remove_others(const std::set<std::string>& present) {
-  for (auto known = sources_.begin(); known != sources_.end();) {
-    if (present.contains(known->first)) {
-      ++known;
-      continue;
-    }
-    rows_.advance(rows_.position() + 1);
-    rows_.take({known->first, {}, rows_.position(), true});
-    known = sources_.erase(known);
+  std::string bytes = encode(entry);
+  std::string& known = encoded_[key];
+  if (known == bytes) {
+    return;
   }
+  known = std::move(bytes);
+  std::vector<target_id>& members = members_[key];
+  members.clear();
+  for (const target_record& member : entry.members) {
+    members.push_back(member.id);
+  }
+  rows_.advance(rows_.position() + 1);
+  rows_.take({key, known, rows_.position(), false});
 }
 
 void serving_feed::update(const fleet_view& fleet, const service_map& services) {
@@ -138,18 +128,15 @@
   }
   revision_ = fleet.revision();
   version_ = services.version();
-  std::set<std::string> present;
-  std::vector<serving_replica> replicas;
-  std::vector<const target_view*> instances;
+  std::map<std::string, serving_entry> entries;
   for (const service_shape& service : services.services()) {
     if (!service.engine) {
       continue;
     }
     for (const model_shape& model : service.engine->models) {
-      for (serving_replica& replica :
+      for (const serving_replica& replica :
            serving_replicas(fleet, service.id, model.id, model.size, lost_targets::kept)) {
-        present.insert(replica.head.str());
-        replicas.push_back(std::move(replica));
+        entries[replica.head.str()] = {in_order(replica, fleet), replica.pace};
       }
     }
   }
@@ -157,23 +144,22 @@
     const service_shape* service = services.find_service(view.record.service);
     const bool plain = service != nullptr && !service->engine;
     if (plain && view.listed && !view.record.draining) {
-      present.insert(id.str());
-      instances.push_back(&view);
+      entries[id.str()] = {{view.record}, 1};
     }
   }
   // What ended first: a member may be in another replica by now.
-  remove_others(present);
-  for (const serving_replica& replica : replicas) {
-    const std::string& key = replica.head.str();
-    if (note(key, {replica.key, replica.address, replica.pace, 0, replica.members})) {
-      put(key, {in_order(replica, fleet), replica.pace});
+  for (auto known = encoded_.begin(); known != encoded_.end();) {
+    if (entries.contains(known->first)) {
+      ++known;
+      continue;
     }
+    rows_.advance(rows_.position() + 1);
+    rows_.take({known->first, {}, rows_.position(), true});
+    members_.erase(known->first);
+    known = encoded_.erase(known);
   }
-  for (const target_view* view : instances) {
-    const std::string& key = view->record.id.str();
-    if (note(key, {{}, view->record.address, 1, view->record.slots, {view->record.id}})) {
-      put(key, {{view->record}, 1});
-    }
+  for (const auto& [key, entry] : entries) {
+    put(key, entry);
   }
 }
 
@@ -182,8 +168,7 @@
   if (suspects.empty()) {
     return result;
   }
-  for (const auto& [key, made_of] : sources_) {
-    const auto& members = made_of.members;
+  for (const auto& [key, members] : members_) {
     const auto found = std::find_if(members.begin(), members.end(),
                                     [&](const target_id& id) { return suspects.contains(id); });
     if (found != members.end()) {
--- a/src/process/serving_feed.h
+++ b/src/process/serving_feed.h
@@ -53,24 +53,12 @@
   [[nodiscard]] std::vector<target_id> first_of_each(const std::set<target_id>& suspects) const;
 
  private:
-  // What a row was made of. Thousands of replicas are looked at several times a second, and hardly
-  // any has changed: a row is encoded only when this differs.
-  struct source {
-    replica_key replica;
-    endpoint address;
-    double pace = 1;
-    std::uint32_t slots = 0;
-    std::vector<target_id> members;
-    bool operator==(const source&) const = default;
-  };
-  // Whether the row has to be made anew.
-  bool note(const std::string& key, source made_of);
   void put(const std::string& key, const serving_entry& entry);
-  void remove_others(const std::set<std::string>& present);
 
-  std::uint64_t revision_ = 0;             // of the fleet view at the last update
-  std::uint64_t version_ = 0;              // of the services
-  std::map<std::string, source> sources_;  // by key
+  std::uint64_t revision_ = 0;                  // of the fleet view at the last update
+  std::uint64_t version_ = 0;                   // of the services
+  std::map<std::string, std::string> encoded_;  // by key
+  std::map<std::string, std::vector<target_id>> members_;
   feed_log rows_;
 };
 
