Broken attempts tell what was asked and how far the target had got

Callers saw: requests that failed one engine after the other, under ids that are new each time. A line of an attempt could not tell one request that comes again from many that were there by chance, nor a run that had begun from one that waited.

Change: a request's print (workspace, path with query, body) and what its target had answered by then stand in the line of each broken attempt; the counter of broken attempts has the latter as a label. No decision changes.

--- a/src/node/hosted_call.cpp
+++ b/src/node/hosted_call.cpp
@@ -36,6 +36,7 @@
       return false;
     }
     set_deadline();
+    call_.print = print_of(call_.workspace, call_.wire.target, call_.wire.body);
     return find_service();
   }
 
@@ -168,7 +169,7 @@
 
 void serve_hosted_call(hosted_state& node, const http_request& request, response_writer& writer) {
   hosted_request call{
-      request, writer, read_head(request), nullptr, nullptr, nullptr, {}, {}, {}, {}, 0, 0, {},
+      request, writer, read_head(request), nullptr, nullptr, nullptr, {}, {}, {}, {}, {}, 0, 0, {},
       {},      0};
   call.arrived = monotonic_now();
   call.logged = log_keeps_request(call.arrived, call.head.id.str());
--- a/src/node/hosted_parts.h
+++ b/src/node/hosted_parts.h
@@ -9,6 +9,7 @@
 #include "connection/http_server.h"
 #include "node/hosted_state.h"
 #include "platform/dialect.h"
+#include "request/request_print.h"
 
 namespace arbutus {
 
@@ -22,6 +23,7 @@
   const service_shape* service = nullptr;
   workspace_id workspace;
   std::optional<std::uint32_t> urgency;
+  request_print print;  // the same for the same request that comes again
   time_point arrived;
   time_point deadline;
 
--- a/src/node/hosted_stream.cpp
+++ b/src/node/hosted_stream.cpp
@@ -126,19 +126,32 @@
     }
     avoided_.push_back(replica.head);
     if (call_.logged) {
-      log_line(log_level::info, "request", "attempt ended",
-               {{"request", call_.head.id},
-                {"target", replica.head},
-                {"reason", last_reason_},
-                {"ran", how == ending::broken ? "perhaps" : "no"},
-                {"last_event", relay_.last_id()},
-                {"sends", call_.sends}});
+      log_line(
+          log_level::info, "request", "attempt ended",
+          {{"request", call_.head.id},
+           {"target", replica.head},
+           {"reason", last_reason_},
+           {"ran", how == ending::broken ? "perhaps" : "no"},
+           {"print", hash_text(call_.print)},
+           {"answered", answered()},
+           {"running_ms", had_first_ ? to_milliseconds(monotonic_now() - first_event_at_) : 0.0},
+           {"last_event", relay_.last_id()},
+           {"sends", call_.sends}});
     }
     node_.metrics.count("arbutusworks_attempts_broken",
-                        "ran=\"" + std::string(how == ending::broken ? "perhaps" : "no") + "\"");
+                        "ran=\"" + std::string(how == ending::broken ? "perhaps" : "no") +
+                            "\",answered=\"" + std::string(answered()) + "\"");
     relay_.restart();
   }
 
+  // What the target had answered of the last attempt when that ended.
+  [[nodiscard]] std::string_view answered() const {
+    if (had_first_) {
+      return "events";
+    }
+    return status_ != 0 ? "head" : "nothing";
+  }
+
   ending attempt(const serving_replica& replica, const replica_estimate& expected) {
     attempt_registry::attempt own;
     own.resumable = call_.way->repeatable();
@@ -147,6 +160,7 @@
     head_ = replica.head;
     expected_ = expected;
     had_first_ = false;
+    status_ = 0;
     answer_ = {};
     failure_body_.clear();
     passing_on facts;
@@ -201,6 +215,7 @@
   void note_event(time_point now) {
     if (!had_first_) {
       had_first_ = true;
+      first_event_at_ = now;
       node_.loads.first_event(head_, call_.head.size);
       node_.silence.first_event(head_, now - sent_at_, expected_.to_first_event);
       if (call_.first_event == time_point{}) {
@@ -302,6 +317,7 @@
   // Of the running attempt.
   target_id head_;
   time_point sent_at_{};
+  time_point first_event_at_{};
   replica_estimate expected_;
   bool had_first_ = false;
   answer_head answer_;
--- a/src/node/hosted_whole.cpp
+++ b/src/node/hosted_whole.cpp
@@ -142,6 +142,7 @@
                {{"request", call_.head.id},
                 {"target", instance.id},
                 {"reason", reason},
+                {"print", hash_text(call_.print)},
                 {"may_have_run", call_.may_have_run},
                 {"sends", call_.sends}});
     }
--- /dev/null
+++ b/src/request/request_print.cpp
@@ -0,0 +1,36 @@
+// Hashes of requests.
+#include "request/request_print.h"
+
+#include <array>
+#include <charconv>
+#include <cstdio>
+
+#include "base/hash.h"
+
+namespace arbutus {
+
+namespace {
+
+constexpr std::size_t hash_digits = 16;
+
+}  // namespace
+
+request_print print_of(const workspace_id& workspace, std::string_view target,
+                       std::string_view body) {
+  return {workspace, stable_hash(body, stable_hash(target))};
+}
+
+std::string hash_text(const request_print& print) {
+  std::array<char, hash_digits + 1> text{};
+  std::snprintf(text.data(), text.size(), "%016llx", static_cast<unsigned long long>(print.hash));
+  return text.data();
+}
+
+std::optional<std::uint64_t> parse_hash(std::string_view text) {
+  std::uint64_t hash = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), hash, 16);
+  const bool whole = error == std::errc() && end == text.data() + text.size();
+  return whole && text.size() == hash_digits ? std::optional(hash) : std::nullopt;
+}
+
+}  // namespace arbutus
