--- a/src/standin/hosted_control.cpp
+++ b/src/standin/hosted_control.cpp
@@ -19,6 +19,7 @@
   nlohmann::json answer = nlohmann::json::object();
   if (path == "/counts") {
     answer = {{"runs", platform_.runs()},
+              {"ends", platform_.ends()},
               {"leaked", platform_.leaked()},
               {"serving", platform_.serving()}};
   } else if (path == "/kill") {
--- a/src/standin/hosted_control.h
+++ b/src/standin/hosted_control.h
@@ -1,7 +1,8 @@
 // Commands to the stand-in platform from outside its process: what a soak breaks, and what it then
 // counts. Beside the platform's own protocol, on a port of its own.
 //
-//   GET  /counts               runs by request id, requests that carried a caller's key, replicas
+//   GET  /counts               runs by request id, ended processes by the path of the request that
+//                              ended them, requests that carried a caller's key, replicas
 //   POST /kill?head=0|1        a member (or the head) of a replica that serves dies without a word
 //   POST /store?down=0|1       the store answers 503 to everybody
 //   POST /configure?keys=0|1   the next version, with the workspace's key or without
--- a/src/standin/hosted_platform.h
+++ b/src/standin/hosted_platform.h
@@ -25,6 +25,8 @@
   std::uint16_t store_port = 0;  // 0: any
   int events = 10;               // of an answer
   duration event_gap = 20ms;
+  duration ends_after = 15ms;  // a request that ends the engine which runs it does so after this
+  duration started_after = 600ms;  // such an engine has started again after this
   hosted_engine_settings engine = {.rejoin_time = 50ms,
                                    .warm_time = 200ms,
                                    .load_time = 300ms,
@@ -35,6 +37,8 @@
 inline constexpr const char* hosted_host = "desk.example";
 inline constexpr const char* hosted_key = "key-of-the-desk";
 inline constexpr const char* hosted_model = "large";
+// A request whose path has this in it ends the engine or the instance that begins to run it.
+inline constexpr const char* poison_mark = "poison";
 
 class hosted_platform {
  public:
@@ -63,6 +67,8 @@
   [[nodiscard]] std::size_t serving() const;
   // How often each request has begun to run, by its id.
   [[nodiscard]] std::map<std::string, int> runs() const;
+  // How often each path with a poison mark has ended its engine or instance.
+  [[nodiscard]] std::map<std::string, int> ends() const;
   // Requests whose head carried a caller's key, or no workspace.
   [[nodiscard]] int leaked() const;
 
