Requests that end the targets that run them are told from what ran beside them, and refused

Callers saw: crew-briefs refused, late or broken off for half of a minute at a time, while engines ended alone, one after the other, 58 in all.

Cause: a request whose run ends its engine was sent to the next replica, and came again under a new id at any node. Attempts were linked by nothing but that id, so that each visit was a first one. The class: what one request does to the fleet was judged within one attempt of one caller at one node.

Change: a ledger of marks by print (workspace, path, body): a run that had hardly begun when the life of its target ended, as a question to the target's address tells. Marks, acquittals and verdicts go with the beats between nodes; verdicts lie in the store, too. A verdict needs four events, one after the other, of which no other suspect has as many, and that are improbable (1e-8) by the rate at which targets end anyway around then; ends in the same moment are none; a run that ends well acquits. From three events on a request waits 0.7 s for what other nodes know before it is sent. Refused with 503, as it has not run, and with the time until the verdict lapses; 502 where this call may have run. Operators see them at /poison of the metrics address, and lift one there.

Why it holds: the culprit is present at each end, in order; what ran beside it is acquitted by its first good run, shares not all ends, or has as few of them as chance makes.

--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -90,6 +90,7 @@
                               (failure == call_failure::deadline && deadline <= connect_by);
     result = failed_call(call_outcome::not_sent,
                          own_decision ? failure : call_failure::connect_failed, error.message());
+    result.refused = error == asio::error::connection_refused;
     return nullptr;
   }
 
--- a/src/connection/http_client.h
+++ b/src/connection/http_client.h
@@ -39,6 +39,7 @@
   call_failure failure{call_failure::none};
   http_response response;  // for streams without the body; filled once headers arrived
   std::string detail;      // for logs
+  bool refused = false;    // the connection: no process listens at the address
 
   [[nodiscard]] bool ok() const noexcept { return outcome == call_outcome::ok; }
 };
--- a/src/node/hosted_node.cpp
+++ b/src/node/hosted_node.cpp
@@ -8,6 +8,7 @@
 #include "node/keeper_loop.h"
 #include "node/log.h"
 #include "node/peer_links.h"
+#include "node/poison_watch.h"
 #include "node/store_watch.h"
 
 namespace arbutus {
@@ -69,11 +70,9 @@
     ready = std::make_unique<http_server>(
         runtime, address_of_endpoint(at.ready), small_server_limits(),
         [this](const http_request&, response_writer& w) { serve_ready(w); });
-    metrics = std::make_unique<http_server>(runtime, address_of_endpoint(at.metrics),
-                                            small_server_limits(),
-                                            [this](const http_request&, response_writer& w) {
-                                              send_text(w, 200, state.metrics.text(gauges()));
-                                            });
+    metrics = std::make_unique<http_server>(
+        runtime, address_of_endpoint(at.metrics), small_server_limits(),
+        [this](const http_request& r, response_writer& w) { serve_operator(r, w); });
     callers = std::make_unique<http_server>(
         runtime, address_of_endpoint(at.callers), caller_server_limits(),
         [this](const http_request& r, response_writer& w) { serve_hosted_call(state, r, w); });
@@ -98,6 +97,22 @@
     send_text(writer, is ? 200 : 503, is ? "ready\n" : "not ready\n");
   }
 
+  // The metrics address: figures, requests that are refused as they end their targets, and the way
+  // to lift such a verdict.
+  void serve_operator(const http_request& request, response_writer& writer) {
+    constexpr std::string_view lift = "/poison/lift/";
+    const std::string_view target = request.target;
+    if (target == "/poison") {
+      send_text(writer, 200, poison_text(state, monotonic_now()));
+    } else if (request.method == "POST" && target.starts_with(lift)) {
+      const auto hash = parse_hash(target.substr(lift.size()));
+      const bool lifted = hash && lift_verdict(state, monotonic_now(), *hash);
+      send_text(writer, lifted ? 200 : 404, lifted ? "lifted\n" : "no such request is suspected\n");
+    } else {
+      send_text(writer, 200, state.metrics.text(gauges()));
+    }
+  }
+
   [[nodiscard]] std::string gauges() const {
     std::string text;
     const auto add = [&text](std::string_view name, std::uint64_t value) {
@@ -109,6 +124,9 @@
     add("arbutusworks_requests_active", callers->active());
     add("arbutusworks_connections_open", callers->connections());
     add("arbutusworks_ready", is_ready() ? 1 : 0);
+    add("arbutusworks_poison_suspects", state.poison.ledger.all().size());
+    add("arbutusworks_poison_convicted", state.poison.ledger.convicted());
+    add("arbutusworks_poison_turned_away", state.poison.ledger.turned_away());
     add("arbutusworks_log_lines_dropped", dropped_log_lines());
     add("arbutusworks_log_requests_left_out", requests_without_log());
     return text;
@@ -121,6 +139,7 @@
       watch.follow_nodes(
           [this](const std::vector<node_record>& nodes) { state.peers.set_known(nodes); });
     });
+    runtime.post(0, [this] { keep_verdicts(state); });
     runtime.post(0, [this] { keeper->run(); });
   }
 
--- a/src/node/hosted_state.h
+++ b/src/node/hosted_state.h
@@ -15,6 +15,7 @@
 #include "connection/http_client.h"
 #include "node/attempt_registry.h"
 #include "node/hosted_metrics.h"
+#include "node/poison_state.h"
 #include "platform/engines.h"
 #include "platform/store.h"
 #include "process/config_lease.h"
@@ -61,6 +62,7 @@
   suspicions suspected;  // by peers
   misdirections misdirected;
   attempt_registry attempts;
+  poison_state poison;  // requests that end their targets
   peer_table peers;
   // The followed tables, for the nodes that hear them from this one.
   feed_log target_rows;
--- a/src/node/hosted_stream.cpp
+++ b/src/node/hosted_stream.cpp
@@ -5,6 +5,7 @@
 
 #include "node/hosted_parts.h"
 #include "node/log.h"
+#include "node/poison_watch.h"
 #include "request/event_relay.h"
 
 namespace arbutus {
@@ -63,6 +64,10 @@
   }
 
   void next_attempt() {
+    if (!may_run(node_, call_)) {
+      end_own(503, retry_after_poison(node_, call_), poison_reason);
+      return;
+    }
     const time_point now = monotonic_now();
     if (gone_) {
       end_own(0, {}, "the caller has gone");
@@ -117,6 +122,7 @@
       ended_ = true;
       return;
     }
+    weigh(replica, how);
     if (how == ending::refused_by_us) {
       end_own(503, retry_after_stale(node_, monotonic_now()), "the key was withdrawn");
       return;
@@ -144,6 +150,17 @@
     relay_.restart();
   }
 
+  // Whether the run that broke off is evidence against the request, or for it.
+  void weigh(const serving_replica& replica, ending how) {
+    const time_point now = monotonic_now();
+    if (has_gone_on(now, first_event_at_)) {
+      note_harmless(node_, call_);
+    } else if (how == ending::broken && connection_lost_ &&
+               had_hardly_begun(now, first_event_at_)) {
+      look_into(node_, {call_.head.id, call_.print, replica.head, replica.address, sent_at_, now});
+    }
+  }
+
   // What the target had answered of the last attempt when that ended.
   [[nodiscard]] std::string_view answered() const {
     if (had_first_) {
@@ -160,6 +177,8 @@
     head_ = replica.head;
     expected_ = expected;
     had_first_ = false;
+    first_event_at_ = {};
+    connection_lost_ = false;
     status_ = 0;
     answer_ = {};
     failure_body_.clear();
@@ -172,6 +191,7 @@
     call_.targets += (call_.targets.empty() ? "" : ",") + replica.head.str();
     ++call_.sends;
     const time_point sent_at = monotonic_now();
+    node_.poison.ledger.run_sent(sent_at, replica.head);
     node_.loads.sent(head_, call_.head.size);
     sent_at_ = sent_at;
     node_.silence.sent(sent_at, head_, model_->id, expected.to_first_event);
@@ -216,6 +236,7 @@
     if (!had_first_) {
       had_first_ = true;
       first_event_at_ = now;
+      node_.poison.ledger.run_began(now - sent_at_);
       node_.loads.first_event(head_, call_.head.size);
       node_.silence.first_event(head_, now - sent_at_, expected_.to_first_event);
       if (call_.first_event == time_point{}) {
@@ -245,6 +266,7 @@
 
   ending read_end(const call_result& result, const attempt_registry::attempt& own) {
     call_.events = relay_.events();
+    connection_lost_ = result.failure == call_failure::connection_lost;
     if (own.moved) {
       last_reason_ = "its replica lost a member";
       return ending::broken;
@@ -286,12 +308,14 @@
       call_.writer.start(200, caller_headers(headers_));
     }
     const bool reached = call_.writer.finish();
+    note_harmless(node_, call_);
     finish_call(node_, call_, reached ? "done" : "caller_gone", "", 200);
     return ending::whole;
   }
 
   // A failure of the target's own counts as run. What may be repeated is tried elsewhere.
   ending pass_failure() {
+    note_harmless(node_, call_);
     const bool again = call_.way->repeatable() &&
                        call_.may_have_run + 1 < call_.way->max_attempts && status_ >= 500;
     if (again || started_) {
@@ -320,6 +344,7 @@
   time_point first_event_at_{};
   replica_estimate expected_;
   bool had_first_ = false;
+  bool connection_lost_ = false;  // by the target's end of it
   answer_head answer_;
   int status_ = 0;
   http_headers headers_;
--- a/src/node/hosted_whole.cpp
+++ b/src/node/hosted_whole.cpp
@@ -4,6 +4,7 @@
 
 #include "node/hosted_parts.h"
 #include "node/log.h"
+#include "node/poison_watch.h"
 
 namespace arbutus {
 
@@ -38,6 +39,10 @@
   }
 
   void next_attempt() {
+    if (!may_run(node_, call_)) {
+      end_own(503, retry_after_poison(node_, call_), poison_reason);
+      return;
+    }
     const time_point now = monotonic_now();
     if (gone_) {
       end_own(0, {}, "the caller has gone");
@@ -80,6 +85,8 @@
     call_.targets += (call_.targets.empty() ? "" : ",") + instance.id.str();
     ++call_.sends;
     node_.instances.sent(instance.id);
+    sent_at_ = monotonic_now();
+    node_.poison.ledger.run_sent(sent_at_, instance.id);
     const call_result result = node_.targets.fetch(
         {instance.address.host, instance.address.port}, make_target_request(call_.wire, facts),
         call_.deadline, cancel_, [this] { return key_usable(node_, call_); }, connection());
@@ -104,6 +111,10 @@
       const bool own_reason = gone_ || result.failure == call_failure::cancelled;
       node_.instances.ended(now, instance.id, own_reason ? call_end::withdrawn : call_end::failed);
       ++call_.may_have_run;
+      if (result.failure == call_failure::connection_lost && !own_reason) {
+        look_into(node_,
+                  {call_.head.id, call_.print, instance.id, instance.address, sent_at_, now});
+      }
       broken(instance, to_string(result.failure));
       return;
     }
@@ -130,6 +141,8 @@
         return;
       case answer_kind::own:
         node_.instances.ended(now, instance.id, call_end::answered);
+        node_.poison.ledger.run_began(now - sent_at_);
+        note_harmless(node_, call_);
         pass_on(instance, response);
         return;
     }
@@ -173,6 +186,7 @@
   cancel_token cancel_ = cancel_token::make();
   std::vector<target_id> avoided_;
   std::string_view last_reason_ = "no instance is known";
+  time_point sent_at_{};  // of the running attempt
   bool gone_ = false;
   bool ended_ = false;
 };
--- a/src/node/keeper_beats.cpp
+++ b/src/node/keeper_beats.cpp
@@ -4,6 +4,8 @@
 #include "connection/clock.h"
 #include "node/keeper_loop.h"
 #include "node/log.h"
+#include "node/poison_watch.h"
+#include "process/crash_wire.h"
 
 namespace arbutus {
 
@@ -153,9 +155,33 @@
   if (beat.hub && same) {
     pass_on(now, peer, beat);
   }
+  if (hears_crashes(now, peer)) {
+    beat.crashes = crashes_.news_for(now, peer, node_.poison.ledger);
+  }
+  beat.crashes_heard = crashes_.heard_from(peer);
   return beat;
 }
 
+// Hubs, and the nodes of one's own as a hub: they answer. The next in line hears from the hub.
+bool keeper_loop::hears_crashes(time_point now, const node_id& peer) const {
+  return node_.peers.is_hub(now) ||
+         node_.peers.hub_of(now, node_.peers.data_centre_of(peer)) == peer;
+}
+
+void keeper_loop::take_crashes(time_point now, const node_id& peer, const node_beat& beat) {
+  crashes_.acknowledged(peer, beat.crashes_heard);
+  for (const std::string& bytes : beat.crashes.rows) {
+    if (const auto row = decode_crash_row(bytes)) {
+      take_crash_row(node_, now, *row, "peer");
+    } else {
+      log_line(log_level::warning, "poison", "unreadable evidence", {{"peer", peer}});
+    }
+  }
+  if (!beat.crashes.rows.empty()) {
+    crashes_.heard(peer, {beat.life, beat.crashes.at});
+  }
+}
+
 // Links to those that are told; each costs both sides a connection.
 void keeper_loop::link_to(const std::vector<node_id>& peers) {
   if (peers == linked_) {
@@ -216,6 +242,7 @@
     hub_heard_at_ = now;
     node_.fleet.found_by_others(now, beat.lost);
   }
+  take_crashes(now, peer, beat);
   node_.suspected.told(now, peer, beat.hub, beat.lost);
   for (const target_id& id : beat.lost) {
     const target_view* view = node_.fleet.find(id);
--- a/src/node/keeper_loop.cpp
+++ b/src/node/keeper_loop.cpp
@@ -5,6 +5,7 @@
 
 #include "connection/clock.h"
 #include "node/log.h"
+#include "node/poison_watch.h"
 
 namespace arbutus {
 
@@ -29,6 +30,7 @@
       watch_(watch),
       started_(monotonic_now()),
       random_(stable_hash(node.origin)),
+      crashes_(node.origin),
       whole_lists_(node.settings.strength.link_mbps) {}
 
 void keeper_loop::run() {
@@ -36,6 +38,7 @@
     const time_point now = monotonic_now();
     watch_silence(now);
     ask_lost(now);
+    judge_poison(node_, now);
     if (node_.map && node_.fleet_known && !node_.stopping) {
       keep(now);
     }
--- a/src/node/keeper_loop.h
+++ b/src/node/keeper_loop.h
@@ -11,6 +11,7 @@
 #include "node/hosted_state.h"
 #include "node/peer_links.h"
 #include "node/store_watch.h"
+#include "process/crash_exchange.h"
 #include "process/list_budget.h"
 #include "process/replica_keeper.h"
 
@@ -54,6 +55,8 @@
   [[nodiscard]] feed_news target_news(time_point now, std::uint64_t after);
   [[nodiscard]] feed_news served_news(time_point now, const serving_follower::position& after);
   void pass_on(time_point now, const node_id& peer, node_beat& beat);
+  [[nodiscard]] bool hears_crashes(time_point now, const node_id& peer) const;
+  void take_crashes(time_point now, const node_id& peer, const node_beat& beat);
   void choose_asked(const target_id& head, std::vector<target_id>& members);
   void tell_peers(time_point now);
   void link_to(const std::vector<node_id>& peers);
@@ -76,6 +79,7 @@
     std::uint64_t configuration{};
   };
   std::map<node_id, positions> positions_;
+  crash_exchange crashes_;
   // Of one round of beats.
   std::size_t may_pass_on_ = 0;  // bytes of configuration
   list_budget whole_lists_;
--- a/src/process/node_beat.cpp
+++ b/src/process/node_beat.cpp
@@ -77,7 +77,11 @@
                          beat.life,
                          beat.serving.life,
                          beat.serving.at,
-                         news_to_json(beat.served)};
+                         news_to_json(beat.served),
+                         beat.crashes.at,
+                         beat.crashes.rows,
+                         beat.crashes_heard.life,
+                         beat.crashes_heard.at};
   std::string bytes;
   json::to_msgpack(document, bytes);
   return bytes;
@@ -115,6 +119,9 @@
     beat.life = document.at(17).get<std::string>();
     beat.serving = {document.at(18).get<std::string>(), document.at(19).get<std::uint64_t>()};
     beat.served = news_from_json(document.at(20));
+    beat.crashes = {document.at(21).get<std::uint64_t>(),
+                    document.at(22).get<std::vector<std::string>>()};
+    beat.crashes_heard = {document.at(23).get<std::string>(), document.at(24).get<std::uint64_t>()};
     return beat;
   } catch (const json::exception&) {
     return std::nullopt;
--- a/src/process/node_beat.h
+++ b/src/process/node_beat.h
@@ -16,6 +16,7 @@
 
 #include "base/id.h"
 #include "base/units.h"
+#include "process/crash_exchange.h"
 #include "process/feed_log.h"
 #include "process/serving_feed.h"
 #include "request/replica_choice.h"
@@ -58,6 +59,10 @@
   std::uint64_t configuration_position{};
   std::map<target_id, replica_load> loads;
   std::vector<target_id> lost;
+  // On requests that end their targets, and how far the sender is in what the receiver told of
+  // them.
+  crash_news crashes;
+  crash_position crashes_heard;
   // Of a hub, to a node of its data centre.
   std::optional<feed_news> targets;  // records, or else:
   std::optional<feed_news> served;   // what serves; positions are of the sender's life
--- a/src/standin/hosted_platform.cpp
+++ b/src/standin/hosted_platform.cpp
@@ -191,6 +191,9 @@
       put(w.value("table", ""), w.value("key", ""),
           base64_decode(w.value("value", "")).value_or(""));
     }
+    for (const json& d : body.value("deletes", json::array())) {
+      remove(d.value("table", ""), d.value("key", ""));
+    }
     return version;
   }
 
@@ -277,6 +280,11 @@
     leaked += request.headers.find("Authorization") || !request.headers.find("X-Tenant") ? 1 : 0;
   }
 
+  void note_engine(const engine_process& e, const std::string& request) {
+    const std::lock_guard guard(mutex);
+    engine_of_run[request] = std::string(engine_of(e.engine.record().id));
+  }
+
   void run(engine_process& e, const http_request& request, response_writer& writer) {
     const std::string id = header_text(request, "X-Request-Id");
     if (!is_open(e)) {
@@ -284,6 +292,7 @@
       return;
     }
     note_run(request);
+    note_engine(e, id);
     const target_id life = life_of_engine(e);
     if (is_poison(request)) {
       begin_to_end(e, request, writer);
@@ -491,6 +500,7 @@
   std::uint64_t config_version = 0;
   std::map<std::string, std::unique_ptr<engine_process>> engines;
   std::map<std::string, int> runs;
+  std::map<std::string, std::string> engine_of_run;
   std::map<std::string, int> ends;  // by path
   std::vector<process_end> process_ends;
   int leaked = 0;
@@ -605,6 +615,23 @@
   return state_->runs;
 }
 
+std::string hosted_platform::engine_of_run(const std::string& request) const {
+  const std::lock_guard guard(state_->mutex);
+  const auto found = state_->engine_of_run.find(request);
+  return found == state_->engine_of_run.end() ? std::string{} : found->second;
+}
+
+std::size_t hosted_platform::rows_of_table(const std::string& table) const {
+  const std::lock_guard guard(state_->mutex);
+  const auto found = state_->tables.find(table);
+  if (found == state_->tables.end()) {
+    return 0;
+  }
+  return static_cast<std::size_t>(
+      std::count_if(found->second.begin(), found->second.end(),
+                    [](const auto& row) { return !row.second.removed; }));
+}
+
 std::map<std::string, int> hosted_platform::ends() const {
   const std::lock_guard guard(state_->mutex);
   return state_->ends;
--- a/src/standin/hosted_platform.h
+++ b/src/standin/hosted_platform.h
@@ -63,6 +63,11 @@
   // Something else than an engine writes into the list; `value` as it stands there.
   void write_entry(const std::string& key, const std::string& value);
 
+  // Where the request began to run last.
+  [[nodiscard]] std::string engine_of_run(const std::string& request) const;
+  // Rows that a table of the store holds.
+  [[nodiscard]] std::size_t rows_of_table(const std::string& table) const;
+
   // Replicas that serve and are whole.
   [[nodiscard]] std::size_t serving() const;
   // How often each request has begun to run, by its id.
--- a/tests/shell/hosted_fixture.h
+++ b/tests/shell/hosted_fixture.h
@@ -83,6 +83,19 @@
     return result;
   }
 
+  // At the address for operators.
+  call_result operate(const std::string& method, const std::string& target) {
+    http_request request;
+    request.method = method;
+    request.target = target;
+    call_result result;
+    runtime.run_on(0, [&] {
+      result = client_.fetch(local(nodes_[0]->settings.listen.metrics.port), request,
+                             monotonic_now() + 2s);
+    });
+    return result;
+  }
+
   bool eventually(const std::function<bool()>& holds) {
     const time_point limit = soon();
     while (!holds()) {
