A run that ends well clears its request for a minute; the ledger is tested in virtual time

Callers would have seen: a request that many ask alike, or that one asks again and again, refused for an hour after its engines were killed four times in a row, though it had run well seconds before.

Cause: a good run acquitted of marks before it alone. The class of a request that ends what runs it never ends well, so that a good run speaks for the next minute, too. A verdict that an operator lifts gets no such minute: evidence counts anew at once.

--- a/src/node/poison_watch.cpp
+++ b/src/node/poison_watch.cpp
@@ -42,8 +42,9 @@
 void note_evidence(hosted_state& node, const broken_run& run) {
   const bool is_new = node.poison.ledger.mark(run.print, {run.target, run.sent_at, run.broken_at});
   node.metrics.count("arbutusworks_poison_evidence", is_new ? "counts=\"yes\"" : "counts=\"no\"");
+  // Under another name than "request", so that it is found for all that have this print.
   log_line(log_level::info, "poison", "evidence",
-           {{"request", run.request},
+           {{"run_of", run.request},
             {"print", hash_text(run.print)},
             {"workspace", name_of(run.print)},
             {"target", run.target},
@@ -239,7 +240,7 @@
   }
   bool any = false;
   for (const request_print& print : prints) {
-    any = node.poison.ledger.acquit(now, print) || any;
+    any = node.poison.ledger.lift(now, print) || any;
     node.metrics.count("arbutusworks_poison_acquitted", "by=\"operator\"");
     log_line(log_level::warning, "poison", "acquitted",
              {{"print", hash_text(print)},
--- a/src/process/crash_ledger.cpp
+++ b/src/process/crash_ledger.cpp
@@ -97,7 +97,8 @@
 
 bool crash_ledger::add_mark(const request_print& print, crash_entry& entry,
                             const crash_mark& mark) {
-  const bool acquitted = entry.acquitted_at && mark.ended_at <= *entry.acquitted_at;
+  const bool acquitted =
+      entry.acquitted_at && mark.ended_at <= *entry.acquitted_at + settings_.cleared_for;
   if (acquitted || names(entry, mark.target) || is_explained(print, mark.target) ||
       entry.marks.size() >= settings_.most_marks) {
     return false;
@@ -112,18 +113,29 @@
 }
 
 bool crash_ledger::mark(const request_print& print, const crash_mark& mark) {
+  const well_run& well = well_[print.hash % well_slots];
+  if (well.print == print && well.at != time_point{} &&
+      mark.ended_at <= well.at + settings_.cleared_for) {
+    return false;
+  }
   crash_entry* entry = entry_for(print);
   return entry != nullptr && add_mark(print, *entry, mark);
 }
 
-void crash_ledger::drop_marks_before(crash_entry& entry, time_point at) {
+void crash_ledger::clear(crash_entry& entry, time_point acquitted_at) {
+  const time_point covered = acquitted_at + settings_.cleared_for;
+  entry.acquitted_at = acquitted_at;
   std::erase_if(entry.marks, [&](const crash_mark& m) {
-    if (m.ended_at > at) {
+    if (m.ended_at > covered) {
       return false;
     }
     explained_.erase(m.target);
     return true;
   });
+  if (entry.marks.empty() || (entry.convicted_at && *entry.convicted_at <= covered)) {
+    entry.convicted_at.reset();
+  }
+  touch(entry);
 }
 
 bool crash_ledger::acquit(time_point now, const request_print& print) {
@@ -135,14 +147,20 @@
   crash_entry& entry = found->second;
   const bool suspected = !entry.marks.empty() || entry.convicted_at;
   if (suspected) {
-    drop_marks_before(entry, now);
-    entry.acquitted_at = now;
-    entry.convicted_at.reset();
-    touch(entry);
+    clear(entry, now);
   }
   return suspected;
 }
 
+bool crash_ledger::lift(time_point now, const request_print& print) {
+  const auto found = entries_.find(print);
+  if (found == entries_.end()) {
+    return false;
+  }
+  clear(found->second, now - settings_.cleared_for);
+  return true;
+}
+
 bool crash_ledger::is_convicted(const request_print& print) const {
   const auto found = entries_.find(print);
   return found != entries_.end() && found->second.convicted_at;
@@ -180,10 +198,7 @@
 void crash_ledger::lapse(time_point now) {
   for (auto& [print, entry] : entries_) {
     if (entry.convicted_at && now - newest_of(entry) > settings_.convicted_for) {
-      drop_marks_before(entry, now);
-      entry.acquitted_at = now;
-      entry.convicted_at.reset();
-      touch(entry);
+      clear(entry, now - settings_.cleared_for);
     }
   }
 }
@@ -399,12 +414,7 @@
   const bool newer =
       acquitted_at && (!entry->acquitted_at || *acquitted_at > *entry->acquitted_at + same);
   if (newer) {
-    entry->acquitted_at = acquitted_at;
-    drop_marks_before(*entry, *acquitted_at);
-    if (entry->convicted_at && *entry->convicted_at <= *acquitted_at) {
-      entry->convicted_at.reset();
-    }
-    touch(*entry);
+    clear(*entry, *acquitted_at);
   }
   for (const crash_row::mark& m : row.marks) {
     add_mark(row.print, *entry, {m.target, now - m.sent_ago, now - m.ended_ago});
@@ -412,7 +422,7 @@
   bool convicted = false;
   if (row.convicted_ago && !entry->convicted_at) {
     const time_point at = now - *row.convicted_ago;
-    if (!entry->acquitted_at || at > *entry->acquitted_at) {
+    if (!entry->acquitted_at || at > *entry->acquitted_at + settings_.cleared_for) {
       convict(row.print, *entry, at);
       convicted = true;
     }
--- a/src/process/crash_ledger.h
+++ b/src/process/crash_ledger.h
@@ -11,7 +11,9 @@
 //   target. What ran on for a while has shown that it does no harm.
 // - Marks count as events only if each run was sent after the target before it had ended: a signal
 //   to many processes, or a rack that fails, is one event however often the request ran there.
-// - A run that ends well acquits the request of all marks before it, on every node.
+// - A run that ends well acquits the request on every node, of what was before and for a while
+// after:
+//   a poison request never ends well.
 // - Several targets that end at the same moment under different requests are no evidence.
 // - A verdict needs `least_events` in which no other suspect has as many marks. A proper request
 //   that was sent along with the culprit does not share all of its ends.
@@ -54,6 +56,7 @@
   double accepted_chance = 1e-8;
   // How far back before a suspect's first mark ends count as those that happen anyway.
   duration looked_back = 3s;
+  duration cleared_for = 60s;      // after a run that ended well
   duration suspected_for = 300s;   // after the newest mark
   duration convicted_for = 3600s;  // after the newest mark
   std::size_t most_entries = 1024;
@@ -70,7 +73,7 @@
 
 struct crash_entry {
   std::vector<crash_mark> marks;           // at most one for a target, by their ends
-  std::optional<time_point> acquitted_at;  // marks are newer than this
+  std::optional<time_point> acquitted_at;  // marks are newer than this by cleared_for
   std::optional<time_point> convicted_at;
   // The platform's store has a row of the verdict: with none in force, one to be removed.
   bool stored = false;
@@ -109,8 +112,10 @@
   // The life of a target ended when a run of this request, sent by this node, had hardly begun
   // there. False: known already, explained by a request that is convicted, or there is no room.
   bool mark(const request_print& print, const crash_mark& mark);
-  // A run ended well or went on for long, or an operator lifts the verdict. True: it was suspected.
+  // A run ended well or went on for long. True: it was suspected.
   bool acquit(time_point now, const request_print& print);
+  // An operator lifts the verdict; what is seen from now on counts. True: there was a suspicion.
+  bool lift(time_point now, const request_print& print);
 
   [[nodiscard]] bool is_convicted(const request_print& print) const;
   // Until when the request must wait: the evidence against it may be incomplete. Empty: it need
@@ -154,7 +159,8 @@
   bool make_room(const request_print& print);
   void touch(crash_entry& entry) { entry.changed = ++position_; }
   bool add_mark(const request_print& print, crash_entry& entry, const crash_mark& mark);
-  void drop_marks_before(crash_entry& entry, time_point at);
+  // Drops the marks that an acquittal at this time covers, and a verdict that rests on them.
+  void clear(crash_entry& entry, time_point acquitted_at);
   void convict(const request_print& print, crash_entry& entry, time_point at);
   void lapse(time_point now);
   void forget_old(time_point now);
--- /dev/null
+++ b/tests/core/poison_world.h
@@ -0,0 +1,348 @@
+// A world in virtual time for the crash ledger: nodes of three data centres that send requests to
+// heads of replicas, heads that end, callers that try again, and beats between the nodes.
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/rng.h"
+#include "process/crash_exchange.h"
+#include "process/crash_ledger.h"
+#include "process/crash_wire.h"
+
+namespace arbutus::testing_support {
+
+struct poison_world_settings {
+  std::size_t heads = 13;
+  std::size_t nodes = 6;  // two in each data centre; the first is its hub
+  double requests_per_s = 165;
+  double popular_share = 0.05;  // of requests that many callers ask alike
+  duration head_away = 3s;      // until it serves again, as another life
+  crash_ledger_settings ledger;
+  std::uint64_t seed = 1;
+};
+
+class poison_world {
+ public:
+  explicit poison_world(const poison_world_settings& settings)
+      : settings_(settings), random_(settings.seed) {
+    for (std::size_t i = 0; i < settings.nodes; ++i) {
+      nodes_.push_back(std::make_unique<node>(settings.ledger, "life-" + std::to_string(i)));
+    }
+    heads_.resize(settings.heads);
+  }
+
+  // Called each step, to end heads or to send requests of its own.
+  using fault = std::function<void(poison_world&)>;
+
+  void run(duration length, const fault& each_step = {}) {
+    for (const time_point end = now_ + length; now_ < end; now_ += step) {
+      if (each_step) {
+        each_step(*this);
+      }
+      arrive();
+      advance_runs();
+      tell_of_ends();
+      beat();
+      judge();
+    }
+  }
+
+  [[nodiscard]] time_point now() const { return now_; }
+  rng& random() { return random_; }
+
+  // Ends a head as a kill does; its runs break off.
+  void end_head(std::size_t i) {
+    head& h = heads_[i];
+    if (now_ < h.back_at) {
+      return;
+    }
+    ++ended_heads;
+    const target_id target = life_of_head(i);
+    ++h.life;
+    h.back_at = now_ + settings_.head_away;
+    std::vector<run_state> broken;
+    std::erase_if(runs_, [&](const run_state& r) {
+      if (r.at_head == i) {
+        broken.push_back(r);
+      }
+      return r.at_head == i;
+    });
+    for (run_state& r : broken) {
+      break_off(r, target);
+    }
+  }
+
+  // A new attempt of a caller at a node.
+  void ask(std::size_t at, std::uint64_t hash, bool culprit = false) {
+    run_state r;
+    r.at_node = at;
+    r.print = {workspace_id{"w" + std::to_string(hash % 10)}, hash};
+    r.culprit = culprit;
+    send(std::move(r));
+  }
+  std::size_t any_node() { return static_cast<std::size_t>(random_.below(nodes_.size())); }
+  std::size_t any_head() { return static_cast<std::size_t>(random_.below(heads_.size())); }
+  [[nodiscard]] bool lives(std::size_t i) const { return now_ >= heads_[i].back_at; }
+  // Where a run of this request is; heads() if nowhere.
+  [[nodiscard]] std::size_t head_of(std::uint64_t hash) const {
+    for (const run_state& r : runs_) {
+      if (r.print.hash == hash) {
+        return r.at_head;
+      }
+    }
+    return heads_.size();
+  }
+  [[nodiscard]] std::size_t heads() const { return heads_.size(); }
+  [[nodiscard]] const crash_ledger& ledger(std::size_t i) const { return nodes_[i]->ledger; }
+  void forget_all(std::size_t i) {
+    *nodes_[i] = {settings_.ledger,
+                  "life-again-" + std::to_string(now_.time_since_epoch().count())};
+  }
+  // Nodes of these data centres hear no others.
+  std::set<std::size_t> cut_off;
+
+  std::size_t asked = 0;
+  std::size_t served = 0;
+  std::size_t ended_heads = 0;
+  std::size_t refused_proper = 0;  // sends of proper requests that were refused by a verdict
+  std::size_t held_proper = 0;
+  std::set<std::uint64_t> accused_proper;
+  std::map<std::uint64_t, std::size_t> ended_by;  // heads by culprit
+  std::map<std::uint64_t, time_point> convicted_at;
+  // Visits of a culprit that reached a head later than `contact` after its third end.
+  std::map<std::uint64_t, std::size_t> late_visits;
+
+  static constexpr duration step = 10ms;
+  static constexpr duration contact = 3s;
+
+ private:
+  struct head {
+    std::uint64_t life = 0;
+    time_point back_at{};
+  };
+  struct node {
+    node(const crash_ledger_settings& s, const std::string& l) : ledger(s), life(l), exchange(l) {}
+    crash_ledger ledger;
+    std::string life;
+    crash_exchange exchange;
+  };
+  struct run_state {
+    std::size_t at_node = 0;
+    request_print print;
+    bool culprit = false;
+    std::size_t at_head = 0;
+    std::size_t sends = 0;
+    std::size_t tries = 1;
+    time_point sent_at{};
+    time_point first_event_at{};
+    time_point ends_at{};
+  };
+  struct evidence {
+    time_point known_at;
+    std::size_t at_node;
+    request_print print;
+    crash_mark mark;
+  };
+  struct return_visit {
+    time_point at;
+    run_state run;
+  };
+
+  target_id life_of_head(std::size_t i) const {
+    return target_id{"i-" + std::to_string(i) + "~" + std::to_string(heads_[i].life)};
+  }
+
+  void arrive() {
+    const double expected = settings_.requests_per_s * to_seconds(step);
+    auto count = static_cast<std::size_t>(expected);
+    count += random_.unit() < expected - static_cast<double>(count) ? 1 : 0;
+    for (std::size_t i = 0; i < count; ++i) {
+      const bool popular = random_.unit() < settings_.popular_share;
+      ask(any_node(), popular ? 1000 + random_.below(20) : 1'000'000 + next_hash_++);
+    }
+    std::vector<return_visit> due;
+    std::erase_if(visits_, [&](const return_visit& v) {
+      if (v.at <= now_) {
+        due.push_back(v);
+      }
+      return v.at <= now_;
+    });
+    for (return_visit& v : due) {
+      send(std::move(v.run));
+    }
+  }
+
+  void send(run_state r) {
+    crash_ledger& ledger = nodes_[r.at_node]->ledger;
+    if (r.sends == 0 && r.tries == 1) {
+      ++asked;
+    }
+    if (ledger.is_convicted(r.print)) {
+      refused_proper += r.culprit ? 0 : 1;
+      return;
+    }
+    if (const auto until = ledger.held_until(now_, r.print)) {
+      held_proper += r.culprit ? 0 : 1;
+      visits_.push_back({*until + 100ms, std::move(r)});
+      return;
+    }
+    std::vector<std::size_t> usable;
+    for (std::size_t i = 0; i < heads_.size(); ++i) {
+      if (lives(i)) {
+        usable.push_back(i);
+      }
+    }
+    if (usable.empty()) {
+      return;
+    }
+    const auto third = third_end_.find(r.print.hash);
+    if (r.culprit && r.sends == 0 && third != third_end_.end() && now_ - third->second > contact) {
+      ++late_visits[r.print.hash];
+    }
+    r.at_head = usable[random_.below(usable.size())];
+    ++r.sends;
+    r.sent_at = now_;
+    r.first_event_at = now_ + from_seconds(0.1 + 0.5 * random_.unit());
+    r.ends_at = r.culprit ? r.first_event_at + from_seconds(0.03 + 0.09 * random_.unit())
+                          : r.first_event_at + from_seconds(0.3 + 1.7 * random_.unit());
+    ledger.run_sent(now_, life_of_head(r.at_head));
+    ledger.run_began(r.first_event_at - now_);
+    runs_.push_back(std::move(r));
+  }
+
+  void advance_runs() {
+    std::vector<run_state> done;
+    std::erase_if(runs_, [&](const run_state& r) {
+      if (r.ends_at <= now_) {
+        done.push_back(r);
+      }
+      return r.ends_at <= now_;
+    });
+    for (const run_state& r : done) {
+      if (r.culprit) {
+        if (lives(r.at_head)) {
+          runs_.push_back(r);  // breaks off with the others there
+          constexpr std::size_t ends_of_bound = 3;
+          if (++ended_by[r.print.hash] == ends_of_bound) {
+            third_end_[r.print.hash] = now_;
+          }
+          end_head(r.at_head);
+        }
+      } else {
+        ++served;
+        nodes_[r.at_node]->ledger.acquit(now_, r.print);
+      }
+    }
+  }
+
+  void break_off(run_state& r, const target_id& target) {
+    const bool began = !r.culprit && r.first_event_at <= now_;
+    if (!began || now_ - r.first_event_at < hardly_begun) {
+      pending_.push_back({now_ + 40ms, r.at_node, r.print, {target, r.sent_at, now_}});
+    } else if (now_ - r.first_event_at > 1s) {
+      nodes_[r.at_node]->ledger.acquit(now_, r.print);
+    }
+    constexpr std::size_t most_sends = 3;
+    constexpr std::size_t most_tries = 2;
+    if (r.sends < most_sends) {
+      visits_.push_back({now_, r});
+    } else if (r.tries < most_tries) {
+      ++r.tries;
+      r.sends = 0;
+      r.at_node = any_node();
+      visits_.push_back({now_ + 200ms, r});
+    }
+  }
+
+  void tell_of_ends() {
+    std::erase_if(pending_, [&](const evidence& e) {
+      if (e.known_at > now_) {
+        return false;
+      }
+      nodes_[e.at_node]->ledger.mark(e.print, e.mark);
+      return true;
+    });
+  }
+
+  void tell(std::size_t from, std::size_t to) {
+    constexpr std::size_t each = 2;
+    if (cut_off.contains(from / each) != cut_off.contains(to / each)) {
+      return;
+    }
+    node& sender = *nodes_[from];
+    node& receiver = *nodes_[to];
+    const node_id sender_id{std::to_string(from)};
+    const node_id receiver_id{std::to_string(to)};
+    sender.exchange.acknowledged(receiver_id, receiver.exchange.heard_from(sender_id));
+    const crash_news news = sender.exchange.news_for(now_, receiver_id, sender.ledger);
+    for (const std::string& bytes : news.rows) {
+      if (const auto row = decode_crash_row(bytes)) {
+        receiver.ledger.take(now_, *row);
+      }
+    }
+    receiver.exchange.heard(sender_id, {sender.life, news.at});
+  }
+
+  // Each node tells its hub, hubs each other and their nodes, five times a second.
+  void beat() {
+    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(now_.time_since_epoch());
+    if (ms.count() % 200 != 0) {
+      return;
+    }
+    for (std::size_t i = 0; i < nodes_.size(); i += 2) {
+      tell(i + 1, i);
+      tell(i, i + 1);
+      for (std::size_t j = 0; j < nodes_.size(); j += 2) {
+        if (i != j) {
+          tell(i, j);
+        }
+      }
+    }
+  }
+
+  void judge() {
+    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(now_.time_since_epoch());
+    if (ms.count() % 50 != 0) {
+      return;
+    }
+    for (const auto& n : nodes_) {
+      n->ledger.judge(now_);
+    }
+    for (const auto& n : nodes_) {
+      for (const auto& [print, entry] : n->ledger.all()) {
+        if (!entry.convicted_at) {
+          continue;
+        }
+        if (culprits.contains(print.hash)) {
+          convicted_at.try_emplace(print.hash, now_);
+        } else {
+          accused_proper.insert(print.hash);
+        }
+      }
+    }
+  }
+
+ public:
+  std::set<std::uint64_t> culprits;
+
+ private:
+  poison_world_settings settings_;
+  rng random_;
+  time_point now_{1000s};
+  std::vector<std::unique_ptr<node>> nodes_;
+  std::vector<head> heads_;
+  std::vector<run_state> runs_;
+  std::vector<return_visit> visits_;
+  std::vector<evidence> pending_;
+  std::map<std::uint64_t, time_point> third_end_;
+  std::uint64_t next_hash_ = 0;
+};
+
+}  // namespace arbutus::testing_support
--- a/tests/shell/log_story_test.cpp
+++ b/tests/shell/log_story_test.cpp
@@ -83,6 +83,29 @@
   EXPECT_EQ(story.around[1].node, "n-2");
 }
 
+TEST(LogStory, ARefusedPoisonRequestNamesItsEvidence) {
+  // It came under other ids before, at other nodes, more than a while ago.
+  const std::string print = R"("print":"00000000000000aa")";
+  const std::string text =
+      line("01.000000", "n-2",
+           R"("part":"poison","message":"evidence","run_of":"r-0",)" + print +
+               R"(,"target":"e-1","marks":1)") +
+      line("02.000000", "n-2",
+           R"("part":"poison","message":"evidence","run_of":"r-7","print":"00000000000000bb",)"
+           R"("target":"e-3","marks":1)") +
+      line("09.000000", "n-3",
+           R"("part":"poison","message":"convicted",)" + print + R"(,"targets":"e-1,e-2")") +
+      line("20.000000", "n-1", R"("part":"poison","message":"refused","request":"r-1",)" + print) +
+      line("20.000100", "n-1",
+           R"("part":"request","message":"ended","request":"r-1","result":"refused",)"
+           R"("reason":"it ended the targets that ran it","targets":"","total_ms":0.2)");
+  const std::string told = to_text(story_of(text, "r-1"));
+  EXPECT_THAT(told, HasSubstr("when targets ended"));
+  EXPECT_THAT(told, HasSubstr("poison evidence run_of=\"r-0\""));
+  EXPECT_THAT(told, HasSubstr("poison convicted"));
+  EXPECT_THAT(told, Not(HasSubstr("r-7")));
+}
+
 TEST(LogStory, KeepsTheNewestOfWhatItsNodeBelieved) {
   const std::string text =
       line("01.000000", "n-1", R"("part":"configuration","message":"in force","version":3)") +
