Ends of a target that is back within a second are counted one by one; the soak knows poison requests

Cause: a mark was known by the name of the target's life. The list tells the new life of a target late; until then its later ends bear the earlier name, and were taken for one.

Change: of marks with one name those whose runs overlap are one end; a run that was sent after another had broken off met a later life.

--- a/src/process/crash_ledger.cpp
+++ b/src/process/crash_ledger.cpp
@@ -17,6 +17,18 @@
                      [&](const crash_mark& m) { return m.target == target; });
 }
 
+// Goes wrong with the name of the life alone: a target that is back within a second is known by its
+// earlier name until the list tells, so that its ends, one after the other, look like one. Runs of
+// one life overlap; one that was sent after another had broken off met a later life. Ages that are
+// told lose parts of a millisecond, and the time that they were on their way.
+bool knows_end(const crash_entry& entry, const crash_mark& mark) {
+  constexpr duration slack = 50ms;
+  return std::any_of(entry.marks.begin(), entry.marks.end(), [&](const crash_mark& m) {
+    return m.target == mark.target && m.sent_at < mark.ended_at + slack &&
+           mark.sent_at < m.ended_at + slack;
+  });
+}
+
 // The newest that is known of it.
 time_point newest_of(const crash_entry& entry) {
   time_point newest = entry.marks.empty() ? time_point{} : entry.marks.back().ended_at;
@@ -99,7 +111,7 @@
                             const crash_mark& mark) {
   const bool acquitted =
       entry.acquitted_at && mark.ended_at <= *entry.acquitted_at + settings_.cleared_for;
-  if (acquitted || names(entry, mark.target) || is_explained(print, mark.target) ||
+  if (acquitted || knows_end(entry, mark) || is_explained(print, mark.target) ||
       entry.marks.size() >= settings_.most_marks) {
     return false;
   }
--- a/src/process/crash_ledger.h
+++ b/src/process/crash_ledger.h
@@ -72,7 +72,7 @@
 };
 
 struct crash_entry {
-  std::vector<crash_mark> marks;           // at most one for a target, by their ends
+  std::vector<crash_mark> marks;           // at most one for an end, in their order
   std::optional<time_point> acquitted_at;  // marks are newer than this by cleared_for
   std::optional<time_point> convicted_at;
   // The platform's store has a row of the verdict: with none in force, one to be removed.
--- a/tests/core/crash_ledger_test.cpp
+++ b/tests/core/crash_ledger_test.cpp
@@ -62,6 +62,18 @@
   EXPECT_TRUE(ledger.judge(start + 10s).empty());
 }
 
+// Guards against ends that look like one, as the target is back before the list tells its new life.
+TEST(CrashLedger, EndsOfATargetUnderItsEarlierNameAreSeveral) {
+  crash_ledger ledger;
+  ledger.run_sent(start, target(0));
+  for (int i = 0; i < 4; ++i) {
+    const crash_mark mark{target(0), start + i * 1s, start + i * 1s + 300ms};
+    EXPECT_TRUE(ledger.mark(culprit, mark));
+    EXPECT_FALSE(ledger.mark(culprit, {mark.target, mark.sent_at + 1ms, mark.ended_at + 1ms}));
+  }
+  EXPECT_EQ(ledger.judge(start + 10s).size(), 1U);
+}
+
 // Guards against a verdict on what was sent along with the culprit, twice and more.
 TEST(CrashLedger, WhoSharesAllEndsWithAnotherIsNotTakenForIt) {
   crash_ledger ledger;
--- a/tests/process/soak.py
+++ b/tests/process/soak.py
@@ -15,6 +15,9 @@
   private   no caller's key reaches a target
   alive     no node ends by itself; one told to stop ends with status 0 within its grace
   back      every node serves soon after the last fault
+  contained a request that ends its targets, and has ended three, reaches no more than three times
+            any target once all is calm
+  accused   no other request is refused for that
 """
 
 import argparse
@@ -42,6 +45,13 @@
 KEY_BOUND_SECONDS = 5.0  # the nodes' own default
 # Engines start again and foreign entries come from this seed on: the ones before keep their series.
 FIRST_SEED_OF_LIVES = 200
+# Requests that end their targets come from this seed on, and proper ones differ from each other.
+FIRST_SEED_OF_POISON = 400
+POISON_PATHS = ("/llm/poison-a", "/llm/poison-b", "/card/poison-c")
+ENDS_OF_BOUND = 3
+VISITS_OF_BOUND = 3
+CALM_SECONDS = 4
+POISON_REASON = b"ended the targets"
 BACK_SECONDS = 15
 NOT_RUN = (503, 429, 408, 421)
 CALLERS = 8
@@ -164,6 +174,7 @@
         self.ending = threading.Event()
         self.dead_from, self.dead_until = None, None  # of the key
         self.began = time.monotonic()
+        self.visits = 0
         ports = free_ports(2 + 4 * len(DATA_CENTRES))
         self.control = ports[1]
         self.platform_log = open(directory / "platform.log", "wb")
@@ -207,6 +218,8 @@
                 connection = http.client.HTTPConnection(LOOPBACK, port, timeout=8)
             number += 1
             path = "/card/1" if choice.random() < 0.3 else "/llm/x"
+            if self.seed >= FIRST_SEED_OF_POISON:
+                path += f"-{caller}-{number // 2}"
             status = self.ask(connection, f"c{caller}-{number}", path)
             if status != 200:
                 connection = None
@@ -309,6 +322,38 @@
         self.dead_until = time.monotonic()
         self.command("POST", "/configure?keys=1")
 
+    def visit(self, path):
+        """One visit of a request that ends its targets, at any node; its id."""
+        with self.lock:
+            self.visits += 1
+            request_id = f"v-{self.visits}"
+        node = self.nodes[self.visits % len(self.nodes)]
+        connection = http.client.HTTPConnection(LOOPBACK, node.callers.port, timeout=8)
+        with contextlib.closing(connection):
+            self.ask(connection, request_id, path)
+        return request_id
+
+    def poison_comes(self, _node, draw):
+        path = draw.choice(POISON_PATHS)
+        for _ in range(draw.randrange(1, 5)):
+            self.visit(path)
+            time.sleep(draw.uniform(0.0, 1.0))
+
+    def check_contained(self):
+        time.sleep(CALM_SECONDS)
+        ends = self.command("GET", "/counts")["ends"]
+        for path in POISON_PATHS:
+            if ends.get(path, 0) < ENDS_OF_BOUND:
+                continue
+            visits = []
+            for _ in range(3 * VISITS_OF_BOUND):
+                visits.append(self.visit(path))
+                time.sleep(0.3)
+            runs = self.command("GET", "/counts")["runs"]
+            reached = sum(1 for request_id in visits if runs.get(request_id, 0))
+            if reached > VISITS_OF_BOUND:
+                self.find("contained", f"{path} ended {ends[path]} and reached targets {reached} more times")
+
     def break_things(self):
         """Faults in series, up to four at a time."""
         kinds = ([self.harm_store] * 4 + [self.harm_callers, self.stop_the_clock, self.kill_node,
@@ -316,6 +361,8 @@
                  + [self.kill_engine, self.withdraw_key])
         if self.seed >= FIRST_SEED_OF_LIVES:
             kinds += [self.foreign_entry] + [self.restart_engine] * 2
+        if self.seed >= FIRST_SEED_OF_POISON:
+            kinds += [self.poison_comes] * 6
         with ThreadPoolExecutor(max_workers=4) as pool:
             until = time.monotonic() + self.seconds
             running = []
@@ -354,6 +401,9 @@
             for thread in callers:
                 thread.join()
             self.wait_for_all("back")
+            if self.seed >= FIRST_SEED_OF_POISON:
+                self.check_contained()
+                self.wait_for_all("back")
             self.check()
         finally:
             self.end()
@@ -366,6 +416,8 @@
             self.find("private", f"{counts['leaked']} requests carried a caller's key or no workspace")
         for request_id, path, sent_at, ended_at, status, body, headers in self.calls:
             ran = runs.get(request_id, 0)
+            if POISON_REASON in body and path not in POISON_PATHS:
+                self.find("accused", f"{request_id} at {path}")
             if status == 200:
                 right = (f"card {request_id}".encode() if path.startswith("/card")
                          else whole_stream(request_id))
--- a/tests/process/soak_test.py
+++ b/tests/process/soak_test.py
@@ -11,6 +11,7 @@
 REGRESSIONS = (
     9, 10, 12, 16,  # a node that started again took news meant for its earlier life
     20,             # a node's end waited for ever for a worker that had ended
+    407,  # ends of an instance that was back within a second were taken for one
     300, 315, 344,  # streams stood still behind a member that had started again, also at a node's end
 )
 FIXED = (1,)
