A run that fell silent does not acquit its request; a store that takes no verdicts is left alone

Callers would have seen: a request that ends its engines goes on for another minute where an engine ends without closing its connections, as when a VM loses its power. Found by reading.

Cause: a run counted as harmless a second after its first event, whether or not anything came after that. Now its last event counts. A run has hardly begun until 150 ms after its first event, as the ledger reckons with, not 300.

--- a/src/node/hosted_stream.cpp
+++ b/src/node/hosted_stream.cpp
@@ -153,7 +153,7 @@
   // Whether the run that broke off is evidence against the request, or for it.
   void weigh(const serving_replica& replica, ending how) {
     const time_point now = monotonic_now();
-    if (has_gone_on(now, first_event_at_)) {
+    if (has_gone_on(first_event_at_, last_event_at_)) {
       note_harmless(node_, call_);
     } else if (how == ending::broken && connection_lost_ &&
                had_hardly_begun(now, first_event_at_)) {
@@ -233,6 +233,7 @@
   }
 
   void note_event(time_point now) {
+    last_event_at_ = now;
     if (!had_first_) {
       had_first_ = true;
       first_event_at_ = now;
@@ -342,6 +343,7 @@
   target_id head_;
   time_point sent_at_{};
   time_point first_event_at_{};
+  time_point last_event_at_{};
   replica_estimate expected_;
   bool had_first_ = false;
   bool connection_lost_ = false;  // by the target's end of it
--- a/src/node/poison_watch.cpp
+++ b/src/node/poison_watch.cpp
@@ -10,9 +10,7 @@
 
 namespace {
 
-// An engine that ends of a request does so within a few passes of beginning it.
-constexpr duration harmless_after = 300ms;
-// Longer by far than that: a run that has lasted so long acquits its request.
+// A run that has lasted so long acquits its request: longer by far than hardly_begun.
 constexpr duration shown_harmless_after = 1s;
 // A connection may break a moment before its process has gone.
 constexpr duration end_delay = 20ms;
@@ -109,11 +107,11 @@
 }  // namespace
 
 bool had_hardly_begun(time_point now, time_point first_event_at) {
-  return first_event_at == time_point{} || now - first_event_at < harmless_after;
+  return first_event_at == time_point{} || now - first_event_at < hardly_begun;
 }
 
-bool has_gone_on(time_point now, time_point first_event_at) {
-  return first_event_at != time_point{} && now - first_event_at > shown_harmless_after;
+bool has_gone_on(time_point first_event_at, time_point last_event_at) {
+  return first_event_at != time_point{} && last_event_at - first_event_at > shown_harmless_after;
 }
 
 void look_into(hosted_state& node, broken_run run) {
--- a/src/node/poison_watch.h
+++ b/src/node/poison_watch.h
@@ -12,8 +12,9 @@
 // Whether a run that breaks off `now` may be what ended its target: what went on for a while is
 // not. `first_event_at`: zero if none came.
 [[nodiscard]] bool had_hardly_begun(time_point now, time_point first_event_at);
-// Whether a run that began then has shown that it does no harm.
-[[nodiscard]] bool has_gone_on(time_point now, time_point first_event_at);
+// Whether a run has shown between its events that it does no harm. What came after its last event
+// may have been the silence of a target that had ended.
+[[nodiscard]] bool has_gone_on(time_point first_event_at, time_point last_event_at);
 
 // Asks the target whether it has ended; if so, the run is evidence.
 void look_into(hosted_state& node, broken_run run);
--- a/src/node/store_poison.cpp
+++ b/src/node/store_poison.cpp
@@ -14,6 +14,8 @@
 
 constexpr std::string_view poison_table = "poison";
 constexpr duration store_interval = 500ms;
+// After each failure in a row twice as long: a store that does not take them is left alone.
+constexpr std::uint32_t most_doublings = 6;
 
 // Workspaces have no bound here that fits a key, and prints are told apart by both.
 std::string key_of(const request_print& print) {
@@ -47,7 +49,8 @@
   return true;
 }
 
-void write_changes(hosted_state& node) {
+// False: the store did not take them.
+bool write_changes(hosted_state& node) {
   const crash_ledger::store_changes changes = node.poison.ledger.for_store();
   transaction t;
   const time_point now = monotonic_now();
@@ -63,12 +66,12 @@
   t.writes.resize(std::min(t.writes.size(), most_entries));
   t.removals.resize(std::min(t.removals.size(), most_entries));
   if (t.writes.empty() && t.removals.empty()) {
-    return;
+    return true;
   }
   const bool written = is_ok(node.store.write(t, now + read_timeout));
   count_call(node, "own verdicts", written);
   if (!written) {
-    return;
+    return false;
   }
   for (std::size_t i = 0; i < t.writes.size(); ++i) {
     node.poison.ledger.set_stored(changes.to_write[i], true);
@@ -76,6 +79,7 @@
   for (std::size_t i = 0; i < t.removals.size(); ++i) {
     node.poison.ledger.set_stored(changes.to_remove[i], false);
   }
+  return true;
 }
 
 }  // namespace
@@ -83,18 +87,20 @@
 // By hubs alone, each at another time: the first one tells the others that it is done.
 void keep_verdicts(hosted_state& node) {
   bool read = false;
+  std::uint32_t failures = 0;
   for (;;) {
     const duration spread = from_seconds(to_seconds(store_interval) * node.random.unit());
-    if (!sleep_until(monotonic_now() + store_interval + spread)) {
+    const duration pause = (store_interval + spread) * (1U << std::min(failures, most_doublings));
+    if (!sleep_until(monotonic_now() + pause)) {
       return;
     }
     if (!node.peers.is_hub(monotonic_now()) || node.peers.turned_away()) {
+      failures = 0;
       continue;
     }
     read = read || read_verdicts(node);
-    if (read) {
-      write_changes(node);
-    }
+    const bool done = read && write_changes(node);
+    failures = done ? 0 : failures + 1;
   }
 }
 
--- a/src/process/crash_ledger.h
+++ b/src/process/crash_ledger.h
@@ -71,6 +71,10 @@
   time_point ended_at;  // the target's life, as the node saw that sent the run
 };
 
+[[nodiscard]] inline bool ended_before(const crash_mark& a, const crash_mark& b) {
+  return a.ended_at < b.ended_at;
+}
+
 struct crash_entry {
   std::vector<crash_mark> marks;           // at most one for an end, in their order
   std::optional<time_point> acquitted_at;  // marks are newer than this by cleared_for
--- a/tests/shell/hosted_poison_test.cpp
+++ b/tests/shell/hosted_poison_test.cpp
@@ -2,6 +2,7 @@
 #include <atomic>
 
 #include "hosted_fixture.h"
+#include "node/poison_watch.h"
 
 namespace arbutus::testing_support {
 namespace {
@@ -18,6 +19,17 @@
 constexpr int late_visits_of_bound = 3;
 constexpr auto bound_counts_after = std::chrono::seconds(3);
 
+// Guards against an acquittal by silence: the target had ended without closing its connections.
+TEST(PoisonWatch, OnlyEventsShowThatARunDoesNoHarm) {
+  const time_point first{10s};
+  EXPECT_FALSE(has_gone_on(time_point{}, time_point{}));
+  EXPECT_FALSE(has_gone_on(first, first + 100ms));
+  EXPECT_TRUE(has_gone_on(first, first + 1100ms));
+  EXPECT_TRUE(had_hardly_begun(first, time_point{}));
+  EXPECT_TRUE(had_hardly_begun(first + 100ms, first));
+  EXPECT_FALSE(had_hardly_begun(first + 200ms, first));
+}
+
 class HostedPoison : public hosted_fixture {
  protected:
   HostedPoison() : hosted_fixture({.engines_each = 18}) {}
