--- a/src/node/hosted_stream.cpp
+++ b/src/node/hosted_stream.cpp
@@ -64,6 +64,8 @@
   }
 
   void next_attempt() {
+    // Its earlier attempts, here and at other nodes, had other ids; what they did to their targets
+    // is known by its print.
     if (!may_run(node_, call_)) {
       end_own(503, retry_after_poison(node_, call_), poison_reason);
       return;
--- a/src/process/crash_ledger.h
+++ b/src/process/crash_ledger.h
@@ -11,8 +11,7 @@
 //   target. What ran on for a while has shown that it does no harm.
 // - Marks count as events only if each run was sent after the target before it had ended: a signal
 //   to many processes, or a rack that fails, is one event however often the request ran there.
-// - A run that ends well acquits the request on every node, of what was before and for a while
-// after:
+// - A run that ends well acquits the request on every node, of what was before and for a minute:
 //   a poison request never ends well.
 // - Several targets that end at the same moment under different requests are no evidence.
 // - A verdict needs `least_events` in which no other suspect has as many marks. A proper request
@@ -42,8 +41,8 @@
 struct crash_ledger_settings {
   // A verdict needs so many. One less, and the request waits for what others know before each run.
   std::size_t least_events = 4;
-  // Suspects that were always sent together are told apart by nothing. With so many events each is
-  // taken for guilty, as neither ever ended well.
+  // Suspects that were always sent together cannot be told apart. With so many events each is taken
+  // for guilty, as none of them ever ended well.
   std::size_t events_of_inseparable = 8;
   // At least so many targets that end within so short a time, with no request in common, are no
   // evidence.
@@ -116,14 +115,14 @@
   // The life of a target ended when a run of this request, sent by this node, had hardly begun
   // there. False: known already, explained by a request that is convicted, or there is no room.
   bool mark(const request_print& print, const crash_mark& mark);
-  // A run ended well or went on for long. True: it was suspected.
+  // A run ended well, or brought events for long. True: the request was suspected.
   bool acquit(time_point now, const request_print& print);
   // An operator lifts the verdict; what is seen from now on counts. True: there was a suspicion.
   bool lift(time_point now, const request_print& print);
 
   [[nodiscard]] bool is_convicted(const request_print& print) const;
-  // Until when the request must wait: the evidence against it may be incomplete. Empty: it need
-  // not.
+  // Until when the request must wait, as the evidence against it may be incomplete; empty: now is
+  // fine.
   [[nodiscard]] std::optional<time_point> held_until(time_point now,
                                                      const request_print& print) const;
   // Until the verdict lapses if nothing new is seen; empty: there is none.
