Retry-After and Server-Leaving of targets are read, logged and counted

Change: platform/ decodes both headers; request/target_backoff keeps what each target asked of this node; a line when a backoff or a leaving begins, a counter arbutusworks_target_notices by change ('backoff extended': a request reached a target that backs off). No choice uses it yet.

Values: whole seconds and fractions; 0 asks for nothing; negative, nan, dates and other text are unreadable; of several the longest; at most 5 minutes.

--- a/src/node/hosted_buffered.cpp
+++ b/src/node/hosted_buffered.cpp
@@ -129,6 +129,7 @@
       last_reason_ = "could not be sent";
       return;
     }
+    learn_from(instance, result.response);
     if (!result.ok()) {
       const bool own_reason = caller_disconnected_ || result.failure == call_failure::cancelled;
       node_.instances.ended(
@@ -145,11 +146,18 @@
     read_answer_of(now, instance, result.response);
   }
 
+  // The headers of a response whose body was cut off count, too.
+  void learn_from(const service_instance& instance, const http_response& response) {
+    if (response.status != 0) {
+      learn_from_response(node_, call_, sent_at_, {instance.id, instance.address}, response.status,
+                          read_response_fields(response.status, response.headers, call_.fields.id));
+    }
+  }
+
   void read_answer_of(time_point now, const service_instance& instance,
                       const http_response& response) {
     const response_fields answer =
         read_response_fields(response.status, response.headers, call_.fields.id);
-    update_send_limit(node_, sent_at_, instance.id, response.status, answer);
     if (answer.running_requests) {
       node_.instances.note_reported_load(
           now, instance.id,
--- a/src/node/hosted_call.cpp
+++ b/src/node/hosted_call.cpp
@@ -3,6 +3,7 @@
 
 #include "node/hosted_parts.h"
 #include "node/log.h"
+#include "node/target_notices.h"
 
 namespace arbutus {
 
@@ -198,6 +199,8 @@
   return from_seconds(to_seconds(mean_retry_after) * (0.5 + node.random.unit()));
 }
 
+namespace {
+
 void update_send_limit(hosted_state& node, time_point sent_at, const target_id& target, int status,
                        const response_fields& answer) {
   // A failure may come from a component of the target that does not report the target's send limit,
@@ -219,6 +222,18 @@
                      "change=\"" + std::string(to_string(change)) + "\"");
 }
 
+}  // namespace
+
+void learn_from_response(hosted_state& node, const hosted_request& call, time_point sent_at,
+                         const target_instance& target, int status, const response_fields& answer) {
+  update_send_limit(node, sent_at, target.id, status, answer);
+  const auto effect = node.backoffs.on_response(monotonic_now(), target, answer.notice);
+  log_target_notice(call.fields.id, target, answer.notice, effect);
+  for (const std::string_view change : names_of(effect)) {
+    node.metrics.count("arbutusworks_target_notices", "change=\"" + std::string(change) + "\"");
+  }
+}
+
 void serve_hosted_call(hosted_state& node, const http_request& request, response_writer& writer) {
   hosted_request call{request, writer,  read_request_fields(request),
                       nullptr, nullptr, nullptr,
--- a/src/node/hosted_parts.h
+++ b/src/node/hosted_parts.h
@@ -62,9 +62,10 @@
 [[nodiscard]] duration retry_after_limit(hosted_state& node);
 inline constexpr std::string_view send_limit_reason = "the targets take no more requests now";
 
-// Updates the send limit of the target from its response to a request sent at `sent_at`.
-void update_send_limit(hosted_state& node, time_point sent_at, const target_id& target, int status,
-                       const response_fields& answer);
+// Updates what this node knows of the target's send limit and restraints from its response to a
+// request sent at `sent_at`.
+void learn_from_response(hosted_state& node, const hosted_request& call, time_point sent_at,
+                         const target_instance& target, int status, const response_fields& answer);
 
 void serve_stream(hosted_state& node, hosted_request& call);
 void serve_buffered(hosted_state& node, hosted_request& call);
--- a/src/node/hosted_state.h
+++ b/src/node/hosted_state.h
@@ -34,6 +34,7 @@
 #include "request/replica_choice.h"
 #include "request/retry_window.h"
 #include "request/send_limits.h"
+#include "request/target_backoff.h"
 #include "version/service_map.h"
 
 namespace arbutus {
@@ -68,6 +69,7 @@
   lost_target_reports lost_reports;  // received from peers
   misdirected_heads misdirected;
   send_limits limits;
+  target_backoffs backoffs;
   attempt_registry attempts;
   poison_state poison;
   peer_table peers;
--- a/src/node/hosted_stream.cpp
+++ b/src/node/hosted_stream.cpp
@@ -194,6 +194,7 @@
     const attempt_registry::scope listed(node_.attempts, replica.head, own);
     running_ = &own;
     head_ = replica.head;
+    address_ = replica.address;
     expected_ = expected;
     had_first_event_ = false;
     first_event_at_ = {};
@@ -230,7 +231,7 @@
 
   bool on_head(int status, const http_headers& headers) {
     answer_ = read_response_fields(status, headers, call_.fields.id);
-    update_send_limit(node_, sent_at_, head_, status, answer_);
+    learn_from_response(node_, call_, sent_at_, {head_, address_}, status, answer_);
     status_ = status;
     if (answer_.kind == answer_kind::target_response) {
       headers_ = headers;
@@ -364,6 +365,7 @@
 
   // State of the running attempt.
   target_id head_;
+  endpoint address_;  // of the head
   time_point sent_at_{};
   time_point first_event_at_{};
   time_point last_event_at_{};
--- a/tests/shell/platform_test.cpp
+++ b/tests/shell/platform_test.cpp
@@ -232,5 +232,49 @@
   EXPECT_FALSE(base64_decode("a$c="));
 }
 
+std::optional<duration> retry_after_in(const http_headers& headers) {
+  return read_target_notice(503, headers).retry_after;
+}
+
+TEST(PlatformHeaders, RetryAfterIsATimeInSeconds) {
+  EXPECT_EQ(retry_after_in({{"Retry-After", "3"}}), 3s);
+  EXPECT_EQ(retry_after_in({{"retry-after", "0.25"}}), 250ms);
+  EXPECT_EQ(retry_after_in({{"Retry-After", "0"}}), 0s);
+  EXPECT_EQ(retry_after_in({{"Retry-After", "1"}, {"Retry-After", "4"}, {"Retry-After", "2"}}), 4s);
+  EXPECT_EQ(retry_after_in({{"Retry-After", "1e9"}}), std::chrono::seconds(1'000'000'000));
+  EXPECT_EQ(retry_after_in({}), std::nullopt);
+}
+
+TEST(PlatformHeaders, InvalidRetryAfterIsReported) {
+  for (const std::string value :
+       {"", "-1", "nan", "inf", "1e400", "soon", "3 s", "3, 5", "\xff\x80",
+        "21 Oct 2026 07:28:00 GMT", "Wed, 21 Oct 2026 07:28:00 GMT"}) {
+    const target_notice notice = read_target_notice(503, {{"Retry-After", value}});
+    EXPECT_FALSE(notice.retry_after) << value;
+    EXPECT_TRUE(notice.has_unreadable_retry_after) << value;
+  }
+  const target_notice mixed =
+      read_target_notice(503, {{"Retry-After", "later"}, {"Retry-After", "2"}});
+  EXPECT_EQ(mixed.retry_after, 2s);
+}
+
+// Guards against a backoff because of a time that a failure or a success names for its request.
+TEST(PlatformHeaders, RetryAfterCountsWithStatus503Only) {
+  for (const int status : {200, 202, 301, 421, 429, 500, 502, 504}) {
+    EXPECT_TRUE(read_target_notice(status, {{"Retry-After", "3"}}).is_empty()) << status;
+  }
+}
+
+TEST(PlatformHeaders, LeavingIsReadFromAnyResponse) {
+  for (const int status : {200, 421, 429, 500, 503}) {
+    EXPECT_TRUE(read_target_notice(status, {{"server-leaving", "1"}}).is_leaving) << status;
+  }
+  for (const std::string value : {"0", "", "true", "no"}) {
+    EXPECT_FALSE(read_target_notice(200, {{"Server-Leaving", value}}).is_leaving) << value;
+  }
+  EXPECT_TRUE(
+      read_response_fields(500, {{"Server-Leaving", "1"}}, request_id{"b7e2"}).notice.is_leaving);
+}
+
 }  // namespace
 }  // namespace arbutus
