Failing tests: targets that ask for a backoff, and targets that are leaving

What is seen: a target that answered 503 with Retry-After goes on getting requests of the same node, first ones and repeats alike; so does a target that says in its answers that it is leaving. Refusals name 0.4 s where 2 s of the backoff are left.

Change: the stand-in platform's targets turn requests away, name a time, and say that they are leaving; restraint_checker counts what reaches them.

--- a/src/standin/hosted_platform.cpp
+++ b/src/standin/hosted_platform.cpp
@@ -21,7 +21,6 @@
 // Time until a dead engine is removed from the list of targets.
 constexpr duration unlist_delay = 400ms;
 constexpr std::uint64_t first_start_stamp = 1'700'000'000'000;
-constexpr const char* plain_instance_id = "i-api";
 
 // The value of `name` in a query string. Not percent-decoded: keys here need no escaping.
 std::string query_parameter(const std::string& target, const std::string& name) {
@@ -306,20 +305,49 @@
         request.headers.find("Authorization") || !request.headers.find("X-Tenant") ? 1 : 0;
   }
 
-  void record_arrival(const std::string& at) {
+  void record_arrival(const std::string& at, const std::string& request) {
     const std::lock_guard guard(mutex);
     arrivals[at].push_back(monotonic_now());
+    restraints.arrived(monotonic_now(), at, request);
   }
 
-  http_headers answer_headers(const std::string& id) {
+  // Headers of the answer of `target` to a request that it runs.
+  http_headers answer_headers(const std::string& target, const std::string& id) {
     http_headers headers{{"X-Request-Id", id}, {"X-Response-Seal", "seal." + id}};
     const std::lock_guard guard(mutex);
     if (!send_limit.empty()) {
       headers.add("Server-Limit", send_limit);
     }
+    add_leaving(headers, target);
+    restraints.answered(monotonic_now(), target, id);
     return headers;
   }
 
+  void add_leaving(http_headers& headers, const std::string& target) const {
+    if (restraints.behaviour_of(target).is_leaving) {
+      headers.add("Server-Leaving", "1");
+    }
+  }
+
+  // Answers the request without running it if the target turns requests away now.
+  bool is_turned_away(const std::string& target, const std::string& id, response_writer& writer) {
+    http_headers headers{{"X-Not-Executed", "1"}, {"X-Request-Id", id}};
+    {
+      const std::lock_guard guard(mutex);
+      const target_behaviour behaviour = restraints.behaviour_of(target);
+      if (!behaviour.turns_away) {
+        return false;
+      }
+      if (!behaviour.retry_after.empty()) {
+        headers.add("Retry-After", behaviour.retry_after);
+      }
+      add_leaving(headers, target);
+      restraints.answered(monotonic_now(), target, id);
+    }
+    writer.send(503, headers, "");
+    return true;
+  }
+
   void record_engine_of_run(const engine_process& e, const std::string& request) {
     const std::lock_guard guard(mutex);
     engine_of_run[request] = std::string(engine_of(e.engine.record().id));
@@ -327,7 +355,11 @@
 
   void run(engine_process& e, const http_request& request, response_writer& writer) {
     const std::string id = header_text(request, "X-Request-Id");
-    record_arrival(std::string(engine_of(e.engine.record().id)));
+    const std::string name(engine_of(e.engine.record().id));
+    record_arrival(name, id);
+    if (is_turned_away(name, id, writer)) {
+      return;
+    }
     if (!is_open(e)) {
       writer.send(503, {{"X-Not-Executed", "1"}, {"X-Request-Id", id}}, "");
       return;
@@ -339,7 +371,7 @@
       run_poison_request(e, request, writer);
       return;
     }
-    http_headers headers = answer_headers(id);
+    http_headers headers = answer_headers(name, id);
     headers.add("Content-Type", "text/event-stream");
     writer.start(200, headers);
     const int from = static_cast<int>(header_number(request, "Last-Event-Id", 0));
@@ -430,9 +462,11 @@
       }
       if (p.engine != nullptr) {
         hosted_engine& engine = p.engine->engine;
+        restraints.restarted(std::string(engine_of(engine.record().id)));
         engine.restart_as(incarnation_of(engine_of(engine.record().id), ++last_start_stamp));
         p.engine->dead = false;
       } else {
+        restraints.restarted(plain_instance_id);
         list_plain_service(++last_start_stamp);
       }
       opening.push_back(p.server);
@@ -455,7 +489,10 @@
 
   void serve_plain(const http_request& request, response_writer& writer) {
     const std::string id = header_text(request, "X-Request-Id");
-    record_arrival(plain_instance_id);
+    record_arrival(plain_instance_id, id);
+    if (is_turned_away(plain_instance_id, id, writer)) {
+      return;
+    }
     count_run(request);
     if (is_poison(request)) {
       wait_for(writer, settings.crash_delay);
@@ -463,7 +500,7 @@
       wait_for(writer, settings.restart_delay);
       return;
     }
-    writer.send(200, answer_headers(id), "card " + id);
+    writer.send(200, answer_headers(plain_instance_id, id), "card " + id);
   }
 
   // ---- list of targets ----
@@ -561,6 +598,7 @@
   std::map<std::string, int> crashes;  // number of crashes by path of the request
   std::map<std::string, std::vector<time_point>> arrivals;  // arrival times of requests, by target
   std::string send_limit;
+  restraint_checker restraints;
   std::vector<process_crash> process_crashes;
   int header_violations = 0;
   std::uint64_t last_start_stamp = first_start_stamp;
@@ -662,6 +700,7 @@
 void hosted_platform::restart_engine(const std::string& id) {
   const std::lock_guard guard(state_->mutex);
   hosted_engine& engine = state_->engines.at(id)->engine;
+  state_->restraints.restarted(id);
   engine.restart_as(incarnation_of(id, ++state_->last_start_stamp));
 }
 
@@ -711,6 +750,21 @@
   state_->send_limit = value;
 }
 
+void hosted_platform::set_behaviour(const std::string& target, const target_behaviour& behaviour) {
+  const std::lock_guard guard(state_->mutex);
+  state_->restraints.set_behaviour(target, behaviour);
+}
+
+std::vector<backoff_window> hosted_platform::broken_backoff_windows() const {
+  const std::lock_guard guard(state_->mutex);
+  return state_->restraints.broken_windows();
+}
+
+std::vector<arrival_after_notice> hosted_platform::arrivals_after_notice() const {
+  const std::lock_guard guard(state_->mutex);
+  return state_->restraints.arrivals_after_notice();
+}
+
 std::map<std::string, std::vector<time_point>> hosted_platform::arrivals() const {
   const std::lock_guard guard(state_->mutex);
   return state_->arrivals;
--- a/src/standin/hosted_platform.h
+++ b/src/standin/hosted_platform.h
@@ -3,8 +3,9 @@
 // platform/.
 //
 // Deliberately small: it covers the behaviour under faults (a store that is unavailable, engines
-// that die, that stall when a member is lost, and that refuse orders which name another count of
-// accepted orders than theirs), not the platform's complete interface.
+// that die, that stall when a member is lost, that refuse orders which name another count of
+// accepted orders than theirs, and that ask nodes to back off or say that they are leaving), not
+// the platform's complete interface.
 #pragma once
 
 #include <functional>
@@ -17,6 +18,7 @@
 #include "node/periodic.h"
 #include "standin/hosted_engine.h"
 #include "standin/restartable_server.h"
+#include "standin/restraint_checker.h"
 
 namespace arbutus::standin {
 
@@ -39,6 +41,8 @@
 inline constexpr const char* hosted_host_name = "desk.example";
 inline constexpr const char* hosted_caller_key = "key-of-the-desk";
 inline constexpr const char* hosted_model_name = "large";
+// The only instance of the service that is not a model.
+inline constexpr const char* plain_instance_id = "i-api";
 // A request whose path contains this text crashes the engine or service instance that starts to run
 // it.
 inline constexpr const char* poison_path_marker = "poison";
@@ -62,6 +66,12 @@
   void set_store_rate(std::size_t bytes_per_s);
   void set_store_down(bool down);
 
+  // How a target answers, by its id; empty: all targets.
+  void set_behaviour(const std::string& target, const target_behaviour& behaviour);
+  // Checks of what targets asked of the nodes, see restraint_checker.
+  [[nodiscard]] std::vector<backoff_window> broken_backoff_windows() const;
+  [[nodiscard]] std::vector<arrival_after_notice> arrivals_after_notice() const;
+
   // Id of an engine of a complete replica: the head, or the last member. Empty if no replica is
   // complete.
   [[nodiscard]] std::string find_member(bool head) const;
