Hosted nodes send a target nothing during a backoff that it asked for

Callers saw: from 11.5 s on a third of one model's callers were refused or late though its other heads had room. The operators saw a head that had asked a node for 3 s get 20 requests from it.

Cause: what a 503 says of further requests was thrown away with it. Each request chose anew by load alone, and a head that turns requests away within 4 ms has no load, so it was the first choice of each; the repeats of all of them used up the budget, and callers were refused.

Evidence: at an instance whose calls are never repeated, 1,054 first sends of one node reached it in its backoff of 2 s: neither repeats nor requests on their way.

Change: a target that asked for a backoff is no candidate until it ends, for first sends, repeats and resumed streams, and each send is checked again directly before its first byte. If nothing else is left the caller is refused at once, with the end of the first backoff and a random time after it.

--- a/src/node/controller_heartbeats.cpp
+++ b/src/node/controller_heartbeats.cpp
@@ -299,6 +299,8 @@
   std::sort(peers.begin(), peers.end());
   update_links(peers);
   begin_round(now);
+  node_.backoffs.forget(now,
+                        [this](const target_id& id) { return node_.fleet.find(id) != nullptr; });
   grant_sends(now);
   // Heartbeats are sent to a different peer first each time, so that the budget of a round does not
   // always go to the same peers.
--- a/src/node/hosted_buffered.cpp
+++ b/src/node/hosted_buffered.cpp
@@ -61,12 +61,14 @@
       return;
     }
     const std::vector<service_instance> instances = node_.instances_of(call_.service->id);
-    const std::vector<target_id> avoided = avoided_instances(now, instances);
+    const excluded_targets excluded = unavailable_instances(now, instances);
+    std::vector<target_id> avoided = avoided_;
+    avoided.insert(avoided.end(), excluded.ids.begin(), excluded.ids.end());
     const auto chosen = node_.instances.choose(now, instances, node_.settings.data_centre, avoided);
     if (!chosen) {
-      const bool by_limit = avoided.size() > avoided_.size();
-      end_locally(503, by_limit ? retry_after_limit(node_) : retry_after_no_target,
-                  by_limit ? send_limit_reason : last_reason_);
+      const refusal why = refusal_of_excluded(node_, now, excluded, std::nullopt)
+                              .value_or(refusal{retry_after_no_target, last_reason_});
+      end_locally(503, why.retry_after, why.reason);
       return;
     }
     if (!may_send_again(node_, call_, now)) {
@@ -76,16 +78,13 @@
     attempt(instances[*chosen]);
   }
 
-  // Instances that were tried already, and instances whose send limit is exhausted.
-  [[nodiscard]] std::vector<target_id> avoided_instances(
+  [[nodiscard]] excluded_targets unavailable_instances(
       time_point now, const std::vector<service_instance>& instances) const {
-    std::vector<target_id> ids = avoided_;
+    excluded_targets excluded;
     for (const service_instance& instance : instances) {
-      if (!check_send_limit(node_, now, instance.id)) {
-        ids.push_back(instance.id);
-      }
+      exclude_if_unavailable(node_, call_, now, {instance.id, instance.address}, excluded);
     }
-    return ids;
+    return excluded;
   }
 
   // A pooled connection may be closed just as the request is written to it, and it is then unknown
@@ -109,24 +108,31 @@
     const call_result result = node_.targets_http.fetch(
         {instance.address.host, instance.address.port},
         make_target_request(call_.raw_request, facts), call_.deadline, cancel_,
-        [this] { return is_key_usable(node_, call_); }, connection());
+        [&] { return is_send_permitted(instance); }, connection());
     handle_result(instance, result);
   }
 
+  bool is_send_permitted(const service_instance& instance) {
+    permission_ = permission_to_send(node_, call_, {instance.id, instance.address});
+    return permission_ == send_permission::granted;
+  }
+
   void handle_result(const service_instance& instance, const call_result& result) {
     const time_point now = monotonic_now();
     avoided_.push_back(instance.id);
-    if (result.failure == call_failure::not_permitted) {
+    const bool not_permitted = result.failure == call_failure::not_permitted;
+    if (not_permitted && permission_ == send_permission::key_withdrawn) {
       node_.instances.ended(now, instance.id, instance_call_outcome::withdrawn);
       end_locally(503, retry_after_stale(node_, monotonic_now()), "the key was withdrawn");
       return;
     }
     if (result.outcome == call_outcome::not_sent) {
+      const bool own_reason = caller_disconnected_ || not_permitted;
       node_.instances.ended(
           now, instance.id,
-          caller_disconnected_ ? instance_call_outcome::withdrawn : instance_call_outcome::failed);
+          own_reason ? instance_call_outcome::withdrawn : instance_call_outcome::failed);
       --call_.possible_sends;
-      last_reason_ = "could not be sent";
+      last_reason_ = not_permitted ? restrained_reason : "could not be sent";
       return;
     }
     learn_from(instance, result.response);
@@ -223,7 +229,8 @@
   cancel_token cancel_ = cancel_token::make();
   std::vector<target_id> avoided_;
   std::string_view last_reason_ = "no instance is known";
-  time_point sent_at_{};  // when the running attempt was sent
+  time_point sent_at_{};                                   // when the running attempt was sent
+  send_permission permission_ = send_permission::granted;  // as last checked before sending
   bool caller_disconnected_ = false;
   bool ended_ = false;
 };
--- a/src/node/hosted_call.cpp
+++ b/src/node/hosted_call.cpp
@@ -3,7 +3,6 @@
 
 #include "node/hosted_parts.h"
 #include "node/log.h"
-#include "node/target_notices.h"
 
 namespace arbutus {
 
@@ -12,6 +11,14 @@
 // Upper bound of a call's time, whatever the route or the caller asks for.
 constexpr duration max_call_timeout = 120s;
 
+std::string join(const std::set<target_id>& ids) {
+  std::string text;
+  for (const target_id& id : ids) {
+    text += (text.empty() ? "" : ",") + id.str();
+  }
+  return text;
+}
+
 class call_preparation {
  public:
   call_preparation(hosted_state& node, hosted_request& call) : node_(node), call_(call) {}
@@ -173,6 +180,7 @@
        {"reason", reason},
        {"status", status},
        {"targets", call.tried_targets},
+       {"restrained", join(call.restrained_targets)},
        {"sends", call.possible_sends},
        {"may_have_run", call.possible_runs},
        {"events", call.forwarded_events},
@@ -182,65 +190,13 @@
        {"lease_age_ms", to_milliseconds(node.configuration_lease.age(now).value_or(-1ms))}});
 }
 
-bool check_send_limit(hosted_state& node, time_point now, const target_id& target) {
-  if (!node.limits.is_limited(target)) {
-    return true;
-  }
-  node.limits.note_demand(now, target);
-  const bool may = node.limits.may_send(now, target);
-  node.metrics.count("arbutusworks_limited_choices", may ? "granted=\"yes\"" : "granted=\"no\"");
-  return may;
-}
-
-// The time is randomized, so that callers that were refused together do not all retry
-// simultaneously.
-duration retry_after_limit(hosted_state& node) {
-  constexpr duration mean_retry_after = 800ms;
-  return from_seconds(to_seconds(mean_retry_after) * (0.5 + node.random.unit()));
-}
-
-namespace {
-
-void update_send_limit(hosted_state& node, time_point sent_at, const target_id& target, int status,
-                       const response_fields& answer) {
-  // A failure may come from a component of the target that does not report the target's send limit,
-  // so only a success without a limit removes it.
-  const bool may_clear_limit = answer.kind == answer_kind::target_response && status / 100 == 2;
-  const bool may_report_limit =
-      answer.kind == answer_kind::target_response || answer.kind == answer_kind::not_run;
-  if (answer.is_misdirected || !may_report_limit ||
-      (!answer.limit.is_present && !may_clear_limit)) {
-    return;
-  }
-  const auto change = node.limits.on_response(sent_at, monotonic_now(), target, answer.limit);
-  if (change == send_limits::change::none) {
-    return;
-  }
-  log_line(log_level::info, "limit", to_string(change),
-           {{"target", target}, {"per_second", answer.limit.per_second.value_or(-1)}});
-  node.metrics.count("arbutusworks_send_limits",
-                     "change=\"" + std::string(to_string(change)) + "\"");
-}
-
-}  // namespace
-
-void learn_from_response(hosted_state& node, const hosted_request& call, time_point sent_at,
-                         const target_instance& target, int status, const response_fields& answer) {
-  update_send_limit(node, sent_at, target.id, status, answer);
-  const auto effect = node.backoffs.on_response(monotonic_now(), target, answer.notice);
-  log_target_notice(call.fields.id, target, answer.notice, effect);
-  for (const std::string_view change : names_of(effect)) {
-    node.metrics.count("arbutusworks_target_notices", "change=\"" + std::string(change) + "\"");
-  }
-}
-
 void serve_hosted_call(hosted_state& node, const http_request& request, response_writer& writer) {
   hosted_request call{request, writer,  read_request_fields(request),
                       nullptr, nullptr, nullptr,
                       {},      {},      {},
                       {},      {},      0,
                       0,       {},      {},
-                      0};
+                      {},      0};
   call.arrived = monotonic_now();
   call.writes_log_lines = should_write_request_lines(call.arrived, call.fields.id.str());
   node.requests_seen = true;
--- a/src/node/hosted_node.cpp
+++ b/src/node/hosted_node.cpp
@@ -135,6 +135,9 @@
     add("arbutusworks_poison_suspects", state.poison.tracker.all().size());
     add("arbutusworks_poison_convicted", state.poison.tracker.quarantined());
     add("arbutusworks_poison_turned_away", state.poison.tracker.rejected_strikes());
+    const target_backoffs::counts restrained = state.backoffs.count(monotonic_now());
+    add("arbutusworks_targets_backing_off", restrained.backing_off);
+    add("arbutusworks_targets_leaving", restrained.leaving);
     add("arbutusworks_log_lines_dropped", dropped_log_lines());
     add("arbutusworks_log_requests_left_out", suppressed_request_count());
     return text;
--- a/src/node/hosted_parts.h
+++ b/src/node/hosted_parts.h
@@ -3,8 +3,10 @@
 #pragma once
 
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "connection/clock.h"
 #include "connection/http_server.h"
@@ -29,9 +31,10 @@
   time_point deadline;
 
   // Outcome, for the log line and the metrics.
-  std::uint32_t possible_sends = 0;  // sends that may have reached a target
-  std::uint32_t possible_runs = 0;   // of those, sends that no target reported as not run
-  std::string tried_targets;         // targets tried, in order
+  std::uint32_t possible_sends = 0;        // sends that may have reached a target
+  std::uint32_t possible_runs = 0;         // of those, sends that no target reported as not run
+  std::string tried_targets;               // targets tried, in order
+  std::set<target_id> restrained_targets;  // targets not chosen since they back off
   time_point first_event_at{};  // when the first event of the response was received; zero: none
   std::uint64_t forwarded_events = 0;  // events forwarded to the caller
   bool writes_log_lines = true;        // whether log lines of this call are written: all or none
@@ -47,20 +50,46 @@
 void finish_call(hosted_state& node, hosted_request& call, std::string_view result,
                  std::string_view reason, int status);
 
-// Whether the caller's key may still be used; checked immediately before each send.
+// Whether the caller's key may still be used.
 [[nodiscard]] bool is_key_usable(const hosted_state& node, const hosted_request& call);
 
+enum class send_permission : std::uint8_t { granted, key_withdrawn, target_restrained };
+
+// Whether the request may be sent to the target now; checked immediately before each send, since
+// the call may have waited for its connection.
+[[nodiscard]] send_permission permission_to_send(const hosted_state& node,
+                                                 const hosted_request& call,
+                                                 const target_instance& target);
+inline constexpr std::string_view restrained_reason = "the target asked for a backoff meanwhile";
+
 // Whether the request may be sent, or sent again. A request that may have run is sent again only if
 // its route allows repetition, to no more targets than the route allows, and within the retry
 // budget shared by all nodes.
 [[nodiscard]] bool may_send_again(hosted_state& node, const hosted_request& call, time_point now);
 
-// Whether the target's send limit allows a request of this node now. Also counts the call as demand
-// for the target.
-[[nodiscard]] bool check_send_limit(hosted_state& node, time_point now, const target_id& target);
-// Time after which the caller should retry when the targets' send limits are exhausted.
-[[nodiscard]] duration retry_after_limit(hosted_state& node);
-inline constexpr std::string_view send_limit_reason = "the targets take no more requests now";
+// Why a call is refused, and when its caller should retry.
+struct refusal {
+  duration retry_after{};
+  std::string_view reason;
+};
+
+// Candidates of one choice that may not be chosen, and why.
+struct excluded_targets {
+  std::vector<target_id> ids;
+  bool by_send_limit = false;
+  std::optional<target_backoffs::backoff> first_backoff;  // the one that ends first
+};
+
+// Adds the target to `excluded` if it backs off or has no send left by its limit. Also
+// counts the call as demand for a limited target.
+void exclude_if_unavailable(hosted_state& node, hosted_request& call, time_point now,
+                            const target_instance& target, excluded_targets& excluded);
+
+// Why a call without a target is refused: what ends first of the reasons for which its candidates
+// are excluded and, if there is one, `otherwise`. Empty if no candidate is excluded.
+[[nodiscard]] std::optional<refusal> refusal_of_excluded(hosted_state& node, time_point now,
+                                                         const excluded_targets& excluded,
+                                                         const std::optional<refusal>& otherwise);
 
 // Updates what this node knows of the target's send limit and restraints from its response to a
 // request sent at `sent_at`.
--- a/src/node/hosted_stream.cpp
+++ b/src/node/hosted_stream.cpp
@@ -85,16 +85,16 @@
     }
     const auto& replicas = node_.replicas(*call_.service, model_->id);
     const std::vector<target_id> suspects = suspected_heads(now, replicas);
-    const std::vector<target_id> avoided = avoided_heads(now, replicas);
+    excluded_targets excluded = unavailable_heads(now, replicas);
+    std::vector<target_id> avoided = avoided_;
+    avoided.insert(avoided.end(), excluded.ids.begin(), excluded.ids.end());
     const choice_request desired{
         node_.settings.data_centre, call_.fields.size, call_.deadline - now, avoided, suspects,
         node_.random.unit()};
     const replica_choice choice =
         choose_replica(*call_.service->engine, *model_, replicas, node_.loads, desired);
     if (const auto* none = std::get_if<no_replica>(&choice)) {
-      const bool by_limit = avoided.size() > avoided_.size();
-      end_locally(503, by_limit ? retry_after_limit(node_) : none->retry_after,
-                  by_limit ? send_limit_reason : none->reason);
+      refuse(now, *none, excluded);
       return;
     }
     if (!may_send_again(node_, call_, now)) {
@@ -107,16 +107,20 @@
     handle_result(replica, how);
   }
 
-  // Heads that were tried already, and heads whose send limit is exhausted.
-  [[nodiscard]] std::vector<target_id> avoided_heads(
+  [[nodiscard]] excluded_targets unavailable_heads(
       time_point now, const std::vector<serving_replica>& replicas) const {
-    std::vector<target_id> heads = avoided_;
+    excluded_targets excluded;
     for (const serving_replica& replica : replicas) {
-      if (!check_send_limit(node_, now, replica.head)) {
-        heads.push_back(replica.head);
-      }
+      exclude_if_unavailable(node_, call_, now, {replica.head, replica.address}, excluded);
     }
-    return heads;
+    return excluded;
+  }
+
+  void refuse(time_point now, const no_replica& none, const excluded_targets& excluded) {
+    const refusal without{none.retry_after, none.reason};
+    const auto otherwise = none.all_excluded ? std::nullopt : std::optional<refusal>(without);
+    const refusal why = refusal_of_excluded(node_, now, excluded, otherwise).value_or(without);
+    end_locally(503, why.retry_after, why.reason);
   }
 
   // Heads of replicas that are stalled for this node, heads that rejected a request as misdirected,
@@ -221,7 +225,7 @@
         call_.deadline,
         [this](int status, const http_headers& headers) { return on_head(status, headers); },
         [this](std::string_view bytes) { return on_bytes(bytes); }, own.cancel,
-        [this] { return is_key_usable(node_, call_); });
+        [this] { return is_send_permitted(); });
     const time_point now = monotonic_now();
     node_.loads.ended(head_, call_.fields.size, had_first_event_);
     node_.replica_stalls.on_stream_ended(now, head_, had_first_event_);
@@ -229,6 +233,11 @@
     return read_end(result, own);
   }
 
+  bool is_send_permitted() {
+    permission_ = permission_to_send(node_, call_, {head_, address_});
+    return permission_ == send_permission::granted;
+  }
+
   bool on_head(int status, const http_headers& headers) {
     answer_ = read_response_fields(status, headers, call_.fields.id);
     learn_from_response(node_, call_, sent_at_, {head_, address_}, status, answer_);
@@ -294,11 +303,13 @@
       last_reason_ = "its replica lost a member";
       return attempt_result::broken;
     }
-    if (result.failure == call_failure::not_permitted) {
+    if (result.failure == call_failure::not_permitted &&
+        permission_ == send_permission::key_withdrawn) {
       return attempt_result::key_withdrawn;
     }
     if (result.outcome == call_outcome::not_sent) {
-      last_reason_ = "could not be sent";
+      const bool restrained = result.failure == call_failure::not_permitted;
+      last_reason_ = restrained ? restrained_reason : "could not be sent";
       --call_.possible_sends;
       return attempt_result::not_sent;
     }
@@ -365,7 +376,8 @@
 
   // State of the running attempt.
   target_id head_;
-  endpoint address_;  // of the head
+  endpoint address_;                                       // of the head
+  send_permission permission_ = send_permission::granted;  // as last checked before sending
   time_point sent_at_{};
   time_point first_event_at_{};
   time_point last_event_at_{};
--- /dev/null
+++ b/src/node/hosted_targets.cpp
@@ -0,0 +1,119 @@
+// Which targets a hosted call may be sent to now, and what their responses change about that.
+#include <algorithm>
+
+#include "node/hosted_parts.h"
+#include "node/log.h"
+#include "node/target_notices.h"
+
+namespace arbutus {
+
+namespace {
+
+constexpr std::string_view send_limit_reason = "the targets take no more requests now";
+constexpr std::string_view backoff_reason = "the targets asked for a backoff";
+
+bool check_send_limit(hosted_state& node, time_point now, const target_id& target) {
+  if (!node.limits.is_limited(target)) {
+    return true;
+  }
+  node.limits.note_demand(now, target);
+  const bool may = node.limits.may_send(now, target);
+  node.metrics.count("arbutusworks_limited_choices", may ? "granted=\"yes\"" : "granted=\"no\"");
+  return may;
+}
+
+// The time is randomized, so that callers that were refused together do not all retry
+// simultaneously.
+duration retry_after_limit(hosted_state& node) {
+  constexpr duration mean_retry_after = 800ms;
+  return from_seconds(to_seconds(mean_retry_after) * (0.5 + node.random.unit()));
+}
+
+// The end of the backoff, and a random time after it: callers that were refused during the backoff
+// would otherwise all retry in its last moment.
+duration retry_after_backoff(hosted_state& node, time_point now,
+                             const target_backoffs::backoff& backoff) {
+  constexpr duration longest_spread = 2s;
+  const duration spread = std::min((backoff.ends - backoff.begun) / 2, longest_spread);
+  return backoff.ends - now + from_seconds(to_seconds(spread) * node.random.unit());
+}
+
+void update_send_limit(hosted_state& node, time_point sent_at, const target_id& target, int status,
+                       const response_fields& answer) {
+  // A failure may come from a component of the target that does not report the target's send limit,
+  // so only a success without a limit removes it.
+  const bool may_clear_limit = answer.kind == answer_kind::target_response && status / 100 == 2;
+  const bool may_report_limit =
+      answer.kind == answer_kind::target_response || answer.kind == answer_kind::not_run;
+  if (answer.is_misdirected || !may_report_limit ||
+      (!answer.limit.is_present && !may_clear_limit)) {
+    return;
+  }
+  const auto change = node.limits.on_response(sent_at, monotonic_now(), target, answer.limit);
+  if (change == send_limits::change::none) {
+    return;
+  }
+  log_line(log_level::info, "limit", to_string(change),
+           {{"target", target}, {"per_second", answer.limit.per_second.value_or(-1)}});
+  node.metrics.count("arbutusworks_send_limits",
+                     "change=\"" + std::string(to_string(change)) + "\"");
+}
+
+}  // namespace
+
+void exclude_if_unavailable(hosted_state& node, hosted_request& call, time_point now,
+                            const target_instance& target, excluded_targets& excluded) {
+  const auto running = node.backoffs.backoff_of(now, target);
+  if (!running) {
+    if (!check_send_limit(node, now, target.id)) {
+      excluded.by_send_limit = true;
+      excluded.ids.push_back(target.id);
+    }
+    return;
+  }
+  excluded.ids.push_back(target.id);
+  call.restrained_targets.insert(target.id);
+  if (!excluded.first_backoff || running->ends < excluded.first_backoff->ends) {
+    excluded.first_backoff = running;
+  }
+}
+
+std::optional<refusal> refusal_of_excluded(hosted_state& node, time_point now,
+                                           const excluded_targets& excluded,
+                                           const std::optional<refusal>& otherwise) {
+  std::vector<refusal> reasons;
+  if (excluded.first_backoff) {
+    reasons.push_back({retry_after_backoff(node, now, *excluded.first_backoff), backoff_reason});
+  }
+  if (excluded.by_send_limit) {
+    reasons.push_back({retry_after_limit(node), send_limit_reason});
+  }
+  if (reasons.empty()) {
+    return std::nullopt;
+  }
+  if (otherwise) {
+    reasons.push_back(*otherwise);
+  }
+  return *std::ranges::min_element(reasons, {}, &refusal::retry_after);
+}
+
+void learn_from_response(hosted_state& node, const hosted_request& call, time_point sent_at,
+                         const target_instance& target, int status, const response_fields& answer) {
+  update_send_limit(node, sent_at, target.id, status, answer);
+  const auto effect = node.backoffs.on_response(monotonic_now(), target, answer.notice);
+  log_target_notice(call.fields.id, target, answer.notice, effect);
+  for (const std::string_view change : names_of(effect)) {
+    node.metrics.count("arbutusworks_target_notices", "change=\"" + std::string(change) + "\"");
+  }
+}
+
+send_permission permission_to_send(const hosted_state& node, const hosted_request& call,
+                                   const target_instance& target) {
+  if (!is_key_usable(node, call)) {
+    return send_permission::key_withdrawn;
+  }
+  const bool restrained = node.backoffs.backoff_of(monotonic_now(), target).has_value();
+  return restrained ? send_permission::target_restrained : send_permission::granted;
+}
+
+}  // namespace arbutus
--- a/src/node/request_timeline.cpp
+++ b/src/node/request_timeline.cpp
@@ -81,17 +81,23 @@
   return result;
 }
 
+// Adds the names of a list that are separated by commas.
+void add_listed(std::string_view list, std::set<std::string>& names) {
+  while (!list.empty()) {
+    const auto comma = list.find(',');
+    names.emplace(list.substr(0, comma));
+    list = comma == std::string_view::npos ? std::string_view{} : list.substr(comma + 1);
+  }
+}
+
 std::set<std::string> targets_of(const std::vector<logged_line>& own) {
   std::set<std::string> result;
   for (const logged_line& line : own) {
     if (const auto target = line.field("target"); !target.empty()) {
       result.emplace(target);
     }
-    std::string_view rest = line.field("targets");
-    while (!rest.empty()) {
-      const auto comma = rest.find(',');
-      result.emplace(rest.substr(0, comma));
-      rest = comma == std::string_view::npos ? std::string_view{} : rest.substr(comma + 1);
+    for (const std::string_view list : {line.field("targets"), line.field("restrained")}) {
+      add_listed(list, result);
     }
   }
   return result;
@@ -137,7 +143,7 @@
 };
 
 // Explains each reason and says where to look next. The reasons are those in the nodes' log lines.
-constexpr std::array<known_reason, 23> known_reasons = {{
+constexpr std::array<known_reason, 25> known_reasons = {{
     {"every replica is full",
      "Each replica of the model had all its slots in use. The number of replicas that the node "
      "counted is shown below. If it is low, look at the keeper plan lines of the data centre; "
@@ -183,6 +189,13 @@
      "targets ended, one after the other, and never completed. It was refused without a run; see "
      "the poison evidence and poison convicted lines below, and /poison at a node's metrics "
      "address to release it."},
+    {"the targets asked for a backoff",
+     "Each target that could take the request had answered 503 with Retry-After, so this node sent "
+     "it nothing until that time ended. The caller was told when the first backoff ends. See the "
+     "lines target backs off below."},
+    {"the target asked for a backoff meanwhile",
+     "While the request waited for its connection, the target answered another one with 503 and "
+     "Retry-After, so the request was not sent."},
     {"no instance is known", "No instance of the service was listed as ready."},
 }};
 
--- a/src/request/replica_choice.cpp
+++ b/src/request/replica_choice.cpp
@@ -275,7 +275,7 @@
     return chosen_replica{chosen.index, chosen.expected};
   }
   if (!any_known) {
-    return no_replica{500ms, "no replica of the model serves"};
+    return no_replica{500ms, "no replica of the model serves", true};
   }
   return no_replica{std::clamp<duration>(soonest, 100ms, 2s), "every replica is full"};
 }
--- a/src/request/replica_choice.h
+++ b/src/request/replica_choice.h
@@ -116,6 +116,7 @@
 struct no_replica {
   duration retry_after{};  // time until a slot is expected to be free
   std::string_view reason;
+  bool all_excluded = false;  // no replica is left besides those to avoid
 };
 using replica_choice = std::variant<chosen_replica, no_replica>;
 
