Hosted nodes send nothing new to a target that says that it is leaving

Cause: only the target's record, and the word of peers about it, took a target out; what it said itself in its answers was not used.

Change: a target that says so is no candidate of this node any more, for first sends, repeats and resumed streams, until its incarnation is gone; checked again directly before each first byte. What it runs is finished. If all are leaving, callers are refused at once.

Before: LeavingHeadGetsNoStreams, LeavingInstanceGetsNoCalls and RestartedTargetGetsRequests failed; now they pass.

--- a/src/node/hosted_parts.h
+++ b/src/node/hosted_parts.h
@@ -34,7 +34,7 @@
   std::uint32_t possible_sends = 0;        // sends that may have reached a target
   std::uint32_t possible_runs = 0;         // of those, sends that no target reported as not run
   std::string tried_targets;               // targets tried, in order
-  std::set<target_id> restrained_targets;  // targets not chosen since they back off
+  std::set<target_id> restrained_targets;  // targets not chosen since they back off or are leaving
   time_point first_event_at{};  // when the first event of the response was received; zero: none
   std::uint64_t forwarded_events = 0;  // events forwarded to the caller
   bool writes_log_lines = true;        // whether log lines of this call are written: all or none
@@ -60,7 +60,8 @@
 [[nodiscard]] send_permission permission_to_send(const hosted_state& node,
                                                  const hosted_request& call,
                                                  const target_instance& target);
-inline constexpr std::string_view restrained_reason = "the target asked for a backoff meanwhile";
+inline constexpr std::string_view restrained_reason =
+    "the target asked for a backoff or leaves meanwhile";
 
 // Whether the request may be sent, or sent again. A request that may have run is sent again only if
 // its route allows repetition, to no more targets than the route allows, and within the retry
@@ -77,10 +78,11 @@
 struct excluded_targets {
   std::vector<target_id> ids;
   bool by_send_limit = false;
+  bool by_leaving = false;
   std::optional<target_backoffs::backoff> first_backoff;  // the one that ends first
 };
 
-// Adds the target to `excluded` if it backs off or has no send left by its limit. Also
+// Adds the target to `excluded` if it backs off, is leaving or has no send left by its limit. Also
 // counts the call as demand for a limited target.
 void exclude_if_unavailable(hosted_state& node, hosted_request& call, time_point now,
                             const target_instance& target, excluded_targets& excluded);
--- a/src/node/hosted_targets.cpp
+++ b/src/node/hosted_targets.cpp
@@ -11,6 +11,7 @@
 
 constexpr std::string_view send_limit_reason = "the targets take no more requests now";
 constexpr std::string_view backoff_reason = "the targets asked for a backoff";
+constexpr std::string_view leaving_reason = "the targets are leaving";
 
 bool check_send_limit(hosted_state& node, time_point now, const target_id& target) {
   if (!node.limits.is_limited(target)) {
@@ -63,8 +64,8 @@
 
 void exclude_if_unavailable(hosted_state& node, hosted_request& call, time_point now,
                             const target_instance& target, excluded_targets& excluded) {
-  const auto running = node.backoffs.backoff_of(now, target);
-  if (!running) {
+  const target_restraint restraint = node.backoffs.restraint_of(now, target);
+  if (restraint == target_restraint::none) {
     if (!check_send_limit(node, now, target.id)) {
       excluded.by_send_limit = true;
       excluded.ids.push_back(target.id);
@@ -73,6 +74,11 @@
   }
   excluded.ids.push_back(target.id);
   call.restrained_targets.insert(target.id);
+  if (restraint == target_restraint::leaving) {
+    excluded.by_leaving = true;
+    return;
+  }
+  const auto running = node.backoffs.backoff_of(now, target);
   if (!excluded.first_backoff || running->ends < excluded.first_backoff->ends) {
     excluded.first_backoff = running;
   }
@@ -88,6 +94,9 @@
   if (excluded.by_send_limit) {
     reasons.push_back({retry_after_limit(node), send_limit_reason});
   }
+  if (reasons.empty() && excluded.by_leaving) {
+    reasons.push_back({retry_after_no_target, leaving_reason});
+  }
   if (reasons.empty()) {
     return std::nullopt;
   }
@@ -112,7 +121,8 @@
   if (!is_key_usable(node, call)) {
     return send_permission::key_withdrawn;
   }
-  const bool restrained = node.backoffs.backoff_of(monotonic_now(), target).has_value();
+  const bool restrained =
+      node.backoffs.restraint_of(monotonic_now(), target) != target_restraint::none;
   return restrained ? send_permission::target_restrained : send_permission::granted;
 }
 
--- a/src/node/request_timeline.cpp
+++ b/src/node/request_timeline.cpp
@@ -143,7 +143,7 @@
 };
 
 // Explains each reason and says where to look next. The reasons are those in the nodes' log lines.
-constexpr std::array<known_reason, 25> known_reasons = {{
+constexpr std::array<known_reason, 26> known_reasons = {{
     {"every replica is full",
      "Each replica of the model had all its slots in use. The number of replicas that the node "
      "counted is shown below. If it is low, look at the keeper plan lines of the data centre; "
@@ -193,9 +193,12 @@
      "Each target that could take the request had answered 503 with Retry-After, so this node sent "
      "it nothing until that time ended. The caller was told when the first backoff ends. See the "
      "lines target backs off below."},
-    {"the target asked for a backoff meanwhile",
+    {"the targets are leaving",
+     "Each target that could take the request had said in its answers that it is leaving. See the "
+     "lines target is leaving below."},
+    {"the target asked for a backoff or leaves meanwhile",
      "While the request waited for its connection, the target answered another one with 503 and "
-     "Retry-After, so the request was not sent."},
+     "Retry-After or said that it is leaving, so the request was not sent."},
     {"no instance is known", "No instance of the service was listed as ready."},
 }};
 
