Nodes of the product's own kind keep backoffs and leaving of targets, too

Callers saw: with the stand-ins, a refused call was told to come back in 1 s where 2 s of the backoff were left; 88 calls of one node reached a service in a backoff of 3 s, and leaving targets went on getting calls.

Cause: the same as on hosted nodes. model_attempt and service_call looked at a response's status alone.

Change: the headers are decoded by the same function of platform/; the state is the same target_backoffs, behind a lock, keyed by the incarnation that the head's report named. Restrained routes count neither as candidates nor as capacity; requests that wait in the queue for them are refused at once; each send is checked again directly before its first byte, before a keyed call counts as sent.

--- a/src/node/call_context.cpp
+++ b/src/node/call_context.cpp
@@ -4,6 +4,7 @@
 #include <charconv>
 
 #include "connection/clock.h"
+#include "node/target_notices.h"
 #include "version/secret.h"
 
 namespace arbutus {
@@ -62,6 +63,16 @@
   return value;
 }
 
+void learn_from_response(call_context& node, const request_id& request,
+                         const target_instance& target, const http_response& response) {
+  const auto change = node.backoffs.on_response(monotonic_now(), request, target, response.status,
+                                                response.headers);
+  for (const std::string_view name : names_of(change)) {
+    node.call_metrics.count(current_worker(), "arbutusworks_target_notices",
+                            "change=\"" + std::string(name) + "\"");
+  }
+}
+
 socket_address address_of(const endpoint& e) {
   return {e.host, e.port};
 }
--- a/src/node/call_context.h
+++ b/src/node/call_context.h
@@ -16,6 +16,7 @@
 #include "node/metrics.h"
 #include "node/model_gate.h"
 #include "node/platform_client.h"
+#include "node/route_backoffs.h"
 #include "node/service_health.h"
 
 namespace arbutus {
@@ -32,6 +33,7 @@
   model_gates& gates;
   limit_exchange& limits;
   service_health& services;
+  route_backoffs& backoffs;
   metrics& call_metrics;
   std::atomic<std::uint64_t> next_request{1};  // number that the id of the next request contains
 };
@@ -56,6 +58,10 @@
 [[nodiscard]] std::optional<std::uint64_t> number_header(const http_headers& headers,
                                                          std::string_view name);
 
+// Updates what this node knows of the target's restraints from its response to a request.
+void learn_from_response(call_context& node, const request_id& request,
+                         const target_instance& target, const http_response& response);
+
 [[nodiscard]] socket_address address_of(const endpoint& e);
 
 }  // namespace arbutus
--- a/src/node/hosted_targets.cpp
+++ b/src/node/hosted_targets.cpp
@@ -30,15 +30,6 @@
   return from_seconds(to_seconds(mean_retry_after) * (0.5 + node.random.unit()));
 }
 
-// The end of the backoff, and a random time after it: callers that were refused during the backoff
-// would otherwise all retry in its last moment.
-duration retry_after_backoff(hosted_state& node, time_point now,
-                             const target_backoffs::backoff& backoff) {
-  constexpr duration longest_spread = 2s;
-  const duration spread = std::min((backoff.ends - backoff.begun) / 2, longest_spread);
-  return backoff.ends - now + from_seconds(to_seconds(spread) * node.random.unit());
-}
-
 void update_send_limit(hosted_state& node, time_point sent_at, const target_id& target, int status,
                        const response_fields& answer) {
   // A failure may come from a component of the target that does not report the target's send limit,
@@ -89,7 +80,8 @@
                                            const std::optional<refusal>& otherwise) {
   std::vector<refusal> reasons;
   if (excluded.first_backoff) {
-    reasons.push_back({retry_after_backoff(node, now, *excluded.first_backoff), backoff_reason});
+    reasons.push_back(
+        {retry_after_backoff(now, *excluded.first_backoff, node.random.unit()), backoff_reason});
   }
   if (excluded.by_send_limit) {
     reasons.push_back({retry_after_limit(node), send_limit_reason});
--- a/src/node/model_attempt.cpp
+++ b/src/node/model_attempt.cpp
@@ -99,7 +99,8 @@
         [](const replica_route& route, const replica_id& id) { return route.id < id; });
     return found != routes.end() && found->id == chosen.id &&
            found->fencing_generation == chosen.fencing_generation &&
-           may_use_route(monotonic_now(), *found);
+           may_use_route(monotonic_now(), *found) &&
+           !node.backoffs.is_restrained(monotonic_now(), head_of(*found));
   };
 }
 
@@ -110,6 +111,7 @@
   const http_request request = make_request(attempt, route, 0);
   call_result result = node.client.fetch(address_of(route.address), request, attempt.deadline,
                                          cancel, permit_for(node, route));
+  learn_from_response(node, attempt.id, head_of(route), result.response);
   if (!result.ok()) {
     set_transport_failure(result, end);
     return end;
@@ -223,6 +225,7 @@
   int status = 0;
   const auto on_headers = [&](int received, const http_headers& headers) {
     status = received;
+    learn_from_response(node, attempt.id, head_of(route), {received, headers, {}});
     if (received == status_ok && !has_request_id(headers, attempt.id)) {
       end.reason = "the answer names another request";
       return false;
--- a/src/node/model_call.cpp
+++ b/src/node/model_call.cpp
@@ -118,15 +118,27 @@
     return true;
   }
 
-  static call_error rejection_error(const rejected& why) {
+  [[nodiscard]] call_error rejection_error(const rejected& why) const {
     call_error error;
     error.status = why.reason == reject_reason::queue_full ? 429 : 503;
     error.code = std::string(to_string(why.reason));
     error.message = "not run: there is no capacity in time";
-    error.retry_after = why.retry_after;
+    error.retry_after = retry_after_restraint().value_or(why.retry_after);
     return error;
   }
 
+  [[nodiscard]] std::optional<duration> retry_after_restraint() const {
+    return gate_->retry_after_restraint(*node_.coordination.view());
+  }
+
+  void give_up_without_replica(execution ran) {
+    if (const auto wait = retry_after_restraint()) {
+      give_up(ran, "targets_back_off", "the replicas asked for a backoff or are leaving", *wait);
+    } else {
+      give_up(ran, "no_replica", "no replica may take the request", no_replica_retry_after);
+    }
+  }
+
   // Makes attempts until the answer is complete or no further attempt is allowed. True if the
   // request was served.
   bool run_attempts() {
@@ -136,7 +148,7 @@
     for (;;) {
       const std::optional<replica_route> route = wait_for_route();
       if (!route) {
-        give_up(worst, "no_replica", "no replica may take the request", no_replica_retry_after);
+        give_up_without_replica(worst);
         return false;
       }
       const attempt_outcome end = attempt_at(*route, answer);
@@ -168,7 +180,8 @@
   }
 
   // Chooses a route from the newest view. Waits while there is none, for example during the repair
-  // of a replica; empty if the deadline is reached or the caller has disconnected.
+  // of a replica; empty if the deadline is reached, the caller has disconnected, or all replicas
+  // back off or are leaving.
   std::optional<replica_route> wait_for_route() {
     for (;;) {
       const time_point now = monotonic_now();
@@ -181,7 +194,7 @@
       if (choice) {
         return view->routes.replicas[choice->index];
       }
-      if (writer_.caller_disconnected() ||
+      if (writer_.caller_disconnected() || gate_->retry_after_restraint(*view) ||
           now + route_poll_interval >= std::min(call_.deadline, facts_.first_token_deadline)) {
         return std::nullopt;
       }
--- a/src/node/model_gate.cpp
+++ b/src/node/model_gate.cpp
@@ -14,6 +14,9 @@
 // is delayed by this at most.
 constexpr duration queue_sweep_interval = 10ms;
 
+// Sent as Retry-After if all replicas are leaving: about the time until others are formed.
+constexpr duration leaving_retry_after = 2s;
+
 }  // namespace
 
 // Ends the wait of the request's fiber, and notifies it while holding the lock: as soon as the
@@ -34,13 +37,19 @@
   return *outcome_;
 }
 
-model_gate::model_gate(fiber_runtime& runtime, model_id model, std::uint64_t seed)
-    : runtime_(runtime), model_(std::move(model)), router_(seed), random_(seed + 1) {}
+model_gate::model_gate(fiber_runtime& runtime, route_backoffs& backoffs, model_id model,
+                       std::uint64_t seed)
+    : runtime_(runtime),
+      backoffs_(backoffs),
+      model_(std::move(model)),
+      router_(seed),
+      random_(seed + 1) {}
 
 void model_gate::apply_capacity(time_point now, const node_view& view) {
   router_.set_nodes(view.live_nodes);
-  const slot_count slots =
-      usable_slots(now, view.routes, model_, in_flight_requests_, view.live_nodes);
+  const auto permitted = backoffs_.without_restrained(now, view.routes);
+  const slot_count slots = usable_slots(now, permitted ? *permitted : view.routes, model_,
+                                        in_flight_requests_, view.live_nodes);
   start(admission_.update_capacity_and_start_next(
       now, {slots.free_slots, slots.slots, duration::zero()}));
 }
@@ -118,6 +127,7 @@
     const time_point now = monotonic_now();
     if (view_) {
       apply_capacity(now, *view_);
+      refuse_waiting_if_all_restrained(now, *view_);
     }
     refuse(admission_.tick(now));
     if (waiters_.empty()) {
@@ -127,11 +137,30 @@
   }
 }
 
+// Requests would otherwise wait until their deadline for a replica that takes none before.
+void model_gate::refuse_waiting_if_all_restrained(time_point now, const node_view& view) {
+  while (!waiters_.empty()) {
+    const auto wait = backoffs_.retry_after(now, view.routes, model_, leaving_retry_after);
+    if (!wait) {
+      return;
+    }
+    const request_id id = waiters_.begin()->first;
+    refuse({id, {reject_reason::no_capacity, *wait}});
+    start(admission_.abandon_and_start_next(now, id));
+  }
+}
+
+std::optional<duration> model_gate::retry_after_restraint(const node_view& view) {
+  return backoffs_.retry_after(monotonic_now(), view.routes, model_, leaving_retry_after);
+}
+
 std::optional<route_choice> model_gate::choose(time_point now, const node_view& view,
                                                const request_facts& facts,
                                                std::span<const replica_id> tried) {
   const std::lock_guard guard(lock_);
-  return router_.choose(now, view.routes, facts, in_flight_requests_, tried);
+  const auto permitted = backoffs_.without_restrained(now, view.routes);
+  return router_.choose(now, permitted ? *permitted : view.routes, facts, in_flight_requests_,
+                        tried);
 }
 
 std::uint32_t model_gate::attempt_sent(time_point now, const replica_id& replica,
@@ -240,7 +269,8 @@
   const std::lock_guard guard(lock_);
   std::unique_ptr<model_gate>& gate = gates_[model];
   if (!gate) {
-    gate = std::make_unique<model_gate>(runtime_, model, stable_hash(model.str(), seed_));
+    gate =
+        std::make_unique<model_gate>(runtime_, backoffs_, model, stable_hash(model.str(), seed_));
   }
   return *gate;
 }
--- a/src/node/model_gate.h
+++ b/src/node/model_gate.h
@@ -14,6 +14,7 @@
 
 #include "connection/fiber_runtime.h"
 #include "node/control.h"
+#include "node/route_backoffs.h"
 #include "request/admission.h"
 #include "request/in_flight.h"
 #include "request/retry.h"
@@ -46,7 +47,7 @@
 
 class model_gate {
  public:
-  model_gate(fiber_runtime& runtime, model_id model, std::uint64_t seed);
+  model_gate(fiber_runtime& runtime, route_backoffs& backoffs, model_id model, std::uint64_t seed);
 
   // Suspends until the request may start, is rejected or its caller has disconnected.
   admission_outcome enter(const node_view& view, const request_facts& facts,
@@ -75,6 +76,10 @@
   bool decide_hedge(time_point now, std::string_view request_class, time_point sent,
                     const attempt_context& context, const request_facts& facts);
 
+  // When the caller of a request that no replica may take should retry, if that is since all heads
+  // of the model's replicas back off or are leaving; empty: for another reason.
+  [[nodiscard]] std::optional<duration> retry_after_restraint(const node_view& view);
+
   [[nodiscard]] duration expected_wait(const request_facts& facts);
   [[nodiscard]] std::uint32_t in_flight_at(const replica_id& replica);
   [[nodiscard]] std::size_t waiting();  // requests in the queue
@@ -92,8 +97,10 @@
   void refuse(const rejection& one);
   void start_queue_sweep();
   void sweep_queue();
+  void refuse_waiting_if_all_restrained(time_point now, const node_view& view);
 
   fiber_runtime& runtime_;
+  route_backoffs& backoffs_;
   model_id model_;
   std::mutex lock_;  // guards all below
   admission admission_;
@@ -114,7 +121,8 @@
 // The gates of all models; created on first use and kept as long as the process runs.
 class model_gates {
  public:
-  model_gates(fiber_runtime& runtime, std::uint64_t seed) : runtime_(runtime), seed_(seed) {}
+  model_gates(fiber_runtime& runtime, route_backoffs& backoffs, std::uint64_t seed)
+      : runtime_(runtime), backoffs_(backoffs), seed_(seed) {}
 
   model_gate& gate_of(const model_id& model);
   void refresh(const std::shared_ptr<const node_view>& view);
@@ -123,6 +131,7 @@
 
  private:
   fiber_runtime& runtime_;
+  route_backoffs& backoffs_;
   std::uint64_t seed_;
   std::mutex lock_;
   std::map<model_id, std::unique_ptr<model_gate>> gates_;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -35,7 +35,8 @@
         platform(client, options.platform, options.data_centre),
         engines(client),
         call_metrics(options.workers),
-        gates(runtime, options.seed),
+        backoffs(options.seed),
+        gates(runtime, backoffs, options.seed),
         limits(monotonic_now(), options.self),
         core(runtime, platform, engines, core_settings(options)),
         context{options.self,
@@ -48,6 +49,7 @@
                 gates,
                 limits,
                 services,
+                backoffs,
                 call_metrics},
         callers(context, paths()) {}
 
@@ -83,6 +85,7 @@
   platform_client platform;
   engine_client engines;
   metrics call_metrics;
+  route_backoffs backoffs;
   model_gates gates;
   limit_exchange limits;
   service_health services;
@@ -100,6 +103,7 @@
 // Called on worker 0 for each new view.
 void node::parts::on_view(const std::shared_ptr<const node_view>& view) {
   gates.refresh(view);
+  backoffs.forget(monotonic_now(), view->routes);
   if (!view->config || view->config->version == linked_config_version) {
     return;
   }
@@ -121,6 +125,9 @@
   add("arbutusworks_assignment_version", view->routes.assignment_version);
   add("arbutusworks_routable_replicas", view->routes.replicas.size());
   add("arbutusworks_live_nodes", view->live_nodes);
+  const target_backoffs::counts restrained = backoffs.count(monotonic_now());
+  add("arbutusworks_targets_backing_off", restrained.backing_off);
+  add("arbutusworks_targets_leaving", restrained.leaving);
   add("arbutusworks_requests_active", server->active());
   add("arbutusworks_connections_open", server->connections());
   add("arbutusworks_link_bytes_in", traffic.bytes_in);
--- a/src/node/service_call.cpp
+++ b/src/node/service_call.cpp
@@ -100,7 +100,23 @@
     return std::nullopt;
   }
 
-  // Instances of this data centre first, then the others; those with a recent failure last.
+  [[nodiscard]] std::vector<target_instance> all_instances() const {
+    std::vector<target_instance> all;
+    for (const service_target& target : call_.view->config->assets.services) {
+      if (target.service == service_->id) {
+        all.push_back(instance_at(target.address));
+      }
+    }
+    return all;
+  }
+
+  // When the caller should retry if all instances back off or are leaving.
+  [[nodiscard]] std::optional<duration> retry_after_restraint() const {
+    return node_.backoffs.retry_after(monotonic_now(), all_instances(), retry_after_failure);
+  }
+
+  // The instances that may be sent calls now. Instances of this data centre first, then the others;
+  // those with a recent failure last.
   [[nodiscard]] std::vector<endpoint> instances() const {
     struct ranked {
       int rank;
@@ -110,7 +126,8 @@
     std::vector<ranked> list;
     const time_point now = monotonic_now();
     for (const service_target& target : call_.view->config->assets.services) {
-      if (target.service != service_->id) {
+      if (target.service != service_->id ||
+          node_.backoffs.is_restrained(now, instance_at(target.address))) {
         continue;
       }
       const int remote_penalty = target.data_centre == node_.data_centre ? 0 : 1;
@@ -148,8 +165,14 @@
   // the request ran. So calls that may not be repeated use a fresh connection.
   call_result send_to(const endpoint& instance, const send_permit& permit, connection_use use) {
     ++call_.measurements.attempts;
-    call_result result =
-        node_.client.fetch(address_of(instance), outgoing(), call_.deadline, cancel_, permit, use);
+    // Checked first: the permit of a keyed call counts the call as sent.
+    const auto permit_unless_restrained = [&] {
+      return !node_.backoffs.is_restrained(monotonic_now(), instance_at(instance)) &&
+             (!permit || permit());
+    };
+    call_result result = node_.client.fetch(address_of(instance), outgoing(), call_.deadline,
+                                            cancel_, permit_unless_restrained, use);
+    learn_from_response(node_, call_.id, instance_at(instance), result.response);
     if (result.ok()) {
       node_.services.note_success(instance);
     } else if (result.failure != call_failure::cancelled &&
@@ -181,7 +204,18 @@
       finish("caller_gone", "while running");
       return;
     }
-    give_up(worst, "service_unavailable", reason);
+    give_up_without_answer(worst, "service_unavailable", reason, retry_after_failure);
+  }
+
+  // A call that did not run is refused until the first backoff ends if that is the reason.
+  void give_up_without_answer(execution ran, std::string code, std::string message,
+                              duration retry_after) {
+    const auto wait = ran == execution::not_run ? retry_after_restraint() : std::nullopt;
+    if (wait) {
+      give_up(ran, "targets_back_off", "the instances asked for a backoff or are leaving", *wait);
+    } else {
+      give_up(ran, std::move(code), std::move(message), retry_after);
+    }
   }
 
   void run_keyed() {
@@ -208,7 +242,8 @@
     for (const endpoint& instance : instances()) {
       result = send_to(instance, permit, connection_use::fresh);
       const bool next = result.outcome == call_outcome::not_sent &&
-                        result.failure == call_failure::connect_failed;
+                        (result.failure == call_failure::connect_failed ||
+                         node_.backoffs.is_restrained(monotonic_now(), instance_at(instance)));
       if (!next) {
         break;
       }
@@ -223,7 +258,7 @@
         send_recorded(reply);
         return;
       case kind::not_run:
-        give_up(execution::not_run, "not_run", reply.reason, reply.retry_after);
+        give_up_without_answer(execution::not_run, "not_run", reply.reason, reply.retry_after);
         return;
       case kind::unknown:
         give_up(execution::unknown, "outcome_unknown", reply.reason, reply.retry_after);
--- a/src/process/coordinator_views.cpp
+++ b/src/process/coordinator_views.cpp
@@ -67,6 +67,7 @@
     route.model_version = replica.model_version;
     route.fencing_generation = in_force.fencing_generation;
     route.head = head->id;
+    route.head_incarnation = load.report.incarnation;
     route.address = head->address;
     route.members = in_force.members;
     route.valid_until = p.valid_until;
--- a/src/process/routes.h
+++ b/src/process/routes.h
@@ -21,6 +21,7 @@
   std::string model_version;
   generation fencing_generation;
   vm_id head;  // the member that receives requests
+  std::uint64_t head_incarnation{};
   endpoint address;
   std::vector<vm_id> members;
   time_point valid_until;  // end of the permission; no request is sent at or after this
--- a/src/request/target_backoff.cpp
+++ b/src/request/target_backoff.cpp
@@ -57,6 +57,13 @@
   return {static_cast<std::size_t>(running), leaving_.size()};
 }
 
+duration retry_after_backoff(time_point now, const target_backoffs::backoff& backoff,
+                             double random_sample) {
+  constexpr duration longest_spread = 2s;
+  const duration spread = std::min((backoff.ends - backoff.begun) / 2, longest_spread);
+  return backoff.ends - now + from_seconds(to_seconds(spread) * random_sample);
+}
+
 std::string_view to_string(target_restraint restraint) {
   switch (restraint) {
     case target_restraint::none:
--- a/src/request/target_backoff.h
+++ b/src/request/target_backoff.h
@@ -91,6 +91,12 @@
   std::map<target_instance, time_point> leaving_;  // when each last said that it is leaving
 };
 
+// Time after which a caller should retry that is refused because of the backoff: its end and a part
+// of the time after it, by `random_sample` (uniform in [0, 1)). Without the spread, all callers
+// that were refused during the backoff would retry in the moment of its end.
+[[nodiscard]] duration retry_after_backoff(time_point now, const target_backoffs::backoff& backoff,
+                                           double random_sample);
+
 [[nodiscard]] std::string_view to_string(target_restraint restraint);
 
 }  // namespace arbutus
--- a/src/standin/engine_completions.cpp
+++ b/src/standin/engine_completions.cpp
@@ -45,8 +45,8 @@
 // Writes the tokens of one answer to the caller's connection as they are generated.
 class answer_sender {
  public:
-  answer_sender(const completion_call& call, response_writer& writer)
-      : call_(call), writer_(writer) {}
+  answer_sender(const completion_call& call, response_writer& writer, bool leaving)
+      : call_(call), writer_(writer), leaving_(leaving) {}
 
   // Sends the tokens of one step; false if nothing more can be sent.
   bool send(const stream_step& step) {
@@ -71,7 +71,7 @@
   }
 
   bool send_frames(const stream_step& step) {
-    if (!writer_.started() && !writer_.start(200, answer_headers(call_, step.response_id))) {
+    if (!writer_.started() && !writer_.start(200, headers_of_answer(step.response_id))) {
       return false;
     }
     std::string text = wire_->frames(step.tokens);
@@ -84,7 +84,7 @@
   // Sends the body of an answer without streaming. Of a truncated answer it sends half, and the
   // connection then closes.
   bool send_body(const stream_step& step) {
-    const http_headers headers = answer_headers(call_, step.response_id);
+    const http_headers headers = headers_of_answer(step.response_id);
     const std::string body = wire_->body(step.tokens);
     if (step.state == stream_state::finished) {
       return writer_.send(200, headers, body);
@@ -93,8 +93,17 @@
            writer_.write(std::string_view(body).substr(0, body.size() / 2));
   }
 
+  [[nodiscard]] http_headers headers_of_answer(const request_id& id) const {
+    http_headers headers = answer_headers(call_, id);
+    if (leaving_) {
+      headers.add("Server-Leaving", "1");
+    }
+    return headers;
+  }
+
   const completion_call& call_;
   response_writer& writer_;
+  bool leaving_;                           // the engine says in its answers that it is leaving
   std::optional<completion_writer> wire_;  // empty until the first token is sent
 };
 
@@ -109,6 +118,12 @@
   }
   const auto& call = std::get<completion_call>(parsed);
   std::unique_lock lock(mutex_);
+  if (const auto backoff = engine_.backoff()) {
+    engine_.count_turned_away();
+    lock.unlock();
+    send(writer, 503, {{"Retry-After", std::to_string(to_seconds(*backoff))}}, "");
+    return;
+  }
   const auto submitted = engine_.submit(monotonic_now(), call.request);
   lock.unlock();
   if (const auto* refusal = std::get_if<not_run>(&submitted)) {
@@ -118,10 +133,15 @@
   answer(call, std::get<batch_handle>(submitted), writer);
 }
 
+bool engine_server::says_leaving() {
+  const std::lock_guard lock(mutex_);
+  return engine_.says_leaving();
+}
+
 void engine_server::answer(const completion_call& call, batch_handle handle,
                            response_writer& writer) {
   request_closer closer(mutex_, engine_, handle);
-  answer_sender sender(call, writer);
+  answer_sender sender(call, writer, says_leaving());
   writer.on_caller_disconnect([&closer] { closer.close(); });
   while (wait_until_responsive(writer)) {
     std::unique_lock lock(mutex_);
--- a/src/standin/engine_server.h
+++ b/src/standin/engine_server.h
@@ -38,6 +38,7 @@
   void report(response_writer& writer);
   void handle_order(const http_request& request, time_point received_at, response_writer& writer);
   void complete(completion_kind kind, const http_request& request, response_writer& writer);
+  [[nodiscard]] bool says_leaving();
   void answer(const completion_call& call, batch_handle handle, response_writer& writer);
   void cancel(const std::string& id, response_writer& writer);
   void cache_events(const std::string& since, response_writer& writer);
--- a/src/standin/engine_standin.h
+++ b/src/standin/engine_standin.h
@@ -61,6 +61,7 @@
   // Answers truncated because an order made the engine leave its replica.
   std::uint64_t cut_by_order{};
   std::uint64_t not_run{};
+  std::uint64_t turned_away{};  // while asking for a backoff
   std::uint64_t orders_done{};
   std::uint64_t orders_refused{};
 };
@@ -129,6 +130,13 @@
   void resume(time_point now);
   void set_straggler(time_point now, double speed);  // 1: normal
   void set_leaving(bool leaving) { leaving_ = leaving; }
+  // Whether the engine says in its answers, rather than in its reports, that it is leaving.
+  void set_says_leaving(bool says) { says_leaving_ = says; }
+  [[nodiscard]] bool says_leaving() const noexcept { return says_leaving_; }
+  // While set, the engine turns requests away and asks their senders to back off for this long.
+  void set_backoff(std::optional<duration> backoff) { backoff_ = backoff; }
+  [[nodiscard]] std::optional<duration> backoff() const noexcept { return backoff_; }
+  void count_turned_away() { ++counters_.turned_away; }
   void set_unresponsive(bool on) {
     unresponsive_ = on;
   }  // while on, the engine executes requests without answering
@@ -190,6 +198,8 @@
 
   bool up_ = true;
   bool leaving_ = false;
+  bool says_leaving_ = false;
+  std::optional<duration> backoff_;
   bool unresponsive_ = false;
   double speed_ = 1.0;
   std::optional<time_point> paused_at_;
--- a/src/standin/fault_commands.cpp
+++ b/src/standin/fault_commands.cpp
@@ -68,22 +68,31 @@
 outcome<faults_applied> set_faults(engine_standin& engine, time_point now, std::string_view text) {
   pending_answer_faults& answers = engine.faults();
   const auto pause = [&](const json& v) { v.get<bool>() ? engine.pause(now) : engine.resume(now); };
-  return apply({{"paused", pause},
-                {"speed", [&](const json& v) { engine.set_straggler(now, v.get<double>()); }},
-                {"leaving", [&](const json& v) { engine.set_leaving(v.get<bool>()); }},
-                {"silent", [&](const json& v) { engine.set_unresponsive(v.get<bool>()); }},
-                {"checks_tokens", [&](const json& v) { engine.set_checks_tokens(v.get<bool>()); }},
-                {"crossed", assign_to(answers.swapped)},
-                {"late", assign_to(answers.late)},
-                {"late_ms", assign_milliseconds_to(answers.late_by)},
-                {"truncated", assign_to(answers.truncated)},
-                {"duplicated", assign_to(answers.duplicated)}},
-               text);
+  return apply(
+      {{"paused", pause},
+       {"speed", [&](const json& v) { engine.set_straggler(now, v.get<double>()); }},
+       {"leaving", [&](const json& v) { engine.set_leaving(v.get<bool>()); }},
+       {"says_leaving", [&](const json& v) { engine.set_says_leaving(v.get<bool>()); }},
+       {"backoff_ms",
+        [&](const json& v) {
+          const duration asked = milliseconds(v);
+          engine.set_backoff(asked > duration::zero() ? std::optional(asked) : std::nullopt);
+        }},
+       {"silent", [&](const json& v) { engine.set_unresponsive(v.get<bool>()); }},
+       {"checks_tokens", [&](const json& v) { engine.set_checks_tokens(v.get<bool>()); }},
+       {"crossed", assign_to(answers.swapped)},
+       {"late", assign_to(answers.late)},
+       {"late_ms", assign_milliseconds_to(answers.late_by)},
+       {"truncated", assign_to(answers.truncated)},
+       {"duplicated", assign_to(answers.duplicated)}},
+      text);
 }
 
 outcome<faults_applied> set_faults(service_faults& faults, std::string_view text) {
   return apply({{"late", assign_to(faults.late)},
                 {"late_ms", assign_milliseconds_to(faults.late_by)},
+                {"backoff_ms", assign_milliseconds_to(faults.backoff)},
+                {"says_leaving", assign_to(faults.says_leaving)},
                 {"cut_before", assign_to(faults.cut_before)},
                 {"cut_after", assign_to(faults.cut_after)}},
                text);
@@ -99,15 +108,23 @@
 }
 
 std::string encode(const engine_counters& c) {
-  return json{{"accepted", c.accepted},         {"completed", c.completed},
-              {"cancelled", c.cancelled},       {"cut", c.cut},
-              {"cut_by_order", c.cut_by_order}, {"not_run", c.not_run},
-              {"orders_done", c.orders_done},   {"orders_refused", c.orders_refused}}
+  return json{{"accepted", c.accepted},
+              {"completed", c.completed},
+              {"cancelled", c.cancelled},
+              {"cut", c.cut},
+              {"cut_by_order", c.cut_by_order},
+              {"not_run", c.not_run},
+              {"turned_away", c.turned_away},
+              {"orders_done", c.orders_done},
+              {"orders_refused", c.orders_refused}}
       .dump();
 }
 
 std::string encode(const service_counters& c) {
-  return json{{"executions", c.executions}, {"keys", c.keys}, {"most_per_key", c.max_per_key}}
+  return json{{"executions", c.executions},
+              {"keys", c.keys},
+              {"most_per_key", c.max_per_key},
+              {"turned_away", c.turned_away}}
       .dump();
 }
 
--- a/src/standin/fault_commands.h
+++ b/src/standin/fault_commands.h
@@ -22,10 +22,10 @@
 outcome<faults_applied> set_faults(store_faults& faults, time_point now, std::string_view json);
 
 // {"paused":true,"speed":0.2,"leaving":true,"silent":true,"checks_tokens":false,"crossed":1,
-//  "late":1,"late_ms":500,"truncated":1,"duplicated":1}
+//  "late":1,"late_ms":500,"truncated":1,"duplicated":1,"backoff_ms":2000,"says_leaving":true}
 outcome<faults_applied> set_faults(engine_standin& engine, time_point now, std::string_view json);
 
-// {"late":1,"late_ms":500,"cut_before":1,"cut_after":1}
+// {"late":1,"late_ms":500,"cut_before":1,"cut_after":1,"backoff_ms":2000,"says_leaving":true}
 outcome<faults_applied> set_faults(service_faults& faults, std::string_view json);
 
 [[nodiscard]] std::string encode(const store_counters& c);
--- a/src/standin/service_server.cpp
+++ b/src/standin/service_server.cpp
@@ -34,6 +34,13 @@
                               idempotency_key{header_text(request, "idempotency-key")},
                               request_id{header_text(request, "x-request-id")}, request.body};
   std::unique_lock lock(shared_.mutex);
+  const service_faults faults = shared_.service.faults();
+  if (faults.backoff > duration::zero()) {
+    shared_.service.count_turned_away();
+    lock.unlock();
+    writer.send(503, {{"Retry-After", std::to_string(to_seconds(faults.backoff))}}, "");
+    return;
+  }
   const service_reply reply = shared_.service.call(received);
   lock.unlock();
   if (reply.late_by > duration{} && !wait_for(writer, reply.late_by)) {
@@ -47,6 +54,9 @@
   if (!received.id.empty()) {
     headers.add("x-request-id", received.id.str());
   }
+  if (faults.says_leaving) {
+    headers.add("Server-Leaving", "1");
+  }
   writer.send(200, headers, reply.body);
 }
 
--- a/src/standin/service_standin.h
+++ b/src/standin/service_standin.h
@@ -26,6 +26,8 @@
   duration late_by{};
   std::uint32_t cut_before{};  // the connection closes before the call runs
   std::uint32_t cut_after{};   // the connection closes after the call has run
+  duration backoff{};          // calls are turned away, and asked to come back after this; 0: none
+  bool says_leaving = false;   // the instances say in their responses that they are leaving
 };
 
 struct service_reply {
@@ -39,6 +41,7 @@
   std::uint64_t keys{};         // number of distinct idempotency keys among the executed calls
   std::uint32_t max_per_key{};  // highest number of executions with one key; above 1, a call ran
                                 // more than once
+  std::uint64_t turned_away{};
 };
 
 class service_standin {
@@ -48,6 +51,7 @@
   service_reply call(const service_call& c);
 
   [[nodiscard]] service_faults& faults() noexcept { return faults_; }
+  void count_turned_away() { ++counters_.turned_away; }
   [[nodiscard]] const service_counters& counters() const noexcept { return counters_; }
   // How often the service executed a call. `key` is the call's idempotency key, or its request id
   // if it had none.
