--- a/cmake/fuzz.cmake
+++ b/cmake/fuzz.cmake
@@ -10,8 +10,10 @@
   target_link_options(arbutusworks_core INTERFACE -fsanitize=${fuzz_sanitizers})
   # The readers of the platform's documents need no sockets.
   add_library(fuzz_platform_readers STATIC platform/base64.cpp platform/documents.cpp platform/engine_status_json.cpp
+    platform/http_fields.cpp
     platform/list_span.cpp
-    platform/store_rows.cpp)
+    platform/store_rows.cpp
+    src/connection/http_message.cpp)
   target_include_directories(fuzz_platform_readers PUBLIC ${CMAKE_CURRENT_SOURCE_DIR})
   target_link_libraries(fuzz_platform_readers PUBLIC arbutusworks_core nlohmann_json::nlohmann_json)
   target_compile_options(fuzz_platform_readers PRIVATE
--- a/src/standin/hosted_control.cpp
+++ b/src/standin/hosted_control.cpp
@@ -7,6 +7,31 @@
 
 namespace arbutus::standin {
 
+namespace {
+
+nlohmann::json restraints_json(const hosted_platform& platform) {
+  const time_point now = monotonic_now();
+  nlohmann::json windows = nlohmann::json::array();
+  for (const backoff_window& w : platform.broken_backoff_windows()) {
+    windows.push_back({{"target", w.target},
+                       {"node", w.node},
+                       {"asked", to_seconds(now - w.asked_at)},
+                       {"ends", to_seconds(now - w.ends)},
+                       {"arrivals", w.arrivals}});
+  }
+  nlohmann::json after_notice = nlohmann::json::array();
+  for (const arrival_after_notice& a : platform.arrivals_after_notice()) {
+    after_notice.push_back({{"target", a.target},
+                            {"node", a.node},
+                            {"request", a.request},
+                            {"told", to_seconds(now - a.told_at)},
+                            {"arrived", to_seconds(now - a.arrived_at)}});
+  }
+  return {{"windows", windows}, {"after_notice", after_notice}};
+}
+
+}  // namespace
+
 hosted_control::hosted_control(fiber_runtime& runtime, hosted_platform& platform,
                                const socket_address& at)
     : platform_(platform),
@@ -38,11 +63,20 @@
     }
     answer["killed"] = id;
   } else if (path == "/restart") {
-    const std::string id = platform_.find_member(set);
+    const std::string named = query_parameter(request.target, "id");
+    const std::string id = named.empty() ? platform_.find_member(set) : named;
     if (!id.empty()) {
       platform_.restart_engine(id);
     }
     answer["restarted"] = id;
+  } else if (path == "/head") {
+    answer["head"] = platform_.find_member(true);
+  } else if (path == "/behave") {
+    platform_.set_behaviour(query_parameter(request.target, "id"),
+                            {query_parameter(request.target, "away") == "1", value,
+                             query_parameter(request.target, "leaving") == "1"});
+  } else if (path == "/restraints") {
+    answer = restraints_json(platform_);
   } else if (path == "/foreign") {
     platform_.write_target_record("not-an-engine",
                                   R"({"service":"llm","state":"asleep","slots":"many"})");
--- a/src/standin/hosted_control.h
+++ b/src/standin/hosted_control.h
@@ -6,7 +6,14 @@
 //                              replicas
 //   GET  /arrivals             how long ago each request arrived at each target, in seconds
 //   POST /kill?head=0|1        a non-head member (head=1: the head) of a serving replica dies
-//   without notice POST /restart?head=0|1     a member (or the head) of a serving replica restarts
+//                              without notice
+//   POST /restart?head=0|1     a member (or the head) of a serving replica restarts
+//   POST /restart?id=ID        the engine restarts
+//   GET  /head                 id of the head of a serving replica
+//   POST /behave?id=ID&away=0|1&leaving=0|1&seconds=TEXT
+//                              how a target (without ID: each of them) answers: it turns requests
+//                              away and names this time, or says that it is leaving
+//   GET  /restraints           what nodes sent nevertheless, see restraint_checker; ages in seconds
 //   POST /foreign              writes two invalid records into the list of targets
 //   POST /store?down=0|1       the store answers 503 to every request
 //   POST /configure?keys=0|1   writes the next configuration, with or without the workspace's key
--- a/src/standin/hosted_platform.cpp
+++ b/src/standin/hosted_platform.cpp
@@ -22,16 +22,6 @@
 constexpr duration unlist_delay = 400ms;
 constexpr std::uint64_t first_start_stamp = 1'700'000'000'000;
 
-// The value of `name` in a query string. Not percent-decoded: keys here need no escaping.
-std::string query_parameter(const std::string& target, const std::string& name) {
-  const auto at = target.find(name + "=");
-  if (at == std::string::npos) {
-    return {};
-  }
-  const auto from = at + name.size() + 1;
-  return target.substr(from, target.find('&', from) - from);
-}
-
 json group_of(const std::optional<membership>& own) {
   return {{"name", own->replica.name},
           {"epoch", own->replica.epoch},
--- a/src/standin/standin_http.cpp
+++ b/src/standin/standin_http.cpp
@@ -61,6 +61,15 @@
                                                                                    : fallback;
 }
 
+std::string query_parameter(const std::string& target, const std::string& name) {
+  const auto at = target.find(name + "=");
+  if (at == std::string::npos) {
+    return {};
+  }
+  const auto from = at + name.size() + 1;
+  return target.substr(from, target.find('&', from) - from);
+}
+
 std::optional<std::string> after(std::string_view target, std::string_view prefix) {
   if (!target.starts_with(prefix)) {
     return std::nullopt;
--- a/src/standin/standin_http.h
+++ b/src/standin/standin_http.h
@@ -46,6 +46,10 @@
 [[nodiscard]] std::uint64_t header_number(const http_request& request, std::string_view name,
                                           std::uint64_t fallback);
 
+// The value of `name` in a query string; empty if it is missing. Not percent-decoded: the values
+// need no escaping.
+[[nodiscard]] std::string query_parameter(const std::string& target, const std::string& name);
+
 // The part of the request target after `prefix`; empty if the target does not start with it.
 [[nodiscard]] std::optional<std::string> after(std::string_view target, std::string_view prefix);
 
--- a/tests/process/soak.py
+++ b/tests/process/soak.py
@@ -21,6 +21,10 @@
   accused   no other request is refused as a poison request
   limited   once the faults are over, all nodes together send a target with a rate limit at most one
             and a half times that rate plus five requests in four seconds
+  restraint a node sends a target at most two requests from half a second after it asked the node
+            to back off until the end of that time, and none that was sent later than the drain
+            limit after the target said that it is leaving; a node that was disturbed since is
+            excused
   newest    every node soon uses a new configuration whose transfer takes the store seconds
 """
 
@@ -54,6 +58,9 @@
 FIRST_SEED_OF_POISON = 400
 # Seeds from here on also use targets with a rate limit and configurations with thousands of routes.
 FIRST_SEED_OF_LIMITS = 600
+# Seeds from here on also use targets that ask for a backoff or say that they are leaving.
+FIRST_SEED_OF_RESTRAINTS = 800
+DRAIN_SECONDS = 2.0
 LIMIT = 2.0
 LIMIT_WINDOW_SECONDS = 4.0
 # Time for all nodes to learn the limit; only later arrivals are checked.
@@ -155,11 +162,22 @@
         self.process = None
         self.stopped = False  # SIGSTOP
         self.lock = threading.Lock()
+        self.disturbances = []  # (begin, end): killed, told to stop or paused
 
     def start(self):
         self.process = subprocess.Popen([BINARY, "hosted", str(self.file)], stdout=self.log,
                                         stderr=self.log)
 
+    @contextlib.contextmanager
+    def disturbed(self):
+        with self.lock:
+            begun = time.monotonic()
+            yield
+            self.disturbances.append((begun, time.monotonic()))
+
+    def is_excused(self, begin, end):
+        return any(b <= end and begin <= e for b, e in self.disturbances)
+
     def listens(self):
         try:
             socket.create_connection((LOOPBACK, self.callers.target), timeout=1).close()
@@ -225,16 +243,16 @@
 
     def keep_calling(self, caller):
         choice = random.Random(self.seed * CALLERS + caller)
-        connection, number = None, 0
+        connection, node, number = None, None, 0
         while not self.ending.is_set():
             if connection is None or choice.random() < 0.02:
-                port = choice.choice(self.nodes).callers.port
-                connection = http.client.HTTPConnection(LOOPBACK, port, timeout=8)
+                node = choice.choice(self.nodes)
+                connection = http.client.HTTPConnection(LOOPBACK, node.callers.port, timeout=8)
             number += 1
             path = "/card/1" if choice.random() < 0.3 else "/llm/x"
             if self.seed >= FIRST_SEED_OF_POISON:
                 path += f"-{caller}-{number // 2}"
-            status = self.ask(connection, f"c{caller}-{number}", path)
+            status = self.ask(connection, f"c{caller}-{number}@{node.name}", path)
             if status != 200:
                 connection = None
                 time.sleep(0.05)
@@ -268,20 +286,20 @@
             node.callers.reset()
 
     def pause_node(self, node, rng):
-        with node.lock:
+        with node.disturbed():
             node.process.send_signal(signal.SIGSTOP)
             time.sleep(rng.uniform(0.1, 4))
             node.process.send_signal(signal.SIGCONT)
 
     def kill_node(self, node, rng):
-        with node.lock:
+        with node.disturbed():
             node.process.kill()
             node.process.wait()
             time.sleep(rng.uniform(0, 2))
             node.start()
 
     def terminate_node(self, node, _rng):
-        with node.lock:
+        with node.disturbed():
             # While it is still starting, it has nothing to shut down gracefully.
             with contextlib.suppress(AssertionError):
                 wait_until(node.listens, node.name, timeout=5)
@@ -342,6 +360,37 @@
         time.sleep(rng.uniform(0.5, 4))
         self.command("POST", "/limit?value=")
 
+    def turn_away(self, _node, rng):
+        target = rng.choice(["", "i-api", self.command("GET", "/head")["head"]])
+        value = rng.choice(["0.8", "2", "3", "3", "0", "-1", "nan"])
+        self.command("POST", f"/behave?id={target}&away=1&seconds={value}")
+        time.sleep(rng.uniform(0.5, 4))
+        self.command("POST", f"/behave?id={target}&away=0&seconds=")
+
+    def leave(self, _node, rng):
+        target = self.command("GET", "/head")["head"]
+        if target:
+            self.command("POST", f"/behave?id={target}&leaving=1&seconds=")
+            time.sleep(rng.uniform(DRAIN_SECONDS, DRAIN_SECONDS + 3))
+            self.command("POST", f"/restart?id={target}")
+
+    def check_restrained(self):
+        now = time.monotonic()
+        found = self.command("GET", "/restraints")
+        nodes = {node.name: node for node in self.nodes}
+        for window in found["windows"]:
+            node = nodes.get(window["node"])
+            if node and not node.is_excused(now - window["asked"], now - window["ends"]):
+                self.report("restraint", f"{window['target']} got {window['arrivals']} requests of "
+                                         f"{node.name} in its backoff")
+        sent = {call[0]: call[2] for call in self.calls}
+        for arrival in found["after_notice"]:
+            node, told = nodes.get(arrival["node"]), now - arrival["told"]
+            late = sent.get(arrival["request"], 0) - told - DRAIN_SECONDS
+            if node and late > 0 and not node.is_excused(told, now - arrival["arrived"]):
+                self.report("restraint", f"{arrival['target']} got {arrival['request']}, sent "
+                                         f"{late:.2f} s after the drain limit")
+
     def grow_configuration(self, _node, rng):
         self.command("POST", f"/rate?bytes={STORE_BYTES_PER_SECOND}")
         if self.key_rejected_from is None:
@@ -436,6 +485,8 @@
             kinds += [self.send_poison] * 6
         if self.seed >= FIRST_SEED_OF_LIMITS:
             kinds += [self.name_limit] * 2 + [self.grow_configuration] * 4
+        if self.seed >= FIRST_SEED_OF_RESTRAINTS:
+            kinds += [self.turn_away] * 8 + [self.leave] * 4
         with ThreadPoolExecutor(max_workers=4) as pool:
             until = time.monotonic() + self.seconds
             running = []
@@ -481,6 +532,7 @@
                 self.check_newest()
                 self.check_limited()
                 self.wait_for_all("back")
+            self.check_restrained()
             self.check()
         finally:
             self.end()
