A head that rejects requests is the last choice for a second

A rejection takes milliseconds, so a head that rejects has no load and is each request's first choice; only requests rejected as misdirected made it the last one.

Change: any rejection does, for the same second. misdirected_heads becomes rejecting_heads.

Before: RejectingHeadIsNotPreferred failed (76 of 196 requests went to the head that rejects, one of three); now it passes.

--- a/src/node/hosted_state.h
+++ b/src/node/hosted_state.h
@@ -25,9 +25,9 @@
 #include "process/fleet_view.h"
 #include "process/hosted_settings.h"
 #include "process/lost_target_reports.h"
-#include "process/misdirected_heads.h"
 #include "process/node_heartbeat.h"
 #include "process/peer_table.h"
+#include "process/rejecting_heads.h"
 #include "process/serving_feed.h"
 #include "process/stall_monitor.h"
 #include "request/instance_choice.h"
@@ -67,7 +67,7 @@
   std::map<service_id, retry_window> retry_windows;
   stall_monitor replica_stalls;
   lost_target_reports lost_reports;  // received from peers
-  misdirected_heads misdirected;
+  rejecting_heads rejections;
   send_limits limits;
   target_backoffs backoffs;
   attempt_registry attempts;
--- a/src/node/hosted_stream.cpp
+++ b/src/node/hosted_stream.cpp
@@ -123,13 +123,13 @@
     end_locally(503, why.retry_after, why.reason);
   }
 
-  // Heads of replicas that are stalled for this node, heads that rejected a request as misdirected,
-  // and heads of replicas with a member that a peer reports as lost.
+  // Heads of replicas that are stalled for this node, heads that recently rejected a request, and
+  // heads of replicas with a member that a peer reports as lost.
   [[nodiscard]] std::vector<target_id> suspected_heads(
       time_point now, const std::vector<serving_replica>& replicas) const {
     std::vector<target_id> heads = node_.replica_stalls.stalled(now);
-    const std::vector<target_id> misdirected = node_.misdirected.heads(now);
-    heads.insert(heads.end(), misdirected.begin(), misdirected.end());
+    const std::vector<target_id> rejecting = node_.rejections.heads(now);
+    heads.insert(heads.end(), rejecting.begin(), rejecting.end());
     for (const serving_replica& replica : replicas) {
       if (node_.lost_reports.contains_any(now, replica.members)) {
         heads.push_back(replica.head);
@@ -315,9 +315,7 @@
     }
     if (answer_.kind == answer_kind::not_run && status_ != 0) {
       last_reason_ = "the target did not run it";
-      if (answer_.is_misdirected) {
-        node_.misdirected.note(monotonic_now(), head_);
-      }
+      node_.rejections.note(monotonic_now(), head_);
       return attempt_result::not_run;
     }
     if (result.ok() && answer_.kind == answer_kind::target_response && status_ == 200) {
--- a/src/process/misdirected_heads.h
+++ b/src/process/rejecting_heads.h
@@ -1,10 +1,11 @@
-// Heads that recently rejected a request as misdirected.
+// Heads that recently rejected a request without running it.
 //
-// Either another engine has the head's address, or it is no longer the head of a replica. The list
-// of targets shows that only when the head's row expires, seconds later. Without this, requests
-// sent there in the meantime are not run and use up the retry budget, so that callers are refused
-// while other replicas are idle. Such a head becomes the last choice of this node rather than
-// excluded, as it may accept requests again at any time.
+// Another engine may have the head's address, it may no longer be the head of a replica, or it
+// turns requests away. The list of targets shows that seconds later or never, and the head looks
+// idle, as each rejection takes milliseconds. Without this, it is preferred: requests sent there
+// are not run and use up the retry budget, so that callers are refused while other replicas are
+// idle. Such a head becomes the last choice of this node rather than excluded, as it may accept
+// requests again at any time.
 #pragma once
 
 #include <map>
@@ -15,7 +16,7 @@
 
 namespace arbutus {
 
-class misdirected_heads {
+class rejecting_heads {
  public:
   void note(time_point now, const target_id& head) {
     std::erase_if(rejected_at_, [now](const auto& entry) { return !is_fresh(now, entry.second); });
--- a/tests/core/target_incarnation_test.cpp
+++ b/tests/core/target_incarnation_test.cpp
@@ -5,7 +5,7 @@
 #include <gtest/gtest.h>
 
 #include "process/fleet_view.h"
-#include "process/misdirected_heads.h"
+#include "process/rejecting_heads.h"
 #include "process/replica_name.h"
 #include "request/replica_choice.h"
 
@@ -191,11 +191,11 @@
 }
 
 TEST(Misdirections, ExpireAfterTheRetentionPeriod) {
-  misdirected_heads tracker;
+  rejecting_heads tracker;
   const target_id head{"i-1"};
   tracker.note(time_point{10s}, head);
   EXPECT_EQ(tracker.heads(time_point{10s} + 500ms), std::vector<target_id>{head});
-  EXPECT_TRUE(tracker.heads(time_point{10s} + misdirected_heads::rejection_retention).empty());
+  EXPECT_TRUE(tracker.heads(time_point{10s} + rejecting_heads::rejection_retention).empty());
 }
 
 TEST(TargetAddress, NewestRowDecidesWhoOwnsTheAddress) {
--- a/tests/shell/hosted_backoff_test.cpp
+++ b/tests/shell/hosted_backoff_test.cpp
@@ -146,6 +146,28 @@
   EXPECT_TRUE(eventually([&] { return ask(0, call_path).result.response.status == 200; }));
 }
 
+// Guards against a head that turns requests away within milliseconds and is preferred for its low
+// load, so that the repeats use up the budget.
+TEST_F(HostedBackoff, RejectingHeadIsNotPreferred) {
+  ASSERT_TRUE(both_nodes_serve());
+  const std::string head = platform_.find_member(true);
+  turn_away(head, "");
+  const std::map<std::string, std::vector<time_point>> before = platform_.arrivals();
+  const std::map<int, int> answers = send_load(3s, stream_path);
+  std::size_t total = 0;
+  std::size_t rejected = 0;
+  for (const auto& [target, times] : platform_.arrivals()) {
+    const auto known = before.find(target);
+    const std::size_t arrived = times.size() - (known == before.end() ? 0 : known->second.size());
+    total += arrived;
+    rejected += target == head ? arrived : 0;
+  }
+  // Less than half of the equal share of a head.
+  EXPECT_LT(rejected * 2 * platform_.count_serving_replicas(), total);
+  EXPECT_EQ(answers.size(), 1U);
+  EXPECT_TRUE(answers.contains(200));
+}
+
 // Guards against new streams for a head that says that it is leaving while its record says ready.
 TEST_F(HostedBackoff, LeavingHeadGetsNoStreams) {
   ASSERT_TRUE(both_nodes_serve());
