Backoffs in the explanation of a refused request; more cases of the promise

Cause: a backoff may have begun long before a request that it refuses, beyond the 5 s that the explanation looks back.

Change: lines about restraints of a request's targets are included for the longest backoff.

--- a/src/node/request_timeline.cpp
+++ b/src/node/request_timeline.cpp
@@ -9,6 +9,8 @@
 #include <nlohmann/json.hpp>
 #include <set>
 
+#include "request/target_backoff.h"
+
 namespace arbutus {
 
 namespace {
@@ -19,6 +21,8 @@
 // replica lost a member (the engines stall for that long). Events up to this time before the
 // request's arrival are included.
 constexpr auto related_event_lookback = 5s;
+// The same for targets that asked for a backoff: it may be this long.
+constexpr auto backoff_lookback = target_backoffs::max_backoff;
 
 // Fields that every line has; they are not stored in logged_line::fields.
 constexpr std::array<std::string_view, 5> common_fields = {"time", "level", "part", "node",
@@ -320,7 +324,7 @@
   }
   std::stable_sort(timeline.own.begin(), timeline.own.end(), by_time);
   timeline.cause = cause_of(timeline.own);
-  const wall_clock_time from = request_start(timeline.own) - related_event_lookback;
+  const wall_clock_time start = request_start(timeline.own);
   const wall_clock_time until = timeline.own.back().time;
   const std::set<std::string> targets = targets_of(timeline.own);
   const std::set<std::string> fingerprints = fingerprints_of(timeline.own);
@@ -337,6 +341,8 @@
                            targets.contains(std::string(line.field("head")));
     const bool same_fingerprint =
         line.part == "poison" && fingerprints.contains(std::string(line.field("print")));
+    const wall_clock_time from =
+        start - (line.part == "target" ? backoff_lookback : related_event_lookback);
     if ((of_target && line.time >= from) || same_fingerprint) {
       timeline.related.push_back(line);
     }
--- a/tests/shell/hosted_backoff_test.cpp
+++ b/tests/shell/hosted_backoff_test.cpp
@@ -98,13 +98,51 @@
 // Guards against a head that asks for a backoff and is sent more than before, as it looks idle.
 TEST_F(HostedBackoff, BackingOffHeadGetsNoStreams) {
   ASSERT_TRUE(both_nodes_serve());
-  turn_away(platform_.find_member(true));
+  const std::string head = platform_.find_member(true);
+  const std::size_t replicas = platform_.count_serving_replicas();
+  turn_away(head);
   const std::map<int, int> answers = send_load(3s, stream_path);
   EXPECT_EQ(broken_windows(), "");
+  // Its replica is neither dissolved nor replaced.
+  EXPECT_EQ(platform_.find_member(true), head);
+  EXPECT_EQ(platform_.count_serving_replicas(), replicas);
   EXPECT_EQ(answers.size(), 1U);
   EXPECT_TRUE(answers.contains(200));
 }
 
+// Guards against a stream that is resumed at a head that backs off, when the head that it ran on
+// ends.
+TEST_F(HostedBackoff, StreamsAreNotResumedAtABackingOffHead) {
+  ASSERT_TRUE(both_nodes_serve());
+  const std::string head = platform_.find_member(true);
+  turn_away(head);
+  std::map<int, int> answers;
+  std::thread load([&] { answers = send_load(3s, stream_path); });
+  std::this_thread::sleep_for(std::chrono::milliseconds(700));
+  send_request(0, stream_path, "probe@edge-0");
+  const std::string running = platform_.engine_of_run("probe@edge-0");
+  platform_.kill_engine(running);
+  load.join();
+  EXPECT_NE(running, head);
+  EXPECT_EQ(broken_windows(), "");
+  EXPECT_GT(answers[200], 20);
+}
+
+// Guards against a backoff that ends with a new configuration, or with a send limit of the target.
+TEST_F(HostedBackoff, BackoffOutlivesConfigurationsAndSendLimits) {
+  ASSERT_TRUE(both_nodes_serve());
+  turn_away(platform_.find_member(true));
+  std::thread load([&] { send_load(3s, stream_path); });
+  std::this_thread::sleep_for(std::chrono::milliseconds(600));
+  platform_.write_next_configuration();
+  platform_.set_send_limit("50");
+  std::this_thread::sleep_for(std::chrono::milliseconds(600));
+  platform_.write_next_configuration();
+  platform_.set_send_limit("");
+  load.join();
+  EXPECT_EQ(broken_windows(), "");
+}
+
 // Guards against sends to the last instance of a service during the backoff that it asked for.
 TEST_F(HostedBackoff, BackingOffInstanceGetsNoCalls) {
   ASSERT_TRUE(both_nodes_serve());
--- a/tests/shell/request_timeline_test.cpp
+++ b/tests/shell/request_timeline_test.cpp
@@ -84,6 +84,25 @@
   EXPECT_EQ(timeline.related[1].node, "n-2");
 }
 
+// Guards against a refusal because of a backoff whose explanation does not name the backoff.
+TEST(RequestTimeline, IncludesTheBackoffsOfARefusedRequest) {
+  const std::string text =
+      line(
+          "00.000000", "n-1",
+          R"("part":"target","message":"backs off","learned_by":"r-0","target":"e-1","seconds":30)") +
+      line(
+          "01.000000", "n-1",
+          R"("part":"target","message":"backs off","learned_by":"r-0","target":"e-9","seconds":30)") +
+      line("20.000000", "n-1",
+           R"("part":"request","message":"ended","request":"r-1","result":"refused",)"
+           R"("reason":"the targets asked for a backoff","targets":"","restrained":"e-1,e-2",)"
+           R"("total_ms":0.1)");
+  const std::string explained = to_text(read_timeline(text, "r-1"));
+  EXPECT_THAT(explained, HasSubstr("503 with Retry-After"));
+  EXPECT_THAT(explained, HasSubstr("target backs off learned_by=\"r-0\" target=\"e-1\""));
+  EXPECT_THAT(explained, Not(HasSubstr("e-9")));
+}
+
 TEST(RequestTimeline, IncludesTheStrikesOfARefusedPoisonRequest) {
   // An identical request came earlier with other ids, at other nodes, longer ago than the events
   // that the timeline includes.
