What a misdirected request hears is not its target's word

Cause: found in reading. With 421 another target may answer at the address; its Server-Leaving would have taken out the one that the request was meant for.

The test of the reader has the case.

--- a/tests/shell/platform_test.cpp
+++ b/tests/shell/platform_test.cpp
@@ -272,6 +272,9 @@
   for (const std::string value : {"0", "", "true", "no"}) {
     EXPECT_FALSE(read_target_notice(200, {{"Server-Leaving", value}}).is_leaving) << value;
   }
+  // Guards against a notice of another target that has taken over the address.
+  EXPECT_TRUE(
+      read_response_fields(421, {{"Server-Leaving", "1"}}, request_id{"b7e2"}).notice.is_empty());
   EXPECT_TRUE(
       read_response_fields(500, {{"Server-Leaving", "1"}}, request_id{"b7e2"}).notice.is_leaving);
 }
