Candidates are not copied while no target is restrained

Cause: the check of a candidate copied its id and address, at each choice.

Change: an empty table is seen first; a lookup is made only while some target is restrained. Behaviour unchanged.

--- a/src/node/hosted_buffered.cpp
+++ b/src/node/hosted_buffered.cpp
@@ -82,7 +82,7 @@
       time_point now, const std::vector<service_instance>& instances) const {
     excluded_targets excluded;
     for (const service_instance& instance : instances) {
-      exclude_if_unavailable(node_, call_, now, {instance.id, instance.address}, excluded);
+      exclude_if_unavailable(node_, call_, now, instance.id, instance.address, excluded);
     }
     return excluded;
   }
--- a/src/node/hosted_parts.h
+++ b/src/node/hosted_parts.h
@@ -85,7 +85,8 @@
 // Adds the target to `excluded` if it backs off, is leaving or has no send left by its limit. Also
 // counts the call as demand for a limited target.
 void exclude_if_unavailable(hosted_state& node, hosted_request& call, time_point now,
-                            const target_instance& target, excluded_targets& excluded);
+                            const target_id& id, const endpoint& address,
+                            excluded_targets& excluded);
 
 // Why a call without a target is refused: what ends first of the reasons for which its candidates
 // are excluded and, if there is one, `otherwise`. Empty if no candidate is excluded.
--- a/src/node/hosted_stream.cpp
+++ b/src/node/hosted_stream.cpp
@@ -111,7 +111,7 @@
       time_point now, const std::vector<serving_replica>& replicas) const {
     excluded_targets excluded;
     for (const serving_replica& replica : replicas) {
-      exclude_if_unavailable(node_, call_, now, {replica.head, replica.address}, excluded);
+      exclude_if_unavailable(node_, call_, now, replica.head, replica.address, excluded);
     }
     return excluded;
   }
--- a/src/node/hosted_targets.cpp
+++ b/src/node/hosted_targets.cpp
@@ -54,22 +54,26 @@
 }  // namespace
 
 void exclude_if_unavailable(hosted_state& node, hosted_request& call, time_point now,
-                            const target_instance& target, excluded_targets& excluded) {
-  const target_restraint restraint = node.backoffs.restraint_of(now, target);
+                            const target_id& id, const endpoint& address,
+                            excluded_targets& excluded) {
+  // Usually no target is restrained, and nothing is copied for each candidate.
+  const target_restraint restraint = node.backoffs.is_empty()
+                                         ? target_restraint::none
+                                         : node.backoffs.restraint_of(now, {id, address});
   if (restraint == target_restraint::none) {
-    if (!check_send_limit(node, now, target.id)) {
+    if (!check_send_limit(node, now, id)) {
       excluded.by_send_limit = true;
-      excluded.ids.push_back(target.id);
+      excluded.ids.push_back(id);
     }
     return;
   }
-  excluded.ids.push_back(target.id);
-  call.restrained_targets.insert(target.id);
+  excluded.ids.push_back(id);
+  call.restrained_targets.insert(id);
   if (restraint == target_restraint::leaving) {
     excluded.by_leaving = true;
     return;
   }
-  const auto running = node.backoffs.backoff_of(now, target);
+  const auto running = node.backoffs.backoff_of(now, {id, address});
   if (!excluded.first_backoff || running->ends < excluded.first_backoff->ends) {
     excluded.first_backoff = running;
   }
--- a/src/node/route_backoffs.cpp
+++ b/src/node/route_backoffs.cpp
@@ -39,8 +39,7 @@
 std::optional<routing_snapshot> route_backoffs::without_restrained(
     time_point now, const routing_snapshot& routes) const {
   const std::lock_guard guard(lock_);
-  const target_backoffs::counts restrained = backoffs_.count(now);
-  if (restrained.backing_off + restrained.leaving == 0) {
+  if (backoffs_.is_empty()) {
     return std::nullopt;
   }
   routing_snapshot result = routes;
--- a/src/request/target_backoff.h
+++ b/src/request/target_backoff.h
@@ -61,6 +61,7 @@
   // before.
   effect on_response(time_point now, const target_instance& target, const target_notice& notice);
 
+  [[nodiscard]] bool is_empty() const { return backoffs_.empty() && leaving_.empty(); }
   [[nodiscard]] target_restraint restraint_of(time_point now, const target_instance& target) const;
   // The running backoff of a target; empty if it has none.
   [[nodiscard]] std::optional<backoff> backoff_of(time_point now,
