--- a/src/node/hosted_stream.cpp
+++ b/src/node/hosted_stream.cpp
@@ -85,7 +85,7 @@
     }
     const auto& replicas = node_.replicas(*call_.service, model_->id);
     const std::vector<target_id> suspects = suspected_heads(now, replicas);
-    excluded_targets excluded = unavailable_heads(now, replicas);
+    const excluded_targets excluded = unavailable_heads(now, replicas);
     std::vector<target_id> avoided = avoided_;
     avoided.insert(avoided.end(), excluded.ids.begin(), excluded.ids.end());
     const choice_request desired{
--- a/tests/shell/hosted_backoff_test.cpp
+++ b/tests/shell/hosted_backoff_test.cpp
@@ -36,28 +36,10 @@
   // Callers of both nodes, several at a time, send requests for the given time. Returns how often
   // each HTTP status occurred.
   std::map<int, int> send_load(duration time, const std::string& path) {
-    constexpr std::size_t callers_per_node = 4;
-    const time_point until = monotonic_now() + time;
-    std::vector<std::map<int, int>> counts(2 * callers_per_node);
-    std::vector<std::thread> callers;
-    for (std::size_t caller = 0; caller < counts.size(); ++caller) {
-      callers.emplace_back([&, caller] {
-        while (monotonic_now() < until) {
-          ++counts[caller][ask(caller % 2, path).result.response.status];
-          std::this_thread::sleep_for(std::chrono::milliseconds(5));
-        }
-      });
-    }
-    for (std::thread& t : callers) {
-      t.join();
-    }
-    std::map<int, int> all;
-    for (const auto& one : counts) {
-      for (const auto& [status, count] : one) {
-        all[status] += count;
-      }
-    }
-    return all;
+    constexpr std::size_t callers = 8;
+    return count_statuses(callers, time, 5ms, [&](std::size_t caller, int) {
+      return ask(caller % 2, path).result.response.status;
+    });
   }
 
   void turn_away(const std::string& target, const std::string& retry_after = backoff_text) {
--- a/tests/shell/hosted_fixture.h
+++ b/tests/shell/hosted_fixture.h
@@ -5,6 +5,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <thread>
@@ -96,6 +97,34 @@
     return result;
   }
 
+  // Several callers at a time call `ask(caller, number)`, which returns an HTTP status, with a
+  // pause after each call. Returns how often each status occurred.
+  static std::map<int, int> count_statuses(
+      std::size_t callers, duration time, duration pause,
+      const std::function<int(std::size_t caller, int number)>& ask) {
+    const time_point until = monotonic_now() + time;
+    std::vector<std::map<int, int>> counts(callers);
+    std::vector<std::thread> threads;
+    for (std::size_t caller = 0; caller < callers; ++caller) {
+      threads.emplace_back([&, caller] {
+        for (int number = 0; monotonic_now() < until; ++number) {
+          ++counts[caller][ask(caller, number)];
+          std::this_thread::sleep_for(pause);
+        }
+      });
+    }
+    for (std::thread& t : threads) {
+      t.join();
+    }
+    std::map<int, int> all;
+    for (const auto& one : counts) {
+      for (const auto& [status, count] : one) {
+        all[status] += count;
+      }
+    }
+    return all;
+  }
+
   bool eventually(const std::function<bool()>& holds) {
     const time_point limit = test_deadline();
     while (!holds()) {
--- a/tests/shell/hosted_limit_test.cpp
+++ b/tests/shell/hosted_limit_test.cpp
@@ -10,28 +10,11 @@
   // Two callers per node send requests 10 ms apart for the given time; returns how often each HTTP
   // status occurred.
   std::map<int, int> send_load(duration time, const std::string& path) {
-    const time_point until = monotonic_now() + time;
-    std::vector<std::map<int, int>> counts(4);
-    std::vector<std::thread> callers;
-    for (std::size_t caller = 0; caller < counts.size(); ++caller) {
-      callers.emplace_back([&, caller] {
-        for (int i = 0; monotonic_now() < until; ++i) {
-          const std::string id = "q" + std::to_string(caller) + "-" + std::to_string(i);
-          ++counts[caller][send_request(caller % 2, path, id).response.status];
-          std::this_thread::sleep_for(std::chrono::milliseconds(10));
-        }
-      });
-    }
-    for (std::thread& t : callers) {
-      t.join();
-    }
-    std::map<int, int> all;
-    for (const auto& one : counts) {
-      for (const auto& [status, count] : one) {
-        all[status] += count;
-      }
-    }
-    return all;
+    constexpr std::size_t callers = 4;
+    return count_statuses(callers, time, 10ms, [&](std::size_t caller, int number) {
+      const std::string id = "q" + std::to_string(caller) + "-" + std::to_string(number);
+      return send_request(caller % 2, path, id).response.status;
+    });
   }
 
   // The largest number of requests that a target received within four seconds, after `from`.
