Test of the time that refused callers are told

Cause: no test held the spread after a backoff's end.

Change: the end at the earliest, half of the backoff later at the latest, 2 s at most.

--- a/tests/core/target_backoff_test.cpp
+++ b/tests/core/target_backoff_test.cpp
@@ -61,6 +61,18 @@
   EXPECT_EQ(backoffs.restraint_of(start, head), target_restraint::none);
 }
 
+// Guards against callers that all return in the moment in which the backoff ends, or before it.
+TEST(TargetBackoff, CallersAreToldToReturnSpreadAfterItsEnd) {
+  const target_backoffs::backoff running{start, start + 3s};
+  const time_point now = start + 1s;
+  EXPECT_EQ(retry_after_backoff(now, running, 0), 2s);
+  EXPECT_EQ(retry_after_backoff(now, running, 0.5), 2750ms);
+  EXPECT_LT(retry_after_backoff(now, running, 0.999), 3500ms);
+  // Not spread over minutes after a long one.
+  const target_backoffs::backoff longest{start, start + target_backoffs::max_backoff};
+  EXPECT_LE(retry_after_backoff(longest.ends, longest, 1), 2s);
+}
+
 // Guards against a wrong value that takes a target out of use for hours.
 TEST(TargetBackoff, IsBounded) {
   target_backoffs backoffs;
