A full head that rejects is no last choice

Cause: on grown sites a full head's rejection moved its requests to the others for a second, which then rejected, too.

Change: a head whose answer reports all slots in use is not noted; its load makes it a late choice anyway.

--- a/src/node/hosted_stream.cpp
+++ b/src/node/hosted_stream.cpp
@@ -315,7 +315,9 @@
     }
     if (answer_.kind == answer_kind::not_run && status_ != 0) {
       last_reason_ = "the target did not run it";
-      node_.rejections.note(monotonic_now(), head_);
+      if (!is_full()) {
+        node_.rejections.note(monotonic_now(), head_);
+      }
       return attempt_result::not_run;
     }
     if (result.ok() && answer_.kind == answer_kind::target_response && status_ == 200) {
@@ -334,6 +336,12 @@
     return attempt_result::broken;
   }
 
+  // Whether the target reported that all its slots are in use. Another request may find a free one
+  // at any time, and the known load already makes it a late choice.
+  [[nodiscard]] bool is_full() const {
+    return answer_.running_requests.value_or(0) >= call_.service->engine->slots;
+  }
+
   attempt_result finish_stream() {
     if (!header_sent_) {
       header_sent_ = true;
--- a/src/process/rejecting_heads.h
+++ b/src/process/rejecting_heads.h
@@ -1,4 +1,4 @@
-// Heads that recently rejected a request without running it.
+// Heads that recently rejected a request without running it, though they were not full.
 //
 // Another engine may have the head's address, it may no longer be the head of a replica, or it
 // turns requests away. The list of targets shows that seconds later or never, and the head looks
