--- a/tests/shell/standin_http_test.cpp
+++ b/tests/shell/standin_http_test.cpp
@@ -405,7 +405,7 @@
             service_standin::expected_body(
                 crew, {"POST", "/cards", idempotency_key{"card-1"}, request_id{"q1"}, "{}"}));
   EXPECT_EQ(json::parse(call(instance(0), "GET", "/standin/executions").response.body),
-            (json{{"executions", 2}, {"keys", 1}, {"most_per_key", 2}}));
+            (json{{"executions", 2}, {"keys", 1}, {"most_per_key", 2}, {"turned_away", 0}}));
   faults = {};
   faults.cut_before = 1;
   fleet->set_service_faults(crew, faults);
