Hubs log and measure what their control costs, by part

The two known failures of 300 nodes (leaving targets used for seconds, hub at its limit) could not be explained from logs: a hub that is late shows only that its processor is busy. The lead so far, by reading, was that loads of all heads are encoded anew for each node.

Each hub now logs once a second the processor time of its decisions, of composing, encoding, decoding and applying heartbeats, with their numbers and bytes.

--- a/src/connection/clock.cpp
+++ b/src/connection/clock.cpp
@@ -12,6 +12,13 @@
                                                          std::chrono::nanoseconds{now.tv_nsec})};
 }
 
+duration thread_processor_time() {
+  timespec used{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &used);
+  return std::chrono::duration_cast<duration>(std::chrono::seconds{used.tv_sec} +
+                                              std::chrono::nanoseconds{used.tv_nsec});
+}
+
 std::chrono::steady_clock::time_point to_steady(time_point t) {
   if (t == time_point::max()) {
     return std::chrono::steady_clock::time_point::max();
--- a/src/connection/clock.h
+++ b/src/connection/clock.h
@@ -17,6 +17,9 @@
 // the machine is suspended, so the result is only valid for starting a timer now; do not store it.
 [[nodiscard]] std::chrono::steady_clock::time_point to_steady(time_point t);
 
+// Processor time that the calling thread has used.
+[[nodiscard]] duration thread_processor_time();
+
 // Time since the Unix epoch. Operators may set this clock, so use it only for times that outlive
 // the process.
 [[nodiscard]] wall_time wall_now();
--- a/src/node/controller_heartbeats.cpp
+++ b/src/node/controller_heartbeats.cpp
@@ -3,6 +3,7 @@
 
 #include "connection/clock.h"
 #include "node/controller_loop.h"
+#include "node/cost_timer.h"
 #include "node/log.h"
 #include "node/poison_watch.h"
 #include "process/poison_wire.h"
@@ -298,7 +299,10 @@
   std::vector<node_id> peers = node_.peers.recipients(now);
   std::sort(peers.begin(), peers.end());
   update_links(peers);
-  begin_round(now);
+  {
+    const cost_timer timer(costs_, control_part::compose);
+    begin_round(now);
+  }
   node_.backoffs.forget(now,
                         [this](const target_id& id) { return node_.fleet.find(id) != nullptr; });
   grant_sends(now);
@@ -309,12 +313,45 @@
     std::rotate(peers.begin(), peers.begin() + first, peers.end());
   }
   for (const node_id& peer : peers) {
-    links_.send(link_channel::coordination, {peer, encode(heartbeat_for(now, peer)), false});
+    send_heartbeat(now, peer);
     node_.peers.note_sent(now, peer);
   }
 }
 
-void controller_loop::received(time_point now, const node_id& peer, const node_heartbeat& message) {
+void controller_loop::send_heartbeat(time_point now, const node_id& peer) {
+  node_heartbeat message;
+  {
+    const cost_timer timer(costs_, control_part::compose);
+    message = heartbeat_for(now, peer);
+  }
+  const cost_timer timer(costs_, control_part::encode);
+  std::string bytes = encode(message);
+  ++costs_.heartbeats_out;
+  costs_.heartbeat_bytes_out += bytes.size();
+  costs_.loads_out += message.loads.size();
+  costs_.rows_out += (message.targets ? message.targets->rows.size() : 0) +
+                     (message.serving_rows ? message.serving_rows->rows.size() : 0);
+  links_.send(link_channel::coordination, {peer, std::move(bytes), false});
+}
+
+void controller_loop::received(time_point now, const node_id& peer, std::string_view bytes) {
+  ++costs_.heartbeats_in;
+  costs_.heartbeat_bytes_in += bytes.size();
+  std::optional<node_heartbeat> message;
+  {
+    const cost_timer timer(costs_, control_part::decode);
+    message = decode_node_heartbeat(bytes);
+  }
+  if (!message) {
+    log_line(log_level::warning, "links", "unreadable heartbeat", {{"peer", peer}});
+    return;
+  }
+  const cost_timer timer(costs_, control_part::apply);
+  apply_heartbeat(now, peer, *message);
+}
+
+void controller_loop::apply_heartbeat(time_point now, const node_id& peer,
+                                      const node_heartbeat& message) {
   if (message.link != endpoint{}) {
     node_.peers.add_peer({peer, message.data_centre, message.link, {}, message.strength});
   }
--- a/src/node/controller_loop.cpp
+++ b/src/node/controller_loop.cpp
@@ -2,8 +2,10 @@
 #include "node/controller_loop.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "connection/clock.h"
+#include "node/cost_timer.h"
 #include "node/log.h"
 #include "node/poison_watch.h"
 
@@ -17,6 +19,7 @@
 // replicas, so two nodes may assign the same capacity for 100 ms on average.
 constexpr duration peer_heartbeat_interval = 200ms;
 constexpr duration plan_log_interval = 1s;
+constexpr duration costs_log_interval = 1s;
 // Counting the replicas of all models takes 1 ms with 1,100 engines and is repeated after each
 // change of a target, of which there are many per second. Done on every tick, the count for this
 // log line took a third of the processor time of a node with an eighth of a core.
@@ -40,19 +43,55 @@
 void controller_loop::run() {
   while (!ended_ && sleep_until(monotonic_now() + tick_interval) && !ended_) {
     const time_point now = monotonic_now();
-    check_stalls(now);
-    probe_lost_targets(now);
-    evaluate_poison(node_, now);
-    if (node_.map && node_.fleet_known && !node_.stopping) {
-      run_controllers(now);
+    {
+      const cost_timer timer(costs_, control_part::decisions);
+      decide(now);
     }
     if (now - heartbeats_sent_at_ >= peer_heartbeat_interval) {
       heartbeats_sent_at_ = now;
       send_peer_heartbeats(now);
     }
+    log_costs(now);
   }
 }
 
+void controller_loop::decide(time_point now) {
+  check_stalls(now);
+  probe_lost_targets(now);
+  evaluate_poison(node_, now);
+  if (node_.map && node_.fleet_known && !node_.stopping) {
+    run_controllers(now);
+  }
+}
+
+// Logs what control has cost since the last such line. Only hubs log it: their cost grows with the
+// number of nodes and targets.
+void controller_loop::log_costs(time_point now) {
+  if (now - costs_logged_at_ < costs_log_interval) {
+    return;
+  }
+  const duration interval = now - costs_logged_at_;
+  costs_logged_at_ = now;
+  const control_costs costs = std::exchange(costs_, {});
+  if (!node_.peers.is_hub(now)) {
+    return;
+  }
+  const auto ms = [&costs](control_part part) { return to_milliseconds(costs.of(part)); };
+  log_line(log_level::info, "control", "costs",
+           {{"interval_ms", to_milliseconds(interval)},
+            {"decisions_ms", ms(control_part::decisions)},
+            {"compose_ms", ms(control_part::compose)},
+            {"encode_ms", ms(control_part::encode)},
+            {"decode_ms", ms(control_part::decode)},
+            {"apply_ms", ms(control_part::apply)},
+            {"heartbeats_out", costs.heartbeats_out},
+            {"bytes_out", costs.heartbeat_bytes_out},
+            {"loads_out", costs.loads_out},
+            {"rows_out", costs.rows_out},
+            {"heartbeats_in", costs.heartbeats_in},
+            {"bytes_in", costs.heartbeat_bytes_in}});
+}
+
 void controller_loop::end() {
   ended_ = true;
   while (running_link_updates_ > 0 && sleep_until(monotonic_now() + tick_interval)) {
--- a/src/node/controller_loop.h
+++ b/src/node/controller_loop.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <string_view>
 
 #include "base/hash.h"
 #include "base/rng.h"
@@ -13,6 +14,7 @@
 #include "node/peer_links.h"
 #include "node/store_watch.h"
 #include "process/config_distributor.h"
+#include "process/control_costs.h"
 #include "process/list_budget.h"
 #include "process/poison_exchange.h"
 #include "process/replica_controller.h"
@@ -30,8 +32,8 @@
   // Ends run(). To be called on the worker; returns when no fiber uses the links to peers any more.
   void end();
 
-  // Handles a heartbeat from a peer.
-  void received(time_point now, const node_id& peer, const node_heartbeat& message);
+  // Handles an encoded heartbeat from a peer.
+  void received(time_point now, const node_id& peer, std::string_view bytes);
 
  private:
   // Timeout of an order to an engine; engines answer within 3 ms. After an order without an answer,
@@ -48,6 +50,9 @@
     config_progress configuration_progress;
   };
 
+  void decide(time_point now);
+  void log_costs(time_point now);
+  void apply_heartbeat(time_point now, const node_id& peer, const node_heartbeat& message);
   void run_controllers(time_point now);
   void log_capacity(const service_spec& service);
   void log_plan(time_point now, const replica_controller& controller);
@@ -81,6 +86,7 @@
   void take_limits(time_point now, const node_id& peer, const node_heartbeat& message);
   void sample_members(const target_id& head, std::vector<target_id>& members);
   void send_peer_heartbeats(time_point now);
+  void send_heartbeat(time_point now, const node_id& peer);
   void update_links(const std::vector<node_id>& peers);
   void begin_round(time_point now);
   [[nodiscard]] node_heartbeat heartbeat_for(time_point now, const node_id& peer);
@@ -111,6 +117,8 @@
       responsible_data_centres_;  // data centres whose replicas this node controls
   std::map<model_id, std::size_t>
       logged_capacity_;  // replicas that may be sent requests, as last logged
+  control_costs costs_;  // since costs_logged_at_
+  time_point costs_logged_at_ = started_at_;
   time_point heartbeats_sent_at_{};
   time_point plan_logged_at_{};
   time_point capacity_logged_at_{};
--- a/src/node/hosted_node.cpp
+++ b/src/node/hosted_node.cpp
@@ -64,11 +64,7 @@
                                          state.settings.id);
     controller = std::make_unique<controller_loop>(state, *links, watch);
     links->set_receiver(link_channel::coordination, [this](const peer_message& m) {
-      if (const auto message = decode_node_heartbeat(m.bytes)) {
-        controller->received(monotonic_now(), m.from, *message);
-      } else {
-        log_line(log_level::warning, "links", "unreadable heartbeat", {{"peer", m.from}});
-      }
+      controller->received(monotonic_now(), m.from, m.bytes);
     });
     ready = std::make_unique<http_server>(
         runtime, address_of_endpoint(at.readiness_endpoint), small_server_limits(),
--- a/src/process/hub_cost.cpp
+++ b/src/process/hub_cost.cpp
@@ -17,18 +17,16 @@
 
 const model_id large{"large"};
 const model_id small{"small"};
-constexpr std::uint32_t large_size = 32;
-constexpr std::uint32_t small_size = 8;
 constexpr time_point begin{1h};
 
-service_spec make_service_spec() {
+service_spec make_service_spec(const hub_cost_size& size) {
   service_spec service;
   service.id = service_id{"llm"};
   engine_parameters engine;
   engine.slots = 22;
   engine.concurrent_loads = 136;
-  engine.models = {{large, large_size, 0.5, 1.0, 16s, 1600ms},
-                   {small, small_size, 0.5, 0.6, 12s, 1100ms}};
+  engine.models = {{large, size.large_replica, 0.5, 1.0, 16s, 1600ms},
+                   {small, size.small_replica, 0.5, 0.6, 12s, 1100ms}};
   service.engine = engine;
   return service;
 }
@@ -42,7 +40,7 @@
 std::vector<target_record> make_target_records(const hub_cost_size& size) {
   std::vector<target_record> records;
   for (std::size_t d = 0; d < size.data_centres * size.domains; ++d) {
-    const std::uint32_t replica_size = d % 2 == 0 ? large_size : small_size;
+    const std::uint32_t replica_size = d % 2 == 0 ? size.large_replica : size.small_replica;
     const model_id& model = d % 2 == 0 ? large : small;
     target_id head;
     for (std::size_t e = 0; e < size.engines; ++e) {
@@ -74,7 +72,7 @@
 class measured_controller {
  public:
   explicit measured_controller(const hub_cost_size& size)
-      : service_(make_service_spec()),
+      : service_(make_service_spec(size)),
         controller_({}, "k", begin, false),
         records_(make_target_records(size)) {
     own_.data_centres = {data_centre_at(0)};
@@ -135,8 +133,9 @@
     domains[d].ready =
         d % 2 == 0 ? std::vector<std::uint32_t>{all, 0} : std::vector<std::uint32_t>{0, all};
   }
-  const std::array<layout_model, 2> models = {layout_model{large_size, 0.5 / large_size},
-                                              layout_model{small_size, 0.5 / small_size}};
+  const std::array<layout_model, 2> models = {
+      layout_model{size.large_replica, 0.5 / size.large_replica},
+      layout_model{size.small_replica, 0.5 / size.small_replica}};
   const std::clock_t from = std::clock();
   for (int i = 0; i < count; ++i) {
     domains.front().unloaded = static_cast<std::uint32_t>(i);
@@ -162,7 +161,8 @@
 }
 
 void print_hub_cost(std::ostream& out) {
-  constexpr std::array<hub_cost_size, 3> sizes = {{{5, 1, 13}, {3, 3, 37}, {5, 3, 73}}};
+  constexpr std::array<hub_cost_size, 6> sizes = {
+      {{5, 1, 13}, {3, 3, 37}, {5, 3, 73}, {3, 12, 8, 4, 2}, {3, 40, 8, 4, 2}, {3, 120, 8, 4, 2}}};
   out << "engines  quiet tick ms  busy tick ms  plan ms\n" << std::fixed << std::setprecision(2);
   for (const hub_cost_size& size : sizes) {
     const hub_cost cost = measure_hub_cost(size);
--- a/src/process/hub_cost.h
+++ b/src/process/hub_cost.h
@@ -9,8 +9,10 @@
 
 struct hub_cost_size {
   std::size_t data_centres = 5;
-  std::size_t domains = 3;   // per data centre
-  std::size_t engines = 73;  // per domain
+  std::size_t domains = 3;           // per data centre
+  std::size_t engines = 73;          // per domain
+  std::uint32_t large_replica = 32;  // engines of a replica, by model
+  std::uint32_t small_replica = 8;
 };
 
 struct hub_cost {
