A hub that puts a thousand engines to work goes on sending heartbeats

Cause: assign_models chose the next engine to load by weighing each free engine of the data centre with each model, and counted the replicas of every domain for each of them: free engines squared times domains. 8.5 s after a cold start all free engines may load at once. That one tick took 3.9 to 4.3 s of processor time on all three hubs (their lines "costs" stop at -1.4 s and resume at 2.0 to 3.2 s). No heartbeat left meanwhile; the nodes took their hub for dead, other nodes became hub and sent lists anew, and the instance that began to leave 1.5 s after the first request stayed in use.

Ruled out by the same lines: heartbeats (under 60 ms a second together at that time), the store (its answers took 10 ms).

Fix: the best engine of each domain and model is kept; after each start only those of its domain are computed again, and what a model needs is computed once for all engines. The choice is the same but for ties in the last bit. Passes over all engines pair them with their local states once, in order, where each pass searched for each engine.

--- a/src/process/replica_controller.cpp
+++ b/src/process/replica_controller.cpp
@@ -34,6 +34,7 @@
     return {};
   }
   tick_context ctx{now, fleet, service, *service.engine, own};
+  collect_engines(ctx);
   update_engines(ctx);
   update_responsibilities(own);
   update_unreachable(ctx);
@@ -68,10 +69,11 @@
 // other side does the same to the partitioned engines.
 void replica_controller::update_unreachable(tick_context& ctx) {
   std::map<data_centre_id, std::pair<double, double>> engine_counts;  // unavailable, all
-  for (const auto& [id, view] : ctx.fleet.all()) {
+  for (const engine_ref& engine : ctx.engines) {
+    const target_view& view = engine.view;
     const bool counts =
         view.listed || ctx.now - view.unlisted_since < settings_.unlisted_engine_count_window;
-    if (view.record.service == ctx.service.id && counts) {
+    if (counts) {
       auto& [unavailable, all] = engine_counts[view.record.data_centre];
       unavailable += tick_context::alive(&view) ? 0 : 1;
       all += 1;
@@ -90,20 +92,35 @@
   }
 }
 
+// Pairs the engines of the service with their local states, and forgets the states of engines that
+// are gone. Both maps are ordered by id, so this needs no search for each engine.
+void replica_controller::collect_engines(tick_context& ctx) {
+  auto local = local_states_.begin();
+  for (const auto& [id, view] : ctx.fleet.all()) {
+    while (local != local_states_.end() && local->first < id) {
+      local = local_states_.erase(local);
+    }
+    if (view.record.service != ctx.service.id) {
+      continue;
+    }
+    if (local == local_states_.end() || local->first != id) {
+      local = local_states_.emplace_hint(local, id, local_engine_state{});
+    }
+    ctx.engines.push_back({view, local->second});
+    ++local;
+  }
+  local_states_.erase(local, local_states_.end());
+}
+
 void replica_controller::update_engines(tick_context& ctx) {
-  for (auto& [id, local] : local_states_) {
+  for (const engine_ref& engine : ctx.engines) {
+    const target_view& view = engine.view;
+    local_engine_state& local = engine.local;
     // The order to load the model was probably lost before it reached the engine, which is
     // unchanged.
     if (!local.loading_model.empty() && ctx.now - local.load_started_at > settings_.load_timeout) {
       local.loading_model = {};
     }
-  }
-  std::erase_if(local_states_,
-                [&](const auto& entry) { return ctx.fleet.find(entry.first) == nullptr; });
-  for (const auto& [id, view] : ctx.fleet.all()) {
-    if (view.record.service != ctx.service.id) {
-      continue;
-    }
     if (tick_context::alive(&view)) {
       ++ctx.engines_by_domain[view.record.domain];
       ++ctx.engines_by_data_centre[view.record.data_centre];
@@ -114,7 +131,6 @@
       formed_replica& group = ctx.formed_in_all_data_centres[role.replica];
       group.key = role.replica;
       group.members.push_back(&view);
-      local_engine_state& local = local_states_[id];
       if (role.state != member_state::joining && !view.record.loaded.empty()) {
         local.ready_model = view.record.loaded;
         if (local.loading_model == view.record.loaded) {
@@ -122,8 +138,7 @@
         }
       }
       ctx.unlisted_members += view.listed || view.lost || is_spare_name(role.replica.name) ? 0 : 1;
-    } else if (local_engine_state& local = local_states_[id];
-               local.ready_model.empty() && local.loading_model.empty()) {
+    } else if (local.ready_model.empty() && local.loading_model.empty()) {
       // This controller has not seen the engine in a replica, but another one has. The engine joins
       // a replica of its loaded model immediately or after 1 to 2 s of warm-up. Without this, it
       // would load the model a second time first.
@@ -154,13 +169,10 @@
 
 // Requests reports of engines whose count of orders is not current; only reports contain the count.
 void replica_controller::refresh_order_counts(tick_context& ctx) {
-  for (const auto& [id, view] : ctx.fleet.all()) {
-    if (view.record.service != ctx.service.id || !ctx.is_in_own_data_centre(view) ||
-        !tick_context::alive(&view)) {
-      continue;
-    }
-    if (!is_current(view, local_states_[id])) {
-      request_report(ctx, view);
+  for (const engine_ref& engine : ctx.engines) {
+    const bool own = tick_context::alive(&engine.view) && ctx.is_in_own_data_centre(engine.view);
+    if (own && !is_current(engine.view, engine.local)) {
+      request_report(ctx, engine.view);
     }
   }
 }
@@ -469,15 +481,15 @@
 
 // Collects the engines that can join a new replica.
 void replica_controller::collect_free_engines(tick_context& ctx) {
-  for (const auto& [id, view] : ctx.fleet.all()) {
-    const bool usable = view.record.service == ctx.service.id && ctx.is_in_own_data_centre(view) &&
-                        tick_context::alive(&view) && !view.record.draining &&
-                        !ctx.engines_in_use.contains(id) &&
+  for (const engine_ref& engine : ctx.engines) {
+    const target_view& view = engine.view;
+    const bool usable = tick_context::alive(&view) && !view.record.draining &&
+                        ctx.is_in_own_data_centre(view) &&
+                        !ctx.engines_in_use.contains(view.record.id) &&
                         !ctx.unreachable.contains(view.record.data_centre);
-    if (!usable) {
-      continue;
+    if (usable) {
+      ctx.free_engines[view.record.domain].push_back(&view);
     }
-    ctx.free_engines[view.record.domain].push_back(&view);
   }
 }
 
--- a/src/process/replica_controller.h
+++ b/src/process/replica_controller.h
@@ -205,10 +205,12 @@
   };
 
   struct domain_state;
+  struct engine_ref;
   struct tick_context;  // state of one tick
 
   void update_responsibilities(const responsibilities& own);
   void update_unreachable(tick_context& ctx);
+  void collect_engines(tick_context& ctx);
   void update_engines(tick_context& ctx);
   void request_report(tick_context& ctx, const target_view& view);
   void refresh_order_counts(tick_context& ctx);
@@ -248,6 +250,15 @@
   [[nodiscard]] static bool surplus_completes_replica(const tick_context& ctx,
                                                       const domain_state& domain, std::size_t from,
                                                       std::size_t to);
+  // An engine that may load a model, and what the fleet gains by it.
+  struct load_candidate {
+    const target_view* view = nullptr;  // null: there is none
+    double gain = 0;
+  };
+  [[nodiscard]] static double model_need(const tick_context& ctx, std::size_t model);
+  [[nodiscard]] std::vector<load_candidate> load_candidates(
+      const tick_context& ctx, const std::vector<const target_view*>& free, bool may_load,
+      const std::set<target_id>& rejected) const;
   [[nodiscard]] std::optional<double> model_load_gain(const tick_context& ctx,
                                                       const target_view& view,
                                                       std::size_t model) const;
--- a/src/process/replica_controller_load.cpp
+++ b/src/process/replica_controller_load.cpp
@@ -21,12 +21,10 @@
 // Counts the engines of all data centres by domain and model and updates the plan. Every controller
 // computes the same plan from them.
 void replica_controller::update_plan(tick_context& ctx) {
-  for (const auto& [id, view] : ctx.fleet.all()) {
-    if (view.record.service != ctx.service.id || !tick_context::alive(&view) ||
-        view.record.draining) {
+  for (const auto& [view, local] : ctx.engines) {
+    if (!tick_context::alive(&view) || view.record.draining) {
       continue;
     }
-    const local_engine_state& local = local_states_[id];
     const bool loads = is_loading(view, local);
     if (loads && !is_staged(view, model_for(view, local))) {
       ++ctx.loading_engines;
@@ -112,8 +110,9 @@
   return partial > 0 && size - partial <= surplus;
 }
 
-// How much the fleet gains if this engine loads the model, as a score to compare engines and
-// models; empty if the engine should not load it.
+// How much the fleet gains if this engine loads the model, as a score to compare the engines of a
+// domain; empty if the engine should not load it. What all engines gain alike by the model, see
+// model_need(), is not included.
 std::optional<double> replica_controller::model_load_gain(const tick_context& ctx,
                                                           const target_view& view,
                                                           std::size_t model) const {
@@ -134,56 +133,109 @@
     return std::nullopt;
   }
   const bool staged = is_staged(view, candidate.id);
-  // Prefers replicas that need the fewest loads to be complete, and models with the fewest replicas
-  // relative to their work.
+  // Prefers replicas that need the fewest loads to be complete.
   const std::uint32_t missing = candidate.size - domain.ready[model] % candidate.size;
+  constexpr double staged_weight = 5;  // a staged model loads in 1 to 2 s instead of 12 to 16 s
+  constexpr double unloaded_weight = 2;
+  return (staged ? staged_weight : 0) + (current ? 0 : unloaded_weight) -
+         static_cast<double>(missing) / candidate.size;
+}
+
+// How much the fleet needs more replicas of a model: more the fewer it has relative to its work.
+double replica_controller::model_need(const tick_context& ctx, std::size_t model) {
+  const model_spec& spec = ctx.engine.models[model];
   double replicas = 0;
-  for (const auto& [id, other] : ctx.domains) {
-    replicas += std::floor(static_cast<double>(other.ready[model]) / candidate.size);
+  for (const auto& [id, domain] : ctx.domains) {
+    replicas += std::floor(static_cast<double>(domain.ready[model]) / spec.size);
   }
   constexpr double share_weight = 10;
-  constexpr double staged_weight = 5;  // a staged model loads in 1 to 2 s instead of 12 to 16 s
-  constexpr double unloaded_weight = 2;
-  return share_weight * candidate.expected_engine_time_fraction / candidate.size / (replicas + 1) -
-         static_cast<double>(missing) / candidate.size + (staged ? staged_weight : 0) +
-         (current ? 0 : unloaded_weight);
+  return share_weight * spec.expected_engine_time_fraction / spec.size / (replicas + 1);
+}
+
+// The best engine of a domain for each model, among those that may load it.
+std::vector<replica_controller::load_candidate> replica_controller::load_candidates(
+    const tick_context& ctx, const std::vector<const target_view*>& free, bool may_load,
+    const std::set<target_id>& rejected) const {
+  std::vector<load_candidate> best(ctx.engine.models.size());
+  for (const target_view* view : free) {
+    if (rejected.contains(view->record.id) ||
+        is_loading(*view, local_states_.at(view->record.id))) {
+      continue;
+    }
+    for (std::size_t m = 0; m < best.size(); ++m) {
+      if (!may_load && !is_staged(*view, ctx.engine.models[m].id)) {
+        continue;
+      }
+      const auto gain = model_load_gain(ctx, *view, m);
+      if (gain && (best[m].view == nullptr || *gain > best[m].gain)) {
+        best[m] = {view, *gain};
+      }
+    }
+  }
+  return best;
 }
 
 // Loads the planned models on free engines, within the limit on loads from the weight store.
+//
+// After each start only the candidates of its domain are computed again. Computing all of them,
+// with the replicas of each domain counted for each engine, takes over half a second of a core with
+// 1,000 free engines. A hub sends no heartbeats meanwhile: its nodes follow the store themselves,
+// and use leaving targets for seconds.
 void replica_controller::assign_models(tick_context& ctx) {
   const bool unlimited = cold_start_ && !ctx.own.requests_seen &&
                          ctx.now - started_ >= settings_.cold_start_limit_duration;
   const auto share = std::max<std::size_t>(
       1, ctx.engine.concurrent_loads * std::max<std::size_t>(1, ctx.own.data_centres.size()) /
              std::max<std::size_t>(1, ctx.own.all_data_centres));
+  // Each data centre may use its share of the store's loads, and any part that others leave.
+  const auto may_load_now = [&] {
+    return unlimited || ctx.loading_in_own_data_centres < share ||
+           ctx.loading_engines < ctx.engine.concurrent_loads;
+  };
+  std::set<target_id> rejected;
+  bool may_load = may_load_now();
+  std::map<fabric_domain_id, std::vector<load_candidate>> candidates;
+  const auto compute = [&](const fabric_domain_id& domain) {
+    candidates[domain] = load_candidates(ctx, ctx.free_engines[domain], may_load, rejected);
+  };
+  const auto compute_all = [&] {
+    for (const auto& entry : ctx.free_engines) {
+      compute(entry.first);
+    }
+  };
+  compute_all();
+  std::vector<double> need(ctx.engine.models.size());
   for (;;) {
-    // Each data centre may use its share of the store's loads, and any part that others leave.
-    const bool may_load = unlimited || ctx.loading_in_own_data_centres < share ||
-                          ctx.loading_engines < ctx.engine.concurrent_loads;
-    const target_view* best = nullptr;
-    std::size_t best_model = 0;
-    double best_gain = 0;
-    for (const auto& [domain, free] : ctx.free_engines) {
-      for (const target_view* view : free) {
-        if (is_loading(*view, local_states_[view->record.id])) {
-          continue;
-        }
-        for (std::size_t m = 0; m < ctx.engine.models.size(); ++m) {
-          const auto gain = model_load_gain(ctx, *view, m);
-          const bool allowed = may_load || is_staged(*view, ctx.engine.models[m].id);
-          const bool better = gain && allowed && (best == nullptr || *gain > best_gain);
-          if (better && can_order(ctx, view->record.id)) {
-            best = view;
-            best_model = m;
-            best_gain = *gain;
-          }
+    for (std::size_t m = 0; m < need.size(); ++m) {
+      need[m] = model_need(ctx, m);
+    }
+    load_candidate best;
+    std::size_t model = 0;
+    for (const auto& [domain, of_domain] : candidates) {
+      for (std::size_t m = 0; m < of_domain.size(); ++m) {
+        const double gain = of_domain[m].gain + need[m];
+        if (of_domain[m].view != nullptr && (best.view == nullptr || gain > best.gain)) {
+          best = {of_domain[m].view, gain};
+          model = m;
         }
       }
     }
-    if (best == nullptr) {
+    if (best.view == nullptr) {
       return;
     }
-    start_loading(ctx, *best, best_model);
+    const fabric_domain_id domain = best.view->record.domain;
+    if (!can_order(ctx, best.view->record.id)) {
+      rejected.insert(best.view->record.id);
+      compute(domain);
+      continue;
+    }
+    start_loading(ctx, *best.view, model);
+    if (may_load != may_load_now()) {
+      may_load = !may_load;
+      compute_all();
+    } else {
+      compute(domain);
+    }
   }
 }
 
--- a/src/process/replica_controller_tick.h
+++ b/src/process/replica_controller_tick.h
@@ -17,6 +17,12 @@
   std::vector<std::uint32_t> desired;
 };
 
+// An engine of the service, and what this controller knows about it.
+struct replica_controller::engine_ref {
+  const target_view& view;
+  local_engine_state& local;
+};
+
 // Inputs, intermediate results and effects of one tick.
 struct replica_controller::tick_context {
   time_point now;
@@ -25,6 +31,7 @@
   const engine_parameters& engine;
   const responsibilities& own;
   controller_effects effects = {};
+  std::vector<engine_ref> engines = {};  // of the service, in all data centres
   // Replicas with members in this node's data centres.
   std::map<replica_key, formed_replica> formed = {};
   std::map<replica_key, formed_replica> formed_in_all_data_centres = {};  // in all data centres
