Ticks and plans leave half of a hub's processor free

Cause: (1) the plan of the fabric domains computes the cost of each change that it tries over all domains, so its time grows with their square: 25 ms with 360 domains of 8 engines, again in each tick in which an engine changed. (2) Fifty ticks a second whatever the number of engines.

Fix: domains with the same replica counts are one term of the cost: 1.8 ms. From 500 engines on the controller ticks less often, 115 ms apart at 2,880. (Fewer ticks alone were tried before,, and could not help: the time went into single ticks.)

Test ReplicaControllerCost.TicksAndPlansLeaveHalfOfAHubsProcessor: 2,880 engines, one changes before each tick; bound 12.5 % of a core, half of a hub's quarter.

--- a/src/node/controller_loop.cpp
+++ b/src/node/controller_loop.cpp
@@ -59,7 +59,8 @@
   check_stalls(now);
   probe_lost_targets(now);
   evaluate_poison(node_, now);
-  if (node_.map && node_.fleet_known && !node_.stopping) {
+  if (now >= controllers_due_at_ && node_.map && node_.fleet_known && !node_.stopping) {
+    controllers_due_at_ = now + replica_controller::min_tick_interval(node_.fleet.all().size());
     run_controllers(now);
   }
 }
--- a/src/node/controller_loop.h
+++ b/src/node/controller_loop.h
@@ -119,6 +119,7 @@
       logged_capacity_;  // replicas that may be sent requests, as last logged
   control_costs costs_;  // since costs_logged_at_
   time_point costs_logged_at_ = started_at_;
+  time_point controllers_due_at_{};
   time_point heartbeats_sent_at_{};
   time_point plan_logged_at_{};
   time_point capacity_logged_at_{};
--- a/src/process/domain_layout.cpp
+++ b/src/process/domain_layout.cpp
@@ -1,10 +1,12 @@
 // Finds a layout of engines by local search: re-plans one fabric domain at a time with the others
-// fixed until no domain improves. There are 6 to 16 domains with a few dozen engines each.
+// fixed until no domain improves. There are 6 to 16 domains with a few dozen engines each, or some
+// hundred with 8.
 #include "process/domain_layout.h"
 
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <map>
 
 namespace arbutus {
 
@@ -28,6 +30,7 @@
     expected_replica_counts_.resize(domains_.size());
     for (std::size_t d = 0; d < domains_.size(); ++d) {
       expected_replica_counts_[d] = replicas_of(d, layout_[d]);
+      ++domains_by_replica_counts_[expected_replica_counts_[d]];
     }
     initial_cost_ = cost();
     bool improved = true;
@@ -42,6 +45,7 @@
 
  private:
   using model_split = std::vector<std::uint32_t>;
+  using replica_counts = std::vector<double>;  // expected number of replicas after losses, by model
 
   [[nodiscard]] std::uint32_t engines(std::size_t d) const {
     std::uint32_t sum = domains_[d].unloaded;
@@ -64,8 +68,8 @@
     return result;
   }
 
-  [[nodiscard]] std::vector<double> replicas_of(std::size_t d, const model_split& s) const {
-    std::vector<double> result;
+  [[nodiscard]] replica_counts replicas_of(std::size_t d, const model_split& s) const {
+    replica_counts result;
     const std::uint32_t domain_engines = engines(d);
     for (std::size_t m = 0; m < models_.size(); ++m) {
       result.push_back(
@@ -84,37 +88,43 @@
     return count;
   }
 
-  // Cost of a layout with these replica totals by model, without the replicas of domain `excluded`;
-  // pass the number of domains to exclude none.
-  [[nodiscard]] double cost_without_domain(const std::vector<double>& totals,
-                                           std::size_t excluded) const {
+  // Cost of a layout with these replica totals by model, less those of one domain.
+  [[nodiscard]] double cost_without(const replica_counts& totals,
+                                    const replica_counts& lost) const {
     double sum = 0;
     for (std::size_t m = 0; m < models_.size(); ++m) {
-      const double lost =
-          excluded < expected_replica_counts_.size() ? expected_replica_counts_[excluded][m] : 0;
-      const double use = models_[m].work / (totals[m] - lost + replica_count_offset);
+      const double use = models_[m].work / (totals[m] - lost[m] + replica_count_offset);
       sum += models_[m].work * models_[m].size * use * use * use * use;
     }
     return sum;
   }
 
   [[nodiscard]] double cost() const {
-    std::vector<double> totals(models_.size(), 0);
-    for (const auto& of_domain : expected_replica_counts_) {
+    const replica_counts none(models_.size(), 0);
+    replica_counts totals = none;
+    for (const auto& [counts, domains] : domains_by_replica_counts_) {
       for (std::size_t m = 0; m < models_.size(); ++m) {
-        totals[m] += of_domain[m];
+        totals[m] += static_cast<double>(domains) * counts[m];
       }
     }
     double without_one = 0;
-    for (std::size_t d = 0; d < expected_replica_counts_.size(); ++d) {
-      without_one += cost_without_domain(totals, d);
+    for (const auto& [counts, domains] : domains_by_replica_counts_) {
+      without_one += static_cast<double>(domains) * cost_without(totals, counts);
     }
-    without_one /= static_cast<double>(std::max<std::size_t>(expected_replica_counts_.size(), 1));
-    return (1 - settings_.domain_loss_weight) *
-               cost_without_domain(totals, expected_replica_counts_.size()) +
+    without_one /= static_cast<double>(std::max<std::size_t>(domains_.size(), 1));
+    return (1 - settings_.domain_loss_weight) * cost_without(totals, none) +
            settings_.domain_loss_weight * without_one;
   }
 
+  void set_replica_counts(std::size_t d, replica_counts counts) {
+    const auto known = domains_by_replica_counts_.find(expected_replica_counts_[d]);
+    if (--known->second == 0) {
+      domains_by_replica_counts_.erase(known);
+    }
+    ++domains_by_replica_counts_[counts];
+    expected_replica_counts_[d] = std::move(counts);
+  }
+
   bool improve_domain(std::size_t d) {
     best_cost_ =
         cost() + initial_cost_ * settings_.change_cost_weight * model_changes(d, layout_[d]);
@@ -123,7 +133,7 @@
     model_split trial(models_.size(), 0);
     try_model(d, 0, engines(d), trial);
     layout_[d] = best_split_;
-    expected_replica_counts_[d] = replicas_of(d, best_split_);
+    set_replica_counts(d, replicas_of(d, best_split_));
     return best_split_ != before;
   }
 
@@ -140,7 +150,7 @@
   }
 
   void evaluate(std::size_t d, const model_split& trial) {
-    expected_replica_counts_[d] = replicas_of(d, trial);
+    set_replica_counts(d, replicas_of(d, trial));
     const double c =
         cost() + initial_cost_ * settings_.change_cost_weight * model_changes(d, trial);
     constexpr double min_improvement = 1e-6;  // as a fraction of the cost
@@ -154,8 +164,11 @@
   std::span<const layout_model> models_;
   layout_settings settings_;
   fleet_layout layout_;
-  // Expected number of replicas after losses, by domain and model.
-  std::vector<std::vector<double>> expected_replica_counts_;
+  std::vector<replica_counts> expected_replica_counts_;  // by domain
+  // Number of domains with the same counts. Hundreds of small domains have a dozen different counts
+  // between them, so the cost is a sum of a dozen terms: a sum over all domains for each change
+  // tried makes the time of a plan grow with the square of their number.
+  std::map<replica_counts, std::size_t> domains_by_replica_counts_;
   double initial_cost_ = 0;
   double best_cost_ = 0;
   model_split best_split_;
--- a/src/process/replica_controller.h
+++ b/src/process/replica_controller.h
@@ -147,6 +147,13 @@
   [[nodiscard]] controller_effects tick(time_point now, const fleet_view& fleet,
                                         const service_spec& service, const responsibilities& own);
 
+  // Least time between two ticks. A tick looks at each engine of all data centres, so with many of
+  // them a hub with a quarter of a core ticks less often, to have time for its heartbeats.
+  [[nodiscard]] static constexpr duration min_tick_interval(std::size_t engines) {
+    constexpr duration per_engine = 40us;
+    return static_cast<std::int64_t>(engines) * per_engine;
+  }
+
   // Handles the outcome of an order, and updates the fleet view if it was carried out.
   void on_order_outcome(time_point now, fleet_view& fleet, const replica_order& order,
                         order_outcome outcome);
--- a/tests/core/replica_controller_cost_test.cpp
+++ b/tests/core/replica_controller_cost_test.cpp
@@ -4,6 +4,7 @@
 #include <ctime>
 #include <variant>
 
+#include "process/hub_cost.h"
 #include "process/replica_controller.h"
 
 namespace arbutus {
@@ -79,5 +80,14 @@
   EXPECT_LT(took, heartbeat_interval_ms * hub_share_of_core);
 }
 
+// Guards against a hub whose ticks and plans alone use its processor up: 2,880 engines in small
+// domains, of which one changes before each tick.
+TEST(ReplicaControllerCost, TicksAndPlansLeaveHalfOfAHubsProcessor) {
+  const hub_cost cost = measure_hub_cost({3, 120, 8, 4, 2});
+  const auto interval_ms =
+      std::max(20.0, to_milliseconds(replica_controller::min_tick_interval(cost.engines)));
+  EXPECT_LT((cost.busy_tick_ms + cost.plan_ms) / interval_ms, hub_share_of_core / 2);
+}
+
 }  // namespace
 }  // namespace arbutus
