A node that does not know its peers yet is no hub

Cause: the rows of the nodes are read beside the configuration, the list and the first callers, which takes a quarter of a core more than 0.5 s with 300 nodes. From 0.5 s after its start a node controls replicas. One that knows no peer considers itself the only node of all data centres: 120 of 300 nodes took the duties of all three (117 with no living peer), 142 read the records of all 3,000 targets, and 98 sent 5,085 orders (join 778 conflicts, leave "a member is in another replica or gone") to replicas that all worked. At 100 nodes 73 took the duties and one order was sent; at 30 nodes 26. The same at a cold start: 130 nodes. Every one also queried all engines: 364,631 reports in that play.

Fix: until it has read the rows of the nodes, a node is no hub and no next hub, but for no longer than 3 s, so that a node that the store refuses the rows acts alone as before. The unknown is a state of its own now, no longer read as "there is nobody else".

Tests: HubOrder.NodesThatStartTogetherHaveOneHubInEachDataCentre; with the check taken out all 300 nodes control three data centres. HubOrder.ANodeThatCannotReadTheRowsActsAloneAfterAWhile.

--- a/src/node/hosted_node.cpp
+++ b/src/node/hosted_node.cpp
@@ -140,6 +140,7 @@
   }
 
   void start() {
+    state.peers.start_discovery(monotonic_now());
     runtime.post(0, [this] { watch.follow_configuration(); });
     runtime.post(0, [this] { watch.follow_targets(); });
     runtime.post(0, [this] {
--- a/src/node/store_targets.cpp
+++ b/src/node/store_targets.cpp
@@ -227,6 +227,9 @@
 }
 
 void store_watch::update_subscription(time_point now) {
+  if (node_.peers.is_discovering(now)) {
+    return;
+  }
   // Which node is the strongest, and so the hub, is known from the rows of the nodes, which are
   // read at the start.
   const bool peers_known =
--- a/src/node/store_watch.cpp
+++ b/src/node/store_watch.cpp
@@ -176,7 +176,7 @@
 
 bool store_watch::awaits_hub(time_point now) const {
   return now - started_at_ < first_hub_update_timeout && !node_.peers.is_hub(now) &&
-         node_.peers.has_peer_in_own_data_centre();
+         (node_.peers.is_discovering(now) || node_.peers.has_peer_in_own_data_centre());
 }
 
 bool store_watch::must_query(time_point now) const {
--- a/src/process/peer_table.cpp
+++ b/src/process/peer_table.cpp
@@ -30,6 +30,7 @@
     }
   }
   records_ = std::move(records);
+  discovery_deadline_ = {};
   sort_peers();
 }
 
@@ -168,7 +169,7 @@
 
 node_id peer_table::first_in_hub_order(time_point now, const data_centre_id& data_centre,
                                        bool must_be_served) const {
-  const bool self_may = data_centre == data_centre_ && (!must_be_served || is_served(now));
+  const bool self_may = data_centre == data_centre_ && self_may_be_hub(now, must_be_served);
   const auto found = hub_order_.find(data_centre);
   if (found == hub_order_.end()) {
     return self_may ? self_ : node_id{};
@@ -239,6 +240,9 @@
 }
 
 bool peer_table::is_hub_or_next(time_point now) const {
+  if (is_discovering(now)) {
+    return false;
+  }
   std::size_t served_before = 0;
   std::size_t living_before = 0;
   bool any_served = is_served(now);
--- a/src/process/peer_table.h
+++ b/src/process/peer_table.h
@@ -32,6 +32,14 @@
   peer_table& operator=(peer_table&&) = default;
   ~peer_table() = default;
 
+  // This node starts and does not know the rows of its peers yet. Until it does, but for no longer
+  // than max_discovery_time, it takes no role of a hub. Without this, when all of hundreds of nodes
+  // start together, each that has not read the rows yet considers itself the only node: it reads
+  // the records of all targets, orders the engines of all data centres, and so tears apart replicas
+  // that work.
+  void start_discovery(time_point now) { discovery_deadline_ = now + max_discovery_time; }
+  [[nodiscard]] bool is_discovering(time_point now) const { return now < discovery_deadline_; }
+
   // Sets the nodes by their rows in the store, which include this node's own. Removes peers that
   // were in the rows before and no longer are; a peer known only by its heartbeats stays.
   void set_records(const std::vector<node_record>& nodes);
@@ -89,6 +97,9 @@
   [[nodiscard]] std::size_t peer_count() const { return peers_.size(); }
   [[nodiscard]] const std::vector<node_record>& records() const { return records_; }
 
+  // A node whose rows of peers cannot be read for this long after its start acts on the peers that
+  // it knows, possibly alone: the store may refuse the rows for long.
+  static constexpr duration max_discovery_time = 3s;
   // A peer counts as alive for this long after a heartbeat: the time of six consecutive lost
   // heartbeats. A shorter time mistakes a pause of the peer for its failure, and two controllers
   // then send conflicting orders; a longer time leaves broken replicas without a controller.
@@ -123,6 +134,10 @@
   [[nodiscard]] bool may_be_hub(time_point now, const peer& p) const {
     return presumed_alive(now, p) && !p.info.refused_by_store;
   }
+  // Whether this node may be the hub: it knows its peers, and the store serves it.
+  [[nodiscard]] bool self_may_be_hub(time_point now, bool must_be_served) const {
+    return !is_discovering(now) && (!must_be_served || is_served(now));
+  }
   // Whether this node counts as served by the store, see served_settle_time.
   [[nodiscard]] bool is_served(time_point now) const;
   void sort_peers();
@@ -140,8 +155,9 @@
   data_centre_id data_centre_;
   node_strength strength_;
   bool refused_by_store_ = false;
-  time_point served_since_{};      // when the store last served this node again after refusing it
-  std::map<node_id, peer> peers_;  // without this node
+  time_point discovery_deadline_{};  // zero once the rows of the peers are known
+  time_point served_since_{};        // when the store last served this node again after refusing it
+  std::map<node_id, peer> peers_;    // without this node
   // Peers of each data centre in the order of hubs, the strongest first. Points into peers_, whose
   // entries do not move.
   std::map<data_centre_id, std::vector<const std::pair<const node_id, peer>*>> hub_order_;
--- a/tests/core/hub_order_test.cpp
+++ b/tests/core/hub_order_test.cpp
@@ -3,6 +3,8 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <map>
+#include <string>
 
 #include "process/peer_table.h"
 
@@ -155,5 +157,41 @@
   EXPECT_FALSE(hub.is_alive(start, joined.id));
 }
 
+// Guards against nodes that start together and each control the replicas of all data centres, since
+// none has read the rows of the others yet.
+TEST(HubOrder, NodesThatStartTogetherHaveOneHubInEachDataCentre) {
+  const std::vector<data_centre_id> all = {data_centre_id{"a"}, data_centre_id{"b"},
+                                           data_centre_id{"c"}};
+  std::vector<node_record> rows;
+  for (int i = 0; i < 300; ++i) {
+    const std::string name = "n" + std::to_string(1000 + i);
+    rows.push_back({node_id{name}, all[static_cast<std::size_t>(i) % 3], {}, {}, weak});
+  }
+  std::vector<peer_table> tables;
+  for (const node_record& row : rows) {
+    tables.emplace_back(row.id, row.data_centre, row.strength).start_discovery(start);
+  }
+  for (const peer_table& table : tables) {
+    EXPECT_TRUE(table.responsibilities(start + 700ms, all).empty());
+    EXPECT_FALSE(table.is_hub_or_next(start + 700ms));
+  }
+  std::map<data_centre_id, int> controllers;
+  for (peer_table& table : tables) {
+    table.set_records(rows);
+    for (const data_centre_id& data_centre : table.responsibilities(start + 800ms, all)) {
+      ++controllers[data_centre];
+    }
+  }
+  EXPECT_EQ(controllers, (std::map<data_centre_id, int>{{all[0], 1}, {all[1], 1}, {all[2], 1}}));
+}
+
+// Guards against a data centre without a controller while the store refuses the rows of the nodes.
+TEST(HubOrder, ANodeThatCannotReadTheRowsActsAloneAfterAWhile) {
+  peer_table table(node_id{"a1"}, here, weak);
+  table.start_discovery(start);
+  EXPECT_FALSE(table.is_hub(start + 2900ms));
+  EXPECT_TRUE(table.is_hub(start + 3s));
+}
+
 }  // namespace
 }  // namespace arbutus
