Ends of targets are weighed whole, and suspects together

Cause, from the evidence printed for each accused request beside what had ended in truth: (1) ends were known only through strikes that were still held, and a request that succeeds clears its strikes, so "unrelated ends 0" stood where 9 to 13 had ended; (2) ends were left out as explained by another suspect with more than four strikes, so harmless suspects explained each other's (12 of 12); (3) a suspect's own ends were not in the rate by which it was judged.

Change: ends are kept by themselves; crash_explanation weighs all suspects together by likelihood, with the best-fitting rate of other ends on both sides, a price for each suspect, and elimination of the one that explains least. Why it works: a burst has to be explained whole, and a set of suspects that does so by chance costs more than it explains.

A lone culprit ends 6 heads at most, as before.

--- a/src/process/poison_evaluation.cpp
+++ b/src/process/poison_evaluation.cpp
@@ -8,11 +8,6 @@
 
 namespace {
 
-bool has_strike_at(const poison_entry& entry, const target_id& target) {
-  return std::any_of(entry.strikes.begin(), entry.strikes.end(),
-                     [&](const poison_strike& m) { return m.target == target; });
-}
-
 // The entry's strike for this target, which must exist.
 const poison_strike& strike_at(const poison_entry& entry, const target_id& target) {
   return *std::find_if(entry.strikes.begin(), entry.strikes.end(),
@@ -91,59 +86,58 @@
   return mass_failed;
 }
 
-// Whether a suspect with more strikes than a quarantine needs ran on the target. It is then the
-// likelier cause of the crash.
-bool poison_tracker::has_likelier_cause(const suspects_by_target& ended,
-                                        const target_id& target) const {
-  const auto& suspects = ended.at(target);
-  return std::any_of(suspects.begin(), suspects.end(), [&](const auto* suspect) {
-    return suspect->second.strikes.size() > settings_.min_quarantine_events;
+std::map<request_fingerprint, double> poison_tracker::accepted_causes(time_point settled) const {
+  std::vector<observed_end> ends;
+  for (const observed_end& end : ends_) {
+    if (end.ended_at <= settled && !quarantined_causes_.contains(end.target)) {
+      ends.push_back(end);
+    }
+  }
+  std::vector<const entry_map::value_type*> suspects;
+  for (const entry_map::value_type& known : entries_) {
+    if (!known.second.quarantined_at &&
+        known.second.strikes.size() >= settings_.min_quarantine_events) {
+      suspects.push_back(&known);
+    }
+  }
+  std::stable_sort(suspects.begin(), suspects.end(), [](const auto* a, const auto* b) {
+    return a->second.strikes.size() > b->second.strikes.size();
   });
-}
-
-// Number of targets that ended between `from` and `to`, did not run the suspect, and have no likely
-// cause among the other suspects.
-std::size_t poison_tracker::count_unrelated_crashes(const entry_map::value_type& suspect,
-                                                    const suspects_by_target& ended,
-                                                    time_point from, time_point to) const {
-  std::size_t ends = 0;
-  for (const auto& [target, suspects] : ended) {
-    const poison_strike& strike = strike_at(suspects.front()->second, target);
-    const bool between = strike.ended_at >= from && strike.ended_at <= to;
-    ends += between && !has_strike_at(suspect.second, target) && !has_likelier_cause(ended, target);
+  suspects.resize(std::min(suspects.size(), max_weighed_suspects));
+  std::vector<request_fingerprint> weighed;
+  std::vector<std::vector<std::size_t>> ends_of_suspects;
+  for (const auto* suspect : suspects) {
+    std::vector<std::size_t> own;
+    for (std::size_t e = 0; e < ends.size(); ++e) {
+      const auto& strikes = suspect->second.strikes;
+      if (std::any_of(strikes.begin(), strikes.end(), [&](const poison_strike& m) {
+            return m.target == ends[e].target && is_same_end(m.ended_at, ends[e].ended_at);
+          })) {
+        own.push_back(e);
+      }
+    }
+    if (own.size() >= settings_.min_quarantine_events) {
+      weighed.push_back(suspect->first);
+      ends_of_suspects.push_back(std::move(own));
+    }
   }
-  return ends;
-}
-
-// The probability that a harmless request is cut off early in `events` runs in a row, if targets
-// fail for other reasons as often as they did around that time.
-double poison_tracker::coincidence_probability(const entry_map::value_type& suspect,
-                                               std::size_t events,
-                                               const suspects_by_target& ended) const {
-  // Crashes assumed if none were seen. Seeing no unrelated crash within seconds does not prove a
-  // rate of zero; hours usually pass between two.
-  constexpr double assumed_ends = 0.05;
-  const time_point first = suspect.second.strikes.front().ended_at;
-  const time_point last = suspect.second.strikes.back().ended_at;
-  const auto ends_per_s = [&](duration before, double assumed) {
-    const auto ends =
-        static_cast<double>(count_unrelated_crashes(suspect, ended, first - before, last));
-    return (ends + assumed) / to_seconds(last - first + before);
-  };
-  // A series of failures may have begun just before the first strike.
-  const double rate = std::max(ends_per_s(settings_.base_rate_lookback, assumed_ends),
-                               ends_per_s(settings_.base_rate_lookback / 4, 0));
-  const auto live_targets =
-      std::count_if(last_sent_to_.begin(), last_sent_to_.end(),
-                    [&](const auto& known) { return !ended.contains(known.first); });
-  const double targets = std::max<double>(1, static_cast<double>(live_targets));
-  const double lost = rate / targets * (mean_first_event_delay_s_ + to_seconds(strike_window));
-  return std::pow(std::min(lost, 1.0), static_cast<double>(events));
+  const duration exposure = from_seconds(mean_first_event_delay_s_) + strike_window;
+  std::map<request_fingerprint, double> causes;
+  for (const accepted_cause& cause :
+       find_causes(ends, ends_of_suspects, exposure, settings_.explanation)) {
+    causes.emplace(weighed[cause.suspect], cause.gain);
+  }
+  return causes;
 }
 
 std::optional<quarantine_decision> poison_tracker::evaluate_suspect(
     const entry_map::value_type& suspect, const suspects_by_target& ended,
-    const std::set<target_id>& mass_failed) const {
+    const std::set<target_id>& mass_failed,
+    const std::map<request_fingerprint, double>& causes) const {
+  const auto cause = causes.find(suspect.first);
+  if (cause == causes.end()) {
+    return std::nullopt;
+  }
   const auto marks_of = [&](const entry_map::value_type* known) {
     return std::count_if(known->second.strikes.begin(), known->second.strikes.end(),
                          [&](const poison_strike& m) { return ended.contains(m.target); });
@@ -166,11 +160,7 @@
       return std::nullopt;
     }
   }
-  const double probability = coincidence_probability(suspect, events, ended);
-  if (probability > settings_.max_false_positive_probability) {
-    return std::nullopt;
-  }
-  quarantine_decision decision{suspect.first, {}, events, probability};
+  quarantine_decision decision{suspect.first, {}, events, std::exp(-cause->second)};
   for (const poison_strike& m : suspect.second.strikes) {
     decision.targets.push_back(m.target);
   }
@@ -191,11 +181,13 @@
   // the others.
   for (bool found = true; found;) {
     found = false;
-    const suspects_by_target ended = index_by_target(now - settings_.strike_settle_time);
+    const time_point settled = now - settings_.strike_settle_time;
+    const suspects_by_target ended = index_by_target(settled);
     const std::set<target_id> mass_failed = mass_failures(ended);
+    const auto causes = accepted_causes(settled);
     for (auto& known : entries_) {
       auto decision =
-          may_be_poison(known) ? evaluate_suspect(known, ended, mass_failed) : std::nullopt;
+          may_be_poison(known) ? evaluate_suspect(known, ended, mass_failed, causes) : std::nullopt;
       if (decision) {
         quarantine(known.first, known.second, now);
         decisions.push_back(std::move(*decision));
--- a/src/process/poison_tracker.cpp
+++ b/src/process/poison_tracker.cpp
@@ -29,6 +29,12 @@
 
 }  // namespace
 
+// Whether two times of the end of a target, as observed by different nodes, mean the same end.
+bool poison_tracker::is_same_end(time_point a, time_point b) {
+  constexpr duration tolerance = 50ms;  // ages in messages do not include the time in transit
+  return a - b < tolerance && b - a < tolerance;
+}
+
 void poison_tracker::run_sent(time_point now, const target_id& target) {
   last_sent_to_[target] = now;
 }
@@ -106,8 +112,35 @@
   return true;
 }
 
+bool poison_tracker::is_in_use(time_point at, const target_id& target) const {
+  const auto sent = last_sent_to_.find(target);
+  const bool recent =
+      sent != last_sent_to_.end() && at - sent->second < settings_.target_use_window;
+  return recent && std::none_of(ends_.begin(), ends_.end(),
+                                [&](const observed_end& end) { return end.target == target; });
+}
+
+void poison_tracker::note_end(const target_id& target, time_point ended_at) {
+  const bool known = std::any_of(ends_.begin(), ends_.end(), [&](const observed_end& end) {
+    return end.target == target && is_same_end(end.ended_at, ended_at);
+  });
+  if (known) {
+    return;
+  }
+  const auto live =
+      std::count_if(last_sent_to_.begin(), last_sent_to_.end(),
+                    [&](const auto& sent) { return is_in_use(ended_at, sent.first); });
+  const auto later = [](time_point at, const observed_end& end) { return at < end.ended_at; };
+  const auto place = std::upper_bound(ends_.begin(), ends_.end(), ended_at, later);
+  ends_.insert(place, {target, ended_at, std::max(1.0, static_cast<double>(live))});
+  if (ends_.size() > max_ends) {
+    ends_.erase(ends_.begin());
+  }
+}
+
 bool poison_tracker::record_strike(const request_fingerprint& fingerprint,
                                    const poison_strike& strike) {
+  note_end(strike.target, strike.ended_at);
   const cleared_run& cleared = cleared_runs_[fingerprint.hash % cleared_run_slots];
   if (cleared.fingerprint == fingerprint && cleared.at != time_point{} &&
       strike.ended_at <= cleared.at + settings_.clearance_duration) {
@@ -206,8 +239,10 @@
   });
   std::erase_if(entries_of_workspace_, [](const auto& entry) { return entry.second == 0; });
   std::erase_if(last_sent_to_, [&](const auto& entry) {
-    return now - entry.second > settings_.base_rate_lookback;
+    return now - entry.second > settings_.target_use_window;
   });
+  std::erase_if(
+      ends_, [&](const observed_end& end) { return now - end.ended_at > settings_.end_retention; });
 }
 
 // Quarantines the request. The crashes of the targets that ran it now have a known cause, so they
@@ -251,6 +286,7 @@
     clear_entry(*entry, *cleared_at);
   }
   for (const poison_row::strike& m : row.strikes) {
+    note_end(m.target, now - m.ended_ago);
     add_strike(row.fingerprint, *entry, {m.target, now - m.sent_ago, now - m.ended_ago});
   }
   bool quarantined = false;
--- a/src/process/poison_tracker.h
+++ b/src/process/poison_tracker.h
@@ -18,7 +18,8 @@
 // harmless
 //   request that was sent along with a poison request does not share all of its crashes.
 // - A coincidence must be improbable: while targets fail for other reasons, some request is cut off
-//   several times in a row. The base rate is estimated from crashes that no suspect explains.
+//   several times in a row. All crashes count, also those whose strikes were cleared since, and the
+//   suspects are weighed together, see crash_explanation.h.
 //
 // While strikes from other nodes may still be in transit, a request with enough events is held: it
 // is neither sent nor refused.
@@ -32,6 +33,7 @@
 
 #include "base/id.h"
 #include "base/units.h"
+#include "process/crash_explanation.h"
 #include "request/request_fingerprint.h"
 
 namespace arbutus {
@@ -53,11 +55,9 @@
   // After a crash, the strikes that other nodes record for it arrive within this time: a query to
   // the target and three heartbeats.
   duration strike_settle_time = 700ms;
-  // Highest accepted probability that a harmless request is cut off in this many events in a row.
-  // With some million requests, none should be quarantined by coincidence.
-  double max_false_positive_probability = 1e-8;
-  // Unrelated crashes count towards the base rate from this long before a suspect's first strike.
-  duration base_rate_lookback = 3s;
+  explanation_settings explanation;
+  duration end_retention = 120s;         // crashes count as evidence for this long
+  duration target_use_window = 1s;       // a target is in use this long after a run was sent to it
   duration clearance_duration = 60s;     // a successful run clears the request for this long
   duration suspect_retention = 300s;     // a request stays a suspect this long after a strike
   duration quarantine_duration = 3600s;  // a quarantine lasts this long after the newest strike
@@ -106,7 +106,8 @@
   request_fingerprint fingerprint;
   std::vector<target_id> targets;  // the targets that ended while running the request
   std::size_t events = 0;          // number of separate events
-  double probability = 0;          // that a harmless request is cut off in `events` events in a row
+  // Likelihood of the crashes without this request as their cause, relative to that with it.
+  double probability = 0;
 };
 
 class poison_tracker {
@@ -183,21 +184,23 @@
                                            const target_id& target) const;
   [[nodiscard]] suspects_by_target index_by_target(time_point settled) const;
   [[nodiscard]] std::set<target_id> mass_failures(const suspects_by_target& ended) const;
-  [[nodiscard]] bool has_likelier_cause(const suspects_by_target& ended,
-                                        const target_id& target) const;
-  [[nodiscard]] std::size_t count_unrelated_crashes(const entry_map::value_type& suspect,
-                                                    const suspects_by_target& ended,
-                                                    time_point from, time_point to) const;
-  [[nodiscard]] double coincidence_probability(const entry_map::value_type& suspect,
-                                               std::size_t events,
-                                               const suspects_by_target& ended) const;
+  [[nodiscard]] static bool is_same_end(time_point a, time_point b);
+  // Records that a target ended, if that is not known.
+  void note_end(const target_id& target, time_point ended_at);
+  [[nodiscard]] bool is_in_use(time_point at, const target_id& target) const;
+  // How much better each suspect's guilt explains the settled crashes; only accepted causes.
+  [[nodiscard]] std::map<request_fingerprint, double> accepted_causes(time_point settled) const;
   [[nodiscard]] std::optional<quarantine_decision> evaluate_suspect(
       const entry_map::value_type& suspect, const suspects_by_target& ended,
-      const std::set<target_id>& mass_failed) const;
+      const std::set<target_id>& mass_failed,
+      const std::map<request_fingerprint, double>& causes) const;
 
   // Requests that recently succeeded here, indexed by part of their hash. A strike from another
   // node may arrive after the run that cleared the request.
   static constexpr std::size_t cleared_run_slots = 4096;
+  static constexpr std::size_t max_ends = 1024;
+  // Suspects that are weighed together, those with most strikes first.
+  static constexpr std::size_t max_weighed_suspects = 64;
   struct cleared_run {
     request_fingerprint fingerprint;
     time_point at{};
@@ -210,6 +213,10 @@
       quarantined_causes_;  // ended targets, and the quarantined cause
   std::uint64_t position_ = 0;
   std::uint64_t rejected_strikes_ = 0;
+  // Crashes in the order of their times. They stay when the strikes of a request that succeeded are
+  // cleared: otherwise a burst of unrelated crashes, in which nearly all requests succeed soon,
+  // looks like none, and the few that were cut off several times seem to have caused all of it.
+  std::vector<observed_end> ends_;
   std::map<target_id, time_point> last_sent_to_;  // when this node last sent to each target
   double mean_first_event_delay_s_ = 0.5;         // moving average of the time to the first event
   time_point last_expiry_at_{};
--- a/tests/core/poison_tracker_test.cpp
+++ b/tests/core/poison_tracker_test.cpp
@@ -350,6 +350,75 @@
   }
 }
 
+// Guards against accusations that other seeds, other fleets and other crashes bring about: steady
+// crashes, mass failures, and poison requests in whose company others are cut off.
+TEST(PoisonWorld, NobodyIsAccusedInManyMixesOfCrashes) {
+  struct mix {
+    const char* name;
+    std::size_t heads;
+    std::size_t nodes;
+    double requests_per_s;
+    std::uint64_t poison_requests;
+    duration poison_interval;
+    std::function<void(poison_simulation&)> fault;
+  };
+  const auto none = [](poison_simulation&) {};
+  const std::vector<mix> mixes = {
+      {"four a second", 13, 6, 165, 0, 3s, [](poison_simulation& w) { end_random_heads(w, 4); }},
+      {"a third twice a second", 13, 6, 165, 0, 3s,
+       [](poison_simulation& w) { end_share_of_heads(w, 500ms, 0.33); }},
+      {"bursts in a larger fleet", 40, 10, 500, 0, 3s,
+       [](poison_simulation& w) {
+         end_random_heads(w, w.now().time_since_epoch() % 10s < 2s ? 15 : 0);
+       }},
+      {"three poison requests", 13, 6, 165, 3, 1300ms, none},
+      {"six poison requests", 13, 6, 165, 6, 2700ms, none},
+      {"six poison requests beside crashes", 13, 6, 165, 6, 3s,
+       [](poison_simulation& w) { end_random_heads(w, 1); }}};
+  for (const mix& m : mixes) {
+    for (std::uint64_t seed = 201; seed <= 204; ++seed) {
+      SCOPED_TRACE(std::string(m.name) + ", seed " + std::to_string(seed));
+      poison_simulation_settings settings;
+      settings.heads = m.heads;
+      settings.nodes = m.nodes;
+      settings.requests_per_s = m.requests_per_s;
+      settings.seed = seed;
+      poison_simulation w(settings);
+      for (std::uint64_t i = 0; i < m.poison_requests; ++i) {
+        w.poison_hashes.insert(42 + i);
+      }
+      w.run(60s, [&m](poison_simulation& simulation) {
+        for (const std::uint64_t hash : simulation.poison_hashes) {
+          if (is_multiple_of(simulation, m.poison_interval)) {
+            simulation.submit(simulation.random_node(), hash, true);
+          }
+        }
+        m.fault(simulation);
+      });
+      EXPECT_TRUE(w.quarantined_harmless.empty());
+      EXPECT_EQ(w.quarantined_at.size(), m.poison_requests);
+    }
+  }
+}
+
+// Guards against a detection that costs more targets than it must: one poison request alone.
+TEST(PoisonWorld, ALoneCulpritEndsAtMostSixHeads) {
+  for (std::uint64_t seed = 201; seed <= 212; ++seed) {
+    SCOPED_TRACE(seed);
+    poison_simulation_settings settings;
+    settings.seed = seed;
+    poison_simulation w(settings);
+    w.poison_hashes = {42};
+    w.run(30s, [](poison_simulation& simulation) {
+      if (is_multiple_of(simulation, 3s)) {
+        simulation.submit(simulation.random_node(), 42, true);
+      }
+    });
+    EXPECT_LE(w.heads_ended_by[42], 6U);
+    EXPECT_TRUE(w.quarantined_harmless.empty());
+  }
+}
+
 // Guards against a bound on crashes that holds only while all nodes are connected: each side of a
 // partition needs its own strikes for a quarantine, but no more than that.
 TEST(PoisonWorld, EachSideOfAPartitionNeedsItsOwnStrikes) {
