Hubs send the loads that changed, encoded once for all nodes

Callers: none directly; it is what is left of the hub's load at 300 nodes (known failure: hub at 94.7 % of its core, 5,963 kB a second, growing with the power 1.77).

Cause: each heartbeat of a hub to a node carries the loads of all heads but the node's own, built and encoded anew for each of 100 nodes five times a second.

Change: load_feed: only loads that changed since the position that the receiver reported, heads by number, encoded once for all receivers at a position; at most 128 changes a round, the largest first. The loads for a node contain its own, which it subtracts by the stamp of the heartbeat in which it reported them. Nodes of the release before get and send loads as before (fields at the end of the heartbeat).

--- a/src/node/controller_heartbeats.cpp
+++ b/src/node/controller_heartbeats.cpp
@@ -117,6 +117,9 @@
     return;
   }
   all_loads_ = node_.loads.all();
+  home_loads_ = node_.loads.all_of(node_.settings.data_centre);
+  all_loads_feed_.update(all_loads_);
+  home_loads_feed_.update(home_loads_);
   if (node_.map && node_.fleet_complete) {
     node_.forwarded_serving.update(node_.fleet, *node_.map);
     std::set<target_id> suspects = node_.lost_reports.reported_by_hubs(now);
@@ -157,13 +160,7 @@
     }
     message.lost.assign(lost.begin(), lost.end());
   }
-  if (message.hub) {
-    // Nodes of this data centre receive the loads of all other nodes, other hubs those of this data
-    // centre.
-    message.loads = same ? node_.loads.all_except(peer, all_loads_) : node_.loads.all_of(home);
-  } else if (node_.peers.hub_of(now, home) == peer) {
-    message.loads = node_.loads.own();
-  }
+  add_loads(now, peer, message);
   if (message.hub && same) {
     forward_updates(now, peer, message);
   }
@@ -175,6 +172,59 @@
   return message;
 }
 
+// Adds the loads that the peer needs: to a node of a hub's data centre those of all other nodes, to
+// another hub those of this data centre, and to this node's hub its own.
+void controller_loop::add_loads(time_point now, const node_id& peer, node_heartbeat& message) {
+  const data_centre_id& home = node_.settings.data_centre;
+  const auto received = received_loads_.find(peer);
+  if (received != received_loads_.end()) {
+    message.received_load_position = received->second.at();
+  }
+  if (!message.hub) {
+    if (node_.peers.hub_of(now, home) == peer) {
+      message.loads = node_.loads.own();
+      reported_loads_.add(message.stamp_us, message.loads);
+    }
+    return;
+  }
+  const bool same = node_.peers.data_centre_of(peer) == home;
+  const auto known = peer_positions_.find(peer);
+  if (known == peer_positions_.end() || !known->second.reads_load_updates) {
+    message.loads = same ? node_.loads.all_except(peer, all_loads_) : home_loads_;
+    return;
+  }
+  const load_position& at = known->second.loads;
+  load_feed& feed = same ? all_loads_feed_ : home_loads_feed_;
+  message.load_changes = feed.changes_after(at.incarnation == node_.incarnation ? at.at : 0);
+  if (same && node_.loads.includes(peer)) {
+    message.load_changes->included_stamp_us = known->second.loads_stamp_us;
+  }
+}
+
+// A hub accepts loads from the nodes of its data centre and from other hubs, other nodes accept
+// them from their hub.
+void controller_loop::take_loads(time_point now, const node_id& peer,
+                                 const node_heartbeat& message) {
+  const bool same = message.data_centre == node_.settings.data_centre;
+  const bool accepted = node_.peers.is_hub(now) ? same != message.hub : same && message.hub;
+  if (!accepted) {
+    return;
+  }
+  if (!message.load_changes) {
+    node_.loads.set_peer_loads(peer, message.data_centre, now, message.loads);
+    peer_positions_[peer].loads_stamp_us = message.stamp_us;
+    return;
+  }
+  load_follower& follower = received_loads_[peer];
+  if (!follower.apply(message.incarnation, *message.load_changes)) {
+    return;
+  }
+  auto others = reported_loads_.subtract(message.load_changes->included_stamp_us, follower.loads());
+  if (others) {
+    node_.loads.set_peer_loads(peer, message.data_centre, now, std::move(*others));
+  }
+}
+
 // If this node is a hub, distributes the request rates that targets accept among the nodes, as send
 // grants.
 void controller_loop::grant_sends(time_point now) {
@@ -329,6 +379,7 @@
   ++costs_.heartbeats_out;
   costs_.heartbeat_bytes_out += bytes.size();
   costs_.loads_out += message.loads.size();
+  costs_.load_bytes_out += message.load_changes ? message.load_changes->rows.size() : 0;
   costs_.rows_out += (message.targets ? message.targets->rows.size() : 0) +
                      (message.serving_rows ? message.serving_rows->rows.size() : 0);
   links_.send(link_channel::coordination, {peer, std::move(bytes), false});
@@ -357,17 +408,18 @@
   }
   node_.peers.received(now, peer,
                        {message.hub, message.leaving, message.refused_by_store, message.stamp_us});
-  peer_positions_[peer] = {message.follows_records,   message.targets_position,
-                           message.serving_position,  message.configuration_position,
-                           message.configuration_row, message.configuration_progress};
+  peer_positions_[peer] = {message.follows_records,
+                           message.targets_position,
+                           message.serving_position,
+                           message.configuration_position,
+                           message.configuration_row,
+                           message.configuration_progress,
+                           message.reads_load_updates,
+                           message.received_load_position,
+                           peer_positions_[peer].loads_stamp_us};
   node_.requests_seen = node_.requests_seen || message.requests_seen;
   const bool same = message.data_centre == node_.settings.data_centre;
-  const bool hub = node_.peers.is_hub(now);
-  // A hub accepts loads from the nodes of its data centre and from other hubs, other nodes accept
-  // them from their hub.
-  if (hub ? (same ? !message.hub : message.hub) : (same && message.hub)) {
-    node_.loads.set_peer_loads(peer, message.data_centre, now, message.loads);
-  }
+  take_loads(now, peer, message);
   if (same && message.hub && message.echo_us > 0) {
     // The hub's content is newer than the moment at which this node sent the echoed stamp.
     const time_point stamp_sent_at{duration{message.echo_us}};
--- a/src/node/controller_loop.cpp
+++ b/src/node/controller_loop.cpp
@@ -88,6 +88,7 @@
             {"heartbeats_out", costs.heartbeats_out},
             {"bytes_out", costs.heartbeat_bytes_out},
             {"loads_out", costs.loads_out},
+            {"load_bytes_out", costs.load_bytes_out},
             {"rows_out", costs.rows_out},
             {"heartbeats_in", costs.heartbeats_in},
             {"bytes_in", costs.heartbeat_bytes_in}});
--- a/src/node/controller_loop.h
+++ b/src/node/controller_loop.h
@@ -16,6 +16,7 @@
 #include "process/config_distributor.h"
 #include "process/control_costs.h"
 #include "process/list_budget.h"
+#include "process/load_feed.h"
 #include "process/poison_exchange.h"
 #include "process/replica_controller.h"
 #include "process/send_grants.h"
@@ -48,6 +49,9 @@
     std::uint64_t configuration{};      // position in the feed of the configuration table
     std::uint64_t configuration_row{};  // version of the peer's newest configuration row
     config_progress configuration_progress;
+    bool reads_load_updates = false;
+    load_position loads;
+    std::int64_t loads_stamp_us{};  // of the heartbeat with the loads that the peer last reported
   };
 
   void decide(time_point now);
@@ -79,6 +83,8 @@
   [[nodiscard]] feed_update targets_update(time_point now, std::uint64_t after);
   [[nodiscard]] feed_update serving_update(time_point now, const serving_follower::position& after);
   void forward_updates(time_point now, const node_id& peer, node_heartbeat& message);
+  void add_loads(time_point now, const node_id& peer, node_heartbeat& message);
+  void take_loads(time_point now, const node_id& peer, const node_heartbeat& message);
   [[nodiscard]] bool receives_poison_updates(time_point now, const node_id& peer) const;
   void apply_poison_updates(time_point now, const node_id& peer, const node_heartbeat& message);
   void grant_sends(time_point now);
@@ -109,7 +115,12 @@
   list_budget list_budget_;
   std::set<target_id> lost_targets_;         // targets that this node marked as lost
   std::vector<target_id> serving_suspects_;  // for the nodes that follow the serving replicas only
-  std::map<target_id, replica_load> all_loads_;
+  replica_loads all_loads_;                  // of this node and its peers
+  replica_loads home_loads_;                 // the same, of this data centre only
+  load_feed all_loads_feed_;                 // for the nodes of this data centre
+  load_feed home_loads_feed_;                // for the other hubs
+  reported_loads reported_loads_;
+  std::map<node_id, load_follower> received_loads_;  // by the hub that sent them
   std::vector<node_id> linked_peers_;
   std::size_t running_link_updates_ = 0;  // fibers that change the links
   bool ended_ = false;
--- a/src/process/control_costs.h
+++ b/src/process/control_costs.h
@@ -32,8 +32,9 @@
   std::array<duration, control_part_count> processor_time{};
   std::uint64_t heartbeats_out = 0;
   std::uint64_t heartbeat_bytes_out = 0;
-  std::uint64_t loads_out = 0;  // loads of heads in these heartbeats
-  std::uint64_t rows_out = 0;   // rows of targets and of serving replicas in them
+  std::uint64_t loads_out = 0;       // loads of heads in these heartbeats, without updates of loads
+  std::uint64_t load_bytes_out = 0;  // bytes of updates of loads in them
+  std::uint64_t rows_out = 0;        // rows of targets and of serving replicas in them
   std::uint64_t heartbeats_in = 0;
   std::uint64_t heartbeat_bytes_in = 0;
 
--- a/src/process/node_heartbeat.cpp
+++ b/src/process/node_heartbeat.cpp
@@ -109,9 +109,27 @@
                      std::string(bytes.begin(), bytes.end())};
 }
 
-// Nodes of an earlier release do not send the heartbeat fields from this index on; such fields are
+json load_update_to_json(const std::optional<load_update>& update) {
+  if (!update) {
+    return nullptr;
+  }
+  return {update->after, update->position, update->included_stamp_us,
+          json::binary({update->rows.begin(), update->rows.end()})};
+}
+
+std::optional<load_update> load_update_from_json(const json& from) {
+  if (from.is_null()) {
+    return std::nullopt;
+  }
+  const json::binary_t& rows = from.at(3).get_binary();
+  return load_update{from.at(0).get<std::uint64_t>(), from.at(1).get<std::uint64_t>(),
+                     from.at(2).get<std::int64_t>(), std::string(rows.begin(), rows.end())};
+}
+
+// Nodes of earlier releases do not send the heartbeat fields from these indices on; such fields are
 // left empty.
 constexpr std::size_t first_optional_field = 25;
+constexpr std::size_t first_load_update_field = 32;
 
 void read_optional_fields(const json& document, node_heartbeat& message) {
   message.configuration_row = document.at(25).get<std::uint64_t>();
@@ -123,6 +141,12 @@
   message.grants = grants_from_json(document.at(31));
 }
 
+void read_load_fields(const json& document, node_heartbeat& message) {
+  message.received_load_position = {document.at(32).get<std::string>(),
+                                    document.at(33).get<std::uint64_t>()};
+  message.load_changes = load_update_from_json(document.at(34));
+}
+
 }  // namespace
 
 std::string encode(const node_heartbeat& message) {
@@ -166,7 +190,10 @@
                          message.configuration_progress.bytes,
                          part_to_json(message.configuration_part),
                          limits_to_json(message.limits),
-                         grants_to_json(message.grants)};
+                         grants_to_json(message.grants),
+                         message.received_load_position.incarnation,
+                         message.received_load_position.at,
+                         load_update_to_json(message.load_changes)};
   std::string bytes;
   json::to_msgpack(document, bytes);
   return bytes;
@@ -214,6 +241,10 @@
     if (document.size() > first_optional_field) {
       read_optional_fields(document, message);
     }
+    message.reads_load_updates = document.size() > first_load_update_field;
+    if (message.reads_load_updates) {
+      read_load_fields(document, message);
+    }
     return message;
   } catch (const json::exception&) {
     return std::nullopt;
--- a/src/process/node_heartbeat.h
+++ b/src/process/node_heartbeat.h
@@ -19,6 +19,7 @@
 #include "base/units.h"
 #include "process/config_transfer.h"
 #include "process/feed_log.h"
+#include "process/load_feed.h"
 #include "process/poison_exchange.h"
 #include "process/send_grants.h"
 #include "process/serving_feed.h"
@@ -66,7 +67,13 @@
   std::uint64_t configuration_position{};
   std::uint64_t configuration_row{};  // newest row of the configuration that the sender holds
   config_progress configuration_progress;
-  std::map<target_id, replica_load> loads;
+  // Loads of heads: from a node those of its own requests, from a hub those of others. A hub sends
+  // them to nodes that read load updates as `load_changes` instead.
+  replica_loads loads;
+  // Whether the sender reads load updates, and its position in those of the receiver.
+  bool reads_load_updates = true;
+  load_position received_load_position;
+  std::optional<load_update> load_changes;
   std::vector<target_id> lost;
   // Updates about poison requests, and the sender's position in those of the receiver.
   poison_update poison_changes;
--- a/src/request/replica_choice.h
+++ b/src/request/replica_choice.h
@@ -54,6 +54,9 @@
                       std::map<target_id, replica_load> loads);
   void forget_peers(time_point now);
 
+  // Whether loads that this peer reported are included in those of all().
+  [[nodiscard]] bool includes(const node_id& peer) const { return peers_.contains(peer); }
+
   // Loads to report to peers. all(): of this node and its peers. all_except(): the same without
   // those that `peer` reported. all_of(): of this node and its peers in one data centre.
   [[nodiscard]] std::map<target_id, replica_load> all() const;
