Failing test: callers of a node that reaches no target are served

What callers saw: first attempts at nodes that had lost their way to all engines were refused, 5 of 157 and 1 of 303 served, while the other nodes served nearly all of theirs and stood a millisecond away.

The stand-in platform can now cut the paths from one node to its targets (standin/network_paths): silent, one way, reset, or closed to new connections, while callers, the store and the other node still reach it.

--- a/src/standin/hosted_platform.cpp
+++ b/src/standin/hosted_platform.cpp
@@ -10,6 +10,7 @@
 #include "platform/base64.h"
 #include "process/target_incarnation.h"
 #include "standin/standin_http.h"
+#include "version/field_text.h"
 
 namespace arbutus::standin {
 
@@ -17,6 +18,7 @@
 
 using nlohmann::json;
 
+constexpr const char* targets_table = "servers";
 constexpr duration refresh_interval = 10ms;
 // Time until a dead engine is removed from the list of targets.
 constexpr duration unlist_delay = 400ms;
@@ -48,6 +50,12 @@
   }
 }
 
+// A node's own address of the store, and its paths to the targets.
+struct node_access {
+  std::unique_ptr<network_paths> paths;
+  std::unique_ptr<http_server> store;
+};
+
 struct stored_row {
   std::string value;
   std::uint64_t version{};
@@ -86,32 +94,46 @@
     tables[table][key] = {{}, ++version, true};
   }
 
-  json row_json(const std::string& table, const std::string& key, const stored_row& row) {
+  // The record of a target with the address at which a node with these paths reaches it.
+  static std::string record_through(const network_paths& paths, const std::string& record) {
+    json document = json::parse(record, nullptr, false);
+    if (!document.is_object()) {
+      return record;
+    }
+    if (const auto address = parse_endpoint(document.value("address", ""))) {
+      document["address"] = to_string(paths.path_to(*address));
+    }
+    return document.dump();
+  }
+
+  json row_json(const std::string& table, const std::string& key, const stored_row& row,
+                const network_paths* paths) {
     json entry = {{"table", table}, {"part", ""}, {"key", key}, {"ver", row.version}};
+    const bool has_path = paths != nullptr && table == targets_table;
     if (row.removed) {
       entry["removed"] = true;
     } else {
-      entry["value"] = base64_encode(row.value);
+      entry["value"] = base64_encode(has_path ? record_through(*paths, row.value) : row.value);
     }
     return entry;
   }
 
-  json changes(const std::string& table, std::uint64_t after) {
+  json changes(const std::string& table, std::uint64_t after, const network_paths* paths) {
     json rows = json::array();
     for (const auto& [key, row] : tables[table]) {
       if (row.version > after) {
-        rows.push_back(row_json(table, key, row));
+        rows.push_back(row_json(table, key, row, paths));
       }
     }
     return rows;
   }
 
-  std::string rows_response(const std::string& table) {
+  std::string rows_response(const std::string& table, const network_paths* paths) {
     json rows = json::array();
     const std::lock_guard guard(mutex);
     for (const auto& [key, row] : tables[table]) {
       if (!row.removed) {
-        rows.push_back(row_json(table, key, row));
+        rows.push_back(row_json(table, key, row, paths));
       }
     }
     return json{{"rows", rows}, {"has-more", false}, {"ver", version}}.dump();
@@ -119,16 +141,19 @@
 
   // Response to a long poll for changes of a table; empty while there are none and `until` is in
   // the future.
-  std::string changes_if_ready(const std::string& table, std::uint64_t after, time_point until) {
+  std::string changes_if_ready(const std::string& table, std::uint64_t after, time_point until,
+                               const network_paths* paths) {
     const std::lock_guard guard(mutex);
-    const json rows = changes(table, after);
+    const json rows = changes(table, after, paths);
     if (rows.empty() && monotonic_now() < until) {
       return {};
     }
     return json{{"rows", rows}, {"ver", version}}.dump();
   }
 
-  void serve_store(const http_request& request, response_writer& writer) {
+  // `paths`: of the node that this address of the store is for; null: it has none.
+  void serve_store(const http_request& request, response_writer& writer,
+                   const network_paths* paths) {
     const std::string path = request.target.substr(0, request.target.find('?'));
     if (down) {
       send_json(writer, 503, "{}");
@@ -136,9 +161,9 @@
     }
     const std::string table = query_parameter(request.target, "table");
     if (path == "/api/rows-get") {
-      send_at_rate(writer, rows_response(table));
+      send_at_rate(writer, rows_response(table, paths));
     } else if (path == "/api/rows-feed") {
-      feed(request, writer, table);
+      feed(request, writer, table, paths);
     } else if (path == "/api/rows-tx") {
       write(request, writer);
     } else {
@@ -146,13 +171,14 @@
     }
   }
 
-  void feed(const http_request& request, response_writer& writer, const std::string& table) {
+  void feed(const http_request& request, response_writer& writer, const std::string& table,
+            const network_paths* paths) {
     const std::uint64_t after = std::stoull("0" + query_parameter(request.target, "after"));
     const auto wait =
         std::chrono::milliseconds(std::stoull("0" + query_parameter(request.target, "wait-ms")));
     const time_point until = monotonic_now() + wait;
     for (;;) {
-      const std::string body = changes_if_ready(table, after, until);
+      const std::string body = changes_if_ready(table, after, until, paths);
       if (!body.empty()) {
         send_at_rate(writer, body);
         return;
@@ -211,6 +237,27 @@
     return version;
   }
 
+  // ---- paths of nodes ----
+
+  void open_node_access() {
+    auto paths = std::make_unique<network_paths>();
+    for (const auto& [id, e] : engines) {
+      paths->add(e->engine.record().address);
+    }
+    paths->add(plain_address());
+    const network_paths* own = paths.get();
+    auto server = std::make_unique<http_server>(
+        runtime, socket_address{settings.ip, 0}, http_server_limits{},
+        [this, own](const http_request& r, response_writer& w) { serve_store(r, w, own); });
+    nodes.push_back({std::move(paths), std::move(server)});
+  }
+
+  [[nodiscard]] endpoint plain_address() const { return {settings.ip, plain->port()}; }
+
+  [[nodiscard]] endpoint address_of_target(const std::string& id) const {
+    return id == plain_instance_id ? plain_address() : engines.at(id)->engine.record().address;
+  }
+
   // ---- engines ----
 
   void serve_engine(engine_process& e, const http_request& request, response_writer& writer) {
@@ -469,12 +516,12 @@
 
   void list_plain_service(std::uint64_t incarnation) {
     const json record = {{"service", "api"},
-                         {"address", settings.ip + ":" + std::to_string(plain->port())},
+                         {"address", to_string(plain_address())},
                          {"zone", settings.data_centres.front()},
                          {"slots", 6},
                          {"born", incarnation},
                          {"state", "ready"}};
-    put("servers", plain_instance_id, record.dump());
+    put(targets_table, plain_instance_id, record.dump());
   }
 
   void serve_plain(const http_request& request, response_writer& writer) {
@@ -519,14 +566,14 @@
       if (e->dead) {
         if (now >= e->unlist_at && !e->listed_record.empty()) {
           e->listed_record.clear();
-          remove("servers", id);
+          remove(targets_table, id);
         }
         continue;
       }
       e->engine.advance(now);
       std::string record = record_json(*e);
       if (record != e->listed_record) {
-        put("servers", id, record);
+        put(targets_table, id, record);
         e->listed_record = std::move(record);
       }
     }
@@ -597,6 +644,7 @@
   std::atomic<std::size_t> bytes_per_s{0};
   std::unique_ptr<http_server> store;
   std::unique_ptr<restartable_server> plain;
+  std::vector<node_access> nodes;       // nodes with paths of their own
   std::unique_ptr<periodic> refresher;  // last member, since it uses the other members
 };
 
@@ -605,7 +653,7 @@
   state& s = *state_;
   s.store = std::make_unique<http_server>(
       runtime, socket_address{settings.ip, settings.store_port}, http_server_limits{},
-      [&s](const http_request& r, response_writer& w) { s.serve_store(r, w); });
+      [&s](const http_request& r, response_writer& w) { s.serve_store(r, w, nullptr); });
   s.plain = std::make_unique<restartable_server>(
       runtime, socket_address{settings.ip, 0},
       [&s](const http_request& r, response_writer& w) { s.serve_plain(r, w); });
@@ -627,6 +675,9 @@
       s.engines.emplace(std::string(engine_of(record.id)), std::move(process));
     }
   }
+  for (std::size_t i = 0; i < settings.nodes_with_paths; ++i) {
+    s.open_node_access();
+  }
   s.list_plain_service(first_start_stamp);
   write_next_configuration();
   s.refresher = std::make_unique<periodic>(runtime, 0, refresh_interval, [&s] {
@@ -638,6 +689,7 @@
 hosted_platform::~hosted_platform() {
   state_->refresher.reset();
   state_->store.reset();
+  state_->nodes.clear();
   state_->plain.reset();
   for (auto& [id, e] : state_->engines) {
     e->server.reset();
@@ -648,6 +700,19 @@
   return state_->store->port();
 }
 
+std::uint16_t hosted_platform::store_port(std::size_t node) const {
+  return state_->nodes.at(node).store->port();
+}
+
+void hosted_platform::set_paths(std::size_t node, path_state paths, const std::string& target) {
+  network_paths& all = *state_->nodes.at(node).paths;
+  if (target.empty()) {
+    all.set_state(paths);
+  } else {
+    all.set_state(state_->address_of_target(target), paths);
+  }
+}
+
 void hosted_platform::write_next_configuration(bool keys, std::size_t extra_routes) {
   const std::lock_guard guard(state_->mutex);
   state_->put("op", "config", state_->configuration(keys, extra_routes));
@@ -696,7 +761,7 @@
 
 void hosted_platform::write_target_record(const std::string& key, const std::string& value) {
   const std::lock_guard guard(state_->mutex);
-  state_->put("servers", key, value);
+  state_->put(targets_table, key, value);
 }
 
 std::size_t hosted_platform::count_serving_replicas() const {
--- a/src/standin/hosted_platform.h
+++ b/src/standin/hosted_platform.h
@@ -17,6 +17,7 @@
 #include "connection/http_server.h"
 #include "node/periodic.h"
 #include "standin/hosted_engine.h"
+#include "standin/network_paths.h"
 #include "standin/restartable_server.h"
 #include "standin/restraint_checker.h"
 
@@ -31,6 +32,9 @@
   duration event_gap = 20ms;
   duration crash_delay = 15ms;     // time from the start of a poison request to the crash
   duration restart_delay = 600ms;  // time from a crash to the restart
+  // Number of nodes with a store address of their own, in whose rows the targets have the addresses
+  // of paths that can be cut. Hubs pass rows on, so only one such node may be in a data centre.
+  std::size_t nodes_with_paths = 0;
   hosted_engine_settings engine = {.rejoin_time = 50ms,
                                    .warm_load_time = 200ms,
                                    .load_time = 300ms,
@@ -57,6 +61,11 @@
   hosted_platform& operator=(hosted_platform&&) = delete;
 
   [[nodiscard]] std::uint16_t store_port() const;
+  // For one of the nodes with paths of their own.
+  [[nodiscard]] std::uint16_t store_port(std::size_t node) const;
+
+  // The paths from one node to a target, by its id; empty: to all targets.
+  void set_paths(std::size_t node, path_state paths, const std::string& target = {});
 
   // Writes the next version of the operators' configuration. Without `keys` its workspace has no
   // API key. It has `extra_routes` additional routes; the path of each is extra_route(index).
--- a/tests/shell/hosted_fixture.h
+++ b/tests/shell/hosted_fixture.h
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <functional>
 #include <map>
@@ -39,10 +40,12 @@
 }
 
 struct test_node {
-  explicit test_node(const std::string& name, std::uint16_t store_port) {
+  test_node(const std::string& name, std::uint16_t store_port,
+            const std::string& data_centre = "lab-a",
+            const std::vector<std::string>& data_centres = {"lab-a"}) {
     settings.id = node_id{name};
-    settings.data_centre = data_centre_id{"lab-a"};
-    settings.data_centres = {settings.data_centre};
+    settings.data_centre = data_centre_id{data_centre};
+    settings.data_centres = {data_centres.begin(), data_centres.end()};
     settings.listen = {{"127.0.0.1", next_port()},
                        {"127.0.0.1", next_port()},
                        {"127.0.0.1", next_port()},
@@ -59,11 +62,15 @@
 
 class hosted_fixture : public connection_fixture {
  protected:
+  // Two nodes of the first data centre or, if nodes have paths of their own, one of each.
   explicit hosted_fixture(const standin::hosted_platform_settings& settings = {})
       : platform_(runtime, settings) {
-    for (int i = 0; i < 2; ++i) {
-      nodes_.push_back(
-          std::make_unique<test_node>("edge-" + std::to_string(i), platform_.store_port()));
+    const std::size_t with_paths = settings.nodes_with_paths;
+    for (std::size_t i = 0; i < std::max<std::size_t>(with_paths, 2); ++i) {
+      const bool has_paths = i < with_paths;
+      nodes_.push_back(std::make_unique<test_node>(
+          "edge-" + std::to_string(i), has_paths ? platform_.store_port(i) : platform_.store_port(),
+          settings.data_centres.at(has_paths ? i : 0), settings.data_centres));
     }
   }
   ~hosted_fixture() override { nodes_.clear(); }
