--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -226,6 +226,11 @@
   return state_->call(target, request, deadline, {on_headers, on_chunk, false}, token, permit, use);
 }
 
+bool http_client::can_connect(const socket_address& target, time_point deadline) {
+  call_result result;
+  return state_->connect(target, deadline, {}, result) != nullptr;
+}
+
 void http_client::close_idle_connections(const socket_address& target) {
   state_->pool().idle.erase(target);
 }
--- a/src/connection/http_client.h
+++ b/src/connection/http_client.h
@@ -96,6 +96,10 @@
                      const cancel_token& token = {}, const send_permit& permit = {},
                      connection_use use = connection_use::pooled);
 
+  // Opens a connection to the target and closes it again. False if none can be established before
+  // the deadline.
+  bool can_connect(const socket_address& target, time_point deadline);
+
   // Closes the calling worker's idle connections to a target that was restarted. They are broken,
   // and if its machine lost power, no packet has reported that.
   void close_idle_connections(const socket_address& target);
--- a/src/node/controller_loop.cpp
+++ b/src/node/controller_loop.cpp
@@ -6,8 +6,10 @@
 
 #include "connection/clock.h"
 #include "node/cost_timer.h"
+#include "node/hosted_relay.h"
 #include "node/log.h"
 #include "node/poison_watch.h"
+#include "node/reach_watch.h"
 
 namespace arbutus {
 
@@ -56,6 +58,8 @@
 }
 
 void controller_loop::decide(time_point now) {
+  test_paths(node_, now);
+  check_silent_peers(node_, now);
   check_stalls(now);
   probe_lost_targets(now);
   evaluate_poison(node_, now);
--- a/src/node/hosted_buffered.cpp
+++ b/src/node/hosted_buffered.cpp
@@ -4,8 +4,10 @@
 #include <vector>
 
 #include "node/hosted_parts.h"
+#include "node/hosted_relay.h"
 #include "node/log.h"
 #include "node/poison_watch.h"
+#include "node/reach_watch.h"
 
 namespace arbutus {
 
@@ -60,11 +62,23 @@
       end_locally(503, retry_after_stale(node_, monotonic_now()), "the key cannot be confirmed");
       return;
     }
+    const target_reach& reach = node_.reach[call_.service->id];
+    if (reach.is_cut_off() || reach.is_doubtful()) {
+      if (const auto peer = choose_relay_peer(node_, call_)) {
+        hand_over_to(now, *peer);
+        return;
+      }
+    }
     const std::vector<service_instance> instances = node_.instances_of(call_.service->id);
     const excluded_targets excluded = unavailable_instances(now, instances);
     std::vector<target_id> avoided = avoided_;
     avoided.insert(avoided.end(), excluded.ids.begin(), excluded.ids.end());
     const auto chosen = node_.instances.choose(now, instances, node_.settings.data_centre, avoided);
+    const bool unreachable = excluded.by_reach || reach.is_cut_off();
+    if (!chosen && unreachable) {
+      end_unreachable(now);
+      return;
+    }
     if (!chosen) {
       const refusal why = refusal_of_excluded(node_, now, excluded, std::nullopt)
                               .value_or(refusal{retry_after_no_target, last_reason_});
@@ -78,6 +92,31 @@
     attempt(instances[*chosen]);
   }
 
+  void end_unreachable(time_point now) {
+    if (const auto peer = choose_relay_peer(node_, call_)) {
+      hand_over_to(now, *peer);
+      return;
+    }
+    ended_ = true;
+    respond_unfit(node_, call_, retry_after_no_target, unreachable_reason);
+  }
+
+  void hand_over_to(time_point now, const node_record& peer) {
+    if (!may_send_again(node_, call_, now)) {
+      end_locally(503, retry_after_no_target, last_reason_);
+      return;
+    }
+    const relay_answer answer = hand_over(node_, call_, peer, {}, cancel_, {});
+    const bool open =
+        answer.outcome == relay_outcome::not_taken || answer.outcome == relay_outcome::broken;
+    if (open) {
+      last_reason_ = answer.reason;
+      return;
+    }
+    ended_ = true;
+    pass_on(node_, call_, answer);
+  }
+
   [[nodiscard]] excluded_targets unavailable_instances(
       time_point now, const std::vector<service_instance>& instances) const {
     excluded_targets excluded;
@@ -133,6 +172,9 @@
           own_reason ? instance_call_outcome::withdrawn : instance_call_outcome::failed);
       --call_.possible_sends;
       last_reason_ = not_permitted ? restrained_reason : "could not be sent";
+      if (result.failure == call_failure::connect_failed) {
+        note_connect_failure(node_, call_.service->id, instance.id);
+      }
       return;
     }
     learn_from(instance, result.response);
@@ -215,8 +257,8 @@
       return;
     }
     ended_ = true;
-    const bool reached =
-        call_.writer.send(response.status, caller_headers(response.headers), response.body);
+    const bool reached = call_.writer.send(
+        response.status, answer_headers(call_, response.headers, instance.id), response.body);
     finish_call(node_, call_,
                 !reached ? "caller_gone"
                 : failed ? "failed"
--- a/src/node/hosted_call.cpp
+++ b/src/node/hosted_call.cpp
@@ -30,11 +30,10 @@
       return end(400, {}, "the request has no id");
     }
     if (!node_.map) {
-      return end(503, retry_after_stale(node_, call_.arrived), "no configuration is known yet");
+      return end_unfit("no configuration is known yet");
     }
     if (node_.is_outdated(call_.arrived)) {
-      return end(503, retry_after_stale(node_, call_.arrived),
-                 "a newer configuration is accepted, and not here yet");
+      return end_unfit("a newer configuration is accepted, and not here yet");
     }
     call_.map = node_.map;
     call_.matched_route = call_.map->find_route(call_.fields.host, call_.fields.path);
@@ -43,8 +42,7 @@
       // Only a configuration version that was recently confirmed as the newest proves that there is
       // no such route; another node may have a newer version.
       return current ? end(404, {}, "no route has this host and path")
-                     : end(503, retry_after_stale(node_, call_.arrived),
-                           "the configuration may be out of date");
+                     : end_unfit("the configuration may be out of date");
     }
     if (call_.map->has_workspaces() && call_.matched_route->needs_workspace &&
         !find_workspace(current)) {
@@ -62,10 +60,14 @@
     return false;
   }
 
+  bool end_unfit(std::string_view reason) {
+    respond_unfit(node_, call_, retry_after_stale(node_, call_.arrived), reason);
+    return false;
+  }
+
   bool find_workspace(bool current) {
     if (!current) {
-      return end(503, retry_after_stale(node_, call_.arrived),
-                 "keys cannot be checked: the configuration is stale");
+      return end_unfit("keys cannot be checked: the configuration is stale");
     }
     const workspace_spec* workspace =
         call_.fields.api_key.empty() ? nullptr : call_.map->find_workspace(call_.fields.api_key);
@@ -94,7 +96,10 @@
     if (call_.service == nullptr) {
       return end(503, retry_after_no_target, "the route's service is not configured");
     }
-    node_.retries_of(call_.service->id).count_first_send(call_.arrived);
+    // The node that a call was handed over by has counted it, and pays for its first send here.
+    if (!call_.relayed) {
+      node_.retries_of(call_.service->id).count_first_send(call_.arrived);
+    }
     return true;
   }
 
@@ -121,7 +126,7 @@
 }
 
 bool may_send_again(hosted_state& node, const hosted_request& call, time_point now) {
-  if (call.possible_sends == 0) {
+  if (call.possible_sends == 0 && call.possible_runs == 0) {
     return true;
   }
   if (call.possible_runs > 0 && !call.matched_route->repeatable()) {
@@ -131,11 +136,14 @@
       call.possible_sends >= max_sends_per_call) {
     return false;
   }
-  return node.retries_of(call.service->id).take(now);
+  // The peer that has handed the call over has paid for its first send.
+  return call.possible_sends == 0 || node.retries_of(call.service->id).take(now);
 }
 
-void respond_locally(hosted_state& node, hosted_request& call, int status, duration retry_after,
-                     std::string_view reason) {
+namespace {
+
+void respond(hosted_state& node, hosted_request& call, int status, duration retry_after,
+             std::string_view reason, relay_result result) {
   local_response answer;
   answer.status = status;
   answer.reason = std::string(reason);
@@ -148,12 +156,45 @@
   } else if (promises_not_run) {
     answer.retry_after = retry_after;
   }
-  const bool sent = call.writer.send(answer.status, local_response_headers(answer, call.fields.id),
-                                     local_response_body(answer));
+  http_headers headers = local_response_headers(answer, call.fields.id);
+  if (call.relayed) {
+    headers.add(std::string(relay_header), to_text(relay_report{result, call.possible_runs, {}}));
+  }
+  const bool sent = call.writer.send(answer.status, headers, local_response_body(answer));
+  // The call goes on elsewhere, so it has not ended.
+  if (call.relayed && result == relay_result::not_taken) {
+    log_line(log_level::info, "request", "not taken",
+             {{"request", call.fields.id}, {"from", call.relayed->from}, {"reason", reason}});
+    return;
+  }
   finish_call(node, call, sent ? (call.possible_runs > 0 ? "failed" : "refused") : "caller_gone",
               reason, answer.status);
 }
 
+}  // namespace
+
+void respond_locally(hosted_state& node, hosted_request& call, int status, duration retry_after,
+                     std::string_view reason) {
+  respond(node, call, status, retry_after, reason, relay_result::refused);
+}
+
+void respond_unfit(hosted_state& node, hosted_request& call, duration retry_after,
+                   std::string_view reason) {
+  const bool was_sent = call.possible_sends > 0;
+  respond(node, call, 503, retry_after, reason,
+          was_sent ? relay_result::refused : relay_result::not_taken);
+}
+
+http_headers answer_headers(const hosted_request& call, const http_headers& from,
+                            const target_id& target) {
+  http_headers headers = caller_headers(from);
+  if (call.relayed) {
+    headers.add(std::string(relay_header),
+                to_text(relay_report{relay_result::answered, call.possible_runs + 1, target}));
+  }
+  return headers;
+}
+
 void finish_call(hosted_state& node, hosted_request& call, std::string_view result,
                  std::string_view reason, int status) {
   const time_point now = monotonic_now();
@@ -190,16 +231,18 @@
        {"lease_age_ms", to_milliseconds(node.configuration_lease.age(now).value_or(-1ms))}});
 }
 
-void serve_hosted_call(hosted_state& node, const http_request& request, response_writer& writer) {
-  hosted_request call{request, writer,  read_request_fields(request),
-                      nullptr, nullptr, nullptr,
-                      {},      {},      {},
-                      {},      {},      0,
-                      0,       {},      {},
-                      {},      0};
-  call.arrived = monotonic_now();
+hosted_request begin_call(hosted_state& node, const http_request& request,
+                          response_writer& writer) {
+  hosted_request call{.raw_request = request,
+                      .writer = writer,
+                      .fields = read_request_fields(request),
+                      .arrived = monotonic_now()};
   call.writes_log_lines = should_write_request_lines(call.arrived, call.fields.id.str());
   node.requests_seen = true;
+  return call;
+}
+
+void serve_begun_call(hosted_state& node, hosted_request& call) {
   call_preparation start(node, call);
   if (!start.run()) {
     return;
@@ -211,4 +254,9 @@
   }
 }
 
+void serve_hosted_call(hosted_state& node, const http_request& request, response_writer& writer) {
+  hosted_request call = begin_call(node, request, writer);
+  serve_begun_call(node, call);
+}
+
 }  // namespace arbutus
--- a/src/node/hosted_node.cpp
+++ b/src/node/hosted_node.cpp
@@ -5,6 +5,7 @@
 #include "connection/http_server.h"
 #include "node/controller_loop.h"
 #include "node/hosted_call.h"
+#include "node/hosted_relay.h"
 #include "node/hosted_state.h"
 #include "node/log.h"
 #include "node/peer_links.h"
@@ -75,6 +76,11 @@
     callers = std::make_unique<http_server>(
         runtime, address_of_endpoint(at.caller_endpoint), caller_server_limits(),
         [this](const http_request& r, response_writer& w) { serve_hosted_call(state, r, w); });
+    if (!at.relay_endpoint.host.empty()) {
+      relays = std::make_unique<http_server>(
+          runtime, address_of_endpoint(at.relay_endpoint), caller_server_limits(),
+          [this](const http_request& r, response_writer& w) { serve_relayed_call(state, r, w); });
+    }
   }
 
   // The readiness check succeeds if a confirmed configuration is in force and targets are known. A
@@ -134,6 +140,15 @@
     const target_backoffs::counts restrained = state.backoffs.count(monotonic_now());
     add("arbutusworks_targets_backing_off", restrained.backing_off);
     add("arbutusworks_targets_leaving", restrained.leaving);
+    std::uint64_t cut_off_services = 0;
+    std::uint64_t unreachable_targets = 0;
+    for (const auto& [service, reach] : state.reach) {
+      cut_off_services += reach.is_cut_off() ? 1 : 0;
+      unreachable_targets += reach.unreachable_count();
+    }
+    add("arbutusworks_cut_off_services", cut_off_services);
+    add("arbutusworks_targets_unreachable", unreachable_targets);
+    add("arbutusworks_taken_over_active", state.taken_over);
     add("arbutusworks_log_lines_dropped", dropped_log_lines());
     add("arbutusworks_log_requests_left_out", suppressed_request_count());
     return text;
@@ -159,6 +174,7 @@
   std::unique_ptr<http_server> ready;
   std::unique_ptr<http_server> metrics;
   std::unique_ptr<http_server> callers;
+  std::unique_ptr<http_server> relays;  // for calls that peers hand over; null: none are taken over
   bool was_ready = false;
 };
 
@@ -174,6 +190,7 @@
   // does the posted work, the destructor would wait forever: the process would log its exit but
   // never exit. The controller's fibers use the links, so it is stopped before them.
   parts_->callers.reset();
+  parts_->relays.reset();
   parts_->ready.reset();
   parts_->metrics.reset();
   parts_->runtime.run_on(0, [this] { parts_->controller->end(); });
@@ -194,7 +211,9 @@
     p.state.stopping = true;
     p.callers->close_after_answers();
     sleep_until(begun + load_balancer_lag);
-    clean = p.callers->drain(begun + p.state.settings.bounds.shutdown_grace - shutdown_margin);
+    const time_point until = begun + p.state.settings.bounds.shutdown_grace - shutdown_margin;
+    clean = p.callers->drain(until);
+    clean = (!p.relays || p.relays->drain(until)) && clean;
   });
   return clean;
 }
--- a/src/node/hosted_parts.h
+++ b/src/node/hosted_parts.h
@@ -12,6 +12,7 @@
 #include "connection/http_server.h"
 #include "node/hosted_state.h"
 #include "platform/http_fields.h"
+#include "request/relay_header.h"
 #include "request/request_fingerprint.h"
 
 namespace arbutus {
@@ -20,31 +21,50 @@
 struct hosted_request {
   const http_request& raw_request;
   response_writer& writer;
-  request_fields fields;
-  std::shared_ptr<const service_map> map;  // configuration in force when the call arrived
+  request_fields fields = {};
+  std::shared_ptr<const service_map> map = {};  // configuration in force when the call arrived
   const route* matched_route = nullptr;
   const service_spec* service = nullptr;
-  workspace_id workspace;
-  std::optional<std::uint32_t> urgency;  // 0 is the most urgent
-  request_fingerprint fingerprint;       // equal for repetitions of the same request
-  time_point arrived;
-  time_point deadline;
+  workspace_id workspace = {};
+  std::optional<std::uint32_t> urgency = {};  // 0 is the most urgent
+  request_fingerprint fingerprint = {};       // equal for repetitions of the same request
+  time_point arrived = {};
+  time_point deadline = {};
+  std::optional<relayed_call> relayed = {};  // set if a peer has handed the call over to this node
+  std::vector<node_id> tried_peers = {};     // that this node has handed the call over to
 
   // Outcome, for the log line and the metrics.
-  std::uint32_t possible_sends = 0;        // sends that may have reached a target
-  std::uint32_t possible_runs = 0;         // of those, sends that no target reported as not run
-  std::string tried_targets;               // targets tried, in order
-  std::set<target_id> restrained_targets;  // targets not chosen since they back off or are leaving
+  std::uint32_t possible_sends = 0;  // sends that may have reached a target
+  std::uint32_t possible_runs = 0;   // of those, sends that no target reported as not run
+  std::string tried_targets = {};    // targets tried, in order
+  std::set<target_id> restrained_targets =
+      {};                       // targets not chosen since they back off or are leaving
   time_point first_event_at{};  // when the first event of the response was received; zero: none
   std::uint64_t forwarded_events = 0;  // events forwarded to the caller
   bool writes_log_lines = true;        // whether log lines of this call are written: all or none
 };
 
+// A call that has just arrived.
+[[nodiscard]] hosted_request begin_call(hosted_state& node, const http_request& request,
+                                        response_writer& writer);
+void serve_begun_call(hosted_state& node, hosted_request& call);
+
+// The headers of a target's answer for whoever sent this node the call: its caller, or the peer
+// that has handed it over.
+[[nodiscard]] http_headers answer_headers(const hosted_request& call, const http_headers& from,
+                                          const target_id& target);
+
 // Ends the call with a response of this node. A status that promises "not run" is replaced by one
 // without that promise if a target may have run the request.
 void respond_locally(hosted_state& node, hosted_request& call, int status, duration retry_after,
                      std::string_view reason);
 
+// Ends the call with 503 because this node cannot serve it now, whatever others can: a peer that
+// has handed it over tries another node.
+void respond_unfit(hosted_state& node, hosted_request& call, duration retry_after,
+                   std::string_view reason);
+inline constexpr std::string_view unreachable_reason = "this node reaches no target for it";
+
 // Writes the call's final log line and its metrics. `result`: "done", "refused", "failed", "cut" or
 // "caller_gone".
 void finish_call(hosted_state& node, hosted_request& call, std::string_view result,
@@ -79,6 +99,7 @@
   std::vector<target_id> ids;
   bool by_send_limit = false;
   bool by_leaving = false;
+  bool by_reach = false;  // this node cannot open connections to them
   std::optional<target_backoffs::backoff> first_backoff;  // the one that ends first
 };
 
--- /dev/null
+++ b/src/node/hosted_relay.cpp
@@ -0,0 +1,310 @@
+// Calls handed over to peers and by peers.
+#include "node/hosted_relay.h"
+
+#include <algorithm>
+
+#include "connection/clock.h"
+#include "node/hosted_call.h"
+#include "node/log.h"
+
+namespace arbutus {
+
+namespace {
+
+constexpr int status_ok = 200;
+// Path that a peer answers at once, to show that its process runs.
+constexpr std::string_view alive_path = "/alive";
+constexpr duration alive_timeout = 200ms;
+// Path prefix of the question whether a target, whose id follows, answers the peer.
+constexpr std::string_view probe_prefix = "/probe/";
+constexpr duration peer_probe_timeout = 80ms;
+// Peers that one call is handed to, one after the other. With half of all nodes cut off, each one
+// takes it with a probability of a half.
+constexpr std::size_t max_peers_per_call = 4;
+
+// One call on its way to a peer and back.
+class relay_call {
+ public:
+  relay_call(hosted_state& node, hosted_request& call, const node_record& peer,
+             const relay_sink& sink)
+      : node_(node), call_(call), peer_(peer), sink_(sink) {}
+
+  relay_answer run(const std::string& resume_after, const cancel_token& cancel) {
+    sent_at_ = monotonic_now();
+    http_request request =
+        make_relay_request(call_.raw_request, call_.deadline - sent_at_, resume_after);
+    request.headers.add(std::string(relay_header),
+                        to_text(relayed_call{node_.settings.id, call_.possible_runs}));
+    ++call_.possible_sends;
+    node_.relays.sent(sent_at_, peer_.id);
+    const bool repeatable = call_.matched_route->repeatable();
+    const call_result result = node_.relay_http.stream(
+        {peer_.relay.host, peer_.relay.port}, request, call_.deadline,
+        [this](int status, const http_headers& headers) { return on_headers(status, headers); },
+        [this](std::string_view bytes) { return on_bytes(bytes); }, cancel,
+        [this] { return is_key_usable(node_, call_); },
+        repeatable ? connection_use::pooled : connection_use::fresh);
+    node_.relays.ended(peer_.id);
+    answer_.outcome = outcome_of(result);
+    count_runs();
+    return std::move(answer_);
+  }
+
+ private:
+  bool on_headers(int status, const http_headers& headers) {
+    node_.relays.heard(monotonic_now(), peer_.id);
+    answer_.status = status;
+    answer_.headers = headers;
+    report_ = read_relay_report(headers.find(relay_header).value_or(std::string_view{}));
+    if (!report_) {
+      return false;
+    }
+    if (report_->result != relay_result::answered) {
+      return true;
+    }
+    learn_from_target();
+    is_streamed_ = sink_.on_headers && status == status_ok;
+    return !is_streamed_ || sink_.on_headers(status, headers);
+  }
+
+  // What the target's answer says of the target binds this node, too.
+  void learn_from_target() {
+    const target_view* view = node_.fleet.find(report_->target);
+    if (view != nullptr) {
+      learn_from_response(node_, call_, sent_at_, {report_->target, view->record.address},
+                          answer_.status,
+                          read_response_fields(answer_.status, answer_.headers, call_.fields.id));
+    }
+  }
+
+  bool on_bytes(std::string_view bytes) {
+    node_.relays.heard(monotonic_now(), peer_.id);
+    if (is_streamed_) {
+      return sink_.on_events(bytes);
+    }
+    answer_.body.append(bytes);
+    return true;
+  }
+
+  relay_outcome outcome_of(const call_result& result) {
+    if (result.outcome == call_outcome::not_sent) {
+      if (result.failure == call_failure::connect_failed) {
+        node_.relays.unresponsive(monotonic_now(), peer_.id);
+      }
+      answer_.reason = "the peer could not be reached";
+      return relay_outcome::not_taken;
+    }
+    if (!result.ok() || !report_) {
+      if (result.failure == call_failure::connection_lost) {
+        node_.relays.unresponsive(monotonic_now(), peer_.id);
+      }
+      answer_.reason = "the peer gave no complete answer";
+      return relay_outcome::broken;
+    }
+    if (report_->result == relay_result::not_taken) {
+      node_.relays.not_taken(monotonic_now(), peer_.id);
+      answer_.reason = "the peer did not take it";
+      return relay_outcome::not_taken;
+    }
+    return report_->result == relay_result::answered ? relay_outcome::answered
+                                                     : relay_outcome::refused;
+  }
+
+  void count_runs() {
+    if (answer_.outcome == relay_outcome::not_taken) {
+      --call_.possible_sends;
+    } else if (answer_.outcome == relay_outcome::broken) {
+      ++call_.possible_runs;
+    }
+    if (report_) {
+      call_.possible_runs = std::max(call_.possible_runs, report_->possible_runs);
+    }
+  }
+
+  hosted_state& node_;
+  hosted_request& call_;
+  const node_record& peer_;
+  const relay_sink& sink_;
+  time_point sent_at_{};
+  std::optional<relay_report> report_;
+  relay_answer answer_;
+  bool is_streamed_ = false;
+};
+
+std::string_view to_string(relay_outcome outcome) {
+  switch (outcome) {
+    case relay_outcome::answered:
+      return "answered";
+    case relay_outcome::refused:
+      return "refused";
+    case relay_outcome::not_taken:
+      return "not taken";
+    case relay_outcome::broken:
+      return "broken";
+  }
+  return "?";
+}
+
+// Calls of peers that this node takes over at a time: a stream takes about a thousandth of a core,
+// and 40 percent are left to the node's own callers.
+std::size_t max_taken_over(const hosted_state& node) {
+  constexpr std::size_t min_calls = 16;
+  constexpr std::size_t calls_at_unknown_strength = 150;
+  const std::size_t permille = node.settings.strength.processor_permille;
+  return permille == 0 ? calls_at_unknown_strength : std::max(min_calls, permille * 3 / 5);
+}
+
+// Answers a call that this node does not take over.
+void decline(response_writer& writer, const hosted_request& call, std::string_view reason) {
+  local_response answer;
+  answer.reason = std::string(reason);
+  http_headers headers = local_response_headers(answer, call.fields.id);
+  headers.add(std::string(relay_header),
+              to_text(relay_report{relay_result::not_taken, call.possible_runs, {}}));
+  writer.send(answer.status, headers, local_response_body(answer));
+}
+
+void check_peer(hosted_state& node, const node_record& peer) {
+  http_request request;
+  request.target = std::string(alive_path);
+  const call_result result = node.relay_http.fetch({peer.relay.host, peer.relay.port}, request,
+                                                   monotonic_now() + alive_timeout);
+  if (result.ok()) {
+    return;
+  }
+  node.relays.unresponsive(monotonic_now(), peer.id);
+  const std::size_t moved = node.attempts.cancel_resumable(relay_attempt_id(peer.id));
+  log_line(log_level::warning, "reach", "peer does not answer",
+           {{"peer", peer.id}, {"streams_moved", std::uint64_t{moved}}});
+}
+
+// Answers a peer that asks whether the target answers this node.
+void serve_peer_probe(hosted_state& node, const target_id& id, response_writer& writer) {
+  constexpr int status_not_found = 404;
+  const target_view* view = node.fleet.find(id);
+  if (view == nullptr) {
+    writer.send(status_not_found, {}, "");
+    return;
+  }
+  node.metrics.count("arbutusworks_questions", "why=\"peer\"");
+  const endpoint address = view->record.address;
+  const auto result = node.engines.report(id, address, monotonic_now() + peer_probe_timeout);
+  const auto* report = std::get_if<target_report>(&result);
+  const bool answers = report != nullptr && report->incarnation == id;
+  writer.send(answers ? status_ok : status_not_found, {}, "");
+}
+
+}  // namespace
+
+bool answers_a_peer(hosted_state& node, const target_id& id, time_point deadline) {
+  const auto peer = node.relays.choose(monotonic_now(), node.peers.records(),
+                                       node.settings.data_centre, {}, node.random);
+  if (!peer) {
+    return false;
+  }
+  http_request request;
+  request.target = std::string(probe_prefix) + id.str();
+  const call_result result =
+      node.relay_http.fetch({peer->relay.host, peer->relay.port}, request, deadline);
+  return result.ok() && result.response.status == status_ok;
+}
+
+target_id relay_attempt_id(const node_id& peer) {
+  return target_id{"node:" + peer.str()};
+}
+
+std::optional<node_record> choose_relay_peer(hosted_state& node, const hosted_request& call) {
+  if (call.relayed || call.tried_peers.size() >= max_peers_per_call) {
+    return std::nullopt;
+  }
+  return node.relays.choose(monotonic_now(), node.peers.records(), node.settings.data_centre,
+                            call.tried_peers, node.random);
+}
+
+relay_answer hand_over(hosted_state& node, hosted_request& call, const node_record& peer,
+                       const std::string& resume_after, const cancel_token& cancel,
+                       const relay_sink& sink) {
+  call.tried_peers.push_back(peer.id);
+  call.tried_targets += (call.tried_targets.empty() ? "" : ",") + relay_attempt_id(peer.id).str();
+  relay_answer answer = relay_call(node, call, peer, sink).run(resume_after, cancel);
+  node.metrics.count("arbutusworks_handed_over",
+                     "result=\"" + std::string(to_string(answer.outcome)) + "\"");
+  if (call.writes_log_lines) {
+    log_line(log_level::info, "request", "handed over",
+             {{"request", call.fields.id},
+              {"peer", peer.id},
+              {"cut_off", node.reach[call.service->id].is_cut_off()},
+              {"result", to_string(answer.outcome)},
+              {"reason", answer.reason},
+              {"status", answer.status},
+              {"may_have_run", call.possible_runs}});
+  }
+  return answer;
+}
+
+void pass_on(hosted_state& node, hosted_request& call, const relay_answer& answer) {
+  const bool reached = call.writer.send(answer.status, caller_headers(answer.headers), answer.body);
+  const bool by_target = answer.outcome == relay_outcome::answered;
+  const bool done = by_target && answer.status < 500;
+  constexpr int unavailable = 503;
+  finish_call(node, call,
+              !reached                       ? "caller_gone"
+              : done                         ? "done"
+              : answer.status == unavailable ? "refused"
+                                             : "failed",
+              done        ? ""
+              : by_target ? "the target's own failure"
+                          : "refused by the node that took it over",
+              answer.status);
+}
+
+void check_silent_peers(hosted_state& node, time_point now) {
+  for (const node_id& id : node.relays.take_silent(now)) {
+    const auto& nodes = node.peers.records();
+    const auto peer =
+        std::find_if(nodes.begin(), nodes.end(), [&](const node_record& n) { return n.id == id; });
+    if (peer != nodes.end()) {
+      node.runtime.post(0, [&node, record = *peer] { check_peer(node, record); });
+    }
+  }
+}
+
+void serve_relayed_call(hosted_state& node, const http_request& request, response_writer& writer) {
+  if (request.target == alive_path) {
+    writer.send(status_ok, {}, "alive\n");
+    return;
+  }
+  if (request.target.starts_with(probe_prefix)) {
+    serve_peer_probe(node, target_id{request.target.substr(probe_prefix.size())}, writer);
+    return;
+  }
+  auto relayed = read_relayed_call(request.headers.find(relay_header).value_or(std::string_view{}));
+  if (!relayed) {
+    constexpr int bad_request = 400;
+    log_line(log_level::warning, "reach", "unreadable call of a peer", {{"from", request.remote}});
+    writer.send(bad_request, {}, "");
+    return;
+  }
+  hosted_request call = begin_call(node, request, writer);
+  call.relayed = *relayed;
+  call.possible_runs = relayed->possible_runs;
+  const bool busy = node.taken_over >= max_taken_over(node);
+  const bool takes = !busy && !node.stopping;
+  node.metrics.count("arbutusworks_taken_over", takes ? "taken=\"yes\"" : "taken=\"no\"");
+  if (!takes) {
+    decline(writer, call, busy ? "this node has too many calls of others" : "not served here now");
+    return;
+  }
+  if (call.writes_log_lines) {
+    log_line(log_level::info, "request", "taken over",
+             {{"request", call.fields.id},
+              {"from", relayed->from},
+              {"may_have_run", call.possible_runs},
+              {"taken_over", std::uint64_t{node.taken_over}}});
+  }
+  ++node.taken_over;
+  serve_begun_call(node, call);
+  --node.taken_over;
+}
+
+}  // namespace arbutus
--- a/src/node/hosted_state.cpp
+++ b/src/node/hosted_state.cpp
@@ -1,6 +1,7 @@
 // Shared state of a hosted node.
 #include "node/hosted_state.h"
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 #include <random>
@@ -59,6 +60,15 @@
   return limits;
 }
 
+http_client_limits relay_client_limits() {
+  http_client_limits limits;
+  // A live node accepts a connection within two round trips, 6 ms.
+  limits.connect_timeout = 150ms;
+  limits.max_idle_per_target = 64;
+  limits.idle_expiry = 10s;
+  return limits;
+}
+
 hosted_state::hosted_state(hosted_settings s, fiber_runtime& r)
     : settings(std::move(s)),
       incarnation(random_incarnation()),
@@ -66,6 +76,7 @@
       targets_http(r, target_client_limits()),
       control_http(r, control_client_limits()),
       platform_http(r, platform_client_limits()),
+      relay_http(r, relay_client_limits()),
       store(platform_http, address_of_endpoint(settings.store)),
       engines(control_http),
       configuration_lease({.revocation_bound = settings.bounds.key_withdrawal_limit}),
@@ -115,6 +126,13 @@
   control_http.close_idle_connections(address_of_endpoint(address));
 }
 
+bool hosted_state::is_cut_off_from_models() const {
+  return map && std::ranges::any_of(reach, [this](const auto& entry) {
+           const service_spec* service = map->find_service(entry.first);
+           return entry.second.is_cut_off() && service != nullptr && service->engine;
+         });
+}
+
 retry_window& hosted_state::retries_of(const service_id& service) {
   const auto found = retry_windows.find(service);
   if (found != retry_windows.end()) {
--- a/src/node/hosted_state.h
+++ b/src/node/hosted_state.h
@@ -30,7 +30,9 @@
 #include "process/rejecting_heads.h"
 #include "process/serving_feed.h"
 #include "process/stall_monitor.h"
+#include "process/target_reach.h"
 #include "request/instance_choice.h"
+#include "request/relay_peers.h"
 #include "request/replica_choice.h"
 #include "request/retry_window.h"
 #include "request/send_limits.h"
@@ -49,6 +51,7 @@
   http_client
       control_http;  // for reports and orders; short timeout, as a late response is a failure
   http_client platform_http;
+  http_client relay_http;  // for calls handed over to peers
   platform_store store;
   platform_engines engines;
 
@@ -70,6 +73,9 @@
   rejecting_heads rejections;
   send_limits limits;
   target_backoffs backoffs;
+  std::map<service_id, target_reach> reach;
+  relay_peers relays;
+  std::size_t taken_over = 0;  // calls of peers that run at this node
   attempt_registry attempts;
   poison_state poison;
   peer_table peers;
@@ -95,6 +101,8 @@
     return configuration_lag.is_stale(now, settings.bounds.configuration_limit);
   }
   [[nodiscard]] retry_window& retries_of(const service_id& service);
+  // Whether this node is cut off from the targets of a model service. It then controls no replicas.
+  [[nodiscard]] bool is_cut_off_from_models() const;
   // Drops pooled connections to an address whose target has restarted.
   void forget_connections(const endpoint& address);
 
@@ -111,5 +119,6 @@
 [[nodiscard]] http_client_limits target_client_limits();
 [[nodiscard]] http_client_limits control_client_limits();
 [[nodiscard]] http_client_limits platform_client_limits();
+[[nodiscard]] http_client_limits relay_client_limits();
 
 }  // namespace arbutus
--- a/src/node/hosted_stream.cpp
+++ b/src/node/hosted_stream.cpp
@@ -4,8 +4,10 @@
 #include <vector>
 
 #include "node/hosted_parts.h"
+#include "node/hosted_relay.h"
 #include "node/log.h"
 #include "node/poison_watch.h"
+#include "node/reach_watch.h"
 #include "request/event_relay.h"
 
 namespace arbutus {
@@ -83,6 +85,13 @@
       end_locally(503, retry_after_stale(node_, monotonic_now()), "the key cannot be confirmed");
       return;
     }
+    const target_reach& reach = node_.reach[call_.service->id];
+    if (reach.is_cut_off() || reach.is_doubtful()) {
+      if (const auto peer = choose_relay_peer(node_, call_)) {
+        hand_over_to(now, *peer);
+        return;
+      }
+    }
     const auto& replicas = node_.replicas(*call_.service, model_->id);
     const std::vector<target_id> suspects = suspected_heads(now, replicas);
     const excluded_targets excluded = unavailable_heads(now, replicas);
@@ -94,7 +103,7 @@
     const replica_choice choice =
         choose_replica(*call_.service->engine, *model_, replicas, node_.loads, desired);
     if (const auto* none = std::get_if<no_replica>(&choice)) {
-      refuse(now, *none, excluded);
+      end_without_replica(now, *none, excluded);
       return;
     }
     if (!may_send_again(node_, call_, now)) {
@@ -116,6 +125,74 @@
     return excluded;
   }
 
+  void end_without_replica(time_point now, const no_replica& none,
+                           const excluded_targets& excluded) {
+    const bool unreachable = excluded.by_reach || node_.reach[call_.service->id].is_cut_off();
+    if (!unreachable) {
+      refuse(now, none, excluded);
+    } else if (const auto peer = choose_relay_peer(node_, call_)) {
+      hand_over_to(now, *peer);
+    } else {
+      end_unreachable();
+    }
+  }
+
+  void end_unreachable() {
+    if (caller_disconnected_ || header_sent_) {
+      end_locally(503, retry_after_no_target, unreachable_reason);
+      return;
+    }
+    ended_ = true;
+    respond_unfit(node_, call_, retry_after_no_target, unreachable_reason);
+  }
+
+  // Hands the request over to a peer, which goes on after the last event received.
+  void hand_over_to(time_point now, const node_record& peer) {
+    if (!may_send_again(node_, call_, now)) {
+      end_locally(503, retry_after_no_target, last_reason_);
+      return;
+    }
+    attempt_registry::attempt own;
+    own.resumable = call_.matched_route->repeatable();
+    const attempt_registry::scope listed(node_.attempts, relay_attempt_id(peer.id), own);
+    running_ = &own;
+    const relay_sink sink{[this](int, const http_headers& headers) {
+                            headers_ = headers;
+                            return true;
+                          },
+                          [this](std::string_view bytes) { return on_relayed_bytes(bytes); }};
+    const relay_answer answer = hand_over(node_, call_, peer, relay_.last_id(), own.cancel, sink);
+    running_ = nullptr;
+    call_.forwarded_events = relay_.events();
+    finish_relay(answer);
+  }
+
+  bool on_relayed_bytes(std::string_view bytes) {
+    if (call_.first_event_at == time_point{}) {
+      call_.first_event_at = monotonic_now();
+    }
+    const std::string_view events = relay_.take(bytes);
+    return (events.empty() || forward_events(events)) && !relay_.out_of_order();
+  }
+
+  void finish_relay(const relay_answer& answer) {
+    const bool streamed = answer.outcome == relay_outcome::answered && answer.status == 200;
+    if (streamed && !relay_.inside_event()) {
+      ended_ = true;
+      send_end();
+    } else if (streamed || answer.outcome == relay_outcome::not_taken ||
+               answer.outcome == relay_outcome::broken) {
+      last_reason_ = streamed ? "the stream ended inside an event" : answer.reason;
+      call_.possible_runs += streamed ? 1 : 0;
+      relay_.restart();
+    } else if (header_sent_ || caller_disconnected_) {
+      end_locally(answer.status, {}, "refused by the node that took it over");
+    } else {
+      ended_ = true;
+      pass_on(node_, call_, answer);
+    }
+  }
+
   void refuse(time_point now, const no_replica& none, const excluded_targets& excluded) {
     const refusal without{none.retry_after, none.reason};
     const auto otherwise = none.all_excluded ? std::nullopt : std::optional<refusal>(without);
@@ -284,7 +361,7 @@
   bool forward_events(std::string_view events) {
     if (!header_sent_) {
       header_sent_ = true;
-      if (!call_.writer.start(200, caller_headers(headers_))) {
+      if (!call_.writer.start(200, answer_headers(call_, headers_, head_))) {
         caller_disconnected_ = true;
         return false;
       }
@@ -310,6 +387,9 @@
     if (result.outcome == call_outcome::not_sent) {
       const bool restrained = result.failure == call_failure::not_permitted;
       last_reason_ = restrained ? restrained_reason : "could not be sent";
+      if (result.failure == call_failure::connect_failed) {
+        note_connect_failure(node_, call_.service->id, head_);
+      }
       --call_.possible_sends;
       return attempt_result::not_sent;
     }
@@ -343,14 +423,18 @@
   }
 
   attempt_result finish_stream() {
+    mark_request_harmless(node_, call_);
+    send_end();
+    return attempt_result::complete;
+  }
+
+  void send_end() {
     if (!header_sent_) {
       header_sent_ = true;
-      call_.writer.start(200, caller_headers(headers_));
+      call_.writer.start(200, answer_headers(call_, headers_, head_));
     }
     const bool reached = call_.writer.finish();
-    mark_request_harmless(node_, call_);
     finish_call(node_, call_, reached ? "done" : "caller_gone", "", 200);
-    return attempt_result::complete;
   }
 
   // A request whose failure the target reports counts as run. Requests that may be repeated are
@@ -364,7 +448,7 @@
       last_reason_ = "the target failed";
       return attempt_result::broken;
     }
-    call_.writer.send(status_, caller_headers(headers_), failure_body_);
+    call_.writer.send(status_, answer_headers(call_, headers_, head_), failure_body_);
     finish_call(node_, call_, "failed", "the target's own failure", status_);
     return attempt_result::complete;
   }
--- a/src/node/hosted_targets.cpp
+++ b/src/node/hosted_targets.cpp
@@ -56,6 +56,11 @@
 void exclude_if_unavailable(hosted_state& node, hosted_request& call, time_point now,
                             const target_id& id, const endpoint& address,
                             excluded_targets& excluded) {
+  if (node.reach[call.service->id].is_unreachable(id)) {
+    excluded.by_reach = true;
+    excluded.ids.push_back(id);
+    return;
+  }
   // Usually no target is restrained, and nothing is copied for each candidate.
   const target_restraint restraint = node.backoffs.is_empty()
                                          ? target_restraint::none
--- a/src/node/request_timeline.cpp
+++ b/src/node/request_timeline.cpp
@@ -135,6 +135,9 @@
   if (line.part == "keeper" && line.message == "duties") {
     return "duties";
   }
+  if (line.part == "reach" && !line.field("targets").empty()) {
+    return "reach";
+  }
   if (line.part == "node") {
     return "node";
   }
@@ -147,7 +150,7 @@
 };
 
 // Explains each reason and says where to look next. The reasons are those in the nodes' log lines.
-constexpr std::array<known_reason, 26> known_reasons = {{
+constexpr std::array<known_reason, 30> known_reasons = {{
     {"every replica is full",
      "Each replica of the model had all its slots in use. The number of replicas that the node "
      "counted is shown below. If it is low, look at the keeper plan lines of the data centre; "
@@ -203,6 +206,18 @@
     {"the target asked for a backoff or leaves meanwhile",
      "While the request waited for its connection, the target answered another one with 503 and "
      "Retry-After or said that it is leaving, so the request was not sent."},
+    {"this node reaches no target for it",
+     "The node could open no connection to any target that could take the request, and no other "
+     "node took it over. See its reach lines below."},
+    {"refused by the node that took it over",
+     "The node could not reach the targets and handed the request over to another node, which "
+     "refused it. The lines of that node say why."},
+    {"the peer gave no complete answer",
+     "The node could not reach the targets and handed the request over to another node, whose "
+     "answer broke off: that node ended, or was cut off, too."},
+    {"the peer did not take it",
+     "The node could not reach the targets, and the node that it handed the request over to could "
+     "not serve it either."},
     {"no instance is known", "No instance of the service was listed as ready."},
 }};
 
--- a/src/node/store_nodes.cpp
+++ b/src/node/store_nodes.cpp
@@ -23,9 +23,9 @@
 // usually has the row of the next hub.
 constexpr duration node_rows_interval_with_hub = 45s;
 
-// Parses [data centre, link endpoint, processor in permille of a core, link in Mbit/s]. Empty for
-// an unreadable row. A row without strength is of a node with other settings, which comes last in
-// the order of hubs.
+// Parses [data centre, link endpoint, processor in permille of a core, link in Mbit/s, relay
+// endpoint]. Empty for an unreadable row. A row without strength is of a node with other settings,
+// which comes last in the order of hubs; one without a relay endpoint takes no calls over.
 std::optional<node_record> read_node_record(const store_row& row) {
   const auto document = nlohmann::json::parse(row.value, nullptr, false);
   if (!document.is_array() || document.size() < 2 || !document[0].is_string() ||
@@ -43,6 +43,9 @@
   if (has_strength) {
     record.strength = {document[2].get<std::uint32_t>(), document[3].get<std::uint32_t>()};
   }
+  if (document.size() >= 5 && document[4].is_string()) {
+    record.relay = parse_endpoint(document[4].get<std::string>()).value_or(endpoint{});
+  }
   return record;
 }
 
@@ -74,8 +77,10 @@
 void store_watch::follow_nodes(const std::function<void(const std::vector<node_record>&)>& found) {
   const endpoint& link = node_.settings.listen.link_endpoint;
   const node_strength& strength = node_.settings.strength;
+  const endpoint& relay = node_.settings.listen.relay_endpoint;
   const nlohmann::json own = {node_.settings.data_centre.str(), to_string(link),
-                              strength.processor_permille, strength.link_mbps};
+                              strength.processor_permille, strength.link_mbps,
+                              relay.host.empty() ? std::string{} : to_string(relay)};
   bool written = false;
   for (;;) {
     const time_point now = monotonic_now();
--- a/src/process/fleet_view.cpp
+++ b/src/process/fleet_view.cpp
@@ -256,6 +256,16 @@
   }
 }
 
+void fleet_view::revoke_losses(time_point from) {
+  for (auto& [id, view] : targets_) {
+    view.failed_probes = 0;
+    if (view.lost && view.marked_lost_at >= from) {
+      view.lost = false;
+      ++revision_;
+    }
+  }
+}
+
 void fleet_view::set_slowdown_factor(const target_id& id, double slowdown_factor) {
   const auto found = targets_.find(id);
   if (found != targets_.end() && found->second.slowdown_factor != slowdown_factor) {
--- a/src/process/fleet_view.h
+++ b/src/process/fleet_view.h
@@ -125,6 +125,10 @@
   // failures.
   void probe_failed(time_point now, const target_id& id);
 
+  // Takes back the losses of targets that probes have found since `from`, because it was this node
+  // that could not reach them.
+  void revoke_losses(time_point from);
+
   // Applies the hub's list of lost targets. The hub keeps probing lost targets, so all others are
   // reachable again, unless this node lost them so recently that the hub may not know yet.
   void apply_hub_losses(time_point now, const std::vector<target_id>& still_lost);
--- a/src/process/hosted_settings.cpp
+++ b/src/process/hosted_settings.cpp
@@ -55,6 +55,7 @@
     table->read("ready", settings_.listen.readiness_endpoint, presence::required);
     table->read("links", settings_.listen.link_endpoint, presence::required);
     table->read("metrics", settings_.listen.metrics_endpoint, presence::required);
+    table->read("relays", settings_.listen.relay_endpoint, presence::optional);
     table->finish();
   }
 
--- a/src/process/hosted_settings.h
+++ b/src/process/hosted_settings.h
@@ -21,6 +21,7 @@
   endpoint readiness_endpoint;  // polled by the load balancer, which sends connections only to
                                 // ready nodes
   endpoint link_endpoint;       // for connections from other nodes
+  endpoint relay_endpoint;      // for calls that other nodes hand over; empty: takes none over
   endpoint metrics_endpoint;    // metrics in the Prometheus text format, for monitoring
 };
 
--- a/src/process/node_heartbeat.cpp
+++ b/src/process/node_heartbeat.cpp
@@ -130,6 +130,7 @@
 // left empty.
 constexpr std::size_t first_optional_field = 25;
 constexpr std::size_t first_load_update_field = 32;
+constexpr std::size_t cut_off_field = 35;
 
 void read_optional_fields(const json& document, node_heartbeat& message) {
   message.configuration_row = document.at(25).get<std::uint64_t>();
@@ -193,7 +194,8 @@
                          grants_to_json(message.grants),
                          message.received_load_position.incarnation,
                          message.received_load_position.at,
-                         load_update_to_json(message.load_changes)};
+                         load_update_to_json(message.load_changes),
+                         message.cut_off_from_targets};
   std::string bytes;
   json::to_msgpack(document, bytes);
   return bytes;
@@ -245,6 +247,8 @@
     if (message.reads_load_updates) {
       read_load_fields(document, message);
     }
+    message.cut_off_from_targets =
+        document.size() > cut_off_field && document.at(cut_off_field).get<bool>();
     return message;
   } catch (const json::exception&) {
     return std::nullopt;
--- a/src/process/node_heartbeat.h
+++ b/src/process/node_heartbeat.h
@@ -51,6 +51,8 @@
   bool leaving = false;  // the sender is stopping and does not control replicas any more
   bool refused_by_store =
       false;  // the store does not serve the sender: another node must be the hub
+  // The sender cannot open connections to the targets: another node must control them.
+  bool cut_off_from_targets = false;
   bool requests_seen = false;
   // The sender's clock, and the newest such stamp that it received from the receiver. The content
   // of the heartbeat is newer than the sending of the echoed stamp; that bounds its age, as a
--- a/src/process/peer_table.cpp
+++ b/src/process/peer_table.cpp
@@ -129,7 +129,7 @@
 bool peer_table::has_served_peer_here(time_point now) const {
   return std::any_of(peers_.begin(), peers_.end(), [&](const auto& entry) {
     return entry.second.data_centre == data_centre_ && is_alive(now, entry.second) &&
-           may_be_hub(now, entry.second);
+           meets(now, entry.second, hub_requirement::served);
   });
 }
 
@@ -156,6 +156,32 @@
   refused_by_store_ = is;
 }
 
+void peer_table::set_cut_off_from_targets(time_point now, bool is) {
+  if (cut_off_from_targets_ && !is) {
+    served_since_ = now;
+  }
+  cut_off_from_targets_ = is;
+}
+
+bool peer_table::meets(time_point now, const peer& p, hub_requirement requirement) const {
+  const bool served = requirement == hub_requirement::alive || !p.info.refused_by_store;
+  const bool reaches =
+      requirement != hub_requirement::reaches_targets || !p.info.cut_off_from_targets;
+  return presumed_alive(now, p) && served && reaches;
+}
+
+bool peer_table::self_meets(time_point now, hub_requirement requirement) const {
+  const bool served = requirement == hub_requirement::alive || is_served(now);
+  const bool reaches = requirement != hub_requirement::reaches_targets || !cut_off_from_targets_;
+  return !is_discovering(now) && served && reaches;
+}
+
+bool peer_table::is_cut_off(const node_id& id) const {
+  const auto found = peers_.find(id);
+  return found == peers_.end() ? id == self_ && cut_off_from_targets_
+                               : found->second.info.cut_off_from_targets;
+}
+
 bool peer_table::is_served(time_point now) const {
   if (refused_by_store_ || served_since_ == time_point{} ||
       now - served_since_ >= served_settle_time) {
@@ -168,15 +194,15 @@
 }
 
 node_id peer_table::first_in_hub_order(time_point now, const data_centre_id& data_centre,
-                                       bool must_be_served) const {
-  const bool self_may = data_centre == data_centre_ && self_may_be_hub(now, must_be_served);
+                                       hub_requirement requirement) const {
+  const bool self_may = data_centre == data_centre_ && self_meets(now, requirement);
   const auto found = hub_order_.find(data_centre);
   if (found == hub_order_.end()) {
     return self_may ? self_ : node_id{};
   }
   for (const auto* entry : found->second) {
     const auto& [id, p] = *entry;
-    if (must_be_served ? may_be_hub(now, p) : presumed_alive(now, p)) {
+    if (meets(now, p, requirement)) {
       return self_may && precedes(id, p) ? self_ : id;
     }
   }
@@ -184,21 +210,26 @@
 }
 
 node_id peer_table::hub_of(time_point now, const data_centre_id& data_centre) const {
-  const node_id served = first_in_hub_order(now, data_centre, true);
+  for (const auto requirement : {hub_requirement::reaches_targets, hub_requirement::served}) {
+    const node_id hub = first_in_hub_order(now, data_centre, requirement);
+    if (!hub.empty()) {
+      return hub;
+    }
+  }
   // If the store serves none of them, the first live node controls the replicas.
-  return served.empty() ? first_in_hub_order(now, data_centre, false) : served;
+  return first_in_hub_order(now, data_centre, hub_requirement::alive);
 }
 
 std::set<data_centre_id> peer_table::responsibilities(
     time_point now, const std::vector<data_centre_id>& all) const {
   std::set<data_centre_id> result;
-  if (!is_hub(now)) {
+  if (!is_hub(now) || cut_off_from_targets_) {
     return result;
   }
   std::vector<controller_candidate> hubs;
   for (const data_centre_id& data_centre : all) {
     const node_id hub = hub_of(now, data_centre);
-    if (!hub.empty()) {
+    if (!hub.empty() && !is_cut_off(hub)) {
       hubs.push_back({hub, data_centre});
     }
   }
--- a/src/process/peer_table.h
+++ b/src/process/peer_table.h
@@ -55,6 +55,7 @@
     bool leaving = false;
     bool refused_by_store = false;  // the store does not serve the peer
     std::int64_t stamp_us{};
+    bool cut_off_from_targets = false;  // the peer cannot open connections to the targets
   };
   // A heartbeat of the peer was received.
   void received(time_point now, const node_id& peer, const heartbeat_info& info);
@@ -66,6 +67,10 @@
   void set_refused_by_store(time_point now, bool is);
   [[nodiscard]] bool refused_by_store() const { return refused_by_store_; }
 
+  // Sets whether this node is cut off from the targets. It then controls none, and hands the role
+  // of the hub over to the next node that reaches them.
+  void set_cut_off_from_targets(time_point now, bool is);
+
   // Peers to send a heartbeat to now.
   [[nodiscard]] std::vector<node_id> recipients(time_point now) const;
 
@@ -77,7 +82,7 @@
   [[nodiscard]] bool is_hub_or_next(time_point now) const;
 
   // Data centres that this node controls: its own if it is the hub, and those without a live node
-  // that are assigned to it among the hubs.
+  // that reaches the targets if they are assigned to it among the hubs.
   [[nodiscard]] std::set<data_centre_id> responsibilities(
       time_point now, const std::vector<data_centre_id>& all) const;
 
@@ -130,22 +135,26 @@
 
   [[nodiscard]] static bool is_alive(time_point now, const peer& p);
   [[nodiscard]] bool presumed_alive(time_point now, const peer& p) const;
-  // Whether the peer is assumed to be alive and, by its last report, is served by the store.
+  // What a node must have to be the hub. If no node has the most, less is required.
+  enum class hub_requirement : std::uint8_t {
+    alive,            // is assumed to be alive
+    served,           // and, by its last report, is served by the store
+    reaches_targets,  // and is not cut off from the targets
+  };
+  [[nodiscard]] bool meets(time_point now, const peer& p, hub_requirement requirement) const;
+  [[nodiscard]] bool self_meets(time_point now, hub_requirement requirement) const;
   [[nodiscard]] bool may_be_hub(time_point now, const peer& p) const {
-    return presumed_alive(now, p) && !p.info.refused_by_store;
-  }
-  // Whether this node may be the hub: it knows its peers, and the store serves it.
-  [[nodiscard]] bool self_may_be_hub(time_point now, bool must_be_served) const {
-    return !is_discovering(now) && (!must_be_served || is_served(now));
+    return meets(now, p, hub_requirement::reaches_targets);
   }
   // Whether this node counts as served by the store, see served_settle_time.
   [[nodiscard]] bool is_served(time_point now) const;
   void sort_peers();
   // Whether this node comes before the peer in the order of hubs.
   [[nodiscard]] bool precedes(const node_id& id, const peer& p) const;
-  // The first node in the order of hubs, among those that the store serves or among all live ones.
+  // The first node in the order of hubs among those that meet the requirement.
   [[nodiscard]] node_id first_in_hub_order(time_point now, const data_centre_id& data_centre,
-                                           bool must_be_served) const;
+                                           hub_requirement requirement) const;
+  [[nodiscard]] bool is_cut_off(const node_id& id) const;
   // Whether this node is among those that the nodes of its data centre send heartbeats to.
   [[nodiscard]] bool is_hub_candidate(time_point now) const;
   void add_candidates(time_point now, const data_centre_id& data_centre,
@@ -155,9 +164,12 @@
   data_centre_id data_centre_;
   node_strength strength_;
   bool refused_by_store_ = false;
+  bool cut_off_from_targets_ = false;
   time_point discovery_deadline_{};  // zero once the rows of the peers are known
-  time_point served_since_{};        // when the store last served this node again after refusing it
-  std::map<node_id, peer> peers_;    // without this node
+  // When this node was last served again after the store had refused it, or reached the targets
+  // again after it had been cut off.
+  time_point served_since_{};
+  std::map<node_id, peer> peers_;  // without this node
   // Peers of each data centre in the order of hubs, the strongest first. Points into peers_, whose
   // entries do not move.
   std::map<data_centre_id, std::vector<const std::pair<const node_id, peer>*>> hub_order_;
--- a/src/process/stall_monitor.cpp
+++ b/src/process/stall_monitor.cpp
@@ -93,13 +93,25 @@
                    scaled(s.recent_gap, settings_.recent_gap_factor) + settings_.gap_margin});
 }
 
+bool stall_monitor::all_stalled(time_point now) const {
+  constexpr std::size_t min_replicas = 2;
+  std::size_t running = 0;
+  for (const auto& [head, s] : states_by_head_) {
+    running += s.running_streams > 0 ? 1 : 0;
+    if (s.running_streams > 0 && !has_stopped(now, s)) {
+      return false;
+    }
+  }
+  return running >= min_replicas;
+}
+
 std::vector<target_id> stall_monitor::stalled(time_point now) const {
   std::vector<target_id> result;
   for (const auto& [head, s] : states_by_head_) {
     if (now < s.earliest_check_at) {
       continue;
     }
-    const bool stopped = s.running_streams > 0 && now - s.last_event > gap_limit(s);
+    const bool stopped = has_stopped(now, s);
     const bool never_started = s.running_streams == 0 && s.waiting_streams > 0 &&
                                now > s.first_event_due + settings_.min_first_event_delay;
     if (stopped || never_started) {
--- a/src/process/stall_monitor.h
+++ b/src/process/stall_monitor.h
@@ -62,6 +62,10 @@
   // A check has shown that the replica of this head works.
   void found_healthy(time_point now, const target_id& head);
 
+  // Whether all replicas with running streams have stalled, and there are at least two. Targets
+  // rarely stall together; this node's paths to them may be cut.
+  [[nodiscard]] bool all_stalled(time_point now) const;
+
   // Heads whose next event is overdue.
   [[nodiscard]] std::vector<target_id> stalled(time_point now) const;
 
@@ -80,6 +84,9 @@
   };
 
   [[nodiscard]] duration gap_limit(const state& s) const;
+  [[nodiscard]] bool has_stopped(time_point now, const state& s) const {
+    return s.running_streams > 0 && now - s.last_event > gap_limit(s);
+  }
   void remove_idle(time_point now);
 
   stall_settings settings_;
--- /dev/null
+++ b/src/request/relay_header.h
@@ -0,0 +1,43 @@
+// The header of calls that one node hands over to another, and of the answers to them.
+//
+// It is read on the nodes' own address only; on the callers' address it has no meaning and is not
+// passed on.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "base/id.h"
+
+namespace arbutus {
+
+inline constexpr std::string_view relay_header = "X-Arbutus-Relay";
+
+// What the node that hands a call over has done with it so far.
+struct relayed_call {
+  node_id from;
+  std::uint32_t possible_runs = 0;  // sends to targets that may have run the request
+};
+
+enum class relay_result : std::uint8_t {
+  answered,   // the answer is a target's
+  refused,    // the answer is the peer's own, and final
+  not_taken,  // the peer cannot serve the call now, and has sent it to no target
+};
+
+// What the peer says of its answer.
+struct relay_report {
+  relay_result result = relay_result::refused;
+  std::uint32_t possible_runs = 0;  // including those before the call was handed over
+  target_id target;                 // that answered; empty if none did
+};
+
+[[nodiscard]] std::string to_text(const relayed_call& call);
+[[nodiscard]] std::string to_text(const relay_report& report);
+// Empty if the text is malformed.
+[[nodiscard]] std::optional<relayed_call> read_relayed_call(std::string_view text);
+[[nodiscard]] std::optional<relay_report> read_relay_report(std::string_view text);
+
+}  // namespace arbutus
--- a/src/standin/network_paths.cpp
+++ b/src/standin/network_paths.cpp
@@ -261,16 +261,16 @@
   return found == state_->paths.end() ? target : found->second->address();
 }
 
-void network_paths::set_state(path_state state) {
+void network_paths::set_state(path_state to) {
   state_->run([&] {
-    for (auto& [target, path] : state_->paths) {
-      path->set_state(state);
+    for (auto& [target, one] : state_->paths) {
+      one->set_state(to);
     }
   });
 }
 
-void network_paths::set_state(const endpoint& target, path_state state) {
-  state_->run([&] { state_->paths.at(target)->set_state(state); });
+void network_paths::set_state(const endpoint& target, path_state to) {
+  state_->run([&] { state_->paths.at(target)->set_state(to); });
 }
 
 }  // namespace arbutus::standin
--- a/src/standin/network_paths.h
+++ b/src/standin/network_paths.h
@@ -33,8 +33,8 @@
   [[nodiscard]] endpoint path_to(const endpoint& target) const;
 
   // Returns when the state is in force. Callable from any thread except one that runs fibers.
-  void set_state(path_state state);  // of all paths
-  void set_state(const endpoint& target, path_state state);
+  void set_state(path_state to);  // of all paths
+  void set_state(const endpoint& target, path_state to);
 
  private:
   class path;
--- a/src/version/inventory.h
+++ b/src/version/inventory.h
@@ -46,6 +46,7 @@
   endpoint link;    // where the node listens for other nodes
   endpoint caller;  // where the node listens for callers
   node_strength strength = {};
+  endpoint relay = {};  // where the node takes over calls of other nodes; empty: nowhere
   auto operator<=>(const node_record&) const = default;
 };
 
--- a/tests/shell/hosted_cut_test.cpp
+++ b/tests/shell/hosted_cut_test.cpp
@@ -119,7 +119,7 @@
                     cut_case{"ResetCalls", path_state::reset, call_path},
                     cut_case{"ClosedToNewStreams", path_state::closed_to_new, stream_path},
                     cut_case{"ClosedToNewCalls", path_state::closed_to_new, call_path}),
-    [](const testing::TestParamInfo<cut_case>& info) { return std::string(info.param.name); });
+    [](const auto& tested) { return std::string(tested.param.name); });
 
 }  // namespace
 }  // namespace arbutus::testing_support
--- a/tests/shell/hosted_fixture.h
+++ b/tests/shell/hosted_fixture.h
@@ -46,10 +46,11 @@
     settings.id = node_id{name};
     settings.data_centre = data_centre_id{data_centre};
     settings.data_centres = {data_centres.begin(), data_centres.end()};
-    settings.listen = {{"127.0.0.1", next_port()},
-                       {"127.0.0.1", next_port()},
-                       {"127.0.0.1", next_port()},
-                       {"127.0.0.1", next_port()}};
+    settings.listen.caller_endpoint = {"127.0.0.1", next_port()};
+    settings.listen.readiness_endpoint = {"127.0.0.1", next_port()};
+    settings.listen.link_endpoint = {"127.0.0.1", next_port()};
+    settings.listen.metrics_endpoint = {"127.0.0.1", next_port()};
+    settings.listen.relay_endpoint = {"127.0.0.1", next_port()};
     settings.store = {"127.0.0.1", store_port};
     settings.cold_start = true;
     settings.bounds.shutdown_grace = 4s;
