A node's own cut is no loss of targets, and its duties go to one that reaches them

What callers saw: while a hub was cut off from the engines, nobody repaired the replicas of its data centre for the 12 s of the cut; it took up to 42 working engines for lost, told its peers so and ordered members of six working replicas to leave (none arrived). A hub without a second node in its data centre went on refusing after it had marked every replica as lost.

Its heartbeat says so; the next node of its data centre becomes the hub, or another data centre's hub controls its replicas if it has none. A loss needs a second witness: with the second probe of a silent member a peer is asked to probe it, too, and if the peer gets an answer only the path is bad. A broken connection is a strike against a request only if another target of the service can be reached.

--- a/src/node/controller_heartbeats.cpp
+++ b/src/node/controller_heartbeats.cpp
@@ -107,7 +107,8 @@
   list_budget_.begin_round();
   lost_targets_.clear();
   for (const auto& [id, view] : node_.fleet.all()) {
-    if (view.lost && (view.listed || now - view.unlisted_since < unlisted_loss_report_duration)) {
+    if (!node_.is_cut_off_from_models() && view.lost &&
+        (view.listed || now - view.unlisted_since < unlisted_loss_report_duration)) {
       lost_targets_.insert(id);
     }
   }
@@ -138,6 +139,7 @@
   message.hub = !node_.stopping && node_.peers.is_hub(now);
   message.leaving = node_.stopping;
   message.refused_by_store = node_.peers.refused_by_store();
+  message.cut_off_from_targets = node_.is_cut_off_from_models();
   message.requests_seen = node_.requests_seen;
   message.stamp_us = now.time_since_epoch().count();
   message.echo_us = node_.peers.newest_stamp(peer);
@@ -407,7 +409,8 @@
     node_.peers.add_peer({peer, message.data_centre, message.link, {}, message.strength});
   }
   node_.peers.received(now, peer,
-                       {message.hub, message.leaving, message.refused_by_store, message.stamp_us});
+                       {message.hub, message.leaving, message.refused_by_store, message.stamp_us,
+                        message.cut_off_from_targets});
   peer_positions_[peer] = {message.follows_records,
                            message.targets_position,
                            message.serving_position,
--- a/src/node/controller_losses.cpp
+++ b/src/node/controller_losses.cpp
@@ -6,7 +6,9 @@
 
 #include "connection/clock.h"
 #include "node/controller_loop.h"
+#include "node/hosted_relay.h"
 #include "node/log.h"
+#include "node/reach_watch.h"
 
 namespace arbutus {
 
@@ -35,6 +37,12 @@
 
 void controller_loop::check_stalls(time_point now) {
   for (const target_id& head : node_.replica_stalls.stalled(now)) {
+    // A node that is cut off learns nothing from probes; its streams go on through peers.
+    if (node_.is_cut_off_from_models()) {
+      node_.attempts.cancel_resumable(head);
+      node_.replica_stalls.found_healthy(now, head);
+      continue;
+    }
     if (heads_being_checked_.insert(head).second) {
       node_.runtime.post(0, [this, head] {
         check_replica(head);
@@ -61,7 +69,50 @@
   if (const auto* report = std::get_if<target_report>(&result)) {
     return apply_report(requested_at, id, *report);
   }
-  node_.fleet.probe_failed(now, id);
+  if (!node_.is_cut_off_from_models()) {
+    node_.fleet.probe_failed(now, id);
+  }
+  return false;
+}
+
+// Probes a target that did not answer once already, and asks a peer to do so at the same time. If
+// only the peer gets an answer, it is this node's path that fails, and the target is not lost.
+bool controller_loop::probe_with_peer(const target_id& id, duration timeout) {
+  struct shared {
+    bool done = false;
+    bool answers_peer = false;
+    boost::fibers::mutex lock;
+    boost::fibers::condition_variable changed;
+  };
+  const auto state = std::make_shared<shared>();
+  const time_point deadline = monotonic_now() + timeout;
+  node_.runtime.post(0, [this, id, deadline, state] {
+    const bool answers = answers_a_peer(node_, id, deadline);
+    const std::lock_guard guard(state->lock);
+    state->answers_peer = answers;
+    state->done = true;
+    state->changed.notify_all();
+  });
+  const target_view* view = node_.fleet.find(id);
+  if (view == nullptr) {
+    return false;
+  }
+  count_query("silent");
+  const service_id service = view->record.service;
+  const time_point requested_at = monotonic_now();
+  const auto result = node_.engines.report(id, view->record.address, deadline);
+  if (const auto* report = std::get_if<target_report>(&result)) {
+    return apply_report(requested_at, id, *report);
+  }
+  std::unique_lock guard(state->lock);
+  state->changed.wait(guard, [&state] { return state->done; });
+  if (state->answers_peer) {
+    note_connect_failure(node_, service, id);
+    return false;
+  }
+  if (!node_.is_cut_off_from_models()) {
+    node_.fleet.probe_failed(monotonic_now(), id);
+  }
   return false;
 }
 
@@ -96,6 +147,9 @@
     return;
   }
   lost_probed_at_ = now;
+  if (node_.is_cut_off_from_models()) {
+    return;
+  }
   // The hub probes for its data centre and reports recovered engines to the other nodes.
   if (!node_.peers.is_hub(now) && now - hub_reply_at_ < peer_table::alive_timeout) {
     return;
@@ -178,8 +232,9 @@
         const std::size_t moved = node_.attempts.cancel_resumable(head);
         log_line(log_level::info, "fleet", "suspected",
                  {{"target", member}, {"head", head}, {"streams_moved", std::uint64_t{moved}}});
-        well = probe(member, probe_timeout, "silent");
-        if (!well) {
+        well = probe_with_peer(member, probe_timeout);
+        const target_view* after = node_.fleet.find(member);
+        if (!well && after != nullptr && after->lost) {
           log_line(log_level::warning, "fleet", "lost", {{"target", member}, {"head", head}});
         }
       }
--- a/src/node/poison_watch.cpp
+++ b/src/node/poison_watch.cpp
@@ -5,6 +5,7 @@
 
 #include "connection/clock.h"
 #include "node/log.h"
+#include "node/reach_watch.h"
 
 namespace arbutus {
 
@@ -96,6 +97,10 @@
     }
     state = query_target(node, target, address);
   }
+  // A node whose own paths are cut sees every target refuse connections.
+  if (state == incarnation_state::ended && !reaches_another_target(node, target)) {
+    state = incarnation_state::unresponsive;
+  }
   finish_end_check(node, target, state);
 }
 
