Tests of a cut: reach, hand-over of calls and duties, trust

Nodes over sockets: calls that may not be repeated run once while their way changes three times, all nodes cut refuse at once, streams outlive the node that took them over, a caller cannot speak as a node, the address between nodes checks keys itself, replicas of a cut hub's data centre are repaired and a replica whose head one node cannot reach is kept.

--- a/tests/core/hub_order_test.cpp
+++ b/tests/core/hub_order_test.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 #include <string>
 
 #include "process/peer_table.h"
@@ -193,5 +194,44 @@
   EXPECT_TRUE(table.is_hub(start + 3s));
 }
 
+// Guards against a hub that controls replicas whose engines it cannot reach.
+TEST(HubOrder, AHubThatIsCutOffFromTheTargetsHandsOverAndTakesBack) {
+  peer_table first = table_of("a8", strong);
+  peer_table second = table_of("a9", strong);
+  ASSERT_TRUE(first.is_hub(start));
+  first.received(start, node_id{"a9"}, {.stamp_us = 1});
+  first.set_cut_off_from_targets(start, true);
+  second.received(start, node_id{"a8"}, {.stamp_us = 1, .cut_off_from_targets = true});
+  EXPECT_FALSE(first.is_hub(start));
+  EXPECT_TRUE(first.responsibilities(start, {here}).empty());
+  EXPECT_TRUE(second.is_hub(start));
+  EXPECT_TRUE(second.responsibilities(start, {here}).contains(here));
+  // It keeps the records of the targets, so that it can go on at once.
+  EXPECT_TRUE(first.is_hub_or_next(start));
+  first.set_cut_off_from_targets(start + 1s, false);
+  second.received(start + 1s, node_id{"a8"}, {.stamp_us = 2});
+  EXPECT_TRUE(first.is_hub(start + 1s));
+  EXPECT_FALSE(second.is_hub(start + 1s));
+}
+
+// Guards against a data centre without repairs while its only node is cut off from the targets.
+TEST(HubOrder, AnotherDataCentreControlsTheReplicasOfOneWhoseNodesAreCutOff) {
+  const data_centre_id there{"b"};
+  const std::vector<node_record> both = {{node_id{"a1"}, here, {}, {}, weak},
+                                         {node_id{"b1"}, there, {}, {}, weak}};
+  peer_table alone(node_id{"a1"}, here, weak);
+  peer_table other(node_id{"b1"}, there, weak);
+  for (peer_table* table : {&alone, &other}) {
+    table->set_records(both);
+  }
+  alone.received(start, node_id{"b1"}, {.hub = true, .stamp_us = 1});
+  alone.set_cut_off_from_targets(start, true);
+  other.received(start, node_id{"a1"}, {.hub = true, .stamp_us = 1, .cut_off_from_targets = true});
+  // It still passes on what the store says.
+  EXPECT_TRUE(alone.is_hub(start));
+  EXPECT_TRUE(alone.responsibilities(start, {here, there}).empty());
+  EXPECT_EQ(other.responsibilities(start, {here, there}), (std::set<data_centre_id>{here, there}));
+}
+
 }  // namespace
 }  // namespace arbutus
--- /dev/null
+++ b/tests/core/relay_test.cpp
@@ -0,0 +1,112 @@
+// Tests the choice of the peer that takes a call over, and the header between the two nodes.
+#include <gtest/gtest.h>
+
+#include <map>
+
+#include "request/relay_header.h"
+#include "request/relay_peers.h"
+
+namespace arbutus {
+namespace {
+
+const time_point start{1h};
+const data_centre_id home{"a"};
+
+node_record peer(const char* name, const char* data_centre, std::uint32_t permille) {
+  node_record record{node_id{name}, data_centre_id{data_centre}, {}, {}, {permille, 100}};
+  record.relay = {"10.0.0.1", 7000};
+  return record;
+}
+
+std::map<node_id, int> distribute(relay_peers& peers, const std::vector<node_record>& nodes,
+                                  int calls) {
+  rng random(3);
+  std::map<node_id, int> counts;
+  for (int i = 0; i < calls; ++i) {
+    const auto chosen = peers.choose(start, nodes, home, {}, random);
+    if (chosen) {
+      peers.sent(start, chosen->id);
+      ++counts[chosen->id];
+    }
+  }
+  return counts;
+}
+
+// Guards against one peer that carries all calls of the nodes that are cut off.
+TEST(RelayPeers, CallsAreSpreadByStrength) {
+  relay_peers peers;
+  const auto counts = distribute(peers, {peer("weak", "a", 120), peer("strong", "a", 480)}, 100);
+  EXPECT_NEAR(counts.at(node_id{"weak"}), 20, 5);
+}
+
+// Guards against bytes between data centres that are not needed, and against a single peer at home
+// that is overloaded for them.
+TEST(RelayPeers, PeersAtHomeArePreferredButNotOverloaded) {
+  relay_peers peers;
+  const auto counts = distribute(peers, {peer("here", "a", 250), peer("there", "b", 250)}, 100);
+  EXPECT_NEAR(counts.at(node_id{"here"}), 75, 8);
+}
+
+// Guards against calls that go to a peer again right after it did not answer or did not take one.
+TEST(RelayPeers, PeersThatFailedArePaused) {
+  relay_peers peers;
+  rng random(3);
+  const std::vector<node_record> nodes = {peer("b", "a", 250)};
+  peers.unresponsive(start, node_id{"b"});
+  EXPECT_FALSE(peers.choose(start + 900ms, nodes, home, {}, random));
+  EXPECT_TRUE(peers.choose(start + 1s, nodes, home, {}, random));
+  peers.not_taken(start + 1s, node_id{"b"});
+  EXPECT_FALSE(peers.choose(start + 1200ms, nodes, home, {}, random));
+  EXPECT_TRUE(peers.choose(start + 1300ms, nodes, home, {}, random));
+}
+
+TEST(RelayPeers, NodesOfEarlierReleasesAndTriedOnesAreNotChosen) {
+  relay_peers peers;
+  rng random(3);
+  std::vector<node_record> nodes = {peer("b", "a", 250)};
+  const std::vector<node_id> tried = {node_id{"b"}};
+  EXPECT_FALSE(peers.choose(start, nodes, home, tried, random));
+  nodes[0].relay = {};
+  EXPECT_FALSE(peers.choose(start, nodes, home, {}, random));
+}
+
+// Guards against streams that hang at a peer that lost power, and against needless checks.
+TEST(RelayPeers, OnlySilentPeersWithCallsAreChecked) {
+  relay_peers peers;
+  peers.sent(start, node_id{"b"});
+  peers.heard(start + 300ms, node_id{"b"});
+  EXPECT_TRUE(peers.take_silent(start + 600ms).empty());
+  EXPECT_EQ(peers.take_silent(start + 800ms).size(), 1U);
+  EXPECT_TRUE(peers.take_silent(start + 900ms).empty());
+  peers.ended(node_id{"b"});
+  EXPECT_TRUE(peers.take_silent(start + 5s).empty());
+}
+
+TEST(RelayHeader, IsReadAsWritten) {
+  const auto call = read_relayed_call(to_text(relayed_call{node_id{"edge-1"}, 2}));
+  ASSERT_TRUE(call);
+  EXPECT_EQ(call->from, node_id{"edge-1"});
+  EXPECT_EQ(call->possible_runs, 2U);
+  for (const char* target : {"", "i-1~17"}) {
+    const auto report =
+        read_relay_report(to_text(relay_report{relay_result::answered, 1, target_id{target}}));
+    ASSERT_TRUE(report);
+    EXPECT_EQ(report->result, relay_result::answered);
+    EXPECT_EQ(report->possible_runs, 1U);
+    EXPECT_EQ(report->target, target_id{target});
+  }
+}
+
+// Guards against a damaged header that is taken for the proof that a call did not run.
+TEST(RelayHeader, DamagedTextIsNoReport) {
+  for (const char* text : {"", "not-taken", "not-taken x", "not-taken -1 ", "not-taken 1 t more",
+                           "lost 0 ", "not-taken 99999999999 "}) {
+    EXPECT_FALSE(read_relay_report(text)) << text;
+  }
+  for (const char* text : {"", "1", "x edge", "-1 edge", "1 edge more", "2000 edge"}) {
+    EXPECT_FALSE(read_relayed_call(text)) << text;
+  }
+}
+
+}  // namespace
+}  // namespace arbutus
--- a/tests/shell/hosted_cut_test.cpp
+++ b/tests/shell/hosted_cut_test.cpp
@@ -9,6 +9,7 @@
 
 constexpr const char* stream_path = "/llm/1";
 constexpr const char* call_path = "/card/1";
+constexpr std::size_t callers_per_node = 4;
 constexpr std::size_t cut_node = 0;
 constexpr std::size_t other_node = 1;
 constexpr duration cut_duration = 3s;
@@ -17,10 +18,11 @@
 // They have to be served at least this often, compared with the callers of the other nodes.
 constexpr double min_served_ratio = 0.9;
 
-standin::hosted_platform_settings platform_with_paths() {
+// One node in each data centre.
+standin::hosted_platform_settings platform_with_paths(const std::vector<std::string>& places) {
   standin::hosted_platform_settings settings;
-  settings.data_centres = {"lab-a", "lab-b"};
-  settings.nodes_with_paths = 2;
+  settings.data_centres = places;
+  settings.nodes_with_paths = places.size();
   return settings;
 }
 
@@ -34,7 +36,8 @@
 
 class HostedCut : public hosted_fixture {
  protected:
-  HostedCut() : hosted_fixture(platform_with_paths()) {}
+  explicit HostedCut(const std::vector<std::string>& places = {"lab-a", "lab-b"})
+      : hosted_fixture(platform_with_paths(places)) {}
 
   bool is_whole(const std::string& path, const std::string& id, const std::string& body) const {
     return body == (path == stream_path ? expected_stream(id) : "card " + id);
@@ -51,11 +54,22 @@
 
   // Callers of each node, several at a time, send requests for the given time.
   std::vector<first_attempt> send_load(duration time, const std::string& path) {
-    constexpr std::size_t callers_per_node = 4;
-    const std::size_t callers = callers_per_node * nodes_.size();
+    const std::size_t nodes = nodes_.size();
+    return load_of(callers_per_node * nodes, time, path,
+                   [nodes](std::size_t caller) { return caller % nodes; });
+  }
+
+  // The same for callers of one node.
+  std::vector<first_attempt> send_load_to(std::size_t node, duration time,
+                                          const std::string& path) {
+    return load_of(callers_per_node, time, path, [node](std::size_t) { return node; });
+  }
+
+  std::vector<first_attempt> load_of(std::size_t callers, duration time, const std::string& path,
+                                     const std::function<std::size_t(std::size_t)>& node_of) {
     std::vector<std::vector<first_attempt>> attempts(callers);
     count_statuses(callers, time, 10ms, [&](std::size_t caller, int) {
-      attempts[caller].push_back(ask(caller % nodes_.size(), path));
+      attempts[caller].push_back(ask(node_of(caller), path));
       return 0;
     });
     std::vector<first_attempt> all;
@@ -121,5 +135,130 @@
                     cut_case{"ClosedToNewCalls", path_state::closed_to_new, call_path}),
     [](const auto& tested) { return std::string(tested.param.name); });
 
+// Guards against calls that run twice or answers that are cut as calls change their way.
+TEST_F(HostedCut, CallsThatMayNotBeRepeatedRunOnce) {
+  ASSERT_TRUE(both_nodes_serve());
+  std::vector<first_attempt> attempts;
+  std::thread load([&] { attempts = send_load(4s, call_path); });
+  for (const path_state paths : {path_state::silent, path_state::reset, path_state::one_way}) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    platform_.set_paths(cut_node, paths);
+    std::this_thread::sleep_for(std::chrono::milliseconds(700));
+    platform_.set_paths(cut_node, path_state::open);
+  }
+  load.join();
+  for (const auto& [request, runs] : platform_.runs_by_request()) {
+    EXPECT_EQ(runs, 1) << request;
+  }
+  for (const first_attempt& a : attempts) {
+    EXPECT_TRUE(a.status != 200 || a.is_whole);
+  }
+  EXPECT_EQ(platform_.header_violations(), 0);
+}
+
+// Guards against callers that wait, or are told nothing, while no node reaches a target.
+TEST_F(HostedCut, CallersAreRefusedAtOnceWhileAllNodesAreCut) {
+  ASSERT_TRUE(both_nodes_serve());
+  std::thread load([&] { send_load(2500ms, stream_path); });
+  platform_.set_paths(cut_node, path_state::silent);
+  platform_.set_paths(other_node, path_state::silent);
+  std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+  for (int i = 0; i < 10; ++i) {
+    const time_point sent_at = monotonic_now();
+    const call_result result = send_request(cut_node, stream_path, "all-" + std::to_string(i));
+    EXPECT_EQ(result.response.status, 503);
+    EXPECT_TRUE(result.response.headers.find("Retry-After"));
+    EXPECT_LT(monotonic_now() - sent_at, 300ms);
+  }
+  load.join();
+  platform_.set_paths(cut_node, path_state::open);
+  platform_.set_paths(other_node, path_state::open);
+  EXPECT_TRUE(both_nodes_serve());
+}
+
+// Guards against a working replica that is dissolved since one node cannot reach its head.
+TEST_F(HostedCut, ReplicaWhoseHeadOneNodeCannotReachIsKept) {
+  ASSERT_TRUE(both_nodes_serve());
+  const std::string head = platform_.find_member(true);
+  std::vector<first_attempt> attempts;
+  std::thread load([&] { attempts = send_load(3s, stream_path); });
+  std::this_thread::sleep_for(std::chrono::milliseconds(500));
+  const std::size_t replicas = platform_.count_serving_replicas();
+  platform_.set_paths(cut_node, path_state::silent, head);
+  load.join();
+  EXPECT_EQ(platform_.find_member(true), head);
+  EXPECT_EQ(platform_.count_serving_replicas(), replicas);
+}
+
+// Guards against a data centre whose broken replicas wait until its hub reaches the engines again.
+TEST_F(HostedCut, ReplicasOfTheDataCentreOfACutHubAreRepaired) {
+  ASSERT_TRUE(both_nodes_serve());
+  ASSERT_TRUE(eventually([&] { return platform_.count_serving_replicas() >= 4; }));
+  std::thread load([&] { send_load(4s, stream_path); });
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  const std::size_t replicas = platform_.count_serving_replicas();
+  platform_.set_paths(cut_node, path_state::silent);
+  std::this_thread::sleep_for(std::chrono::milliseconds(1200));
+  const std::string head = platform_.find_member(true);
+  ASSERT_TRUE(head.starts_with("i-lab-a"));
+  platform_.restart_engine(head);
+  load.join();
+  EXPECT_TRUE(eventually([&] { return platform_.count_serving_replicas() >= replicas; }));
+  platform_.set_paths(cut_node, path_state::open);
+}
+
+// Guards against a caller who speaks as a node: the header has no meaning on the callers' address
+// and is not passed on.
+TEST_F(HostedCut, CallersCannotSpeakAsNodes) {
+  ASSERT_TRUE(both_nodes_serve());
+  http_request request;
+  request.method = "POST";
+  request.target = call_path;
+  request.headers = {{"Host", standin::hosted_host_name},
+                     {"X-Request-Id", "forged"},
+                     {"X-Deadline-Ms", "1500"},
+                     {"X-Arbutus-Relay", "1 edge-1"},
+                     {"X-Tenant", "somebody"},
+                     {"Authorization", std::string("Bearer ") + standin::hosted_caller_key}};
+  const auto ask = [&](const endpoint& at, const http_request& what) {
+    call_result result;
+    runtime.run_on(0, [&] { result = client_.fetch(local(at.port), what, monotonic_now() + 2s); });
+    return result.response;
+  };
+  const http_response forged = ask(nodes_[0]->settings.listen.caller_endpoint, request);
+  EXPECT_EQ(forged.status, 200);
+  EXPECT_FALSE(forged.headers.find("X-Arbutus-Relay"));
+  const endpoint& relays = nodes_[0]->settings.listen.relay_endpoint;
+  request.headers.set("Authorization", "Bearer wrong");
+  request.headers.set("X-Request-Id", "wrong-key");
+  EXPECT_EQ(ask(relays, request).status, 401);
+  request.headers.remove("X-Arbutus-Relay");
+  EXPECT_EQ(ask(relays, request).status, 400);
+  EXPECT_EQ(platform_.header_violations(), 0);
+}
+
+class HostedCutOfThree : public HostedCut {
+ protected:
+  HostedCutOfThree() : HostedCut({"lab-a", "lab-b", "lab-c"}) {}
+};
+
+// Guards against streams that end with the node that took them over, though another one is there.
+TEST_F(HostedCutOfThree, StreamsGoOnWhenTheNodeThatTookThemOverEnds) {
+  ASSERT_TRUE(both_nodes_serve());
+  std::vector<first_attempt> attempts;
+  std::thread load([&] { attempts = send_load_to(cut_node, 4s, stream_path); });
+  platform_.set_paths(cut_node, path_state::silent);
+  std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+  const time_point ended_at = monotonic_now();
+  nodes_[other_node].reset();
+  load.join();
+  const double served = share_served(attempts, cut_node, ended_at - 200ms, ended_at + 2s);
+  EXPECT_GE(served, min_served_ratio);
+  for (const first_attempt& a : attempts) {
+    EXPECT_TRUE(a.status != 200 || a.is_whole);
+  }
+  nodes_.clear();
+}
+
 }  // namespace
 }  // namespace arbutus::testing_support
