--- a/src/node/hosted_buffered.cpp
+++ b/src/node/hosted_buffered.cpp
@@ -62,20 +62,16 @@
       end_locally(503, retry_after_stale(node_, monotonic_now()), "the key cannot be confirmed");
       return;
     }
-    const target_reach& reach = node_.reach[call_.service->id];
-    if (reach.is_cut_off() || reach.is_doubtful()) {
-      if (const auto peer = choose_relay_peer(node_, call_)) {
-        hand_over_to(now, *peer);
-        return;
-      }
+    if (const auto peer = choose_peer_if_cut_off(node_, call_)) {
+      hand_over_to(now, *peer);
+      return;
     }
     const std::vector<service_instance> instances = node_.instances_of(call_.service->id);
     const excluded_targets excluded = unavailable_instances(now, instances);
     std::vector<target_id> avoided = avoided_;
     avoided.insert(avoided.end(), excluded.ids.begin(), excluded.ids.end());
     const auto chosen = node_.instances.choose(now, instances, node_.settings.data_centre, avoided);
-    const bool unreachable = excluded.by_reach || reach.is_cut_off();
-    if (!chosen && unreachable) {
+    if (!chosen && (excluded.by_reach || node_.reach[call_.service->id].is_cut_off())) {
       end_unreachable(now);
       return;
     }
--- a/src/node/hosted_stream.cpp
+++ b/src/node/hosted_stream.cpp
@@ -85,12 +85,9 @@
       end_locally(503, retry_after_stale(node_, monotonic_now()), "the key cannot be confirmed");
       return;
     }
-    const target_reach& reach = node_.reach[call_.service->id];
-    if (reach.is_cut_off() || reach.is_doubtful()) {
-      if (const auto peer = choose_relay_peer(node_, call_)) {
-        hand_over_to(now, *peer);
-        return;
-      }
+    if (const auto peer = choose_peer_if_cut_off(node_, call_)) {
+      hand_over_to(now, *peer);
+      return;
     }
     const auto& replicas = node_.replicas(*call_.service, model_->id);
     const std::vector<target_id> suspects = suspected_heads(now, replicas);
--- a/src/process/peer_table.cpp
+++ b/src/process/peer_table.cpp
@@ -211,7 +211,7 @@
 
 node_id peer_table::hub_of(time_point now, const data_centre_id& data_centre) const {
   for (const auto requirement : {hub_requirement::reaches_targets, hub_requirement::served}) {
-    const node_id hub = first_in_hub_order(now, data_centre, requirement);
+    node_id hub = first_in_hub_order(now, data_centre, requirement);
     if (!hub.empty()) {
       return hub;
     }
