--- a/tests/shell/request_timeline_test.cpp
+++ b/tests/shell/request_timeline_test.cpp
@@ -169,5 +169,28 @@
   EXPECT_EQ(std::count(shown.begin(), shown.end(), '\n'), 4) << shown;
 }
 
+// Guards against an explanation that leaves out the node that took the call over, or why.
+TEST(RequestTimeline, ShowsBothNodesOfACallThatWasHandedOver) {
+  const std::string text =
+      line("03.000000", "n-1",
+           R"("part":"reach","message":"cut off from targets","service":"llm","targets":54)") +
+      line("05.000000", "n-2",
+           R"("part":"request","message":"taken over","request":"r-1","from":"n-1")") +
+      line("05.100000", "n-2",
+           R"("part":"request","message":"ended","request":"r-1","result":"refused",)"
+           R"("reason":"every replica is full","targets":"","total_ms":2.0)") +
+      line("05.101000", "n-1",
+           R"("part":"request","message":"handed over","request":"r-1","peer":"n-2",)"
+           R"("result":"refused")") +
+      line("05.102000", "n-1",
+           R"("part":"request","message":"ended","request":"r-1","result":"refused",)"
+           R"("reason":"refused by the node that took it over","targets":"node:n-2",)"
+           R"("total_ms":110.0)");
+  const request_timeline timeline = read_timeline(text, "r-1");
+  EXPECT_EQ(timeline.own.size(), 4U);
+  EXPECT_THAT(timeline.cause, HasSubstr("The lines of that node say why"));
+  EXPECT_THAT(to_text(timeline), HasSubstr("cut off from targets"));
+}
+
 }  // namespace
 }  // namespace arbutus
