A peer with an older configuration takes no call over; second witness when the list is old

Found in review, not seen: peers hear of a version some hundred ms apart, so that a call handed to a slower one would be handled by a version before one that had an effect already. The newest version applied goes along, and a peer behind it declines. Probes of targets unheard while the list cannot be read ask a peer as well.

--- a/src/node/controller_loop.h
+++ b/src/node/controller_loop.h
@@ -71,7 +71,7 @@
   // Queries a target for its report; false if this incarnation of it does not answer. Queries have
   // a cost and are counted in a metric by their reason, `why`.
   bool probe(const target_id& id, duration timeout, std::string_view why);
-  bool probe_with_peer(const target_id& id, duration timeout);
+  bool probe_with_peer(const target_id& id, duration timeout, std::string_view why);
   // Applies a report of an engine. False if another incarnation of the engine sent it.
   bool apply_report(time_point requested_at, const target_id& id, const target_report& report);
   void verify_lost_report(const target_id& id);
--- a/src/node/controller_losses.cpp
+++ b/src/node/controller_losses.cpp
@@ -77,7 +77,7 @@
 
 // Probes a target that did not answer once already, and asks a peer to do so at the same time. If
 // only the peer gets an answer, it is this node's path that fails, and the target is not lost.
-bool controller_loop::probe_with_peer(const target_id& id, duration timeout) {
+bool controller_loop::probe_with_peer(const target_id& id, duration timeout, std::string_view why) {
   struct shared {
     bool done = false;
     bool answers_peer = false;
@@ -97,7 +97,7 @@
   if (view == nullptr) {
     return false;
   }
-  count_query("silent");
+  count_query(why);
   const service_id service = view->record.service;
   const time_point requested_at = monotonic_now();
   const auto result = node_.engines.report(id, view->record.address, deadline);
@@ -232,7 +232,7 @@
         const std::size_t moved = node_.attempts.cancel_resumable(head);
         log_line(log_level::info, "fleet", "suspected",
                  {{"target", member}, {"head", head}, {"streams_moved", std::uint64_t{moved}}});
-        well = probe_with_peer(member, probe_timeout);
+        well = probe_with_peer(member, probe_timeout, "silent");
         const target_view* after = node_.fleet.find(member);
         if (!well && after != nullptr && after->lost) {
           log_line(log_level::warning, "fleet", "lost", {{"target", member}, {"head", head}});
@@ -266,7 +266,7 @@
     if (own && now - view.last_contact_at > late && targets_being_probed_.insert(id).second) {
       node_.runtime.post(0, [this, id = id] {
         if (!probe(id, order_timeout, "unheard")) {
-          probe(id, order_timeout, "unheard");
+          probe_with_peer(id, order_timeout, "unheard");
         }
         targets_being_probed_.erase(id);
       });
--- a/src/node/hosted_call.cpp
+++ b/src/node/hosted_call.cpp
@@ -142,6 +142,10 @@
 
 namespace {
 
+std::uint64_t version_of(const hosted_request& call) {
+  return call.map ? call.map->version() : 0;
+}
+
 void respond(hosted_state& node, hosted_request& call, int status, duration retry_after,
              std::string_view reason, relay_result result) {
   local_response answer;
@@ -158,7 +162,8 @@
   }
   http_headers headers = local_response_headers(answer, call.fields.id);
   if (call.relayed) {
-    headers.add(std::string(relay_header), to_text(relay_report{result, call.possible_runs, {}}));
+    headers.add(std::string(relay_header),
+                to_text(relay_report{result, call.possible_runs, version_of(call), {}}));
   }
   const bool sent = call.writer.send(answer.status, headers, local_response_body(answer));
   // The call goes on elsewhere, so it has not ended.
@@ -190,7 +195,8 @@
   http_headers headers = caller_headers(from);
   if (call.relayed) {
     headers.add(std::string(relay_header),
-                to_text(relay_report{relay_result::answered, call.possible_runs + 1, target}));
+                to_text(relay_report{relay_result::answered, call.possible_runs + 1,
+                                     version_of(call), target}));
   }
   return headers;
 }
--- a/src/node/hosted_relay.cpp
+++ b/src/node/hosted_relay.cpp
@@ -33,8 +33,9 @@
     sent_at_ = monotonic_now();
     http_request request =
         make_relay_request(call_.raw_request, call_.deadline - sent_at_, resume_after);
+    const std::uint64_t version = std::max(call_.map->version(), node_.relayed_version);
     request.headers.add(std::string(relay_header),
-                        to_text(relayed_call{node_.settings.id, call_.possible_runs}));
+                        to_text(relayed_call{node_.settings.id, call_.possible_runs, version}));
     ++call_.possible_sends;
     node_.relays.sent(sent_at_, peer_.id);
     const bool repeatable = call_.matched_route->repeatable();
@@ -59,6 +60,9 @@
     if (!report_) {
       return false;
     }
+    if (report_->result != relay_result::not_taken) {
+      node_.relayed_version = std::max(node_.relayed_version, report_->version);
+    }
     if (report_->result != relay_result::answered) {
       return true;
     }
@@ -160,7 +164,7 @@
   answer.reason = std::string(reason);
   http_headers headers = local_response_headers(answer, call.fields.id);
   headers.add(std::string(relay_header),
-              to_text(relay_report{relay_result::not_taken, call.possible_runs, {}}));
+              to_text(relay_report{relay_result::not_taken, call.possible_runs, 0, {}}));
   writer.send(answer.status, headers, local_response_body(answer));
 }
 
@@ -295,7 +299,8 @@
   call.relayed = *relayed;
   call.possible_runs = relayed->possible_runs;
   const bool busy = node.taken_over >= max_taken_over(node);
-  const bool takes = !busy && !node.stopping;
+  const bool is_current = node.map && node.map->version() >= relayed->version;
+  const bool takes = !busy && is_current && !node.stopping;
   node.metrics.count("arbutusworks_taken_over", takes ? "taken=\"yes\"" : "taken=\"no\"");
   if (!takes) {
     decline(writer, call, busy ? "this node has too many calls of others" : "not served here now");
--- a/src/node/hosted_state.h
+++ b/src/node/hosted_state.h
@@ -76,6 +76,8 @@
   std::map<service_id, target_reach> reach;
   relay_peers relays;
   std::size_t taken_over = 0;  // calls of peers that run at this node
+  // The newest configuration that peers have applied to calls of this node.
+  std::uint64_t relayed_version = 0;
   attempt_registry attempts;
   poison_state poison;
   peer_table peers;
--- a/src/request/relay_header.cpp
+++ b/src/request/relay_header.cpp
@@ -22,43 +22,53 @@
   return field;
 }
 
-std::optional<std::uint32_t> read_runs(std::string_view text) {
-  std::uint32_t value = 0;
+std::optional<std::uint64_t> read_number(std::string_view text) {
+  std::uint64_t value = 0;
   const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
   const bool is_number = !text.empty() && error == std::errc{} && end == text.data() + text.size();
-  return is_number && value <= max_runs ? std::optional(value) : std::nullopt;
+  return is_number ? std::optional(value) : std::nullopt;
+}
+
+std::optional<std::uint32_t> read_runs(std::string_view text) {
+  const auto value = read_number(text);
+  return value && *value <= max_runs ? std::optional(static_cast<std::uint32_t>(*value))
+                                     : std::nullopt;
 }
 
 }  // namespace
 
 std::string to_text(const relayed_call& call) {
-  return std::to_string(call.possible_runs) + ' ' + call.from.str();
+  return std::to_string(call.possible_runs) + ' ' + std::to_string(call.version) + ' ' +
+         call.from.str();
 }
 
 std::string to_text(const relay_report& report) {
   return std::string(result_names[static_cast<std::size_t>(report.result)]) + ' ' +
-         std::to_string(report.possible_runs) + ' ' + report.target.str();
+         std::to_string(report.possible_runs) + ' ' + std::to_string(report.version) + ' ' +
+         report.target.str();
 }
 
 std::optional<relayed_call> read_relayed_call(std::string_view text) {
   const auto runs = read_runs(take_field(text));
+  const auto version = read_number(take_field(text));
   const std::string_view from = take_field(text);
-  if (!runs || from.empty() || from.size() > max_name_length || !text.empty()) {
+  if (!runs || !version || from.empty() || from.size() > max_name_length || !text.empty()) {
     return std::nullopt;
   }
-  return relayed_call{node_id{from}, *runs};
+  return relayed_call{node_id{from}, *runs, *version};
 }
 
 std::optional<relay_report> read_relay_report(std::string_view text) {
   const std::string_view name = take_field(text);
   const auto runs = read_runs(take_field(text));
+  const auto version = read_number(take_field(text));
   const std::string_view target = take_field(text);
-  if (!runs || target.size() > max_name_length || !text.empty()) {
+  if (!runs || !version || target.size() > max_name_length || !text.empty()) {
     return std::nullopt;
   }
   for (std::size_t i = 0; i < result_names.size(); ++i) {
     if (result_names[i] == name) {
-      return relay_report{static_cast<relay_result>(i), *runs, target_id{target}};
+      return relay_report{static_cast<relay_result>(i), *runs, *version, target_id{target}};
     }
   }
   return std::nullopt;
--- a/src/request/relay_header.h
+++ b/src/request/relay_header.h
@@ -19,6 +19,9 @@
 struct relayed_call {
   node_id from;
   std::uint32_t possible_runs = 0;  // sends to targets that may have run the request
+  // The newest configuration that has been applied to a call of this node. A peer with an older one
+  // does not take the call: the caller would see a change undone.
+  std::uint64_t version = 0;
 };
 
 enum class relay_result : std::uint8_t {
@@ -31,6 +34,7 @@
 struct relay_report {
   relay_result result = relay_result::refused;
   std::uint32_t possible_runs = 0;  // including those before the call was handed over
+  std::uint64_t version = 0;        // of the configuration that the peer has applied
   target_id target;                 // that answered; empty if none did
 };
 
--- a/tests/core/relay_test.cpp
+++ b/tests/core/relay_test.cpp
@@ -83,27 +83,31 @@
 }
 
 TEST(RelayHeader, IsReadAsWritten) {
-  const auto call = read_relayed_call(to_text(relayed_call{node_id{"edge-1"}, 2}));
+  const auto call = read_relayed_call(to_text(relayed_call{node_id{"edge-1"}, 2, 51}));
   ASSERT_TRUE(call);
   EXPECT_EQ(call->from, node_id{"edge-1"});
   EXPECT_EQ(call->possible_runs, 2U);
+  EXPECT_EQ(call->version, 51U);
   for (const char* target : {"", "i-1~17"}) {
     const auto report =
-        read_relay_report(to_text(relay_report{relay_result::answered, 1, target_id{target}}));
+        read_relay_report(to_text(relay_report{relay_result::answered, 1, 51, target_id{target}}));
     ASSERT_TRUE(report);
     EXPECT_EQ(report->result, relay_result::answered);
     EXPECT_EQ(report->possible_runs, 1U);
+    EXPECT_EQ(report->version, 51U);
     EXPECT_EQ(report->target, target_id{target});
   }
 }
 
 // Guards against a damaged header that is taken for the proof that a call did not run.
 TEST(RelayHeader, DamagedTextIsNoReport) {
-  for (const char* text : {"", "not-taken", "not-taken x", "not-taken -1 ", "not-taken 1 t more",
-                           "lost 0 ", "not-taken 99999999999 "}) {
+  for (const char* text :
+       {"", "not-taken", "not-taken x 1 ", "not-taken -1 1 ", "not-taken 1 1 t more",
+        "not-taken 1 ", "lost 0 1 ", "not-taken 99999999999 1 "}) {
     EXPECT_FALSE(read_relay_report(text)) << text;
   }
-  for (const char* text : {"", "1", "x edge", "-1 edge", "1 edge more", "2000 edge"}) {
+  for (const char* text :
+       {"", "1", "1 1", "x 1 edge", "-1 1 edge", "1 1 edge more", "2000 1 edge"}) {
     EXPECT_FALSE(read_relayed_call(text)) << text;
   }
 }
--- a/tests/shell/hosted_cut_test.cpp
+++ b/tests/shell/hosted_cut_test.cpp
@@ -217,7 +217,7 @@
   request.headers = {{"Host", standin::hosted_host_name},
                      {"X-Request-Id", "forged"},
                      {"X-Deadline-Ms", "1500"},
-                     {"X-Arbutus-Relay", "1 edge-1"},
+                     {"X-Arbutus-Relay", "1 1 edge-1"},
                      {"X-Tenant", "somebody"},
                      {"Authorization", std::string("Bearer ") + standin::hosted_caller_key}};
   const auto ask = [&](const endpoint& at, const http_request& what) {
@@ -232,6 +232,11 @@
   request.headers.set("Authorization", "Bearer wrong");
   request.headers.set("X-Request-Id", "wrong-key");
   EXPECT_EQ(ask(relays, request).status, 401);
+  // A node with an older configuration than was applied already says that it did not take the call.
+  request.headers.set("X-Arbutus-Relay", "0 999 edge-1");
+  const http_response declined = ask(relays, request);
+  EXPECT_EQ(declined.status, 503);
+  EXPECT_TRUE(declined.headers.find("X-Arbutus-Relay")->starts_with("not-taken "));
   request.headers.remove("X-Arbutus-Relay");
   EXPECT_EQ(ask(relays, request).status, 400);
   EXPECT_EQ(platform_.header_violations(), 0);
