Doubt of one's own paths begins when all streams are silent, and a peer in doubt hands calls back

What callers saw: in the first half second of a cut streams were moved to heads that hang as well, or to a peer that was cut off and did not know yet. Cause: doubt waited for the slowest replica's limit, and a peer in doubt sent a call that it had taken over to a target itself.

--- a/src/node/hosted_buffered.cpp
+++ b/src/node/hosted_buffered.cpp
@@ -62,8 +62,7 @@
       end_locally(503, retry_after_stale(node_, monotonic_now()), "the key cannot be confirmed");
       return;
     }
-    if (const auto peer = choose_peer_if_cut_off(node_, call_)) {
-      hand_over_to(now, *peer);
+    if (may_be_cut_off(node_, call_) && leave_to_peer(now)) {
       return;
     }
     const std::vector<service_instance> instances = node_.instances_of(call_.service->id);
@@ -72,7 +71,9 @@
     avoided.insert(avoided.end(), excluded.ids.begin(), excluded.ids.end());
     const auto chosen = node_.instances.choose(now, instances, node_.settings.data_centre, avoided);
     if (!chosen && (excluded.by_reach || node_.reach[call_.service->id].is_cut_off())) {
-      end_unreachable(now);
+      if (!leave_to_peer(now)) {
+        end_unreachable();
+      }
       return;
     }
     if (!chosen) {
@@ -88,11 +89,20 @@
     attempt(instances[*chosen]);
   }
 
-  void end_unreachable(time_point now) {
+  // Hands the call over to a peer, or back to the one that it came from. False if there is none.
+  bool leave_to_peer(time_point now) {
     if (const auto peer = choose_relay_peer(node_, call_)) {
       hand_over_to(now, *peer);
-      return;
+      return true;
     }
+    if (call_.relayed && call_.possible_sends == 0) {
+      end_unreachable();
+      return true;
+    }
+    return false;
+  }
+
+  void end_unreachable() {
     ended_ = true;
     respond_unfit(node_, call_, retry_after_no_target, unreachable_reason);
   }
--- a/src/node/hosted_relay.cpp
+++ b/src/node/hosted_relay.cpp
@@ -225,10 +225,9 @@
                             call.tried_peers, node.random);
 }
 
-std::optional<node_record> choose_peer_if_cut_off(hosted_state& node, const hosted_request& call) {
+bool may_be_cut_off(hosted_state& node, const hosted_request& call) {
   const target_reach& reach = node.reach[call.service->id];
-  const bool may_be_cut_off = reach.is_cut_off() || reach.is_doubtful();
-  return may_be_cut_off ? choose_relay_peer(node, call) : std::nullopt;
+  return reach.is_cut_off() || reach.is_doubtful();
 }
 
 relay_answer hand_over(hosted_state& node, hosted_request& call, const node_record& peer,
--- a/src/node/hosted_relay.h
+++ b/src/node/hosted_relay.h
@@ -42,9 +42,8 @@
 [[nodiscard]] std::optional<node_record> choose_relay_peer(hosted_state& node,
                                                            const hosted_request& call);
 
-// The same if this node is cut off from the call's service, or may be; otherwise empty.
-[[nodiscard]] std::optional<node_record> choose_peer_if_cut_off(hosted_state& node,
-                                                                const hosted_request& call);
+// Whether this node is cut off from the call's service, or is testing whether it is.
+[[nodiscard]] bool may_be_cut_off(hosted_state& node, const hosted_request& call);
 
 // Hands the call over and waits for the answer. Updates the call's counts of sends and runs.
 [[nodiscard]] relay_answer hand_over(hosted_state& node, hosted_request& call,
--- a/src/node/hosted_stream.cpp
+++ b/src/node/hosted_stream.cpp
@@ -85,8 +85,7 @@
       end_locally(503, retry_after_stale(node_, monotonic_now()), "the key cannot be confirmed");
       return;
     }
-    if (const auto peer = choose_peer_if_cut_off(node_, call_)) {
-      hand_over_to(now, *peer);
+    if (may_be_cut_off(node_, call_) && leave_to_peer(now)) {
       return;
     }
     const auto& replicas = node_.replicas(*call_.service, model_->id);
@@ -127,11 +126,22 @@
     const bool unreachable = excluded.by_reach || node_.reach[call_.service->id].is_cut_off();
     if (!unreachable) {
       refuse(now, none, excluded);
-    } else if (const auto peer = choose_relay_peer(node_, call_)) {
+    } else if (!leave_to_peer(now)) {
+      end_unreachable();
+    }
+  }
+
+  // Hands the request over to a peer, or back to the one that it came from. False if there is none.
+  bool leave_to_peer(time_point now) {
+    if (const auto peer = choose_relay_peer(node_, call_)) {
       hand_over_to(now, *peer);
-    } else {
+      return true;
+    }
+    if (call_.relayed && call_.possible_sends == 0) {
       end_unreachable();
+      return true;
     }
+    return false;
   }
 
   void end_unreachable() {
--- a/src/process/stall_monitor.cpp
+++ b/src/process/stall_monitor.cpp
@@ -95,14 +95,21 @@
 
 bool stall_monitor::all_stalled(time_point now) const {
   constexpr std::size_t min_replicas = 2;
+  constexpr std::size_t many_replicas = 3;
   std::size_t running = 0;
+  std::size_t stopped = 0;
+  time_point last_event{};
   for (const auto& [head, s] : states_by_head_) {
-    running += s.running_streams > 0 ? 1 : 0;
-    if (s.running_streams > 0 && !has_stopped(now, s)) {
-      return false;
+    if (s.running_streams == 0) {
+      continue;
     }
+    ++running;
+    stopped += has_stopped(now, s) ? 1 : 0;
+    last_event = std::max(last_event, s.last_event);
   }
-  return running >= min_replicas;
+  const bool all_silent = now - last_event > settings_.min_stall_gap;
+  return (running >= many_replicas && all_silent) ||
+         (running >= min_replicas && stopped == running);
 }
 
 std::vector<target_id> stall_monitor::stalled(time_point now) const {
--- a/src/process/stall_monitor.h
+++ b/src/process/stall_monitor.h
@@ -62,8 +62,9 @@
   // A check has shown that the replica of this head works.
   void found_healthy(time_point now, const target_id& head);
 
-  // Whether all replicas with running streams have stalled, and there are at least two. Targets
-  // rarely stall together; this node's paths to them may be cut.
+  // Whether all replicas with running streams have fallen silent: three at least for the shortest
+  // time that a stall takes, or two for as long as each of them may. Targets rarely stall together;
+  // this node's paths to them may be cut.
   [[nodiscard]] bool all_stalled(time_point now) const;
 
   // Heads whose next event is overdue.
--- a/tests/core/target_reach_test.cpp
+++ b/tests/core/target_reach_test.cpp
@@ -7,6 +7,8 @@
 #include <string>
 #include <vector>
 
+#include "process/stall_monitor.h"
+
 namespace arbutus {
 namespace {
 
@@ -149,5 +151,32 @@
   EXPECT_TRUE(reach_.tests_due(now_, targets_, random_).empty());
 }
 
+// A stall monitor with one running stream at each head; all have sent an event at `start`.
+stall_monitor monitor_of(const std::vector<target_id>& heads) {
+  stall_monitor monitor;
+  for (const target_id& head : heads) {
+    monitor.on_stream_sent(start - 1s, head, model_id{"m"}, 100ms);
+    monitor.on_first_event(head, 100ms, 100ms);
+    monitor.on_event(start, head, 50ms);
+  }
+  return monitor;
+}
+
+// Guards against a cut that is doubted only once the slowest replica is overdue.
+TEST(SilenceOfAll, ThreeReplicasThatFallSilentTogetherAreNoticedEarly) {
+  stall_monitor monitor = monitor_of(targets_named(3));
+  EXPECT_FALSE(monitor.all_stalled(start + 100ms));
+  EXPECT_TRUE(monitor.all_stalled(start + 200ms));
+  monitor.on_event(start + 200ms, target_id{"t1"}, 50ms);
+  EXPECT_FALSE(monitor.all_stalled(start + 250ms));
+}
+
+// Guards against tests of paths whenever the only replica with streams of this node pauses.
+TEST(SilenceOfAll, OneReplicaThatFallsSilentSaysNothing) {
+  EXPECT_FALSE(monitor_of(targets_named(1)).all_stalled(start + 10s));
+  EXPECT_FALSE(monitor_of({}).all_stalled(start + 10s));
+  EXPECT_TRUE(monitor_of(targets_named(2)).all_stalled(start + 10s));
+}
+
 }  // namespace
 }  // namespace arbutus
