--- a/src/cli/platform.cpp
+++ b/src/cli/platform.cpp
@@ -19,6 +19,9 @@
   settings.data_centres = options.data_centres;
   settings.engines_per_data_centre = options.engines_per_data_centre;
   settings.store_port = options.store_port;
+  if (options.control_port != 0) {
+    settings.nodes_with_paths = options.data_centres.size();
+  }
   try {
     standin::hosted_platform platform(runtime, settings);
     std::optional<standin::hosted_control> control;
--- a/src/standin/hosted_control.cpp
+++ b/src/standin/hosted_control.cpp
@@ -1,7 +1,9 @@
 // HTTP handlers of the commands that control the stand-in platform.
 #include "standin/hosted_control.h"
 
+#include <map>
 #include <nlohmann/json.hpp>
+#include <optional>
 
 #include "standin/standin_http.h"
 
@@ -30,6 +32,17 @@
   return {{"windows", windows}, {"after_notice", after_notice}};
 }
 
+std::optional<path_state> read_path_state(std::string_view name) {
+  static const std::map<std::string_view, path_state> states = {
+      {"open", path_state::open},
+      {"silent", path_state::silent},
+      {"one-way", path_state::one_way},
+      {"reset", path_state::reset},
+      {"closed-to-new", path_state::closed_to_new}};
+  const auto found = states.find(name);
+  return found == states.end() ? std::nullopt : std::optional(found->second);
+}
+
 }  // namespace
 
 hosted_control::hosted_control(fiber_runtime& runtime, hosted_platform& platform,
@@ -77,6 +90,19 @@
                              query_parameter(request.target, "leaving") == "1"});
   } else if (path == "/restraints") {
     answer = restraints_json(platform_);
+  } else if (path == "/paths" && request.method == "GET") {
+    answer["stores"] = nlohmann::json::array();
+    for (std::size_t i = 0; i < platform_.node_count(); ++i) {
+      answer["stores"].push_back(platform_.store_port(i));
+    }
+  } else if (path == "/paths") {
+    const std::size_t node = std::stoul("0" + query_parameter(request.target, "node"));
+    const auto state = read_path_state(value);
+    if (!state || node >= platform_.node_count()) {
+      send_json(writer, 400, "{}");
+      return;
+    }
+    platform_.set_paths(node, *state);
   } else if (path == "/foreign") {
     platform_.write_target_record("not-an-engine",
                                   R"({"service":"llm","state":"asleep","slots":"many"})");
--- a/src/standin/hosted_platform.cpp
+++ b/src/standin/hosted_platform.cpp
@@ -252,6 +252,13 @@
     nodes.push_back({std::move(paths), std::move(server)});
   }
 
+  // Tells the paths to the target with this port whether its process listens.
+  void set_listening(std::uint16_t port, bool listens) {
+    for (const node_access& node : nodes) {
+      node.paths->set_listening({settings.ip, port}, listens);
+    }
+  }
+
   [[nodiscard]] endpoint plain_address() const { return {settings.ip, plain->port()}; }
 
   [[nodiscard]] endpoint address_of_target(const std::string& id) const {
@@ -483,9 +490,11 @@
     }
     for (restartable_server* server : closing) {
       server->close();
+      set_listening(server->port(), false);
     }
     for (restartable_server* server : finish_restarts()) {
       server->open();
+      set_listening(server->port(), true);
     }
   }
 
@@ -526,6 +535,11 @@
 
   void serve_plain(const http_request& request, response_writer& writer) {
     const std::string id = header_text(request, "X-Request-Id");
+    // A query whether the service lives is no request of a caller and does not run.
+    if (id.empty()) {
+      writer.send(400, {{"X-Not-Executed", "1"}}, "");
+      return;
+    }
     record_arrival(plain_instance_id, id);
     if (is_turned_away(plain_instance_id, id, writer)) {
       return;
@@ -700,6 +714,10 @@
   return state_->store->port();
 }
 
+std::size_t hosted_platform::node_count() const {
+  return state_->nodes.size();
+}
+
 std::uint16_t hosted_platform::store_port(std::size_t node) const {
   return state_->nodes.at(node).store->port();
 }
@@ -750,6 +768,7 @@
     server = e.server.get();
   }
   server->close();
+  state_->set_listening(server->port(), false);
 }
 
 void hosted_platform::restart_engine(const std::string& id) {
--- a/src/standin/hosted_platform.h
+++ b/src/standin/hosted_platform.h
@@ -61,7 +61,8 @@
   hosted_platform& operator=(hosted_platform&&) = delete;
 
   [[nodiscard]] std::uint16_t store_port() const;
-  // For one of the nodes with paths of their own.
+  // Number of nodes with paths of their own, and the port of the store for one of them.
+  [[nodiscard]] std::size_t node_count() const;
   [[nodiscard]] std::uint16_t store_port(std::size_t node) const;
 
   // The paths from one node to a target, by its id; empty: to all targets.
--- a/src/standin/network_paths.h
+++ b/src/standin/network_paths.h
@@ -32,9 +32,11 @@
   // The address of the path; the target's own address if it has no path.
   [[nodiscard]] endpoint path_to(const endpoint& target) const;
 
-  // Returns when the state is in force. Callable from any thread except one that runs fibers.
+  // Returns when the state is in force; blocks the calling thread for some ms at most.
   void set_state(path_state to);  // of all paths
   void set_state(const endpoint& target, path_state to);
+  // Whether a process listens at the target. If none does, its path refuses connections, too.
+  void set_listening(const endpoint& target, bool listens);
 
  private:
   class path;
