--- a/src/node/hosted_relay.cpp
+++ b/src/node/hosted_relay.cpp
@@ -158,6 +158,20 @@
   return permille == 0 ? calls_at_unknown_strength : std::max(min_calls, permille * 3 / 5);
 }
 
+// Counts a call for as long as this object lives.
+class counted_call {
+ public:
+  explicit counted_call(std::size_t& count) : count_(count) { ++count_; }
+  ~counted_call() { --count_; }
+  counted_call(const counted_call&) = delete;
+  counted_call& operator=(const counted_call&) = delete;
+  counted_call(counted_call&&) = delete;
+  counted_call& operator=(counted_call&&) = delete;
+
+ private:
+  std::size_t& count_;
+};
+
 // Answers a call that this node does not take over.
 void decline(response_writer& writer, const hosted_request& call, std::string_view reason) {
   local_response answer;
@@ -312,9 +326,8 @@
               {"may_have_run", call.possible_runs},
               {"taken_over", std::uint64_t{node.taken_over}}});
   }
-  ++node.taken_over;
+  const counted_call counted(node.taken_over);
   serve_begun_call(node, call);
-  --node.taken_over;
 }
 
 }  // namespace arbutus
