The stand-in's paths keep their port while they refuse connections

ResetCalls aborted once in some 60 runs with 'bind: Address already in use': a path reserved its port while it still listened, which fails, so that any process could be given the port before the path listened again. It closes first now, as restartable_server does, and an error is no longer ignored.

--- a/src/standin/network_paths.cpp
+++ b/src/standin/network_paths.cpp
@@ -179,13 +179,13 @@
     acceptor_.listen(tcp::acceptor::max_listen_connections, ignored);
   }
 
-  // A bound port that does not listen refuses connections and is assigned to no other process.
+  // A bound port that does not listen refuses connections and is assigned to no other process. It
+  // cannot be bound a second time while it listens.
   void refuse() {
-    error_code ignored;
-    reserved_.open(local_.protocol(), ignored);
-    reserved_.set_option(tcp::socket::reuse_address(true), ignored);
-    reserved_.bind(local_, ignored);
-    acceptor_.close(ignored);
+    acceptor_.close();
+    reserved_.open(local_.protocol());
+    reserved_.set_option(tcp::socket::reuse_address(true));
+    reserved_.bind(local_);
   }
 
   // The kernel drops connection requests while the accept queue is full, so that connecting hangs.
