--- a/src/standin/network_paths.cpp
+++ b/src/standin/network_paths.cpp
@@ -87,6 +87,10 @@
     if (d.holds || d.held_bytes == 0) {
       return;
     }
+    if (is_reset(d.from)) {
+      close();
+      return;
+    }
     const std::size_t count = std::exchange(d.held_bytes, 0);
     asio::async_write(to, asio::buffer(d.buffer.data(), count),
                       [self = shared_from_this(), &d, &to](const error_code& error, std::size_t) {
@@ -98,6 +102,15 @@
                       });
   }
 
+  // Whether the sender has reset the connection: bytes that were held are then lost.
+  static bool is_reset(tcp::socket& from) {
+    char byte = 0;
+    error_code error;
+    from.non_blocking(true, error);
+    from.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    return error == asio::error::connection_reset;
+  }
+
   // One side has closed. The other side learns it only if the path is not cut.
   void end() {
     ended_ = true;
