Sight of the retry budget: line, counter and gauges

Nothing told what a node had spent of the retry budget of all nodes, by how many nodes it divides the burst, or that a call was given up for lack of it; the hypotheses of the incident could not be told apart from logs.

--- a/src/node/hosted_buffered.cpp
+++ b/src/node/hosted_buffered.cpp
@@ -257,7 +257,7 @@
     const bool failed = response.status >= 500;
     if (failed && call_.matched_route->repeatable() &&
         call_.possible_runs + 1 < call_.matched_route->max_attempts &&
-        node_.retries_of(call_.service->id).retries_left() >= 1) {
+        node_.retries_of(call_.service->id).retries_left(monotonic_now()) >= 1) {
       ++call_.possible_runs;
       broken(instance, "the target failed");
       return;
--- a/src/node/hosted_call.cpp
+++ b/src/node/hosted_call.cpp
@@ -125,6 +125,31 @@
          node.map->find_workspace(call.fields.api_key) != nullptr;
 }
 
+namespace {
+
+bool take_retry(hosted_state& node, const hosted_request& call, time_point now) {
+  retry_window& window = node.retries_of(call.service->id);
+  if (window.take(now)) {
+    return true;
+  }
+  node.metrics.count("arbutusworks_retries_without_budget",
+                     "service=\"" + call.service->id.str() + "\"");
+  if (call.writes_log_lines) {
+    const retry_usage used = window.usage(now);
+    log_line(log_level::info, "request", "no retry budget",
+             {{"request", call.fields.id},
+              {"service", call.service->id},
+              {"window_ms", to_milliseconds(node.settings.bounds.retry_window)},
+              {"requests", used.requests},
+              {"retries", used.retries},
+              {"limit", used.limit},
+              {"nodes", std::uint64_t{used.nodes}}});
+  }
+  return false;
+}
+
+}  // namespace
+
 bool may_send_again(hosted_state& node, const hosted_request& call, time_point now) {
   if (call.possible_sends == 0 && call.possible_runs == 0) {
     return true;
@@ -137,7 +162,7 @@
     return false;
   }
   // The peer that has handed the call over has paid for its first send.
-  return call.possible_sends == 0 || node.retries_of(call.service->id).take(now);
+  return call.possible_sends == 0 || take_retry(node, call, now);
 }
 
 namespace {
--- a/src/node/hosted_node.cpp
+++ b/src/node/hosted_node.cpp
@@ -146,6 +146,13 @@
       cut_off_services += reach.is_cut_off() ? 1 : 0;
       unreachable_targets += reach.unreachable_count();
     }
+    for (const auto& [service, window] : state.retry_windows) {
+      const std::string label = "{service=\"" + service.str() + "\"}";
+      const retry_usage used = window.usage(monotonic_now());
+      text += "arbutusworks_retries_left" + label + ' ' +
+              std::to_string(std::max(used.limit - used.retries, 0.0)) + '\n';
+      text += "arbutusworks_retry_budget_nodes" + label + ' ' + std::to_string(used.nodes) + '\n';
+    }
     add("arbutusworks_cut_off_services", cut_off_services);
     add("arbutusworks_targets_unreachable", unreachable_targets);
     add("arbutusworks_taken_over_active", state.taken_over);
--- a/src/request/retry_window.h
+++ b/src/request/retry_window.h
@@ -6,6 +6,7 @@
 // bound under any partition.
 #pragma once
 
+#include <algorithm>
 #include <array>
 #include <cstddef>
 #include <cstdint>
@@ -24,6 +25,14 @@
   double usable_budget_fraction = 0.7;
 };
 
+// What one node has used of the budget in the current window.
+struct retry_usage {
+  double requests = 0;    // first sends
+  double retries = 0;     // retries sent
+  double limit = 0;       // retries that the node may send in the window
+  std::size_t nodes = 0;  // nodes among which the burst is divided
+};
+
 class retry_window {
  public:
   explicit retry_window(const retry_window_settings& settings = {}) : settings_(settings) {}
@@ -34,25 +43,33 @@
 
   // Takes one retry from the budget, if available.
   [[nodiscard]] bool take(time_point now) {
-    bucket& current = bucket_at(now);
-    if (retries_left() < 1) {
+    if (retries_left(now) < 1) {
       return false;
     }
-    current.retries += 1;
+    bucket_at(now).retries += 1;
     return true;
   }
 
   // Retries that may be sent now.
-  [[nodiscard]] double retries_left() const {
-    double requests = 0;
-    double retries = 0;
+  [[nodiscard]] double retries_left(time_point now) const {
+    const retry_usage used = usage(now);
+    return used.limit - used.retries;
+  }
+
+  [[nodiscard]] retry_usage usage(time_point now) const {
+    const std::int64_t tick = tick_at(now);
+    retry_usage used;
     for (const bucket& b : buckets_) {
-      requests += b.requests;
-      retries += b.retries;
+      if (is_in_window(b, tick)) {
+        used.requests += b.requests;
+        used.retries += b.retries;
+      }
     }
-    const auto nodes = static_cast<double>(settings_.nodes == 0 ? 1 : settings_.nodes);
-    const double bound = settings_.retries_per_request * requests + settings_.burst / nodes;
-    return settings_.usable_budget_fraction * bound - retries;
+    used.nodes = std::max<std::size_t>(settings_.nodes, 1);
+    const double share = settings_.burst / static_cast<double>(used.nodes);
+    const double bound = settings_.retries_per_request * used.requests + share;
+    used.limit = settings_.usable_budget_fraction * bound;
+    return used;
   }
 
  private:
@@ -63,15 +80,15 @@
   };
   static constexpr std::size_t bucket_count = 20;
 
-  // The bucket of `now`; clears buckets older than the window.
+  [[nodiscard]] std::int64_t tick_at(time_point now) const {
+    return now.time_since_epoch() / (settings_.window / bucket_count);
+  }
+  [[nodiscard]] static bool is_in_window(const bucket& b, std::int64_t tick) {
+    return b.tick > tick - static_cast<std::int64_t>(bucket_count);
+  }
+
   bucket& bucket_at(time_point now) {
-    const duration width = settings_.window / bucket_count;
-    const std::int64_t tick = now.time_since_epoch() / width;
-    for (bucket& b : buckets_) {
-      if (b.tick <= tick - static_cast<std::int64_t>(bucket_count)) {
-        b = {};
-      }
-    }
+    const std::int64_t tick = tick_at(now);
     bucket& current = buckets_[static_cast<std::size_t>(tick) % bucket_count];
     if (current.tick != tick) {
       current = {tick, 0, 0};
