--- a/tests/core/retry_window_test.cpp
+++ b/tests/core/retry_window_test.cpp
@@ -3,6 +3,10 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <deque>
+#include <vector>
+
 #include "base/rng.h"
 
 namespace arbutus {
@@ -56,5 +60,120 @@
   EXPECT_TRUE(window.take(now + 11s));
 }
 
+// Nodes before a service of which every send fails and is retried at once, as far as each node may.
+class retry_storm {
+ public:
+  retry_storm(std::size_t nodes, double requests_per_second, std::uint64_t seed)
+      : requests_per_second_(requests_per_second), random_(seed) {
+    for (std::size_t i = 0; i < nodes; ++i) {
+      windows_.push_back(new_life(nodes));
+    }
+  }
+
+  void restart(std::size_t node) { windows_[node] = new_life(windows_.size()); }
+
+  void restart_all() {
+    for (std::size_t i = 0; i < windows_.size(); ++i) {
+      restart(i);
+    }
+  }
+
+  void play(duration time) {
+    const time_point end = now_ + time;
+    while (now_ < end) {
+      now_ += from_seconds(2 * random_.unit() / requests_per_second_);
+      serve(windows_[random_.below(windows_.size())]);
+    }
+  }
+
+  // The largest share of the allowed retries that was sent in any window, 1 being all.
+  [[nodiscard]] double worst_share() const { return worst_share_; }
+  // The mean share of the windows that ended since the last call.
+  double take_mean_share() {
+    const double mean = share_sum_ / static_cast<double>(share_count_);
+    share_sum_ = 0;
+    share_count_ = 0;
+    return mean;
+  }
+  [[nodiscard]] time_point now() const { return now_; }
+
+  static constexpr double ratio = 0.2;
+  static constexpr double burst = 130;
+
+ private:
+  struct send {
+    time_point at;
+    bool is_retry;
+  };
+
+  [[nodiscard]] retry_window new_life(std::size_t nodes) const {
+    return retry_window({.retries_per_request = ratio, .burst = burst, .nodes = nodes});
+  }
+
+  void serve(retry_window& window) {
+    window.count_first_send(now_);
+    note({now_, false});
+    while (window.take(now_)) {
+      note({now_, true});
+    }
+    const double share = retries_ / (ratio * requests_ + burst);
+    worst_share_ = std::max(worst_share_, share);
+    share_sum_ += share;
+    ++share_count_;
+  }
+
+  void note(const send& s) {
+    (s.is_retry ? retries_ : requests_) += 1;
+    sends_.push_back(s);
+    while (sends_.front().at <= s.at - 10s) {
+      (sends_.front().is_retry ? retries_ : requests_) -= 1;
+      sends_.pop_front();
+    }
+  }
+
+  double requests_per_second_;
+  rng random_;
+  time_point now_{1000s};
+  std::vector<retry_window> windows_;
+  std::deque<send> sends_;  // of the last 10 s
+  double requests_ = 0;
+  double retries_ = 0;
+  double worst_share_ = 0;
+  double share_sum_ = 0;
+  std::size_t share_count_ = 0;
+};
+
+// Guards against nodes that draw the burst again with each start.
+TEST(RetryWindow, NodesThatStartAgainKeepTheBudgetOfAll) {
+  for (const double requests_per_second : {5.0, 40.0, 150.0}) {
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+      retry_storm storm(6, requests_per_second, seed);
+      storm.play(15s);
+      for (int i = 0; i < 5; ++i) {
+        storm.restart_all();
+        storm.play(2s);
+      }
+      for (int i = 0; i < 60; ++i) {
+        storm.restart(static_cast<std::size_t>(i) % 6);
+        storm.play(300ms);
+      }
+      EXPECT_LE(storm.worst_share(), 1.0) << requests_per_second << " a second, seed " << seed;
+    }
+  }
+}
+
+// Guards against a budget that nobody may use after a restart of all nodes.
+TEST(RetryWindow, MostOfTheBudgetMayBeSentSomeTimeAfterARestart) {
+  for (const double requests_per_second : {40.0, 150.0}) {
+    retry_storm storm(6, requests_per_second, 1);
+    storm.play(5s);
+    storm.restart_all();
+    storm.play(20s);
+    storm.take_mean_share();
+    storm.play(20s);
+    EXPECT_GE(storm.take_mean_share(), 0.6) << requests_per_second << " a second";
+  }
+}
+
 }  // namespace
 }  // namespace arbutus
