A process that starts again has no share of the retry burst until a window has passed

Cause: retry_window begins with each process, so a node that was killed n times within 10 s could spend its share of the burst n + 1 times.

Change: the share of the burst may be used from one window after the start of the process on, when nothing that an earlier one has sent can be in the window any more; at once only on the first start of the whole deployment. What own requests add may be used at once, as they are counted in the same window. The sum then holds for any order of restarts.

--- a/src/node/hosted_node.cpp
+++ b/src/node/hosted_node.cpp
@@ -57,7 +57,7 @@
 
 struct hosted_node::parts {
   explicit parts(const hosted_settings& settings)
-      : runtime(1), state(settings, runtime), watch(state) {}
+      : runtime(1), state(monotonic_now(), settings, runtime), watch(state) {}
 
   void listen() {
     const hosted_listen& at = state.settings.listen;
--- a/src/node/hosted_state.cpp
+++ b/src/node/hosted_state.cpp
@@ -69,9 +69,10 @@
   return limits;
 }
 
-hosted_state::hosted_state(hosted_settings s, fiber_runtime& r)
+hosted_state::hosted_state(time_point now, hosted_settings s, fiber_runtime& r)
     : settings(std::move(s)),
       incarnation(random_incarnation()),
+      started_at(now),
       runtime(r),
       targets_http(r, target_client_limits()),
       control_http(r, control_client_limits()),
@@ -143,7 +144,8 @@
   window.burst = settings.bounds.retry_burst;
   window.window = settings.bounds.retry_window;
   window.nodes = std::max(min_budget_nodes, peers.peer_count() + 1);
-  return retry_windows.emplace(service, retry_window(window)).first->second;
+  const time_point burst_from = settings.cold_start ? started_at : started_at + window.window;
+  return retry_windows.emplace(service, retry_window(window, burst_from)).first->second;
 }
 
 }  // namespace arbutus
--- a/src/node/hosted_state.h
+++ b/src/node/hosted_state.h
@@ -42,10 +42,11 @@
 namespace arbutus {
 
 struct hosted_state {
-  hosted_state(hosted_settings s, fiber_runtime& r);
+  hosted_state(time_point now, hosted_settings s, fiber_runtime& r);
 
   hosted_settings settings;
   std::string incarnation;  // identifies this start of the process
+  time_point started_at;
   fiber_runtime& runtime;
   http_client targets_http;  // for forwarded requests
   http_client
--- a/src/request/retry_window.h
+++ b/src/request/retry_window.h
@@ -4,6 +4,9 @@
 // retries. Requests are spread unevenly, so each node may send `retries_per_request` retries per
 // request of its own plus an equal share of the burst. The sum over the nodes then stays within the
 // bound under any partition.
+//
+// A process does not know what the one before it on the same node has sent. Until nothing of that
+// can be in the window any more, it has no share of the burst, only what its own requests add.
 #pragma once
 
 #include <algorithm>
@@ -35,7 +38,9 @@
 
 class retry_window {
  public:
-  explicit retry_window(const retry_window_settings& settings = {}) : settings_(settings) {}
+  // `burst_from`: when the node may use its share of the burst.
+  explicit retry_window(const retry_window_settings& settings = {}, time_point burst_from = {})
+      : settings_(settings), burst_from_(burst_from) {}
 
   void set_nodes(std::size_t nodes) { settings_.nodes = nodes; }
 
@@ -66,7 +71,7 @@
       }
     }
     used.nodes = std::max<std::size_t>(settings_.nodes, 1);
-    const double share = settings_.burst / static_cast<double>(used.nodes);
+    const double share = now < burst_from_ ? 0 : settings_.burst / static_cast<double>(used.nodes);
     const double bound = settings_.retries_per_request * used.requests + share;
     used.limit = settings_.usable_budget_fraction * bound;
     return used;
@@ -97,6 +102,7 @@
   }
 
   retry_window_settings settings_;
+  time_point burst_from_;
   std::array<bucket, bucket_count> buckets_{};
 };
 
--- a/tests/core/retry_window_test.cpp
+++ b/tests/core/retry_window_test.cpp
@@ -66,11 +66,14 @@
   retry_storm(std::size_t nodes, double requests_per_second, std::uint64_t seed)
       : requests_per_second_(requests_per_second), random_(seed) {
     for (std::size_t i = 0; i < nodes; ++i) {
-      windows_.push_back(new_life(nodes));
+      windows_.emplace_back(window_settings(nodes));
     }
   }
 
-  void restart(std::size_t node) { windows_[node] = new_life(windows_.size()); }
+  void restart(std::size_t node) {
+    const retry_window_settings settings = window_settings(windows_.size());
+    windows_[node] = retry_window(settings, now_ + settings.window);
+  }
 
   void restart_all() {
     for (std::size_t i = 0; i < windows_.size(); ++i) {
@@ -106,8 +109,8 @@
     bool is_retry;
   };
 
-  [[nodiscard]] retry_window new_life(std::size_t nodes) const {
-    return retry_window({.retries_per_request = ratio, .burst = burst, .nodes = nodes});
+  [[nodiscard]] static retry_window_settings window_settings(std::size_t nodes) {
+    return {.retries_per_request = ratio, .burst = burst, .nodes = nodes};
   }
 
   void serve(retry_window& window) {
--- a/tests/shell/hosted_node_test.cpp
+++ b/tests/shell/hosted_node_test.cpp
@@ -137,7 +137,7 @@
   // A hub's update whose rows are withheld must not count as an update: this node's list of targets
   // is as old as before.
   fiber_runtime own_runtime(1);
-  hosted_state state(nodes_[0]->settings, own_runtime);
+  hosted_state state(monotonic_now(), nodes_[0]->settings, own_runtime);
   store_watch watch(state);
   node_heartbeat message;
   message.data_centre = nodes_[0]->settings.data_centre;
@@ -157,7 +157,7 @@
   // adopt the hub's position.
   hosted_settings settings = nodes_[0]->settings;
   fiber_runtime own_runtime(1);
-  hosted_state state(settings, own_runtime);
+  hosted_state state(monotonic_now(), settings, own_runtime);
   store_watch watch(state);
   node_heartbeat message;
   message.data_centre = settings.data_centre;
@@ -184,7 +184,7 @@
 
 TEST_F(HostedNode, NodeThatControlsNoReplicasFollowsTheServingOnes) {
   fiber_runtime own_runtime(1);
-  hosted_state state(nodes_[0]->settings, own_runtime);
+  hosted_state state(monotonic_now(), nodes_[0]->settings, own_runtime);
   store_watch watch(state);
   serving_entry instance;
   instance.members.emplace_back();
