The retry burst is divided by the number of nodes as it is now

Cause: the number of nodes was read once, at a service's first call, and held for the life of the process; before the rows of the nodes were read it was six. With 76 nodes each could spend a sixth of the burst. Evidence: line "no retry budget", nodes 6 on each node for its whole life.

Change: the number is read at each use. It is the most that this node or a live peer knows, as heartbeats tell (one more byte): a node whose hub keeps it current reads the rows every 45 s only, the hubs every 5 s. Nothing of the burst is used before the rows were read. A lower number holds after a window; a process that starts uses its share once all others know it, 6 s later than before.

Tests HostedState.* and RetryWindow.NodesThatAreAddedKeepTheBudgetOfAll.

--- a/src/node/controller_heartbeats.cpp
+++ b/src/node/controller_heartbeats.cpp
@@ -140,6 +140,7 @@
   message.leaving = node_.stopping;
   message.refused_by_store = node_.peers.refused_by_store();
   message.cut_off_from_targets = node_.is_cut_off_from_models();
+  message.known_nodes = node_.peers.known_nodes();
   message.requests_seen = node_.requests_seen;
   message.stamp_us = now.time_since_epoch().count();
   message.echo_us = node_.peers.newest_stamp(peer);
@@ -410,7 +411,7 @@
   }
   node_.peers.received(now, peer,
                        {message.hub, message.leaving, message.refused_by_store, message.stamp_us,
-                        message.cut_off_from_targets});
+                        message.cut_off_from_targets, message.known_nodes});
   peer_positions_[peer] = {message.follows_records,
                            message.targets_position,
                            message.serving_position,
--- a/src/node/hosted_buffered.cpp
+++ b/src/node/hosted_buffered.cpp
@@ -251,13 +251,17 @@
     node_.metrics.count("arbutusworks_attempts_broken");
   }
 
+  [[nodiscard]] bool has_retries_left() const {
+    const time_point now = monotonic_now();
+    return node_.retries_of(now, call_.service->id).retries_left(now) >= 1;
+  }
+
   // A request whose failure the target reports counts as run: only requests that may be repeated
   // are tried on another instance.
   void forward_response(const service_instance& instance, const http_response& response) {
     const bool failed = response.status >= 500;
     if (failed && call_.matched_route->repeatable() &&
-        call_.possible_runs + 1 < call_.matched_route->max_attempts &&
-        node_.retries_of(call_.service->id).retries_left(monotonic_now()) >= 1) {
+        call_.possible_runs + 1 < call_.matched_route->max_attempts && has_retries_left()) {
       ++call_.possible_runs;
       broken(instance, "the target failed");
       return;
--- a/src/node/hosted_call.cpp
+++ b/src/node/hosted_call.cpp
@@ -98,7 +98,7 @@
     }
     // The node that a call was handed over by has counted it, and pays for its first send here.
     if (!call_.relayed) {
-      node_.retries_of(call_.service->id).count_first_send(call_.arrived);
+      node_.retries_of(call_.arrived, call_.service->id).count_first_send(call_.arrived);
     }
     return true;
   }
@@ -128,7 +128,7 @@
 namespace {
 
 bool take_retry(hosted_state& node, const hosted_request& call, time_point now) {
-  retry_window& window = node.retries_of(call.service->id);
+  retry_window& window = node.retries_of(now, call.service->id);
   if (window.take(now)) {
     return true;
   }
--- a/src/node/hosted_state.cpp
+++ b/src/node/hosted_state.cpp
@@ -25,6 +25,9 @@
   return text.data();
 }
 
+// All nodes know a new one within this time: hubs read the rows of the nodes every 5 s.
+constexpr duration new_node_known_within = 6s;
+
 // Minimum number of nodes among which the burst of the retry budget is divided. Before enough peers
 // are known, this keeps each node's share of it small.
 constexpr std::size_t min_budget_nodes = 6;
@@ -134,18 +137,24 @@
          });
 }
 
-retry_window& hosted_state::retries_of(const service_id& service) {
-  const auto found = retry_windows.find(service);
-  if (found != retry_windows.end()) {
-    return found->second;
+retry_window& hosted_state::retries_of(time_point now, const service_id& service) {
+  auto found = retry_windows.find(service);
+  if (found == retry_windows.end()) {
+    found = retry_windows.emplace(service, new_retry_window()).first;
   }
+  const std::size_t nodes = peers.node_count(now);
+  found->second.set_nodes(now, nodes == 0 ? 0 : std::max(min_budget_nodes, nodes));
+  return found->second;
+}
+
+retry_window hosted_state::new_retry_window() const {
   retry_window_settings window;
   window.retries_per_request = settings.bounds.retry_ratio;
   window.burst = settings.bounds.retry_burst;
   window.window = settings.bounds.retry_window;
-  window.nodes = std::max(min_budget_nodes, peers.peer_count() + 1);
-  const time_point burst_from = settings.cold_start ? started_at : started_at + window.window;
-  return retry_windows.emplace(service, retry_window(window, burst_from)).first->second;
+  window.nodes = 0;
+  const duration wait = settings.cold_start ? 0s : new_node_known_within + window.window;
+  return retry_window(window, started_at + wait);
 }
 
 }  // namespace arbutus
--- a/src/node/hosted_state.h
+++ b/src/node/hosted_state.h
@@ -103,13 +103,15 @@
   [[nodiscard]] bool is_outdated(time_point now) const {
     return configuration_lag.is_stale(now, settings.bounds.configuration_limit);
   }
-  [[nodiscard]] retry_window& retries_of(const service_id& service);
+  [[nodiscard]] retry_window& retries_of(time_point now, const service_id& service);
   // Whether this node is cut off from the targets of a model service. It then controls no replicas.
   [[nodiscard]] bool is_cut_off_from_models() const;
   // Drops pooled connections to an address whose target has restarted.
   void forget_connections(const endpoint& address);
 
  private:
+  [[nodiscard]] retry_window new_retry_window() const;
+
   std::uint64_t cached_revision_ = 0;  // fleet revision when the caches were filled
   std::uint64_t cached_version_ = 0;   // configuration version when the caches were filled
   void drop_outdated_caches();
--- a/src/process/node_heartbeat.cpp
+++ b/src/process/node_heartbeat.cpp
@@ -131,6 +131,7 @@
 constexpr std::size_t first_optional_field = 25;
 constexpr std::size_t first_load_update_field = 32;
 constexpr std::size_t cut_off_field = 35;
+constexpr std::size_t known_nodes_field = 36;
 
 void read_optional_fields(const json& document, node_heartbeat& message) {
   message.configuration_row = document.at(25).get<std::uint64_t>();
@@ -195,7 +196,8 @@
                          message.received_load_position.incarnation,
                          message.received_load_position.at,
                          load_update_to_json(message.load_changes),
-                         message.cut_off_from_targets};
+                         message.cut_off_from_targets,
+                         message.known_nodes};
   std::string bytes;
   json::to_msgpack(document, bytes);
   return bytes;
@@ -249,6 +251,9 @@
     }
     message.cut_off_from_targets =
         document.size() > cut_off_field && document.at(cut_off_field).get<bool>();
+    if (document.size() > known_nodes_field) {
+      message.known_nodes = document.at(known_nodes_field).get<std::size_t>();
+    }
     return message;
   } catch (const json::exception&) {
     return std::nullopt;
--- a/src/process/node_heartbeat.h
+++ b/src/process/node_heartbeat.h
@@ -53,6 +53,7 @@
       false;  // the store does not serve the sender: another node must be the hub
   // The sender cannot open connections to the targets: another node must control them.
   bool cut_off_from_targets = false;
+  std::size_t known_nodes = 0;  // nodes that the sender knows; zero: not told
   bool requests_seen = false;
   // The sender's clock, and the newest such stamp that it received from the receiver. The content
   // of the heartbeat is newer than the sending of the echoed stamp; that bounds its age, as a
--- a/src/process/peer_table.cpp
+++ b/src/process/peer_table.cpp
@@ -30,6 +30,7 @@
     }
   }
   records_ = std::move(records);
+  rows_read_ = true;
   discovery_deadline_ = {};
   sort_peers();
 }
@@ -93,6 +94,19 @@
   return found != peers_.end() && is_alive(now, found->second);
 }
 
+std::size_t peer_table::node_count(time_point now) const {
+  if (!rows_read_) {
+    return 0;
+  }
+  std::size_t count = known_nodes();
+  for (const auto& [id, p] : peers_) {
+    if (is_alive(now, p)) {
+      count = std::max(count, p.info.known_nodes);
+    }
+  }
+  return count;
+}
+
 std::size_t peer_table::alive_count(time_point now) const {
   return static_cast<std::size_t>(
       std::count_if(peers_.begin(), peers_.end(),
--- a/src/process/peer_table.h
+++ b/src/process/peer_table.h
@@ -56,6 +56,7 @@
     bool refused_by_store = false;  // the store does not serve the peer
     std::int64_t stamp_us{};
     bool cut_off_from_targets = false;  // the peer cannot open connections to the targets
+    std::size_t known_nodes = 0;        // nodes that the peer knows
   };
   // A heartbeat of the peer was received.
   void received(time_point now, const node_id& peer, const heartbeat_info& info);
@@ -100,6 +101,11 @@
   [[nodiscard]] bool has_served_peer_here(time_point now) const;
   [[nodiscard]] std::int64_t newest_stamp(const node_id& peer) const;
   [[nodiscard]] std::size_t peer_count() const { return peers_.size(); }
+  // The nodes of the deployment that this node knows, alive or not, itself included.
+  [[nodiscard]] std::size_t known_nodes() const { return peers_.size() + 1; }
+  // The most nodes that this one or a live peer knows; zero until the rows of the nodes were read.
+  // A node that its hub keeps current seldom reads the rows, but the hub soon knows a new node.
+  [[nodiscard]] std::size_t node_count(time_point now) const;
   [[nodiscard]] const std::vector<node_record>& records() const { return records_; }
 
   // A node whose rows of peers cannot be read for this long after its start acts on the peers that
@@ -165,6 +171,7 @@
   node_strength strength_;
   bool refused_by_store_ = false;
   bool cut_off_from_targets_ = false;
+  bool rows_read_ = false;           // the rows of the nodes were read
   time_point discovery_deadline_{};  // zero once the rows of the peers are known
   // When this node was last served again after the store had refused it, or reached the targets
   // again after it had been cut off.
--- a/src/request/retry_window.h
+++ b/src/request/retry_window.h
@@ -13,6 +13,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 
 #include "base/units.h"
 
@@ -22,7 +23,9 @@
   double retries_per_request = 0.2;  // retries per request, configured by operators
   double burst = 100;                // additional retries in a window, of all nodes together
   duration window = 10s;             // length of the interval for which the bound on retries holds
-  std::size_t nodes = 6;             // nodes that may send; a number that is too large is safe
+  // Nodes that may send; a number that is too large is safe. Zero: not known, no share of the
+  // burst.
+  std::size_t nodes = 6;
   // Fraction of the bound on retries that this node uses. The rest is a margin, since a request may
   // arrive later than it was counted, and nodes may be added before this one is informed.
   double usable_budget_fraction = 0.7;
@@ -42,7 +45,20 @@
   explicit retry_window(const retry_window_settings& settings = {}, time_point burst_from = {})
       : settings_(settings), burst_from_(burst_from) {}
 
-  void set_nodes(std::size_t nodes) { settings_.nodes = nodes; }
+  // A lower number holds once it has been the number for a window, when what the other nodes have
+  // sent is in the window no more.
+  void set_nodes(time_point now, std::size_t nodes) {
+    if (nodes >= settings_.nodes) {
+      settings_.nodes = nodes;
+      fewer_since_.reset();
+      return;
+    }
+    fewer_since_ = fewer_since_.value_or(now);
+    if (now - *fewer_since_ >= settings_.window) {
+      settings_.nodes = nodes;
+      fewer_since_.reset();
+    }
+  }
 
   void count_first_send(time_point now) { bucket_at(now).requests += 1; }
 
@@ -70,8 +86,9 @@
         used.retries += b.retries;
       }
     }
-    used.nodes = std::max<std::size_t>(settings_.nodes, 1);
-    const double share = now < burst_from_ ? 0 : settings_.burst / static_cast<double>(used.nodes);
+    used.nodes = settings_.nodes;
+    const bool has_share = used.nodes > 0 && now >= burst_from_;
+    const double share = has_share ? settings_.burst / static_cast<double>(used.nodes) : 0;
     const double bound = settings_.retries_per_request * used.requests + share;
     used.limit = settings_.usable_budget_fraction * bound;
     return used;
@@ -103,6 +120,7 @@
 
   retry_window_settings settings_;
   time_point burst_from_;
+  std::optional<time_point> fewer_since_;  // since when fewer nodes are known
   std::array<bucket, bucket_count> buckets_{};
 };
 
--- a/tests/core/hosted_values_test.cpp
+++ b/tests/core/hosted_values_test.cpp
@@ -336,6 +336,7 @@
   message.configuration_part = config_part{8, 7, 1200, 900, std::string("\xff\0\x80", 3)};
   message.limits = {{target_id{"x"}, 2.5, 30ms, 4}, {target_id{"y"}, std::nullopt, 1s, 0}};
   message.grants = {"0a1b2c3d", {{target_id{"x"}, 12}}};
+  message.known_nodes = 340;
   const std::string bytes = encode(message);
   const auto back = decode_node_heartbeat(bytes);
   ASSERT_TRUE(back);
@@ -350,6 +351,7 @@
   EXPECT_EQ(back->configuration_progress, message.configuration_progress);
   EXPECT_EQ(back->configuration_part, message.configuration_part);
   EXPECT_EQ(back->limits, message.limits);
+  EXPECT_EQ(back->known_nodes, 340U);
   EXPECT_EQ(back->grants, message.grants);
   EXPECT_EQ(back->serving_rows->after, 17U);
   EXPECT_TRUE(back->targets->complete);
@@ -374,6 +376,7 @@
   const auto back = decode_node_heartbeat(bytes);
   ASSERT_TRUE(back);
   EXPECT_EQ(back->configuration_position, 12U);
+  EXPECT_EQ(back->known_nodes, 0U);
 }
 
 std::vector<node_record> six_nodes() {
--- a/tests/core/retry_window_test.cpp
+++ b/tests/core/retry_window_test.cpp
@@ -75,6 +75,20 @@
     windows_[node] = retry_window(settings, now_ + settings.window);
   }
 
+  // Adds nodes that the others know of only later; the new ones know all.
+  void add(std::size_t count, duration burst_delay) {
+    const retry_window_settings settings = window_settings(windows_.size() + count);
+    for (std::size_t i = 0; i < count; ++i) {
+      windows_.emplace_back(settings, now_ + burst_delay);
+    }
+  }
+
+  void tell_number_of_nodes() {
+    for (retry_window& window : windows_) {
+      window.set_nodes(now_, windows_.size());
+    }
+  }
+
   void restart_all() {
     for (std::size_t i = 0; i < windows_.size(); ++i) {
       restart(i);
@@ -165,6 +179,21 @@
   }
 }
 
+// Guards against new nodes that spend a share of the burst that the others have not given up yet.
+TEST(RetryWindow, NodesThatAreAddedKeepTheBudgetOfAll) {
+  for (const std::size_t added : {3, 70}) {
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+      retry_storm storm(6, 20.0, seed);
+      storm.play(15s);
+      storm.add(added, 16s);
+      storm.play(6s);
+      storm.tell_number_of_nodes();
+      storm.play(30s);
+      EXPECT_LE(storm.worst_share(), 1.0) << added << " nodes added, seed " << seed;
+    }
+  }
+}
+
 // Guards against a budget that nobody may use after a restart of all nodes.
 TEST(RetryWindow, MostOfTheBudgetMayBeSentSomeTimeAfterARestart) {
   for (const double requests_per_second : {40.0, 150.0}) {
