Retries count for a whole window, requests for no longer than one

Found while looking for the cause of the retries beyond the budget: a bucket of half a second left the window when its first moment did, so that what was sent at its end could be sent again 9.5 s later. Callers would have seen up to twice a node's share of the burst within 10 s. Retries now count until their whole bucket is older than the window; requests add for a window at most. RetryWindow.NothingIsTakenTwiceInOneWindow failed before (49 of 50 offsets).

--- a/src/request/retry_window.h
+++ b/src/request/retry_window.h
@@ -13,6 +13,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <optional>
 
 #include "base/units.h"
@@ -81,10 +82,10 @@
     const std::int64_t tick = tick_at(now);
     retry_usage used;
     for (const bucket& b : buckets_) {
-      if (is_in_window(b, tick)) {
-        used.requests += b.requests;
-        used.retries += b.retries;
-      }
+      const std::int64_t age = tick - b.tick;
+      used.requests += age < window_ticks ? b.requests : 0;
+      // A retry at the end of its bucket is as old as the window only one bucket later.
+      used.retries += age <= window_ticks ? b.retries : 0;
     }
     used.nodes = settings_.nodes;
     const bool has_share = used.nodes > 0 && now >= burst_from_;
@@ -96,17 +97,15 @@
 
  private:
   struct bucket {
-    std::int64_t tick = -1;
+    std::int64_t tick = std::numeric_limits<std::int32_t>::min();
     double requests = 0;
     double retries = 0;
   };
-  static constexpr std::size_t bucket_count = 20;
+  static constexpr std::int64_t window_ticks = 20;
+  static constexpr std::size_t bucket_count = window_ticks + 1;
 
   [[nodiscard]] std::int64_t tick_at(time_point now) const {
-    return now.time_since_epoch() / (settings_.window / bucket_count);
-  }
-  [[nodiscard]] static bool is_in_window(const bucket& b, std::int64_t tick) {
-    return b.tick > tick - static_cast<std::int64_t>(bucket_count);
+    return now.time_since_epoch() / (settings_.window / window_ticks);
   }
 
   bucket& bucket_at(time_point now) {
--- a/tests/core/retry_window_test.cpp
+++ b/tests/core/retry_window_test.cpp
@@ -194,6 +194,31 @@
   }
 }
 
+// Guards against retries of just before the window that count as gone too early.
+TEST(RetryWindow, NothingIsTakenTwiceInOneWindow) {
+  for (duration offset{}; offset < 500ms; offset += 10ms) {
+    retry_window window(
+        {.retries_per_request = 0, .burst = 6, .nodes = 1, .usable_budget_fraction = 1});
+    const time_point first = time_point{50s} + offset;
+    while (window.take(first)) {
+    }
+    EXPECT_FALSE(window.take(first + 9990ms)) << to_milliseconds(offset);
+    EXPECT_TRUE(window.take(first + 10500ms)) << to_milliseconds(offset);
+  }
+}
+
+// Guards against requests that still add to the budget after a window without any.
+TEST(RetryWindow, RequestsOfBeforeTheWindowAddNothing) {
+  for (duration offset{}; offset < 500ms; offset += 10ms) {
+    retry_window window(
+        {.retries_per_request = 1, .burst = 0, .nodes = 1, .usable_budget_fraction = 1});
+    const time_point first = time_point{50s} + offset;
+    window.count_first_send(first);
+    EXPECT_GE(window.retries_left(first + 9400ms), 1) << to_milliseconds(offset);
+    EXPECT_LT(window.retries_left(first + 10001ms), 1) << to_milliseconds(offset);
+  }
+}
+
 // Guards against a budget that nobody may use after a restart of all nodes.
 TEST(RetryWindow, MostOfTheBudgetMayBeSentSomeTimeAfterARestart) {
   for (const double requests_per_second : {40.0, 150.0}) {
