Sight of the blocks of prompts that a target's end cut off

Nothing read X-Prefix-Hash, so that logs could not tell whether culprits share a block. platform/ decodes it into hashes of the blocks that other requests may share (all but the last, at most 64); the line "evidence" names them. fingerprint_kind tells a block from a request. No decision changes.

--- a/src/node/hosted_buffered.cpp
+++ b/src/node/hosted_buffered.cpp
@@ -191,8 +191,8 @@
           own_reason ? instance_call_outcome::withdrawn : instance_call_outcome::failed);
       ++call_.possible_runs;
       if (result.failure == call_failure::connection_lost && !own_reason) {
-        check_for_strike(node_, {call_.fields.id, call_.fingerprint, instance.id, instance.address,
-                                 sent_at_, now});
+        check_for_strike(node_, {call_.fields.id, call_.fingerprint, call_.blocks, instance.id,
+                                 instance.address, sent_at_, now});
       }
       broken(instance, to_string(result.failure));
       return;
--- a/src/node/hosted_call.cpp
+++ b/src/node/hosted_call.cpp
@@ -51,6 +51,9 @@
     set_deadline();
     call_.fingerprint =
         fingerprint_of(call_.workspace, call_.raw_request.target, call_.raw_request.body);
+    for (const std::uint64_t hash : call_.fields.shared_blocks) {
+      call_.blocks.push_back(fingerprint_of_block(hash));
+    }
     return find_service();
   }
 
--- a/src/node/hosted_parts.h
+++ b/src/node/hosted_parts.h
@@ -26,8 +26,9 @@
   const route* matched_route = nullptr;
   const service_spec* service = nullptr;
   workspace_id workspace = {};
-  std::optional<std::uint32_t> urgency = {};  // 0 is the most urgent
-  request_fingerprint fingerprint = {};       // equal for repetitions of the same request
+  std::optional<std::uint32_t> urgency = {};     // 0 is the most urgent
+  request_fingerprint fingerprint = {};          // equal for repetitions of the same request
+  std::vector<request_fingerprint> blocks = {};  // of its prompt that other requests may share
   time_point arrived = {};
   time_point deadline = {};
   std::optional<relayed_call> relayed = {};  // set if a peer has handed the call over to this node
--- a/src/node/hosted_stream.cpp
+++ b/src/node/hosted_stream.cpp
@@ -263,8 +263,8 @@
       mark_request_harmless(node_, call_);
     } else if (how == attempt_result::broken && connection_lost_ &&
                is_within_strike_window(now, first_event_at_)) {
-      check_for_strike(node_, {call_.fields.id, call_.fingerprint, replica.head, replica.address,
-                               sent_at_, now});
+      check_for_strike(node_, {call_.fields.id, call_.fingerprint, call_.blocks, replica.head,
+                               replica.address, sent_at_, now});
     }
   }
 
--- a/src/node/poison_state.h
+++ b/src/node/poison_state.h
@@ -16,6 +16,7 @@
 struct broken_run {
   request_id request;
   request_fingerprint fingerprint;
+  std::vector<request_fingerprint> blocks;  // of the request's prompt
   target_id target;
   endpoint address;
   time_point sent_at;
--- a/src/node/poison_watch.cpp
+++ b/src/node/poison_watch.cpp
@@ -36,6 +36,15 @@
   return text;
 }
 
+std::string hashes_of(const std::vector<request_fingerprint>& blocks) {
+  constexpr std::size_t max_listed = 8;
+  std::string text;
+  for (std::size_t i = 0; i < std::min(blocks.size(), max_listed); ++i) {
+    text += (text.empty() ? "" : ",") + hash_text(blocks[i]);
+  }
+  return text + (blocks.size() > max_listed ? ",..." : "");
+}
+
 std::size_t strike_count(const hosted_state& node, const request_fingerprint& fingerprint) {
   const auto found = node.poison.tracker.all().find(fingerprint);
   return found == node.poison.tracker.all().end() ? 0 : found->second.strikes.size();
@@ -51,6 +60,7 @@
            {{"run_of", run.request},
             {"print", hash_text(run.fingerprint)},
             {"workspace", workspace_label(run.fingerprint)},
+            {"blocks", hashes_of(run.blocks)},
             {"target", run.target},
             {"ran_ms", to_milliseconds(run.broken_at - run.sent_at)},
             {"counts", is_new},
--- a/src/request/request_fingerprint.cpp
+++ b/src/request/request_fingerprint.cpp
@@ -20,6 +20,10 @@
   return {workspace, stable_hash(body, stable_hash(target))};
 }
 
+request_fingerprint fingerprint_of_block(std::uint64_t block_hash) {
+  return {{}, block_hash, fingerprint_kind::prompt_block};
+}
+
 std::string hash_text(const request_fingerprint& fingerprint) {
   std::array<char, hash_digits + 1> text{};
   std::snprintf(text.data(), text.size(), "%016llx",
--- a/tests/shell/platform_test.cpp
+++ b/tests/shell/platform_test.cpp
@@ -168,6 +168,28 @@
   EXPECT_EQ(head.resume_after, "12");
 }
 
+TEST(PlatformDialect, ReadsSharedBlocksOfPromptsOfAnyForm) {
+  const auto blocks_of = [](const std::string& text) {
+    http_request request = sample_request();
+    request.headers.add("X-Prefix-Hash", text);
+    return read_request_fields(request).shared_blocks;
+  };
+  const std::vector<std::uint64_t> two = blocks_of("5c1e07a2:800,91bd3f06:410,e4402b7d:250");
+  ASSERT_EQ(two.size(), 2U);
+  EXPECT_EQ(blocks_of("91bd3f06:9,e4402b7d:250"), std::vector<std::uint64_t>{two[1]});
+  EXPECT_EQ(blocks_of("5c1e07a2, 91bd3f06:410,x").size(), 2U);
+  EXPECT_EQ(blocks_of("5c1e07a2:1,91bd3f06:1,5c1e07a2:1,x:1"), two);
+  EXPECT_EQ(blocks_of("no hex,a much longer id than sixteen digits:5,x").size(), 2U);
+  for (const char* none : {"", "5c1e07a2:800", ",", ":4,x", ",,,,"}) {
+    EXPECT_TRUE(blocks_of(none).empty()) << none;
+  }
+  std::string many;
+  for (int i = 0; i < 5000; ++i) {
+    many += std::to_string(i) + ":1,";
+  }
+  EXPECT_EQ(blocks_of(many).size(), 64U);
+}
+
 TEST(PlatformDialect, ForwardsNeitherKeysNorForgedFields) {
   // Guards against a target that receives a caller's API key or attributes a request to the wrong
   // workspace: headers that only this node may set must not be forwarded from the caller.
