Failing test: a block of prompts that ends the targets of ever new requests

The simulation of poison requests learns blocks of prompts: a system prompt of all, one of each caller, a document, and requests of which a block ends the head that writes on it, no two alike.

--- a/tests/core/poison_simulation.h
+++ b/tests/core/poison_simulation.h
@@ -82,12 +82,26 @@
   // A caller sends a request with this hash to node `at`; if `poison`, the request ends the head
   // that runs it.
   void submit(std::size_t at, std::uint64_t hash, bool poison = false) {
-    run_state r;
-    r.at_node = at;
-    r.fingerprint = {workspace_id{"w" + std::to_string(hash % 10)}, hash};
+    run_state r = new_run(at, hash);
     r.poison = poison;
+    r.culprit = hash;
+    send(std::move(r));
+  }
+  // A caller sends a request that was never sent before. Its prompt has the blocks of any other,
+  // and this one, which ends the head that writes on it.
+  void submit_with_poison_block(std::uint64_t block, bool stands_first = false) {
+    run_state r = new_run(random_node(), 1'000'000 + next_hash_++);
+    r.blocks.insert(stands_first ? r.blocks.begin() : r.blocks.end(), fingerprint_of_block(block));
+    r.poison = true;
+    r.culprit = block;
     send(std::move(r));
   }
+  // From now on a caller uses a system prompt that was never used before, in this share of all
+  // requests.
+  void use_new_system_prompt(std::uint64_t block, double share) {
+    new_system_prompt_ = fingerprint_of_block(block);
+    new_system_prompt_share_ = share;
+  }
   std::size_t random_node() { return static_cast<std::size_t>(random_.below(nodes_.size())); }
   std::size_t random_head() { return static_cast<std::size_t>(random_.below(heads_.size())); }
   [[nodiscard]] bool is_up(std::size_t i) const { return now_ >= heads_[i].up_at; }
@@ -122,6 +136,8 @@
   // Submissions of a poison request that reached a head later than `detection_delay` after the
   // third head that it ended.
   std::map<std::uint64_t, std::size_t> late_poison_submissions;
+  // Sends to heads later than `detection_delay` after the fifth one that it ended.
+  std::map<std::uint64_t, std::size_t> late_poison_sends;
 
   static constexpr duration step = 10ms;
   static constexpr duration detection_delay = 3s;
@@ -141,7 +157,9 @@
   struct run_state {
     std::size_t at_node = 0;
     request_fingerprint fingerprint;
+    std::vector<request_fingerprint> blocks;
     bool poison = false;
+    std::uint64_t culprit = 0;  // hash of the poison request or block
     std::size_t at_head = 0;
     std::size_t sends = 0;
     std::size_t tries = 1;
@@ -160,6 +178,27 @@
     run_state run;
   };
 
+  // A request of one of ten callers. Its prompt has the system prompt of all, that of the caller
+  // and one of the caller's documents.
+  run_state new_run(std::size_t at, std::uint64_t hash) {
+    constexpr std::uint64_t system_prompt = 1;
+    constexpr std::uint64_t first_caller_prompt = 100;
+    constexpr std::uint64_t first_document = 1000;
+    constexpr std::uint64_t documents_of_caller = 100;
+    const std::uint64_t caller = hash % 10;
+    run_state r;
+    r.at_node = at;
+    r.fingerprint = {workspace_id{"w" + std::to_string(caller)}, hash};
+    r.blocks = {fingerprint_of_block(system_prompt),
+                fingerprint_of_block(first_caller_prompt + caller),
+                fingerprint_of_block(first_document + caller * documents_of_caller +
+                                     random_.below(documents_of_caller))};
+    if (random_.unit() < new_system_prompt_share_) {
+      r.blocks.front() = new_system_prompt_;
+    }
+    return r;
+  }
+
   target_id head_incarnation(std::size_t i) const {
     return target_id{"i-" + std::to_string(i) + "~" + std::to_string(heads_[i].incarnation)};
   }
@@ -207,10 +246,14 @@
     if (usable.empty()) {
       return;
     }
-    const auto third = third_crash_at_.find(r.fingerprint.hash);
+    const auto third = third_crash_at_.find(r.culprit);
     if (r.poison && r.sends == 0 && third != third_crash_at_.end() &&
         now_ - third->second > detection_delay) {
-      ++late_poison_submissions[r.fingerprint.hash];
+      ++late_poison_submissions[r.culprit];
+    }
+    const auto fifth = fifth_crash_at_.find(r.culprit);
+    if (r.poison && fifth != fifth_crash_at_.end() && now_ - fifth->second > detection_delay) {
+      ++late_poison_sends[r.culprit];
     }
     r.at_head = usable[random_.below(usable.size())];
     ++r.sends;
@@ -235,9 +278,11 @@
       if (r.poison) {
         if (is_up(r.at_head)) {
           runs_.push_back(r);  // end_head() cuts this run off with the head's others
-          constexpr std::size_t crashes_before_bound = 3;
-          if (++heads_ended_by[r.fingerprint.hash] == crashes_before_bound) {
-            third_crash_at_[r.fingerprint.hash] = now_;
+          const std::size_t ended = ++heads_ended_by[r.culprit];
+          if (ended == 3) {
+            third_crash_at_[r.culprit] = now_;
+          } else if (ended == 5) {
+            fifth_crash_at_[r.culprit] = now_;
           }
           end_head(r.at_head);
         }
@@ -351,6 +396,9 @@
   std::vector<scheduled_attempt> scheduled_;
   std::vector<pending_strike> pending_strikes_;
   std::map<std::uint64_t, time_point> third_crash_at_;
+  std::map<std::uint64_t, time_point> fifth_crash_at_;
+  request_fingerprint new_system_prompt_;
+  double new_system_prompt_share_ = 0;
   std::uint64_t next_hash_ = 0;
 };
 
--- a/tests/core/poison_tracker_test.cpp
+++ b/tests/core/poison_tracker_test.cpp
@@ -455,5 +455,112 @@
   EXPECT_TRUE(w.tracker(1).is_quarantined(fingerprint));
 }
 
+struct block_mix {
+  const char* name;
+  std::size_t blocks;                    // poison blocks
+  duration interval;                     // between requests with the same poison block
+  std::size_t together;                  // such requests at the same moment
+  std::optional<std::size_t> max_heads;  // that may end under one block
+  poison_simulation::fault fault;
+};
+
+constexpr std::uint64_t first_poison_block = 5000;
+constexpr std::uint64_t poison_request = 42;
+
+// Plays requests that end heads by a block of their prompts, no two alike, beside other faults.
+void play_block_mix(poison_simulation& w, const block_mix& mix, duration time) {
+  w.poison_hashes = {poison_request};
+  for (std::size_t i = 0; i < mix.blocks; ++i) {
+    w.poison_hashes.insert(first_poison_block + i);
+  }
+  constexpr duration quiet_time = 5s;
+  w.run(quiet_time);
+  w.run(time, [&](poison_simulation& simulation) {
+    mix.fault(simulation);
+    const bool due = is_multiple_of(simulation, mix.interval);
+    for (std::size_t i = 0; due && i < mix.blocks * mix.together; ++i) {
+      const std::uint64_t block = i % mix.blocks;
+      simulation.submit_with_poison_block(first_poison_block + block, block % 2 == 0);
+    }
+  });
+}
+
+const std::vector<block_mix>& block_mixes() {
+  static const auto none = [](poison_simulation&) {};
+  static const std::vector<block_mix> mixes = {
+      {"one a second", 1, 1s, 1, 7, none},
+      {"two a second", 1, 500ms, 1, 7, none},
+      {"four a second", 1, 250ms, 1, {}, none},
+      {"six at a moment", 1, 4s, 6, {}, none},
+      {"one in 20 s", 1, 20s, 1, {}, none},
+      {"two blocks", 2, 1s, 1, {}, none},
+      {"three blocks", 3, 1s, 1, {}, none},
+      {"beside one end a second",
+       1,
+       1s,
+       1,
+       {},
+       [](poison_simulation& w) { end_random_heads(w, 1); }},
+      {"beside a third at once",
+       1,
+       1s,
+       1,
+       {},
+       [](poison_simulation& w) { end_share_of_heads(w, 5s, 0.33); }},
+      {"beside a poison request", 1, 1s, 1, {}, [](poison_simulation& w) {
+         if (is_multiple_of(w, 3s)) {
+           w.submit(w.random_node(), 42, true);
+         }
+       }}};
+  return mixes;
+}
+
+// Guards against the quarantine of a system prompt that is first used while heads end.
+TEST(PoisonWorld, SystemPromptThatIsNewWhileTargetsCrashIsNotQuarantined) {
+  const std::vector<crash_pattern> patterns = {
+      {"two a second", [](poison_simulation& w) { end_random_heads(w, 2); }},
+      {"four a second", [](poison_simulation& w) { end_random_heads(w, 4); }},
+      {"a third twice a second", [](poison_simulation& w) { end_share_of_heads(w, 500ms, 0.33); }},
+      {"all each four seconds", [](poison_simulation& w) { end_share_of_heads(w, 4s, 1); }},
+      {"by turns", end_round_robin}};
+  for (const crash_pattern& pattern : patterns) {
+    for (const double share : {0.3, 0.03, 0.005}) {
+      for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+        SCOPED_TRACE(std::string(pattern.name) + ", share " + std::to_string(share) + ", seed " +
+                     std::to_string(seed));
+        poison_simulation_settings settings;
+        settings.seed = seed;
+        poison_simulation w(settings);
+        w.run(10s, pattern.fault);
+        w.use_new_system_prompt(77, share);
+        w.run(15s, pattern.fault);
+        EXPECT_TRUE(w.quarantined_harmless.empty());
+        EXPECT_EQ(w.refused_harmless_requests, 0U);
+      }
+    }
+  }
+}
+
+// Guards against requests that end their targets by a block of the prompt, each of them new.
+TEST(PoisonWorld, PoisonBlockOfNewRequestsReachesFewHeads) {
+  constexpr std::size_t max_late_sends = 3;
+  for (const block_mix& mix : block_mixes()) {
+    for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+      SCOPED_TRACE(std::string(mix.name) + ", seed " + std::to_string(seed));
+      poison_simulation_settings settings;
+      settings.seed = seed;
+      poison_simulation w(settings);
+      play_block_mix(w, mix, std::max<duration>(40s, 7 * mix.interval));
+      for (std::uint64_t block = first_poison_block; block < first_poison_block + mix.blocks;
+           ++block) {
+        EXPECT_LE(w.late_poison_sends[block], max_late_sends);
+        EXPECT_LE(w.heads_ended_by[block], mix.max_heads.value_or(w.ended_head_count));
+      }
+      EXPECT_TRUE(w.quarantined_harmless.empty());
+      EXPECT_EQ(w.refused_harmless_requests, 0U);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace arbutus::testing_support
