--- a/tests/shell/hosted_fixture.h
+++ b/tests/shell/hosted_fixture.h
@@ -77,13 +77,17 @@
   ~hosted_fixture() override { nodes_.clear(); }
 
   call_result send_request(std::size_t node, const std::string& target, const std::string& id,
-                           const std::string& key = standin::hosted_caller_key) {
+                           const std::string& key = standin::hosted_caller_key,
+                           const std::string& prompt_blocks = "") {
     http_request request;
     request.method = "POST";
     request.target = target;
     request.headers = {{"Host", standin::hosted_host_name}, {"X-Request-Id", id},
                        {"X-Deadline-Ms", "6000"},           {"X-Model", standin::hosted_model_name},
                        {"X-Token-Count", "100,20"},         {"Authorization", "Bearer " + key}};
+    if (!prompt_blocks.empty()) {
+      request.headers.add("X-Prefix-Hash", prompt_blocks);
+    }
     call_result result;
     runtime.run_on(0, [&] {
       result = client_.fetch(local(nodes_[node]->settings.listen.caller_endpoint.port), request,
--- a/tests/shell/hosted_poison_test.cpp
+++ b/tests/shell/hosted_poison_test.cpp
@@ -116,6 +116,32 @@
   EXPECT_LE(crashes(poison_stream), crashes_before_quarantine * nodes_of_fixture);
 }
 
+// Guards against new requests, no two alike, that crash their engines by a block of the prompt.
+TEST_F(HostedPoison, RequestsWithAPoisonBlockAreRefused) {
+  ASSERT_TRUE(both_nodes_serve());
+  const auto send = [&](const std::string& path, const std::string& block) {
+    const std::string id = "prompt-" + std::to_string(visits_);
+    const std::string blocks = "5e11:40," + block + ":20,0" + std::to_string(visits_) + ":10";
+    last_ = send_request(visits_ % nodes_of_fixture, path + std::to_string(visits_), id,
+                         standin::hosted_caller_key, blocks);
+    ++visits_;
+    return last_.response.status == 503 &&
+           last_.response.body.find("ended the targets") != std::string::npos;
+  };
+  const auto send_poison = [&] { return send("/llm/poison-", "bad"); };
+  EXPECT_TRUE(eventually([&] { return send_poison() && send_poison(); }));
+  int ended = 0;
+  for (const auto& [path, crashes] : platform_.crashes_by_path()) {
+    ended += crashes;
+  }
+  RecordProperty("ends", ended);
+  EXPECT_LE(ended, crashes_before_quarantine * nodes_of_fixture);
+  EXPECT_TRUE(eventually([&] {
+    EXPECT_FALSE(send("/llm/sound-", "f00d"));
+    return last_.response.status == 200;
+  }));
+}
+
 TEST_F(HostedPoison, PoisonCallIsRefused) {
   // Guards against a request that crashes the instances of a service that is not a model: without a
   // quarantine, its only instance crashed eight times.
