--- a/src/process/poison_evaluation.cpp
+++ b/src/process/poison_evaluation.cpp
@@ -54,8 +54,8 @@
          count_independent_strikes(entry) >= settings_.min_quarantine_events;
 }
 
-// Whether one more strike might suffice. A block waits sooner: each of its
-// requests is new, so that nothing but the block itself tells whether to send the next one.
+// Whether one more strike might suffice. A block waits sooner: each of its requests is new, so that
+// nothing but the block itself tells whether to send the next one.
 bool poison_tracker::is_held_after_strikes(const entry_map::value_type& known) const {
   const auto& [fingerprint, entry] = known;
   if (fingerprint.kind == fingerprint_kind::prompt_block) {
