--- a/tests/core/poison_tracker_test.cpp
+++ b/tests/core/poison_tracker_test.cpp
@@ -486,19 +486,19 @@
   });
 }
 
-poison_simulation_settings two_sends(std::uint64_t seed) {
+poison_simulation_settings with_sends(std::size_t sends, std::uint64_t seed) {
   poison_simulation_settings settings;
   settings.seed = seed;
-  settings.max_sends = 2;
+  settings.max_sends = sends;
   return settings;
 }
 
-void expect_few_late_sends(const std::vector<block_mix>& mixes) {
+void expect_few_late_sends(const std::vector<block_mix>& mixes, std::size_t sends_of_try) {
   constexpr std::size_t max_late_sends = 3;
   for (const block_mix& mix : mixes) {
     for (std::uint64_t seed = 1; seed <= 4; ++seed) {
       SCOPED_TRACE(std::string(mix.name) + ", seed " + std::to_string(seed));
-      poison_simulation w(two_sends(seed));
+      poison_simulation w(with_sends(sends_of_try, seed));
       play_block_mix(w, mix);
       for (const auto& [block, sends] : w.late_poison_sends) {
         EXPECT_TRUE(block == poison_request || sends <= max_late_sends) << sends << " late";
@@ -535,44 +535,62 @@
   }
 }
 
-// Guards against requests that end their targets by a block of the prompt, each of them new.
+const std::vector<block_mix>& block_mixes() {
+  static const std::vector<block_mix> mixes = {
+      {"one a second", 1, 1s, 1, no_fault},
+      {"two a second", 1, 500ms, 1, no_fault},
+      {"four a second", 1, 250ms, 1, no_fault},
+      {"six at a moment", 1, 4s, 6, no_fault},
+      {"two blocks", 2, 1s, 1, no_fault},
+      {"beside one end a second", 1, 1s, 1, [](poison_simulation& w) { end_random_heads(w, 1); }},
+      {"beside a third at once", 1, 1s, 1,
+       [](poison_simulation& w) { end_share_of_heads(w, 5s, 0.33); }},
+      {"beside a poison request", 1, 1s, 1, [](poison_simulation& w) {
+         if (is_multiple_of(w, 3s)) {
+           w.submit(w.random_node(), poison_request, true);
+         }
+       }}};
+  return mixes;
+}
+
+// Guards against requests that end their targets by a block of the prompt, each of them new, where
+// routes allow two sends.
+TEST(PoisonWorld, PoisonBlockOfRequestsThatAreSentTwiceReachesFewHeads) {
+  expect_few_late_sends(block_mixes(), 2);
+}
+
+// Guards against the same where routes allow three sends, and beside rare and many blocks.
 TEST(PoisonWorld, PoisonBlockOfNewRequestsReachesFewHeads) {
-  expect_few_late_sends(
-      {{"one a second", 1, 1s, 1, no_fault},
-       {"two a second", 1, 500ms, 1, no_fault},
-       {"four a second", 1, 250ms, 1, no_fault},
-       {"six at a moment", 1, 4s, 6, no_fault},
-       {"two blocks", 2, 1s, 1, no_fault},
-       {"beside one end a second", 1, 1s, 1, [](poison_simulation& w) { end_random_heads(w, 1); }},
-       {"beside a third at once", 1, 1s, 1,
-        [](poison_simulation& w) { end_share_of_heads(w, 5s, 0.33); }},
-       {"beside a poison request", 1, 1s, 1, [](poison_simulation& w) {
-          if (is_multiple_of(w, 3s)) {
-            w.submit(w.random_node(), poison_request, true);
-          }
-        }}});
+  std::vector<block_mix> mixes = block_mixes();
+  mixes.push_back({"one in 20 s", 1, 20s, 1, no_fault});
+  mixes.push_back({"three blocks", 3, 1s, 1, no_fault});
+  expect_few_late_sends(mixes, 3);
 }
 
 // Guards against poison blocks that come too seldom for the strikes of one request to suffice.
 TEST(PoisonWorld, RarePoisonBlockReachesFewHeads) {
-  expect_few_late_sends({{"one in 20 s", 1, 20s, 1, no_fault}});
+  expect_few_late_sends({{"one in 20 s", 1, 20s, 1, no_fault}}, 2);
 }
 
 // Guards against poison blocks that hide each other: most heads are down, so that sound requests
 // are cut off as often.
 TEST(PoisonWorld, ThreePoisonBlocksAtOnceReachFewHeads) {
-  expect_few_late_sends({{"three blocks", 3, 1s, 1, no_fault}});
+  expect_few_late_sends({{"three blocks", 3, 1s, 1, no_fault}}, 2);
 }
 
 // Guards against late detection where one or two requests a second bring the block.
 TEST(PoisonWorld, PoisonBlockEndsSevenHeadsAtMost) {
   constexpr std::size_t max_heads = 7;
-  for (const duration interval : {1000ms, 500ms}) {
-    for (std::uint64_t seed = 1; seed <= 4; ++seed) {
-      SCOPED_TRACE(std::to_string(to_milliseconds(interval)) + " ms, seed " + std::to_string(seed));
-      poison_simulation w(two_sends(seed));
-      play_block_mix(w, {"", 1, interval, 1, no_fault});
-      EXPECT_LE(w.heads_ended_by[first_poison_block], max_heads);
+  for (const std::size_t sends : {2, 3}) {
+    for (const duration interval : {1000ms, 500ms}) {
+      for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+        SCOPED_TRACE(std::to_string(sends) + " sends, each " +
+                     std::to_string(to_milliseconds(interval)) + " ms, seed " +
+                     std::to_string(seed));
+        poison_simulation w(with_sends(sends, seed));
+        play_block_mix(w, {"", 1, interval, 1, no_fault});
+        EXPECT_LE(w.heads_ended_by[first_poison_block], max_heads);
+      }
     }
   }
 }
