Sight of the store's era and of the number at which it came back

The logs of the two incidents could not tell a store whose versions went back from one that refuses: neither its number nor its era was in them. Store-Era is read from each answer; a line tells a new era with the positions before it, the line of a failed query the position and the store's number, and a counter counts the restores. No decision changes.

--- a/src/node/store_watch.cpp
+++ b/src/node/store_watch.cpp
@@ -55,7 +55,10 @@
   if (const auto* none = std::get_if<unknown>(&result)) {
     return none->reason;
   }
-  return "the store returned an older state of the table";
+  if (const auto* rows = std::get_if<store_rows>(&result)) {
+    return "the store returned an older state of the table, " + std::to_string(rows->version);
+  }
+  return "the history was dropped";
 }
 
 }  // namespace
@@ -101,6 +104,20 @@
            {{"total", all}, {"by_kind", text}, {"hub", node_.peers.is_hub(now)}});
 }
 
+void store_watch::log_new_era() {
+  const std::uint64_t era = node_.store.newest_era();
+  if (era == logged_era_) {
+    return;
+  }
+  node_.metrics.count("arbutusworks_store_restores");
+  log_line(log_level::warning, "store", "came back from a copy",
+           {{"era", era},
+            {"before", logged_era_},
+            {"configuration_position", node_.configuration_rows.position()},
+            {"targets_position", node_.target_rows.position()}});
+  logged_era_ = era;
+}
+
 bool store_watch::is_updated_by_hub(time_point now) const {
   return now - hub_update_at_ < hub_update_validity && !node_.peers.is_hub(now);
 }
@@ -279,8 +296,10 @@
 // Logs a failed query. While queries fail, the proof gets older, until callers are refused.
 void store_watch::log_failed_query(time_point requested_at, std::string_view reason) {
   const time_point now = monotonic_now();
+  log_new_era();
   log_line(log_level::warning, "configuration", "not answered",
            {{"reason", reason},
+            {"position", node_.configuration_rows.position()},
             {"failures", configuration_failures_ + 1},
             {"waited_ms", to_milliseconds(now - requested_at)},
             {"lease_age_ms", to_milliseconds(node_.configuration_lease.age(now).value_or(-1ms))}});
@@ -315,6 +334,7 @@
     duration pause = hub_check_interval;
     const time_point requested_at = monotonic_now();
     log_calls(requested_at);
+    log_new_era();
     if (must_query(requested_at)) {
       // The first query, a retry, and a query for a version known to exist need not wait for the
       // next change.
--- a/src/node/store_watch.h
+++ b/src/node/store_watch.h
@@ -68,6 +68,7 @@
   void note_dependency(std::string_view name, bool& up, bool now_up, std::string_view reason);
   void count_call(std::string_view what, bool answered);
   void log_calls(time_point now);
+  void log_new_era();
   // Whether the hub keeps this node current, so that it need not query the store.
   [[nodiscard]] bool is_updated_by_hub(time_point now) const;
   // Whether this node has just started and waits for the first updates from its hub.
@@ -107,6 +108,7 @@
       store_calls_;  // calls to the store by purpose, since the start of the process
   std::uint64_t logged_store_calls_ = 0;  // number of calls at the last log line about them
   time_point store_calls_logged_at_{};
+  std::uint64_t logged_era_ = first_store_era;  // of the store, at the last log line about it
   bool configuration_available_ = true;  // the last query about the configuration was answered
   bool target_list_available_ = true;    // the last query about the targets was answered
 };
