--- a/src/standin/hosted_platform.cpp
+++ b/src/standin/hosted_platform.cpp
@@ -19,6 +19,9 @@
 using nlohmann::json;
 
 constexpr const char* targets_table = "servers";
+constexpr const char* configuration_table = "op";
+constexpr const char* configuration_row = "config";
+constexpr const char* unread_table = "unread";
 constexpr duration refresh_interval = 10ms;
 // Time until a dead engine is removed from the list of targets.
 constexpr duration unlist_delay = 400ms;
@@ -62,6 +65,11 @@
   bool removed = false;
 };
 
+struct store_content {
+  std::map<std::string, std::map<std::string, stored_row>> tables;
+  std::uint64_t version = 0;  // of the newest transaction
+};
+
 }  // namespace
 
 struct hosted_platform::state {
@@ -88,10 +96,45 @@
   // ---- store ----
 
   void put(const std::string& table, const std::string& key, std::string value) {
-    tables[table][key] = {std::move(value), ++version, false};
+    content.tables[table][key] = {std::move(value), ++content.version, false};
   }
   void remove(const std::string& table, const std::string& key) {
-    tables[table][key] = {{}, ++version, true};
+    content.tables[table][key] = {{}, ++content.version, true};
+  }
+
+  [[nodiscard]] bool holds(const std::string& table, const std::string& key,
+                           const std::string& value) {
+    const auto& rows = content.tables[table];
+    const auto found = rows.find(key);
+    return value.empty()
+               ? found == rows.end() || found->second.removed
+               : found != rows.end() && !found->second.removed && found->second.value == value;
+  }
+
+  void write_again(const std::string& table, const std::string& key, const std::string& value) {
+    if (holds(table, key, value)) {
+      return;
+    }
+    if (value.empty()) {
+      remove(table, key);
+    } else {
+      put(table, key, value);
+    }
+  }
+
+  void write_targets_again() {
+    for (const auto& [id, e] : engines) {
+      write_again(targets_table, id, e->listed_record);
+    }
+    write_again(targets_table, plain_instance_id, plain_record);
+  }
+
+  // All answers of the store name its era.
+  [[nodiscard]] http_headers store_headers() const {
+    return {{"Content-Type", "application/json"}, {"Store-Era", std::to_string(era)}};
+  }
+  void answer(response_writer& writer, int status, std::string_view body) const {
+    writer.send(status, store_headers(), body);
   }
 
   // The record of a target with the address at which a node with these paths reaches it.
@@ -120,7 +163,7 @@
 
   json changes(const std::string& table, std::uint64_t after, const network_paths* paths) {
     json rows = json::array();
-    for (const auto& [key, row] : tables[table]) {
+    for (const auto& [key, row] : content.tables[table]) {
       if (row.version > after) {
         rows.push_back(row_json(table, key, row, paths));
       }
@@ -131,12 +174,17 @@
   std::string rows_response(const std::string& table, const network_paths* paths) {
     json rows = json::array();
     const std::lock_guard guard(mutex);
-    for (const auto& [key, row] : tables[table]) {
+    for (const auto& [key, row] : content.tables[table]) {
       if (!row.removed) {
         rows.push_back(row_json(table, key, row, paths));
       }
     }
-    return json{{"rows", rows}, {"has-more", false}, {"ver", version}}.dump();
+    return json{{"rows", rows}, {"has-more", false}, {"ver", content.version}}.dump();
+  }
+
+  [[nodiscard]] bool is_given_out_later(std::uint64_t at) const {
+    const std::lock_guard guard(mutex);
+    return at > content.version;
   }
 
   // Response to a long poll for changes of a table; empty while there are none and `until` is in
@@ -148,7 +196,7 @@
     if (rows.empty() && monotonic_now() < until) {
       return {};
     }
-    return json{{"rows", rows}, {"ver", version}}.dump();
+    return json{{"rows", rows}, {"ver", content.version}}.dump();
   }
 
   // `paths`: of the node that this address of the store is for; null: it has none.
@@ -156,7 +204,7 @@
                    const network_paths* paths) {
     const std::string path = request.target.substr(0, request.target.find('?'));
     if (down) {
-      send_json(writer, 503, "{}");
+      answer(writer, 503, "{}");
       return;
     }
     const std::string table = query_parameter(request.target, "table");
@@ -167,7 +215,7 @@
     } else if (path == "/api/rows-tx") {
       write(request, writer);
     } else {
-      send_json(writer, 404, "{}");
+      answer(writer, 404, "{}");
     }
   }
 
@@ -177,14 +225,19 @@
     const auto wait =
         std::chrono::milliseconds(std::stoull("0" + query_parameter(request.target, "wait-ms")));
     const time_point until = monotonic_now() + wait;
+    const std::uint64_t asked_in = era;
     for (;;) {
+      if (asked_in != era || is_given_out_later(after)) {
+        answer(writer, 410, "{}");
+        return;
+      }
       const std::string body = changes_if_ready(table, after, until, paths);
       if (!body.empty()) {
         send_at_rate(writer, body);
         return;
       }
       if (down || !wait_for(writer, refresh_interval)) {
-        send_json(writer, 503, "{}");
+        answer(writer, 503, "{}");
         return;
       }
     }
@@ -193,12 +246,12 @@
   void send_at_rate(response_writer& writer, const std::string& body) {
     const std::size_t rate = bytes_per_s;
     if (rate == 0) {
-      send_json(writer, 200, body);
+      answer(writer, 200, body);
       return;
     }
     constexpr std::size_t pieces_per_s = 1s / refresh_interval;
     const std::size_t piece = std::max<std::size_t>(rate / pieces_per_s, 1);
-    writer.start(200, {{"Content-Type", "application/json"}});
+    writer.start(200, store_headers());
     for (std::size_t at = 0; at < body.size(); at += piece) {
       if (!wait_for(writer, refresh_interval) ||
           !writer.write(std::string_view(body).substr(at, piece))) {
@@ -211,7 +264,7 @@
   void write(const http_request& request, response_writer& writer) {
     const json body = json::parse(request.body, nullptr, false);
     const std::uint64_t new_version = body.is_object() ? apply(body) : 0;
-    send_json(writer, new_version == 0 ? 412 : 200, json{{"ver", new_version}}.dump());
+    answer(writer, new_version == 0 ? 412 : 200, json{{"ver", new_version}}.dump());
   }
 
   // Applies a transaction to the store and returns the store's new version; 0 if a precondition
@@ -219,7 +272,7 @@
   std::uint64_t apply(const json& body) {
     const std::lock_guard guard(mutex);
     for (const json& c : body.value("precondition", json::array())) {
-      const auto& rows = tables[c.value("table", "")];
+      const auto& rows = content.tables[c.value("table", "")];
       const auto found = rows.find(c.value("key", ""));
       const std::uint64_t current =
           found == rows.end() || found->second.removed ? 0 : found->second.version;
@@ -234,7 +287,7 @@
     for (const json& d : body.value("deletes", json::array())) {
       remove(d.value("table", ""), d.value("key", ""));
     }
-    return version;
+    return content.version;
   }
 
   // ---- paths of nodes ----
@@ -523,14 +576,18 @@
 
   // ---- the service that is not a model ----
 
-  void list_plain_service(std::uint64_t incarnation) {
+  void list_plain_service(std::uint64_t incarnation) { put_plain_record(incarnation, "ready"); }
+
+  void put_plain_record(std::uint64_t incarnation, const char* reported_state) {
     const json record = {{"service", "api"},
                          {"address", to_string(plain_address())},
                          {"zone", settings.data_centres.front()},
                          {"slots", 6},
                          {"born", incarnation},
-                         {"state", "ready"}};
-    put(targets_table, plain_instance_id, record.dump());
+                         {"state", reported_state}};
+    plain_incarnation = incarnation;
+    plain_record = record.dump();
+    put(targets_table, plain_instance_id, plain_record);
   }
 
   void serve_plain(const http_request& request, response_writer& writer) {
@@ -640,9 +697,13 @@
   fiber_runtime& runtime;
   hosted_platform_settings settings;
   mutable std::mutex mutex;  // guards the data below; never locked while a handler waits
-  std::map<std::string, std::map<std::string, stored_row>> tables;
-  std::uint64_t version = 0;
+  store_content content;
+  store_content copy;  // see copy_store
+  std::atomic<std::uint64_t> era{1};
   std::uint64_t config_version = 0;
+  std::string newest_configuration;
+  std::string plain_record;  // as last written to the list of targets
+  std::uint64_t plain_incarnation = 0;
   std::map<std::string, std::unique_ptr<engine_process>> engines;
   std::map<std::string, int> runs;
   std::map<std::string, std::string> engine_of_run;
@@ -733,7 +794,8 @@
 
 void hosted_platform::write_next_configuration(bool keys, std::size_t extra_routes) {
   const std::lock_guard guard(state_->mutex);
-  state_->put("op", "config", state_->configuration(keys, extra_routes));
+  state_->newest_configuration = state_->configuration(keys, extra_routes);
+  state_->put(configuration_table, configuration_row, state_->newest_configuration);
 }
 
 std::string hosted_platform::extra_route(std::size_t index) {
@@ -748,6 +810,39 @@
   state_->down = down;
 }
 
+void hosted_platform::copy_store() {
+  const std::lock_guard guard(state_->mutex);
+  state_->copy = state_->content;
+}
+
+void hosted_platform::restore_store(rewrite written_again,
+                                    const std::set<std::string>& lost_tables) {
+  const std::lock_guard guard(state_->mutex);
+  state_->content = state_->copy;
+  for (const std::string& table : lost_tables) {
+    state_->content.tables.erase(table);
+  }
+  ++state_->era;
+  if (written_again != rewrite::nothing) {
+    state_->write_targets_again();
+  }
+  if (written_again == rewrite::everything) {
+    state_->write_again(configuration_table, configuration_row, state_->newest_configuration);
+  }
+}
+
+void hosted_platform::use_up_versions(std::size_t count) {
+  const std::lock_guard guard(state_->mutex);
+  for (std::size_t i = 0; i < count; ++i) {
+    state_->put(unread_table, "row", std::to_string(i));
+  }
+}
+
+void hosted_platform::drain_plain_service() {
+  const std::lock_guard guard(state_->mutex);
+  state_->put_plain_record(state_->plain_incarnation, "draining");
+}
+
 std::string hosted_platform::find_member(bool head) const {
   const std::lock_guard guard(state_->mutex);
   for (const auto& [id, e] : state_->engines) {
@@ -805,8 +900,8 @@
 
 std::size_t hosted_platform::rows_of_table(const std::string& table) const {
   const std::lock_guard guard(state_->mutex);
-  const auto found = state_->tables.find(table);
-  if (found == state_->tables.end()) {
+  const auto found = state_->content.tables.find(table);
+  if (found == state_->content.tables.end()) {
     return 0;
   }
   return static_cast<std::size_t>(
--- a/src/standin/hosted_platform.h
+++ b/src/standin/hosted_platform.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -76,6 +77,21 @@
   void set_store_rate(std::size_t bytes_per_s);
   void set_store_down(bool down);
 
+  // Keeps a copy of the store as it is now.
+  void copy_store();
+  enum class rewrite : std::uint8_t {
+    everything,  // operators and targets write again at once what the copy lacks
+    targets,     // only targets do
+    nothing,
+  };
+  // The store comes back from the copy, in its next era: versions of the copy on are given out
+  // again. The copy has none of the rows of the tables `lost_tables`.
+  void restore_store(rewrite written_again, const std::set<std::string>& lost_tables = {});
+  // Uses up versions of the store by writes to a table that no node reads.
+  void use_up_versions(std::size_t count);
+  // The service that is not a model reports in the list that it is leaving.
+  void drain_plain_service();
+
   // How a target answers, by its id; empty: all targets.
   void set_behaviour(const std::string& target, const target_behaviour& behaviour);
   // Checks of what targets asked of the nodes, see restraint_checker.
--- a/tests/shell/hosted_poison_test.cpp
+++ b/tests/shell/hosted_poison_test.cpp
@@ -219,6 +219,35 @@
   EXPECT_EQ(crashes(poison_stream), before);
 }
 
+// Guards against quarantines that are lost when the store comes back from a copy without them.
+TEST_F(HostedPoison, QuarantineIsWrittenAgainToARestoredStore) {
+  ASSERT_TRUE(both_nodes_serve());
+  platform_.copy_store();
+  platform_.use_up_versions(40);
+  repeat_visits(poison_stream, [&] { return is_refused(poison_stream); });
+  ASSERT_TRUE(is_refused_everywhere(poison_stream));
+  ASSERT_TRUE(eventually([&] { return platform_.rows_of_table("poison") > 0; }));
+  platform_.restore_store(standin::hosted_platform::rewrite::everything);
+  ASSERT_EQ(platform_.rows_of_table("poison"), 0U);
+  EXPECT_TRUE(eventually([&] { return platform_.rows_of_table("poison") > 0; }));
+}
+
+// Guards against a released quarantine that is in force again, as the copy has its row.
+TEST_F(HostedPoison, ReleasedQuarantineIsRemovedFromARestoredStore) {
+  ASSERT_TRUE(both_nodes_serve());
+  repeat_visits(poison_stream, [&] { return is_refused(poison_stream); });
+  ASSERT_TRUE(is_refused_everywhere(poison_stream));
+  ASSERT_TRUE(eventually([&] { return platform_.rows_of_table("poison") > 0; }));
+  platform_.copy_store();
+  const std::string listed = send_operator_request("GET", "/poison").response.body;
+  const std::string hash = listed.substr(0, listed.find(' '));
+  ASSERT_EQ(send_operator_request("POST", "/poison/lift/" + hash).response.status, 200);
+  ASSERT_TRUE(eventually([&] { return platform_.rows_of_table("poison") == 0; }));
+  platform_.restore_store(standin::hosted_platform::rewrite::everything);
+  ASSERT_GT(platform_.rows_of_table("poison"), 0U);
+  EXPECT_TRUE(eventually([&] { return platform_.rows_of_table("poison") == 0; }));
+}
+
 // Guards against a quarantine that an operator cannot release, on the nodes and in the store.
 TEST_F(HostedPoison, OperatorReleasesAQuarantine) {
   ASSERT_TRUE(both_nodes_serve());
