Versions of the store are ordered by its era first; configurations by their own

What callers saw: a request with a key withdrawn 2.4 s before ran, one to a removed route was served, and a target got requests 2.1 and 2.5 s after its leaving had been acknowledged; before that all nodes refused everybody for 3 s.

Cause: the store came back from a copy and gave its numbers out again. Nodes compared them with those from before. A read of the whole table was "an older state" until the count had passed the old position; what had been written under numbers up to it was then taken as known, for good. Class: numbers of one giver compared across its lives.

All comparisons of rows and positions hold again, those in heartbeats too. A feed does not go on from a number of another era; answers and hubs of an earlier era are not followed; a condition of an earlier era is refused. - Configurations are numbered by the operators' own version between nodes, not by their row: the copy's older one is neither put in force nor passed on, and a node that starts from the copy gets the newer one from its hub, also where it would otherwise have to read it at the store. - The list of a restored store is merged for 2.5 s: a leaving target stays leaving, one that left stays unlisted, one that the copy lacks stays listed; then the list is read again and taken at its word. - Heartbeats carry the configuration's version in a new field at their end. Nodes of the release before get no configuration from a new hub and the reverse; they read it at the store.

Why it works: whatever number a row gets after the return, it is newer than all from before.

--- a/src/node/controller_heartbeats.cpp
+++ b/src/node/controller_heartbeats.cpp
@@ -37,17 +37,17 @@
 
 void controller_loop::forward_configuration(time_point now, const node_id& peer,
                                             const feed_positions& at, node_heartbeat& message) {
-  const config_distributor::recipient to{at.configuration_row, at.configuration_progress,
-                                         node_.peers.is_refused_by_store(peer)};
+  // A node of an earlier release numbers configurations otherwise, and reads them at the store.
+  if (!at.configuration_version) {
+    return;
+  }
+  const config_distributor::recipient to{
+      *at.configuration_version, at.configuration_progress,
+      node_.peers.is_refused_by_store(peer) || node_.store_lacks_configuration};
   auto next =
       config_distributor_.next_part_for(node_.configurations, to, node_.peers.alive_count(now) + 1);
-  // A node of an earlier release reports no version of a configuration row and cannot read a
-  // configuration that is sent in parts. It would advance its position without applying the
-  // configuration.
-  const bool reads_no_parts = at.configuration_row == 0 && at.configuration > 0 &&
-                              at.configuration < node_.configurations.newest_version();
   message.configuration = configuration_update(now, at);
-  message.configuration->withheld = next.withheld || reads_no_parts;
+  message.configuration->withheld = next.withheld;
   message.configuration_part = std::move(next.part);
 }
 
@@ -149,7 +149,7 @@
   message.incarnation = node_.incarnation;
   message.serving_position = node_.received_serving.at();
   message.configuration_position = node_.configuration_rows.position();
-  message.configuration_row = node_.configurations.newest_version();
+  message.configuration_version = node_.configurations.newest_version();
   message.configuration_progress = watch_.configuration_progress();
   const auto peer_position = peer_positions_.find(peer);
   const bool follows_served = message.hub && same && peer_position != peer_positions_.end() &&
@@ -416,12 +416,15 @@
                            message.targets_position,
                            message.serving_position,
                            message.configuration_position,
-                           message.configuration_row,
+                           message.configuration_version,
                            message.configuration_progress,
                            message.reads_load_updates,
                            message.received_load_position,
                            peer_positions_[peer].loads_stamp_us};
   node_.requests_seen = node_.requests_seen || message.requests_seen;
+  node_.reported_store_era =
+      std::max({node_.reported_store_era, era_of(message.configuration_position),
+                era_of(message.targets_position)});
   const bool same = message.data_centre == node_.settings.data_centre;
   take_loads(now, peer, message);
   if (same && message.hub && message.echo_us > 0) {
--- a/src/node/controller_loop.h
+++ b/src/node/controller_loop.h
@@ -46,8 +46,8 @@
     bool follows_records = true;
     std::uint64_t targets{};  // position in the feed of the table of targets
     serving_follower::position serving;
-    std::uint64_t configuration{};      // position in the feed of the configuration table
-    std::uint64_t configuration_row{};  // version of the peer's newest configuration row
+    std::uint64_t configuration{};  // position in the feed of the configuration table
+    std::optional<std::uint64_t> configuration_version;  // see node_heartbeat
     config_progress configuration_progress;
     bool reads_load_updates = false;
     load_position loads;
--- a/src/node/hosted_node.cpp
+++ b/src/node/hosted_node.cpp
@@ -130,6 +130,7 @@
       text += std::string(name).append(" ").append(std::to_string(value)).append("\n");
     };
     add("arbutusworks_config_version", state.map ? state.map->version() : 0);
+    add("arbutusworks_store_era", state.store_era());
     add("arbutusworks_targets", state.fleet.all().size());
     add("arbutusworks_requests_active", callers->active());
     add("arbutusworks_connections_open", callers->connections());
--- a/src/node/hosted_state.h
+++ b/src/node/hosted_state.h
@@ -6,6 +6,7 @@
 // it resumes.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -30,6 +31,7 @@
 #include "process/rejecting_heads.h"
 #include "process/serving_feed.h"
 #include "process/stall_monitor.h"
+#include "process/store_version.h"
 #include "process/target_reach.h"
 #include "request/instance_choice.h"
 #include "request/relay_peers.h"
@@ -60,6 +62,10 @@
   config_lease configuration_lease;
   config_history configurations;  // texts of versions, for the nodes that get them from this one
   config_lag configuration_lag;
+  // The store, as last read, has an older configuration than the one in force: it came back from a
+  // copy, and the operators have not written again yet.
+  bool store_lacks_configuration = false;
+  std::uint64_t reported_store_era = 0;  // the newest era of the store in heartbeats of peers
   fleet_view fleet;
   bool fleet_known = false;  // the serving replicas are known, or the list of targets was read
   // The record of every target is known. Required to control replicas: otherwise this node would
@@ -99,6 +105,14 @@
   [[nodiscard]] const std::vector<serving_replica>& replicas(const service_spec& service,
                                                              const model_id& model);
   [[nodiscard]] const std::vector<service_instance>& instances_of(const service_id& service);
+  // The newest era of the store that this node knows of; 0: none yet. It never decreases.
+  [[nodiscard]] std::uint64_t store_era() const {
+    return std::max(store.newest_era(), reported_store_era);
+  }
+  // Whether the position in a table, or the version of a row, is of an earlier era of the store.
+  [[nodiscard]] bool is_superseded(std::uint64_t position) const {
+    return era_of(position) < store_era();
+  }
   // Whether this node has lacked a configuration version for longer than is allowed.
   [[nodiscard]] bool is_outdated(time_point now) const {
     return configuration_lag.is_stale(now, settings.bounds.configuration_limit);
--- a/src/node/store_targets.cpp
+++ b/src/node/store_targets.cpp
@@ -33,6 +33,9 @@
 // A node that lacks records waits this long for its hub before it reads the table itself: twice the
 // time after which another node takes over from an unresponsive hub.
 constexpr duration hub_forward_timeout = 3s;
+// Targets that the copy of a restored store lacks are listed again within two seconds, or gone, and
+// those that have ended since the copy are unlisted.
+constexpr duration restored_list_settle_time = 2500ms;
 // At the start of an entire deployment, the rows of the nodes have been written and read after this
 // time.
 constexpr duration peers_known_timeout = 500ms;
@@ -58,6 +61,9 @@
 
 void store_watch::apply_target_update(time_point requested_at, time_point now,
                                       const feed_update& update) {
+  if (node_.is_superseded(update.position)) {
+    return;
+  }
   targets_withheld_ = update.withheld;
   if (update.withheld) {
     return;  // the rows have to be read from the store
@@ -86,6 +92,9 @@
 // changed targets only, which is sufficient.
 void store_watch::apply_serving_update(time_point requested_at, time_point now,
                                        const node_heartbeat& message) {
+  if (node_.is_superseded(message.targets_position)) {
+    return;
+  }
   const feed_update& update = *message.serving_rows;
   targets_withheld_ = update.withheld;
   if (update.withheld || follows_records()) {
@@ -100,7 +109,8 @@
   }
   if (first || node_.fleet_complete) {
     log_line(log_level::info, "fleet", "follows what serves",
-             {{"rows", std::uint64_t{update.rows.size()}}, {"position", message.targets_position}});
+             {{"rows", std::uint64_t{update.rows.size()}},
+              {"position", number_of(message.targets_position)}});
   }
   node_.target_rows.resume_from(message.targets_position);
   node_.fleet_complete = false;
@@ -118,14 +128,29 @@
       records.push_back({std::move(*record), row.version});
     }
   }
-  node_.fleet.replace_all(requested_at, records, written_after(requested_at));
+  const bool restored =
+      node_.fleet_known && era_of(position) > era_of(node_.target_rows.position());
+  if (restored) {
+    list_unsettled_ = true;
+    list_settles_at_ = requested_at + restored_list_settle_time;
+  }
+  const bool settled = requested_at >= list_settles_at_;
+  if (settled) {
+    node_.fleet.replace_all(requested_at, records, written_after(requested_at));
+    list_unsettled_ = false;
+  } else {
+    node_.fleet.merge_restored(requested_at, records);
+  }
   node_.target_rows.replace(rows, position);
   node_.fleet_known = true;
   node_.fleet_complete = true;
   records_missing_since_ = {};
   node_.fleet_list_requested_at = std::max(node_.fleet_list_requested_at, requested_at);
   log_line(log_level::info, "fleet", "read whole",
-           {{"targets", std::uint64_t{records.size()}}, {"position", position}});
+           {{"targets", std::uint64_t{records.size()}},
+            {"era", era_of(position)},
+            {"position", number_of(position)},
+            {"settled", settled}});
 }
 
 void store_watch::apply_target_row(time_point requested_at, const feed_row& row) {
@@ -181,7 +206,7 @@
     // Logged once for each version of a row. The key may be any text.
     log_line(log_level::warning, "fleet", "unreadable record",
              {{"target", row.key.substr(0, max_engine_name_length)},
-              {"version", row.version},
+              {"version", number_of(row.version)},
               {"reason", problem.substr(0, max_reason_length)}});
   }
   return record;
@@ -202,7 +227,12 @@
     const auto result = node_.store.read(target_table, from, monotonic_now() + store_read_timeout);
     const auto* rows = std::get_if<store_rows>(&result);
     count_call("targets whole", rows != nullptr);
-    if (rows == nullptr || rows->version < records_position()) {
+    if (rows == nullptr || node_.is_superseded(rows->version) ||
+        rows->version < records_position()) {
+      return false;
+    }
+    // The store came back from a copy between two pages.
+    if (first_version != 0 && era_of(rows->version) != era_of(first_version)) {
       return false;
     }
     // Pages are read one after the other. Changes made meanwhile are read again from the feed,
@@ -211,7 +241,7 @@
     if (rows->has_more && !may_read_further_pages(requested_at)) {
       list_left_to_hub_ = true;
       log_line(log_level::info, "fleet", "long list left to the hub",
-               {{"position", rows->version}});
+               {{"position", number_of(rows->version)}});
       return false;
     }
     for (const store_row& row : rows->rows) {
@@ -239,11 +269,17 @@
   }
 }
 
+bool store_watch::must_read_list_again(time_point now) const {
+  return list_unsettled_ && now >= list_settles_at_ &&
+         (follows_records() || node_.peers.is_hub(now));
+}
+
 // Whether to read the records of all targets from the store. Usually the hub forwards what a node
 // needs. A node still reads the table at its start, if it is a single page, to serve immediately. A
 // hub always reads it, and other nodes do when no hub sends updates.
 bool store_watch::must_read_all_targets(time_point now) {
-  const bool enough = targets_positioned_ && (node_.fleet_complete || !follows_records());
+  const bool enough = targets_positioned_ && (node_.fleet_complete || !follows_records()) &&
+                      !must_read_list_again(now);
   if (enough) {
     records_missing_since_ = {};
     return false;
--- a/src/node/store_watch.cpp
+++ b/src/node/store_watch.cpp
@@ -56,7 +56,9 @@
     return none->reason;
   }
   if (const auto* rows = std::get_if<store_rows>(&result)) {
-    return "the store returned an older state of the table, " + std::to_string(rows->version);
+    return "the store returned an older state of the table, " +
+           std::to_string(number_of(rows->version)) + " in era " +
+           std::to_string(era_of(rows->version));
   }
   return "the history was dropped";
 }
@@ -104,18 +106,25 @@
            {{"total", all}, {"by_kind", text}, {"hub", node_.peers.is_hub(now)}});
 }
 
-void store_watch::log_new_era() {
-  const std::uint64_t era = node_.store.newest_era();
-  if (era == logged_era_) {
+void store_watch::follow_era(time_point now) {
+  const std::uint64_t era = node_.store_era();
+  if (era == followed_era_) {
     return;
   }
-  node_.metrics.count("arbutusworks_store_restores");
-  log_line(log_level::warning, "store", "came back from a copy",
-           {{"era", era},
-            {"before", logged_era_},
-            {"configuration_position", node_.configuration_rows.position()},
-            {"targets_position", node_.target_rows.position()}});
-  logged_era_ = era;
+  const bool is_first = followed_era_ == 0;
+  if (!is_first) {
+    restored_at_ = now;
+    node_.metrics.count("arbutusworks_store_restores");
+    log_line(log_level::warning, "store", "came back from a copy",
+             {{"era", era},
+              {"before", followed_era_},
+              {"configuration_position", number_of(node_.configuration_rows.position())},
+              {"targets_position", number_of(node_.target_rows.position())}});
+  }
+  followed_era_ = era;
+  configuration_positioned_ =
+      configuration_positioned_ && !node_.is_superseded(node_.configuration_rows.position());
+  targets_positioned_ = targets_positioned_ && !node_.is_superseded(node_.target_rows.position());
 }
 
 bool store_watch::is_updated_by_hub(time_point now) const {
@@ -129,7 +138,8 @@
   } else if (message.serving_rows) {
     apply_serving_update(requested_at - message.serving_rows->age, now, message);
   }
-  if (!message.configuration) {
+  const bool is_readable = message.configuration && message.configuration_version;
+  if (!is_readable || node_.is_superseded(message.configuration->position)) {
     hub_update_at_ = {};
     return;
   }
@@ -141,7 +151,7 @@
     apply_configuration_part(requested_at, now, *message.configuration_part);
   }
   configuration_withheld_ = message.configuration->withheld && node_.configuration_lag.behind();
-  if (node_.configurations.newest_version() >= message.configuration_row) {
+  if (node_.configurations.newest_version() >= *message.configuration_version) {
     for (const feed_row& row : message.configuration->rows) {
       apply_configuration_row(requested_at, "hub", row);
     }
@@ -162,13 +172,13 @@
 
 void store_watch::note_newest(time_point now, const node_heartbeat& message) {
   const bool was_behind = node_.configuration_lag.behind();
-  node_.configuration_lag.row_reported(now, message.configuration_row);
+  node_.configuration_lag.version_reported(now, *message.configuration_version);
   if (was_behind || !node_.configuration_lag.behind()) {
     return;
   }
   log_line(log_level::info, "configuration", "behind",
-           {{"row", node_.configurations.newest_version()},
-            {"hub_row", message.configuration_row},
+           {{"version", node_.configurations.newest_version()},
+            {"hub_version", *message.configuration_version},
             {"hub_proof_ms", to_milliseconds(message.configuration->age)},
             {"withheld", message.configuration->withheld}});
 }
@@ -181,8 +191,7 @@
     part_received_at_ = now;
   }
   if (text) {
-    apply_configuration(requested_at, "hub",
-                        {std::string(configuration_key), std::move(*text), part.row, false, true});
+    apply_configuration(requested_at, "hub", *text);
   }
 }
 
@@ -233,73 +242,80 @@
                   longest);
 }
 
-void store_watch::activate_configuration(const std::string& text) {
+// Puts the configuration in force if it is newer than the one that is.
+std::optional<std::uint64_t> store_watch::activate_configuration(const std::string& text) {
   service_map_result result = service_map_reader_.read(text);
   if (!result.map) {
     for (const finding& f : result.problems) {
       log_line(log_level::error, "configuration", "finding",
                {{"place", f.where.file}, {"message", f.message}, {"expected", f.expected}});
     }
-    return;
+    return std::nullopt;
   }
-  if (node_.map && result.map->version() < node_.map->version()) {
-    log_line(log_level::error, "configuration",
-             "ignored: the version in the store is older than the one in force",
-             {{"version", node_.map->version()}, {"offered", result.map->version()}});
-    return;
+  const std::uint64_t version = result.map->version();
+  if (!node_.map || version > node_.map->version()) {
+    node_.map = std::make_shared<const service_map>(std::move(*result.map));
+  } else if (version < node_.map->version()) {
+    log_line(log_level::warning, "configuration", "ignored: older than the one in force",
+             {{"version", node_.map->version()}, {"offered", version}});
   }
-  node_.map = std::make_shared<const service_map>(std::move(*result.map));
+  return version;
 }
 
 // Logs how long it took until a version was in force on this node, by step.
 void store_watch::log_in_force(time_point requested_at, time_point arrived, duration behind,
-                               std::string_view source, const feed_row& row) {
+                               std::string_view source, std::size_t bytes) {
   const time_point now = monotonic_now();
   node_.metrics.record_step("configuration_in_force", std::max(behind, now - requested_at));
   log_line(log_level::info, "configuration", "in force",
            {{"version", node_.map->version()},
             {"routes", std::uint64_t{node_.map->routes().size()}},
-            {"row", row.version},
+            {"era", node_.store_era()},
+            {"row", number_of(configuration_row_)},
             {"source", source},
-            {"bytes", std::uint64_t{row.value.size()}},
+            {"bytes", std::uint64_t{bytes}},
             {"behind_ms", to_milliseconds(behind)},
             {"answer_ms", to_milliseconds(arrived - requested_at)},
             {"decode_ms", to_milliseconds(now - arrived)}});
 }
 
+// Applies a row of the configuration table, unless it was read already.
 void store_watch::apply_configuration_row(time_point requested_at, std::string_view source,
                                           const feed_row& row) {
   if (row.key != configuration_key) {
     node_.configuration_rows.apply(row);
-  } else if (!row.removed) {
-    apply_configuration(requested_at, source, row);
+    return;
   }
-}
-
-// Applies a row of the configuration table, unless a newer one was applied already.
-void store_watch::apply_configuration(time_point requested_at, std::string_view source,
-                                      const feed_row& row) {
-  if (row.version <= node_.configurations.newest_version()) {
+  if (row.removed || row.version <= configuration_row_) {
     return;
   }
+  configuration_row_ = row.version;
+  const auto version = apply_configuration(requested_at, source, row.value);
+  node_.store_lacks_configuration = version && *version < node_.configurations.newest_version();
+}
+
+std::optional<std::uint64_t> store_watch::apply_configuration(time_point requested_at,
+                                                              std::string_view source,
+                                                              const std::string& text) {
   const time_point arrived = monotonic_now();
   const auto before = node_.map;
   const duration behind = node_.configuration_lag.age(arrived);
-  node_.configurations.add(row.version, row.value);
-  activate_configuration(row.value);
-  node_.configuration_lag.row_applied(row.version);
+  const auto version = activate_configuration(text);
   if (node_.map != before) {
-    log_in_force(requested_at, arrived, behind, source, row);
+    node_.configurations.add(*version, text);
+    node_.configuration_lag.version_applied(*version);
+    log_in_force(requested_at, arrived, behind, source, text.size());
   }
+  return version;
 }
 
 // Logs a failed query. While queries fail, the proof gets older, until callers are refused.
 void store_watch::log_failed_query(time_point requested_at, std::string_view reason) {
   const time_point now = monotonic_now();
-  log_new_era();
   log_line(log_level::warning, "configuration", "not answered",
            {{"reason", reason},
-            {"position", node_.configuration_rows.position()},
+            {"era", node_.store_era()},
+            {"position", number_of(node_.configuration_rows.position())},
             {"failures", configuration_failures_ + 1},
             {"waited_ms", to_milliseconds(now - requested_at)},
             {"lease_age_ms", to_milliseconds(node_.configuration_lease.age(now).value_or(-1ms))}});
@@ -311,7 +327,8 @@
   const auto result = node_.store.read(configuration_table, {}, requested_at + store_read_timeout);
   const auto* rows = std::get_if<store_rows>(&result);
   count_call("configuration whole", rows != nullptr);
-  const bool usable = rows != nullptr && rows->version >= node_.configuration_rows.position();
+  const bool usable = rows != nullptr && !node_.is_superseded(rows->version) &&
+                      rows->version >= node_.configuration_rows.position();
   note_dependency("configuration", configuration_available_, usable,
                   rows == nullptr ? "no answer" : "whole table");
   if (!usable) {
@@ -334,7 +351,7 @@
     duration pause = hub_check_interval;
     const time_point requested_at = monotonic_now();
     log_calls(requested_at);
-    log_new_era();
+    follow_era(requested_at);
     if (must_query(requested_at)) {
       // The first query, a retry, and a query for a version known to exist need not wait for the
       // next change.
--- a/src/node/store_watch.h
+++ b/src/node/store_watch.h
@@ -32,7 +32,8 @@
   // Position in the records of all targets, from which the hub continues; 0: not all are known.
   [[nodiscard]] std::uint64_t records_position() const;
   [[nodiscard]] bool follows_records() const { return record_subscription_.follows_records(); }
-  // Writes this node's row and reads those of its peers. `found` is called with all rows.
+  // Writes this node's row, again for a restored store, and reads those of its peers. `found` is
+  // called with all rows.
   void follow_nodes(const std::function<void(const std::vector<node_record>&)>& found);
 
  private:
@@ -43,11 +44,13 @@
   // echoed.
   void apply_configuration_row(time_point requested_at, std::string_view source,
                                const feed_row& row);
-  void apply_configuration(time_point requested_at, std::string_view source, const feed_row& row);
+  // Returns the version of the text; empty if it is invalid.
+  std::optional<std::uint64_t> apply_configuration(time_point requested_at, std::string_view source,
+                                                   const std::string& text);
   void apply_configuration_part(time_point requested_at, time_point now, const config_part& part);
-  void activate_configuration(const std::string& text);
+  std::optional<std::uint64_t> activate_configuration(const std::string& text);
   void log_in_force(time_point requested_at, time_point arrived, duration behind,
-                    std::string_view source, const feed_row& row);
+                    std::string_view source, std::size_t bytes);
   void note_newest(time_point now, const node_heartbeat& message);
   // Whether this node lacks a version and has not received a part of it for some time.
   [[nodiscard]] bool is_part_overdue(time_point now) const;
@@ -57,6 +60,7 @@
   void apply_serving_update(time_point requested_at, time_point now, const node_heartbeat& message);
   void update_subscription(time_point now);
   [[nodiscard]] bool must_read_all_targets(time_point now);
+  [[nodiscard]] bool must_read_list_again(time_point now) const;
   [[nodiscard]] bool may_read_further_pages(time_point now) const;
   duration follow_targets_once(time_point requested_at);
   duration watch_targets(time_point requested_at);
@@ -68,7 +72,8 @@
   void note_dependency(std::string_view name, bool& up, bool now_up, std::string_view reason);
   void count_call(std::string_view what, bool answered);
   void log_calls(time_point now);
-  void log_new_era();
+  // Notices that the store came back from a copy, and gives up the positions from before.
+  void follow_era(time_point now);
   // Whether the hub keeps this node current, so that it need not query the store.
   [[nodiscard]] bool is_updated_by_hub(time_point now) const;
   // Whether this node has just started and waits for the first updates from its hub.
@@ -108,7 +113,13 @@
       store_calls_;  // calls to the store by purpose, since the start of the process
   std::uint64_t logged_store_calls_ = 0;  // number of calls at the last log line about them
   time_point store_calls_logged_at_{};
-  std::uint64_t logged_era_ = first_store_era;  // of the store, at the last log line about it
+  std::uint64_t followed_era_ = 0;       // newest era of the store that was noticed; 0: none yet
+  time_point restored_at_{};             // when it was noticed that the store came back from a copy
+  std::uint64_t configuration_row_ = 0;  // version of the newest row that was read from the store
+  // The list of targets is that of a restored store: until `list_settles_at_` targets may be
+  // missing or listed that the list is about to get or lose; then it has to be read again.
+  bool list_unsettled_ = false;
+  time_point list_settles_at_{};
   bool configuration_available_ = true;  // the last query about the configuration was answered
   bool target_list_available_ = true;    // the last query about the targets was answered
 };
--- a/src/process/config_distributor.h
+++ b/src/process/config_distributor.h
@@ -24,12 +24,13 @@
   void begin_round() { budget_.begin_round(); }
 
   struct recipient {
-    std::uint64_t held_version{};  // version of the configuration row that the node has
+    std::uint64_t held_version{};  // version of the configuration that the node has
     config_progress delta_progress;
-    bool refused_by_store = false;  // the store refuses the requests of this node
+    // The store refuses the requests of this node, or does not have the newest version.
+    bool cannot_read_store = false;
   };
   struct send_decision {
-    bool withheld = false;  // the node has to read the configuration row from the store
+    bool withheld = false;  // the node has to read the configuration from the store
     std::optional<config_part> part;
   };
   // The next part of the configuration to send to node `to`. `recipient_count`: number of nodes
@@ -41,7 +42,7 @@
     }
     const std::size_t bytes = from.delta_for(to.held_version).size();
     const bool too_long = bytes * recipient_count > budget_.max_bytes() * max_send_rounds;
-    if (too_long && !to.refused_by_store) {
+    if (too_long && !to.cannot_read_store) {
       return {true, std::nullopt};
     }
     if (!budget_.try_spend(std::min(bytes, max_part_bytes))) {
--- a/src/process/config_transfer.cpp
+++ b/src/process/config_transfer.cpp
@@ -7,20 +7,20 @@
 
 namespace arbutus {
 
-void config_history::add(std::uint64_t row, std::string text) {
-  if (row <= newest_version()) {
+void config_history::add(std::uint64_t version, std::string text) {
+  if (version <= newest_version()) {
     return;
   }
-  rows_.push_back({row, std::move(text)});
-  if (rows_.size() > max_kept_rows) {
-    rows_.pop_front();
+  kept_.push_back({version, std::move(text)});
+  if (kept_.size() > max_kept_versions) {
+    kept_.pop_front();
   }
   deltas_.clear();
 }
 
-const std::string* config_history::find(std::uint64_t row) const {
-  const auto found = std::ranges::find(rows_, row, &entry::row);
-  return found == rows_.end() ? nullptr : &found->text;
+const std::string* config_history::find(std::uint64_t version) const {
+  const auto found = std::ranges::find(kept_, version, &entry::version);
+  return found == kept_.end() ? nullptr : &found->text;
 }
 
 const std::string& config_history::delta_for(std::uint64_t held_version) {
@@ -29,7 +29,7 @@
   const auto [found, is_new] = deltas_.try_emplace(from);
   if (is_new) {
     found->second = make_config_delta(base == nullptr ? std::string_view{} : *base,
-                                      rows_.empty() ? std::string_view{} : rows_.back().text);
+                                      kept_.empty() ? std::string_view{} : kept_.back().text);
   }
   return found->second;
 }
@@ -42,7 +42,7 @@
   }
   const std::string& delta = delta_for(held_version);
   const std::uint64_t base = find(held_version) == nullptr ? 0 : held_version;
-  const bool resumes = at.row == newest_version() && at.base == base && at.bytes < delta.size();
+  const bool resumes = at.version == newest_version() && at.base == base && at.bytes < delta.size();
   const std::uint64_t offset = resumes ? at.bytes : 0;
   return config_part{newest_version(), base, delta.size(), offset, delta.substr(offset, max_bytes)};
 }
@@ -50,14 +50,14 @@
 std::optional<std::string> config_receiver::receive(const config_part& part,
                                                     const config_history& held) {
   const std::string* base = held.find(part.base);
-  if (part.row <= held.newest_version() || (part.base != 0 && base == nullptr)) {
+  if (part.version <= held.newest_version() || (part.base != 0 && base == nullptr)) {
     return std::nullopt;
   }
   if (part.offset == 0) {
     bytes_.clear();
-    progress_ = {part.row, part.base, 0};
+    progress_ = {part.version, part.base, 0};
   }
-  const bool in_order = progress_ == config_progress{part.row, part.base, part.offset};
+  const bool in_order = progress_ == config_progress{part.version, part.base, part.offset};
   if (!in_order) {
     return std::nullopt;
   }
--- a/src/process/fleet_view.cpp
+++ b/src/process/fleet_view.cpp
@@ -161,6 +161,34 @@
   }
 }
 
+bool fleet_view::contradicts_others(const target_record& record) const {
+  const target_id current = current_incarnation(engine_of(record.id));
+  const auto owner = address_owners_.find(record.address);
+  return (!current.empty() && current != record.id) ||
+         (owner != address_owners_.end() && owner->second != record.id &&
+          targets_.contains(owner->second));
+}
+
+void fleet_view::merge_restored(time_point now, const std::vector<listed_row>& rows) {
+  for (const auto& [record, version] : rows) {
+    const auto known = targets_.find(record.id);
+    if (known == targets_.end()) {
+      if (!contradicts_others(record)) {
+        apply_record(now, record, version, time_point{});
+      }
+      continue;
+    }
+    target_view& view = known->second;
+    view.row_version = std::max(view.row_version, version);
+    view.ambiguous = view.ambiguous || view.record.member_of != record.member_of ||
+                     view.record.loaded != record.loaded;
+    if (record.draining && !view.record.draining) {
+      view.record.draining = true;
+      ++revision_;
+    }
+  }
+}
+
 bool fleet_view::apply_answer(time_point queried_at, time_point as_of, const target_id& id,
                               const target_answer& answer) {
   if (answer.incarnation != id) {
--- a/src/process/fleet_view.h
+++ b/src/process/fleet_view.h
@@ -110,6 +110,12 @@
   void replace_all(time_point now, const std::vector<listed_row>& rows,
                    std::optional<time_point> written_after = std::nullopt);
 
+  // Applies the list of a store that came back from an older copy. What is known of a target is
+  // kept: its row may be older, a listed target that is not in the copy is about to be listed
+  // again, and one that has left the list is about to leave it again. Adds what is unknown. A
+  // target that is leaving, in the list or as known, is leaving.
+  void merge_restored(time_point now, const std::vector<listed_row>& rows);
+
   // Applies a target's answer to a probe that was sent at `queried_at`. The answer describes the
   // state at `as_of`: reports lag behind, so newer state from the list or from an order is kept.
   // Returns false if another incarnation than `id` answered; if that one is newer, it replaces
@@ -172,6 +178,9 @@
   // owner has a newer row.
   bool accept_address(const target_record& record, std::uint64_t row_version);
   void remove_target(const target_id& id);
+  // Whether the record contradicts what is known of other targets: its engine has another
+  // incarnation, or its address another owner.
+  [[nodiscard]] bool contradicts_others(const target_record& record) const;
   static void apply_row_state(target_view& view, const target_record& record, time_point as_of);
   void replace_incarnation(time_point queried_at, time_point as_of, const target_id& id,
                            const target_answer& answer);
--- a/src/process/node_heartbeat.cpp
+++ b/src/process/node_heartbeat.cpp
@@ -50,7 +50,7 @@
     return nullptr;
   }
   // The part's content is arbitrary bytes, so it is encoded as binary: text would have to be UTF-8.
-  return {part->row, part->base, part->size, part->offset,
+  return {part->version, part->base, part->size, part->offset,
           json::binary({part->bytes.begin(), part->bytes.end()})};
 }
 
@@ -132,9 +132,11 @@
 constexpr std::size_t first_load_update_field = 32;
 constexpr std::size_t cut_off_field = 35;
 constexpr std::size_t known_nodes_field = 36;
+constexpr std::size_t configuration_version_field = 37;
+// In place of the newest row of the configuration, which earlier releases send.
+constexpr std::uint64_t row_of_earlier_releases = 0;
 
 void read_optional_fields(const json& document, node_heartbeat& message) {
-  message.configuration_row = document.at(25).get<std::uint64_t>();
   message.configuration_progress = {document.at(26).get<std::uint64_t>(),
                                     document.at(27).get<std::uint64_t>(),
                                     document.at(28).get<std::uint64_t>()};
@@ -186,8 +188,8 @@
                          message.poison_changes.rows,
                          message.received_poison_position.incarnation,
                          message.received_poison_position.at,
-                         message.configuration_row,
-                         message.configuration_progress.row,
+                         row_of_earlier_releases,
+                         message.configuration_progress.version,
                          message.configuration_progress.base,
                          message.configuration_progress.bytes,
                          part_to_json(message.configuration_part),
@@ -197,7 +199,8 @@
                          message.received_load_position.at,
                          load_update_to_json(message.load_changes),
                          message.cut_off_from_targets,
-                         message.known_nodes};
+                         message.known_nodes,
+                         message.configuration_version.value_or(0)};
   std::string bytes;
   json::to_msgpack(document, bytes);
   return bytes;
@@ -254,6 +257,10 @@
     if (document.size() > known_nodes_field) {
       message.known_nodes = document.at(known_nodes_field).get<std::size_t>();
     }
+    message.configuration_version.reset();
+    if (document.size() > configuration_version_field) {
+      message.configuration_version = document.at(configuration_version_field).get<std::uint64_t>();
+    }
     return message;
   } catch (const json::exception&) {
     return std::nullopt;
--- a/src/process/node_heartbeat.h
+++ b/src/process/node_heartbeat.h
@@ -68,7 +68,9 @@
   serving_follower::position
       serving_position;  // up to which the sender has the hub's serving-replica rows
   std::uint64_t configuration_position{};
-  std::uint64_t configuration_row{};  // newest row of the configuration that the sender holds
+  // Version in force at the sender, as the operators number it; 0: none. Empty in heartbeats of
+  // earlier releases, whose parts of configurations are numbered by rows of the store.
+  std::optional<std::uint64_t> configuration_version = 0;
   config_progress configuration_progress;
   // Loads of heads: from a node those of its own requests, from a hub those of others. A hub sends
   // them to nodes that read load updates as `load_changes` instead.
--- a/tests/core/config_transfer_test.cpp
+++ b/tests/core/config_transfer_test.cpp
@@ -153,11 +153,11 @@
       const auto next = distributor_.next_part_for(
           hub_, {n.held.newest_version(), n.receiver.progress(), setup_.refused_by_store},
           nodes_.size() + 1);
-      n.lag.row_reported(now_, hub_.newest_version());
+      n.lag.version_reported(now_, hub_.newest_version());
       if (next.part) {
         bytes += next.part->bytes.size();
         if (auto whole = n.receiver.receive(*next.part, n.held)) {
-          n.held.add(next.part->row, std::move(*whole));
+          n.held.add(next.part->version, std::move(*whole));
         }
       }
       if (next.withheld && n.has_read_at == time_point::max()) {
@@ -226,19 +226,19 @@
   constexpr duration bound = 3s;
   const time_point start{100s};
   config_lag lag;
-  lag.row_applied(16);
+  lag.version_applied(16);
   EXPECT_FALSE(lag.is_stale(start, bound));
-  lag.row_reported(start, 20);
+  lag.version_reported(start, 20);
   EXPECT_FALSE(lag.is_stale(start + 1s, bound));
   // Neither a further version nor a late report of an older one restarts the time for which the
   // node has been behind.
-  lag.row_reported(start + 1s, 24);
-  lag.row_reported(start + 1100ms, 16);
+  lag.version_reported(start + 1s, 24);
+  lag.version_reported(start + 1100ms, 16);
   EXPECT_TRUE(lag.is_stale(start + 1500ms, bound));
-  lag.row_applied(20);
+  lag.version_applied(20);
   EXPECT_FALSE(lag.is_stale(start + 1600ms, bound));
   EXPECT_TRUE(lag.is_stale(start + 2500ms, bound));
-  lag.row_applied(24);
+  lag.version_applied(24);
   EXPECT_FALSE(lag.is_stale(start + 10s, bound));
   // A node that knows of no newer configuration version, as in a partitioned data centre, is not
   // stale.
@@ -250,9 +250,9 @@
   config_lag lag;
   for (std::uint64_t row = 1; row <= 200; ++row) {
     const time_point now = start + row * 200ms;
-    lag.row_reported(now, row);
+    lag.version_reported(now, row);
     EXPECT_FALSE(lag.is_stale(now, 3s)) << row;
-    lag.row_applied(row - 1);
+    lag.version_applied(row - 1);
   }
 }
 
--- a/tests/core/hosted_values_test.cpp
+++ b/tests/core/hosted_values_test.cpp
@@ -331,7 +331,7 @@
   message.incarnation = "0a1b2c3d";
   message.serving_position = {"4e5f6a7b", 17};
   message.serving_rows = feed_update{{{"h", "row", 18, false}}, false, 18, 17, 30ms, false};
-  message.configuration_row = 7;
+  message.configuration_version = 7;
   message.configuration_progress = {8, 7, 900};
   message.configuration_part = config_part{8, 7, 1200, 900, std::string("\xff\0\x80", 3)};
   message.limits = {{target_id{"x"}, 2.5, 30ms, 4}, {target_id{"y"}, std::nullopt, 1s, 0}};
@@ -347,7 +347,7 @@
   EXPECT_EQ(back->incarnation, message.incarnation);
   EXPECT_EQ(back->serving_position, message.serving_position);
   EXPECT_EQ(back->serving_rows->rows, message.serving_rows->rows);
-  EXPECT_EQ(back->configuration_row, message.configuration_row);
+  EXPECT_EQ(back->configuration_version, message.configuration_version);
   EXPECT_EQ(back->configuration_progress, message.configuration_progress);
   EXPECT_EQ(back->configuration_part, message.configuration_part);
   EXPECT_EQ(back->limits, message.limits);
