Nodes write their own rows again to a restored store

What callers would see: nodes that start after a drill do not find those whose rows the copy lacks, and a quarantine of requests that end their targets is lost with the next start of all nodes, or in force again after its release.

Cause: a row that was written once counted as there for the life of the process, and nobody else writes it.

Change: what is stored is remembered with the store's era. In a new one a node writes its row again, within a second at random, and keeps the peers it knows while rows may be missing; hubs read the quarantines again, write those that are missing and remove those that were released.

RowsOfNodesAreWrittenAgain, QuarantineIsWrittenAgainToARestoredStore and ReleasedQuarantineIsRemovedFromARestoredStore failed before and pass.

--- a/src/node/store_nodes.cpp
+++ b/src/node/store_nodes.cpp
@@ -19,6 +19,11 @@
 // to be repeated. The interval doubles with each read.
 constexpr duration node_rows_interval_at_start = 400ms;
 constexpr std::uint32_t max_interval_doublings = 3;
+// Nodes write their rows again to a restored store at random times within this one, so that they do
+// not exceed its rate of writes together.
+constexpr duration row_rewrite_spread = 1s;
+// After this time all live nodes have written their rows again.
+constexpr duration restored_rows_settle_time = 10s;
 // A node that its hub keeps current needs the rows of other nodes only when the hub fails, and
 // usually has the row of the next hub.
 constexpr duration node_rows_interval_with_hub = 45s;
@@ -49,6 +54,15 @@
   return record;
 }
 
+// Adds the nodes that have no row, as the restored store lacks those written since its copy.
+void add_missing(std::vector<node_record>& nodes, const std::vector<node_record>& known) {
+  for (const node_record& node : known) {
+    if (std::ranges::find(nodes, node.id, &node_record::id) == nodes.end()) {
+      nodes.push_back(node);
+    }
+  }
+}
+
 }  // namespace
 
 // Whether the rows of all nodes have to be read now. Nodes that receive updates know their hub. A
@@ -82,12 +96,20 @@
                               strength.processor_permille, strength.link_mbps,
                               relay.host.empty() ? std::string{} : to_string(relay)};
   bool written = false;
+  std::uint64_t written_in = 0;  // era of the store that has the row
+  time_point write_due_at{};
   for (;;) {
     const time_point now = monotonic_now();
-    if (!written) {
+    if (written && written_in < node_.store_era()) {
+      written = false;
+      write_due_at = now + from_seconds(to_seconds(row_rewrite_spread) * node_.random.unit());
+    }
+    if (!written && now >= write_due_at) {
       transaction t;
       t.writes.push_back({std::string(node_table), node_.settings.id.str(), own.dump()});
-      written = is_ok(node_.store.write(t, now + store_read_timeout));
+      const auto version = node_.store.write(t, now + store_read_timeout);
+      written = is_ok(version);
+      written_in = written ? era_of(std::get<std::uint64_t>(version)) : 0;
       count_call("own row", written);
     }
     if (must_read_nodes(now)) {
@@ -115,6 +137,9 @@
     }
   }
   nodes_known_ = true;
+  if (restored_at_ != time_point{} && monotonic_now() - restored_at_ < restored_rows_settle_time) {
+    add_missing(peers, node_.peers.records());
+  }
   found(peers);
 }
 
--- a/src/node/store_poison.cpp
+++ b/src/node/store_poison.cpp
@@ -32,19 +32,32 @@
                                                      (answered ? "yes" : "no") + "\"");
 }
 
-// The age of the quarantines counts from now, since the store does not return it.
-bool read_quarantines(hosted_state& node) {
+// Whether the row is of a quarantine that this node knows of, in force or not any more.
+bool is_known(const hosted_state& node, const request_fingerprint& fingerprint) {
+  const auto& known = node.poison.tracker.all();
+  const auto found = known.find(fingerprint);
+  return found != known.end() && (found->second.quarantined_at || found->second.cleared_at);
+}
+
+// Returns the era of the store that has the rows; 0 if it did not answer. The age of the
+// quarantines counts from now, since the store does not return it.
+std::uint64_t read_quarantines(hosted_state& node) {
   const auto result = node.store.read(poison_table, {}, monotonic_now() + store_read_timeout);
   const auto* rows = std::get_if<store_rows>(&result);
   count_call(node, "verdicts", rows != nullptr);
   if (rows == nullptr) {
-    return false;
+    return 0;
   }
   for (const store_row& stored : rows->rows) {
     auto row = decode_poison_row(stored.value);
     if (!row || !row->quarantined_ago) {
       log_line(log_level::warning, "poison", "unreadable quarantine row",
-               {{"row", stored.version}});
+               {{"row", number_of(stored.version)}});
+      continue;
+    }
+    if (is_known(node, row->fingerprint)) {
+      // The row of one that is not in force any more is removed with the next changes.
+      node.poison.tracker.set_stored(row->fingerprint, true);
       continue;
     }
     row->quarantined_ago = 0ms;
@@ -52,7 +65,7 @@
     row->stored = true;
     merge_poison_row(node, monotonic_now(), *row, "store");
   }
-  return true;
+  return era_of(rows->version);
 }
 
 // Writes the changed quarantines to the store. False if the write failed.
@@ -93,7 +106,7 @@
 // Only hubs write quarantines to the store, at random times: the first one to write notifies the
 // others that the row is stored.
 void sync_quarantines(hosted_state& node) {
-  bool read = false;
+  std::uint64_t read_in = 0;  // era of the store in which the rows were last read; 0: not yet
   std::uint32_t failures = 0;
   for (;;) {
     const duration spread = from_seconds(to_seconds(store_interval) * node.random.unit());
@@ -106,8 +119,12 @@
       failures = 0;
       continue;
     }
-    read = read || read_quarantines(node);
-    const bool done = read && write_changes(node);
+    if (read_in == 0 || read_in < node.store_era()) {
+      // What was stored may be gone from a restored store, and what was removed may be back.
+      node.poison.tracker.forget_stored();
+      read_in = read_quarantines(node);
+    }
+    const bool done = read_in != 0 && write_changes(node);
     failures = done ? 0 : failures + 1;
   }
 }
--- a/src/process/poison_tracker.cpp
+++ b/src/process/poison_tracker.cpp
@@ -417,6 +417,12 @@
   }
 }
 
+void poison_tracker::forget_stored() {
+  for (auto& [fingerprint, entry] : entries_) {
+    entry.stored = false;
+  }
+}
+
 std::optional<poison_row> poison_tracker::quarantine_row(
     time_point now, const request_fingerprint& fingerprint) const {
   const auto found = entries_.find(fingerprint);
--- a/src/process/poison_tracker.h
+++ b/src/process/poison_tracker.h
@@ -182,6 +182,8 @@
   };
   [[nodiscard]] store_changes pending_store_changes() const;
   void set_stored(const request_fingerprint& fingerprint, bool stored);
+  // The store may have lost the rows of all quarantines.
+  void forget_stored();
   // The row to store for a request; empty if it is not quarantined.
   [[nodiscard]] std::optional<poison_row> quarantine_row(
       time_point now, const request_fingerprint& fingerprint) const;
