--- a/src/standin/hosted_control.cpp
+++ b/src/standin/hosted_control.cpp
@@ -109,6 +109,15 @@
     platform_.write_target_record("\x01 odd", "{");
   } else if (path == "/store") {
     platform_.set_store_down(set);
+  } else if (path == "/copy") {
+    platform_.copy_store();
+  } else if (path == "/restore") {
+    platform_.restore_store(set ? hosted_platform::rewrite::everything
+                                : hosted_platform::rewrite::nothing);
+  } else if (path == "/write-again") {
+    platform_.write_again();
+  } else if (path == "/versions") {
+    platform_.use_up_versions(std::stoul("0" + value));
   } else if (path == "/rate") {
     platform_.set_store_rate(std::stoul("0" + value));
   } else if (path == "/limit") {
--- a/src/standin/hosted_platform.cpp
+++ b/src/standin/hosted_platform.cpp
@@ -129,6 +129,10 @@
     write_again(targets_table, plain_instance_id, plain_record);
   }
 
+  void write_configuration_again() {
+    write_again(configuration_table, configuration_row, newest_configuration);
+  }
+
   // All answers of the store name its era.
   [[nodiscard]] http_headers store_headers() const {
     return {{"Content-Type", "application/json"}, {"Store-Era", std::to_string(era)}};
@@ -827,10 +831,16 @@
     state_->write_targets_again();
   }
   if (written_again == rewrite::everything) {
-    state_->write_again(configuration_table, configuration_row, state_->newest_configuration);
+    state_->write_configuration_again();
   }
 }
 
+void hosted_platform::write_again() {
+  const std::lock_guard guard(state_->mutex);
+  state_->write_targets_again();
+  state_->write_configuration_again();
+}
+
 void hosted_platform::use_up_versions(std::size_t count) {
   const std::lock_guard guard(state_->mutex);
   for (std::size_t i = 0; i < count; ++i) {
--- a/src/standin/hosted_platform.h
+++ b/src/standin/hosted_platform.h
@@ -87,6 +87,8 @@
   // The store comes back from the copy, in its next era: versions of the copy on are given out
   // again. The copy has none of the rows of the tables `lost_tables`.
   void restore_store(rewrite written_again, const std::set<std::string>& lost_tables = {});
+  // Operators and targets write again what the store lacks.
+  void write_again();
   // Uses up versions of the store by writes to a table that no node reads.
   void use_up_versions(std::size_t count);
   // The service that is not a model reports in the list that it is leaving.
--- a/tests/core/hosted_values_test.cpp
+++ b/tests/core/hosted_values_test.cpp
@@ -377,6 +377,7 @@
   ASSERT_TRUE(back);
   EXPECT_EQ(back->configuration_position, 12U);
   EXPECT_EQ(back->known_nodes, 0U);
+  EXPECT_FALSE(back->configuration_version);
 }
 
 std::vector<node_record> six_nodes() {
--- a/tests/process/soak.py
+++ b/tests/process/soak.py
@@ -65,6 +65,8 @@
 FIRST_SEED_OF_RESTRAINTS = 800
 # Seeds from here on also cut all nodes of a data centre off from the targets.
 FIRST_SEED_OF_CUTS = 1000
+# Seeds from here on also have a store that comes back from a copy some seconds old.
+FIRST_SEED_OF_RESTORES = 1200
 CUTS = ("silent", "one-way", "reset", "closed-to-new")
 CUT_SECONDS_UNTIL_CHECKED = 3.0
 MIN_CHECKED_CALLS = 20
@@ -165,6 +167,7 @@
         self.data_centre = data_centre
         self.store = Proxy(store)
         self.callers = Proxy(ports[0])
+        self.ready_port = ports[1]
         self.file = directory / f"{name}.toml"
         self.file.write_text(settings_text(name, data_centre, ports, self.store.port))
         self.log = open(directory / f"{name}.log", "ab")
@@ -220,6 +223,7 @@
         self.cuts = []  # (data centre, begin, end): its nodes cannot reach the targets
         self.outages = []  # (begin, end): no node can serve all callers
         self.centres = sorted(set(DATA_CENTRES))
+        self.restore_lock = threading.Lock()
         self.cut_locks = {centre: threading.Lock() for centre in self.centres}
         ports = free_ports(2 + PORTS_PER_NODE * len(DATA_CENTRES))
         self.control = ports[1]
@@ -410,6 +414,23 @@
         self.command("POST", "/store?down=0")
         self.outages.append((begun, time.monotonic()))
 
+    def restore_store(self, _node, rng):
+        """The store goes away for a moment and comes back from a copy some seconds old."""
+        with self.restore_lock:
+            self.command("POST", "/copy")
+            self.command("POST", f"/versions?count={rng.randrange(30)}")
+            time.sleep(rng.uniform(0.1, 4))
+            begun = time.monotonic()
+            self.command("POST", "/store?down=1")
+            time.sleep(rng.uniform(0.05, 1.5))
+            at_once = rng.random() < 0.5
+            self.command("POST", f"/restore?again={int(at_once)}")
+            self.command("POST", "/store?down=0")
+            time.sleep(rng.uniform(0.0, 1.5))
+            self.command("POST", "/write-again")
+            self.command("POST", f"/versions?count={rng.randrange(60)}")
+            self.outages.append((begun, time.monotonic()))
+
     def new_version(self, _node, rng):
         for _ in range(rng.randrange(1, 6)):
             if self.key_rejected_from is None:
@@ -576,6 +597,8 @@
             kinds += [self.turn_away] * 8 + [self.leave] * 4
         if self.seed >= FIRST_SEED_OF_CUTS:
             kinds += [self.cut_from_targets] * 12
+        if self.seed >= FIRST_SEED_OF_RESTORES:
+            kinds += [self.restore_store] * 8
         with ThreadPoolExecutor(max_workers=4) as pool:
             until = time.monotonic() + self.seconds
             running = []
--- a/tests/shell/hosted_node_test.cpp
+++ b/tests/shell/hosted_node_test.cpp
@@ -182,6 +182,45 @@
   EXPECT_EQ(state.target_rows.position(), 95U);
 }
 
+// Guards against a hub that wakes up and takes its nodes back to the store's state before a
+// restore.
+TEST_F(HostedNode, HubOfAnEarlierEraIsNotFollowed) {
+  fiber_runtime own_runtime(1);
+  hosted_state state(monotonic_now(), nodes_[0]->settings, own_runtime);
+  store_watch watch(state);
+  node_heartbeat message;
+  message.data_centre = nodes_[0]->settings.data_centre;
+  message.hub = true;
+  message.configuration = feed_update{{}, false, store_version(1, 90), 0, 0ms, false};
+  message.targets = feed_update{{}, true, store_version(1, 95), 0, 0ms, false};
+  const time_point now = monotonic_now();
+  state.reported_store_era = 2;
+  watch.apply_hub_update(now, now, message);
+  EXPECT_EQ(state.configuration_rows.position(), 0U);
+  EXPECT_FALSE(state.fleet_known);
+  message.targets->position = store_version(2, 40);
+  message.configuration->position = store_version(2, 40);
+  watch.apply_hub_update(now, now, message);
+  EXPECT_EQ(state.configuration_rows.position(), store_version(2, 40));
+  EXPECT_EQ(state.target_rows.position(), store_version(2, 40));
+}
+
+// Guards against a node that relies on a hub of an earlier release, which numbers configurations by
+// rows of the store.
+TEST_F(HostedNode, ConfigurationOfAHubOfAnEarlierReleaseIsReadAtTheStore) {
+  fiber_runtime own_runtime(1);
+  hosted_state state(monotonic_now(), nodes_[0]->settings, own_runtime);
+  store_watch watch(state);
+  node_heartbeat message;
+  message.data_centre = nodes_[0]->settings.data_centre;
+  message.hub = true;
+  message.configuration = feed_update{{}, false, 90, 0, 0ms, false};
+  message.configuration_version.reset();
+  const time_point now = monotonic_now();
+  watch.apply_hub_update(now, now, message);
+  EXPECT_EQ(state.configuration_rows.position(), 0U);
+}
+
 TEST_F(HostedNode, NodeThatControlsNoReplicasFollowsTheServingOnes) {
   fiber_runtime own_runtime(1);
   hosted_state state(monotonic_now(), nodes_[0]->settings, own_runtime);
