A hub that started from a restored store's copy gets the newer configuration

What callers would see: after a drill in which the hub of a data centre ended, the hub that starts from the copy serves by its older configuration until the operators write again, though all the nodes that it leads know the newer one.

Cause: configurations went from hubs to their nodes only.

Change: for 10 s after a restore the next hub in line, and the other hubs, offer a hub that reports an older version the part that it lacks. At no other time; nothing more in ordinary heartbeats. A restored store that has no configuration at all counts as one that lacks it.

--- a/src/node/controller_heartbeats.cpp
+++ b/src/node/controller_heartbeats.cpp
@@ -51,6 +51,24 @@
   message.configuration_part = std::move(next.part);
 }
 
+void controller_loop::offer_configuration(time_point now, const node_id& peer,
+                                          node_heartbeat& message) {
+  const auto found = peer_positions_.find(peer);
+  const bool may_offer = watch_.is_store_restored(now) && node_.peers.is_hub_or_next(now) &&
+                         node_.peers.hub_of(now, node_.peers.data_centre_of(peer)) == peer;
+  if (!may_offer || found == peer_positions_.end() || !found->second.configuration_version) {
+    return;
+  }
+  const feed_positions& at = found->second;
+  constexpr bool cannot_read_store = true;
+  message.configuration_part =
+      config_distributor_
+          .next_part_for(node_.configurations,
+                         {*at.configuration_version, at.configuration_progress, cannot_read_store},
+                         1)
+          .part;
+}
+
 // Removes the rows of an update that contains a complete list, if it exceeds the byte budget of
 // this round of heartbeats. The list is sent in a later round.
 void controller_loop::withhold_beyond_budget(feed_update& update) {
@@ -166,6 +184,8 @@
   add_loads(now, peer, message);
   if (message.hub && same) {
     forward_updates(now, peer, message);
+  } else {
+    offer_configuration(now, peer, message);
   }
   if (receives_poison_updates(now, peer)) {
     message.poison_changes = poison_exchange_.update_for(now, peer, node_.poison.tracker);
@@ -433,6 +453,8 @@
     watch_.apply_hub_update(stamp_sent_at, now, message);
     hub_reply_at_ = now;
     node_.fleet.apply_hub_losses(now, message.lost);
+  } else {
+    watch_.apply_offered_configuration(now, message);
   }
   apply_poison_updates(now, peer, message);
   take_limits(now, peer, message);
--- a/src/node/controller_loop.h
+++ b/src/node/controller_loop.h
@@ -76,6 +76,9 @@
   bool apply_report(time_point requested_at, const target_id& id, const target_report& report);
   void verify_lost_report(const target_id& id);
   [[nodiscard]] feed_update configuration_update(time_point now, const feed_positions& at);
+  // Adds a part of this node's configuration to a heartbeat to a hub that started from the copy of
+  // a restored store, and so has an older one.
+  void offer_configuration(time_point now, const node_id& peer, node_heartbeat& message);
   void forward_configuration(time_point now, const node_id& peer, const feed_positions& at,
                              node_heartbeat& message);
   // Removes the rows of an update that has the complete list, and marks it as withheld, if they
--- a/src/node/store_nodes.cpp
+++ b/src/node/store_nodes.cpp
@@ -22,8 +22,6 @@
 // Nodes write their rows again to a restored store at random times within this one, so that they do
 // not exceed its rate of writes together.
 constexpr duration row_rewrite_spread = 1s;
-// After this time all live nodes have written their rows again.
-constexpr duration restored_rows_settle_time = 10s;
 // A node that its hub keeps current needs the rows of other nodes only when the hub fails, and
 // usually has the row of the next hub.
 constexpr duration node_rows_interval_with_hub = 45s;
@@ -137,7 +135,7 @@
     }
   }
   nodes_known_ = true;
-  if (restored_at_ != time_point{} && monotonic_now() - restored_at_ < restored_rows_settle_time) {
+  if (is_store_restored(monotonic_now())) {
     add_missing(peers, node_.peers.records());
   }
   found(peers);
--- a/src/node/store_watch.cpp
+++ b/src/node/store_watch.cpp
@@ -170,17 +170,26 @@
   }
 }
 
+void store_watch::apply_offered_configuration(time_point now, const node_heartbeat& message) {
+  if (!message.configuration_part || !message.configuration_version) {
+    return;
+  }
+  note_newest(now, message);
+  apply_configuration_part(now, now, *message.configuration_part);
+}
+
 void store_watch::note_newest(time_point now, const node_heartbeat& message) {
   const bool was_behind = node_.configuration_lag.behind();
   node_.configuration_lag.version_reported(now, *message.configuration_version);
   if (was_behind || !node_.configuration_lag.behind()) {
     return;
   }
-  log_line(log_level::info, "configuration", "behind",
-           {{"version", node_.configurations.newest_version()},
-            {"hub_version", *message.configuration_version},
-            {"hub_proof_ms", to_milliseconds(message.configuration->age)},
-            {"withheld", message.configuration->withheld}});
+  log_line(
+      log_level::info, "configuration", "behind",
+      {{"version", node_.configurations.newest_version()},
+       {"hub_version", *message.configuration_version},
+       {"hub_proof_ms", message.configuration ? to_milliseconds(message.configuration->age) : -1},
+       {"withheld", message.configuration && message.configuration->withheld}});
 }
 
 void store_watch::apply_configuration_part(time_point requested_at, time_point now,
@@ -335,6 +344,8 @@
     log_failed_query(requested_at, describe_failure(result));
     return false;
   }
+  // A restored store may have none.
+  node_.store_lacks_configuration = node_.map != nullptr;
   for (const store_row& row : rows->rows) {
     apply_configuration_row(requested_at, "whole table",
                             {row.key, row.value, row.version, row.removed});
--- a/src/node/store_watch.h
+++ b/src/node/store_watch.h
@@ -25,7 +25,13 @@
   void follow_targets();
   // Applies an update from the hub of this data centre; its content is newer than `requested_at`.
   void apply_hub_update(time_point requested_at, time_point now, const node_heartbeat& message);
-  // Progress of the configuration change that the hub sends in parts.
+  // Applies a part of a newer configuration from a peer that is not this node's hub.
+  void apply_offered_configuration(time_point now, const node_heartbeat& message);
+  // Whether the store came back from a copy lately, and may lack what was written since the copy.
+  [[nodiscard]] bool is_store_restored(time_point now) const {
+    return restored_at_ != time_point{} && now - restored_at_ < restored_settle_time;
+  }
+  // Progress of the configuration change that is received in parts.
   [[nodiscard]] const config_progress& configuration_progress() const {
     return configuration_receiver_.progress();
   }
@@ -113,6 +119,8 @@
       store_calls_;  // calls to the store by purpose, since the start of the process
   std::uint64_t logged_store_calls_ = 0;  // number of calls at the last log line about them
   time_point store_calls_logged_at_{};
+  // After this time nodes, operators and targets have written again what a restored store lacked.
+  static constexpr duration restored_settle_time = 10s;
   std::uint64_t followed_era_ = 0;       // newest era of the store that was noticed; 0: none yet
   time_point restored_at_{};             // when it was noticed that the store came back from a copy
   std::uint64_t configuration_row_ = 0;  // version of the newest row that was read from the store
--- a/tests/shell/hosted_restore_test.cpp
+++ b/tests/shell/hosted_restore_test.cpp
@@ -135,6 +135,20 @@
       eventually([&] { return status_at(2, hosted_platform::extra_route(0), "started") == 200; }));
 }
 
+// Guards against a hub that starts from the copy and keeps its older configuration, though the
+// nodes that it leads know a newer one.
+TEST_F(HostedRestore, HubThatStartsFromTheCopyGetsTheNewestConfiguration) {
+  ASSERT_TRUE(both_nodes_serve());
+  go_beyond_the_copy();
+  restore(hosted_platform::rewrite::targets);
+  test_node& hub = *nodes_[0];
+  hub.node.reset();
+  hub.node = std::make_unique<hosted_node>(hub.settings);
+  hub.node->start();
+  EXPECT_TRUE(
+      eventually([&] { return status_at(0, hosted_platform::extra_route(0), "started") == 200; }));
+}
+
 // Guards against nodes that others no longer find, as nobody else writes their rows again.
 TEST_F(HostedRestore, RowsOfNodesAreWrittenAgain) {
   ASSERT_TRUE(both_nodes_serve());
