An echoed stamp from before a power loss proves nothing

What callers would see: a withdrawn key that a node accepts for as long as its VM had run before it lost power. Not seen; found by seeking numbers that are compared across the lives of who gives them out.

Cause: the age of a hub's proof counts from the node's own stamp that the hub echoes. After a power loss the node's clock starts again; until its first heartbeat has arrived, the hub echoes a stamp of before, which lies in the future of the new clock, and a proof of it is valid until then.

Change: an update or grants whose echoed stamp lies in the future are ignored; the next heartbeat echoes a new one. EchoOfAnEarlierBootProvesNothing failed before (three of three checks) and passes.

--- a/src/node/controller_heartbeats.cpp
+++ b/src/node/controller_heartbeats.cpp
@@ -298,6 +298,9 @@
     return;
   }
   const time_point stamp_sent_at{duration{message.echo_us}};
+  if (stamp_sent_at > now) {
+    return;  // a stamp from before this VM lost power
+  }
   std::map<target_id, double> demand;
   for (const limit_update& update : message.limits) {
     node_.limits.received(update.target, {update.per_second, stamp_sent_at - update.age});
--- a/src/node/store_watch.cpp
+++ b/src/node/store_watch.cpp
@@ -133,6 +133,10 @@
 
 void store_watch::apply_hub_update(time_point requested_at, time_point now,
                                    const node_heartbeat& message) {
+  // The hub echoes a stamp from before this VM lost power, when its clock had run for longer.
+  if (requested_at > now) {
+    return;
+  }
   if (message.targets) {
     apply_target_update(requested_at - message.targets->age, now, *message.targets);
   } else if (message.serving_rows) {
--- a/tests/shell/hosted_node_test.cpp
+++ b/tests/shell/hosted_node_test.cpp
@@ -205,6 +205,24 @@
   EXPECT_EQ(state.target_rows.position(), store_version(2, 40));
 }
 
+// Guards against a proof that lasts for days: after a power loss the clock starts again, and the
+// hub still echoes a stamp of before.
+TEST_F(HostedNode, EchoOfAnEarlierBootProvesNothing) {
+  fiber_runtime own_runtime(1);
+  hosted_state state(monotonic_now(), nodes_[0]->settings, own_runtime);
+  store_watch watch(state);
+  node_heartbeat message;
+  message.data_centre = nodes_[0]->settings.data_centre;
+  message.hub = true;
+  message.configuration = feed_update{{}, false, 90, 0, 0ms, false};
+  message.targets = feed_update{{}, true, 95, 0, 0ms, false};
+  const time_point now = monotonic_now();
+  watch.apply_hub_update(now + 24h, now, message);
+  EXPECT_FALSE(state.fleet_known);
+  EXPECT_EQ(state.configuration_rows.position(), 0U);
+  EXPECT_EQ(state.fleet_list_requested_at, time_point{});
+}
+
 // Guards against a node that relies on a hub of an earlier release, which numbers configurations by
 // rows of the store.
 TEST_F(HostedNode, ConfigurationOfAHubOfAnEarlierReleaseIsReadAtTheStore) {
