A restored list completes the records that a new hub has from serving rows

What callers would see: replicas that are repaired slower than need be, after a drill in which a hub ended. Cause: a node that becomes the hub in a new era knows its targets by serving rows, which lack staged models and the like; the merge kept such records and marked their rows as read, so that the second read skipped them. Found by reading the merge again.

Change: the copy's record is taken but for membership, loaded model and the end of a leaving, by the rule for rows that may be old.

RecordsAreCompletedAndMembershipsKept failed before and passes.

--- a/src/process/fleet_view.cpp
+++ b/src/process/fleet_view.cpp
@@ -179,13 +179,12 @@
       continue;
     }
     target_view& view = known->second;
+    const target_record before = view.record;
+    constexpr time_point long_ago{};
+    apply_row_state(view, record, long_ago);
+    view.record.draining = record.draining || before.draining;
     view.row_version = std::max(view.row_version, version);
-    view.ambiguous = view.ambiguous || view.record.member_of != record.member_of ||
-                     view.record.loaded != record.loaded;
-    if (record.draining && !view.record.draining) {
-      view.record.draining = true;
-      ++revision_;
-    }
+    revision_ += view.record != before ? 1 : 0;
   }
 }
 
--- a/tests/core/store_version_test.cpp
+++ b/tests/core/store_version_test.cpp
@@ -89,6 +89,21 @@
   EXPECT_FALSE(is_in_use("i-1"));
 }
 
+// Guards against a new hub that knows only what serves, and would keep records without the models
+// that targets have staged.
+TEST_F(RestoredList, RecordsAreCompletedAndMembershipsKept) {
+  target_record serving = record("i-1", 1);
+  serving.member_of = membership{{"g7", 2}, 0, member_state::open};
+  fleet_.apply_record(start, serving);
+  target_record copied = record("i-1", 1);
+  copied.staged = {model_id{"large"}};
+  fleet_.merge_restored(start + 1s, {{copied, copied_row}});
+  const target_view& view = *fleet_.find(target_id{"i-1"});
+  EXPECT_EQ(view.record.staged, copied.staged);
+  EXPECT_EQ(view.record.member_of, serving.member_of);
+  EXPECT_TRUE(view.ambiguous);
+}
+
 // Guards against an ended incarnation, or an ended owner of an address, that comes back with the
 // copy and takes the place of a target that works.
 TEST_F(RestoredList, EndedTargetsDoNotReplaceThoseThatWork) {
