--- a/src/node/hosted_relay.cpp
+++ b/src/node/hosted_relay.cpp
@@ -18,9 +18,6 @@
 // Path prefix of the question whether a target, whose id follows, answers the peer.
 constexpr std::string_view probe_prefix = "/probe/";
 constexpr duration peer_probe_timeout = 80ms;
-// Peers that one call is handed to, one after the other. With half of all nodes cut off, each one
-// takes it with a probability of a half.
-constexpr std::size_t max_peers_per_call = 4;
 
 // One call on its way to a peer and back.
 class relay_call {
@@ -232,7 +229,7 @@
 }
 
 std::optional<node_record> choose_relay_peer(hosted_state& node, const hosted_request& call) {
-  if (call.relayed || call.tried_peers.size() >= max_peers_per_call) {
+  if (call.relayed) {
     return std::nullopt;
   }
   return node.relays.choose(monotonic_now(), node.peers.records(), node.settings.data_centre,
--- a/src/request/relay_peers.cpp
+++ b/src/request/relay_peers.cpp
@@ -7,13 +7,15 @@
 
 std::optional<node_record> relay_peers::choose(time_point now, std::span<const node_record> nodes,
                                                const data_centre_id& home,
-                                               std::span<const node_id> avoided,
-                                               rng& random) const {
+                                               std::span<const node_id> tried, rng& random) const {
+  if (tried.size() >= settings_.max_peers_per_call) {
+    return std::nullopt;
+  }
   const node_record* best = nullptr;
   double best_cost = 0;
   for (const node_record& node : nodes) {
     const bool has_address = !node.relay.host.empty();
-    if (!has_address || std::find(avoided.begin(), avoided.end(), node.id) != avoided.end()) {
+    if (!has_address || std::find(tried.begin(), tried.end(), node.id) != tried.end()) {
       continue;
     }
     double calls = 1;
--- a/src/request/relay_peers.h
+++ b/src/request/relay_peers.h
@@ -17,6 +17,9 @@
 namespace arbutus {
 
 struct relay_settings {
+  // Peers that one call is handed to, one after the other. With half of all nodes cut off, each one
+  // takes it with a probability of a half.
+  std::size_t max_peers_per_call = 4;
   // A peer in another data centre is chosen as if it had this many times as many calls: traffic
   // between data centres is expensive.
   double remote_cost_factor = 3;
@@ -32,11 +35,11 @@
  public:
   explicit relay_peers(const relay_settings& settings = {}) : settings_(settings) {}
 
-  // The peer for a call; empty: there is none besides those in `avoided`.
+  // The peer for a call; empty: there is none besides those in `tried`, or enough were tried.
   [[nodiscard]] std::optional<node_record> choose(time_point now,
                                                   std::span<const node_record> nodes,
                                                   const data_centre_id& home,
-                                                  std::span<const node_id> avoided,
+                                                  std::span<const node_id> tried,
                                                   rng& random) const;
 
   void sent(time_point now, const node_id& id);
