A change of hubs counts no load twice

Cause: a new hub has its predecessor's report of the loads of all nodes beside the nodes' own reports, and adds both; other data centres add the reports of both hubs. A new hub also reports what its predecessor told of the whole deployment as the load of its own data centre, so that three hubs that change together feed each other's sums. Class: two reports that overlap are added. A hub's death does the same for 1.5 s.

Change: a report has a scope (a node's own, a data centre's, all). Node reports are added; of overlapping ones the larger counts for each head; what is told to other hubs holds the nodes' own reports alone. A hub drops its predecessor's report after 0.5 s.

--- a/src/node/controller_heartbeats.cpp
+++ b/src/node/controller_heartbeats.cpp
@@ -136,7 +136,7 @@
     return;
   }
   all_loads_ = node_.loads.all();
-  home_loads_ = node_.loads.all_of(node_.settings.data_centre);
+  home_loads_ = node_.loads.all_at_home();
   all_loads_feed_.update(all_loads_);
   home_loads_feed_.update(home_loads_);
   if (node_.map && node_.fleet_complete) {
@@ -233,8 +233,11 @@
   if (!accepted) {
     return;
   }
+  const load_scope scope = !message.hub ? load_scope::node
+                           : same       ? load_scope::deployment
+                                        : load_scope::data_centre;
   if (!message.load_changes) {
-    node_.loads.set_peer_loads(peer, message.data_centre, now, message.loads);
+    node_.loads.set_peer_loads(peer, message.data_centre, scope, now, message.loads);
     peer_positions_[peer].loads_stamp_us = message.stamp_us;
     return;
   }
@@ -244,7 +247,7 @@
   }
   auto others = reported_loads_.subtract(message.load_changes->included_stamp_us, follower.loads());
   if (others) {
-    node_.loads.set_peer_loads(peer, message.data_centre, now, std::move(*others));
+    node_.loads.set_peer_loads(peer, message.data_centre, scope, now, std::move(*others));
   }
 }
 
@@ -371,7 +374,7 @@
 }
 
 void controller_loop::send_peer_heartbeats(time_point now) {
-  node_.loads.forget_peers(now);
+  node_.loads.forget_peers(now, node_.peers.is_hub(now));
   std::vector<node_id> peers = node_.peers.recipients(now);
   std::sort(peers.begin(), peers.end());
   update_links(peers);
--- a/src/request/replica_choice.cpp
+++ b/src/request/replica_choice.cpp
@@ -12,15 +12,36 @@
   return std::find(list.begin(), list.end(), id) != list.end();
 }
 
+void add(replica_load& sum, const replica_load& load) {
+  sum.active += load.active;
+  sum.pending_prefill_tokens += load.pending_prefill_tokens;
+}
+
+// Raises a load to another one that covers the same requests.
+void raise(replica_load& to, const replica_load& load) {
+  to.active = std::max(to.active, load.active);
+  to.pending_prefill_tokens = std::max(to.pending_prefill_tokens, load.pending_prefill_tokens);
+}
+
 void add_loads(std::map<target_id, replica_load>& sum,
                const std::map<target_id, replica_load>& loads) {
   for (const auto& [id, load] : loads) {
-    replica_load& total = sum[id];
-    total.active += load.active;
-    total.pending_prefill_tokens += load.pending_prefill_tokens;
+    add(sum[id], load);
+  }
+}
+
+void raise_loads(std::map<target_id, replica_load>& to,
+                 const std::map<target_id, replica_load>& loads) {
+  for (const auto& [id, load] : loads) {
+    raise(to[id], load);
   }
 }
 
+replica_load load_of(const std::map<target_id, replica_load>& loads, const target_id& head) {
+  const auto found = loads.find(head);
+  return found == loads.end() ? replica_load{} : found->second;
+}
+
 // Subtracts from a load but not below zero: the head's load may have been erased since `by` was
 // added to it.
 void subtract(double& value, double by) {
@@ -145,22 +166,44 @@
 }
 
 void load_table::set_peer_loads(const node_id& peer, const data_centre_id& data_centre,
-                                time_point now, std::map<target_id, replica_load> loads) {
-  peers_[peer] = {now, data_centre, std::move(loads)};
+                                load_scope scope, time_point now,
+                                std::map<target_id, replica_load> loads) {
+  peer_loads reported{now, std::move(loads)};
+  switch (scope) {
+    case load_scope::node:
+      nodes_[peer] = std::move(reported);
+      break;
+    case load_scope::data_centre:
+      hubs_elsewhere_[data_centre][peer] = std::move(reported);
+      break;
+    case load_scope::deployment:
+      nodes_.erase(peer);
+      deployment_ = std::move(reported);
+      break;
+  }
 }
 
 std::map<target_id, replica_load> load_table::all() const {
-  std::map<target_id, replica_load> sum = own_loads_;
-  for (const auto& [id, reported] : peers_) {
+  std::map<target_id, replica_load> sum;
+  for (const auto& [id, reported] : nodes_) {
     add_loads(sum, reported.loads);
   }
+  for (const auto& [data_centre, hubs] : hubs_elsewhere_) {
+    std::map<target_id, replica_load> there;
+    for (const auto& [id, reported] : hubs) {
+      raise_loads(there, reported.loads);
+    }
+    add_loads(sum, there);
+  }
+  raise_loads(sum, deployment_.loads);
+  add_loads(sum, own_loads_);
   return sum;
 }
 
 std::map<target_id, replica_load> load_table::all_except(
     const node_id& peer, std::map<target_id, replica_load> all) const {
-  const auto reported = peers_.find(peer);
-  if (reported == peers_.end()) {
+  const auto reported = nodes_.find(peer);
+  if (reported == nodes_.end()) {
     return all;
   }
   for (const auto& [id, load] : reported->second.loads) {
@@ -177,34 +220,43 @@
   return all;
 }
 
-std::map<target_id, replica_load> load_table::all_of(const data_centre_id& data_centre) const {
+std::map<target_id, replica_load> load_table::all_at_home() const {
   std::map<target_id, replica_load> sum = own_loads_;
-  for (const auto& [id, reported] : peers_) {
-    if (reported.data_centre == data_centre) {
-      add_loads(sum, reported.loads);
-    }
+  for (const auto& [id, reported] : nodes_) {
+    add_loads(sum, reported.loads);
   }
   return sum;
 }
 
-void load_table::forget_peers(time_point now) {
-  std::erase_if(peers_, [now](const auto& entry) {
+void load_table::forget_peers(time_point now, bool is_hub) {
+  const auto is_expired = [now](const auto& entry) {
     return now - entry.second.received_at > peer_load_validity;
-  });
+  };
+  std::erase_if(nodes_, is_expired);
+  for (auto& [data_centre, hubs] : hubs_elsewhere_) {
+    std::erase_if(hubs, is_expired);
+  }
+  const duration validity = is_hub ? predecessor_load_validity : peer_load_validity;
+  if (now - deployment_.received_at > validity) {
+    deployment_.loads.clear();
+  }
 }
 
 replica_load load_table::total(const target_id& head) const {
-  replica_load sum;
-  if (const auto found = own_loads_.find(head); found != own_loads_.end()) {
-    sum = found->second;
+  replica_load reported;
+  for (const auto& [id, node] : nodes_) {
+    add(reported, load_of(node.loads, head));
   }
-  for (const auto& [peer, reported] : peers_) {
-    if (const auto found = reported.loads.find(head); found != reported.loads.end()) {
-      sum.active += found->second.active;
-      sum.pending_prefill_tokens += found->second.pending_prefill_tokens;
+  for (const auto& [data_centre, hubs] : hubs_elsewhere_) {
+    replica_load there;
+    for (const auto& [id, hub] : hubs) {
+      raise(there, load_of(hub.loads, head));
     }
+    add(reported, there);
   }
-  return sum;
+  raise(reported, load_of(deployment_.loads, head));
+  add(reported, load_of(own_loads_, head));
+  return reported;
 }
 
 double load_table::own_active(const target_id& head) const {
--- a/src/request/replica_choice.h
+++ b/src/request/replica_choice.h
@@ -42,27 +42,40 @@
   double pending_prefill_tokens = 0;  // prompt tokens of requests without a first event
 };
 
+// Whose loads a peer reports.
+enum class load_scope : std::uint8_t {
+  node,         // those of its own requests
+  data_centre,  // from a hub of another data centre: those of all nodes there
+  deployment,   // from this node's hub: those of all other nodes
+};
+
 // Loads of replicas, each identified by its head; a restarted head has a new id.
+//
+// Reports of different scopes overlap while the role of a hub changes hands: a new hub has what its
+// predecessor reported of all nodes beside the nodes' own reports, and other data centres have the
+// reports of both hubs. Of overlapping reports the larger load counts for each head. If they were
+// added, all replicas would look full until the older report expires.
 class load_table {
  public:
   void sent(const target_id& head, const generation_size& size);
   void first_event(const target_id& head, const generation_size& size);
   void ended(const target_id& head, const generation_size& size, bool had_first_event);
 
-  // Sets the last load per head that a peer reported, for itself and the nodes that it represents.
-  void set_peer_loads(const node_id& peer, const data_centre_id& data_centre, time_point now,
-                      std::map<target_id, replica_load> loads);
-  void forget_peers(time_point now);
+  // Sets the last load per head that a peer reported.
+  void set_peer_loads(const node_id& peer, const data_centre_id& data_centre, load_scope scope,
+                      time_point now, std::map<target_id, replica_load> loads);
+  // `is_hub`: this node gets the reports of the nodes themselves.
+  void forget_peers(time_point now, bool is_hub);
 
-  // Whether loads that this peer reported are included in those of all().
-  [[nodiscard]] bool includes(const node_id& peer) const { return peers_.contains(peer); }
+  // Whether loads that this peer reported of itself are included in those of all().
+  [[nodiscard]] bool includes(const node_id& peer) const { return nodes_.contains(peer); }
 
-  // Loads to report to peers. all(): of this node and its peers. all_except(): the same without
-  // those that `peer` reported. all_of(): of this node and its peers in one data centre.
+  // Loads to report to peers. all(): of all nodes. all_except(): the same without those that `peer`
+  // reported of itself. all_at_home(): of this node and those that report to it.
   [[nodiscard]] std::map<target_id, replica_load> all() const;
   [[nodiscard]] std::map<target_id, replica_load> all_except(
       const node_id& peer, std::map<target_id, replica_load> all) const;
-  [[nodiscard]] std::map<target_id, replica_load> all_of(const data_centre_id& data_centre) const;
+  [[nodiscard]] std::map<target_id, replica_load> all_at_home() const;
 
   // The load of this node alone, to report to peers.
   [[nodiscard]] const std::map<target_id, replica_load>& own() const { return own_loads_; }
@@ -73,15 +86,18 @@
   // are assumed to have ended. Twice the longest typical generation would hide free capacity; a
   // time so short that one lost heartbeat exceeds it would double-book the capacity.
   static constexpr duration peer_load_validity = 1500ms;
+  // A hub drops its predecessor's report of all nodes earlier: they have reported themselves then.
+  static constexpr duration predecessor_load_validity = 500ms;
 
  private:
   struct peer_loads {
     time_point received_at;
-    data_centre_id data_centre;
     std::map<target_id, replica_load> loads;
   };
   std::map<target_id, replica_load> own_loads_;
-  std::map<node_id, peer_loads> peers_;
+  std::map<node_id, peer_loads> nodes_;
+  std::map<data_centre_id, std::map<node_id, peer_loads>> hubs_elsewhere_;
+  peer_loads deployment_;  // as this node's hub reported it last
 };
 
 struct choice_settings {
--- a/tests/core/replica_choice_test.cpp
+++ b/tests/core/replica_choice_test.cpp
@@ -135,7 +135,8 @@
   std::map<std::size_t, int> sends;
   for (int node = 0; node < 70; ++node) {
     load_table loads;
-    loads.set_peer_loads(node_id{"hub"}, data_centre_id{"a"}, time_point{1s}, told);
+    loads.set_peer_loads(node_id{"hub"}, data_centre_id{"a"}, load_scope::deployment,
+                         time_point{1s}, told);
     choice_request request = desired();
     request.random_sample = random.unit();
     ++sends[std::get<chosen_replica>(choose_replica(engine(), model, six, loads, request)).index];
@@ -178,7 +179,7 @@
   // empty. Home has 24 of 26 slots taken and the other one 12; the time of a pass hardly differs.
   load_table loads;
   const std::vector<serving_replica> two = {replica("home", "a"), replica("away", "b")};
-  loads.set_peer_loads(node_id{"p"}, data_centre_id{"a"}, time_point{1s},
+  loads.set_peer_loads(node_id{"p"}, data_centre_id{"a"}, load_scope::node, time_point{1s},
                        {{target_id{"home"}, {24, 0}}, {target_id{"away"}, {12, 0}}});
   const auto choice = choose_replica(engine(), model, two, loads, desired());
   EXPECT_EQ(std::get<chosen_replica>(choice).index, 1U);
@@ -187,21 +188,74 @@
 TEST(LoadTable, CountsPeersUntilTheirReportsExpire) {
   load_table loads;
   const time_point now{10s};
-  loads.set_peer_loads(node_id{"p"}, data_centre_id{"a"}, now, {{target_id{"x"}, {5, 1000}}});
+  loads.set_peer_loads(node_id{"p"}, data_centre_id{"a"}, load_scope::node, now,
+                       {{target_id{"x"}, {5, 1000}}});
   EXPECT_EQ(loads.total(target_id{"x"}).active, 5);
-  loads.forget_peers(now + 2s);
+  loads.forget_peers(now + 2s, true);
   EXPECT_EQ(loads.total(target_id{"x"}).active, 0);
 }
 
 TEST(LoadTable, DoesNotReportAPeersOwnLoadBackToIt) {
   load_table loads;
   loads.sent(target_id{"x"}, {100, 10});
-  loads.set_peer_loads(node_id{"p"}, data_centre_id{"a"}, time_point{1s},
+  loads.set_peer_loads(node_id{"p"}, data_centre_id{"a"}, load_scope::node, time_point{1s},
                        {{target_id{"x"}, {5, 0}}});
-  loads.set_peer_loads(node_id{"q"}, data_centre_id{"b"}, time_point{1s},
+  loads.set_peer_loads(node_id{"q"}, data_centre_id{"b"}, load_scope::data_centre, time_point{1s},
                        {{target_id{"x"}, {2, 0}}});
   EXPECT_EQ(loads.all_except(node_id{"p"}, loads.all())[target_id{"x"}].active, 3);
-  EXPECT_EQ(loads.all_of(data_centre_id{"a"})[target_id{"x"}].active, 6);
+  EXPECT_EQ(loads.all_at_home()[target_id{"x"}].active, 6);
+}
+
+// Guards against replicas that look full, and callers refused, while the role of the hub changes
+// hands and the loads of all nodes are known twice.
+TEST(LoadTable, ANewHubCountsNoLoadTwice) {
+  load_table loads;
+  const time_point now{10s};
+  const data_centre_id home{"a"};
+  const target_id x{"x"};
+  loads.sent(x, {100, 10});
+  loads.set_peer_loads(node_id{"old hub"}, home, load_scope::deployment, now, {{x, {10, 300}}});
+  loads.set_peer_loads(node_id{"n1"}, home, load_scope::node, now, {{x, {5, 100}}});
+  EXPECT_EQ(loads.total(x).active, 11);
+  loads.set_peer_loads(node_id{"n2"}, home, load_scope::node, now, {{x, {6, 300}}});
+  EXPECT_EQ(loads.total(x).active, 12);
+  EXPECT_EQ(loads.all()[x].active, 12);
+  EXPECT_EQ(loads.total(x).pending_prefill_tokens, 500);
+}
+
+// Guards against loads of other data centres that a new hub reports as those of its own.
+TEST(LoadTable, ANewHubReportsOnlyWhatNodesAtHomeReported) {
+  load_table loads;
+  const target_id x{"x"};
+  loads.set_peer_loads(node_id{"old hub"}, data_centre_id{"a"}, load_scope::deployment,
+                       time_point{1s}, {{x, {10, 0}}});
+  loads.set_peer_loads(node_id{"n1"}, data_centre_id{"a"}, load_scope::node, time_point{1s},
+                       {{x, {5, 0}}});
+  EXPECT_EQ(loads.all_at_home()[x].active, 5);
+}
+
+// Guards against the same where the hub of another data centre changes.
+TEST(LoadTable, TwoHubsOfADataCentreCountOnce) {
+  load_table loads;
+  const target_id x{"x"};
+  for (const char* hub : {"old hub", "new hub"}) {
+    loads.set_peer_loads(node_id{hub}, data_centre_id{"b"}, load_scope::data_centre, time_point{1s},
+                         {{x, {6, 0}}});
+  }
+  EXPECT_EQ(loads.total(x).active, 6);
+  EXPECT_EQ(loads.all()[x].active, 6);
+}
+
+// Guards against ended requests of a hub's predecessor that count as long as those of live nodes.
+TEST(LoadTable, AHubDropsItsPredecessorsReportEarly) {
+  load_table loads;
+  const target_id x{"x"};
+  loads.set_peer_loads(node_id{"old hub"}, data_centre_id{"a"}, load_scope::deployment,
+                       time_point{1s}, {{x, {10, 0}}});
+  loads.forget_peers(time_point{1s} + 1s, false);
+  EXPECT_EQ(loads.total(x).active, 10);
+  loads.forget_peers(time_point{1s} + 1s, true);
+  EXPECT_EQ(loads.total(x).active, 0);
 }
 
 }  // namespace
