A hand-over that a peer declines uses no retry

What callers saw: streams that ran when their node was cut off ended in the middle, 'the peer reaches no target for it', although other peers took calls.

Cause: each peer that was asked was paid for like a send, and the payment was lost when the peer declined. Three declines took three retries, and the node's budget (5 to 7 of a window) was gone before the first taker. The same for a target to which no connection could be opened. Class: a cost is taken for an attempt in place of what it stands for.

Change: a payment stays with its call until a send may have reached a target, for 0.5 s at most, so that it counts in the window in which it is used.

--- a/src/node/hosted_call.cpp
+++ b/src/node/hosted_call.cpp
@@ -131,9 +131,9 @@
 
 namespace {
 
-bool take_retry(hosted_state& node, const hosted_request& call, time_point now) {
+bool pay_next_send(hosted_state& node, hosted_request& call, time_point now) {
   retry_window& window = node.retries_of(now, call.service->id);
-  if (window.take(now)) {
+  if (call.retries.pay_next_send(now, call.possible_sends, window)) {
     return true;
   }
   node.metrics.count("arbutusworks_retries_without_budget",
@@ -154,7 +154,7 @@
 
 }  // namespace
 
-bool may_send_again(hosted_state& node, const hosted_request& call, time_point now) {
+bool may_send_again(hosted_state& node, hosted_request& call, time_point now) {
   if (call.possible_sends == 0 && call.possible_runs == 0) {
     return true;
   }
@@ -166,7 +166,7 @@
     return false;
   }
   // The peer that has handed the call over has paid for its first send.
-  return call.possible_sends == 0 || take_retry(node, call, now);
+  return pay_next_send(node, call, now);
 }
 
 namespace {
--- a/src/node/hosted_parts.h
+++ b/src/node/hosted_parts.h
@@ -37,8 +37,9 @@
   // Outcome, for the log line and the metrics.
   std::uint32_t possible_sends = 0;  // sends that may have reached a target
   std::uint32_t possible_runs = 0;   // of those, sends that no target reported as not run
-  std::string tried_targets = {};    // targets tried, in order
-  target_id cut_off_by = {};         // the last target that broke a run off, perhaps by its end
+  call_retries retries = {};
+  std::string tried_targets = {};  // targets tried, in order
+  target_id cut_off_by = {};       // the last target that broke a run off, perhaps by its end
   std::set<target_id> restrained_targets =
       {};                       // targets not chosen since they back off or are leaving
   time_point first_event_at{};  // when the first event of the response was received; zero: none
@@ -88,7 +89,7 @@
 // Whether the request may be sent, or sent again. A request that may have run is sent again only if
 // its route allows repetition, to no more targets than the route allows, and within the retry
 // budget shared by all nodes.
-[[nodiscard]] bool may_send_again(hosted_state& node, const hosted_request& call, time_point now);
+[[nodiscard]] bool may_send_again(hosted_state& node, hosted_request& call, time_point now);
 
 // Why a call is refused, and when its caller should retry.
 struct refusal {
--- a/src/request/retry_window.h
+++ b/src/request/retry_window.h
@@ -123,4 +123,31 @@
   std::array<bucket, bucket_count> buckets_{};
 };
 
+// The retries of one call. A send that reached no target, as it found no connection or a peer
+// declined it, leaves its payment for the next one. Without this, a call that asks several peers
+// spends a retry on each, and the node's budget is gone before one of them takes it.
+class call_retries {
+ public:
+  // Whether a call that has had `sends` sends may be sent again. The first send is free.
+  [[nodiscard]] bool pay_next_send(time_point now, std::uint32_t sends, retry_window& window) {
+    const bool is_paid = sends == 0 || (sends == paid_after_ && now - paid_at_ < payment_validity);
+    if (is_paid) {
+      return true;
+    }
+    if (!window.take(now)) {
+      return false;
+    }
+    paid_after_ = sends;
+    paid_at_ = now;
+    return true;
+  }
+
+  // A payment that is used much later would count in a window in which no retry was sent.
+  static constexpr duration payment_validity = 500ms;
+
+ private:
+  std::uint32_t paid_after_ = 0;  // sends of the call when it last paid
+  time_point paid_at_{};
+};
+
 }  // namespace arbutus
--- a/tests/core/retry_window_test.cpp
+++ b/tests/core/retry_window_test.cpp
@@ -232,5 +232,31 @@
   }
 }
 
+// Guards against streams of a cut node that end because each peer that declined used up a retry.
+TEST(CallRetries, APeerThatDeclinesUsesNoRetry) {
+  const time_point now{1000s};
+  retry_window window({.burst = 10, .nodes = 1});
+  call_retries call;
+  EXPECT_TRUE(call.pay_next_send(now, 0, window));
+  EXPECT_EQ(window.usage(now).retries, 0);
+  for (int declined = 0; declined < 20; ++declined) {
+    EXPECT_TRUE(call.pay_next_send(now + declined * 5ms, 1, window));
+  }
+  EXPECT_EQ(window.usage(now + 100ms).retries, 1);
+}
+
+// Guards against sends beyond the budget: each one that may have reached a target is paid for, and
+// in the window in which it is sent.
+TEST(CallRetries, EachFurtherSendIsPaid) {
+  const time_point now{1000s};
+  retry_window window({.burst = 10, .nodes = 1});
+  call_retries call;
+  EXPECT_TRUE(call.pay_next_send(now, 1, window));
+  EXPECT_TRUE(call.pay_next_send(now, 2, window));
+  EXPECT_EQ(window.usage(now).retries, 2);
+  EXPECT_TRUE(call.pay_next_send(now + 600ms, 2, window));
+  EXPECT_EQ(window.usage(now + 600ms).retries, 3);
+}
+
 }  // namespace
 }  // namespace arbutus
