Failed probes that a peer refutes do not count towards a loss

What callers saw: a working replica is dissolved, and its streams move, since one node cannot reach its head.

Cause: a loss takes two failed probes of this node in a row, the second one beside a question to a peer. Where the peer had an answer, the first failure stayed counted; in the next check the first probe, which asks nobody, was the second failure in a row. Class: evidence that was refuted stays in the count.

Evidence: three nodes over sockets, one of them cut off, another without its path to one head: 'suspected' at 24.968 s, refuted by the peer; 'suspected' again at 25.552 s, lost at 25.563 s before the peer is asked, 'a member is lost' ordered at 25.664 s.

Change: the peer's answer clears the count.

--- a/src/node/controller_losses.cpp
+++ b/src/node/controller_losses.cpp
@@ -107,6 +107,7 @@
   std::unique_lock guard(state->lock);
   state->changed.wait(guard, [&state] { return state->done; });
   if (state->answers_peer) {
+    node_.fleet.answered_a_peer(id);
     note_connect_failure(node_, service, id);
     return false;
   }
--- a/src/process/fleet_view.cpp
+++ b/src/process/fleet_view.cpp
@@ -283,6 +283,13 @@
   }
 }
 
+void fleet_view::answered_a_peer(const target_id& id) {
+  const auto found = targets_.find(id);
+  if (found != targets_.end()) {
+    found->second.failed_probes = 0;
+  }
+}
+
 void fleet_view::revoke_losses(time_point from) {
   for (auto& [id, view] : targets_) {
     view.failed_probes = 0;
--- a/src/process/fleet_view.h
+++ b/src/process/fleet_view.h
@@ -130,6 +130,8 @@
   // The target did not answer a probe in time. It is lost after `probes_until_lost` consecutive
   // failures.
   void probe_failed(time_point now, const target_id& id);
+  // A peer has an answer of the target: earlier failures were those of this node's path.
+  void answered_a_peer(const target_id& id);
 
   // Takes back the losses of targets that probes have found since `from`, because it was this node
   // that could not reach them.
--- a/tests/core/hosted_values_test.cpp
+++ b/tests/core/hosted_values_test.cpp
@@ -586,6 +586,21 @@
   EXPECT_FALSE(fleet.find(record.id)->last_reported_replica);
 }
 
+// Guards against a working replica that is dissolved as one node's path to a member failed twice,
+// though a peer had an answer of it in between.
+TEST(FleetView, FailedProbesThatAPeerRefutesDoNotCount) {
+  fleet_view fleet;
+  target_record record;
+  record.id = target_id{"x"};
+  fleet.apply_record(start, record);
+  fleet.probe_failed(start, record.id);
+  fleet.answered_a_peer(record.id);
+  fleet.probe_failed(start + 500ms, record.id);
+  EXPECT_FALSE(fleet.find(record.id)->lost);
+  fleet.probe_failed(start + 600ms, record.id);
+  EXPECT_TRUE(fleet.find(record.id)->lost);
+}
+
 TEST(FleetView, LostTargetIsRestoredByTheHub) {
   fleet_view fleet;
   target_record record;
