A peer that reaches no target is no witness of a lost one

What callers saw: a working replica is dissolved, and its streams move, while a node has no path to its head and another node is cut off from all targets.

Cause: before a target counts as lost, one peer is asked whether it gets an answer. Which one was drawn at random, and a peer that is cut off itself said that it gets none. Class: the one of the hand-over: one candidate, chosen without regard to whether it can tell.

The asker remembers it as for hand-overs and asks the next peer within the same time-out. The choice of the peer is the one of the hand-over, so that peers that take calls are asked first.

--- a/src/node/hosted_relay.cpp
+++ b/src/node/hosted_relay.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr int status_ok = 200;
+constexpr int status_unavailable = 503;
 // Path that a peer answers at once, to show that its process runs.
 constexpr std::string_view alive_path = "/alive";
 constexpr duration alive_timeout = 200ms;
@@ -215,6 +216,11 @@
            {{"peer", peer.id}, {"streams_moved", std::uint64_t{moved}}});
 }
 
+// Whether this node can tell a target that does not answer from a cut of its own paths.
+bool is_witness(const target_reach& reach) {
+  return !reach.is_cut_off() && !reach.is_doubtful();
+}
+
 // Answers a peer that asks whether the target answers this node.
 void serve_peer_probe(hosted_state& node, const target_id& id, response_writer& writer) {
   constexpr int status_not_found = 404;
@@ -224,6 +230,10 @@
     return;
   }
   node.metrics.count("arbutusworks_questions", "why=\"peer\"");
+  if (!is_witness(node.reach[view->record.service])) {
+    writer.send(status_unavailable, {}, "");
+    return;
+  }
   const endpoint address = view->record.address;
   const auto result = node.engines.report(id, address, monotonic_now() + peer_probe_timeout);
   const auto* report = std::get_if<target_report>(&result);
@@ -238,16 +248,29 @@
   if (view == nullptr) {
     return false;
   }
-  const auto peer = node.relays.choose(monotonic_now(), view->record.service, node.peers.records(),
-                                       node.settings.data_centre, {}, node.random);
-  if (!peer) {
-    return false;
+  const service_id service = view->record.service;
+  std::vector<node_id> asked;
+  while (monotonic_now() < deadline) {
+    const auto peer = node.relays.choose(monotonic_now(), service, node.peers.records(),
+                                         node.settings.data_centre, asked, node.random);
+    if (!peer) {
+      return false;
+    }
+    asked.push_back(peer->id);
+    http_request request;
+    request.target = std::string(probe_prefix) + id.str();
+    const call_result result =
+        node.relay_http.fetch({peer->relay.host, peer->relay.port}, request, deadline);
+    if (result.ok() && result.response.status != status_unavailable) {
+      return result.response.status == status_ok;
+    }
+    // A peer that is cut off as well says so. One that does not answer is no witness either.
+    if (result.ok()) {
+      node.relays.declined(monotonic_now(), service, peer->id, {decline_reason::cut_off, {}},
+                           node.peers.records());
+    }
   }
-  http_request request;
-  request.target = std::string(probe_prefix) + id.str();
-  const call_result result =
-      node.relay_http.fetch({peer->relay.host, peer->relay.port}, request, deadline);
-  return result.ok() && result.response.status == status_ok;
+  return false;
 }
 
 target_id relay_attempt_id(const node_id& peer) {
@@ -292,12 +315,11 @@
   const bool reached = call.writer.send(answer.status, caller_headers(answer.headers), answer.body);
   const bool by_target = answer.outcome == relay_outcome::answered;
   const bool done = by_target && answer.status < 500;
-  constexpr int unavailable = 503;
   finish_call(node, call,
-              !reached                       ? "caller_gone"
-              : done                         ? "done"
-              : answer.status == unavailable ? "refused"
-                                             : "failed",
+              !reached                              ? "caller_gone"
+              : done                                ? "done"
+              : answer.status == status_unavailable ? "refused"
+                                                    : "failed",
               done        ? ""
               : by_target ? "the target's own failure"
                           : "refused by the node that took it over",
--- a/tests/shell/hosted_cut_test.cpp
+++ b/tests/shell/hosted_cut_test.cpp
@@ -237,6 +237,7 @@
   const http_response declined = ask(relays, request);
   EXPECT_EQ(declined.status, 503);
   EXPECT_TRUE(declined.headers.find("X-Arbutus-Relay")->starts_with("not-taken "));
+  EXPECT_EQ(declined.headers.find("X-Arbutus-Relay-Decline"), "unfit");
   request.headers.remove("X-Arbutus-Relay");
   EXPECT_EQ(ask(relays, request).status, 400);
   EXPECT_EQ(platform_.header_violations(), 0);
@@ -265,5 +266,20 @@
   nodes_.clear();
 }
 
+// Guards against a working replica that is dissolved on the word of a peer that is cut off itself.
+TEST_F(HostedCutOfThree, APeerThatReachesNoTargetIsNoWitness) {
+  ASSERT_TRUE(both_nodes_serve());
+  const std::string head = platform_.find_member(true);
+  const std::size_t replicas = platform_.count_serving_replicas();
+  platform_.set_paths(2, path_state::silent);
+  std::vector<first_attempt> attempts;
+  std::thread load([&] { attempts = send_load(4s, stream_path); });
+  std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+  platform_.set_paths(cut_node, path_state::silent, head);
+  load.join();
+  EXPECT_EQ(platform_.find_member(true), head);
+  EXPECT_EQ(platform_.count_serving_replicas(), replicas);
+}
+
 }  // namespace
 }  // namespace arbutus::testing_support
