--- a/src/request/relay_peers.cpp
+++ b/src/request/relay_peers.cpp
@@ -42,13 +42,13 @@
   for (const node_record& node : nodes) {
     const auto found = states_.find(node.id);
     const peer_state& peer = found == states_.end() ? nothing_known : found->second;
-    const peer_standing is = standing(now, service, peer);
-    place_state& place = result.places[node.data_centre];
-    place.taking += is == peer_standing::takes ? 1 : 0;
-    place.declining += is == peer_standing::declines ? 1 : 0;
+    const peer_standing known = standing(now, service, peer);
+    data_centre_state& data_centre = result.data_centres[node.data_centre];
+    data_centre.taking += known == peer_standing::takes ? 1 : 0;
+    data_centre.declining += known == peer_standing::declines ? 1 : 0;
     const bool has_address = !node.relay.host.empty();
     if (has_address && !is_paused(now, service, peer)) {
-      result.candidates.push_back({&node, &peer, is, &place});
+      result.candidates.push_back({&node, &peer, known, &data_centre});
     }
   }
   return result;
@@ -72,8 +72,8 @@
     case peer_standing::unknown:
       break;
   }
-  const auto taking = static_cast<double>(c.place->taking + 1);
-  return taking / (taking + static_cast<double>(c.place->declining));
+  const auto taking = static_cast<double>(c.data_centre->taking + 1);
+  return taking / (taking + static_cast<double>(c.data_centre->declining));
 }
 
 std::optional<node_record> relay_peers::choose(time_point now, const service_id& service,
--- a/src/request/relay_peers.h
+++ b/src/request/relay_peers.h
@@ -99,7 +99,7 @@
     std::map<service_id, service_state> services;
   };
   // What the peers of one data centre did with calls of a service.
-  struct place_state {
+  struct data_centre_state {
     std::size_t taking = 0;
     std::size_t declining = 0;
   };
@@ -113,12 +113,12 @@
     const node_record* node;
     const peer_state* peer;
     peer_standing standing;
-    const place_state* place;  // of its data centre
+    const data_centre_state* data_centre;
   };
-  // The peers that are not paused; those that are count for their data centres, too.
+  // Candidates are the peers that are not paused; the data centres count all peers.
   struct survey {
-    std::map<data_centre_id, place_state> places;
-    std::vector<candidate> candidates;  // point into `places`
+    std::map<data_centre_id, data_centre_state> data_centres;
+    std::vector<candidate> candidates;  // point into `data_centres`
   };
   [[nodiscard]] survey survey_peers(time_point now, const service_id& service,
                                     std::span<const node_record> nodes) const;
