Answers that end in the middle: how long the target had been silent, and a counter

A line 'ended' with result 'cut' said why no target took over, not whether the last one had broken or was only silent. It has silent_ms now, the time since the last event, and arbutusworks_answers_cut counts them by reason.

--- a/src/node/hosted_call.cpp
+++ b/src/node/hosted_call.cpp
@@ -253,6 +253,10 @@
     measured.time_to_first_token = call.first_event_at - call.arrived;
   }
   node.metrics.record(measured);
+  if (result == "cut") {
+    node.metrics.count("arbutusworks_answers_cut", "reason=\"" + std::string(reason) + "\"");
+  }
+  const bool had_event = call.last_event_at > time_point{};
   if (!call.writes_log_lines) {
     return;
   }
@@ -269,6 +273,7 @@
        {"may_have_run", call.possible_runs},
        {"events", call.forwarded_events},
        {"first_event_ms", to_milliseconds(measured.time_to_first_token)},
+       {"silent_ms", had_event ? to_milliseconds(now - call.last_event_at) : 0.0},
        {"total_ms", to_milliseconds(total)},
        {"version", call.map ? call.map->version() : 0},
        {"lease_age_ms", to_milliseconds(node.configuration_lease.age(now).value_or(-1ms))}});
--- a/src/node/hosted_parts.h
+++ b/src/node/hosted_parts.h
@@ -43,6 +43,7 @@
   std::set<target_id> restrained_targets =
       {};                       // targets not chosen since they back off or are leaving
   time_point first_event_at{};  // when the first event of the response was received; zero: none
+  time_point last_event_at{};   // when the last one was received; zero: none
   std::uint64_t forwarded_events = 0;  // events forwarded to the caller
   bool writes_log_lines = true;        // whether log lines of this call are written: all or none
 };
--- a/src/node/hosted_stream.cpp
+++ b/src/node/hosted_stream.cpp
@@ -175,8 +175,9 @@
   }
 
   bool on_relayed_bytes(std::string_view bytes) {
+    call_.last_event_at = monotonic_now();
     if (call_.first_event_at == time_point{}) {
-      call_.first_event_at = monotonic_now();
+      call_.first_event_at = call_.last_event_at;
     }
     const std::string_view events = relay_.take(bytes);
     return (events.empty() || forward_events(events)) && !relay_.out_of_order();
@@ -351,6 +352,7 @@
 
   void note_event(time_point now) {
     last_event_at_ = now;
+    call_.last_event_at = now;
     if (!had_first_event_) {
       had_first_event_ = true;
       first_event_at_ = now;
