Stand-in: targets that fall silent and go on

Cause: the hosted stand-in knew engines that die and paths that are cut, but no sound target that stands still for a second and then goes on.

Change: hosted_platform::set_silent(id, bool); an empty id means all engines, and the plain service can be silent as well. A silent target answers no report, order or request and its replica writes no events; connections are accepted and stay open, the list keeps its record, and it answers what has arrived when it goes on. It also runs a request whose caller has left meanwhile, since a process that goes on reads what has arrived. leave_orders() counts the orders to leave a replica that engines received. max-attempts of the model's route is a setting (3 as before). An engine's next event is now checked after the gap before it, so that nothing leaves a target that has just fallen silent. The document of the configuration has moved into its own file.

--- /dev/null
+++ b/src/standin/hosted_configuration.cpp
@@ -0,0 +1,57 @@
+// The document of the operators' configuration.
+#include "standin/hosted_configuration.h"
+
+#include <nlohmann/json.hpp>
+
+namespace arbutus::standin {
+
+using nlohmann::json;
+
+std::string extra_route_path(std::size_t index) {
+  return "/extra-" + std::to_string(index) + "/";
+}
+
+std::string encode(const hosted_configuration& c) {
+  json route = {{"name", "summary"},   {"hostname", hosted_host_name},
+                {"prefix", "/llm/"},   {"route-type", "streaming"},
+                {"timeout-ms", 8000},  {"target-latency-ms", 300},
+                {"service", "llm"},    {"max-attempts", c.model_max_attempts},
+                {"public", false},     {"stream-resume", true},
+                {"gap-target-ms", 300}};
+  json once = {{"name", "card"},     {"hostname", hosted_host_name},
+               {"prefix", "/card/"}, {"route-type", "unsafe"},
+               {"timeout-ms", 1500}, {"service", "api"},
+               {"max-attempts", 1},  {"public", false}};
+  json model = {{"name", hosted_model_name},
+                {"size", 3},
+                {"share", 1.0},
+                {"pace", 1.0},
+                {"load-s", 0.3},
+                {"warm-s", 0.2}};
+  json engine = {{"slots", 16},
+                 {"stride", 1},
+                 {"step_ms", 1.0},
+                 {"read_per_s", 100000.0},
+                 {"report_lag_ms", 20},
+                 {"loads_at_once", 9},
+                 {"usual", {{"prompt", 100}, {"answer", 20}}},
+                 {"far_x", 2.5},
+                 {"models", json::array({model})}};
+  json routes = json::array({route, once});
+  for (std::size_t i = 0; i < c.extra_routes; ++i) {
+    once["name"] = "extra-" + std::to_string(i);
+    once["prefix"] = extra_route_path(i);
+    routes.push_back(once);
+  }
+  json document = {
+      {"version", c.version},
+      {"routes", routes},
+      {"services", json::array({{{"name", "llm"}, {"engine", engine}}, {{"name", "api"}}})},
+      {"limits", json::object()},
+      {"tenants", json::array({{{"name", "desk"},
+                                {"api-keys", c.has_keys ? json::array({hosted_caller_key})
+                                                        : json::array()}}})}};
+  return document.dump();
+}
+
+}  // namespace arbutus::standin
--- /dev/null
+++ b/src/standin/hosted_configuration.h
@@ -0,0 +1,26 @@
+// The operators' configuration of the stand-in hosted platform, in the wire format of platform/.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+namespace arbutus::standin {
+
+inline constexpr const char* hosted_host_name = "desk.example";
+inline constexpr const char* hosted_caller_key = "key-of-the-desk";
+inline constexpr const char* hosted_model_name = "large";
+
+struct hosted_configuration {
+  std::uint64_t version = 1;
+  bool has_keys = true;          // whether the workspace has an API key
+  std::size_t extra_routes = 0;  // number of additional routes
+  int model_max_attempts = 3;    // number of targets to which a request for the model is sent
+};
+
+// Path of an additional route.
+[[nodiscard]] std::string extra_route_path(std::size_t index);
+
+[[nodiscard]] std::string encode(const hosted_configuration& configuration);
+
+}  // namespace arbutus::standin
--- a/src/standin/hosted_platform.cpp
+++ b/src/standin/hosted_platform.cpp
@@ -9,6 +9,7 @@
 #include "connection/clock.h"
 #include "platform/base64.h"
 #include "process/target_incarnation.h"
+#include "standin/silent_targets.h"
 #include "standin/standin_http.h"
 #include "version/field_text.h"
 
@@ -326,6 +327,7 @@
 
   void serve_engine(engine_process& e, const http_request& request, response_writer& writer) {
     const std::string name(engine_of(e.engine.record().id));
+    silent.wait_while_silent(name);
     if (request.headers.find("X-Expect-Instance") != name) {
       writer.send(421, {{"X-Instance-Id", name}}, "");
       return;
@@ -350,6 +352,7 @@
 
   order_outcome execute(engine_process& e, const replica_order& o) {
     const std::lock_guard guard(mutex);
+    leave_orders += o.action == order_action::leave ? 1 : 0;
     return e.engine.execute(monotonic_now(), o);
   }
 
@@ -399,6 +402,27 @@
                        });
   }
 
+  // Whether the replica of this head writes events: a member that is silent holds all others up.
+  [[nodiscard]] bool makes_progress(const engine_process& head) const {
+    return is_complete(head) && std::none_of(head.engine.members().begin(),
+                                             head.engine.members().end(), [&](const target_id& id) {
+                                               return silent.contains(std::string(engine_of(id)));
+                                             });
+  }
+
+  // Waits until the head writes its next event; false if it never will.
+  bool wait_for_event(const engine_process& e, const target_id& incarnation,
+                      response_writer& writer) {
+    // As with real engines, a head that has lost a member stalls without reporting the loss.
+    const auto stalls = [&] {
+      const std::lock_guard guard(mutex);
+      return e.engine.record().id == incarnation && !makes_progress(e);
+    };
+    // If the engine has restarted, its connections are closed.
+    return wait_for(writer, settings.event_gap) && wait_while(writer, stalls) &&
+           incarnation_of_process(e) == incarnation;
+  }
+
   void count_run(const http_request& request) {
     const std::lock_guard guard(mutex);
     ++runs[header_text(request, "X-Request-Id")];
@@ -477,18 +501,8 @@
     writer.start(200, headers);
     const int from = static_cast<int>(header_number(request, "Last-Event-Id", 0));
     for (int i = from + 1; i <= settings.events_per_answer; ++i) {
-      if (incarnation_of_process(e) != incarnation) {
-        return;  // the engine has restarted, and its connections are closed
-      }
-      // As with real engines, a head that has lost a member stalls without reporting the loss.
-      const bool stalls = !wait_while(writer, [&] {
-        const std::lock_guard guard(mutex);
-        return e.engine.record().id == incarnation && !is_complete(e);
-      });
-      if (stalls || !wait_for(writer, settings.event_gap)) {
-        return;
-      }
-      if (!writer.write("id: " + std::to_string(i) + "\ndata: " + id + "\n\n")) {
+      if (!wait_for_event(e, incarnation, writer) ||
+          !writer.write("id: " + std::to_string(i) + "\ndata: " + id + "\n\n")) {
         return;
       }
     }
@@ -512,6 +526,9 @@
       return;
     }
     ++crashes[path];
+    silent.set(
+        engine == nullptr ? plain_instance_id : std::string(engine_of(engine->engine.record().id)),
+        false);
     const time_point now = monotonic_now();
     if (engine != nullptr) {
       engine->dead = true;
@@ -595,6 +612,7 @@
   }
 
   void serve_plain(const http_request& request, response_writer& writer) {
+    silent.wait_while_silent(plain_instance_id);
     const std::string id = header_text(request, "X-Request-Id");
     // A query whether the service lives is no request of a caller and does not run.
     if (id.empty()) {
@@ -645,6 +663,9 @@
         }
         continue;
       }
+      if (silent.contains(id)) {
+        continue;
+      }
       e->engine.advance(now);
       std::string record = record_json(*e);
       if (record != e->listed_record) {
@@ -654,50 +675,6 @@
     }
   }
 
-  std::string configuration(bool keys, std::size_t extra_routes) {
-    ++config_version;
-    json route = {{"name", "summary"},   {"hostname", hosted_host_name},
-                  {"prefix", "/llm/"},   {"route-type", "streaming"},
-                  {"timeout-ms", 8000},  {"target-latency-ms", 300},
-                  {"service", "llm"},    {"max-attempts", 3},
-                  {"public", false},     {"stream-resume", true},
-                  {"gap-target-ms", 300}};
-    json once = {{"name", "card"},     {"hostname", hosted_host_name},
-                 {"prefix", "/card/"}, {"route-type", "unsafe"},
-                 {"timeout-ms", 1500}, {"service", "api"},
-                 {"max-attempts", 1},  {"public", false}};
-    json model = {{"name", hosted_model_name},
-                  {"size", 3},
-                  {"share", 1.0},
-                  {"pace", 1.0},
-                  {"load-s", 0.3},
-                  {"warm-s", 0.2}};
-    json engine = {{"slots", 16},
-                   {"stride", 1},
-                   {"step_ms", 1.0},
-                   {"read_per_s", 100000.0},
-                   {"report_lag_ms", 20},
-                   {"loads_at_once", 9},
-                   {"usual", {{"prompt", 100}, {"answer", 20}}},
-                   {"far_x", 2.5},
-                   {"models", json::array({model})}};
-    json routes = json::array({route, once});
-    for (std::size_t i = 0; i < extra_routes; ++i) {
-      once["name"] = "extra-" + std::to_string(i);
-      once["prefix"] = extra_route(i);
-      routes.push_back(once);
-    }
-    json document = {
-        {"version", config_version},
-        {"routes", routes},
-        {"services", json::array({{{"name", "llm"}, {"engine", engine}}, {{"name", "api"}}})},
-        {"limits", json::object()},
-        {"tenants",
-         json::array({{{"name", "desk"},
-                       {"api-keys", keys ? json::array({hosted_caller_key}) : json::array()}}})}};
-    return document.dump();
-  }
-
   fiber_runtime& runtime;
   hosted_platform_settings settings;
   mutable std::mutex mutex;  // guards the data below; never locked while a handler waits
@@ -717,6 +694,8 @@
   restraint_checker restraints;
   std::vector<process_crash> process_crashes;
   int header_violations = 0;
+  int leave_orders = 0;  // number of orders to leave a replica that reached an engine
+  silent_targets silent;
   std::uint64_t last_start_stamp = first_start_stamp;
   std::atomic<bool> down{false};
   // Rate at which the store sends each response; 0: no limit.
@@ -767,6 +746,10 @@
 
 hosted_platform::~hosted_platform() {
   state_->refresher.reset();
+  for (const auto& [id, e] : state_->engines) {
+    state_->silent.set(id, false);
+  }
+  state_->silent.set(plain_instance_id, false);
   state_->store.reset();
   state_->nodes.clear();
   state_->plain.reset();
@@ -798,12 +781,14 @@
 
 void hosted_platform::write_next_configuration(bool keys, std::size_t extra_routes) {
   const std::lock_guard guard(state_->mutex);
-  state_->newest_configuration = state_->configuration(keys, extra_routes);
+  const hosted_configuration next{++state_->config_version, keys, extra_routes,
+                                  state_->settings.model_max_attempts};
+  state_->newest_configuration = encode(next);
   state_->put(configuration_table, configuration_row, state_->newest_configuration);
 }
 
 std::string hosted_platform::extra_route(std::size_t index) {
-  return "/extra-" + std::to_string(index) + "/";
+  return extra_route_path(index);
 }
 
 void hosted_platform::set_store_rate(std::size_t bytes_per_s) {
@@ -863,12 +848,18 @@
   return {};
 }
 
+std::string hosted_platform::last_member_beside(const std::string& engine) const {
+  const std::lock_guard guard(state_->mutex);
+  return std::string(engine_of(state_->engines.at(engine)->engine.members().back()));
+}
+
 void hosted_platform::kill_engine(const std::string& id) {
   restartable_server* server = nullptr;
   {
     const std::lock_guard guard(state_->mutex);
     state::engine_process& e = *state_->engines.at(id);
     e.dead = true;
+    state_->silent.set(id, false);
     e.unlist_at = monotonic_now() + unlist_delay;
     server = e.server.get();
   }
@@ -876,6 +867,21 @@
   state_->set_listening(server->port(), false);
 }
 
+void hosted_platform::set_silent(const std::string& id, bool silent) {
+  if (!id.empty()) {
+    state_->silent.set(id, silent);
+    return;
+  }
+  for (const auto& [engine, e] : state_->engines) {
+    state_->silent.set(engine, silent);
+  }
+}
+
+int hosted_platform::leave_orders() const {
+  const std::lock_guard guard(state_->mutex);
+  return state_->leave_orders;
+}
+
 void hosted_platform::restart_engine(const std::string& id) {
   const std::lock_guard guard(state_->mutex);
   hosted_engine& engine = state_->engines.at(id)->engine;
--- a/src/standin/hosted_platform.h
+++ b/src/standin/hosted_platform.h
@@ -3,9 +3,9 @@
 // platform/.
 //
 // Deliberately small: it covers the behaviour under faults (a store that is unavailable, engines
-// that die, that stall when a member is lost, that refuse orders which name another count of
-// accepted orders than theirs, and that ask nodes to back off or say that they are leaving), not
-// the platform's complete interface.
+// that die, that fall silent and go on, that stall when a member is lost, that refuse orders which
+// name another count of accepted orders than theirs, and that ask nodes to back off or say that
+// they are leaving), not the platform's complete interface.
 #pragma once
 
 #include <functional>
@@ -17,6 +17,7 @@
 
 #include "connection/http_server.h"
 #include "node/periodic.h"
+#include "standin/hosted_configuration.h"
 #include "standin/hosted_engine.h"
 #include "standin/network_paths.h"
 #include "standin/restartable_server.h"
@@ -36,6 +37,7 @@
   // Number of nodes with a store address of their own, in whose rows the targets have the addresses
   // of paths that can be cut. Hubs pass rows on, so only one such node may be in a data centre.
   std::size_t nodes_with_paths = 0;
+  int model_max_attempts = 3;  // of the route to the model
   hosted_engine_settings engine = {.rejoin_time = 50ms,
                                    .warm_load_time = 200ms,
                                    .load_time = 300ms,
@@ -43,9 +45,6 @@
                                    .report_lag = 20ms};
 };
 
-inline constexpr const char* hosted_host_name = "desk.example";
-inline constexpr const char* hosted_caller_key = "key-of-the-desk";
-inline constexpr const char* hosted_model_name = "large";
 // The only instance of the service that is not a model.
 inline constexpr const char* plain_instance_id = "i-api";
 // A request whose path contains this text crashes the engine or service instance that starts to run
@@ -103,9 +102,17 @@
   // Id of an engine of a complete replica: the head, or the last member. Empty if no replica is
   // complete.
   [[nodiscard]] std::string find_member(bool head) const;
+  // Id of the last member of the replica that this engine is in.
+  [[nodiscard]] std::string last_member_beside(const std::string& engine) const;
   void kill_engine(const std::string& id);
   // Restarts the engine under its id at its address; its running requests are lost.
   void restart_engine(const std::string& id);
+  // A target whose process stands still and later goes on; empty: all engines. While it is silent
+  // it answers nothing and its replica writes no events, but connections to it are accepted and
+  // stay open, and the list of targets keeps its record. It then answers what has arrived.
+  void set_silent(const std::string& id, bool silent);
+  // Number of orders to leave a replica that engines have received.
+  [[nodiscard]] int leave_orders() const;
   // Writes a record that does not come from an engine into the list of targets.
   void write_target_record(const std::string& key, const std::string& value);
 
