--- a/tests/shell/hosted_fixture.h
+++ b/tests/shell/hosted_fixture.h
@@ -65,7 +65,7 @@
  protected:
   // Two nodes of the first data centre or, if nodes have paths of their own, one of each.
   explicit hosted_fixture(const standin::hosted_platform_settings& settings = {})
-      : platform_(runtime, settings) {
+      : platform_(runtime, settings), events_per_answer_(settings.events_per_answer) {
     const std::size_t with_paths = settings.nodes_with_paths;
     for (std::size_t i = 0; i < std::max<std::size_t>(with_paths, 2); ++i) {
       const bool has_paths = i < with_paths;
@@ -76,9 +76,9 @@
   }
   ~hosted_fixture() override { nodes_.clear(); }
 
-  call_result send_request(std::size_t node, const std::string& target, const std::string& id,
-                           const std::string& key = standin::hosted_caller_key,
-                           const std::string& prompt_blocks = "") {
+  static http_request make_request(const std::string& target, const std::string& id,
+                                   const std::string& key = standin::hosted_caller_key,
+                                   const std::string& prompt_blocks = "") {
     http_request request;
     request.method = "POST";
     request.target = target;
@@ -88,6 +88,13 @@
     if (!prompt_blocks.empty()) {
       request.headers.add("X-Prefix-Hash", prompt_blocks);
     }
+    return request;
+  }
+
+  call_result send_request(std::size_t node, const std::string& target, const std::string& id,
+                           const std::string& key = standin::hosted_caller_key,
+                           const std::string& prompt_blocks = "") {
+    const http_request request = make_request(target, id, key, prompt_blocks);
     call_result result;
     runtime.run_on(0, [&] {
       result = client_.fetch(local(nodes_[node]->settings.listen.caller_endpoint.port), request,
@@ -156,9 +163,9 @@
     });
   }
 
-  static std::string expected_stream(const std::string& id) {
+  [[nodiscard]] std::string expected_stream(const std::string& id) const {
     std::string text;
-    for (int i = 1; i <= 10; ++i) {
+    for (int i = 1; i <= events_per_answer_; ++i) {
       text += "id: " + std::to_string(i) + "\ndata: " + id + "\n\n";
     }
     return text;
@@ -167,6 +174,9 @@
   http_client client_{runtime};
   standin::hosted_platform platform_;
   std::vector<std::unique_ptr<test_node>> nodes_;
+
+ private:
+  int events_per_answer_;
 };
 
 }  // namespace arbutus::testing_support
