--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -48,6 +48,7 @@
   std::uint32_t engines_per_data_centre = 9;  // engines in each data centre
   std::uint16_t store_port = 0;               // port of the store; 0: any free port
   std::uint16_t control_port = 0;             // port for commands that inject faults; 0: none
+  duration event_gap{};                       // time between the events of a streamed answer
 };
 
 // Shows the timeline of one request, from the log lines of all nodes.
--- a/src/cli/options.cpp
+++ b/src/cli/options.cpp
@@ -102,6 +102,8 @@
                     "data centres of the engines; the first has the plain service")(
       "engines", count_value(9)->value_name("N"), "number of engines in each data centre")(
       "store-port", count_value(0)->value_name("PORT"), "port of the store; 0: any free port")(
+      "event-gap", number(0.02, "0.02")->value_name("SECONDS"),
+      "time between the events of a streamed answer")(
       "control-port", count_value(0)->value_name("PORT"),
       "port of the interface for commands that inject faults, for tests; 0: none");
 }
@@ -119,7 +121,8 @@
     throw usage_error("--store-port, --control-port: expected 0 to 65535");
   }
   return platform_options{values["data-centre"].as<strings>(), static_cast<std::uint32_t>(engines),
-                          static_cast<std::uint16_t>(port), static_cast<std::uint16_t>(control)};
+                          static_cast<std::uint16_t>(port), static_cast<std::uint16_t>(control),
+                          seconds_of(values, "event-gap")};
 }
 
 command make_hosted(const po::variables_map& values) {
--- a/src/cli/platform.cpp
+++ b/src/cli/platform.cpp
@@ -19,6 +19,7 @@
   settings.data_centres = options.data_centres;
   settings.engines_per_data_centre = options.engines_per_data_centre;
   settings.store_port = options.store_port;
+  settings.event_gap = options.event_gap;
   if (options.control_port != 0) {
     settings.nodes_with_paths = options.data_centres.size();
   }
