The soak has paths that fall silent, and counts answers cut in their middle

What: from seed 1400 on, the paths of a data centre's nodes to all targets (or to one) hold all bytes for 0.1 to 2 s and go on, half of the time beside new versions. A new promise, "unbroken": an answer that has begun ends whole, and a call that a node has read gets an answer, while nothing but silences, new versions and planned stops disturb it. These seeds have 24 callers, answers of 1.5 s and two of the other kinds of fault each, so that most calls are judged. A call is excused if its deadline of 6 s has passed, or if it overlaps, with 3 s to settle, a fault that may break answers: kill, SIGSTOP, a disturbed caller proxy or path to the store, an engine killed, restarted or leaving, a poison request, a cut, a store outage or restore, a withdrawn key, a grace that has run out. A close without an answer counts if the call ran at a target or the close came 0.3 s after the call or later; sooner ones may cross the call on an idle connection.

Why: a node takes running streams off targets that are silent for 0.3 s, and closes the answer in its middle if nothing takes over. The soak saw such a call as one without a status, which no check read.

The stand-in's control address ignores the parameter "target" so far, so that a silence of one target is one of all.

--- a/tests/process/soak.py
+++ b/tests/process/soak.py
@@ -28,6 +28,8 @@
   newest    every node soon uses a new configuration whose transfer takes the store seconds
   reached   callers of nodes that are cut off from all targets are served at least two thirds as
             often as those of the others, from three seconds after the cut began
+  unbroken  an answer that has begun ends whole, and a call that a node has read gets an answer,
+            while nothing but silent paths, new versions and planned stops disturb it
 """
 
 import argparse
@@ -67,6 +69,9 @@
 FIRST_SEED_OF_CUTS = 1000
 # Seeds from here on also have a store that comes back from a copy some seconds old.
 FIRST_SEED_OF_RESTORES = 1200
+# Seeds from here on have paths to targets that fall silent and go on, longer streams, and few other
+# faults.
+FIRST_SEED_OF_SILENCES = 1400
 CUTS = ("silent", "one-way", "reset", "closed-to-new")
 CUT_SECONDS_UNTIL_CHECKED = 3.0
 MIN_CHECKED_CALLS = 20
@@ -86,6 +91,13 @@
 RECOVERY_SECONDS = 15
 NOT_RUN = (503, 429, 408, 421)
 CALLERS = 8
+CALLERS_OF_LONG_STREAMS = 24
+LONG_EVENT_GAP_SECONDS = 0.15
+DEADLINE_SECONDS = 6.0
+OTHER_KINDS_BESIDE_SILENCES = 2
+SETTLE_SECONDS_OF_ANSWERS = 3.0
+# The close of an idle connection that crosses the caller's next request arrives sooner than this.
+CLOSE_RACE_SECONDS = 0.3
 
 
 class Proxy:
@@ -221,6 +233,9 @@
         self.began = time.monotonic()
         self.visits = 0
         self.cuts = []  # (data centre, begin, end): its nodes cannot reach the targets
+        self.silences = []  # (data centre, begin, end): its nodes' paths to targets hold all bytes
+        self.unfinished = []  # (id, sent_at, ended_at, whether an answer had begun)
+        self.disturbances = []  # (begin, end): faults that may break answers
         self.outages = []  # (begin, end): no node can serve all callers
         self.centres = sorted(set(DATA_CENTRES))
         self.restore_lock = threading.Lock()
@@ -230,7 +245,7 @@
         self.platform_log = open(directory / "platform.log", "wb")
         self.platform = subprocess.Popen(
             [BINARY, "platform", *self.centres, "--store-port", str(ports[0]),
-             "--control-port", str(ports[1])],
+             "--control-port", str(ports[1]), *self.platform_options()],
             stdout=self.platform_log, stderr=self.platform_log)
         stores = dict.fromkeys(self.centres, ports[0])
         if seed >= FIRST_SEED_OF_CUTS:
@@ -240,6 +255,11 @@
                            stores[data_centre], directory)
                       for i, data_centre in enumerate(DATA_CENTRES)]
 
+    def platform_options(self):
+        if self.seed < FIRST_SEED_OF_SILENCES:
+            return []
+        return ["--event-gap", str(LONG_EVENT_GAP_SECONDS)]
+
     def stores_with_paths(self):
         """Ports of the store, one for each data centre, whose nodes reach the targets by own paths."""
         stores = []
@@ -257,23 +277,32 @@
             self.findings.append(f"{promise}: {text}")
 
     def command(self, method, path):
-        return json.loads(call(self.control, method, path).body)
+        reply = call(self.control, method, path)
+        if reply.status != 200:
+            raise ValueError(f"{method} {path}: status {reply.status}")
+        return json.loads(reply.body)
 
     # ---- callers ----
 
     def ask(self, connection, request_id, path):
-        headers = {"Host": HOST, "X-Request-Id": request_id, "X-Deadline-Ms": "6000",
+        headers = {"Host": HOST, "X-Request-Id": request_id,
+                   "X-Deadline-Ms": str(int(1000 * DEADLINE_SECONDS)),
                    "X-Model": "large", "X-Token-Count": "100,20", "Authorization": f"Bearer {KEY}"}
         sent_at = time.monotonic()
+        result, is_sent, status = (None, b"", {}), False, None
         try:
             connection.request("POST", path, headers=headers)
+            is_sent = True
             response = connection.getresponse()
-            result = (response.status, response.read(), dict(response.getheaders()))
+            status = response.status
+            result = (status, response.read(), dict(response.getheaders()))
         except (OSError, http.client.HTTPException):
             connection.close()
-            result = (None, b"", {})
+        ended_at = time.monotonic()
         with self.lock:
-            self.calls.append((request_id, path, sent_at, time.monotonic(), *result))
+            self.calls.append((request_id, path, sent_at, ended_at, *result))
+            if is_sent and result[0] is None and status in (None, 200):
+                self.unfinished.append((request_id, sent_at, ended_at, status == 200))
         return result[0]
 
     def keep_calling(self, caller):
@@ -324,6 +353,38 @@
             self.cuts.append((centre, begun, time.monotonic()))
             self.command("POST", f"/paths?node={place}&state=open")
 
+    def silence_targets(self, node, rng):
+        """The paths of a data centre's nodes to all targets, or to one, hold all bytes for a while."""
+        centre = node.data_centre
+        with self.cut_locks[centre]:
+            paths = f"/paths?node={self.centres.index(centre)}"
+            target = rng.choice(["", "", "i-api", self.command("GET", "/head")["head"]])
+            begun = time.monotonic()
+            ends = begun + rng.uniform(0.1, 2)
+            self.command("POST", f"{paths}&target={target}&state=silent")
+            if rng.random() < 0.5:
+                self.new_version(node, rng)
+            time.sleep(max(0.0, ends - time.monotonic()))
+            self.command("POST", f"{paths}&state=open")
+            self.silences.append((centre, begun, time.monotonic()))
+
+    def may_be_broken(self, sent_at, ended_at):
+        """Whether the deadline or a fault explains that the call has no complete answer."""
+        if ended_at - sent_at >= DEADLINE_SECONDS:
+            return True
+        settled = sent_at - SETTLE_SECONDS_OF_ANSWERS
+        return any(b <= ended_at and settled <= e for b, e in self.disturbances)
+
+    def check_unbroken(self):
+        runs = self.command("GET", "/counts")["runs"]
+        for request_id, sent_at, ended_at, has_begun in self.unfinished:
+            is_read = has_begun or request_id in runs or ended_at - sent_at >= CLOSE_RACE_SECONDS
+            if not is_read or self.may_be_broken(sent_at, ended_at):
+                continue
+            silent = sorted({c for c, b, e in self.silences if b <= ended_at and sent_at <= e})
+            self.report("unbroken", f"{request_id} ended {'in' if has_begun else 'without'} its "
+                                    f"answer after {ended_at - sent_at:.2f} s, silent: {silent}")
+
     def is_in_touch(self, node, begin, end):
         """Whether nothing but a cut from the targets has disturbed the node's service."""
         faults = node.disturbances + node.store_disturbances + self.outages
@@ -378,6 +439,7 @@
             with contextlib.suppress(AssertionError):
                 wait_until(node.listens, node.name, timeout=5)
             node.process.terminate()
+            grace_ends = time.monotonic() + GRACE_SECONDS
             try:
                 status = node.process.wait(timeout=GRACE_SECONDS + 2)
                 if status != 0:
@@ -388,6 +450,8 @@
                 self.keep_stacks(node)
                 node.process.kill()
                 node.process.wait()
+            if time.monotonic() > grace_ends:
+                self.disturbances.append((grace_ends, time.monotonic()))
             node.start()
 
     def keep_stacks(self, node):
@@ -555,8 +619,10 @@
             request_id = f"v-{self.visits}"
         node = self.nodes[self.visits % len(self.nodes)]
         connection = http.client.HTTPConnection(LOOPBACK, node.callers.port, timeout=8)
+        begun = time.monotonic()
         with contextlib.closing(connection):
             self.ask(connection, request_id, path)
+        self.disturbances.append((begun, time.monotonic()))
         return request_id
 
     def send_poison(self, _node, rng):
@@ -581,8 +647,9 @@
                 self.report("contained",
                             f"{path} ended {ends[path]} and reached targets {reached} more times")
 
-    def inject_faults(self):
-        """Injects faults in series, up to four at a time."""
+    def kinds_of_faults(self):
+        if self.seed >= FIRST_SEED_OF_SILENCES:
+            return self.silences_and_few_others()
         kinds = ([self.disturb_store] * 4
                  + [self.disturb_callers, self.pause_node, self.kill_node, self.terminate_node,
                     self.new_version, self.disable_store] * 2
@@ -599,13 +666,39 @@
             kinds += [self.cut_from_targets] * 12
         if self.seed >= FIRST_SEED_OF_RESTORES:
             kinds += [self.restore_store] * 8
+        return kinds
+
+    def silences_and_few_others(self):
+        """Answers are judged between other faults only; so each seed has few kinds of them."""
+        others = [self.disturb_store, self.disturb_callers, self.pause_node, self.kill_node,
+                  self.disable_store, self.kill_engine, self.withdraw_key,
+                  self.add_unreadable_entry, self.restart_engine, self.send_poison,
+                  self.name_limit, self.grow_configuration, self.turn_away, self.leave,
+                  self.cut_from_targets, self.restore_store]
+        return ([self.silence_targets] * 12 + [self.new_version] * 6 + [self.terminate_node] * 2
+                + self.random.sample(others, OTHER_KINDS_BESIDE_SILENCES))
+
+    def may_break_answers(self, kind):
+        return kind not in (self.silence_targets, self.new_version, self.terminate_node,
+                            self.add_unreadable_entry, self.name_limit, self.grow_configuration,
+                            self.turn_away)
+
+    def inject(self, kind, node, rng):
+        begun = time.monotonic()
+        kind(node, rng)
+        if self.may_break_answers(kind):
+            self.disturbances.append((begun, time.monotonic()))
+
+    def inject_faults(self):
+        """Injects faults in series, up to four at a time."""
+        kinds = self.kinds_of_faults()
         with ThreadPoolExecutor(max_workers=4) as pool:
             until = time.monotonic() + self.seconds
             running = []
             while time.monotonic() < until:
                 rng = random.Random(self.random.random())
-                running.append(pool.submit(self.random.choice(kinds), self.random.choice(self.nodes),
-                                           rng))
+                running.append(pool.submit(self.inject, self.random.choice(kinds),
+                                           self.random.choice(self.nodes), rng))
                 time.sleep(self.random.uniform(0.1, 1.5))
             for fault in running:
                 fault.result()
@@ -629,7 +722,8 @@
             for node in self.nodes:
                 node.start()
             self.wait_for_all("back")
-            callers = [threading.Thread(target=self.keep_calling, args=(i,)) for i in range(CALLERS)]
+            count = CALLERS if self.seed < FIRST_SEED_OF_SILENCES else CALLERS_OF_LONG_STREAMS
+            callers = [threading.Thread(target=self.keep_calling, args=(i,)) for i in range(count)]
             for thread in callers:
                 thread.start()
             self.inject_faults()
@@ -646,6 +740,8 @@
                 self.wait_for_all("back")
             self.check_restrained()
             self.check_reached()
+            if self.seed >= FIRST_SEED_OF_SILENCES:
+                self.check_unbroken()
             self.check()
         finally:
             self.end()
