Silent runs leave half of the retries to those that break

A silence of many targets spent the whole window's retries on second runs of streams that were only late; a stream whose target broke it off right after found none and was cut. While a run has been silent for less than a sound target may be (1.5 s), a second run leaves half of the budget; later it may use all of it. The test fails where nothing is reserved (all retries are gone).

--- a/src/node/hosted_call.cpp
+++ b/src/node/hosted_call.cpp
@@ -131,9 +131,10 @@
 
 namespace {
 
-bool pay_next_send(hosted_state& node, hosted_request& call, time_point now) {
+// `reserve`: see retry_window::take.
+bool pay_next_send(hosted_state& node, hosted_request& call, time_point now, double reserve) {
   retry_window& window = node.retries_of(now, call.service->id);
-  if (call.retries.pay_next_send(now, call.possible_sends, window)) {
+  if (call.retries.pay_next_send(now, call.possible_sends, window, reserve)) {
     return true;
   }
   node.metrics.count("arbutusworks_retries_without_budget",
@@ -147,6 +148,7 @@
               {"requests", used.requests},
               {"retries", used.retries},
               {"limit", used.limit},
+              {"reserve", reserve},
               {"nodes", std::uint64_t{used.nodes}}});
   }
   return false;
@@ -165,11 +167,14 @@
     return true;
   }
   // The peer that has handed the call over has paid for its first send.
-  return allows_send_after(call, call.possible_runs) && pay_next_send(node, call, now);
+  return allows_send_after(call, call.possible_runs) && pay_next_send(node, call, now, 0);
 }
 
-bool may_run_beside(hosted_state& node, hosted_request& call, time_point now) {
-  return allows_send_after(call, call.possible_runs + 1) && pay_next_send(node, call, now);
+bool may_run_beside(hosted_state& node, hosted_request& call, time_point now, duration silence) {
+  // Fraction of the retries that silent runs leave to those that have broken.
+  constexpr double reserve_for_broken_runs = 0.5;
+  const double reserve = silence < silence_tolerance ? reserve_for_broken_runs : 0;
+  return allows_send_after(call, call.possible_runs + 1) && pay_next_send(node, call, now, reserve);
 }
 
 namespace {
--- a/src/node/hosted_parts.h
+++ b/src/node/hosted_parts.h
@@ -93,8 +93,9 @@
 // budget shared by all nodes.
 [[nodiscard]] bool may_send_again(hosted_state& node, hosted_request& call, time_point now);
 
-// The same while a run is in progress that has fallen silent.
-[[nodiscard]] bool may_run_beside(hosted_state& node, hosted_request& call, time_point now);
+// The same while a run is in progress that has been silent for `silence`.
+[[nodiscard]] bool may_run_beside(hosted_state& node, hosted_request& call, time_point now,
+                                  duration silence);
 
 // Why a call is refused, and when its caller should retry.
 struct refusal {
--- a/src/node/hosted_stream.cpp
+++ b/src/node/hosted_stream.cpp
@@ -184,7 +184,7 @@
       const next_step step =
           is_harmless ? choose_step(now) : end_of_call{503, {}, poison_refusal_reason};
       const auto* end = std::get_if<end_of_call>(&step);
-      if (end != nullptr || !may_run_beside(node_, call_, now)) {
+      if (end != nullptr || !may_run_beside(node_, call_, now, silence(now))) {
         note_second_run("none", end != nullptr ? end->reason : "no further run is allowed");
         return;
       }
--- a/src/process/stall_monitor.h
+++ b/src/process/stall_monitor.h
@@ -14,6 +14,9 @@
 
 namespace arbutus {
 
+// A target that works may be silent for about a second and go on.
+inline constexpr duration silence_tolerance = 1500ms;
+
 struct stall_settings {
   // Added to the expected gap between the events of a replica's streams, for late packets, the
   // node's own scheduling and the engine's rounding.
--- a/src/request/retry_window.h
+++ b/src/request/retry_window.h
@@ -63,9 +63,11 @@
 
   void count_first_send(time_point now) { bucket_at(now).requests += 1; }
 
-  // Takes one retry from the budget, if available.
-  [[nodiscard]] bool take(time_point now) {
-    if (retries_left(now) < 1) {
+  // Takes one retry from the budget, if available. `reserve`: the fraction of the budget that must
+  // be left then.
+  [[nodiscard]] bool take(time_point now, double reserve = 0) {
+    const retry_usage used = usage(now);
+    if (used.limit * (1 - reserve) - used.retries < 1) {
       return false;
     }
     bucket_at(now).retries += 1;
@@ -128,13 +130,15 @@
 // spends a retry on each, and the node's budget is gone before one of them takes it.
 class call_retries {
  public:
-  // Whether a call that has had `sends` sends may be sent again. The first send is free.
-  [[nodiscard]] bool pay_next_send(time_point now, std::uint32_t sends, retry_window& window) {
+  // Whether a call that has had `sends` sends may be sent again. The first send is free. `reserve`:
+  // see retry_window::take.
+  [[nodiscard]] bool pay_next_send(time_point now, std::uint32_t sends, retry_window& window,
+                                   double reserve = 0) {
     const bool is_paid = sends == 0 || (sends == paid_after_ && now - paid_at_ < payment_validity);
     if (is_paid) {
       return true;
     }
-    if (!window.take(now)) {
+    if (!window.take(now, reserve)) {
       return false;
     }
     paid_after_ = sends;
--- a/tests/core/retry_window_test.cpp
+++ b/tests/core/retry_window_test.cpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <cmath>
 #include <deque>
 #include <vector>
 
@@ -258,5 +259,23 @@
   EXPECT_EQ(window.usage(now + 600ms).retries, 3);
 }
 
+// Guards against a silence of many targets that leaves no retry for streams that break afterwards.
+TEST(CallRetries, SilentRunsLeaveRetriesForThoseThatBreak) {
+  const time_point now{1000s};
+  constexpr double reserve = 0.5;
+  retry_window window({.burst = 100, .nodes = 1});
+  const double limit = window.usage(now).limit;
+  double beside_silent_runs = 0;
+  for (call_retries call; call.pay_next_send(now, 1, window, reserve); call = {}) {
+    beside_silent_runs += 1;
+  }
+  EXPECT_LE(beside_silent_runs, limit * reserve);
+  double after_broken_runs = 0;
+  for (call_retries call; call.pay_next_send(now, 1, window); call = {}) {
+    after_broken_runs += 1;
+  }
+  EXPECT_GE(after_broken_runs, std::floor(limit * reserve));
+}
+
 }  // namespace
 }  // namespace arbutus
