Connections: answer all that has arrived before a close, and let no crossing request reset the answer

What callers saw: a node that stops (SIGTERM, drain) announced the close with its next answer. A caller that had sent two requests on the connection got the first answer only, though the node had read the second request whole. A request that crossed the close was met by a reset, which destroyed what the caller had not yet received of the answer before it.

Cause: whether a connection closes was decided without a look at what had arrived on it; a connection was closed without reading on unless input was there at that moment.

Change: while the server closes its connections, one closes behind the last request that has arrived on it. A connection that the server ends behind an answer discards input until the caller closes, for 1 s at most.

Why it works: what was read is served before the announcement, and what comes behind the announcement meets a reader instead of a reset. Not covered: a request that is read behind the head of a stream that has announced the close already, and an answer that takes longer than 1 s to be received.

Three tests failed before: 1 of 2 and 1 of 3 answers, and 4,035 of 49,152 bytes of the answer.

--- a/src/connection/http_exchange.cpp
+++ b/src/connection/http_exchange.cpp
@@ -118,12 +118,22 @@
   if (stream_.aborted()) {
     return;
   }
-  const bool unread = input_.size() > 0 || stream_.peek() == peek_state::readable;
-  if (discard_input_on_close_ || unread) {
+  if (discard_input_on_close_ || has_input()) {
     stream_.close_gracefully(monotonic_now() + linger_timeout);
   }
 }
 
+bool http_exchange::has_input() {
+  return input_.size() > 0 || stream_.peek() == peek_state::readable;
+}
+
+// Whether the connection stays open after the current response. While the server closes its
+// connections, it does so behind the last request that has arrived: a caller that has sent several
+// gets all their responses.
+bool http_exchange::keeps_alive() {
+  return keep_alive_ && (!core_.close_after_answers() || has_input());
+}
+
 // Waits for the first byte of the next request. A draining server accepts only a request that has
 // already arrived: if it closed the connection, the caller would not know whether the request ran.
 bool http_exchange::await_request() {
@@ -176,6 +186,7 @@
   auto& message = parser.get();
   http_version_ = message.version();
   keep_alive_ = message.keep_alive();
+  caller_asked_to_close_ = !keep_alive_;
   is_head_request_ = message.method() == http::verb::head;
   request.method = std::string(message.method_string());
   request.target = std::string(message.target());
@@ -218,6 +229,9 @@
   // An unfinished stream must not look complete: the connection is closed without the last chunk,
   // which the caller detects. A pipelined request is not run for a caller that has left.
   keep_alive_ = keep_alive_ && phase_ == phase::complete && !caller_disconnected_;
+  // The caller may have sent another request before it reads that the connection closes. The reset
+  // that an unexpected request causes would destroy the rest of the response.
+  discard_input_on_close_ = !keep_alive_ && !caller_asked_to_close_;
   core_.request_finished();
 }
 
@@ -252,7 +266,7 @@
   if (phase_ != phase::waiting) {
     return false;
   }
-  keep_alive_ = keep_alive_ && !core_.close_after_answers();
+  keep_alive_ = keeps_alive();
   if (is_head_request_ || !may_have_body(status)) {
     http::response<http::empty_body> message;
     put_head(message, status, headers);
@@ -273,7 +287,7 @@
     return false;
   }
   // HTTP/1.0 has no chunks: closing the connection ends the response.
-  keep_alive_ = keep_alive_ && !core_.close_after_answers() && http_version_ >= 11;
+  keep_alive_ = keeps_alive() && http_version_ >= 11;
   http::response<http::empty_body> message;
   put_head(message, status, headers);
   message.chunked(http_version_ >= 11);
--- a/src/connection/http_exchange.h
+++ b/src/connection/http_exchange.h
@@ -96,6 +96,8 @@
   void refuse(const boost::system::error_code& error);
   void handle(const http_request& request);
   void close();
+  [[nodiscard]] bool has_input();  // bytes that are not parsed yet, also in the socket
+  [[nodiscard]] bool keeps_alive();
 
   template <class Message>
   void put_head(Message& message, int status, const http_headers& headers) const;
@@ -111,8 +113,9 @@
   std::string remote_;               // address of the caller, "ip:port"
   boost::beast::flat_buffer input_;  // bytes received and not yet parsed
 
-  bool idle_{false};        // waiting for the first byte of a request
-  bool keep_alive_{false};  // whether the caller may send another request
+  bool idle_{false};                   // waiting for the first byte of a request
+  bool keep_alive_{false};             // whether the caller may send another request
+  bool caller_asked_to_close_{false};  // with its last request
   bool discard_input_on_close_{
       false};                    // whether the caller may still send bytes that will not be read
   bool is_head_request_{false};  // the request has the method HEAD, so its response has no body
--- a/tests/shell/connection_http_test.cpp
+++ b/tests/shell/connection_http_test.cpp
@@ -250,6 +250,60 @@
   EXPECT_EQ(server.active(), 0U);
 }
 
+std::size_t count_of(std::string_view text, std::string_view part) {
+  std::size_t count = 0;
+  for (auto at = text.find(part); at != std::string_view::npos; at = text.find(part, at + 1)) {
+    ++count;
+  }
+  return count;
+}
+
+TEST_F(connection_drain, answers_requests_that_arrived_behind_the_one_in_progress) {
+  auto caller = raw_connection::to(server.port());
+  caller.send("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+  ASSERT_TRUE(entered.wait_for(1));
+  in_fiber([&] { EXPECT_FALSE(server.drain(monotonic_now() + 5ms)); });
+  released = true;
+  const auto answers = caller.read_all();
+  EXPECT_TRUE(caller.ended());
+  EXPECT_EQ(count_of(answers, "whole"), 2U) << answers;
+  EXPECT_EQ(count_of(answers, "Connection: close"), 1U) << answers;
+}
+
+TEST_F(connection_drain, answers_all_that_has_arrived_before_it_announces_the_close) {
+  server.close_after_answers();
+  released = true;
+  auto caller = raw_connection::to(server.port());
+  caller.send("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\nGET /3 HTTP/1.1\r\n\r\n");
+  const auto answers = caller.read_all();
+  EXPECT_EQ(count_of(answers, "whole"), 3U) << answers;
+  EXPECT_EQ(count_of(answers, "Connection: close"), 1U) << answers;
+}
+
+// Guards against a reset, caused by a request that crosses the close, that destroys the end of the
+// answer before it: the caller has not received it yet.
+TEST_F(connection_http, a_request_that_crosses_the_close_does_not_destroy_the_answer_before_it) {
+  const std::string body(48UL * 1024, 'b');
+  awaitable_value<int> answered;
+  http_server server(runtime, any_port, {}, [&](const http_request&, response_writer& writer) {
+    EXPECT_TRUE(writer.send(200, {}, body));
+    answered.set(1);
+  });
+  server.close_after_answers();
+  constexpr int small_receive_buffer = 4096;
+  auto caller = raw_connection::to(server.port(), small_receive_buffer);
+  caller.send("GET / HTTP/1.1\r\n\r\n");
+  ASSERT_TRUE(answered.wait_for(1));
+  in_fiber([&] {
+    const time_point limit = monotonic_now() + 100ms;
+    fiber_wait_until([&] { return server.connections() == 0 || monotonic_now() > limit; });
+  });
+  caller.send("GET /crossing HTTP/1.1\r\n\r\n");
+  const auto answer = caller.read_all();
+  EXPECT_FALSE(caller.was_reset());
+  EXPECT_EQ(count_of(answer, "b"), body.size());
+}
+
 TEST_F(connection_drain, destroying_a_server_notifies_its_handlers) {
   awaitable_value<int> waiting;
   bool notified = false;
