Connections: an exception of a request handler is reported and logged

What callers saw: a 500, or a stream that was cut, and no line in the log says why. Cause: the server caught the handler's exception and dropped it. Change: a server tells a listener, which writes a line 'handler failed' at nodes of both kinds, and to the standard error stream elsewhere. The test fails with the report taken out (after its 10 s limit).

--- a/src/connection/http_exchange.cpp
+++ b/src/connection/http_exchange.cpp
@@ -217,9 +217,10 @@
   response_writer writer(*this);
   try {
     core_.handler()(request, writer);
-  } catch (const std::exception&) {
-    // An exception of the handler ends the request: below, the caller gets a 500 or, if the
-    // response has begun, a stream that is visibly truncated.
+  } catch (const std::exception& failure) {
+    // The request ends: below, the caller gets a 500 or, if the response has begun, a stream that
+    // is visibly truncated.
+    core_.on_failure()(request, failure.what());
   }
   stop_watching();
   if (phase_ == phase::waiting) {
--- a/src/connection/http_exchange.h
+++ b/src/connection/http_exchange.h
@@ -18,16 +18,19 @@
 class server_core {
  public:
   server_core(std::size_t workers, const http_server_limits& limits, http_handler handler,
-              http_error_body error_body)
+              http_error_body error_body, http_failure_listener on_failure)
       : limits_(limits),
         handler_(std::move(handler)),
         error_body_(std::move(error_body)),
+        on_failure_(std::move(on_failure)),
         registry_(workers) {}
 
   [[nodiscard]] const http_server_limits& limits() const { return limits_; }
   [[nodiscard]] const http_handler& handler() const { return handler_; }
   [[nodiscard]] const http_error_body& error_body() const { return error_body_; }
 
+  [[nodiscard]] const http_failure_listener& on_failure() const { return on_failure_; }
+
   [[nodiscard]] connection_registry<http_exchange>& registry() { return registry_; }
   [[nodiscard]] std::size_t connections() const { return registry_.size(); }
   [[nodiscard]] std::size_t active() const { return active_; }
@@ -53,6 +56,7 @@
   const http_server_limits limits_;
   const http_handler handler_;
   const http_error_body error_body_;
+  const http_failure_listener on_failure_;
   connection_registry<http_exchange> registry_;
   std::atomic<std::size_t> active_{0};
   std::atomic<bool> draining_{false};
--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -1,6 +1,8 @@
 // Listens, distributes connections over the workers, and closes them in an orderly way.
 #include "connection/http_server.h"
 
+#include <iostream>
+
 #include "connection/http_exchange.h"
 #include "connection/listener.h"
 
@@ -10,9 +12,9 @@
 
 struct http_server::state {
   state(fiber_runtime& r, const socket_address& address, const http_server_limits& limits,
-        http_handler handler, http_error_body error_body)
+        http_handler handler, http_error_body error_body, http_failure_listener on_failure)
       : runtime(r),
-        core(r.workers(), limits, std::move(handler), std::move(error_body)),
+        core(r.workers(), limits, std::move(handler), std::move(error_body), std::move(on_failure)),
         acceptor(
             r, address, 0, [this] { return core.registry().least_loaded(); },
             [this](fiber_worker& worker, tcp::socket socket) {
@@ -33,9 +35,9 @@
 
 http_server::http_server(fiber_runtime& runtime, const socket_address& address,
                          const http_server_limits& limits, http_handler handler,
-                         http_error_body error_body)
+                         http_error_body error_body, http_failure_listener on_failure)
     : state_(std::make_unique<state>(runtime, address, limits, std::move(handler),
-                                     std::move(error_body))) {}
+                                     std::move(error_body), std::move(on_failure))) {}
 
 http_server::~http_server() {
   stop_accepting();
@@ -126,6 +128,11 @@
   exchange_.on_caller_disconnect(std::move(callback));
 }
 
+void print_handler_failure(const http_request& request, std::string_view what) {
+  std::cerr << "the handler of " + request.method + ' ' + request.target +
+                   " failed: " + std::string(what) + '\n';
+}
+
 std::string default_error_body(int status, std::string_view reason) {
   return "{\"error\":{\"code\":" + std::to_string(status) + ",\"message\":\"" +
          std::string(reason) + "\"}}\n";
--- a/src/connection/http_server.h
+++ b/src/connection/http_server.h
@@ -62,13 +62,21 @@
 
 [[nodiscard]] std::string default_error_body(int status, std::string_view reason);
 
+// Told of each exception that a handler has thrown; the caller gets a 500 or a truncated stream.
+using http_failure_listener =
+    std::function<void(const http_request& request, std::string_view what)>;
+
+// Writes a line to the standard error stream.
+void print_handler_failure(const http_request& request, std::string_view what);
+
 class http_server {
  public:
   // Starts listening immediately; port 0 selects any free port. Throws boost::system::system_error
   // if it cannot listen on the address. The runtime outlives the server.
   http_server(fiber_runtime& runtime, const socket_address& address,
               const http_server_limits& limits, http_handler handler,
-              http_error_body error_body = default_error_body);
+              http_error_body error_body = default_error_body,
+              http_failure_listener on_failure = print_handler_failure);
   // Closes every connection and waits for its handler to return. Handlers that wait for upstream
   // calls are notified through on_caller_disconnect().
   ~http_server();
--- a/src/node/hosted_node.cpp
+++ b/src/node/hosted_node.cpp
@@ -4,6 +4,7 @@
 #include "connection/clock.h"
 #include "connection/http_server.h"
 #include "node/controller_loop.h"
+#include "node/handler_failure.h"
 #include "node/hosted_call.h"
 #include "node/hosted_relay.h"
 #include "node/hosted_state.h"
@@ -69,17 +70,21 @@
     });
     ready = std::make_unique<http_server>(
         runtime, address_of_endpoint(at.readiness_endpoint), small_server_limits(),
-        [this](const http_request&, response_writer& w) { serve_ready(w); });
+        [this](const http_request&, response_writer& w) { serve_ready(w); }, default_error_body,
+        log_handler_failure);
     metrics = std::make_unique<http_server>(
         runtime, address_of_endpoint(at.metrics_endpoint), small_server_limits(),
-        [this](const http_request& r, response_writer& w) { serve_operator(r, w); });
+        [this](const http_request& r, response_writer& w) { serve_operator(r, w); },
+        default_error_body, log_handler_failure);
     callers = std::make_unique<http_server>(
         runtime, address_of_endpoint(at.caller_endpoint), caller_server_limits(),
-        [this](const http_request& r, response_writer& w) { serve_hosted_call(state, r, w); });
+        [this](const http_request& r, response_writer& w) { serve_hosted_call(state, r, w); },
+        default_error_body, log_handler_failure);
     if (!at.relay_endpoint.host.empty()) {
       relays = std::make_unique<http_server>(
           runtime, address_of_endpoint(at.relay_endpoint), caller_server_limits(),
-          [this](const http_request& r, response_writer& w) { serve_relayed_call(state, r, w); });
+          [this](const http_request& r, response_writer& w) { serve_relayed_call(state, r, w); },
+          default_error_body, log_handler_failure);
     }
   }
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -6,6 +6,7 @@
 #include "connection/clock.h"
 #include "node/configure.h"
 #include "node/front_end.h"
+#include "node/handler_failure.h"
 #include "node/peer_links.h"
 #include "node/periodic.h"
 #include "node/status_json.h"
@@ -152,7 +153,7 @@
     callers.serve(request, writer);
   };
   server = std::make_unique<http_server>(runtime, options.caller_address, options.limits, handler,
-                                         server_error_body);
+                                         server_error_body, log_handler_failure);
 }
 
 node::node(node_setup options) : parts_(std::make_unique<parts>(std::move(options))) {
--- a/tests/shell/connection_http_test.cpp
+++ b/tests/shell/connection_http_test.cpp
@@ -123,6 +123,20 @@
   EXPECT_EQ(used.get(), (std::set<std::size_t>{0, 1}));
 }
 
+TEST_F(connection_http, an_exception_of_a_handler_is_reported) {
+  awaitable_value<std::string> reported;
+  const http_server server(
+      runtime, any_port, {},
+      [](const http_request&, response_writer&) { throw std::runtime_error("fault"); },
+      default_error_body,
+      [&](const http_request& request, std::string_view what) {
+        reported.set(request.target + ' ' + std::string(what));
+      });
+  auto caller = raw_connection::to(server.port());
+  caller.send("GET /throw HTTP/1.1\r\n\r\n");
+  EXPECT_TRUE(reported.wait_for("/throw fault"));
+}
+
 TEST_F(connection_http, a_handler_that_fails_gives_a_500) {
   http_server server(runtime, any_port, {}, [](const http_request& request, response_writer&) {
     if (request.target == "/throw") {
