Own kind of node: a stream that has begun waits for a replica until its deadline

What callers saw: a stream of a model that broke off after the time of its first token ended with an error frame 'no_replica' at once when no replica could be routed to at that moment, with most of its time left. The repair of a replica from its standby takes a few seconds.

Cause: the wait for a route was bounded by the time at which the first token is due, also for answers whose first token had long been sent; and it ended at once while all replicas back off.

Change: an answer that has begun waits until its deadline, or until a backoff that would end later. Calls without an answer yet are refused as before.

--- a/src/node/model_call.cpp
+++ b/src/node/model_call.cpp
@@ -180,8 +180,7 @@
   }
 
   // Chooses a route from the newest view. Waits while there is none, for example during the repair
-  // of a replica; empty if the deadline is reached, the caller has disconnected, or all replicas
-  // back off or are leaving.
+  // of a replica; empty if the caller has disconnected or none can be expected in time.
   std::optional<replica_route> wait_for_route() {
     for (;;) {
       const time_point now = monotonic_now();
@@ -194,14 +193,24 @@
       if (choice) {
         return view->routes.replicas[choice->index];
       }
-      if (writer_.caller_disconnected() || gate_->retry_after_restraint(*view) ||
-          now + route_poll_interval >= std::min(call_.deadline, facts_.first_token_deadline)) {
+      if (writer_.caller_disconnected() || !may_wait_for_route(now, *view)) {
         return std::nullopt;
       }
       sleep_until(now + route_poll_interval);
     }
   }
 
+  // Whether a route may still be found in time. A call that cannot be served is refused early; an
+  // answer that has begun would be cut, so it waits for as long as it has time.
+  [[nodiscard]] bool may_wait_for_route(time_point now, const node_view& view) const {
+    const std::optional<duration> restraint = gate_->retry_after_restraint(view);
+    if (!writer_.started()) {
+      return !restraint &&
+             now + route_poll_interval < std::min(call_.deadline, facts_.first_token_deadline);
+    }
+    return now + std::max(restraint.value_or(duration{}), route_poll_interval) < call_.deadline;
+  }
+
   attempt_outcome attempt_at(const replica_route& route, answer_stream& answer) {
     model_attempt attempt;
     attempt.path = api_ == model_api::chat ? "/v1/chat/completions" : "/v1/completions";
--- a/tests/process/repair_test.py
+++ b/tests/process/repair_test.py
@@ -2,11 +2,12 @@
 their own standbys, and no VM is ever in two replicas."""
 
 import signal
+import threading
 import time
 import unittest
 
 from driver import (DATA_CENTRES, Load, OwnershipMonitor, ProcessTest, call, check_repeatedly,
-                    wait_until)
+                    complete, completion_body, text_of, wait_until)
 
 DATA_CENTRE = DATA_CENTRES[0]
 PAUSE_SECONDS = 20
@@ -165,6 +166,30 @@
         self.assert_all_complete(load)
 
 
+class LateRepair(RepairTest):
+    """Streams that run for longer than their class has until the first token."""
+
+    FIRST_TOKEN_SECONDS = 5.0  # as in the rules of the fleet
+
+    def test_stream_that_has_begun_waits_for_a_repair(self):
+        # Guards against a stream that is cut for want of a replica while it has time left: the
+        # first token, which is no longer due, was taken for the limit.
+        body = completion_body("a long answer", tokens=400)
+        expected = text_of(self.fleet.call_engine(body))
+        reply = []
+        caller = threading.Thread(
+            target=lambda: reply.append(complete(self.first.port, {**body, "stream": True})))
+        caller.start()
+        begun = time.monotonic()
+        wait_until(lambda: time.monotonic() - begun > self.FIRST_TOKEN_SECONDS,
+                   "the first token is no longer due", timeout=10)
+        self.assertTrue(caller.is_alive(), "the stream is still running")
+        for replica in self.first.status()["replicas"]:
+            self.kill_vm(replica["members"][0])
+        caller.join(30)
+        self.assertEqual(text_of(reply[0]), expected)
+
+
 class TokensIgnored(RepairTest):
     """The same with engines that ignore fencing tokens, so only the nodes prevent conflicts."""
 
