Connections: a stream to an HTTP/1.0 caller that is cut ends with a reset

What callers saw: half an answer, ended by an orderly close, which is how a whole one ends in HTTP/1.0. Cause: an unfinished stream was closed as a finished one; only the missing last chunk of HTTP/1.1 tells them apart. Change: an unfinished stream of HTTP/1.0 is reset, also when the server closes at the end of a shut-down. The first test failed before.

--- a/src/connection/http_exchange.cpp
+++ b/src/connection/http_exchange.cpp
@@ -115,6 +115,12 @@
 }
 
 void http_exchange::close() {
+  const bool is_cut = phase_ == phase::streaming || phase_ == phase::failed;
+  if (is_cut && http_version_ < 11) {
+    // To such a caller an orderly close is the end of a complete response.
+    stream_.close_with_reset();
+    return;
+  }
   if (stream_.aborted()) {
     return;
   }
--- a/tests/shell/connection_http_test.cpp
+++ b/tests/shell/connection_http_test.cpp
@@ -170,6 +170,19 @@
   });
 }
 
+// Guards against half a response that an HTTP/1.0 caller takes for complete, since the end of the
+// connection ends its response.
+TEST_F(connection_http, an_unfinished_stream_to_an_http_1_0_caller_ends_with_a_reset) {
+  http_server server(runtime, any_port, {}, [](const http_request&, response_writer& writer) {
+    writer.start(200, {});
+    writer.write("half");
+  });
+  auto caller = raw_connection::to(server.port());
+  caller.send("GET / HTTP/1.0\r\n\r\n");
+  caller.read_all();
+  EXPECT_TRUE(caller.was_reset());
+}
+
 // Guards against engines that go on generating for callers that have disconnected. The caller
 // closes while the handler waits for a target that has not begun its response, so the server must
 // not check the caller's socket only when it writes.
@@ -204,6 +217,19 @@
   }
 }
 
+TEST_F(connection_http, a_caller_that_closes_its_sending_side_gets_a_status) {
+  http_server server(runtime, any_port, {}, [](const http_request&, response_writer& writer) {
+    bool left = false;
+    writer.on_caller_disconnect([&left] { left = true; });
+    EXPECT_TRUE(fiber_wait_until([&left] { return left; }));
+  });
+  auto caller = raw_connection::to(server.port());
+  caller.send("GET / HTTP/1.1\r\n\r\n");
+  caller.close_send_side();
+  EXPECT_NE(caller.read_all().find("HTTP/1.1 500 "), std::string::npos);
+  EXPECT_TRUE(caller.ended());
+}
+
 // Guards against a crash, or the cancellation of another caller's call, some time after a request
 // has ended: a handler registers a callback with on_caller_disconnect() and returns, and the
 // connection ends later. The callback must not outlive what it refers to.
