Own kind of node: a stream that has begun waits for a retry when the budget is empty

What callers saw: when members of both replicas paused for 3 s and went on, streams ended in the middle with 'no budget', with most of their time left.

Cause: members that are silent for 2 s and more are taken for lost, their replicas are repaired, and the heads break off what they run. The retries of those streams empty the node's budget (10, and one more in 2 s); the next one was given up at once. The loss itself is not changed by this.

Change: an answer that has begun waits for the budget until no time is left for an attempt. The budget is kept.

--- a/src/node/model_call.cpp
+++ b/src/node/model_call.cpp
@@ -22,6 +22,8 @@
 // Interval at which a request that may be sent to no replica checks again for a route, until its
 // deadline.
 constexpr duration route_poll_interval = 25ms;
+// Interval at which an answer that has begun checks again for a retry; the budget gains one in 2 s.
+constexpr duration budget_poll_interval = 100ms;
 
 std::optional<call_error> check_model(const call_state& call, const model_id& model) {
   if (call.view->config->desired.find_model(model) == nullptr) {
@@ -167,8 +169,7 @@
       if (end.ran == execution::unknown) {
         worst = execution::unknown;
       }
-      const retry_decision decision =
-          gate_->retry(monotonic_now(), attempt_context_, end.ran, facts_);
+      const retry_decision decision = decide_next(end.ran);
       if (const auto* stop = std::get_if<arbutus::give_up>(&decision)) {
         give_up(worst, std::string(to_string(stop->why)), end.reason, duration{200ms});
         return false;
@@ -179,6 +180,22 @@
     }
   }
 
+  // An answer that has begun would be cut, so it waits until the retry budget has a retry again or
+  // no time is left.
+  retry_decision decide_next(execution last) {
+    for (;;) {
+      const time_point now = monotonic_now();
+      const retry_decision decision = gate_->retry(now, attempt_context_, last, facts_);
+      const auto* stop = std::get_if<arbutus::give_up>(&decision);
+      const bool may_wait = stop != nullptr && stop->why == give_up_reason::no_budget &&
+                            writer_.started() && !writer_.caller_disconnected();
+      if (!may_wait) {
+        return decision;
+      }
+      sleep_until(now + budget_poll_interval);
+    }
+  }
+
   // Chooses a route from the newest view. Waits while there is none, for example during the repair
   // of a replica; empty if the caller has disconnected or none can be expected in time.
   std::optional<replica_route> wait_for_route() {
