A silent member no longer ends the answers of its replica by order

Callers saw answers of a sound replica break off half a second into a silence of one of its engines. Two failed probes of 90 ms make an engine lost, and the controller at once ordered the head, or of a lost head all other members, to leave. A sound engine may be silent for a second and go on.

A lost target still gets no new work. The order to leave now waits while the replica may finish its requests: until the member or head has been silent for 1.5 s after it was lost (counted from the loss, since the last contact may be minutes old and says nothing about when the silence began). It does not wait for an engine that has ended: its address refuses connections while it is listed and not draining (a draining engine stops listening while its requests run), or another target answers there. Nor does it wait once nothing runs: the head is asked each 200 ms; when a report that cannot be older than the loss shows no requests, it is closed, and leaves once it is ready. The close comes first, since a request may be on its way. A member that comes back needs no order. The reasons in the log tell which case applied.

closing_since_ is forgotten when a replica is whole again; before, a second close of it would have had no time left.

Seen to fail without it: EndsNoAnswerOfASilentMember and -Head (no tolerance; the first also with idle reports older than the loss), ReplacesAnEndedMember (`ended` ignored), ReplacesADeadMemberOnceNothingRuns (no idle close) and -AfterTheTolerance (no end of the wait).

--- a/src/node/controller_loop.cpp
+++ b/src/node/controller_loop.cpp
@@ -216,9 +216,7 @@
         apply_report(requested_at, query->to, *report);
         controller.on_report(now, query->to, *report);
       } else {
-        if (std::holds_alternative<unknown>(result)) {
-          node_.fleet.probe_failed(now, query->to);
-        }
+        node_.fleet.probe_failed(now, query->to, failure_of(result));
         controller.on_report(now, query->to, std::nullopt);
       }
       return;
--- a/src/process/fleet_view.cpp
+++ b/src/process/fleet_view.cpp
@@ -77,6 +77,7 @@
   // that; replace_all() skips them.
   view.listed = true;
   view.lost = false;
+  view.ended = false;
   view.failed_probes = 0;
   view.last_contact_at = std::max(view.last_contact_at, observed_at);
   view.row_version = std::max(view.row_version, row_version);
@@ -203,6 +204,7 @@
   view.last_contact_at = std::max(view.last_contact_at, queried_at);
   view.failed_probes = 0;
   view.lost = false;
+  view.ended = false;
   view.slowdown_factor = answer.slowdown_factor;
   if (as_of > view.reported_at) {
     view.reported_at = as_of;
@@ -245,6 +247,7 @@
   next.ambiguous = false;
   next.failed_probes = 0;
   next.lost = false;
+  next.ended = false;
   next.slowdown_factor = answer.slowdown_factor;
   if (accept_incarnation(queried_at, answer.incarnation)) {
     targets_[answer.incarnation] = std::move(next);
@@ -269,12 +272,17 @@
   }
 }
 
-void fleet_view::probe_failed(time_point now, const target_id& id) {
+void fleet_view::probe_failed(time_point now, const target_id& id, probe_failure failure) {
   const auto found = targets_.find(id);
-  if (found == targets_.end() || found->second.lost) {
+  if (found == targets_.end()) {
     return;
   }
   target_view& view = found->second;
+  const bool may_stop_listening = !view.listed || view.record.draining;
+  view.ended = view.ended || (failure == probe_failure::refused && !may_stop_listening);
+  if (view.lost) {
+    return;
+  }
   ++view.failed_probes;
   if (view.failed_probes >= probes_until_lost) {
     view.lost = true;
@@ -287,6 +295,7 @@
   const auto found = targets_.find(id);
   if (found != targets_.end()) {
     found->second.failed_probes = 0;
+    found->second.ended = false;
   }
 }
 
@@ -295,6 +304,7 @@
     view.failed_probes = 0;
     if (view.lost && view.marked_lost_at >= from) {
       view.lost = false;
+      view.ended = false;
       ++revision_;
     }
   }
@@ -316,6 +326,7 @@
     }
     if (std::find(still_lost.begin(), still_lost.end(), id) == still_lost.end()) {
       view.lost = false;
+      view.ended = false;
       view.failed_probes = 0;
       ++revision_;
     }
--- a/src/process/fleet_view.h
+++ b/src/process/fleet_view.h
@@ -74,9 +74,18 @@
   std::uint32_t failed_probes = 0;   // number of consecutive probes without an answer
   bool lost = false;                 // the target does not answer; it receives no requests
   time_point marked_lost_at{};
+  // Since its last contact, connections to it were refused while it was listed and not draining:
+  // its process has ended. A target that drains stops to listen while its last requests run.
+  bool ended = false;
   double slowdown_factor = 1;  // above 1: the target is slower than expected
 };
 
+// How a probe of a target failed.
+enum class probe_failure : std::uint8_t {
+  silent,   // no answer in time; a sound target may be silent for about a second
+  refused,  // nothing listens at its address, or another target does
+};
+
 // A target's answer to a probe.
 struct target_answer {
   target_id incarnation;  // may differ from the target that was probed
@@ -127,9 +136,9 @@
   void mark_ended(const target_id& id) { remove_target(id); }
   // The target has carried out an order of this node, and `member_of` is its membership since then.
   void apply_order(time_point now, const target_id& id, const std::optional<membership>& member_of);
-  // The target did not answer a probe in time. It is lost after `probes_until_lost` consecutive
-  // failures.
-  void probe_failed(time_point now, const target_id& id);
+  // A probe of the target failed. It is lost after `probes_until_lost` consecutive failures.
+  void probe_failed(time_point now, const target_id& id,
+                    probe_failure failure = probe_failure::silent);
   // A peer has an answer of the target: earlier failures were those of this node's path.
   void answered_a_peer(const target_id& id);
 
--- a/src/process/replica_controller.cpp
+++ b/src/process/replica_controller.cpp
@@ -163,6 +163,7 @@
   local_engine_state& local = local_states_[view.record.id];
   if (!local.report_pending && ctx.now >= local.next_attempt_at) {
     local.report_pending = true;
+    local.report_requested_at = ctx.now;
     ctx.effects.emplace_back(report_request{view.record.id, view.record.address});
   }
 }
@@ -323,6 +324,9 @@
         continue;
       }
     }
+    if (!spans_domains(group.members)) {
+      closing_since_.erase(key);  // it is whole again
+    }
     for (const target_view* member : group.members) {
       ctx.engines_in_use.insert(member->record.id);
     }
@@ -356,7 +360,7 @@
   for (const target_view* member : replica.members) {
     incarnations.push_back(member->record.id);
     if (member->lost) {
-      return "a member is lost";
+      return member->ended ? "a member has ended" : "a member is silent";
     }
     if (member->record.draining) {
       return "a member is draining";
@@ -410,15 +414,6 @@
   for (const target_view* member : replica.members) {
     ctx.engines_in_use.insert(member->record.id);
   }
-  const member_state state = head->record.member_of->state;
-  const bool works = std::all_of(replica.members.begin(), replica.members.end(),
-                                 [](const target_view* m) { return !m->lost; }) &&
-                     (state == member_state::open || state == member_state::closing);
-  // A draining member stays while the head has requests, so the head can finish them.
-  const model_spec* model = ctx.engine.find_model(model_of_name(replica.key.name));
-  // A cross-domain replica is slow: its requests finish sooner if they continue elsewhere.
-  const bool graceful = works && model != nullptr && replica.members.size() == model->size &&
-                        !spans_domains(replica.members);
   // Only the controller of the head's data centre dissolves a replica, unless the replica is being
   // reclaimed. Otherwise, while one controller forms a replica across data centres, the other one
   // would find it incomplete and order its head to leave.
@@ -426,20 +421,110 @@
   if (!ctx.is_in_own_data_centre(*head) && !reclaimed) {
     return;
   }
-  const auto since = closing_since_.emplace(replica.key, ctx.now).first->second;
-  if (!can_order(ctx, head->record.id)) {
-    if (!ctx.is_in_own_data_centre(*head)) {
-      request_report(ctx, *head);
+  const std::optional<time_point> silent = silent_since(replica);
+  if (requests_may_finish(ctx, replica, *head)) {
+    if (silent && ctx.now - *silent < settings_.silence_tolerance) {
+      close_when_idle(ctx, *head, replica.key, *silent);
+      return;
+    }
+    const auto since = closing_since_.emplace(replica.key, ctx.now).first->second;
+    // A cross-domain replica is slow: its requests finish sooner if they continue elsewhere.
+    const bool graceful = ctx.engine.find_model(model_of_name(replica.key.name)) != nullptr &&
+                          !spans_domains(replica.members);
+    if (!silent && graceful && ctx.now - since < settings_.close_timeout) {
+      send_close(ctx, *head, replica.key, reason);
+      return;
+    }
+    reason = silent ? "a member is silent for too long" : reason;
+  } else if (silent) {
+    reason = "a member is silent, no requests run";
+  }
+  order_head(ctx, *head, order_action::leave, replica.key, reason);
+}
+
+// Whether the replica may still finish the requests that its head runs, perhaps after a silence of
+// one of its members.
+bool replica_controller::requests_may_finish(const tick_context& ctx, const formed_replica& replica,
+                                             const target_view& head) {
+  const member_state state = head.record.member_of->state;
+  const model_spec* model = ctx.engine.find_model(model_of_name(replica.key.name));
+  const bool complete = model == nullptr || replica.members.size() == model->size;
+  if (!complete || (state != member_state::open && state != member_state::closing)) {
+    return false;
+  }
+  std::vector<target_id> incarnations;
+  for (const target_view* member : replica.members) {
+    incarnations.push_back(member->record.id);
+    if (member->lost && member->ended) {
+      return false;
     }
-    return;
   }
-  if (graceful && ctx.now - since < settings_.close_timeout) {
-    if (state == member_state::open) {
-      send(ctx, *head, order_action::close, replica.key, reason);
+  return matches_incarnations(replica.key.name, incarnations);
+}
+
+// When the first silent member was lost. A draining member is not counted: it stops listening while
+// the requests of its head run.
+std::optional<time_point> replica_controller::silent_since(const formed_replica& replica) {
+  std::optional<time_point> first;
+  for (const target_view* member : replica.members) {
+    if (member->lost && !member->ended && !member->record.draining) {
+      first = std::min(first.value_or(member->marked_lost_at), member->marked_lost_at);
     }
+  }
+  return first;
+}
+
+// Closes the head of a replica with a silent member once no requests run there, so that a dead
+// member is replaced before the tolerance has passed. No new requests are sent to the replica, but
+// one may be on its way: the head is not ordered to leave before it has closed.
+void replica_controller::close_when_idle(tick_context& ctx, const target_view& head,
+                                         const replica_key& key, time_point silent_since) {
+  local_engine_state& local = local_states_[head.record.id];
+  local.next_attempt_at = std::min(local.next_attempt_at, ctx.now);
+  // A report asked for earlier may not yet show requests that began before the silence.
+  const time_point ask_from = silent_since + ctx.engine.report_lag + ctx.engine.report_lag / 4;
+  if (local.idle_at >= ask_from) {
+    send_close(ctx, head, key, "a member is silent, no requests run");
     return;
   }
-  send(ctx, *head, order_action::leave, replica.key, reason);
+  const time_point ask_at =
+      std::max(ask_from, local.report_requested_at + settings_.idle_check_interval);
+  if (ctx.now >= ask_at) {
+    request_report(ctx, head);
+  }
+}
+
+// Orders an open head to finish its requests and to accept no more. The head's state shows the
+// order's effect only later.
+void replica_controller::send_close(tick_context& ctx, const target_view& head,
+                                    const replica_key& key, std::string_view reason) {
+  local_engine_state& local = local_states_[head.record.id];
+  const bool sent = ctx.now - local.close_sent_at < settings_.order_retry_interval;
+  if (head.record.member_of->state == member_state::open && !sent &&
+      order_head(ctx, head, order_action::close, key, reason)) {
+    local.close_sent_at = ctx.now;
+  }
+}
+
+// Returns false if the head's count of orders has to be known first. The counts of other data
+// centres' engines are not kept up to date.
+bool replica_controller::order_head(tick_context& ctx, const target_view& head, order_action action,
+                                    const replica_key& key, std::string_view reason) {
+  if (can_order(ctx, head.record.id)) {
+    send(ctx, head, action, key, reason);
+    return true;
+  }
+  if (!ctx.is_in_own_data_centre(head)) {
+    request_report(ctx, head);
+  }
+  return false;
+}
+
+// Whether the head may go on with its requests after a silence.
+bool replica_controller::may_only_be_silent(const tick_context& ctx, const replica_key& key,
+                                            const target_view* head) const {
+  return head != nullptr && replica_of(*head) == key && head->lost && !head->ended &&
+         ctx.now - head->marked_lost_at < settings_.silence_tolerance;
 }
 
 // Orders the members of a replica whose head does not answer to leave. The head may still serve, if
@@ -454,13 +539,14 @@
   const bool may_be_reachable = head != nullptr && !ctx.is_in_own_data_centre(*head) &&
                                 head->listed &&
                                 ctx.now - head->marked_lost_at < settings_.reconnect_window;
-  if (may_be_reachable) {
+  if (may_be_reachable || may_only_be_silent(ctx, replica.key, head)) {
     for (const target_view* member : replica.members) {
       ctx.engines_in_use.insert(member->record.id);
     }
     return;
   }
   if (head != nullptr) {
+    reason = head->lost && !head->ended ? "its head is silent for too long" : reason;
     if (can_order(ctx, head->record.id)) {
       send(ctx, *head, order_action::leave, replica.key, reason);
     } else if (!is_current(*head, local_states_[head->record.id])) {
--- a/src/process/replica_controller.h
+++ b/src/process/replica_controller.h
@@ -90,6 +90,12 @@
   // Time that a closing head has to finish its requests before its replica is dissolved. Long
   // generations have 80 events of 50 ms, 4 s in total.
   duration close_timeout = 6s;
+  // A sound target may be silent for about a second. A replica keeps its requests for this time
+  // after the node lost one of its members, unless that member's process is known to have ended.
+  duration silence_tolerance = 1500ms;
+  // Interval between queries of a head whose replica waits for a silent member. Reports lag by
+  // about as much.
+  duration idle_check_interval = 200ms;
   duration report_retry_interval = 100ms;
   // The list of targets is stale after this time. A query for changes waits for up to 1 s, and the
   // hub forwards them within one heartbeat.
@@ -189,6 +195,9 @@
     time_point order_count_confirmed_at{};  // when the count was last confirmed
     bool order_pending = false;
     bool report_pending = false;
+    time_point report_requested_at{};
+    time_point idle_at{};  // when the newest report without requests was asked for
+    time_point close_sent_at{};
     time_point next_attempt_at{};  // the engine gets no query or repeated order before this time
     model_id ready_model;          // loaded model: the engine joins a replica of it in 0.2 s
     model_id loading_model;        // model that the engine was ordered to load; empty: none
@@ -229,6 +238,18 @@
                                                  const formed_replica& replica,
                                                  const target_view* head) const;
   void dissolve_replica(tick_context& ctx, const formed_replica& replica, std::string_view reason);
+  [[nodiscard]] static bool requests_may_finish(const tick_context& ctx,
+                                                const formed_replica& replica,
+                                                const target_view& head);
+  [[nodiscard]] static std::optional<time_point> silent_since(const formed_replica& replica);
+  void close_when_idle(tick_context& ctx, const target_view& head, const replica_key& key,
+                       time_point silent_since);
+  bool order_head(tick_context& ctx, const target_view& head, order_action action,
+                  const replica_key& key, std::string_view reason);
+  void send_close(tick_context& ctx, const target_view& head, const replica_key& key,
+                  std::string_view reason);
+  [[nodiscard]] bool may_only_be_silent(const tick_context& ctx, const replica_key& key,
+                                        const target_view* head) const;
   void release_headless_members(tick_context& ctx, const formed_replica& replica,
                                 std::string_view reason);
   void collect_free_engines(tick_context& ctx);
--- a/src/process/replica_controller_orders.cpp
+++ b/src/process/replica_controller_orders.cpp
@@ -77,6 +77,9 @@
                         membership{order.replica, is_head ? 0U : 1U, member_state::joining});
     }
   }
+  if (order.action == order_action::close) {
+    local.next_attempt_at = now;
+  }
   if (has_left) {
     local.replica_at_order_count.reset();
     local.next_attempt_at = now;
@@ -98,6 +101,9 @@
   }
   local.orders = report->orders;
   local.order_count_confirmed_at = now;
+  if (report->active + report->queued == 0) {
+    local.idle_at = local.report_requested_at;
+  }
   local.replica_at_order_count.reset();
   if (report->member_of) {
     local.replica_at_order_count = report->member_of->replica;
--- a/tests/core/hosted_values_test.cpp
+++ b/tests/core/hosted_values_test.cpp
@@ -601,6 +601,42 @@
   EXPECT_TRUE(fleet.find(record.id)->lost);
 }
 
+// Guards against a draining target that is taken for a dead one, as it stops listening while its
+// last answers run.
+TEST(FleetView, OnlyAListedTargetThatStaysHasEndedWhenItRefuses) {
+  for (const bool draining : {false, true}) {
+    for (const bool listed : {false, true}) {
+      fleet_view fleet;
+      target_record record;
+      record.id = target_id{"x"};
+      record.draining = draining;
+      fleet.apply_record(start, record);
+      if (!listed) {
+        fleet.mark_unlisted(start, record.id);
+      }
+      fleet.probe_failed(start, record.id, probe_failure::refused);
+      fleet.probe_failed(start, record.id);
+      EXPECT_TRUE(fleet.find(record.id)->lost);
+      EXPECT_EQ(fleet.find(record.id)->ended, listed && !draining);
+    }
+  }
+}
+
+// Guards against a replica that is dissolved at once when a target that had refused, and answered
+// since, is silent.
+TEST(FleetView, AnAnswerRefutesThatATargetHasEnded) {
+  fleet_view fleet;
+  target_record record;
+  record.id = target_id{"x"};
+  fleet.apply_record(start, record);
+  fleet.probe_failed(start, record.id);
+  fleet.probe_failed(start, record.id);
+  fleet.probe_failed(start, record.id, probe_failure::refused);
+  EXPECT_TRUE(fleet.find(record.id)->ended) << "a lost target may be found to have ended";
+  fleet.apply_answer(start + 1s, start + 1s, record.id, {record.id, std::nullopt, {}, 1});
+  EXPECT_FALSE(fleet.find(record.id)->ended);
+}
+
 TEST(FleetView, LostTargetIsRestoredByTheHub) {
   fleet_view fleet;
   target_record record;
--- a/tests/shell/controller_simulation.h
+++ b/tests/shell/controller_simulation.h
@@ -31,6 +31,7 @@
   engine_parameters engine;
   engine.slots = 8;
   engine.concurrent_loads = 6;
+  engine.report_lag = 200ms;
   engine.models = {{large, 4, 0.57, 1.0, 4s, 1s}, {small, 3, 0.43, 0.6, 4s, 1s}};
   service.engine = engine;
   return service;
@@ -82,6 +83,30 @@
     dead_.insert(id);
     unlist_at_[id] = now_ + 3600ms;
   }
+  // The engine dies, and its host refuses connections; otherwise as kill().
+  void kill_refusing(const target_id& id) {
+    kill(id);
+    refusing_.insert(id);
+  }
+  // The engine answers nothing for this time, then it goes on; what was sent to it arrives then.
+  void silence(const target_id& id, duration length) { silent_until_[id] = now_ + length; }
+  // A request starts at the head of a replica and runs for this time, unless the head or a member
+  // leaves the replica.
+  void start_answer(const target_id& head, duration length) {
+    answers_[head] = {engines_.at(head).record().member_of->replica, now_, now_ + length};
+  }
+  [[nodiscard]] bool is_answer_running(const target_id& head) const {
+    const auto found = answers_.find(head);
+    return found != answers_.end() && now_ < found->second.until;
+  }
+  // Answers that ended because an engine obeyed an order to leave their replica.
+  [[nodiscard]] std::size_t answers_ended_by_orders() const { return answers_ended_by_orders_; }
+  // The caller of the answer has got the rest of it from elsewhere.
+  void cancel_answer(const target_id& head) { answers_.erase(head); }
+  // The engines of this model stay, but it is no longer configured.
+  void remove_model(const model_id& model) {
+    std::erase_if(service_.engine->models, [&](const model_spec& m) { return m.id == model; });
+  }
   // The engine dies, and another one starts at its address. Reports do not name their sender, so
   // its answers look like those of the dead engine.
   target_id replace_engine(const target_id& id) {
@@ -115,7 +140,7 @@
   // The node marks the engine as lost, as it does after failed probes.
   void mark_lost(std::size_t node, const target_id& id) {
     for (std::uint32_t i = 0; i < fleet_view::probes_until_lost; ++i) {
-      nodes_[node]->fleet.probe_failed(now_, id);
+      nodes_[node]->fleet.probe_failed(now_, id, failure_at(id));
     }
   }
   void set_faults(const faults& f) { faults_ = f; }
@@ -218,6 +243,11 @@
     std::map<target_id, target_record> received_records = {};
     std::set<data_centre_id> data_centres = {data_centre_id{"a"}};
   };
+  struct running_answer {
+    replica_key replica;
+    time_point from;
+    time_point until;
+  };
   struct event {
     time_point at;
     std::size_t order;
@@ -261,9 +291,63 @@
         carry_out(n, e);
       }
     }
+    end_answers();
     check();
   }
 
+  void end_answers() {
+    std::erase_if(answers_, [this](const auto& entry) {
+      const auto& [head, answer] = entry;
+      const bool ended = now_ < answer.until && !is_working_for(answer, head);
+      answers_ended_by_orders_ += ended ? 1 : 0;
+      return ended;
+    });
+  }
+
+  [[nodiscard]] bool is_working_for(const running_answer& answer, const target_id& head) const {
+    const auto& members = engines_.at(head).members();
+    return std::all_of(members.begin(), members.end(), [&](const target_id& id) {
+      const auto engine = engines_.find(id);
+      const bool dead = engine == engines_.end() || dead_.contains(id);
+      return dead || (engine->second.record().member_of &&
+                      engine->second.record().member_of->replica == answer.replica);
+    });
+  }
+
+  [[nodiscard]] bool is_silent(const target_id& id) const {
+    const auto found = silent_until_.find(id);
+    return dead_.contains(id) || (found != silent_until_.end() && now_ < found->second);
+  }
+
+  // A closed head that still runs a request is closing, not ready.
+  void show_closing(const target_id& id, std::optional<membership>& member_of) const {
+    if (member_of && member_of->rank == 0 && member_of->state == member_state::ready &&
+        is_answer_running(id) && answers_.at(id).replica == member_of->replica) {
+      member_of->state = member_state::closing;
+    }
+  }
+
+  [[nodiscard]] target_record record_of(const standin::hosted_engine& engine) const {
+    target_record record = engine.record();
+    show_closing(record.id, record.member_of);
+    return record;
+  }
+
+  [[nodiscard]] target_report report_of(const standin::hosted_engine& engine) const {
+    constexpr duration lag = 200ms;
+    target_report report = engine.report(now_);
+    const auto answer = answers_.find(engine.record().id);
+    const bool active = answer != answers_.end() && answer->second.from <= now_ - lag &&
+                        now_ - lag < answer->second.until;
+    report.active = active ? 1 : 0;
+    show_closing(engine.record().id, report.member_of);
+    return report;
+  }
+
+  [[nodiscard]] probe_failure failure_at(const target_id& id) const {
+    return refusing_.contains(id) ? probe_failure::refused : probe_failure::silent;
+  }
+
   void read_list() {
     for (const auto& n : nodes_) {
       if (!n->receives_list) {
@@ -273,10 +357,11 @@
         const auto dropped = unlist_at_.find(id);
         if (dropped != unlist_at_.end() && now_ >= dropped->second) {
           n->fleet.mark_unlisted(now_, id);
-        } else if (!n->received_records.contains(id) ||
-                   n->received_records[id] != engine.record()) {
-          n->received_records[id] = engine.record();
-          n->fleet.apply_record(now_, engine.record(), ++row_version_);
+        } else if (const target_record record = record_of(engine);
+                   !is_silent(id) &&
+                   (!n->received_records.contains(id) || n->received_records[id] != record)) {
+          n->received_records[id] = record;
+          n->fleet.apply_record(now_, record, ++row_version_);
         }
       }
     }
@@ -328,10 +413,10 @@
 
   void probe_if_recovered(std::size_t n, const target_id& id) {
     const auto engine = engines_.find(id);
-    if (nodes_[n]->partitioned || engine == engines_.end() || dead_.contains(id)) {
+    if (nodes_[n]->partitioned || engine == engines_.end() || is_silent(id)) {
       return;
     }
-    const target_report report = engine->second.report(now_);
+    const target_report report = report_of(engine->second);
     nodes_[n]->fleet.apply_answer(now_, now_ - 250ms, id,
                                   {report.incarnation, report.member_of, report.loaded, 1});
   }
@@ -342,15 +427,15 @@
     if (const auto* query = std::get_if<report_request>(&e)) {
       const target_id id = query->to;
       const time_point requested_at = now_;
-      if (dead_.contains(id) || nodes_[n]->partitioned) {
+      if (is_silent(id) || nodes_[n]->partitioned) {
         schedule(timeout, [this, n, id] {
-          nodes_[n]->fleet.probe_failed(now_, id);
+          nodes_[n]->fleet.probe_failed(now_, id, failure_at(id));
           nodes_[n]->controller.on_report(now_, id, std::nullopt);
         });
         return;
       }
       schedule(network_delay, [this, n, id, requested_at] {
-        const target_report report = find_engine(id).report(now_);
+        const target_report report = report_of(find_engine(id));
         nodes_[n]->fleet.apply_answer(requested_at, requested_at - 250ms, id,
                                       {report.incarnation, report.member_of, report.loaded, 1});
         nodes_[n]->controller.on_report(now_, id, report);
@@ -365,7 +450,10 @@
     if (late) {
       schedule(random_.jitter(faults_.max_order_delay), [this, order] { deliver(order); });
     }
-    if (late || dead_.contains(order.to) || nodes_[n]->partitioned) {
+    if (!late && is_silent(order.to) && !dead_.contains(order.to) && !nodes_[n]->partitioned) {
+      schedule(silent_until_.at(order.to) - now_, [this, order] { deliver(order); });
+    }
+    if (late || is_silent(order.to) || nodes_[n]->partitioned) {
       schedule(timeout, [this, n, order] {
         nodes_[n]->fleet.probe_failed(now_, order.to);
         nodes_[n]->controller.on_order_outcome(now_, nodes_[n]->fleet, order,
@@ -457,6 +545,10 @@
   bool requests_started_ = false;
   std::map<target_id, standin::hosted_engine> engines_;
   std::set<target_id> dead_;
+  std::set<target_id> refusing_;
+  std::map<target_id, time_point> silent_until_;
+  std::map<target_id, running_answer> answers_;  // by the head
+  std::size_t answers_ended_by_orders_ = 0;
   std::map<target_id, time_point> unlist_at_;
   std::vector<std::unique_ptr<simulated_controller>> nodes_;
   std::priority_queue<event> events_;
--- a/tests/shell/replica_controller_test.cpp
+++ b/tests/shell/replica_controller_test.cpp
@@ -346,5 +346,106 @@
   EXPECT_EQ(sim.orders_sent(), before);
 }
 
+// Two domains with a spare each, some seconds after their replicas were formed.
+void start_with_spares(controller_simulation& sim) {
+  for (const char* domain : {"d0", "d1", "d2", "d3"}) {
+    sim.add_domain(domain, 10);
+  }
+  sim.run(40s);
+  sim.start_requests();
+  sim.run(1s);
+}
+
+TEST(ReplicaController, EndsNoAnswerOfASilentMember) {
+  // Guards against an answer that the controller's own order ends because a sound engine was silent
+  // for a second.
+  for (const duration length : {500ms, 1000ms, 1300ms}) {
+    SCOPED_TRACE(to_milliseconds(length));
+    controller_simulation sim(2);
+    start_with_spares(sim);
+    const target_id head = sim.head_with_spare();
+    ASSERT_FALSE(head.empty()) << "no domain has a spare";
+    const target_id member = sim.engine(head).members().back();
+    const std::size_t orders = sim.orders_sent();
+    sim.start_answer(head, 5s);
+    sim.silence(member, length);
+    sim.mark_lost(0, member);
+    sim.run(4s);
+    EXPECT_EQ(sim.answers_ended_by_orders(), 0U);
+    EXPECT_TRUE(sim.is_answer_running(head));
+    EXPECT_EQ(sim.orders_sent(), orders);
+  }
+}
+
+TEST(ReplicaController, EndsNoAnswerOfASilentHead) {
+  // Guards against members that are freed because their sound head was silent for a second.
+  controller_simulation sim(2);
+  start_with_spares(sim);
+  const target_id head = sim.head_with_spare();
+  ASSERT_FALSE(head.empty()) << "no domain has a spare";
+  const std::size_t orders = sim.orders_sent();
+  sim.start_answer(head, 5s);
+  sim.silence(head, 1s);
+  sim.mark_lost(0, head);
+  sim.run(4s);
+  EXPECT_EQ(sim.answers_ended_by_orders(), 0U);
+  EXPECT_TRUE(sim.is_answer_running(head));
+  EXPECT_EQ(sim.orders_sent(), orders);
+}
+
+TEST(ReplicaController, ServesAgainAfterASilenceWithoutRequests) {
+  // Guards against a replica that stays closed: its head was closed as nothing ran there, and then
+  // the silent member went on.
+  controller_simulation sim(2);
+  start_with_spares(sim);
+  const std::size_t before = sim.count_serving_replicas(large) + sim.count_serving_replicas(small);
+  const target_id member = sim.engine(sim.head_with_spare()).members().back();
+  sim.silence(member, 300ms);
+  sim.mark_lost(0, member);
+  sim.run(4s);
+  EXPECT_EQ(sim.count_serving_replicas(large) + sim.count_serving_replicas(small), before);
+}
+
+// How long it takes until a dead member's replica has been replaced. Its answer moves elsewhere
+// `moved_after` the loss.
+duration repair_time(controller_simulation& sim, bool refuses, duration moved_after) {
+  start_with_spares(sim);
+  const target_id head = sim.head_with_spare();
+  const model_id model = model_of_name(sim.engine(head).record().member_of->replica.name);
+  const std::size_t before = sim.count_serving_replicas(model);
+  const target_id member = sim.engine(head).members().back();
+  sim.start_answer(head, 60s);
+  refuses ? sim.kill_refusing(member) : sim.kill(member);
+  sim.mark_lost(0, member);
+  const time_point lost_at = sim.now();
+  const auto is_replaced = [&] {
+    if (sim.now() - lost_at >= moved_after) {
+      sim.cancel_answer(head);
+    }
+    return sim.count_serving_replicas(model) >= before;
+  };
+  EXPECT_TRUE(sim.run_until(is_replaced, 10s));
+  return sim.now() - lost_at;
+}
+
+TEST(ReplicaController, ReplacesAnEndedMemberAtOnce) {
+  // Guards against a wait for a member whose host refuses connections.
+  controller_simulation sim(2);
+  EXPECT_LE(repair_time(sim, true, 60s), 1s);
+}
+
+TEST(ReplicaController, ReplacesADeadMemberOnceNothingRuns) {
+  // Guards against a replica that is down for the whole time a sound member may be silent, although
+  // no request is left to wait for.
+  controller_simulation sim(2);
+  EXPECT_LE(repair_time(sim, false, 200ms), 1600ms);
+}
+
+TEST(ReplicaController, ReplacesADeadMemberAfterTheTolerance) {
+  // Guards against a replica that waits without end for a member that does not come back.
+  controller_simulation sim(2);
+  EXPECT_LE(repair_time(sim, false, 60s), 2700ms);
+}
+
 }  // namespace
 }  // namespace arbutus::testing_support
