Close cross-domain replicas and those of removed models before they leave

Answers ended when a fabric domain could use the members of a cross-domain replica, or when a new configuration no longer had the replica's model: its head was ordered to leave at once, on the ground that requests finish sooner elsewhere. Not all can be repeated, and retries are limited. Both are closed first now, as a replica with a draining member is: no new requests, and the order to leave follows when the head is ready or the time is over.

EndsNoAnswerOfARemovedModel and EndsNoAnswerOfAReclaimedReplica failed before.

--- a/src/process/replica_controller.cpp
+++ b/src/process/replica_controller.cpp
@@ -428,10 +428,7 @@
       return;
     }
     const auto since = closing_since_.emplace(replica.key, ctx.now).first->second;
-    // A cross-domain replica is slow: its requests finish sooner if they continue elsewhere.
-    const bool graceful = ctx.engine.find_model(model_of_name(replica.key.name)) != nullptr &&
-                          !spans_domains(replica.members);
-    if (!silent && graceful && ctx.now - since < settings_.close_timeout) {
+    if (!silent && ctx.now - since < settings_.close_timeout) {
       send_close(ctx, *head, replica.key, reason);
       return;
     }
--- a/tests/shell/replica_controller_test.cpp
+++ b/tests/shell/replica_controller_test.cpp
@@ -406,6 +406,51 @@
   EXPECT_EQ(sim.count_serving_replicas(large) + sim.count_serving_replicas(small), before);
 }
 
+TEST(ReplicaController, EndsNoAnswerOfARemovedModel) {
+  // Guards against an answer that ends because a new configuration no longer has its model.
+  controller_simulation sim(2);
+  start_with_spares(sim);
+  const target_id head = sim.any_serving_head(small);
+  sim.start_answer(head, 3s);
+  sim.remove_model(small);
+  sim.run(2900ms);
+  EXPECT_TRUE(sim.is_answer_running(head));
+  EXPECT_TRUE(sim.run_until([&] { return sim.count_serving_replicas(small) == 0; }, 2s));
+  EXPECT_EQ(sim.answers_ended_by_orders(), 0U);
+}
+
+bool spans_domains(const controller_simulation& sim, const target_id& head) {
+  const auto& members = sim.engine(head).members();
+  return std::any_of(members.begin(), members.end(), [&](const target_id& id) {
+    return sim.engine(id).record().domain != sim.engine(head).record().domain;
+  });
+}
+
+TEST(ReplicaController, EndsNoAnswerOfAReclaimedReplica) {
+  // Guards against an answer that ends because a fabric domain can use the members of its replica.
+  controller_simulation sim(2);
+  sim.add_domain("d0", 2);
+  sim.add_domain("d1", 2);
+  sim.start_requests();
+  ASSERT_TRUE(sim.run_until(
+      [&] { return sim.count_serving_replicas(large) + sim.count_serving_replicas(small) > 0; },
+      60s));
+  const target_id head =
+      sim.any_serving_head(sim.count_serving_replicas(large) > 0 ? large : small);
+  ASSERT_TRUE(spans_domains(sim, head));
+  const replica_key key = sim.engine(head).record().member_of->replica;
+  sim.add_domain("d0", 2);
+  const auto has_left = [&] {
+    if (sim.engine(head).is_open() && !sim.is_answer_running(head)) {
+      sim.start_answer(head, 3s);
+    }
+    const auto& member_of = sim.engine(head).record().member_of;
+    return !member_of || member_of->replica != key;
+  };
+  EXPECT_TRUE(sim.run_until(has_left, 60s));
+  EXPECT_EQ(sim.answers_ended_by_orders(), 0U);
+}
+
 // How long it takes until a dead member's replica has been replaced. Its answer moves elsewhere
 // `moved_after` the loss.
 duration repair_time(controller_simulation& sim, bool refuses, duration moved_after) {
