A closing replica has 10 s for its requests

Answers of more than 6 s ended when their replica was closed, though a route may allow 8 s and a draining member works for its head for up to 10 s: the controller ordered the head to leave after 6 s. It waits for the members' bound now. A head without requests is ready at once, so nothing else gets slower.

EndsNoLongAnswerOfAClosingReplica (7.5 s) failed before.

--- a/src/process/replica_controller.h
+++ b/src/process/replica_controller.h
@@ -87,9 +87,9 @@
   // Ready spares take 0.2 s to join and 0.3 s to open. A replica that is not formed after this time
   // is dissolved, so that a member that does not answer does not block the others.
   duration form_timeout = 3s;
-  // Time that a closing head has to finish its requests before its replica is dissolved. Long
-  // generations have 80 events of 50 ms, 4 s in total.
-  duration close_timeout = 6s;
+  // Time that a closing head has to finish its requests before its replica is dissolved. A draining
+  // member works for its head for no longer than this.
+  duration close_timeout = 10s;
   // A sound target may be silent for about a second. A replica keeps its requests for this time
   // after the node lost one of its members, unless that member's process is known to have ended.
   duration silence_tolerance = 1500ms;
--- a/tests/shell/replica_controller_test.cpp
+++ b/tests/shell/replica_controller_test.cpp
@@ -451,6 +451,24 @@
   EXPECT_EQ(sim.answers_ended_by_orders(), 0U);
 }
 
+TEST(ReplicaController, EndsNoLongAnswerOfAClosingReplica) {
+  // Guards against an answer that lasts longer than the time in which a closing head must finish. A
+  // draining member works for its head for up to 10 s.
+  controller_simulation sim(2);
+  start_with_spares(sim);
+  const target_id head = sim.any_serving_head(large);
+  const replica_key key = sim.engine(head).record().member_of->replica;
+  sim.start_answer(head, 7500ms);
+  sim.drain(sim.engine(head).members().back());
+  sim.run(7400ms);
+  EXPECT_TRUE(sim.is_answer_running(head));
+  EXPECT_FALSE(sim.engine(head).is_open());
+  sim.run(1s);
+  EXPECT_EQ(sim.answers_ended_by_orders(), 0U);
+  const auto& member_of = sim.engine(head).record().member_of;
+  EXPECT_TRUE(!member_of || member_of->replica != key);
+}
+
 // How long it takes until a dead member's replica has been replaced. Its answer moves elsewhere
 // `moved_after` the loss.
 duration repair_time(controller_simulation& sim, bool refuses, duration moved_after) {
