The members of a draining head stay while its requests run

Answers of a head that drained ended early: it stops listening before its last requests are done, failed probes then made it lost, and its members were freed after the tolerance for a silence. They wait as long as a closing replica does. A head that was last seen ready or joining runs nothing; for it nobody waits. The reason "no requests run" is logged for a ready head only.

--- a/src/process/replica_controller.cpp
+++ b/src/process/replica_controller.cpp
@@ -432,8 +432,10 @@
       send_close(ctx, *head, replica.key, reason);
       return;
     }
-    reason = silent ? "a member is silent for too long" : reason;
-  } else if (silent) {
+    if (silent) {
+      reason = "a member is silent for too long";
+    }
+  } else if (silent && head->record.member_of->state == member_state::ready) {
     reason = "a member is silent, no requests run";
   }
   order_head(ctx, *head, order_action::leave, replica.key, reason);
@@ -520,8 +522,17 @@
 // Whether the head may go on with its requests after a silence.
 bool replica_controller::may_only_be_silent(const tick_context& ctx, const replica_key& key,
                                             const target_view* head) const {
-  return head != nullptr && replica_of(*head) == key && head->lost && !head->ended &&
-         ctx.now - head->marked_lost_at < settings_.silence_tolerance;
+  if (head == nullptr || replica_of(*head) != key || !head->lost || head->ended) {
+    return false;
+  }
+  const member_state state = head->record.member_of->state;
+  if (state != member_state::open && state != member_state::closing) {
+    return false;  // it runs no requests
+  }
+  // A draining head stops listening while its last requests run.
+  const duration tolerance =
+      head->record.draining ? settings_.close_timeout : settings_.silence_tolerance;
+  return ctx.now - head->marked_lost_at < tolerance;
 }
 
 // Orders the members of a replica whose head does not answer to leave. The head may still serve, if
--- a/tests/shell/replica_controller_test.cpp
+++ b/tests/shell/replica_controller_test.cpp
@@ -393,6 +393,22 @@
   EXPECT_EQ(sim.orders_sent(), orders);
 }
 
+TEST(ReplicaController, EndsNoAnswerOfADrainingHead) {
+  // Guards against members that are freed because their head, which drains, has stopped listening.
+  controller_simulation sim(2);
+  start_with_spares(sim);
+  const target_id head = sim.head_with_spare();
+  ASSERT_FALSE(head.empty()) << "no domain has a spare";
+  sim.start_answer(head, 7s);
+  sim.drain(head);
+  sim.run(500ms);
+  sim.silence(head, 20s);
+  sim.mark_lost(0, head);
+  sim.run(6s);
+  EXPECT_TRUE(sim.is_answer_running(head));
+  EXPECT_EQ(sim.answers_ended_by_orders(), 0U);
+}
+
 TEST(ReplicaController, ServesAgainAfterASilenceWithoutRequests) {
   // Guards against a replica that stays closed: its head was closed as nothing ran there, and then
   // the silent member went on.
