--- a/src/standin/hosted_control.cpp
+++ b/src/standin/hosted_control.cpp
@@ -102,7 +102,7 @@
       send_json(writer, 400, "{}");
       return;
     }
-    platform_.set_paths(node, *state);
+    platform_.set_paths(node, *state, query_parameter(request.target, "target"));
   } else if (path == "/foreign") {
     platform_.write_target_record("not-an-engine",
                                   R"({"service":"llm","state":"asleep","slots":"many"})");
