Failed probes of stalled replicas tell an ended target from a silent one

Without these lines only the controller's own queries saw that an address refuses, and a replica whose member is gone waited like one whose member is silent.

--- a/src/node/controller_losses.cpp
+++ b/src/node/controller_losses.cpp
@@ -70,7 +70,7 @@
     return apply_report(requested_at, id, *report);
   }
   if (!node_.is_cut_off_from_models()) {
-    node_.fleet.probe_failed(now, id);
+    node_.fleet.probe_failed(now, id, failure_of(result));
   }
   return false;
 }
@@ -112,7 +112,7 @@
     return false;
   }
   if (!node_.is_cut_off_from_models()) {
-    node_.fleet.probe_failed(monotonic_now(), id);
+    node_.fleet.probe_failed(monotonic_now(), id, failure_of(result));
   }
   return false;
 }
