A second run's fiber is awaited also after an exception

The fiber refers to the call. An exception in the first run's fiber destroyed the call under it; one in its own ended the process.

--- a/src/node/hosted_stream.cpp
+++ b/src/node/hosted_stream.cpp
@@ -6,9 +6,11 @@
 // the other one is ended.
 #include <algorithm>
 #include <boost/fiber/condition_variable.hpp>
+#include <exception>
 #include <mutex>
 #include <vector>
 
+#include "node/handler_failure.h"
 #include "node/hosted_parts.h"
 #include "node/hosted_relay.h"
 #include "node/log.h"
@@ -38,11 +40,12 @@
       caller_disconnected_ = true;
       cancel_all_except(nullptr);
     });
+    // Also after an exception: the fiber of a second run refers to this object.
+    const second_run_awaited awaited(*this);
     while (!ended_) {
       next_attempt();
       await_second_run();
     }
-    call_.writer.on_caller_disconnect({});
   }
 
  private:
@@ -74,6 +77,24 @@
     attempt_registry::registration registration_;
   };
 
+  class second_run_awaited {
+   public:
+    explicit second_run_awaited(stream_call& owner) : owner_(owner) {}
+    ~second_run_awaited() {
+      owner_.ended_ = true;
+      owner_.cancel_all_except(nullptr);
+      owner_.await_second_run();
+      owner_.call_.writer.on_caller_disconnect({});
+    }
+    second_run_awaited(const second_run_awaited&) = delete;
+    second_run_awaited& operator=(const second_run_awaited&) = delete;
+    second_run_awaited(second_run_awaited&&) = delete;
+    second_run_awaited& operator=(second_run_awaited&&) = delete;
+
+   private:
+    stream_call& owner_;
+  };
+
   void update_other_runs() {
     call_.other_runs = runs_.empty() ? 0 : static_cast<std::uint32_t>(runs_.size() - 1);
   }
@@ -162,7 +183,11 @@
     speaker_ = nullptr;
     second_run_in_progress_ = true;
     node_.runtime.post(0, [this] {
-      run_elsewhere();
+      try {
+        run_elsewhere();
+      } catch (const std::exception& failure) {
+        log_handler_failure(call_.raw_request, failure.what());
+      }
       const std::lock_guard guard(second_run_lock_);
       second_run_in_progress_ = false;
       second_run_ended_.notify_all();
