--- a/src/process/replica_controller.cpp
+++ b/src/process/replica_controller.cpp
@@ -428,7 +428,9 @@
       return;
     }
     const auto since = closing_since_.emplace(replica.key, ctx.now).first->second;
-    if (!silent && ctx.now - since < settings_.close_timeout) {
+    // A replica across domains is slow, and its engines serve more elsewhere.
+    const bool may_finish = !silent && !spans_domains(replica.members);
+    if (may_finish && ctx.now - since < settings_.close_timeout) {
       send_close(ctx, *head, replica.key, reason);
       return;
     }
