A stream that has begun waits for a replica for a second before it is cut

What callers saw: an answer closed in the middle with 'every replica is full', 'no replica of the model serves', 'this node reaches no target for it' or 'the key cannot be confirmed', though the state passes within a moment. A refusal at once is right for a call that has no answer yet; one that has begun cannot be refused any more. It tries again each 50 ms for a second at most: callers leave after a pause of some two.

The stand-in's reports now tell how many streams run.

--- a/src/node/hosted_stream.cpp
+++ b/src/node/hosted_stream.cpp
@@ -8,6 +8,7 @@
 #include <boost/fiber/condition_variable.hpp>
 #include <exception>
 #include <mutex>
+#include <optional>
 #include <vector>
 
 #include "node/handler_failure.h"
@@ -23,6 +24,11 @@
 
 namespace {
 
+// How long a stream that has begun waits for a replica after its run has broken. Callers leave
+// after a pause of some two seconds.
+constexpr duration takeover_wait = 1s;
+constexpr duration takeover_poll_interval = 50ms;
+
 class stream_call {
  public:
   stream_call(hosted_state& node, hosted_request& call)
@@ -147,14 +153,26 @@
     const time_point now = monotonic_now();
     const next_step step = choose_step(now);
     if (const auto* end = std::get_if<end_of_call>(&step)) {
-      end_locally(*end);
+      if (!may_wait_for(*end, now) || !sleep_until(now + takeover_poll_interval)) {
+        end_locally(*end);
+      }
     } else if (!may_send_again(node_, call_, now)) {
       end_locally({503, retry_after_no_target, last_reason_});
     } else {
+      waiting_since_.reset();
       carry_out(step);
     }
   }
 
+  // An answer that has not begun is refused at once; one that has begun would be cut.
+  [[nodiscard]] bool may_wait_for(const end_of_call& end, time_point now) {
+    if (!header_sent_ || !end.is_momentary) {
+      return false;
+    }
+    waiting_since_ = waiting_since_.value_or(now);
+    return now - *waiting_since_ < takeover_wait;
+  }
+
   [[nodiscard]] next_step choose_step(time_point now) {
     if (caller_disconnected_) {
       return end_of_call{0, {}, "the caller has gone"};
@@ -396,9 +414,10 @@
   hosted_state& node_;
   hosted_request& call_;
   const model_spec* model_;
-  std::string last_id_;             // of the last event forwarded, or that the caller already had
-  time_point begun_at_{};           // when the newest run began
-  std::vector<target_id> avoided_;  // heads of all runs, also of those in progress
+  std::string last_id_;    // of the last event forwarded, or that the caller already had
+  time_point begun_at_{};  // when the newest run began
+  std::optional<time_point> waiting_since_;  // for a replica, without a run in progress
+  std::vector<target_id> avoided_;           // heads of all runs, also of those in progress
   std::string_view last_reason_ = "no attempt was made";
   bool caller_disconnected_ = false;
   bool header_sent_ = false;  // the header of the response was sent to the caller
--- a/src/node/stream_step.h
+++ b/src/node/stream_step.h
@@ -24,7 +24,8 @@
   int status = 503;
   duration retry_after{};
   std::string_view reason;
-  bool is_unfit = false;  // another node may serve it
+  bool is_unfit = false;      // another node may serve it
+  bool is_momentary = false;  // this node may serve it soon
 };
 
 using next_step = std::variant<send_to_replica, hand_over_to_peer, end_of_call>;
--- a/src/standin/hosted_platform.cpp
+++ b/src/standin/hosted_platform.cpp
@@ -81,6 +81,28 @@
     std::string listed_record;  // record of the engine as last written to the list of targets;
                                 // empty: not listed
     std::unique_ptr<restartable_server> server;
+    std::uint32_t running = 0;  // streams
+  };
+
+  // Counts a stream as running for as long as this object lives.
+  class running_stream {
+   public:
+    running_stream(state& owner, engine_process& engine) : owner_(owner), engine_(engine) {
+      const std::lock_guard guard(owner_.mutex);
+      ++engine_.running;
+    }
+    ~running_stream() {
+      const std::lock_guard guard(owner_.mutex);
+      --engine_.running;
+    }
+    running_stream(const running_stream&) = delete;
+    running_stream& operator=(const running_stream&) = delete;
+    running_stream(running_stream&&) = delete;
+    running_stream& operator=(running_stream&&) = delete;
+
+   private:
+    state& owner_;
+    engine_process& engine_;
   };
 
   // A process that a poison request has crashed: its server closes, and reopens as another
@@ -344,7 +366,11 @@
   std::string report_json(const engine_process& e) {
     const std::lock_guard guard(mutex);
     const target_report report = e.engine.report(monotonic_now());
-    json document = {{"sequence", report.orders}, {"busy", false}, {"pace", 1.0}};
+    json document = {{"sequence", report.orders},
+                     {"busy", false},
+                     {"pace", 1.0},
+                     {"queued", 0},
+                     {"active", e.running}};
     add_state(document, report.member_of, report.loaded);
     add_start_stamp(document, report.incarnation);
     return document.dump();
@@ -489,6 +515,7 @@
       writer.send(503, {{"X-Not-Executed", "1"}, {"X-Request-Id", id}}, "");
       return;
     }
+    const running_stream running(*this, e);
     count_run(request);
     record_engine_of_run(e, id);
     const target_id incarnation = incarnation_of_process(e);
--- a/tests/shell/hosted_silence_test.cpp
+++ b/tests/shell/hosted_silence_test.cpp
@@ -333,5 +333,29 @@
 INSTANTIATE_TEST_SUITE_P(Engines, HostedLossOf,
                          testing::Values(silent_part::head, silent_part::member));
 
+class HostedOnlyReplica : public HostedSilence {
+ protected:
+  HostedOnlyReplica() : HostedSilence(settings_of_one_replica()) {}
+
+ private:
+  static standin::hosted_platform_settings settings_of_one_replica() {
+    standin::hosted_platform_settings settings = silence_settings();
+    settings.data_centres = {"lab-a"};
+    settings.nodes_with_paths = 1;
+    settings.engines_per_data_centre = 3;
+    return settings;
+  }
+};
+
+// Guards against streams that are cut because no replica serves in the moment in which theirs
+// breaks.
+TEST_F(HostedOnlyReplica, StreamsWaitUntilItHasFormedAgain) {
+  ASSERT_TRUE(eventually([&] { return platform_.count_serving_replicas() == 1; }));
+  ASSERT_TRUE(eventually([&] { return send_request(0, "/llm/x", "w").response.status == 200; }));
+  ASSERT_TRUE(run_streams());
+  platform_.restart_engine(choose_target(silent_part::head));
+  expect_whole_streams();
+}
+
 }  // namespace
 }  // namespace arbutus::testing_support
