A node counts its own runs once when a peer declines or answers

The header of a call that is handed over names the runs in progress; the peer echoes them, and the node took them as ended: with two runs allowed, no other peer was asked, and a stream whose first run then broke was cut.

--- a/src/node/hosted_relay.cpp
+++ b/src/node/hosted_relay.cpp
@@ -46,7 +46,7 @@
     const std::uint64_t version = std::max(call_.map->version(), node_.relayed_version);
     request.headers.add(
         std::string(relay_header),
-        to_text(relayed_call{node_.settings.id, call_.possible_runs + call_.other_runs, version}));
+        to_text(relayed_call{node_.settings.id, call_.possible_runs + other_runs_, version}));
     ++call_.possible_sends;
     node_.relays.sent(sent_at_, peer_.id);
     const bool repeatable = call_.matched_route->repeatable();
@@ -139,8 +139,11 @@
     } else if (answer_.outcome == relay_outcome::broken) {
       ++call_.possible_runs;
     }
+    // The peer counts the runs that were in progress here, too; they are counted when they end.
     if (report_) {
-      call_.possible_runs = std::max(call_.possible_runs, report_->possible_runs);
+      const std::uint32_t reported = report_->possible_runs;
+      call_.possible_runs =
+          std::max(call_.possible_runs, reported - std::min(reported, other_runs_));
     }
   }
 
@@ -149,6 +152,7 @@
   const node_record& peer_;
   const relay_sink& sink_;
   time_point sent_at_{};
+  std::uint32_t other_runs_ = 0;  // in progress at this node when the call was handed over
   std::optional<relay_report> report_;
   relay_answer answer_;
   bool is_streamed_ = false;
