--- a/src/process/fleet_view.cpp
+++ b/src/process/fleet_view.cpp
@@ -272,14 +272,14 @@
   }
 }
 
-void fleet_view::probe_failed(time_point now, const target_id& id, probe_failure failure) {
+void fleet_view::probe_failed(time_point now, const target_id& id, unanswered_probe failure) {
   const auto found = targets_.find(id);
   if (found == targets_.end()) {
     return;
   }
   target_view& view = found->second;
   const bool may_stop_listening = !view.listed || view.record.draining;
-  view.ended = view.ended || (failure == probe_failure::refused && !may_stop_listening);
+  view.ended = view.ended || (failure == unanswered_probe::refused && !may_stop_listening);
   if (view.lost) {
     return;
   }
--- a/src/process/fleet_view.h
+++ b/src/process/fleet_view.h
@@ -81,7 +81,7 @@
 };
 
 // How a probe of a target failed.
-enum class probe_failure : std::uint8_t {
+enum class unanswered_probe : std::uint8_t {
   silent,   // no answer in time; a sound target may be silent for about a second
   refused,  // nothing listens at its address, or another target does
 };
@@ -138,7 +138,7 @@
   void apply_order(time_point now, const target_id& id, const std::optional<membership>& member_of);
   // A probe of the target failed. It is lost after `probes_until_lost` consecutive failures.
   void probe_failed(time_point now, const target_id& id,
-                    probe_failure failure = probe_failure::silent);
+                    unanswered_probe failure = unanswered_probe::silent);
   // A peer has an answer of the target: earlier failures were those of this node's path.
   void answered_a_peer(const target_id& id);
 
--- a/src/process/replica_controller.h
+++ b/src/process/replica_controller.h
@@ -28,6 +28,7 @@
 #include "process/domain_layout.h"
 #include "process/fleet_view.h"
 #include "process/replica_name.h"
+#include "process/stall_monitor.h"
 #include "version/service_map.h"
 
 namespace arbutus {
@@ -92,7 +93,7 @@
   duration close_timeout = 10s;
   // A sound target may be silent for about a second. A replica keeps its requests for this time
   // after the node lost one of its members, unless that member's process is known to have ended.
-  duration silence_tolerance = 1500ms;
+  duration silence_tolerance = arbutus::silence_tolerance;
   // Interval between queries of a head whose replica waits for a silent member. Reports lag by
   // about as much.
   duration idle_check_interval = 200ms;
--- a/tests/core/hosted_values_test.cpp
+++ b/tests/core/hosted_values_test.cpp
@@ -614,7 +614,7 @@
       if (!listed) {
         fleet.mark_unlisted(start, record.id);
       }
-      fleet.probe_failed(start, record.id, probe_failure::refused);
+      fleet.probe_failed(start, record.id, unanswered_probe::refused);
       fleet.probe_failed(start, record.id);
       EXPECT_TRUE(fleet.find(record.id)->lost);
       EXPECT_EQ(fleet.find(record.id)->ended, listed && !draining);
@@ -631,7 +631,7 @@
   fleet.apply_record(start, record);
   fleet.probe_failed(start, record.id);
   fleet.probe_failed(start, record.id);
-  fleet.probe_failed(start, record.id, probe_failure::refused);
+  fleet.probe_failed(start, record.id, unanswered_probe::refused);
   EXPECT_TRUE(fleet.find(record.id)->ended) << "a lost target may be found to have ended";
   fleet.apply_answer(start + 1s, start + 1s, record.id, {record.id, std::nullopt, {}, 1});
   EXPECT_FALSE(fleet.find(record.id)->ended);
--- a/tests/shell/controller_simulation.h
+++ b/tests/shell/controller_simulation.h
@@ -344,8 +344,8 @@
     return report;
   }
 
-  [[nodiscard]] probe_failure failure_at(const target_id& id) const {
-    return refusing_.contains(id) ? probe_failure::refused : probe_failure::silent;
+  [[nodiscard]] unanswered_probe failure_at(const target_id& id) const {
+    return refusing_.contains(id) ? unanswered_probe::refused : unanswered_probe::silent;
   }
 
   void read_list() {
