A stream that was taken over gets another run when that one falls silent

The fiber of the second run blocked a third one for as long as the second ran: a stream whose second replica lost a member hung until its deadline, if its route allows three runs (found by review).

--- a/src/node/hosted_stream.cpp
+++ b/src/node/hosted_stream.cpp
@@ -193,47 +193,70 @@
   // The only run is silent, or will not go on for all that this node knows.
   void on_doubt() {
     const bool can_begin = call_.matched_route->repeatable() && is_only_run() &&
-                           !second_run_in_progress_ && !forwarding_ && !ended_ &&
+                           !searching_second_run_ && !forwarding_ && !ended_ &&
                            !caller_disconnected_;
     if (!can_begin) {
       return;
     }
     speaker_ = nullptr;
-    second_run_in_progress_ = true;
-    node_.runtime.post(0, [this] {
+    searching_second_run_ = true;
+    ++second_run_fibers_;
+    node_.runtime.post(0, [this, doubted = runs_.front()] {
       try {
-        run_elsewhere();
+        run_beside(doubted);
       } catch (const std::exception& failure) {
         log_handler_failure(call_.raw_request, failure.what());
       }
       const std::lock_guard guard(second_run_lock_);
-      second_run_in_progress_ = false;
+      --second_run_fibers_;
       second_run_ended_.notify_all();
     });
   }
 
-  // Whether the first run is still in progress and as silent as before.
-  [[nodiscard]] bool needs_second_run() const {
-    return is_only_run() && speaker_ == nullptr && !ended_ && !caller_disconnected_;
+  // Whether the doubted run is still the only one, and as silent as before.
+  [[nodiscard]] bool needs_second_run(const active_run* doubted) const {
+    return is_only_run() && runs_.front() == doubted && speaker_ == nullptr && !ended_ &&
+           !caller_disconnected_;
   }
 
-  void run_elsewhere() {
-    while (needs_second_run()) {
-      const bool is_harmless = await_poison_clearance(node_, call_);
-      if (!needs_second_run()) {
-        return;
-      }
-      const time_point now = monotonic_now();
-      const next_step step =
-          is_harmless ? choose_step(now) : end_of_call{503, {}, poison_refusal_reason};
+  void run_beside(const active_run* doubted) {
+    std::string_view noted;
+    while (needs_second_run(doubted)) {
+      searching_second_run_ = true;
+      const next_step step = find_second_run(doubted);
       const auto* end = std::get_if<end_of_call>(&step);
-      if (end != nullptr || !may_run_beside(node_, call_, now, silence(now))) {
-        note_second_run("none", end != nullptr ? end->reason : "no further run is allowed");
-        return;
+      if (end == nullptr) {
+        note_second_run("begun", {});
+        // The run that begins now may fall silent as well.
+        searching_second_run_ = false;
+        carry_out(step);
+        continue;
       }
-      note_second_run("begun", {});
-      carry_out(step);
+      if (end->reason != noted) {
+        noted = end->reason;
+        note_second_run("none", end->reason);
+      }
+      if (!end->is_momentary || !sleep_until(monotonic_now() + takeover_poll_interval)) {
+        break;
+      }
+    }
+    searching_second_run_ = false;
+  }
+
+  [[nodiscard]] next_step find_second_run(const active_run* doubted) {
+    if (!await_poison_clearance(node_, call_)) {
+      return end_of_call{503, {}, poison_refusal_reason};
+    }
+    const time_point now = monotonic_now();
+    next_step step = choose_step(now);
+    const bool is_place = !std::holds_alternative<end_of_call>(step);
+    if (is_place && !needs_second_run(doubted)) {
+      return end_of_call{503, {}, "the first run goes on"};
+    }
+    if (is_place && !may_run_beside(node_, call_, now, silence(now))) {
+      return end_of_call{503, {}, "no further run is allowed"};
     }
+    return step;
   }
 
   // Time since the last event, or since the newest run began.
@@ -256,7 +279,7 @@
 
   void await_second_run() {
     std::unique_lock lock(second_run_lock_);
-    second_run_ended_.wait(lock, [this] { return !second_run_in_progress_; });
+    second_run_ended_.wait(lock, [this] { return second_run_fibers_ == 0; });
   }
 
   // ---- runs ----
@@ -342,8 +365,9 @@
           return true;
         },
         [&](std::string_view bytes) {
+          call_.last_event_at = monotonic_now();
           if (call_.first_event_at == time_point{}) {
-            call_.first_event_at = monotonic_now();
+            call_.first_event_at = call_.last_event_at;
           }
           const std::string_view events = relay.take(bytes);
           return (events.empty() || forward(active, relay, headers, {}, events)) &&
@@ -424,9 +448,10 @@
   bool forwarding_ = false;   // a write to the caller is in progress
   bool ended_ = false;
 
-  std::vector<active_run*> runs_;        // in progress: at most two
-  active_run* speaker_ = nullptr;        // the run that answers; null: whichever speaks first
-  bool second_run_in_progress_ = false;  // the fiber of a second run refers to this object
+  std::vector<active_run*> runs_;      // in progress: at most two
+  active_run* speaker_ = nullptr;      // the run that answers; null: whichever speaks first
+  bool searching_second_run_ = false;  // one of the fibers looks for a place
+  std::size_t second_run_fibers_ = 0;  // that refer to this object
   boost::fibers::mutex second_run_lock_;
   boost::fibers::condition_variable second_run_ended_;
 };
--- a/tests/shell/hosted_silence_test.cpp
+++ b/tests/shell/hosted_silence_test.cpp
@@ -127,7 +127,7 @@
     set_silent(part, target, false);
   }
 
-  void expect_whole_streams() {
+  void expect_whole_streams(int allowed_runs = max_runs) {
     join_callers();
     const std::map<std::string, int> runs = platform_.runs_by_request();
     for (std::size_t i = 0; i < streams; ++i) {
@@ -137,7 +137,7 @@
       EXPECT_TRUE(call.ok()) << id << " after " << events_[i]
                              << " events: " << to_string(call.failure) << ", " << call.detail;
       EXPECT_TRUE(results_[i].body == expected_stream(id)) << id << ", " << events_[i] << " events";
-      EXPECT_TRUE(runs.contains(id) && runs.at(id) <= max_runs) << id;
+      EXPECT_TRUE(runs.contains(id) && runs.at(id) <= allowed_runs) << id;
     }
   }
 
@@ -357,5 +357,33 @@
   expect_whole_streams();
 }
 
+class HostedSilenceOfThreeRuns : public HostedSilence {
+ protected:
+  HostedSilenceOfThreeRuns() : HostedSilence(settings_of_three_runs()) {}
+  static constexpr int allowed_runs = 3;
+
+ private:
+  static standin::hosted_platform_settings settings_of_three_runs() {
+    standin::hosted_platform_settings settings = silence_settings();
+    settings.model_max_attempts = allowed_runs;
+    return settings;
+  }
+};
+
+// Guards against streams that hang at the replica that has taken them over and then loses a member.
+TEST_F(HostedSilenceOfThreeRuns, StreamsSurviveTheLossOfTheReplicaThatTookOver) {
+  ASSERT_TRUE(both_nodes_serve());
+  ASSERT_TRUE(run_streams());
+  const std::string head = choose_target(silent_part::head);
+  platform_.set_silent(head, true);
+  ASSERT_TRUE(eventually([&] { return choose_target(silent_part::head) != head; }));
+  pass(short_silence);
+  platform_.kill_engine(choose_target(silent_part::member));
+  pass(silence);
+  platform_.set_silent(head, false);
+  expect_whole_streams(allowed_runs);
+  EXPECT_LE(results_[0].longest_pause, longest_pause_at_a_loss);
+}
+
 }  // namespace
 }  // namespace arbutus::testing_support
