--- a/src/node/hosted_stream.cpp
+++ b/src/node/hosted_stream.cpp
@@ -46,8 +46,7 @@
       caller_disconnected_ = true;
       cancel_all_except(nullptr);
     });
-    // Also after an exception: the fiber of a second run refers to this object.
-    const second_run_awaited awaited(*this);
+    const run_guard guard(*this);
     while (!ended_) {
       next_attempt();
       await_second_run();
@@ -83,19 +82,20 @@
     attempt_registry::registration registration_;
   };
 
-  class second_run_awaited {
+  // Ends the runs and waits for their fibers, which refer to the call, also after an exception.
+  class run_guard {
    public:
-    explicit second_run_awaited(stream_call& owner) : owner_(owner) {}
-    ~second_run_awaited() {
+    explicit run_guard(stream_call& owner) : owner_(owner) {}
+    ~run_guard() {
       owner_.ended_ = true;
       owner_.cancel_all_except(nullptr);
       owner_.await_second_run();
       owner_.call_.writer.on_caller_disconnect({});
     }
-    second_run_awaited(const second_run_awaited&) = delete;
-    second_run_awaited& operator=(const second_run_awaited&) = delete;
-    second_run_awaited(second_run_awaited&&) = delete;
-    second_run_awaited& operator=(second_run_awaited&&) = delete;
+    run_guard(const run_guard&) = delete;
+    run_guard& operator=(const run_guard&) = delete;
+    run_guard(run_guard&&) = delete;
+    run_guard& operator=(run_guard&&) = delete;
 
    private:
     stream_call& owner_;
@@ -385,9 +385,9 @@
       end_stream(headers, {});
       return;
     }
-    const bool is_open = streamed || answer.outcome == relay_outcome::not_taken ||
+    const bool goes_on = streamed || answer.outcome == relay_outcome::not_taken ||
                          answer.outcome == relay_outcome::broken;
-    if (is_open || !is_only_run()) {
+    if (goes_on || !is_only_run()) {
       last_reason_ = is_superseded(active) ? superseded_reason
                      : streamed            ? "the stream ended inside an event"
                                            : answer.reason;
--- a/src/node/stream_step.cpp
+++ b/src/node/stream_step.cpp
@@ -15,7 +15,10 @@
 constexpr duration min_attempt_time = 60ms;
 
 end_of_call unreachable() {
-  return {503, retry_after_no_target, unreachable_reason, true, true};
+  return {.retry_after = retry_after_no_target,
+          .reason = unreachable_reason,
+          .is_unfit = true,
+          .is_momentary = true};
 }
 
 // To a peer, or back to the one that the call came from. Empty if there is none.
@@ -61,7 +64,7 @@
   const refusal without{none.retry_after, none.reason};
   const auto otherwise = none.all_excluded ? std::nullopt : std::optional<refusal>(without);
   const refusal why = refusal_of_excluded(node, now, excluded, otherwise).value_or(without);
-  return end_of_call{503, why.retry_after, why.reason, false, true};
+  return end_of_call{.retry_after = why.retry_after, .reason = why.reason, .is_momentary = true};
 }
 
 next_step choose_own_replica(hosted_state& node, hosted_request& call, const model_spec& model,
@@ -92,8 +95,9 @@
                        "no time is left"};
   }
   if (!is_key_usable(node, call)) {
-    return end_of_call{503, retry_after_stale(node, now), "the key cannot be confirmed", false,
-                       true};
+    return end_of_call{.retry_after = retry_after_stale(node, now),
+                       .reason = "the key cannot be confirmed",
+                       .is_momentary = true};
   }
   if (may_be_cut_off(node, call)) {
     if (const auto step = step_to_peer(node, call)) {
