Rooms for admission and for capacity

Cause: src/process and src/request hold 120 files; what decides whether a request may be sent and what forms replicas stood among heartbeats and coordination. Change: moves and includes only. src/admission gets admission, limits, send limits with their grants and target backoff; src/capacity gets the replica controller, both layouts and activation.

--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -4,7 +4,7 @@
 set(package_dir ${CMAKE_INSTALL_LIBDIR}/cmake/arbutusworks)
 install(TARGETS arbutusworks_core EXPORT arbutusworks_targets
   ARCHIVE DESTINATION ${CMAKE_INSTALL_LIBDIR} COMPONENT library)
-foreach(folder base request version process)
+foreach(folder base request version process admission capacity)
   install(DIRECTORY src/${folder} DESTINATION ${CMAKE_INSTALL_INCLUDEDIR}/arbutusworks COMPONENT library
     FILES_MATCHING PATTERN "*.h")
 endforeach()
--- a/src/request/admission.cpp
+++ b/src/admission/admission.cpp
@@ -1,5 +1,5 @@
 // Weighted fair queueing with deadline-based rejection.
-#include "request/admission.h"
+#include "admission/admission.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/request/limits.cpp
+++ b/src/admission/limits.cpp
@@ -1,5 +1,5 @@
 // Distributed rate limits by leases between nodes.
-#include "request/limits.h"
+#include "admission/limits.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/process/send_grants.cpp
+++ b/src/admission/send_grants.cpp
@@ -1,5 +1,5 @@
 // Distributes and counts the grants to send requests to rate-limited targets.
-#include "process/send_grants.h"
+#include "admission/send_grants.h"
 
 #include <algorithm>
 
--- a/src/process/send_grants.h
+++ b/src/admission/send_grants.h
@@ -1,4 +1,4 @@
-// Decides which nodes may send to a target that declares a rate limit (request/send_limits).
+// Decides which nodes may send to a target that declares a rate limit (admission/send_limits).
 //
 // The limit applies to all nodes together. Fixed shares would go to nodes without callers: with
 // 340 nodes and 2 requests a second, a node could send once in three minutes. So the hub that
--- a/src/request/send_limits.cpp
+++ b/src/admission/send_limits.cpp
@@ -1,5 +1,5 @@
 // Rate limits that targets report in their responses.
-#include "request/send_limits.h"
+#include "admission/send_limits.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/request/target_backoff.cpp
+++ b/src/admission/target_backoff.cpp
@@ -1,5 +1,5 @@
 // Targets that restrain this node in their responses.
-#include "request/target_backoff.h"
+#include "admission/target_backoff.h"
 
 #include <algorithm>
 
--- a/src/process/activation.cpp
+++ b/src/capacity/activation.cpp
@@ -1,5 +1,5 @@
 // Decides which standbys replace lost members of a replica, and when a node starts this repair.
-#include "process/activation.h"
+#include "capacity/activation.h"
 
 #include <algorithm>
 #include <string>
--- a/src/process/cross_domain_layout.cpp
+++ b/src/capacity/cross_domain_layout.cpp
@@ -1,6 +1,6 @@
 // Reserves engines for the models that no domain can hold, model by model; the remaining engines
 // are planned by plan_layout().
-#include "process/cross_domain_layout.h"
+#include "capacity/cross_domain_layout.h"
 
 #include <algorithm>
 #include <numeric>
--- a/src/process/cross_domain_layout.h
+++ b/src/capacity/cross_domain_layout.h
@@ -8,7 +8,7 @@
 
 #include <span>
 
-#include "process/domain_layout.h"
+#include "capacity/domain_layout.h"
 
 namespace arbutus {
 
--- a/src/process/domain_layout.cpp
+++ b/src/capacity/domain_layout.cpp
@@ -1,7 +1,7 @@
 // Finds a layout of engines by local search: re-plans one fabric domain at a time with the others
 // fixed until no domain improves. There are 6 to 16 domains with a few dozen engines each, or some
 // hundred with 8.
-#include "process/domain_layout.h"
+#include "capacity/domain_layout.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/process/replica_controller.cpp
+++ b/src/capacity/replica_controller.cpp
@@ -1,10 +1,10 @@
 // Forms, opens and dissolves replicas.
-#include "process/replica_controller.h"
+#include "capacity/replica_controller.h"
 
 #include <algorithm>
 #include <array>
 
-#include "process/replica_controller_tick.h"
+#include "capacity/replica_controller_tick.h"
 
 namespace arbutus {
 
--- a/src/process/replica_controller.h
+++ b/src/capacity/replica_controller.h
@@ -25,7 +25,7 @@
 
 #include "base/id.h"
 #include "base/units.h"
-#include "process/domain_layout.h"
+#include "capacity/domain_layout.h"
 #include "process/fleet_view.h"
 #include "process/replica_name.h"
 #include "process/stall_monitor.h"
--- a/src/process/replica_controller_form.cpp
+++ b/src/capacity/replica_controller_form.cpp
@@ -2,7 +2,7 @@
 // centre, then across data centres.
 #include <algorithm>
 
-#include "process/replica_controller_tick.h"
+#include "capacity/replica_controller_tick.h"
 
 namespace arbutus {
 
--- a/src/process/replica_controller_load.cpp
+++ b/src/capacity/replica_controller_load.cpp
@@ -2,8 +2,8 @@
 #include <algorithm>
 #include <cmath>
 
-#include "process/cross_domain_layout.h"
-#include "process/replica_controller_tick.h"
+#include "capacity/cross_domain_layout.h"
+#include "capacity/replica_controller_tick.h"
 
 namespace arbutus {
 
--- a/src/process/replica_controller_orders.cpp
+++ b/src/capacity/replica_controller_orders.cpp
@@ -1,7 +1,7 @@
 // Handles the outcomes of orders and the reports of engines.
 #include <algorithm>
 
-#include "process/replica_controller.h"
+#include "capacity/replica_controller.h"
 
 namespace arbutus {
 
--- a/src/process/replica_controller_tick.h
+++ b/src/capacity/replica_controller_tick.h
@@ -6,7 +6,7 @@
 #include <set>
 #include <vector>
 
-#include "process/replica_controller.h"
+#include "capacity/replica_controller.h"
 
 namespace arbutus {
 
--- a/src/node/controller_loop.h
+++ b/src/node/controller_loop.h
@@ -8,8 +8,10 @@
 #include <set>
 #include <string_view>
 
+#include "admission/send_grants.h"
 #include "base/hash.h"
 #include "base/rng.h"
+#include "capacity/replica_controller.h"
 #include "node/hosted_state.h"
 #include "node/peer_links.h"
 #include "node/store_watch.h"
@@ -18,8 +20,6 @@
 #include "process/list_budget.h"
 #include "process/load_feed.h"
 #include "process/poison_exchange.h"
-#include "process/replica_controller.h"
-#include "process/send_grants.h"
 
 namespace arbutus {
 
--- a/src/node/hosted_state.h
+++ b/src/node/hosted_state.h
@@ -13,6 +13,8 @@
 #include <string>
 #include <vector>
 
+#include "admission/send_limits.h"
+#include "admission/target_backoff.h"
 #include "base/rng.h"
 #include "connection/http_client.h"
 #include "node/attempt_registry.h"
@@ -37,8 +39,6 @@
 #include "request/relay_peers.h"
 #include "request/replica_choice.h"
 #include "request/retry_window.h"
-#include "request/send_limits.h"
-#include "request/target_backoff.h"
 #include "version/service_map.h"
 
 namespace arbutus {
--- a/src/node/limit_exchange.h
+++ b/src/node/limit_exchange.h
@@ -1,4 +1,4 @@
-// Rate limits of workspaces on this node: holds the leases (request/limits.h) and exchanges them
+// Rate limits of workspaces on this node: holds the leases (admission/limits.h) and exchanges them
 // with the other nodes.
 #pragma once
 
@@ -10,9 +10,9 @@
 #include <string_view>
 #include <vector>
 
+#include "admission/limits.h"
 #include "base/outcome.h"
 #include "process/effects.h"
-#include "request/limits.h"
 #include "version/configuration.h"
 
 namespace arbutus {
--- a/src/node/model_gate.h
+++ b/src/node/model_gate.h
@@ -12,10 +12,10 @@
 #include <span>
 #include <unordered_map>
 
+#include "admission/admission.h"
 #include "connection/fiber_runtime.h"
 #include "node/control.h"
 #include "node/route_backoffs.h"
-#include "request/admission.h"
 #include "request/in_flight.h"
 #include "request/retry.h"
 #include "request/router.h"
--- a/src/node/request_timeline.cpp
+++ b/src/node/request_timeline.cpp
@@ -9,7 +9,7 @@
 #include <nlohmann/json.hpp>
 #include <set>
 
-#include "request/target_backoff.h"
+#include "admission/target_backoff.h"
 
 namespace arbutus {
 
--- a/src/node/route_backoffs.h
+++ b/src/node/route_backoffs.h
@@ -1,4 +1,4 @@
-// Targets that restrain a node of the product's own kind, as request/target_backoff, for its
+// Targets that restrain a node of the product's own kind, as admission/target_backoff, for its
 // replica routes and service instances. Shared by all calls. Thread-safe.
 #pragma once
 
@@ -6,10 +6,10 @@
 #include <optional>
 #include <vector>
 
+#include "admission/target_backoff.h"
 #include "base/rng.h"
 #include "connection/http_message.h"
 #include "process/routes.h"
-#include "request/target_backoff.h"
 
 namespace arbutus {
 
--- a/src/node/target_notices.h
+++ b/src/node/target_notices.h
@@ -4,8 +4,8 @@
 #include <string_view>
 #include <vector>
 
+#include "admission/target_backoff.h"
 #include "base/id.h"
-#include "request/target_backoff.h"
 
 namespace arbutus {
 
--- a/src/process/coordinator_parts.h
+++ b/src/process/coordinator_parts.h
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "base/rng.h"
-#include "process/activation.h"
+#include "capacity/activation.h"
 #include "process/assignment_writer.h"
 #include "process/config_replica.h"
 #include "process/coordinator.h"
--- a/src/process/hub_cost.cpp
+++ b/src/process/hub_cost.cpp
@@ -8,8 +8,8 @@
 #include <variant>
 #include <vector>
 
-#include "process/domain_layout.h"
-#include "process/replica_controller.h"
+#include "capacity/domain_layout.h"
+#include "capacity/replica_controller.h"
 
 namespace arbutus {
 
--- a/src/process/node_heartbeat.h
+++ b/src/process/node_heartbeat.h
@@ -15,13 +15,13 @@
 #include <string_view>
 #include <vector>
 
+#include "admission/send_grants.h"
 #include "base/id.h"
 #include "base/units.h"
 #include "process/config_transfer.h"
 #include "process/feed_log.h"
 #include "process/load_feed.h"
 #include "process/poison_exchange.h"
-#include "process/send_grants.h"
 #include "process/serving_feed.h"
 #include "request/replica_choice.h"
 #include "version/inventory.h"
--- a/src/request/policy_bench_admission.cpp
+++ b/src/request/policy_bench_admission.cpp
@@ -4,9 +4,9 @@
 #include <deque>
 #include <unordered_map>
 
+#include "admission/admission.h"
 #include "base/hash.h"
 #include "base/rng.h"
-#include "request/admission.h"
 #include "request/event_queue.h"
 #include "request/policy_bench.h"
 
--- a/src/request/policy_bench_budgets.cpp
+++ b/src/request/policy_bench_budgets.cpp
@@ -1,9 +1,9 @@
 // Simulations of retry budgets and of shared rate limits.
 #include <algorithm>
 
+#include "admission/limits.h"
 #include "base/hash.h"
 #include "base/rng.h"
-#include "request/limits.h"
 #include "request/policy_bench.h"
 #include "request/retry.h"
 
--- a/src/standin/hosted_engine.h
+++ b/src/standin/hosted_engine.h
@@ -13,8 +13,8 @@
 #include <vector>
 
 #include "base/units.h"
+#include "capacity/replica_controller.h"
 #include "process/fleet_view.h"
-#include "process/replica_controller.h"
 
 namespace arbutus::standin {
 
--- a/tests/core/activation_test.cpp
+++ b/tests/core/activation_test.cpp
@@ -1,6 +1,6 @@
 // Tests of standby activation: the bit mask of lost members, and which node starts an activation
 // and when.
-#include "process/activation.h"
+#include "capacity/activation.h"
 
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
--- a/tests/core/hosted_values_test.cpp
+++ b/tests/core/hosted_values_test.cpp
@@ -7,7 +7,7 @@
 #include <nlohmann/json.hpp>
 #include <numeric>
 
-#include "process/domain_layout.h"
+#include "capacity/domain_layout.h"
 #include "process/feed_log.h"
 #include "process/fleet_view.h"
 #include "process/hosted_settings.h"
--- a/tests/core/replica_controller_cost_test.cpp
+++ b/tests/core/replica_controller_cost_test.cpp
@@ -4,8 +4,8 @@
 #include <ctime>
 #include <variant>
 
+#include "capacity/replica_controller.h"
 #include "process/hub_cost.h"
-#include "process/replica_controller.h"
 
 namespace arbutus {
 namespace {
--- a/tests/core/request_admission_test.cpp
+++ b/tests/core/request_admission_test.cpp
@@ -2,7 +2,7 @@
 // estimates.
 #include <gtest/gtest.h>
 
-#include "request/admission.h"
+#include "admission/admission.h"
 #include "request/policy_bench.h"
 
 namespace arbutus {
--- a/tests/core/request_limits_test.cpp
+++ b/tests/core/request_limits_test.cpp
@@ -4,8 +4,8 @@
 
 #include <numeric>
 
+#include "admission/limits.h"
 #include "base/rng.h"
-#include "request/limits.h"
 #include "request/policy_bench.h"
 
 namespace arbutus {
--- a/tests/core/send_limits_test.cpp
+++ b/tests/core/send_limits_test.cpp
@@ -1,6 +1,6 @@
 // Tests limits that targets declare: how a node interprets their responses, and that all nodes
 // together respect the limit.
-#include "request/send_limits.h"
+#include "admission/send_limits.h"
 
 #include <gtest/gtest.h>
 
@@ -11,8 +11,8 @@
 #include <string>
 #include <vector>
 
+#include "admission/send_grants.h"
 #include "base/rng.h"
-#include "process/send_grants.h"
 
 namespace arbutus {
 namespace {
--- a/tests/core/target_backoff_test.cpp
+++ b/tests/core/target_backoff_test.cpp
@@ -1,5 +1,5 @@
 // Tests what a node remembers of the restraints that targets asked for.
-#include "request/target_backoff.h"
+#include "admission/target_backoff.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/shell/controller_simulation.h
+++ b/tests/shell/controller_simulation.h
@@ -15,7 +15,7 @@
 #include <vector>
 
 #include "base/rng.h"
-#include "process/replica_controller.h"
+#include "capacity/replica_controller.h"
 #include "process/target_incarnation.h"
 #include "standin/hosted_engine.h"
 
