Configuration, settings and heartbeats of the parts for hard load

Cause: two customers ask for warming targets, evacuations, allowed regions and decisions under load; their fields were not decoded, and demand was known to no node but the one that takes the calls. Change: decodes warmup and allowed regions, the time that a target still warms up, bounds and regions of the settings; counts demand by model and priority where streams of a service differ in priority, and sums it in heartbeats. Nothing decides by it yet.

--- a/src/base/id.h
+++ b/src/base/id.h
@@ -31,6 +31,8 @@
 
 using vm_id = name_id<struct vm_tag>;
 using data_centre_id = name_id<struct data_centre_tag>;
+// A group of data centres that requests may be confined to.
+using region_id = name_id<struct region_tag>;
 using fabric_domain_id = name_id<struct fabric_domain_tag>;
 using model_id = name_id<struct model_tag>;
 using adapter_id = name_id<struct adapter_tag>;
--- a/src/node/controller_heartbeats.cpp
+++ b/src/node/controller_heartbeats.cpp
@@ -139,6 +139,8 @@
   home_loads_ = node_.loads.all_at_home();
   all_loads_feed_.update(all_loads_);
   home_loads_feed_.update(home_loads_);
+  all_demand_ = node_.demand.all(now);
+  home_demand_ = node_.demand.at_home(now);
   if (node_.map && node_.fleet_complete) {
     node_.forwarded_serving.update(node_.fleet, *node_.map);
     std::set<target_id> suspects = node_.lost_reports.reported_by_hubs(now);
@@ -192,6 +194,7 @@
   }
   message.received_poison_position = poison_exchange_.received_position(peer);
   add_limits(now, peer, message);
+  add_demand_report(now, peer, message);
   return message;
 }
 
@@ -251,6 +254,30 @@
   }
 }
 
+void controller_loop::add_demand_report(time_point now, const node_id& peer,
+                                        node_heartbeat& message) {
+  const data_centre_id& home = node_.settings.data_centre;
+  if (message.hub) {
+    const bool same = node_.peers.data_centre_of(peer) == home;
+    message.demand = same ? all_demand_ : home_demand_;
+  } else if (node_.peers.hub_of(now, home) == peer) {
+    message.demand = node_.demand.own(now);
+  }
+}
+
+// Accepts demand from the same peers as loads, see take_loads().
+void controller_loop::take_demand(time_point now, const node_id& peer,
+                                  const node_heartbeat& message) {
+  const bool same = message.data_centre == node_.settings.data_centre;
+  const bool accepted = node_.peers.is_hub(now) ? same != message.hub : same && message.hub;
+  if (accepted) {
+    const load_scope scope = !message.hub ? load_scope::node
+                             : same       ? load_scope::deployment
+                                          : load_scope::data_centre;
+    node_.demand.set_peer_demand(now, peer, scope, message.demand);
+  }
+}
+
 // If this node is a hub, distributes the request rates that targets accept among the nodes, as send
 // grants.
 void controller_loop::grant_sends(time_point now) {
@@ -453,6 +480,7 @@
                 era_of(message.targets_position)});
   const bool same = message.data_centre == node_.settings.data_centre;
   take_loads(now, peer, message);
+  take_demand(now, peer, message);
   if (same && message.hub && message.echo_us > 0) {
     // The hub's content is newer than the moment at which this node sent the echoed stamp.
     const time_point stamp_sent_at{duration{message.echo_us}};
--- a/src/node/controller_loop.h
+++ b/src/node/controller_loop.h
@@ -91,6 +91,8 @@
   void take_loads(time_point now, const node_id& peer, const node_heartbeat& message);
   [[nodiscard]] bool receives_poison_updates(time_point now, const node_id& peer) const;
   void apply_poison_updates(time_point now, const node_id& peer, const node_heartbeat& message);
+  void add_demand_report(time_point now, const node_id& peer, node_heartbeat& message);
+  void take_demand(time_point now, const node_id& peer, const node_heartbeat& message);
   void grant_sends(time_point now);
   void add_limits(time_point now, const node_id& peer, node_heartbeat& message);
   void take_limits(time_point now, const node_id& peer, const node_heartbeat& message);
@@ -121,8 +123,10 @@
   std::vector<target_id> serving_suspects_;  // for the nodes that follow the serving replicas only
   replica_loads all_loads_;                  // of this node and its peers
   replica_loads home_loads_;                 // the same, of this data centre only
-  load_feed all_loads_feed_;                 // for the nodes of this data centre
-  load_feed home_loads_feed_;                // for the other hubs
+  model_demand all_demand_;  // of the deployment, and of this data centre, in this round
+  model_demand home_demand_;
+  load_feed all_loads_feed_;   // for the nodes of this data centre
+  load_feed home_loads_feed_;  // for the other hubs
   reported_loads reported_loads_;
   std::map<node_id, load_follower> received_loads_;  // by the hub that sent them
   std::vector<node_id> linked_peers_;
--- a/src/node/hosted_call.cpp
+++ b/src/node/hosted_call.cpp
@@ -103,10 +103,20 @@
     // The node that a call was handed over by has counted it, and pays for its first send here.
     if (!call_.relayed) {
       node_.retries_of(call_.arrived, call_.service->id).count_first_send(call_.arrived);
+      count_demand();
     }
     return true;
   }
 
+  void count_demand() {
+    const bool counts = call_.service->engine && call_.matched_route->kind == route_kind::stream &&
+                        call_.map->has_prioritised_streams(call_.service->id);
+    if (counts) {
+      node_.demand.count_call(call_.arrived, {call_.fields.model, call_.urgency.value_or(0)},
+                              call_.fields.size, call_.matched_route->latency_objective);
+    }
+  }
+
   hosted_state& node_;
   hosted_request& call_;
 };
--- a/src/node/hosted_state.h
+++ b/src/node/hosted_state.h
@@ -16,6 +16,7 @@
 #include "admission/send_limits.h"
 #include "admission/target_backoff.h"
 #include "base/rng.h"
+#include "capacity/model_demand.h"
 #include "connection/http_client.h"
 #include "node/attempt_registry.h"
 #include "node/hosted_metrics.h"
@@ -73,6 +74,7 @@
   bool fleet_complete = false;
   time_point fleet_list_requested_at{};  // send time of the query that returned the newest list
   load_table loads;
+  demand_table demand;  // for the models of services with prioritised streams
   instance_table instances;
   std::map<service_id, retry_window> retry_windows;
   stall_monitor replica_stalls;
--- a/src/process/fleet_view.h
+++ b/src/process/fleet_view.h
@@ -49,7 +49,8 @@
   endpoint address;
   data_centre_id data_centre;
   std::uint32_t slots = 1;
-  bool draining = false;  // stops soon; receives no new requests
+  bool draining = false;   // stops soon; receives no new requests
+  duration warmup_left{};  // as the target wrote it: how much longer it warms up
   fabric_domain_id domain;
   std::vector<model_id> staged;  // models whose weights are stored on the target's host
   model_id loaded;               // model that the target runs or ran last; empty: none
--- a/src/process/hosted_settings.cpp
+++ b/src/process/hosted_settings.cpp
@@ -44,6 +44,22 @@
     }
     table->read("cold_start", settings_.cold_start);
     table->finish();
+    read_regions();
+  }
+
+  void read_regions() {
+    auto table = root_.table("regions");
+    if (!table) {
+      return;
+    }
+    for (const data_centre_id& data_centre : settings_.data_centres) {
+      region_id region;
+      table->read(data_centre.str(), region, presence::optional);
+      if (!region.empty()) {
+        settings_.regions.emplace(data_centre, region);
+      }
+    }
+    table->finish();
   }
 
   void read_listen() {
@@ -71,6 +87,9 @@
     table->read_ms("drain_ms", bounds.drain_limit, optional, bound_ms);
     table->read_ms("stall_ms", bounds.stall_limit, optional, bound_ms);
     table->read_ms("target_heartbeat_ms", bounds.target_heartbeat, optional, bound_ms);
+    table->read_ms("evacuation_ms", bounds.evacuation_limit, optional, bound_ms);
+    table->read("warmup_overage", bounds.warmup_overage, optional, real_range{1, 100, false});
+    table->read("warmup_tolerance", bounds.warmup_tolerance, optional, real_range{0, 1e6, false});
     read_seconds(*table, "grace_s", bounds.shutdown_grace);
     read_seconds(*table, "retry_window_s", bounds.retry_window);
     table->read("retry_ratio", bounds.retry_ratio, optional, real_range{0, 10, false});
@@ -88,6 +107,9 @@
     double link_mbps = 0;
     table->read("processor", processor, presence::optional, real_range{0, max_cores, true});
     table->read("link_mbps", link_mbps, presence::optional, real_range{0, 1e6, true});
+    constexpr integer_range any{0, 1'000'000'000};
+    table->read("memory_mb", settings_.memory_mb, presence::optional, any);
+    table->read("file_descriptors", settings_.file_descriptors, presence::optional, any);
     table->finish();
     settings_.strength = {static_cast<std::uint32_t>(std::lround(processor * 1000)),
                           static_cast<std::uint32_t>(std::lround(link_mbps))};
--- a/src/process/hosted_settings.h
+++ b/src/process/hosted_settings.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -35,6 +36,12 @@
   double retry_ratio = 0.2;      // retries per request, over all nodes
   double retry_burst = 100;      // retries allowed in each retry window besides retry_ratio
   duration retry_window = 10s;
+  // In each second, a warming target may get `warmup_overage` times the rate that it bears and
+  // `warmup_tolerance` requests more, from all nodes together.
+  double warmup_overage = 1;
+  double warmup_tolerance = 0;
+  // After this an evacuated data centre gets no new requests.
+  duration evacuation_limit = 5s;
   duration target_heartbeat = 1200ms;  // interval at which a live target refreshes its record
 };
 
@@ -46,11 +53,15 @@
   node_id id;
   data_centre_id data_centre;
   std::vector<data_centre_id> data_centres;  // all data centres of the deployment
+  // The region of each data centre; a data centre without an entry is in no region.
+  std::map<data_centre_id, region_id> regions;
   hosted_listen listen;
   endpoint store;
   hosted_bounds bounds;
-  node_strength strength;   // of the VM that the node runs on
-  bool cold_start = false;  // the whole deployment starts for the first time
+  node_strength strength;              // of the VM that the node runs on
+  std::uint32_t memory_mb = 0;         // that the process may use; 0: not known
+  std::uint32_t file_descriptors = 0;  // that the process may use; 0: not known
+  bool cold_start = false;             // the whole deployment starts for the first time
   log_settings log{.bytes_per_second = default_log_rate};
 };
 
--- a/src/process/node_heartbeat.cpp
+++ b/src/process/node_heartbeat.cpp
@@ -81,6 +81,31 @@
   return limits;
 }
 
+json demand_to_json(const model_demand& demand) {
+  json rows = json::array();
+  for (const auto& [key, rate] : demand) {
+    rows.push_back(json::array({key.model.str(), key.priority, rate.calls_per_second,
+                                rate.prompt_tokens_per_second, rate.answer_tokens_per_second,
+                                rate.latency_objective_s}));
+  }
+  return rows;
+}
+
+model_demand demand_from_json(const json& from) {
+  model_demand demand;
+  for (const json& row : from) {
+    const demand_key key{model_id{row.at(0).get<std::string>()}, row.at(1).get<std::uint32_t>()};
+    const demand_rate rate{row.at(2).get<double>(), row.at(3).get<double>(),
+                           row.at(4).get<double>(), row.at(5).get<double>()};
+    const bool valid = rate.calls_per_second >= 0 && rate.prompt_tokens_per_second >= 0 &&
+                       rate.answer_tokens_per_second >= 0 && rate.latency_objective_s >= 0;
+    if (valid) {
+      demand.insert_or_assign(key, rate);
+    }
+  }
+  return demand;
+}
+
 json grants_to_json(const grant_update& grants) {
   json rows = json::array();
   for (const auto& [target, total] : grants.totals) {
@@ -133,6 +158,7 @@
 constexpr std::size_t cut_off_field = 35;
 constexpr std::size_t known_nodes_field = 36;
 constexpr std::size_t configuration_version_field = 37;
+constexpr std::size_t demand_field = 38;
 // In place of the newest row of the configuration, which earlier releases send.
 constexpr std::uint64_t row_of_earlier_releases = 0;
 
@@ -200,7 +226,8 @@
                          load_update_to_json(message.load_changes),
                          message.cut_off_from_targets,
                          message.known_nodes,
-                         message.configuration_version.value_or(0)};
+                         message.configuration_version.value_or(0),
+                         demand_to_json(message.demand)};
   std::string bytes;
   json::to_msgpack(document, bytes);
   return bytes;
@@ -261,6 +288,9 @@
     if (document.size() > configuration_version_field) {
       message.configuration_version = document.at(configuration_version_field).get<std::uint64_t>();
     }
+    if (document.size() > demand_field) {
+      message.demand = demand_from_json(document.at(demand_field));
+    }
     return message;
   } catch (const json::exception&) {
     return std::nullopt;
--- a/src/process/node_heartbeat.h
+++ b/src/process/node_heartbeat.h
@@ -18,6 +18,7 @@
 #include "admission/send_grants.h"
 #include "base/id.h"
 #include "base/units.h"
+#include "capacity/model_demand.h"
 #include "process/config_transfer.h"
 #include "process/feed_log.h"
 #include "process/load_feed.h"
@@ -86,6 +87,9 @@
   // Rate limits that targets declare, and grants to send requests to these targets.
   std::vector<limit_update> limits;
   grant_update grants;
+  // From a node the demand of its own callers; from a hub that of its data centre to another hub,
+  // and that of the deployment to its nodes.
+  model_demand demand;
   // The following are sent only by a hub to a node of its data centre.
   std::optional<feed_update> targets;  // records of targets
   // Serving replicas, sent instead of `targets`; positions are of the sender's incarnation.
--- a/src/version/service_map.cpp
+++ b/src/version/service_map.cpp
@@ -46,6 +46,22 @@
       workspace_by_key_.emplace(key, i);
     }
   }
+  find_prioritised_services();
+}
+
+void service_map::find_prioritised_services() {
+  std::map<service_id, std::uint32_t> first_priority;
+  for (const route& r : routes_) {
+    if (r.kind != route_kind::stream) {
+      continue;
+    }
+    for (const route_share& share : r.shares) {
+      const auto [known, is_new] = first_priority.emplace(share.service, r.priority);
+      if (!is_new && known->second != r.priority) {
+        prioritised_services_.insert(share.service);
+      }
+    }
+  }
 }
 
 const route* service_map::find_route(std::string_view host, std::string_view path) const {
--- a/src/version/service_map.h
+++ b/src/version/service_map.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -45,6 +46,8 @@
   std::uint32_t priority{};        // 0 is the most urgent
   std::uint32_t max_attempts = 1;
   std::vector<route_share> shares;
+  std::vector<region_id> allowed_regions =
+      {};  // where its requests may be served; empty: everywhere
 
   [[nodiscard]] bool repeatable() const {
     return kind == route_kind::idempotent || (kind == route_kind::stream && resumable);
@@ -86,17 +89,26 @@
   [[nodiscard]] const model_spec* find_model(const model_id& id) const;
 };
 
+// How many requests a target bears while it warms up: after a start during traffic, and whenever it
+// reports that it is cold.
+struct warmup_limit {
+  duration time{};               // from the target's start until it is warm
+  double requests_per_second{};  // that a warming target bears, from all nodes together
+};
+
 struct service_spec {
   service_id id;
   std::string health_path;
   std::uint32_t max_connections{};          // to one target, for all callers together
   std::optional<engine_parameters> engine;  // empty: the service is not a model
+  std::optional<warmup_limit> warmup;       // empty: its targets bear full load from the start
 };
 
 struct workspace_spec {
   workspace_id id;
   std::vector<std::string> keys;
-  std::optional<std::uint32_t> priority;  // overrides the priority of the route
+  std::optional<std::uint32_t> priority = {};   // overrides the priority of the route
+  std::vector<region_id> allowed_regions = {};  // besides those of the route; empty: everywhere
 };
 
 // Limits of a caller's connection.
@@ -124,8 +136,15 @@
   [[nodiscard]] const route* find_route(std::string_view host, std::string_view path) const;
   [[nodiscard]] const workspace_spec* find_workspace(std::string_view key) const;
   [[nodiscard]] const service_spec* find_service(const service_id& id) const;
+  // Whether the streams that this service serves differ in priority, so that its callers compete
+  // for its replicas by urgency.
+  [[nodiscard]] bool has_prioritised_streams(const service_id& id) const {
+    return prioritised_services_.contains(id);
+  }
 
  private:
+  void find_prioritised_services();
+
   std::uint64_t version_{};
   std::vector<route> routes_;
   std::vector<service_spec> services_;
@@ -133,6 +152,7 @@
   caller_limits limits_;
   // Indices of the host's routes in routes_, longest path prefix first.
   std::unordered_map<std::string, std::vector<std::size_t>> routes_by_host_;
+  std::set<service_id> prioritised_services_;  // see has_prioritised_streams()
   std::unordered_map<std::string, std::size_t>
       workspace_by_key_;  // API key to index in workspaces_
 };
