--- a/src/admission/send_limits.h
+++ b/src/admission/send_limits.h
@@ -2,8 +2,8 @@
 // from all nodes together, in force while its responses carry the limit.
 //
 // A node learns a limit from a response to itself or from its peers. It sends a limited target only
-// what its hub has granted (admission/send_grants). Each send uses one grant, be it a first attempt,
-// a retry or a resumed stream. A target without grants at this node is not chosen.
+// what its hub has granted (admission/send_grants). Each send uses one grant, be it a first
+// attempt, a retry or a resumed stream. A target without grants at this node is not chosen.
 #pragma once
 
 #include <cstdint>
