Capacity: engines follow observed demand

Cause: the plan divided engines by declared shares. The cost of a change, 6 % of the total for each engine, kept it from following anything else: with 150 engines no domain gained enough by itself. Change: where streams differ in priority, controllers plan by demand_plan; the change cost is then 1 / engines. Surplus replicas are closed whole, idle ones first, no more at once than the weight store then loads, and never the last of a model; their free engines form no replica of the old model. A shortage by demand does not wait 10 s unless a domain lost or gained engines since. Other deployments plan as before. Metrics and a log line of each change.

--- a/src/capacity/replica_controller.cpp
+++ b/src/capacity/replica_controller.cpp
@@ -42,8 +42,10 @@
   advance_forming(ctx);
   check_formed(ctx);
   collect_free_engines(ctx);
+  update_shares(ctx);
   form_replicas(ctx);
   update_plan(ctx);
+  choose_surplus(ctx);
   assign_models(ctx);
   return std::move(ctx.effects);
 }
@@ -317,6 +319,10 @@
       dissolve_replica(ctx, group, reason);
       continue;
     }
+    if (surplus_.contains(key)) {
+      dissolve_replica(ctx, group, "its engines are needed for another model");
+      continue;
+    }
     if (spans_domains(group.members)) {
       ctx.cross_domain_replicas.push_back(group);
       if (const auto since = closing_since_.find(key); since != closing_since_.end()) {
--- a/src/capacity/replica_controller.h
+++ b/src/capacity/replica_controller.h
@@ -25,10 +25,13 @@
 
 #include "base/id.h"
 #include "base/units.h"
+#include "capacity/demand_plan.h"
 #include "capacity/domain_layout.h"
+#include "capacity/model_demand.h"
 #include "process/fleet_view.h"
 #include "process/replica_name.h"
 #include "process/stall_monitor.h"
+#include "request/replica_choice.h"
 #include "version/service_map.h"
 
 namespace arbutus {
@@ -121,6 +124,9 @@
   // A ready engine switches to a different model only after the plan has asked for that for this
   // time: most domain outages end within 8 s, and a load takes 12 to 16 s.
   duration model_switch_delay = 10s;
+  // A change by demand does not wait that long. It is carried out replica by replica, within the
+  // limit on loads, for up to this time: closing takes up to 10 s, and a load 12 to 16 s.
+  duration demand_change_window = 60s;
   // A model without a replica inside one data centre gets one across data centres after this time.
   // Less than callers wait, and more than it takes to form a replica again once its members are
   // free.
@@ -147,6 +153,11 @@
     std::size_t all_data_centres = 1;
     bool requests_seen = false;  // from the first request on, loads take their full time
     duration target_list_age{};  // time since the list of targets was last up to date
+    // Whether engines are divided among the models by demand. The fields below count only then.
+    bool plans_by_demand = false;
+    model_demand demand = {};           // of the deployment
+    double heard_nodes = 1;             // fraction of the known nodes that are heard
+    const load_table* loads = nullptr;  // to close idle replicas first; null: not known
   };
 
   // Returns the orders and queries to send now for the engines of `service`. Call every few tens of
@@ -183,6 +194,20 @@
   };
   [[nodiscard]] const std::vector<domain_plan>& plan() const { return plan_; }
 
+  // What the plan by demand has for a model; for metrics and logs.
+  struct model_plan {
+    model_id model;
+    double calls_per_second = 0;
+    double work = 0;                     // replicas that the calls keep busy
+    double engine_time_share = 0;        // in force
+    std::uint32_t planned_replicas = 0;  // in all data centres
+  };
+  // Empty if engines are not divided by demand.
+  [[nodiscard]] const std::vector<model_plan>& model_plans() const { return model_plans_; }
+  // Number of changes by demand, and of replicas that this node closed for them.
+  [[nodiscard]] std::uint64_t demand_changes() const { return demand_changes_; }
+  [[nodiscard]] std::uint64_t surplus_closed() const { return surplus_closed_; }
+
   // Number of replicas that this node is forming; for status and tests.
   [[nodiscard]] std::size_t forming() const { return forming_.size(); }
 
@@ -271,8 +296,22 @@
                std::size_t ready);
   [[nodiscard]] std::vector<const target_view*> ready_engines(
       const std::vector<const target_view*>& free, const model_spec& model) const;
+  void update_shares(tick_context& ctx);
   void update_plan(tick_context& ctx);
+  void update_model_plans(const tick_context& ctx);
+  [[nodiscard]] bool is_demand_change(const tick_context& ctx) const;
   void update_shortages(const tick_context& ctx);
+  void choose_surplus(tick_context& ctx);
+  struct surplus_search;  // state of choose_surplus()
+  [[nodiscard]] std::map<fabric_domain_id, surplus_search> find_short_domains(
+      const tick_context& ctx) const;
+  void count_available(const tick_context& ctx, const fabric_domain_id& domain,
+                       surplus_search& search) const;
+  void close_surplus(const tick_context& ctx, std::map<fabric_domain_id, surplus_search>& searches,
+                     const std::vector<const formed_replica*>& serving);
+  [[nodiscard]] bool is_last_of_model(const tick_context& ctx, const formed_replica& replica) const;
+  [[nodiscard]] bool is_short(const tick_context& ctx, const fabric_domain_id& domain,
+                              std::size_t model) const;
   void assign_models(tick_context& ctx);
   void start_loading(tick_context& ctx, const target_view& view, std::size_t model);
   [[nodiscard]] bool is_loading(const target_view& view, const local_engine_state& local) const;
@@ -323,6 +362,17 @@
   fleet_layout planned_layout_;
   // Since when a domain has had fewer engines of a model than planned.
   std::map<std::pair<fabric_domain_id, model_id>, time_point> shortage_since_;
+  demand_plan demand_plan_;
+  std::vector<model_plan> model_plans_;
+  std::uint64_t demand_changes_ = 0;
+  std::uint64_t surplus_closed_ = 0;
+  // When demand last changed the plan, and the engines that each domain had then.
+  std::optional<time_point> demand_changed_at_;
+  std::map<fabric_domain_id, std::uint32_t> engines_at_demand_change_;
+  // Replicas that are closed because the plan needs their engines for another model.
+  std::set<replica_key> surplus_;
+  // Models whose free engines in the domain are to load another model, so they form no replica.
+  std::set<std::pair<fabric_domain_id, model_id>> withheld_;
   // Since when a model has had no replica inside a single data centre.
   std::map<model_id, time_point> no_local_replica_since_;
   std::map<replica_key, time_point> first_seen_;  // when an engine was first seen in the replica
--- a/src/capacity/replica_controller_form.cpp
+++ b/src/capacity/replica_controller_form.cpp
@@ -22,9 +22,12 @@
       replicas[model_of_name(key.name)] += 1;
     }
   }
+  const auto engines_per_share = [&](const model_spec* model) {
+    const auto index = static_cast<std::size_t>(model - ctx.engine.models.data());
+    return replicas[model->id] * model->size / std::max(ctx.shares[index], 1e-3);
+  };
   std::stable_sort(models.begin(), models.end(), [&](const auto* a, const auto* b) {
-    return replicas[a->id] * a->size / std::max(a->expected_engine_time_fraction, 1e-3) <
-           replicas[b->id] * b->size / std::max(b->expected_engine_time_fraction, 1e-3);
+    return engines_per_share(a) < engines_per_share(b);
   });
   for (const fabric_domain_id& domain : domains) {
     for (const model_spec* model : models) {
@@ -50,6 +53,9 @@
     const local_engine_state& local = local_states_.at(view->record.id);
     const auto& member_of = view->record.member_of;
     const bool loading = member_of && member_of->state == member_state::joining;
+    if (withheld_.contains({view->record.domain, model.id})) {
+      continue;
+    }
     if (local.ready_model == model.id && !loading && local.loading_model.empty() &&
         is_current(*view, local) && !local.order_pending) {
       ready.push_back(view);
--- a/src/capacity/replica_controller_load.cpp
+++ b/src/capacity/replica_controller_load.cpp
@@ -16,6 +16,18 @@
   return std::find(staged.begin(), staged.end(), model) != staged.end();
 }
 
+layout_settings settings_for_plan(bool by_demand, std::size_t engines) {
+  layout_settings settings;
+  if (by_demand) {
+    // Demand changes seldom and only by much, see demand_plan.h, and a change is worth its loads. A
+    // move of a tenth of the engines has to save a tenth of the cost. With the other value, 150
+    // engines did not follow demand at all: no domain gained enough by itself.
+    settings.change_cost_weight = std::min(
+        settings.change_cost_weight, 1.0 / static_cast<double>(std::max<std::size_t>(engines, 1)));
+  }
+  return settings;
+}
+
 }  // namespace
 
 // Counts the engines of all data centres by domain and model and updates the plan. Every controller
@@ -44,13 +56,15 @@
     domains.push_back({domain.ready, domain.unloaded});
   }
   std::vector<layout_model> models;
-  for (const model_spec& model : ctx.engine.models) {
-    // expected_engine_time_fraction is a share of engine time: a replica of twice the size does
-    // twice the work.
-    models.push_back({model.size, model.expected_engine_time_fraction / model.size});
+  for (std::size_t m = 0; m < ctx.engine.models.size(); ++m) {
+    // The shares are of engine time: a replica of twice the size does twice the work.
+    const std::uint32_t size = ctx.engine.models[m].size;
+    models.push_back({size, ctx.shares[m] / size});
   }
   if (domains != plan_input_domains_ || models != plan_input_models_) {
-    planned_layout_ = plan_fleet_layout(domains, models, ctx.engine.cross_domain_slowdown_factor);
+    planned_layout_ =
+        plan_fleet_layout(domains, models, ctx.engine.cross_domain_slowdown_factor,
+                          settings_for_plan(ctx.own.plans_by_demand, ctx.engines.size()));
     plan_input_domains_ = domains;
     plan_input_models_ = models;
   }
@@ -63,7 +77,15 @@
     plan_.push_back({id, domain.ready, domain.desired, domain.unloaded,
                      free == ctx.free_engines.end() ? 0 : free->second.size()});
   }
+  if (ctx.shares_changed) {
+    demand_changed_at_ = ctx.now;
+    engines_at_demand_change_.clear();
+    for (const auto& [id, domain] : ctx.domains) {
+      engines_at_demand_change_[id] = domain.engines();
+    }
+  }
   update_shortages(ctx);
+  update_model_plans(ctx);
 }
 
 // The model that the engine has loaded or is loading.
@@ -79,11 +101,13 @@
 }
 
 void replica_controller::update_shortages(const tick_context& ctx) {
+  const time_point since = is_demand_change(ctx) ? ctx.now - settings_.model_switch_delay : ctx.now;
   for (const auto& [id, domain] : ctx.domains) {
     for (std::size_t m = 0; m < ctx.engine.models.size(); ++m) {
       const std::pair key(id, ctx.engine.models[m].id);
       if (domain.ready[m] < domain.desired[m]) {
-        shortage_since_.emplace(key, ctx.now);
+        time_point& known = shortage_since_.emplace(key, since).first->second;
+        known = std::min(known, since);
       } else {
         shortage_since_.erase(key);
       }
@@ -91,6 +115,14 @@
   }
 }
 
+// Whether the domain has had fewer engines of the model than planned for long enough to switch
+// engines to it.
+bool replica_controller::is_short(const tick_context& ctx, const fabric_domain_id& domain,
+                                  std::size_t model) const {
+  const auto since = shortage_since_.find({domain, ctx.engine.models[model].id});
+  return since != shortage_since_.end() && ctx.now - since->second >= settings_.model_switch_delay;
+}
+
 bool replica_controller::is_loading(const target_view& view,
                                     const local_engine_state& local) const {
   const auto& member_of = view.record.member_of;
@@ -125,9 +157,7 @@
   const auto current = ctx.model_index(local.ready_model);
   // A ready engine switches to a different model only if its domain has a surplus of its current
   // model, and has been short of the other one for some time or can complete a replica of it.
-  const auto since = shortage_since_.find({view.record.domain, candidate.id});
-  const bool persistent =
-      since != shortage_since_.end() && ctx.now - since->second >= settings_.model_switch_delay;
+  const bool persistent = is_short(ctx, view.record.domain, model);
   if (current && (domain.ready[*current] <= domain.desired[*current] ||
                   !(persistent || surplus_completes_replica(ctx, domain, *current, model)))) {
     return std::nullopt;
@@ -149,7 +179,7 @@
     replicas += std::floor(static_cast<double>(domain.ready[model]) / spec.size);
   }
   constexpr double share_weight = 10;
-  return share_weight * spec.expected_engine_time_fraction / spec.size / (replicas + 1);
+  return share_weight * ctx.shares[model] / spec.size / (replicas + 1);
 }
 
 // The best engine of a domain for each model, among those that may load it.
@@ -184,9 +214,7 @@
 void replica_controller::assign_models(tick_context& ctx) {
   const bool unlimited = cold_start_ && !ctx.own.requests_seen &&
                          ctx.now - started_ >= settings_.cold_start_limit_duration;
-  const auto share = std::max<std::size_t>(
-      1, ctx.engine.concurrent_loads * std::max<std::size_t>(1, ctx.own.data_centres.size()) /
-             std::max<std::size_t>(1, ctx.own.all_data_centres));
+  const std::size_t share = ctx.own_load_limit();
   // Each data centre may use its share of the store's loads, and any part that others leave.
   const auto may_load_now = [&] {
     return unlimited || ctx.loading_in_own_data_centres < share ||
--- a/src/capacity/replica_controller_tick.h
+++ b/src/capacity/replica_controller_tick.h
@@ -1,7 +1,9 @@
 // State of one tick of the replica controller. Private to the replica_controller*.cpp files.
 #pragma once
 
+#include <algorithm>
 #include <map>
+#include <numeric>
 #include <optional>
 #include <set>
 #include <vector>
@@ -15,6 +17,10 @@
   std::vector<std::uint32_t> ready;
   std::uint32_t unloaded = 0;
   std::vector<std::uint32_t> desired;
+
+  [[nodiscard]] std::uint32_t engines() const {
+    return std::accumulate(ready.begin(), ready.end(), unloaded);
+  }
 };
 
 // An engine of the service, and what this controller knows about it.
@@ -31,6 +37,8 @@
   const engine_parameters& engine;
   const responsibilities& own;
   controller_effects effects = {};
+  std::vector<double> shares = {};       // planned shares of engine time, by model
+  bool shares_changed = false;           // by demand, in this tick
   std::vector<engine_ref> engines = {};  // of the service, in all data centres
   // Replicas with members in this node's data centres.
   std::map<replica_key, formed_replica> formed = {};
@@ -62,6 +70,13 @@
     return std::nullopt;
   }
 
+  // Simultaneous loads from the weight store that this node's data centres may always use.
+  [[nodiscard]] std::size_t own_load_limit() const {
+    return std::max<std::size_t>(1, engine.concurrent_loads *
+                                        std::max<std::size_t>(1, own.data_centres.size()) /
+                                        std::max<std::size_t>(1, own.all_data_centres));
+  }
+
   [[nodiscard]] bool is_in_own_data_centre(const target_view& view) const {
     return own.data_centres.contains(view.record.data_centre);
   }
--- a/src/node/controller_loop.cpp
+++ b/src/node/controller_loop.cpp
@@ -29,6 +29,27 @@
 // Time without an answer of the store after which a node without any alive peer counts as isolated.
 // The store's feed alone may take a second to answer.
 constexpr duration isolation_timeout = 2500ms;
+// Nodes report their demand to their hub at the interval of heartbeats.
+constexpr duration demand_interval = 100ms;
+
+// Fraction of the known nodes whose demand this node, as a hub, knows: those that it hears, and
+// those of other data centres from which it hears a hub.
+double heard_nodes(const peer_table& peers, time_point now, const hosted_settings& self) {
+  std::set<data_centre_id> heard_data_centres;
+  for (const node_record& node : peers.records()) {
+    if (node.data_centre != self.data_centre && peers.is_alive(now, node.id)) {
+      heard_data_centres.insert(node.data_centre);
+    }
+  }
+  const auto heard =
+      std::count_if(peers.records().begin(), peers.records().end(), [&](const node_record& node) {
+        return node.id == self.id || peers.is_alive(now, node.id) ||
+               heard_data_centres.contains(node.data_centre);
+      });
+  return peers.records().empty()
+             ? 1
+             : static_cast<double>(heard) / static_cast<double>(peers.records().size());
+}
 
 }  // namespace
 
@@ -147,9 +168,16 @@
     if (now - capacity_logged_at_ >= capacity_log_interval) {
       log_capacity(service);
     }
-    const replica_controller::responsibilities own{
+    replica_controller::responsibilities own{
         responsible_data_centres_, node_.settings.data_centres.size(), node_.requests_seen,
         now - node_.fleet_list_requested_at};
+    if (node_.map->has_prioritised_streams(service.id)) {
+      refresh_demand(now);
+      own.plans_by_demand = true;
+      own.demand = known_demand_;
+      own.heard_nodes = heard_nodes_;
+      own.loads = &node_.loads;
+    }
     if (responsible_data_centres_.empty() || !node_.fleet_complete) {
       continue;
     }
@@ -157,12 +185,66 @@
       carry_out(service.id, desired);
     }
     log_plan(now, found->second);
+    log_demand_change(service.id, found->second);
   }
   if (now - capacity_logged_at_ >= capacity_log_interval) {
     capacity_logged_at_ = now;
   }
 }
 
+// Sums the demand of the deployment for the controllers. A tick of theirs is more frequent than
+// news of other nodes.
+void controller_loop::refresh_demand(time_point now) {
+  if (now - demand_refreshed_at_ < demand_interval) {
+    return;
+  }
+  demand_refreshed_at_ = now;
+  known_demand_ = node_.demand.all(now);
+  heard_nodes_ = heard_nodes(node_.peers, now, node_.settings);
+}
+
+// Logs and counts the changes of the plan by demand. Orders have log lines of their own.
+void controller_loop::log_demand_change(const service_id& service,
+                                        const replica_controller& controller) {
+  counted_moves& counted = counted_moves_[service];
+  if (const auto closed = controller.surplus_closed(); closed > counted.closed) {
+    node_.metrics.count("arbutusworks_surplus_replicas_closed", {}, closed - counted.closed);
+    counted.closed = closed;
+  }
+  if (controller.demand_changes() == counted.changes) {
+    return;
+  }
+  node_.metrics.count("arbutusworks_demand_changes", {},
+                      controller.demand_changes() - counted.changes);
+  counted.changes = controller.demand_changes();
+  for (const replica_controller::model_plan& plan : controller.model_plans()) {
+    log_line(log_level::info, "keeper", "demand",
+             {{"model", plan.model},
+              {"calls_per_s", plan.calls_per_second},
+              {"work", plan.work},
+              {"engine_time_share", plan.engine_time_share},
+              {"planned", std::uint64_t{plan.planned_replicas}}});
+  }
+}
+
+std::string controller_loop::capacity_gauges() const {
+  std::string text;
+  if (responsible_data_centres_.empty()) {
+    return text;
+  }
+  for (const auto& [service, controller] : controllers_) {
+    for (const replica_controller::model_plan& plan : controller.model_plans()) {
+      const std::string label = "{model=\"" + plan.model.str() + "\"} ";
+      text +=
+          "arbutusworks_model_calls_per_s" + label + std::to_string(plan.calls_per_second) + '\n';
+      text += "arbutusworks_model_work" + label + std::to_string(plan.work) + '\n';
+      text += "arbutusworks_model_replicas_planned" + label +
+              std::to_string(plan.planned_replicas) + '\n';
+    }
+  }
+  return text;
+}
+
 // Logs the replicas and engines available to the controller when they change, at most once a
 // second.
 void controller_loop::log_plan(time_point now, const replica_controller& controller) {
--- a/src/node/controller_loop.h
+++ b/src/node/controller_loop.h
@@ -33,6 +33,10 @@
   // Ends run(). To be called on the worker; returns when no fiber uses the links to peers any more.
   void end();
 
+  // What the plan by demand has for each model, as Prometheus text; empty unless this node controls
+  // engines. To be called on the worker.
+  [[nodiscard]] std::string capacity_gauges() const;
+
   // Handles an encoded heartbeat from a peer.
   void received(time_point now, const node_id& peer, std::string_view bytes);
 
@@ -60,6 +64,8 @@
   void run_controllers(time_point now);
   void log_capacity(const service_spec& service);
   void log_plan(time_point now, const replica_controller& controller);
+  void refresh_demand(time_point now);
+  void log_demand_change(const service_id& service, const replica_controller& controller);
   void carry_out(const service_id& service, const controller_effect& effect);
   void check_stalls(time_point now);
   void probe_overdue(time_point now);
@@ -109,6 +115,16 @@
   time_point started_at_;
   rng random_;
   std::map<service_id, replica_controller> controllers_;
+  // For the controllers; see refresh_demand().
+  time_point demand_refreshed_at_{};
+  model_demand known_demand_;
+  double heard_nodes_ = 1;
+  // What the metrics have of a controller's moves.
+  struct counted_moves {
+    std::uint64_t changes = 0;
+    std::uint64_t closed = 0;
+  };
+  std::map<service_id, counted_moves> counted_moves_;
   std::set<target_id> heads_being_checked_;   // heads whose replicas are being checked
   std::set<target_id> targets_being_probed_;  // targets with a probe in progress
   std::map<node_id, feed_positions> peer_positions_;
--- a/src/node/hosted_node.cpp
+++ b/src/node/hosted_node.cpp
@@ -159,6 +159,7 @@
               std::to_string(std::max(used.limit - used.retries, 0.0)) + '\n';
       text += "arbutusworks_retry_budget_nodes" + label + ' ' + std::to_string(used.nodes) + '\n';
     }
+    text += controller->capacity_gauges();
     add("arbutusworks_cut_off_services", cut_off_services);
     add("arbutusworks_targets_unreachable", unreachable_targets);
     add("arbutusworks_taken_over_active", state.taken_over);
--- a/tests/shell/controller_simulation.h
+++ b/tests/shell/controller_simulation.h
@@ -37,6 +37,20 @@
   return service;
 }
 
+// The same with the times of an engine, so that demand can be turned into work.
+inline service_spec two_models_with_times() {
+  service_spec service = two_models();
+  engine_parameters& engine = *service.engine;
+  engine.slots = 34;
+  engine.step = 6ms;
+  engine.step_per_sequence_ms = 0.24;
+  engine.decode_steps_per_pass = 5;
+  engine.prefill_tokens_per_s = 46'000;
+  engine.mean_prompt_tokens = 800;
+  engine.mean_answer_tokens = 110;
+  return service;
+}
+
 class controller_simulation {
  public:
   struct faults {
@@ -233,12 +247,35 @@
   rng& random() { return random_; }
   void start_requests() { requests_started_ = true; }
 
+  // Engines are divided by this demand from now on.
+  void set_demand(model_demand demand) { demand_ = std::move(demand); }
+  // Fraction of the known nodes that this node hears; the demand that it knows is theirs.
+  void set_heard_nodes(std::size_t node, double fraction) { nodes_[node]->heard_nodes = fraction; }
+  // As the nodes know it; does not start an answer.
+  void set_active(const target_id& head, double active) {
+    loads_.set_peer_loads(node_id{head.str()}, data_centre_id{"a"}, load_scope::node, now_,
+                          {{head, {active, 0}}});
+  }
+  [[nodiscard]] const replica_controller& controller(std::size_t node) const {
+    return nodes_[node]->controller;
+  }
+  // Number of engines that load a model from the weight store.
+  [[nodiscard]] std::size_t loading_engines() const {
+    return static_cast<std::size_t>(
+        std::count_if(engines_.begin(), engines_.end(), [](const auto& entry) {
+          const auto& member_of = entry.second.record().member_of;
+          return member_of && member_of->state == member_state::joining &&
+                 is_spare_name(member_of->replica.name);
+        }));
+  }
+
  private:
   struct simulated_controller {
     fleet_view fleet;
     replica_controller controller;
     bool receives_list = true;
     bool partitioned = false;
+    double heard_nodes = 1;
     // Last records of targets that the node received from the list.
     std::map<target_id, target_record> received_records = {};
     std::set<data_centre_id> data_centres = {data_centre_id{"a"}};
@@ -284,8 +321,14 @@
       probe_lost();
     }
     for (std::size_t n = 0; n < nodes_.size(); ++n) {
-      const replica_controller::responsibilities responsibilities{nodes_[n]->data_centres,
-                                                                  nodes_.size(), requests_started_};
+      replica_controller::responsibilities responsibilities{nodes_[n]->data_centres, nodes_.size(),
+                                                            requests_started_};
+      if (demand_) {
+        responsibilities.plans_by_demand = true;
+        responsibilities.demand = *demand_;
+        responsibilities.heard_nodes = nodes_[n]->heard_nodes;
+        responsibilities.loads = &loads_;
+      }
       for (const controller_effect& e :
            nodes_[n]->controller.tick(now_, nodes_[n]->fleet, service_, responsibilities)) {
         carry_out(n, e);
@@ -543,6 +586,8 @@
   rng random_;
   faults faults_;
   bool requests_started_ = false;
+  std::optional<model_demand> demand_;
+  load_table loads_;
   std::map<target_id, standin::hosted_engine> engines_;
   std::set<target_id> dead_;
   std::set<target_id> refusing_;
