Admission: room of replicas, calibrated first events, sight of both

Cause: near saturation all nodes sent to the few replicas that looked free by loads 200 to 400 ms old, and the estimated first event lacked the constant part of an engine, so that lateness was neither seen nor expected. Change: expected and observed time to the first event by model as histograms and in the lines of a run's end (at debug level for complete runs). request/latency_calibration corrects the estimate by observed runs, for services whose streams differ in priority. admission/replica_room computes the room of each replica, what it can take within the age of known loads and the admitted fraction of each priority; admission/demand_trend takes the lag out of the smoothed demand. No request is refused by it yet.

--- a/src/node/hosted_state.h
+++ b/src/node/hosted_state.h
@@ -13,6 +13,7 @@
 #include <string>
 #include <vector>
 
+#include "admission/demand_trend.h"
 #include "admission/send_limits.h"
 #include "admission/target_backoff.h"
 #include "base/rng.h"
@@ -37,6 +38,7 @@
 #include "process/store_version.h"
 #include "process/target_reach.h"
 #include "request/instance_choice.h"
+#include "request/latency_calibration.h"
 #include "request/relay_peers.h"
 #include "request/replica_choice.h"
 #include "request/retry_window.h"
@@ -75,6 +77,8 @@
   time_point fleet_list_requested_at{};  // send time of the query that returned the newest list
   load_table loads;
   demand_table demand;  // for the models of services with prioritised streams
+  demand_trend trend;  // of all nodes' demand
+  latency_calibration calibration;  // of the models of these services
   instance_table instances;
   std::map<service_id, retry_window> retry_windows;
   stall_monitor replica_stalls;
--- a/src/node/hosted_stream.cpp
+++ b/src/node/hosted_stream.cpp
@@ -299,6 +299,13 @@
     if (how == run_result::complete && claim(active)) {
       mark_request_harmless(node_, call_);
       mark_blocks_harmless(node_, call_, run.first_event_at(), run.last_event_at(), true);
+      if (call_.writes_log_lines) {
+        log_line(log_level::debug, "request", "run ended",
+                 {{"request", call_.fields.id},
+                  {"target", run.head()},
+                  {"expected_first_ms", to_milliseconds(run.expected_first_event())},
+                  {"first_ms", to_milliseconds(run.time_to_first_event())}});
+      }
       end_stream(run.headers(), run.head());
       return;
     }
@@ -344,6 +351,8 @@
                 {"ran", ran},
                 {"print", hash_text(call_.fingerprint)},
                 {"answered", run.answered()},
+                {"expected_first_ms", to_milliseconds(run.expected_first_event())},
+                {"first_ms", to_milliseconds(run.time_to_first_event())},
                 {"running_ms",
                  had_event ? to_milliseconds(monotonic_now() - run.first_event_at()) : 0.0},
                 {"last_event", last_id_},
--- a/src/node/metrics.cpp
+++ b/src/node/metrics.cpp
@@ -53,6 +53,8 @@
 };
 
 using series_map = std::map<series_key, duration_stats>;
+// Steps that are not measured by model have the empty one.
+using model_series = std::map<model_id, duration_stats>;
 using counter_key = std::pair<std::string, std::string>;  // name and labels
 
 std::string escape_label(std::string_view value) {
@@ -74,7 +76,13 @@
          escape_label(key.request_class) + "\",target=\"" + escape_label(key.target) + "\"";
 }
 
-void print_histogram(std::ostream& out, std::string_view name, const series_map& series) {
+std::string labels_of(const model_id& model) {
+  return model.empty() ? std::string{} : "model=\"" + escape_label(model.str()) + "\"";
+}
+
+template <class Key>
+void print_histogram(std::ostream& out, std::string_view name,
+                     const std::map<Key, duration_stats>& series) {
   out << "# TYPE " << name << " histogram\n";
   for (const auto& [key, value] : series) {
     const std::string labels = labels_of(key);
@@ -98,12 +106,12 @@
   series_map total;
   series_map first_token;
   series_map queued;
-  std::map<std::string, duration_stats, std::less<>> steps;
+  std::map<std::string, model_series, std::less<>> steps;
   std::map<counter_key, std::uint64_t> counters;
 
   void merge(const shard_state& other) {
     const std::lock_guard guard(other.lock);
-    const auto merge_series = [](series_map& into, const series_map& from) {
+    const auto merge_series = [](auto& into, const auto& from) {
       for (const auto& [key, value] : from) {
         into[key].merge(value);
       }
@@ -112,7 +120,7 @@
     merge_series(first_token, other.first_token);
     merge_series(queued, other.queued);
     for (const auto& [step, value] : other.steps) {
-      steps[step].merge(value);
+      merge_series(steps[step], value);
     }
     for (const auto& [key, value] : other.counters) {
       counters[key] += value;
@@ -144,11 +152,17 @@
 }
 
 void metrics::record_step(std::size_t shard, std::string_view step, duration took) {
+  record_model_step(shard, step, {}, took);
+}
+
+void metrics::record_model_step(std::size_t shard, std::string_view step, const model_id& model,
+                                duration took) {
   shard_state& state = state_[shard % shards_];
   const std::lock_guard guard(state.lock);
   const auto found = state.steps.find(step);
-  (found == state.steps.end() ? state.steps.emplace(step, duration_stats{}).first : found)
-      ->second.add(took);
+  (found == state.steps.end() ? state.steps.emplace(step, model_series{}).first : found)
+      ->second[model]
+      .add(took);
 }
 
 void metrics::count(std::size_t shard, std::string_view name, std::string_view labels,
@@ -168,7 +182,7 @@
   print_histogram(out, "arbutusworks_first_token_seconds", all.first_token);
   print_histogram(out, "arbutusworks_queued_seconds", all.queued);
   for (const auto& [step, value] : all.steps) {
-    print_histogram(out, "arbutusworks_" + step + "_seconds", {{series_key{}, value}});
+    print_histogram(out, "arbutusworks_" + step + "_seconds", value);
   }
   std::string_view last;
   for (const auto& [key, value] : all.counters) {
--- a/src/node/replica_run.h
+++ b/src/node/replica_run.h
@@ -48,6 +48,11 @@
   [[nodiscard]] const target_id& head() const { return replica_.head; }
   [[nodiscard]] const event_relay& relay() const { return relay_; }
   [[nodiscard]] time_point first_event_at() const { return first_event_at_; }
+  // Zero if there was no first event.
+  [[nodiscard]] duration time_to_first_event() const {
+    return had_first_event() ? first_event_at_ - sent_at_ : duration{};
+  }
+  [[nodiscard]] duration expected_first_event() const { return expected_.to_first_event; }
   [[nodiscard]] time_point last_event_at() const { return last_event_at_; }
   // Why the run did not complete.
   [[nodiscard]] std::string_view reason() const { return reason_; }
@@ -65,6 +70,7 @@
   bool on_bytes(std::string_view bytes);
   void note_event(time_point now);
   void note_first_event(time_point now);
+  void calibrate(time_point now);
   [[nodiscard]] run_result read_end(const call_result& result);
   [[nodiscard]] run_result read_unsent(const call_result& result);
   [[nodiscard]] bool is_full() const;
--- a/src/request/replica_choice.cpp
+++ b/src/request/replica_choice.cpp
@@ -114,6 +114,7 @@
   std::size_t index{};
   replica_estimate expected;
   double cost_s = 0;
+  bool is_penalized = false;  // it would miss the deadline, or is unresponsive
 };
 
 // Softmin sampling: each candidate has the weight exp(-(cost - best cost) / spread).
@@ -139,6 +140,29 @@
   return candidates.front();
 }
 
+// Samples with weights by the room of the candidates, among those without a penalty if there are
+// any. Null if none has room.
+const candidate* sample_by_room(std::span<const candidate> candidates,
+                                std::span<const double> can_take, double random_sample) {
+  const bool any_unpenalized =
+      std::ranges::any_of(candidates, [](const candidate& c) { return !c.is_penalized; });
+  const auto weight = [&](const candidate& c) {
+    return any_unpenalized && c.is_penalized ? 0.0 : can_take[c.index];
+  };
+  double sum = 0;
+  for (const candidate& c : candidates) {
+    sum += weight(c);
+  }
+  double left = random_sample * sum;
+  for (const candidate& c : candidates) {
+    left -= weight(c);
+    if (left < 0) {
+      return &c;
+    }
+  }
+  return nullptr;
+}
+
 }  // namespace
 
 void load_table::sent(const target_id& head, const generation_size& size) {
@@ -282,7 +306,14 @@
   first_ms += wait_for_slot_ms(engine, load.active, engine.mean_answer_tokens * step_ms);
   replica_estimate result;
   result.to_first_event = from_seconds(first_ms * factor / 1000);
+  result.modelled_first_event = result.to_first_event;
   result.between_events = from_seconds(pass_ms * factor / 1000);
+  // While a request generates, the prompts of those that take the places of others are read.
+  const double events =
+      engine.mean_answer_tokens / std::max<double>(engine.decode_steps_per_pass, 1);
+  const double reading_ms = std::min(load.active, static_cast<double>(engine.slots)) *
+                            engine.mean_prompt_tokens * prefill_ms_per_token;
+  result.request_time = from_seconds((first_ms + reading_ms + events * pass_ms) * factor / 1000);
   result.active = load.active;
   return result;
 }
@@ -299,8 +330,9 @@
       continue;
     }
     const replica_load load = loads.total(replica.head);
-    const replica_estimate expected = estimate(engine, model, load, request.size,
-                                               replica.slowdown_factor, replica.crosses_domains);
+    replica_estimate expected = estimate(engine, model, load, request.size, replica.slowdown_factor,
+                                         replica.crosses_domains);
+    expected.to_first_event += request.first_event_correction;
     any_known = true;
     soonest = std::min(soonest, expected.to_first_event);
     const bool full =
@@ -312,15 +344,23 @@
     if (replica.data_centre != request.home) {
       cost += to_seconds(settings.remote_penalty + 2 * settings.default_remote_delay);
     }
-    if (misses_deadline(engine, expected, request)) {
+    const bool misses = misses_deadline(engine, expected, request);
+    const bool suspected = contains(request.suspected_heads, replica.head);
+    if (misses) {
       cost += to_seconds(settings.deadline_miss_penalty);
     }
-    if (contains(request.suspected_heads, replica.head)) {
+    if (suspected) {
       cost += 10;  // an unresponsive replica is chosen only if there is no other
     }
-    usable.push_back({i, expected, cost});
+    usable.push_back({i, expected, cost, misses || suspected});
   }
   if (!usable.empty()) {
+    if (request.can_take.size() == candidates.size()) {
+      const candidate* by_room = sample_by_room(usable, request.can_take, request.random_sample);
+      if (by_room != nullptr) {
+        return chosen_replica{by_room->index, by_room->expected};
+      }
+    }
     const duration spread =
         unreported_load_delay(engine, model, candidates, loads, settings.peer_load_age);
     const candidate& chosen = sample_candidate(usable, to_seconds(spread), request.random_sample);
--- a/src/request/replica_choice.h
+++ b/src/request/replica_choice.h
@@ -13,6 +13,8 @@
 // Peer reports are some hundred milliseconds old. If every node took the best replica, all would
 // take the same one until they receive each other's reports. The choice is therefore random among
 // replicas whose costs differ by no more than the unreported requests of other nodes may change.
+// Close to saturation, the few replicas that look best would get several times their slots; there
+// the choice is random with weights by the room that each replica has (choice_request::can_take).
 #pragma once
 
 #include <cstdint>
@@ -118,7 +120,9 @@
 };
 
 struct replica_estimate {
-  duration to_first_event{};
+  duration to_first_event{};        // corrected by what runs of the model have shown
+  duration modelled_first_event{};  // by the engine's parameters alone
+  duration request_time{};          // of a mean request, from its send to its end
   duration between_events{};
   double active = 0;  // requests at the replica now
 };
@@ -146,6 +150,10 @@
   std::span<const target_id> avoided;          // heads that this request was already sent to
   std::span<const target_id> suspected_heads;  // unresponsive heads
   double random_sample = 0;                    // uniform in [0, 1); 0: always the best
+  duration first_event_correction{};           // see request/latency_calibration.h
+  // Requests that each candidate can take; empty: the choice is by cost alone. See
+  // admission/replica_room.h.
+  std::span<const double> can_take;
 };
 
 [[nodiscard]] replica_choice choose_replica(const engine_parameters& engine,
