Admission: nodes admit and place streams by room

Change: where the streams of a service differ in priority, a call that was not sent before is admitted by the fraction of its priority or refused at once, with a retry delay of 0.2 to 1.2 s; with short rooms the replica is drawn with weights by what each can take. Calls that may have been sent, resumed streams and calls handed over by peers are never refused. A refusal writes one line with its inputs, which `explain` shows; both decisions are counted by model and priority. Other services are served as before.

--- a/src/node/hosted_parts.h
+++ b/src/node/hosted_parts.h
@@ -38,6 +38,7 @@
   std::uint32_t possible_sends = 0;  // sends that may have reached a target
   std::uint32_t possible_runs = 0;   // of those, sends that no target reported as not run
   std::uint32_t other_runs = 0;      // in progress besides the one that is sent or answers now
+  bool is_admitted = false;          // see stream_admission.h; decided once
   call_retries retries = {};
   std::string tried_targets = {};  // targets tried, in order
   target_id cut_off_by = {};       // the last target that broke a run off, perhaps by its end
--- a/src/node/request_timeline.cpp
+++ b/src/node/request_timeline.cpp
@@ -150,7 +150,12 @@
 };
 
 // Explains each reason and says where to look next. The reasons are those in the nodes' log lines.
-constexpr std::array<known_reason, 32> known_reasons = {{
+constexpr std::array<known_reason, 33> known_reasons = {{
+    {"every replica is at its capacity for this latency objective",
+     "More requests arrived at all nodes than the replicas of the model can begin to answer within "
+     "their objectives, so a part of each priority was refused at once, the least urgent first. "
+     "The line admission refused gives what was known: requests within 300 ms that arrived "
+     "(arrivals) and that replicas could take (can_take), and the admitted fraction."},
     {"every replica is full",
      "Each replica of the model had all its slots in use. The number of replicas that the node "
      "counted is shown below. If it is low, look at the keeper plan lines of the data centre; "
--- a/src/node/stream_step.cpp
+++ b/src/node/stream_step.cpp
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "node/hosted_relay.h"
+#include "node/stream_admission.h"
 
 namespace arbutus {
 
@@ -74,9 +75,21 @@
   const excluded_targets excluded = unavailable_heads(node, call, now, replicas);
   std::vector<target_id> not_chosen(avoided.begin(), avoided.end());
   not_chosen.insert(not_chosen.end(), excluded.ids.begin(), excluded.ids.end());
-  const choice_request desired{
-      node.settings.data_centre, call.fields.size, call.deadline - now, not_chosen, suspects,
-      node.random.unit()};
+  const stream_admission admission =
+      admit_stream(node, call, model, replicas, not_chosen, suspects, now);
+  if (admission.refused) {
+    return end_of_call{.retry_after = admission.refused->retry_after,
+                       .reason = admission.refused->reason,
+                       .is_momentary = true};
+  }
+  const choice_request desired{node.settings.data_centre,
+                               call.fields.size,
+                               call.deadline - now,
+                               not_chosen,
+                               suspects,
+                               node.random.unit(),
+                               node.calibration.correction(model.id).first_event,
+                               admission.can_take};
   const replica_choice choice =
       choose_replica(*call.service->engine, model, replicas, node.loads, desired);
   if (const auto* none = std::get_if<no_replica>(&choice)) {
