Capacity by demand: a fleet of 150 engines turns to its demand

Cause: the plan by demand was tested with 48 engines only. Change: a test with 150 engines in domains of 19 and replicas of 4 and 8, begun with equal shares. Figures: 2 replicas of 8 are closed, 4 of 4 form within 8 s of the demand's appearance, with a load of 4 s.

--- a/tests/shell/demand_plan_simulation_test.cpp
+++ b/tests/shell/demand_plan_simulation_test.cpp
@@ -196,5 +196,27 @@
   }
 }
 
+TEST(DemandPlanSimulation, AFleetThatBeganWithEqualSharesTurnsToItsDemand) {
+  // Guards against a plan that keeps what is loaded because no domain gains enough by itself.
+  service_spec service = two_models_with_times();
+  service.engine->models = {{large, 8, 0.5, 1.0, 4s, 1s}, {small, 4, 0.5, 0.6, 4s, 1s}};
+  controller_simulation sim(1, 1, service);
+  for (int i = 0; i < 8; ++i) {
+    sim.add_domain("d" + std::to_string(i), i < 7 ? 19 : 17);
+  }
+  sim.run(40s);
+  sim.start_requests();
+  sim.run(10s);
+  const std::size_t large_before = sim.count_serving_replicas(large);
+  const std::size_t small_before = sim.count_serving_replicas(small);
+  sim.set_demand(calls_per_second(54, 350));
+  EXPECT_TRUE(
+      sim.run_until([&] { return sim.count_serving_replicas(small) >= small_before + 4; }, 8s));
+  sim.run(30s);
+  // A domain of 19 engines forms two replicas of `large` or four of `small`.
+  EXPECT_EQ(sim.count_serving_replicas(large), large_before - 2);
+  EXPECT_EQ(sim.controller(0).surplus_closed(), 2U);
+}
+
 }  // namespace
 }  // namespace arbutus::testing_support
