--- a/tests/shell/demand_plan_simulation_test.cpp
+++ b/tests/shell/demand_plan_simulation_test.cpp
@@ -137,6 +137,28 @@
   EXPECT_LE(sim.count_serving_replicas(large), 3U);
 }
 
+TEST(DemandPlanSimulation, KeepsTheOnlyServingReplicasOfAModel) {
+  // Guards against closing the last replica of a model because the plan counts on others, which
+  // have just lost a member.
+  controller_simulation sim(1, 1, two_models_with_times());
+  start_under_demand(sim);
+  const auto heads = heads_by_domain(sim, large);
+  sim.set_demand(calls_per_second(28, 200));
+  sim.run(1200ms);
+  ASSERT_EQ(sim.controller(0).demand_changes(), 0U);
+  for (const auto& [domain, of_domain] : heads) {
+    for (const target_id& head : of_domain) {
+      if (domain != fabric_domain_id{"d0"}) {
+        sim.restart(sim.engine(head).members().back());
+      }
+    }
+  }
+  for (int i = 0; i < 200; ++i) {
+    sim.run(100ms);
+    ASSERT_GE(sim.count_serving_replicas(large), 1U) << i * 100 << " ms after";
+  }
+}
+
 TEST(DemandPlanSimulation, APartitionedControllerMovesNothing) {
   // Guards against a controller that closes replicas because it sees only its own callers.
   controller_simulation sim(1, 1, two_models_with_times());
@@ -183,7 +205,7 @@
   std::vector<target_id> dark;
   for (const target_id& id : sim.living_engines()) {
     before[id] = sim.engine(id).record().loaded;
-    if (sim.engine(id).record().domain == fabric_domain_id{"d3"}) {
+    if (sim.engine(id).record().domain == fabric_domain_id{"d1"}) {
       dark.push_back(id);
     }
   }
