--- a/tests/shell/demand_plan_simulation_test.cpp
+++ b/tests/shell/demand_plan_simulation_test.cpp
@@ -137,6 +137,28 @@
   EXPECT_LE(sim.count_serving_replicas(large), 3U);
 }
 
+TEST(DemandPlanSimulation, KeepsTheOnlyServingReplicasOfAModel) {
+  // Guards against closing the last replica of a model because the plan counts on others, which
+  // have just lost a member.
+  controller_simulation sim(1, 1, two_models_with_times());
+  start_under_demand(sim);
+  const auto heads = heads_by_domain(sim, large);
+  sim.set_demand(calls_per_second(28, 200));
+  sim.run(1200ms);
+  ASSERT_EQ(sim.controller(0).demand_changes(), 0U);
+  for (const auto& [domain, of_domain] : heads) {
+    for (const target_id& head : of_domain) {
+      if (domain != fabric_domain_id{"d0"}) {
+        sim.restart(sim.engine(head).members().back());
+      }
+    }
+  }
+  for (int i = 0; i < 200; ++i) {
+    sim.run(100ms);
+    ASSERT_GE(sim.count_serving_replicas(large), 1U) << i * 100 << " ms after";
+  }
+}
+
 TEST(DemandPlanSimulation, APartitionedControllerMovesNothing) {
   // Guards against a controller that closes replicas because it sees only its own callers.
   controller_simulation sim(1, 1, two_models_with_times());
@@ -183,7 +205,7 @@
   std::vector<target_id> dark;
   for (const target_id& id : sim.living_engines()) {
     before[id] = sim.engine(id).record().loaded;
-    if (sim.engine(id).record().domain == fabric_domain_id{"d3"}) {
+    if (sim.engine(id).record().domain == fabric_domain_id{"d1"}) {
       dark.push_back(id);
     }
   }
@@ -196,5 +218,27 @@
   }
 }
 
+TEST(DemandPlanSimulation, AFleetThatBeganWithEqualSharesTurnsToItsDemand) {
+  // Guards against a plan that keeps what is loaded because no domain gains enough by itself.
+  service_spec service = two_models_with_times();
+  service.engine->models = {{large, 8, 0.5, 1.0, 4s, 1s}, {small, 4, 0.5, 0.6, 4s, 1s}};
+  controller_simulation sim(1, 1, service);
+  for (int i = 0; i < 8; ++i) {
+    sim.add_domain("d" + std::to_string(i), i < 7 ? 19 : 17);
+  }
+  sim.run(40s);
+  sim.start_requests();
+  sim.run(10s);
+  const std::size_t large_before = sim.count_serving_replicas(large);
+  const std::size_t small_before = sim.count_serving_replicas(small);
+  sim.set_demand(calls_per_second(54, 350));
+  EXPECT_TRUE(
+      sim.run_until([&] { return sim.count_serving_replicas(small) >= small_before + 4; }, 8s));
+  sim.run(30s);
+  // A domain of 19 engines forms two replicas of `large` or four of `small`.
+  EXPECT_EQ(sim.count_serving_replicas(large), large_before - 2);
+  EXPECT_EQ(sim.controller(0).surplus_closed(), 2U);
+}
+
 }  // namespace
 }  // namespace arbutus::testing_support
