--- a/src/admission/send_limits.cpp
+++ b/src/admission/send_limits.cpp
@@ -1,19 +1,8 @@
 // Rate limits that targets report in their responses.
 #include "admission/send_limits.h"
 
-#include <algorithm>
-#include <cmath>
-
 namespace arbutus {
 
-namespace {
-
-// Time constant of the exponential decay of a target's demand. At 1 s the decaying count of calls
-// estimates calls per second.
-constexpr duration demand_time_constant = 1s;
-
-}  // namespace
-
 send_limits::change send_limits::on_response(time_point sent_at, time_point now,
                                              const target_id& target,
                                              const announced_limit& response_limit) {
@@ -57,21 +46,15 @@
   return limit != nullptr && limit->per_second;
 }
 
-double send_limits::decayed_demand(time_point now, const local_usage& use) {
-  return use.demand * std::exp(-to_seconds(now - use.demand_at) / to_seconds(demand_time_constant));
-}
-
 void send_limits::note_demand(time_point now, const target_id& target) {
-  local_usage& use = local_usage_[target];
-  use.demand = decayed_demand(now, use) + 1;
-  use.demand_at = now;
+  local_usage_[target].note_demand(now);
 }
 
 std::map<target_id, double> send_limits::demand(time_point now) const {
   constexpr double least = 0.01;
   std::map<target_id, double> result;
-  for (const auto& [target, use] : local_usage_) {
-    if (const double demand = decayed_demand(now, use); demand >= least) {
+  for (const auto& [target, usage] : local_usage_) {
+    if (const double demand = usage.demand(now); demand >= least) {
       result.emplace(target, demand);
     }
   }
@@ -79,8 +62,7 @@
 }
 
 void send_limits::granted(time_point now, const target_id& target, std::uint64_t count) {
-  std::vector<time_point>& grants = local_usage_[target].grants;
-  grants.insert(grants.end(), count, now);
+  local_usage_[target].add(now + grant_validity, count);
 }
 
 bool send_limits::may_send(time_point now, const target_id& target) const {
@@ -88,21 +70,12 @@
     return true;
   }
   const auto found = local_usage_.find(target);
-  return found != local_usage_.end() &&
-         std::ranges::any_of(found->second.grants, [&](time_point granted_at) {
-           return now - granted_at < grant_validity;
-         });
+  return found != local_usage_.end() && found->second.has_grant(now);
 }
 
 void send_limits::sent(time_point now, const target_id& target) {
-  const auto found = local_usage_.find(target);
-  if (found == local_usage_.end()) {
-    return;
-  }
-  std::vector<time_point>& grants = found->second.grants;
-  std::erase_if(grants, [&](time_point granted_at) { return now - granted_at >= grant_validity; });
-  if (!grants.empty()) {
-    grants.erase(grants.begin());
+  if (const auto found = local_usage_.find(target); found != local_usage_.end()) {
+    found->second.use(now);
   }
 }
 
--- a/src/admission/send_limits.h
+++ b/src/admission/send_limits.h
@@ -2,16 +2,16 @@
 // from all nodes together, in force while its responses carry the limit.
 //
 // A node learns a limit from a response to itself or from its peers. It sends a limited target only
-// what its hub has granted (admission/send_grants). Each send uses one grant, be it a first attempt,
-// a retry or a resumed stream. A target without grants at this node is not chosen.
+// what its hub has granted (admission/send_grants). Each send uses one grant, be it a first
+// attempt, a retry or a resumed stream. A target without grants at this node is not chosen.
 #pragma once
 
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <string_view>
-#include <vector>
 
+#include "admission/grant_ledger.h"
 #include "base/id.h"
 #include "base/units.h"
 
@@ -75,15 +75,8 @@
   static constexpr duration retention = 10s;
 
  private:
-  struct local_usage {
-    double demand = 0;               // calls, decaying exponentially
-    time_point demand_at{};          // time up to which `demand` has decayed
-    std::vector<time_point> grants;  // when each was received, oldest first
-  };
-  [[nodiscard]] static double decayed_demand(time_point now, const local_usage& use);
-
   std::map<target_id, send_limit> limits_by_target_;
-  std::map<target_id, local_usage> local_usage_;
+  std::map<target_id, grant_ledger> local_usage_;
 };
 
 [[nodiscard]] std::string_view to_string(send_limits::change change);
