Grants for warming targets: fixed age, share by followers

Cause: grants of declared limits live 1.2 s, and two hubs at once issue twice the rate. A cold target tolerates neither: its bound holds for each second.

Change: `send_grants` issues grants for warming targets to nodes of its own data centre only, sends those of the newest round once, and never issues more than the bound in 1.6 s. A hub issues the share of the rate that corresponds to the nodes that follow it (`admission/hub_followers`).

--- a/src/admission/send_grants.h
+++ b/src/admission/send_grants.h
@@ -35,14 +35,37 @@
   bool operator==(const limit_update&) const = default;
 };
 
+// Grants for one warming target. They expire at a fixed age, so only those of the newest round are
+// sent, and only once: `total` tells whether they were received already.
+struct warming_grant {
+  target_id target;
+  std::uint64_t total = 0;
+  std::uint64_t newest = 0;  // of `total`, issued in the newest round
+  bool operator==(const warming_grant&) const = default;
+};
+
 // Total numbers of grants that one incarnation of the receiver has been given so far, for targets
 // with recent grants. Totals rather than increments, so that a lost message does no harm.
 struct grant_update {
   std::string receiver_incarnation;
   std::vector<std::pair<target_id, std::uint64_t>> totals;
+  std::vector<warming_grant> warming = {};
   bool operator==(const grant_update&) const = default;
 };
 
+// How many grants a hub may issue for a warming target.
+struct warming_issue {
+  double per_second = 0;
+  // In any time of one second and the maximum age of a grant, at most this many.
+  std::size_t max_in_window = 0;
+};
+
+// The numbers for a hub with the given share (hub_followers) of a target that bears
+// `requests_per_second` while it is cold, so that all nodes together send at most
+// `requests_per_second` x `overage` + `tolerance` in any second.
+[[nodiscard]] warming_issue issue_for_warming(double requests_per_second, double overage,
+                                              double tolerance, double share);
+
 // Used by a hub to issue and distribute grants.
 class send_grants {
  public:
@@ -54,6 +77,12 @@
   // Distributes the grants of one round of heartbeats. `issued`: the targets that this hub issues
   // grants for, and their limits in requests a second.
   void distribute_round(time_point now, rng& random, const std::map<target_id, double>& issued);
+  // Issues grants for warming targets to the nodes of this data centre, from the rates that applied
+  // since the previous call.
+  void distribute_warming_round(time_point now, rng& random,
+                                const std::map<target_id, warming_issue>& issued);
+  // When the previous round for warming targets was.
+  [[nodiscard]] time_point warming_round_at() const { return warming_round_at_; }
   // Adds grants that the issuing hub of another data centre gave to this hub, for the nodes of this
   // data centre.
   void received(const target_id& target, std::uint64_t count);
@@ -76,12 +105,22 @@
     std::uint64_t total = 0;
     time_point granted_at{};  // when the newest grant was given
   };
+  struct warming_count {
+    std::uint64_t total = 0;
+    std::uint64_t newest = 0;
+    time_point round_at{};  // when `newest` were issued
+  };
+  struct warming_issuer {
+    double credit = 0;                 // fraction of a grant not issued yet
+    std::deque<time_point> issued_at;  // within the window of `max_in_window`
+  };
   struct receiver {
     time_point reported_at{};
     std::string incarnation;
     bool is_remote_hub = false;
     std::map<target_id, double> demand;
     std::map<target_id, grant_count> granted;  // to this incarnation; totals never decrease
+    std::map<target_id, warming_count> warming;
   };
 
   void distribute(time_point now, rng& random, const target_id& target, bool to_other_hubs,
@@ -94,6 +133,8 @@
   std::map<target_id, double>
       forward_credit_;  // grants received, to be distributed in the next round
   time_point last_round_at_{};
+  std::map<target_id, warming_issuer> warming_issuers_;
+  time_point warming_round_at_{};
 };
 
 // Used by a node, and by a hub that receives grants from the issuing hub.
@@ -108,12 +149,20 @@
                                              const std::string& own_incarnation,
                                              const grant_update& update);
 
+  // The same for warming targets. The caller dates them from `valid_from`, at which they may have
+  // expired already.
+  std::map<target_id, std::uint64_t> receive_warming(const node_id& from,
+                                                     const std::string& sender_incarnation,
+                                                     const std::string& own_incarnation,
+                                                     const grant_update& update);
+
   static constexpr duration max_grant_transit_time = 1s;
 
  private:
   struct sender_totals {
     std::string incarnation;
     std::map<target_id, std::uint64_t> totals;
+    std::map<target_id, std::uint64_t> warming_totals;
   };
   // Totals are kept for this many incarnations of each sender: incarnations have no order, and a
   // heartbeat of a previous one may come late.
--- a/tests/core/send_limits_test.cpp
+++ b/tests/core/send_limits_test.cpp
@@ -100,6 +100,48 @@
   EXPECT_TRUE(take("b", 1).empty());
 }
 
+TEST(GrantReceiver, GrantsForAWarmingTargetThatALostHeartbeatCarriedAreNotTakenLater) {
+  grant_receiver receiver;
+  const node_id hub{"hub"};
+  const auto take = [&](std::uint64_t total, std::uint64_t newest) {
+    return receiver.receive_warming(hub, "a", "me", {"me", {}, {{target, total, newest}}});
+  };
+  EXPECT_EQ(take(3, 3).at(target), 3U);
+  EXPECT_TRUE(take(3, 3).empty());
+  // The heartbeat with total 6 was lost.
+  EXPECT_EQ(take(8, 2).at(target), 2U);
+  EXPECT_TRUE(take(6, 3).empty());
+  EXPECT_TRUE(receiver.receive_warming(hub, "a", "me-again", {"me", {}, {{target, 9, 1}}}).empty());
+}
+
+TEST(SendGrants, RateForAWarmingTargetFitsTheBoundForAllNodes) {
+  const warming_issue whole = issue_for_warming(14, 1.5, 5, 1);
+  EXPECT_DOUBLE_EQ(whole.per_second, 15.4);
+  EXPECT_EQ(whole.max_in_window, 26U);
+  // With a low bound the window, not the ratio to the rate, limits the issuing.
+  EXPECT_DOUBLE_EQ(issue_for_warming(14, 1, 0, 1).per_second, 13 / 1.6);
+  const warming_issue part = issue_for_warming(14, 1.5, 5, 0.25);
+  EXPECT_DOUBLE_EQ(part.per_second, 3.85);
+  EXPECT_EQ(part.max_in_window, 6U);
+}
+
+TEST(SendGrants, RoundsAtIrregularTimesStayWithinTheWindowOfAWarmingTarget) {
+  send_grants grants;
+  rng random(1);
+  grants.set_demand(start, node_id{"n"}, "me", false, {{target, 5}});
+  const std::map<target_id, warming_issue> issued{{target, issue_for_warming(14, 1.5, 5, 1)}};
+  std::uint64_t in_window = 0;
+  // The first round brings the grants of half a second, and the others come closer together.
+  for (const duration at : {0ms, 500ms, 650ms, 800ms, 950ms, 1100ms, 1250ms, 1400ms, 1550ms, 1700ms,
+                            1850ms, 2000ms, 2099ms}) {
+    grants.set_demand(start + at, node_id{"n"}, "me", false, {{target, 5}});
+    grants.distribute_warming_round(start + at, random, issued);
+    const auto update = grants.update_for(start + at, node_id{"n"});
+    in_window += update.warming.empty() ? 0 : update.warming.front().newest;
+  }
+  EXPECT_EQ(in_window, 26U);
+}
+
 // Simulates nodes of several data centres, their hubs and one target with a limit, in steps of
 // 50 ms. Heartbeats are sent every 200 ms, take 50 ms and may be lost.
 class limit_simulation {
