Connections: limits for interim responses, headers, chunk extensions and trailers

Cause: the client skipped interim responses without end and gave headers the whole time of the call; chunk extensions and trailers were buffered without a limit, by the client and by the server. A buffered answer might take 64 MB on a node of 112 MB. Change: at most 8 interim responses; headers arrive within 2 s from their first byte; the input buffers are limited to the headers and one read, so what Beast buffers behind them is limited as well. A buffered answer takes 8 MB at most.

--- a/src/connection/http_call.cpp
+++ b/src/connection/http_call.cpp
@@ -18,6 +18,39 @@
 // response has already been sent, so a short limit suffices.
 constexpr duration early_answer_timeout = 250ms;
 
+// Reads from a stream, and limits the time for the rest once the first bytes have arrived. Meets
+// the SyncReadStream requirements.
+struct begun_reader {
+  fiber_stream& stream;
+  time_point deadline;
+  duration time_from_first_byte;
+  bool begun = false;
+
+  void begin() {
+    begun = true;
+    stream.set_deadline(std::min(deadline, monotonic_now() + time_from_first_byte));
+  }
+
+  template <class Buffers>
+  std::size_t read_some(const Buffers& buffers, error_code& error) {
+    const std::size_t count = stream.read_some(buffers, error);
+    if (count > 0 && !begun) {
+      begin();
+    }
+    return count;
+  }
+
+  template <class Buffers>
+  std::size_t read_some(const Buffers& buffers) {
+    error_code error;
+    const std::size_t count = read_some(buffers, error);
+    if (error) {
+      throw boost::system::system_error(error);
+    }
+    return count;
+  }
+};
+
 http_headers headers_of(const http::fields& fields) {
   http_headers headers;
   for (const auto& field : fields) {
@@ -115,15 +148,21 @@
   if (write_error == asio::error::timed_out || write_error == asio::error::operation_aborted) {
     return false;
   }
-  connection_.stream.set_deadline(std::min(deadline_, monotonic_now() + early_answer_timeout));
+  read_deadline_ = std::min(deadline_, monotonic_now() + early_answer_timeout);
+  connection_.stream.set_deadline(read_deadline_);
   return true;
 }
 
-// Reads the headers of the final response. Skips interim responses (status 1xx), which precede it.
+// Reads the headers of the final response. Skips interim responses (status 1xx), which precede it,
+// up to their limit.
 std::unique_ptr<http_call::answer_parser> http_call::read_headers(const http_client_limits& limits,
                                                                   bool bounded_body,
                                                                   error_code& error) {
-  for (;;) {
+  // Beast limits the headers, but not a chunk's extensions or the trailers, which it buffers until
+  // their end. A buffer that is larger than the headers by one read cannot fill up before the
+  // header limit applies.
+  connection_.input.max_size(limits.max_header_bytes + read_buffer_size);
+  for (std::size_t interim_responses = 0;; ++interim_responses) {
     auto parser = std::make_unique<answer_parser>();
     parser->header_limit(static_cast<std::uint32_t>(limits.max_header_bytes));
     if (bounded_body) {
@@ -132,14 +171,27 @@
       parser->body_limit(boost::none);
     }
     parser->skip(request_.method() == http::verb::head);
-    http::read_header(connection_.stream, connection_.input, *parser, error);
+    read_header(*parser, limits, error);
     const bool informational = !error && parser->get().result_int() / 100 == 1;
-    if (!informational) {
+    if (informational && interim_responses == limits.max_interim_responses) {
+      error = http::make_error_code(http::error::header_limit);
+    }
+    if (error || !informational) {
       return parser;
     }
   }
 }
 
+void http_call::read_header(answer_parser& parser, const http_client_limits& limits,
+                            error_code& error) {
+  begun_reader reader{connection_.stream, read_deadline_, limits.max_header_duration};
+  if (connection_.input.size() > 0) {
+    reader.begin();
+  }
+  http::read_header(reader, connection_.input, parser, error);
+  connection_.stream.set_deadline(read_deadline_);
+}
+
 // Extends the deadline while bytes of the body arrive. Without this, a response that the link
 // cannot transfer before the deadline would never be read completely: each new call would start
 // from its beginning.
--- a/src/connection/http_call.h
+++ b/src/connection/http_call.h
@@ -64,6 +64,7 @@
   bool await_early_answer(const error_code& write_error);
   std::unique_ptr<answer_parser> read_headers(const http_client_limits& limits, bool bounded_body,
                                               error_code& error);
+  void read_header(answer_parser& parser, const http_client_limits& limits, error_code& error);
   bool read_body(answer_parser& parser, const answer_sink& sink, const http_client_limits& limits,
                  error_code& error);
   void extend_deadline(time_point headers_at, const http_client_limits& limits);
@@ -73,6 +74,7 @@
   http_connection& connection_;
   const wire_request& request_;
   time_point deadline_;
+  time_point read_deadline_{deadline_};  // of the response; earlier if it came early
   std::uint64_t written_before_{connection_.stream.written()};
   call_result result_;
   bool reusable_{false};
--- a/src/connection/http_client.h
+++ b/src/connection/http_client.h
@@ -59,9 +59,12 @@
 
 struct http_client_limits {
   duration connect_timeout{1s};
+  // Of a response's status line and headers. It also limits a chunk's extensions and the trailers.
   std::size_t max_header_bytes{64UL * 1024};
-  std::size_t max_body_bytes{64UL * 1024 * 1024};  // for fetch(); stream() has no limit
-  std::size_t max_idle_per_target{32};             // idle connections per target and worker
+  duration max_header_duration{2s};  // from the first byte of the headers to their last
+  std::size_t max_interim_responses{8};
+  std::size_t max_body_bytes{8UL * 1024 * 1024};  // for fetch(); stream() has no limit
+  std::size_t max_idle_per_target{32};            // idle connections per target and worker
   duration idle_expiry{30s};  // then the connection is closed; less than the targets' idle timeout
   // For fetch(): each time bytes of the body arrive, the deadline is extended to at least this long
   // after them. 0: the deadline is not extended.
--- a/src/connection/http_exchange.cpp
+++ b/src/connection/http_exchange.cpp
@@ -2,6 +2,7 @@
 // detects that the caller has closed its end.
 #include "connection/http_exchange.h"
 
+#include <algorithm>
 #include <boost/asio/error.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
@@ -19,6 +20,9 @@
 // How long a caller whose connection is being closed may go on sending before it is reset.
 constexpr duration linger_timeout = 1s;
 
+// Bytes read at a time behind a request whose response is not complete.
+constexpr std::size_t max_input_read = 4096;
+
 // Connections over the limit that still get a 503 response; any further ones are closed without
 // one.
 constexpr std::size_t max_rejected_connections = 256;
@@ -93,7 +97,11 @@
 }
 
 http_exchange::http_exchange(server_core& core, tcp::socket socket)
-    : core_(core), stream_(std::move(socket)), remote_(remote_of(stream_.socket())) {}
+    : core_(core), stream_(std::move(socket)), remote_(remote_of(stream_.socket())) {
+  // Beast limits the headers and the body, but not a chunk's extensions or the trailers, which it
+  // buffers until their end.
+  input_.max_size(core.limits().max_header_bytes + max_input_read);
+}
 
 void http_exchange::serve() {
   do {
@@ -373,9 +381,12 @@
   if (!disconnect_handler_) {
     return;
   }
-  constexpr std::size_t step = 4096;
   error_code error;
-  const auto count = stream_.socket().read_some(input_.prepare(step), error);
+  const std::size_t room = std::min(max_input_read, input_.max_size() - input_.size());
+  if (room == 0) {
+    return;
+  }
+  const auto count = stream_.socket().read_some(input_.prepare(room), error);
   input_.commit(count);
   if (error && error != asio::error::would_block) {
     caller_disconnected_ = true;
--- a/tests/shell/connection_bad_http_test.cpp
+++ b/tests/shell/connection_bad_http_test.cpp
@@ -102,6 +102,33 @@
   expect_serving();
 }
 
+// Guards against memory that grows until the read timeout with what Beast buffers without a limit.
+TEST_F(connection_bad_http, chunk_extensions_and_trailers_without_end_are_refused) {
+  limits.read_timeout = 3s;
+  start();
+  const std::string chunked = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+  EXPECT_EQ(answer_to(chunked + "5;a=" + std::string(20'000, 'x')).substr(0, 12), "HTTP/1.1 431");
+  EXPECT_EQ(answer_to(chunked + "0\r\nX: " + std::string(20'000, 'x')).substr(0, 12),
+            "HTTP/1.1 431");
+  EXPECT_EQ(handled, 0);
+  expect_serving();
+}
+
+// Guards against a watch for the caller's end that reads more than the input buffer may hold.
+TEST_F(connection_bad_http, a_caller_that_pipelines_without_end_is_read_up_to_a_limit) {
+  awaitable_value<bool> release;
+  http_server slow(runtime, any_port, limits, [&](const http_request&, response_writer& writer) {
+    writer.on_caller_disconnect([] {});
+    EXPECT_TRUE(fiber_wait_until([&] { return release.get(); }));
+    writer.send(200, {}, "first");
+  });
+  auto caller = raw_connection::to(slow.port());
+  caller.send("GET / HTTP/1.1\r\n\r\nGET / HTTP/1.1\r\nX: " + std::string(20'000, 'x'));
+  release.set(true);
+  EXPECT_NE(caller.read_until("first").find("200 OK"), std::string::npos);
+  EXPECT_EQ(caller.read_until("\r\n").substr(0, 12), "HTTP/1.1 431");
+}
+
 TEST_F(connection_bad_http, a_truncated_request_is_refused) {
   start();
   const std::vector<std::string> cuts = {
--- a/tests/shell/connection_client_test.cpp
+++ b/tests/shell/connection_client_test.cpp
@@ -4,6 +4,7 @@
 #include "connection/http_client.h"
 #include "connection/http_server.h"
 #include "shell/connection_fixture.h"
+#include "shell/endless_target.h"
 #include "shell/raw_peer.h"
 
 namespace arbutus {
@@ -151,6 +152,82 @@
   });
 }
 
+// Guards against a faulty target that fills the node's memory, or holds the call until its
+// deadline, with bytes that never become an answer.
+TEST_F(connection_client, an_answer_without_end_is_given_up_for_its_size) {
+  for (const endless_answer& answer : endless_answers()) {
+    endless_target endless(answer);
+    in_fiber([&] {
+      const time_point began = monotonic_now();
+      const auto result =
+          client.fetch(local(endless.port()), {"POST", "/job", {}, "card", {}}, began + 3s);
+      EXPECT_EQ(result.outcome, call_outcome::unknown) << answer.name;
+      EXPECT_EQ(result.failure, call_failure::too_large) << answer.name << ": " << result.detail;
+      EXPECT_LE(result.response.body.size(), 8UL * 1024 * 1024) << answer.name;
+      EXPECT_EQ(client.idle_connections(), 0U) << answer.name;
+    });
+  }
+}
+
+// Guards against headers of a stream that are unlimited because its body is.
+TEST_F(connection_client, a_stream_without_a_body_limit_has_limits_for_all_else) {
+  for (const endless_answer& answer : endless_answers()) {
+    if (answer.name.starts_with("body") || answer.name == "chunks") {
+      continue;
+    }
+    endless_target endless(answer);
+    in_fiber([&] {
+      const auto result = client.stream(
+          local(endless.port()), {"POST", "/job", {}, "card", {}}, monotonic_now() + 3s,
+          [](int, const http_headers&) { return true; }, [](std::string_view) { return true; });
+      EXPECT_EQ(result.failure, call_failure::too_large) << answer.name << ": " << result.detail;
+    });
+  }
+}
+
+TEST_F(connection_client, a_few_interim_responses_precede_an_answer) {
+  run_target([&] {
+    auto caller = target.accept();
+    caller.read_until("card");
+    for (std::size_t i = 0; i < http_client_limits{}.max_interim_responses; ++i) {
+      caller.send("HTTP/1.1 102 Processing\r\n\r\n");
+    }
+    caller.send(ok_answer);
+  });
+  in_fiber([&] { EXPECT_EQ(fetch().response.body, "ok"); });
+}
+
+// Guards against a call that is held until its deadline by headers that never end.
+TEST_F(connection_client, headers_that_have_begun_arrive_in_time) {
+  http_client_limits limits;
+  limits.max_header_duration = 50ms;
+  http_client limited_client{runtime, limits};
+  run_target([&] {
+    {
+      auto caller = target.accept();
+      caller.read_until("card");
+      caller.send("HTTP/1.1 200 OK\r\nContent-");
+      caller.read_all();
+      EXPECT_TRUE(caller.was_reset());
+    }
+    auto caller = target.accept();
+    caller.read_until("card");
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    caller.send(ok_answer);
+  });
+  in_fiber([&] {
+    const http_request request{"POST", "/job", {}, "card", {}};
+    const time_point deadline = test_deadline();
+    const auto begun = limited_client.fetch(local(target.port()), request, deadline);
+    EXPECT_EQ(begun.outcome, call_outcome::unknown);
+    EXPECT_EQ(begun.failure, call_failure::deadline);
+    EXPECT_LT(monotonic_now(), deadline - 5s);
+    // The time until the first byte is not limited.
+    const auto late = limited_client.fetch(local(target.port()), request, test_deadline());
+    EXPECT_EQ(late.response.body, "ok");
+  });
+}
+
 TEST_F(connection_client, the_deadline_covers_the_whole_answer) {
   run_target([&] {
     auto caller = target.accept();
--- a/tests/shell/raw_peer.h
+++ b/tests/shell/raw_peer.h
@@ -50,14 +50,16 @@
 
   [[nodiscard]] bool connected() const { return socket_ >= 0; }
 
-  void send(std::string_view bytes) const {
+  // False if the connection has ended.
+  bool send(std::string_view bytes) const {
     while (!bytes.empty()) {
       const auto count = ::send(socket_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
       if (count <= 0) {
-        return;
+        return false;
       }
       bytes.remove_prefix(static_cast<std::size_t>(count));
     }
+    return true;
   }
 
   void close_send_side() const { ::shutdown(socket_, SHUT_WR); }
