Event relay: limits for events and for bytes without one; relayed answers bounded

Cause: an event without end was buffered without a limit and searched from its start for every piece; any byte counted as an event, so comments kept a stream alive and reached its caller. Answers of peers were collected without a limit. Change: an event takes 256 KB at most, and at most 64 KB of comments or other bytes may lie between two. These are held back until the next event or the regular end of the stream, so a valid stream has the same bytes. Bytes without an event for 1.5 s and eight times the expected time break the run. Only events are signs of life, also of peers. Each byte is searched once. A relayed answer takes 8 MB, a peer's own answer 64 KB. The metric arbutusworks_answers_too_large counts by part.

--- a/src/node/hosted_buffered.cpp
+++ b/src/node/hosted_buffered.cpp
@@ -190,6 +190,10 @@
           now, instance.id,
           own_reason ? instance_call_outcome::withdrawn : instance_call_outcome::failed);
       ++call_.possible_runs;
+      if (result.failure == call_failure::too_large) {
+        const bool in_body = result.response.status != 0;
+        count_oversized_answer(node_, in_body ? "body" : "head");
+      }
       if (result.failure == call_failure::connection_lost && !own_reason) {
         check_for_strike(node_, {call_.fields.id, call_.fingerprint, call_.blocks, instance.id,
                                  instance.address, sent_at_, now});
--- a/src/node/hosted_relay.cpp
+++ b/src/node/hosted_relay.cpp
@@ -19,6 +19,8 @@
 // Path prefix of the question whether a target, whose id follows, answers the peer.
 constexpr std::string_view probe_prefix = "/probe/";
 constexpr duration peer_probe_timeout = 80ms;
+// Maximum size of a peer's own answer; it holds a reason and some headers.
+constexpr std::size_t max_own_answer_bytes = 64UL * 1024;
 
 std::string_view decline_text(decline_reason reason) {
   switch (reason) {
@@ -58,6 +60,10 @@
         repeatable ? connection_use::pooled : connection_use::fresh);
     node_.relays.ended(peer_.id);
     answer_.outcome = outcome_of(result);
+    if (too_large_ || result.failure == call_failure::too_large) {
+      count_oversized_answer(node_, "relayed");
+      answer_.body.clear();
+    }
     count_runs();
     return std::move(answer_);
   }
@@ -101,13 +107,20 @@
     answer_.reason = decline_text(decline.reason);
   }
 
+  // The sink notes when a stream's events show that the peer is alive.
   bool on_bytes(std::string_view bytes) {
-    node_.relays.heard(monotonic_now(), peer_.id);
     if (is_streamed_) {
       return sink_.on_events(bytes);
     }
-    answer_.body.append(bytes);
-    return true;
+    node_.relays.heard(monotonic_now(), peer_.id);
+    const bool by_target = report_ && report_->result == relay_result::answered;
+    const std::size_t limit =
+        by_target ? relay_client_limits().max_body_bytes : max_own_answer_bytes;
+    too_large_ = answer_.body.size() + bytes.size() > limit;
+    if (!too_large_) {
+      answer_.body.append(bytes);
+    }
+    return !too_large_;
   }
 
   relay_outcome outcome_of(const call_result& result) {
@@ -156,6 +169,7 @@
   std::optional<relay_report> report_;
   relay_answer answer_;
   bool is_streamed_ = false;
+  bool too_large_ = false;
 };
 
 std::string_view to_string(relay_outcome outcome) {
--- a/src/node/hosted_relay.h
+++ b/src/node/hosted_relay.h
@@ -31,7 +31,8 @@
 };
 
 // Receives a stream of events as it arrives. The functions return false to abandon it. Empty: the
-// answer is buffered.
+// answer is buffered. `on_events` notes that the peer was heard, since bytes without an event are
+// no sign of life.
 struct relay_sink {
   http_client::headers_handler on_headers;
   http_client::chunk_handler on_events;
--- a/src/node/hosted_state.cpp
+++ b/src/node/hosted_state.cpp
@@ -34,6 +34,10 @@
 
 }  // namespace
 
+void count_oversized_answer(hosted_state& node, std::string_view part) {
+  node.metrics.count("arbutusworks_answers_too_large", "part=\"" + std::string(part) + "\"");
+}
+
 http_client_limits target_client_limits() {
   http_client_limits limits;
   // A live target accepts a connection within two round trips, 6 ms. A lost SYN is retransmitted
@@ -56,6 +60,7 @@
 http_client_limits platform_client_limits() {
   http_client_limits limits;
   limits.connect_timeout = 500ms;
+  // The lists of the store grow with the deployment.
   limits.max_body_bytes = 16UL * 1024 * 1024;
   limits.max_idle_per_target = 4;
   limits.idle_expiry = 10s;
@@ -67,6 +72,8 @@
   http_client_limits limits;
   // A live node accepts a connection within two round trips, 6 ms.
   limits.connect_timeout = 150ms;
+  // A peer adds a few fields to the headers of a target's response.
+  limits.max_header_bytes += 8UL * 1024;
   limits.max_idle_per_target = 64;
   limits.idle_expiry = 10s;
   return limits;
--- a/src/node/hosted_state.h
+++ b/src/node/hosted_state.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "admission/send_limits.h"
@@ -136,6 +137,10 @@
   std::map<service_id, std::vector<service_instance>> cached_instances_;
 };
 
+// Counts an answer that was given up for its size. `part`: "head" (with chunk extensions and
+// trailers), "body" or "event" of a target's answer, or "relayed" for an answer of a peer.
+void count_oversized_answer(hosted_state& node, std::string_view part);
+
 // Limits of the clients for requests, control calls and the platform.
 [[nodiscard]] http_client_limits target_client_limits();
 [[nodiscard]] http_client_limits control_client_limits();
--- a/src/node/hosted_stream.cpp
+++ b/src/node/hosted_stream.cpp
@@ -299,7 +299,7 @@
     if (how == run_result::complete && claim(active)) {
       mark_request_harmless(node_, call_);
       mark_blocks_harmless(node_, call_, run.first_event_at(), run.last_event_at(), true);
-      end_stream(run.headers(), run.head());
+      end_stream(run.headers(), run.head(), run.relay().held_back());
       return;
     }
     if (how == run_result::failed) {
@@ -365,24 +365,31 @@
           return true;
         },
         [&](std::string_view bytes) {
-          call_.last_event_at = monotonic_now();
-          if (call_.first_event_at == time_point{}) {
-            call_.first_event_at = call_.last_event_at;
-          }
           const std::string_view events = relay.take(bytes);
+          if (!events.empty()) {
+            note_peer_event(peer.id);
+          }
           return (events.empty() || forward(active, relay, headers, {}, events)) &&
-                 !relay.out_of_order();
+                 relay.fault() == event_fault::none;
         }};
     begun_at_ = monotonic_now();
     const relay_answer answer = hand_over(node_, call_, peer, last_id_, active.cancel, sink);
-    finish_relay(active, answer, headers, relay.inside_event());
+    finish_relay(active, answer, headers, relay);
+  }
+
+  void note_peer_event(const node_id& peer) {
+    call_.last_event_at = monotonic_now();
+    if (call_.first_event_at == time_point{}) {
+      call_.first_event_at = call_.last_event_at;
+    }
+    node_.relays.heard(call_.last_event_at, peer);
   }
 
   void finish_relay(active_run& active, const relay_answer& answer, const http_headers& headers,
-                    bool inside_event) {
+                    const event_relay& relay) {
     const bool streamed = answer.outcome == relay_outcome::answered && answer.status == 200;
-    if (streamed && !inside_event && claim(active)) {
-      end_stream(headers, {});
+    if (streamed && !relay.inside_event() && claim(active)) {
+      end_stream(headers, {}, relay.held_back());
       return;
     }
     const bool goes_on = streamed || answer.outcome == relay_outcome::not_taken ||
@@ -426,10 +433,12 @@
     return call_.writer.start(200, answer_headers(call_, headers, target));
   }
 
-  void end_stream(const http_headers& headers, const target_id& target) {
+  // `last_bytes`: what followed the last event.
+  void end_stream(const http_headers& headers, const target_id& target,
+                  std::string_view last_bytes) {
     ended_ = true;
     start_answer(headers, target);
-    const bool reached = call_.writer.finish();
+    const bool reached = call_.writer.write(last_bytes) && call_.writer.finish();
     finish_call(node_, call_, reached ? "done" : "caller_gone", "", 200);
   }
 
--- a/src/node/replica_run.cpp
+++ b/src/node/replica_run.cpp
@@ -58,9 +58,30 @@
     failure_body_.append(bytes);
     return failure_body_.size() < max_failure_bytes;
   }
-  note_event(monotonic_now());
+  // Bytes that complete no event are no sign that the engine makes progress.
   const std::string_view events = relay_.take(bytes);
-  return (events.empty() || forward_(events)) && !relay_.out_of_order();
+  if (!events.empty()) {
+    note_event(monotonic_now());
+    if (!forward_(events)) {
+      return false;
+    }
+    bytes_without_event_at_ = {};
+  }
+  const time_point now = monotonic_now();
+  if (bytes_without_event_at_ == time_point{}) {
+    bytes_without_event_at_ = now;
+  }
+  overdue_ = is_overdue(now);
+  return relay_.fault() == event_fault::none && !overdue_;
+}
+
+// Whether bytes without a complete event have come for so long that the target is faulty. A target
+// that sends nothing is silent, which the stall monitor detects.
+bool replica_run::is_overdue(time_point now) const {
+  const duration expected = had_first_event() ? expected_.between_events : expected_.to_first_event;
+  const double factor = stall_settings{}.max_first_event_factor;
+  const duration limit = silence_tolerance + from_seconds(to_seconds(expected) * factor);
+  return now - bytes_without_event_at_ > limit;
 }
 
 void replica_run::note_event(time_point now) {
@@ -97,6 +118,7 @@
     }
     return run_result::not_run;
   }
+  note_oversized_answer(result);
   const bool is_whole = result.ok() && answer_.kind == answer_kind::target_response;
   if (is_whole && status_ != 200) {
     reason_ = "the target failed";
@@ -106,12 +128,21 @@
     return run_result::complete;
   }
   reason_ = is_whole                                    ? "the stream ended inside an event"
-            : relay_.out_of_order()                     ? "events out of order"
+            : relay_.fault() != event_fault::none       ? to_string(relay_.fault())
+            : overdue_                                  ? "bytes without an event"
             : result.failure == call_failure::abandoned ? "the answer was not this request's"
                                                         : to_string(result.failure);
   return run_result::broken;
 }
 
+void replica_run::note_oversized_answer(const call_result& result) {
+  const bool by_event =
+      relay_.fault() == event_fault::too_large || relay_.fault() == event_fault::no_event;
+  if (by_event || result.failure == call_failure::too_large) {
+    count_oversized_answer(node_, by_event ? "event" : "head");
+  }
+}
+
 run_result replica_run::read_unsent(const call_result& result) {
   const bool not_permitted = result.failure == call_failure::not_permitted;
   --call_.possible_sends;
--- a/src/node/replica_run.h
+++ b/src/node/replica_run.h
@@ -63,9 +63,11 @@
   [[nodiscard]] bool is_send_permitted();
   bool on_head(int status, const http_headers& headers);
   bool on_bytes(std::string_view bytes);
+  [[nodiscard]] bool is_overdue(time_point now) const;
   void note_event(time_point now);
   void note_first_event(time_point now);
   [[nodiscard]] run_result read_end(const call_result& result);
+  void note_oversized_answer(const call_result& result);
   [[nodiscard]] run_result read_unsent(const call_result& result);
   [[nodiscard]] bool is_full() const;
   [[nodiscard]] bool had_first_event() const { return first_event_at_ != time_point{}; }
@@ -81,7 +83,9 @@
   time_point sent_at_{};
   time_point first_event_at_{};
   time_point last_event_at_{};
-  bool connection_lost_ = false;  // the target closed or reset the connection
+  time_point bytes_without_event_at_{};  // first bytes behind the last event; zero: none
+  bool overdue_ = false;                 // such bytes came for too long
+  bool connection_lost_ = false;         // the target closed or reset the connection
   response_fields answer_;
   int status_ = 0;
   http_headers headers_;
--- a/src/standin/hosted_platform.cpp
+++ b/src/standin/hosted_platform.cpp
@@ -499,6 +499,11 @@
     return true;
   }
 
+  [[nodiscard]] std::string endless_text_of(const std::string& target) const {
+    const std::lock_guard guard(mutex);
+    return restraints.behaviour_of(target).endless_text;
+  }
+
   void record_engine_of_run(const engine_process& e, const std::string& request) {
     const std::lock_guard guard(mutex);
     engine_of_run[request] = std::string(engine_of(e.engine.record().id));
@@ -526,6 +531,11 @@
     http_headers headers = answer_headers(name, id);
     headers.add("Content-Type", "text/event-stream");
     writer.start(200, headers);
+    if (const std::string text = endless_text_of(name); !text.empty()) {
+      while (writer.write(text)) {
+      }
+      return;
+    }
     const int from = static_cast<int>(header_number(request, "Last-Event-Id", 0));
     for (int i = from + 1; i <= settings.events_per_answer; ++i) {
       if (!wait_for_event(e, incarnation, writer) ||
--- a/src/standin/restraint_checker.h
+++ b/src/standin/restraint_checker.h
@@ -20,6 +20,8 @@
   bool turns_away = false;  // answers 503 without running the request
   std::string retry_after;  // sent with the 503; empty: not sent
   bool is_leaving = false;  // says so in all its answers
+  // An engine whose streams repeat this text without end instead of events; empty: they do not.
+  std::string endless_text = {};
 };
 
 // The requests of one node to one target from half a second after the target asked it to back off
--- a/tests/core/event_relay_test.cpp
+++ b/tests/core/event_relay_test.cpp
@@ -4,6 +4,8 @@
 
 #include <gtest/gtest.h>
 
+#include <chrono>
+
 #include "base/rng.h"
 
 namespace arbutus {
@@ -67,5 +69,80 @@
   EXPECT_TRUE(relay.out_of_order());
 }
 
+std::string take_all(event_relay& relay, std::string_view bytes, std::size_t step) {
+  std::string seen;
+  for (; !bytes.empty(); bytes.remove_prefix(std::min(step, bytes.size()))) {
+    seen += relay.take(bytes.substr(0, step));
+  }
+  return seen;
+}
+
+// Guards against memory that grows with an event that never ends.
+TEST(EventRelay, AnEventWithoutEndIsGivenUp) {
+  event_relay relay;
+  EXPECT_EQ(relay.take(event(1) + "data: "), event(1));
+  const std::string piece(1000, 'x');
+  std::size_t taken = 0;
+  while (relay.fault() == event_fault::none && taken <= 2 * max_event_bytes) {
+    EXPECT_EQ(relay.take(piece), "");
+    taken += piece.size();
+  }
+  EXPECT_EQ(relay.fault(), event_fault::too_large);
+  EXPECT_LE(taken, max_event_bytes + piece.size());
+  EXPECT_EQ(relay.take("\n\n"), "");
+}
+
+TEST(EventRelay, ForwardsTheLargestEvent) {
+  const std::string begin = "id: 1\ndata: ";
+  const std::string whole = begin + std::string(max_event_bytes - begin.size() - 2, 'x') + "\n\n";
+  for (const std::size_t step : {std::size_t{700}, whole.size()}) {
+    event_relay relay;
+    EXPECT_EQ(take_all(relay, whole + event(2), step), whole + event(2)) << step;
+    EXPECT_EQ(relay.fault(), event_fault::none);
+  }
+  event_relay relay;
+  EXPECT_EQ(relay.take("data: x" + whole.substr(begin.size() - 10)), "");
+}
+
+// Guards against a stream without events that is kept alive, and whose bytes reach the caller.
+TEST(EventRelay, BytesThatHoldNoEventAreGivenUp) {
+  for (const std::string& piece :
+       {std::string(": comment\n\n"), std::string("\n\n"), std::string("x"), std::string(": x\n"),
+        std::string("<p>data: x</p>\n\n"), std::string("\r\n\r\n")}) {
+    event_relay relay;
+    EXPECT_EQ(relay.take(event(1)), event(1));
+    std::size_t taken = 0;
+    while (relay.fault() == event_fault::none && taken <= 2 * max_bytes_without_event) {
+      EXPECT_EQ(relay.take(piece), "");
+      taken += piece.size();
+    }
+    EXPECT_EQ(relay.fault(), event_fault::no_event) << piece;
+    EXPECT_LE(taken, max_bytes_without_event + piece.size()) << piece;
+  }
+}
+
+// Guards against a valid stream that loses its comments.
+TEST(EventRelay, CommentsPrecedeTheNextEvent) {
+  const std::string comments = ": wait\n\n:\n\nunknown: x\n\n";
+  event_relay relay;
+  EXPECT_EQ(relay.take(comments), "");
+  EXPECT_EQ(relay.take(": in it\n" + event(1) + comments), comments + ": in it\n" + event(1));
+  EXPECT_FALSE(relay.inside_event());
+  EXPECT_EQ(relay.held_back(), comments);
+  EXPECT_EQ(relay.events(), 1U);
+}
+
+// Guards against a search that starts again for every piece of an event: 256 KB in pieces of one
+// byte are then 34 thousand million steps instead of 256 thousand.
+TEST(EventRelay, SearchesEachByteOnce) {
+  const auto began = std::chrono::steady_clock::now();
+  event_relay relay;
+  const std::string whole = "data: " + std::string(max_event_bytes - 8, 'x') + "\n\n";
+  EXPECT_EQ(take_all(relay, whole, 1), whole);
+  event_relay without_events;
+  EXPECT_EQ(take_all(without_events, std::string(max_bytes_without_event, 'x'), 1), "");
+  EXPECT_LT(std::chrono::steady_clock::now() - began, std::chrono::seconds(1));
+}
+
 }  // namespace
 }  // namespace arbutus
