--- a/src/standin/hosted_configuration.h
+++ b/src/standin/hosted_configuration.h
@@ -20,6 +20,7 @@
   // zero: targets are warm from the start.
   double warmup_s = 0;
   double cold_per_s = 0;
+  bool has_urgent_route = false;  // a second, more urgent route to the model
 };
 
 // Path of an additional route.
--- a/src/standin/hosted_platform.cpp
+++ b/src/standin/hosted_platform.cpp
@@ -823,7 +823,8 @@
                                   extra_routes,
                                   state_->settings.model_max_attempts,
                                   state_->settings.warmup_s,
-                                  state_->settings.cold_per_s};
+                                  state_->settings.cold_per_s,
+                                  state_->settings.has_urgent_route};
   state_->newest_configuration = encode(next);
   state_->put(configuration_table, configuration_row, state_->newest_configuration);
 }
--- a/src/standin/hosted_platform.h
+++ b/src/standin/hosted_platform.h
@@ -40,6 +40,7 @@
   int model_max_attempts = 3;  // of the route to the model
   double warmup_s = 0;         // see hosted_configuration
   double cold_per_s = 0;
+  bool has_urgent_route = false;  // see hosted_configuration
   hosted_engine_settings engine = {.rejoin_time = 50ms,
                                    .warm_load_time = 200ms,
                                    .load_time = 300ms,
