Warming targets at hosted nodes: checked on every path, shared by heartbeats

Cause: nothing limits what nodes send to a target that is cold.

Change: `exclude_if_unavailable` leaves out warming targets for which the node has no grant, and those of other data centres. `permission_to_send` uses a grant directly before the first byte. Hubs issue their share of the grants. A new optional heartbeat field names the hub that its sender follows, the nodes that it knows in its data centre, and the warming targets with the sender's demand. Without `service_spec::warmup` the field is absent. Metrics and log lines tell what is assumed and granted.

A node that knows only the serving replicas takes a new target for warm unless its hub reports it: otherwise each replica of warm engines that forms would be limited for three seconds.

--- a/src/admission/warming_targets.cpp
+++ b/src/admission/warming_targets.cpp
@@ -48,7 +48,7 @@
   known.observed = true;
   if (is_new && first_update_ended_) {
     known.uninformed = now - informed_at_ > max_information_age;
-    if (traffic_seen_) {
+    if (traffic_seen_ && !seen.told_by_hub) {
       learn(now, now, known, now + seen.limit.time, warmup_evidence::new_incarnation);
     }
   }
--- a/src/admission/warming_targets.h
+++ b/src/admission/warming_targets.h
@@ -53,6 +53,9 @@
   // read the target's record.
   std::optional<duration> left_by_record;
   time_point record_requested_at{};
+  // This node knows the target by a row of its hub only. The heartbeat with the row also reports
+  // whether the target is cold.
+  bool told_by_hub = false;
 };
 
 class warming_targets {
--- a/src/node/controller_heartbeats.cpp
+++ b/src/node/controller_heartbeats.cpp
@@ -6,6 +6,7 @@
 #include "node/cost_timer.h"
 #include "node/log.h"
 #include "node/poison_watch.h"
+#include "node/warming_watch.h"
 #include "process/poison_wire.h"
 
 namespace arbutus {
@@ -195,6 +196,7 @@
   message.received_poison_position = poison_exchange_.received_position(peer);
   add_limits(now, peer, message);
   add_demand_report(now, peer, message);
+  add_warming(now, peer, message);
   return message;
 }
 
@@ -281,6 +283,9 @@
 // If this node is a hub, distributes the request rates that targets accept among the nodes, as send
 // grants.
 void controller_loop::grant_sends(time_point now) {
+  update_warming_targets(node_, now);
+  report_warming_targets(node_, now);
+  followed_hub_.update(now, node_.peers.hub_of(now, node_.settings.data_centre));
   node_.limits.forget(now, [this](const target_id& id) { return node_.fleet.find(id) != nullptr; });
   if (!node_.peers.is_hub(now)) {
     return;
@@ -294,13 +299,20 @@
     }
   }
   const node_id& self = node_.settings.id;
-  send_grants_.set_demand(now, self, node_.incarnation, false, node_.limits.demand(now));
+  std::map<target_id, double> demand = node_.limits.demand(now);
+  demand.merge(node_.warming.demand(now));
+  send_grants_.set_demand(now, self, node_.incarnation, false, std::move(demand));
   send_grants_.distribute_round(now, random_, issued);
+  grant_warming_sends(now);
   const grant_update own = send_grants_.update_for(now, self);
   for (const auto& [target, count] :
        received_grants_.receive(now, now, self, node_.incarnation, node_.incarnation, own)) {
     node_.limits.granted(now, target, count);
   }
+  for (const auto& [target, count] :
+       received_grants_.receive_warming(self, node_.incarnation, node_.incarnation, own)) {
+    node_.warming.granted(now, target, count);
+  }
 }
 
 void controller_loop::add_limits(time_point now, const node_id& peer, node_heartbeat& message) {
@@ -331,7 +343,13 @@
   if (stamp_sent_at > now) {
     return;  // a stamp from before this VM lost power
   }
+  take_warming(now, peer, stamp_sent_at, message);
   std::map<target_id, double> demand;
+  if (message.warming) {
+    for (const warming_update& update : message.warming->targets) {
+      demand.emplace(update.target, update.demand);
+    }
+  }
   for (const limit_update& update : message.limits) {
     node_.limits.received(update.target, {update.per_second, stamp_sent_at - update.age});
     if (update.demand > 0) {
@@ -354,6 +372,62 @@
   }
 }
 
+// Issues this hub's share of the grants for warming targets of its data centre.
+void controller_loop::grant_warming_sends(time_point now) {
+  const node_id& self = node_.settings.id;
+  followers_.heard(now, now, self, followed_hub_.named(now) == self);
+  const double share =
+      followers_.share(send_grants_.warming_round_at(), now, node_.peers.node_count_here(now));
+  const hosted_bounds& bounds = node_.settings.bounds;
+  std::map<target_id, warming_issue> issued;
+  for (const auto& warming : node_.warming.all_warming(now)) {
+    if (warming.data_centre == node_.settings.data_centre && !node_.stopping) {
+      issued.emplace(warming.target,
+                     issue_for_warming(warming.requests_per_second, bounds.warmup_overage,
+                                       bounds.warmup_tolerance, share));
+    }
+  }
+  send_grants_.distribute_warming_round(now, random_, issued);
+}
+
+void controller_loop::add_warming(time_point now, const node_id& peer, node_heartbeat& message) {
+  if (!limits_warming_targets(node_)) {
+    return;
+  }
+  const data_centre_id& home = node_.settings.data_centre;
+  warming_report& report = message.warming.emplace();
+  report.follows = followed_hub_.named(now);
+  report.known_nodes_here = node_.peers.known_nodes_here();
+  using recipient = warming_targets::recipient;
+  if (message.hub) {
+    const bool same = node_.peers.data_centre_of(peer) == home;
+    report.targets =
+        node_.warming.updates_for(now, same ? recipient::own_node : recipient::other_hub);
+  } else if (node_.peers.hub_of(now, home) == peer) {
+    report.targets = node_.warming.updates_for(now, recipient::own_hub);
+  }
+}
+
+// `valid_from`: the content of the message is not older than this.
+void controller_loop::take_warming(time_point now, const node_id& peer, time_point valid_from,
+                                   const node_heartbeat& message) {
+  if (!message.warming) {
+    return;
+  }
+  update_warming_targets(node_, now);
+  for (const warming_update& update : message.warming->targets) {
+    node_.warming.received(valid_from, now, message.hub, update);
+  }
+  if (message.data_centre != node_.settings.data_centre) {
+    return;
+  }
+  followers_.heard(valid_from, now, peer, message.warming->follows == node_.settings.id);
+  for (const auto& [target, count] : received_grants_.receive_warming(
+           peer, message.incarnation, node_.incarnation, message.grants)) {
+    node_.warming.granted(valid_from, target, count);
+  }
+}
+
 // Poison updates are exchanged between hubs, and between a hub and its nodes, because the nodes
 // acknowledge the updates with their own heartbeats. The next hub in line receives them from the
 // hub.
@@ -464,7 +538,8 @@
   }
   node_.peers.received(now, peer,
                        {message.hub, message.leaving, message.refused_by_store, message.stamp_us,
-                        message.cut_off_from_targets, message.known_nodes});
+                        message.cut_off_from_targets, message.known_nodes,
+                        message.warming ? message.warming->known_nodes_here : 0});
   peer_positions_[peer] = {message.follows_records,
                            message.targets_position,
                            message.serving_position,
@@ -486,6 +561,7 @@
     const time_point stamp_sent_at{duration{message.echo_us}};
     watch_.apply_hub_update(stamp_sent_at, now, message);
     hub_reply_at_ = now;
+    node_.informed_at = std::max(node_.informed_at, stamp_sent_at);
     node_.fleet.apply_hub_losses(now, message.lost);
   } else {
     watch_.apply_offered_configuration(now, message);
--- a/src/node/controller_loop.h
+++ b/src/node/controller_loop.h
@@ -8,6 +8,7 @@
 #include <set>
 #include <string_view>
 
+#include "admission/hub_followers.h"
 #include "admission/send_grants.h"
 #include "base/hash.h"
 #include "base/rng.h"
@@ -96,6 +97,10 @@
   void grant_sends(time_point now);
   void add_limits(time_point now, const node_id& peer, node_heartbeat& message);
   void take_limits(time_point now, const node_id& peer, const node_heartbeat& message);
+  void grant_warming_sends(time_point now);
+  void add_warming(time_point now, const node_id& peer, node_heartbeat& message);
+  void take_warming(time_point now, const node_id& peer, time_point valid_from,
+                    const node_heartbeat& message);
   void sample_members(const target_id& head, std::vector<target_id>& members);
   void send_peer_heartbeats(time_point now);
   void send_heartbeat(time_point now, const node_id& peer);
@@ -116,6 +121,8 @@
   // Send grants for targets that announce a limit.
   send_grants send_grants_;
   grant_receiver received_grants_;
+  followed_hub followed_hub_;
+  hub_followers followers_;
   // State of the current round of heartbeats to peers.
   config_distributor config_distributor_;
   list_budget list_budget_;
--- a/src/node/hosted_buffered.cpp
+++ b/src/node/hosted_buffered.cpp
@@ -177,7 +177,7 @@
           now, instance.id,
           own_reason ? instance_call_outcome::withdrawn : instance_call_outcome::failed);
       --call_.possible_sends;
-      last_reason_ = not_permitted ? restrained_reason : "could not be sent";
+      last_reason_ = not_permitted ? refusal_reason(permission_) : "could not be sent";
       if (result.failure == call_failure::connect_failed) {
         note_connect_failure(node_, call_.service->id, instance.id);
       }
--- a/src/node/hosted_node.cpp
+++ b/src/node/hosted_node.cpp
@@ -146,6 +146,7 @@
     const target_backoffs::counts restrained = state.backoffs.count(monotonic_now());
     add("arbutusworks_targets_backing_off", restrained.backing_off);
     add("arbutusworks_targets_leaving", restrained.leaving);
+    add("arbutusworks_targets_warming", state.warming.all_warming(monotonic_now()).size());
     std::uint64_t cut_off_services = 0;
     std::uint64_t unreachable_targets = 0;
     for (const auto& [service, reach] : state.reach) {
--- a/src/node/hosted_parts.h
+++ b/src/node/hosted_parts.h
@@ -78,15 +78,19 @@
 // Whether the caller's key may still be used.
 [[nodiscard]] bool is_key_usable(const hosted_state& node, const hosted_request& call);
 
-enum class send_permission : std::uint8_t { granted, key_withdrawn, target_restrained };
+enum class send_permission : std::uint8_t {
+  granted,
+  key_withdrawn,
+  target_restrained,
+  target_warming,  // and this node has no grant for it
+};
 
 // Whether the request may be sent to the target now; checked immediately before each send, since
-// the call may have waited for its connection.
-[[nodiscard]] send_permission permission_to_send(const hosted_state& node,
-                                                 const hosted_request& call,
+// the call may have waited for its connection. Uses a grant if the target is warming.
+[[nodiscard]] send_permission permission_to_send(hosted_state& node, const hosted_request& call,
                                                  const target_instance& target);
-inline constexpr std::string_view restrained_reason =
-    "the target asked for a backoff or leaves meanwhile";
+// Why a request was not sent after permission_to_send() had refused it.
+[[nodiscard]] std::string_view refusal_reason(send_permission permission);
 
 // Whether the request may be sent, or sent again. A request that may have run is sent again only if
 // its route allows repetition, to no more targets than the route allows, and within the retry
@@ -107,13 +111,14 @@
 struct excluded_targets {
   std::vector<target_id> ids;
   bool by_send_limit = false;
+  bool by_warmup = false;
   bool by_leaving = false;
   bool by_reach = false;  // this node cannot open connections to them
   std::optional<target_backoffs::backoff> first_backoff;  // the one that ends first
 };
 
-// Adds the target to `excluded` if it backs off, is leaving or has no send left by its limit. Also
-// counts the call as demand for a limited target.
+// Adds the target to `excluded` if it backs off, is leaving, or has no send left by its limit or
+// while it warms up. Also counts the call as demand for such a target.
 void exclude_if_unavailable(hosted_state& node, hosted_request& call, time_point now,
                             const target_id& id, const endpoint& address,
                             excluded_targets& excluded);
--- a/src/node/hosted_state.h
+++ b/src/node/hosted_state.h
@@ -15,6 +15,7 @@
 
 #include "admission/send_limits.h"
 #include "admission/target_backoff.h"
+#include "admission/warming_targets.h"
 #include "base/rng.h"
 #include "capacity/model_demand.h"
 #include "connection/http_client.h"
@@ -81,6 +82,10 @@
   lost_target_reports lost_reports;  // received from peers
   rejecting_heads rejections;
   send_limits limits;
+  warming_targets warming;             // of services with a warm-up limit
+  std::uint64_t warming_revision = 0;  // fleet revision and configuration version that it has
+  std::uint64_t warming_version = 0;
+  time_point informed_at{};  // the newest information from this node's hub or the store
   target_backoffs backoffs;
   std::map<service_id, target_reach> reach;
   relay_peers relays;
--- a/src/node/hosted_targets.cpp
+++ b/src/node/hosted_targets.cpp
@@ -4,12 +4,14 @@
 #include "node/hosted_parts.h"
 #include "node/log.h"
 #include "node/target_notices.h"
+#include "node/warming_watch.h"
 
 namespace arbutus {
 
 namespace {
 
 constexpr std::string_view send_limit_reason = "the targets take no more requests now";
+constexpr std::string_view warmup_reason = "the targets warm up";
 constexpr std::string_view backoff_reason = "the targets asked for a backoff";
 constexpr std::string_view leaving_reason = "the targets are leaving";
 
@@ -66,8 +68,11 @@
                                          ? target_restraint::none
                                          : node.backoffs.restraint_of(now, {id, address});
   if (restraint == target_restraint::none) {
-    if (!check_send_limit(node, now, id)) {
-      excluded.by_send_limit = true;
+    const bool may_send_cold = check_warming_target(node, now, id);
+    const bool may_send_limited = check_send_limit(node, now, id);
+    excluded.by_warmup = excluded.by_warmup || !may_send_cold;
+    excluded.by_send_limit = excluded.by_send_limit || !may_send_limited;
+    if (!may_send_cold || !may_send_limited) {
       excluded.ids.push_back(id);
     }
     return;
@@ -95,6 +100,9 @@
   if (excluded.by_send_limit) {
     reasons.push_back({retry_after_limit(node), send_limit_reason});
   }
+  if (excluded.by_warmup) {
+    reasons.push_back({retry_after_limit(node), warmup_reason});
+  }
   if (reasons.empty() && excluded.by_leaving) {
     reasons.push_back({retry_after_no_target, leaving_reason});
   }
@@ -110,6 +118,10 @@
 void learn_from_response(hosted_state& node, const hosted_request& call, time_point sent_at,
                          const target_instance& target, int status, const response_fields& answer) {
   update_send_limit(node, sent_at, target.id, status, answer);
+  if (answer.warmup_left && !answer.is_misdirected &&
+      (answer.kind == answer_kind::target_response || answer.kind == answer_kind::not_run)) {
+    node.warming.on_response(sent_at, monotonic_now(), target.id, *answer.warmup_left);
+  }
   const auto effect = node.backoffs.on_response(monotonic_now(), target, answer.notice);
   log_target_notice(call.fields.id, target, answer.notice, effect);
   for (const std::string_view change : names_of(effect)) {
@@ -117,14 +129,23 @@
   }
 }
 
-send_permission permission_to_send(const hosted_state& node, const hosted_request& call,
+send_permission permission_to_send(hosted_state& node, const hosted_request& call,
                                    const target_instance& target) {
   if (!is_key_usable(node, call)) {
     return send_permission::key_withdrawn;
   }
-  const bool restrained =
-      node.backoffs.restraint_of(monotonic_now(), target) != target_restraint::none;
-  return restrained ? send_permission::target_restrained : send_permission::granted;
+  const time_point now = monotonic_now();
+  if (node.backoffs.restraint_of(now, target) != target_restraint::none) {
+    return send_permission::target_restrained;
+  }
+  return use_warming_grant(node, now, target.id) ? send_permission::granted
+                                                 : send_permission::target_warming;
+}
+
+std::string_view refusal_reason(send_permission permission) {
+  return permission == send_permission::target_warming
+             ? "the target warms up, and the grant for it has expired"
+             : "the target asked for a backoff or leaves meanwhile";
 }
 
 }  // namespace arbutus
--- a/src/node/replica_run.cpp
+++ b/src/node/replica_run.cpp
@@ -119,7 +119,7 @@
     reason_ = "the key was withdrawn";
     return run_result::key_withdrawn;
   }
-  reason_ = not_permitted ? restrained_reason : "could not be sent";
+  reason_ = not_permitted ? refusal_reason(permission_) : "could not be sent";
   if (result.failure == call_failure::connect_failed) {
     note_connect_failure(node_, call_.service->id, head());
   }
--- a/src/node/store_watch.cpp
+++ b/src/node/store_watch.cpp
@@ -82,6 +82,9 @@
 
 // Calls to the store are expensive, so they are counted by purpose.
 void store_watch::count_call(std::string_view what, bool answered) {
+  if (answered) {
+    node_.informed_at = monotonic_now();
+  }
   node_.metrics.count("arbutusworks_store_calls", "what=\"" + std::string(what) + "\",answered=\"" +
                                                       (answered ? "yes" : "no") + "\"");
   const auto found = store_calls_.find(what);
--- a/src/process/node_heartbeat.cpp
+++ b/src/process/node_heartbeat.cpp
@@ -124,6 +124,41 @@
   return grants;
 }
 
+json warming_to_json(const warming_report& report, const grant_update& grants) {
+  json targets = json::array();
+  for (const warming_update& t : report.targets) {
+    targets.push_back(json::array({t.target.str(), t.left.count(), t.age.count(), t.demand}));
+  }
+  json granted = json::array();
+  for (const warming_grant& g : grants.warming) {
+    granted.push_back(json::array({g.target.str(), g.total, g.newest}));
+  }
+  return json::array(
+      {report.follows.str(), report.known_nodes_here, std::move(targets), std::move(granted)});
+}
+
+void read_warming(const json& from, node_heartbeat& message) {
+  warming_report& report = message.warming.emplace();
+  report.follows = node_id{from.at(0).get<std::string>()};
+  report.known_nodes_here = from.at(1).get<std::size_t>();
+  // A longer time is damage, and could overflow when it is added to the present time.
+  constexpr duration max_time = 1h;
+  for (const json& row : from.at(2)) {
+    const warming_update update{target_id{row.at(0).get<std::string>()},
+                                duration{row.at(1).get<std::int64_t>()},
+                                duration{row.at(2).get<std::int64_t>()}, row.at(3).get<double>()};
+    if (update.left >= 0us && update.left <= max_time && update.age >= 0us &&
+        update.age <= max_time && update.demand >= 0) {
+      report.targets.push_back(update);
+    }
+  }
+  for (const json& row : from.at(3)) {
+    message.grants.warming.push_back({target_id{row.at(0).get<std::string>()},
+                                      row.at(1).get<std::uint64_t>(),
+                                      row.at(2).get<std::uint64_t>()});
+  }
+}
+
 std::optional<config_part> part_from_json(const json& from) {
   if (from.is_null()) {
     return std::nullopt;
@@ -159,6 +194,7 @@
 constexpr std::size_t known_nodes_field = 36;
 constexpr std::size_t configuration_version_field = 37;
 constexpr std::size_t demand_field = 38;
+constexpr std::size_t warming_field = 39;
 // In place of the newest row of the configuration, which earlier releases send.
 constexpr std::uint64_t row_of_earlier_releases = 0;
 
@@ -189,45 +225,48 @@
   for (const target_id& id : message.lost) {
     lost.push_back(id.str());
   }
-  const json document = {message.data_centre.str(),
-                         message.hub,
-                         message.leaving,
-                         message.requests_seen,
-                         message.stamp_us,
-                         message.echo_us,
-                         message.targets_position,
-                         message.configuration_position,
-                         std::move(loads),
-                         std::move(lost),
-                         update_to_json(message.targets),
-                         update_to_json(message.configuration),
-                         message.refused_by_store,
-                         to_string(message.link),
-                         message.strength.processor_permille,
-                         message.strength.link_mbps,
-                         message.follows_records,
-                         message.incarnation,
-                         message.serving_position.incarnation,
-                         message.serving_position.at,
-                         update_to_json(message.serving_rows),
-                         message.poison_changes.at,
-                         message.poison_changes.rows,
-                         message.received_poison_position.incarnation,
-                         message.received_poison_position.at,
-                         row_of_earlier_releases,
-                         message.configuration_progress.version,
-                         message.configuration_progress.base,
-                         message.configuration_progress.bytes,
-                         part_to_json(message.configuration_part),
-                         limits_to_json(message.limits),
-                         grants_to_json(message.grants),
-                         message.received_load_position.incarnation,
-                         message.received_load_position.at,
-                         load_update_to_json(message.load_changes),
-                         message.cut_off_from_targets,
-                         message.known_nodes,
-                         message.configuration_version.value_or(0),
-                         demand_to_json(message.demand)};
+  json document = {message.data_centre.str(),
+                   message.hub,
+                   message.leaving,
+                   message.requests_seen,
+                   message.stamp_us,
+                   message.echo_us,
+                   message.targets_position,
+                   message.configuration_position,
+                   std::move(loads),
+                   std::move(lost),
+                   update_to_json(message.targets),
+                   update_to_json(message.configuration),
+                   message.refused_by_store,
+                   to_string(message.link),
+                   message.strength.processor_permille,
+                   message.strength.link_mbps,
+                   message.follows_records,
+                   message.incarnation,
+                   message.serving_position.incarnation,
+                   message.serving_position.at,
+                   update_to_json(message.serving_rows),
+                   message.poison_changes.at,
+                   message.poison_changes.rows,
+                   message.received_poison_position.incarnation,
+                   message.received_poison_position.at,
+                   row_of_earlier_releases,
+                   message.configuration_progress.version,
+                   message.configuration_progress.base,
+                   message.configuration_progress.bytes,
+                   part_to_json(message.configuration_part),
+                   limits_to_json(message.limits),
+                   grants_to_json(message.grants),
+                   message.received_load_position.incarnation,
+                   message.received_load_position.at,
+                   load_update_to_json(message.load_changes),
+                   message.cut_off_from_targets,
+                   message.known_nodes,
+                   message.configuration_version.value_or(0),
+                   demand_to_json(message.demand)};
+  if (message.warming) {
+    document.push_back(warming_to_json(*message.warming, message.grants));
+  }
   std::string bytes;
   json::to_msgpack(document, bytes);
   return bytes;
@@ -291,6 +330,9 @@
     if (document.size() > demand_field) {
       message.demand = demand_from_json(document.at(demand_field));
     }
+    if (document.size() > warming_field) {
+      read_warming(document.at(warming_field), message);
+    }
     return message;
   } catch (const json::exception&) {
     return std::nullopt;
--- a/src/process/node_heartbeat.h
+++ b/src/process/node_heartbeat.h
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "admission/send_grants.h"
+#include "admission/warming_targets.h"
 #include "base/id.h"
 #include "base/units.h"
 #include "capacity/model_demand.h"
@@ -41,6 +42,15 @@
   bool withheld = false;
 };
 
+// About warming targets; sent only if the configuration limits what is sent to them. The grants for
+// them are in node_heartbeat::grants.
+struct warming_report {
+  node_id follows;  // hub that the sender follows; empty: none, or it has just changed
+  std::size_t known_nodes_here = 0;  // nodes of the sender's data centre that it knows
+  std::vector<warming_update> targets;
+  bool operator==(const warming_report&) const = default;
+};
+
 struct node_heartbeat {
   data_centre_id data_centre;
   // Address and strength of the sender, as in its row in the store. Without this, a hub drops the
@@ -90,6 +100,7 @@
   // From a node the demand of its own callers; from a hub that of its data centre to another hub,
   // and that of the deployment to its nodes.
   model_demand demand;
+  std::optional<warming_report> warming;
   // The following are sent only by a hub to a node of its data centre.
   std::optional<feed_update> targets;  // records of targets
   // Serving replicas, sent instead of `targets`; positions are of the sender's incarnation.
--- a/src/process/peer_table.cpp
+++ b/src/process/peer_table.cpp
@@ -107,6 +107,25 @@
   return count;
 }
 
+std::size_t peer_table::known_nodes_here() const {
+  const auto peers_here = std::ranges::count_if(
+      peers_, [this](const auto& entry) { return entry.second.data_centre == data_centre_; });
+  return static_cast<std::size_t>(peers_here) + 1;
+}
+
+std::size_t peer_table::node_count_here(time_point now) const {
+  if (!rows_read_) {
+    return 0;
+  }
+  std::size_t count = known_nodes_here();
+  for (const auto& [id, p] : peers_) {
+    if (p.data_centre == data_centre_ && is_alive(now, p)) {
+      count = std::max(count, p.info.known_nodes_here);
+    }
+  }
+  return count;
+}
+
 std::size_t peer_table::alive_count(time_point now) const {
   return static_cast<std::size_t>(
       std::count_if(peers_.begin(), peers_.end(),
--- a/src/process/peer_table.h
+++ b/src/process/peer_table.h
@@ -57,6 +57,7 @@
     std::int64_t stamp_us{};
     bool cut_off_from_targets = false;  // the peer cannot open connections to the targets
     std::size_t known_nodes = 0;        // nodes that the peer knows
+    std::size_t known_nodes_here = 0;   // of these, in the peer's data centre; zero: not told
   };
   // A heartbeat of the peer was received.
   void received(time_point now, const node_id& peer, const heartbeat_info& info);
@@ -106,6 +107,9 @@
   // The most nodes that this one or a live peer knows; zero until the rows of the nodes were read.
   // A node that its hub keeps current seldom reads the rows, but the hub soon knows a new node.
   [[nodiscard]] std::size_t node_count(time_point now) const;
+  // The same for this node's data centre.
+  [[nodiscard]] std::size_t known_nodes_here() const;
+  [[nodiscard]] std::size_t node_count_here(time_point now) const;
   [[nodiscard]] const std::vector<node_record>& records() const { return records_; }
 
   // A node whose rows of peers cannot be read for this long after its start acts on the peers that
--- a/src/standin/hosted_configuration.cpp
+++ b/src/standin/hosted_configuration.cpp
@@ -43,10 +43,17 @@
     once["prefix"] = extra_route_path(i);
     routes.push_back(once);
   }
+  json services = json::array({{{"name", "llm"}, {"engine", engine}}, {{"name", "api"}}});
+  for (json& service : services) {
+    if (c.warmup_s > 0) {
+      service["warmup-s"] = c.warmup_s;
+      service["cold-per-s"] = c.cold_per_s;
+    }
+  }
   json document = {
       {"version", c.version},
       {"routes", routes},
-      {"services", json::array({{{"name", "llm"}, {"engine", engine}}, {{"name", "api"}}})},
+      {"services", services},
       {"limits", json::object()},
       {"tenants", json::array({{{"name", "desk"},
                                 {"api-keys", c.has_keys ? json::array({hosted_caller_key})
--- a/src/standin/hosted_configuration.h
+++ b/src/standin/hosted_configuration.h
@@ -16,6 +16,10 @@
   bool has_keys = true;          // whether the workspace has an API key
   std::size_t extra_routes = 0;  // number of additional routes
   int model_max_attempts = 3;    // number of targets to which a request for the model is sent
+  // For how long a target that starts is cold, and how many requests per second it bears meanwhile;
+  // zero: targets are warm from the start.
+  double warmup_s = 0;
+  double cold_per_s = 0;
 };
 
 // Path of an additional route.
--- a/src/standin/hosted_platform.cpp
+++ b/src/standin/hosted_platform.cpp
@@ -808,8 +808,12 @@
 
 void hosted_platform::write_next_configuration(bool keys, std::size_t extra_routes) {
   const std::lock_guard guard(state_->mutex);
-  const hosted_configuration next{++state_->config_version, keys, extra_routes,
-                                  state_->settings.model_max_attempts};
+  const hosted_configuration next{++state_->config_version,
+                                  keys,
+                                  extra_routes,
+                                  state_->settings.model_max_attempts,
+                                  state_->settings.warmup_s,
+                                  state_->settings.cold_per_s};
   state_->newest_configuration = encode(next);
   state_->put(configuration_table, configuration_row, state_->newest_configuration);
 }
--- a/src/standin/hosted_platform.h
+++ b/src/standin/hosted_platform.h
@@ -38,6 +38,8 @@
   // of paths that can be cut. Hubs pass rows on, so only one such node may be in a data centre.
   std::size_t nodes_with_paths = 0;
   int model_max_attempts = 3;  // of the route to the model
+  double warmup_s = 0;         // see hosted_configuration
+  double cold_per_s = 0;
   hosted_engine_settings engine = {.rejoin_time = 50ms,
                                    .warm_load_time = 200ms,
                                    .load_time = 300ms,
--- a/tests/core/hosted_values_test.cpp
+++ b/tests/core/hosted_values_test.cpp
@@ -337,6 +337,8 @@
   message.limits = {{target_id{"x"}, 2.5, 30ms, 4}, {target_id{"y"}, std::nullopt, 1s, 0}};
   message.grants = {"0a1b2c3d", {{target_id{"x"}, 12}}};
   message.known_nodes = 340;
+  message.grants.warming = {{target_id{"z"}, 9, 2}};
+  message.warming = {node_id{"n-1"}, 27, {{target_id{"z"}, 2s, 40ms, 1.5}}};
   const std::string bytes = encode(message);
   const auto back = decode_node_heartbeat(bytes);
   ASSERT_TRUE(back);
@@ -353,6 +355,7 @@
   EXPECT_EQ(back->limits, message.limits);
   EXPECT_EQ(back->known_nodes, 340U);
   EXPECT_EQ(back->grants, message.grants);
+  EXPECT_EQ(back->warming, message.warming);
   EXPECT_EQ(back->serving_rows->after, 17U);
   EXPECT_TRUE(back->targets->complete);
   EXPECT_EQ(back->targets->after, 4U);
@@ -364,6 +367,17 @@
   }
 }
 
+TEST(NodeHeartbeat, HasNoFieldForWarmingTargetsWithoutAWarmupLimit) {
+  node_heartbeat message;
+  const std::size_t without = encode(message).size();
+  message.warming.emplace();
+  EXPECT_LT(without, encode(message).size());
+  message.warming.reset();
+  const auto back = decode_node_heartbeat(encode(message));
+  ASSERT_TRUE(back);
+  EXPECT_FALSE(back->warming);
+}
+
 TEST(NodeHeartbeat, ReadsAMessageOfAnEarlierRelease) {
   node_heartbeat message;
   message.data_centre = data_centre_id{"a"};
--- a/tests/core/warming_targets_test.cpp
+++ b/tests/core/warming_targets_test.cpp
@@ -29,7 +29,7 @@
   }
   static warmup_observation seen_with(std::uint64_t version, duration left_by_record,
                                       time_point requested_at) {
-    return {home, limit, false, version, left_by_record, requested_at};
+    return {home, limit, false, version, left_by_record, requested_at, false};
   }
   [[nodiscard]] bool is_warming(time_point now) const { return warming_.is_warming(now, target); }
 
@@ -56,8 +56,8 @@
   warming_targets warming;
   const target_id cold{"i-8~1"};
   warming.begin_update(start, start, true);
-  warming.observe(start, target, {home, limit, false, 1, 0s, start});
-  warming.observe(start, cold, {home, limit, false, 1, 2s, start - 1s});
+  warming.observe(start, target, {home, limit, false, 1, 0s, start, false});
+  warming.observe(start, cold, {home, limit, false, 1, 2s, start - 1s, false});
   warming.end_update();
   EXPECT_FALSE(warming.is_warming(start, target));
   EXPECT_TRUE(warming.is_warming(start + 1999ms, cold));
@@ -176,6 +176,15 @@
   EXPECT_EQ(ended.front().time, 3s);
 }
 
+// Guards against a pause of some seconds whenever a replica of warm engines forms: a node that
+// knows only the serving replicas sees its head for the first time.
+TEST_F(WarmingTargets, TargetOfAHubsRowIsColdOnlyIfTheHubReportsIt) {
+  update(start + 1s, warmup_observation{home, limit, false, 1, {}, start, true});
+  EXPECT_FALSE(is_warming(start + 1s));
+  warming_.received(start + 1s, start + 1s, true, {target, 2s, 0s, 0});
+  EXPECT_TRUE(is_warming(start + 2900ms));
+}
+
 TEST_F(WarmingTargets, TargetThatIsGoneIsForgotten) {
   update(start + 1s, seen_with(1, 0s, start));
   update(start + 2s, {});
