--- a/tests/shell/hosted_warmup_test.cpp
+++ b/tests/shell/hosted_warmup_test.cpp
@@ -35,8 +35,8 @@
   int rounds_ = 0;
 };
 
-// Guards against a crash of a target that starts under load: without the limit some 200 requests
-// per second reach it.
+// Guards against a crash of a target that starts under load: without the limit 890 requests
+// reached it in a second.
 TEST_F(HostedWarmup, TargetThatStartsUnderLoadGetsWhatItBears) {
   ASSERT_TRUE(both_nodes_serve());
   const time_point before = monotonic_now();
