--- a/src/node/controller_loop.h
+++ b/src/node/controller_loop.h
@@ -1,6 +1,6 @@
 // Runs the replica controllers of a hosted node: queries engines and sends them orders
 // (controller_loop.cpp), detects stalled replicas and lost targets (controller_losses.cpp), and
-// exchanges heartbeats with peers (controller_heartbeats.cpp).
+// exchanges heartbeats with peers (controller_heartbeats.cpp, controller_warming.cpp).
 #pragma once
 
 #include <map>
