--- a/tests/shell/platform_test.cpp
+++ b/tests/shell/platform_test.cpp
@@ -301,5 +301,11 @@
       read_response_fields(500, {{"Server-Leaving", "1"}}, request_id{"b7e2"}).notice.is_leaving);
 }
 
+TEST(PlatformDocuments, KeysOfEvacuationsNameTheDataCentre) {
+  EXPECT_EQ(read_evacuation_key("evacuate/hall-a"), data_centre_id{"hall-a"});
+  EXPECT_EQ(read_evacuation_key("config"), std::nullopt);
+  EXPECT_EQ(read_evacuation_key("evacuated"), std::nullopt);
+}
+
 }  // namespace
 }  // namespace arbutus
