Hosted nodes: evacuated data centres and allowed regions on every path

Cause: requests reached targets in a data centre that operators had taken out of service, and in regions that their route or workspace does not allow.

Change: `store_watch` applies the rows `evacuate/NAME` from the store and from the hub, whole and as changes; a hub marks an update with all rows as complete, so that a removal in a lost history is noticed. The table is read in pages. `exclude_if_unavailable` and `permission_to_send` get a candidate with the data centres of all members of its replica; rows of serving replicas name those outside the head's. `request/allowed_regions` is computed once for each call and also checked in `choose_relay_peer` and by the node that takes a call over. The stand-in sets evacuations, allowed regions, and drops its history.

--- a/src/node/controller_heartbeats.cpp
+++ b/src/node/controller_heartbeats.cpp
@@ -28,7 +28,7 @@
 
 feed_update controller_loop::configuration_update(time_point now, const feed_positions& at) {
   return {node_.configuration_rows.since(at.configuration),
-          false,
+          node_.configuration_rows.needs_snapshot(at.configuration),
           node_.configuration_rows.position(),
           at.configuration,
           *node_.configuration_lease.age(now),
--- a/src/node/hosted_buffered.cpp
+++ b/src/node/hosted_buffered.cpp
@@ -127,7 +127,7 @@
       time_point now, const std::vector<service_instance>& instances) const {
     excluded_targets excluded;
     for (const service_instance& instance : instances) {
-      exclude_if_unavailable(node_, call_, now, instance.id, instance.address, excluded);
+      exclude_if_unavailable(node_, call_, now, candidate_target(instance), excluded);
     }
     return excluded;
   }
@@ -158,7 +158,7 @@
   }
 
   bool is_send_permitted(const service_instance& instance) {
-    permission_ = permission_to_send(node_, call_, {instance.id, instance.address});
+    permission_ = permission_to_send(node_, call_, candidate_target(instance));
     return permission_ == send_permission::granted;
   }
 
@@ -168,7 +168,7 @@
     const bool not_permitted = result.failure == call_failure::not_permitted;
     if (not_permitted && permission_ == send_permission::key_withdrawn) {
       node_.instances.ended(now, instance.id, instance_call_outcome::withdrawn);
-      end_locally(503, retry_after_stale(node_, monotonic_now()), "the key was withdrawn");
+      end_locally(503, retry_after_stale(node_, monotonic_now()), reason_of(permission_));
       return;
     }
     if (result.outcome == call_outcome::not_sent) {
@@ -177,7 +177,7 @@
           now, instance.id,
           own_reason ? instance_call_outcome::withdrawn : instance_call_outcome::failed);
       --call_.possible_sends;
-      last_reason_ = not_permitted ? restrained_reason : "could not be sent";
+      last_reason_ = not_permitted ? reason_of(permission_) : "could not be sent";
       if (result.failure == call_failure::connect_failed) {
         note_connect_failure(node_, call_.service->id, instance.id);
       }
--- a/src/node/hosted_call.cpp
+++ b/src/node/hosted_call.cpp
@@ -32,6 +32,9 @@
     if (!node_.map) {
       return end_unfit("no configuration is known yet");
     }
+    if (!node_.evacuated_data_centres.is_known()) {
+      return end_unfit("the evacuated data centres are not known yet");
+    }
     if (node_.is_outdated(call_.arrived)) {
       return end_unfit("a newer configuration is accepted, and not here yet");
     }
@@ -44,10 +47,14 @@
       return current ? end(404, {}, "no route has this host and path")
                      : end_unfit("the configuration may be out of date");
     }
+    call_.regions = allowed_regions(call_.matched_route->allowed_regions, {});
     if (call_.map->has_workspaces() && call_.matched_route->needs_workspace &&
         !find_workspace(current)) {
       return false;
     }
+    if (!may_be_taken_over()) {
+      return end_unfit(region_reason);
+    }
     set_deadline();
     call_.fingerprint =
         fingerprint_of(call_.workspace, call_.raw_request.target, call_.raw_request.body);
@@ -69,6 +76,14 @@
     return false;
   }
 
+  // The node that has handed the call over may have an older configuration.
+  [[nodiscard]] bool may_be_taken_over() const {
+    return !call_.relayed ||
+           call_.regions.allows_transfer(node_.settings.regions,
+                                         node_.peers.data_centre_of(call_.relayed->from),
+                                         node_.settings.data_centre);
+  }
+
   bool find_workspace(bool current) {
     if (!current) {
       return end_unfit("keys cannot be checked: the configuration is stale");
@@ -79,6 +94,8 @@
       return end(401, {}, "the key is not known");
     }
     call_.workspace = workspace->id;
+    call_.regions =
+        allowed_regions(call_.matched_route->allowed_regions, workspace->allowed_regions);
     call_.urgency = workspace->priority;
     return true;
   }
@@ -275,6 +292,13 @@
   if (result == "cut") {
     node.metrics.count("arbutusworks_answers_cut", "reason=\"" + std::string(reason) + "\"");
   }
+  if (reason == evacuated_reason) {
+    node.metrics.count("arbutusworks_evacuation_refusals",
+                       "result=\"" + std::string(result) + "\"");
+  }
+  if (reason == region_reason) {
+    node.metrics.count("arbutusworks_region_refusals", "result=\"" + std::string(result) + "\"");
+  }
   const bool had_event = call.last_event_at > time_point{};
   if (!call.writes_log_lines) {
     return;
--- a/src/node/hosted_node.cpp
+++ b/src/node/hosted_node.cpp
@@ -94,7 +94,8 @@
   [[nodiscard]] bool is_ready() const {
     const time_point now = monotonic_now();
     return !state.stopping && state.map && state.fleet_known &&
-           state.configuration_lease.valid(now) && !state.is_outdated(now);
+           state.evacuated_data_centres.is_known() && state.configuration_lease.valid(now) &&
+           !state.is_outdated(now);
   }
 
   void serve_ready(response_writer& writer) {
@@ -146,6 +147,7 @@
     const target_backoffs::counts restrained = state.backoffs.count(monotonic_now());
     add("arbutusworks_targets_backing_off", restrained.backing_off);
     add("arbutusworks_targets_leaving", restrained.leaving);
+    add("arbutusworks_data_centres_evacuated", state.evacuated_data_centres.all().size());
     std::uint64_t cut_off_services = 0;
     std::uint64_t unreachable_targets = 0;
     for (const auto& [service, reach] : state.reach) {
--- a/src/node/hosted_parts.h
+++ b/src/node/hosted_parts.h
@@ -4,6 +4,7 @@
 
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -12,6 +13,7 @@
 #include "connection/http_server.h"
 #include "node/hosted_state.h"
 #include "platform/http_fields.h"
+#include "request/allowed_regions.h"
 #include "request/relay_header.h"
 #include "request/request_fingerprint.h"
 
@@ -29,6 +31,7 @@
   std::optional<std::uint32_t> urgency = {};     // 0 is the most urgent
   request_fingerprint fingerprint = {};          // equal for repetitions of the same request
   std::vector<request_fingerprint> blocks = {};  // of its prompt that other requests may share
+  allowed_regions regions = {};                  // in which it may be served
   time_point arrived = {};
   time_point deadline = {};
   std::optional<relayed_call> relayed = {};  // set if a peer has handed the call over to this node
@@ -78,15 +81,41 @@
 // Whether the caller's key may still be used.
 [[nodiscard]] bool is_key_usable(const hosted_state& node, const hosted_request& call);
 
-enum class send_permission : std::uint8_t { granted, key_withdrawn, target_restrained };
+// A target that a request may be sent to: the head of a replica or an instance. Refers to the
+// replica or instance.
+struct candidate_target {
+  explicit candidate_target(const serving_replica& replica)
+      : id(replica.head),
+        address(replica.address),
+        data_centre(replica.data_centre),
+        other_data_centres(replica.other_data_centres) {}
+  explicit candidate_target(const service_instance& instance)
+      : id(instance.id), address(instance.address), data_centre(instance.data_centre) {}
+
+  const target_id& id;
+  const endpoint& address;
+  const data_centre_id& data_centre;
+  std::span<const data_centre_id> other_data_centres = {};  // of the replica's other members
+};
+
+enum class send_permission : std::uint8_t {
+  granted,
+  key_withdrawn,
+  target_restrained,
+  target_evacuated,
+  region_not_allowed,
+};
 
 // Whether the request may be sent to the target now; checked immediately before each send, since
 // the call may have waited for its connection.
 [[nodiscard]] send_permission permission_to_send(const hosted_state& node,
                                                  const hosted_request& call,
-                                                 const target_instance& target);
-inline constexpr std::string_view restrained_reason =
-    "the target asked for a backoff or leaves meanwhile";
+                                                 const candidate_target& target);
+// Why a send was not permitted, for logs and refusals.
+[[nodiscard]] std::string_view reason_of(send_permission permission);
+inline constexpr std::string_view evacuated_reason = "the data centre of the targets is evacuated";
+inline constexpr std::string_view region_reason =
+    "no target is in a region that the request allows";
 
 // Whether the request may be sent, or sent again. A request that may have run is sent again only if
 // its route allows repetition, to no more targets than the route allows, and within the retry
@@ -108,15 +137,17 @@
   std::vector<target_id> ids;
   bool by_send_limit = false;
   bool by_leaving = false;
-  bool by_reach = false;  // this node cannot open connections to them
+  bool by_evacuation = false;  // their data centres are evacuated
+  bool by_region = false;      // the request may not be served in their regions
+  bool by_reach = false;       // this node cannot open connections to them
   std::optional<target_backoffs::backoff> first_backoff;  // the one that ends first
 };
 
-// Adds the target to `excluded` if it backs off, is leaving or has no send left by its limit. Also
-// counts the call as demand for a limited target.
+// Adds the target to `excluded` if its region is not allowed, its data centre is evacuated, it
+// backs off, is leaving or has no send left by its limit. Also counts the call as demand for a
+// limited target.
 void exclude_if_unavailable(hosted_state& node, hosted_request& call, time_point now,
-                            const target_id& id, const endpoint& address,
-                            excluded_targets& excluded);
+                            const candidate_target& target, excluded_targets& excluded);
 
 // Why a call without a target is refused: what ends first of the reasons for which its candidates
 // are excluded and, if there is one, `otherwise`. Empty if no candidate is excluded.
--- a/src/node/hosted_relay.cpp
+++ b/src/node/hosted_relay.cpp
@@ -286,8 +286,20 @@
   if (call.relayed) {
     return std::nullopt;
   }
-  return node.relays.choose(monotonic_now(), call.service->id, node.peers.records(),
-                            node.settings.data_centre, call.tried_peers, node.random);
+  const data_centre_id& home = node.settings.data_centre;
+  const auto choose = [&](std::span<const node_record> nodes) {
+    return node.relays.choose(monotonic_now(), call.service->id, nodes, home, call.tried_peers,
+                              node.random);
+  };
+  if (!call.regions.is_restricted()) {
+    return choose(node.peers.records());
+  }
+  std::vector<node_record> allowed;
+  std::ranges::copy_if(
+      node.peers.records(), std::back_inserter(allowed), [&](const node_record& peer) {
+        return call.regions.allows_transfer(node.settings.regions, home, peer.data_centre);
+      });
+  return choose(allowed);
 }
 
 bool may_be_cut_off(hosted_state& node, const hosted_request& call) {
--- a/src/node/hosted_state.cpp
+++ b/src/node/hosted_state.cpp
@@ -83,6 +83,7 @@
       relay_http(r, relay_client_limits()),
       store(platform_http, address_of_endpoint(settings.store)),
       engines(control_http),
+      evacuated_data_centres(settings.data_centres),
       configuration_lease({.revocation_bound = settings.bounds.key_withdrawal_limit}),
       peers(settings.id, settings.data_centre, settings.strength),
       random(stable_hash(incarnation)) {}
--- a/src/node/hosted_state.h
+++ b/src/node/hosted_state.h
@@ -25,6 +25,7 @@
 #include "platform/store.h"
 #include "process/config_lease.h"
 #include "process/config_transfer.h"
+#include "process/evacuations.h"
 #include "process/feed_log.h"
 #include "process/fleet_view.h"
 #include "process/hosted_settings.h"
@@ -59,6 +60,7 @@
   platform_store store;
   platform_engines engines;
 
+  evacuations evacuated_data_centres;      // their targets get no requests
   std::shared_ptr<const service_map> map;  // null until the first version was read
   config_lease configuration_lease;
   config_history configurations;  // texts of versions, for the nodes that get them from this one
--- a/src/node/hosted_targets.cpp
+++ b/src/node/hosted_targets.cpp
@@ -12,6 +12,10 @@
 constexpr std::string_view send_limit_reason = "the targets take no more requests now";
 constexpr std::string_view backoff_reason = "the targets asked for a backoff";
 constexpr std::string_view leaving_reason = "the targets are leaving";
+// Without a target that is allowed, since data centres are evacuated or not in an allowed region.
+// Replicas form elsewhere within 12 to 16 s, and operators may lift the evacuation at any time; a
+// shorter time would only repeat the refusal.
+constexpr duration mean_retry_after_exclusion = 2s;
 
 bool check_send_limit(hosted_state& node, time_point now, const target_id& target) {
   if (!node.limits.is_limited(target)) {
@@ -23,11 +27,22 @@
   return may;
 }
 
+constexpr duration mean_retry_after_limit = 800ms;
+
 // The time is randomized, so that callers that were refused together do not all retry
 // simultaneously.
-duration retry_after_limit(hosted_state& node) {
-  constexpr duration mean_retry_after = 800ms;
-  return from_seconds(to_seconds(mean_retry_after) * (0.5 + node.random.unit()));
+duration randomized(hosted_state& node, duration mean) {
+  return from_seconds(to_seconds(mean) * (0.5 + node.random.unit()));
+}
+
+// A replica with a member in an evacuated data centre would run the request there, too.
+bool is_evacuated(const hosted_state& node, const candidate_target& target) {
+  const evacuations& evacuated = node.evacuated_data_centres;
+  return !evacuated.is_empty() &&
+         (evacuated.is_evacuated(target.data_centre) ||
+          std::ranges::any_of(target.other_data_centres, [&](const data_centre_id& id) {
+            return evacuated.is_evacuated(id);
+          }));
 }
 
 void update_send_limit(hosted_state& node, time_point sent_at, const target_id& target, int status,
@@ -51,11 +66,32 @@
                      "change=\"" + std::string(to_string(change)) + "\"");
 }
 
+// The members of a replica hold the request's state, so all of them count.
+bool is_region_allowed(const hosted_state& node, const hosted_request& call,
+                       const candidate_target& target) {
+  const region_map& regions = node.settings.regions;
+  return !call.regions.is_restricted() ||
+         (call.regions.allows(regions, target.data_centre) &&
+          std::ranges::all_of(target.other_data_centres, [&](const data_centre_id& id) {
+            return call.regions.allows(regions, id);
+          }));
+}
+
 }  // namespace
 
 void exclude_if_unavailable(hosted_state& node, hosted_request& call, time_point now,
-                            const target_id& id, const endpoint& address,
-                            excluded_targets& excluded) {
+                            const candidate_target& target, excluded_targets& excluded) {
+  const target_id& id = target.id;
+  if (!is_region_allowed(node, call, target)) {
+    excluded.by_region = true;
+    excluded.ids.push_back(id);
+    return;
+  }
+  if (is_evacuated(node, target)) {
+    excluded.by_evacuation = true;
+    excluded.ids.push_back(id);
+    return;
+  }
   if (node.reach[call.service->id].is_unreachable(id)) {
     excluded.by_reach = true;
     excluded.ids.push_back(id);
@@ -64,7 +100,7 @@
   // Usually no target is restrained, and nothing is copied for each candidate.
   const target_restraint restraint = node.backoffs.is_empty()
                                          ? target_restraint::none
-                                         : node.backoffs.restraint_of(now, {id, address});
+                                         : node.backoffs.restraint_of(now, {id, target.address});
   if (restraint == target_restraint::none) {
     if (!check_send_limit(node, now, id)) {
       excluded.by_send_limit = true;
@@ -78,7 +114,7 @@
     excluded.by_leaving = true;
     return;
   }
-  const auto running = node.backoffs.backoff_of(now, {id, address});
+  const auto running = node.backoffs.backoff_of(now, {id, target.address});
   if (!excluded.first_backoff || running->ends < excluded.first_backoff->ends) {
     excluded.first_backoff = running;
   }
@@ -93,11 +129,17 @@
         {retry_after_backoff(now, *excluded.first_backoff, node.random.unit()), backoff_reason});
   }
   if (excluded.by_send_limit) {
-    reasons.push_back({retry_after_limit(node), send_limit_reason});
+    reasons.push_back({randomized(node, mean_retry_after_limit), send_limit_reason});
+  }
+  if (reasons.empty() && excluded.by_evacuation) {
+    reasons.push_back({randomized(node, mean_retry_after_exclusion), evacuated_reason});
   }
   if (reasons.empty() && excluded.by_leaving) {
     reasons.push_back({retry_after_no_target, leaving_reason});
   }
+  if (reasons.empty() && excluded.by_region) {
+    reasons.push_back({randomized(node, mean_retry_after_exclusion), region_reason});
+  }
   if (reasons.empty()) {
     return std::nullopt;
   }
@@ -118,13 +160,36 @@
 }
 
 send_permission permission_to_send(const hosted_state& node, const hosted_request& call,
-                                   const target_instance& target) {
+                                   const candidate_target& target) {
   if (!is_key_usable(node, call)) {
     return send_permission::key_withdrawn;
   }
+  if (!is_region_allowed(node, call, target)) {
+    return send_permission::region_not_allowed;
+  }
+  if (is_evacuated(node, target)) {
+    return send_permission::target_evacuated;
+  }
   const bool restrained =
-      node.backoffs.restraint_of(monotonic_now(), target) != target_restraint::none;
+      node.backoffs.restraint_of(monotonic_now(), {target.id, target.address}) !=
+      target_restraint::none;
   return restrained ? send_permission::target_restrained : send_permission::granted;
 }
 
+std::string_view reason_of(send_permission permission) {
+  switch (permission) {
+    case send_permission::granted:
+      break;
+    case send_permission::key_withdrawn:
+      return "the key was withdrawn";
+    case send_permission::target_restrained:
+      return "the target asked for a backoff or leaves meanwhile";
+    case send_permission::target_evacuated:
+      return evacuated_reason;
+    case send_permission::region_not_allowed:
+      return region_reason;
+  }
+  return "permitted";
+}
+
 }  // namespace arbutus
--- a/src/node/replica_run.cpp
+++ b/src/node/replica_run.cpp
@@ -38,7 +38,7 @@
 }
 
 bool replica_run::is_send_permitted() {
-  permission_ = permission_to_send(node_, call_, {head(), replica_.address});
+  permission_ = permission_to_send(node_, call_, candidate_target(replica_));
   return permission_ == send_permission::granted;
 }
 
@@ -116,10 +116,10 @@
   const bool not_permitted = result.failure == call_failure::not_permitted;
   --call_.possible_sends;
   if (not_permitted && permission_ == send_permission::key_withdrawn) {
-    reason_ = "the key was withdrawn";
+    reason_ = reason_of(permission_);
     return run_result::key_withdrawn;
   }
-  reason_ = not_permitted ? restrained_reason : "could not be sent";
+  reason_ = not_permitted ? reason_of(permission_) : "could not be sent";
   if (result.failure == call_failure::connect_failed) {
     note_connect_failure(node_, call_.service->id, head());
   }
--- a/src/node/request_timeline.cpp
+++ b/src/node/request_timeline.cpp
@@ -132,6 +132,9 @@
   if (line.part == "fleet" && line.message == "capacity") {
     return "capacity " + std::string(line.field("model"));
   }
+  if (line.part == "evacuation") {
+    return "evacuation " + std::string(line.field("data_centre"));
+  }
   if (line.part == "keeper" && line.message == "duties") {
     return "duties";
   }
@@ -150,7 +153,7 @@
 };
 
 // Explains each reason and says where to look next. The reasons are those in the nodes' log lines.
-constexpr std::array<known_reason, 32> known_reasons = {{
+constexpr std::array<known_reason, 34> known_reasons = {{
     {"every replica is full",
      "Each replica of the model had all its slots in use. The number of replicas that the node "
      "counted is shown below. If it is low, look at the keeper plan lines of the data centre; "
@@ -206,6 +209,12 @@
     {"the target asked for a backoff or leaves meanwhile",
      "While the request waited for its connection, the target answered another one with 503 and "
      "Retry-After or said that it is leaving, so the request was not sent."},
+    {"the data centre of the targets is evacuated",
+     "Operators have evacuated each data centre with a target that could take the request. See the "
+     "evacuation lines below, and the rows evacuate/NAME of table op."},
+    {"no target is in a region that the request allows",
+     "The route or the workspace names allowed-regions, and no target that could take the request "
+     "is in one of them, by [regions] of the node's settings."},
     {"this node reaches no target for it",
      "The node could open no connection to any target that could take the request, and no other "
      "node took it over. See its reach lines below."},
--- a/src/node/store_watch.cpp
+++ b/src/node/store_watch.cpp
@@ -1,10 +1,13 @@
 // Follows the accepted configuration, and applies the updates that the hub forwards.
 #include "node/store_watch.h"
 
+#include <algorithm>
+
 #include "connection/clock.h"
 #include "node/log.h"
 #include "node/store_timing.h"
 #include "platform/documents.h"
+#include "request/allowed_regions.h"
 
 namespace arbutus {
 
@@ -63,6 +66,24 @@
   return "the history was dropped";
 }
 
+// Requests that only a region without a data centre may serve are refused.
+void warn_of_unknown_regions(const service_map& map, const region_map& regions) {
+  for (const region_id& named : map.named_regions()) {
+    const bool is_known =
+        std::ranges::any_of(regions, [&](const auto& entry) { return entry.second == named; });
+    if (!is_known) {
+      log_line(log_level::warning, "configuration", "no data centre is in this region",
+               {{"version", map.version()}, {"region", named}});
+    }
+  }
+}
+
+// Whether the update of the configuration table has all its rows. Nodes of earlier releases do not
+// mark such updates, and send them to nodes without a position.
+bool is_whole(const feed_update& update) {
+  return update.complete || (update.after == 0 && update.position > 0);
+}
+
 }  // namespace
 
 store_watch::store_watch(hosted_state& node) : node_(node), started_at_(monotonic_now()) {}
@@ -150,16 +171,26 @@
   if (!node_.configuration_rows.can_resume(message.configuration->after)) {
     return;
   }
+  follow_era(now);
+  const feed_update& update = *message.configuration;
+  if (is_whole(update)) {
+    replace_evacuations(now, "hub", update.rows, update.position);
+  } else {
+    apply_evacuations(now, "hub", update.rows);
+  }
   note_newest(now, message);
   if (message.configuration_part) {
     apply_configuration_part(requested_at, now, *message.configuration_part);
   }
   configuration_withheld_ = message.configuration->withheld && node_.configuration_lag.behind();
   if (node_.configurations.newest_version() >= *message.configuration_version) {
-    for (const feed_row& row : message.configuration->rows) {
+    for (const feed_row& row : update.rows) {
       apply_configuration_row(requested_at, "hub", row);
     }
-    node_.configuration_rows.advance(message.configuration->position);
+    if (is_whole(update) && update.position >= node_.configuration_rows.position()) {
+      replace_configuration_rows(now, update.rows, update.position);
+    }
+    node_.configuration_rows.advance(update.position);
     configuration_positioned_ = true;
     // When the store confirmed the hub's configuration as the newest, the hub had all rows up to
     // its position, and this node has the same rows now.
@@ -267,6 +298,7 @@
   }
   const std::uint64_t version = result.map->version();
   if (!node_.map || version > node_.map->version()) {
+    warn_of_unknown_regions(*result.map, node_.settings.regions);
     node_.map = std::make_shared<const service_map>(std::move(*result.map));
   } else if (version < node_.map->version()) {
     log_line(log_level::warning, "configuration", "ignored: older than the one in force",
@@ -334,27 +366,51 @@
             {"lease_age_ms", to_milliseconds(node_.configuration_lease.age(now).value_or(-1ms))}});
 }
 
+// Reads the pages of the configuration table. Changes made meanwhile are read again from the feed,
+// which continues from the version of the first page.
+store_watch::configuration_read store_watch::read_configuration_pages(time_point requested_at) {
+  configuration_read read{unknown{}, {}, 0};
+  std::string from;
+  for (;;) {
+    read.result = node_.store.read(configuration_table, from, requested_at + store_read_timeout);
+    const auto* page = std::get_if<store_rows>(&read.result);
+    count_call("configuration whole", page != nullptr);
+    if (page == nullptr) {
+      return read;
+    }
+    read.position = read.position == 0 ? page->version : read.position;
+    for (const store_row& row : page->rows) {
+      read.rows.push_back({row.key, row.value, row.version, row.removed, row.readable});
+    }
+    if (!page->has_more || page->rows.empty()) {
+      return read;
+    }
+    from = page->rows.back().key + '\x01';
+  }
+}
+
 // Reads the full configuration table, when there is no position to continue from.
 bool store_watch::read_configuration() {
   const time_point requested_at = monotonic_now();
-  const auto result = node_.store.read(configuration_table, {}, requested_at + store_read_timeout);
-  const auto* rows = std::get_if<store_rows>(&result);
-  count_call("configuration whole", rows != nullptr);
-  const bool usable = rows != nullptr && !node_.is_superseded(rows->version) &&
-                      rows->version >= node_.configuration_rows.position();
+  configuration_read read = read_configuration_pages(requested_at);
+  const bool answered = std::holds_alternative<store_rows>(read.result);
+  const bool usable = answered && !node_.is_superseded(read.position) &&
+                      read.position >= node_.configuration_rows.position();
   note_dependency("configuration", configuration_available_, usable,
-                  rows == nullptr ? "no answer" : "whole table");
+                  answered ? "whole table" : "no answer");
   if (!usable) {
-    log_failed_query(requested_at, describe_failure(result));
+    log_failed_query(requested_at, describe_failure(read.result));
     return false;
   }
+  const time_point now = monotonic_now();
+  follow_era(now);
+  replace_evacuations(now, "store", read.rows, read.position);
   // A restored store may have none.
   node_.store_lacks_configuration = node_.map != nullptr;
-  for (const store_row& row : rows->rows) {
-    apply_configuration_row(requested_at, "whole table",
-                            {row.key, row.value, row.version, row.removed});
+  for (const feed_row& row : read.rows) {
+    apply_configuration_row(requested_at, "whole table", row);
   }
-  node_.configuration_rows.advance(rows->version);
+  replace_configuration_rows(now, std::move(read.rows), read.position);
   if (node_.map) {
     node_.configuration_lease.renew(requested_at);
   }
@@ -367,6 +423,7 @@
     const time_point requested_at = monotonic_now();
     log_calls(requested_at);
     follow_era(requested_at);
+    recheck_evacuations(requested_at);
     if (must_query(requested_at)) {
       // The first query, a retry, and a query for a version known to exist need not wait for the
       // next change.
@@ -408,8 +465,13 @@
     log_failed_query(requested_at, describe_failure(result));
     return false;
   }
+  std::vector<feed_row> changed;
   for (const store_row& row : rows->rows) {
-    apply_configuration_row(requested_at, "store", {row.key, row.value, row.version, row.removed});
+    changed.push_back({row.key, row.value, row.version, row.removed, row.readable});
+  }
+  apply_evacuations(monotonic_now(), "store", changed);
+  for (const feed_row& row : changed) {
+    apply_configuration_row(requested_at, "store", row);
   }
   node_.configuration_rows.advance(rows->version);
   node_.configuration_lease.renew(requested_at);
--- a/src/node/store_watch.h
+++ b/src/node/store_watch.h
@@ -44,12 +44,29 @@
 
  private:
   bool read_configuration();
+  struct configuration_read {
+    outcome<store_rows> result;  // of the last page
+    std::vector<feed_row> rows;  // of all pages
+    std::uint64_t position{};    // of the store at the first page
+  };
+  configuration_read read_configuration_pages(time_point requested_at);
   bool query_configuration(time_point requested_at, duration wait, duration& pause);
   void read_nodes(const std::function<void(const std::vector<node_record>&)>& found);
   // `requested_at`: when the query that returned the row was sent, or the stamp that the hub
   // echoed.
   void apply_configuration_row(time_point requested_at, std::string_view source,
                                const feed_row& row);
+  // Applies changed rows of the configuration table, or all of them, to the evacuations in force.
+  // Independent of the version in force: an evacuation does not wait for a configuration.
+  void apply_evacuations(time_point now, std::string_view source,
+                         const std::vector<feed_row>& rows);
+  void replace_evacuations(time_point now, std::string_view source,
+                           const std::vector<feed_row>& rows, std::uint64_t position);
+  void note_evacuations(time_point now, std::string_view source, const evacuation_changes& changes);
+  void replace_configuration_rows(time_point now, std::vector<feed_row> rows,
+                                  std::uint64_t position);
+  // Reads the whole table again once a restored store has settled that may lack evacuations.
+  void recheck_evacuations(time_point now);
   // Returns the version of the text; empty if it is invalid.
   std::optional<std::uint64_t> apply_configuration(time_point requested_at, std::string_view source,
                                                    const std::string& text);
@@ -111,6 +128,7 @@
   time_point
       configuration_queried_at_{};  // when the store was last queried about the configuration
   std::uint32_t configuration_failures_ = 0;  // consecutive failures of such queries
+  time_point evacuations_rechecked_at_{};     // see recheck_evacuations
   bool configuration_withheld_ = false;       // the hub has a newer configuration than it sends
   service_map_reader service_map_reader_;
   config_receiver configuration_receiver_;  // assembles a configuration that the hub sends in parts
--- a/src/node/stream_step.cpp
+++ b/src/node/stream_step.cpp
@@ -51,7 +51,7 @@
                                    std::span<const serving_replica> replicas) {
   excluded_targets excluded;
   for (const serving_replica& replica : replicas) {
-    exclude_if_unavailable(node, call, now, replica.head, replica.address, excluded);
+    exclude_if_unavailable(node, call, now, candidate_target(replica), excluded);
   }
   return excluded;
 }
--- a/src/process/fleet_view.cpp
+++ b/src/process/fleet_view.cpp
@@ -370,6 +370,7 @@
     serving_replica replica;
     std::set<std::uint32_t> ranks;
     std::set<fabric_domain_id> domains;
+    std::set<data_centre_id> data_centres;
     const target_view* head = nullptr;
     for (const target_view* member : members) {
       const membership& role = *member->record.member_of;
@@ -382,6 +383,7 @@
         ranks.insert(role.rank);
       }
       domains.insert(member->record.domain);
+      data_centres.insert(member->record.data_centre);
       replica.members.push_back(member->record.id);
       replica.slowdown_factor = std::max(replica.slowdown_factor, member->slowdown_factor);
     }
@@ -399,6 +401,8 @@
     replica.head = head->record.id;
     replica.address = head->record.address;
     replica.data_centre = head->record.data_centre;
+    data_centres.erase(replica.data_centre);
+    replica.other_data_centres.assign(data_centres.begin(), data_centres.end());
     replica.crosses_domains = domains.size() > 1;
     result.push_back(std::move(replica));
   }
--- a/src/process/fleet_view.h
+++ b/src/process/fleet_view.h
@@ -213,6 +213,8 @@
   endpoint address;
   data_centre_id data_centre;
   std::vector<target_id> members;
+  // Of members, besides that of the head; rarely any.
+  std::vector<data_centre_id> other_data_centres = {};
   bool crosses_domains = false;
   double slowdown_factor = 1;  // of the replica's slowest member, on top of the model's factor
 };
--- a/src/process/serving_feed.cpp
+++ b/src/process/serving_feed.cpp
@@ -26,6 +26,9 @@
   for (const target_record& member : entry.members) {
     if (domains.empty() || domains.back().at(0) != member.domain.str()) {
       domains.push_back({member.domain.str(), json::array()});
+      if (member.data_centre != entry.members.front().data_centre) {
+        domains.back().push_back(member.data_centre.str());
+      }
     }
     domains.back().at(1).push_back({member.id.str(), to_string(member.address)});
   }
@@ -90,6 +93,9 @@
       for (const json& member_document : domain.at(1)) {
         target_record member = common;
         member.domain = fabric_domain_id{domain.at(0).get<std::string>()};
+        if (domain.size() > 2) {
+          member.data_centre = data_centre_id{domain.at(2).get<std::string>()};
+        }
         member.id = target_id{member_document.at(0).get<std::string>()};
         const auto address = parse_endpoint(member_document.at(1).get<std::string>());
         if (!address) {
--- a/src/standin/hosted_configuration.cpp
+++ b/src/standin/hosted_configuration.cpp
@@ -22,6 +22,10 @@
                {"prefix", "/card/"}, {"route-type", "unsafe"},
                {"timeout-ms", 1500}, {"service", "api"},
                {"max-attempts", 1},  {"public", false}};
+  if (!c.route_regions.empty()) {
+    route["allowed-regions"] = c.route_regions;
+    once["allowed-regions"] = c.route_regions;
+  }
   json model = {{"name", hosted_model_name},
                 {"size", 3},
                 {"share", 1.0},
@@ -43,14 +47,17 @@
     once["prefix"] = extra_route_path(i);
     routes.push_back(once);
   }
+  json workspace = {{"name", "desk"},
+                    {"api-keys", c.has_keys ? json::array({hosted_caller_key}) : json::array()}};
+  if (!c.workspace_regions.empty()) {
+    workspace["allowed-regions"] = c.workspace_regions;
+  }
   json document = {
       {"version", c.version},
       {"routes", routes},
       {"services", json::array({{{"name", "llm"}, {"engine", engine}}, {{"name", "api"}}})},
       {"limits", json::object()},
-      {"tenants", json::array({{{"name", "desk"},
-                                {"api-keys", c.has_keys ? json::array({hosted_caller_key})
-                                                        : json::array()}}})}};
+      {"tenants", json::array({workspace})}};
   return document.dump();
 }
 
--- a/src/standin/hosted_configuration.h
+++ b/src/standin/hosted_configuration.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace arbutus::standin {
 
@@ -16,6 +17,9 @@
   bool has_keys = true;          // whether the workspace has an API key
   std::size_t extra_routes = 0;  // number of additional routes
   int model_max_attempts = 3;    // number of targets to which a request for the model is sent
+  // Regions in which requests of the routes and of the workspace may be served; empty: everywhere.
+  std::vector<std::string> route_regions = {};
+  std::vector<std::string> workspace_regions = {};
 };
 
 // Path of an additional route.
--- a/src/standin/hosted_platform.cpp
+++ b/src/standin/hosted_platform.cpp
@@ -22,6 +22,7 @@
 constexpr const char* targets_table = "servers";
 constexpr const char* configuration_table = "op";
 constexpr const char* configuration_row = "config";
+constexpr const char* evacuation_prefix = "evacuate/";
 constexpr const char* unread_table = "unread";
 constexpr duration refresh_interval = 10ms;
 // Time until a dead engine is removed from the list of targets.
@@ -154,6 +155,9 @@
 
   void write_configuration_again() {
     write_again(configuration_table, configuration_row, newest_configuration);
+    for (const auto& [key, value] : evacuations) {
+      write_again(configuration_table, key, value);
+    }
   }
 
   // All answers of the store name its era.
@@ -254,7 +258,7 @@
     const time_point until = monotonic_now() + wait;
     const std::uint64_t asked_in = era;
     for (;;) {
-      if (asked_in != era || is_given_out_later(after)) {
+      if (asked_in != era || after < history_from || is_given_out_later(after)) {
         answer(writer, 410, "{}");
         return;
       }
@@ -708,9 +712,13 @@
   store_content content;
   store_content copy;  // see copy_store
   std::atomic<std::uint64_t> era{1};
+  std::atomic<std::uint64_t> history_from{0};  // the feed has no changes up to this version
   std::uint64_t config_version = 0;
   std::string newest_configuration;
-  std::string plain_record;  // as last written to the list of targets
+  std::vector<std::string> route_regions;
+  std::vector<std::string> workspace_regions;
+  std::map<std::string, std::string> evacuations;  // rows as last written; empty: removed
+  std::string plain_record;                        // as last written to the list of targets
   std::uint64_t plain_incarnation = 0;
   std::map<std::string, std::unique_ptr<engine_process>> engines;
   std::map<std::string, int> runs;
@@ -808,12 +816,33 @@
 
 void hosted_platform::write_next_configuration(bool keys, std::size_t extra_routes) {
   const std::lock_guard guard(state_->mutex);
-  const hosted_configuration next{++state_->config_version, keys, extra_routes,
-                                  state_->settings.model_max_attempts};
+  const hosted_configuration next{++state_->config_version,
+                                  keys,
+                                  extra_routes,
+                                  state_->settings.model_max_attempts,
+                                  state_->route_regions,
+                                  state_->workspace_regions};
   state_->newest_configuration = encode(next);
   state_->put(configuration_table, configuration_row, state_->newest_configuration);
 }
 
+void hosted_platform::set_evacuated(const std::string& data_centre, bool evacuated) {
+  const std::lock_guard guard(state_->mutex);
+  const std::string key = evacuation_prefix + data_centre;
+  state_->evacuations[key] = evacuated ? "{}" : "";
+  state_->write_again(configuration_table, key, state_->evacuations[key]);
+}
+
+void hosted_platform::write_allowed_regions(const std::vector<std::string>& of_routes,
+                                            const std::vector<std::string>& of_workspace) {
+  {
+    const std::lock_guard guard(state_->mutex);
+    state_->route_regions = of_routes;
+    state_->workspace_regions = of_workspace;
+  }
+  write_next_configuration();
+}
+
 std::string hosted_platform::extra_route(std::size_t index) {
   return extra_route_path(index);
 }
@@ -853,6 +882,11 @@
   state_->write_configuration_again();
 }
 
+void hosted_platform::drop_history() {
+  const std::lock_guard guard(state_->mutex);
+  state_->history_from = state_->content.version;
+}
+
 void hosted_platform::use_up_versions(std::size_t count) {
   const std::lock_guard guard(state_->mutex);
   for (std::size_t i = 0; i < count; ++i) {
--- a/src/standin/hosted_platform.h
+++ b/src/standin/hosted_platform.h
@@ -37,7 +37,8 @@
   // Number of nodes with a store address of their own, in whose rows the targets have the addresses
   // of paths that can be cut. Hubs pass rows on, so only one such node may be in a data centre.
   std::size_t nodes_with_paths = 0;
-  int model_max_attempts = 3;  // of the route to the model
+  int model_max_attempts = 3;                       // of the route to the model
+  std::map<std::string, std::string> regions = {};  // of data centres, in the settings of the nodes
   hosted_engine_settings engine = {.rejoin_time = 50ms,
                                    .warm_load_time = 200ms,
                                    .load_time = 300ms,
@@ -72,6 +73,12 @@
   // API key. It has `extra_routes` additional routes; the path of each is extra_route(index).
   void write_next_configuration(bool keys = true, std::size_t extra_routes = 0);
   [[nodiscard]] static std::string extra_route(std::size_t index);
+  // Operators evacuate a data centre, or lift its evacuation.
+  void set_evacuated(const std::string& data_centre, bool evacuated);
+  // Writes the next version of the configuration, with the regions in which requests of the routes
+  // and of the workspace may be served; empty: everywhere.
+  void write_allowed_regions(const std::vector<std::string>& of_routes,
+                             const std::vector<std::string>& of_workspace);
   // Limits the rate at which the store sends each response; 0: no limit.
   void set_store_rate(std::size_t bytes_per_s);
   void set_store_down(bool down);
@@ -88,6 +95,8 @@
   void restore_store(rewrite written_again, const std::set<std::string>& lost_tables = {});
   // Operators and targets write again what the store lacks.
   void write_again();
+  // The store forgets the changes up to now: who has read less has to read whole tables.
+  void drop_history();
   // Uses up versions of the store by writes to a table that no node reads.
   void use_up_versions(std::size_t count);
   // The service that is not a model reports in the list that it is leaving.
--- a/src/version/service_map.cpp
+++ b/src/version/service_map.cpp
@@ -82,6 +82,17 @@
   return found == workspace_by_key_.end() ? nullptr : &workspaces_[found->second];
 }
 
+std::set<region_id> service_map::named_regions() const {
+  std::set<region_id> regions;
+  for (const route& r : routes_) {
+    regions.insert(r.allowed_regions.begin(), r.allowed_regions.end());
+  }
+  for (const workspace_spec& w : workspaces_) {
+    regions.insert(w.allowed_regions.begin(), w.allowed_regions.end());
+  }
+  return regions;
+}
+
 const service_spec* service_map::find_service(const service_id& id) const {
   const auto found = std::find_if(services_.begin(), services_.end(),
                                   [&](const service_spec& s) { return s.id == id; });
--- a/tests/core/serving_feed_test.cpp
+++ b/tests/core/serving_feed_test.cpp
@@ -99,6 +99,26 @@
   }
 }
 
+// Guards against a node that sends requests to a replica with a member in an evacuated data centre,
+// since the hub's row names only the data centre of the head.
+TEST(ServingFeed, NodeSeesTheDataCentresOfAllMembers) {
+  hub_and_follower both{12};
+  add_replica(both.hub_fleet, 20, 12, 8);
+  const std::vector<data_centre_id> none;
+  both.send_heartbeat();
+  ASSERT_EQ(both.follower_replicas().size(), 1U);
+  EXPECT_EQ(both.follower_replicas().front().other_data_centres, none);
+  target_record last = both.hub_fleet.find(engine(31).id)->record;
+  last.data_centre = data_centre_id{"hall-b"};
+  last.domain = fabric_domain_id{"hall-b-d0"};
+  both.hub_fleet.apply_record(start + 1s, last);
+  both.send_heartbeat();
+  ASSERT_EQ(both.follower_replicas().size(), 1U);
+  const serving_replica known = both.follower_replicas().front();
+  EXPECT_EQ(known.other_data_centres, std::vector{data_centre_id{"hall-b"}});
+  EXPECT_EQ(known.data_centre, data_centre_id{"hall-a"});
+}
+
 TEST(ServingFeed, NodeSeesTheReplicasOfItsHub) {
   hub_and_follower both{12};
   add_replica(both.hub_fleet, 0, 12, 7);
--- a/tests/shell/hosted_fixture.h
+++ b/tests/shell/hosted_fixture.h
@@ -42,10 +42,14 @@
 struct test_node {
   test_node(const std::string& name, std::uint16_t store_port,
             const std::string& data_centre = "lab-a",
-            const std::vector<std::string>& data_centres = {"lab-a"}) {
+            const std::vector<std::string>& data_centres = {"lab-a"},
+            const std::map<std::string, std::string>& regions = {}) {
     settings.id = node_id{name};
     settings.data_centre = data_centre_id{data_centre};
     settings.data_centres = {data_centres.begin(), data_centres.end()};
+    for (const auto& [place, region] : regions) {
+      settings.regions.emplace(place, region);
+    }
     settings.listen.caller_endpoint = {"127.0.0.1", next_port()};
     settings.listen.readiness_endpoint = {"127.0.0.1", next_port()};
     settings.listen.link_endpoint = {"127.0.0.1", next_port()};
@@ -71,7 +75,7 @@
       const bool has_paths = i < with_paths;
       nodes_.push_back(std::make_unique<test_node>(
           "edge-" + std::to_string(i), has_paths ? platform_.store_port(i) : platform_.store_port(),
-          settings.data_centres.at(has_paths ? i : 0), settings.data_centres));
+          settings.data_centres.at(has_paths ? i : 0), settings.data_centres, settings.regions));
     }
   }
   ~hosted_fixture() override { nodes_.clear(); }
