Replica controller: plans without the engines of evacuated data centres

Cause: capacity for the models of an evacuated data centre was not formed elsewhere, and its engines were loaded and exchanged.

Change: `responsibilities::evacuated` names the data centres. Their engines are not in the plan, not free and not counted for replicas across domains; formed replicas stay. A spare does not replace an unlisted member there. Shortages of before the evacuation do not count after it.

Two data centres of 9 engines: with the first one evacuated, the second one forms the model that only the first one has otherwise.

Conclusion: free engines form what is missing; replicas that serve are not closed for it.

--- a/src/capacity/replica_controller.cpp
+++ b/src/capacity/replica_controller.cpp
@@ -121,7 +121,7 @@
     if (!local.loading_model.empty() && ctx.now - local.load_started_at > settings_.load_timeout) {
       local.loading_model = {};
     }
-    if (tick_context::alive(&view)) {
+    if (tick_context::alive(&view) && !ctx.is_evacuated(view)) {
       ++ctx.engines_by_domain[view.record.domain];
       ++ctx.engines_by_data_centre[view.record.data_centre];
     }
@@ -379,7 +379,8 @@
   if (state == member_state::broken || state == member_state::closing) {
     return state == member_state::broken ? "its head is broken" : "its head is closing";
   }
-  const bool replaceable = unlisted > 0 && ctx.unlisted_members <= max_replaceable_unlisted;
+  const bool replaceable =
+      unlisted > 0 && !ctx.is_evacuated(*head) && ctx.unlisted_members <= max_replaceable_unlisted;
   return replaceable && has_spares(ctx, *head, *model, unlisted)
              ? "spares replace an unlisted member"
              : "";
@@ -580,7 +581,7 @@
   for (const engine_ref& engine : ctx.engines) {
     const target_view& view = engine.view;
     const bool usable = tick_context::alive(&view) && !view.record.draining &&
-                        ctx.is_in_own_data_centre(view) &&
+                        ctx.is_in_own_data_centre(view) && !ctx.is_evacuated(view) &&
                         !ctx.engines_in_use.contains(view.record.id) &&
                         !ctx.unreachable.contains(view.record.data_centre);
     if (usable) {
--- a/src/capacity/replica_controller.h
+++ b/src/capacity/replica_controller.h
@@ -147,6 +147,8 @@
     std::size_t all_data_centres = 1;
     bool requests_seen = false;  // from the first request on, loads take their full time
     duration target_list_age{};  // time since the list of targets was last up to date
+    // Their engines keep their replicas, but load nothing and form no new ones.
+    std::set<data_centre_id> evacuated = {};
   };
 
   // Returns the orders and queries to send now for the engines of `service`. Call every few tens of
--- a/src/capacity/replica_controller_form.cpp
+++ b/src/capacity/replica_controller_form.cpp
@@ -18,7 +18,7 @@
   }
   std::map<model_id, double> replicas;
   for (const auto& [key, group] : ctx.formed_in_all_data_centres) {
-    if (!is_spare_name(key.name)) {
+    if (!is_spare_name(key.name) && !ctx.is_evacuated(*group.members.front())) {
       replicas[model_of_name(key.name)] += 1;
     }
   }
@@ -127,7 +127,7 @@
   for (const auto& [id, view] : ctx.fleet.all()) {
     const bool usable = view.record.service == ctx.service.id && !ctx.is_in_own_data_centre(view) &&
                         tick_context::alive(&view) && !view.record.draining &&
-                        !ctx.engines_in_use.contains(id) &&
+                        !ctx.is_evacuated(view) && !ctx.engines_in_use.contains(id) &&
                         !ctx.unreachable.contains(view.record.data_centre);
     const auto local = local_states_.find(id);
     if (!usable || local == local_states_.end() || local->second.ready_model != model.id) {
@@ -161,7 +161,7 @@
     return model_of_name(replica.key.name) == model.id && !is_spare_name(replica.key.name) &&
            replica.members.size() == model.size &&
            std::all_of(replica.members.begin(), replica.members.end(), [&](const target_view* m) {
-             return tick_context::alive(m) &&
+             return tick_context::alive(m) && !ctx.is_evacuated(*m) &&
                     m->record.data_centre == replica.members.front()->record.data_centre;
            });
   };
--- a/src/capacity/replica_controller_load.cpp
+++ b/src/capacity/replica_controller_load.cpp
@@ -18,10 +18,17 @@
 
 }  // namespace
 
-// Counts the engines of all data centres by domain and model and updates the plan. Every controller
-// computes the same plan from them.
+// Counts the engines of all data centres that are not evacuated, by domain and model, and updates
+// the plan. Every controller computes the same plan from them.
 void replica_controller::update_plan(tick_context& ctx) {
   for (const auto& [view, local] : ctx.engines) {
+    if (ctx.is_evacuated(view)) {
+      // A shortage of before the evacuation must not count as persistent after it.
+      std::erase_if(shortage_since_, [&domain = view.record.domain](const auto& entry) {
+        return entry.first.first == domain;
+      });
+      continue;
+    }
     if (!tick_context::alive(&view) || view.record.draining) {
       continue;
     }
--- a/src/capacity/replica_controller_tick.h
+++ b/src/capacity/replica_controller_tick.h
@@ -65,6 +65,9 @@
   [[nodiscard]] bool is_in_own_data_centre(const target_view& view) const {
     return own.data_centres.contains(view.record.data_centre);
   }
+  [[nodiscard]] bool is_evacuated(const target_view& view) const {
+    return own.evacuated.contains(view.record.data_centre);
+  }
   [[nodiscard]] static bool alive(const target_view* view) {
     return view != nullptr && view->listed && !view->lost;
   }
--- a/src/node/controller_loop.cpp
+++ b/src/node/controller_loop.cpp
@@ -149,7 +149,7 @@
     }
     const replica_controller::responsibilities own{
         responsible_data_centres_, node_.settings.data_centres.size(), node_.requests_seen,
-        now - node_.fleet_list_requested_at};
+        now - node_.fleet_list_requested_at, node_.evacuated_data_centres.all()};
     if (responsible_data_centres_.empty() || !node_.fleet_complete) {
       continue;
     }
--- a/tests/shell/controller_simulation.h
+++ b/tests/shell/controller_simulation.h
@@ -144,6 +144,31 @@
     }
   }
   void set_faults(const faults& f) { faults_ = f; }
+  void set_evacuated(const std::string& data_centre, bool evacuated) {
+    if (evacuated) {
+      evacuated_.insert(data_centre_id{data_centre});
+    } else {
+      evacuated_.erase(data_centre_id{data_centre});
+    }
+  }
+  // Serving replicas of the model whose heads are in the data centre.
+  [[nodiscard]] std::size_t count_serving_in(const std::string& data_centre,
+                                             const model_id& model) const {
+    return static_cast<std::size_t>(
+        std::ranges::count_if(serving_heads(model), [&](const target_id& head) {
+          return engines_.at(head).record().data_centre == data_centre_id{data_centre};
+        }));
+  }
+  // Orders that engines of the data centre have carried out.
+  [[nodiscard]] std::uint64_t orders_carried_out_in(const std::string& data_centre) const {
+    std::uint64_t count = 0;
+    for (const auto& [id, engine] : engines_) {
+      count += engine.record().data_centre == data_centre_id{data_centre}
+                   ? engine.report(now_).orders
+                   : 0;
+    }
+    return count;
+  }
   void drain(const target_id& id) { engines_.at(id).set_draining(); }
 
   void run(duration length) {
@@ -284,8 +309,8 @@
       probe_lost();
     }
     for (std::size_t n = 0; n < nodes_.size(); ++n) {
-      const replica_controller::responsibilities responsibilities{nodes_[n]->data_centres,
-                                                                  nodes_.size(), requests_started_};
+      const replica_controller::responsibilities responsibilities{
+          nodes_[n]->data_centres, nodes_.size(), requests_started_, {}, evacuated_};
       for (const controller_effect& e :
            nodes_[n]->controller.tick(now_, nodes_[n]->fleet, service_, responsibilities)) {
         carry_out(n, e);
@@ -542,6 +567,7 @@
   time_point now_{1h};
   rng random_;
   faults faults_;
+  std::set<data_centre_id> evacuated_;
   bool requests_started_ = false;
   std::map<target_id, standin::hosted_engine> engines_;
   std::set<target_id> dead_;
