--- a/src/capacity/replica_controller.h
+++ b/src/capacity/replica_controller.h
@@ -158,6 +158,8 @@
     model_demand demand = {};           // of the deployment
     double heard_nodes = 1;             // fraction of the known nodes that are heard
     const load_table* loads = nullptr;  // to close idle replicas first; null: not known
+    // Their engines keep their replicas, but load nothing and form no new ones.
+    std::set<data_centre_id> evacuated = {};
   };
 
   // Returns the orders and queries to send now for the engines of `service`. Call every few tens of
--- a/src/node/controller_loop.cpp
+++ b/src/node/controller_loop.cpp
@@ -171,6 +171,7 @@
     replica_controller::responsibilities own{
         responsible_data_centres_, node_.settings.data_centres.size(), node_.requests_seen,
         now - node_.fleet_list_requested_at};
+    own.evacuated = node_.evacuated_data_centres.all();
     if (node_.map->has_prioritised_streams(service.id)) {
       refresh_demand(now);
       own.plans_by_demand = true;
--- a/src/standin/hosted_configuration.h
+++ b/src/standin/hosted_configuration.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace arbutus::standin {
 
@@ -21,6 +22,9 @@
   double warmup_s = 0;
   double cold_per_s = 0;
   bool has_urgent_route = false;  // a second, more urgent route to the model
+  // Regions in which requests of the routes and of the workspace may be served; empty: everywhere.
+  std::vector<std::string> route_regions = {};
+  std::vector<std::string> workspace_regions = {};
 };
 
 // Path of an additional route.
