Peer table: test of the nodes of a data centre that are known

Cause: the share of a hub rests on this number, and no test covered it.

Change: a test with peers of both data centres that know more nodes, one of them until it is silent.

--- a/tests/core/hosted_values_test.cpp
+++ b/tests/core/hosted_values_test.cpp
@@ -419,6 +419,24 @@
   EXPECT_TRUE(peers.responsibilities(start + 3s, three).empty());
 }
 
+// Guards against a hub that knows too few nodes of its data centre, and so takes its share of the
+// grants for warming targets for larger than it is.
+TEST(PeerTable, NodesOfItsDataCentreAreTheMostThatItOrALivePeerThereKnows) {
+  peer_table peers(node_id{"a2"}, data_centre_id{"a"});
+  EXPECT_EQ(peers.node_count_here(start), 0U);
+  peers.set_records(six_nodes());
+  const std::size_t known = peers.known_nodes_here();
+  EXPECT_LT(known, peers.known_nodes());
+  EXPECT_EQ(peers.node_count_here(start), known);
+  peer_table::heartbeat_info info;
+  info.known_nodes_here = known + 4;
+  peers.received(start, node_id{"b1"}, info);
+  EXPECT_EQ(peers.node_count_here(start), known);
+  peers.received(start, node_id{"a1"}, info);
+  EXPECT_EQ(peers.node_count_here(start), known + 4);
+  EXPECT_EQ(peers.node_count_here(start + peer_table::alive_timeout), known);
+}
+
 TEST(PeerTable, HeartbeatsToAnUnresponsiveHubContinue) {
   // Guards against three nodes that manage one data centre, dissolve each other's replicas and cut
   // streams: the hub is killed and returns while the next one is the hub. A heartbeat only once a
