Bounds for buffers and connections from the settings

Cause: what a node holds for callers that do not read was bounded for each connection but not in total, and 3,000 connections were accepted however few descriptors there are. Change: a buffer account counts bodies of requests, buffered answers and incomplete events. Above a quarter of memory_mb callers get 503 before their body is read, and calls of peers are declined. Half of file_descriptors go to callers, a sixth to peers. Without these settings nothing is refused. Not tested: connections by file_descriptors, the decline of a peer's call, the time bound of events, the bound of relayed answers.

--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -209,13 +209,16 @@
                                const send_permit& permit, connection_use use) {
   std::string body;
   const headers_handler on_headers = [](int, const http_headers&) { return true; };
-  const chunk_handler on_chunk = [&body](std::string_view bytes) {
+  held_bytes held(state_->limits.buffers);
+  const chunk_handler on_chunk = [&](std::string_view bytes) {
     body.append(bytes);
+    held.set(body.size());
     return true;
   };
   call_result result =
       state_->call(target, request, deadline, {on_headers, on_chunk, true}, token, permit, use);
   result.response.body = std::move(body);
+  result.held = std::move(held);
   return result;
 }
 
--- a/src/connection/http_client.h
+++ b/src/connection/http_client.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <string_view>
 
+#include "connection/buffer_account.h"
 #include "connection/cancel_token.h"
 #include "connection/fiber_runtime.h"
 #include "connection/http_message.h"
@@ -40,6 +41,7 @@
   http_response response;  // for stream() without the body; filled once the headers arrived
   std::string detail;      // for logs
   bool refused = false;    // connection refused: no process listens at the address
+  held_bytes held{};       // the body of the response
 
   [[nodiscard]] bool ok() const noexcept { return outcome == call_outcome::ok; }
 };
@@ -69,7 +71,8 @@
   // For fetch(): each time bytes of the body arrive, the deadline is extended to at least this long
   // after them. 0: the deadline is not extended.
   duration body_stall_timeout{};
-  duration max_body_duration{10s};  // limit for extended deadlines, counted from the headers
+  duration max_body_duration{10s};   // limit for extended deadlines, counted from the headers
+  buffer_account* buffers{nullptr};  // counts the bodies that fetch() holds; outlives the client
 };
 
 class http_client {
--- a/src/connection/http_exchange.cpp
+++ b/src/connection/http_exchange.cpp
@@ -97,7 +97,10 @@
 }
 
 http_exchange::http_exchange(server_core& core, tcp::socket socket)
-    : core_(core), stream_(std::move(socket)), remote_(remote_of(stream_.socket())) {
+    : core_(core),
+      stream_(std::move(socket)),
+      held_(core.limits().buffers),
+      remote_(remote_of(stream_.socket())) {
   // Beast limits the headers and the body, but not a chunk's extensions or the trailers, which it
   // buffers until their end.
   input_.max_size(core.limits().max_header_bytes + max_input_read);
@@ -184,14 +187,20 @@
     refuse(400, "the length of the request body is ambiguous");
     return false;
   }
+  if (!takes_body_of(parser.content_length().value_or(0))) {
+    refuse(503, "this node is short of memory");
+    return false;
+  }
   const bool expects_continue =
       equal_ignoring_case(parser.get()[http::field::expect], "100-continue");
   if (expects_continue && !parser.is_done() && input_.size() == 0) {
     constexpr std::string_view continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
     asio::write(stream_, asio::buffer(continue_response), error);
   }
-  if (!error && !parser.is_done()) {
-    http::read(stream_, input_, parser, error);
+  parser.eager(true);
+  while (!error && !parser.is_done()) {
+    http::read_some(stream_, input_, parser, error);
+    held_.set(parser.get().body().size());
   }
   if (error) {
     refuse(error);
@@ -212,6 +221,15 @@
   return true;
 }
 
+bool http_exchange::takes_body_of(std::uint64_t length) {
+  buffer_account* buffers = core_.limits().buffers;
+  if (buffers == nullptr || !core_.limits().refuses_when_full || !buffers->is_full(length)) {
+    return true;
+  }
+  buffers->count_refusal();
+  return false;
+}
+
 void http_exchange::refuse(const error_code& error) {
   const refusal answer = refusal_for(error);
   if (answer.status != 0) {
@@ -244,6 +262,7 @@
   // An unfinished stream must not look complete: the connection is closed without the last chunk,
   // which the caller detects. A pipelined request is not run for a caller that has left.
   keep_alive_ = keep_alive_ && phase_ == phase::complete && !caller_disconnected_;
+  held_.set(0);
   // The caller may have sent another request before it reads that the connection closes. The reset
   // that an unexpected request causes would destroy the rest of the response.
   discard_input_on_close_ = !keep_alive_ && !caller_asked_to_close_;
--- a/src/connection/http_exchange.h
+++ b/src/connection/http_exchange.h
@@ -96,6 +96,7 @@
 
   bool await_request();
   bool read_request(http_request& request);
+  [[nodiscard]] bool takes_body_of(std::uint64_t length);
   void refuse(int status, std::string_view reason);
   void refuse(const boost::system::error_code& error);
   void handle(const http_request& request);
@@ -114,6 +115,7 @@
 
   server_core& core_;
   fiber_stream stream_;
+  held_bytes held_;                  // the body of the current request
   std::string remote_;               // address of the caller, "ip:port"
   boost::beast::flat_buffer input_;  // bytes received and not yet parsed
 
--- a/src/connection/http_server.h
+++ b/src/connection/http_server.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <string_view>
 
+#include "connection/buffer_account.h"
 #include "connection/fiber_runtime.h"
 #include "connection/http_message.h"
 
@@ -51,9 +52,12 @@
   std::size_t max_header_bytes{32UL * 1024};
   std::size_t max_body_bytes{8UL * 1024 * 1024};
   std::size_t max_connections{4096};
-  duration read_timeout{15s};   // from the first byte of a request to its last
-  duration idle_timeout{60s};   // between requests
-  duration write_timeout{20s};  // for one write to complete
+  duration read_timeout{15s};        // from the first byte of a request to its last
+  duration idle_timeout{60s};        // between requests
+  duration write_timeout{20s};       // for one write to complete
+  buffer_account* buffers{nullptr};  // counts the bodies of requests; outlives the server
+  // Whether a request gets a 503 before its body is read while the account is full.
+  bool refuses_when_full{false};
 };
 
 using http_handler = std::function<void(const http_request&, response_writer&)>;
--- a/src/node/hosted_node.cpp
+++ b/src/node/hosted_node.cpp
@@ -27,14 +27,15 @@
 // Part of the grace period that is reserved for the orderly exit of the process.
 constexpr duration shutdown_margin = 800ms;
 
-http_server_limits caller_server_limits() {
+http_server_limits caller_server_limits(buffer_account& buffers, std::size_t max_connections) {
   http_server_limits limits;
+  limits.buffers = &buffers;
   // These two size limits bound the node's memory. The operators' limits, of at most 16 KiB of
   // header and the largest body that the platform lets them allow, may change with a configuration
   // version and are lower.
   limits.max_header_bytes = 64UL * 1024;
   limits.max_body_bytes = 8UL * 1024 * 1024;
-  limits.max_connections = 3000;
+  limits.max_connections = max_connections;
   limits.read_timeout = 10s;
   limits.idle_timeout = 60s;
   // A caller that reads nothing for this long is treated as disconnected; its stream would be far
@@ -76,13 +77,17 @@
         runtime, address_of_endpoint(at.metrics_endpoint), small_server_limits(),
         [this](const http_request& r, response_writer& w) { serve_operator(r, w); },
         default_error_body, log_handler_failure);
+    const connection_share accepted = accepted_connections(state.settings);
+    http_server_limits limits = caller_server_limits(state.buffers, accepted.callers);
+    limits.refuses_when_full = true;
     callers = std::make_unique<http_server>(
-        runtime, address_of_endpoint(at.caller_endpoint), caller_server_limits(),
+        runtime, address_of_endpoint(at.caller_endpoint), limits,
         [this](const http_request& r, response_writer& w) { serve_hosted_call(state, r, w); },
         default_error_body, log_handler_failure);
     if (!at.relay_endpoint.host.empty()) {
       relays = std::make_unique<http_server>(
-          runtime, address_of_endpoint(at.relay_endpoint), caller_server_limits(),
+          runtime, address_of_endpoint(at.relay_endpoint),
+          caller_server_limits(state.buffers, accepted.peers),
           [this](const http_request& r, response_writer& w) { serve_relayed_call(state, r, w); },
           default_error_body, log_handler_failure);
     }
@@ -139,6 +144,8 @@
     add("arbutusworks_targets", state.fleet.all().size());
     add("arbutusworks_requests_active", callers->active());
     add("arbutusworks_connections_open", callers->connections());
+    add("arbutusworks_bytes_buffered", state.buffers.held());
+    add("arbutusworks_refused_for_memory", state.buffers.refusals());
     add("arbutusworks_ready", is_ready() ? 1 : 0);
     add("arbutusworks_poison_suspects", state.poison.tracker.all().size());
     add("arbutusworks_poison_convicted", state.poison.tracker.quarantined());
--- a/src/node/hosted_relay.cpp
+++ b/src/node/hosted_relay.cpp
@@ -39,7 +39,9 @@
  public:
   relay_call(hosted_state& node, hosted_request& call, const node_record& peer,
              const relay_sink& sink)
-      : node_(node), call_(call), peer_(peer), sink_(sink) {}
+      : node_(node), call_(call), peer_(peer), sink_(sink) {
+    answer_.held = held_bytes(&node.buffers);
+  }
 
   relay_answer run(const std::string& resume_after, const cancel_token& cancel) {
     sent_at_ = monotonic_now();
@@ -119,6 +121,7 @@
     too_large_ = answer_.body.size() + bytes.size() > limit;
     if (!too_large_) {
       answer_.body.append(bytes);
+      answer_.held.set(answer_.body.size());
     }
     return !too_large_;
   }
@@ -375,7 +378,7 @@
   hosted_request call = begin_call(node, request, writer);
   call.relayed = *relayed;
   call.possible_runs = relayed->possible_runs;
-  const bool busy = node.taken_over >= max_taken_over(node);
+  const bool busy = node.taken_over >= max_taken_over(node) || node.buffers.is_full();
   const bool is_current = node.map && node.map->version() >= relayed->version;
   const bool takes = !busy && is_current && !node.stopping;
   node.metrics.count("arbutusworks_taken_over", takes ? "taken=\"yes\"" : "taken=\"no\"");
--- a/src/node/hosted_relay.h
+++ b/src/node/hosted_relay.h
@@ -27,6 +27,7 @@
   int status = 0;
   http_headers headers;
   std::string body;  // unless it was streamed
+  held_bytes held;   // the body
   std::string_view reason;
 };
 
--- a/src/node/hosted_state.cpp
+++ b/src/node/hosted_state.cpp
@@ -38,8 +38,26 @@
   node.metrics.count("arbutusworks_answers_too_large", "part=\"" + std::string(part) + "\"");
 }
 
-http_client_limits target_client_limits() {
+std::size_t max_buffered_bytes(const hosted_settings& settings) {
+  constexpr std::size_t bytes_per_mb = 1024UL * 1024;
+  return settings.memory_mb * bytes_per_mb / 4;
+}
+
+// A call of a caller takes two further connections at most, to targets and peers. Besides those, a
+// node needs descriptors for links, the store, reports and refused connections.
+connection_share accepted_connections(const hosted_settings& settings) {
+  constexpr std::size_t most = 3000;
+  constexpr std::size_t fewest = 16;
+  const std::size_t descriptors = settings.file_descriptors;
+  if (descriptors == 0) {
+    return {most, most};
+  }
+  return {std::clamp(descriptors / 2, fewest, most), std::clamp(descriptors / 6, fewest, most)};
+}
+
+http_client_limits target_client_limits(buffer_account* buffers) {
   http_client_limits limits;
+  limits.buffers = buffers;
   // A live target accepts a connection within two round trips, 6 ms. A lost SYN is retransmitted
   // only after a second, so it is better to try another target than to wait longer than this.
   limits.connect_timeout = 300ms;
@@ -84,7 +102,8 @@
       incarnation(random_incarnation()),
       started_at(now),
       runtime(r),
-      targets_http(r, target_client_limits()),
+      buffers(max_buffered_bytes(settings)),
+      targets_http(r, target_client_limits(&buffers)),
       control_http(r, control_client_limits()),
       platform_http(r, platform_client_limits()),
       relay_http(r, relay_client_limits()),
--- a/src/node/hosted_state.h
+++ b/src/node/hosted_state.h
@@ -52,6 +52,7 @@
   std::string incarnation;  // identifies this start of the process
   time_point started_at;
   fiber_runtime& runtime;
+  buffer_account buffers;    // what this node holds for callers and targets
   http_client targets_http;  // for forwarded requests
   http_client
       control_http;  // for reports and orders; short timeout, as a late response is a failure
@@ -141,8 +142,19 @@
 // trailers), "body" or "event" of a target's answer, or "relayed" for an answer of a peer.
 void count_oversized_answer(hosted_state& node, std::string_view part);
 
+// Bytes in buffers above which no request is taken, by the settings; 0: no limit.
+[[nodiscard]] std::size_t max_buffered_bytes(const hosted_settings& settings);
+
+// Connections of callers and of peers that are accepted, by the settings.
+struct connection_share {
+  std::size_t callers = 0;
+  std::size_t peers = 0;
+};
+[[nodiscard]] connection_share accepted_connections(const hosted_settings& settings);
+
 // Limits of the clients for requests, control calls and the platform.
-[[nodiscard]] http_client_limits target_client_limits();
+// Those for requests count what they hold in `buffers`.
+[[nodiscard]] http_client_limits target_client_limits(buffer_account* buffers = nullptr);
 [[nodiscard]] http_client_limits control_client_limits();
 [[nodiscard]] http_client_limits platform_client_limits();
 [[nodiscard]] http_client_limits relay_client_limits();
--- a/src/node/hosted_stream.cpp
+++ b/src/node/hosted_stream.cpp
@@ -358,6 +358,7 @@
   void run_at_peer(const node_record& peer) {
     active_run active(*this, relay_attempt_id(peer.id));
     event_relay relay(last_id_);
+    held_bytes held(&node_.buffers);
     http_headers headers;
     const relay_sink sink{
         [&headers](int, const http_headers& received) {
@@ -366,6 +367,7 @@
         },
         [&](std::string_view bytes) {
           const std::string_view events = relay.take(bytes);
+          held.set(relay.buffered_bytes() + events.size());
           if (!events.empty()) {
             note_peer_event(peer.id);
           }
--- a/src/node/replica_run.cpp
+++ b/src/node/replica_run.cpp
@@ -60,6 +60,7 @@
   }
   // Bytes that complete no event are no sign that the engine makes progress.
   const std::string_view events = relay_.take(bytes);
+  held_.set(relay_.buffered_bytes() + events.size());
   if (!events.empty()) {
     note_event(monotonic_now());
     if (!forward_(events)) {
--- a/src/node/replica_run.h
+++ b/src/node/replica_run.h
@@ -77,6 +77,7 @@
   serving_replica replica_;
   replica_estimate expected_;
   event_relay relay_;
+  held_bytes held_{&node_.buffers};  // of relay_
   event_handler forward_;
 
   send_permission permission_ = send_permission::granted;  // as last checked before sending
--- a/src/request/event_relay.h
+++ b/src/request/event_relay.h
@@ -51,6 +51,7 @@
   [[nodiscard]] bool inside_event() const { return !pending_.empty(); }
   // Comments and unknown fields after the last event. A stream that ends completely ends with them.
   [[nodiscard]] const std::string& held_back() const { return held_back_; }
+  [[nodiscard]] std::size_t buffered_bytes() const { return pending_.size() + held_back_.size(); }
   [[nodiscard]] event_fault fault() const { return fault_; }
   [[nodiscard]] bool out_of_order() const { return fault_ == event_fault::out_of_order; }
 
--- a/tests/shell/connection_bad_http_test.cpp
+++ b/tests/shell/connection_bad_http_test.cpp
@@ -2,6 +2,7 @@
 #include <string>
 #include <vector>
 
+#include "connection/http_client.h"
 #include "connection/http_server.h"
 #include "shell/connection_fixture.h"
 #include "shell/raw_peer.h"
@@ -212,6 +213,43 @@
   EXPECT_TRUE(failed.wait_for(true));
 }
 
+// Guards against memory that grows with the number of callers that do not read their answers. New
+// requests are refused before their bodies are read, and are taken again once a write has failed.
+TEST_F(connection_bad_http, requests_are_refused_while_buffers_are_full) {
+  constexpr std::size_t answer_bytes = 8UL * 1024 * 1024;
+  http_server upstream(runtime, any_port, limits, [](const http_request&, response_writer& writer) {
+    writer.send(200, {}, std::string(answer_bytes, 'x'));
+  });
+  buffer_account buffers(answer_bytes / 2);
+  http_client_limits client_limits;
+  client_limits.buffers = &buffers;
+  http_client client(runtime, client_limits);
+  limits.buffers = &buffers;
+  limits.refuses_when_full = true;
+  limits.write_timeout = 500ms;
+  http_server entry(
+      runtime, any_port, limits, [&](const http_request& request, response_writer& writer) {
+        const auto big = request.target == "/big";
+        const auto answer =
+            big ? client.fetch(local(upstream.port()), {}, test_deadline()) : call_result{};
+        writer.send(200, {}, big ? answer.response.body : request.body);
+      });
+  const auto status_of = [&](std::string_view request) {
+    auto caller = raw_connection::to(entry.port());
+    caller.send(request);
+    return caller.read_until("\r\n").substr(0, 12);
+  };
+  const std::string small = "POST / HTTP/1.1\r\nContent-Length: 2\r\n\r\nhi";
+  EXPECT_EQ(status_of(small), "HTTP/1.1 200");
+  auto slow = raw_connection::to(entry.port(), 4096);
+  slow.send("GET /big HTTP/1.1\r\n\r\n");
+  in_fiber([&] { EXPECT_TRUE(fiber_wait_until([&] { return buffers.is_full(); })); });
+  EXPECT_EQ(status_of(small), "HTTP/1.1 503");
+  EXPECT_EQ(buffers.refusals(), 1U);
+  in_fiber([&] { EXPECT_TRUE(fiber_wait_until([&] { return buffers.held() == 0; })); });
+  EXPECT_EQ(status_of(small), "HTTP/1.1 200");
+}
+
 // Guards against header injection: a line break in a caller's text that is copied into a header
 // must not add headers to the response.
 TEST_F(connection_bad_http, a_header_with_a_line_break_is_not_sent) {
