--- a/tests/shell/hosted_state_test.cpp
+++ b/tests/shell/hosted_state_test.cpp
@@ -67,5 +67,20 @@
   EXPECT_EQ(nodes_at(now_ + 12s), 20);
 }
 
+// Guards against connections that use up the descriptors, so that no target can be reached.
+TEST_F(HostedState, ConnectionsLeaveDescriptorsForTargets) {
+  hosted_settings of = settings();
+  EXPECT_EQ(accepted_connections(of).callers, 3000U);
+  EXPECT_EQ(max_buffered_bytes(of), 0U);
+  of.memory_mb = 112;
+  EXPECT_EQ(max_buffered_bytes(of), 28UL * 1024 * 1024);
+  for (const std::uint32_t descriptors : {600U, 2870U, 4100U}) {
+    of.file_descriptors = descriptors;
+    const connection_share accepted = accepted_connections(of);
+    EXPECT_LE(accepted.callers + accepted.peers, descriptors * 2 / 3);
+    EXPECT_GE(accepted.callers, descriptors / 2);
+  }
+}
+
 }  // namespace
 }  // namespace arbutus
