Findings of a reading of the whole diff

Cause: one who had not seen the parts read them. Wrong: functions of warming grants stood twice after a merge; a silence before the first bytes of an event counted as bytes without an event and would break the stream; chunked bodies were not checked against the buffer limit; a change of shares without effect delayed the next one; infinite rates of a peer were taken; demand of peers was kept for ever. Not taken: a shared type for decaying rates, the split of choose_surplus, a limit of half for connections of callers.

--- a/src/admission/replica_room.cpp
+++ b/src/admission/replica_room.cpp
@@ -73,8 +73,8 @@
     return state;
   }
 
-  // The longest time to the first event of requests of this class by each table, less the time to
-  // read their prompts.
+  // To be called after all calls of state_of(), which make the tables. The longest time to the
+  // first event of requests of this class by each table, less the time to read their prompts.
   [[nodiscard]] std::vector<double> limits_of(const request_class& requests) const {
     std::vector<double> limits;
     for (const latency_table& table : tables_) {
@@ -191,14 +191,14 @@
   }
   plan.classes.reserve(classes.size());
   double arrivals = 0;
-  double free = 0;  // of the least urgent class
+  double least_urgent_room = 0;
   for (const request_class& requests : classes) {
     const std::vector<double> limits = rooms.limits_of(requests);
     class_admission& c = plan.classes.emplace_back();
     c.priority = requests.priority;
     c.arrivals = requests.per_second * to_seconds(settings.load_age);
     c.can_take_by_replica.resize(replicas.size());
-    free = 0;
+    least_urgent_room = 0;
     for (std::size_t i = 0; i < replicas.size(); ++i) {
       if (!replicas[i].is_allowed) {
         continue;
@@ -207,7 +207,7 @@
       c.can_take_by_replica[i] = rooms.can_take(states[i], room, requests);
       c.can_take += c.can_take_by_replica[i];
       c.room += room;
-      free += std::max(room, 0.0);
+      least_urgent_room += std::max(room, 0.0);
     }
     arrivals += c.arrivals;
   }
@@ -215,7 +215,7 @@
     plan.request_time =
         from_seconds(plan.active * to_seconds(settings.load_age) / plan.completions);
   }
-  plan.is_short = arrivals > settings.short_ratio * (free + plan.completions);
+  plan.is_short = arrivals > settings.short_ratio * (least_urgent_room + plan.completions);
   if (plan.active >= settings.min_slots_taken * plan.slots) {
     divide(plan.classes, settings.min_fraction);
   }
--- a/src/admission/replica_room.h
+++ b/src/admission/replica_room.h
@@ -35,7 +35,8 @@
   // An objective that is missed already with this part of the slots taken does not make less of
   // them available: refusals would gain nothing for it.
   double min_capacity = 0.75;
-  // Rooms are short once the expected arrivals are more than this part of what can be taken.
+  // Replicas are chosen by room once the expected arrivals exceed this part of all free room and
+  // completions.
   double short_ratio = 0.5;
 };
 
@@ -77,7 +78,7 @@
   bool is_short = false;                 // replicas are to be chosen by can_take_by_replica
   std::vector<class_admission> classes;  // most urgent first
 
-  // Null if the class has no demand.
+  // Null if the class has no demand, or no replica is allowed.
   [[nodiscard]] class_admission* find(std::uint32_t priority);
 };
 
@@ -88,9 +89,10 @@
                                             const latency_correction& correction,
                                             const room_settings& settings = {});
 
-// When the caller of a refused request should retry: the refused requests are spread over the time
-// in which replicas complete as many, at most a second. Between 200 ms and a third of `time_left`,
-// which is when callers retry at the latest. `random_sample`: uniform in [0, 1).
+// When the caller of a refused request should retry: between 200 ms and the time in which replicas
+// complete as many requests as are refused, at most 1.2 s and a third of `time_left`, since callers
+// retry by then in any case. If that third is below 200 ms, it is returned. `random_sample`:
+// uniform in [0, 1).
 [[nodiscard]] duration retry_delay(const admission_plan& plan, duration time_left,
                                    double random_sample);
 
--- a/src/admission/send_grants.h
+++ b/src/admission/send_grants.h
@@ -62,7 +62,8 @@
 
 // The numbers for a hub with the given share (hub_followers) of a target that bears
 // `requests_per_second` while it is cold, so that all nodes together send at most
-// `requests_per_second` x `overage` + `tolerance` in any second.
+// `requests_per_second` x `overage` + `tolerance` in any second. Issues nothing if that bound is at
+// most 1, or less than 1 of it falls to this hub.
 [[nodiscard]] warming_issue issue_for_warming(double requests_per_second, double overage,
                                               double tolerance, double share);
 
--- a/src/capacity/demand_plan.cpp
+++ b/src/capacity/demand_plan.cpp
@@ -97,22 +97,25 @@
     return false;
   }
   observe_deviation(now, target_shares(smoothed_, in.engines), work);
-  const bool loads_ended =
-      !last_change_ || in.model_lost_replicas || now - changed_at_ >= longest_load(engine);
-  if (!deviation_ || now - deviation_->since < deviation_->delay || !loads_ended ||
+  const bool may_change_again =
+      !last_change_ || in.has_unserved_model || now - changed_at_ >= longest_load(engine);
+  if (!deviation_ || now - deviation_->since < deviation_->delay || !may_change_again ||
       now - *observed_since_ < min_observation) {
     return false;
   }
   // The smoothed works still contain the demand before the change; their mean since then does not.
   std::vector<double> next = rounded(target_shares(deviation_->work, in.engines));
+  if (next == shares_) {
+    deviation_.reset();
+    return false;
+  }
   last_change_settled_ =
       deviation_->settled || (last_change_settled_ && last_change_ == deviation_->to);
   last_change_ = deviation_->to;
   changed_at_ = now;
   deviation_.reset();
-  const bool changes = next != shares_;
   shares_ = std::move(next);
-  return changes;
+  return true;
 }
 
 std::vector<double> demand_plan::work() const {
--- a/src/capacity/demand_plan.h
+++ b/src/capacity/demand_plan.h
@@ -33,13 +33,15 @@
 class demand_plan {
  public:
   struct inputs {
-    const model_demand& demand;        // of the deployment
-    double heard_nodes = 1;            // fraction of the known nodes that are heard
-    std::size_t engines = 0;           // of the service, in all data centres
-    bool model_lost_replicas = false;  // a model has no replica left
+    const model_demand& demand;  // of the deployment
+    double heard_nodes = 1;      // fraction of the known nodes that are heard
+    std::size_t engines = 0;     // of the service, in all data centres
+    // A model has no serving replica; changes then do not wait for earlier loads.
+    bool has_unserved_model = false;
   };
 
-  // Call some times a second. True if the shares in force have changed by demand.
+  // Call more often than once a second; a longer gap discards what was observed. True if the shares
+  // in force have changed by demand.
   [[nodiscard]] bool update(time_point now, const engine_parameters& engine, const inputs& in);
 
   // Shares of engine time in force, by the position of the model in the engine's list. Their sum is
@@ -62,7 +64,8 @@
   static constexpr duration settled_time = 20s;
   // Works are rounded to powers of this, relative to the first model's.
   static constexpr double rounding_step = 1.15;
-  // A model keeps this part of its declared share, whatever its demand.
+  // A model keeps about this part of its declared share whatever its demand; shares are rounded
+  // after that.
   static constexpr double min_share = 0.25;
   // The plan in force is kept while less than this part of the known nodes is heard.
   static constexpr double min_heard_nodes = 2.0 / 3;
--- a/src/capacity/model_demand.cpp
+++ b/src/capacity/model_demand.cpp
@@ -59,6 +59,11 @@
   peers_[peer] = {now, scope, std::move(demand)};
 }
 
+void demand_table::forget_peers(time_point now) {
+  std::erase_if(peers_,
+                [now](const auto& entry) { return now - entry.second.received_at >= validity; });
+}
+
 model_demand demand_table::own(time_point now) const {
   model_demand result;
   for (const auto& [key, counted] : own_) {
--- a/src/capacity/model_demand.h
+++ b/src/capacity/model_demand.h
@@ -52,6 +52,9 @@
   // Sets the demand that a peer reported last; see load_scope in request/replica_choice.h.
   void set_peer_demand(time_point now, const node_id& peer, load_scope scope, model_demand demand);
 
+  // Drops what peers have not reported for `validity`.
+  void forget_peers(time_point now);
+
   // Of this node's own callers.
   [[nodiscard]] model_demand own(time_point now) const;
   // Of this node and those that report to it.
--- a/src/capacity/replica_controller.h
+++ b/src/capacity/replica_controller.h
@@ -153,13 +153,13 @@
     std::size_t all_data_centres = 1;
     bool requests_seen = false;  // from the first request on, loads take their full time
     duration target_list_age{};  // time since the list of targets was last up to date
+    // Data centres whose engines keep their replicas, but load nothing and form no new ones.
+    std::set<data_centre_id> evacuated = {};
     // Whether engines are divided among the models by demand. The fields below count only then.
     bool plans_by_demand = false;
     model_demand demand = {};           // of the deployment
     double heard_nodes = 1;             // fraction of the known nodes that are heard
     const load_table* loads = nullptr;  // to close idle replicas first; null: not known
-    // Their engines keep their replicas, but load nothing and form no new ones.
-    std::set<data_centre_id> evacuated = {};
   };
 
   // Returns the orders and queries to send now for the engines of `service`. Call every few tens of
--- a/src/capacity/replica_controller_demand.cpp
+++ b/src/capacity/replica_controller_demand.cpp
@@ -50,11 +50,11 @@
   for (const auto& entry : ctx.engines_by_domain) {
     engines += entry.second;
   }
-  const bool model_lost_replicas =
+  const bool has_unserved_model =
       std::any_of(ctx.engine.models.begin(), ctx.engine.models.end(),
                   [&](const model_spec& m) { return !served.contains(m.id); });
   ctx.shares_changed = demand_plan_.update(
-      ctx.now, ctx.engine, {ctx.own.demand, ctx.own.heard_nodes, engines, model_lost_replicas});
+      ctx.now, ctx.engine, {ctx.own.demand, ctx.own.heard_nodes, engines, has_unserved_model});
   demand_changes_ += ctx.shares_changed ? 1 : 0;
   ctx.shares = demand_plan_.shares();
 }
--- a/src/connection/buffer_account.h
+++ b/src/connection/buffer_account.h
@@ -24,7 +24,7 @@
     held_ -= from;
   }
 
-  // Counts a request that was refused since the account is full.
+  // Counts a request that was refused because the account is full.
   void count_refusal() { ++refusals_; }
   [[nodiscard]] std::uint64_t refusals() const { return refusals_; }
 
--- a/src/connection/http_call.cpp
+++ b/src/connection/http_call.cpp
@@ -20,7 +20,7 @@
 
 // Reads from a stream, and limits the time for the rest once the first bytes have arrived. Meets
 // the SyncReadStream requirements.
-struct begun_reader {
+struct header_deadline_reader {
   fiber_stream& stream;
   time_point deadline;
   duration time_from_first_byte;
@@ -184,7 +184,7 @@
 
 void http_call::read_header(answer_parser& parser, const http_client_limits& limits,
                             error_code& error) {
-  begun_reader reader{connection_.stream, read_deadline_, limits.max_header_duration};
+  header_deadline_reader reader{connection_.stream, read_deadline_, limits.max_header_duration};
   if (connection_.input.size() > 0) {
     reader.begin();
   }
--- a/src/connection/http_exchange.cpp
+++ b/src/connection/http_exchange.cpp
@@ -22,6 +22,7 @@
 
 // Bytes read at a time behind a request whose response is not complete.
 constexpr std::size_t max_input_read = 4096;
+constexpr std::string_view buffers_full_reason = "the limit of this node's buffers is reached";
 
 // Connections over the limit that still get a 503 response; any further ones are closed without
 // one.
@@ -188,7 +189,7 @@
     return false;
   }
   if (!takes_body_of(parser.content_length().value_or(0))) {
-    refuse(503, "this node is short of memory");
+    refuse(503, buffers_full_reason);
     return false;
   }
   const bool expects_continue =
@@ -201,6 +202,11 @@
   while (!error && !parser.is_done()) {
     http::read_some(stream_, input_, parser, error);
     held_.set(parser.get().body().size());
+    // A body in chunks has no length that could be checked before.
+    if (parser.chunked() && !takes_body_of(0)) {
+      refuse(503, buffers_full_reason);
+      return false;
+    }
   }
   if (error) {
     refuse(error);
--- a/src/node/controller_heartbeats.cpp
+++ b/src/node/controller_heartbeats.cpp
@@ -25,6 +25,15 @@
   return bytes;
 }
 
+// A target may have a send limit and warm up: its demand is the larger of both counts.
+void raise_demand(std::map<target_id, double>& demand, const target_id& target,
+                  double calls_per_second) {
+  if (calls_per_second > 0) {
+    double& known = demand[target];
+    known = std::max(known, calls_per_second);
+  }
+}
+
 }  // namespace
 
 feed_update controller_loop::configuration_update(time_point now, const feed_positions& at) {
@@ -300,7 +309,9 @@
   }
   const node_id& self = node_.settings.id;
   std::map<target_id, double> demand = node_.limits.demand(now);
-  demand.merge(node_.warming.demand(now));
+  for (const auto& [target, calls_per_second] : node_.warming.demand(now)) {
+    raise_demand(demand, target, calls_per_second);
+  }
   send_grants_.set_demand(now, self, node_.incarnation, false, std::move(demand));
   send_grants_.distribute_round(now, random_, issued);
   grant_warming_sends(now);
@@ -347,14 +358,12 @@
   std::map<target_id, double> demand;
   if (message.warming) {
     for (const warming_update& update : message.warming->targets) {
-      demand.emplace(update.target, update.demand);
+      raise_demand(demand, update.target, update.demand);
     }
   }
   for (const limit_update& update : message.limits) {
     node_.limits.received(update.target, {update.per_second, stamp_sent_at - update.age});
-    if (update.demand > 0) {
-      demand.emplace(update.target, update.demand);
-    }
+    raise_demand(demand, update.target, update.demand);
   }
   const bool same = message.data_centre == node_.settings.data_centre;
   const bool hub = node_.peers.is_hub(now);
@@ -372,62 +381,6 @@
   }
 }
 
-// Issues this hub's share of the grants for warming targets of its data centre.
-void controller_loop::grant_warming_sends(time_point now) {
-  const node_id& self = node_.settings.id;
-  followers_.heard(now, now, self, followed_hub_.named(now) == self);
-  const double share =
-      followers_.share(send_grants_.warming_round_at(), now, node_.peers.node_count_here(now));
-  const hosted_bounds& bounds = node_.settings.bounds;
-  std::map<target_id, warming_issue> issued;
-  for (const auto& warming : node_.warming.all_warming(now)) {
-    if (warming.data_centre == node_.settings.data_centre && !node_.stopping) {
-      issued.emplace(warming.target,
-                     issue_for_warming(warming.requests_per_second, bounds.warmup_overage,
-                                       bounds.warmup_tolerance, share));
-    }
-  }
-  send_grants_.distribute_warming_round(now, random_, issued);
-}
-
-void controller_loop::add_warming(time_point now, const node_id& peer, node_heartbeat& message) {
-  if (!limits_warming_targets(node_)) {
-    return;
-  }
-  const data_centre_id& home = node_.settings.data_centre;
-  warming_report& report = message.warming.emplace();
-  report.follows = followed_hub_.named(now);
-  report.known_nodes_here = node_.peers.known_nodes_here();
-  using recipient = warming_targets::recipient;
-  if (message.hub) {
-    const bool same = node_.peers.data_centre_of(peer) == home;
-    report.targets =
-        node_.warming.updates_for(now, same ? recipient::own_node : recipient::other_hub);
-  } else if (node_.peers.hub_of(now, home) == peer) {
-    report.targets = node_.warming.updates_for(now, recipient::own_hub);
-  }
-}
-
-// `valid_from`: the content of the message is not older than this.
-void controller_loop::take_warming(time_point now, const node_id& peer, time_point valid_from,
-                                   const node_heartbeat& message) {
-  if (!message.warming) {
-    return;
-  }
-  update_warming_targets(node_, now);
-  for (const warming_update& update : message.warming->targets) {
-    node_.warming.received(valid_from, now, message.hub, update);
-  }
-  if (message.data_centre != node_.settings.data_centre) {
-    return;
-  }
-  followers_.heard(valid_from, now, peer, message.warming->follows == node_.settings.id);
-  for (const auto& [target, count] : received_grants_.receive_warming(
-           peer, message.incarnation, node_.incarnation, message.grants)) {
-    node_.warming.granted(valid_from, target, count);
-  }
-}
-
 // Poison updates are exchanged between hubs, and between a hub and its nodes, because the nodes
 // acknowledge the updates with their own heartbeats. The next hub in line receives them from the
 // hub.
@@ -476,6 +429,7 @@
 
 void controller_loop::send_peer_heartbeats(time_point now) {
   node_.loads.forget_peers(now, node_.peers.is_hub(now));
+  node_.demand.forget_peers(now);
   node_.shares.forget_idle(now);
   std::vector<node_id> peers = node_.peers.recipients(now);
   std::sort(peers.begin(), peers.end());
--- a/src/node/controller_loop.cpp
+++ b/src/node/controller_loop.cpp
@@ -29,7 +29,7 @@
 // Time without an answer of the store after which a node without any alive peer counts as isolated.
 // The store's feed alone may take a second to answer.
 constexpr duration isolation_timeout = 2500ms;
-// Nodes report their demand to their hub at the interval of heartbeats.
+// Half the interval of heartbeats: summing the demand for each tick would repeat the same reports.
 constexpr duration demand_interval = 100ms;
 
 // Fraction of the known nodes whose demand this node, as a hub, knows: those that it hears, and
--- a/src/node/hosted_state.cpp
+++ b/src/node/hosted_state.cpp
@@ -43,8 +43,8 @@
   return settings.memory_mb * bytes_per_mb / 4;
 }
 
-// A call of a caller takes two further connections at most, to targets and peers. Besides those, a
-// node needs descriptors for links, the store, reports and refused connections.
+// Most connections of callers are idle; a call in progress takes one or two further ones, to
+// targets and peers. A third of the descriptors is left for those, links, the store and reports.
 connection_share accepted_connections(const hosted_settings& settings) {
   constexpr std::size_t most = 3000;
   constexpr std::size_t fewest = 16;
--- a/src/node/hosted_targets.cpp
+++ b/src/node/hosted_targets.cpp
@@ -14,9 +14,8 @@
 constexpr std::string_view warmup_reason = "the targets warm up";
 constexpr std::string_view backoff_reason = "the targets asked for a backoff";
 constexpr std::string_view leaving_reason = "the targets are leaving";
-// Without a target that is allowed, since data centres are evacuated or not in an allowed region.
-// Replicas form elsewhere within 12 to 16 s, and operators may lift the evacuation at any time; a
-// shorter time would only repeat the refusal.
+// Mean delay for requests whose targets are all excluded by evacuation or region. Operators may
+// lift an evacuation at any time, so it is shorter than the formation of a replica, 12 to 16 s.
 constexpr duration mean_retry_after_exclusion = 2s;
 
 bool check_send_limit(hosted_state& node, time_point now, const target_id& target) {
@@ -199,7 +198,7 @@
     case send_permission::target_restrained:
       return "the target asked for a backoff or leaves meanwhile";
     case send_permission::target_warming:
-      return "the target warms up, and the grant for it has expired";
+      return "the target warms up, and this node has no grant for it";
     case send_permission::target_evacuated:
       return evacuated_reason;
     case send_permission::region_not_allowed:
--- a/src/node/replica_run.cpp
+++ b/src/node/replica_run.cpp
@@ -74,7 +74,7 @@
     bytes_without_event_at_ = {};
   }
   const time_point now = monotonic_now();
-  if (bytes_without_event_at_ == time_point{}) {
+  if (bytes_without_event_at_ == time_point{} && relay_.buffered_bytes() > 0) {
     bytes_without_event_at_ = now;
   }
   overdue_ = is_overdue(now);
@@ -84,6 +84,9 @@
 // Whether bytes without a complete event have come for so long that the target is faulty. A target
 // that sends nothing is silent, which the stall monitor detects.
 bool replica_run::is_overdue(time_point now) const {
+  if (bytes_without_event_at_ == time_point{}) {
+    return false;
+  }
   const duration expected = had_first_event() ? expected_.between_events : expected_.to_first_event;
   const double factor = stall_settings{}.max_first_event_factor;
   const duration limit = silence_tolerance + from_seconds(to_seconds(expected) * factor);
--- a/src/node/store_evacuations.cpp
+++ b/src/node/store_evacuations.cpp
@@ -62,8 +62,8 @@
   }
 }
 
-// Applies the other rows of a whole table for forwarding. Rows that a restored store lacks stay
-// until it has settled, so that nodes that start meanwhile receive them.
+// Applies all rows of a whole table but the configuration itself for forwarding. Rows that a
+// restored store lacks stay until it has settled, so that nodes that start meanwhile receive them.
 void store_watch::replace_configuration_rows(time_point now, std::vector<feed_row> rows,
                                              std::uint64_t position) {
   std::erase_if(rows, [](const feed_row& row) { return row.key == configuration_key; });
--- a/src/process/hosted_settings.h
+++ b/src/process/hosted_settings.h
@@ -40,7 +40,8 @@
   // `warmup_tolerance` requests more, from all nodes together.
   double warmup_overage = 1;
   double warmup_tolerance = 0;
-  // After this an evacuated data centre gets no new requests.
+  // The operators expect that an evacuated data centre gets no new requests after this. No decision
+  // depends on it: evacuations are in force as soon as a node knows of them.
   duration evacuation_limit = 5s;
   duration target_heartbeat = 1200ms;  // interval at which a live target refreshes its record
 };
--- a/src/process/node_heartbeat.cpp
+++ b/src/process/node_heartbeat.cpp
@@ -81,6 +81,11 @@
   return limits;
 }
 
+// An infinite rate would make all sums with it useless.
+bool is_rate(double value) {
+  return value >= 0 && std::isfinite(value);
+}
+
 json demand_to_json(const model_demand& demand) {
   json rows = json::array();
   for (const auto& [key, rate] : demand) {
@@ -97,8 +102,8 @@
     const demand_key key{model_id{row.at(0).get<std::string>()}, row.at(1).get<std::uint32_t>()};
     const demand_rate rate{row.at(2).get<double>(), row.at(3).get<double>(),
                            row.at(4).get<double>(), row.at(5).get<double>()};
-    const bool valid = rate.calls_per_second >= 0 && rate.prompt_tokens_per_second >= 0 &&
-                       rate.answer_tokens_per_second >= 0 && rate.latency_objective_s >= 0;
+    const bool valid = is_rate(rate.calls_per_second) && is_rate(rate.prompt_tokens_per_second) &&
+                       is_rate(rate.answer_tokens_per_second) && is_rate(rate.latency_objective_s);
     if (valid) {
       demand.insert_or_assign(key, rate);
     }
