--- a/src/node/request_timeline.cpp
+++ b/src/node/request_timeline.cpp
@@ -218,7 +218,7 @@
      "Operators have evacuated each data centre with a target that could take the request. See the "
      "evacuation lines below, and the rows evacuate/NAME of table op."},
     {"no target is in a region that the request allows",
-     "The route or the workspace names allowed-regions, and no target that could take the request "
+     "The route or the workspace restricts the regions, and no target that could take the request "
      "is in one of them, by [regions] of the node's settings."},
     {"this node reaches no target for it",
      "The node could open no connection to any target that could take the request, and no other "
