--- a/tests/shell/hosted_regions_test.cpp
+++ b/tests/shell/hosted_regions_test.cpp
@@ -45,6 +45,11 @@
   region_names of_workspace;
 };
 
+// Without this, the name of a test shows the addresses in the case, which differ in each run.
+void PrintTo(const list_case& tested, std::ostream* out) {
+  *out << tested.name;
+}
+
 class HostedRegionLists : public HostedRegions, public testing::WithParamInterface<list_case> {};
 
 // Guards against streams for a region that the route or the workspace does not allow.
