Review case 4: streams end when an added engine lets a domain reclaim its engines

Shows: an engine that is added beside a change of the config makes the hub order the open head of the only replica to leave, and all streams that run there end without their last pieces (LOST), though they may be resumed and the new replica is open 0.3 s later. Cause: dissolve_replica() lets no replica across domains finish, and a stream never goes back to the head at which it broke.

--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -277,8 +277,9 @@
         writer.write(response(200, self.answer_headers(head), text))
 
 
-async def write_events(engine, head, writer, count, gap, data):
-    """Answers with events 1 to `count`, or those after Last-Event-Id, `gap` seconds apart."""
+async def write_events(engine, head, writer, count, gap, data, may_go_on=lambda: True):
+    """Answers with events 1 to `count`, or those after Last-Event-Id, `gap` seconds apart. Breaks
+    off with a reset once it may not go on."""
     fields = "".join(f"{n}: {v}\r\n" for n, v in engine.answer_headers(head))
     writer.write(("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + fields +
                   "Transfer-Encoding: chunked\r\n\r\n").encode())
@@ -287,6 +288,11 @@
         writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
         await writer.drain()
         await asyncio.sleep(gap)
+        if not may_go_on():
+            engine.record.add(f"cut   {head.get('x-request-id')} at {engine.name} after event {i}: "
+                              "it was ordered out of its group")
+            writer.transport.abort()
+            return
     writer.write(b"0\r\n\r\n")
 
 
@@ -329,6 +335,11 @@
             await super().handle(head, body, writer)
 
     def order(self, o):
+        status = self.carry_out(o)
+        self.record.add(f"order {o['operation']} {o['group']} {o['epoch']} to {self.name}: {status}")
+        return status
+
+    def carry_out(self, o):
         if "precondition" in o and o["precondition"] != self.orders:
             return 409
         inside = self.group and (self.group["name"], self.group["epoch"]) == (o["group"], o["epoch"])
@@ -380,7 +391,12 @@
             writer.write(response(503, (*name, ("X-Not-Executed", "1"))))
         else:
             self.note_run(head)
-            await write_events(self, head, writer, self.events, self.gap, head.get("x-request-id"))
+            group = (self.group["name"], self.group["epoch"])
+            await write_events(self, head, writer, self.events, self.gap, head.get("x-request-id"),
+                               lambda: self.is_in(group))
+
+    def is_in(self, group):
+        return self.group and (self.group["name"], self.group["epoch"]) == group
 
 
 # ---- a proxy between requesters and a node ----
