--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,50 +1,70 @@
-"""Channels of requesters are reset in the middle of streams of a plain service; they resume them."""
+"""A second model service with the same model is added, and one of two routes moves to it."""
 
 import asyncio
 import pathlib
 import sys
+import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "common"))
-from deployment import config, headers, plain_service, route  # noqa: E402
-from standins import CannotRun, Proxy, StreamEngine, ZONES, request, run_case  # noqa: E402
+from deployment import config, headers, model_service, route  # noqa: E402
+from standins import BOUNDS, ModelEngine, ZONES, request, run_case  # noqa: E402
 
-SERVICE = "crew-api"
-EVENTS = 32
-STREAMS = 10
-CUT_AFTER_BYTES = 700  # in the middle of the events
+FIRST, SECOND, MODEL, SIZE = "dispatch-llm", "dispatch-llm-next", "m0", 2
+ENGINES_PER_ZONE = 2 * SIZE
+ROUNDS = 3
+
+
+def routes(service_of_briefs):
+    return [route("call-summary", "/summary/", "streaming", FIRST, resume=True),
+            route("crew-brief", "/brief/", "streaming", service_of_briefs, resume=True)]
+
+
+async def ask_all(record, deployment, step):
+    for i, node in enumerate(deployment.nodes):
+        for kind in ("summary", "brief"):
+            await request(record, node.ip, node.port, "POST", f"/{kind}/x",
+                          headers(f"{step}-{kind}-{i}", model=MODEL))
 
 
 async def play(record, deployment, trouble):
     store = deployment.store
-    store.put_config(config(7, [route("feed", "/feed/", "streaming", SERVICE, resume=True)],
-                            [plain_service(SERVICE)]))
-    StreamEngine.events = EVENTS
-    await deployment.add_engines(*[StreamEngine(record, store, SERVICE, f"i-{z}", z) for z in ZONES])
+    first, second = (model_service(name, {MODEL: SIZE}) for name in (FIRST, SECOND))
+    store.put_config(config(7, routes(FIRST), [first]))
+    for service, short in ((FIRST, "a"), (SECOND, "b")):
+        await deployment.add_engines(*[
+            ModelEngine(record, store, service, f"i-{short}-{zone}-{i}", zone,
+                        domain=f"{zone}-{short}")
+            for zone in ZONES for i in range(ENGINES_PER_ZONE)])
     deployment.start_nodes()
     await deployment.wait_ready()
-    proxy = Proxy(deployment.nodes[0].ip, deployment.nodes[0].port)
-    await proxy.start()
-    deployment.closers.append(proxy)
+
+    def serving(service):
+        return sum(e.service == service and bool(e.group) and e.group["state"] == "open"
+                   for e in deployment.engines)
+    replicas = len(ZONES) * ENGINES_PER_ZONE // SIZE
+    await deployment.wait(lambda: serving(FIRST) == replicas, 40, "the first service's replicas")
+    await asyncio.sleep(1)
+    await ask_all(record, deployment, "v7")
+
+    if trouble:
+        store.put_config(config(9, routes(SECOND), [second, first]))
+        await asyncio.sleep(BOUNDS["config-apply-ms"] / 1000 + 1)
+        await deployment.wait(lambda: serving(SECOND) == replicas, 40, "the second one's replicas")
+        await asyncio.sleep(1)
+    since = time.monotonic()
+    for i in range(ROUNDS):
+        await ask_all(record, deployment, f"later{i}")
 
     findings = []
-    for i in range(STREAMS):
-        # Half of the channels of one of six machines.
-        proxy.cut_after = CUT_AFTER_BYTES if trouble and i % 2 == 0 else None
-        cuts = proxy.cuts
-        first = await request(record, proxy.server_ip, proxy.port, "POST", "/feed/x",
-                              headers(f"s{i}-first"))
-        pieces = first.event_ids()
-        complete = first.complete
-        if proxy.cuts > cuts:
-            if first.complete or not pieces:
-                raise CannotRun("the channel was not cut inside the answer")
-            again = await request(record, proxy.server_ip, proxy.port, "POST", "/feed/x",
-                                  headers(f"s{i}-resumed", last_event=pieces[-1]))
-            pieces, complete = pieces + again.event_ids(), again.complete
-        record.add(f"pieces of s{i}: {pieces}")
-        if complete and pieces != list(range(1, EVENTS + 1)):
-            findings.append(f"the requester of s{i} got the pieces {pieces}")
+    for run in deployment.runs():
+        kind = run["path"].split("/")[1]
+        if kind == "summary" and run["service"] == SECOND:
+            findings.append(f"{run['request']} ran at {run['engine']} of {SECOND}: no config ever "
+                            "sent its route there (ROUTE)")
+        if trouble and kind == "brief" and run["service"] == FIRST and run["at"] > since:
+            findings.append(f"{run['request']} ran at {run['engine']} of {FIRST}: only the older "
+                            "version allows it (CONFIG)")
     return findings
 
 
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -15,6 +15,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 
@@ -681,6 +682,8 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.add(f"trouble: {'yes' if trouble else 'no'}")
 
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))  # ends the nodes, too
+
     async def whole():
         deployment = Deployment(record)
         try:
