Stand-in: streams of a plain service, a public route, versions without workspaces

Change: routes "events" and "public" to the plain service, whose events begin behind Last-Event-Id; a version has no list of workspaces, an empty one, one without keys or one with a key; the headers of a request at each arrival can be asked for. Engine and plain service write events by one function.

--- a/src/standin/hosted_configuration.cpp
+++ b/src/standin/hosted_configuration.cpp
@@ -11,6 +11,24 @@
   return "/extra-" + std::to_string(index) + "/";
 }
 
+namespace {
+
+json workspaces_of(const hosted_configuration& c) {
+  if (c.workspaces == workspace_list::empty) {
+    return json::array();
+  }
+  json workspace = {{"name", "desk"}, {"api-keys", json::array()}};
+  if (c.workspaces == workspace_list::with_key) {
+    workspace["api-keys"].push_back(hosted_caller_key);
+  }
+  if (!c.workspace_regions.empty()) {
+    workspace["allowed-regions"] = c.workspace_regions;
+  }
+  return json::array({workspace});
+}
+
+}  // namespace
+
 std::string encode(const hosted_configuration& c) {
   json route = {{"name", "summary"},   {"hostname", hosted_host_name},
                 {"prefix", "/llm/"},   {"route-type", "streaming"},
@@ -22,9 +40,23 @@
                {"prefix", "/card/"}, {"route-type", "unsafe"},
                {"timeout-ms", 1500}, {"service", "api"},
                {"max-attempts", 1},  {"public", false}};
+  json plain_stream = {{"name", "events"},
+                       {"hostname", hosted_host_name},
+                       {"prefix", plain_stream_prefix},
+                       {"route-type", "streaming"},
+                       {"timeout-ms", 8000},
+                       {"service", "api"},
+                       {"max-attempts", 2},
+                       {"public", false},
+                       {"stream-resume", true}};
+  json open_to_all = once;
+  open_to_all["name"] = "public";
+  open_to_all["prefix"] = public_prefix;
+  open_to_all["public"] = true;
   if (!c.route_regions.empty()) {
     route["allowed-regions"] = c.route_regions;
     once["allowed-regions"] = c.route_regions;
+    plain_stream["allowed-regions"] = c.route_regions;
   }
   json model = {{"name", hosted_model_name},
                 {"size", 3},
@@ -41,7 +73,7 @@
                  {"usual", {{"prompt", 100}, {"answer", 20}}},
                  {"far_x", 2.5},
                  {"models", json::array({model})}};
-  json routes = json::array({route, once});
+  json routes = json::array({route, once, plain_stream, open_to_all});
   if (c.has_urgent_route) {
     routes[0]["priority"] = 1;
     route["name"] = "urgent";
@@ -53,11 +85,6 @@
     once["prefix"] = extra_route_path(i);
     routes.push_back(once);
   }
-  json workspace = {{"name", "desk"},
-                    {"api-keys", c.has_keys ? json::array({hosted_caller_key}) : json::array()}};
-  if (!c.workspace_regions.empty()) {
-    workspace["allowed-regions"] = c.workspace_regions;
-  }
   json services = json::array({{{"name", "llm"}, {"engine", engine}}, {{"name", "api"}}});
   for (json& service : services) {
     if (c.warmup_s > 0) {
@@ -68,8 +95,10 @@
   json document = {{"version", c.version},
                    {"routes", routes},
                    {"services", services},
-                   {"limits", json::object()},
-                   {"tenants", json::array({workspace})}};
+                   {"limits", json::object()}};
+  if (c.workspaces != workspace_list::absent) {
+    document["tenants"] = workspaces_of(c);
+  }
   return document.dump();
 }
 
--- a/src/standin/hosted_configuration.h
+++ b/src/standin/hosted_configuration.h
@@ -11,10 +11,22 @@
 inline constexpr const char* hosted_host_name = "desk.example";
 inline constexpr const char* hosted_caller_key = "key-of-the-desk";
 inline constexpr const char* hosted_model_name = "large";
+// Path prefix of the streams of the service that is not a model.
+inline constexpr const char* plain_stream_prefix = "/events/";
+// Path prefix of the calls that need no API key.
+inline constexpr const char* public_prefix = "/public/";
+
+// What the configuration says of workspaces.
+enum class workspace_list : std::uint8_t {
+  absent,  // there is no list
+  empty,
+  without_keys,  // one workspace, which has no API key
+  with_key,      // one workspace, which has an API key
+};
 
 struct hosted_configuration {
   std::uint64_t version = 1;
-  bool has_keys = true;          // whether the workspace has an API key
+  workspace_list workspaces = workspace_list::with_key;
   std::size_t extra_routes = 0;  // number of additional routes
   int model_max_attempts = 3;    // number of targets to which a request for the model is sent
   // For how long a target that starts is cold, and how many requests per second it bears meanwhile;
--- a/src/standin/hosted_control.cpp
+++ b/src/standin/hosted_control.cpp
@@ -123,9 +123,10 @@
   } else if (path == "/limit") {
     platform_.set_send_limit(value);
   } else if (path == "/grow") {
-    platform_.write_next_configuration(true, std::stoul("0" + value));
+    platform_.write_next_configuration(workspace_list::with_key, std::stoul("0" + value));
   } else if (path == "/configure") {
-    platform_.write_next_configuration(set);
+    platform_.write_next_configuration(set ? workspace_list::with_key
+                                           : workspace_list::without_keys);
   } else {
     send_json(writer, 404, "{}");
     return;
--- a/src/standin/hosted_platform.cpp
+++ b/src/standin/hosted_platform.cpp
@@ -460,10 +460,12 @@
         request.headers.find("Authorization") || !request.headers.find("X-Tenant") ? 1 : 0;
   }
 
-  void record_arrival(const std::string& at, const std::string& request) {
+  void record_arrival(const std::string& at, const http_request& request) {
+    const std::string id = header_text(request, "X-Request-Id");
     const std::lock_guard guard(mutex);
     arrivals[at].push_back(monotonic_now());
-    restraints.arrived(monotonic_now(), at, request);
+    arrived_headers[id].push_back(request.headers);
+    restraints.arrived(monotonic_now(), at, id);
   }
 
   // Headers of the answer of `target` to a request that it runs.
@@ -516,7 +518,7 @@
   void run(engine_process& e, const http_request& request, response_writer& writer) {
     const std::string id = header_text(request, "X-Request-Id");
     const std::string name(engine_of(e.engine.record().id));
-    record_arrival(name, id);
+    record_arrival(name, request);
     if (is_turned_away(name, id, writer)) {
       return;
     }
@@ -540,10 +542,17 @@
       }
       return;
     }
+    write_events(request, writer, [&] { return wait_for_event(e, incarnation, writer); });
+  }
+
+  // Writes the events behind the last one that the caller has. `wait`: until the next event; false
+  // if there will be none.
+  template <class Wait>
+  void write_events(const http_request& request, response_writer& writer, Wait&& wait) const {
+    const std::string id = header_text(request, "X-Request-Id");
     const int from = static_cast<int>(header_number(request, "Last-Event-Id", 0));
     for (int i = from + 1; i <= settings.events_per_answer; ++i) {
-      if (!wait_for_event(e, incarnation, writer) ||
-          !writer.write("id: " + std::to_string(i) + "\ndata: " + id + "\n\n")) {
+      if (!wait() || !writer.write("id: " + std::to_string(i) + "\ndata: " + id + "\n\n")) {
         return;
       }
     }
@@ -660,7 +669,7 @@
       writer.send(400, {{"X-Not-Executed", "1"}}, "");
       return;
     }
-    record_arrival(plain_instance_id, id);
+    record_arrival(plain_instance_id, request);
     if (is_turned_away(plain_instance_id, id, writer)) {
       return;
     }
@@ -671,7 +680,14 @@
       wait_for(writer, settings.restart_delay);
       return;
     }
-    writer.send(200, answer_headers(plain_instance_id, id), "card " + id);
+    http_headers headers = answer_headers(plain_instance_id, id);
+    if (request.target.starts_with(plain_stream_prefix)) {
+      headers.add("Content-Type", "text/event-stream");
+      writer.start(200, headers);
+      write_events(request, writer, [&] { return wait_for(writer, settings.event_gap); });
+      return;
+    }
+    writer.send(200, headers, "card " + id);
   }
 
   // ---- list of targets ----
@@ -735,6 +751,7 @@
   std::map<std::string, std::string> engine_of_run;
   std::map<std::string, int> crashes;  // number of crashes by path of the request
   std::map<std::string, std::vector<time_point>> arrivals;  // arrival times of requests, by target
+  std::map<std::string, std::vector<http_headers>> arrived_headers;  // of each arrival, by request
   std::string send_limit;
   restraint_checker restraints;
   std::vector<process_crash> process_crashes;
@@ -824,10 +841,11 @@
   }
 }
 
-void hosted_platform::write_next_configuration(bool keys, std::size_t extra_routes) {
+void hosted_platform::write_next_configuration(workspace_list workspaces,
+                                               std::size_t extra_routes) {
   const std::lock_guard guard(state_->mutex);
   const hosted_configuration next{++state_->config_version,
-                                  keys,
+                                  workspaces,
                                   extra_routes,
                                   state_->settings.model_max_attempts,
                                   state_->settings.warmup_s,
@@ -1029,6 +1047,12 @@
   return state_->arrivals;
 }
 
+std::vector<http_headers> hosted_platform::arrived_headers(const std::string& request) const {
+  const std::lock_guard guard(state_->mutex);
+  const auto found = state_->arrived_headers.find(request);
+  return found == state_->arrived_headers.end() ? std::vector<http_headers>{} : found->second;
+}
+
 int hosted_platform::header_violations() const {
   const std::lock_guard guard(state_->mutex);
   return state_->header_violations;
--- a/src/standin/hosted_platform.h
+++ b/src/standin/hosted_platform.h
@@ -72,9 +72,10 @@
   // The paths from one node to a target, by its id; empty: to all targets.
   void set_paths(std::size_t node, path_state paths, const std::string& target = {});
 
-  // Writes the next version of the operators' configuration. Without `keys` its workspace has no
-  // API key. It has `extra_routes` additional routes; the path of each is extra_route(index).
-  void write_next_configuration(bool keys = true, std::size_t extra_routes = 0);
+  // Writes the next version of the operators' configuration. It has `extra_routes` additional
+  // routes; the path of each is extra_route(index).
+  void write_next_configuration(workspace_list workspaces = workspace_list::with_key,
+                                std::size_t extra_routes = 0);
   [[nodiscard]] static std::string extra_route(std::size_t index);
   // Operators evacuate a data centre, or lift its evacuation.
   void set_evacuated(const std::string& data_centre, bool evacuated);
@@ -135,6 +136,10 @@
   // requests that did not run.
   [[nodiscard]] std::map<std::string, std::vector<time_point>> arrivals() const;
 
+  // Headers of the request at each of its arrivals at an engine or at the service that is not a
+  // model.
+  [[nodiscard]] std::vector<http_headers> arrived_headers(const std::string& request) const;
+
   // Id of the engine where the request last started to run; empty: none.
   [[nodiscard]] std::string engine_of_run(const std::string& request) const;
   // Number of rows in a table of the store.
--- a/tests/shell/hosted_node_test.cpp
+++ b/tests/shell/hosted_node_test.cpp
@@ -100,7 +100,7 @@
   // Guards against requests that run with an API key that the newest version of the configuration
   // no longer has.
   ASSERT_TRUE(both_nodes_serve());
-  platform_.write_next_configuration(false);
+  platform_.write_next_configuration(standin::workspace_list::without_keys);
   EXPECT_TRUE(eventually([&] {
     return send_request(0, "/llm/2f", "w0").response.status == 401 &&
            send_request(1, "/llm/2f", "w1").response.status == 401;
@@ -113,7 +113,7 @@
   ASSERT_TRUE(both_nodes_serve());
   constexpr std::size_t routes = 1400;
   platform_.set_store_rate(250'000);
-  platform_.write_next_configuration(true, routes);
+  platform_.write_next_configuration(standin::workspace_list::with_key, routes);
   const std::string newest = standin::hosted_platform::extra_route(routes - 1);
   EXPECT_TRUE(eventually([&] { return send_request(0, newest, "o0").response.status == 200; }));
   EXPECT_TRUE(eventually([&] { return send_request(1, newest, "o1").response.status == 200; }));
--- a/tests/shell/hosted_restore_test.cpp
+++ b/tests/shell/hosted_restore_test.cpp
@@ -25,7 +25,7 @@
     platform_.copy_store();
     platform_.use_up_versions(lost_versions);
     platform_.write_target_record("not-an-engine", "{");
-    platform_.write_next_configuration(true, 1);
+    platform_.write_next_configuration(standin::workspace_list::with_key, 1);
     ASSERT_TRUE(both_answer(200, hosted_platform::extra_route(0)));
     ASSERT_TRUE(eventually([&] {
       const std::string metrics = send_operator_request("GET", "/metrics").response.body;
@@ -62,7 +62,7 @@
   ASSERT_TRUE(both_nodes_serve());
   go_beyond_the_copy();
   restore(hosted_platform::rewrite::everything);
-  platform_.write_next_configuration(false);
+  platform_.write_next_configuration(standin::workspace_list::without_keys);
   platform_.use_up_versions(2 * lost_versions);
   EXPECT_TRUE(both_answer(401, "/llm/x"));
 }
@@ -99,7 +99,7 @@
   ASSERT_TRUE(both_nodes_serve());
   platform_.copy_store();
   platform_.use_up_versions(lost_versions);
-  platform_.write_next_configuration(false);
+  platform_.write_next_configuration(standin::workspace_list::without_keys);
   ASSERT_TRUE(both_answer(401, "/llm/x"));
   restore(hosted_platform::rewrite::targets);
   const time_point until = monotonic_now() + 3s;
