Resumed streams of plain services go on behind the caller's last event

Cause: make_target_request and make_relay_request dropped the caller's header and wrote it only from a field that each sender has to fill in. Streams of models fill it in, buffered calls did not, neither to a target nor to a peer, nor on routes that are not streaming. Change: the header is passed on as the caller sent it; a sender that has passed on later events names another one. It works since nothing has to be filled in any more for the header to arrive.

--- a/src/node/hosted_buffered.cpp
+++ b/src/node/hosted_buffered.cpp
@@ -112,7 +112,7 @@
       end_locally(503, retry_after_no_target, last_reason_);
       return;
     }
-    const relay_answer answer = hand_over(node_, call_, peer, {}, cancel_, {});
+    const relay_answer answer = hand_over(node_, call_, peer, std::nullopt, cancel_, {});
     const bool open =
         answer.outcome == relay_outcome::not_taken || answer.outcome == relay_outcome::broken;
     if (open) {
--- a/src/node/hosted_relay.cpp
+++ b/src/node/hosted_relay.cpp
@@ -43,7 +43,7 @@
     answer_.held = held_bytes(&node.buffers);
   }
 
-  relay_answer run(const std::string& resume_after, const cancel_token& cancel) {
+  relay_answer run(const std::optional<std::string>& resume_after, const cancel_token& cancel) {
     sent_at_ = monotonic_now();
     http_request request =
         make_relay_request(call_.raw_request, call_.deadline - sent_at_, resume_after);
@@ -325,7 +325,7 @@
 }
 
 relay_answer hand_over(hosted_state& node, hosted_request& call, const node_record& peer,
-                       const std::string& resume_after, const cancel_token& cancel,
+                       const std::optional<std::string>& resume_after, const cancel_token& cancel,
                        const relay_sink& sink) {
   call.tried_peers.push_back(peer.id);
   call.tried_targets += (call.tried_targets.empty() ? "" : ",") + relay_attempt_id(peer.id).str();
--- a/src/node/hosted_relay.h
+++ b/src/node/hosted_relay.h
@@ -48,8 +48,10 @@
 [[nodiscard]] bool may_be_cut_off(hosted_state& node, const hosted_request& call);
 
 // Hands the call over and waits for the answer. Updates the call's counts of sends and runs.
+// `resume_after`: id of the last event that the caller received; empty: as the caller sent it.
 [[nodiscard]] relay_answer hand_over(hosted_state& node, hosted_request& call,
-                                     const node_record& peer, const std::string& resume_after,
+                                     const node_record& peer,
+                                     const std::optional<std::string>& resume_after,
                                      const cancel_token& cancel, const relay_sink& sink);
 
 // Sends the caller a buffered answer that was refused or answered, and finishes the call.
