--- a/src/version/service_map.cpp
+++ b/src/version/service_map.cpp
@@ -26,12 +26,14 @@
 }
 
 service_map::service_map(std::uint64_t version, std::vector<route> routes,
-                         std::vector<service_spec> services, std::vector<workspace_spec> workspaces,
+                         std::vector<service_spec> services,
+                         std::optional<std::vector<workspace_spec>> workspaces,
                          const caller_limits& limits)
     : version_(version),
       routes_(std::move(routes)),
       services_(std::move(services)),
-      workspaces_(std::move(workspaces)),
+      has_workspaces_(workspaces.has_value()),
+      workspaces_(std::move(workspaces).value_or(std::vector<workspace_spec>{})),
       limits_(limits) {
   for (std::size_t i = 0; i < routes_.size(); ++i) {
     routes_by_host_[lower_host(routes_[i].host)].push_back(i);
--- a/src/version/service_map.h
+++ b/src/version/service_map.h
@@ -122,15 +122,17 @@
 class service_map {
  public:
   service_map() = default;
+  // `workspaces`: empty if the version has no list of them, which is not the same as an empty list.
   service_map(std::uint64_t version, std::vector<route> routes, std::vector<service_spec> services,
-              std::vector<workspace_spec> workspaces, const caller_limits& limits);
+              std::optional<std::vector<workspace_spec>> workspaces, const caller_limits& limits);
 
   [[nodiscard]] std::uint64_t version() const { return version_; }
   [[nodiscard]] const caller_limits& limits() const { return limits_; }
   [[nodiscard]] const std::vector<service_spec>& services() const { return services_; }
   [[nodiscard]] const std::vector<route>& routes() const { return routes_; }
-  // Whether any workspaces are configured; if not, no request needs an API key.
-  [[nodiscard]] bool has_workspaces() const { return !workspaces_.empty(); }
+  // Whether the version has a list of workspaces; if not, no request needs an API key. With an
+  // empty list no key is valid.
+  [[nodiscard]] bool has_workspaces() const { return has_workspaces_; }
 
   // The route of this host with the longest prefix of `path`; null if there is none.
   [[nodiscard]] const route* find_route(std::string_view host, std::string_view path) const;
@@ -150,7 +152,8 @@
   std::uint64_t version_{};
   std::vector<route> routes_;
   std::vector<service_spec> services_;
-  std::vector<workspace_spec> workspaces_;
+  bool has_workspaces_ = false;
+  std::vector<workspace_spec> workspaces_;  // empty without has_workspaces_
   caller_limits limits_;
   // Indices of the host's routes in routes_, longest path prefix first.
   std::unordered_map<std::string, std::vector<std::size_t>> routes_by_host_;
--- a/tests/core/service_map_test.cpp
+++ b/tests/core/service_map_test.cpp
@@ -20,7 +20,7 @@
           {make_route("short", "a.example", "/x/"), make_route("long", "a.example", "/x/y/"),
            make_route("other", "b.example", "/")},
           {},
-          {{workspace_id{"desk"}, {"k1", "k2"}, 1}},
+          std::vector<workspace_spec>{{workspace_id{"desk"}, {"k1", "k2"}, 1}},
           {}};
 }
 
