Rules: a service with an empty list of workspaces may be called by none

Cause: service_rule kept a list and read "empty" as "all", which is also what an absent list means. Change: the list is optional; without one all may call, with an empty one none, and check warns. A content names an empty list by a flag beside it, so that contents of earlier releases, which wrote an empty list for "all", keep their meaning. Nodes of earlier releases ignore the flag. Tests: with the old meaning put back into may_be_called_by and the import, configuration.a_service_without_any_workspace_keeps_its_empty_list and import.an_empty_list_of_workspaces_is_not_an_absent_one fail; with the change they pass, as does an_empty_list_of_an_earlier_release_lets_all_workspaces_call. Not run on real nodes of two releases.

--- a/src/node/service_call.cpp
+++ b/src/node/service_call.cpp
@@ -92,9 +92,7 @@
       return make_error(404, "unknown_path", "no service has this path");
     }
     call_.measurements.target = service_->id.str();
-    const auto& allowed = service_->workspaces;
-    if (!allowed.empty() &&
-        std::find(allowed.begin(), allowed.end(), call_.workspace->id) == allowed.end()) {
+    if (!service_->may_be_called_by(call_.workspace->id)) {
       return make_error(403, "service_not_allowed", "this workspace may not use the service");
     }
     return std::nullopt;
--- a/src/version/configuration.cpp
+++ b/src/version/configuration.cpp
@@ -9,6 +9,7 @@
 #include <cstddef>
 #include <limits>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <stdexcept>
 #include <string_view>
 #include <type_traits>
@@ -109,7 +110,7 @@
   v("id", r.id);
   v("path_prefix", r.path_prefix);
   v("idempotent_calls", r.idempotent_calls);
-  v("workspaces", r.workspaces);
+  v("workspaces", "lists_workspaces", r.workspaces);
 }
 
 template <class V, record_of<class_rule> R>
@@ -161,6 +162,15 @@
   void operator()(const char* key, const T& value) {
     object_[key] = to_json_value(value);
   }
+  // Earlier releases know no absent lists: they write and read them as empty ones. So `flag` is
+  // written beside a list that is empty, and only there.
+  template <class T>
+  void operator()(const char* key, const char* flag, const std::optional<std::vector<T>>& list) {
+    (*this)(key, list.value_or(std::vector<T>{}));
+    if (list && list->empty()) {
+      object_[flag] = true;
+    }
+  }
   [[nodiscard]] json take() { return std::move(object_); }
 
  private:
@@ -235,6 +245,17 @@
     }
   }
 
+  template <class T>
+  void operator()(const char* key, const char* flag, std::optional<std::vector<T>>& list) {
+    std::vector<T> entries;
+    (*this)(key, entries);
+    bool is_listed = !entries.empty();
+    if (object_.contains(flag)) {
+      (*this)(flag, is_listed);
+    }
+    list = is_listed ? std::optional(std::move(entries)) : std::nullopt;
+  }
+
  private:
   const json& object_;
 };
--- a/src/version/cross_check.cpp
+++ b/src/version/cross_check.cpp
@@ -240,6 +240,20 @@
     }
   }
 
+  void check_callers(const service_rule& service, const std::string& path,
+                     const std::set<std::string, std::less<>>& workspaces) {
+    if (!service.workspaces) {
+      return;
+    }
+    if (service.workspaces->empty()) {
+      warning(path, "no workspace may call service " + quoted_for_message(service.id.str()));
+    }
+    for (std::size_t i = 0; i < service.workspaces->size(); ++i) {
+      check_reference(record_path(path + "/workspaces", i), "workspace",
+                      (*service.workspaces)[i].str(), workspaces);
+    }
+  }
+
   void check_service(const service_rule& service, const std::string& path,
                      const std::set<std::string, std::less<>>& workspaces) {
     const auto of_this = [&](const service_target& t) { return t.service == service.id; };
@@ -247,10 +261,7 @@
       warning(path, "service " + quoted_for_message(service.id.str()) +
                         " has no target in the inventory");
     }
-    for (std::size_t i = 0; i < service.workspaces.size(); ++i) {
-      check_reference(record_path(path + "/workspaces", i), "workspace",
-                      service.workspaces[i].str(), workspaces);
-    }
+    check_callers(service, path, workspaces);
     for (std::size_t i = 0; i < service.idempotent_calls.size(); ++i) {
       const std::string& call = service.idempotent_calls[i].path_prefix;
       if (!is_below(call, service.path_prefix)) {
--- a/src/version/import_rules.cpp
+++ b/src/version/import_rules.cpp
@@ -128,7 +128,9 @@
                   std::string(path_expected));
   }
   read_calls(table, path, service, result);
-  read_ids(table, "workspaces", path, service.workspaces, result);
+  if (table.contains("workspaces")) {
+    read_ids(table, "workspaces", path, service.workspaces.emplace(), result);
+  }
   table.finish();
   result.desired.services.push_back(std::move(service));
 }
--- a/src/version/rules.cpp
+++ b/src/version/rules.cpp
@@ -24,6 +24,10 @@
   return find_record(services, [&](const service_rule& s) { return s.id == id; });
 }
 
+bool service_rule::may_be_called_by(const workspace_id& workspace) const {
+  return !workspaces || std::ranges::find(*workspaces, workspace) != workspaces->end();
+}
+
 const workspace_rule* rules::find_workspace(const workspace_id& id) const {
   return find_record(workspaces, [&](const workspace_rule& w) { return w.id == id; });
 }
--- a/src/version/rules.h
+++ b/src/version/rules.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -49,8 +50,11 @@
     auto operator<=>(const idempotent_call&) const = default;
   };
   std::vector<idempotent_call> idempotent_calls;
-  std::vector<workspace_id> workspaces;  // may call the service; empty: all workspaces may
+  // Workspaces that may call the service. Without a list all may, with an empty one none.
+  std::optional<std::vector<workspace_id>> workspaces;
   auto operator<=>(const service_rule&) const = default;
+
+  [[nodiscard]] bool may_be_called_by(const workspace_id& workspace) const;
 };
 
 // A class of requests within a workspace, such as "interactive" or "batch".
--- a/src/version/toml_reader.h
+++ b/src/version/toml_reader.h
@@ -98,6 +98,7 @@
     read_name(key, text, need);
     id = name_id<Tag>{std::move(text)};
   }
+  [[nodiscard]] bool contains(std::string_view key) const { return find(key) != nullptr; }
   // The strings of a list; entries of another type are findings and not returned.
   [[nodiscard]] std::vector<located_value<std::string>> read_strings(std::string_view key);
   // Integers of a table with arbitrary keys, such as `replicas = { hall-a = 3 }`, each with the
--- a/tests/core/configuration_test.cpp
+++ b/tests/core/configuration_test.cpp
@@ -39,8 +39,10 @@
   model.adapters = {adapter_id{"brief"}};
   model.placements = {{data_centre_id{"hall-a"}, 5}};
   desired.models = {model};
-  desired.services = {
-      {service_id{"crew-api"}, "/crew", {{"GET", "/crew/cards"}}, {workspace_id{"w"}}}};
+  desired.services = {{service_id{"crew-api"},
+                       "/crew",
+                       {{"GET", "/crew/cards"}},
+                       std::vector<workspace_id>{workspace_id{"w"}}}};
   desired.workspaces = {
       {workspace_id{"w"}, {sha256_hex("key-w")}, {model_id{"dispatch-llm"}}, 2.5, 0.1, 30}};
   desired.classes = {{"interactive", 1, 12345678us, 1500ms}};
@@ -66,6 +68,36 @@
   EXPECT_TRUE(value->desired == full_rules());
 }
 
+// Guards against a service that every workspace may call once its last workspace is removed.
+TEST(configuration, a_service_without_any_workspace_keeps_its_empty_list) {
+  const workspace_id w{"w"};
+  rules desired = full_rules();
+  std::optional<std::vector<workspace_id>>& listed = desired.services[0].workspaces;
+  for (const auto& list :
+       {std::optional<std::vector<workspace_id>>{}, std::optional(std::vector<workspace_id>{}),
+        std::optional(std::vector<workspace_id>{w})}) {
+    listed = list;
+    const auto decoded = decode_content(encode_content(full_inventory(), desired), 1);
+    const auto* value = std::get_if<configuration>(&decoded);
+    ASSERT_NE(value, nullptr) << reason(decoded);
+    EXPECT_EQ(value->desired.services[0].workspaces, list);
+    EXPECT_EQ(value->desired.services[0].may_be_called_by(w), !list || !list->empty());
+    EXPECT_EQ(value->desired.services[0].may_be_called_by(workspace_id{"v"}), !list);
+  }
+}
+
+// Guards against a service that nobody may call after an upgrade: earlier releases wrote an empty
+// list where all may.
+TEST(configuration, an_empty_list_of_an_earlier_release_lets_all_workspaces_call) {
+  rules desired = full_rules();
+  desired.services[0].workspaces.reset();
+  const std::string content = encode_content(full_inventory(), desired);
+  EXPECT_NE(content.find(R"("workspaces":[])"), std::string::npos);
+  EXPECT_EQ(content.find("lists_workspaces"), std::string::npos);
+  const auto decoded = decode_content(content, 1);
+  EXPECT_FALSE(std::get<configuration>(decoded).desired.services[0].workspaces);
+}
+
 TEST(configuration, equal_values_give_equal_bytes) {
   const std::string once = encode_content(full_inventory(), full_rules());
   const auto decoded = decode_content(once, 1);
--- a/tests/core/cross_check_test.cpp
+++ b/tests/core/cross_check_test.cpp
@@ -122,7 +122,7 @@
      },
      "service \"crew-ap\" is not known; did you mean \"crew-api\"?"},
     {"unknown_workspace",
-     [](test_config& b) { b.desired.services[0].workspaces = {workspace_id{"other"}}; },
+     [](test_config& b) { b.desired.services[0].workspaces.emplace(1, workspace_id{"other"}); },
      "workspace \"other\" is not known"},
     {"unknown_model",
      [](test_config& b) { b.desired.workspaces[0].models = {model_id{"dispatch-lm"}}; },
@@ -132,6 +132,8 @@
        b.desired.workspaces.push_back({workspace_id{"v"}, {sha256_hex("w")}, {}});
      },
      "the key belongs to workspace \"w\" already"},
+    {"no_caller", [](test_config& b) { b.desired.services[0].workspaces.emplace(); },
+     "no workspace may call service \"crew-api\""},
     {"no_target", [](test_config& b) { b.assets.services.clear(); }, "has no target"},
     {"no_node", [](test_config& b) { b.assets.nodes.pop_back(); }, "has no node"},
     {"no_placement", [](test_config& b) { b.desired.models[0].placements.clear(); },
--- a/tests/core/import_test.cpp
+++ b/tests/core/import_test.cpp
@@ -116,6 +116,18 @@
   EXPECT_EQ(authenticate(desired, "example-crew-tablets")->id, workspace_id{"crew-tablets"});
 }
 
+// Guards against a service that every workspace may call once its last workspace is removed.
+TEST(import, an_empty_list_of_workspaces_is_not_an_absent_one) {
+  const auto workspaces_with = [](const std::string& line) {
+    const std::string service = "[[service]]\nid = \"a\"\npath_prefix = \"/a\"\n";
+    return import_rules(service + line, "r.toml").desired.services.at(0).workspaces;
+  };
+  EXPECT_FALSE(workspaces_with(""));
+  ASSERT_TRUE(workspaces_with("workspaces = []\n"));
+  EXPECT_TRUE(workspaces_with("workspaces = []\n")->empty());
+  EXPECT_EQ(workspaces_with("workspaces = [\"w\"]\n")->size(), 1U);
+}
+
 TEST(import, unknown_columns_are_ignored_but_misspelt_ones_are_not) {
   const auto extra = import_inventory("kind,owner,id,region\ndata_centre,Eva,a,r\n", "i.csv");
   EXPECT_TRUE(extra.problems.empty()) << text_of(extra.problems);
