Replicas kept for the choice are those of the service, not of any model of the name

Cause: hosted_state::replicas() takes a service and a model and kept its result by the model's name alone; after each change the service that was asked for first decided for both. The size was left out as well: a call that began under an older version, with another size, decided for later ones. Evidence: HostedState gets the head d-0 of the first service where it asks for the second one's. Change: the key is service, model and size, as model_key and replica_kind. It works since these three and the fleet are all that the result depends on, and a change of the fleet or version drops it. Tests, on the code before: ServicesWithModelsOfOneNameHaveReplicasOfTheirOwn and CallsOfAnOlderVersionDoNotChangeWhichReplicasServe failed, on the heads; with the change both pass.

--- a/src/base/id.h
+++ b/src/base/id.h
@@ -44,6 +44,14 @@
 // another target.
 using target_id = name_id<struct target_tag>;
 
+// Identifies a model on a hosted platform, where services may give models of their own the same
+// name.
+struct model_key {
+  service_id service;
+  model_id model;
+  auto operator<=>(const model_key&) const = default;
+};
+
 // Identifies one request on all nodes and targets that it passes.
 using request_id = name_id<struct request_tag>;
 // Key that a caller sends with a call, so that nodes recognise a repetition of the call.
--- a/src/node/hosted_state.cpp
+++ b/src/node/hosted_state.cpp
@@ -117,14 +117,13 @@
 const std::vector<serving_replica>& hosted_state::replicas(const service_spec& service,
                                                            const model_id& model) {
   drop_outdated_caches();
-  const auto found = cached_replicas_.find(model);
-  if (found != cached_replicas_.end()) {
-    return found->second;
-  }
   const model_spec* spec = service.engine->find_model(model);
-  return cached_replicas_[model] = spec == nullptr
-                                       ? std::vector<serving_replica>{}
-                                       : serving_replicas(fleet, service.id, model, spec->size);
+  const std::uint32_t size = spec == nullptr ? 0 : spec->size;
+  const auto [found, is_new] = cached_replicas_.try_emplace({{service.id, model}, size});
+  if (is_new && spec != nullptr) {
+    found->second = serving_replicas(fleet, service.id, model, size);
+  }
+  return found->second;
 }
 
 void hosted_state::drop_outdated_caches() {
--- a/src/node/hosted_state.h
+++ b/src/node/hosted_state.h
@@ -126,8 +126,8 @@
   bool requests_seen = false;
   bool stopping = false;
 
-  // Replicas of a model that may be sent requests now; cached until the fleet or the configuration
-  // changes.
+  // Replicas of the service's model that may be sent requests now; cached until the fleet or the
+  // configuration changes. The reference is valid until the next call.
   [[nodiscard]] const std::vector<serving_replica>& replicas(const service_spec& service,
                                                              const model_id& model);
   [[nodiscard]] const std::vector<service_instance>& instances_of(const service_id& service);
@@ -156,7 +156,13 @@
   std::uint64_t cached_version_ = 0;   // configuration version when the caches were filled
   void drop_outdated_caches();
 
-  std::map<model_id, std::vector<serving_replica>> cached_replicas_;
+  // A call that began under an older version may ask for another size of the model.
+  struct replica_kind {
+    model_key model;
+    std::uint32_t size{};
+    auto operator<=>(const replica_kind&) const = default;
+  };
+  std::map<replica_kind, std::vector<serving_replica>> cached_replicas_;
   std::map<service_id, std::vector<service_instance>> cached_instances_;
 };
 
--- a/tests/shell/hosted_state_test.cpp
+++ b/tests/shell/hosted_state_test.cpp
@@ -10,6 +10,8 @@
 
 using testing_support::connection_fixture;
 
+const model_id shared_model{"m"};
+
 class HostedState : public connection_fixture {
  protected:
   static std::vector<node_record> nodes(std::size_t count) {
@@ -67,6 +69,73 @@
   EXPECT_EQ(nodes_at(now_ + 12s), 20);
 }
 
+// Replicas of one model of this name, at targets of the service; each member is in a domain of its
+// own.
+void add_replica(fleet_view& fleet, const service_id& service, const std::string& name,
+                 std::uint32_t size) {
+  for (std::uint32_t rank = 0; rank < size; ++rank) {
+    target_record record;
+    record.id = target_id{name + "-" + std::to_string(rank)};
+    record.service = service;
+    record.address = {"127.0.0.1", static_cast<std::uint16_t>(7000 + fleet.all().size())};
+    record.data_centre = data_centre_id{"lab-a"};
+    record.slots = 4;
+    record.loaded = shared_model;
+    record.member_of =
+        membership{{name, 1}, rank, rank == 0 ? member_state::open : member_state::ready};
+    fleet.apply_record(time_point{900s}, record);
+  }
+}
+
+service_spec model_service(const service_id& id, std::uint32_t size) {
+  service_spec service;
+  service.id = id;
+  service.engine.emplace();
+  service.engine->models.push_back({.id = shared_model, .size = size});
+  return service;
+}
+
+std::vector<target_id> heads_of(const std::vector<serving_replica>& replicas) {
+  std::vector<target_id> heads;
+  for (const serving_replica& replica : replicas) {
+    heads.push_back(replica.head);
+  }
+  return heads;
+}
+
+// Guards against requests that run at another service, whose model has the same name.
+TEST_F(HostedState, ServicesWithModelsOfOneNameHaveReplicasOfTheirOwn) {
+  const service_id desk{"desk-llm"};
+  const service_id night{"night-llm"};
+  const service_spec of_desk = model_service(desk, 2);
+  const service_spec of_night = model_service(night, 3);
+  state_.map = std::make_shared<const service_map>(1, std::vector<route>{},
+                                                   std::vector<service_spec>{of_desk, of_night},
+                                                   std::vector<workspace_spec>{}, caller_limits{});
+  add_replica(state_.fleet, desk, "d", 2);
+  add_replica(state_.fleet, night, "n", 3);
+  const std::vector<target_id> desk_heads = {target_id{"d-0"}};
+  const std::vector<target_id> night_heads = {target_id{"n-0"}};
+  EXPECT_EQ(heads_of(state_.replicas(of_desk, shared_model)), desk_heads);
+  EXPECT_EQ(heads_of(state_.replicas(of_night, shared_model)), night_heads);
+  EXPECT_EQ(heads_of(state_.replicas(of_desk, shared_model)), desk_heads);
+}
+
+// Guards against a call of an older version, with another size of the model, that decides which
+// replicas the calls of the version in force find.
+TEST_F(HostedState, CallsOfAnOlderVersionDoNotChangeWhichReplicasServe) {
+  const service_id desk{"desk-llm"};
+  const service_spec before = model_service(desk, 3);
+  const service_spec in_force = model_service(desk, 2);
+  state_.map = std::make_shared<const service_map>(2, std::vector<route>{},
+                                                   std::vector<service_spec>{in_force},
+                                                   std::vector<workspace_spec>{}, caller_limits{});
+  add_replica(state_.fleet, desk, "d", 2);
+  EXPECT_TRUE(state_.replicas(before, shared_model).empty());
+  EXPECT_EQ(heads_of(state_.replicas(in_force, shared_model)),
+            std::vector<target_id>{target_id{"d-0"}});
+}
+
 // Guards against connections that use up the descriptors, so that no target can be reached.
 TEST_F(HostedState, ConnectionsLeaveDescriptorsForTargets) {
   hosted_settings of = settings();
