Demand, estimates and metrics of a model are kept by service and name

Two services that serve a model of one name would have shared demand, shares of workspaces, corrections of estimates, slow first events, metrics and log lines. Cause: these were kept by the model's name alone. Change: they are kept by model_key. Heartbeats name the service of demand after the fields of before, once for the rows of a service, about 15 bytes a heartbeat where streams have priorities; the receiver completes rows of earlier releases with the first service that has the model. Metrics have a label "service", log lines a field; explain and outcomes tell services apart. Tests: with the keys taken back to the name, one by one in a scratch change, ModelDemand (2), LatencyCalibration, StallMonitor and NodeHeartbeat fail, one each but for demand; with the change all pass. HostedAdmission now asks for the label "service" as well, which is stricter. Not run: two such services with priorities on real processes, nodes of two releases together.

--- a/src/admission/replica_room.cpp
+++ b/src/admission/replica_room.cpp
@@ -153,7 +153,7 @@
 
 }  // namespace
 
-std::vector<request_class> request_classes(const model_demand& demand, const model_id& model) {
+std::vector<request_class> request_classes(const model_demand& demand, const model_key& model) {
   std::vector<request_class> classes;
   for (const auto& [key, rate] : demand) {
     if (key.model == model && rate.calls_per_second > 0) {
--- a/src/admission/replica_room.h
+++ b/src/admission/replica_room.h
@@ -50,7 +50,7 @@
 
 // The classes of a model, most urgent first.
 [[nodiscard]] std::vector<request_class> request_classes(const model_demand& demand,
-                                                         const model_id& model);
+                                                         const model_key& model);
 
 // What is known of a replica that may be sent requests.
 struct known_replica {
--- a/src/capacity/demand_plan.cpp
+++ b/src/capacity/demand_plan.cpp
@@ -21,10 +21,11 @@
   return std::accumulate(values.begin(), values.end(), 0.0);
 }
 
-std::vector<double> observed_work(const engine_parameters& engine, const model_demand& demand) {
+std::vector<double> observed_work(const service_id& service, const engine_parameters& engine,
+                                  const model_demand& demand) {
   std::vector<double> work;
   for (const model_spec& model : engine.models) {
-    const demand_rate rate = total_demand(demand, model.id);
+    const demand_rate rate = total_demand(demand, {service, model.id});
     work.push_back(rate.calls_per_second > 0
                        ? rate.calls_per_second / replica_service_rate(engine, model, rate)
                        : 0);
@@ -77,7 +78,7 @@
 
 bool demand_plan::update(time_point now, const engine_parameters& engine, const inputs& in) {
   reset_if_reconfigured(engine);
-  const std::vector<double> work = observed_work(engine, in.demand);
+  const std::vector<double> work = observed_work(in.service, engine, in.demand);
   // A node that hears too few others sees too little demand. If it acted on that, it would tear
   // down replicas that the others need.
   if (in.heard_nodes < min_heard_nodes || sum_of(work) <= 0) {
--- a/src/capacity/demand_plan.h
+++ b/src/capacity/demand_plan.h
@@ -33,6 +33,7 @@
 class demand_plan {
  public:
   struct inputs {
+    const service_id& service;
     const model_demand& demand;  // of the deployment
     double heard_nodes = 1;      // fraction of the known nodes that are heard
     std::size_t engines = 0;     // of the service, in all data centres
--- a/src/capacity/model_demand.cpp
+++ b/src/capacity/model_demand.cpp
@@ -35,7 +35,7 @@
   }
 }
 
-demand_rate total_demand(const model_demand& demand, const model_id& model) {
+demand_rate total_demand(const model_demand& demand, const model_key& model) {
   demand_rate sum;
   for (const auto& [key, rate] : demand) {
     if (key.model == model) {
@@ -45,6 +45,20 @@
   return sum;
 }
 
+model_demand with_services(const model_demand& demand, const service_map& services) {
+  model_demand result;
+  for (const auto& [key, rate] : demand) {
+    const service_id* service = &key.model.service;
+    if (service->empty()) {
+      service = services.find_service_of(key.model.model);
+    }
+    if (service != nullptr) {
+      result[{{*service, key.model.model}, key.priority}].add(rate);
+    }
+  }
+  return result;
+}
+
 void demand_table::count_call(time_point now, const demand_key& key, const generation_size& size,
                               duration latency_objective) {
   counted_calls& counted = own_[key];
--- a/src/capacity/model_demand.h
+++ b/src/capacity/model_demand.h
@@ -15,11 +15,12 @@
 #include "base/id.h"
 #include "base/units.h"
 #include "request/replica_choice.h"
+#include "version/service_map.h"
 
 namespace arbutus {
 
 struct demand_key {
-  model_id model;
+  model_key model;
   std::uint32_t priority{};  // 0 is the most urgent
   auto operator<=>(const demand_key&) const = default;
 };
@@ -33,6 +34,7 @@
   double latency_objective_s{};
 
   void add(const demand_rate& other);
+  bool operator==(const demand_rate&) const = default;
 };
 
 using model_demand = std::map<demand_key, demand_rate>;
@@ -40,7 +42,11 @@
 void add_demand(model_demand& sum, const model_demand& demand);
 
 // Rates of all priorities of a model together.
-[[nodiscard]] demand_rate total_demand(const model_demand& demand, const model_id& model);
+[[nodiscard]] demand_rate total_demand(const model_demand& demand, const model_key& model);
+
+// Adds the services that releases before this one do not tell: the first of the version with such a
+// model. Demand for models that no service has is left out.
+[[nodiscard]] model_demand with_services(const model_demand& demand, const service_map& services);
 
 class demand_table {
  public:
--- a/src/capacity/replica_controller_demand.cpp
+++ b/src/capacity/replica_controller_demand.cpp
@@ -54,7 +54,8 @@
       std::any_of(ctx.engine.models.begin(), ctx.engine.models.end(),
                   [&](const model_spec& m) { return !served.contains(m.id); });
   ctx.shares_changed = demand_plan_.update(
-      ctx.now, ctx.engine, {ctx.own.demand, ctx.own.heard_nodes, engines, has_unserved_model});
+      ctx.now, ctx.engine,
+      {ctx.service.id, ctx.own.demand, ctx.own.heard_nodes, engines, has_unserved_model});
   demand_changes_ += ctx.shares_changed ? 1 : 0;
   ctx.shares = demand_plan_.shares();
 }
@@ -67,8 +68,9 @@
   const std::vector<double> work = demand_plan_.work();
   for (std::size_t m = 0; m < ctx.engine.models.size(); ++m) {
     const model_spec& model = ctx.engine.models[m];
-    model_plan plan{model.id, total_demand(ctx.own.demand, model.id).calls_per_second, work[m],
-                    ctx.shares[m], 0};
+    model_plan plan{model.id,
+                    total_demand(ctx.own.demand, {ctx.service.id, model.id}).calls_per_second,
+                    work[m], ctx.shares[m], 0};
     for (const auto& [id, domain] : ctx.domains) {
       plan.planned_replicas += domain.desired[m] / model.size;
     }
--- a/src/node/controller_heartbeats.cpp
+++ b/src/node/controller_heartbeats.cpp
@@ -281,11 +281,11 @@
                                   const node_heartbeat& message) {
   const bool same = message.data_centre == node_.settings.data_centre;
   const bool accepted = node_.peers.is_hub(now) ? same != message.hub : same && message.hub;
-  if (accepted) {
+  if (accepted && node_.map) {
     const load_scope scope = !message.hub ? load_scope::node
                              : same       ? load_scope::deployment
                                           : load_scope::data_centre;
-    node_.demand.set_peer_demand(now, peer, scope, message.demand);
+    node_.demand.set_peer_demand(now, peer, scope, with_services(message.demand, *node_.map));
   }
 }
 
--- a/src/node/controller_loop.cpp
+++ b/src/node/controller_loop.cpp
@@ -185,7 +185,7 @@
     for (const controller_effect& desired : found->second.tick(now, node_.fleet, service, own)) {
       carry_out(service.id, desired);
     }
-    log_plan(now, found->second);
+    log_plan(now, service.id, found->second);
     log_demand_change(service.id, found->second);
   }
   if (now - capacity_logged_at_ >= capacity_log_interval) {
@@ -220,7 +220,8 @@
   counted.changes = controller.demand_changes();
   for (const replica_controller::model_plan& plan : controller.model_plans()) {
     log_line(log_level::info, "keeper", "demand",
-             {{"model", plan.model},
+             {{"service", service},
+              {"model", plan.model},
               {"calls_per_s", plan.calls_per_second},
               {"work", plan.work},
               {"engine_time_share", plan.engine_time_share},
@@ -235,7 +236,8 @@
   }
   for (const auto& [service, controller] : controllers_) {
     for (const replica_controller::model_plan& plan : controller.model_plans()) {
-      const std::string label = "{model=\"" + plan.model.str() + "\"} ";
+      const std::string label =
+          "{service=\"" + service.str() + "\",model=\"" + plan.model.str() + "\"} ";
       text +=
           "arbutusworks_model_calls_per_s" + label + std::to_string(plan.calls_per_second) + '\n';
       text += "arbutusworks_model_work" + label + std::to_string(plan.work) + '\n';
@@ -248,38 +250,42 @@
 
 // Logs the replicas and engines available to the controller when they change, at most once a
 // second.
-void controller_loop::log_plan(time_point now, const replica_controller& controller) {
-  if (now - plan_logged_at_ < plan_log_interval || controller.plan() == logged_plan_) {
+void controller_loop::log_plan(time_point now, const service_id& service,
+                               const replica_controller& controller) {
+  time_point& logged_at = plans_logged_at_[service];
+  std::vector<replica_controller::domain_plan>& logged = logged_plans_[service];
+  if (now - logged_at < plan_log_interval || controller.plan() == logged) {
     return;
   }
-  plan_logged_at_ = now;
-  logged_plan_ = controller.plan();
+  logged_at = now;
+  logged = controller.plan();
   std::string text;
   const auto add = [&text](const std::vector<std::uint32_t>& counts) {
     for (const std::uint32_t n : counts) {
       text += (text.ends_with('[') ? "" : "+") + std::to_string(n);
     }
   };
-  for (const auto& d : logged_plan_) {
+  for (const auto& d : logged) {
     text += (text.empty() ? "" : "; ") + d.domain.str() + " ready [";
     add(d.ready);
     text += "] wanted [";
     add(d.desired);
     text += "] blank " + std::to_string(d.unloaded) + " free " + std::to_string(d.free);
   }
-  log_line(log_level::info, "keeper", "plan", {{"domains", text}});
+  log_line(log_level::info, "keeper", "plan", {{"service", service}, {"domains", text}});
 }
 
 // Logs each change of the number of replicas that may be sent requests.
 void controller_loop::log_capacity(const service_spec& service) {
   for (const model_spec& model : service.engine->models) {
     const std::size_t serving = node_.replicas(service, model.id).size();
-    const auto [known, is_new] = logged_capacity_.emplace(model.id, serving);
+    const auto [known, is_new] = logged_capacity_.emplace(model_key{service.id, model.id}, serving);
     if (!is_new && known->second == serving) {
       continue;
     }
     log_line(log_level::info, "fleet", "capacity",
-             {{"model", model.id},
+             {{"service", service.id},
+              {"model", model.id},
               {"replicas", std::uint64_t{serving}},
               {"before", std::uint64_t{is_new ? 0 : known->second}}});
     known->second = serving;
@@ -316,6 +322,7 @@
               {"action", to_string(order.action)},
               {"replica", order.replica.name},
               {"epoch", order.replica.epoch},
+              {"service", service},
               {"model", order.model},
               {"expected_orders", order.expected_orders},
               {"reason", order.reason},
--- a/src/node/controller_loop.h
+++ b/src/node/controller_loop.h
@@ -64,7 +64,7 @@
   void apply_heartbeat(time_point now, const node_id& peer, const node_heartbeat& message);
   void run_controllers(time_point now);
   void log_capacity(const service_spec& service);
-  void log_plan(time_point now, const replica_controller& controller);
+  void log_plan(time_point now, const service_id& service, const replica_controller& controller);
   void refresh_demand(time_point now);
   void log_demand_change(const service_id& service, const replica_controller& controller);
   void carry_out(const service_id& service, const controller_effect& effect);
@@ -157,17 +157,17 @@
   bool ended_ = false;
   std::set<data_centre_id>
       responsible_data_centres_;  // data centres whose replicas this node controls
-  std::map<model_id, std::size_t>
+  std::map<model_key, std::size_t>
       logged_capacity_;  // replicas that may be sent requests, as last logged
   control_costs costs_;  // since costs_logged_at_
   time_point costs_logged_at_ = started_at_;
   time_point controllers_due_at_{};
   time_point heartbeats_sent_at_{};
-  time_point plan_logged_at_{};
+  std::map<service_id, time_point> plans_logged_at_;
   time_point capacity_logged_at_{};
   time_point lost_probed_at_{};
   time_point hub_reply_at_{};  // the hub's last heartbeat that echoed a stamp of this node
-  std::vector<replica_controller::domain_plan> logged_plan_;
+  std::map<service_id, std::vector<replica_controller::domain_plan>> logged_plans_;
 };
 
 }  // namespace arbutus
--- a/src/node/hosted_call.cpp
+++ b/src/node/hosted_call.cpp
@@ -130,10 +130,10 @@
                         call_.map->has_prioritised_streams(call_.service->id) &&
                         call_.service->engine->find_model(call_.fields.model) != nullptr;
     if (counts) {
-      node_.demand.count_call(call_.arrived, {call_.fields.model, call_.urgency.value_or(0)},
-                              call_.fields.size, call_.matched_route->latency_objective);
-      node_.shares.count_call(call_.arrived, {call_.fields.model, call_.urgency.value_or(0)},
-                              call_.workspace);
+      const demand_key key{model_of(call_), call_.urgency.value_or(0)};
+      node_.demand.count_call(call_.arrived, key, call_.fields.size,
+                              call_.matched_route->latency_objective);
+      node_.shares.count_call(call_.arrived, key, call_.workspace);
     }
   }
 
--- a/src/node/hosted_metrics.h
+++ b/src/node/hosted_metrics.h
@@ -20,8 +20,8 @@
   void record(const finished_call& call) { calls_.record(0, call); }
   // The time of a step that is not a request; `step` names its histogram.
   void record_step(std::string_view step, duration took) { calls_.record_step(0, step, took); }
-  // The same by model.
-  void record_model_step(std::string_view step, const model_id& model, duration took) {
+  // The same by service and model.
+  void record_model_step(std::string_view step, const model_key& model, duration took) {
     calls_.record_model_step(0, step, model, took);
   }
   [[nodiscard]] std::string text(std::string_view gauges) const { return calls_.text(gauges); }
--- a/src/node/hosted_node.cpp
+++ b/src/node/hosted_node.cpp
@@ -175,8 +175,9 @@
       if (monotonic_now() - figures.at > max_age) {
         continue;
       }
-      const std::string label =
-          "{model=\"" + key.model.str() + "\",priority=\"" + std::to_string(key.priority) + "\"}";
+      const std::string label = "{service=\"" + key.model.service.str() + "\",model=\"" +
+                                key.model.model.str() + "\",priority=\"" +
+                                std::to_string(key.priority) + "\"}";
       text += "arbutusworks_demand_per_second" + label + ' ' +
               std::to_string(figures.calls_per_second) + '\n';
       text += "arbutusworks_room" + label + ' ' + std::to_string(figures.room) + '\n';
--- a/src/node/hosted_parts.h
+++ b/src/node/hosted_parts.h
@@ -53,6 +53,11 @@
   bool writes_log_lines = true;        // whether log lines of this call are written: all or none
 };
 
+// The model of a call whose service is known.
+[[nodiscard]] inline model_key model_of(const hosted_request& call) {
+  return {call.service->id, call.fields.model};
+}
+
 // A call that has just arrived.
 [[nodiscard]] hosted_request begin_call(hosted_state& node, const http_request& request,
                                         response_writer& writer);
--- a/src/node/log_outcomes.cpp
+++ b/src/node/log_outcomes.cpp
@@ -123,8 +123,10 @@
 }
 
 void log_outcomes::record_capacity(const logged_line& line) {
-  replica_counts_[std::string(line.field("model"))][line.node][line.time] =
-      parse_count(line.field("replicas"));
+  // Nodes of earlier releases do not log the service.
+  std::string name(line.field("service"));
+  name += (name.empty() ? "" : "/") + std::string(line.field("model"));
+  replica_counts_[name][line.node][line.time] = parse_count(line.field("replicas"));
 }
 
 std::map<std::string, std::uint64_t> log_outcomes::replicas_at(wall_clock_time window) const {
--- a/src/node/metrics.cpp
+++ b/src/node/metrics.cpp
@@ -54,7 +54,7 @@
 
 using series_map = std::map<series_key, duration_stats>;
 // Steps that are not measured by model have the empty one.
-using model_series = std::map<model_id, duration_stats>;
+using model_series = std::map<model_key, duration_stats>;
 using counter_key = std::pair<std::string, std::string>;  // name and labels
 
 std::string escape_label(std::string_view value) {
@@ -76,8 +76,12 @@
          escape_label(key.request_class) + "\",target=\"" + escape_label(key.target) + "\"";
 }
 
-std::string labels_of(const model_id& model) {
-  return model.empty() ? std::string{} : "model=\"" + escape_label(model.str()) + "\"";
+std::string labels_of(const model_key& key) {
+  if (key == model_key{}) {
+    return {};
+  }
+  return "service=\"" + escape_label(key.service.str()) + "\",model=\"" +
+         escape_label(key.model.str()) + "\"";
 }
 
 template <class Key>
@@ -155,7 +159,7 @@
   record_model_step(shard, step, {}, took);
 }
 
-void metrics::record_model_step(std::size_t shard, std::string_view step, const model_id& model,
+void metrics::record_model_step(std::size_t shard, std::string_view step, const model_key& model,
                                 duration took) {
   shard_state& state = state_[shard % shards_];
   const std::lock_guard guard(state.lock);
--- a/src/node/metrics.h
+++ b/src/node/metrics.h
@@ -37,8 +37,8 @@
   void record(std::size_t shard, const finished_call& call);
   // Records the duration of an operation other than a request, as `arbutusworks_STEP_seconds`.
   void record_step(std::size_t shard, std::string_view step, duration took);
-  // The same by model, as `arbutusworks_STEP_seconds{model="MODEL"}`.
-  void record_model_step(std::size_t shard, std::string_view step, const model_id& model,
+  // The same by model, as `arbutusworks_STEP_seconds{service="SERVICE",model="MODEL"}`.
+  void record_model_step(std::size_t shard, std::string_view step, const model_key& model,
                          duration took);
   // Adds to a named counter; `labels` is written as given, for example `label="value"`.
   void count(std::size_t shard, std::string_view name, std::string_view labels = {},
--- a/src/node/replica_run.cpp
+++ b/src/node/replica_run.cpp
@@ -15,7 +15,7 @@
   node_.limits.sent(sent_at_, head());
   node_.poison.tracker.run_sent(sent_at_, head());
   node_.loads.sent(head(), call_.fields.size);
-  node_.replica_stalls.on_stream_sent(sent_at_, head(), replica_.model,
+  node_.replica_stalls.on_stream_sent(sent_at_, head(), replica_.key_of_model(),
                                       expected_.modelled_first_event);
   const call_result result = node_.targets_http.stream(
       {replica_.address.host, replica_.address.port},
@@ -25,7 +25,7 @@
       [this] { return is_send_permitted(); });
   node_.loads.ended(head(), call_.fields.size, had_first_event());
   if (had_first_event() && result.ok() && call_.map->has_prioritised_streams(call_.service->id)) {
-    node_.calibration.observe_request(replica_.model, expected_.request_time,
+    node_.calibration.observe_request(replica_.key_of_model(), expected_.request_time,
                                       monotonic_now() - sent_at_);
   }
   node_.replica_stalls.on_stream_ended(monotonic_now(), head(), had_first_event());
@@ -110,8 +110,9 @@
   node_.poison.tracker.first_event_received(now - sent_at_);
   node_.loads.first_event(head(), call_.fields.size);
   node_.replica_stalls.on_first_event(head(), now - sent_at_, expected_.modelled_first_event);
-  node_.metrics.record_model_step("expected_first_event", replica_.model, expected_.to_first_event);
-  node_.metrics.record_model_step("observed_first_event", replica_.model, now - sent_at_);
+  node_.metrics.record_model_step("expected_first_event", replica_.key_of_model(),
+                                  expected_.to_first_event);
+  node_.metrics.record_model_step("observed_first_event", replica_.key_of_model(), now - sent_at_);
   calibrate(now);
   if (call_.first_event_at == time_point{}) {
     call_.first_event_at = now;
@@ -125,7 +126,8 @@
   const double load = std::max(expected_.active, node_.loads.total(head()).active);
   if (call_.map->has_prioritised_streams(call_.service->id) &&
       load < max_slots_taken * call_.service->engine->slots) {
-    node_.calibration.observe(replica_.model, expected_.modelled_first_event, now - sent_at_);
+    node_.calibration.observe(replica_.key_of_model(), expected_.modelled_first_event,
+                              now - sent_at_);
   }
 }
 
--- a/src/node/request_timeline.cpp
+++ b/src/node/request_timeline.cpp
@@ -130,7 +130,8 @@
     return "store " + std::string(line.field("what"));
   }
   if (line.part == "fleet" && line.message == "capacity") {
-    return "capacity " + std::string(line.field("model"));
+    return "capacity " + std::string(line.field("service")) + ' ' +
+           std::string(line.field("model"));
   }
   if (line.part == "evacuation") {
     return "evacuation " + std::string(line.field("data_centre"));
--- a/src/node/stream_admission.cpp
+++ b/src/node/stream_admission.cpp
@@ -29,7 +29,7 @@
 }
 
 // For the gauges.
-void keep_figures(hosted_state& node, time_point now, const model_id& model,
+void keep_figures(hosted_state& node, time_point now, const model_key& model,
                   const admission_plan& plan, std::span<const request_class> classes) {
   for (std::size_t i = 0; i < plan.classes.size(); ++i) {
     const class_admission& c = plan.classes[i];
@@ -45,15 +45,16 @@
 void note_decision(hosted_state& node, const hosted_request& call, const class_admission& c,
                    const admission_plan& plan, double of_workspace,
                    const std::optional<refusal>& refused) {
-  node.metrics.count("arbutusworks_admissions", "model=\"" + call.fields.model.str() +
-                                                    "\",priority=\"" + std::to_string(c.priority) +
-                                                    "\",decision=\"" +
-                                                    (refused ? "refused" : "admitted") + "\"");
+  node.metrics.count("arbutusworks_admissions",
+                     "service=\"" + call.service->id.str() + "\",model=\"" +
+                         call.fields.model.str() + "\",priority=\"" + std::to_string(c.priority) +
+                         "\",decision=\"" + (refused ? "refused" : "admitted") + "\"");
   if (!refused || !call.writes_log_lines) {
     return;
   }
   log_line(log_level::info, "admission", "refused",
            {{"request", call.fields.id},
+            {"service", call.service->id},
             {"model", call.fields.model},
             {"priority", c.priority},
             {"fraction", c.fraction},
@@ -84,17 +85,18 @@
   if (node.trend.is_due(now)) {
     node.trend.update(now, node.demand.all(now));
   }
-  const std::vector<request_class> classes = request_classes(node.trend.current(), model.id);
+  const model_key key = model_of(call);
+  const std::vector<request_class> classes = request_classes(node.trend.current(), key);
   admission_plan plan = plan_admission(*call.service->engine, model, known, classes,
-                                       node.calibration.correction(model.id));
+                                       node.calibration.correction(key));
   class_admission* own = plan.find(call.urgency.value_or(0));
   if (own == nullptr) {
     return result;
   }
-  keep_figures(node, now, model.id, plan, classes);
+  keep_figures(node, now, key, plan, classes);
   if (may_refuse(call)) {
     const double fraction =
-        node.shares.fraction(now, {model.id, own->priority}, call.workspace, own->fraction);
+        node.shares.fraction(now, {key, own->priority}, call.workspace, own->fraction);
     if (fraction < 1 && node.random.unit() >= fraction) {
       result.refused = {retry_delay(plan, call.deadline - now, node.random.unit()),
                         at_capacity_reason};
--- a/src/node/stream_step.cpp
+++ b/src/node/stream_step.cpp
@@ -88,7 +88,7 @@
                                not_chosen,
                                suspects,
                                node.random.unit(),
-                               node.calibration.correction(model.id).first_event,
+                               node.calibration.correction(model_of(call)).first_event,
                                admission.can_take,
                                admission.loads};
   const replica_choice choice =
--- a/src/process/fleet_view.h
+++ b/src/process/fleet_view.h
@@ -217,6 +217,8 @@
   std::vector<data_centre_id> other_data_centres = {};
   bool crosses_domains = false;
   double slowdown_factor = 1;  // of the replica's slowest member, on top of the model's factor
+
+  [[nodiscard]] model_key key_of_model() const { return {service, model}; }
 };
 
 // Whether serving_replicas() includes replicas with members that this node has marked as lost.
--- a/src/process/node_heartbeat.cpp
+++ b/src/process/node_heartbeat.cpp
@@ -86,20 +86,35 @@
   return value >= 0 && std::isfinite(value);
 }
 
+constexpr std::size_t demand_service_field = 6;
+
+// A row names its service only if it differs from that of the row before. Rows of earlier releases
+// name none.
 json demand_to_json(const model_demand& demand) {
   json rows = json::array();
+  service_id named;
   for (const auto& [key, rate] : demand) {
-    rows.push_back(json::array({key.model.str(), key.priority, rate.calls_per_second,
-                                rate.prompt_tokens_per_second, rate.answer_tokens_per_second,
-                                rate.latency_objective_s}));
+    json row = json::array({key.model.model.str(), key.priority, rate.calls_per_second,
+                            rate.prompt_tokens_per_second, rate.answer_tokens_per_second,
+                            rate.latency_objective_s});
+    if (key.model.service != named) {
+      named = key.model.service;
+      row.push_back(named.str());
+    }
+    rows.push_back(std::move(row));
   }
   return rows;
 }
 
 model_demand demand_from_json(const json& from) {
   model_demand demand;
+  service_id named;
   for (const json& row : from) {
-    const demand_key key{model_id{row.at(0).get<std::string>()}, row.at(1).get<std::uint32_t>()};
+    if (row.size() > demand_service_field) {
+      named = service_id{row.at(demand_service_field).get<std::string>()};
+    }
+    const demand_key key{{named, model_id{row.at(0).get<std::string>()}},
+                         row.at(1).get<std::uint32_t>()};
     const demand_rate rate{row.at(2).get<double>(), row.at(3).get<double>(),
                            row.at(4).get<double>(), row.at(5).get<double>()};
     const bool valid = is_rate(rate.calls_per_second) && is_rate(rate.prompt_tokens_per_second) &&
--- a/src/process/stall_monitor.cpp
+++ b/src/process/stall_monitor.cpp
@@ -21,7 +21,7 @@
   });
 }
 
-void stall_monitor::on_stream_sent(time_point now, const target_id& head, const model_id& model,
+void stall_monitor::on_stream_sent(time_point now, const target_id& head, const model_key& model,
                                    duration expected_first) {
   remove_idle(now);
   state& s = states_by_head_[head];
--- a/src/process/stall_monitor.h
+++ b/src/process/stall_monitor.h
@@ -55,7 +55,7 @@
   explicit stall_monitor(const stall_settings& settings = {}) : settings_(settings) {}
 
   // A stream of `model` was sent; its first event is expected after `expected_first`.
-  void on_stream_sent(time_point now, const target_id& head, const model_id& model,
+  void on_stream_sent(time_point now, const target_id& head, const model_key& model,
                       duration expected_first);
   // An event came; the next one of any stream of this head is expected after `expected_gap`.
   void on_event(time_point now, const target_id& head, duration expected_gap);
@@ -83,7 +83,7 @@
     std::uint32_t found_healthy = 0;  // healthy results in a row without an event in between
     time_point first_event_due{};  // when a first event should come; used if no stream is running
     time_point earliest_check_at{};
-    model_id model;
+    model_key model;
     time_point idle_since{};  // end of the last stream
   };
 
@@ -96,7 +96,7 @@
   stall_settings settings_;
   std::map<target_id, state> states_by_head_;
   // Recent maximum of actual / expected time to the first event.
-  std::map<model_id, double> first_event_ratios_;
+  std::map<model_key, double> first_event_ratios_;
 };
 
 }  // namespace arbutus
--- a/src/request/latency_calibration.cpp
+++ b/src/request/latency_calibration.cpp
@@ -5,7 +5,7 @@
 
 namespace arbutus {
 
-void latency_calibration::observe(const model_id& model, duration modelled, duration observed) {
+void latency_calibration::observe(const model_key& model, duration modelled, duration observed) {
   model_state& state = by_model_[model];
   state.first_events += 1;
   const double weight = std::max(settings_.weight, 1 / state.first_events);
@@ -16,7 +16,7 @@
                  to_seconds(settings_.min_correction), to_seconds(settings_.max_correction));
 }
 
-void latency_calibration::observe_request(const model_id& model, duration modelled,
+void latency_calibration::observe_request(const model_key& model, duration modelled,
                                           duration observed) {
   model_state& state = by_model_[model];
   const double known = to_seconds(modelled);
@@ -26,7 +26,7 @@
       settings_.request_time_decay * state.observed_s + std::min(to_seconds(observed), limit);
 }
 
-latency_correction latency_calibration::correction(const model_id& model) const {
+latency_correction latency_calibration::correction(const model_key& model) const {
   const auto found = by_model_.find(model);
   if (found == by_model_.end()) {
     return {};
--- a/src/request/latency_calibration.h
+++ b/src/request/latency_calibration.h
@@ -44,12 +44,12 @@
   explicit latency_calibration(const calibration_settings& settings = {}) : settings_(settings) {}
 
   // A first event came `observed` after the request was sent; `modelled`: by estimate().
-  void observe(const model_id& model, duration modelled, duration observed);
+  void observe(const model_key& model, duration modelled, duration observed);
 
   // A request ended `observed` after it was sent; `modelled`: replica_estimate::request_time.
-  void observe_request(const model_id& model, duration modelled, duration observed);
+  void observe_request(const model_key& model, duration modelled, duration observed);
 
-  [[nodiscard]] latency_correction correction(const model_id& model) const;
+  [[nodiscard]] latency_correction correction(const model_key& model) const;
 
  private:
   struct model_state {
@@ -60,7 +60,7 @@
     double observed_s = 1;
   };
   calibration_settings settings_;
-  std::map<model_id, model_state> by_model_;
+  std::map<model_key, model_state> by_model_;
 };
 
 }  // namespace arbutus
--- a/src/version/service_map.cpp
+++ b/src/version/service_map.cpp
@@ -101,6 +101,13 @@
   return found == services_.end() ? nullptr : &*found;
 }
 
+const service_id* service_map::find_service_of(const model_id& model) const {
+  const auto found = std::ranges::find_if(services_, [&](const service_spec& s) {
+    return s.engine && s.engine->find_model(model) != nullptr;
+  });
+  return found == services_.end() ? nullptr : &found->id;
+}
+
 const service_id* pick_service(const route& r, std::string_view subject) {
   double total = 0;
   for (const route_share& share : r.shares) {
--- a/src/version/service_map.h
+++ b/src/version/service_map.h
@@ -138,6 +138,8 @@
   [[nodiscard]] const route* find_route(std::string_view host, std::string_view path) const;
   [[nodiscard]] const workspace_spec* find_workspace(std::string_view key) const;
   [[nodiscard]] const service_spec* find_service(const service_id& id) const;
+  // The first service with a model of this name; null if there is none.
+  [[nodiscard]] const service_id* find_service_of(const model_id& model) const;
   // All regions that routes and workspaces name.
   [[nodiscard]] std::set<region_id> named_regions() const;
   // Whether the streams that this service serves differ in priority, so that its callers compete
--- a/tests/core/demand_plan_test.cpp
+++ b/tests/core/demand_plan_test.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr time_point start{1000s};
+const service_id service{"s"};
 const model_id fast{"fast"};
 const model_id big{"big"};
 
@@ -38,10 +39,10 @@
 model_demand calls_per_second(double of_fast, double of_big) {
   model_demand demand;
   if (of_fast > 0) {
-    demand[{fast, 0}] = fast_calls(of_fast);
+    demand[{{service, fast}, 0}] = fast_calls(of_fast);
   }
   if (of_big > 0) {
-    demand[{big, 0}] = big_calls(of_big);
+    demand[{{service, big}, 0}] = big_calls(of_big);
   }
   return demand;
 }
@@ -55,7 +56,8 @@
     int changes = 0;
     for (const time_point until = now_ + length; now_ < until;) {
       now_ += 100ms;
-      changes += plan_.update(now_, engine_, {demand(now_), heard_nodes, 150, lost_}) ? 1 : 0;
+      changes +=
+          plan_.update(now_, engine_, {service, demand(now_), heard_nodes, 150, lost_}) ? 1 : 0;
     }
     return changes;
   }
--- a/tests/core/hosted_values_test.cpp
+++ b/tests/core/hosted_values_test.cpp
@@ -25,7 +25,7 @@
 
 // ---- stalled replicas ----
 
-const model_id streams_model{"m"};
+const model_key streams_model{service_id{"s"}, model_id{"m"}};
 
 TEST(StallMonitor, ReportsAReplicaWhoseStreamsAllStop) {
   // Guards against streams that hang for 4 s until callers give up: a member of a replica dies, and
@@ -109,6 +109,24 @@
   EXPECT_LE(alarms, 1);
 }
 
+// Guards against checks for nearly every request of a service whose model has the name of another
+// service's faster one, and against late checks for the other.
+TEST(StallMonitor, LearnsFirstEventsByService) {
+  const model_key other{service_id{"other"}, streams_model.model};
+  stall_monitor monitor;
+  const target_id head{"h"};
+  for (int i = 0; i < 20; ++i) {
+    const time_point sent = start + i * 1s;
+    monitor.on_stream_sent(sent, head, streams_model, 100ms);
+    monitor.on_first_event(head, 550ms, 100ms);
+    monitor.on_stream_ended(sent + 600ms, head, true);
+  }
+  const time_point sent = start + 30s;
+  monitor.on_stream_sent(sent, target_id{"slow"}, streams_model, 100ms);
+  monitor.on_stream_sent(sent, target_id{"fast"}, other, 100ms);
+  EXPECT_EQ(monitor.stalled(sent + 600ms), std::vector<target_id>{target_id{"fast"}});
+}
+
 TEST(StallMonitor, RechecksBackOffExponentially) {
   stall_monitor monitor;
   const target_id head{"h"};
@@ -394,6 +412,43 @@
   EXPECT_FALSE(back->configuration_version);
 }
 
+// Guards against demand for one service that a peer takes for that of another, whose model has the
+// same name.
+TEST(NodeHeartbeat, KeepsTheServicesOfDemandApart) {
+  const model_key desk{service_id{"desk-llm"}, model_id{"m"}};
+  const model_key night{service_id{"night-llm"}, model_id{"m"}};
+  node_heartbeat message;
+  message.demand = {{{desk, 0}, {10, 6000, 1000, 0.25}},
+                    {{desk, 1}, {20, 6000, 1000, 0.25}},
+                    {{night, 0}, {30, 6000, 1000, 0.25}}};
+  const std::string bytes = encode(message);
+  const auto back = decode_node_heartbeat(bytes);
+  ASSERT_TRUE(back);
+  EXPECT_EQ(back->demand, message.demand);
+}
+
+// Guards against demand that is lost while some nodes are of a release that does not tell services.
+TEST(NodeHeartbeat, ReadsDemandOfAnEarlierRelease) {
+  constexpr std::size_t demand_field = 38;
+  constexpr std::size_t fields_of_earlier_rows = 6;
+  const model_key model{service_id{"desk-llm"}, model_id{"m"}};
+  node_heartbeat message;
+  message.demand = {{{model, 0}, {10, 6000, 1000, 0.25}}, {{model, 1}, {20, 6000, 1000, 0.25}}};
+  nlohmann::json document = nlohmann::json::from_msgpack(encode(message));
+  for (nlohmann::json& row : document.at(demand_field)) {
+    row.erase(
+        row.begin() + static_cast<std::ptrdiff_t>(std::min(fields_of_earlier_rows, row.size())),
+        row.end());
+  }
+  std::string bytes;
+  nlohmann::json::to_msgpack(document, bytes);
+  const auto back = decode_node_heartbeat(bytes);
+  ASSERT_TRUE(back);
+  const model_key without_service{{}, model.model};
+  EXPECT_EQ(back->demand.size(), 2U);
+  EXPECT_EQ(back->demand.at({without_service, 0}), message.demand.at({model, 0}));
+}
+
 std::vector<node_record> six_nodes() {
   std::vector<node_record> nodes;
   for (const char* name : {"a1", "a2", "a3", "b1", "b2", "c1"}) {
--- a/tests/core/latency_calibration_test.cpp
+++ b/tests/core/latency_calibration_test.cpp
@@ -8,7 +8,7 @@
 namespace arbutus {
 namespace {
 
-const model_id model{"m"};
+const model_key model{service_id{"s"}, model_id{"m"}};
 
 TEST(LatencyCalibration, LearnsTheConstantPartOfAnEngineWithinAFewRuns) {
   latency_calibration calibration;
@@ -18,7 +18,19 @@
     calibration.observe(model, 80ms, 155ms + random.jitter(50ms));
   }
   EXPECT_NEAR(to_milliseconds(calibration.correction(model).first_event), 100, 15);
-  EXPECT_EQ(calibration.correction(model_id{"other"}).first_event, 0ms);
+  EXPECT_EQ(calibration.correction({service_id{"s"}, model_id{"other"}}).first_event, 0ms);
+}
+
+// Guards against estimates for one service from the runs of another, whose model has the same name.
+TEST(LatencyCalibration, ModelsOfOneNameAreCorrectedByService) {
+  latency_calibration calibration;
+  for (int i = 0; i < 30; ++i) {
+    calibration.observe(model, 80ms, 180ms);
+    calibration.observe_request(model, 1s, 2s);
+  }
+  const latency_correction other = calibration.correction({service_id{"other"}, model.model});
+  EXPECT_EQ(other.first_event, 0ms);
+  EXPECT_EQ(other.request_time_factor, 1);
 }
 
 // Guards against refusals of seconds after a replica has stalled once.
--- a/tests/core/model_demand_test.cpp
+++ b/tests/core/model_demand_test.cpp
@@ -7,7 +7,8 @@
 namespace {
 
 constexpr time_point start{1000s};
-const demand_key urgent{model_id{"m"}, 0};
+const service_id service{"s"};
+const demand_key urgent{{service, model_id{"m"}}, 0};
 
 TEST(ModelDemand, ARateThatEndsIsForgottenWithinSeconds) {
   demand_table table;
@@ -21,6 +22,39 @@
   EXPECT_LT(table.own(start + 9s)[urgent].calls_per_second, 1);
 }
 
+// Guards against calls of one service that count as demand for the model of the same name of
+// another, so that its calls are refused or its replicas closed.
+TEST(ModelDemand, ModelsOfOneNameAreCountedByService) {
+  const model_key desk{service_id{"desk-llm"}, model_id{"m"}};
+  const model_key night{service_id{"night-llm"}, model_id{"m"}};
+  demand_table table;
+  for (int i = 0; i < 400; ++i) {
+    table.count_call(start + i * 10ms, {desk, 0}, {600, 100}, 250ms);
+  }
+  const model_demand own = table.own(start + 4s);
+  EXPECT_NEAR(total_demand(own, desk).calls_per_second, 100, 5);
+  EXPECT_EQ(total_demand(own, night).calls_per_second, 0);
+}
+
+// Guards against demand that is lost, or counted twice, while some nodes are of a release that does
+// not tell the service.
+TEST(ModelDemand, DemandWithoutServiceIsThatOfTheServiceWithTheModel) {
+  service_spec plain;
+  plain.id = service_id{"api"};
+  service_spec of_model;
+  of_model.id = service;
+  of_model.engine.emplace();
+  of_model.engine->models.push_back({.id = urgent.model.model});
+  const service_map services(1, {}, {plain, of_model}, std::nullopt, {});
+  const demand_rate ten{10, 6000, 1000, 0.25};
+  const model_demand told = {{{{{}, urgent.model.model}, 0}, ten},
+                             {{{{}, model_id{"unknown"}}, 0}, ten},
+                             {{{service_id{"other"}, urgent.model.model}, 0}, ten}};
+  const model_demand demand = with_services(told, services);
+  EXPECT_EQ(demand.size(), 2U);
+  EXPECT_DOUBLE_EQ(total_demand(demand, urgent.model).calls_per_second, 10);
+}
+
 // While the hub changes, a node has the sum of the old hub beside reports of the same nodes.
 TEST(ModelDemand, OverlappingSumsAreNotAdded) {
   demand_table table;
--- a/tests/core/overload_simulation.h
+++ b/tests/core/overload_simulation.h
@@ -77,6 +77,8 @@
     return spec;
   }
 
+  static model_key model_name() { return {service_id{"s"}, model().id}; }
+
   static engine_parameters engine() {
     engine_parameters e;
     e.slots = 26;
@@ -255,8 +257,8 @@
   void submit(const call_ptr& c) {
     node& n = nodes_[c->node];
     const auto priority = static_cast<std::uint32_t>(c->priority);
-    n.demand.count_call(now_, {model().id, priority}, c->size, objectives[c->priority]);
-    n.shares.count_call(now_, {model().id, priority}, workspace_of(*c));
+    n.demand.count_call(now_, {model_name(), priority}, c->size, objectives[c->priority]);
+    n.shares.count_call(now_, {model_name(), priority}, workspace_of(*c));
     place(c, true);
   }
 
@@ -274,7 +276,7 @@
       admission_plan plan = plan_for(n, *c);
       class_admission* own = plan.find(static_cast<std::uint32_t>(c->priority));
       if (may_refuse && own != nullptr &&
-          random_.unit() >= n.shares.fraction(now_, {model().id, own->priority}, workspace_of(*c),
+          random_.unit() >= n.shares.fraction(now_, {model_name(), own->priority}, workspace_of(*c),
                                               own->fraction)) {
         least_taken_at_refusal_ = std::min(least_taken_at_refusal_, plan.active / plan.slots);
         refuse(c, retry_delay(plan, time_left, random_.unit()));
@@ -284,7 +286,7 @@
         can_take = own->can_take_by_replica;
       }
       request.can_take = can_take;
-      request.first_event_correction = n.calibration.correction(model().id).first_event;
+      request.first_event_correction = n.calibration.correction(model_name()).first_event;
     }
     const replica_choice choice = choose_replica(engine(), model(), replicas_, n.loads, request);
     if (const auto* none = std::get_if<no_replica>(&choice)) {
@@ -313,8 +315,9 @@
     if (n.trend.is_due(now_)) {
       n.trend.update(now_, n.demand.all(now_));
     }
-    return plan_admission(engine(), model(), known, request_classes(n.trend.current(), model().id),
-                          n.calibration.correction(model().id), settings_.room);
+    return plan_admission(engine(), model(), known,
+                          request_classes(n.trend.current(), model_name()),
+                          n.calibration.correction(model_name()), settings_.room);
   }
 
   void refuse(const call_ptr& c, duration retry_after) {
@@ -425,7 +428,7 @@
       c->left -= engine().decode_steps_per_pass;
       if (c->left <= 0) {
         nodes_[c->node].loads.ended(replicas_[c->head].head, c->size, true);
-        nodes_[c->node].calibration.observe_request(model().id, c->expected.request_time,
+        nodes_[c->node].calibration.observe_request(model_name(), c->expected.request_time,
                                                     now_ - c->sent);
       }
       return c->left <= 0;
@@ -439,7 +442,7 @@
     const target_id& id = replicas_[c.head].head;
     const double load = std::max(c.expected.active, n.loads.total(id).active);
     if (load < 0.9 * engine().slots) {
-      n.calibration.observe(model().id, c.expected.modelled_first_event, now_ - c.sent);
+      n.calibration.observe(model_name(), c.expected.modelled_first_event, now_ - c.sent);
     }
     n.loads.first_event(id, c.size);
     const bool timely = now_ - c.first_attempt <= objectives[c.priority];
--- a/tests/core/replica_room_test.cpp
+++ b/tests/core/replica_room_test.cpp
@@ -138,7 +138,7 @@
 
 // Guards against a second of over-admission at the beginning of a burst.
 TEST(DemandTrend, KnowsABurstAfterAnIntervalOfTheSlope) {
-  const demand_key key{model_id{"m"}, 0};
+  const demand_key key{{service_id{"s"}, model_id{"m"}}, 0};
   demand_table table;
   demand_trend trend;
   time_point now{1000s};
--- a/tests/core/target_reach_test.cpp
+++ b/tests/core/target_reach_test.cpp
@@ -155,7 +155,7 @@
 stall_monitor monitor_of(const std::vector<target_id>& heads) {
   stall_monitor monitor;
   for (const target_id& head : heads) {
-    monitor.on_stream_sent(start - 1s, head, model_id{"m"}, 100ms);
+    monitor.on_stream_sent(start - 1s, head, {service_id{"s"}, model_id{"m"}}, 100ms);
     monitor.on_first_event(head, 100ms, 100ms);
     monitor.on_event(start, head, 50ms);
   }
--- a/tests/core/workspace_shares_test.cpp
+++ b/tests/core/workspace_shares_test.cpp
@@ -10,7 +10,8 @@
 namespace {
 
 constexpr time_point start{1000s};
-const demand_key key{model_id{"m"}, 1};
+const model_key model{service_id{"s"}, model_id{"m"}};
+const demand_key key{model, 1};
 const workspace_id small{"small"};
 const workspace_id large{"large"};
 
@@ -35,7 +36,7 @@
   EXPECT_NEAR(shares.fraction(now, key, large, 0.5), 0.4, 0.01);
   EXPECT_EQ(shares.fraction(now, key, large, 1), 1);
   // Other priorities are divided on their own.
-  EXPECT_EQ(shares.fraction(now, {model_id{"m"}, 2}, large, 0.5), 0.5);
+  EXPECT_EQ(shares.fraction(now, {model, 2}, large, 0.5), 0.5);
 }
 
 TEST(WorkspaceShares, IdleWorkspacesAreForgotten) {
--- a/tests/shell/demand_plan_simulation_test.cpp
+++ b/tests/shell/demand_plan_simulation_test.cpp
@@ -16,8 +16,8 @@
 // Calls per second of both models. A replica of `large` serves some 14 of these, one of `small`
 // some 25.
 model_demand calls_per_second(double of_large, double of_small) {
-  return {{{large, 0}, {of_large, 1600 * of_large, 80 * of_large, 0.5}},
-          {{small, 0}, {of_small, 674 * of_small, 115 * of_small, 0.5}}};
+  return {{{{llm, large}, 0}, {of_large, 1600 * of_large, 80 * of_large, 0.5}},
+          {{{llm, small}, 0}, {of_small, 674 * of_small, 115 * of_small, 0.5}}};
 }
 
 // Four domains under equal use of both models.
--- a/tests/shell/hosted_admission_test.cpp
+++ b/tests/shell/hosted_admission_test.cpp
@@ -74,9 +74,8 @@
   });
   ASSERT_TRUE(found);
   EXPECT_NE(retry_after, "");
-  EXPECT_THAT(
-      metrics(),
-      HasSubstr("arbutusworks_admissions{model=\"large\",priority=\"1\",decision=\"refused\"}"));
+  EXPECT_THAT(metrics(), HasSubstr("arbutusworks_admissions{service=\"llm\",model=\"large\","
+                                   "priority=\"1\",decision=\"refused\"}"));
   // A node writes a request's last line after the answer, and before it answers another request.
   (void)send_request(0, "/llm/x", "after");
   stop_log();
@@ -93,12 +92,22 @@
   ASSERT_TRUE(serves());
   EXPECT_EQ(send_request(0, "/urgent/x", "u-1").response.status, 200);
   const std::string text = metrics();
-  EXPECT_THAT(text, HasSubstr("arbutusworks_expected_first_event_seconds_count{model=\"large\"}"));
-  EXPECT_THAT(text, HasSubstr("arbutusworks_observed_first_event_seconds_count{model=\"large\"}"));
-  EXPECT_THAT(text, HasSubstr("arbutusworks_room{model=\"large\",priority=\"0\"}"));
-  EXPECT_THAT(text, HasSubstr("arbutusworks_demand_per_second{model=\"large\",priority=\"1\"}"));
-  EXPECT_THAT(text,
-              HasSubstr("arbutusworks_admitted_fraction{model=\"large\",priority=\"0\"} 1.0"));
+  EXPECT_THAT(
+      text,
+      HasSubstr(
+          "arbutusworks_expected_first_event_seconds_count{service=\"llm\",model=\"large\"}"));
+  EXPECT_THAT(
+      text,
+      HasSubstr(
+          "arbutusworks_observed_first_event_seconds_count{service=\"llm\",model=\"large\"}"));
+  EXPECT_THAT(text, HasSubstr("arbutusworks_room{service=\"llm\",model=\"large\",priority=\"0\"}"));
+  EXPECT_THAT(
+      text,
+      HasSubstr("arbutusworks_demand_per_second{service=\"llm\",model=\"large\",priority=\"1\"}"));
+  EXPECT_THAT(
+      text,
+      HasSubstr(
+          "arbutusworks_admitted_fraction{service=\"llm\",model=\"large\",priority=\"0\"} 1.0"));
 }
 
 // Guards against a change of services whose streams have one priority.
