Poison: a request is known by method, host and model as well as path and body

A request that ends its targets is refused everywhere by its fingerprint of workspace, path and body. A sound request of the workspace with the same path and body, sent to another host, and so to another service, with another method or for another model, was refused with it. Cause: the hash left these parts out. Change: they are hashed, each with the hash of the parts before as its seed, so that parts do not run into each other. The host is that of the route, so that its spelling does not matter. Tests: with the hash of path and body put back, RequestsThatDifferInOnePartAreOthers fails, 4 fingerprints in place of 7; with the change all pass, and so do the tests of poison over sockets. Limits: nodes of two releases have different fingerprints for one request and do not add up their strikes while they run beside each other; quarantines kept from before match nothing.

--- a/src/node/hosted_call.cpp
+++ b/src/node/hosted_call.cpp
@@ -56,8 +56,9 @@
       return end_unfit(region_reason);
     }
     set_deadline();
-    call_.fingerprint =
-        fingerprint_of(call_.workspace, call_.raw_request.target, call_.raw_request.body);
+    call_.fingerprint = fingerprint_of(
+        call_.workspace, {call_.raw_request.method, call_.matched_route->host,
+                          call_.raw_request.target, call_.fields.model, call_.raw_request.body});
     for (const std::uint64_t hash : call_.fields.shared_blocks) {
       call_.blocks.push_back(fingerprint_of_block(hash));
     }
--- a/src/node/request_timeline.cpp
+++ b/src/node/request_timeline.cpp
@@ -201,7 +201,8 @@
     {"no route has this host and path",
      "No route of the configuration in force matches the host and path."},
     {"it ended the targets that ran it",
-     "The same request (identified by workspace, path and body) was running each time when "
+     "The same request (identified by workspace, method, host, path, model and body) was running "
+     "each time when "
      "targets ended, one after the other, and never completed. It was refused without a run; see "
      "the poison evidence and poison convicted lines below, and /poison at a node's metrics "
      "address to release it."},
--- a/src/request/request_fingerprint.cpp
+++ b/src/request/request_fingerprint.cpp
@@ -15,9 +15,12 @@
 
 }  // namespace
 
-request_fingerprint fingerprint_of(const workspace_id& workspace, std::string_view target,
-                                   std::string_view body) {
-  return {workspace, stable_hash(body, stable_hash(target))};
+request_fingerprint fingerprint_of(const workspace_id& workspace, const request_content& content) {
+  std::uint64_t hash = stable_hash(content.method);
+  hash = stable_hash(content.host, hash);
+  hash = stable_hash(content.target, hash);
+  hash = stable_hash(content.model.str(), hash);
+  return {workspace, stable_hash(content.body, hash)};
 }
 
 request_fingerprint fingerprint_of_block(std::uint64_t block_hash) {
--- a/src/request/request_fingerprint.h
+++ b/src/request/request_fingerprint.h
@@ -1,8 +1,8 @@
 // Identifies what may be poison: a request or a block of its prompt.
 //
-// Repetitions of a caller's request have the workspace, the path with its query, and the body in
-// common. Request ids cannot identify them, as each attempt of a caller has its own. A block of a
-// prompt is common to requests of any workspace, which may differ in all else.
+// Repetitions of a caller's request have the workspace and all that request_content has in common.
+// Request ids cannot identify them, as each attempt of a caller has its own. A block of a prompt is
+// common to requests of any workspace, which may differ in all else.
 #pragma once
 
 #include <cstdint>
@@ -25,8 +25,17 @@
   auto operator<=>(const request_fingerprint&) const = default;
 };
 
+// What a request asks for, and of whom: another method, host or model is another request.
+struct request_content {
+  std::string_view method;
+  std::string_view host;    // of the route that matches, so that its spelling does not matter
+  std::string_view target;  // path with its query
+  const model_id& model;    // empty: none is named
+  std::string_view body;
+};
+
 [[nodiscard]] request_fingerprint fingerprint_of(const workspace_id& workspace,
-                                                 std::string_view target, std::string_view body);
+                                                 const request_content& content);
 
 // `block_hash`: as read from the request, the same for all requests whose prompts have the block.
 [[nodiscard]] request_fingerprint fingerprint_of_block(std::uint64_t block_hash);
