--- a/tests/shell/hosted_plain_stream_test.cpp
+++ b/tests/shell/hosted_plain_stream_test.cpp
@@ -1,5 +1,6 @@
 // Tests streams of a service that is not a model, over real sockets in one process.
 #include <mutex>
+#include <optional>
 
 #include "connection/http_server.h"
 #include "hosted_place_fixture.h"
@@ -49,6 +50,29 @@
   EXPECT_EQ(result.response.body, expected_rest("resumed"));
 }
 
+// Guards against a stream whose first event comes with its last one.
+TEST_F(HostedPlainStream, EventsAreForwardedAsTheyArrive) {
+  // Time within which a node has to pass an event on.
+  constexpr duration max_forwarding_time = 120ms;
+  ASSERT_TRUE(both_nodes_serve());
+  const http_request request = make_request(stream_path_of_plain, "as-they-arrive");
+  const time_point sent_at = monotonic_now();
+  std::optional<time_point> first_event_at;
+  call_result result;
+  runtime.run_on(0, [&] {
+    result = client_.stream(
+        local(nodes_[0]->settings.listen.caller_endpoint.port), request, sent_at + 8s,
+        [](int, const http_headers&) { return true; },
+        [&](std::string_view) {
+          first_event_at = first_event_at.value_or(monotonic_now());
+          return true;
+        });
+  });
+  EXPECT_TRUE(result.ok());
+  ASSERT_TRUE(first_event_at);
+  EXPECT_LT(*first_event_at - sent_at, two_places().event_gap + max_forwarding_time);
+}
+
 // Guards against a header that only routes of streams pass on.
 TEST_F(HostedPlainStream, HeaderOfTheLastEventIsPassedOnWithACall) {
   ASSERT_TRUE(both_nodes_serve());
