Soak: a stand-in that has ended is told as such, with its log

Change: each command checks that the stand-in runs and shows its log if not; a run waits for it to answer once the nodes have started.

--- a/tests/process/soak.py
+++ b/tests/process/soak.py
@@ -276,7 +276,20 @@
         with self.lock:
             self.findings.append(f"{promise}: {text}")
 
+    def check_platform(self):
+        """A stand-in that has ended would look like nodes that do not serve."""
+        if self.platform.poll() is not None:
+            log = pathlib.Path(self.platform_log.name).read_text(errors="replace")
+            raise AssertionError(f"the stand-in ended, status {self.platform.returncode}: {log}")
+
+    def platform_answers(self):
+        self.check_platform()
+        with contextlib.suppress(OSError):
+            return self.command("GET", "/counts") is not None
+        return False
+
     def command(self, method, path):
+        self.check_platform()
         reply = call(self.control, method, path)
         if reply.status != 200:
             raise ValueError(f"{method} {path}: status {reply.status}")
@@ -721,6 +734,7 @@
         try:
             for node in self.nodes:
                 node.start()
+            wait_until(self.platform_answers, "the platform")
             self.wait_for_all("back")
             count = CALLERS if self.seed < FIRST_SEED_OF_SILENCES else CALLERS_OF_LONG_STREAMS
             callers = [threading.Thread(target=self.keep_calling, args=(i,)) for i in range(count)]
