Planner: a replica across domains takes VMs that are free already

Cause: a broken replica that spans domains is not repaired in its main domain first (only one that lies in it whole is). If that domain has enough free VMs, wait_for_repair() found nothing missing, reported that the replica waits, and the branch that takes free VMs of any domain was never reached: it waited for ever for VMs that were free.

Change: with nothing to wait for, wait_for_repair() says so, and the replica takes the free VMs.

The new test fails before (0 replicas serve, 1 expected) and passes now.

--- a/src/version/placement.cpp
+++ b/src/version/placement.cpp
@@ -118,6 +118,10 @@
   const std::size_t needed = gaps(members);
   const std::uint32_t accelerators = r.rule->accelerators_per_vm;
   const std::size_t free = std::min(needed, draft.pool.free_count(domain, accelerators));
+  const bool has_nothing_to_wait_for = free == needed;
+  if (has_nothing_to_wait_for) {
+    return false;
+  }
   r.waiting = reclaim_vms(draft, {r.rule, domain, free, needed - free, &r}, allowed);
   return r.waiting;
 }
--- a/tests/core/planner_repair_test.cpp
+++ b/tests/core/planner_repair_test.cpp
@@ -206,6 +206,22 @@
   }
 }
 
+// Guards against a replica across domains that waits for VMs that are free already.
+TEST(planner_repair, replica_across_domains_takes_a_free_vm_of_its_main_domain) {
+  planner_simulation w;
+  w.add_domain(4);
+  w.add_domain(2);
+  const vm_id returning{planner_simulation::vm_name(0, 3)};
+  w.set_condition(returning, vm_condition::lost);
+  w.add_model("llm", 5, 1).may_cross_fabric_domains = true;
+  w.settle();
+  ASSERT_EQ(w.count_serving_replicas(), 1U) << w.text();
+  w.set_condition(returning, vm_condition::working);
+  w.set_condition(vm_id{planner_simulation::vm_name(1, 1)}, vm_condition::lost);
+  w.settle();
+  EXPECT_EQ(w.count_serving_replicas(), 1U) << w.text();
+}
+
 // Guards against a model that is unavailable during a change of its version because all its
 // replicas load simultaneously.
 TEST(planner_rolling_update, one_replica_at_a_time_and_only_when_others_serve) {
