Planner: a replica that cannot be repaired gives its VMs to others of its rank

Seen: planner_optimum.two_models_stay_within_one_of_the_optimum fails on arm64, case 407: no replica serves, two could. A model "a" of three VMs has two of them left, both replicas of a model "b" of one VM lost theirs.

Cause: a broken replica took VMs only from replicas behind it in the order of repair. "a" precedes "b" and could not be repaired, so it kept the two VMs that "b" needed, and nothing served.

Change: any broken replica of the same or a lower rank that waits for nothing gives its VMs up. Those of the same rank that come first were tried before and failed, so nothing that could be repaired is taken apart.

--- a/src/version/shortage.cpp
+++ b/src/version/shortage.cpp
@@ -51,7 +51,7 @@
 
 // Broken replicas whose VMs may be reclaimed. A broken replica gives up its VMs to a replica that
 // precedes it in the order of repair. A broken replica that could not be repaired also gives them
-// up to a new replica of its own rank, since it does not serve.
+// up to any other replica of its own rank, since it does not serve.
 std::vector<draft_replica*> broken_replicas_to_dissolve(plan_draft& draft, const shortage& need) {
   std::vector<draft_replica*> donors;
   for (draft_replica& r : draft.replicas) {
@@ -59,9 +59,9 @@
     if (!idle) {
       continue;
     }
-    const bool later = need.self != nullptr ? precedes_in_repair(*need.self, r)
-                                            : r.rule == nullptr || r.rule->rank >= need.rule->rank;
-    if (later && usable_members(draft, need, r) > 0) {
+    // Those of the same rank that precede the replica in need were tried before it, and failed.
+    const bool may_give = r.rule == nullptr || r.rule->rank >= need.rule->rank;
+    if (may_give && usable_members(draft, need, r) > 0) {
       donors.push_back(&r);
     }
   }
--- a/tests/core/planner_repair_test.cpp
+++ b/tests/core/planner_repair_test.cpp
@@ -222,6 +222,20 @@
   EXPECT_EQ(w.count_serving_replicas(), 1U) << w.text();
 }
 
+// Guards against replicas that stay down while one that cannot be repaired keeps their VMs.
+TEST(planner_repair, replica_that_cannot_be_repaired_gives_its_vms_to_others_of_its_rank) {
+  planner_simulation w;
+  w.add_domain(5);
+  w.add_model("a", 3, 1);
+  w.add_model("b", 1, 2);
+  w.settle();
+  w.set_condition(vm_id{planner_simulation::vm_name(0, 2)}, vm_condition::lost);
+  w.set_condition(vm_id{planner_simulation::vm_name(0, 3)}, vm_condition::lost);
+  w.set_condition(vm_id{planner_simulation::vm_name(0, 4)}, vm_condition::lost);
+  w.settle();
+  EXPECT_EQ(w.count_serving_replicas("b"), 2U) << w.text();
+}
+
 // Guards against a model that is unavailable during a change of its version because all its
 // replicas load simultaneously.
 TEST(planner_rolling_update, one_replica_at_a_time_and_only_when_others_serve) {
