Planner tests: draw their cases in one order on every machine

Seen: two tests of planner_optimum fail on arm64 and pass on x86-64.

Cause: the cases were drawn inside the arguments of one call, whose order of evaluation the language leaves open: GCC draws from right to left on x86-64 and from left to right on arm64, so each machine had other cases.

Change: each number is drawn by a statement of its own, in the order of the arguments, as on arm64; planner_property_test too. Number of cases and checks are unchanged.

--- a/tests/core/planner_optimum_test.cpp
+++ b/tests/core/planner_optimum_test.cpp
@@ -38,6 +38,13 @@
   return most;
 }
 
+// A random number of 1 to `most`. Each one is drawn by a statement of its own, as compilers differ
+// in the order in which they evaluate the arguments of a call, and the cases drawn would differ
+// too.
+std::uint32_t draw_up_to(rng& random, std::uint32_t most) {
+  return 1 + static_cast<std::uint32_t>(random.below(most));
+}
+
 void fail_random_vms(planner_simulation& w, rng& random) {
   for (auto& [vm, condition] : w.conditions) {
     condition = random.below(4) == 0 ? vm_condition::lost : vm_condition::working;
@@ -51,8 +58,9 @@
     for (std::uint64_t d = 1 + random.below(3); d > 0; --d) {
       w.add_domain(1 + random.below(8));
     }
-    model_rule& m = w.add_model("llm", 1 + static_cast<std::uint32_t>(random.below(4)),
-                                1 + static_cast<std::uint32_t>(random.below(5)));
+    const std::uint32_t vms = draw_up_to(random, 4);
+    const std::uint32_t replicas = draw_up_to(random, 5);
+    model_rule& m = w.add_model("llm", vms, replicas);
     m.may_cross_fabric_domains = random.below(2) == 0;
     w.settle();
     fail_random_vms(w, random);
@@ -81,8 +89,9 @@
     }
     std::vector<std::pair<std::size_t, int>> models;
     for (const char* name : {"a", "b"}) {
-      const model_rule& m = w.add_model(name, 1 + static_cast<std::uint32_t>(random.below(3)),
-                                        1 + static_cast<std::uint32_t>(random.below(2)));
+      const std::uint32_t vms = draw_up_to(random, 3);
+      const std::uint32_t replicas = draw_up_to(random, 2);
+      const model_rule& m = w.add_model(name, vms, replicas);
       models.emplace_back(m.vms_per_replica, static_cast<int>(m.placements[0].replicas));
     }
     w.settle();
--- a/tests/core/planner_property_test.cpp
+++ b/tests/core/planner_property_test.cpp
@@ -15,13 +15,17 @@
   planner_simulation w;
   const std::uint64_t domains = 1 + random.below(3);
   for (std::uint64_t d = 0; d < domains; ++d) {
-    w.add_domain(2 + random.below(7), 1 + static_cast<std::uint32_t>(random.below(2)));
+    // Drawn one by one: compilers differ in the order in which they evaluate arguments.
+    const std::size_t vms = 2 + random.below(7);
+    const auto accelerators = 1 + static_cast<std::uint32_t>(random.below(2));
+    w.add_domain(vms, accelerators);
   }
   const std::uint64_t models = 1 + random.below(3);
   for (std::uint64_t m = 0; m < models; ++m) {
-    model_rule& rule = w.add_model(
-        "llm-" + std::to_string(m), 1 + static_cast<std::uint32_t>(random.below(4)),
-        static_cast<std::uint32_t>(random.below(4)), static_cast<std::uint32_t>(random.below(2)));
+    const auto vms = 1 + static_cast<std::uint32_t>(random.below(4));
+    const auto replicas = static_cast<std::uint32_t>(random.below(4));
+    const auto rank = static_cast<std::uint32_t>(random.below(2));
+    model_rule& rule = w.add_model("llm-" + std::to_string(m), vms, replicas, rank);
     rule.may_cross_fabric_domains = random.below(3) == 0;
     w.demand.push_back({rule.id, 0.0});
   }
