Failing test: nodes started again with their first settings exceed the retry budget

The stand-in platform tells which arrivals at a service are not the first of their request, and its targets can close connections without an answer.

The soak checked no sum of retries, so it could not find this.

--- a/src/standin/hosted_configuration.cpp
+++ b/src/standin/hosted_configuration.cpp
@@ -30,25 +30,36 @@
 }  // namespace
 
 std::string encode(const hosted_configuration& c) {
-  json route = {{"name", "summary"},   {"hostname", hosted_host_name},
-                {"prefix", "/llm/"},   {"route-type", "streaming"},
-                {"timeout-ms", 8000},  {"target-latency-ms", 300},
-                {"service", "llm"},    {"max-attempts", c.model_max_attempts},
-                {"public", false},     {"stream-resume", true},
+  json route = {{"name", "summary"},
+                {"hostname", hosted_host_name},
+                {"prefix", "/llm/"},
+                {"route-type", "streaming"},
+                {"timeout-ms", 8000},
+                {"target-latency-ms", 300},
+                {"service", model_service_name},
+                {"max-attempts", c.model_max_attempts},
+                {"public", false},
+                {"stream-resume", true},
                 {"gap-target-ms", 300}};
   json once = {{"name", "card"},     {"hostname", hosted_host_name},
                {"prefix", "/card/"}, {"route-type", "unsafe"},
-               {"timeout-ms", 1500}, {"service", "api"},
+               {"timeout-ms", 1500}, {"service", plain_service_name},
                {"max-attempts", 1},  {"public", false}};
   json plain_stream = {{"name", "events"},
                        {"hostname", hosted_host_name},
                        {"prefix", plain_stream_prefix},
                        {"route-type", "streaming"},
                        {"timeout-ms", 8000},
-                       {"service", "api"},
+                       {"service", plain_service_name},
                        {"max-attempts", 2},
                        {"public", false},
                        {"stream-resume", true}};
+  json repeatable = once;
+  repeatable["name"] = "note";
+  repeatable["prefix"] = repeatable_prefix;
+  repeatable["route-type"] = "safe";
+  repeatable["timeout-ms"] = 8000;
+  repeatable["max-attempts"] = 3;
   json open_to_all = once;
   open_to_all["name"] = "public";
   open_to_all["prefix"] = public_prefix;
@@ -57,6 +68,7 @@
     route["allowed-regions"] = c.route_regions;
     once["allowed-regions"] = c.route_regions;
     plain_stream["allowed-regions"] = c.route_regions;
+    repeatable["allowed-regions"] = c.route_regions;
   }
   json model = {{"name", hosted_model_name},
                 {"size", 3},
@@ -73,7 +85,7 @@
                  {"usual", {{"prompt", 100}, {"answer", 20}}},
                  {"far_x", 2.5},
                  {"models", json::array({model})}};
-  json routes = json::array({route, once, plain_stream, open_to_all});
+  json routes = json::array({route, once, plain_stream, repeatable, open_to_all});
   if (c.has_urgent_route) {
     routes[0]["priority"] = 1;
     route["name"] = "urgent";
@@ -85,7 +97,8 @@
     once["prefix"] = extra_route_path(i);
     routes.push_back(once);
   }
-  json services = json::array({{{"name", "llm"}, {"engine", engine}}, {{"name", "api"}}});
+  json services = json::array(
+      {{{"name", model_service_name}, {"engine", engine}}, {{"name", plain_service_name}}});
   for (json& service : services) {
     if (c.warmup_s > 0) {
       service["warmup-s"] = c.warmup_s;
--- a/src/standin/hosted_configuration.h
+++ b/src/standin/hosted_configuration.h
@@ -11,8 +11,12 @@
 inline constexpr const char* hosted_host_name = "desk.example";
 inline constexpr const char* hosted_caller_key = "key-of-the-desk";
 inline constexpr const char* hosted_model_name = "large";
+inline constexpr const char* model_service_name = "llm";
+inline constexpr const char* plain_service_name = "api";
 // Path prefix of the streams of the service that is not a model.
 inline constexpr const char* plain_stream_prefix = "/events/";
+// Path prefix of the calls to that service that may be repeated.
+inline constexpr const char* repeatable_prefix = "/note/";
 // Path prefix of the calls that need no API key.
 inline constexpr const char* public_prefix = "/public/";
 
--- a/src/standin/hosted_control.cpp
+++ b/src/standin/hosted_control.cpp
@@ -69,6 +69,14 @@
         answer[target].push_back(to_seconds(now - at));
       }
     }
+  } else if (path == "/repeats") {
+    const time_point now = monotonic_now();
+    for (const auto& [service, repeats] : platform_.repeats()) {
+      answer[service] = nlohmann::json::array();
+      for (const time_point at : repeats) {
+        answer[service].push_back(to_seconds(now - at));
+      }
+    }
   } else if (path == "/kill") {
     const std::string id = platform_.find_member(set);
     if (!id.empty()) {
@@ -85,9 +93,12 @@
   } else if (path == "/head") {
     answer["head"] = platform_.find_member(true);
   } else if (path == "/behave") {
-    platform_.set_behaviour(query_parameter(request.target, "id"),
-                            {query_parameter(request.target, "away") == "1", value,
-                             query_parameter(request.target, "leaving") == "1"});
+    platform_.set_behaviour(
+        query_parameter(request.target, "id"),
+        {.turns_away = query_parameter(request.target, "away") == "1",
+         .retry_after = value,
+         .is_leaving = query_parameter(request.target, "leaving") == "1",
+         .closes_connections = query_parameter(request.target, "closes") == "1"});
   } else if (path == "/restraints") {
     answer = restraints_json(platform_);
   } else if (path == "/paths" && request.method == "GET") {
--- a/src/standin/hosted_control.h
+++ b/src/standin/hosted_control.h
@@ -5,14 +5,17 @@
 //                              that crashed them, requests that carried a caller's key, complete
 //                              replicas
 //   GET  /arrivals             how long ago each request arrived at each target, in seconds
+//   GET  /repeats              how long ago each request arrived at each service beyond its first
+//                              arrival there, in seconds
 //   POST /kill?head=0|1        a non-head member (head=1: the head) of a serving replica dies
 //                              without notice
 //   POST /restart?head=0|1     a member (or the head) of a serving replica restarts
 //   POST /restart?id=ID        the engine restarts
 //   GET  /head                 id of the head of a serving replica
-//   POST /behave?id=ID&away=0|1&leaving=0|1&seconds=TEXT
+//   POST /behave?id=ID&away=0|1&leaving=0|1&closes=0|1&seconds=TEXT
 //                              how a target (without ID: each of them) answers: it turns requests
-//                              away and names this time, or says that it is leaving
+//                              away and names this time, says that it is leaving, or closes the
+//                              connection without an answer
 //   GET  /restraints           what nodes sent nevertheless, see restraint_checker; ages in seconds
 //   POST /foreign              writes two invalid records into the list of targets
 //   POST /store?down=0|1       the store answers 503 to every request
--- a/src/standin/hosted_platform.cpp
+++ b/src/standin/hosted_platform.cpp
@@ -160,6 +160,12 @@
     }
   }
 
+  // The store's steady clock.
+  static std::int64_t clock_ms() {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(monotonic_now().time_since_epoch())
+        .count();
+  }
+
   // All answers of the store name its era.
   [[nodiscard]] http_headers store_headers() const {
     return {{"Content-Type", "application/json"}, {"Store-Era", std::to_string(era)}};
@@ -210,7 +216,9 @@
         rows.push_back(row_json(table, key, row, paths));
       }
     }
-    return json{{"rows", rows}, {"has-more", false}, {"ver", content.version}}.dump();
+    return json{
+        {"rows", rows}, {"has-more", false}, {"ver", content.version}, {"now-ms", clock_ms()}}
+        .dump();
   }
 
   [[nodiscard]] bool is_given_out_later(std::uint64_t at) const {
@@ -227,7 +235,7 @@
     if (rows.empty() && monotonic_now() < until) {
       return {};
     }
-    return json{{"rows", rows}, {"ver", content.version}}.dump();
+    return json{{"rows", rows}, {"ver", content.version}, {"now-ms", clock_ms()}}.dump();
   }
 
   // `paths`: of the node that this address of the store is for; null: it has none.
@@ -295,7 +303,8 @@
   void write(const http_request& request, response_writer& writer) {
     const json body = json::parse(request.body, nullptr, false);
     const std::uint64_t new_version = body.is_object() ? apply(body) : 0;
-    answer(writer, new_version == 0 ? 412 : 200, json{{"ver", new_version}}.dump());
+    answer(writer, new_version == 0 ? 412 : 200,
+           json{{"ver", new_version}, {"now-ms", clock_ms()}}.dump());
   }
 
   // Applies a transaction to the store and returns the store's new version; 0 if a precondition
@@ -462,10 +471,12 @@
 
   void record_arrival(const std::string& at, const http_request& request) {
     const std::string id = header_text(request, "X-Request-Id");
+    const time_point now = monotonic_now();
     const std::lock_guard guard(mutex);
-    arrivals[at].push_back(monotonic_now());
+    arrivals[at].push_back(now);
     arrived_headers[id].push_back(request.headers);
-    restraints.arrived(monotonic_now(), at, id);
+    restraints.arrived(now, at, id);
+    repeats.arrived(now, at == plain_instance_id ? plain_service_name : model_service_name, id);
   }
 
   // Headers of the answer of `target` to a request that it runs.
@@ -505,6 +516,11 @@
     return true;
   }
 
+  [[nodiscard]] bool closes_connections(const std::string& target) const {
+    const std::lock_guard guard(mutex);
+    return restraints.behaviour_of(target).closes_connections;
+  }
+
   [[nodiscard]] std::string endless_text_of(const std::string& target) const {
     const std::lock_guard guard(mutex);
     return restraints.behaviour_of(target).endless_text;
@@ -529,6 +545,10 @@
     const running_stream running(*this, e);
     count_run(request);
     record_engine_of_run(e, id);
+    if (closes_connections(name)) {
+      close_without_response(writer);
+      return;
+    }
     const target_id incarnation = incarnation_of_process(e);
     if (is_poison(request)) {
       run_poison_request(e, request, writer);
@@ -650,7 +670,7 @@
   void list_plain_service(std::uint64_t incarnation) { put_plain_record(incarnation, "ready"); }
 
   void put_plain_record(std::uint64_t incarnation, const char* reported_state) {
-    const json record = {{"service", "api"},
+    const json record = {{"service", plain_service_name},
                          {"address", to_string(plain_address())},
                          {"zone", settings.data_centres.front()},
                          {"slots", 6},
@@ -674,6 +694,10 @@
       return;
     }
     count_run(request);
+    if (closes_connections(plain_instance_id)) {
+      close_without_response(writer);
+      return;
+    }
     if (is_poison(request)) {
       wait_for(writer, settings.crash_delay);
       crash_process(*plain, nullptr, request.target);
@@ -754,6 +778,7 @@
   std::map<std::string, std::vector<http_headers>> arrived_headers;  // of each arrival, by request
   std::string send_limit;
   restraint_checker restraints;
+  repeat_log repeats;
   std::vector<process_crash> process_crashes;
   int header_violations = 0;
   int leave_orders = 0;  // number of orders to leave a replica that reached an engine
@@ -781,7 +806,7 @@
     for (std::size_t i = 0; i < settings.engines_per_data_centre; ++i) {
       target_record record;
       record.id = incarnation_of("i-" + data_centre + "-" + std::to_string(i), first_start_stamp);
-      record.service = service_id{"llm"};
+      record.service = service_id{model_service_name};
       record.data_centre = data_centre_id{data_centre};
       record.domain = fabric_domain_id{data_centre + "-d0"};
       auto process = std::make_unique<state::engine_process>(
@@ -1047,6 +1072,11 @@
   return state_->arrivals;
 }
 
+repeat_log::repeats_by_service hosted_platform::repeats() const {
+  const std::lock_guard guard(state_->mutex);
+  return state_->repeats.repeats();
+}
+
 std::vector<http_headers> hosted_platform::arrived_headers(const std::string& request) const {
   const std::lock_guard guard(state_->mutex);
   const auto found = state_->arrived_headers.find(request);
--- a/src/standin/hosted_platform.h
+++ b/src/standin/hosted_platform.h
@@ -20,6 +20,7 @@
 #include "standin/hosted_configuration.h"
 #include "standin/hosted_engine.h"
 #include "standin/network_paths.h"
+#include "standin/repeat_log.h"
 #include "standin/restartable_server.h"
 #include "standin/restraint_checker.h"
 
@@ -136,6 +137,9 @@
   // requests that did not run.
   [[nodiscard]] std::map<std::string, std::vector<time_point>> arrivals() const;
 
+  // Arrivals at each service beyond the first of their request, see repeat_log.
+  [[nodiscard]] repeat_log::repeats_by_service repeats() const;
+
   // Headers of the request at each of its arrivals at an engine or at the service that is not a
   // model.
   [[nodiscard]] std::vector<http_headers> arrived_headers(const std::string& request) const;
--- a/src/standin/restraint_checker.h
+++ b/src/standin/restraint_checker.h
@@ -22,6 +22,8 @@
   bool is_leaving = false;  // says so in all its answers
   // An engine whose streams repeat this text without end instead of events; empty: they do not.
   std::string endless_text = {};
+  // Runs requests and closes their connections without an answer.
+  bool closes_connections = false;
 };
 
 // The requests of one node to one target from half a second after the target asked it to back off
--- a/tests/process/soak.py
+++ b/tests/process/soak.py
@@ -28,6 +28,8 @@
   newest    every node soon uses a new configuration whose transfer takes the store seconds
   reached   callers of nodes that are cut off from all targets are served at least two thirds as
             often as those of the others, from three seconds after the cut began
+  budget    in any ten seconds all nodes together send a service at most 0.2 retries for each of its
+            requests and 100 more
   unbroken  an answer that has begun ends whole, and a call that a node has read gets an answer,
             while nothing but silent paths, new versions and planned stops disturb it
 """
@@ -51,8 +53,9 @@
 from concurrent.futures import ThreadPoolExecutor
 
 from driver import BINARY, LOOPBACK, call, free_ports, wait_until
-from hosted_test import (DATA_CENTRES, EVENTS, HOST, KEY, PORTS_PER_NODE, expected_stream,
-                         settings_text)
+from hosted_nodes import (DATA_CENTRES, EVENTS, HOST, KEY, PORTS_PER_NODE, expected_stream,
+                          settings_text)
+from retry_budget import RetryBounds, worst_window
 
 GRACE_SECONDS = 5  # as in settings_text
 KEY_BOUND_SECONDS = 5.0  # the nodes' own default
@@ -72,6 +75,9 @@
 # Seeds from here on have paths to targets that fall silent and go on, longer streams, and few other
 # faults.
 FIRST_SEED_OF_SILENCES = 1400
+# Seeds from here on have targets that turn all requests away or break all answers, and nodes that
+# are killed and started again with the same settings, one by one or all at once.
+FIRST_SEED_OF_RETRY_STORMS = 1600
 CUTS = ("silent", "one-way", "reset", "closed-to-new")
 CUT_SECONDS_UNTIL_CHECKED = 3.0
 MIN_CHECKED_CALLS = 20
@@ -89,9 +95,12 @@
 SETTLE_SECONDS = 4
 POISON_REASON = b"ended the targets"
 RECOVERY_SECONDS = 15
+RETRY_BOUNDS = RetryBounds()  # the nodes' own defaults
+SERVICE_OF_PATH = {"/llm": "llm", "/card": "api", "/extra": "api"}
 NOT_RUN = (503, 429, 408, 421)
 CALLERS = 8
 CALLERS_OF_LONG_STREAMS = 24
+CALLERS_OF_RETRY_STORMS = 24
 LONG_EVENT_GAP_SECONDS = 0.15
 DEADLINE_SECONDS = 6.0
 OTHER_KINDS_BESIDE_SILENCES = 2
@@ -255,8 +264,13 @@
                            stores[data_centre], directory)
                       for i, data_centre in enumerate(DATA_CENTRES)]
 
+    def caller_count(self):
+        if self.seed >= FIRST_SEED_OF_RETRY_STORMS:
+            return CALLERS_OF_RETRY_STORMS
+        return CALLERS if self.seed < FIRST_SEED_OF_SILENCES else CALLERS_OF_LONG_STREAMS
+
     def platform_options(self):
-        if self.seed < FIRST_SEED_OF_SILENCES:
+        if not FIRST_SEED_OF_SILENCES <= self.seed < FIRST_SEED_OF_RETRY_STORMS:
             return []
         return ["--event-gap", str(LONG_EVENT_GAP_SECONDS)]
 
@@ -446,6 +460,27 @@
             time.sleep(rng.uniform(0, 2))
             node.start()
 
+    def kill_all_nodes(self, _node, rng):
+        with contextlib.ExitStack() as stack:
+            for node in self.nodes:
+                stack.enter_context(node.disturbed())
+            begun = time.monotonic()
+            for node in self.nodes:
+                node.process.kill()
+                node.process.wait()
+            time.sleep(rng.choice([0.01, 0.5]))
+            for node in self.nodes:
+                node.start()
+            self.outages.append((begun, time.monotonic()))
+
+    def break_targets(self, _node, rng):
+        """All engines, or the plain service too, turn requests away or break their answers."""
+        target = rng.choice(["", "i-api", ""])
+        behaviour = rng.choice(["away=1", "closes=1"])
+        self.command("POST", f"/behave?id={target}&{behaviour}&seconds=")
+        time.sleep(rng.uniform(2, 8))
+        self.command("POST", f"/behave?id={target}&away=0&seconds=")
+
     def terminate_node(self, node, _rng):
         with node.disturbed():
             # While it is still starting, it has nothing to shut down gracefully.
@@ -555,6 +590,20 @@
                     ids.add(json.loads(line)["request"])
         return ids
 
+    def check_retry_budget(self):
+        sent = {"llm": [], "api": []}
+        for _request, path, sent_at, *_rest in self.calls:
+            for prefix, service in SERVICE_OF_PATH.items():
+                if path.startswith(prefix):
+                    sent[service].append(sent_at)
+        repeats = self.command("GET", "/repeats")
+        now = time.monotonic()
+        for service, ages in repeats.items():
+            worst = worst_window([now - age for age in ages], sent[service], RETRY_BOUNDS)
+            if worst.retries > worst.allowed:
+                self.report("budget", f"{service} got {worst.retries} retries in "
+                                      f"{RETRY_BOUNDS.window:.0f} s, allowed {worst.allowed:.0f}")
+
     def check_restrained(self):
         now = time.monotonic()
         found = self.command("GET", "/restraints")
@@ -661,6 +710,8 @@
                             f"{path} ended {ends[path]} and reached targets {reached} more times")
 
     def kinds_of_faults(self):
+        if self.seed >= FIRST_SEED_OF_RETRY_STORMS:
+            return self.retry_storms()
         if self.seed >= FIRST_SEED_OF_SILENCES:
             return self.silences_and_few_others()
         kinds = ([self.disturb_store] * 4
@@ -681,6 +732,11 @@
             kinds += [self.restore_store] * 8
         return kinds
 
+    def retry_storms(self):
+        others = [self.disturb_store, self.pause_node, self.terminate_node, self.disable_store,
+                  self.restore_store, self.new_version, self.restart_engine]
+        return [self.break_targets] * 8 + [self.kill_all_nodes] * 4 + [self.kill_node] * 4 + others
+
     def silences_and_few_others(self):
         """Answers are judged between other faults only; so each seed has few kinds of them."""
         others = [self.disturb_store, self.disturb_callers, self.pause_node, self.kill_node,
@@ -736,8 +792,8 @@
                 node.start()
             wait_until(self.platform_answers, "the platform")
             self.wait_for_all("back")
-            count = CALLERS if self.seed < FIRST_SEED_OF_SILENCES else CALLERS_OF_LONG_STREAMS
-            callers = [threading.Thread(target=self.keep_calling, args=(i,)) for i in range(count)]
+            callers = [threading.Thread(target=self.keep_calling, args=(i,))
+                       for i in range(self.caller_count())]
             for thread in callers:
                 thread.start()
             self.inject_faults()
@@ -753,6 +809,7 @@
                 self.check_limited()
                 self.wait_for_all("back")
             self.check_restrained()
+            self.check_retry_budget()
             self.check_reached()
             if self.seed >= FIRST_SEED_OF_SILENCES:
                 self.check_unbroken()
