Retry budget: a first start is proven by the store, not by the settings' word

What callers and operators saw: targets in trouble got more retries than the operators allow, after nodes were killed and started again with the settings file of their first start.

Cause: `cold_start` in the settings says that the whole deployment starts for the first time, and such a process may use its share of the burst of retries at once. A file that is written once goes on saying so, and each life drew the share again. Class: a claim about the past that outlives the moment at which it was true, believed without evidence.

Change: the word is a claim; process/start_kind decides once per process from what the store holds: the node's own row (created under the condition that there is none), the age of the oldest row of a node by the store's clock, replicas in the first list of targets, and the store's era. One sign of an earlier process, or no answer within 3 s, makes it a later start, which waits for a window as before. New: line "first start" or "no first start" with the reason, gauge arbutusworks_retry_burst_share, field burst_share of "no retry budget".

--- a/src/capacity/replica_controller.h
+++ b/src/capacity/replica_controller.h
@@ -140,19 +140,16 @@
 class replica_controller {
  public:
   // `origin` contains no dots, see replica_name().
-  replica_controller(const controller_settings& settings, std::string origin, time_point started,
-                     bool cold_start)
-      : settings_(settings),
-        origin_(std::move(origin)),
-        started_(started),
-        cold_start_(cold_start) {}
+  replica_controller(const controller_settings& settings, std::string origin, time_point started)
+      : settings_(settings), origin_(std::move(origin)), started_(started) {}
 
   struct responsibilities {
     std::set<data_centre_id> data_centres;  // whose engines this node controls
     // Number of data centres that have engines and share the limit on loads.
     std::size_t all_data_centres = 1;
-    bool requests_seen = false;  // from the first request on, loads take their full time
-    duration target_list_age{};  // time since the list of targets was last up to date
+    bool requests_seen = false;   // from the first request on, loads take their full time
+    duration target_list_age{};   // time since the list of targets was last up to date
+    bool is_first_start = false;  // the whole deployment starts for the first time
     // Data centres whose engines keep their replicas, but load nothing and form no new ones.
     std::set<data_centre_id> evacuated = {};
     // Whether engines are divided among the models by demand. The fields below count only then.
@@ -350,7 +347,6 @@
   controller_settings settings_;
   std::string origin_;
   time_point started_;
-  bool cold_start_;
   std::uint64_t last_epoch_ = 0;
   std::set<data_centre_id> controlled_data_centres_;          // as of the last tick
   std::map<data_centre_id, time_point> last_unreachable_at_;  // when it was last found unreachable
--- a/src/capacity/replica_controller_form.cpp
+++ b/src/capacity/replica_controller_form.cpp
@@ -38,7 +38,7 @@
   for (const model_spec* model : models) {
     const bool fits = std::any_of(ctx.engines_by_domain.begin(), ctx.engines_by_domain.end(),
                                   [&](const auto& e) { return e.second >= model->size; });
-    if (!fits || !cold_start_ || ctx.own.requests_seen) {
+    if (!fits || !ctx.own.is_first_start || ctx.own.requests_seen) {
       form_across_domains(ctx, *model);
       form_across_data_centres(ctx, *model);
     }
--- a/src/capacity/replica_controller_load.cpp
+++ b/src/capacity/replica_controller_load.cpp
@@ -219,7 +219,7 @@
 // 1,000 free engines. A hub sends no heartbeats meanwhile: its nodes follow the store themselves,
 // and use leaving targets for seconds.
 void replica_controller::assign_models(tick_context& ctx) {
-  const bool unlimited = cold_start_ && !ctx.own.requests_seen &&
+  const bool unlimited = ctx.own.is_first_start && !ctx.own.requests_seen &&
                          ctx.now - started_ >= settings_.cold_start_limit_duration;
   const std::size_t share = ctx.own_load_limit();
   // Each data centre may use its share of the store's loads, and any part that others leave.
--- a/src/node/controller_loop.cpp
+++ b/src/node/controller_loop.cpp
@@ -160,10 +160,9 @@
     }
     auto found = controllers_.find(service.id);
     if (found == controllers_.end()) {
-      found = controllers_
-                  .emplace(service.id, replica_controller({}, node_.incarnation, started_at_,
-                                                          node_.settings.cold_start))
-                  .first;
+      found =
+          controllers_.emplace(service.id, replica_controller({}, node_.incarnation, started_at_))
+              .first;
     }
     if (now - capacity_logged_at_ >= capacity_log_interval) {
       log_capacity(service);
@@ -171,6 +170,7 @@
     replica_controller::responsibilities own{
         responsible_data_centres_, node_.settings.data_centres.size(), node_.requests_seen,
         now - node_.fleet_list_requested_at};
+    own.is_first_start = node_.start.may_be_first(now);
     own.evacuated = node_.evacuated_data_centres.all();
     if (node_.map->has_prioritised_streams(service.id)) {
       refresh_demand(now);
--- a/src/node/hosted_call.cpp
+++ b/src/node/hosted_call.cpp
@@ -180,6 +180,7 @@
               {"retries", used.retries},
               {"limit", used.limit},
               {"reserve", reserve},
+              {"burst_share", used.has_burst_share},
               {"nodes", std::uint64_t{used.nodes}}});
   }
   return false;
--- a/src/node/hosted_node.cpp
+++ b/src/node/hosted_node.cpp
@@ -167,6 +167,7 @@
       const retry_usage used = window.usage(monotonic_now());
       text += "arbutusworks_retries_left" + label + ' ' +
               std::to_string(std::max(used.limit - used.retries, 0.0)) + '\n';
+      text += "arbutusworks_retry_burst_share" + label + (used.has_burst_share ? " 1\n" : " 0\n");
       text += "arbutusworks_retry_budget_nodes" + label + ' ' + std::to_string(used.nodes) + '\n';
     }
     text += controller->capacity_gauges();
--- a/src/node/hosted_state.cpp
+++ b/src/node/hosted_state.cpp
@@ -101,6 +101,7 @@
     : settings(std::move(s)),
       incarnation(random_incarnation()),
       started_at(now),
+      start(now, settings.cold_start),
       runtime(r),
       buffers(max_buffered_bytes(settings)),
       targets_http(r, target_client_limits(&buffers)),
@@ -168,6 +169,9 @@
   if (found == retry_windows.end()) {
     found = retry_windows.emplace(service, new_retry_window()).first;
   }
+  if (start.is_first(now)) {
+    found->second.allow_burst_from(started_at);
+  }
   const std::size_t nodes = peers.node_count(now);
   found->second.set_nodes(now, nodes == 0 ? 0 : std::max(min_budget_nodes, nodes));
   return found->second;
@@ -179,8 +183,7 @@
   window.burst = settings.bounds.retry_burst;
   window.window = settings.bounds.retry_window;
   window.nodes = 0;
-  const duration wait = settings.cold_start ? 0s : new_node_known_within + window.window;
-  return retry_window(window, started_at + wait);
+  return retry_window(window, started_at + new_node_known_within + window.window);
 }
 
 }  // namespace arbutus
--- a/src/node/hosted_state.h
+++ b/src/node/hosted_state.h
@@ -39,6 +39,7 @@
 #include "process/rejecting_heads.h"
 #include "process/serving_feed.h"
 #include "process/stall_monitor.h"
+#include "process/start_kind.h"
 #include "process/store_version.h"
 #include "process/target_reach.h"
 #include "request/instance_choice.h"
@@ -64,6 +65,7 @@
   hosted_settings settings;
   std::string incarnation;  // identifies this start of the process
   time_point started_at;
+  start_evidence start;  // whether the whole deployment starts for the first time
   fiber_runtime& runtime;
   buffer_account buffers;    // what this node holds for callers and targets
   http_client targets_http;  // for forwarded requests
--- a/src/node/store_targets.cpp
+++ b/src/node/store_targets.cpp
@@ -218,6 +218,20 @@
          (list_left_to_hub_ && now - records_missing_since_ >= hub_forward_timeout);
 }
 
+// Looks for replicas of earlier processes in the first page of the first list.
+void store_watch::note_replicas_at_start(const store_rows& page) {
+  const time_point now = monotonic_now();
+  if (node_.start.kind(now) != start_kind::undecided) {
+    return;
+  }
+  const bool found = std::ranges::any_of(page.rows, [](const store_row& row) {
+    std::string problem;
+    const auto record = read_target_record(row.key, row.value, problem);
+    return record && record->member_of && record->member_of->state != member_state::joining;
+  });
+  node_.start.note_replicas(now, found);
+}
+
 bool store_watch::read_targets() {
   std::vector<feed_row> all;
   std::string from;
@@ -238,6 +252,7 @@
     // Pages are read one after the other. Changes made meanwhile are read again from the feed,
     // which continues from the version of the first page.
     first_version = first_version == 0 ? rows->version : first_version;
+    note_replicas_at_start(*rows);
     if (rows->has_more && !may_read_further_pages(requested_at)) {
       list_left_to_hub_ = true;
       log_line(log_level::info, "fleet", "long list left to the hub",
@@ -263,7 +278,7 @@
   // Which node is the strongest, and so the hub, is known from the rows of the nodes, which are
   // read at the start.
   const bool peers_known =
-      nodes_reads_ > 0 && node_.peers.peer_count() > 0 && !node_.settings.cold_start;
+      nodes_reads_ > 0 && node_.peers.peer_count() > 0 && !node_.start.may_be_first(now);
   if (record_subscription_.decided() || peers_known || now - started_at_ >= peers_known_timeout) {
     record_subscription_.update(now, node_.peers.is_hub(now), node_.peers.is_hub_or_next(now));
   }
--- a/src/node/store_watch.cpp
+++ b/src/node/store_watch.cpp
@@ -135,6 +135,9 @@
   if (era == followed_era_) {
     return;
   }
+  if (era > first_store_era) {
+    node_.start.note_restored_store(now);
+  }
   const bool is_first = followed_era_ == 0;
   if (!is_first) {
     restored_at_ = now;
--- a/src/node/store_watch.h
+++ b/src/node/store_watch.h
@@ -87,6 +87,7 @@
   [[nodiscard]] bool may_read_further_pages(time_point now) const;
   duration follow_targets_once(time_point requested_at);
   duration watch_targets(time_point requested_at);
+  void note_replicas_at_start(const store_rows& page);
   void replace_targets(time_point requested_at, const std::vector<feed_row>& rows,
                        std::uint64_t position);
   void apply_target_row(time_point requested_at, const feed_row& row);
@@ -108,11 +109,19 @@
   void note_query_result(time_point now, bool answered);
   [[nodiscard]] duration pause_after_failure() const;
   [[nodiscard]] bool must_read_nodes(time_point now) const;
+  [[nodiscard]] std::string own_row() const;
+  bool create_own_row(time_point now);
+  bool write_own_row(time_point now);
+  void log_start_kind(time_point now);
 
   hosted_state& node_;
   time_point started_at_;
-  time_point nodes_read_at_{};             // when the rows of nodes were last read
-  std::uint32_t nodes_reads_ = 0;          // number of times that the rows of nodes were read
+  time_point nodes_read_at_{};      // when the rows of nodes were last read
+  std::uint32_t nodes_reads_ = 0;   // number of times that the rows of nodes were read
+  store_time first_start_;          // as in this node's row; zero: of an earlier process
+  bool first_start_known_ = false;  // this process created the row
+  std::uint64_t own_row_era_ = 0;   // era of the store that has this node's row
+  bool start_kind_logged_ = false;
   bool nodes_known_ = false;               // the rows were read at least once
   bool configuration_positioned_ = false;  // the log has all rows up to its position
   // This node can query the store for changes of targets after the position of its log of target
--- a/src/process/hosted_settings.h
+++ b/src/process/hosted_settings.h
@@ -62,7 +62,7 @@
   node_strength strength;              // of the VM that the node runs on
   std::uint32_t memory_mb = 0;         // that the process may use; 0: not known
   std::uint32_t file_descriptors = 0;  // that the process may use; 0: not known
-  bool cold_start = false;             // the whole deployment starts for the first time
+  bool cold_start = false;             // a claim that the deployment starts for the first time
   log_settings log{.bytes_per_second = default_log_rate};
 };
 
--- a/src/process/hub_cost.cpp
+++ b/src/process/hub_cost.cpp
@@ -73,7 +73,7 @@
  public:
   explicit measured_controller(const hub_cost_size& size)
       : service_(make_service_spec(size)),
-        controller_({}, "k", begin, false),
+        controller_({}, "k", begin),
         records_(make_target_records(size)) {
     own_.data_centres = {data_centre_at(0)};
     own_.all_data_centres = size.data_centres;
--- a/src/request/retry_window.h
+++ b/src/request/retry_window.h
@@ -38,6 +38,7 @@
   double retries = 0;     // retries sent
   double limit = 0;       // retries that the node may send in the window
   std::size_t nodes = 0;  // nodes among which the burst is divided
+  bool has_burst_share = false;
 };
 
 class retry_window {
@@ -46,6 +47,9 @@
   explicit retry_window(const retry_window_settings& settings = {}, time_point burst_from = {})
       : settings_(settings), burst_from_(burst_from) {}
 
+  // No earlier process has spent anything that is still in the window.
+  void allow_burst_from(time_point from) { burst_from_ = from; }
+
   // A lower number holds once it has been the number for a window, when what the other nodes have
   // sent is in the window no more.
   void set_nodes(time_point now, std::size_t nodes) {
@@ -90,8 +94,8 @@
       used.retries += age <= window_ticks ? b.retries : 0;
     }
     used.nodes = settings_.nodes;
-    const bool has_share = used.nodes > 0 && now >= burst_from_;
-    const double share = has_share ? settings_.burst / static_cast<double>(used.nodes) : 0;
+    used.has_burst_share = used.nodes > 0 && now >= burst_from_;
+    const double share = used.has_burst_share ? settings_.burst / static_cast<double>(used.nodes) : 0;
     const double bound = settings_.retries_per_request * used.requests + share;
     used.limit = settings_.usable_budget_fraction * bound;
     return used;
--- a/tests/core/replica_controller_cost_test.cpp
+++ b/tests/core/replica_controller_cost_test.cpp
@@ -63,8 +63,9 @@
 TEST(ReplicaControllerCost, LoadingAThousandEnginesDelaysNoHeartbeat) {
   const fleet_view fleet = unloaded_fleet();
   const service_spec service = two_small_models();
-  replica_controller controller({}, "k", start, true);
-  const replica_controller::responsibilities own{{home}, 3};
+  replica_controller controller({}, "k", start);
+  replica_controller::responsibilities own{{home}, 3};
+  own.is_first_start = true;
   const controller_settings settings;
   time_point now = start + settings.cold_start_limit_duration;
   for (const controller_effect& e : controller.tick(now, fleet, service, own)) {
--- a/tests/shell/controller_simulation.h
+++ b/tests/shell/controller_simulation.h
@@ -65,7 +65,7 @@
       : service_(std::move(service)), random_(seed) {
     for (std::size_t i = 0; i < controller_count; ++i) {
       nodes_.push_back(std::make_unique<simulated_controller>(
-          simulated_controller{{}, replica_controller({}, "k" + std::to_string(i), now_, true)}));
+          simulated_controller{{}, replica_controller({}, "k" + std::to_string(i), now_)}));
     }
   }
 
@@ -348,6 +348,7 @@
     for (std::size_t n = 0; n < nodes_.size(); ++n) {
       replica_controller::responsibilities responsibilities{nodes_[n]->data_centres, nodes_.size(),
                                                             requests_started_};
+      responsibilities.is_first_start = true;
       responsibilities.evacuated = evacuated_;
       if (demand_) {
         responsibilities.plans_by_demand = true;
--- a/tests/shell/hosted_state_test.cpp
+++ b/tests/shell/hosted_state_test.cpp
@@ -51,6 +51,20 @@
   EXPECT_EQ(state_.retries_of(now_, service_id{"llm"}).usage(now_).limit, 0);
 }
 
+// Guards against a word in the settings that gives each later process the burst of retries at once.
+TEST_F(HostedState, OnlyAProvenFirstStartGivesTheRetryBurstAtOnce) {
+  state_.peers.set_records(nodes(6));
+  const auto limit_at = [this](time_point now) {
+    return state_.retries_of(now, service_id{"llm"}).usage(now).limit;
+  };
+  EXPECT_EQ(limit_at(now_), 0);
+  state_.start.note_own_row_created(now_);
+  state_.start.note_replicas(now_, false);
+  EXPECT_EQ(limit_at(now_), 0);
+  state_.start.note_deployment_age(now_, 100ms);
+  EXPECT_GT(limit_at(now_), 0);
+}
+
 // Guards against a node whose hub keeps it current, and that reads the rows of new nodes much
 // later.
 TEST_F(HostedState, NewNodesThatOnlyTheHubKnowsShareTheRetryBurst) {
