A stopping node answers every call before it ends, and takes none that may outlast it

What callers saw: in a planned stop, calls that were sent before or soon after SIGTERM and took seconds ran, and their connection closed without an answer; the process ended with code 1.

Cause: a stopping node took each call with the call's own deadline and at the end of the grace closed what was still open. Nothing connected the deadline of a call with the end of its node.

Change: while a node stops, a call whose deadline lies behind the moment at which calls have to end (0.8 s before the end of the grace) is refused at once with 503 and Retry-After. At that moment the node ends the calls in progress itself: 504, 502 if they may be repeated, 503 if they have not run. 0.4 s are left to read the answers, 0.4 s for the exit.

--- a/src/node/hosted_buffered.cpp
+++ b/src/node/hosted_buffered.cpp
@@ -26,6 +26,7 @@
       caller_disconnected_ = true;
       cancel_.cancel();
     });
+    const open_calls::registration open(node_.calls, [this] { cancel_.cancel(); });
     while (!ended_) {
       next_attempt();
     }
@@ -54,6 +55,10 @@
       end_locally(0, {}, "the caller has gone");
       return;
     }
+    if (node_.must_end_calls(now)) {
+      end_locally(503, retry_after_stopping, stopping_reason);
+      return;
+    }
     if (now + min_attempt_time >= call_.deadline) {
       end_locally(call_.possible_runs > 0 ? 504 : 503, retry_after_no_target, "no time is left");
       return;
--- a/src/node/hosted_call.cpp
+++ b/src/node/hosted_call.cpp
@@ -56,6 +56,10 @@
       return end_unfit(region_reason);
     }
     set_deadline();
+    if (node_.may_outlast_node(call_.deadline)) {
+      respond_unfit(node_, call_, decline_reason::unfit, retry_after_stopping, stopping_reason);
+      return false;
+    }
     call_.fingerprint = fingerprint_of(
         call_.workspace, {call_.raw_request.method, call_.matched_route->host,
                           call_.raw_request.target, call_.fields.model, call_.raw_request.body});
--- a/src/node/hosted_node.cpp
+++ b/src/node/hosted_node.cpp
@@ -24,8 +24,10 @@
 // The load balancer checks readiness once a second and removes a node after two responses other
 // than 200, so new connections may arrive for this long after readiness fails.
 constexpr duration load_balancer_lag = 2500ms;
-// Part of the grace period that is reserved for the orderly exit of the process.
+// Part of the grace period that is left when the node ends the calls still in progress: for their
+// callers to read the answers, and for the orderly exit of the process.
 constexpr duration shutdown_margin = 800ms;
+constexpr duration exit_margin = 400ms;
 
 http_server_limits caller_server_limits(buffer_account& buffers, std::size_t max_connections) {
   http_server_limits limits;
@@ -193,6 +195,18 @@
     return text;
   }
 
+  // Ends the calls that would outlast this node, which stops.
+  void end_calls() {
+    if (!sleep_until(*state.calls_end_at)) {
+      return;
+    }
+    const std::size_t ended = state.calls.end_all();
+    if (ended > 0) {
+      log_line(log_level::warning, "node", "calls ended by the stop",
+               {{"calls", std::uint64_t{ended}}});
+    }
+  }
+
   void start() {
     state.peers.start_discovery(monotonic_now());
     runtime.post(0, [this] { watch.follow_configuration(); });
@@ -248,9 +262,11 @@
   const time_point begun = monotonic_now();
   p.runtime.run_on(0, [&] {
     p.state.stopping = true;
+    p.state.calls_end_at = begun + p.state.settings.bounds.shutdown_grace - shutdown_margin;
+    p.runtime.post(0, [&p] { p.end_calls(); });
     p.callers->close_after_answers();
     sleep_until(begun + load_balancer_lag);
-    const time_point until = begun + p.state.settings.bounds.shutdown_grace - shutdown_margin;
+    const time_point until = begun + p.state.settings.bounds.shutdown_grace - exit_margin;
     clean = p.callers->drain(until);
     clean = (!p.relays || p.relays->drain(until)) && clean;
   });
--- /dev/null
+++ b/src/node/open_calls.h
@@ -0,0 +1,47 @@
+// The calls in progress, so that a node that stops can end those that would outlast it: a caller
+// then gets an answer in place of a closed connection.
+#pragma once
+
+#include <functional>
+#include <set>
+#include <utility>
+
+namespace arbutus {
+
+class open_calls {
+ public:
+  // Called when the call has to end; must not suspend or destroy a registration.
+  using end_handler = std::function<void()>;
+
+  // Registers a call for the lifetime of this object.
+  class registration {
+   public:
+    registration(open_calls& calls, end_handler on_end)
+        : calls_(calls), on_end_(std::move(on_end)) {
+      calls_.registrations_.insert(this);
+    }
+    ~registration() { calls_.registrations_.erase(this); }
+    registration(const registration&) = delete;
+    registration& operator=(const registration&) = delete;
+    registration(registration&&) = delete;
+    registration& operator=(registration&&) = delete;
+
+   private:
+    friend class open_calls;
+    open_calls& calls_;
+    end_handler on_end_;
+  };
+
+  // Tells all calls to end; returns their number.
+  std::size_t end_all() const {
+    for (const registration* call : registrations_) {
+      call->on_end_();
+    }
+    return registrations_.size();
+  }
+
+ private:
+  std::set<registration*> registrations_;
+};
+
+}  // namespace arbutus
--- a/src/standin/hosted_configuration.cpp
+++ b/src/standin/hosted_configuration.cpp
@@ -60,6 +60,10 @@
   repeatable["route-type"] = "safe";
   repeatable["timeout-ms"] = 8000;
   repeatable["max-attempts"] = 3;
+  json long_call = once;
+  long_call["name"] = "booking";
+  long_call["prefix"] = long_call_prefix;
+  long_call["timeout-ms"] = 8000;
   json open_to_all = once;
   open_to_all["name"] = "public";
   open_to_all["prefix"] = public_prefix;
@@ -85,7 +89,7 @@
                  {"usual", {{"prompt", 100}, {"answer", 20}}},
                  {"far_x", 2.5},
                  {"models", json::array({model})}};
-  json routes = json::array({route, once, plain_stream, repeatable, open_to_all});
+  json routes = json::array({route, once, plain_stream, repeatable, long_call, open_to_all});
   if (c.has_urgent_route) {
     routes[0]["priority"] = 1;
     route["name"] = "urgent";
--- a/src/standin/hosted_configuration.h
+++ b/src/standin/hosted_configuration.h
@@ -17,6 +17,8 @@
 inline constexpr const char* plain_stream_prefix = "/events/";
 // Path prefix of the calls to that service that may be repeated.
 inline constexpr const char* repeatable_prefix = "/note/";
+// Path prefix of the calls to that service that may not be repeated and may take seconds.
+inline constexpr const char* long_call_prefix = "/booking/";
 // Path prefix of the calls that need no API key.
 inline constexpr const char* public_prefix = "/public/";
 
