--- a/src/standin/hosted_platform.cpp
+++ b/src/standin/hosted_platform.cpp
@@ -1006,9 +1006,14 @@
   engine.restart_as(incarnation_of(id, ++state_->last_start_stamp));
 }
 
-void hosted_platform::write_target_record(const std::string& key, const std::string& value) {
+void hosted_platform::write_row(const std::string& table, const std::string& key,
+                                const std::string& value) {
   const std::lock_guard guard(state_->mutex);
-  state_->put(targets_table, key, value);
+  state_->put(table, key, value);
+}
+
+void hosted_platform::write_target_record(const std::string& key, const std::string& value) {
+  write_row(targets_table, key, value);
 }
 
 std::size_t hosted_platform::count_serving_replicas() const {
--- a/src/standin/hosted_platform.h
+++ b/src/standin/hosted_platform.h
@@ -127,6 +127,8 @@
   void set_silent(const std::string& id, bool silent);
   // Number of orders to leave a replica that engines have received.
   [[nodiscard]] int leave_orders() const;
+  // Writes a row that comes from another writer.
+  void write_row(const std::string& table, const std::string& key, const std::string& value);
   // Writes a record that does not come from an engine into the list of targets.
   void write_target_record(const std::string& key, const std::string& value);
 
