Install GoogleMock, which the tests link

Cause: the two test programs link GTest::gmock, but the install step named libgtest-dev only, and relied on a machine that has libgmock-dev already. On an x86-64 machine without it cmake stopped with 'Target core_tests links to GTest::gmock, but the target was not found'.

Change: libgmock-dev is in the list of the install step.

Measured: cmake configures on that machine after the step; before it did not.

--- a/tools/install.sh
+++ b/tools/install.sh
@@ -8,7 +8,7 @@
   clang clang-format clang-tidy clang-tools libclang-rt-14-dev
   libboost1.81-dev libboost-fiber1.81-dev libboost-context1.81-dev libboost-log1.81-dev
   libboost-program-options1.81-dev libboost-thread1.81-dev libboost-filesystem1.81-dev
-  libtomlplusplus-dev nlohmann-json3-dev libxxhash-dev libssl-dev libgtest-dev spin python3
+  libtomlplusplus-dev nlohmann-json3-dev libxxhash-dev libssl-dev libgtest-dev libgmock-dev spin python3
 )
 
 missing=()
