Nested bytes of other writers no longer end a node

Cause: the JSON library's reader of MessagePack recurses once a level, and so does a copy of a JSON value; fibers have stacks of 128 KiB. Most decoders check the nesting first (process/msgpack_bounds), but those of keyed records and of limit messages did not, and the list of rows was copied out of the store's answer.

Looked for elsewhere: all other uses of from_msgpack check the nesting, no other reader of foreign JSON copies a value.

--- a/src/node/limit_exchange.cpp
+++ b/src/node/limit_exchange.cpp
@@ -4,12 +4,16 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "process/msgpack_bounds.h"
+
 namespace arbutus {
 
 namespace {
 
 using json = nlohmann::json;
 
+constexpr std::size_t max_message_depth = 4;  // message, workspaces, workspace, value
+
 std::int64_t count(time_point t) {
   return t.time_since_epoch().count();
 }
@@ -47,6 +51,9 @@
 }
 
 outcome<limit_message> decode_limit_message(std::string_view bytes) {
+  if (!nesting_bounded(bytes, max_message_depth)) {
+    return refused{"malformed: nesting"};
+  }
   try {
     const json body = json::from_msgpack(bytes.begin(), bytes.end());
     limit_message message;
--- a/src/request/keyed_record.cpp
+++ b/src/request/keyed_record.cpp
@@ -2,6 +2,7 @@
 #include <nlohmann/json.hpp>
 
 #include "base/hash.h"
+#include "process/msgpack_bounds.h"
 #include "request/keyed.h"
 
 namespace arbutus {
@@ -11,6 +12,8 @@
 using nlohmann::json;
 
 constexpr int record_format = 1;
+constexpr std::size_t record_fields = 13;
+constexpr std::size_t max_record_depth = 2;
 
 }  // namespace
 
@@ -34,8 +37,11 @@
 }
 
 outcome<keyed_record> decode_keyed_record(std::string_view bytes) {
+  if (!nesting_bounded(bytes, max_record_depth)) {
+    return refused{"malformed: nesting"};
+  }
   const json fields = json::from_msgpack(bytes.begin(), bytes.end(), true, false);
-  if (!fields.is_array() || fields.size() != 13 || fields[0] != record_format) {
+  if (!fields.is_array() || fields.size() != record_fields || fields[0] != record_format) {
     return refused{"not a record of this format"};
   }
   try {
--- a/tests/core/request_keyed_test.cpp
+++ b/tests/core/request_keyed_test.cpp
@@ -90,6 +90,11 @@
   }
 }
 
+// Guards against a row of another writer that ends the process: the reader of MessagePack recurses.
+TEST(Keyed, DeeplyNestedRowIsRejected) {
+  EXPECT_FALSE(is_ok(decode_keyed_record(std::string(1'000'000, '\x91'))));
+}
+
 TEST(Keyed, WorkspaceAndKeyPairsHaveDistinctTableKeys) {
   EXPECT_NE(keyed_table_key(workspace_id("a"), idempotency_key("b:c")),
             keyed_table_key(workspace_id("a:b"), idempotency_key("c")));
--- a/tests/shell/limit_exchange_test.cpp
+++ b/tests/shell/limit_exchange_test.cpp
@@ -53,6 +53,11 @@
   EXPECT_TRUE(exchange->piggyback_message(start + 2500ms, near_peer));
 }
 
+// Guards against bytes on a link that end the process: the reader of MessagePack recurses.
+TEST(limit_exchange, a_deeply_nested_message_is_rejected) {
+  EXPECT_FALSE(is_ok(decode_limit_message(std::string(1'000'000, '\x91'))));
+}
+
 TEST(limit_exchange, sends_nothing_without_limits_or_to_unknown_peers) {
   const auto none = make(0);
   EXPECT_FALSE(none->piggyback_message(start, near_peer));
--- a/tests/shell/platform_test.cpp
+++ b/tests/shell/platform_test.cpp
@@ -6,6 +6,7 @@
 #include "platform/base64.h"
 #include "platform/documents.h"
 #include "platform/http_fields.h"
+#include "platform/store_rows.h"
 #include "process/target_incarnation.h"
 
 namespace arbutus {
@@ -138,6 +139,13 @@
   }
 }
 
+// Guards against a store's answer that ends the process: copies of a JSON value recurse.
+TEST(PlatformDocuments, ADeeplyNestedAnswerOfTheStoreHasNoRows) {
+  constexpr std::size_t depth = 200'000;
+  const std::string nested = std::string(depth, '[') + std::string(depth, ']');
+  EXPECT_FALSE(read_store_rows(R"({"ver":1,"rows":)" + nested + "}", 1));
+}
+
 http_request sample_request() {
   http_request request;
   request.method = "POST";
