Numbers of engines' rows and reports that do not fit are unreadable

What was seen: an engine's row with 4,294,967,296 slots, or a rank or a count of the same size, was read as another number: the value was cut, or converted out of its range, which is undefined and gave no slots on x86-64 where arm64 saturates. A rank of 2^32 made its engine a second head of the replica; a load of -1 in a report counted as 4,294,967,295, and one of 1e300 as whatever the machine makes of it.

Cause: conversions of the JSON library do not check the range; only signs and kinds were checked.

--- a/tests/shell/platform_test.cpp
+++ b/tests/shell/platform_test.cpp
@@ -139,6 +139,43 @@
   }
 }
 
+// Guards against numbers that are cut to another valid one, which differs between kinds of machine.
+TEST(PlatformDocuments, ANumberThatDoesNotFitIsUnreadable) {
+  using nlohmann::json;
+  const json beyond_32_bits = std::uint64_t{1} << 32U;
+  const json complete = {{"service", "llm"},
+                         {"address", "10.0.0.7:9000"},
+                         {"zone", "a"},
+                         {"slots", 26},
+                         {"state", "ready"},
+                         {"sequence", 1},
+                         {"group", {{"name", "r"}, {"epoch", 3}, {"rank", 0}, {"state", "open"}}}};
+  std::string problem;
+  ASSERT_TRUE(read_target_record("i-1", complete.dump(), problem)) << problem;
+  ASSERT_TRUE(read_target_report("i-1", complete.dump(), problem)) << problem;
+  json rank = complete;
+  rank["group"]["rank"] = beyond_32_bits;
+  EXPECT_FALSE(read_target_record("i-1", rank.dump(), problem));
+  EXPECT_FALSE(read_target_report("i-1", rank.dump(), problem));
+  json slots = complete;
+  slots["slots"] = beyond_32_bits;
+  EXPECT_FALSE(read_target_record("i-1", slots.dump(), problem));
+  for (const char* field : {"queued", "active"}) {
+    for (const json& odd : {beyond_32_bits, json(-1), json(2.5), json(1e300)}) {
+      json report = complete;
+      report[field] = odd;
+      EXPECT_FALSE(read_target_report("i-1", report.dump(), problem)) << field << " " << odd;
+    }
+  }
+}
+
+TEST(PlatformDocuments, ASlowdownIsBounded) {
+  std::string problem;
+  const auto report = read_target_report("i-1", R"({"sequence":1,"pace":1e300})", problem);
+  ASSERT_TRUE(report) << problem;
+  EXPECT_LE(report->slowdown_factor, 1000);
+}
+
 // Guards against a store's answer that ends the process: copies of a JSON value recurse.
 TEST(PlatformDocuments, ADeeplyNestedAnswerOfTheStoreHasNoRows) {
   constexpr std::size_t depth = 200'000;
