Unreadable rows of nodes are named in the log

What was seen: a row of another writer in the table of nodes was passed over without a word, so an operator could not tell why a node was not found. Engines' rows are named already.

Change: each version of an unreadable row is logged once ('unreadable row of a node') and counted as arbutusworks_unreadable_node_rows.

--- a/src/node/store_nodes.cpp
+++ b/src/node/store_nodes.cpp
@@ -1,11 +1,11 @@
 // Node discovery: writes this node's row to the platform's store and reads those of its peers.
 #include <algorithm>
-#include <nlohmann/json.hpp>
 
 #include "connection/clock.h"
 #include "node/log.h"
 #include "node/store_timing.h"
 #include "node/store_watch.h"
+#include "process/node_row.h"
 #include "version/field_text.h"
 
 namespace arbutus {
@@ -27,64 +27,22 @@
 // usually has the row of the next hub.
 constexpr duration node_rows_interval_with_hub = 45s;
 
-// Parses [data centre, link endpoint, processor in permille of a core, link in Mbit/s, relay
-// endpoint, first start]. Empty for an unreadable row. A row without strength is of a node with
-// other settings, which comes last in the order of hubs; one without a relay endpoint takes no
-// calls over.
-std::optional<node_record> read_node_record(const store_row& row) {
-  const auto document = nlohmann::json::parse(row.value, nullptr, false);
-  if (!document.is_array() || document.size() < 2 || !document[0].is_string() ||
-      !document[1].is_string()) {
-    return std::nullopt;
-  }
-  const auto address = parse_endpoint(document[1].get<std::string>());
-  if (!address) {
-    return std::nullopt;
-  }
-  node_record record{
-      node_id{row.key}, data_centre_id{document[0].get<std::string>()}, *address, {}, {}};
-  const bool has_strength =
-      document.size() >= 4 && document[2].is_number_unsigned() && document[3].is_number_unsigned();
-  if (has_strength) {
-    record.strength = {document[2].get<std::uint32_t>(), document[3].get<std::uint32_t>()};
-  }
-  if (document.size() >= 5 && document[4].is_string()) {
-    record.relay = parse_endpoint(document[4].get<std::string>()).value_or(endpoint{});
-  }
-  return record;
-}
-
-// Position of the first start in a node's row: when the first process of the node started, in ms by
-// the store's clock. Zero: a later process wrote the row.
-constexpr std::size_t first_start_position = 5;
-
-std::optional<store_time> first_start_of(const store_row& row, const store_time& latest) {
-  const auto document = nlohmann::json::parse(row.value, nullptr, false);
-  const bool has = document.is_array() && document.size() > first_start_position &&
-                   document[first_start_position].is_number_unsigned();
-  const std::uint64_t ms = has ? document[first_start_position].get<std::uint64_t>() : 0;
-  const bool is_valid = ms > 0 && ms <= static_cast<std::uint64_t>(latest.since_origin.count());
-  if (!is_valid) {
-    return std::nullopt;
-  }
-  return store_time{std::chrono::milliseconds{static_cast<std::int64_t>(ms)}};
-}
-
 // Time since the first start of any node that has a row; empty: a node started again, or the store
 // tells no time that fits.
-std::optional<duration> deployment_age(const store_rows& nodes) {
-  if (!nodes.answered_at) {
+std::optional<duration> deployment_age(const std::vector<node_row>& nodes,
+                                       const std::optional<store_time>& now) {
+  if (!now) {
     return std::nullopt;
   }
-  store_time first = *nodes.answered_at;
-  for (const store_row& row : nodes.rows) {
-    const auto started = first_start_of(row, *nodes.answered_at);
-    if (!started) {
+  store_time first = *now;
+  for (const node_row& node : nodes) {
+    const store_time started{node.first_start};
+    if (started == store_time{} || started > *now) {
       return std::nullopt;
     }
-    first = std::min(first, *started);
+    first = std::min(first, started);
   }
-  return nodes.answered_at->since_origin - first.since_origin;
+  return now->since_origin - first.since_origin;
 }
 
 // Adds the nodes that have no row, as the restored store lacks those written since its copy.
@@ -123,15 +81,13 @@
 }
 
 std::string store_watch::own_row() const {
-  const endpoint& relay = node_.settings.listen.relay_endpoint;
-  const node_strength& strength = node_.settings.strength;
-  const nlohmann::json row = {node_.settings.data_centre.str(),
-                              to_string(node_.settings.listen.link_endpoint),
-                              strength.processor_permille,
-                              strength.link_mbps,
-                              relay.host.empty() ? std::string{} : to_string(relay),
-                              first_start_.since_origin.count()};
-  return row.dump();
+  node_row row;
+  row.record.data_centre = node_.settings.data_centre;
+  row.record.link = node_.settings.listen.link_endpoint;
+  row.record.relay = node_.settings.listen.relay_endpoint;
+  row.record.strength = node_.settings.strength;
+  row.first_start = first_start_.since_origin;
+  return encode(row);
 }
 
 // Creates this node's row, which no earlier process may have written in a first start.
@@ -215,6 +171,18 @@
   }
 }
 
+// The rows are read again every few seconds; each version of an unreadable one is logged once.
+void store_watch::note_unreadable_node(const store_row& row) {
+  std::uint64_t& logged = unreadable_nodes_[row.key];
+  if (logged == row.version) {
+    return;
+  }
+  logged = row.version;
+  node_.metrics.count("arbutusworks_unreadable_node_rows");
+  log_line(log_level::warning, "node", "unreadable row of a node",
+           {{"row", row.key.substr(0, max_name_length)}, {"version", number_of(row.version)}});
+}
+
 void store_watch::read_nodes(const std::function<void(const std::vector<node_record>&)>& found) {
   const auto result = node_.store.read(node_table, {}, monotonic_now() + store_read_timeout);
   const auto* rows = std::get_if<store_rows>(&result);
@@ -222,15 +190,21 @@
   if (rows == nullptr) {
     return;
   }
+  std::vector<node_row> nodes;
   std::vector<node_record> peers;
   for (const store_row& row : rows->rows) {
-    if (auto record = read_node_record(row)) {
-      peers.push_back(std::move(*record));
+    if (auto node = decode_node_row(node_id{row.key}, row.value)) {
+      peers.push_back(node->record);
+      nodes.push_back(std::move(*node));
+    } else {
+      note_unreadable_node(row);
     }
   }
   nodes_known_ = true;
   if (!rows->has_more) {
-    node_.start.note_deployment_age(monotonic_now(), deployment_age(*rows));
+    const bool all_read = nodes.size() == rows->rows.size();
+    node_.start.note_deployment_age(
+        monotonic_now(), all_read ? deployment_age(nodes, rows->answered_at) : std::nullopt);
   }
   if (is_store_restored(monotonic_now())) {
     add_missing(peers, node_.peers.records());
--- a/src/node/store_watch.h
+++ b/src/node/store_watch.h
@@ -113,6 +113,7 @@
   bool create_own_row(time_point now);
   bool write_own_row(time_point now);
   void log_start_kind(time_point now);
+  void note_unreadable_node(const store_row& row);
 
   hosted_state& node_;
   time_point started_at_;
@@ -122,7 +123,8 @@
   bool first_start_known_ = false;  // this process created the row
   std::uint64_t own_row_era_ = 0;   // era of the store that has this node's row
   bool start_kind_logged_ = false;
-  bool nodes_known_ = false;               // the rows were read at least once
+  std::map<std::string, std::uint64_t> unreadable_nodes_;  // versions of the rows that were logged
+  bool nodes_known_ = false;                               // the rows were read at least once
   bool configuration_positioned_ = false;  // the log has all rows up to its position
   // This node can query the store for changes of targets after the position of its log of target
   // rows. Otherwise it first needs the whole list from the store or an update from its hub.
--- a/tests/shell/hosted_odd_rows_test.cpp
+++ b/tests/shell/hosted_odd_rows_test.cpp
@@ -67,6 +67,19 @@
   EXPECT_EQ(send_request(0, "/llm/x", "beside").response.body, expected_stream("beside"));
 }
 
+// Guards against operators who cannot tell from the log why a node is not found.
+TEST_F(HostedOddRows, AnUnreadableRowOfANodeIsNamed) {
+  ASSERT_TRUE(both_nodes_serve());
+  platform_.write_row("nodes", "odd", R"(["lab-a","127.0.0.1:70000"])");
+  const std::string counter = "arbutusworks_unreadable_node_rows";
+  const auto count = [&] {
+    const std::string text = send_operator_request("GET", "/metrics").response.body;
+    const std::size_t at = text.find("\n" + counter + " ");
+    return at == std::string::npos ? 0 : std::stoi(text.substr(at + counter.size() + 2));
+  };
+  EXPECT_TRUE(eventually([&] { return count() == 1; }));
+}
+
 // Guards against rows of other writers that a starting node cannot read past.
 TEST_F(HostedOddRows, ANodeStartsBesideThem) {
   ASSERT_TRUE(both_nodes_serve());
