The own kind answers the calls that outlast its stop

What callers saw: a node of 'arbutusworks node' that was stopped passed on calls with up to their whole time ahead, and at the end of stop_limit_ms it closed their connections without an answer, calls that may not be repeated and streams among them; exit code 1.

Change: both kinds use one class, planned_stop. A call whose deadline is later than the moment at which calls have to end is refused at once (503, not_run). 0.8 s before the stop ends, or half of stop_limit_ms if that is less, the calls still in progress are ended: 502 unknown if they may have run, 503 not_run if not; a stream that has begun gets its error frame.

--- a/src/node/call_context.cpp
+++ b/src/node/call_context.cpp
@@ -40,6 +40,15 @@
   return error;
 }
 
+call_error node_stops() {
+  call_error error;
+  error.status = 503;
+  error.code = "stopping";
+  error.message = stopping_reason;
+  error.retry_after = retry_after_stopping;
+  return error;
+}
+
 const class_rule* find_request_class(const rules& desired, const http_headers& headers) {
   const auto name = headers.find("x-class");
   if (!name) {
@@ -114,6 +123,9 @@
     const auto max_ms = static_cast<std::uint64_t>(to_milliseconds(call.request_class.deadline));
     call.deadline = call.arrival + std::chrono::milliseconds(std::min(*requested, max_ms));
   }
+  if (node.stop.may_outlast_node(call.deadline)) {
+    return node_stops();
+  }
   const limit_result result = node.limits.take(call.arrival, call.workspace->id);
   if (const auto* exceeded = std::get_if<limit_exceeded>(&result)) {
     return over_limit(exceeded->retry_after);
--- a/src/node/call_context.h
+++ b/src/node/call_context.h
@@ -15,6 +15,7 @@
 #include "node/limit_exchange.h"
 #include "node/metrics.h"
 #include "node/model_gate.h"
+#include "node/planned_stop.h"
 #include "node/platform_client.h"
 #include "node/route_backoffs.h"
 #include "node/service_health.h"
@@ -35,6 +36,7 @@
   service_health& services;
   route_backoffs& backoffs;
   metrics& call_metrics;
+  planned_stop stop{};
   std::atomic<std::uint64_t> next_request{1};  // number that the id of the next request contains
 };
 
--- a/src/node/hosted_buffered.cpp
+++ b/src/node/hosted_buffered.cpp
@@ -26,7 +26,7 @@
       caller_disconnected_ = true;
       cancel_.cancel();
     });
-    const open_calls::registration open(node_.calls, [this] { cancel_.cancel(); });
+    const open_calls::registration open(node_.stop.calls, [this] { cancel_.cancel(); });
     while (!ended_) {
       next_attempt();
     }
@@ -55,7 +55,7 @@
       end_locally(0, {}, "the caller has gone");
       return;
     }
-    if (node_.must_end_calls(now)) {
+    if (node_.stop.must_end_calls(now)) {
       end_locally(503, retry_after_stopping, stopping_reason);
       return;
     }
--- a/src/node/hosted_call.cpp
+++ b/src/node/hosted_call.cpp
@@ -56,7 +56,7 @@
       return end_unfit(region_reason);
     }
     set_deadline();
-    if (node_.may_outlast_node(call_.deadline)) {
+    if (node_.stop.may_outlast_node(call_.deadline)) {
       respond_unfit(node_, call_, decline_reason::unfit, retry_after_stopping, stopping_reason);
       return false;
     }
--- a/src/node/hosted_node.cpp
+++ b/src/node/hosted_node.cpp
@@ -195,18 +195,6 @@
     return text;
   }
 
-  // Ends the calls that would outlast this node, which stops.
-  void end_calls() {
-    if (!sleep_until(*state.calls_end_at)) {
-      return;
-    }
-    const std::size_t ended = state.calls.end_all();
-    if (ended > 0) {
-      log_line(log_level::warning, "node", "calls ended by the stop",
-               {{"calls", std::uint64_t{ended}}});
-    }
-  }
-
   void start() {
     state.peers.start_discovery(monotonic_now());
     runtime.post(0, [this] { watch.follow_configuration(); });
@@ -262,8 +250,8 @@
   const time_point begun = monotonic_now();
   p.runtime.run_on(0, [&] {
     p.state.stopping = true;
-    p.state.calls_end_at = begun + p.state.settings.bounds.shutdown_grace - shutdown_margin;
-    p.runtime.post(0, [&p] { p.end_calls(); });
+    p.state.stop.begin(begun + p.state.settings.bounds.shutdown_grace - shutdown_margin);
+    p.runtime.post(0, [&p] { p.state.stop.end_calls(); });
     p.callers->close_after_answers();
     sleep_until(begun + load_balancer_lag);
     const time_point until = begun + p.state.settings.bounds.shutdown_grace - exit_margin;
--- a/src/node/hosted_parts.h
+++ b/src/node/hosted_parts.h
@@ -175,9 +175,6 @@
 inline constexpr std::uint32_t max_sends_per_call = 6;
 // Sent as Retry-After if there is no target for a request: a replica forms within about this time.
 inline constexpr duration retry_after_no_target = 400ms;
-// Sent as Retry-After if this node stops: a caller that returns reaches another node.
-inline constexpr duration retry_after_stopping = 10ms;
-inline constexpr std::string_view stopping_reason = "this node stops before the call can end";
 // Sent as Retry-After if this node refuses a request because the platform does not confirm its
 // configuration. A caller that retries reaches another node. If the store serves a peer of the data
 // centre, the caller may retry soon and usually still meets its deadline; if it serves none, an
--- a/src/node/hosted_state.h
+++ b/src/node/hosted_state.h
@@ -25,7 +25,7 @@
 #include "connection/http_client.h"
 #include "node/attempt_registry.h"
 #include "node/hosted_metrics.h"
-#include "node/open_calls.h"
+#include "node/planned_stop.h"
 #include "node/poison_state.h"
 #include "platform/engines.h"
 #include "platform/store.h"
@@ -129,9 +129,7 @@
   // A caller's request has arrived at this node or, as reported, at a peer.
   bool requests_seen = false;
   bool stopping = false;
-  // When this node, which stops, ends the calls still in progress; empty: it does not stop.
-  std::optional<time_point> calls_end_at;
-  open_calls calls;
+  planned_stop stop;
 
   // Replicas of the service's model that may be sent requests now; cached until the fleet or the
   // configuration changes. The reference is valid until the next call.
@@ -153,13 +151,6 @@
   [[nodiscard]] retry_window& retries_of(time_point now, const service_id& service);
   // Whether this node is cut off from the targets of a model service. It then controls no replicas.
   [[nodiscard]] bool is_cut_off_from_models() const;
-  // Whether a call with this deadline may last longer than this node, which stops.
-  [[nodiscard]] bool may_outlast_node(time_point deadline) const {
-    return calls_end_at && deadline > *calls_end_at;
-  }
-  [[nodiscard]] bool must_end_calls(time_point now) const {
-    return calls_end_at && now >= *calls_end_at;
-  }
   // Drops pooled connections to an address whose target has restarted.
   void forget_connections(const endpoint& address);
 
--- a/src/node/hosted_stream.cpp
+++ b/src/node/hosted_stream.cpp
@@ -47,7 +47,7 @@
       cancel_all_except(nullptr);
     });
     const run_guard guard(*this);
-    const open_calls::registration open(node_.calls, [this] { cancel_all_except(nullptr); });
+    const open_calls::registration open(node_.stop.calls, [this] { cancel_all_except(nullptr); });
     while (!ended_) {
       next_attempt();
       await_second_run();
@@ -178,7 +178,7 @@
     if (caller_disconnected_) {
       return end_of_call{0, {}, "the caller has gone"};
     }
-    if (node_.must_end_calls(now)) {
+    if (node_.stop.must_end_calls(now)) {
       return end_of_call{503, retry_after_stopping, stopping_reason};
     }
     return choose_stream_step(node_, call_, *model_, avoided_, now);
--- a/src/node/keyed_driver.h
+++ b/src/node/keyed_driver.h
@@ -4,6 +4,7 @@
 #include <functional>
 
 #include "connection/http_client.h"
+#include "node/planned_stop.h"
 #include "node/platform_client.h"
 #include "request/keyed.h"
 
@@ -15,8 +16,9 @@
 using keyed_replier = std::function<void(const keyed_reply& reply)>;
 
 // Returns when the call's record in the table has its final state, which may be after the reply to
-// the caller.
-void drive_keyed_call(platform_client& platform, const keyed_call_facts& facts,
-                      const keyed_sender& send, const keyed_replier& reply);
+// the caller; or, if the node stops before, when the caller has the reply.
+void drive_keyed_call(platform_client& platform, const planned_stop& stop,
+                      const keyed_call_facts& facts, const keyed_sender& send,
+                      const keyed_replier& reply);
 
 }  // namespace arbutus
--- a/src/node/model_call.cpp
+++ b/src/node/model_call.cpp
@@ -49,15 +49,13 @@
       return;
     }
     cancel_ = cancel_token::make();
-    writer_.on_caller_disconnect([this] {
-      waiter_.caller_disconnected();
-      cancel_.cancel();
-    });
+    writer_.on_caller_disconnect([this] { end_waits(); });
+    const open_calls::registration open(node_.stop.calls, [this] { end_waits(); });
     gate_ = &node_.gates.gate_of(body_.model);
     const admission_outcome entry = gate_->enter(*call_.view, facts_, waiter_);
     call_.measurements.queue_time = monotonic_now() - call_.arrival;
-    if (entry.what == admission_outcome::kind::caller_disconnected) {
-      finish("caller_gone", "while waiting");
+    if (entry.what == admission_outcome::kind::abandoned) {
+      end_abandoned();
       return;
     }
     if (entry.what == admission_outcome::kind::rejected) {
@@ -71,6 +69,25 @@
   }
 
  private:
+  void end_waits() {
+    waiter_.abandon();
+    cancel_.cancel();
+  }
+
+  void end_abandoned() {
+    if (writer_.caller_disconnected()) {
+      finish("caller_gone", "while waiting");
+    } else {
+      give_up_since_node_stops(execution::not_run);
+    }
+  }
+
+  [[nodiscard]] bool must_end() const { return node_.stop.must_end_calls(monotonic_now()); }
+
+  void give_up_since_node_stops(execution ran) {
+    give_up(ran, "stopping", std::string(stopping_reason), retry_after_stopping);
+  }
+
   std::optional<call_error> begin() {
     if (auto error = begin_call(node_, request_, call_)) {
       return error;
@@ -134,7 +151,9 @@
   }
 
   void give_up_without_replica(execution ran) {
-    if (const auto wait = retry_after_restraint()) {
+    if (must_end()) {
+      give_up_since_node_stops(ran);
+    } else if (const auto wait = retry_after_restraint()) {
       give_up(ran, "targets_back_off", "the replicas asked for a backoff or are leaving", *wait);
     } else {
       give_up(ran, "no_replica", "no replica may take the request", no_replica_retry_after);
@@ -169,6 +188,10 @@
       if (end.ran == execution::unknown) {
         worst = execution::unknown;
       }
+      if (must_end()) {
+        give_up_since_node_stops(worst);
+        return false;
+      }
       const retry_decision decision = decide_next(end.ran);
       if (const auto* stop = std::get_if<arbutus::give_up>(&decision)) {
         give_up(worst, std::string(to_string(stop->why)), end.reason, duration{200ms});
@@ -188,7 +211,7 @@
       const retry_decision decision = gate_->retry(now, attempt_context_, last, facts_);
       const auto* stop = std::get_if<arbutus::give_up>(&decision);
       const bool may_wait = stop != nullptr && stop->why == give_up_reason::no_budget &&
-                            writer_.started() && !writer_.caller_disconnected();
+                            writer_.started() && !writer_.caller_disconnected() && !must_end();
       if (!may_wait) {
         return decision;
       }
@@ -210,7 +233,7 @@
       if (choice) {
         return view->routes.replicas[choice->index];
       }
-      if (writer_.caller_disconnected() || !may_wait_for_route(now, *view)) {
+      if (writer_.caller_disconnected() || must_end() || !may_wait_for_route(now, *view)) {
         return std::nullopt;
       }
       sleep_until(now + route_poll_interval);
--- a/src/node/model_gate.cpp
+++ b/src/node/model_gate.cpp
@@ -98,7 +98,7 @@
     start_queue_sweep();
   }
   const admission_outcome end = waiter.wait();
-  if (end.what == admission_outcome::kind::caller_disconnected) {
+  if (end.what == admission_outcome::kind::abandoned) {
     const std::lock_guard guard(lock_);
     waiters_.erase(facts.id);
     start(admission_.abandon_and_start_next(monotonic_now(), facts.id));
--- a/src/node/model_gate.h
+++ b/src/node/model_gate.h
@@ -24,7 +24,7 @@
 
 // How a request's wait for admission ended.
 struct admission_outcome {
-  enum class kind { admitted, rejected, caller_disconnected } what = kind::admitted;
+  enum class kind { admitted, rejected, abandoned } what = kind::admitted;
   rejected why;  // reason if `what` is rejected
 };
 
@@ -32,8 +32,9 @@
 // enter() has returned.
 class admission_waiter {
  public:
-  // The caller has disconnected: makes enter() return. May be called from any worker.
-  void caller_disconnected() { finish({admission_outcome::kind::caller_disconnected, {}}); }
+  // Makes enter() return, as the caller has disconnected or the node stops. May be called from any
+  // thread.
+  void abandon() { finish({admission_outcome::kind::abandoned, {}}); }
 
  private:
   friend class model_gate;
@@ -49,7 +50,7 @@
  public:
   model_gate(fiber_runtime& runtime, route_backoffs& backoffs, model_id model, std::uint64_t seed);
 
-  // Suspends until the request may start, is rejected or its caller has disconnected.
+  // Suspends until the request may start, is rejected or its wait is abandoned.
   admission_outcome enter(const node_view& view, const request_facts& facts,
                           admission_waiter& waiter);
   // Releases the slot of an admitted request. `served`: the request was answered.
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -1,6 +1,7 @@
 // Creates, connects and stops the components of a node.
 #include "node/node.h"
 
+#include <algorithm>
 #include <optional>
 
 #include "connection/clock.h"
@@ -15,6 +16,10 @@
 
 namespace {
 
+// Part of a planned stop that is left when the node ends the calls still in progress, for their
+// callers to read the answers.
+constexpr duration answer_margin = 800ms;
+
 coordinator_settings core_settings(const node_setup& options) {
   coordinator_settings settings;
   settings.self = options.self;
@@ -200,6 +205,8 @@
 
 bool node::stop() {
   parts& p = *parts_;
+  const time_point until = monotonic_now() + p.options.load_balancer_lag + p.options.drain_timeout;
+  p.context.stop.begin(until - std::min(answer_margin, p.options.drain_timeout / 2));
   p.callers.begin_drain();
   p.core.call([](time_point now, coordinator& c) {
     c.begin_drain(now);
@@ -208,9 +215,10 @@
   // New callers still arrive until the load balancer has noticed that the node is draining; they
   // are served as usual.
   bool clean = false;
-  p.runtime.run_on(0, [&p, &clean] {
-    sleep_until(monotonic_now() + p.options.load_balancer_lag);
-    clean = p.server->drain(monotonic_now() + p.options.drain_timeout);
+  p.runtime.run_on(0, [&p, &clean, until] {
+    p.runtime.post(0, [&p] { p.context.stop.end_calls(); });
+    sleep_until(until - p.options.drain_timeout);
+    clean = p.server->drain(until);
   });
   p.core.stop();
   p.running = false;
--- a/src/node/open_calls.h
+++ b/src/node/open_calls.h
@@ -3,14 +3,16 @@
 #pragma once
 
 #include <functional>
+#include <mutex>
 #include <set>
 #include <utility>
 
 namespace arbutus {
 
+// Thread-safe.
 class open_calls {
  public:
-  // Called when the call has to end; must not suspend or destroy a registration.
+  // Called when the call has to end, on any thread; must not suspend or destroy a registration.
   using end_handler = std::function<void()>;
 
   // Registers a call for the lifetime of this object.
@@ -18,9 +20,13 @@
    public:
     registration(open_calls& calls, end_handler on_end)
         : calls_(calls), on_end_(std::move(on_end)) {
+      const std::lock_guard guard(calls_.lock_);
       calls_.registrations_.insert(this);
     }
-    ~registration() { calls_.registrations_.erase(this); }
+    ~registration() {
+      const std::lock_guard guard(calls_.lock_);
+      calls_.registrations_.erase(this);
+    }
     registration(const registration&) = delete;
     registration& operator=(const registration&) = delete;
     registration(registration&&) = delete;
@@ -34,6 +40,7 @@
 
   // Tells all calls to end; returns their number.
   std::size_t end_all() const {
+    const std::lock_guard guard(lock_);
     for (const registration* call : registrations_) {
       call->on_end_();
     }
@@ -41,6 +48,7 @@
   }
 
  private:
+  mutable std::mutex lock_;
   std::set<registration*> registrations_;
 };
 
--- a/src/node/service_call.cpp
+++ b/src/node/service_call.cpp
@@ -73,6 +73,7 @@
       return;
     }
     cancel_ = cancel_token::make();
+    const open_calls::registration open(node_.stop.calls, [this] { cancel_.cancel(); });
     if (is_idempotent(*service_, request_.method, path_of(request_.target))) {
       writer_.on_caller_disconnect([this] { cancel_.cancel(); });
       run_repeatable();
@@ -202,6 +203,10 @@
       finish("caller_gone", "while running");
       return;
     }
+    if (node_.stop.must_end_calls(monotonic_now())) {
+      give_up(worst, "stopping", std::string(stopping_reason), retry_after_stopping);
+      return;
+    }
     give_up_without_answer(worst, "service_unavailable", reason, retry_after_failure);
   }
 
@@ -228,7 +233,7 @@
     facts.deadline = call_.deadline;
     const auto send = [this](const send_permit& permit) { return send_once(permit); };
     const auto reply = [this](const keyed_reply& r) { answer(r); };
-    drive_keyed_call(node_.platform, facts, send, reply);
+    drive_keyed_call(node_.platform, node_.stop, facts, send, reply);
   }
 
   // An instance that cannot be connected to has not received the call, so the next one is tried.
--- a/src/request/keyed.cpp
+++ b/src/request/keyed.cpp
@@ -176,9 +176,9 @@
   return out;
 }
 
-keyed_effects keyed_call::cancel(time_point now, wall_time wall) {
+keyed_effects keyed_call::cancel(time_point now, wall_time wall, std::string reason) {
   const bool unsent = step_ == step::reserving || step_ == step::marking || step_ == step::ready;
-  return unsent ? abort_unsent(now, wall, "the caller is gone") : keyed_effects{};
+  return unsent ? abort_unsent(now, wall, std::move(reason)) : keyed_effects{};
 }
 
 keyed_effects keyed_call::write(time_point now, wall_time wall, record_phase phase) {
--- a/src/request/keyed.h
+++ b/src/request/keyed.h
@@ -143,8 +143,8 @@
   [[nodiscard]] keyed_effects ended(time_point now, wall_time wall, execution how);
   [[nodiscard]] keyed_effects answered(time_point now, wall_time wall, const keyed_answer& answer);
 
-  // The caller disconnected. A call that was not sent by then is never sent.
-  [[nodiscard]] keyed_effects cancel(time_point now, wall_time wall);
+  // A call that was not sent by then is never sent; `reason` is that of the reply.
+  [[nodiscard]] keyed_effects cancel(time_point now, wall_time wall, std::string reason);
 
   // The call needs no further results or ticks.
   [[nodiscard]] bool finished() const { return step_ == step::finished; }
--- a/tests/core/request_keyed_test.cpp
+++ b/tests/core/request_keyed_test.cpp
@@ -251,7 +251,7 @@
   const auto& w = std::get<table_write>(insert.at(0));
   call.take(call.call.on(call.now, call.wall, table_write_result{w, table.apply(w)}));
   ASSERT_EQ(call.held.size(), 1U) << "the write to `sending`";
-  call.take(call.call.cancel(call.now, call.wall));
+  call.take(call.call.cancel(call.now, call.wall, "cancelled"));
   EXPECT_EQ(call.replies.at(0).what, kind::not_run);
   call.release();
   EXPECT_TRUE(call.call.finished());
--- a/tests/process/driver.py
+++ b/tests/process/driver.py
@@ -286,7 +286,8 @@
     """A stand-in for the platform and all targets, and nodes in several data centres."""
 
     def __init__(self, vms_per_data_centre=5, standbys=0, spares=1, checks_tokens=True,
-                 replicas_per_data_centre=2, workers=1, balancer_lag_ms=100, body_bytes=65536):
+                 replicas_per_data_centre=2, workers=1, balancer_lag_ms=100, body_bytes=65536,
+                 stop_limit_ms=60000):
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix="arbutusworks-process-test-"))
         atexit.register(self.close)
         self.standbys = standbys
@@ -296,6 +297,7 @@
         self.workers = workers
         self.balancer_lag_ms = balancer_lag_ms
         self.body_bytes = body_bytes
+        self.stop_limit_ms = stop_limit_ms
         vm_names = [f"{dc}-vm-{i}" for dc in DATA_CENTRES for i in range(vms_per_data_centre)]
         node_names = [f"{dc}-node-{i}" for dc in DATA_CENTRES
                       for i in range(NODES_PER_DATA_CENTRE)]
@@ -332,7 +334,8 @@
                  f"[limits]\nbody_bytes = {self.body_bytes}\nbody_timeout_ms = 1000\n"
                  "header_timeout_ms = 1000\n"
                  f"[threads]\nworkers = {self.workers}\n"
-                 f"[timing]\nbalancer_lag_ms = {self.balancer_lag_ms}\n")
+                 f"[timing]\nbalancer_lag_ms = {self.balancer_lag_ms}\n"
+                 f"stop_limit_ms = {self.stop_limit_ms}\n")
         for peer in self.nodes:
             if peer is not node:
                 text += (f'[[peer]]\nid = "{peer.name}"\ndata_centre = "{peer.data_centre}"\n'
--- a/tests/process/stop_test.py
+++ b/tests/process/stop_test.py
@@ -12,21 +12,22 @@
 LEAVING_SECONDS = 2.0
 
 
+def in_background(job):
+    """Starts the job in a thread; the returned function waits for its result."""
+    result = []
+    thread = threading.Thread(target=lambda: result.append(job()), daemon=True)
+    thread.start()
+
+    def wait():
+        thread.join(30)
+        return result[0] if result else None
+    return wait
+
+
 class Stops(ProcessTest):
     fleet_options = {"vms_per_data_centre": 7, "standbys": 1, "spares": 1,
                      "balancer_lag_ms": BALANCER_LAG_MS}
 
-    def in_background(self, job):
-        """Starts the job in a thread; the returned function waits for its result."""
-        result = []
-        thread = threading.Thread(target=lambda: result.append(job()), daemon=True)
-        thread.start()
-
-        def wait():
-            thread.join(30)
-            return result[0] if result else None
-        return wait
-
     def test_node_stops_under_load(self):
         # Guards against truncated answers at every roll-out: a node is stopped while streams,
         # buffered answers and a job card are in progress, and closes its port or ends before the
@@ -37,11 +38,11 @@
         expected = text_of(self.fleet.call_engine(body))
         with load:
             wait_until(lambda: load.complete_count > 6, "the load runs")
-            long_stream = self.in_background(
+            long_stream = in_background(
                 lambda: complete(node.port, {**body, "stream": True}))
             self.fleet.fault("/faults/service/notes-api", late=1, late_ms=1500)
             before = self.fleet.executions()["executions"]
-            card = self.in_background(
+            card = in_background(
                 lambda: call(node.port, "POST", "/notes/cards", "crew 1",
                              {**authorization(), "Idempotency-Key": "stop"}))
             wait_until(lambda: self.fleet.executions()["executions"] > before, "the card runs")
@@ -128,6 +129,63 @@
                 and not any(vm in r["members"] for r in replicas))
 
 
+class StopsBeforeItsCalls(ProcessTest):
+    fleet_options = {"workers": 2, "balancer_lag_ms": 500, "stop_limit_ms": 1500}
+
+    def setUp(self):
+        self.node = self.fleet.nodes_of(DATA_CENTRES[1])[0]
+        self.addCleanup(self.restore)
+
+    def restore(self):
+        for vm in self.fleet.vm_ports:
+            self.fleet.vm_fault(vm, speed=1.0)
+        self.fleet.fault("/faults/service/notes-api", late=0)
+        if not self.node.is_running():
+            self.node.start()
+        self.fleet.wait_all_serving([self.node])
+
+    def send(self, method, path, deadline_ms=20000, **headers):
+        return call(self.node.port, method, path, "crew 1" if method == "POST" else None,
+                    {**authorization(), "x-deadline-ms": str(deadline_ms), **headers})
+
+    def slow_stream(self):
+        for vm in self.fleet.vm_ports:
+            self.fleet.vm_fault(vm, speed=0.02)
+        return in_background(lambda: complete(
+            self.node.port, completion_body("a long answer", tokens=2000, stream=True)))
+
+    def test_calls_that_outlast_the_stop_are_answered(self):
+        # Guards against calls that are cut off without an answer when their node has stopped.
+        self.fleet.fault("/faults/service/notes-api", late=2, late_ms=8000)
+        before = self.fleet.executions()["executions"]
+        once = in_background(lambda: self.send("POST", "/notes/cards", **{"Idempotency-Key": "s"}))
+        repeatable = in_background(lambda: self.send("GET", "/notes/1"))
+        stream = self.slow_stream()
+        wait_until(lambda: self.node.gauge("arbutusworks_requests_active") >= 4, "the calls run")
+        wait_until(lambda: self.fleet.executions()["executions"] > before, "the card runs")
+        self.node.send(signal.SIGTERM)
+        replies = [once(), repeatable()]
+        self.assertEqual([(r.status, r.error["type"]) for r in replies], 2 * [(502, "unknown")])
+        self.assertIn(b'"error"', stream().body)
+        self.assertEqual(self.node.wait(10), 0)
+        self.assertIn("nothing was cut off", self.node.log())
+
+    def test_calls_that_may_outlast_the_stop_are_refused_at_once(self):
+        # Guards against calls that a stopping node passes on though they may last longer than it.
+        before = self.fleet.executions()["executions"]
+        self.node.send(signal.SIGTERM)
+        wait_until(lambda: call(self.node.port, "GET", "/readyz").status == 503, "it stops")
+        begun = time.monotonic()
+        late = self.send("POST", "/notes/cards", **{"Idempotency-Key": "late"})
+        self.assertEqual((late.status, late.error["type"]), (503, "not_run"))
+        self.assertIn("retry-after", late.headers)
+        self.assertLess(time.monotonic() - begun, 0.3)
+        self.assertEqual(self.fleet.executions()["executions"], before)
+        short = self.send("GET", "/notes/1", deadline_ms=300)
+        self.assertEqual(short.status, 200)
+        self.assertEqual(self.node.wait(10), 0)
+
+
 class StopsTogether(ProcessTest):
     fleet_options = {"workers": 4, "balancer_lag_ms": BALANCER_LAG_MS}
 
