Answers without end share a bound on the node's memory

What was seen: each answer that is read whole has a limit of 8 MB, but many at a time had none together: 12 endless answers held 99 MB with a limit of 4 MB for the node's buffers, which only refused new requests. The own kind counted nothing at all.

Cause: the account of buffers was asked when a request came, never while an answer grew.

Change: while the account is full, an answer that is larger than the mean of the buffers is given up as too large, so small answers of other targets are not affected; the same holds for answers of peers that took a call over. The own kind has an account, too: [limits] buffered_bytes, 64 MiB by default; above it new requests get 503. Calls to the platform and reports of engines use a client of their own, which is not limited by it.

--- a/src/cli/node.cpp
+++ b/src/cli/node.cpp
@@ -33,6 +33,12 @@
   return limits;
 }
 
+// With room for several of the largest bodies, so that one alone does not fill it.
+std::size_t buffered_bytes_of(const connection_limits& limits) {
+  constexpr std::size_t min_bodies = 8;
+  return std::max<std::size_t>(limits.buffered_bytes, min_bodies * limits.body_bytes);
+}
+
 std::uint64_t random_seed() {
   std::random_device device;
   return (std::uint64_t{device()} << 32U) | device();
@@ -52,6 +58,7 @@
   setup.workers =
       settings.workers != 0 ? settings.workers : std::max(1U, std::thread::hardware_concurrency());
   setup.limits = limits_of(settings.limits);
+  setup.buffered_bytes = buffered_bytes_of(settings.limits);
   setup.operator_key_hash = settings.operator_key_hash;
   setup.incarnation = static_cast<std::uint64_t>(wall_now().milliseconds);
   setup.seed = random_seed();
--- a/src/connection/buffer_account.h
+++ b/src/connection/buffer_account.h
@@ -19,9 +19,16 @@
   }
   [[nodiscard]] std::size_t held() const { return held_; }
 
+  // Whether a buffer that is still growing has to be given up: the account is full, and the buffer
+  // is larger than the mean. Small buffers are never given up for the sake of large ones.
+  [[nodiscard]] bool is_over_share(std::size_t bytes) const {
+    return is_full() && bytes * buffers_ > limit_;
+  }
+
   void change(std::size_t from, std::size_t to) {
-    held_ += to;
-    held_ -= from;
+    held_ += to - from;  // wraps around, so that no other thread sees both
+    buffers_ += to > 0 ? 1 : 0;
+    buffers_ -= from > 0 ? 1 : 0;
   }
 
   // Counts a request that was refused because the account is full.
@@ -31,6 +38,7 @@
  private:
   const std::size_t limit_;
   std::atomic<std::size_t> held_{0};
+  std::atomic<std::size_t> buffers_{0};  // that hold any byte
   std::atomic<std::uint64_t> refusals_{0};
 };
 
--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -210,13 +210,23 @@
   std::string body;
   const headers_handler on_headers = [](int, const http_headers&) { return true; };
   held_bytes held(state_->limits.buffers);
+  const buffer_account* buffers = state_->limits.buffers;
+  bool is_over_share = false;
   const chunk_handler on_chunk = [&](std::string_view bytes) {
     body.append(bytes);
     held.set(body.size());
-    return true;
+    is_over_share = buffers != nullptr && buffers->is_over_share(body.size());
+    if (is_over_share) {
+      body = {};
+      held.set(0);
+    }
+    return !is_over_share;
   };
   call_result result =
       state_->call(target, request, deadline, {on_headers, on_chunk, true}, token, permit, use);
+  if (is_over_share) {
+    result.failure = call_failure::too_large;
+  }
   result.response.body = std::move(body);
   result.held = std::move(held);
   return result;
--- a/src/connection/http_client.h
+++ b/src/connection/http_client.h
@@ -71,8 +71,9 @@
   // For fetch(): each time bytes of the body arrive, the deadline is extended to at least this long
   // after them. 0: the deadline is not extended.
   duration body_stall_timeout{};
-  duration max_body_duration{10s};   // limit for extended deadlines, counted from the headers
-  buffer_account* buffers{nullptr};  // counts the bodies that fetch() holds; outlives the client
+  duration max_body_duration{10s};  // limit for extended deadlines, counted from the headers
+  // Counts the bodies that fetch() holds, and limits them together; outlives the client.
+  buffer_account* buffers{nullptr};
 };
 
 class http_client {
--- a/src/node/hosted_relay.cpp
+++ b/src/node/hosted_relay.cpp
@@ -118,7 +118,8 @@
     const bool by_target = report_ && report_->result == relay_result::answered;
     const std::size_t limit =
         by_target ? relay_client_limits().max_body_bytes : max_own_answer_bytes;
-    too_large_ = answer_.body.size() + bytes.size() > limit;
+    const std::size_t size = answer_.body.size() + bytes.size();
+    too_large_ = size > limit || node_.buffers.is_over_share(size);
     if (!too_large_) {
       answer_.body.append(bytes);
       answer_.held.set(answer_.body.size());
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -20,6 +20,12 @@
 // callers to read the answers.
 constexpr duration answer_margin = 800ms;
 
+http_client_limits client_limits(buffer_account* buffers) {
+  http_client_limits limits;
+  limits.buffers = buffers;
+  return limits;
+}
+
 coordinator_settings core_settings(const node_setup& options) {
   coordinator_settings settings;
   settings.self = options.self;
@@ -37,9 +43,11 @@
   explicit parts(node_setup o)
       : options(std::move(o)),
         runtime(options.workers),
-        client(runtime),
-        platform(client, options.platform, options.data_centre),
-        engines(client),
+        buffers(options.buffered_bytes),
+        client(runtime, client_limits(&buffers)),
+        control_client(runtime),
+        platform(control_client, options.platform, options.data_centre),
+        engines(control_client),
         call_metrics(options.workers),
         backoffs(options.seed),
         gates(runtime, backoffs, options.seed),
@@ -87,7 +95,9 @@
 
   node_setup options;
   fiber_runtime runtime;
-  http_client client;
+  buffer_account buffers;      // bodies of requests and answers
+  http_client client;          // for callers' requests
+  http_client control_client;  // not limited by what callers' requests hold
   platform_client platform;
   engine_client engines;
   metrics call_metrics;
@@ -136,6 +146,8 @@
   add("arbutusworks_targets_leaving", restrained.leaving);
   add("arbutusworks_requests_active", server->active());
   add("arbutusworks_connections_open", server->connections());
+  add("arbutusworks_bytes_buffered", buffers.held());
+  add("arbutusworks_refused_for_memory", buffers.refusals());
   add("arbutusworks_link_bytes_in", traffic.bytes_in);
   add("arbutusworks_link_bytes_out", traffic.bytes_out);
   add("arbutusworks_link_frames_in", traffic.frames_in);
@@ -157,7 +169,10 @@
   const auto handler = [this](const http_request& request, response_writer& writer) {
     callers.serve(request, writer);
   };
-  server = std::make_unique<http_server>(runtime, options.caller_address, options.limits, handler,
+  http_server_limits caller_limits = options.limits;
+  caller_limits.buffers = &buffers;
+  caller_limits.refuses_when_full = true;
+  server = std::make_unique<http_server>(runtime, options.caller_address, caller_limits, handler,
                                          server_error_body, log_handler_failure);
 }
 
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -24,8 +24,9 @@
   std::vector<node_record> bootstrap_peers;
   std::size_t workers = 2;
   http_server_limits limits;
-  std::string operator_key_hash;  // SHA-256; empty: no /admin
-  std::uint64_t incarnation{};    // differs after every start
+  std::size_t buffered_bytes = 64UL * 1024 * 1024;  // see connection_limits
+  std::string operator_key_hash;                    // SHA-256; empty: no /admin
+  std::uint64_t incarnation{};                      // differs after every start
   std::uint64_t seed{};
   // How long the platform's balancer still sends callers after /readyz has begun to fail.
   duration load_balancer_lag = 3s;
--- a/src/process/settings.cpp
+++ b/src/process/settings.cpp
@@ -19,6 +19,7 @@
 
 constexpr integer_range header_bytes{1024, 1024 * 1024};
 constexpr integer_range body_bytes{1024, 1024 * 1024 * 1024};
+constexpr integer_range buffered_bytes{1024 * 1024, 2147483648};
 constexpr integer_range connections{1, 1'000'000};
 constexpr integer_range workers{0, 1024};
 // Accepted range of timeouts, in milliseconds. A timeout of more than an hour is most likely given
@@ -127,6 +128,7 @@
     table->read("header_bytes", limits.header_bytes, optional, header_bytes);
     table->read("body_bytes", limits.body_bytes, optional, body_bytes);
     table->read("connections", limits.connections, optional, connections);
+    table->read("buffered_bytes", limits.buffered_bytes, optional, buffered_bytes);
     table->read_ms("header_timeout_ms", limits.header_timeout, optional, timeout_ms);
     table->read_ms("body_timeout_ms", limits.body_timeout, optional, timeout_ms);
     table->read_ms("idle_timeout_ms", limits.idle_timeout, optional, timeout_ms);
--- a/tests/core/settings_test.cpp
+++ b/tests/core/settings_test.cpp
@@ -55,6 +55,7 @@
 header_bytes = 2048
 body_bytes = 4096
 connections = 7
+buffered_bytes = 2000000
 header_timeout_ms = 1
 body_timeout_ms = 2
 idle_timeout_ms = 3
@@ -79,6 +80,7 @@
   EXPECT_EQ(s.limits.header_bytes, 2048U);
   EXPECT_EQ(s.limits.body_bytes, 4096U);
   EXPECT_EQ(s.limits.connections, 7U);
+  EXPECT_EQ(s.limits.buffered_bytes, 2000000U);
   EXPECT_EQ(s.limits.header_timeout, 1ms);
   EXPECT_EQ(s.limits.body_timeout, 2ms);
   EXPECT_EQ(s.limits.idle_timeout, 3ms);
--- a/tests/process/driver.py
+++ b/tests/process/driver.py
@@ -287,7 +287,7 @@
 
     def __init__(self, vms_per_data_centre=5, standbys=0, spares=1, checks_tokens=True,
                  replicas_per_data_centre=2, workers=1, balancer_lag_ms=100, body_bytes=65536,
-                 stop_limit_ms=60000):
+                 buffered_bytes=64 * 1024 * 1024, stop_limit_ms=60000):
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix="arbutusworks-process-test-"))
         atexit.register(self.close)
         self.standbys = standbys
@@ -297,6 +297,7 @@
         self.workers = workers
         self.balancer_lag_ms = balancer_lag_ms
         self.body_bytes = body_bytes
+        self.buffered_bytes = buffered_bytes
         self.stop_limit_ms = stop_limit_ms
         vm_names = [f"{dc}-vm-{i}" for dc in DATA_CENTRES for i in range(vms_per_data_centre)]
         node_names = [f"{dc}-node-{i}" for dc in DATA_CENTRES
@@ -331,7 +332,8 @@
         for part in ("table", "objects", "vms"):
             text += f'{part} = "{LOOPBACK}:{self.platform_port}"\n'
         text += (f'[operators]\nkey_hash = "{key_hash(OPERATOR_KEY)}"\n'
-                 f"[limits]\nbody_bytes = {self.body_bytes}\nbody_timeout_ms = 1000\n"
+                 f"[limits]\nbody_bytes = {self.body_bytes}\nbuffered_bytes = {self.buffered_bytes}\n"
+                 "body_timeout_ms = 1000\n"
                  "header_timeout_ms = 1000\n"
                  f"[threads]\nworkers = {self.workers}\n"
                  f"[timing]\nbalancer_lag_ms = {self.balancer_lag_ms}\n"
--- a/tests/shell/connection_client_test.cpp
+++ b/tests/shell/connection_client_test.cpp
@@ -1,4 +1,5 @@
 // Tests the outcomes of failed calls of the HTTP client, against targets scripted with raw sockets.
+#include <future>
 #include <thread>
 
 #include "connection/http_client.h"
@@ -169,6 +170,42 @@
   }
 }
 
+// Guards against a node that runs out of memory, as each of many answers is within its own limit.
+TEST_F(connection_client, endless_answers_together_stay_within_the_buffers) {
+  constexpr std::size_t limit = 4UL * 1024 * 1024;
+  constexpr std::size_t calls = 12;
+  buffer_account buffers(limit);
+  http_client_limits limits;
+  limits.buffers = &buffers;
+  http_client limited(runtime, limits);
+  endless_target endless({"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                          "3e8\r\n" + std::string(1000, 'x') + "\r\n"},
+                         calls);
+  std::atomic<std::size_t> most{0};
+  std::atomic<bool> ended{false};
+  std::thread watch([&] {
+    while (!ended) {
+      most = std::max(most.load(), buffers.held());
+    }
+  });
+  std::vector<std::future<call_result>> results;
+  for (std::size_t i = 0; i < calls; ++i) {
+    results.push_back(std::async(std::launch::async, [&] {
+      call_result result;
+      runtime.run_on(0, [&] {
+        result = limited.fetch(local(endless.port()), {"GET", "/", {}, "", {}}, test_deadline());
+      });
+      return result;
+    }));
+  }
+  for (auto& result : results) {
+    EXPECT_EQ(result.get().failure, call_failure::too_large);
+  }
+  ended = true;
+  watch.join();
+  EXPECT_LE(most, limit + limit / 4);
+}
+
 // Guards against headers of a stream that are unlimited because its body is.
 TEST_F(connection_client, a_stream_without_a_body_limit_has_limits_for_all_else) {
   for (const endless_answer& answer : endless_answers()) {
--- a/tests/shell/endless_target.h
+++ b/tests/shell/endless_target.h
@@ -2,6 +2,8 @@
 #pragma once
 
 #include <atomic>
+#include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -35,11 +37,18 @@
 
 class endless_target {
  public:
-  explicit endless_target(endless_answer answer)
-      : answer_(std::move(answer)), thread_([this] { accept_all(); }) {}
+  // `threads`: number of connections that are answered at a time.
+  explicit endless_target(endless_answer answer, std::size_t threads = 1)
+      : answer_(std::move(answer)) {
+    for (std::size_t i = 0; i < threads; ++i) {
+      threads_.emplace_back([this] { accept_all(); });
+    }
+  }
   ~endless_target() {
     stopping_ = true;
-    thread_.join();
+    for (std::thread& thread : threads_) {
+      thread.join();
+    }
   }
   endless_target(const endless_target&) = delete;
   endless_target& operator=(const endless_target&) = delete;
@@ -53,17 +62,20 @@
  private:
   void accept_all() {
     while (!stopping_) {
-      if (!listener_.has_pending_connection()) {
+      auto caller = accept_pending();
+      if (!caller) {
         std::this_thread::sleep_for(std::chrono::milliseconds(1));
-        continue;
-      }
-      auto caller = listener_.accept();
-      if (!caller.read_until("\r\n\r\n").empty()) {
-        answer(caller);
+      } else if (!caller->read_until("\r\n\r\n").empty()) {
+        answer(*caller);
       }
     }
   }
 
+  std::optional<raw_connection> accept_pending() {
+    const std::lock_guard guard(accept_lock_);
+    return listener_.has_pending_connection() ? std::optional(listener_.accept()) : std::nullopt;
+  }
+
   void answer(const raw_connection& caller) {
     std::string piece;
     while (piece.size() < piece_bytes) {
@@ -82,7 +94,8 @@
   raw_listener listener_;
   std::atomic<bool> stopping_{false};
   std::atomic<int> refused_answers_{0};
-  std::thread thread_;
+  std::mutex accept_lock_;
+  std::vector<std::thread> threads_;
 };
 
 }  // namespace arbutus::testing_support
