The own kind gives up streams whose target sends no tokens

What callers saw: a stream whose engine answered with a failure without end got no answer for 20 s, the whole time of its class, and the node kept the bytes of the failure until then, without a limit. An engine that sent comments without end held its stream as long.

Cause: bodies of streams have no limit in the HTTP client, as each handler bounds what it keeps; the handler of the own kind kept the body of a failure unbounded, and counted no bytes between tokens. The relay to another data centre kept answers that are no stream unbounded.

--- a/src/node/model_attempt.cpp
+++ b/src/node/model_attempt.cpp
@@ -12,6 +12,9 @@
 
 namespace {
 
+constexpr std::size_t max_error_body_bytes = 64UL * 1024;
+// A resumed engine may repeat the tokens of a long answer. More than this is no answer.
+constexpr std::size_t max_bytes_without_token = 4UL * 1024 * 1024;
 constexpr int status_ok = 200;
 constexpr int status_bad_request = 400;
 constexpr int status_not_found = 404;
@@ -147,6 +150,10 @@
     if (splitter_.overflowed()) {
       return give_up("a frame is too long");
     }
+    bytes_since_token_ += bytes.size();
+    if (bytes_since_token_ > max_bytes_without_token) {
+      return give_up("bytes without a token");
+    }
     while (const auto frame = splitter_.next()) {
       if (!on_frame(*frame)) {
         return false;
@@ -189,6 +196,7 @@
       case token_status::wrong_id:
         return give_up("a token of another request");
     }
+    bytes_since_token_ = 0;
     if (end_.first_token_at == time_point::min()) {
       end_.first_token_at = monotonic_now();
     }
@@ -212,6 +220,7 @@
   const frame_sink& sink_;
   attempt_outcome& end_;
   sse_splitter splitter_;
+  std::size_t bytes_since_token_ = 0;  // received since a token was forwarded
 };
 
 attempt_outcome run_streamed(call_context& node, const model_attempt& attempt,
@@ -233,11 +242,15 @@
     return true;
   };
   const auto on_chunk = [&](std::string_view bytes) {
-    if (status != status_ok) {
-      end.body.append(bytes);
-      return true;
+    if (status == status_ok) {
+      return reader.on_bytes(bytes);
+    }
+    end.body.append(bytes);
+    if (end.body.size() > max_error_body_bytes) {
+      end.reason = "the body of an error is too large";
+      return false;
     }
-    return reader.on_bytes(bytes);
+    return true;
   };
   const call_result result =
       node.client.stream(address_of(route.address), request, attempt.deadline, on_headers, on_chunk,
--- a/src/node/spill_call.cpp
+++ b/src/node/spill_call.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr int status_ok = 200;
+// Of an answer that is no stream.
+constexpr std::size_t max_answer_bytes = http_client_limits{}.max_body_bytes;
 
 std::string region_of(const inventory& assets, const data_centre_id& id) {
   for (const data_centre_record& centre : assets.data_centres) {
@@ -81,7 +83,7 @@
       return writer_.write(bytes);
     }
     body_.append(bytes);
-    return true;
+    return body_.size() <= max_answer_bytes;
   }
 
   spill_outcome end(const call_result& result) {
