--- a/tests/process/hosted_nodes.py
+++ b/tests/process/hosted_nodes.py
@@ -50,11 +50,14 @@
         self.addCleanup(self.end_all)
         self.start("platform", "platform", *sorted(set(DATA_CENTRES)), "--store-port", str(ports[0]),
                    *self.platform_options())
+        self.before_nodes()
+        stores = self.stores(ports[0])
         self.callers, self.ready, self.metrics = [], [], []
         for i, data_centre in enumerate(DATA_CENTRES):
             own = ports[1 + PORTS_PER_NODE * i:1 + PORTS_PER_NODE * (i + 1)]
             file = self.directory / f"edge-{i}.toml"
-            file.write_text(settings_text(f"edge-{i}", data_centre, own, ports[0]) + self.bounds)
+            file.write_text(settings_text(f"edge-{i}", data_centre, own, stores[data_centre])
+                            + self.bounds)
             self.start_node(i)
             self.callers.append(own[0])
             self.ready.append(own[1])
@@ -63,6 +66,13 @@
     def platform_options(self):
         return []
 
+    def stores(self, port):
+        """The port of the store for the nodes of each data centre."""
+        return dict.fromkeys(DATA_CENTRES, port)
+
+    def before_nodes(self):
+        """Called once the platform was started and before any node is."""
+
     def start(self, name, *arguments):
         if name not in self.logs:
             self.logs[name] = open(self.directory / f"{name}.log", "ab")
--- a/tests/process/retry_budget_test.py
+++ b/tests/process/retry_budget_test.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import http.client
+import itertools
 import random
 import threading
 import time
@@ -22,7 +23,10 @@
 class Load:
     """Requests at a steady rate, each to a node drawn at random, on connections that are reused."""
 
+    _names = itertools.count()
+
     def __init__(self, ports, path, seed=1):
+        self.name = f"load-{next(self._names)}"
         self.ports = ports
         self.path = path
         self.random = random.Random(seed)
@@ -36,7 +40,7 @@
             self.sent.append(time.monotonic())
             connection = self.idle[port].pop() if self.idle[port] else None
         connection = connection or http.client.HTTPConnection(LOOPBACK, port, timeout=8)
-        headers = {"Host": HOST, "X-Request-Id": f"load-{number}", "X-Deadline-Ms": "3000",
+        headers = {"Host": HOST, "X-Request-Id": f"{self.name}-{number}", "X-Deadline-Ms": "3000",
                    "X-Model": "large", "X-Token-Count": "100,20", "Authorization": f"Bearer {KEY}"}
         status = None
         try:
@@ -71,19 +75,24 @@
 
     def setUp(self):
         super().setUp()
+        self.loads = []
         for node in range(len(DATA_CENTRES)):
             wait_until(lambda n=node: self.serves(n), f"node {node} serves", timeout=30)
 
-    def kill_all(self):
-        for node in range(len(DATA_CENTRES)):
+    def restart(self, nodes=range(len(DATA_CENTRES)), pause=0.0):
+        """Kills the nodes, and starts them with the same settings after a pause."""
+        for node in nodes:
             self.kill_node(node)
-        for node in range(len(DATA_CENTRES)):
+        time.sleep(pause)
+        for node in nodes:
             self.start_node(node)
 
-    def worst_of(self, behaviour, seconds, kills=()):
-        """The worst window while the service behaves so from the start on; `kills`: when all nodes
-        are killed and started again with the same settings."""
+    def worst_of(self, behaviour, seconds, kills=(), restart=None):
+        """The worst window while the service behaves so from the start on; `kills`: when `restart`
+        is called, by default for all nodes."""
+        restart = restart or self.restart
         load = Load(self.callers, PATH)
+        self.loads.append(load)
         begun = time.monotonic()
         loading = threading.Thread(target=load.run, args=(seconds,))
         loading.start()
@@ -92,10 +101,11 @@
             call(self.control, "POST", f"/behave?id=&{behaviour}&seconds=")
             for at in kills:
                 time.sleep(max(0.0, begun + at - time.monotonic()))
-                self.kill_all()
+                restart()
         ages = call(self.control, "GET", "/repeats").json.get(SERVICE, [])
         now = time.monotonic()
-        worst = worst_window([now - age for age in ages], load.sent, BOUNDS)
+        sent = [at for earlier in self.loads for at in earlier.sent]
+        worst = worst_window([now - age for age in ages], sent, BOUNDS)
         print(f"measured: {worst.retries} retries in the worst window, allowed "
               f"{worst.allowed:.0f}, {len(ages)} in all; statuses {load.statuses}", flush=True)
         return worst
