Tests of endless reports and answers of the store, and of nested MessagePack in each table

No fault found by them: a listed engine whose reports have no end is given up and the others serve and are repaired; a node whose store sends bytes without end refuses with 503 and can end; rows of nested MessagePack in each table a hosted node reads stop nothing.

--- a/tests/shell/hosted_endless_test.cpp
+++ b/tests/shell/hosted_endless_test.cpp
@@ -35,6 +35,16 @@
     EXPECT_GT(platform_.arrivals()[head].size(), before) << what;
   }
 
+  call_result send_to(const test_node& node, const std::string& target) {
+    call_result result;
+    runtime.run_on(0, [&] {
+      result = client_.fetch(local(node.settings.listen.caller_endpoint.port),
+                             make_request(target, "s" + std::to_string(++requests_)),
+                             monotonic_now() + 2s);
+    });
+    return result;
+  }
+
   void list_faulty_instance(std::uint16_t port) {
     const std::string address = "127.0.0.1:" + std::to_string(port);
     platform_.write_target_record("a-faulty", R"({"service":"api","address":")" + address +
@@ -93,5 +103,37 @@
   EXPECT_GE(given_up("body"), 1U);
 }
 
+// Guards against a node that keeps what an engine sends for a report, or stops to control the
+// others.
+TEST_F(HostedEndless, ReportsWithoutEndDisturbNothing) {
+  ASSERT_TRUE(both_nodes_serve());
+  for (const endless_answer& answer : endless_answers()) {
+    endless_target faulty(answer, 4);
+    const std::string address = "127.0.0.1:" + std::to_string(faulty.port());
+    platform_.write_target_record("i-faulty",
+                                  R"({"service":"llm","address":")" + address +
+                                      R"(","zone":"lab-a","slots":9,"domain":"odd","born":)" +
+                                      std::to_string(++born_) + R"(,"state":"ready"})");
+    EXPECT_TRUE(eventually([&] { return faulty.refused_answers() > 0; })) << answer.name;
+    const std::string id = "r" + std::to_string(++requests_);
+    const time_point sent = monotonic_now();
+    EXPECT_EQ(send_request(0, "/llm/1", id).response.body, expected_stream(id)) << answer.name;
+    EXPECT_LT(monotonic_now() - sent, give_up_limit) << answer.name;
+  }
+  platform_.kill_engine(platform_.find_member(false));
+  EXPECT_TRUE(eventually([this] { return platform_.count_serving_replicas() >= 2; }));
+}
+
+// Guards against a node that keeps what its store sends, or cannot end while it does.
+TEST_F(HostedEndless, AnswersOfTheStoreWithoutEndAreGivenUp) {
+  for (const endless_answer& answer : endless_answers()) {
+    endless_target store(answer, 4);
+    const test_node node("edge-9", store.port());
+    EXPECT_TRUE(eventually([&] { return store.refused_answers() > 0; })) << answer.name;
+    const call_result result = send_to(node, "/llm/1");
+    EXPECT_EQ(result.response.status, 503) << answer.name;
+  }
+}
+
 }  // namespace
 }  // namespace arbutus::testing_support
--- a/tests/shell/hosted_odd_rows_test.cpp
+++ b/tests/shell/hosted_odd_rows_test.cpp
@@ -21,6 +21,7 @@
       "{",
       std::string("\0\xff\xfe", 3),
       deep,
+      std::string(100'000, '\x91'),  // MessagePack, nested
       R"({"service":"llm","address":"127.0.0.1:70000","zone":"lab-a","slots":9})",
       R"({"service":"llm","address":"127.0.0.1:-1","zone":"lab-a","slots":9})",
       R"({"service":"llm","address":"127.0.0.1:1","zone":"lab-a","slots":)" + wide + "}",
