--- a/src/admission/limits.cpp
+++ b/src/admission/limits.cpp
@@ -144,9 +144,10 @@
 }
 
 void rate_limits::refill(time_point now, bucket& b) const {
-  const time_point whole_share_from = created_ + settings_.lease;
-  if (b.refilled_at < whole_share_from && whole_share_from < now) {
-    add_tokens(whole_share_from - 1us, b);
+  // The share grows when the first lease ends; what is added for the time before is of the old one.
+  const time_point last_of_first_lease = created_ + settings_.lease - 1us;
+  if (b.refilled_at < last_of_first_lease && last_of_first_lease < now) {
+    add_tokens(last_of_first_lease, b);
   }
   add_tokens(now, b);
 }
