Answers are given up at twice the limit of a node's buffers, not at the limit

Under a load of large sound answers, those in progress would have been cut at the moment at which new requests are refused.

Change: requests are refused at the limit, as before; answers larger than the mean are given up at twice of it.

--- a/src/connection/buffer_account.h
+++ b/src/connection/buffer_account.h
@@ -19,10 +19,12 @@
   }
   [[nodiscard]] std::size_t held() const { return held_; }
 
-  // Whether a buffer that is still growing has to be given up: the account is full, and the buffer
-  // is larger than the mean. Small buffers are never given up for the sake of large ones.
+  // Whether a buffer that is still growing has to be given up: the account holds twice its limit,
+  // though no new request is taken, and the buffer is larger than the mean. Small buffers are never
+  // given up for the sake of large ones.
   [[nodiscard]] bool is_over_share(std::size_t bytes) const {
-    return is_full() && bytes * buffers_ > limit_;
+    const std::size_t most = 2 * limit_;
+    return limit_ > 0 && held_ > most && bytes * buffers_ > most;
   }
 
   void change(std::size_t from, std::size_t to) {
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -44,8 +44,8 @@
   std::uint32_t header_bytes = 16 * 1024;
   std::uint32_t body_bytes = 8 * 1024 * 1024;
   std::uint32_t connections = 2000;
-  // Of all bodies of requests and answers that the node holds. Above it, new requests are refused
-  // and the largest answers are given up.
+  // Of all bodies of requests and answers that the node holds. Above it, new requests are refused,
+  // and at twice of it the largest answers are given up.
   std::uint32_t buffered_bytes = 64 * 1024 * 1024;
   duration header_timeout = 10s;  // from the first byte of a request to the end of its header
   duration body_timeout = 30s;    // from the end of a request's header to the end of its body
