A node that becomes the next hub takes the list that its hub sends as changes since an empty one

Cause: the log of a hub that started with an empty list holds every change since position 0, so it sends the list as changes, not as complete. A node without the list takes only a complete one, ignored the rows, and still counted itself as just updated by its hub, so it asked the store for nothing. Class: an update that is not used counts as received.

--- a/src/node/store_targets.cpp
+++ b/src/node/store_targets.cpp
@@ -6,6 +6,7 @@
 #include "node/store_timing.h"
 #include "node/store_watch.h"
 #include "platform/documents.h"
+#include "process/list_update.h"
 #include "process/target_incarnation.h"
 
 namespace arbutus {
@@ -68,11 +69,15 @@
   if (update.withheld) {
     return;  // the rows have to be read from the store
   }
-  if (update.complete &&
-      (update.position > node_.target_rows.position() || !node_.fleet_complete)) {
-    replace_targets(requested_at, update.rows, update.position);
-  } else if (!update.complete && node_.fleet_complete &&
-             node_.target_rows.can_resume(update.after)) {
+  const list_update_use use = use_of(update, node_.fleet_complete, node_.target_rows.position());
+  if (use == list_update_use::none) {
+    return;
+  }
+  if (use == list_update_use::replaces) {
+    std::vector<feed_row> present = update.rows;
+    std::erase_if(present, [](const feed_row& row) { return row.removed; });
+    replace_targets(requested_at, present, update.position);
+  } else {
     // The hub may have sent these rows already, in answer to an older heartbeat of this node.
     for (const feed_row& row : update.rows) {
       if (row.version > node_.target_rows.position()) {
