--- a/src/node/store_targets.cpp
+++ b/src/node/store_targets.cpp
@@ -74,9 +74,7 @@
     return;
   }
   if (use == list_update_use::replaces) {
-    std::vector<feed_row> present = update.rows;
-    std::erase_if(present, [](const feed_row& row) { return row.removed; });
-    replace_targets(requested_at, present, update.position);
+    replace_targets(requested_at, update.rows, update.position);
   } else {
     // The hub may have sent these rows already, in answer to an older heartbeat of this node.
     for (const feed_row& row : update.rows) {
--- a/src/process/list_update.h
+++ b/src/process/list_update.h
@@ -17,9 +17,7 @@
 [[nodiscard]] inline list_update_use use_of(const feed_update& update, bool is_complete,
                                             std::uint64_t position) {
   if (!is_complete) {
-    // The log of a hub that started with an empty list tells all rows as changes since position 0.
-    const bool is_whole = update.complete || update.after == 0;
-    return is_whole ? list_update_use::replaces : list_update_use::none;
+    return update.complete ? list_update_use::replaces : list_update_use::none;
   }
   if (update.complete && update.position > position) {
     return list_update_use::replaces;
--- a/tests/core/list_update_test.cpp
+++ b/tests/core/list_update_test.cpp
@@ -14,13 +14,9 @@
   return update;
 }
 
-// Guards against a node that ignores its hub's list and still counts as up to date: the log of a
-// hub that started with an empty list tells all rows as changes.
-TEST(ListUpdate, AllChangesSinceAnEmptyListAreTheWholeList) {
-  EXPECT_EQ(use_of(update_of(false, 0, 9), false, 5), list_update_use::replaces);
-}
-
+// Guards against a node that cannot use what its hub sends and still counts as up to date.
 TEST(ListUpdate, ChangesAreOfNoUseWithoutTheList) {
+  EXPECT_EQ(use_of(update_of(false, 0, 9), false, 5), list_update_use::none);
   EXPECT_EQ(use_of(update_of(false, 5, 9), false, 5), list_update_use::none);
   EXPECT_EQ(use_of(update_of(true, 5, 9), false, 5), list_update_use::replaces);
 }
