HTTP client: an answer with a status out of range is malformed

Seen: an engine in trouble answered with status 000, and its client got that as an answer.

Cause: Beast accepts each number of three digits as a status, and the client took what it accepts. So 000, 001, 099, 600 and 999 reached callers of calls, of streams of a plain service and of streams of a model.

Change: http_call, through which everything that reads an answer goes, takes 200 to 599 only. Any other number is the same as malformed bytes: the outcome of the call is unknown, so one that may be repeated goes to the next target, and no other is told 429 or 503. A head that is malformed is named as such also if the write of the request had failed.

--- a/src/connection/http_call.cpp
+++ b/src/connection/http_call.cpp
@@ -51,6 +51,13 @@
   }
 };
 
+// An answer with any other status is malformed. Beast accepts each number of three digits.
+bool is_final_status(int status) {
+  constexpr int lowest = 200;
+  constexpr int highest = 599;
+  return status >= lowest && status <= highest;
+}
+
 http_headers headers_of(const http::fields& fields) {
   http_headers headers;
   for (const auto& field : fields) {
@@ -125,7 +132,9 @@
   error_code error;
   auto parser = read_headers(limits, sink.limit_body, error);
   if (error) {
-    return broken(write_error ? write_error : error);
+    // A failed write explains a missing head, but not one that is malformed.
+    const bool is_malformed = failure_of(error) == call_failure::malformed;
+    return broken(write_error && !is_malformed ? write_error : error);
   }
   result_.response.status = static_cast<int>(parser->get().result_int());
   result_.response.headers = headers_of(parser->get());
@@ -176,12 +185,23 @@
     if (informational && interim_responses == limits.max_interim_responses) {
       error = http::make_error_code(http::error::header_limit);
     }
+    if (!error && !informational) {
+      error = check_head(*parser);
+    }
     if (error || !informational) {
       return parser;
     }
   }
 }
 
+// Whether what Beast accepts as a head is that of an answer.
+http_call::error_code http_call::check_head(const answer_parser& parser) {
+  if (!is_final_status(static_cast<int>(parser.get().result_int()))) {
+    return http::make_error_code(http::error::bad_status);
+  }
+  return {};
+}
+
 void http_call::read_header(answer_parser& parser, const http_client_limits& limits,
                             error_code& error) {
   header_deadline_reader reader{connection_.stream, read_deadline_, limits.max_header_duration};
--- a/src/connection/http_call.h
+++ b/src/connection/http_call.h
@@ -62,6 +62,7 @@
   using error_code = boost::system::error_code;
 
   bool await_early_answer(const error_code& write_error);
+  static error_code check_head(const answer_parser& parser);
   std::unique_ptr<answer_parser> read_headers(const http_client_limits& limits, bool bounded_body,
                                               error_code& error);
   void read_header(answer_parser& parser, const http_client_limits& limits, error_code& error);
--- a/src/standin/hosted_control.cpp
+++ b/src/standin/hosted_control.cpp
@@ -43,6 +43,18 @@
   return found == states.end() ? std::nullopt : std::optional(found->second);
 }
 
+// Answers that are none, by their names. They look like a target's success as far as they go.
+std::optional<faulty_answer> read_answer(std::string_view name) {
+  const std::string fields = "\r\nX-Request-Id: " + std::string(request_id_mark) +
+                             "\r\nX-Response-Seal: seal." + std::string(request_id_mark) + "\r\n";
+  const std::map<std::string_view, faulty_answer> answers = {
+      {"sound", {}},
+      {"odd-status", {"HTTP/1.1 000 Odd" + fields + "Content-Length: 4\r\n\r\npart"}},
+      {"reset", {"HTTP/1.1 200 OK" + fields + "\r\npart", true}}};
+  const auto found = answers.find(name);
+  return found == answers.end() ? std::nullopt : std::optional(found->second);
+}
+
 }  // namespace
 
 hosted_control::hosted_control(fiber_runtime& runtime, hosted_platform& platform,
@@ -114,6 +126,14 @@
       return;
     }
     platform_.set_paths(node, *state, query_parameter(request.target, "target"));
+  } else if (path == "/answers") {
+    const std::size_t node = std::stoul("0" + query_parameter(request.target, "node"));
+    const auto faulty = read_answer(value);
+    if (!faulty || node >= platform_.node_count()) {
+      send_json(writer, 400, "{}");
+      return;
+    }
+    platform_.set_answer(node, *faulty, query_parameter(request.target, "target"));
   } else if (path == "/foreign") {
     platform_.write_target_record("not-an-engine",
                                   R"({"service":"llm","state":"asleep","slots":"many"})");
--- a/src/standin/hosted_platform.cpp
+++ b/src/standin/hosted_platform.cpp
@@ -866,6 +866,16 @@
   }
 }
 
+void hosted_platform::set_answer(std::size_t node, const faulty_answer& answer,
+                                 const std::string& target) {
+  network_paths& all = *state_->nodes.at(node).paths;
+  if (target.empty()) {
+    all.set_answer(answer);
+  } else {
+    all.set_answer(state_->address_of_target(target), answer);
+  }
+}
+
 void hosted_platform::write_next_configuration(workspace_list workspaces,
                                                std::size_t extra_routes) {
   const std::lock_guard guard(state_->mutex);
--- a/src/standin/hosted_platform.h
+++ b/src/standin/hosted_platform.h
@@ -73,6 +73,9 @@
   // The paths from one node to a target, by its id; empty: to all targets.
   void set_paths(std::size_t node, path_state paths, const std::string& target = {});
 
+  // What the paths from one node answer in place of a target, by its id; empty: of all targets.
+  void set_answer(std::size_t node, const faulty_answer& answer, const std::string& target = {});
+
   // Writes the next version of the operators' configuration. It has `extra_routes` additional
   // routes; the path of each is extra_route(index).
   void write_next_configuration(workspace_list workspaces = workspace_list::with_key,
--- a/src/standin/network_paths.cpp
+++ b/src/standin/network_paths.cpp
@@ -3,17 +3,25 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/completion_condition.hpp>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
+#include <cctype>
 #include <functional>
 #include <future>
 #include <map>
 #include <memory>
 #include <set>
+#include <string>
+#include <string_view>
 #include <thread>
 #include <utility>
 #include <vector>
@@ -130,6 +138,90 @@
   bool ended_ = false;
 };
 
+// One connection whose request the path answers in the target's place. Kept alive by its pending
+// operations.
+class answered_connection : public std::enable_shared_from_this<answered_connection> {
+ public:
+  answered_connection(tcp::socket node, faulty_answer answer)
+      : node_(std::move(node)), answer_(std::move(answer)) {}
+
+  // Calls `then` once the head of the request has come.
+  void read_head(std::function<void()> then) {
+    asio::async_read_until(
+        node_, asio::dynamic_buffer(request_, max_head_bytes), "\r\n\r\n",
+        [self = shared_from_this(), then = std::move(then)](const error_code& error, std::size_t) {
+          if (!error) {
+            then();
+          }
+        });
+  }
+
+  [[nodiscard]] bool is_call_of_platform() const {
+    return request_.find(" /api/") < request_.find("\r\n");
+  }
+  [[nodiscard]] std::string_view request() const { return request_; }
+  [[nodiscard]] tcp::socket take_socket() { return std::move(node_); }
+
+  void answer() {
+    if (answer_.resets_early) {
+      send();
+    } else {
+      read_body();
+    }
+  }
+
+ private:
+  static constexpr std::size_t max_head_bytes = 64UL * 1024;
+
+  void read_body() {
+    const std::size_t head = request_.find("\r\n\r\n") + 4;
+    const std::string length = value_of("content-length: ");
+    const std::size_t whole = head + (length.empty() ? 0 : std::stoul(length));
+    const std::size_t missing = whole - std::min(whole, request_.size());
+    asio::async_read(node_, asio::dynamic_buffer(request_), asio::transfer_exactly(missing),
+                     [self = shared_from_this()](const error_code& error, std::size_t) {
+                       if (!error) {
+                         self->send();
+                       }
+                     });
+  }
+
+  void send() {
+    const std::string id = value_of("x-request-id: ");
+    std::string& bytes = answer_.bytes;
+    for (auto at = bytes.find(request_id_mark); at != std::string::npos;
+         at = bytes.find(request_id_mark)) {
+      bytes.replace(at, request_id_mark.size(), id);
+    }
+    asio::async_write(node_, asio::buffer(bytes),
+                      [self = shared_from_this()](const error_code&, std::size_t) { self->end(); });
+  }
+
+  void end() {
+    error_code ignored;
+    if (answer_.resets_early) {
+      node_.set_option(asio::socket_base::linger(true, 0), ignored);
+    }
+    node_.close(ignored);
+  }
+
+  // The value of the first field whose line begins so; its name is written in lower case.
+  [[nodiscard]] std::string value_of(std::string_view beginning) const {
+    const auto same = [](char a, char b) {
+      return std::tolower(static_cast<unsigned char>(a)) == b;
+    };
+    const auto at =
+        std::search(request_.begin(), request_.end(), beginning.begin(), beginning.end(), same);
+    const auto from = std::min(request_.size(),
+                               static_cast<std::size_t>(at - request_.begin()) + beginning.size());
+    return request_.substr(from, request_.find("\r\n", from) - from);
+  }
+
+  tcp::socket node_;
+  faulty_answer answer_;
+  std::string request_;  // as far as it is read
+};
+
 }  // namespace
 
 class network_paths::path {
@@ -148,6 +240,13 @@
     set_state(state_);
   }
 
+  void set_answer(const faulty_answer& answer) {
+    answer_ = answer;
+    for (const auto& connection : connections_) {
+      connection->reset();
+    }
+  }
+
   void set_state(path_state state) {
     state_ = state;
     std::erase_if(connections_, [](const auto& c) { return c->is_closed(); });
@@ -216,12 +315,28 @@
       if (error || round != accept_round_) {
         return;
       }
-      forward(std::move(s));
+      if (answer_.bytes.empty()) {
+        forward(std::move(s), {});
+      } else {
+        read_request(std::move(s));
+      }
       accept();
     });
   }
 
-  void forward(tcp::socket node) {
+  void read_request(tcp::socket node) {
+    auto answered = std::make_shared<answered_connection>(std::move(node), answer_);
+    answered->read_head([this, answered] {
+      if (answered->is_call_of_platform()) {
+        forward(answered->take_socket(), answered->request());
+      } else {
+        answered->answer();
+      }
+    });
+  }
+
+  // `received`: bytes of the node that are read already.
+  void forward(tcp::socket node, std::string_view received) {
     error_code error;
     tcp::socket target(io_);
     target.connect(target_, error);
@@ -232,6 +347,7 @@
     for (tcp::socket* socket : {&node, &target}) {
       socket->set_option(tcp::no_delay(true), error);
     }
+    asio::write(target, asio::buffer(received), error);
     std::erase_if(connections_, [](const auto& c) { return c->is_closed(); });
     const auto added = connections_.insert(
         std::make_shared<forwarded_connection>(std::move(node), std::move(target)));
@@ -246,6 +362,7 @@
   std::vector<tcp::socket> fillers_;
   path_state state_ = path_state::open;
   bool target_listens_ = true;
+  faulty_answer answer_;
   std::uint64_t accept_round_ = 0;  // pending accepts of earlier rounds are void
   std::set<std::shared_ptr<forwarded_connection>> connections_;
 };
@@ -291,6 +408,18 @@
   });
 }
 
+void network_paths::set_answer(const endpoint& target, const faulty_answer& answer) {
+  state_->run([&] { state_->paths.at(target)->set_answer(answer); });
+}
+
+void network_paths::set_answer(const faulty_answer& answer) {
+  state_->run([&] {
+    for (auto& [target, one] : state_->paths) {
+      one->set_answer(answer);
+    }
+  });
+}
+
 void network_paths::set_listening(const endpoint& target, bool listens) {
   state_->run([&] { state_->paths.at(target)->set_listening(listens); });
 }
--- a/src/standin/network_paths.h
+++ b/src/standin/network_paths.h
@@ -5,6 +5,8 @@
 
 #include <cstdint>
 #include <memory>
+#include <string>
+#include <string_view>
 
 #include "version/inventory.h"
 
@@ -18,6 +20,16 @@
   closed_to_new,  // open connections go on, and new ones are refused
 };
 
+// An answer that a path gives in its target's place, and that is none. The platform's own calls,
+// below /api/, reach the target.
+struct faulty_answer {
+  std::string bytes;  // request_id_mark stands for the id of the request
+  // Sent once the head of the request has come, and followed by a reset. Otherwise the path reads
+  // the whole request first, and closes the connection after the answer.
+  bool resets_early = false;
+};
+inline constexpr std::string_view request_id_mark = "REQUEST-ID";
+
 class network_paths {
  public:
   network_paths();
@@ -35,6 +47,9 @@
   // Returns when the state is in force; blocks the calling thread for some ms at most.
   void set_state(path_state to);  // of all paths
   void set_state(const endpoint& target, path_state to);
+  // What the path answers from now on; empty bytes: it forwards again.
+  void set_answer(const endpoint& target, const faulty_answer& answer);
+  void set_answer(const faulty_answer& answer);  // of all paths
   // Whether a process listens at the target. If none does, its path refuses connections, too.
   void set_listening(const endpoint& target, bool listens);
 
--- /dev/null
+++ b/tests/shell/hosted_broken_answer_test.cpp
@@ -0,0 +1,155 @@
+// Tests nodes on the hosted platform whose targets give broken answers, over real sockets: no
+// caller gets one of them as an answer. The whole list of such answers is in the tests of the HTTP
+// client, which all readers of answers use.
+#include "hosted_place_fixture.h"
+#include "shell/scripted_target.h"
+
+namespace arbutus::testing_support {
+namespace {
+
+using standin::faulty_answer;
+using standin::path_state;
+using standin::plain_instance_id;
+
+constexpr const char* repeatable_path = "/note/1";
+const std::string plain_stream_path = std::string(standin::plain_stream_prefix) + "1";
+constexpr const char* part_of_body = "part";
+
+standin::hosted_platform_settings short_streams() {
+  standin::hosted_platform_settings settings = two_places();
+  settings.events_per_answer = 4;
+  return settings;
+}
+
+class HostedBrokenAnswer : public hosted_place_fixture {
+ protected:
+  HostedBrokenAnswer() : hosted_place_fixture(short_streams()) {}
+
+  call_result call(std::size_t node, const std::string& path, const std::string& id) {
+    http_request request = make_request(path, id);
+    request.body = upload_;
+    call_result result;
+    runtime.run_on(0, [&] {
+      result = client_.fetch(local(nodes_[node]->settings.listen.caller_endpoint.port), request,
+                             monotonic_now() + 8s);
+    });
+    return result;
+  }
+
+  // One more instance of the plain service; among equals the first one by id is chosen.
+  void list_faulty_instance(std::uint16_t port) {
+    platform_.write_target_record(
+        "a-faulty", R"({"service":"api","zone":"lab-a","slots":6,"state":"ready","born":)" +
+                        std::to_string(++born_) + R"(,"address":"127.0.0.1:)" +
+                        std::to_string(port) + "\"}");
+  }
+
+  // Sends calls until the target has answered one; returns the status of that call.
+  int status_of_call_answered_by(const scripted_target& target, const std::string& path) {
+    const int before = target.answered();
+    call_result result;
+    std::string id;
+    EXPECT_TRUE(eventually([&] {
+      id = next_id(0);
+      result = call(0, path, id);
+      EXPECT_TRUE(result.ok()) << to_string(result.failure);
+      return target.answered() > before;
+    }));
+    if (result.response.status == 200) {
+      const bool is_stream = path == plain_stream_path;
+      EXPECT_EQ(result.response.body, is_stream ? expected_stream(id) : "card " + id);
+    }
+    EXPECT_EQ(result.response.body.find(part_of_body), std::string::npos);
+    return result.response.status;
+  }
+
+  // The call may have run, and nothing promises that it has not.
+  static bool is_unknown(int status) { return status == 502 || status == 504; }
+
+  // A call that may be repeated is sent to the next instance while the retry budget allows it.
+  void expect_calls_past(const std::vector<scripted_answer>& answers) {
+    int served = 0;
+    for (const scripted_answer& answer : answers) {
+      const scripted_target target(answer);
+      for (const std::string& path :
+           {std::string(call_path), std::string(repeatable_path), plain_stream_path}) {
+        list_faulty_instance(target.port());
+        const int status = status_of_call_answered_by(target, path);
+        const bool is_served = status == 200 && path != call_path;
+        EXPECT_TRUE(is_served || is_unknown(status))
+            << answer.name << ": " << path << ' ' << status;
+        served += is_served ? 1 : 0;
+      }
+    }
+    EXPECT_GT(served, 0);
+  }
+
+  // Sends streams until the head has broken one off. Each of them is complete, or refused with an
+  // unknown outcome if the retry budget is used up.
+  void expect_streams_past(const std::string& head, const faulty_answer& answer) {
+    const double before = broken_attempts();
+    platform_.set_answer(0, answer, head);
+    EXPECT_TRUE(eventually([&] {
+      const std::string id = next_id(0);
+      const call_result result = call(0, stream_path, id);
+      const int status = result.response.status;
+      EXPECT_TRUE(status == 200 || is_unknown(status)) << status << " after " << answer.bytes;
+      EXPECT_EQ(result.response.body.find(part_of_body), std::string::npos) << answer.bytes;
+      if (status == 200) {
+        EXPECT_EQ(result.response.body, expected_stream(id)) << answer.bytes;
+        ++complete_streams_;
+      }
+      return broken_attempts() > before || HasFailure();
+    })) << answer.bytes;
+    platform_.set_answer(0, {}, head);
+  }
+
+  double broken_attempts() {
+    return std::max(
+               0.0,
+               metric(0, R"(arbutusworks_attempts_broken{ran="perhaps",answered="nothing"})")) +
+           std::max(0.0,
+                    metric(0, R"(arbutusworks_attempts_broken{ran="perhaps",answered="head"})"));
+  }
+
+  std::string upload_ = "card";
+  std::uint64_t born_ = 1'000'000;
+  int complete_streams_ = 0;
+};
+
+// Guards against an answer whose status is no status of HTTP, in a call.
+TEST_F(HostedBrokenAnswer, AStatusOutOfRangeReachesNoCaller) {
+  ASSERT_TRUE(both_nodes_serve());
+  expect_calls_past(answers_with_odd_status());
+}
+
+// Guards against an answer whose status is no status of HTTP, in a stream of a model.
+TEST_F(HostedBrokenAnswer, AStatusOutOfRangeReachesNoStream) {
+  ASSERT_TRUE(both_places_serve());
+  const std::string head = platform_.engine_of_run("warm-0");
+  for (const scripted_answer& answer : answers_with_odd_status()) {
+    expect_streams_past(head, {answer.bytes});
+  }
+  EXPECT_GT(complete_streams_, 0);
+}
+
+// Guards against checks of broken answers that reject sound ones.
+TEST_F(HostedBrokenAnswer, SoundAnswersReachTheirCallers) {
+  ASSERT_TRUE(both_nodes_serve());
+  upload_.assign(upload_bytes, 'u');
+  for (const scripted_answer& answer : sound_answers()) {
+    const scripted_target target(answer);
+    list_faulty_instance(target.port());
+    EXPECT_TRUE(eventually([&] {
+      const call_result result = call(0, call_path, next_id(0));
+      EXPECT_EQ(result.response.status, 200) << answer.name;
+      if (target.answered() > 0) {
+        EXPECT_EQ(result.response.body, answer.body) << answer.name;
+      }
+      return target.answered() > 0 || HasFailure();
+    })) << answer.name;
+  }
+}
+
+}  // namespace
+}  // namespace arbutus::testing_support
--- a/tests/shell/raw_peer.h
+++ b/tests/shell/raw_peer.h
@@ -7,6 +7,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <cstdint>
 #include <string>
@@ -90,6 +91,20 @@
     return seen;
   }
 
+  // Reads so many bytes, or up to the end of the connection; returns how many there were.
+  std::size_t read_bytes(std::size_t wanted) {
+    std::size_t seen = 0;
+    char buffer[64UL * 1024];
+    while (seen < wanted) {
+      const auto count = ::recv(socket_, buffer, std::min(sizeof buffer, wanted - seen), 0);
+      if (count <= 0) {
+        break;
+      }
+      seen += static_cast<std::size_t>(count);
+    }
+    return seen;
+  }
+
   // Reads until the peer closes or resets the connection, or nothing arrives within the timeout.
   std::string read_all() {
     std::string seen;
