Connections: an end of stream behind a reset is not orderly

Seen: an engine answered a long upload at once with a 200 without length, sent part of its body and reset the connection while the upload was still being written. Its client got that part as the complete answer.

Cause: the kernel reports a reset to one operation only. Here that was the write of the upload; the client then reads the answer that has come early, since a target may reject an upload so, and the read behind the last byte returned a plain end of stream, which ends a body without length. The same through HTTP/1.0, through a close with unread bytes (the kernel resets), and through a look at the socket (peek) in place of the write.

Change: a stream of the connection layer remembers the first error of its connection, whichever operation reported it, and asks the socket for one that no operation has reported; from then on the end of the stream is that error. So a body that ends with its connection is complete only after an orderly end, for everything that reads: calls, streams, calls at peers, reports and orders, the store, both kinds of node. Answers with a length or in chunks end by themselves and are heard as before, also if the target then resets; so is an early answer without length whose target half-closes and reads on.

On the code before, the two forms without length and the two of HTTP/1.0 reached the callers, and a stream of a model that was reset before its first event was complete without one; chunks, a length that is not reached and a reset in the head did not.

--- a/src/connection/fiber_stream.cpp
+++ b/src/connection/fiber_stream.cpp
@@ -1,6 +1,8 @@
 // Socket operations that suspend a fiber.
 #include "connection/fiber_stream.h"
 
+#include <sys/socket.h>
+
 #include <array>
 #include <boost/asio/error.hpp>
 
@@ -53,6 +55,30 @@
   return result;
 }
 
+// Keeps an error of the connection itself.
+void fiber_stream::note_error(const error_code& error) {
+  const bool is_of_connection = error && error != asio::error::would_block &&
+                                error != asio::error::operation_aborted &&
+                                error != asio::error::eof;
+  if (is_of_connection && !connection_error_) {
+    connection_error_ = error;
+  }
+}
+
+// The kernel reports a reset to one operation only, be it a write. The reads that follow return the
+// bytes that came before the reset and then an end of stream, as after an orderly close.
+fiber_stream::error_code fiber_stream::check_end(const error_code& result) {
+  if (result != asio::error::eof) {
+    note_error(result);
+    return result;
+  }
+  int pending = 0;
+  socklen_t size = sizeof pending;
+  ::getsockopt(socket_.native_handle(), SOL_SOCKET, SO_ERROR, &pending, &size);
+  note_error({pending, boost::system::system_category()});
+  return connection_error_ ? connection_error_ : result;
+}
+
 void fiber_stream::connect(const tcp::endpoint& peer, error_code& error) {
   if (!begin_operation(error)) {
     return;
@@ -80,6 +106,7 @@
   if (!error) {
     return peek_state::readable;
   }
+  note_error(error);
   return error == asio::error::would_block ? peek_state::no_data : peek_state::closed;
 }
 
@@ -118,6 +145,7 @@
   auto [result] = await_result_until<error_code>(
       deadline_, timed_out, [&](auto handler) { socket_.async_wait(what, std::move(handler)); },
       [this] { interrupt(); });
+  note_error(result);
   error = finish_operation(result, timed_out);
 }
 
--- a/src/connection/fiber_stream.h
+++ b/src/connection/fiber_stream.h
@@ -57,6 +57,8 @@
   // Waits until there is something to read or the peer has closed.
   void wait_readable(error_code& error);
 
+  // Reports the end of the stream (`eof`) only after an orderly close by the peer, and otherwise
+  // the error that ended the connection, also if an earlier operation has reported it.
   template <class Buffers>
   std::size_t read_some(const Buffers& buffers, error_code& error) {
     if (!begin_operation(error)) {
@@ -67,7 +69,7 @@
         deadline_, timed_out,
         [&](auto handler) { socket_.async_read_some(buffers, std::move(handler)); },
         [this] { interrupt(); });
-    error = finish_operation(result, timed_out);
+    error = finish_operation(check_end(result), timed_out);
     return count;
   }
 
@@ -86,6 +88,7 @@
       const auto count = socket_.write_some(buffers, error);
       written_ += count;
       if (error != boost::asio::error::would_block) {
+        note_error(error);
         return count;
       }
       wait_writable(error);
@@ -110,11 +113,14 @@
   error_code finish_operation(error_code result, bool timed_out) const;
   void wait_for(boost::asio::ip::tcp::socket::wait_type what, error_code& error);
   void wait_writable(error_code& error);
+  void note_error(const error_code& error);
+  [[nodiscard]] error_code check_end(const error_code& result);
 
   boost::asio::ip::tcp::socket socket_;
   time_point deadline_{time_point::max()};
   std::uint64_t written_{0};
   bool aborted_{false};
+  error_code connection_error_;  // the first one; once set, no end of stream is orderly
 };
 
 }  // namespace arbutus
--- a/tests/shell/connection_broken_answer_test.cpp
+++ b/tests/shell/connection_broken_answer_test.cpp
@@ -73,6 +73,12 @@
   expect_no_answers(answers_with_odd_status());
 }
 
+// Guards against a part of a body that is taken for the whole, since the write of the request has
+// consumed the report of the reset.
+TEST_F(connection_broken_answer, a_body_reset_during_the_upload_is_not_complete) {
+  expect_no_answers(answers_reset_during_the_upload(), large);
+}
+
 // Guards against checks of broken answers that reject sound ones.
 TEST_F(connection_broken_answer, sound_answers_are_read) {
   for (const scripted_answer& answer : sound_answers()) {
--- a/tests/shell/hosted_broken_answer_test.cpp
+++ b/tests/shell/hosted_broken_answer_test.cpp
@@ -25,8 +25,9 @@
  protected:
   HostedBrokenAnswer() : hosted_place_fixture(short_streams()) {}
 
+  // No two requests are the same: none is suspected to end the targets that reset its answers.
   call_result call(std::size_t node, const std::string& path, const std::string& id) {
-    http_request request = make_request(path, id);
+    http_request request = make_request(path + "-" + id, id);
     request.body = upload_;
     call_result result;
     runtime.run_on(0, [&] {
@@ -133,6 +134,44 @@
   EXPECT_GT(complete_streams_, 0);
 }
 
+// Guards against a part of a body, reset during the upload, that a caller gets as the whole.
+TEST_F(HostedBrokenAnswer, ABodyResetDuringTheUploadReachesNoCaller) {
+  ASSERT_TRUE(both_nodes_serve());
+  upload_.assign(upload_bytes, 'u');
+  expect_calls_past(answers_reset_during_the_upload());
+}
+
+// Guards against a stream that ends at a reset between two events.
+TEST_F(HostedBrokenAnswer, AStreamResetDuringTheUploadGoesOnElsewhere) {
+  ASSERT_TRUE(both_places_serve());
+  upload_.assign(upload_bytes, 'u');
+  const std::string head = platform_.engine_of_run("warm-0");
+  expect_streams_past(head, {signed_success() + "\r\n", true});
+  expect_streams_past(head, {signed_success() + "\r\npart", true});
+  expect_streams_past(head, {signed_head("HTTP/1.0 200 OK") + "\r\n", true});
+}
+
+// Guards against broken answers that come back from a peer that has taken the call over.
+TEST_F(HostedBrokenAnswer, ABrokenAnswerAtAPeerReachesNoCaller) {
+  ASSERT_TRUE(both_nodes_serve());
+  upload_.assign(upload_bytes, 'u');
+  platform_.set_paths(0, path_state::silent);
+  const std::vector<faulty_answer> answers = {
+      {signed_head("HTTP/1.1 000 Odd") + "Content-Length: 4\r\n\r\npart"},
+      {signed_success() + "\r\npart", true}};
+  for (const faulty_answer& answer : answers) {
+    platform_.set_answer(1, answer, plain_instance_id);
+    const double before = metric(1, "arbutusworks_attempts_broken");
+    EXPECT_TRUE(eventually([&] {
+      const call_result result = call(0, call_path, next_id(0));
+      EXPECT_TRUE(result.ok() && result.response.status >= 500) << answer.bytes;
+      EXPECT_EQ(result.response.body.find(part_of_body), std::string::npos) << answer.bytes;
+      return metric(1, "arbutusworks_attempts_broken") > before || HasFailure();
+    })) << answer.bytes;
+  }
+  platform_.set_paths(0, path_state::open);
+}
+
 // Guards against checks of broken answers that reject sound ones.
 TEST_F(HostedBrokenAnswer, SoundAnswersReachTheirCallers) {
   ASSERT_TRUE(both_nodes_serve());
