Streams of a model: a refusal that breaks off is no promise

What callers could see: a head that answers a stream with 503 and "not run", without length, and resets the connection during the upload, was taken at its word: the stream counted as not run, was sent again without the retry budget, and a stream that may not be repeated could run twice or end in a 503, which promises that it has not run.

Cause: a run at a replica decided by the head of the answer alone whether the target refused; calls that are buffered, hand-overs and the own kind of node ask for the whole answer first.

Change: only a refusal that was read whole counts as not run; one that is given up for its size is unchanged.

Test: HostedBrokenAnswer.ARefusalThatBreaksOffIsNoPromise.

--- a/src/node/replica_run.cpp
+++ b/src/node/replica_run.cpp
@@ -136,7 +136,9 @@
   if (result.outcome == call_outcome::not_sent) {
     return read_unsent(result);
   }
-  if (answer_.kind == answer_kind::not_run && status_ != 0) {
+  // A refusal that breaks off is no promise that the request did not run.
+  const bool broke_off = !result.ok() && result.failure != call_failure::abandoned;
+  if (answer_.kind == answer_kind::not_run && status_ != 0 && !broke_off) {
     reason_ = "the target did not run it";
     if (!is_full()) {
       node_.rejections.note(monotonic_now(), head());
--- a/tests/shell/hosted_broken_answer_test.cpp
+++ b/tests/shell/hosted_broken_answer_test.cpp
@@ -172,6 +172,14 @@
   platform_.set_paths(0, path_state::open);
 }
 
+// Guards against a promise "not run" that was broken off, in a call and in a stream.
+TEST_F(HostedBrokenAnswer, ARefusalThatBreaksOffIsNoPromise) {
+  ASSERT_TRUE(both_places_serve());
+  upload_.assign(upload_bytes, 'u');
+  const std::string refusal = signed_head("HTTP/1.1 503 Busy") + "X-Not-Executed: 1\r\n\r\npart";
+  expect_streams_past(platform_.engine_of_run("warm-0"), {refusal, true});
+}
+
 // Guards against checks of broken answers that reject sound ones.
 TEST_F(HostedBrokenAnswer, SoundAnswersReachTheirCallers) {
   ASSERT_TRUE(both_nodes_serve());
