HTTP client: an answer in an unknown transfer encoding is malformed

Cause: the client left the encoding to Beast, which removes a last `chunked` and reads every other body up to the end of the connection. The field itself concerns one connection and is not passed on, so callers could not know.

Change: an answer has no Transfer-Encoding, or once `chunked`; anything else is malformed, decided beside the status.

Tests: connection_broken_answer.an_unknown_transfer_encoding_is_no_answer, HostedBrokenAnswer.AnUnknownTransferEncodingReachesNoCaller. Before, all seven forms reached callers (gzip, xx, identity, `gzip, chunked`, `chunked, gzip`, chunked twice in one field, gzip and chunked in two fields). `identity`, which RFC 9112 no longer has, is among those that are rejected now.

--- a/src/connection/http_call.cpp
+++ b/src/connection/http_call.cpp
@@ -58,6 +58,13 @@
   return status >= lowest && status <= highest;
 }
 
+// Of a body in any other encoding, neither the end nor the content is known.
+bool has_known_encoding(const http::fields& fields) {
+  const auto encodings = fields.count(http::field::transfer_encoding);
+  return encodings == 0 ||
+         (encodings == 1 && equal_ignoring_case(fields[http::field::transfer_encoding], "chunked"));
+}
+
 http_headers headers_of(const http::fields& fields) {
   http_headers headers;
   for (const auto& field : fields) {
@@ -199,6 +206,9 @@
   if (!is_final_status(static_cast<int>(parser.get().result_int()))) {
     return http::make_error_code(http::error::bad_status);
   }
+  if (!has_known_encoding(parser.get())) {
+    return http::make_error_code(http::error::bad_transfer_encoding);
+  }
   return {};
 }
 
--- a/tests/shell/connection_broken_answer_test.cpp
+++ b/tests/shell/connection_broken_answer_test.cpp
@@ -79,6 +79,11 @@
   expect_no_answers(answers_reset_during_the_upload(), large);
 }
 
+// Guards against an encoded body that is taken for the target's.
+TEST_F(connection_broken_answer, an_unknown_transfer_encoding_is_no_answer) {
+  expect_no_answers(answers_with_odd_encodings());
+}
+
 // Guards against checks of broken answers that reject sound ones.
 TEST_F(connection_broken_answer, sound_answers_are_read) {
   for (const scripted_answer& answer : sound_answers()) {
--- a/tests/shell/hosted_broken_answer_test.cpp
+++ b/tests/shell/hosted_broken_answer_test.cpp
@@ -180,6 +180,12 @@
   expect_streams_past(platform_.engine_of_run("warm-0"), {refusal, true});
 }
 
+// Guards against a body that a caller gets in an encoding which it has not asked for.
+TEST_F(HostedBrokenAnswer, AnUnknownTransferEncodingReachesNoCaller) {
+  ASSERT_TRUE(both_nodes_serve());
+  expect_calls_past(answers_with_odd_encodings());
+}
+
 // Guards against checks of broken answers that reject sound ones.
 TEST_F(HostedBrokenAnswer, SoundAnswersReachTheirCallers) {
   ASSERT_TRUE(both_nodes_serve());
--- a/tests/shell/scripted_target.h
+++ b/tests/shell/scripted_target.h
@@ -130,6 +130,19 @@
   };
 }
 
+inline std::vector<scripted_answer> answers_with_odd_encodings() {
+  std::vector<scripted_answer> answers;
+  const std::string chunks = "\r\n4\r\npart\r\n0\r\n\r\n";
+  for (const std::string encoding :
+       {"gzip, chunked", "xx", "gzip", "identity", "chunked, gzip", "chunked, chunked"}) {
+    answers.push_back({"encoding " + encoding,
+                       signed_success() + "Transfer-Encoding: " + encoding + "\r\n" + chunks});
+  }
+  answers.push_back({"two encodings", signed_success() + "Transfer-Encoding: gzip\r\n" +
+                                          "Transfer-Encoding: chunked\r\n" + chunks});
+  return answers;
+}
+
 inline std::vector<scripted_answer> sound_answers() {
   const std::string head = signed_success();
   const std::string with_length = "Content-Length: 5\r\n\r\nwhole";
