Tests: odd names, heads that end early and odd bodies; the same answers to the own kind of node

A field's name with a blank, a tab, 0x01, 0x00, 0x7f, 0xe9 or a parenthesis, an empty one, a line without colon, a blank before the colon (also of Content-Length and Transfer-Encoding): rejected by Beast, too. A head that ends in the status line, in a name, in a value, after a field, after Content-Length: 0 or in the last line break, by a close, a half-close or a reset: the same. Short bodies, chunks and trailers that break off, odd sizes, two lengths, signed and too large ones, a reset behind a body without length: the same. Calls, plain streams and streams of a model of the hosted nodes, and the client alone.

--- a/tests/process/endless_test.py
+++ b/tests/process/endless_test.py
@@ -1,13 +1,11 @@
 """Targets of the own kind of node that send bytes without end which are no answer."""
 
-import contextlib
-import socket
-import threading
 import time
 import unittest
 
-from driver import (DATA_CENTRES, LOOPBACK, ProcessTest, authorization, call, complete,
-                    completion_body, in_parallel, text_of, wait_until)
+from driver import (DATA_CENTRES, authorization, call, complete, completion_body, in_parallel,
+                    text_of)
+from faulty_proxy import EndlessProxy, FaultyTargetTest
 
 PIECE = 1000 * b"x"
 HEAD = b"HTTP/1.1 200 OK\r\n"
@@ -40,99 +38,23 @@
 REQUESTS = 12
 
 
-class EndlessProxy:
-    """Answers requests whose path begins with a prefix without end; forwards all others."""
-
-    def __init__(self, target, prefix):
-        self.target = target
-        self.prefix = prefix
-        self.answer = None  # (beginning, repeated); None: all are forwarded
-        self.refused = 0  # answers whose connection was closed by the node
-        self.listener = socket.create_server((LOOPBACK, 0))
-        self.port = self.listener.getsockname()[1]
-        threading.Thread(target=self.accept, daemon=True).start()
-
-    def close(self):
-        self.answer = None
-        self.listener.close()
-
-    def accept(self):
-        with contextlib.suppress(OSError):
-            while True:
-                connection, _ = self.listener.accept()
-                threading.Thread(target=self.serve, args=(connection,), daemon=True).start()
-
-    def serve(self, connection):
-        with connection, contextlib.suppress(OSError):
-            head = connection.recv(65536)
-            if self.answer and head.split(b" ", 2)[1].startswith(self.prefix):
-                self.send_without_end(connection, head)
-            elif head:
-                self.forward(connection, head)
-
-    def send_without_end(self, connection, head):
-        beginning, repeated = self.answer
-        fields = dict(line.split(b": ", 1) for line in head.split(b"\r\n") if b": " in line)
-        request_id = {name.lower(): value for name, value in fields.items()}[b"x-request-id"]
-        connection.sendall(beginning.replace(b"REQUEST", request_id))
-        with contextlib.suppress(OSError):
-            while self.answer:
-                connection.sendall(repeated)
-        self.refused += 1
-
-    def forward(self, connection, head):
-        with socket.create_connection((LOOPBACK, self.target)) as target:
-            target.sendall(head)
-            threading.Thread(target=self.pump, args=(target, connection), daemon=True).start()
-            self.pump(connection, target)
-
-    @staticmethod
-    def pump(source, sink):
-        with contextlib.suppress(OSError):
-            while data := source.recv(65536):
-                sink.sendall(data)
-            sink.shutdown(socket.SHUT_WR)
-
-
-class EndlessAnswers(ProcessTest):
+class EndlessAnswers(FaultyTargetTest):
     fleet_options = {"buffered_bytes": BUFFERED_BYTES}
 
-    def setUp(self):
-        self.nodes = self.fleet.nodes_of(DATA_CENTRES[0])
-
-    def list_at(self, old_port, proxy, adds):
-        """Applies an inventory in which the proxy stands at the address, or beside it."""
-        directory = self.fleet.configuration_copy(f"endless-{proxy.port}")
-        file = directory / "inventory.csv"
-        rows = []
-        for row in file.read_text().splitlines():
-            there = row.replace(f"{LOOPBACK}:{old_port}", f"{LOOPBACK}:{proxy.port}")
-            rows += [row, there] if adds and there != row else [there]
-        file.write_text("\n".join(rows) + "\n")
-        version = self.nodes[0].config_version()
-        result = self.fleet.apply(directory)
-        self.assertEqual(result.returncode, 0, result)
-        wait_until(lambda: all(n.config_version() > version for n in self.nodes), "it is in force")
-
-    def proxy_of(self, port, prefix):
-        proxy = EndlessProxy(port, prefix)
-        self.addCleanup(proxy.close)
-        return proxy
-
     def assert_answered(self, proxy, name, answer, request):
         """Each request is answered in time, and the nodes' memory stays bounded."""
         before = [node.resident_bytes() for node in self.nodes]
-        proxy.refused, proxy.answer = 0, answer
+        proxy.answered, proxy.answer = 0, answer
         until = time.monotonic() + 10
         # Together, since a target that has failed gets requests only while the others are busy.
-        while proxy.refused == 0 and time.monotonic() < until:
+        while proxy.answered == 0 and time.monotonic() < until:
             begun = time.monotonic()
             replies = in_parallel([lambda node=node: request(node)
                                    for node in self.nodes for _ in range(REQUESTS)])
             self.assertLess(time.monotonic() - begun, MAX_SECONDS, name)
             self.check_replies(name, replies)
         proxy.answer = None
-        self.assertGreater(proxy.refused, 0, f"{name}: not called")
+        self.assertGreater(proxy.answered, 0, f"{name}: not called")
         growth = max(n.resident_bytes() - b for n, b in zip(self.nodes, before))
         print(f"measured: {name}: memory grew by {growth / 1e6:.1f} MB", flush=True)
         self.assertLess(growth, MAX_GROWTH_BYTES, name)
@@ -149,8 +71,8 @@
     def test_answers_of_a_service(self):
         # Guards against a node that keeps what an instance sends without end.
         port = self.fleet.service_ports[DATA_CENTRES[0]]
-        proxy = self.proxy_of(port, b"/notes")
-        self.list_at(port, proxy, adds=True)
+        proxy = self.proxy_of(EndlessProxy, port, b"/notes")
+        self.list_at(port, [proxy], adds=True)
 
         def request(node):
             reply = call(node.port, "GET", "/notes/1", headers=authorization())
@@ -162,8 +84,8 @@
     def test_answers_and_streams_of_an_engine(self):
         # Guards against a node that keeps, or passes on, what an engine sends without end.
         replica = self.nodes[0].status()["replicas"][0]
-        proxy = self.proxy_of(self.fleet.vm_ports[replica["members"][0]], b"/v1/")
-        self.list_at(proxy.target, proxy, adds=False)
+        proxy = self.proxy_of(EndlessProxy, self.fleet.vm_ports[replica["members"][0]], b"/v1/")
+        self.list_at(proxy.target, [proxy], adds=False)
         self.fleet.wait_all_serving(timeout=30)
 
         def request(node, stream=True):
--- a/tests/shell/connection_broken_answer_test.cpp
+++ b/tests/shell/connection_broken_answer_test.cpp
@@ -84,6 +84,21 @@
   expect_no_answers(answers_with_odd_encodings());
 }
 
+// Guards against heads whose fields are read differently by others.
+TEST_F(connection_broken_answer, an_odd_name_of_a_field_is_no_answer) {
+  expect_no_answers(answers_with_odd_names());
+}
+
+// Guards against half a head that is taken for an answer without a body.
+TEST_F(connection_broken_answer, a_head_that_ends_early_is_no_answer) {
+  expect_no_answers(answers_that_end_in_the_head());
+}
+
+// Guards against a part of a body that is taken for the whole.
+TEST_F(connection_broken_answer, an_odd_body_is_not_complete) {
+  expect_no_answers(answers_with_odd_bodies());
+}
+
 // Guards against checks of broken answers that reject sound ones.
 TEST_F(connection_broken_answer, sound_answers_are_read) {
   for (const scripted_answer& answer : sound_answers()) {
--- a/tests/shell/hosted_broken_answer_test.cpp
+++ b/tests/shell/hosted_broken_answer_test.cpp
@@ -186,6 +186,24 @@
   expect_calls_past(answers_with_odd_encodings());
 }
 
+// Guards against broken heads that are taken for an answer.
+TEST_F(HostedBrokenAnswer, BrokenHeadsReachNoCaller) {
+  ASSERT_TRUE(both_nodes_serve());
+  expect_calls_past(answers_with_odd_names());
+  expect_calls_past(answers_that_end_in_the_head());
+}
+
+TEST_F(HostedBrokenAnswer, BrokenHeadsReachNoStream) {
+  ASSERT_TRUE(both_places_serve());
+  const std::string head = platform_.engine_of_run("warm-0");
+  for (const scripted_answer& answer : answers_with_odd_names()) {
+    expect_streams_past(head, {answer.bytes});
+  }
+  for (const scripted_answer& answer : answers_that_end_in_the_head()) {
+    expect_streams_past(head, {answer.bytes});
+  }
+}
+
 // Guards against checks of broken answers that reject sound ones.
 TEST_F(HostedBrokenAnswer, SoundAnswersReachTheirCallers) {
   ASSERT_TRUE(both_nodes_serve());
