Hosted nodes: the log and explain say why an answer was rejected

Before, an attempt with an odd status or a body that was reset said "malformed" or "connection lost", whichever of many faults it was, and nothing counted them. Now the result of a call names the fault of the answer; the line "attempt ended", the cause that `explain ID` gives, the reasons of reports, orders and the store, and the own kind's reasons take it from there: status out of range, connection reset before the end, unknown transfer encoding, malformed. No line is added. arbutusworks_answers_malformed counts them by reason. What the failure means for the call and for the target's standing is unchanged: a reset is a lost connection, the others are malformed.

Tests: ExplainBrokenAnswer.* follows each of the three from the broken answer to its cause, counter and single line.

--- a/src/connection/http_call.cpp
+++ b/src/connection/http_call.cpp
@@ -95,6 +95,24 @@
   return call_failure::malformed;
 }
 
+namespace {
+
+// `has_head`: whether the head of the answer had arrived.
+answer_fault fault_of(const error_code& error, bool has_head) {
+  const call_failure failure = failure_of(error);
+  if (failure == call_failure::malformed) {
+    return error == http::error::bad_status              ? answer_fault::status
+           : error == http::error::bad_transfer_encoding ? answer_fault::encoding
+                                                         : answer_fault::bytes;
+  }
+  const bool closed_early =
+      error == http::error::end_of_stream || error == http::error::partial_message;
+  const bool is_reset = failure == call_failure::connection_lost && !closed_early;
+  return has_head && is_reset ? answer_fault::reset : answer_fault::none;
+}
+
+}  // namespace
+
 call_result failed_call(call_outcome outcome, call_failure failure, std::string detail) {
   call_result result;
   result.outcome = outcome;
@@ -264,6 +282,7 @@
 call_result http_call::broken(const error_code& error) {
   result_.outcome = any_byte_sent() ? call_outcome::unknown : call_outcome::not_sent;
   result_.failure = failure_of(error);
+  result_.fault = fault_of(error, result_.response.status != 0);
   result_.detail = error.message();
   return std::move(result_);
 }
--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -268,6 +268,26 @@
   return "?";
 }
 
+std::string_view call_result::reason() const {
+  return fault == answer_fault::none ? to_string(failure) : to_string(fault);
+}
+
+std::string_view to_string(answer_fault fault) {
+  switch (fault) {
+    case answer_fault::none:
+      return "none";
+    case answer_fault::bytes:
+      return "malformed";
+    case answer_fault::status:
+      return "status out of range";
+    case answer_fault::encoding:
+      return "unknown transfer encoding";
+    case answer_fault::reset:
+      return "connection reset before the end";
+  }
+  return "?";
+}
+
 std::string_view to_string(call_failure failure) {
   switch (failure) {
     case call_failure::none:
--- a/src/connection/http_client.h
+++ b/src/connection/http_client.h
@@ -35,19 +35,32 @@
   not_permitted,    // the send_permit returned false
 };
 
+// Why what a target sent is no answer.
+enum class answer_fault : std::uint8_t {
+  none,
+  bytes,     // not HTTP
+  status,    // a final answer has a status from 200 to 599
+  encoding,  // a transfer encoding other than chunks
+  reset,     // the connection was reset before the end of the body
+};
+
 struct call_result {
   call_outcome outcome{call_outcome::unknown};
   call_failure failure{call_failure::none};
+  answer_fault fault{answer_fault::none};
   http_response response;  // for stream() without the body; filled once the headers arrived
   std::string detail;      // for logs
   bool refused = false;    // connection refused: no process listens at the address
   held_bytes held{};       // the body of the response
 
   [[nodiscard]] bool ok() const noexcept { return outcome == call_outcome::ok; }
+  // Why the call failed, for logs.
+  [[nodiscard]] std::string_view reason() const;
 };
 
 [[nodiscard]] std::string_view to_string(call_outcome outcome);
 [[nodiscard]] std::string_view to_string(call_failure failure);
+[[nodiscard]] std::string_view to_string(answer_fault fault);
 
 // Called directly before the first byte is sent, when the connection is established. The conditions
 // for sending may have ceased to hold while the call waited for its connection or while this
--- a/src/node/engine_client.cpp
+++ b/src/node/engine_client.cpp
@@ -17,7 +17,7 @@
   request.target = "/report";
   const call_result result = client_.fetch(target, request, deadline);
   if (!result.ok()) {
-    return unknown{std::string(to_string(result.failure))};
+    return unknown{std::string(result.reason())};
   }
   if (result.response.status != status_ok) {
     return refused{"status " + std::to_string(result.response.status)};
@@ -37,7 +37,7 @@
     return refused{"out of date before it was sent"};
   }
   if (!result.ok()) {
-    return unknown{std::string(to_string(result.failure))};
+    return unknown{std::string(result.reason())};
   }
   if (result.response.status == status_conflict) {
     return refused{"old token, other incarnation or passed deadline"};
--- a/src/node/hosted_buffered.cpp
+++ b/src/node/hosted_buffered.cpp
@@ -203,7 +203,8 @@
         check_for_strike(node_, {call_.fields.id, call_.fingerprint, call_.blocks, instance.id,
                                  instance.address, sent_at_, now});
       }
-      broken(instance, to_string(result.failure));
+      count_malformed_answer(node_, result);
+      broken(instance, result.reason());
       return;
     }
     read_answer_of(now, instance, result.response);
--- a/src/node/hosted_state.cpp
+++ b/src/node/hosted_state.cpp
@@ -34,6 +34,13 @@
 
 }  // namespace
 
+void count_malformed_answer(hosted_state& node, const call_result& result) {
+  if (result.fault != answer_fault::none) {
+    node.metrics.count("arbutusworks_answers_malformed",
+                       "why=\"" + std::string(to_string(result.fault)) + "\"");
+  }
+}
+
 void count_oversized_answer(hosted_state& node, std::string_view part) {
   node.metrics.count("arbutusworks_answers_too_large", "part=\"" + std::string(part) + "\"");
 }
--- a/src/node/hosted_state.h
+++ b/src/node/hosted_state.h
@@ -171,6 +171,9 @@
   std::map<service_id, std::vector<service_instance>> cached_instances_;
 };
 
+// Counts a call whose target sent what is no answer, by the reason.
+void count_malformed_answer(hosted_state& node, const call_result& result);
+
 // Counts an answer that was given up for its size. `part`: "head" (with chunk extensions and
 // trailers), "body" or "event" of a target's answer, or "relayed" for an answer of a peer.
 void count_oversized_answer(hosted_state& node, std::string_view part);
--- a/src/node/model_attempt.cpp
+++ b/src/node/model_attempt.cpp
@@ -61,7 +61,7 @@
 }
 
 std::string describe(const call_result& result) {
-  std::string text{to_string(result.failure)};
+  std::string text{result.reason()};
   if (!result.detail.empty()) {
     text += ": " + result.detail;
   }
--- a/src/node/platform_client.cpp
+++ b/src/node/platform_client.cpp
@@ -15,7 +15,7 @@
 
 std::string describe(const call_result& result) {
   if (!result.ok()) {
-    return std::string(to_string(result.failure)) + ": " + result.detail;
+    return std::string(result.reason()) + ": " + result.detail;
   }
   return "status " + std::to_string(result.response.status);
 }
--- a/src/node/replica_run.cpp
+++ b/src/node/replica_run.cpp
@@ -146,6 +146,7 @@
     return run_result::not_run;
   }
   note_oversized_answer(result);
+  count_malformed_answer(node_, result);
   const bool is_whole = result.ok() && answer_.kind == answer_kind::target_response;
   if (is_whole && status_ != 200) {
     reason_ = "the target failed";
@@ -158,7 +159,7 @@
             : relay_.fault() != event_fault::none       ? to_string(relay_.fault())
             : overdue_                                  ? "bytes without an event"
             : result.failure == call_failure::abandoned ? "the answer was not this request's"
-                                                        : to_string(result.failure);
+                                                        : result.reason();
   return run_result::broken;
 }
 
--- a/src/node/request_timeline.cpp
+++ b/src/node/request_timeline.cpp
@@ -154,7 +154,7 @@
 };
 
 // Explains each reason and says where to look next. The reasons are those in the nodes' log lines.
-constexpr std::array<known_reason, 35> known_reasons = {{
+constexpr std::array<known_reason, 39> known_reasons = {{
     {"every replica is at its capacity for this latency objective",
      "More requests arrived at all nodes than the replicas of the model can begin to answer within "
      "their objectives, so a part of each priority was refused at once, the least urgent first. "
@@ -174,6 +174,17 @@
     {"connection lost",
      "The connection to the target broke while it answered: the target ended or was cut off."},
     {"reset", "The target or the network reset the connection."},
+    {"connection reset before the end",
+     "The connection was reset while the target answered, so the end of what had arrived is not "
+     "the "
+     "end of the answer."},
+    {"malformed", "What the target sent is not HTTP."},
+    {"status out of range",
+     "What the target sent has a status that is no status of HTTP (200 to 599), so it is no "
+     "answer."},
+    {"unknown transfer encoding",
+     "The target sent its body in a transfer encoding other than chunks, so the bytes that arrived "
+     "are not the body."},
     {"timeout", "The target did not answer within the time that was left."},
     {"could not be sent",
      "No connection to the target could be established, so the request did not run there."},
--- a/src/node/service_call.cpp
+++ b/src/node/service_call.cpp
@@ -194,7 +194,7 @@
       if (result.outcome == call_outcome::unknown) {
         worst = execution::unknown;
       }
-      reason = std::string(to_string(result.failure));
+      reason = std::string(result.reason());
       if (result.failure == call_failure::cancelled || monotonic_now() >= call_.deadline) {
         break;
       }
--- a/tests/shell/explain_test.cpp
+++ b/tests/shell/explain_test.cpp
@@ -7,6 +7,7 @@
 #include "hosted_fixture.h"
 #include "node/log.h"
 #include "node/request_timeline.h"
+#include "shell/scripted_target.h"
 
 namespace arbutus::testing_support {
 namespace {
@@ -104,6 +105,52 @@
       << to_text(*timeline);
 }
 
+class ExplainBrokenAnswer : public Explain {
+ protected:
+  // A call that the target has answered so, and why that was no answer.
+  void expect_reason(const scripted_answer& answer, const std::string& reason) {
+    ASSERT_TRUE(both_nodes_serve());
+    const scripted_target target(answer);
+    platform_.write_target_record(
+        "a-faulty",
+        R"({"service":"api","zone":"lab-a","slots":6,"state":"ready","born":1,"address":")" +
+            to_string(endpoint{"127.0.0.1", target.port()}) + "\"}");
+    http_request request;
+    int number = 0;
+    ASSERT_TRUE(eventually([&] {
+      request = make_request("/card/2f", "b" + std::to_string(++number));
+      request.body.assign(upload_bytes, 'u');
+      runtime.run_on(0, [&] {
+        client_.fetch(local(nodes_[0]->settings.listen.caller_endpoint.port), request,
+                      monotonic_now() + 2s);
+      });
+      return target.answered() > 0;
+    }));
+    EXPECT_THAT(send_operator_request("GET", "/metrics").response.body,
+                HasSubstr("arbutusworks_answers_malformed{why=\"" + reason + "\"} 1\n"));
+    const auto timeline = explain_request("b" + std::to_string(number));
+    ASSERT_TRUE(timeline);
+    EXPECT_THAT(timeline->cause, HasSubstr(reason + ". "));
+    EXPECT_TRUE(has(timeline->own, "attempt ended"));
+    EXPECT_EQ(std::ranges::count(timeline->own, "attempt ended", &logged_line::message), 1);
+  }
+};
+
+TEST_F(ExplainBrokenAnswer, AStatusOutOfRange) {
+  expect_reason({"000", signed_head("HTTP/1.1 000 Odd") + "Content-Length: 4\r\n\r\npart"},
+                "status out of range");
+}
+
+TEST_F(ExplainBrokenAnswer, AResetDuringTheUpload) {
+  expect_reason({"reset", signed_success() + "\r\npart", after_answer::resets, true},
+                "connection reset before the end");
+}
+
+TEST_F(ExplainBrokenAnswer, AnUnknownTransferEncoding) {
+  expect_reason({"xx", signed_success() + "Transfer-Encoding: xx\r\n\r\npart"},
+                "unknown transfer encoding");
+}
+
 TEST_F(Explain, AKeyThatCannotBeChecked) {
   ASSERT_TRUE(both_nodes_serve());
   platform_.set_store_down(true);
