--- a/src/connection/http_call.cpp
+++ b/src/connection/http_call.cpp
@@ -65,6 +65,23 @@
          (encodings == 1 && equal_ignoring_case(fields[http::field::transfer_encoding], "chunked"));
 }
 
+// Whether the stream ended in good order, but inside the message.
+bool is_early_end(const error_code& error) {
+  return error == http::error::end_of_stream || error == http::error::partial_message;
+}
+
+// `has_head`: whether the head of the answer had arrived.
+answer_fault fault_of(const error_code& error, bool has_head) {
+  const call_failure failure = failure_of(error);
+  if (failure == call_failure::malformed) {
+    return error == http::error::bad_status              ? answer_fault::status
+           : error == http::error::bad_transfer_encoding ? answer_fault::encoding
+                                                         : answer_fault::bytes;
+  }
+  const bool is_reset = failure == call_failure::connection_lost && !is_early_end(error);
+  return has_head && is_reset ? answer_fault::reset : answer_fault::none;
+}
+
 http_headers headers_of(const http::fields& fields) {
   http_headers headers;
   for (const auto& field : fields) {
@@ -86,33 +103,13 @@
       error == http::error::buffer_overflow) {
     return call_failure::too_large;
   }
-  const bool closed_early =
-      error == http::error::end_of_stream || error == http::error::partial_message;
-  if (closed_early ||
+  if (is_early_end(error) ||
       error.category() != http::make_error_code(http::error::bad_value).category()) {
     return call_failure::connection_lost;
   }
   return call_failure::malformed;
 }
 
-namespace {
-
-// `has_head`: whether the head of the answer had arrived.
-answer_fault fault_of(const error_code& error, bool has_head) {
-  const call_failure failure = failure_of(error);
-  if (failure == call_failure::malformed) {
-    return error == http::error::bad_status              ? answer_fault::status
-           : error == http::error::bad_transfer_encoding ? answer_fault::encoding
-                                                         : answer_fault::bytes;
-  }
-  const bool closed_early =
-      error == http::error::end_of_stream || error == http::error::partial_message;
-  const bool is_reset = failure == call_failure::connection_lost && !closed_early;
-  return has_head && is_reset ? answer_fault::reset : answer_fault::none;
-}
-
-}  // namespace
-
 call_result failed_call(call_outcome outcome, call_failure failure, std::string detail) {
   call_result result;
   result.outcome = outcome;
--- a/tests/process/soak.py
+++ b/tests/process/soak.py
@@ -9,7 +9,8 @@
 Callers reuse their connections.
 
 Guarantees, checked against what callers and targets observe:
-  whole     a successful answer is the request's own complete answer, with the target's signature
+  whole     a successful answer is the request's own complete answer, with the target's signature,
+            and no answer has a status that is none of HTTP
   once      a call that must not be repeated runs at most once
   not run   a request answered with 503, 429, 408 or 421 was not run and never will be
   keys      no request runs that was sent later than the time limit after its key was withdrawn
@@ -78,6 +79,12 @@
 # Seeds from here on have targets that turn all requests away or break all answers, and nodes that
 # are killed and started again with the same settings, one by one or all at once.
 FIRST_SEED_OF_RETRY_STORMS = 1600
+# Seeds from here on have targets that send what is no answer, and callers with large bodies, some of
+# whose answers come while the body is still being written.
+FIRST_SEED_OF_BROKEN_ANSWERS = 1800
+BROKEN_ANSWERS = ("odd-status", "reset")
+UPLOAD = 4 * 1024 * 1024 * b"u"
+SHARE_OF_UPLOADS = 0.2
 CUTS = ("silent", "one-way", "reset", "closed-to-new")
 CUT_SECONDS_UNTIL_CHECKED = 3.0
 MIN_CHECKED_CALLS = 20
@@ -311,20 +318,22 @@
 
     # ---- callers ----
 
-    def ask(self, connection, request_id, path):
+    def ask(self, connection, request_id, path, body=None):
         headers = {"Host": HOST, "X-Request-Id": request_id,
                    "X-Deadline-Ms": str(int(1000 * DEADLINE_SECONDS)),
                    "X-Model": "large", "X-Token-Count": "100,20", "Authorization": f"Bearer {KEY}"}
         sent_at = time.monotonic()
         result, is_sent, status = (None, b"", {}), False, None
         try:
-            connection.request("POST", path, headers=headers)
+            connection.request("POST", path, body=body, headers=headers)
             is_sent = True
             response = connection.getresponse()
             status = response.status
             result = (status, response.read(), dict(response.getheaders()))
-        except (OSError, http.client.HTTPException):
+        except (OSError, http.client.HTTPException) as error:
             connection.close()
+            if isinstance(error, http.client.BadStatusLine) and error.line.startswith("HTTP/"):
+                self.report("whole", f"{request_id} got the status line {error.line!r}")
         ended_at = time.monotonic()
         with self.lock:
             self.calls.append((request_id, path, sent_at, ended_at, *result))
@@ -343,7 +352,10 @@
             path = "/card/1" if choice.random() < 0.3 else "/llm/x"
             if self.seed >= FIRST_SEED_OF_POISON:
                 path += f"-{caller}-{number // 2}"
-            status = self.ask(connection, f"c{caller}-{number}@{node.name}", path)
+            has_upload = (self.seed >= FIRST_SEED_OF_BROKEN_ANSWERS
+                          and choice.random() < SHARE_OF_UPLOADS)
+            status = self.ask(connection, f"c{caller}-{number}@{node.name}", path,
+                              UPLOAD if has_upload else None)
             if status != 200:
                 connection = None
                 time.sleep(0.05)
@@ -395,6 +407,16 @@
             self.command("POST", f"{paths}&state=open")
             self.silences.append((centre, begun, time.monotonic()))
 
+    def break_answers(self, node, rng):
+        """The nodes of a data centre get what is no answer from all targets, or from one."""
+        centre = node.data_centre
+        with self.cut_locks[centre]:
+            target = rng.choice(["", "i-api", self.command("GET", "/head")["head"]])
+            answers = f"/answers?node={self.centres.index(centre)}&target={target}&kind="
+            self.command("POST", answers + rng.choice(BROKEN_ANSWERS))
+            time.sleep(rng.uniform(0.3, 4))
+            self.command("POST", answers + "sound")
+
     def may_be_broken(self, sent_at, ended_at):
         """Whether the deadline or a fault explains that the call has no complete answer."""
         if ended_at - sent_at >= DEADLINE_SECONDS:
@@ -710,6 +732,8 @@
                             f"{path} ended {ends[path]} and reached targets {reached} more times")
 
     def kinds_of_faults(self):
+        if self.seed >= FIRST_SEED_OF_BROKEN_ANSWERS:
+            return self.broken_answers()
         if self.seed >= FIRST_SEED_OF_RETRY_STORMS:
             return self.retry_storms()
         if self.seed >= FIRST_SEED_OF_SILENCES:
@@ -737,6 +761,11 @@
                   self.restore_store, self.new_version, self.restart_engine]
         return [self.break_targets] * 8 + [self.kill_all_nodes] * 4 + [self.kill_node] * 4 + others
 
+    def broken_answers(self):
+        others = [self.disturb_store, self.pause_node, self.kill_node, self.terminate_node,
+                  self.new_version, self.kill_engine, self.restart_engine]
+        return [self.break_answers] * 12 + others
+
     def silences_and_few_others(self):
         """Answers are judged between other faults only; so each seed has few kinds of them."""
         others = [self.disturb_store, self.disturb_callers, self.pause_node, self.kill_node,
@@ -828,6 +857,8 @@
             ran = runs.get(request_id, 0)
             if POISON_REASON in body and path not in POISON_PATHS:
                 self.report("accused", f"{request_id} at {path}")
+            if status is not None and not 200 <= status <= 599:
+                self.report("whole", f"{request_id} got the status {status}")
             if status == 200:
                 right = (f"card {request_id}".encode() if path.startswith(("/card", "/extra"))
                          else expected_stream(request_id))
