--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,5 +3,5 @@
 # nothing has to be built. The program itself is built by the build command of deploy/system.toml.
 set -e
 cd "$(dirname "$0")"
-python3 -m py_compile common-2/users_platform.py
+python3 -m py_compile common-2/*.py
 rm -rf common-2/__pycache__
--- a/review/common-2/users_platform.py
+++ b/review/common-2/users_platform.py
@@ -18,6 +18,7 @@
 import subprocess
 import threading
 import time
+import traceback
 import urllib.parse
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
@@ -345,3 +346,15 @@
 
 def trouble():
     return os.environ.get("TROUBLE", "1") != "0"
+
+
+def run(main, record_file):
+    """The exit status of a case; 2 if it could not run."""
+    try:
+        return main()
+    except Exception:  # whatever ends a case early is no broken rule
+        text = traceback.format_exc()
+        with open(record_file, "a", encoding="utf-8") as file:
+            file.write(text)
+        print(text)
+        return 2
