--- a/review/common-2/users_platform.py
+++ b/review/common-2/users_platform.py
@@ -5,6 +5,7 @@
 Python's standard library only; every address is a loopback address.
 """
 
+import atexit
 import base64
 import contextlib
 import http.client
@@ -287,6 +288,7 @@
         self.log = open(pathlib.Path(directory) / f"{name}.log", "wb")
         self.process = subprocess.Popen([str(BINARY), "hosted", str(self.settings)],
                                         stdout=self.log, stderr=self.log)
+        atexit.register(self.end)
 
     def is_ready(self):
         try:
