Hold the uploads of review/11 to the machine's link, and lose streams with it

The uploads of a burst now share the link of 1,000 Mbit/s that the site gives a machine, and the other users have streams at engines when the process ends.

--- a/review/common-3/deployment.py
+++ b/review/common-3/deployment.py
@@ -207,13 +207,16 @@
                 elif headers.get("x-expect-instance", self.id) != self.id:
                     writer.write(answer(421, b"", [("X-Instance-Id", self.id)]))
                 else:
-                    writer.write(await self.run(headers, len(body)))
+                    await self.respond(writer, headers, len(body))
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
             writer.close()
 
+    async def respond(self, writer, headers, size):
+        writer.write(await self.run(headers, size))
+
     async def run(self, headers, size):
         request = headers.get("x-request-id", "")
         self.note("arrived", request, self.id, size)
@@ -232,6 +235,39 @@
         return answer(200, b"x" * 800, [*echo, ("X-Response-Seal", f"{self.id}.{self.n}")])
 
 
+class StreamEngine(Engine):
+    """An engine that answers with a stream of events, `gap_s` apart, in chunks."""
+
+    def __init__(self, name, slots=26, events=30, gap_s=0.1, **more):
+        super().__init__(name, slots=slots, queue=2 * slots, **more)
+        self.events, self.gap_s = events, gap_s
+
+    async def respond(self, writer, headers, size):
+        request = headers.get("x-request-id", "")
+        self.note("arrived", request, self.id, size)
+        if self.inside >= self.slot_count + self.queue:
+            self.note("refused", request, self.id)
+            writer.write(answer(503, b"", [("X-Request-Id", request), ("X-Not-Executed", "1")]))
+            return
+        self.inside += 1
+        try:
+            async with self.slots:
+                self.note("ran", request, self.id, size)
+                self.n += 1
+                writer.write(("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+                              "Content-Type: text/event-stream\r\n"
+                              f"X-Request-Id: {request}\r\n"
+                              f"X-Response-Seal: {self.id}.{self.n}\r\n\r\n").encode())
+                for i in range(1, self.events + 1):
+                    await asyncio.sleep(self.gap_s)
+                    event = f"id: {i}\ndata: {request}\n\n".encode()
+                    writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+                    await writer.drain()
+                writer.write(b"0\r\n\r\n")
+        finally:
+            self.inside -= 1
+
+
 class Node:
     """A hosted node, started with the command of the deploy file."""
 
@@ -319,6 +355,20 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode()
 
 
+class Link:
+    """The link of a machine: carries so many bytes a second, of all channels in turn."""
+
+    PIECE = 65536
+
+    def __init__(self, mbps):
+        self.bytes_per_s, self.free_at = mbps * 1e6 / 8, 0.0
+
+    async def carry(self, size):
+        now = time.monotonic()
+        self.free_at = max(self.free_at, now) + size / self.bytes_per_s
+        await asyncio.sleep(self.free_at - now)
+
+
 class Channel:
     """A requester's channel to a node, kept open for several requests."""
 
@@ -329,13 +379,18 @@
         self.reader, self.writer = await asyncio.wait_for(
             asyncio.open_connection("127.0.0.1", self.port, limit=1 << 20), 1)
 
-    async def send(self, method, path, request, deadline_ms, body=b"", extra=()):
+    async def send(self, method, path, request, deadline_ms, body=b"", extra=(), link=None):
         """One requester attempt: (status or what happened, headers, body)."""
         try:
             self.writer.write(request_bytes(method, path, request, deadline_ms, len(body), extra))
-            self.writer.write(body)
 
             async def finish():
+                for at in range(0, len(body), Link.PIECE):
+                    piece = body[at:at + Link.PIECE]
+                    if link is not None:
+                        await link.carry(len(piece))
+                    self.writer.write(piece)
+                    await self.writer.drain()
                 await self.writer.drain()
                 head = await read_head(self.reader)
                 if head is None:
