Show a machine that goes back to an older config after its requesters saw the newer one

review/12: the store turns away the only machine of a zone for 9 s while a config moves three routes and the engines of one old service leave. The machine hands the calls of that service over to a peer, which runs them by the new version, and goes on to serve the other routes by the old one (CONFIG, a machine regresses).

--- a/review/common-3/deployment.py
+++ b/review/common-3/deployment.py
@@ -10,6 +10,7 @@
 import json
 import os
 import pathlib
+import random
 import re
 import signal
 import socket
@@ -25,12 +26,17 @@
 
 
 def free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for s in sockets:
-        s.bind(("127.0.0.1", 0))
-    ports = [s.getsockname()[1] for s in sockets]
-    for s in sockets:
-        s.close()
+    """Ports to listen at, below those that outgoing channels usually get."""
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(15000, 32000)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in ports:
+            ports.append(port)
     return ports
 
 
@@ -73,6 +79,7 @@
     def __init__(self):
         self.rows, self.version, self.changed = {}, 0, asyncio.Event()
         self.log = []  # (version, row)
+        self.refused = set()  # zones whose machines the store turns away
         self.begun = time.monotonic()
 
     def now_ms(self):
@@ -145,13 +152,21 @@
             except asyncio.TimeoutError:
                 pass
 
-    async def serve(self, reader, writer):
+    def serve_for(self, zone):
+        """The store for the machines of a zone."""
+        return lambda reader, writer: self.serve(reader, writer, zone)
+
+    async def serve(self, reader, writer, zone=None):
         try:
             while (head := await read_head(reader)) is not None:
                 line, headers = head
                 method, target, _ = line.split(" ", 2)
                 body = await read_body(reader, headers)
                 path, _, query = target.partition("?")
+                if zone in self.refused:
+                    writer.write(answer(503))
+                    await writer.drain()
+                    continue
                 q = {k: v[0] for k, v in urllib.parse.parse_qs(query, keep_blank_values=True).items()}
                 if path == "/api/rows-tx":
                     status, document = self._transaction(body)
@@ -161,6 +176,8 @@
                     status, document = await self._feed(q)
                 else:
                     status, document = 404, {}
+                if zone in self.refused:  # a call that waited for news
+                    status, document = 503, {}
                 writer.write(answer(status, json.dumps(document).encode(),
                                     [("Content-Type", "application/json")]))
                 await writer.drain()
@@ -194,9 +211,10 @@
     def __init__(self, name, slots=6, work_s=0.03, queue=12, note=lambda *_: None):
         self.id, self.work_s, self.queue, self.note = name, work_s, queue, note
         self.slots, self.inside, self.n = asyncio.Semaphore(slots), 0, 0
-        self.slot_count = slots
+        self.slot_count, self.writers = slots, set()
 
     async def serve(self, reader, writer):
+        self.writers.add(writer)
         try:
             while (head := await read_head(reader)) is not None:
                 line, headers = head
@@ -212,6 +230,7 @@
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     async def respond(self, writer, headers, size):
@@ -235,6 +254,29 @@
         return answer(200, b"x" * 800, [*echo, ("X-Response-Seal", f"{self.id}.{self.n}")])
 
 
+class LargeEngine(Engine):
+    """An engine with answers of `size` bytes, which the link of a node carries to it."""
+
+    def __init__(self, name, size, link_of, **more):
+        super().__init__(name, **more)
+        self.body, self.link_of = bytes(size), link_of
+
+    async def respond(self, writer, headers, size):
+        head = await self.run(headers, size)
+        if not head.startswith(b"HTTP/1.1 200"):
+            writer.write(head)
+            return
+        request, link = headers.get("x-request-id", ""), self.link_of(headers)
+        writer.write((f"HTTP/1.1 200 OK\r\nContent-Length: {len(self.body)}\r\n"
+                      f"X-Request-Id: {request}\r\n"
+                      f"X-Response-Seal: {self.id}.{self.n}\r\n\r\n").encode())
+        for at in range(0, len(self.body), Link.PIECE):
+            piece = self.body[at:at + Link.PIECE]
+            await link.carry(len(piece))
+            writer.write(piece)
+            await writer.drain()
+
+
 class StreamEngine(Engine):
     """An engine that answers with a stream of events, `gap_s` apart, in chunks."""
 
@@ -395,8 +437,15 @@
                 head = await read_head(self.reader)
                 if head is None:
                     return "closed without an answer", {}, b""
+                left = int(head[1].get("content-length", "0")) if link is not None else 0
+                read = []
+                while left > 0:
+                    piece = await self.reader.readexactly(min(left, Link.PIECE))
+                    left -= len(piece)
+                    read.append(piece)
+                    await link.carry(len(piece))
                 return (int(head[0].split(" ")[1]), head[1],
-                        await read_body(self.reader, head[1]))
+                        b"".join(read) if read else await read_body(self.reader, head[1]))
             return await asyncio.wait_for(finish(), deadline_ms / 1000 + 2)
         except asyncio.TimeoutError:
             return "no answer in time", {}, b""
