--- a/review/common-3/deployment.py
+++ b/review/common-3/deployment.py
@@ -79,7 +79,8 @@
     def __init__(self):
         self.rows, self.version, self.changed = {}, 0, asyncio.Event()
         self.log = []  # (version, row)
-        self.refused = set()  # zones whose machines the store turns away
+        self.refused = set()  # machines that the store turns away with 503
+        self.silent = set()  # machines that get no answer
         self.begun = time.monotonic()
 
     def now_ms(self):
@@ -152,18 +153,21 @@
             except asyncio.TimeoutError:
                 pass
 
-    def serve_for(self, zone):
-        """The store for the machines of a zone."""
-        return lambda reader, writer: self.serve(reader, writer, zone)
+    def serve_for(self, machine):
+        """The store for one machine, or for those of a zone."""
+        return lambda reader, writer: self.serve(reader, writer, machine)
 
-    async def serve(self, reader, writer, zone=None):
+    async def serve(self, reader, writer, machine=None):
         try:
             while (head := await read_head(reader)) is not None:
                 line, headers = head
                 method, target, _ = line.split(" ", 2)
                 body = await read_body(reader, headers)
                 path, _, query = target.partition("?")
-                if zone in self.refused:
+                if machine in self.silent:
+                    await reader.read()  # until the machine closes the channel
+                    break
+                if machine in self.refused:
                     writer.write(answer(503))
                     await writer.drain()
                     continue
@@ -176,7 +180,10 @@
                     status, document = await self._feed(q)
                 else:
                     status, document = 404, {}
-                if zone in self.refused:  # a call that waited for news
+                if machine in self.silent:
+                    await reader.read()
+                    break
+                if machine in self.refused:  # a call that waited for news
                     status, document = 503, {}
                 writer.write(answer(status, json.dumps(document).encode(),
                                     [("Content-Type", "application/json")]))
