Models: a target that has run a call may answer as if it had not

Cause: the models of keyed calls and of calls handed over knew targets that answer or stay silent. A target that runs a call and fails it with a status that promises "not run", without stating so, was in neither.

Change: keyed has the phase `failure`, a record whose answer is such a failure; relay has the answer `failure`, which a peer of an earlier release passes on. Whoever gets it is told that the call may have run. The switch FAILURE_IS_NOT_RUN passes the failure on, to the first caller, from the record, and at the node that had handed the call over.

--- a/spec/keyed.pml
+++ b/spec/keyed.pml
@@ -33,6 +33,7 @@
  *   REFUSAL_IS_NOT_RUN    an attempt refused before its insert is answered "not run" for the key
  *   TAKE_OVER_NOT_RUN     a record closed as not run may be taken over by a later attempt
  *   TAKE_OVER_UNKNOWN     a duplicate takes over a record whose owner seems dead, and runs the request again
+ *   FAILURE_IS_NOT_RUN    a target's failure whose status promises "not run" is passed on, also from the record
  * Limits (faults that the record cannot protect against; checked so that the documentation can state them):
  *   RETRY_AFTER_EXPIRY    the caller repeats the key after the record has expired
  *   TABLE_RESTORED        the table is restored from a copy older than the record
@@ -58,7 +59,8 @@
 #define OWNER(i) (i)
 #endif
 
-mtype = { absent, in_progress, done, not_run };
+/* failure: done, by an answer of the target whose status promises "not run" though the target does not state so. */
+mtype = { absent, in_progress, done, failure, not_run };
 
 mtype row = absent;
 byte row_owner;
@@ -74,7 +76,7 @@
 
 /* Records that a situation occurred; compiled only into witness runs. */
 #ifdef WITNESS
-bool saw_late_insert, saw_run_after_late_insert, saw_woken_owner, saw_outcome, saw_closed, saw_expired_after_run;
+bool saw_late_insert, saw_run_after_late_insert, saw_woken_owner, saw_outcome, saw_failure, saw_closed, saw_expired_after_run;
 #define SAW(x, condition) x = x || (condition)
 #else
 #define SAW(x, condition) skip
@@ -112,6 +114,14 @@
   fi
 }
 
+inline pass_on_failure() {
+#ifdef FAILURE_IS_NOT_RUN
+  answer_not_run()
+#else
+  SAW(saw_failure, row == failure) /* answered: unknown */
+#endif
+}
+
 inline target_runs(id) {
   atomic {
     in_transit[id] = false;
@@ -176,6 +186,7 @@
        goto closed
 #endif
     :: row == done -> SAW(saw_outcome, true); goto finished  /* the caller gets the recorded outcome */
+    :: row == failure -> pass_on_failure(); goto finished
     :: row == absent -> goto finished                    /* answered: unknown */
     :: row == in_progress && row_owner != OWNER(id) ->   /* answered: in progress or unknown */
 #ifdef OTHERS_CLOSE
@@ -244,6 +255,7 @@
   atomic {
     if
     :: row == in_progress && row_owner == OWNER(id) -> row = done
+    :: row == in_progress && row_owner == OWNER(id) -> row = failure; pass_on_failure()
     :: true /* table unavailable, or the record has expired */
     fi
   };
--- a/spec/relay.pml
+++ b/spec/relay.pml
@@ -2,7 +2,8 @@
  *
  * The call may run once at most. Its node tries one peer after the other until one takes it. A peer that cannot serve
  * it says so; one that can sends it to a target. A peer may end at any time, also between the run and its answer, and
- * a call that was given up by its node may still arrive.
+ * a call that was given up by its node may still arrive. A target that ran the call may answer with a status that
+ * promises "not run" and not state so. A peer replaces that answer; one of an earlier release passes it on.
  *
  * Properties
  *   runs <= 1                      the call runs at most once
@@ -14,11 +15,12 @@
  *   UNKNOWN_IS_NOT_RUN   a call without an answer is answered "not run"
  *   PEER_HIDES_SEND      a peer whose target does not answer says that it did not take the call
  *   HAND_OVER_AGAIN      a peer that reaches no target hands the call over to another one
+ *   FAILURE_IS_NOT_RUN   a node passes on the failure of a target that came from a peer of an earlier release
  */
 
 #define PEERS 2
 
-mtype = { call, answered, not_taken };
+mtype = { call, answered, failure, not_taken };
 
 chan to_peer[PEERS] = [PEERS] of { mtype, byte };
 chan from_peer[PEERS] = [PEERS] of { mtype };
@@ -29,7 +31,7 @@
 bool given_up;
 
 #ifdef WITNESS
-bool saw_second_peer, saw_unknown, saw_late_run;
+bool saw_second_peer, saw_unknown, saw_late_run, saw_failure;
 #define SAW(x) x = true; if :: WITNESS -> assert(false) :: else fi
 #else
 #define SAW(x) skip
@@ -74,7 +76,13 @@
         :: from_peer[peer]?answer ->
            if
            :: answer == answered -> break
-           :: else -> peer++; SAW(saw_second_peer)
+           :: answer == failure ->
+              SAW(saw_failure);
+#ifdef FAILURE_IS_NOT_RUN
+              answer_not_run();
+#endif
+              break
+           :: answer == not_taken -> peer++; SAW(saw_second_peer)
            fi
         :: true -> /* the deadline passes, or the connection breaks */
            given_up = true;
@@ -112,6 +120,7 @@
         run_at_target();
         if
         :: from_peer[self]!answered
+        :: from_peer[self]!failure /* by a peer of an earlier release */
         :: true -> /* the target does not answer, or the peer ends */
 #ifdef PEER_HIDES_SEND
            from_peer[self]!not_taken
