Hosted nodes: a failed run is no promise "not run"

A target ran calls that may run once at most and failed some with its own 503, signed, without X-Not-Executed.

Cause: the status of a target's answer was passed on as what the target says of itself, and a caller reads it as what the node says of the request. The check that replaces 503, 429 and 408 after a possible run was asked for the node's own refusals only, never for answers of targets.

Change: request/target_answer decides, without a network, what an answer says of a request and what its caller gets; platform/ decodes into its fields. A failure with 408, 421, 429 or 503 of a request that may not be repeated becomes an answer of the node's own: 504, without the target's signature, body, Retry-After and load. It is asked at each place that passes a target's failure on: calls and streams of plain services, streams of models, a peer that has taken a call over, and the node that gets the peer's answer, also from a peer of an earlier release. The node's own refusals use it, too. Requests that may be repeated, X-Not-Executed and 421, 500, 502, 504 and 400 to 404 are as before, and so are the backoff of the target, the poison ledger and the retries. The line "attempt ended" has the status, explain says what happened, arbutusworks_failures_replaced counts by status.

--- a/src/node/hosted_buffered.cpp
+++ b/src/node/hosted_buffered.cpp
@@ -213,7 +213,7 @@
   // The headers of a response whose body was cut off count, too.
   void learn_from(const service_instance& instance, const http_response& response) {
     if (response.status != 0) {
-      learn_from_response(node_, call_, sent_at_, {instance.id, instance.address}, response.status,
+      learn_from_response(node_, call_, sent_at_, {instance.id, instance.address},
                           read_response_fields(response.status, response.headers, call_.fields.id));
     }
   }
@@ -230,31 +230,34 @@
     switch (answer.kind) {
       case answer_kind::not_run:
         node_.instances.ended(now, instance.id, instance_call_outcome::not_run);
-        broken(instance, "the target did not run it");
+        broken(instance, "the target did not run it", response.status);
         return;
       case answer_kind::mismatched:
       case answer_kind::unsigned_success:
         node_.instances.ended(now, instance.id, instance_call_outcome::failed);
         ++call_.possible_runs;
-        broken(instance, "the answer was not this request's");
+        broken(instance, "the answer was not this request's", response.status);
         return;
-      case answer_kind::target_response:
+      case answer_kind::succeeded:
+      case answer_kind::failed:
         node_.instances.ended(now, instance.id, instance_call_outcome::answered);
         node_.poison.tracker.first_event_received(now - sent_at_);
         node_.poison.tracker.run_ended(now, false);
         mark_request_harmless(node_, call_);
-        forward_response(instance, response);
+        use_response(instance, answer.kind, response);
         return;
     }
   }
 
-  void broken(const service_instance& instance, std::string_view reason) {
+  // `status`: of the target's answer; zero: it gave none that is whole.
+  void broken(const service_instance& instance, std::string_view reason, int status = 0) {
     last_reason_ = reason;
     if (call_.writes_log_lines) {
       log_line(log_level::info, "request", "attempt ended",
                {{"request", call_.fields.id},
                 {"target", instance.id},
                 {"reason", reason},
+                {"status", status},
                 {"print", hash_text(call_.fingerprint)},
                 {"may_have_run", call_.possible_runs},
                 {"sends", call_.possible_sends}});
@@ -267,17 +270,32 @@
     return node_.retries_of(now, call_.service->id).retries_left(now) >= 1;
   }
 
-  // A request whose failure the target reports counts as run: only requests that may be repeated
-  // are tried on another instance.
-  void forward_response(const service_instance& instance, const http_response& response) {
-    const bool failed = response.status >= 500;
-    if (failed && call_.matched_route->repeatable() &&
-        call_.possible_runs + 1 < call_.matched_route->max_attempts && has_retries_left()) {
-      ++call_.possible_runs;
-      broken(instance, "the target failed");
-      return;
+  // A request whose failure the target reports counts as run.
+  void use_response(const service_instance& instance, answer_kind kind,
+                    const http_response& response) {
+    const bool can_try_again = kind == answer_kind::failed &&
+                               call_.possible_runs + 1 < call_.matched_route->max_attempts &&
+                               has_retries_left();
+    switch (use_of(kind, response.status, progress_of(call_), can_try_again)) {
+      case answer_use::forward:
+        forward_response(instance, response);
+        return;
+      case answer_use::try_target:
+        ++call_.possible_runs;
+        broken(instance, "the target failed", response.status);
+        return;
+      case answer_use::replace:
+        ++call_.possible_runs;
+        broken(instance, no_proof_reason, response.status);
+        ended_ = true;
+        replace_failure(node_, call_, response.status);
+        return;
     }
+  }
+
+  void forward_response(const service_instance& instance, const http_response& response) {
     ended_ = true;
+    const bool failed = response.status >= 500;
     const bool reached = call_.writer.send(
         response.status, answer_headers(call_, response.headers, instance.id), response.body);
     finish_call(node_, call_,
--- a/src/node/hosted_call.cpp
+++ b/src/node/hosted_call.cpp
@@ -1,6 +1,8 @@
 // The start and the end of a hosted call, shared by streams and buffered calls.
 #include "node/hosted_call.h"
 
+#include <algorithm>
+
 #include "node/hosted_parts.h"
 #include "node/log.h"
 
@@ -226,13 +228,10 @@
   local_response answer;
   answer.status = status;
   answer.reason = std::string(reason);
-  const bool promises_not_run = status == 503 || status == 429 || status == 408;
-  // The statuses 503, 429 and 408 promise that the request did not run, and callers then repeat it.
-  // If a target may have run it, such a status would make it run twice.
-  if (promises_not_run && call.possible_runs > 0) {
-    const bool repeatable = call.matched_route != nullptr && call.matched_route->repeatable();
-    answer.status = repeatable ? 502 : 504;
-  } else if (promises_not_run) {
+  const call_progress progress = progress_of(call);
+  if (is_false_promise(answer_source::node, status, progress)) {
+    answer.status = status_without_promise(progress.repeatable);
+  } else if (promises_not_run(status)) {
     answer.retry_after = retry_after;
   }
   http_headers headers = local_response_headers(answer, call.fields.id);
@@ -265,6 +264,12 @@
   respond(node, call, status, retry_after, reason, std::nullopt);
 }
 
+void replace_failure(hosted_state& node, hosted_request& call, int status) {
+  node.metrics.count("arbutusworks_failures_replaced", "status=\"" + std::to_string(status) + "\"");
+  call.possible_runs = std::max(call.possible_runs, 1U);
+  respond_locally(node, call, status, {}, no_proof_reason);
+}
+
 void respond_unfit(hosted_state& node, hosted_request& call, decline_reason why,
                    duration retry_after, std::string_view reason) {
   const bool was_sent = call.possible_sends > 0;
@@ -331,6 +336,11 @@
        {"lease_age_ms", to_milliseconds(node.configuration_lease.age(now).value_or(-1ms))}});
 }
 
+call_progress progress_of(const hosted_request& call) {
+  const bool repeatable = call.matched_route != nullptr && call.matched_route->repeatable();
+  return {.repeatable = repeatable, .possible_runs = call.possible_runs};
+}
+
 hosted_request begin_call(hosted_state& node, const http_request& request,
                           response_writer& writer) {
   hosted_request call{.raw_request = request,
--- a/src/node/hosted_parts.h
+++ b/src/node/hosted_parts.h
@@ -16,6 +16,7 @@
 #include "request/allowed_regions.h"
 #include "request/relay_header.h"
 #include "request/request_fingerprint.h"
+#include "request/target_answer.h"
 
 namespace arbutus {
 
@@ -58,6 +59,9 @@
   return {call.service->id, call.fields.model};
 }
 
+// What decides which answer the call's caller may get.
+[[nodiscard]] call_progress progress_of(const hosted_request& call);
+
 // A call that has just arrived.
 [[nodiscard]] hosted_request begin_call(hosted_state& node, const http_request& request,
                                         response_writer& writer);
@@ -73,6 +77,12 @@
 void respond_locally(hosted_state& node, hosted_request& call, int status, duration retry_after,
                      std::string_view reason);
 
+// Ends the call with an answer of this node in place of the failure of a target that may have run
+// the request: its status would be a false promise (request/target_answer.h).
+void replace_failure(hosted_state& node, hosted_request& call, int status);
+inline constexpr std::string_view no_proof_reason =
+    "the target refused it without saying that it did not run it";
+
 // Ends the call with 503 because this node cannot serve it now, whatever others can: a peer that
 // has handed it over is told why, and tries another node.
 void respond_unfit(hosted_state& node, hosted_request& call, decline_reason why,
@@ -165,7 +175,7 @@
 // Updates what this node knows of the target's send limit and restraints from its response to a
 // request sent at `sent_at`.
 void learn_from_response(hosted_state& node, const hosted_request& call, time_point sent_at,
-                         const target_instance& target, int status, const response_fields& answer);
+                         const target_instance& target, const response_fields& answer);
 
 void serve_stream(hosted_state& node, hosted_request& call);
 void serve_buffered(hosted_state& node, hosted_request& call);
--- a/src/node/hosted_relay.cpp
+++ b/src/node/hosted_relay.cpp
@@ -96,7 +96,6 @@
     const target_view* view = node_.fleet.find(report_->target);
     if (view != nullptr) {
       learn_from_response(node_, call_, sent_at_, {report_->target, view->record.address},
-                          answer_.status,
                           read_response_fields(answer_.status, answer_.headers, call_.fields.id));
     }
   }
@@ -347,8 +346,18 @@
 }
 
 void pass_on(hosted_state& node, hosted_request& call, const relay_answer& answer) {
-  const bool reached = call.writer.send(answer.status, caller_headers(answer.headers), answer.body);
   const bool by_target = answer.outcome == relay_outcome::answered;
+  const answer_source source = by_target ? answer_source::target : answer_source::node;
+  // Peers of earlier releases pass on each answer of a target.
+  if (is_false_promise(source, answer.status, progress_of(call))) {
+    if (by_target) {
+      replace_failure(node, call, answer.status);
+    } else {
+      respond_locally(node, call, answer.status, {}, refused_by_peer_reason);
+    }
+    return;
+  }
+  const bool reached = call.writer.send(answer.status, caller_headers(answer.headers), answer.body);
   const bool done = by_target && answer.status < 500;
   finish_call(node, call,
               !reached                              ? "caller_gone"
@@ -357,7 +366,7 @@
                                                     : "failed",
               done        ? ""
               : by_target ? "the target's own failure"
-                          : "refused by the node that took it over",
+                          : refused_by_peer_reason,
               answer.status);
 }
 
--- a/src/node/hosted_relay.h
+++ b/src/node/hosted_relay.h
@@ -54,8 +54,10 @@
                                      const std::optional<std::string>& resume_after,
                                      const cancel_token& cancel, const relay_sink& sink);
 
-// Sends the caller a buffered answer that was refused or answered, and finishes the call.
+// Sends the caller a buffered answer that was refused or answered, and finishes the call. An answer
+// that would be a false promise is replaced by one of this node.
 void pass_on(hosted_state& node, hosted_request& call, const relay_answer& answer);
+inline constexpr std::string_view refused_by_peer_reason = "refused by the node that took it over";
 
 // The name under which attempts at a peer are registered, beside those at targets.
 [[nodiscard]] target_id relay_attempt_id(const node_id& peer);
--- a/src/node/hosted_stream.cpp
+++ b/src/node/hosted_stream.cpp
@@ -315,11 +315,9 @@
     }
     if (how == run_result::failed) {
       mark_request_harmless(node_, call_);
-      if (is_final_failure(run)) {
-        ended_ = true;
-        call_.writer.send(run.status(), answer_headers(call_, run.headers(), run.head()),
-                          run.failure_body());
-        finish_call(node_, call_, "failed", "the target's own failure", run.status());
+      const answer_use use = use_of_failure(run);
+      if (use != answer_use::try_target && !header_sent_ && is_only_run()) {
+        end_with_failure(run, use);
         return;
       }
     }
@@ -335,13 +333,24 @@
     log_ended_run(run, may_have_run);
   }
 
-  // A request whose failure the target reports counts as run. Requests that may be repeated are
-  // tried on another replica.
-  [[nodiscard]] bool is_final_failure(const replica_run& run) const {
-    const bool again = call_.matched_route->repeatable() &&
-                       call_.possible_runs + 1 < call_.matched_route->max_attempts &&
-                       run.status() >= 500;
-    return !again && !header_sent_ && is_only_run();
+  // A request whose failure the target reports counts as run.
+  [[nodiscard]] answer_use use_of_failure(const replica_run& run) const {
+    const bool can_try_again = call_.possible_runs + 1 < call_.matched_route->max_attempts;
+    return use_of(run.kind(), run.status(), progress_of(call_), can_try_again);
+  }
+
+  void end_with_failure(const replica_run& run, answer_use use) {
+    ended_ = true;
+    if (use == answer_use::replace) {
+      ++call_.possible_runs;
+      last_reason_ = no_proof_reason;
+      log_ended_run(run, true);
+      replace_failure(node_, call_, run.status());
+      return;
+    }
+    call_.writer.send(run.status(), answer_headers(call_, run.headers(), run.head()),
+                      run.failure_body());
+    finish_call(node_, call_, "failed", "the target's own failure", run.status());
   }
 
   void log_ended_run(const replica_run& run, bool may_have_run) {
@@ -352,6 +361,7 @@
                {{"request", call_.fields.id},
                 {"target", run.head()},
                 {"reason", last_reason_},
+                {"status", run.status()},
                 {"ran", ran},
                 {"print", hash_text(call_.fingerprint)},
                 {"answered", run.answered()},
@@ -415,7 +425,7 @@
                                            : answer.reason;
       call_.possible_runs += streamed ? 1 : 0;
     } else if (header_sent_ || caller_disconnected_) {
-      end_locally({answer.status, {}, "refused by the node that took it over"});
+      end_locally({answer.status, {}, refused_by_peer_reason});
     } else {
       ended_ = true;
       pass_on(node_, call_, answer);
--- a/src/node/hosted_targets.cpp
+++ b/src/node/hosted_targets.cpp
@@ -46,13 +46,12 @@
           }));
 }
 
-void update_send_limit(hosted_state& node, time_point sent_at, const target_id& target, int status,
+void update_send_limit(hosted_state& node, time_point sent_at, const target_id& target,
                        const response_fields& answer) {
   // A failure may come from a component of the target that does not report the target's send limit,
   // so only a success without a limit removes it.
-  const bool may_clear_limit = answer.kind == answer_kind::target_response && status / 100 == 2;
-  const bool may_report_limit =
-      answer.kind == answer_kind::target_response || answer.kind == answer_kind::not_run;
+  const bool may_clear_limit = answer.kind == answer_kind::succeeded;
+  const bool may_report_limit = is_response(answer.kind) || answer.kind == answer_kind::not_run;
   if (answer.is_misdirected || !may_report_limit ||
       (!answer.limit.is_present && !may_clear_limit)) {
     return;
@@ -157,10 +156,10 @@
 }
 
 void learn_from_response(hosted_state& node, const hosted_request& call, time_point sent_at,
-                         const target_instance& target, int status, const response_fields& answer) {
-  update_send_limit(node, sent_at, target.id, status, answer);
+                         const target_instance& target, const response_fields& answer) {
+  update_send_limit(node, sent_at, target.id, answer);
   if (answer.warmup_left && !answer.is_misdirected &&
-      (answer.kind == answer_kind::target_response || answer.kind == answer_kind::not_run)) {
+      (is_response(answer.kind) || answer.kind == answer_kind::not_run)) {
     node.warming.on_response(sent_at, monotonic_now(), target.id, *answer.warmup_left);
   }
   const auto effect = node.backoffs.on_response(monotonic_now(), target, answer.notice);
--- a/src/node/replica_run.cpp
+++ b/src/node/replica_run.cpp
@@ -49,16 +49,16 @@
 
 bool replica_run::on_head(int status, const http_headers& headers) {
   answer_ = read_response_fields(status, headers, call_.fields.id);
-  learn_from_response(node_, call_, sent_at_, {head(), replica_.address}, status, answer_);
+  learn_from_response(node_, call_, sent_at_, {head(), replica_.address}, answer_);
   status_ = status;
-  if (answer_.kind == answer_kind::target_response) {
+  if (is_response(answer_.kind)) {
     headers_ = headers;
   }
-  return answer_.kind == answer_kind::target_response || answer_.kind == answer_kind::not_run;
+  return is_response(answer_.kind) || answer_.kind == answer_kind::not_run;
 }
 
 bool replica_run::on_bytes(std::string_view bytes) {
-  if (answer_.kind != answer_kind::target_response || status_ != 200) {
+  if (!is_response(answer_.kind) || status_ != 200) {
     constexpr std::size_t max_failure_bytes = 64UL * 1024;
     failure_body_.append(bytes);
     return failure_body_.size() < max_failure_bytes;
@@ -147,7 +147,7 @@
   }
   note_oversized_answer(result);
   count_malformed_answer(node_, result);
-  const bool is_whole = result.ok() && answer_.kind == answer_kind::target_response;
+  const bool is_whole = result.ok() && is_response(answer_.kind);
   if (is_whole && status_ != 200) {
     reason_ = "the target failed";
     return run_result::failed;
--- a/src/node/replica_run.h
+++ b/src/node/replica_run.h
@@ -60,6 +60,7 @@
   [[nodiscard]] std::string_view answered() const;
   // The target's answer. Its body is kept only if it is not a success.
   [[nodiscard]] int status() const { return status_; }
+  [[nodiscard]] answer_kind kind() const { return answer_.kind; }
   [[nodiscard]] const http_headers& headers() const { return headers_; }
   [[nodiscard]] const std::string& failure_body() const { return failure_body_; }
 
--- a/src/node/request_timeline.cpp
+++ b/src/node/request_timeline.cpp
@@ -154,7 +154,7 @@
 };
 
 // Explains each reason and says where to look next. The reasons are those in the nodes' log lines.
-constexpr std::array<known_reason, 39> known_reasons = {{
+constexpr std::array<known_reason, 40> known_reasons = {{
     {"every replica is at its capacity for this latency objective",
      "More requests arrived at all nodes than the replicas of the model can begin to answer within "
      "their objectives, so a part of each priority was refused at once, the least urgent first. "
@@ -194,6 +194,11 @@
     {"the target failed", "The target answered with an error of its own."},
     {"the target's own failure",
      "The target answered with an error of its own, which was passed on unchanged."},
+    {"the target refused it without saying that it did not run it",
+     "The target answered 503, 429 or 408, which promises callers that the request has not run, "
+     "and "
+     "did not state so itself. It may have run the request, which may not be repeated, so the "
+     "caller got 502 or 504 without the promise. See the status of the attempt."},
     {"the stream ended inside an event", "The target's stream ended in the middle of an event."},
     {"events out of order", "The target's events did not follow on one another."},
     {"the answer was not this request's",
@@ -254,6 +259,12 @@
     {"no instance is known", "No instance of the service was listed as ready."},
 }};
 
+// The status of the answer that ended an attempt; empty if there was none.
+std::string status_text(const logged_line& attempt) {
+  const std::string_view status = attempt.field("status");
+  return status.empty() || status == "0" ? std::string{} : ", status " + std::string(status);
+}
+
 std::string cause_of(const std::vector<logged_line>& own) {
   const auto end = std::find_if(own.rbegin(), own.rend(), is_end);
   if (end == own.rend()) {
@@ -274,7 +285,7 @@
   for (const logged_line& line : own) {
     if (line.message == "attempt ended") {
       text += " Before: " + std::string(line.field("reason")) + " at " +
-              std::string(line.field("target")) + ".";
+              std::string(line.field("target")) + status_text(line) + ".";
     }
   }
   return text;
--- a/src/standin/hosted_configuration.cpp
+++ b/src/standin/hosted_configuration.cpp
@@ -54,6 +54,14 @@
                        {"max-attempts", 2},
                        {"public", false},
                        {"stream-resume", true}};
+  json once_plain_stream = plain_stream;
+  once_plain_stream["name"] = "once-events";
+  once_plain_stream["prefix"] = once_plain_stream_prefix;
+  once_plain_stream.erase("stream-resume");
+  json once_stream = route;
+  once_stream["name"] = "once-summary";
+  once_stream["prefix"] = once_stream_prefix;
+  once_stream.erase("stream-resume");
   json repeatable = once;
   repeatable["name"] = "note";
   repeatable["prefix"] = repeatable_prefix;
@@ -89,9 +97,11 @@
                  {"usual", {{"prompt", 100}, {"answer", 20}}},
                  {"far_x", 2.5},
                  {"models", json::array({model})}};
-  json routes = json::array({route, once, plain_stream, repeatable, long_call, open_to_all});
+  json routes = json::array({route, once, plain_stream, repeatable, long_call, open_to_all,
+                             once_plain_stream, once_stream});
   if (c.has_urgent_route) {
     routes[0]["priority"] = 1;
+    routes.back()["priority"] = 1;
     route["name"] = "urgent";
     route["prefix"] = "/urgent/";
     routes.push_back(route);
--- a/src/standin/hosted_configuration.h
+++ b/src/standin/hosted_configuration.h
@@ -15,6 +15,9 @@
 inline constexpr const char* plain_service_name = "api";
 // Path prefix of the streams of the service that is not a model.
 inline constexpr const char* plain_stream_prefix = "/events/";
+// The same, of streams that may not be resumed, and of such streams of the model.
+inline constexpr const char* once_plain_stream_prefix = "/once-events/";
+inline constexpr const char* once_stream_prefix = "/once-llm/";
 // Path prefix of the calls to that service that may be repeated.
 inline constexpr const char* repeatable_prefix = "/note/";
 // Path prefix of the calls to that service that may not be repeated and may take seconds.
--- a/src/standin/hosted_control.cpp
+++ b/src/standin/hosted_control.cpp
@@ -110,7 +110,8 @@
         {.turns_away = query_parameter(request.target, "away") == "1",
          .retry_after = value,
          .is_leaving = query_parameter(request.target, "leaving") == "1",
-         .closes_connections = query_parameter(request.target, "closes") == "1"});
+         .closes_connections = query_parameter(request.target, "closes") == "1",
+         .failure_status = std::stoi("0" + query_parameter(request.target, "fails"))});
   } else if (path == "/restraints") {
     answer = restraints_json(platform_);
   } else if (path == "/paths" && request.method == "GET") {
--- a/src/standin/hosted_control.h
+++ b/src/standin/hosted_control.h
@@ -12,10 +12,11 @@
 //   POST /restart?head=0|1     a member (or the head) of a serving replica restarts
 //   POST /restart?id=ID        the engine restarts
 //   GET  /head                 id of the head of a serving replica
-//   POST /behave?id=ID&away=0|1&leaving=0|1&closes=0|1&seconds=TEXT
+//   POST /behave?id=ID&away=0|1&leaving=0|1&closes=0|1&fails=STATUS&seconds=TEXT
 //                              how a target (without ID: each of them) answers: it turns requests
-//                              away and names this time, says that it is leaving, or closes the
-//                              connection without an answer
+//                              away and names this time, says that it is leaving, closes the
+//                              connection without an answer, or fails requests that have run with
+//                              this status
 //   GET  /restraints           what nodes sent nevertheless, see restraint_checker; ages in seconds
 //   POST /foreign              writes two invalid records into the list of targets
 //   POST /store?down=0|1       the store answers 503 to every request
--- a/src/standin/hosted_platform.cpp
+++ b/src/standin/hosted_platform.cpp
@@ -516,14 +516,23 @@
     return true;
   }
 
-  [[nodiscard]] bool closes_connections(const std::string& target) const {
-    const std::lock_guard guard(mutex);
-    return restraints.behaviour_of(target).closes_connections;
+  // Fails a request that has run if the target fails its requests now.
+  bool fails_run(const std::string& target, const std::string& id, response_writer& writer) {
+    const target_behaviour behaviour = behaviour_of(target);
+    if (behaviour.failure_status == 0) {
+      return false;
+    }
+    http_headers headers = answer_headers(target, id);
+    if (!behaviour.retry_after.empty()) {
+      headers.add("Retry-After", behaviour.retry_after);
+    }
+    writer.send(behaviour.failure_status, headers, "failed");
+    return true;
   }
 
-  [[nodiscard]] std::string endless_text_of(const std::string& target) const {
+  [[nodiscard]] target_behaviour behaviour_of(const std::string& target) const {
     const std::lock_guard guard(mutex);
-    return restraints.behaviour_of(target).endless_text;
+    return restraints.behaviour_of(target);
   }
 
   void record_engine_of_run(const engine_process& e, const std::string& request) {
@@ -545,10 +554,13 @@
     const running_stream running(*this, e);
     count_run(request);
     record_engine_of_run(e, id);
-    if (closes_connections(name)) {
+    if (behaviour_of(name).closes_connections) {
       close_without_response(writer);
       return;
     }
+    if (fails_run(name, id, writer)) {
+      return;
+    }
     const target_id incarnation = incarnation_of_process(e);
     if (is_poison(request)) {
       run_poison_request(e, request, writer);
@@ -557,7 +569,7 @@
     http_headers headers = answer_headers(name, id);
     headers.add("Content-Type", "text/event-stream");
     writer.start(200, headers);
-    if (const std::string text = endless_text_of(name); !text.empty()) {
+    if (const std::string text = behaviour_of(name).endless_text; !text.empty()) {
       while (writer.write(text)) {
       }
       return;
@@ -694,10 +706,13 @@
       return;
     }
     count_run(request);
-    if (closes_connections(plain_instance_id)) {
+    if (behaviour_of(plain_instance_id).closes_connections) {
       close_without_response(writer);
       return;
     }
+    if (fails_run(plain_instance_id, id, writer)) {
+      return;
+    }
     if (is_poison(request)) {
       wait_for(writer, settings.crash_delay);
       crash_process(*plain, nullptr, request.target);
@@ -705,7 +720,8 @@
       return;
     }
     http_headers headers = answer_headers(plain_instance_id, id);
-    if (request.target.starts_with(plain_stream_prefix)) {
+    if (request.target.starts_with(plain_stream_prefix) ||
+        request.target.starts_with(once_plain_stream_prefix)) {
       headers.add("Content-Type", "text/event-stream");
       writer.start(200, headers);
       write_events(request, writer, [&] { return wait_for(writer, settings.event_gap); });
--- a/src/standin/restraint_checker.cpp
+++ b/src/standin/restraint_checker.cpp
@@ -11,6 +11,7 @@
 
 // Requests that are on their way when the target answers may still arrive within this time.
 constexpr duration notice_delay = 500ms;
+constexpr int unavailable_status = 503;
 
 duration seconds_of(const std::string& text) {
   double seconds = 0;
@@ -54,7 +55,9 @@
   const target_behaviour behaviour = behaviour_of(target);
   const std::string node = node_of_request(request);
   const duration asked = seconds_of(behaviour.retry_after);
-  if (behaviour.turns_away && asked > notice_delay) {
+  const bool asks_for_backoff =
+      behaviour.turns_away || behaviour.failure_status == unavailable_status;
+  if (asks_for_backoff && asked > notice_delay) {
     windows_.push_back({target, node, now, now + asked, 0});
   }
   if (behaviour.is_leaving) {
--- a/src/standin/restraint_checker.h
+++ b/src/standin/restraint_checker.h
@@ -24,6 +24,9 @@
   std::string endless_text = {};
   // Runs requests and closes their connections without an answer.
   bool closes_connections = false;
+  // Runs requests and answers them with this status, signed; zero: it does not fail them. The 503
+  // has `retry_after`, too.
+  int failure_status = 0;
 };
 
 // The requests of one node to one target from half a second after the target asked it to back off
--- a/tests/shell/platform_test.cpp
+++ b/tests/shell/platform_test.cpp
@@ -261,7 +261,7 @@
   // Guards against a caller that gets another caller's response, or one that no engine generated.
   const request_id id{"b7e2"};
   const http_headers signed_own = {{"X-Request-Id", "b7e2"}, {"X-Response-Seal", "s"}};
-  EXPECT_EQ(read_response_fields(200, signed_own, id).kind, answer_kind::target_response);
+  EXPECT_EQ(read_response_fields(200, signed_own, id).kind, answer_kind::succeeded);
   EXPECT_EQ(
       read_response_fields(200, {{"X-Request-Id", "other"}, {"X-Response-Seal", "s"}}, id).kind,
       answer_kind::mismatched);
@@ -274,8 +274,7 @@
   EXPECT_EQ(read_response_fields(200, encoded, id).kind, answer_kind::unsigned_success);
   EXPECT_EQ(read_response_fields(503, {{"X-Not-Executed", "1"}}, id).kind, answer_kind::not_run);
   EXPECT_EQ(read_response_fields(421, {}, id).kind, answer_kind::not_run);
-  EXPECT_EQ(read_response_fields(500, {{"X-Request-Id", "b7e2"}}, id).kind,
-            answer_kind::target_response);
+  EXPECT_EQ(read_response_fields(500, {{"X-Request-Id", "b7e2"}}, id).kind, answer_kind::failed);
   const auto loaded =
       read_response_fields(200, {{"X-Request-Id", "b7e2"}, {"X-Instance-Load", "3,2,8"}}, id);
   EXPECT_EQ(loaded.running_requests, 3U);
--- a/tests/shell/request_timeline_test.cpp
+++ b/tests/shell/request_timeline_test.cpp
@@ -67,6 +67,22 @@
   EXPECT_THAT(timeline.cause, HasSubstr("failed: the target's own failure."));
 }
 
+// Guards against an answer of the node's own that does not say what the target had answered.
+TEST(RequestTimeline, ReportsTheStatusOfAFailureThatWasReplaced) {
+  const std::string text =
+      line(
+          "05.000000", "n-1",
+          R"("part":"request","message":"attempt ended","request":"r-1","target":"e-1",)"
+          R"("reason":"the target refused it without saying that it did not run it","status":503)") +
+      line("05.000100", "n-1",
+           R"("part":"request","message":"ended","request":"r-1","result":"failed",)"
+           R"("reason":"the target refused it without saying that it did not run it",)"
+           R"("targets":"e-1","status":504,"total_ms":40.0)");
+  const request_timeline timeline = read_timeline(text, "r-1");
+  EXPECT_THAT(timeline.cause, HasSubstr("may have run the request"));
+  EXPECT_THAT(timeline.cause, HasSubstr("at e-1, status 503."));
+}
+
 TEST(RequestTimeline, IncludesEventsOfItsOwnTargetsOnly) {
   const std::string text =
       line("01.000000", "n-1", R"("part":"fleet","message":"lost","target":"e-1","head":"e-1")") +
