Own kind: a service's failed run is no promise "not run"

Seen: a plain service ran a call that may not be repeated and answered 503, 429 or 408; its caller got that answer as it was, and so did the next caller with the same key, from the record.

A plain service has no statement "not run" at all, so none of these answers is proof.

Change: such an answer becomes 502 of type `unknown`, code `target_failed`, by the same rule (request/target_answer), decided when the caller is answered: so it holds for the first call, for a repetition under its key, and for records that earlier releases wrote. The record is as before, and the call does not run again.

--- a/src/node/service_call.cpp
+++ b/src/node/service_call.cpp
@@ -8,6 +8,7 @@
 #include "connection/clock.h"
 #include "node/keyed_driver.h"
 #include "request/retry.h"
+#include "request/target_answer.h"
 
 namespace arbutus {
 
@@ -280,7 +281,13 @@
     }
   }
 
+  // The service's answer to this call, or to an earlier one under its key.
   void send_recorded(const keyed_reply& reply) {
+    const int status = static_cast<int>(reply.status);
+    if (is_false_promise(answer_source::target, status, {.repeatable = false})) {
+      replace_failure(status);
+      return;
+    }
     if (reply.body_dropped) {
       call_error error =
           make_error(409, "answer_not_kept", "the call ran; its answer was too large");
@@ -289,7 +296,7 @@
       return;
     }
     http_response response;
-    response.status = static_cast<int>(reply.status);
+    response.status = status;
     response.headers.add("content-type", reply.content_type);
     if (reply.replayed) {
       response.headers.add("idempotent-replayed", "true");
@@ -298,6 +305,15 @@
     relay_response(response);
   }
 
+  void replace_failure(int status) {
+    node_.call_metrics.count(current_worker(), "arbutusworks_failures_replaced",
+                             "status=\"" + std::to_string(status) + "\"");
+    give_up(execution::unknown, "target_failed",
+            "the service answered " + std::to_string(status) +
+                " without saying that it did not run the call",
+            duration{});
+  }
+
   void relay_response(const http_response& response) {
     http_headers headers;
     for (const auto& [name, value] : response.headers) {
--- a/tests/process/faulty_proxy.py
+++ b/tests/process/faulty_proxy.py
@@ -109,7 +109,20 @@
                      for proxy in proxies]
             rows += [row] if adds or there[0] == row else []
             rows += there if there[0] != row else []
-        file.write_text("\n".join(rows) + "\n")
+        self.apply(directory, rows)
+
+    def put_before(self, ports, prefix):
+        """Applies an inventory in which a proxy stands before each target; returns the proxies."""
+        proxies = [self.proxy_of(BrokenProxy, port, prefix) for port in ports]
+        directory = self.fleet.configuration_copy(f"proxy-{proxies[0].port}")
+        text = (directory / "inventory.csv").read_text()
+        for port, proxy in zip(ports, proxies):
+            text = text.replace(f"{LOOPBACK}:{port},", f"{LOOPBACK}:{proxy.port},")
+        self.apply(directory, text.splitlines())
+        return proxies
+
+    def apply(self, directory, rows):
+        (directory / "inventory.csv").write_text("\n".join(rows) + "\n")
         version = self.nodes[0].config_version()
         result = self.fleet.apply(directory)
         self.assertEqual(result.returncode, 0, result)
