Own kind: an engine's 409 or 503 is proof only if it says so

Seen: an engine that runs requests of a model and fails all of them with 503 or 409 without a word: the caller got 503 of type `not_run` after three runs.

Cause: the status alone counted as the engine's statement, though engines state it in the body, as the description of the stand-ins has it.

Change: only `"type":"not_run"` in the body makes 409 or 503 a refusal; without it the outcome is unknown, the request is tried elsewhere as before (requests of models may be repeated), and the last answer is 502 of type `unknown`. The stand-in that asks for a backoff runs nothing and now says so, as it did for its other refusals.

Test: process.failed_run_test, proxies before all engines, streams and buffered calls; on the code before, 4 of 4 combinations got 503 `not_run`. With the statement in the body they still do.

--- a/src/node/model_attempt.cpp
+++ b/src/node/model_attempt.cpp
@@ -2,11 +2,13 @@
 #include "node/model_attempt.h"
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
 
 #include "connection/clock.h"
 #include "node/sse.h"
 #include "process/routes.h"
 #include "request/router.h"
+#include "request/target_answer.h"
 
 namespace arbutus {
 
@@ -42,9 +44,25 @@
   return request;
 }
 
+// Whether the body of an error states that the target did not run the request.
+bool states_not_run(std::string_view body) {
+  const auto document = nlohmann::json::parse(body, nullptr, false);
+  if (!document.is_object()) {
+    return false;
+  }
+  const auto error = document.find("error");
+  if (error == document.end() || !error->is_object()) {
+    return false;
+  }
+  const auto type = error->find("type");
+  return type != error->end() && *type == "not_run";
+}
+
 // Whether the target reports that it did not run the request.
-bool refused_by_target(int status) {
-  return status == status_conflict || status == status_unavailable;
+bool refused_by_target(int status, std::string_view body) {
+  const bool may_be_refusal = status == status_conflict || status == status_unavailable;
+  return may_be_refusal && kind_of({.status = status, .states_not_run = states_not_run(body)}) ==
+                               answer_kind::not_run;
 }
 
 // Whether the request itself is invalid; another replica would answer the same.
@@ -77,10 +95,11 @@
                     result.failure == call_failure::connection_lost;
 }
 
-// For a complete answer with a status other than 200: sets whether the request ran, and the reason.
-void set_error_status(const call_result& result, attempt_outcome& end) {
-  end.status = result.response.status;
-  if (refused_by_target(end.status)) {
+// For a complete answer with a status other than 200, whose body is in `end`: sets whether the
+// request ran, and the reason.
+void set_error_status(int status, attempt_outcome& end) {
+  end.status = status;
+  if (refused_by_target(end.status, end.body)) {
     end.ran = execution::not_run;
     end.reason = "refused by the target";
     return;
@@ -120,8 +139,8 @@
     return end;
   }
   if (result.response.status != status_ok) {
-    set_error_status(result, end);
     end.body = std::move(result.response.body);
+    set_error_status(result.response.status, end);
     return end;
   }
   if (!has_request_id(result.response.headers, attempt.id)) {
@@ -256,7 +275,7 @@
       node.client.stream(address_of(route.address), request, attempt.deadline, on_headers, on_chunk,
                          cancel, permit_for(node, route));
   if (result.ok() && status != status_ok) {
-    set_error_status(result, end);
+    set_error_status(status, end);
   } else if (answer.complete()) {
     end.ran = execution::done;
     end.status = status_ok;
--- a/src/standin/engine_completions.cpp
+++ b/src/standin/engine_completions.cpp
@@ -121,7 +121,8 @@
   if (const auto backoff = engine_.backoff()) {
     engine_.count_turned_away();
     lock.unlock();
-    send(writer, 503, {{"Retry-After", std::to_string(to_seconds(*backoff))}}, "");
+    send_not_run(writer, {503, "asks for a backoff"},
+                 {{"Retry-After", std::to_string(to_seconds(*backoff))}});
     return;
   }
   const auto submitted = engine_.submit(monotonic_now(), call.request);
--- a/src/standin/engine_server.cpp
+++ b/src/standin/engine_server.cpp
@@ -107,9 +107,14 @@
   }
 }
 
-void engine_server::send_not_run(response_writer& writer, const not_run& refusal) {
+void engine_server::send_not_run(response_writer& writer, const not_run& refusal,
+                                 const http_headers& more_headers) {
   const json body = {{"error", {{"type", "not_run"}, {"message", refusal.reason}}}};
-  send(writer, refusal.status, json_content, body.dump());
+  http_headers headers = json_content;
+  for (const auto& [name, value] : more_headers) {
+    headers.add(name, value);
+  }
+  send(writer, refusal.status, headers, body.dump());
 }
 
 void engine_server::report(response_writer& writer) {
--- a/src/standin/engine_server.h
+++ b/src/standin/engine_server.h
@@ -49,7 +49,8 @@
   bool wait_while_paused(response_writer& writer);
   void send(response_writer& writer, int status, const http_headers& headers,
             std::string_view body);
-  void send_not_run(response_writer& writer, const not_run& refusal);
+  void send_not_run(response_writer& writer, const not_run& refusal,
+                    const http_headers& more_headers = {});
 
   std::mutex& mutex_;
   engine_standin& engine_;     // guarded by mutex_
--- a/tests/process/failed_run_test.py
+++ b/tests/process/failed_run_test.py
@@ -4,7 +4,7 @@
 import itertools
 import unittest
 
-from driver import authorization, call, wait_until
+from driver import authorization, call, complete, completion_body, wait_until
 from faulty_proxy import FaultyTargetTest
 
 FAILURE_BODY = b"part"
@@ -68,6 +68,21 @@
         self.assertEqual(self.send("POST").error["type"], "not_run")
         self.assertEqual(sum(proxy.answered for proxy in proxies), sent)
 
+    def test_failures_of_an_engine(self):
+        # Guards against the promise "not run" after an engine has run a request and failed it.
+        proxies = self.put_before(self.fleet.vm_ports.values(), b"/v1/")
+        self.fleet.wait_all_serving(timeout=30)
+        for status in (503, 409):
+            for stream in (True, False):
+                with self.subTest(status=status, stream=stream):
+                    body = completion_body("a text", stream=stream)
+                    self.answer(proxies, failure(status))
+                    self.assert_unknown(complete(self.nodes[0].port, body))
+                    stated = b'{"error":{"type":"not_run","message":"queue full"}}'
+                    self.answer(proxies, failure(status, body=stated))
+                    reply = complete(self.nodes[0].port, body)
+                    self.assertEqual((reply.status, reply.error["type"]), (503, "not_run"))
+
 
 if __name__ == "__main__":
     unittest.main(verbosity=2)
