--- a/src/node/model_call.cpp
+++ b/src/node/model_call.cpp
@@ -128,7 +128,8 @@
       return false;
     }
     ++call_.measurements.attempts;
-    const spill_outcome end = relay_call(node_, request_, writer_, *entry, call_.deadline, cancel_);
+    const spill_outcome end =
+        relay_call(node_.client, request_, writer_, *entry, call_.deadline, cancel_);
     if (!end.answered) {
       return false;  // a model call may be repeated, so the local rejection is sent to the caller
     }
--- a/src/node/spill_call.cpp
+++ b/src/node/spill_call.cpp
@@ -130,10 +130,10 @@
   return chosen->caller_endpoints[pick % chosen->caller_endpoints.size()];
 }
 
-spill_outcome relay_call(call_context& node, const http_request& request, response_writer& writer,
+spill_outcome relay_call(http_client& client, const http_request& request, response_writer& writer,
                          const endpoint& entry, time_point deadline, const cancel_token& cancel) {
   relay answer(writer);
-  const call_result result = node.client.stream(
+  const call_result result = client.stream(
       address_of(entry), outgoing(request, deadline), deadline,
       [&](int status, const http_headers& headers) { return answer.on_headers(status, headers); },
       [&](std::string_view bytes) { return answer.on_chunk(bytes); }, cancel);
--- a/src/node/spill_call.h
+++ b/src/node/spill_call.h
@@ -31,7 +31,7 @@
 };
 
 // Forwards the call to `entry`, and its answer to the caller as it arrives.
-[[nodiscard]] spill_outcome relay_call(call_context& node, const http_request& request,
+[[nodiscard]] spill_outcome relay_call(http_client& client, const http_request& request,
                                        response_writer& writer, const endpoint& entry,
                                        time_point deadline, const cancel_token& cancel);
 
--- a/tests/shell/hosted_broken_answer_test.cpp
+++ b/tests/shell/hosted_broken_answer_test.cpp
@@ -88,7 +88,7 @@
   // Sends streams until the head has broken one off. Each of them is complete, or refused with an
   // unknown outcome if the retry budget is used up.
   void expect_streams_past(const std::string& head, const faulty_answer& answer) {
-    const double before = broken_attempts();
+    const double before = broken_attempts(0);
     platform_.set_answer(0, answer, head);
     EXPECT_TRUE(eventually([&] {
       const std::string id = next_id(0);
@@ -100,17 +100,17 @@
         EXPECT_EQ(result.response.body, expected_stream(id)) << answer.bytes;
         ++complete_streams_;
       }
-      return broken_attempts() > before || HasFailure();
+      return broken_attempts(0) > before || HasFailure();
     })) << answer.bytes;
     platform_.set_answer(0, {}, head);
   }
 
   // Attempts of streams that may have run, whatever had been received.
-  double broken_attempts() {
+  double broken_attempts(std::size_t node) {
     double sum = 0;
     for (const std::string received : {"nothing", "head", "events"}) {
       const std::string labels = R"({ran="perhaps",answered=")" + received + "\"}";
-      sum += std::max(0.0, metric(0, "arbutusworks_attempts_broken" + labels));
+      sum += std::max(0.0, metric(node, "arbutusworks_attempts_broken" + labels));
     }
     return sum;
   }
@@ -177,6 +177,32 @@
   platform_.set_paths(0, path_state::open);
 }
 
+// Guards against broken answers to streams of a model that a peer has taken over.
+TEST_F(HostedBrokenAnswer, ABrokenAnswerAtAPeerReachesNoStream) {
+  ASSERT_TRUE(both_places_serve());
+  platform_.set_paths(0, path_state::silent);
+  std::vector<faulty_answer> answers = {{signed_success() + "\r\npart", true},
+                                        {signed_success() + "\r\n", true}};
+  for (const scripted_answer& answer : answers_with_odd_status()) {
+    answers.push_back({answer.bytes});
+  }
+  for (const faulty_answer& answer : answers) {
+    const double before = broken_attempts(1);
+    upload_.assign(answer.resets_early ? upload_bytes : 4, 'u');
+    platform_.set_answer(1, answer);
+    EXPECT_TRUE(eventually([&] {
+      const std::string id = next_id(0);
+      const call_result result = call(0, stream_path, id);
+      const int status = result.response.status;
+      EXPECT_TRUE(result.ok() && status >= 500) << status << " after " << answer.bytes;
+      EXPECT_EQ(result.response.body.find(part_of_body), std::string::npos) << answer.bytes;
+      return broken_attempts(1) > before || HasFailure();
+    })) << answer.bytes;
+    platform_.set_answer(1, {});
+  }
+  platform_.set_paths(0, path_state::open);
+}
+
 // Guards against a promise "not run" that was broken off.
 TEST_F(HostedBrokenAnswer, ARefusalThatBreaksOffIsNoPromise) {
   ASSERT_TRUE(both_places_serve());
