--- a/tests/process/soak.py
+++ b/tests/process/soak.py
@@ -82,6 +82,9 @@
 # Seeds from here on have targets that send what is no answer, and callers with large bodies, some of
 # whose answers come while the body is still being written.
 FIRST_SEED_OF_BROKEN_ANSWERS = 1800
+# Seeds from here on have targets that run requests and fail them with a status that promises "not
+# run", and streams that may not be resumed.
+FIRST_SEED_OF_FAILED_RUNS = 2000
 BROKEN_ANSWERS = ("odd-status", "reset")
 UPLOAD = 4 * 1024 * 1024 * b"u"
 SHARE_OF_UPLOADS = 0.2
@@ -103,7 +106,9 @@
 POISON_REASON = b"ended the targets"
 RECOVERY_SECONDS = 15
 RETRY_BOUNDS = RetryBounds()  # the nodes' own defaults
-SERVICE_OF_PATH = {"/llm": "llm", "/card": "api", "/extra": "api"}
+SERVICE_OF_PATH = {"/llm": "llm", "/once-llm": "llm", "/card": "api", "/extra": "api"}
+# Paths of the requests that may run once at most.
+ONCE_PATHS = ("/card", "/extra", "/once-llm")
 NOT_RUN = (503, 429, 408, 421)
 CALLERS = 8
 CALLERS_OF_LONG_STREAMS = 24
@@ -349,7 +354,8 @@
                 node = choice.choice(self.nodes)
                 connection = http.client.HTTPConnection(LOOPBACK, node.callers.port, timeout=8)
             number += 1
-            path = "/card/1" if choice.random() < 0.3 else "/llm/x"
+            stream_path = "/llm/x" if self.seed < FIRST_SEED_OF_FAILED_RUNS else "/once-llm/x"
+            path = "/card/1" if choice.random() < 0.3 else stream_path
             if self.seed >= FIRST_SEED_OF_POISON:
                 path += f"-{caller}-{number // 2}"
             has_upload = (self.seed >= FIRST_SEED_OF_BROKEN_ANSWERS
@@ -503,6 +509,16 @@
         time.sleep(rng.uniform(2, 8))
         self.command("POST", f"/behave?id={target}&away=0&seconds=")
 
+    def fail_runs(self, _node, rng):
+        """All targets, or the plain service alone, run requests and answer them with a failure."""
+        target = rng.choice(["", "i-api"])
+        status = rng.choice(["503", "503", "429", "408", "500"])
+        begun = time.monotonic()
+        self.command("POST", f"/behave?id={target}&fails={status}&seconds=")
+        time.sleep(rng.uniform(0.5, 4))
+        self.command("POST", f"/behave?id={target}&fails=&seconds=")
+        self.outages.append((begun, time.monotonic()))
+
     def terminate_node(self, node, _rng):
         with node.disturbed():
             # While it is still starting, it has nothing to shut down gracefully.
@@ -732,6 +748,8 @@
                             f"{path} ended {ends[path]} and reached targets {reached} more times")
 
     def kinds_of_faults(self):
+        if self.seed >= FIRST_SEED_OF_FAILED_RUNS:
+            return self.failed_runs()
         if self.seed >= FIRST_SEED_OF_BROKEN_ANSWERS:
             return self.broken_answers()
         if self.seed >= FIRST_SEED_OF_RETRY_STORMS:
@@ -766,6 +784,11 @@
                   self.new_version, self.kill_engine, self.restart_engine]
         return [self.break_answers] * 12 + others
 
+    def failed_runs(self):
+        others = [self.disturb_store, self.pause_node, self.kill_node, self.terminate_node,
+                  self.new_version, self.cut_from_targets]
+        return [self.fail_runs] * 12 + [self.cut_from_targets] * 3 + others
+
     def silences_and_few_others(self):
         """Answers are judged between other faults only; so each seed has few kinds of them."""
         others = [self.disturb_store, self.disturb_callers, self.pause_node, self.kill_node,
@@ -864,7 +887,7 @@
                          else expected_stream(request_id))
                 if body != right or headers.get("X-Response-Seal") != f"seal.{request_id}":
                     self.report("whole", f"{request_id} got {body[:80]!r}")
-            if path.startswith(("/card", "/extra")) and ran > 1:
+            if path.startswith(ONCE_PATHS) and ran > 1:
                 self.report("once", f"{request_id} ran {ran} times")
             if status in NOT_RUN and ran:
                 self.report("not run", f"{request_id} was answered {status} and ran {ran} times")
