Engines' refusals are read with the other messages of engines

The reader of an engine's statement "not run" stood in the shell, without a test of its own and without a fuzz entry, though it reads bytes from outside.

--- a/fuzz/decode_report.cpp
+++ b/fuzz/decode_report.cpp
@@ -1,4 +1,5 @@
-// Fuzz entry: decodes reports that targets send to nodes, and orders that nodes send to targets.
+// Fuzz entry: decodes reports and refusals that targets send to nodes, and orders that nodes send
+// to targets.
 #include <cstddef>
 #include <cstdint>
 #include <string_view>
@@ -13,5 +14,6 @@
     (void)arbutus::encode(*report);
   }
   (void)arbutus::decode_order(text);
+  (void)arbutus::states_not_run(text);
   return 0;
 }
--- a/src/node/model_attempt.cpp
+++ b/src/node/model_attempt.cpp
@@ -2,10 +2,10 @@
 #include "node/model_attempt.h"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 
 #include "connection/clock.h"
 #include "node/sse.h"
+#include "process/engine_wire.h"
 #include "process/routes.h"
 #include "request/router.h"
 #include "request/target_answer.h"
@@ -44,20 +44,6 @@
   return request;
 }
 
-// Whether the body of an error states that the target did not run the request.
-bool states_not_run(std::string_view body) {
-  const auto document = nlohmann::json::parse(body, nullptr, false);
-  if (!document.is_object()) {
-    return false;
-  }
-  const auto error = document.find("error");
-  if (error == document.end() || !error->is_object()) {
-    return false;
-  }
-  const auto type = error->find("type");
-  return type != error->end() && *type == "not_run";
-}
-
 // Whether the target reports that it did not run the request.
 bool refused_by_target(int status, std::string_view body) {
   const bool may_be_refusal = status == status_conflict || status == status_unavailable;
--- a/src/process/engine_wire.cpp
+++ b/src/process/engine_wire.cpp
@@ -125,4 +125,17 @@
   });
 }
 
+bool states_not_run(std::string_view error_body) {
+  const json document = json::parse(error_body, nullptr, false);
+  if (!document.is_object()) {
+    return false;
+  }
+  const auto error = document.find("error");
+  if (error == document.end() || !error->is_object()) {
+    return false;
+  }
+  const auto type = error->find("type");
+  return type != error->end() && *type == "not_run";
+}
+
 }  // namespace arbutus
--- a/src/process/engine_wire.h
+++ b/src/process/engine_wire.h
@@ -1,4 +1,4 @@
-// Wire format of reports and orders between a node and a target VM (JSON over HTTP).
+// Wire format of reports, orders and refusals between a node and a target VM (JSON over HTTP).
 #pragma once
 
 #include <string>
@@ -16,4 +16,7 @@
 [[nodiscard]] std::string encode(const order& o);
 [[nodiscard]] outcome<order> decode_order(std::string_view text);
 
+// Whether the body of a target's error states that the target did not run the request.
+[[nodiscard]] bool states_not_run(std::string_view error_body);
+
 }  // namespace arbutus
--- a/tests/core/engine_wire_test.cpp
+++ b/tests/core/engine_wire_test.cpp
@@ -73,5 +73,16 @@
   }
 }
 
+// Guards against the promise "not run" by an error of an engine that does not state it.
+TEST(engine_wire, only_the_statement_itself_says_not_run) {
+  EXPECT_TRUE(states_not_run(R"({"error":{"type":"not_run","message":"queue full"}})"));
+  for (const std::string body :
+       {"", "not_run", "\"not_run\"", "[]", "{}", R"({"type":"not_run"})", R"({"error":"not_run"})",
+        R"({"error":{}})", R"({"error":{"type":"unknown"}})", R"({"error":{"type":["not_run"]}})",
+        R"({"error":{"type":"not_run"})"}) {
+    EXPECT_FALSE(states_not_run(body)) << body;
+  }
+}
+
 }  // namespace
 }  // namespace arbutus
