--- a/src/node/controller_loop.cpp
+++ b/src/node/controller_loop.cpp
@@ -6,8 +6,8 @@
 
 #include "connection/clock.h"
 #include "node/cost_timer.h"
-#include "node/hosted_relay.h"
 #include "node/log.h"
+#include "node/peer_check.h"
 #include "node/poison_watch.h"
 #include "node/reach_watch.h"
 
--- a/src/node/hosted_relay.h
+++ b/src/node/hosted_relay.h
@@ -62,15 +62,7 @@
 // The name under which attempts at a peer are registered, beside those at targets.
 [[nodiscard]] target_id relay_attempt_id(const node_id& peer);
 
-// Checks peers that have calls of this node and have fallen silent. Without this, the streams of a
-// peer that lost power would hang until their deadlines.
-void check_silent_peers(hosted_state& node, time_point now);
-
-// Whether the target answers a query of a peer. False if no peer says so before the deadline.
-// Suspends the fiber.
-[[nodiscard]] bool answers_a_peer(hosted_state& node, const target_id& id, time_point deadline);
-
-// Serves a call that a peer has handed over to this node.
+// Serves a call that a peer has handed over to this node; also its other questions.
 void serve_relayed_call(hosted_state& node, const http_request& request, response_writer& writer);
 
 }  // namespace arbutus
