Failed runs: a test of the last path, and words that a newcomer needs

The path "an earlier attempt may have run, a later target says that it did not" was held by the table alone; it has a test on sockets now (HostedFailedRun.AStatementAfterAPossibleRunIsNoPromise). It passes on the code before, too: that path was right. answer_use::try_another says what it does; the head of target_answer and the stand-in's failure are said plainly.

--- a/src/node/hosted_buffered.cpp
+++ b/src/node/hosted_buffered.cpp
@@ -280,7 +280,7 @@
       case answer_use::forward:
         forward_response(instance, response);
         return;
-      case answer_use::try_target:
+      case answer_use::try_another:
         ++call_.possible_runs;
         broken(instance, "the target failed", response.status);
         return;
--- a/src/node/hosted_stream.cpp
+++ b/src/node/hosted_stream.cpp
@@ -316,7 +316,7 @@
     if (how == run_result::failed) {
       mark_request_harmless(node_, call_);
       const answer_use use = use_of_failure(run);
-      if (use != answer_use::try_target && !header_sent_ && is_only_run()) {
+      if (use != answer_use::try_another && !header_sent_ && is_only_run()) {
         end_with_failure(run, use);
         return;
       }
--- a/src/request/target_answer.cpp
+++ b/src/request/target_answer.cpp
@@ -38,14 +38,14 @@
     case answer_kind::not_run:
     case answer_kind::mismatched:
     case answer_kind::unsigned_success:
-      return answer_use::try_target;
+      return answer_use::try_another;
     case answer_kind::succeeded:
       return answer_use::forward;
     case answer_kind::failed:
       break;
   }
   if (status >= first_server_error && call.repeatable && can_try_again) {
-    return answer_use::try_target;
+    return answer_use::try_another;
   }
   return is_false_promise(answer_source::target, status, call) ? answer_use::replace
                                                                : answer_use::forward;
--- a/src/request/target_answer.h
+++ b/src/request/target_answer.h
@@ -1,8 +1,9 @@
 // What the answer of a target says of a request, and what the caller gets of it.
 //
 // Some statuses promise a caller that its request has not run and never will, and callers then send
-// it again, whatever it does. Only the target knows whether that is so. A target that answers with
-// such a status and does not state that it did not run the request may have run it.
+// it again, also one that may run only once. Only the target knows whether that is so. A target
+// that answers with such a status and does not state that it did not run the request may have run
+// it.
 #pragma once
 
 #include <cstdint>
@@ -69,9 +70,9 @@
 
 // What a node does with a target's complete answer.
 enum class answer_use : std::uint8_t {
-  forward,     // unchanged
-  replace,     // by an answer of the node's own with status_without_promise()
-  try_target,  // sends the request to another target, or refuses it if there is none
+  forward,      // unchanged
+  replace,      // by an answer of the node's own with status_without_promise()
+  try_another,  // sends the request to another target, or refuses it if there is none
 };
 
 // `can_try_again`: the route's attempts and the retry budget allow one more run.
--- a/src/standin/restraint_checker.h
+++ b/src/standin/restraint_checker.h
@@ -24,8 +24,8 @@
   std::string endless_text = {};
   // Runs requests and closes their connections without an answer.
   bool closes_connections = false;
-  // Runs requests and answers them with this status, signed; zero: it does not fail them. The 503
-  // has `retry_after`, too.
+  // Runs requests and answers them with this status, signed, and with `retry_after`; zero: it does
+  // not fail them. Only a 503 asks for a backoff.
   int failure_status = 0;
 };
 
--- a/tests/core/target_answer_test.cpp
+++ b/tests/core/target_answer_test.cpp
@@ -70,7 +70,7 @@
         const answer_use use = use_of_failure(status, call, can_try_again);
         const bool tries = call.repeatable && can_try_again && status >= 500;
         const answer_use expected = !call.repeatable ? answer_use::replace
-                                    : tries          ? answer_use::try_target
+                                    : tries          ? answer_use::try_another
                                                      : answer_use::forward;
         EXPECT_EQ(use, expected) << status << ' ' << call.repeatable << ' ' << can_try_again;
       }
@@ -84,7 +84,7 @@
       EXPECT_EQ(use_of_failure(status, call, false), answer_use::forward) << status;
       const bool tries = call.repeatable && status >= 500;
       EXPECT_EQ(use_of_failure(status, call, true),
-                tries ? answer_use::try_target : answer_use::forward)
+                tries ? answer_use::try_another : answer_use::forward)
           << status;
     }
   }
@@ -95,7 +95,7 @@
        {answer_kind::not_run, answer_kind::mismatched, answer_kind::unsigned_success}) {
     for (const call_progress& call : calls) {
       for (const int status : {200, 421, 500, 503}) {
-        EXPECT_EQ(use_of(kind, status, call, false), answer_use::try_target) << status;
+        EXPECT_EQ(use_of(kind, status, call, false), answer_use::try_another) << status;
       }
     }
   }
--- a/tests/shell/hosted_failed_run_test.cpp
+++ b/tests/shell/hosted_failed_run_test.cpp
@@ -79,6 +79,14 @@
     set_answers(answering_node, {});
   }
 
+  // One more instance of the plain service; among equals the first one by id is chosen.
+  void list_instance(const std::string& id, const scripted_target& target) {
+    platform_.write_target_record(
+        id, R"({"service":"api","zone":"lab-a","slots":6,"state":"ready","born":1000000,)"
+            R"("address":"127.0.0.1:)" +
+                std::to_string(target.port()) + "\"}");
+  }
+
   double replaced(std::size_t node, const std::string& status) {
     return metric(node, "arbutusworks_failures_replaced{status=\"" + status + "\"}");
   }
@@ -108,10 +116,7 @@
 TEST_F(HostedFailedRun, ARefusalBeforeTheFailureDoesNotMakeItAPromise) {
   ASSERT_TRUE(both_nodes_serve());
   const scripted_target refusing({"not run", failure("503", states_not_run)});
-  platform_.write_target_record(
-      "a-refusing",
-      R"({"service":"api","zone":"lab-a","slots":6,"state":"ready","born":1000000,"address":"127.0.0.1:)" +
-          std::to_string(refusing.port()) + "\"}");
+  list_instance("a-refusing", refusing);
   platform_.set_answer(0, {failure("503")}, plain_instance_id);
   call_result result;
   EXPECT_TRUE(eventually([&] {
@@ -122,7 +127,23 @@
   }));
 }
 
-// Guards against a peer that passes the failure of a call on which it has taken over.
+// Guards against a promise by the last target after another one may have run the call.
+TEST_F(HostedFailedRun, AStatementAfterAPossibleRunIsNoPromise) {
+  ASSERT_TRUE(both_nodes_serve());
+  const scripted_target breaking({"broken off", signed_success()});
+  list_instance("a-breaking", breaking);
+  platform_.set_answer(0, {failure("503", states_not_run)}, plain_instance_id);
+  call_result result;
+  EXPECT_TRUE(eventually([&] {
+    const int before = breaking.answered();
+    result = ask(0, repeatable_path);
+    return breaking.answered() > before;
+  }));
+  EXPECT_EQ(result.response.status, 502);
+  EXPECT_FALSE(result.response.headers.find(retry_field));
+}
+
+// Guards against a peer that passes on the failure of a call that it has taken over.
 TEST_F(HostedFailedRun, AFailureAtAPeerIsNoPromise) {
   ASSERT_TRUE(both_nodes_serve());
   platform_.set_paths(0, path_state::silent);
