Tests: a stream that its caller resumes though it may not be

Cause: the path stood in the table alone; no test sent Last-Event-Id on a route without stream-resume.

Change: HostedFailedRun.AFailureOfAResumedStreamIsNoPromise, for plain streams and streams of a model, by 503, 429 and 408.

--- a/tests/shell/hosted_failed_run_test.cpp
+++ b/tests/shell/hosted_failed_run_test.cpp
@@ -112,6 +112,24 @@
   expect_no_promise(0, 0, once_stream_path);
 }
 
+// Guards against the same of a stream that its caller resumes though it may not be resumed.
+TEST_F(HostedFailedRun, AFailureOfAResumedStreamIsNoPromise) {
+  ASSERT_TRUE(both_nodes_serve());
+  for (const std::string& path : {once_plain_stream_path, once_stream_path}) {
+    for (const std::string& status : promising_statuses) {
+      set_answers(0, failure(status));
+      http_request request = make_request(path, next_id(0));
+      request.headers.add("Last-Event-Id", "2");
+      call_result result;
+      runtime.run_on(0, [&] {
+        result = client_.fetch(local(nodes_[0]->settings.listen.caller_endpoint.port), request,
+                               monotonic_now() + 8s);
+      });
+      expect_unknown(result, path + ' ' + status);
+    }
+  }
+}
+
 // Guards against a first refusal that vouches for the run of the next target.
 TEST_F(HostedFailedRun, ARefusalBeforeTheFailureDoesNotMakeItAPromise) {
   ASSERT_TRUE(both_nodes_serve());
