Stand-ins: the hosted platform's store in a file of its own

hosted_platform.cpp had 1,122 lines: the store, the engines, a plain service and what operators do. The store is a module of its own now (standin/hosted_store): tables, eras, the feed's history and the answers on the wire, behind its own mutex. Rows that come back from a copy are written before a reader sees them, as before, now by one call instead of by holding the platform's mutex. hosted_platform.cpp has 908 lines.

No product code is touched.

--- a/src/standin/hosted_platform.cpp
+++ b/src/standin/hosted_platform.cpp
@@ -1,17 +1,17 @@
-// HTTP servers of the stand-in platform: its store, its engines, and a service that is not a model.
+// HTTP servers of the stand-in platform: its engines and a service that is not a model, the rows
+// that they write to its store, and the faults of all of them.
 #include "standin/hosted_platform.h"
 
 #include <algorithm>
-#include <atomic>
+#include <iterator>
 #include <mutex>
 #include <nlohmann/json.hpp>
 
 #include "connection/clock.h"
-#include "platform/base64.h"
 #include "process/target_incarnation.h"
+#include "standin/hosted_store.h"
 #include "standin/silent_targets.h"
 #include "standin/standin_http.h"
-#include "version/field_text.h"
 
 namespace arbutus::standin {
 
@@ -19,7 +19,6 @@
 
 using nlohmann::json;
 
-constexpr const char* targets_table = "servers";
 constexpr const char* configuration_table = "op";
 constexpr const char* configuration_row = "config";
 constexpr const char* evacuation_prefix = "evacuate/";
@@ -61,17 +60,6 @@
   std::unique_ptr<http_server> store;
 };
 
-struct stored_row {
-  std::string value;
-  std::uint64_t version{};
-  bool removed = false;
-};
-
-struct store_content {
-  std::map<std::string, std::map<std::string, stored_row>> tables;
-  std::uint64_t version = 0;  // of the newest transaction
-};
-
 }  // namespace
 
 struct hosted_platform::state {
@@ -117,217 +105,41 @@
 
   state(fiber_runtime& r, const hosted_platform_settings& s) : runtime(r), settings(s) {}
 
-  // ---- store ----
+  // ---- rows that their writers write again ----
 
-  void put(const std::string& table, const std::string& key, std::string value) {
-    content.tables[table][key] = {std::move(value), ++content.version, false};
-  }
-  void remove(const std::string& table, const std::string& key) {
-    content.tables[table][key] = {{}, ++content.version, true};
-  }
-
-  [[nodiscard]] bool holds(const std::string& table, const std::string& key,
-                           const std::string& value) {
-    const auto& rows = content.tables[table];
-    const auto found = rows.find(key);
-    return value.empty()
-               ? found == rows.end() || found->second.removed
-               : found != rows.end() && !found->second.removed && found->second.value == value;
-  }
-
-  void write_again(const std::string& table, const std::string& key, const std::string& value) {
-    if (holds(table, key, value)) {
-      return;
-    }
-    if (value.empty()) {
-      remove(table, key);
-    } else {
-      put(table, key, value);
-    }
-  }
-
-  void write_targets_again() {
+  [[nodiscard]] std::vector<row_write> rows_of_targets() const {
+    std::vector<row_write> rows;
     for (const auto& [id, e] : engines) {
-      write_again(targets_table, id, e->listed_record);
+      rows.push_back({targets_table, id, e->listed_record});
     }
-    write_again(targets_table, plain_instance_id, plain_record);
+    rows.push_back({targets_table, plain_instance_id, plain_record});
+    return rows;
   }
 
-  void write_configuration_again() {
-    write_again(configuration_table, configuration_row, newest_configuration);
+  [[nodiscard]] std::vector<row_write> rows_of_configuration() const {
+    std::vector<row_write> rows = {{configuration_table, configuration_row, newest_configuration}};
     for (const auto& [key, value] : evacuations) {
-      write_again(configuration_table, key, value);
-    }
-  }
-
-  // The store's steady clock.
-  static std::int64_t clock_ms() {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(monotonic_now().time_since_epoch())
-        .count();
-  }
-
-  // All answers of the store name its era.
-  [[nodiscard]] http_headers store_headers() const {
-    return {{"Content-Type", "application/json"}, {"Store-Era", std::to_string(era)}};
-  }
-  void answer(response_writer& writer, int status, std::string_view body) const {
-    writer.send(status, store_headers(), body);
-  }
-
-  // The record of a target with the address at which a node with these paths reaches it.
-  static std::string record_through(const network_paths& paths, const std::string& record) {
-    json document = json::parse(record, nullptr, false);
-    if (!document.is_object()) {
-      return record;
-    }
-    if (const auto address = parse_endpoint(document.value("address", ""))) {
-      document["address"] = to_string(paths.path_to(*address));
-    }
-    return document.dump();
-  }
-
-  json row_json(const std::string& table, const std::string& key, const stored_row& row,
-                const network_paths* paths) {
-    json entry = {{"table", table}, {"part", ""}, {"key", key}, {"ver", row.version}};
-    const bool has_path = paths != nullptr && table == targets_table;
-    if (row.removed) {
-      entry["removed"] = true;
-    } else {
-      entry["value"] = base64_encode(has_path ? record_through(*paths, row.value) : row.value);
-    }
-    return entry;
-  }
-
-  json changes(const std::string& table, std::uint64_t after, const network_paths* paths) {
-    json rows = json::array();
-    for (const auto& [key, row] : content.tables[table]) {
-      if (row.version > after) {
-        rows.push_back(row_json(table, key, row, paths));
-      }
+      rows.push_back({configuration_table, key, value});
     }
     return rows;
   }
 
-  std::string rows_response(const std::string& table, const network_paths* paths) {
-    json rows = json::array();
-    const std::lock_guard guard(mutex);
-    for (const auto& [key, row] : content.tables[table]) {
-      if (!row.removed) {
-        rows.push_back(row_json(table, key, row, paths));
-      }
-    }
-    return json{
-        {"rows", rows}, {"has-more", false}, {"ver", content.version}, {"now-ms", clock_ms()}}
-        .dump();
-  }
-
-  [[nodiscard]] bool is_given_out_later(std::uint64_t at) const {
-    const std::lock_guard guard(mutex);
-    return at > content.version;
-  }
-
-  // Response to a long poll for changes of a table; empty while there are none and `until` is in
-  // the future.
-  std::string changes_if_ready(const std::string& table, std::uint64_t after, time_point until,
-                               const network_paths* paths) {
-    const std::lock_guard guard(mutex);
-    const json rows = changes(table, after, paths);
-    if (rows.empty() && monotonic_now() < until) {
-      return {};
-    }
-    return json{{"rows", rows}, {"ver", content.version}, {"now-ms", clock_ms()}}.dump();
-  }
-
-  // `paths`: of the node that this address of the store is for; null: it has none.
-  void serve_store(const http_request& request, response_writer& writer,
-                   const network_paths* paths) {
-    const std::string path = request.target.substr(0, request.target.find('?'));
-    if (down) {
-      answer(writer, 503, "{}");
-      return;
-    }
-    const std::string table = query_parameter(request.target, "table");
-    if (path == "/api/rows-get") {
-      send_at_rate(writer, rows_response(table, paths));
-    } else if (path == "/api/rows-feed") {
-      feed(request, writer, table, paths);
-    } else if (path == "/api/rows-tx") {
-      write(request, writer);
-    } else {
-      answer(writer, 404, "{}");
-    }
-  }
-
-  void feed(const http_request& request, response_writer& writer, const std::string& table,
-            const network_paths* paths) {
-    const std::uint64_t after = std::stoull("0" + query_parameter(request.target, "after"));
-    const auto wait =
-        std::chrono::milliseconds(std::stoull("0" + query_parameter(request.target, "wait-ms")));
-    const time_point until = monotonic_now() + wait;
-    const std::uint64_t asked_in = era;
-    for (;;) {
-      if (asked_in != era || after < history_from || is_given_out_later(after)) {
-        answer(writer, 410, "{}");
-        return;
-      }
-      const std::string body = changes_if_ready(table, after, until, paths);
-      if (!body.empty()) {
-        send_at_rate(writer, body);
-        return;
-      }
-      if (down || !wait_for(writer, refresh_interval)) {
-        answer(writer, 503, "{}");
-        return;
-      }
-    }
-  }
-
-  void send_at_rate(response_writer& writer, const std::string& body) {
-    const std::size_t rate = bytes_per_s;
-    if (rate == 0) {
-      answer(writer, 200, body);
-      return;
-    }
-    constexpr std::size_t pieces_per_s = 1s / refresh_interval;
-    const std::size_t piece = std::max<std::size_t>(rate / pieces_per_s, 1);
-    writer.start(200, store_headers());
-    for (std::size_t at = 0; at < body.size(); at += piece) {
-      if (!wait_for(writer, refresh_interval) ||
-          !writer.write(std::string_view(body).substr(at, piece))) {
-        return;
-      }
-    }
-    writer.finish();
-  }
-
-  void write(const http_request& request, response_writer& writer) {
-    const json body = json::parse(request.body, nullptr, false);
-    const std::uint64_t new_version = body.is_object() ? apply(body) : 0;
-    answer(writer, new_version == 0 ? 412 : 200,
-           json{{"ver", new_version}, {"now-ms", clock_ms()}}.dump());
+  [[nodiscard]] std::vector<row_write> all_rows() const {
+    std::vector<row_write> rows = rows_of_targets();
+    std::ranges::move(rows_of_configuration(), std::back_inserter(rows));
+    return rows;
   }
 
-  // Applies a transaction to the store and returns the store's new version; 0 if a precondition
-  // does not hold.
-  std::uint64_t apply(const json& body) {
-    const std::lock_guard guard(mutex);
-    for (const json& c : body.value("precondition", json::array())) {
-      const auto& rows = content.tables[c.value("table", "")];
-      const auto found = rows.find(c.value("key", ""));
-      const std::uint64_t current =
-          found == rows.end() || found->second.removed ? 0 : found->second.version;
-      if (current != c.value("ver", std::uint64_t{0})) {
-        return 0;
-      }
-    }
-    for (const json& w : body.value("writes", json::array())) {
-      put(w.value("table", ""), w.value("key", ""),
-          base64_decode(w.value("value", "")).value_or(""));
+  [[nodiscard]] std::vector<row_write> rows_of(rewrite written_again) const {
+    switch (written_again) {
+      case rewrite::everything:
+        return all_rows();
+      case rewrite::targets:
+        return rows_of_targets();
+      case rewrite::nothing:
+        break;
     }
-    for (const json& d : body.value("deletes", json::array())) {
-      remove(d.value("table", ""), d.value("key", ""));
-    }
-    return content.version;
+    return {};
   }
 
   // ---- paths of nodes ----
@@ -341,7 +153,7 @@
     const network_paths* own = paths.get();
     auto server = std::make_unique<http_server>(
         runtime, socket_address{settings.ip, 0}, http_server_limits{},
-        [this, own](const http_request& r, response_writer& w) { serve_store(r, w, own); });
+        [this, own](const http_request& r, response_writer& w) { store.serve(r, w, own); });
     nodes.push_back({std::move(paths), std::move(server)});
   }
 
@@ -690,7 +502,7 @@
                          {"state", reported_state}};
     plain_incarnation = incarnation;
     plain_record = record.dump();
-    put(targets_table, plain_instance_id, plain_record);
+    store.put(targets_table, plain_instance_id, plain_record);
   }
 
   void serve_plain(const http_request& request, response_writer& writer) {
@@ -756,7 +568,7 @@
       if (e->dead) {
         if (now >= e->unlist_at && !e->listed_record.empty()) {
           e->listed_record.clear();
-          remove(targets_table, id);
+          store.remove(targets_table, id);
         }
         continue;
       }
@@ -766,7 +578,7 @@
       e->engine.advance(now);
       std::string record = record_json(*e);
       if (record != e->listed_record) {
-        put(targets_table, id, record);
+        store.put(targets_table, id, record);
         e->listed_record = std::move(record);
       }
     }
@@ -775,10 +587,6 @@
   fiber_runtime& runtime;
   hosted_platform_settings settings;
   mutable std::mutex mutex;  // guards the data below; never locked while a handler waits
-  store_content content;
-  store_content copy;  // see copy_store
-  std::atomic<std::uint64_t> era{1};
-  std::atomic<std::uint64_t> history_from{0};  // the feed has no changes up to this version
   std::uint64_t config_version = 0;
   std::string newest_configuration;
   std::vector<std::string> route_regions;
@@ -800,10 +608,8 @@
   int leave_orders = 0;  // number of orders to leave a replica that reached an engine
   silent_targets silent;
   std::uint64_t last_start_stamp = first_start_stamp;
-  std::atomic<bool> down{false};
-  // Rate at which the store sends each response; 0: no limit.
-  std::atomic<std::size_t> bytes_per_s{0};
-  std::unique_ptr<http_server> store;
+  hosted_store store;
+  std::unique_ptr<http_server> store_server;
   std::unique_ptr<restartable_server> plain;
   std::vector<node_access> nodes;       // nodes with paths of their own
   std::unique_ptr<periodic> refresher;  // last member, since it uses the other members
@@ -812,9 +618,9 @@
 hosted_platform::hosted_platform(fiber_runtime& runtime, const hosted_platform_settings& settings)
     : state_(std::make_unique<state>(runtime, settings)) {
   state& s = *state_;
-  s.store = std::make_unique<http_server>(
+  s.store_server = std::make_unique<http_server>(
       runtime, socket_address{settings.ip, settings.store_port}, http_server_limits{},
-      [&s](const http_request& r, response_writer& w) { s.serve_store(r, w, nullptr); });
+      [&s](const http_request& r, response_writer& w) { s.store.serve(r, w, nullptr); });
   s.plain = std::make_unique<restartable_server>(
       runtime, socket_address{settings.ip, 0},
       [&s](const http_request& r, response_writer& w) { s.serve_plain(r, w); });
@@ -853,7 +659,7 @@
     state_->silent.set(id, false);
   }
   state_->silent.set(plain_instance_id, false);
-  state_->store.reset();
+  state_->store_server.reset();
   state_->nodes.clear();
   state_->plain.reset();
   for (auto& [id, e] : state_->engines) {
@@ -862,7 +668,7 @@
 }
 
 std::uint16_t hosted_platform::store_port() const {
-  return state_->store->port();
+  return state_->store_server->port();
 }
 
 std::size_t hosted_platform::node_count() const {
@@ -905,14 +711,15 @@
                                   state_->route_regions,
                                   state_->workspace_regions};
   state_->newest_configuration = encode(next);
-  state_->put(configuration_table, configuration_row, state_->newest_configuration);
+  state_->store.put(configuration_table, configuration_row, state_->newest_configuration);
 }
 
 void hosted_platform::set_evacuated(const std::string& data_centre, bool evacuated) {
   const std::lock_guard guard(state_->mutex);
   const std::string key = evacuation_prefix + data_centre;
-  state_->evacuations[key] = evacuated ? "{}" : "";
-  state_->write_again(configuration_table, key, state_->evacuations[key]);
+  const row_write row{configuration_table, key, evacuated ? "{}" : ""};
+  state_->evacuations[key] = row.value;
+  state_->store.write_missing({&row, 1});
 }
 
 void hosted_platform::write_allowed_regions(const std::vector<std::string>& of_routes,
@@ -930,49 +737,36 @@
 }
 
 void hosted_platform::set_store_rate(std::size_t bytes_per_s) {
-  state_->bytes_per_s = bytes_per_s;
+  state_->store.set_rate(bytes_per_s);
 }
 
 void hosted_platform::set_store_down(bool down) {
-  state_->down = down;
+  state_->store.set_down(down);
 }
 
 void hosted_platform::copy_store() {
   const std::lock_guard guard(state_->mutex);
-  state_->copy = state_->content;
+  state_->store.copy();
 }
 
 void hosted_platform::restore_store(rewrite written_again,
                                     const std::set<std::string>& lost_tables) {
   const std::lock_guard guard(state_->mutex);
-  state_->content = state_->copy;
-  for (const std::string& table : lost_tables) {
-    state_->content.tables.erase(table);
-  }
-  ++state_->era;
-  if (written_again != rewrite::nothing) {
-    state_->write_targets_again();
-  }
-  if (written_again == rewrite::everything) {
-    state_->write_configuration_again();
-  }
+  state_->store.restore(lost_tables, state_->rows_of(written_again));
 }
 
 void hosted_platform::write_again() {
   const std::lock_guard guard(state_->mutex);
-  state_->write_targets_again();
-  state_->write_configuration_again();
+  state_->store.write_missing(state_->all_rows());
 }
 
 void hosted_platform::drop_history() {
-  const std::lock_guard guard(state_->mutex);
-  state_->history_from = state_->content.version;
+  state_->store.drop_history();
 }
 
 void hosted_platform::use_up_versions(std::size_t count) {
-  const std::lock_guard guard(state_->mutex);
   for (std::size_t i = 0; i < count; ++i) {
-    state_->put(unread_table, "row", std::to_string(i));
+    state_->store.put(unread_table, "row", std::to_string(i));
   }
 }
 
@@ -1034,8 +828,7 @@
 
 void hosted_platform::write_row(const std::string& table, const std::string& key,
                                 const std::string& value) {
-  const std::lock_guard guard(state_->mutex);
-  state_->put(table, key, value);
+  state_->store.put(table, key, value);
 }
 
 void hosted_platform::write_target_record(const std::string& key, const std::string& value) {
@@ -1063,14 +856,7 @@
 }
 
 std::size_t hosted_platform::rows_of_table(const std::string& table) const {
-  const std::lock_guard guard(state_->mutex);
-  const auto found = state_->content.tables.find(table);
-  if (found == state_->content.tables.end()) {
-    return 0;
-  }
-  return static_cast<std::size_t>(
-      std::count_if(found->second.begin(), found->second.end(),
-                    [](const auto& row) { return !row.second.removed; }));
+  return state_->store.rows_of_table(table);
 }
 
 std::map<std::string, int> hosted_platform::crashes_by_path() const {
