--- a/src/standin/hosted_store.h
+++ b/src/standin/hosted_store.h
@@ -71,6 +71,7 @@
   [[nodiscard]] std::string all_rows(const std::string& table, const network_paths* paths);
   [[nodiscard]] std::string changes_if_ready(const std::string& table, std::uint64_t after,
                                              time_point until, const network_paths* paths);
+  // Whether the store, back from an older copy, has yet to give out this version again.
   [[nodiscard]] bool is_given_out_later(std::uint64_t version) const;
   void feed(const http_request& request, response_writer& writer, const std::string& table,
             const network_paths* paths);
