Store: a version that is no number of 64 bits is refused

Cause: the JSON library keeps such a number as a floating one and converts it when asked for 64 bits; -1 and 2.5 as well. The same line stood three times: for the table, for a row and for the answer to a write.

--- a/tests/shell/platform_broken_answer_test.cpp
+++ b/tests/shell/platform_broken_answer_test.cpp
@@ -6,6 +6,7 @@
 #include "connection/http_client.h"
 #include "platform/engines.h"
 #include "platform/store.h"
+#include "platform/store_rows.h"
 #include "shell/connection_fixture.h"
 #include "shell/scripted_target.h"
 
@@ -55,6 +56,25 @@
   }
 }
 
+// Guards against a version that is no number of 64 bits and is taken for another one.
+TEST_F(platform_broken_answer, an_odd_version_is_unknown) {
+  const transaction small{"", {}, {{"status", "row", "value"}}, {}};
+  for (const std::string version : {"66666666666666666666666666666666669", "18446744073709551616",
+                                    "1e300", "-1", "2.5", R"("5")", "null"}) {
+    const std::string body = R"({"ver":)" + version + R"(,"rows":[]})";
+    const std::string row = R"({"ver":5,"rows":[{"key":"config","ver":)" + version + "}]}";
+    for (const std::string& text : {body, row}) {
+      EXPECT_FALSE(read_store_rows(text)) << text;
+    }
+    const scripted_target target({version, "HTTP/1.1 200 OK\r\nContent-Length: " +
+                                               std::to_string(body.size()) + "\r\n\r\n" + body});
+    platform_store store(client, local(target.port()));
+    in_fiber([&] {
+      EXPECT_TRUE(std::holds_alternative<unknown>(store.write(small, test_deadline()))) << version;
+    });
+  }
+}
+
 // Guards against an order that counts as accepted or refused by an answer that broke off.
 TEST_F(platform_broken_answer, an_order_with_a_broken_answer_has_no_answer) {
   for (const std::string status : {"200", "202", "409", "421"}) {
