--- a/src/standin/hosted_platform.cpp
+++ b/src/standin/hosted_platform.cpp
@@ -107,8 +107,8 @@
 
   // ---- rows that their writers write again ----
 
-  [[nodiscard]] std::vector<row_write> rows_of_targets() const {
-    std::vector<row_write> rows;
+  [[nodiscard]] std::vector<desired_row> rows_of_targets() const {
+    std::vector<desired_row> rows;
     for (const auto& [id, e] : engines) {
       rows.push_back({targets_table, id, e->listed_record});
     }
@@ -116,21 +116,22 @@
     return rows;
   }
 
-  [[nodiscard]] std::vector<row_write> rows_of_configuration() const {
-    std::vector<row_write> rows = {{configuration_table, configuration_row, newest_configuration}};
+  [[nodiscard]] std::vector<desired_row> rows_of_configuration() const {
+    std::vector<desired_row> rows = {
+        {configuration_table, configuration_row, newest_configuration}};
     for (const auto& [key, value] : evacuations) {
       rows.push_back({configuration_table, key, value});
     }
     return rows;
   }
 
-  [[nodiscard]] std::vector<row_write> all_rows() const {
-    std::vector<row_write> rows = rows_of_targets();
+  [[nodiscard]] std::vector<desired_row> all_rows() const {
+    std::vector<desired_row> rows = rows_of_targets();
     std::ranges::move(rows_of_configuration(), std::back_inserter(rows));
     return rows;
   }
 
-  [[nodiscard]] std::vector<row_write> rows_of(rewrite written_again) const {
+  [[nodiscard]] std::vector<desired_row> rows_of(rewrite written_again) const {
     switch (written_again) {
       case rewrite::everything:
         return all_rows();
@@ -717,7 +718,7 @@
 void hosted_platform::set_evacuated(const std::string& data_centre, bool evacuated) {
   const std::lock_guard guard(state_->mutex);
   const std::string key = evacuation_prefix + data_centre;
-  const row_write row{configuration_table, key, evacuated ? "{}" : ""};
+  const desired_row row{configuration_table, key, evacuated ? "{}" : ""};
   state_->evacuations[key] = row.value;
   state_->store.write_missing({&row, 1});
 }
--- a/src/standin/hosted_store.cpp
+++ b/src/standin/hosted_store.cpp
@@ -60,7 +60,7 @@
   remove_row(table, key);
 }
 
-void hosted_store::write_missing(std::span<const row_write> rows) {
+void hosted_store::write_missing(std::span<const desired_row> rows) {
   const std::lock_guard guard(mutex_);
   write_missing_rows(rows);
 }
@@ -71,7 +71,7 @@
 }
 
 void hosted_store::restore(const std::set<std::string>& lost_tables,
-                           std::span<const row_write> written_again) {
+                           std::span<const desired_row> written_again) {
   const std::lock_guard guard(mutex_);
   content_ = copy_;
   for (const std::string& table : lost_tables) {
@@ -123,15 +123,15 @@
   content_.tables[table][key] = {{}, ++content_.version, true};
 }
 
-bool hosted_store::holds(const row_write& row) {
+bool hosted_store::holds(const desired_row& row) {
   const auto& rows = content_.tables[row.table];
   const auto found = rows.find(row.key);
   const bool exists = found != rows.end() && !found->second.removed;
   return row.value.empty() ? !exists : exists && found->second.value == row.value;
 }
 
-void hosted_store::write_missing_rows(std::span<const row_write> rows) {
-  for (const row_write& row : rows) {
+void hosted_store::write_missing_rows(std::span<const desired_row> rows) {
+  for (const desired_row& row : rows) {
     if (holds(row)) {
       continue;
     }
--- a/src/standin/hosted_store.h
+++ b/src/standin/hosted_store.h
@@ -20,7 +20,7 @@
 inline constexpr const char* targets_table = "servers";
 
 // A row as its writer wants it.
-struct row_write {
+struct desired_row {
   std::string table;
   std::string key;
   std::string value;  // empty: removed
@@ -31,13 +31,14 @@
   void put(const std::string& table, const std::string& key, std::string value);
   void remove(const std::string& table, const std::string& key);
   // Writes those of the rows that the store does not hold as they are.
-  void write_missing(std::span<const row_write> rows);
+  void write_missing(std::span<const desired_row> rows);
 
   // Keeps a copy of the store as it is now.
   void copy();
   // The store comes back from the copy, in its next era and without the tables `lost_tables`. No
   // reader sees it before the rows `written_again` are in it.
-  void restore(const std::set<std::string>& lost_tables, std::span<const row_write> written_again);
+  void restore(const std::set<std::string>& lost_tables,
+               std::span<const desired_row> written_again);
   // The store forgets the changes up to now: who has read less has to read whole tables.
   void drop_history();
 
@@ -65,8 +66,8 @@
   // With the mutex locked:
   void put_row(const std::string& table, const std::string& key, std::string value);
   void remove_row(const std::string& table, const std::string& key);
-  [[nodiscard]] bool holds(const row_write& row);
-  void write_missing_rows(std::span<const row_write> rows);
+  [[nodiscard]] bool holds(const desired_row& row);
+  void write_missing_rows(std::span<const desired_row> rows);
 
   [[nodiscard]] std::string all_rows(const std::string& table, const network_paths* paths);
   [[nodiscard]] std::string changes_if_ready(const std::string& table, std::uint64_t after,
