Tests: a proxy counts a request before it answers it

Cause: the proxy counted a request after it had answered it, in a thread of its own. The node answers its caller in between, and the test reads the count that is still to come.

Change: a second count, taken before the answer.

--- a/tests/process/failed_run_test.py
+++ b/tests/process/failed_run_test.py
@@ -35,7 +35,7 @@
 
     def answer(self, proxies, bytes_and_time):
         for proxy in proxies:
-            proxy.answer, proxy.answered = bytes_and_time, 0
+            proxy.answer, proxy.received = bytes_and_time, 0
 
     def test_failures_of_a_service(self):
         # Guards against callers that send a call again which has run, also by the record of its key.
@@ -47,7 +47,7 @@
             self.assert_unknown(unnamed)
             self.assertNotIn("retry-after", unnamed.headers)
             self.assert_unknown(self.send("POST", key))
-            sent = sum(proxy.answered for proxy in proxies)
+            sent = sum(proxy.received for proxy in proxies)
             self.answer(proxies, None)
             for node in range(len(self.nodes)):
                 self.assert_unknown(self.send("POST", key, node))
@@ -64,9 +64,9 @@
         self.answer(proxies, failure(503, ASKS_FOR_BACKOFF))
         wait_until(lambda: self.send("POST").status == 503, "all back off",
                    timeout=BACKOFF_SECONDS)
-        sent = sum(proxy.answered for proxy in proxies)
+        sent = sum(proxy.received for proxy in proxies)
         self.assertEqual(self.send("POST").error["type"], "not_run")
-        self.assertEqual(sum(proxy.answered for proxy in proxies), sent)
+        self.assertEqual(sum(proxy.received for proxy in proxies), sent)
 
     def test_failures_of_an_engine(self):
         # Guards against the promise "not run" after an engine has run a request and failed it.
--- a/tests/process/faulty_proxy.py
+++ b/tests/process/faulty_proxy.py
@@ -22,7 +22,8 @@
         self.target = target
         self.prefix = prefix
         self.answer = None
-        self.answered = 0  # requests that were not forwarded, and whose connection has ended
+        self.received = 0  # requests that are not forwarded, counted before they are answered
+        self.answered = 0  # those whose connection has ended, counted some time after their answer
         self.listener = socket.create_server((LOOPBACK, 0))
         self.port = self.listener.getsockname()[1]
         threading.Thread(target=self.accept, daemon=True).start()
@@ -42,6 +43,7 @@
             head = connection.recv(65536)
             answer = self.answer
             if answer and head.split(b" ", 2)[1].startswith(self.prefix):
+                self.received += 1
                 self.answer_faultily(connection, head, answer)
                 self.answered += 1
             elif head:
