Tests: a repeated call is looked at once the first one is recorded

Cause: a node replies to its caller before it writes the call's record (keyed_call::answered). Until then another node says that the call is still running, with a time to come back; that is no promise, and its type is "unknown".

Change: the test comes back while the answer is exactly that, for 2 s at most, and then asks for 502 as before.

--- a/tests/process/failed_run_test.py
+++ b/tests/process/failed_run_test.py
@@ -33,6 +33,16 @@
             headers["Idempotency-Key"] = key
         return call(self.nodes[node].port, method, "/notes/cards", "crew 3", headers)
 
+    def send_again(self, key, node):
+        """The reply to a repeated call once the first one, whose caller has its reply, is recorded."""
+        def reply_from_record():
+            reply = self.send("POST", key, node)
+            if reply.status != 409:
+                return reply
+            self.assertEqual(reply.error["code"], "in_progress", reply)
+            return None
+        return wait_until(reply_from_record, "the call is recorded", timeout=2.0)[0]
+
     def answer(self, proxies, bytes_and_time):
         for proxy in proxies:
             proxy.answer, proxy.received = bytes_and_time, 0
@@ -50,7 +60,7 @@
             sent = sum(proxy.received for proxy in proxies)
             self.answer(proxies, None)
             for node in range(len(self.nodes)):
-                self.assert_unknown(self.send("POST", key, node))
+                self.assert_unknown(self.send_again(key, node))
             self.assertEqual(sent, 2)
         for status in (400, 404, 500, 504):
             self.answer(proxies, failure(status))
